--- /dev/null
+++ b/coursepitch/admin/__init__.py
@@ -0,0 +1,1 @@
+"""The side that operators see."""
--- /dev/null
+++ b/coursepitch/application.py
@@ -0,0 +1,385 @@
+"""Composition root: the one place where the parts of a node meet."""
+
+from __future__ import annotations
+
+import secrets
+import signal
+import time
+from typing import TYPE_CHECKING, Any
+
+import anyio
+
+from coursepitch import events, log
+from coursepitch.admin.api import AdminApi
+from coursepitch.admin.status import StatusReporter
+from coursepitch.clock import monotonic
+from coursepitch.config.resources import Key, Node
+from coursepitch.control.chart import load_chart
+from coursepitch.control.cluster import ClusterWorker, PeerBoard
+from coursepitch.control.duties import DutyKeeper
+from coursepitch.control.observers import Observers
+from coursepitch.control.session import Session
+from coursepitch.metrics import Metrics
+from coursepitch.peers.hub import PeerHub
+from coursepitch.peers.records import (
+    ContactBody,
+    DomainBody,
+    FleetBody,
+    LoadBody,
+    NodeBody,
+)
+from coursepitch.platform.instances import InstanceList
+from coursepitch.platform.kv import KeyValue
+from coursepitch.serving.admission import Admission
+from coursepitch.serving.board import ReplicaBoard
+from coursepitch.serving.dispatch import Dispatcher
+from coursepitch.serving.entry import Entry
+from coursepitch.serving.gate import Gate
+from coursepitch.serving.idempotency import RequestRecords
+from coursepitch.serving.services import ServiceCaller
+from coursepitch.targets.engine import EngineControl
+from coursepitch.util.http import listen, serve_app
+
+if TYPE_CHECKING:
+    import socket
+    from collections.abc import Callable, Coroutine
+
+    from coursepitch.clock import Clock
+    from coursepitch.config.settings import Settings
+
+__all__ = ['NodeApplication']
+
+#: Seconds between two looks at duties, contact and readiness.
+_TELL_S = 0.25
+
+
+class NodeApplication:
+    """A node with all its parts, wired but not running."""
+
+    def __init__(self, settings: Settings, clock: Clock = monotonic) -> None:
+        self.settings = settings
+        self.clock = clock
+        me = settings.node.name
+        self.me = me
+        self.incarnation = secrets.token_hex(6)
+        platform = settings.platform
+        self.metrics = Metrics()
+        self.chart = load_chart('replica')
+        self.kv = KeyValue(
+            platform.key_value_url,
+            platform.timeout_s,
+            platform.calls_per_s,
+            self.metrics,
+        )
+        self.instances = InstanceList(platform.instance_list_url, platform.timeout_s)
+        self.engines = EngineControl(settings.targets.check_timeout_s)
+        self.session = Session(me, self.kv, platform, clock)
+        boot = int(time.time() * 1000)
+        self.hub = PeerHub(me, boot, self.session, settings.peers, self.metrics, clock)
+        self._build_control()
+        self._build_serving()
+        self._ready = ''
+
+    def _build_control(self) -> None:
+        settings = self.settings
+        self.duties = DutyKeeper(
+            self.me, self.session, self.kv, self.clock, self.list_domains
+        )
+        self.observers = Observers(
+            self.me,
+            self.session,
+            self.hub,
+            self.kv,
+            self.engines,
+            settings.targets,
+            self.chart,
+            self._publish_domain,
+            self.clock,
+            self.list_domains,
+        )
+        board = PeerBoard(self._read_nodes, self._read_domains, self._publish_fleet)
+        self.cluster = ClusterWorker(
+            self.me,
+            self.session,
+            self.kv,
+            self.instances,
+            self.engines,
+            settings,
+            self.chart,
+            board,
+            self.metrics,
+            self.clock,
+        )
+
+    def _build_serving(self) -> None:
+        settings = self.settings
+        entry = settings.entry
+        self.admission = Admission(entry.queue_limit, entry.queue_wait_s, self.clock)
+        self.gate = Gate(
+            self.me,
+            self.session,
+            self.hub,
+            self.admission,
+            settings.platform.permit_s,
+            self.metrics,
+            self.clock,
+        )
+        board = ReplicaBoard(
+            self.hub,
+            settings.node.availability_zone,
+            settings.routing,
+            settings.targets.evidence_limit_s,
+            self.clock,
+        )
+        self.dispatcher = Dispatcher(
+            board, self.admission, settings.routing, self.metrics, self.clock
+        )
+        self.services = ServiceCaller(settings.routing, self.clock)
+        self.records = RequestRecords(
+            self.kv, entry.record_ttl_s, entry.record_body_limit, self.clock
+        )
+        self.entry = Entry(
+            self.gate,
+            self.dispatcher,
+            self.services,
+            self.records,
+            entry,
+            self.metrics,
+            self.clock,
+        )
+        self.reporter = StatusReporter(
+            self.me,
+            self.session,
+            self.hub,
+            self.gate,
+            settings.targets.evidence_limit_s,
+            self.clock,
+        )
+        self.admin = AdminApi(
+            self.session,
+            self.reporter,
+            settings.admin,
+            self.metrics,
+            self.cluster.describe_plan,
+        )
+
+    # -- what parts tell each other ---------------------------------------------
+
+    def list_domains(self) -> tuple[str, ...]:
+        """Return the fabric domains that any node told of."""
+        domains = {item.key.subject for item in self.hub.records('domain')}
+        for item in self.hub.records('fleet'):
+            if isinstance(item.body, FleetBody):
+                domains.update(item.body.domains)
+        return tuple(sorted(domains))
+
+    def _read_nodes(self) -> dict[str, NodeBody]:
+        return self.reporter.read_nodes()
+
+    def _read_domains(self) -> list[tuple[str, DomainBody]]:
+        now = self.clock()
+        return [
+            (item.key.subject, item.body)
+            for item in self.hub.records('domain')
+            if isinstance(item.body, DomainBody)
+            if now - item.made_at <= self.settings.targets.evidence_limit_s
+        ]
+
+    def _publish_fleet(self, body: FleetBody) -> None:
+        self.hub.publish('fleet', 'instances', body, self.clock())
+
+    def _publish_domain(
+        self, domain: str, body: DomainBody, load: LoadBody, made_at: float
+    ) -> None:
+        self.hub.publish('domain', domain, body, made_at)
+        self.hub.publish('load', domain, load, made_at)
+
+    async def _tell(self) -> None:
+        """Tell peers of this node; log when it begins or ends to serve."""
+        while True:
+            self._tell_once()
+            await anyio.sleep(_TELL_S)
+
+    def _tell_once(self) -> None:
+        now = self.clock()
+        view = self.session.view.value
+        reason = self.gate.why_not_ready()
+        self._note_ready(reason, view.configuration.revision)
+        revision = view.configuration.revision
+        body = NodeBody(self.incarnation, revision, not reason, self.gate.draining)
+        self.hub.publish('node', self.me, body, now)
+        if view.contact_at is not None:
+            contact = ContactBody(revision)
+            self.hub.publish('contact', self.me, contact, view.contact_at)
+            self.metrics.kv_age.set({}, now - view.contact_at)
+        self.hub.publish('demand', self.me, self.gate.read_demand(), now)
+        self._take_contact(revision)
+        self.metrics.revision.set({}, revision)
+        self.metrics.accepted.set({}, view.accepted)
+        self.metrics.duties.set({}, len(self.duties.held))
+
+    def _take_contact(self, revision: int) -> None:
+        """Take a peer's contact with the service as one's own.
+
+        It confirmed that no revision newer than the peer's existed then, so
+        none newer than one at least as new here.
+        """
+        for peer in self.gate.read_peers().values():
+            if peer.contact_at is not None and peer.in_force <= revision:
+                self.session.note_contact(peer.contact_at)
+
+    def _note_ready(self, reason: str, revision: int) -> None:
+        state = reason or 'ready'
+        if state == self._ready:
+            return
+        self._ready = state
+        if reason:
+            log.emit(events.NODE_NOT_READY, reason=reason)
+        else:
+            log.emit(events.NODE_READY, revision=revision)
+
+    # -- running --------------------------------------------------------------------
+
+    async def run(self, announce: Callable[[dict[str, int]], None]) -> int:
+        """Run until a planned stop has ended; return the exit code.
+
+        :param announce: told the ports once the node listens.
+        """
+        settings = self.settings
+        sockets = {
+            'entry': listen(settings.node.address, settings.entry.port),
+            'admin': listen(settings.admin.address, settings.admin.port),
+            'peers': listen(settings.node.address, settings.peers.port),
+        }
+        ports = {name: sock.getsockname()[1] for name, sock in sockets.items()}
+        self._register(ports)
+        stop_entry, stop_admin = anyio.Event(), anyio.Event()
+        async with anyio.create_task_group() as group:
+            for task in self._list_tasks(sockets, stop_entry, stop_admin):
+                group.start_soon(task)
+            log.emit(events.NODE_STARTED, ports=ports)
+            if not settings.admin.key_hashes:
+                log.emit(events.ADMIN_OPEN, address=settings.admin.address)
+            announce(ports)
+            with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+                await anext(signals)
+                cut = await self._drain(signals)
+            await self._leave(cut, stop_entry, stop_admin)
+            group.cancel_scope.cancel()
+        log.emit(events.NODE_STOPPED)
+        return 1 if cut else 0
+
+    def _register(self, ports: dict[str, int]) -> None:
+        node = self.settings.node
+        spec = Node(
+            address=node.address,
+            peer_port=ports['peers'],
+            admin_port=ports['admin'],
+            availability_zone=node.availability_zone,
+            incarnation=self.incarnation,
+        )
+        self.session.set_node(spec)
+
+    def _list_tasks(
+        self,
+        sockets: dict[str, socket.socket],
+        stop_entry: anyio.Event,
+        stop_admin: anyio.Event,
+    ) -> list[Callable[[], Coroutine[Any, Any, None]]]:
+        """Return the tasks of the node, in the order in which they start."""
+        settings = self.settings
+        key = Key('node', self.me)
+
+        async def serve_entry() -> None:
+            await serve_app(
+                self.entry.build_app(),
+                sockets['entry'],
+                stop_entry,
+                certificate=settings.entry.tls_certificate,
+                key=settings.entry.tls_key,
+                header_limit=settings.entry.header_limit,
+            )
+
+        async def serve_admin() -> None:
+            await serve_app(
+                self.admin.build_app(),
+                sockets['admin'],
+                stop_admin,
+                certificate=settings.admin.tls_certificate,
+                key=settings.admin.tls_key,
+            )
+
+        async def register() -> None:
+            await self.session.keep_registered(key)
+
+        async def take_duties() -> None:
+            await self.duties.run(0.5)
+
+        async def hold_links() -> None:
+            await self.hub.run(sockets['peers'])
+
+        async def wake_waiting() -> None:
+            await self.dispatcher.run_waking(0.1)
+
+        async def settle_records() -> None:
+            await self.records.run(1.0)
+
+        return [
+            self.session.run,
+            hold_links,
+            self._tell,
+            register,
+            take_duties,
+            self.observers.run,
+            self.cluster.run,
+            wake_waiting,
+            settle_records,
+            serve_admin,
+            serve_entry,
+        ]
+
+    # -- planned stop -------------------------------------------------------------
+
+    async def _drain(self, signals: Any) -> tuple[str, ...]:
+        """Let requests in flight end; return those that were cut."""
+        limit_s = self.settings.node.drain_limit_s
+        self.gate.draining = True
+        self.duties.stop_taking()
+        log.emit(
+            events.NODE_DRAINING,
+            in_flight=len(self.gate.in_flight),
+            limit_s=limit_s,
+        )
+        await self.session.end_lease()
+        second = anyio.Event()
+        async with anyio.create_task_group() as group:
+
+            async def watch_second() -> None:
+                await anext(signals)
+                second.set()
+                group.cancel_scope.cancel()
+
+            group.start_soon(watch_second)
+            with anyio.move_on_after(limit_s or float('inf')):
+                await anyio.sleep(self.settings.node.drain_notice_s)
+                self.gate.refusing = True
+                while self.gate.in_flight:
+                    await anyio.sleep(0.05)
+            group.cancel_scope.cancel()
+        return self.gate.in_flight
+
+    async def _leave(
+        self, cut: tuple[str, ...], stop_entry: anyio.Event, stop_admin: anyio.Event
+    ) -> None:
+        for request in cut:
+            log.emit(events.NODE_CUT, request=request)
+        await self.session.unregister(Key('node', self.me))
+        stop_entry.set()
+        stop_admin.set()
+        # Answers already made go out; new connections are refused by now.
+        await anyio.sleep(0.1)
+        await self.dispatcher.close()
+        await self.services.close()
+        await self.engines.close()
+        await self.instances.close()
+        await self.kv.close()
--- /dev/null
+++ b/coursepitch/cmd/__init__.py
@@ -0,0 +1,1 @@
+"""Command line."""
--- /dev/null
+++ b/coursepitch/control/__init__.py
@@ -0,0 +1,1 @@
+"""Control of replicas: session, duties, claims, placement."""
--- /dev/null
+++ b/coursepitch/control/cluster.py
@@ -0,0 +1,391 @@
+"""Task of the cluster duty: acceptance, registry, placement, measures."""
+
+from __future__ import annotations
+
+import dataclasses
+import secrets
+from typing import TYPE_CHECKING, Any
+
+import anyio
+
+from coursepitch import events, log
+from coursepitch.config.resources import Group, Key
+from coursepitch.control.claims import (
+    PREFIX,
+    Claims,
+    Member,
+    Replica,
+    add_replica,
+    claims_key,
+    decode_claims,
+    encode_claims,
+    replace_replica,
+)
+from coursepitch.control.duties import CLUSTER, holds_duty
+from coursepitch.control.permit import Acceptance, advance_acceptance
+from coursepitch.control.placement import (
+    Candidate,
+    Fleet,
+    Placed,
+    Spare,
+    pack_fleet,
+    plan_placement,
+)
+from coursepitch.errors import ConflictError, UnavailableError
+from coursepitch.peers.records import FleetBody
+from coursepitch.platform.kv import Events, Swapped, Unavailable, settle_swap
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable, Mapping
+
+    from coursepitch.clock import Clock
+    from coursepitch.config.settings import Settings
+    from coursepitch.control.chart import Chart
+    from coursepitch.control.session import Session
+    from coursepitch.metrics import Metrics
+    from coursepitch.peers.records import DomainBody, NodeBody
+    from coursepitch.platform.instances import Instance, InstanceList
+    from coursepitch.platform.kv import KeyValue
+    from coursepitch.targets.engine import EngineControl
+
+__all__ = ['ClusterWorker', 'PeerBoard']
+
+#: Seconds after which a node without lease and sign of life is forgotten.
+FORGET_NODE_S = 20.0
+
+
+class PeerBoard:
+    """What the cluster task reads of and tells to peers."""
+
+    def __init__(
+        self,
+        read_nodes: Callable[[], Mapping[str, NodeBody]],
+        read_domains: Callable[[], Iterable[tuple[str, DomainBody]]],
+        publish_fleet: Callable[[FleetBody], None],
+    ) -> None:
+        self.read_nodes = read_nodes
+        self.read_domains = read_domains
+        self.publish_fleet = publish_fleet
+
+
+class ClusterWorker:
+    """Owner of what the holder of the cluster duty knows."""
+
+    def __init__(
+        self,
+        me: str,
+        session: Session,
+        kv: KeyValue,
+        instances: InstanceList,
+        engines: EngineControl,
+        settings: Settings,
+        chart: Chart,
+        board: PeerBoard,
+        metrics: Metrics,
+        clock: Clock,
+    ) -> None:
+        self._me = me
+        self._session = session
+        self._kv = kv
+        self._list = instances
+        self._engines = engines
+        self._settings = settings
+        self._chart = chart
+        self._board = board
+        self._metrics = metrics
+        self._clock = clock
+        self._reset()
+
+    def _reset(self) -> None:
+        self._claims: dict[str, tuple[Claims, int]] = {}
+        self._after = -1
+        self._instances: tuple[Instance, ...] = ()
+        self._leaving: frozenset[str] = frozenset()
+        self._acceptance = Acceptance()
+        self._silent_since: dict[str, float] = {}
+        self._avoided: dict[str, float] = {}
+        self._measured_at = self._clock()
+
+    async def run(self) -> None:
+        """Work whenever the duty is held, until cancelled."""
+        held = False
+        while True:
+            if not self._holds():
+                held = False
+                await anyio.sleep(0.2)
+                continue
+            if not held:
+                self._reset()
+                held = True
+            await self._tick()
+
+    def _holds(self) -> bool:
+        view = self._session.view.value
+        return holds_duty(view, CLUSTER, self._me, self._clock())
+
+    async def _tick(self) -> None:
+        await self._read_instances()
+        await self._judge_acceptance()
+        await self._session.write_snapshot()
+        await self._forget_node()
+        if await self._read_claims():
+            self._measure()
+            await self._place()
+
+    # -- configuration -----------------------------------------------------------
+
+    async def _judge_acceptance(self) -> None:
+        view = self._session.view.value
+        nodes = view.configuration.of_kind('node')
+        bodies = self._board.read_nodes()
+        in_force = {
+            item.key.name: bodies[item.key.name].in_force
+            for item in nodes
+            if item.key.name in bodies
+            and bodies[item.key.name].incarnation
+            == getattr(item.spec, 'incarnation', '')
+        }
+        in_force[self._me] = view.configuration.revision
+        state = dataclasses.replace(
+            self._acceptance, accepted=max(self._acceptance.accepted, view.accepted)
+        )
+        self._acceptance = advance_acceptance(
+            state,
+            view.configuration.revision,
+            view.nodes(),
+            in_force,
+            self._clock(),
+            self._settings.platform.permit_s,
+        )
+        if self._acceptance.accepted > view.accepted and self._holds():
+            await self._session.write_accepted(self._acceptance.accepted)
+
+    async def _forget_node(self) -> None:
+        """Remove one silent node, once the last change of the registry is accepted."""
+        view = self._session.view.value
+        now = self._clock()
+        heard = self._board.read_nodes()
+        silent = [
+            name
+            for name in sorted(view.nodes())
+            if name not in view.live and name not in heard and name != self._me
+        ]
+        self._silent_since = {
+            name: self._silent_since.get(name, now) for name in silent
+        }
+        nodes = view.configuration.of_kind('node')
+        newest = max((item.revision for item in nodes), default=0)
+        if newest > view.accepted or view.accepted < view.configuration.revision:
+            return
+        for name, since in self._silent_since.items():
+            if now - since > FORGET_NODE_S and self._holds():
+                try:
+                    await self._session.record(Key('node', name), None)
+                except (UnavailableError, ConflictError):
+                    return
+                log.emit(events.NODE_FORGOTTEN, node=name)
+                return
+
+    # -- what there is --------------------------------------------------------------
+
+    async def _read_instances(self) -> None:
+        listed = await self._list.read()
+        if isinstance(listed, Unavailable):
+            return
+        self._instances = listed
+        leaving = frozenset(item.name for item in listed if item.leaving)
+        for name in sorted(leaving - self._leaving):
+            log.emit(events.INSTANCE_LEAVING, instance=name)
+        self._leaving = leaving
+        domains = {item.domain for item in listed} | set(self._claims)
+        body = FleetBody(tuple(sorted(domains)), tuple(sorted(leaving)))
+        self._board.publish_fleet(body)
+
+    async def _read_claims(self) -> bool:
+        """Read changed claims; waits for one a short time, which paces the task."""
+        if self._after < 0:
+            found = await self._kv.list_prefix(PREFIX)
+        else:
+            found = await self._kv.watch(PREFIX, self._after, 0.5)
+        if isinstance(found, Unavailable):
+            await anyio.sleep(0.5)
+            return False
+        self._take_claims(found)
+        return True
+
+    def _take_claims(self, found: Events) -> None:
+        for entry in found.entries:
+            domain = entry.key.removeprefix(PREFIX)
+            claims = decode_claims(domain, entry.value)
+            self._claims[domain] = (claims, entry.revision)
+        self._after = found.revision
+
+    def _describe_fleet(self) -> Fleet:
+        now = self._clock()
+        for _, body in self._board.read_domains():
+            for seen in body.replicas:
+                for member in seen.members:
+                    if seen.state == 'serving' and not member.good:
+                        until = now + self._settings.placement.avoid_s
+                        self._avoided[member.instance] = until
+        self._avoided = {n: t for n, t in self._avoided.items() if t > now}
+        claims = [held for held, _ in self._claims.values()]
+        taken = {name for held in claims for name in held.members()}
+        spares = tuple(
+            Spare(item.name, item.domain, item.availability_zone, item.accelerators)
+            for item in self._instances
+            if not item.leaving and item.name not in taken
+            if item.name not in self._avoided
+        )
+        placed = tuple(
+            self._describe_replica(held.domain, replica)
+            for held in claims
+            for replica in held.replicas
+        )
+        resources = self._session.view.value.configuration.of_kind('group')
+        groups = {
+            item.key.name: item.spec
+            for item in resources
+            if isinstance(item.spec, Group)
+        }
+        return Fleet(groups, spares, placed)
+
+    def _describe_replica(self, domain: str, replica: Replica) -> Placed:
+        names = {member.instance for member in replica.members}
+        return Placed(
+            replica.name,
+            replica.group,
+            domain,
+            replica.state,
+            replica.model,
+            replica.version,
+            replica.adapters,
+            replica.availability_zone,
+            bool(names & self._leaving),
+        )
+
+    # -- placement ---------------------------------------------------------------------
+
+    async def _place(self) -> None:
+        plan = plan_placement(self._describe_fleet(), self._settings.placement)
+        for step in plan.steps:
+            if not self._holds():
+                return
+            with log.start_tree('placement.step', action=step.action, why=step.why):
+                if step.action == 'form':
+                    await self._form(step)
+                else:
+                    await self._retire(step)
+
+    async def _form(self, step: Candidate) -> None:
+        group = self._session.view.value.configuration.resources[
+            Key('group', step.group)
+        ].spec
+        if not isinstance(group, Group):
+            return
+        listed = {item.name: item for item in self._instances}
+        chosen = [listed[name] for name in step.instances]
+        if not await self._probe(chosen):
+            return
+        replica = Replica(
+            name=f'{step.group}.{secrets.token_hex(4)}',
+            group=step.group,
+            state=self._chart.initial,
+            model=group.model,
+            version=group.version,
+            adapters=group.adapters,
+            availability_zone=chosen[0].availability_zone,
+            members=tuple(
+                Member(item.name, item.address, item.kind, item.accelerators)
+                for item in chosen
+            ),
+        )
+        claims, revision = self._claims.get(step.domain, (Claims(step.domain), 0))
+        if await self._write(add_replica(claims, replica), revision):
+            log.emit(
+                events.REPLICA_CLAIMED,
+                replica=replica.name,
+                domain=step.domain,
+                instances=list(step.instances),
+                why=f'objective {step.objective:.2f}',
+            )
+
+    async def _probe(self, chosen: list[Instance]) -> bool:
+        """Check instances before they are claimed; the list lags."""
+        good = True
+        for instance in chosen:
+            check = await self._engines.check(instance.address)
+            if not check.answered:
+                until = self._clock() + self._settings.placement.avoid_s
+                self._avoided[instance.name] = until
+                good = False
+        return good
+
+    async def _retire(self, step: Candidate) -> None:
+        claims, revision = self._claims[step.domain]
+        replica = claims.find(step.replica)
+        if replica is None:
+            return
+        state = self._chart.next_state(replica.state, 'retire')
+        if state is None:
+            return
+        if await self._write(replace_replica(claims, replica.name, state), revision):
+            log.emit(
+                events.REPLICA_MOVED,
+                replica=replica.name,
+                source=replica.state,
+                state=state,
+                why=step.why,
+            )
+
+    async def _write(self, claims: Claims, revision: int) -> bool:
+        key = claims_key(claims.domain)
+        result = await settle_swap(self._kv, key, encode_claims(claims), revision)
+        if not isinstance(result, Swapped):
+            return False
+        self._claims[claims.domain] = (claims, result.revision)
+        return True
+
+    async def describe_plan(self) -> dict[str, Any]:
+        """Return what placement would do now and why; any node can tell."""
+        listed = await self._list.read()
+        if not isinstance(listed, Unavailable):
+            self._instances = listed
+        if not self._holds():
+            found = await self._kv.list_prefix(PREFIX)
+            if isinstance(found, Unavailable):
+                raise UnavailableError(found.reason)
+            self._take_claims(found)
+            self._after = -1
+        fleet = self._describe_fleet()
+        plan = plan_placement(fleet, self._settings.placement)
+        return {
+            'before': plan.before,
+            'after': plan.after,
+            'steps': [dataclasses.asdict(item) for item in plan.steps],
+            'rejected': [dataclasses.asdict(item) for item in plan.rejected],
+            'state': pack_fleet(fleet),
+        }
+
+    # -- measures -------------------------------------------------------------------
+
+    def _measure(self) -> None:
+        now = self._clock()
+        passed, self._measured_at = now - self._measured_at, now
+        serving: dict[str, int] = {}
+        sizes = {item.name: item.accelerators for item in self._instances}
+        stranded = 0
+        for _, body in self._board.read_domains():
+            for seen in body.replicas:
+                whole = seen.state == 'serving' and seen.whole
+                serving[seen.group] = serving.get(seen.group, 0) + whole
+                if not whole:
+                    left = [item.instance for item in seen.members if item.good]
+                    stranded += sum(sizes.get(name, 0) for name in left)
+        for item in self._session.view.value.configuration.of_kind('group'):
+            name = item.key.name
+            count = serving.get(name, 0)
+            self._metrics.replicas.set({'group': name}, count)
+            if not count and isinstance(item.spec, Group) and item.spec.replicas:
+                self._metrics.downtime.add({'group': name}, passed)
+        self._metrics.stranded.set({}, stranded)
--- /dev/null
+++ b/coursepitch/control/duties.py
@@ -0,0 +1,150 @@
+"""Duties held by lease, spread over the nodes."""
+
+from __future__ import annotations
+
+import json
+import random
+from typing import TYPE_CHECKING
+
+import anyio
+
+from coursepitch import events, log
+from coursepitch.control.session import DUTY_PREFIX
+from coursepitch.peers.topology import rank_nodes
+from coursepitch.platform.kv import Swapped, settle_swap
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable, Mapping
+
+    from coursepitch.clock import Clock
+    from coursepitch.control.session import Session
+    from coursepitch.control.view import ClusterView
+    from coursepitch.platform.kv import KeyValue
+
+__all__ = [
+    'CLUSTER',
+    'DutyKeeper',
+    'domain_duty',
+    'holds_duty',
+    'should_observe',
+    'wants_duty',
+]
+
+#: Duty of judging acceptance, forgetting nodes and placing replicas.
+CLUSTER = 'cluster'
+
+_DOMAIN = 'domain.'
+
+#: Evidence older than this many seconds makes another node observe a domain.
+SILENCE_S = 1.5
+
+
+def domain_duty(domain: str) -> str:
+    """Return the name of the duty for a fabric domain."""
+    return _DOMAIN + domain
+
+
+def holds_duty(view: ClusterView, duty: str, me: str, now: float) -> bool:
+    """Return whether this node surely holds a duty; asked before each order."""
+    held = view.duties.get(duty)
+    if held is None or held.holder != me or held.lease != view.lease.name:
+        return False
+    return view.lease.holds(now)
+
+
+def wants_duty(view: ClusterView, duty: str, me: str) -> bool:
+    """Return whether this node is the one to take a duty that nobody holds."""
+    if not view.listed or duty in view.duties or not view.live:
+        return False
+    return rank_nodes(duty, view.live)[0] == me
+
+
+def should_observe(
+    me: str,
+    domain: str,
+    holder: str,
+    observing: bool,
+    evidence: Mapping[str, float],
+    live: Iterable[str],
+    now: float,
+) -> bool:
+    """Return whether this node checks the instances of a domain.
+
+    The holder of the duty does.  When it is silent, as in an outage in which
+    no duty can be held, one of the live nodes does: observing needs no lease,
+    since evidence that two nodes give does no harm.
+
+    :param holder: this node's name if it surely holds the duty, else any.
+    :param evidence: time at which each other node last made evidence.
+    :param live: nodes heard of a short time ago.
+    """
+    if holder == me:
+        return True
+    ranked = rank_nodes(domain, {*live, me})
+    fresh = {name for name, made_at in evidence.items() if now - made_at < SILENCE_S}
+    if not fresh:
+        return observing or ranked[0] == me
+    if holder in fresh or not observing:
+        return False
+    better = ranked[: ranked.index(me)]
+    return not fresh & set(better)
+
+
+class DutyKeeper:
+    """Takes duties that nobody holds and that rank this node first."""
+
+    def __init__(
+        self,
+        me: str,
+        session: Session,
+        kv: KeyValue,
+        clock: Clock,
+        list_domains: Callable[[], Iterable[str]],
+    ) -> None:
+        self._me = me
+        self._session = session
+        self._kv = kv
+        self._clock = clock
+        self._list_domains = list_domains
+        self._held: frozenset[str] = frozenset()
+        self._draining = False
+
+    @property
+    def held(self) -> frozenset[str]:
+        """Names of the duties that were held at the last look."""
+        return self._held
+
+    def stop_taking(self) -> None:
+        """Take no further duty; the node is about to stop."""
+        self._draining = True
+
+    async def run(self, interval_s: float) -> None:
+        """Take duties until cancelled."""
+        while True:
+            duties = [CLUSTER, *map(domain_duty, self._list_domains())]
+            await self._take_free(duties)
+            self._note_held(duties)
+            await anyio.sleep(interval_s * (0.75 + 0.5 * random.random()))
+
+    def _note_held(self, duties: list[str]) -> None:
+        view = self._session.view.value
+        now = self._clock()
+        held = {duty for duty in duties if holds_duty(view, duty, self._me, now)}
+        for duty in held - self._held:
+            log.emit(events.DUTY_TAKEN, duty=duty, epoch=view.lease.name)
+        for duty in self._held - held:
+            log.emit(events.DUTY_LOST, duty=duty)
+        self._held = frozenset(held)
+
+    async def _take_free(self, duties: list[str]) -> None:
+        for duty in duties:
+            view = self._session.view.value
+            if self._draining or not view.lease.holds(self._clock()):
+                return
+            if not wants_duty(view, duty, self._me):
+                continue
+            text = json.dumps({'holder': self._me, 'lease': view.lease.name})
+            key = DUTY_PREFIX + duty
+            result = await settle_swap(self._kv, key, text, 0, view.lease.name)
+            if isinstance(result, Swapped):
+                self._session.note_duty(duty, self._me, view.lease.name)
--- /dev/null
+++ b/coursepitch/control/keeper.py
@@ -0,0 +1,276 @@
+"""Task that watches one fabric domain and, under its duty, orders its targets."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import TYPE_CHECKING
+
+import anyio
+
+from coursepitch import events, log
+from coursepitch.control.claims import (
+    Claims,
+    Member,
+    Replica,
+    claims_key,
+    decode_claims,
+    encode_claims,
+    replace_replica,
+)
+from coursepitch.control.duties import domain_duty, holds_duty
+from coursepitch.control.lifecycle import (
+    Check,
+    Limits,
+    Order,
+    Step,
+    decide_step,
+    passes_check,
+)
+from coursepitch.errors import CodecError, TargetError
+from coursepitch.peers.records import DomainBody, LoadBody, MemberSeen, ReplicaSeen
+from coursepitch.platform.kv import Swapped, Unavailable, settle_swap
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from coursepitch.clock import Clock
+    from coursepitch.config.settings import TargetSettings
+    from coursepitch.control.chart import Chart
+    from coursepitch.control.session import Session
+    from coursepitch.platform.kv import KeyValue
+    from coursepitch.targets.engine import EngineControl
+
+__all__ = ['DomainKeeper', 'claims_of_body']
+
+
+def claims_of_body(domain: str, body: DomainBody) -> Claims:
+    """Return the claims that evidence of another node tells of."""
+    replicas = tuple(
+        Replica(
+            seen.name,
+            seen.group,
+            seen.state,
+            seen.model,
+            seen.version,
+            seen.adapters,
+            seen.availability_zone,
+            tuple(Member(item.instance, item.address) for item in seen.members),
+        )
+        for seen in body.replicas
+    )
+    return Claims(domain, body.epoch, replicas)
+
+
+class DomainKeeper:
+    """Owner of what is known of one fabric domain."""
+
+    def __init__(
+        self,
+        domain: str,
+        me: str,
+        session: Session,
+        kv: KeyValue,
+        engines: EngineControl,
+        settings: TargetSettings,
+        chart: Chart,
+        publish: Callable[[str, DomainBody, LoadBody, float], None],
+        clock: Clock,
+        known: DomainBody | None,
+    ) -> None:
+        self._domain = domain
+        self._me = me
+        self._session = session
+        self._kv = kv
+        self._engines = engines
+        self._settings = settings
+        self._chart = chart
+        self._publish = publish
+        self._clock = clock
+        self._claims = claims_of_body(domain, known) if known else Claims(domain)
+        self._revision = known.claims_revision if known else 0
+        self._checks: dict[str, Check] = {}
+        self._since: dict[tuple[str, str], float] = {}
+        self._missing: set[str] = set()
+        self._epoch_lease = ''
+        self._took_over_at = 0.0
+        self._limits = Limits(
+            settings.load_timeout_s,
+            settings.evidence_limit_s + 1.0,
+            settings.drain_timeout_s,
+        )
+
+    async def run(self) -> None:
+        """Check, order and publish until cancelled."""
+        while True:
+            started = self._clock()
+            await self._tick()
+            rest = self._settings.check_interval_s - (self._clock() - started)
+            await anyio.sleep(max(0.02, rest))
+
+    def _holds(self) -> bool:
+        view = self._session.view.value
+        return holds_duty(view, domain_duty(self._domain), self._me, self._clock())
+
+    async def _tick(self) -> None:
+        await self._read_claims()
+        if self._holds() and not await self._take_epoch():
+            return
+        asked_at = self._clock()
+        await self._check_members()
+        self._publish(self._domain, self._describe(), self._describe_load(), asked_at)
+        if self._holds():
+            for replica in self._claims.replicas:
+                await self._advance(replica)
+
+    async def _read_claims(self) -> None:
+        entry = await self._kv.get(claims_key(self._domain))
+        if isinstance(entry, Unavailable) or entry.revision < self._revision:
+            return
+        try:
+            self._claims = decode_claims(self._domain, entry.value)
+            self._revision = entry.revision
+        except CodecError as error:
+            log.emit(events.ORDER_FAILED, instance='-', order='read', reason=str(error))
+
+    async def _take_epoch(self) -> bool:
+        """Raise the epoch once under each lease; orders carry it."""
+        lease = self._session.view.value.lease.name
+        if self._epoch_lease == lease:
+            return True
+        claims = dataclasses.replace(self._claims, epoch=self._claims.epoch + 1)
+        if not await self._write(claims):
+            return False
+        self._epoch_lease = lease
+        self._took_over_at = self._clock()
+        return True
+
+    async def _write(self, claims: Claims) -> bool:
+        key = claims_key(self._domain)
+        result = await settle_swap(self._kv, key, encode_claims(claims), self._revision)
+        if not isinstance(result, Swapped):
+            return False
+        self._claims = claims
+        self._revision = result.revision
+        return True
+
+    # -- checks ---------------------------------------------------------------
+
+    async def _check_members(self) -> None:
+        members = [item for rep in self._claims.replicas for item in rep.members]
+        names = {member.instance for member in members}
+        self._checks = {n: c for n, c in self._checks.items() if n in names}
+        async with anyio.create_task_group() as group:
+            for member in members:
+                group.start_soon(self._check, member)
+
+    async def _check(self, member: Member) -> None:
+        check = await self._engines.check(member.address)
+        if not check.answered:
+            before = self._checks.get(member.instance)
+            failures = before.failures if before else 0
+            check = dataclasses.replace(check, failures=failures + 1)
+        self._checks[member.instance] = check
+
+    def _describe(self) -> DomainBody:
+        replicas = tuple(self._describe_replica(rep) for rep in self._claims.replicas)
+        return DomainBody(self._claims.epoch, self._revision, replicas)
+
+    def _describe_replica(self, replica: Replica) -> ReplicaSeen:
+        members = []
+        for member in replica.members:
+            good = passes_check(replica, self._checks.get(member.instance))
+            members.append(MemberSeen(member.instance, member.address, good))
+            self._note_missing(replica, member.instance, good)
+        return ReplicaSeen(
+            replica.name,
+            replica.group,
+            replica.state,
+            replica.model,
+            replica.version,
+            replica.adapters,
+            replica.availability_zone,
+            tuple(members),
+        )
+
+    def _describe_load(self) -> LoadBody:
+        firsts = [rep.members[0].instance for rep in self._claims.replicas]
+        checks = [self._checks.get(name) for name in firsts]
+        running = tuple(check.running if check else 0 for check in checks)
+        return LoadBody(self._revision, running)
+
+    def _note_missing(self, replica: Replica, instance: str, good: bool) -> None:
+        if replica.state == 'serving' and not good and instance not in self._missing:
+            self._missing.add(instance)
+            log.emit(events.MEMBER_MISSING, replica=replica.name, instance=instance)
+        elif good:
+            self._missing.discard(instance)
+
+    # -- steps ------------------------------------------------------------------
+
+    async def _advance(self, replica: Replica) -> None:
+        now = self._clock()
+        since = self._since.setdefault((replica.name, replica.state), now)
+        step = decide_step(
+            self._chart, replica, self._checks, now - since, self._limits
+        )
+        if step.event:
+            await self._move(replica, step.event)
+        elif step.order:
+            await self._send_orders(replica, step)
+
+    async def _move(self, replica: Replica, event: str) -> None:
+        state = self._chart.next_state(replica.state, event)
+        with log.start_tree('replica.move', replica=replica.name):
+            gone = state == self._chart.final
+            claims = replace_replica(
+                self._claims, replica.name, None if gone else state
+            )
+            if await self._write(claims):
+                self._since.pop((replica.name, replica.state), None)
+                log.emit(
+                    events.REPLICA_MOVED,
+                    replica=replica.name,
+                    source=replica.state,
+                    state=state,
+                    why=event,
+                )
+
+    async def _send_orders(self, replica: Replica, step: Step) -> None:
+        for rank, member in enumerate(replica.members):
+            if member.instance not in step.members or not self._may_order(member):
+                continue
+            try:
+                await self._send_order(replica, rank, step.order)
+            except TargetError as error:
+                log.emit(
+                    events.ORDER_FAILED,
+                    instance=member.instance,
+                    order=step.order.value if step.order else '',
+                    reason=str(error),
+                )
+
+    def _may_order(self, member: Member) -> bool:
+        """Return whether the duty is surely held, asked before each order."""
+        if not self._holds():
+            return False
+        if member.kind in self._settings.unfenced_kinds:
+            waited = self._clock() - self._took_over_at
+            return waited >= self._settings.takeover_wait_s
+        return True
+
+    async def _send_order(
+        self, replica: Replica, rank: int, order: Order | None
+    ) -> None:
+        member = replica.members[rank]
+        epoch = self._claims.epoch
+        if order is Order.LOAD:
+            await self._engines.load(replica, rank, epoch)
+        else:
+            await self._engines.release(member.address, replica.name, epoch)
+        log.emit(
+            events.ORDER_SENT,
+            instance=member.instance,
+            order=order.value if order else '',
+            replica=replica.name,
+            epoch=epoch,
+        )
--- /dev/null
+++ b/coursepitch/control/observers.py
@@ -0,0 +1,122 @@
+"""Task that runs a keeper for each fabric domain this node has to observe."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import anyio
+
+from coursepitch.control.duties import domain_duty, holds_duty, should_observe
+from coursepitch.control.keeper import DomainKeeper
+from coursepitch.peers.records import DomainBody
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+    from coursepitch.clock import Clock
+    from coursepitch.config.settings import TargetSettings
+    from coursepitch.control.chart import Chart
+    from coursepitch.control.session import Session
+    from coursepitch.peers.hub import PeerHub
+    from coursepitch.peers.records import LoadBody
+    from coursepitch.platform.kv import KeyValue
+    from coursepitch.targets.engine import EngineControl
+
+__all__ = ['Observers']
+
+#: Seconds between two looks at who observes what.
+LOOK_S = 0.25
+
+#: Nodes heard of within so many seconds count as live.
+LIVE_S = 3.0
+
+
+class Observers:
+    """Owner of the keepers of domains."""
+
+    def __init__(
+        self,
+        me: str,
+        session: Session,
+        hub: PeerHub,
+        kv: KeyValue,
+        engines: EngineControl,
+        settings: TargetSettings,
+        chart: Chart,
+        publish: Callable[[str, DomainBody, LoadBody, float], None],
+        clock: Clock,
+        list_domains: Callable[[], Iterable[str]],
+    ) -> None:
+        self._me = me
+        self._session = session
+        self._hub = hub
+        self._kv = kv
+        self._engines = engines
+        self._settings = settings
+        self._chart = chart
+        self._publish = publish
+        self._clock = clock
+        self._list_domains = list_domains
+        self._scopes: dict[str, anyio.CancelScope] = {}
+
+    async def run(self) -> None:
+        """Start and end keepers until cancelled."""
+        async with anyio.create_task_group() as group:
+            while True:
+                for domain in self._list_domains():
+                    wanted = self._should_observe(domain)
+                    if wanted and domain not in self._scopes:
+                        self._scopes[domain] = anyio.CancelScope()
+                        group.start_soon(self._observe, domain)
+                    elif not wanted and domain in self._scopes:
+                        self._scopes[domain].cancel()
+                await anyio.sleep(LOOK_S)
+
+    def _should_observe(self, domain: str) -> bool:
+        now = self._clock()
+        view = self._session.view.value
+        duty = domain_duty(domain)
+        held = view.duties.get(duty)
+        holder = held.holder if held else ''
+        if holder == self._me and not holds_duty(view, duty, self._me, now):
+            holder = ''
+        evidence = {
+            item.key.origin: item.made_at
+            for item in self._hub.records('domain')
+            if item.key.subject == domain and item.key.origin != self._me
+        }
+        live = [
+            item.key.subject
+            for item in self._hub.records('node')
+            if now - item.made_at < LIVE_S
+        ]
+        observing = domain in self._scopes
+        return should_observe(self._me, domain, holder, observing, evidence, live, now)
+
+    async def _observe(self, domain: str) -> None:
+        keeper = DomainKeeper(
+            domain,
+            self._me,
+            self._session,
+            self._kv,
+            self._engines,
+            self._settings,
+            self._chart,
+            self._publish,
+            self._clock,
+            self._find_known(domain),
+        )
+        with self._scopes[domain]:
+            await keeper.run()
+        del self._scopes[domain]
+        self._hub.withdraw('domain', domain)
+        self._hub.withdraw('load', domain)
+
+    def _find_known(self, domain: str) -> DomainBody | None:
+        """Return the newest evidence of a domain, to go on from in an outage."""
+        bodies = [
+            item.body
+            for item in self._hub.records('domain')
+            if item.key.subject == domain and isinstance(item.body, DomainBody)
+        ]
+        return max(bodies, key=lambda body: body.claims_revision, default=None)
--- /dev/null
+++ b/coursepitch/control/session.py
@@ -0,0 +1,418 @@
+"""The node's session with the key-value service: lease, watch, configuration."""
+
+from __future__ import annotations
+
+import dataclasses
+import json
+import random
+from typing import TYPE_CHECKING
+
+import anyio
+
+from coursepitch import events, log
+from coursepitch.config.history import (
+    Change,
+    Configuration,
+    Head,
+    apply_changes,
+    decode_head,
+    decode_snapshot,
+    encode_head,
+    encode_snapshot,
+    extend_head,
+)
+from coursepitch.control.view import ClusterView, Duty, Lease
+from coursepitch.errors import CodecError, ConflictError, UnavailableError
+from coursepitch.platform.kv import (
+    Conflict,
+    Entry,
+    Events,
+    Swapped,
+    Unavailable,
+    back_off,
+    settle_swap,
+)
+from coursepitch.util.topic import Topic
+
+if TYPE_CHECKING:
+    from coursepitch.clock import Clock
+    from coursepitch.config.resources import Key, Resource, Spec
+    from coursepitch.config.settings import PlatformSettings
+    from coursepitch.platform.kv import KeyValue
+
+__all__ = ['DUTY_PREFIX', 'Session']
+
+PREFIX = 'c/'
+HEAD_KEY = 'c/config'
+ACCEPTED_KEY = 'c/accepted'
+SNAPSHOT_MARK_KEY = 'c/snapshot'
+DUTY_PREFIX = 'c/duty/'
+LIVE_PREFIX = 'c/live/'
+SNAPSHOT_KEY = 'snapshot/config'
+
+#: Changes after which the snapshot is written anew.
+SNAPSHOT_EVERY = 8
+
+#: Tries of a write that lost a race, before the operator is told.
+WRITE_TRIES = 8
+
+
+class Session:
+    """Owner of the view of the cluster; all of it goes through ``view``."""
+
+    def __init__(
+        self, name: str, kv: KeyValue, settings: PlatformSettings, clock: Clock
+    ) -> None:
+        self._name = name
+        self._kv = kv
+        self._settings = settings
+        self._clock = clock
+        self._up = True
+        self._changes: dict[int, Change] = {}
+        self._node_spec: Spec | None = None
+        self.view = Topic(ClusterView())
+
+    async def run(self) -> None:
+        """Keep the lease, the watch and the contact until cancelled."""
+        async with anyio.create_task_group() as group:
+            group.start_soon(self._keep_lease)
+            group.start_soon(self._keep_watch)
+            group.start_soon(self._keep_contact)
+
+    def set_node(self, spec: Spec) -> None:
+        """Set what this node registers of itself."""
+        self._node_spec = spec
+
+    # -- what peers and other tasks bring ---------------------------------
+
+    def take_changes(self, changes: tuple[Change, ...], source: str) -> None:
+        """Apply changes that the service or a peer told of."""
+        held = self.view.value.configuration
+        configuration = apply_changes(held, changes)
+        if configuration.revision > held.revision:
+            self._remember(changes)
+            self._put_in_force(configuration, source)
+
+    def take_whole(self, configuration: Configuration, source: str) -> None:
+        """Take a whole configuration if it is newer."""
+        if configuration.revision > self.view.value.configuration.revision:
+            self._put_in_force(configuration, source)
+
+    def note_contact(self, contact_at: float) -> None:
+        """Note that the service confirmed the revision in force at a time."""
+        held = self.view.value.contact_at
+        if held is None or contact_at > held:
+            self._replace(contact_at=contact_at)
+
+    def note_duty(self, duty: str, holder: str, lease: str) -> None:
+        """Note a duty that this node took, before the watch tells of it."""
+        duties = {**self.view.value.duties, duty: Duty(holder, lease)}
+        self._replace(duties=duties)
+
+    def changes_after(self, revision: int) -> tuple[Change, ...] | None:
+        """Return all changes after a revision, or ``None`` if some are gone."""
+        newest = self.view.value.configuration.revision
+        wanted = range(revision + 1, newest + 1)
+        if any(number not in self._changes for number in wanted):
+            return None
+        return tuple(self._changes[number] for number in wanted)
+
+    def _remember(self, changes: tuple[Change, ...]) -> None:
+        for change in changes:
+            self._changes[change.revision] = change
+        while len(self._changes) > 256:
+            del self._changes[min(self._changes)]
+
+    def _put_in_force(self, configuration: Configuration, source: str) -> None:
+        self._replace(configuration=configuration)
+        log.emit(events.CONFIG_IN_FORCE, revision=configuration.revision, source=source)
+
+    def _replace(self, **changes: object) -> None:
+        self.view.set(dataclasses.replace(self.view.value, **changes))  # type: ignore[arg-type]
+
+    # -- operators' writes -------------------------------------------------
+
+    async def record(
+        self, key: Key, spec: Spec | None, expect: int | None = None
+    ) -> Resource | int:
+        """Record a change and return the resource, or the revision of a deletion.
+
+        :param expect: resource version that must be the newest; 0 expects
+            that there is none, ``None`` takes any.
+        :raises ConflictError: another version is there.
+        :raises UnavailableError: the service gave no usable answer.
+        """
+        for _ in range(WRITE_TRIES):
+            head, entry = await self._read_head()
+            held = self.view.value.configuration.resources.get(key)
+            version = held.revision if held else 0
+            if expect is not None and expect != version:
+                raise ConflictError(f'{key} is at resource version {version}')
+            if held and spec is not None and held.spec == spec:
+                return held
+            if held is None and spec is None:
+                return head.revision
+            generation = (held.generation if held else 0) + 1
+            snapshot = self.view.value.snapshot
+            longer = extend_head(head, snapshot, key, spec, generation)
+            result = await settle_swap(
+                self._kv, HEAD_KEY, encode_head(longer), entry.revision
+            )
+            if isinstance(result, Unavailable):
+                raise UnavailableError(
+                    result.reason, maybe_applied=result.maybe_applied
+                )
+            if isinstance(result, Conflict):
+                continue
+            log.emit(
+                events.CONFIG_RECORDED, revision=longer.revision, resource=str(key)
+            )
+            self.take_changes(longer.changes, 'own write')
+            if spec is None:
+                return longer.revision
+            return self.view.value.configuration.resources[key]
+        raise ConflictError(f'{key}: too many writers at once, try again')
+
+    async def _read_head(self) -> tuple[Head, Entry]:
+        """Read the head and apply it.
+
+        :raises UnavailableError: the service gave no usable answer.
+        """
+        asked_at = self._clock()
+        entry = await self._kv.get(HEAD_KEY)
+        if isinstance(entry, Unavailable):
+            raise UnavailableError(entry.reason)
+        head = decode_head(entry.value) if entry.present else Head()
+        await self._take_head(head)
+        if self.view.value.configuration.revision >= head.revision:
+            self.note_contact(asked_at)
+        return head, entry
+
+    async def _take_head(self, head: Head) -> None:
+        if head.floor > self.view.value.configuration.revision:
+            entry = await self._kv.get(SNAPSHOT_KEY)
+            if isinstance(entry, Unavailable):
+                raise UnavailableError(entry.reason)
+            if entry.present:
+                self.take_whole(decode_snapshot(entry.value), 'snapshot')
+        self.take_changes(head.changes, 'service')
+
+    async def write_accepted(self, revision: int) -> None:
+        """Keep the newest accepted revision in the service; it never goes down."""
+        entry = await self._kv.get(ACCEPTED_KEY)
+        if isinstance(entry, Unavailable):
+            return
+        if entry.present and int(entry.value) >= revision:
+            self._replace(accepted=max(self.view.value.accepted, int(entry.value)))
+            return
+        result = await settle_swap(
+            self._kv, ACCEPTED_KEY, str(revision), entry.revision
+        )
+        if isinstance(result, Swapped):
+            log.emit(events.CONFIG_ACCEPTED, revision=revision)
+            self._replace(accepted=max(self.view.value.accepted, revision))
+
+    async def write_snapshot(self) -> None:
+        """Write a snapshot when enough changed since the last one."""
+        view = self.view.value
+        configuration = view.configuration
+        if configuration.revision - view.snapshot < SNAPSHOT_EVERY:
+            return
+        entry = await self._kv.get(SNAPSHOT_KEY)
+        if isinstance(entry, Unavailable):
+            return
+        if entry.present:
+            held = decode_snapshot(entry.value).revision
+            if held >= configuration.revision:
+                await self._mark_snapshot(held)
+                return
+        text = encode_snapshot(configuration)
+        result = await settle_swap(self._kv, SNAPSHOT_KEY, text, entry.revision)
+        if isinstance(result, Swapped):
+            await self._mark_snapshot(configuration.revision)
+
+    async def _mark_snapshot(self, revision: int) -> None:
+        entry = await self._kv.get(SNAPSHOT_MARK_KEY)
+        if isinstance(entry, Unavailable):
+            return
+        if not entry.present or int(entry.value) < revision:
+            await settle_swap(
+                self._kv, SNAPSHOT_MARK_KEY, str(revision), entry.revision
+            )
+
+    # -- lease ---------------------------------------------------------------
+
+    async def _keep_lease(self) -> None:
+        attempt = 0
+        while True:
+            lease = self.view.value.lease
+            good = await self._renew(lease) if lease.name else await self._grant()
+            attempt = 0 if good else attempt + 1
+            pause = self._settings.lease_s / 3
+            if not good:
+                pause = min(pause, back_off(attempt, random.random()))
+            await anyio.sleep(pause)
+
+    async def _grant(self) -> bool:
+        asked_at = self._clock()
+        name = await self._kv.grant(self._settings.lease_s)
+        if isinstance(name, Unavailable):
+            self._note_outage(name)
+            return False
+        self._note_answer()
+        self._replace(lease=Lease(name, asked_at + self._settings.lease_s))
+        return await self._write_live(name)
+
+    async def _write_live(self, lease: str) -> bool:
+        key = LIVE_PREFIX + self._name
+        entry = await self._kv.get(key)
+        if isinstance(entry, Unavailable):
+            return False
+        result = await settle_swap(self._kv, key, lease, entry.revision, lease)
+        return isinstance(result, Swapped)
+
+    async def _renew(self, lease: Lease) -> bool:
+        asked_at = self._clock()
+        renewed = await self._kv.renew(lease.name)
+        if isinstance(renewed, Unavailable):
+            self._note_outage(renewed)
+            return False
+        self._note_answer()
+        if not renewed:
+            log.emit(events.LEASE_LOST)
+            self._replace(lease=Lease())
+            return False
+        deadline = asked_at + self._settings.lease_s
+        self._replace(lease=Lease(lease.name, deadline))
+        return True
+
+    async def end_lease(self) -> None:
+        """End the lease, so that others take the duties over at once."""
+        lease = self.view.value.lease
+        self._replace(lease=Lease())
+        if lease.name:
+            await self._kv.revoke(lease.name)
+
+    def _note_outage(self, state: Unavailable) -> None:
+        if self._up:
+            self._up = False
+            log.emit(events.SERVICE_LOST, reason=state.reason)
+
+    def _note_answer(self) -> None:
+        if not self._up:
+            self._up = True
+            log.emit(events.SERVICE_BACK)
+
+    # -- watch and contact ---------------------------------------------------
+
+    async def _keep_watch(self) -> None:
+        after = -1
+        attempt = 0
+        while True:
+            if after < 0:
+                found = await self._kv.list_prefix(PREFIX)
+            else:
+                wait_s = self._settings.watch_s
+                found = await self._kv.watch(PREFIX, after, wait_s)
+            if isinstance(found, Unavailable):
+                attempt += 1
+                await anyio.sleep(back_off(attempt, random.random()))
+                continue
+            attempt = 0
+            try:
+                await self._take_events(found)
+            except (UnavailableError, CodecError):
+                after = -1
+                continue
+            after = found.revision
+
+    async def _take_events(self, found: Events) -> None:
+        view = self.view.value
+        duties = {} if found.complete else dict(view.duties)
+        live = {} if found.complete else dict(view.live)
+        for entry in found.entries:
+            if entry.key == HEAD_KEY and entry.present:
+                await self._take_head(decode_head(entry.value))
+            elif entry.key == ACCEPTED_KEY and entry.present:
+                accepted = max(self.view.value.accepted, int(entry.value))
+                self._replace(accepted=accepted)
+            elif entry.key == SNAPSHOT_MARK_KEY and entry.present:
+                self._replace(snapshot=int(entry.value))
+            elif entry.key.startswith(DUTY_PREFIX):
+                _set_duty(duties, entry)
+            elif entry.key.startswith(LIVE_PREFIX):
+                _set_live(live, entry)
+        self._replace(duties=duties, live=live, listed=True)
+
+    async def _keep_contact(self) -> None:
+        period = self._settings.permit_s / 3
+        while True:
+            contact_at = self.view.value.contact_at
+            now = self._clock()
+            if contact_at is None or now - contact_at >= period * 0.9:
+                try:
+                    await self._read_head()
+                except (UnavailableError, CodecError):
+                    await anyio.sleep(period / 4)
+                    continue
+            await anyio.sleep(period * (0.5 + 0.5 * random.random()))
+
+    # -- registration -----------------------------------------------------------
+
+    async def keep_registered(self, key: Key) -> None:
+        """Register this node, one node at a time, and again if removed.
+
+        A node joins only when the last change of the registry is accepted, so
+        that two majorities always have a node in common.  Source: Ongaro,
+        Consensus: Bridging Theory and Practice (2014), section 4.1.
+        """
+        while True:
+            view = self.view.value
+            held = view.configuration.resources.get(key)
+            wanted = self._node_spec
+            if wanted is not None and (held is None or held.spec != wanted):
+                await self._try_register(key)
+            await anyio.sleep(0.2 + 0.2 * random.random())
+
+    async def unregister(self, key: Key) -> None:
+        """Remove this node from the registry, if the service answers."""
+        self._node_spec = None
+        try:
+            await self.record(key, None)
+        except (UnavailableError, ConflictError, CodecError):
+            return
+
+    async def _try_register(self, key: Key) -> None:
+        try:
+            head, _ = await self._read_head()
+            entry = await self._kv.get(ACCEPTED_KEY)
+            if isinstance(entry, Unavailable):
+                return
+            accepted = int(entry.value) if entry.present else 0
+            nodes = self.view.value.configuration.of_kind('node')
+            newest = max((item.revision for item in nodes), default=0)
+            removed = max(
+                (item.revision for item in head.changes if item.key.kind == 'node'),
+                default=0,
+            )
+            if max(newest, removed) <= accepted:
+                await self.record(key, self._node_spec)
+        except (UnavailableError, ConflictError, CodecError):
+            return
+
+
+def _set_duty(duties: dict[str, Duty], entry: Entry) -> None:
+    name = entry.key.removeprefix(DUTY_PREFIX)
+    if not entry.present:
+        duties.pop(name, None)
+        return
+    data = json.loads(entry.value)
+    duties[name] = Duty(data['holder'], data['lease'])
+
+
+def _set_live(live: dict[str, str], entry: Entry) -> None:
+    name = entry.key.removeprefix(LIVE_PREFIX)
+    if entry.present:
+        live[name] = entry.value
+    else:
+        live.pop(name, None)
--- /dev/null
+++ b/coursepitch/events.py
@@ -0,0 +1,112 @@
+"""Table of the numbered events that go to the log."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+__all__ = ['CATALOGUE', 'Event']
+
+
+@dataclass(frozen=True, slots=True)
+class Event:
+    """One kind of event: its number, name, what it means and its fields."""
+
+    number: int
+    name: str
+    text: str
+    fields: tuple[str, ...] = ()
+
+
+NODE_STARTED = Event(100, 'node.started', 'The node listens.', ('ports',))
+NODE_READY = Event(101, 'node.ready', 'The node serves callers.', ('revision',))
+NODE_NOT_READY = Event(
+    102, 'node.not_ready', 'The node turns callers away.', ('reason',)
+)
+NODE_DRAINING = Event(
+    103, 'node.draining', 'A planned stop began.', ('in_flight', 'limit_s')
+)
+NODE_CUT = Event(
+    104, 'node.request_cut', 'A second signal or the limit cut a request.', ('request',)
+)
+NODE_STOPPED = Event(105, 'node.stopped', 'The node ended in order.')
+ADMIN_OPEN = Event(
+    106, 'admin.no_keys', 'No operator keys are set; loopback only.', ('address',)
+)
+
+SERVICE_LOST = Event(
+    200, 'service.lost', 'The key-value service gave no usable answer.', ('reason',)
+)
+SERVICE_BACK = Event(201, 'service.back', 'The key-value service answers again.')
+LEASE_LOST = Event(202, 'lease.lost', "The node's lease lapsed.")
+SWAP_SETTLED = Event(
+    203, 'swap.settled', 'A lost answer was settled by reading back.', ('key', 'won')
+)
+
+CONFIG_RECORDED = Event(
+    300, 'config.recorded', 'A change was recorded.', ('revision', 'resource')
+)
+CONFIG_IN_FORCE = Event(
+    301, 'config.in_force', 'A revision is in force here.', ('revision', 'source')
+)
+CONFIG_ACCEPTED = Event(
+    302, 'config.accepted', 'A revision is in force everywhere.', ('revision',)
+)
+NODE_FORGOTTEN = Event(
+    303, 'config.node_forgotten', 'A silent node was removed.', ('node',)
+)
+
+PEER_UP = Event(400, 'peer.up', 'A link to a peer is up.', ('peer',))
+PEER_DOWN = Event(401, 'peer.down', 'A link to a peer ended.', ('peer', 'reason'))
+PEER_REFUSED = Event(
+    402, 'peer.refused', 'A peer sent what cannot be taken.', ('peer', 'reason')
+)
+
+DUTY_TAKEN = Event(500, 'duty.taken', 'The node holds a duty.', ('duty', 'epoch'))
+DUTY_LOST = Event(501, 'duty.lost', 'The node no longer holds a duty.', ('duty',))
+REPLICA_CLAIMED = Event(
+    502, 'replica.claimed', 'Instances were claimed.', ('replica', 'domain', 'why')
+)
+REPLICA_MOVED = Event(
+    503, 'replica.moved', 'A replica changed state.', ('replica', 'source', 'state')
+)
+ORDER_SENT = Event(504, 'order.sent', 'An order went out.', ('instance', 'order'))
+ORDER_FAILED = Event(
+    505, 'order.failed', 'An order was not taken.', ('instance', 'order', 'reason')
+)
+MEMBER_MISSING = Event(
+    506, 'replica.member_missing', 'A member failed its check.', ('replica', 'instance')
+)
+INSTANCE_LEAVING = Event(
+    507, 'instance.leaving', 'The list shows an instance leaving.', ('instance',)
+)
+
+REQUEST_DONE = Event(
+    600, 'request.done', 'A request was answered whole.', ('request', 'replica', 'wait')
+)
+REQUEST_REFUSED = Event(
+    601, 'request.refused', 'A request was refused.', ('request', 'code', 'outcome')
+)
+REQUEST_ROUTED = Event(
+    602, 'request.routed', 'A replica was chosen.', ('request', 'replica', 'why')
+)
+REQUEST_RETRIED = Event(
+    603, 'request.retried', 'A further attempt was made.', ('request', 'reason')
+)
+REQUEST_RESUMED = Event(
+    604, 'request.resumed', 'A cut stream was resumed.', ('request', 'offset')
+)
+REQUEST_LEFT = Event(
+    605, 'request.caller_left', 'The caller left; the work was cancelled.', ('request',)
+)
+
+ADMIN_WRITE = Event(
+    700, 'admin.write', 'An operator wrote a resource.', ('resource', 'revision')
+)
+ADMIN_REFUSED = Event(
+    701, 'admin.refused', 'An operator was refused.', ('status', 'reason')
+)
+
+#: All events by name.
+CATALOGUE: dict[str, Event] = {
+    value.name: value for value in list(globals().values()) if isinstance(value, Event)
+}
--- /dev/null
+++ b/coursepitch/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Links between nodes and the records passed over them."""
--- /dev/null
+++ b/coursepitch/peers/topology.py
@@ -0,0 +1,40 @@
+"""Which nodes link to which: a ring with links that double in reach."""
+
+from __future__ import annotations
+
+import hashlib
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+__all__ = ['choose_peers', 'rank_nodes']
+
+
+def choose_peers(me: str, names: Iterable[str]) -> frozenset[str]:
+    """Return the nodes to which ``me`` opens links.
+
+    Nodes stand on a ring in the order of a hash; each links to those 1, 2, 4
+    and so on places further, so any two are at most log2(n) links apart and a
+    node has about 2 log2(n) links.  Source: Stoica et al., Chord (2001).
+    """
+    ring = sorted({me, *names}, key=_hash_name)
+    place = ring.index(me)
+    peers = set()
+    step = 1
+    while step < len(ring):
+        peers.add(ring[(place + step) % len(ring)])
+        step *= 2
+    return frozenset(peers - {me})
+
+
+def rank_nodes(subject: str, names: Iterable[str]) -> list[str]:
+    """Return the nodes by their rendezvous weight for a subject, best first.
+
+    Source: Thaler and Ravishankar, highest random weight (1998).
+    """
+    return sorted(names, key=lambda name: _hash_name(f'{subject}\0{name}'))
+
+
+def _hash_name(name: str) -> bytes:
+    return hashlib.blake2b(name.encode(), digest_size=8).digest()
--- /dev/null
+++ b/coursepitch/serving/__init__.py
@@ -0,0 +1,1 @@
+"""Serving of callers: admission, routing, attempts, streams."""
--- /dev/null
+++ b/coursepitch/serving/board.py
@@ -0,0 +1,83 @@
+"""What the serving side reads of the cluster, and its choices of replicas."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from coursepitch.serving.evidence import Servable, list_servable
+from coursepitch.serving.routing import Choice, choose_replica
+from coursepitch.serving.slowness import SlownessMeter
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from coursepitch.clock import Clock
+    from coursepitch.config.settings import RoutingSettings
+    from coursepitch.peers.hub import PeerHub
+
+__all__ = ['ReplicaBoard']
+
+
+class ReplicaBoard:
+    """Owner of what this node itself saw of replicas."""
+
+    def __init__(
+        self,
+        hub: PeerHub,
+        zone: str,
+        weights: RoutingSettings,
+        evidence_limit_s: float,
+        clock: Clock,
+    ) -> None:
+        self._hub = hub
+        self._zone = zone
+        self._weights = weights
+        self._limit_s = evidence_limit_s
+        self._clock = clock
+        self._failed_at: dict[str, float] = {}
+        self._slowness = SlownessMeter()
+
+    def list_servable(self, groups: tuple[str, ...]) -> list[Servable]:
+        """Return the replicas of some groups that may serve now."""
+        now = self._clock()
+        found = list_servable(
+            self._hub.records('domain'),
+            self._hub.records('load'),
+            self._hub.records('fleet'),
+            self._failed_at,
+            now,
+            self._limit_s,
+        )
+        hold = self._weights.failure_hold_s
+        return [
+            item
+            for item in found
+            if item.group in groups
+            and now - self._failed_at.get(item.name, now - hold) >= hold
+        ]
+
+    def choose(
+        self,
+        groups: tuple[str, ...],
+        prefix: str,
+        in_flight: Mapping[str, int],
+        tried: frozenset[str] = frozenset(),
+    ) -> Choice | None:
+        """Choose a replica, other than those tried."""
+        found = [item for item in self.list_servable(groups) if item.name not in tried]
+        names = [item.name for item in found]
+        slowness = self._slowness.read(names, self._clock())
+        return choose_replica(
+            found, prefix, self._zone, in_flight, slowness, self._weights
+        )
+
+    def note_failure(self, replica: str) -> None:
+        """Note a failed call: evidence made before it no longer counts."""
+        now = self._clock()
+        self._failed_at[replica] = now
+        old = now - 60
+        self._failed_at = {n: t for n, t in self._failed_at.items() if t > old}
+
+    def note_first_chunk(self, replica: str, seconds: float) -> None:
+        """Note the time to the first chunk."""
+        self._slowness.note(replica, seconds, self._clock())
--- /dev/null
+++ b/coursepitch/serving/evidence.py
@@ -0,0 +1,104 @@
+"""Which replicas may serve now: a pure reading of the evidence."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from coursepitch.peers.records import DomainBody, FleetBody, LoadBody
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Mapping
+
+    from coursepitch.peers.table import Record
+
+__all__ = ['Servable', 'list_servable']
+
+
+@dataclass(frozen=True, slots=True)
+class Servable:
+    """A replica that may serve.
+
+    :param address: IP:port of the member of rank 0, which takes requests.
+    :param reported: requests that ran on it at its last check.
+    """
+
+    name: str
+    group: str
+    address: str
+    availability_zone: str
+    version: str
+    reported: int
+
+
+def list_servable(
+    domains: Iterable[Record],
+    loads: Iterable[Record],
+    fleets: Iterable[Record],
+    failed_at: Mapping[str, float],
+    now: float,
+    limit_s: float,
+) -> tuple[Servable, ...]:
+    """Return the replicas that may serve.
+
+    Evidence counts only up to an age, only on the newest claims known of its
+    domain, and only if it was made after the last failure seen here.
+
+    :param failed_at: monotonic time of the last failed call by replica.
+    """
+    leaving = _list_leaving(fleets, now)
+    running = _index_loads(loads)
+    servable = []
+    for record in _choose_newest(domains):
+        body = record.body
+        if not isinstance(body, DomainBody) or now - record.made_at > limit_s:
+            continue
+        counts = running.get((record.key.subject, body.claims_revision), ())
+        for place, seen in enumerate(body.replicas):
+            if seen.state != 'serving' or not seen.whole:
+                continue
+            if any(member.instance in leaving for member in seen.members):
+                continue
+            if failed_at.get(seen.name, float('-inf')) >= record.made_at:
+                continue
+            servable.append(
+                Servable(
+                    seen.name,
+                    seen.group,
+                    seen.members[0].address,
+                    seen.availability_zone,
+                    seen.version,
+                    counts[place] if place < len(counts) else 0,
+                )
+            )
+    return tuple(servable)
+
+
+def _choose_newest(domains: Iterable[Record]) -> list[Record]:
+    """Return one record a domain: the newest claims, then the freshest."""
+    best: dict[str, tuple[tuple[int, float], Record]] = {}
+    for record in domains:
+        if not isinstance(record.body, DomainBody):
+            continue
+        rank = (record.body.claims_revision, record.made_at)
+        held = best.get(record.key.subject)
+        if held is None or rank > held[0]:
+            best[record.key.subject] = (rank, record)
+    return [record for _, record in best.values()]
+
+
+def _list_leaving(fleets: Iterable[Record], now: float) -> set[str]:
+    """Return leaving instances by the freshest reading of the list."""
+    newest = max(fleets, key=lambda item: item.made_at, default=None)
+    if newest is None or not isinstance(newest.body, FleetBody):
+        return set()
+    return set(newest.body.leaving)
+
+
+def _index_loads(loads: Iterable[Record]) -> dict[tuple[str, int], tuple[int, ...]]:
+    index: dict[tuple[str, int], tuple[int, ...]] = {}
+    for record in sorted(loads, key=lambda item: item.made_at):
+        body = record.body
+        if isinstance(body, LoadBody):
+            index[record.key.subject, body.claims_revision] = body.running
+    return index
--- /dev/null
+++ b/coursepitch/serving/identity.py
@@ -0,0 +1,92 @@
+"""Callers by their keys, and what each may reach."""
+
+from __future__ import annotations
+
+import hashlib
+import hmac
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from coursepitch.config.resources import Caller, Customer, Group, Key, Service
+
+if TYPE_CHECKING:
+    from coursepitch.config.history import Configuration
+
+__all__ = ['Directory', 'Identity', 'build_directory', 'hash_key']
+
+
+@dataclass(frozen=True, slots=True)
+class Identity:
+    """A caller and its customer."""
+
+    caller: str
+    customer: str
+    limits: Customer
+
+
+@dataclass(frozen=True, slots=True)
+class Directory:
+    """Index of a configuration for the serving side."""
+
+    revision: int
+    callers: dict[str, Identity]
+    groups: dict[str, tuple[tuple[str, Group], ...]]
+    services: dict[str, Service]
+
+    def find_caller(self, authorization: str) -> Identity | None:
+        """Return the caller with a bearer key.
+
+        The key is hashed first, so that no time depends on a stored secret.
+        """
+        scheme, _, key = authorization.partition(' ')
+        if scheme.lower() != 'bearer' or not key or len(key) > 512:
+            return None
+        digest = hash_key(key.strip())
+        found = self.callers.get(digest)
+        if found is None or not hmac.compare_digest(digest, hash_key(key.strip())):
+            return None
+        return found
+
+    def find_groups(self, model: str, customer: str) -> tuple[str, ...]:
+        """Return the groups of a model that a customer may reach."""
+        return tuple(
+            name
+            for name, group in self.groups.get(model, ())
+            if customer in group.customers
+        )
+
+    def find_service(self, name: str, customer: str) -> Service | None:
+        """Return a service if the customer may reach it."""
+        service = self.services.get(name)
+        if service is None or customer not in service.customers:
+            return None
+        return service
+
+    def list_models(self, customer: str) -> list[str]:
+        """Return the models that a customer may reach."""
+        return sorted(name for name in self.groups if self.find_groups(name, customer))
+
+
+def hash_key(key: str) -> str:
+    """Return the SHA-256 of a key in hex, as resources and settings hold it."""
+    return hashlib.sha256(key.encode()).hexdigest()
+
+
+def build_directory(configuration: Configuration) -> Directory:
+    """Return the index of a configuration."""
+    callers = {}
+    groups: dict[str, list[tuple[str, Group]]] = {}
+    services = {}
+    for key, resource in configuration.resources.items():
+        spec = resource.spec
+        if isinstance(spec, Caller):
+            customer = configuration.resources.get(Key('customer', spec.customer))
+            if customer and isinstance(customer.spec, Customer):
+                identity = Identity(key.name, spec.customer, customer.spec)
+                callers[spec.key_sha256] = identity
+        elif isinstance(spec, Group):
+            groups.setdefault(spec.model, []).append((key.name, spec))
+        elif isinstance(spec, Service):
+            services[key.name] = spec
+    frozen = {model: tuple(sorted(found)) for model, found in groups.items()}
+    return Directory(configuration.revision, callers, frozen, services)
--- /dev/null
+++ b/coursepitch/serving/outcomes.py
@@ -0,0 +1,181 @@
+"""Outcomes of requests and the numbered refusals that callers see."""
+
+from __future__ import annotations
+
+import json
+import math
+from dataclasses import dataclass
+from enum import Enum
+
+from starlette.responses import Response
+
+from coursepitch.errors import CoursepitchError
+
+__all__ = ['REFUSALS', 'Outcome', 'Problem', 'Refusal', 'RefusedError', 'build_refusal']
+
+
+class Outcome(Enum):
+    """What became of a request."""
+
+    ANSWERED = 'answered'
+    NOT_RUN = 'not-run'
+    UNKNOWN = 'unknown'
+
+
+@dataclass(frozen=True, slots=True)
+class Refusal:
+    """One kind of refusal.
+
+    :param kind: the word that OpenAI's clients read as the type.
+    """
+
+    number: int
+    name: str
+    status: int
+    outcome: Outcome
+    text: str
+    kind: str = 'server_error'
+
+
+def _row(
+    number: int, name: str, status: int, outcome: Outcome, text: str, kind: str = ''
+) -> Refusal:
+    default = 'invalid_request_error' if status < 429 else 'server_error'
+    return Refusal(number, name, status, outcome, text, kind or default)
+
+
+_NOT_RUN, _UNKNOWN = Outcome.NOT_RUN, Outcome.UNKNOWN
+
+BAD_REQUEST = _row(4000, 'bad_request', 400, _NOT_RUN, 'The request is malformed.')
+NO_KEY = _row(4010, 'invalid_api_key', 401, _NOT_RUN, 'The key is missing or unknown.')
+NOT_FOUND = _row(
+    4040, 'model_not_found', 404, _NOT_RUN, 'There is no such model or service here.'
+)
+IN_PROGRESS = _row(
+    4090,
+    'already_running',
+    409,
+    _UNKNOWN,
+    'A request with this idempotency key is running, or its outcome is unknown.',
+)
+TOO_LARGE = _row(4130, 'too_large', 413, _NOT_RUN, 'The request is too large.')
+KEY_REUSED = _row(
+    4220,
+    'idempotency_key_reused',
+    422,
+    _NOT_RUN,
+    'The idempotency key came with another request before.',
+)
+RATE_LIMITED = _row(
+    4290,
+    'rate_limited',
+    429,
+    _NOT_RUN,
+    'The limit of the customer is reached.',
+    'rate_limit_error',
+)
+OVERLOADED = _row(
+    5031, 'overloaded', 503, _NOT_RUN, 'More requests wait than can be served in time.'
+)
+NO_REPLICA = _row(5032, 'no_replica', 503, _NOT_RUN, 'No whole replica serves now.')
+NOT_READY = _row(5033, 'not_ready', 503, _NOT_RUN, 'This node does not serve now.')
+NO_RECORD = _row(
+    5034,
+    'cannot_record',
+    503,
+    _NOT_RUN,
+    'The idempotency key cannot be recorded now.',
+)
+TARGET_REFUSED = _row(
+    5035, 'target_refused', 503, _NOT_RUN, 'The targets refused the request.'
+)
+TARGET_FAILED = _row(
+    5020, 'target_failed', 502, _UNKNOWN, 'The target failed while it had the request.'
+)
+WRONG_ANSWER = _row(
+    5021,
+    'wrong_answer',
+    502,
+    _UNKNOWN,
+    'The target gave the answer of another request.',
+)
+STREAM_CUT = _row(
+    5022, 'stream_cut', 502, _UNKNOWN, 'The answer ended before its end mark.'
+)
+DEADLINE = _row(
+    5040, 'deadline', 504, _UNKNOWN, 'The deadline passed while the request ran.'
+)
+DEADLINE_WAITING = _row(
+    5041, 'deadline_waiting', 504, _NOT_RUN, 'The deadline passed before it could run.'
+)
+STOPPED = _row(5036, 'node_stopped', 503, _UNKNOWN, 'The node was stopped at once.')
+
+#: All refusals by number.
+REFUSALS: dict[int, Refusal] = {
+    value.number: value
+    for value in list(globals().values())
+    if isinstance(value, Refusal)
+}
+
+
+@dataclass(frozen=True, slots=True)
+class Problem:
+    """A refusal of one request.
+
+    :param detail: what is wrong, with its place; nothing secret.
+    :param retry_after_s: when coming back helps, the seconds until then.
+    """
+
+    refusal: Refusal
+    request: str
+    detail: str = ''
+    retry_after_s: float | None = None
+
+    def render(self) -> bytes:
+        """Return the JSON body, in the form that OpenAI's clients read."""
+        refusal = self.refusal
+        message = f'{refusal.text} {self.detail}'.strip()
+        error = {
+            'message': message,
+            'type': refusal.kind,
+            'code': refusal.name,
+            'number': refusal.number,
+            'outcome': refusal.outcome.value,
+            'request': self.request,
+            'param': None,
+        }
+        return json.dumps({'error': error}).encode()
+
+
+class RefusedError(CoursepitchError):
+    """Ends the handling of a request with a problem."""
+
+    category = 'refused'
+
+    def __init__(self, problem: Problem) -> None:
+        super().__init__(problem.refusal.name)
+        self.problem = problem
+
+
+def build_refusal(problem: Problem) -> Response:
+    """Return the HTTP answer of a problem.
+
+    ``x-should-retry`` tells OpenAI's clients, which repeat on their own,
+    whether a repetition is safe.
+    """
+    refusal = problem.refusal
+    headers = {
+        'coursepitch-outcome': refusal.outcome.value,
+        'x-request-id': problem.request,
+        'x-should-retry': 'false',
+    }
+    if problem.retry_after_s is not None:
+        headers['retry-after'] = str(max(1, math.ceil(problem.retry_after_s)))
+        safe = refusal.outcome is Outcome.NOT_RUN
+        headers['x-should-retry'] = 'true' if safe else 'false'
+    return Response(
+        problem.render(),
+        refusal.status,
+        headers,
+        'application/json',
+    )
--- /dev/null
+++ b/coursepitch/targets/__init__.py
@@ -0,0 +1,1 @@
+"""Adapters to targets: model engines."""
--- /dev/null
+++ b/coursepitch/timeline.py
@@ -0,0 +1,158 @@
+"""Time line of events over all processes, from their logs."""
+
+from __future__ import annotations
+
+import html
+import json
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Any
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+    from pathlib import Path
+
+__all__ = ['Entry', 'draw_page', 'merge_logs', 'read_log', 'write_text']
+
+#: Fields of a log line that are not shown among the details.
+_HIDDEN = frozenset(
+    {
+        'action_status',
+        'action_type',
+        'message_type',
+        'node',
+        'number',
+        'task_level',
+        'task_uuid',
+        'timestamp',
+    }
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Entry:
+    """One event of one process.
+
+    :param level: place in the tree of its task.
+    :param at: Unix time in seconds by the clock of its process.
+    """
+
+    task: str
+    level: tuple[int, ...]
+    at: float
+    node: str
+    number: int
+    name: str
+    details: dict[str, Any]
+
+
+def read_log(path: Path) -> list[Entry]:
+    """Read the events of a log; lines that are no events are passed over."""
+    entries = []
+    with path.open(encoding='utf-8', errors='replace') as file:
+        for line in file:
+            entry = _read_line(line)
+            if entry is not None:
+                entries.append(entry)
+    return entries
+
+
+def _read_line(line: str) -> Entry | None:
+    try:
+        data = json.loads(line)
+        if 'message_type' not in data:
+            return None
+        details = {name: data[name] for name in data if name not in _HIDDEN}
+        return Entry(
+            str(data['task_uuid']),
+            tuple(data['task_level']),
+            float(data['timestamp']),
+            str(data.get('node', '')),
+            int(data.get('number', 0)),
+            str(data['message_type']),
+            details,
+        )
+    except (KeyError, TypeError, ValueError):
+        return None
+
+
+def merge_logs(entries: Iterable[Entry], only: str = '') -> list[list[Entry]]:
+    """Return the events by task, each in the order of cause.
+
+    Tasks stand in the order of their first event.  Within a task the level
+    gives the order, whatever the clocks say; events of no task stand alone.
+
+    :param only: keep tasks with an event whose text holds this.
+    """
+    tasks: dict[str, list[Entry]] = {}
+    for entry in entries:
+        tasks.setdefault(entry.task, []).append(entry)
+    kept = []
+    for events in tasks.values():
+        if only and not any(only in write_entry(item) for item in events):
+            continue
+        kept.append(sorted(events, key=lambda item: (item.level, item.at)))
+    return sorted(kept, key=lambda events: min(item.at for item in events))
+
+
+def write_entry(entry: Entry) -> str:
+    """Return an event as a line of text."""
+    details = ' '.join(f'{name}={value}' for name, value in entry.details.items())
+    return f'{entry.at:.3f} {entry.node:<10} {entry.number} {entry.name} {details}'
+
+
+def write_text(tasks: Iterable[list[Entry]]) -> list[str]:
+    """Return the time line as lines; events of one cause are indented."""
+    lines = []
+    for events in tasks:
+        for place, entry in enumerate(events):
+            indent = '  ' if place else ''
+            lines.append(indent + write_entry(entry))
+    return lines
+
+
+def draw_page(tasks: list[list[Entry]]) -> str:
+    """Return a page that needs nothing else: a row a process, a mark an event."""
+    entries = [entry for events in tasks for entry in events]
+    nodes = sorted({entry.node for entry in entries})
+    first = min((entry.at for entry in entries), default=0.0)
+    last = max((entry.at for entry in entries), default=1.0)
+    width, row = 1400, 46
+    scale = (width - 160) / max(0.001, last - first)
+    height = row * len(nodes) + 40
+    parts = [
+        '<!DOCTYPE html><meta charset="utf-8"><title>Time line</title>',
+        '<style>body{font:13px sans-serif;margin:1em}circle:hover{r:8}',
+        'table{border-collapse:collapse}td{padding:1px 8px;vertical-align:top}'
+        'tr.first td{border-top:1px solid #ccc}</style>',
+        f'<h1>Time line</h1><p>{len(entries)} events, {last - first:.1f} s</p>',
+        f'<svg width="{width}" height="{height}">',
+    ]
+    for place, node in enumerate(nodes):
+        y = place * row + 30
+        parts.append(f'<text x="0" y="{y + 4}">{html.escape(node or "-")}</text>')
+        parts.append(f'<line x1="140" x2="{width}" y1="{y}" y2="{y}" stroke="#ddd"/>')
+    for entry in entries:
+        x = 140 + (entry.at - first) * scale
+        y = nodes.index(entry.node) * row + 30
+        colour = f'hsl({entry.number * 37 % 360} 70% 45%)'
+        text = html.escape(write_entry(entry))
+        parts.append(
+            f'<circle cx="{x:.1f}" cy="{y}" r="4" fill="{colour}">'
+            f'<title>{text}</title></circle>'
+        )
+    parts.append('</svg><table>')
+    for events in tasks:
+        for place, entry in enumerate(events):
+            mark = '' if place else ' class="first"'
+            details = ' '.join(f'{k}={v}' for k, v in entry.details.items())
+            cells = (
+                f'{entry.at - first:.3f}',
+                entry.node,
+                str(entry.number),
+                entry.name,
+                details,
+            )
+            row_text = ''.join(f'<td>{html.escape(cell)}</td>' for cell in cells)
+            parts.append(f'<tr{mark}>{row_text}</tr>')
+    parts.append('</table>')
+    return '\n'.join(parts) + '\n'
--- /dev/null
+++ b/coursepitch/util/__init__.py
@@ -0,0 +1,1 @@
+"""Small helpers that know nothing of the rest."""
--- /dev/null
+++ b/demo/__init__.py
@@ -0,0 +1,1 @@
+"""The demonstration: a small system with its main job, and one failure."""
--- /dev/null
+++ b/docs/__init__.py
@@ -0,0 +1,1 @@
+"""Docs and the generator of their reference pages."""
--- /dev/null
+++ b/standins/common.py
@@ -0,0 +1,64 @@
+"""What all stand-ins share: serving an application on a port the OS may choose."""
+
+from __future__ import annotations
+
+import argparse
+import json
+import signal
+import socket
+from typing import TYPE_CHECKING, Any
+
+import anyio
+from hypercorn.asyncio import serve
+from hypercorn.config import Config
+from starlette.responses import JSONResponse
+
+if TYPE_CHECKING:
+    from starlette.requests import Request
+
+__all__ = ['answer', 'build_parser', 'read_json', 'run']
+
+
+def build_parser(description: str) -> argparse.ArgumentParser:
+    """Return a parser with the options that all stand-ins have."""
+    parser = argparse.ArgumentParser(description=description)
+    parser.add_argument('--port', type=int, default=0, help='0 lets the OS choose')
+    return parser
+
+
+def answer(value: Any, status: int = 200) -> JSONResponse:
+    """Return a JSON answer."""
+    return JSONResponse(value, status)
+
+
+async def read_json(request: Request) -> Any:
+    """Return the JSON body of a request; an empty one is an empty map."""
+    body = await request.body()
+    return json.loads(body) if body else {}
+
+
+def run(app: Any, port: int) -> None:
+    """Serve until a signal; print the port as a JSON line once it listens."""
+    anyio.run(_serve, app, port)
+
+
+async def _serve(app: Any, port: int) -> None:
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    sock.bind(('127.0.0.1', port))
+    sock.listen(512)
+    config = Config()
+    config.bind = [f'fd://{sock.detach()}']
+    config.errorlog = None
+    config.graceful_timeout = 0.2
+    config.keep_alive_timeout = 60
+    bound = socket.socket(fileno=int(config.bind[0][5:]))
+    print(json.dumps({'port': bound.getsockname()[1]}), flush=True)
+    bound.detach()
+
+    async def wait_for_signal() -> None:
+        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+            async for _ in signals:
+                return
+
+    await serve(app, config, shutdown_trigger=wait_for_signal)
--- /dev/null
+++ b/tests/whole/base.py
@@ -0,0 +1,97 @@
+"""Base of tests on running processes."""
+
+from __future__ import annotations
+
+import hashlib
+import unittest
+from typing import Any, ClassVar
+
+from standins.harness import CALLER_KEY, Harness
+
+GROUP = 'release-notes'
+
+
+def hash_key(key: str) -> str:
+    """Return the SHA-256 of a key in hex."""
+    return hashlib.sha256(key.encode()).hexdigest()
+
+
+class SystemCase(unittest.TestCase):
+    """A small system that the tests of a class share.
+
+    Two replicas of two instances; one spare instance in each domain.
+    """
+
+    nodes: ClassVar[dict[str, str]] = {
+        'n1': 'kurasini',
+        'n2': 'mikocheni',
+        'n3': 'ubungo',
+    }
+    domains: ClassVar[dict[str, tuple[str, int]]] = {
+        'fab-a': ('kurasini', 3),
+        'fab-b': ('mikocheni', 3),
+    }
+    engine: ClassVar[dict[str, Any]] = {'token_s': 0.01}
+    settings: ClassVar[dict[str, dict[str, str]]] = {}
+    replicas = 2
+
+    harness: Harness
+
+    @classmethod
+    def setUpClass(cls) -> None:
+        """Start the system and wait until the group serves."""
+        cls.harness = Harness()
+        cls.addClassCleanup(cls.harness.close)
+        cls.harness.settings = cls.settings
+        cls.harness.start_platform(cls.domains, **cls.engine)
+        service = cls.harness.start_service('service')
+        cls.harness.start_nodes(cls.nodes)
+        cls.declare(service)
+        cls.harness.wait_converged('n1', 'group', GROUP)
+        for node in cls.nodes:
+            cls.harness.wait_for(
+                lambda node=node: cls.count_serving(node) == cls.replicas,
+                f'{node} sees all replicas serve',
+            )
+
+    @classmethod
+    def declare(cls, service: str) -> None:
+        """Write the resources that all tests use."""
+        harness = cls.harness
+        harness.apply('n1', 'customer', 'dar', requests_per_s=1000, burst=1000)
+        key_hash = hash_key(CALLER_KEY)
+        harness.apply('n1', 'caller', 'officer', customer='dar', key_sha256=key_hash)
+        harness.apply(
+            'n1',
+            'group',
+            GROUP,
+            model=GROUP,
+            version='1',
+            replicas=cls.replicas,
+            instances=2,
+            customers=['dar'],
+        )
+        harness.apply(
+            'n1',
+            'service',
+            'stamp',
+            addresses=[service],
+            customers=['dar'],
+            repeatable=False,
+        )
+
+    @classmethod
+    def count_serving(cls, node: str) -> int:
+        """Return the replicas that serve, as a node sees it."""
+        return sum(item['serving'] for item in cls.harness.replicas(node, GROUP))
+
+    @classmethod
+    def body(cls, prompt: str = 'hello', **fields: Any) -> dict[str, Any]:
+        """Return the body of a chat request."""
+        messages = [{'role': 'user', 'content': prompt}]
+        return {'model': GROUP, 'messages': messages, 'max_tokens': 8, **fields}
+
+    @classmethod
+    def leader(cls, replica: dict[str, Any]) -> str:
+        """Return the instance of rank 0 of a replica."""
+        return str(replica['instances'][0])
