A cut stream waits for a replica instead of giving up at once

Cause: when the replica of a stream died while the other replica was still held back after an earlier failure, the further attempt found no replica and the caller got stream_cut after three tokens, though a whole replica came back within seconds. Seen in test_killed_leader_continues_on_another_replica (first run: failed).

Ruled out: loss of tokens at the seam; the same test passes alone, and tokens are compared one by one.

Change: a further attempt looks for a replica for as long as a request may wait in the queue, untried ones first.

--- a/coursepitch/application.py
+++ b/coursepitch/application.py
@@ -132,7 +132,12 @@
             self.clock,
         )
         self.dispatcher = Dispatcher(
-            board, self.admission, settings.routing, self.metrics, self.clock
+            board,
+            self.admission,
+            settings.routing,
+            entry.queue_wait_s,
+            self.metrics,
+            self.clock,
         )
         self.services = ServiceCaller(settings.routing, self.clock)
         self.records = RequestRecords(
--- a/coursepitch/serving/dispatch.py
+++ b/coursepitch/serving/dispatch.py
@@ -41,6 +41,9 @@
 #: Statuses by which an engine says that it did not run a request.
 _NOT_RUN_STATUSES = frozenset({400, 404, 409, 413, 422, 429, 503})
 
+#: Seconds between two looks for a replica for a further attempt.
+_LOOK_S = 0.1
+
 #: Statuses that another replica would give as well.
 _FINAL_STATUSES = frozenset({400, 404, 413, 422})
 
@@ -86,12 +89,14 @@
         board: ReplicaBoard,
         admission: Admission,
         settings: RoutingSettings,
+        queue_wait_s: float,
         metrics: Metrics,
         clock: Clock,
     ) -> None:
         self._board = board
         self._admission = admission
         self._settings = settings
+        self._wait_s = queue_wait_s
         self._metrics = metrics
         self._clock = clock
         self._budget = RetryBudget(settings.retry_ratio, settings.retry_burst)
@@ -122,12 +127,12 @@
         groups = tuple(waiting.group.split(','))
         return self._board.choose(groups, '', self._admission.on_replica)
 
-    async def admit(self, exchange: Exchange, queue_wait_s: float) -> Run:
+    async def admit(self, exchange: Exchange) -> Run:
         """Wait for a slot.
 
         :raises RefusedError: the request is given up.
         """
-        leave_at = min(exchange.arrived_at + queue_wait_s, exchange.deadline_at)
+        leave_at = min(exchange.arrived_at + self._wait_s, exchange.deadline_at)
         waiting = Waiting(
             exchange.request,
             exchange.identity.customer,
@@ -178,7 +183,7 @@
             async with aclosing(self._read(run, attempt, mode)) as chunks:
                 async for chunk in chunks:
                     yield chunk
-            mode = self._follow(run, attempt)
+            mode = await self._follow(run, attempt)
             if mode is Next.FINISH:
                 run.finished = True
                 return
@@ -201,7 +206,7 @@
         )
         return run.current
 
-    def _follow(self, run: Run, attempt: Attempt) -> Next:
+    async def _follow(self, run: Run, attempt: Attempt) -> Next:
         """Decide what follows an attempt and prepare it.
 
         :raises RefusedError: nothing more can be done.
@@ -222,12 +227,7 @@
         if attempt.status in _FINAL_STATUSES:
             step = Next.FAIL
         if step in (Next.RETRY, Next.CONTINUE):
-            choice = self._board.choose(
-                run.exchange.groups,
-                run.exchange.prefix,
-                self._admission.on_replica,
-                frozenset(run.tried),
-            )
+            choice = await self._wait_for_choice(run)
             if choice is None:
                 raise RefusedError(self._describe_failure(run, attempt))
             self._budget.withdraw()
@@ -247,6 +247,28 @@
             )
         return step
 
+    async def _wait_for_choice(self, run: Run) -> Choice | None:
+        """Return a replica for a further attempt, one not tried before if any.
+
+        A replica may be on its way back, and the caller holds a part of the
+        answer, so this waits as long as a request may wait in the queue.
+        """
+        exchange = run.exchange
+        give_up_at = min(self._clock() + self._wait_s, exchange.deadline_at)
+        while True:
+            for tried in (frozenset(run.tried), frozenset[str]()):
+                choice = self._board.choose(
+                    exchange.groups,
+                    exchange.prefix,
+                    self._admission.on_replica,
+                    tried,
+                )
+                if choice is not None:
+                    return choice
+            if self._clock() >= give_up_at:
+                return None
+            await anyio.sleep(_LOOK_S)
+
     def _describe_failure(self, run: Run, attempt: Attempt) -> Problem:
         refusal = self._choose_refusal(run, attempt)
         detail = f'Target status {attempt.status}.' if attempt.status else ''
@@ -384,7 +406,7 @@
             if attempt.seen is Seen.CUT:
                 # An answer in one piece has no place from which to read on.
                 attempt.seen = Seen.NO_HEAD
-            self._follow(run, attempt)
+            await self._follow(run, attempt)
 
     async def _fetch_once(self, run: Run, attempt: Attempt) -> dict[str, Any] | None:
         started = self._clock()
--- a/coursepitch/serving/entry.py
+++ b/coursepitch/serving/entry.py
@@ -254,7 +254,7 @@
             raise RefusedError(problem) from error
 
     async def _admit(self, job: Job, exchange: Exchange) -> Run:
-        job.run = await self._dispatcher.admit(exchange, self._settings.queue_wait_s)
+        job.run = await self._dispatcher.admit(exchange)
         job.outcome = Outcome.UNKNOWN
         return job.run
 
