An old replica goes only when every node knows the new one

Cause: test_change_of_version_keeps_one_replica_in_service failed with 9 calls refused as no_replica. The time line shows the last old replica moved to draining 7 ms after the new one began to serve, while node 3 heard of the new one half a second later: placement counted what the claims say, not what nodes know.

Ruled out: the new replica was whole (its engines answered), and the drain cut nothing.

Change: for a change of version a new replica counts only after it has served whole for two seconds in the evidence of the holder of the cluster duty.

Conclusion: a change of version drops no call with two replicas. The two seconds are taken longer than evidence needs on nine nodes; at 370 nodes this has to be checked again (docs/CAPACITY.md).

--- a/coursepitch/control/cluster.py
+++ b/coursepitch/control/cluster.py
@@ -54,6 +54,11 @@
 FORGET_NODE_S = 20.0
 
 
+#: Seconds for which a replica has to serve whole before it counts as known to
+#: every node; longer than evidence takes to pass through all links.
+SETTLE_S = 2.0
+
+
 class PeerBoard:
     """What the cluster task reads of and tells to peers."""
 
@@ -104,6 +109,7 @@
         self._acceptance = Acceptance()
         self._silent_since: dict[str, float] = {}
         self._avoided: dict[str, float] = {}
+        self._whole_since: dict[str, float] = {}
         self._measured_at = self._clock()
 
     async def run(self) -> None:
@@ -222,6 +228,7 @@
 
     def _describe_fleet(self) -> Fleet:
         now = self._clock()
+        self._note_whole(now)
         for _, body in self._board.read_domains():
             for seen in body.replicas:
                 for member in seen.members:
@@ -262,8 +269,22 @@
             replica.adapters,
             replica.availability_zone,
             bool(names & self._leaving),
+            self._is_settled(replica.name),
         )
 
+    def _note_whole(self, now: float) -> None:
+        whole = {
+            seen.name
+            for _, body in self._board.read_domains()
+            for seen in body.replicas
+            if seen.state == 'serving' and seen.whole
+        }
+        self._whole_since = {name: self._whole_since.get(name, now) for name in whole}
+
+    def _is_settled(self, replica: str) -> bool:
+        since = self._whole_since.get(replica)
+        return since is not None and self._clock() - since >= SETTLE_S
+
     # -- placement ---------------------------------------------------------------------
 
     async def _place(self) -> None:
--- a/coursepitch/control/placement.py
+++ b/coursepitch/control/placement.py
@@ -54,7 +54,12 @@
 
 @dataclass(frozen=True, slots=True)
 class Placed:
-    """A claimed replica; ``leaving`` says that a member is about to leave."""
+    """A claimed replica.
+
+    :param leaving: whether a member is about to leave.
+    :param settled: whether it has served whole for so long that every node
+        has heard of it.
+    """
 
     name: str
     group: str
@@ -65,6 +70,7 @@
     adapters: tuple[str, ...] = ()
     availability_zone: str = ''
     leaving: bool = False
+    settled: bool = True
 
     @property
     def counted(self) -> bool:
@@ -221,7 +227,8 @@
     """Return the replicas of an old version that may go now."""
     idle = [item for item in old if item.state != 'serving']
     serving_old = [item for item in old if item.state == 'serving']
-    serving = len(serving_old) + sum(item.state == 'serving' for item in current)
+    settled = [item for item in current if item.state == 'serving' and item.settled]
+    serving = len(serving_old) + len(settled)
     least = max(0, group.replicas - group.max_unavailable)
     spare = max(0, serving - least)
     return idle + sorted(serving_old, key=_rank_surplus)[:spare]
--- /dev/null
+++ b/tests/whole/test_replicas.py
@@ -0,0 +1,410 @@
+"""Replicas, duties and configuration under failure of processes."""
+
+from __future__ import annotations
+
+import json
+import signal
+import threading
+from typing import Any
+
+import httpx
+
+from standins.harness import CALLER_KEY
+from tests.whole.base import GROUP, SystemCase
+from tests.whole.calls import call_stream, expect_tokens, in_background
+
+
+class ReplicaCase(SystemCase):
+    """Helpers of tests on replicas."""
+
+    def setUp(self) -> None:
+        """Begin with whole replicas."""
+        self.harness.set_fault('kv', mode='none')
+        for node in self.nodes:
+            self.harness.wait_for(
+                lambda node=node: self.harness.is_ready(node), f'{node} serves'
+            )
+        self.harness.wait_converged('n1', 'group', GROUP)
+        for node in self.nodes:
+            self.harness.wait_for(
+                lambda node=node: self.count_serving(node) == self.replicas,
+                f'{node} sees all replicas serve',
+            )
+
+    def serving(self, node: str = 'n1') -> dict[str, dict[str, Any]]:
+        found = self.harness.replicas(node, GROUP)
+        return {item['name']: item for item in found if item['serving']}
+
+    def wait_out(self, replica: str) -> None:
+        """Wait until no node routes to a replica."""
+        for node in self.nodes:
+            self.harness.wait_for(
+                lambda node=node: replica not in self.serving(node),
+                f'{node} does not route to {replica}',
+            )
+
+    def read_claims(self) -> list[dict[str, Any]]:
+        """Return the replicas in the service's own store."""
+        entries = self.harness.stats('kv')['entries']
+        return [
+            replica
+            for key, entry in entries.items()
+            if key.startswith('claims/')
+            for replica in json.loads(entry['value'])['replicas']
+        ]
+
+    def assert_no_double_claim(self) -> None:
+        names = [m['instance'] for r in self.read_claims() for m in r['members']]
+        self.assertEqual(len(names), len(set(names)), names)
+
+    def duties(self) -> dict[str, str]:
+        """Return the holders of duties in the service's own store."""
+        entries = self.harness.stats('kv')['entries']
+        return {
+            key: json.loads(entry['value'])['holder']
+            for key, entry in entries.items()
+            if key.startswith('c/duty/')
+        }
+
+    def send(self, name: str, number: signal.Signals) -> None:
+        self.harness.processes[name].send(number)
+
+
+class MemberTest(ReplicaCase):
+    """No replica serves while one of its instances is missing."""
+
+    def test_killed_member_takes_its_replica_out_and_a_whole_one_comes(self) -> None:
+        name, replica = next(iter(self.serving().items()))
+        victim = replica['instances'][1]
+        self.harness.processes[victim].kill()
+        self.wait_out(name)
+        self.harness.wait_for(
+            lambda: len(self.serving()) == 2 and name not in self.serving(),
+            'a whole replica comes',
+        )
+        self.assert_no_double_claim()
+        for item in self.serving().values():
+            self.assertNotIn(victim, item['instances'])
+        self.harness.restart_engine(victim, **self.engine)
+
+    def test_paused_member_takes_its_replica_out(self) -> None:
+        name, replica = next(iter(self.serving().items()))
+        victim = replica['instances'][1]
+        self.send(victim, signal.SIGSTOP)
+        try:
+            self.wait_out(name)
+        finally:
+            self.send(victim, signal.SIGCONT)
+        self.harness.wait_for(lambda: len(self.serving()) == 2, 'two replicas serve')
+        self.assert_no_double_claim()
+
+    def test_leaving_instance_drains_its_replica_and_cuts_nothing(self) -> None:
+        begun = threading.Event()
+        names: list[str] = []
+
+        def on_text(text: str, request: str) -> None:
+            names.append(request)
+            begun.set()
+
+        body = self.body('long note', max_tokens=400)
+        call = in_background(lambda: call_stream(self.harness, 'n2', body, on_text))
+        begun.wait(60)
+        leader = next(
+            item['id']
+            for item in self.harness.instances
+            if f'{names[0]}.1' in self.harness.stats(item['id'])['ran']
+        )
+        replica = next(
+            item for item in self.serving().values() if item['instances'][0] == leader
+        )
+        self.harness.list_state(replica['instances'][1], 'leaving')
+        self.wait_out(replica['name'])
+        before = self.harness.stats(leader)['ran']
+        for node in self.nodes:
+            self.harness.call(node, self.body('new work'))
+        self.assertEqual(self.harness.stats(leader)['ran'], before)
+        answer = call.result(90)
+        self.assertTrue(answer.whole, answer)
+        self.assertEqual(answer.text, expect_tokens('long note', 400))
+        self.harness.wait_for(
+            lambda: len(self.serving()) == 2 and replica['name'] not in self.serving(),
+            'a replica without the leaving instance serves',
+        )
+        self.harness.list_state(replica['instances'][1], 'live')
+
+    def test_change_of_version_keeps_one_replica_in_service(self) -> None:
+        stop = threading.Event()
+        refused: list[str] = []
+
+        def ask() -> None:
+            while not stop.is_set():
+                reply = self.harness.call('n3', self.body('during the change'))
+                if reply.status_code != 200:
+                    refused.append(reply.json()['error']['code'])
+
+        asking = in_background(ask)
+        spec = self.harness.operate('n1', 'GET', f'group/{GROUP}').json()['spec']
+        self.harness.apply('n1', 'group', GROUP, **{**spec, 'version': '2'})
+        self.harness.wait_converged('n1', 'group', GROUP)
+        stop.set()
+        asking.result(60)
+        self.assertEqual(refused, [])
+        self.assertEqual({i['version'] for i in self.serving().values()}, {'2'})
+        self.assert_no_double_claim()
+
+
+class NodeTest(ReplicaCase):
+    """Nodes that are killed, paused or stopped."""
+
+    def test_paused_holder_of_duties_does_no_harm(self) -> None:
+        holder = self.duties()['c/duty/cluster']
+        other = next(name for name in self.nodes if name != holder)
+        self.send(holder, signal.SIGSTOP)
+        try:
+            self.harness.wait_for(
+                lambda: self.duties().get('c/duty/cluster', holder) != holder,
+                'another node takes the duty',
+            )
+            replica = next(iter(self.serving(other).values()))
+            victim = replica['instances'][1]
+            self.harness.processes[victim].kill()
+            self.harness.wait_for(
+                lambda: (
+                    len(self.serving(other)) == 2
+                    and replica['name'] not in self.serving(other)
+                ),
+                'the new holder repairs',
+            )
+        finally:
+            self.send(holder, signal.SIGCONT)
+        self.harness.wait_for(lambda: self.harness.is_ready(holder), 'it serves again')
+        self.assertNotEqual(self.duties()['c/duty/cluster'], holder)
+        self.assertEqual(len(self.serving(holder)), 2)
+        self.assert_no_double_claim()
+        self.harness.restart_engine(victim, **self.engine)
+
+    def test_change_is_accepted_without_a_paused_node_and_never_reverts(self) -> None:
+        self.send('n3', signal.SIGSTOP)
+        try:
+            spec = {'requests_per_s': 900, 'burst': 900}
+            data = self.harness.apply('n1', 'customer', 'dar', **spec)
+            self.harness.wait_converged('n1', 'customer', 'dar')
+        finally:
+            self.send('n3', signal.SIGCONT)
+        # The first thing the woken node says is either that it does not serve,
+        # or the accepted revision: never an older one.
+        status = self.harness.operate('n3', 'GET', 'status').json()
+        if status['serves']:
+            self.assertGreaterEqual(status['revision'], data['resource_version'])
+        self.harness.wait_for(
+            lambda: (
+                self.harness.operate('n3', 'GET', 'status').json()['revision']
+                >= data['resource_version']
+            ),
+            'the woken node catches up',
+        )
+
+    def test_killed_node_is_forgotten_and_its_duties_taken_over(self) -> None:
+        self.harness.start_node('n8', 'kurasini')
+        self.harness.wait_for(lambda: self.harness.is_ready('n8'), 'n8 serves')
+        self.harness.processes.pop('n8').kill()
+
+        def is_forgotten() -> bool:
+            items = self.harness.operate('n1', 'GET', 'node').json()['items']
+            return all(item['name'] != 'n8' for item in items)
+
+        self.harness.wait_for(is_forgotten, 'n8 is forgotten')
+        self.assertNotIn('n8', self.duties().values())
+
+    def test_planned_stop_cuts_no_stream_and_ends_with_0(self) -> None:
+        self.harness.start_node('n7', 'mikocheni')
+        self.harness.wait_for(lambda: self.harness.is_ready('n7'), 'n7 serves')
+        self.harness.wait_for(lambda: len(self.serving('n7')) == 2, 'n7 sees replicas')
+        begun = [threading.Event() for _ in range(5)]
+        calls = [
+            in_background(
+                lambda event=event: call_stream(
+                    self.harness,
+                    'n7',
+                    self.body('long', max_tokens=300),
+                    lambda *_: event.set(),
+                )
+            )
+            for event in begun
+        ]
+        for event in begun:
+            event.wait(60)
+        self.send('n7', signal.SIGTERM)
+        answers = [call.result(90) for call in calls]
+        self.assertTrue(all(answer.whole for answer in answers), answers)
+        self.assertEqual(self.harness.processes.pop('n7').wait(), 0)
+
+    def test_second_signal_cuts_and_names_each_request(self) -> None:
+        process = self.harness.start_node('n6', 'mikocheni')
+        self.harness.wait_for(lambda: self.harness.is_ready('n6'), 'n6 serves')
+        self.harness.wait_for(lambda: len(self.serving('n6')) == 2, 'n6 sees replicas')
+        begun = threading.Event()
+        body = self.body('long', max_tokens=3000)
+        call = in_background(
+            lambda: call_stream(self.harness, 'n6', body, lambda *_: begun.set())
+        )
+        begun.wait(60)
+        process.send(signal.SIGTERM)
+        log = self.harness.folder / 'n6.log'
+        self.harness.wait_for(lambda: 'node.draining' in log.read_text(), 'it drains')
+        process.send(signal.SIGTERM)
+        self.assertFalse(call.result(90).whole)
+        self.assertEqual(self.harness.processes.pop('n6').wait(), 1)
+        self.assertEqual(log.read_text().count('node.request_cut'), 1)
+
+
+class OutageTest(ReplicaCase):
+    """The key-value service is down, or loses answers."""
+
+    def test_serving_goes_on_in_an_outage_and_evidence_stays_true(self) -> None:
+        self.harness.set_fault('kv', mode='down')
+        for node in self.nodes:
+            self.harness.wait_for(
+                lambda node=node: self.ground(node) == 'outage', f'{node} sees it'
+            )
+        for node in self.nodes:
+            reply = self.harness.call(node, self.body('in the outage'))
+            self.assertEqual(reply.status_code, 200, reply.text)
+        name, replica = next(iter(self.serving().items()))
+        victim = replica['instances'][1]
+        self.harness.processes[victim].kill()
+        self.wait_out(name)
+        reply = self.harness.call('n2', self.body('still'))
+        self.assertEqual(reply.status_code, 200, reply.text)
+        refused = self.harness.operate(
+            'n1', 'PUT', 'customer/dar', json={'spec': {'burst': 5}}
+        )
+        self.assertEqual(refused.status_code, 503)
+        self.harness.set_fault('kv', mode='none')
+        self.harness.wait_for(lambda: len(self.serving()) == 2, 'it is repaired')
+        self.assert_no_double_claim()
+        self.harness.restart_engine(victim, **self.engine)
+
+    def ground(self, node: str) -> str:
+        return str(self.harness.operate(node, 'GET', 'status').json()['ground'])
+
+    def test_observer_that_dies_in_an_outage_is_replaced(self) -> None:
+        self.harness.set_fault('kv', mode='down')
+        for node in self.nodes:
+            self.harness.wait_for(
+                lambda node=node: self.ground(node) == 'outage', f'{node} sees it'
+            )
+        holder = self.duties()
+        victim = next(iter(holder.values()), 'n1') if holder else 'n1'
+        others = [name for name in self.nodes if name != victim]
+        self.send(victim, signal.SIGSTOP)
+        try:
+            # Two of three are more than half, so they go on.
+            for node in others:
+                self.harness.wait_for(
+                    lambda node=node: (
+                        self.harness.call(node, self.body()).status_code == 200
+                        and self.is_fresh(node)
+                    ),
+                    f'{node} serves on fresh evidence',
+                )
+        finally:
+            self.send(victim, signal.SIGCONT)
+            self.harness.set_fault('kv', mode='none')
+
+    def is_fresh(self, node: str) -> bool:
+        found = self.harness.replicas(node, GROUP)
+        return len(found) == 2 and all(item['serving'] for item in found)
+
+    def test_lone_node_without_service_and_peers_turns_callers_away(self) -> None:
+        others = [name for name in self.nodes if name != 'n1']
+        self.harness.set_fault('kv', mode='down')
+        for name in others:
+            self.send(name, signal.SIGSTOP)
+        try:
+            self.harness.wait_for(
+                lambda: self.ground('n1') == 'cut off', 'n1 knows that it is cut off'
+            )
+            reply = self.harness.call('n1', self.body('alone'))
+            self.assertEqual(reply.status_code, 503)
+            self.assertEqual(reply.headers['coursepitch-outcome'], 'not-run')
+        finally:
+            for name in others:
+                self.send(name, signal.SIGCONT)
+            self.harness.set_fault('kv', mode='none')
+
+    def test_node_that_boots_in_an_outage_gets_the_configuration(self) -> None:
+        ports = [self.harness.processes[n].told['ports']['peers'] for n in self.nodes]
+        seeds = ', '.join(f'127.0.0.1:{port}' for port in ports)
+        self.harness.set_fault('kv', mode='down')
+        self.harness.settings = {**self.settings, 'peers': {'seeds': seeds}}
+        self.harness.start_node('n5', 'ubungo')
+        self.harness.settings = self.settings
+        self.harness.wait_for(lambda: self.harness.is_ready('n5'), 'n5 serves')
+        self.harness.wait_for(lambda: len(self.serving('n5')) == 2, 'n5 sees replicas')
+        self.assertEqual(self.harness.call('n5', self.body()).status_code, 200)
+        self.harness.set_fault('kv', mode='none')
+        self.harness.wait_for(
+            lambda: self.ground('n5') in ('service', 'peer'), 'n5 is in touch'
+        )
+        self.assertEqual(self.harness.stop_node('n5'), 0)
+
+    def test_lost_answers_of_writes_are_settled(self) -> None:
+        self.harness.set_fault('kv', mode='drop_answers', paths=['swap'])
+        name, replica = next(iter(self.serving().items()))
+        victim = replica['instances'][1]
+        self.harness.processes[victim].kill()
+        data = self.harness.apply('n2', 'customer', 'lost-answer', burst=7)
+        self.assertEqual(data['generation'], 1)
+        self.harness.wait_for(
+            lambda: len(self.serving()) == 2 and name not in self.serving(),
+            'the replica is replaced though every write loses its answer',
+        )
+        self.assert_no_double_claim()
+        self.harness.set_fault('kv', mode='none')
+        self.harness.restart_engine(victim, **self.engine)
+
+
+class OperatorTest(ReplicaCase):
+    """Operators that race, and bad input."""
+
+    def test_racing_operators_one_wins_and_the_other_sees_what_is_there(self) -> None:
+        first = self.harness.apply('n1', 'customer', 'race', burst=10)
+        version = first['resource_version']
+
+        def write(node: str, burst: int) -> httpx.Response:
+            body = {'spec': {'burst': burst}, 'resource_version': version}
+            return self.harness.operate(node, 'PUT', 'customer/race', json=body)
+
+        calls = [
+            in_background(lambda node=node, place=place: write(node, 20 + place))
+            for place, node in enumerate(self.nodes)
+        ]
+        replies = [call.result(60) for call in calls]
+        codes = sorted(reply.status_code for reply in replies)
+        self.assertEqual(codes, [200, 409, 409])
+        won = next(reply for reply in replies if reply.status_code == 200).json()
+        for reply in replies:
+            if reply.status_code == 409:
+                current = reply.json()['error']['current']
+                self.assertEqual(current['spec'], won['spec'])
+
+    def test_every_finding_is_reported_at_once(self) -> None:
+        spec = {'model': 'm', 'replicas': -1, 'colour': 'red'}
+        reply = self.harness.operate('n1', 'PUT', 'group/Bad_Name', json={'spec': spec})
+        self.assertEqual(reply.status_code, 422)
+        options = {item['option'] for item in reply.json()['error']['findings']}
+        self.assertEqual(options, {'', 'colour', 'replicas', 'version'})
+
+    def test_operator_key_is_needed(self) -> None:
+        url = f'{self.harness.admin("n1")}/apis/v1/group'
+        self.assertEqual(httpx.get(url).status_code, 401)
+        headers = {'Authorization': f'Bearer {CALLER_KEY}'}
+        self.assertEqual(httpx.get(url, headers=headers).status_code, 401)
+
+    def test_watch_resumes_from_a_revision(self) -> None:
+        start = self.harness.operate('n2', 'GET', 'status').json()['revision']
+        self.harness.apply('n1', 'customer', 'watched', burst=11)
+        reply = self.harness.operate('n2', 'GET', f'watch?after={start}', timeout=40)
+        names = [change['name'] for change in reply.json()['changes']]
+        self.assertIn('watched', names)
