--- /dev/null
+++ b/tests/control/test_placement.py
@@ -0,0 +1,185 @@
+"""Placement: sound plans for any fleet, and the cases that were decided."""
+
+from __future__ import annotations
+
+import unittest
+from dataclasses import replace
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from coursepitch.config.settings import PlacementSettings
+from coursepitch.control.duties import should_observe
+from coursepitch.control.placement import (
+    Fleet,
+    measure_stranded,
+    pack_fleet,
+    plan_placement,
+    unpack_fleet,
+)
+from coursepitch.errors import CodecError
+from tests.builders import build_group, build_placed, build_spares
+
+DAR = PlacementSettings()
+STATES = st.sampled_from(['claimed', 'loading', 'serving', 'draining', 'releasing'])
+
+
+@st.composite
+def fleets(draw) -> Fleet:
+    """Draw a fleet of up to three domains and three groups."""
+    groups = {
+        name: build_group(
+            replicas=draw(st.integers(0, 3)),
+            instances=draw(st.integers(1, 3)),
+            version=draw(st.sampled_from(['1', '2'])),
+        )
+        for name in draw(st.sets(st.sampled_from('abc')))
+    }
+    spares = ()
+    for domain in 'xyz':
+        spares += build_spares(domain, draw(st.integers(0, 5)), f'zone-{domain}')
+    placed = tuple(
+        build_placed(
+            f'r{n}',
+            draw(st.sampled_from('abcd')),
+            draw(st.sampled_from('xyz')),
+            state=draw(STATES),
+            leaving=draw(st.booleans()),
+        )
+        for n in range(draw(st.integers(0, 5)))
+    )
+    return Fleet(groups, spares, placed)
+
+
+class PlanTest(unittest.TestCase):
+    """Properties of any plan."""
+
+    @given(fleets())
+    def test_plans_are_sound(self, fleet: Fleet) -> None:
+        plan = plan_placement(fleet, DAR)
+        domains = {item.name: item.domain for item in fleet.spares}
+        used: set[str] = set()
+        for step in plan.steps:
+            if step.action == 'form':
+                self.assertEqual(
+                    len(step.instances), fleet.groups[step.group].instances
+                )
+                self.assertEqual({domains[n] for n in step.instances}, {step.domain})
+                self.assertFalse(used & set(step.instances))
+                used |= set(step.instances)
+        retired = [step.replica for step in plan.steps if step.action == 'retire']
+        self.assertEqual(len(retired), len(set(retired)))
+
+    @given(fleets())
+    def test_change_of_version_keeps_enough_in_service(self, fleet: Fleet) -> None:
+        plan = plan_placement(fleet, DAR)
+        gone = {s.replica for s in plan.steps if s.why == 'version'}
+        for name, group in fleet.groups.items():
+            kept = [
+                item
+                for item in fleet.replicas
+                if item.group == name and item.state == 'serving' and not item.leaving
+            ]
+            left = [item for item in kept if item.name not in gone]
+            least = min(len(kept), max(0, group.replicas - group.max_unavailable))
+            self.assertGreaterEqual(len(left), least)
+
+    @given(fleets())
+    def test_recorded_fleets_come_back_the_same(self, fleet: Fleet) -> None:
+        self.assertEqual(unpack_fleet(pack_fleet(fleet)), fleet)
+
+    def test_damaged_record_is_a_codec_error(self) -> None:
+        for data in ([], {}, {'groups': {'a': {'colour': 1}}, 'spares': []}):
+            with self.assertRaises(CodecError):
+                unpack_fleet(data)
+
+
+class CaseTest(unittest.TestCase):
+    """The cases that the design note decides."""
+
+    def forms(self, fleet: Fleet, weights: PlacementSettings = DAR) -> list[tuple]:
+        plan = plan_placement(fleet, weights)
+        return [(s.group, s.domain) for s in plan.steps if s.action == 'form']
+
+    def test_two_broken_replicas_make_one_whole(self) -> None:
+        spares = build_spares('x', 3) + build_spares('y', 1)
+        fleet = Fleet({'a': build_group(replicas=2, instances=3)}, spares, ())
+        self.assertEqual(self.forms(fleet), [('a', 'x')])
+
+    def test_group_that_is_down_comes_before_one_that_is_short(self) -> None:
+        groups = {'a': build_group(replicas=2), 'b': build_group()}
+        fleet = Fleet(groups, build_spares('x', 2), (build_placed('r', 'a', 'y'),))
+        self.assertEqual(self.forms(fleet), [('b', 'x')])
+
+    def test_dark_domain_is_refilled_elsewhere(self) -> None:
+        fleet = Fleet({'a': build_group()}, build_spares('y', 2), ())
+        self.assertEqual(self.forms(fleet), [('a', 'y')])
+
+    def test_no_domain_with_room_forms_nothing(self) -> None:
+        spares = build_spares('x', 1) + build_spares('y', 1)
+        fleet = Fleet({'a': build_group()}, spares, ())
+        self.assertEqual(self.forms(fleet), [])
+        self.assertEqual(measure_stranded(fleet), 4)
+
+    def test_loads_at_once_are_bounded(self) -> None:
+        weights = replace(DAR, loads_at_once=2)
+        fleet = Fleet({'a': build_group(replicas=5)}, build_spares('x', 10), ())
+        self.assertEqual(len(self.forms(fleet, weights)), 2)
+
+    def test_stranded_weight_chooses_the_domain_without_a_rest(self) -> None:
+        groups = {
+            'a': build_group(instances=2),
+            'b': build_group(replicas=1, instances=3),
+        }
+        spares = build_spares('x', 4) + build_spares('y', 2)
+        placed = (build_placed('r', 'b', 'z'),)
+        fleet = Fleet(groups, spares, placed)
+        weights = replace(DAR, stranded_weight=1.0)
+        plan = plan_placement(fleet, weights)
+        best = min(
+            [s.objective for s in (*plan.steps, *plan.rejected) if s.action == 'form']
+        )
+        self.assertEqual(plan.steps[0].objective, best)
+
+    def test_donor_gives_a_replica_to_a_group_that_is_down(self) -> None:
+        groups = {'a': build_group(replicas=2), 'b': build_group()}
+        placed = (build_placed('r1', 'a', 'x'), build_placed('r2', 'a', 'y'))
+        plan = plan_placement(Fleet(groups, (), placed), DAR)
+        self.assertEqual([s.why for s in plan.steps], ['group b has no replica'])
+        light = replace(DAR, downtime_weight=0.1)
+        self.assertEqual(plan_placement(Fleet(groups, (), placed), light).steps, ())
+
+    def test_surge_without_unavailable_replicas(self) -> None:
+        group = build_group(version='2', max_unavailable=0)
+        old = build_placed('r', 'a', 'x')
+        fleet = Fleet({'a': group}, build_spares('y', 2), (old,))
+        self.assertEqual(self.forms(fleet), [('a', 'y')])
+        self.assertEqual(
+            [s for s in plan_placement(fleet, DAR).steps if s.action == 'retire'], []
+        )
+
+    def test_replica_that_is_not_settled_does_not_replace_an_old_one(self) -> None:
+        group = build_group(version='2', max_unavailable=0)
+        new = build_placed('n', 'a', 'y', version='2', settled=False)
+        fleet = Fleet({'a': group}, (), (build_placed('r', 'a', 'x'), new))
+        self.assertEqual(plan_placement(fleet, DAR).steps, ())
+
+
+class ObserveTest(unittest.TestCase):
+    """Who checks a domain."""
+
+    def observe(self, me: str, holder: str, observing: bool, **evidence: float) -> bool:
+        return should_observe(me, 'd', holder, observing, evidence, 'abc', 10.0)
+
+    def test_holder_always(self) -> None:
+        self.assertTrue(self.observe('a', 'a', False, b=10.0))
+
+    def test_others_only_when_nobody_is_fresh(self) -> None:
+        self.assertFalse(self.observe('a', 'b', False, b=9.9))
+        silent = [self.observe(me, '', False, c=1.0) for me in 'abc']
+        self.assertEqual(silent.count(True), 1)
+
+    def test_of_two_observers_one_goes_on(self) -> None:
+        first = self.observe('a', '', True, b=9.9)
+        second = self.observe('b', '', True, a=9.9)
+        self.assertNotEqual(first, second)
--- /dev/null
+++ b/tests/peers/test_table.py
@@ -0,0 +1,176 @@
+"""Records between nodes: convergence, order, ages that are never too young."""
+
+from __future__ import annotations
+
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from coursepitch.errors import CodecError
+from coursepitch.peers.messages import (
+    AskChanges,
+    Changes,
+    Digest,
+    Hello,
+    decode_message,
+    encode_message,
+)
+from coursepitch.peers.records import ContactBody, FleetBody
+from coursepitch.peers.table import Known, Merge, RecordKey, Table, Wire
+from coursepitch.peers.topology import choose_peers
+
+NAMES = ('a', 'b', 'c')
+NAME = st.sampled_from(NAMES)
+
+
+class Gossip(RuleBasedStateMachine):
+    """Three tables that pass records on, late, with restarts and drops."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now = 0.0
+        self.boots = dict.fromkeys(NAMES, 1)
+        self.tables = {name: Table(name, 1) for name in NAMES}
+        self.known: dict[tuple[str, str], dict[RecordKey, Known]] = {}
+        self.truth: dict[tuple[str, int, int], float] = {}
+        self.best: dict[tuple[str, str], tuple[int, int]] = {}
+
+    @rule(seconds=st.sampled_from([0.1, 1.0, 70.0]))
+    def pass_time(self, seconds: float) -> None:
+        self.now += seconds
+
+    @rule(name=NAME, value=st.integers(0, 2))
+    def publish(self, name: str, value: int) -> None:
+        self.tables[name].publish('contact', name, ContactBody(value), self.now)
+        own = next(r for r in self.tables[name].read() if r.key.origin == name)
+        self.truth[name, own.boot, own.number] = self.now
+
+    @rule(sender=NAME, receiver=NAME, transit=st.sampled_from([0.0, 0.2, 5.0]))
+    def pass_on(self, sender: str, receiver: str, transit: float) -> None:
+        """Pass news on as a link does; a lacking body is asked for again."""
+        if sender == receiver:
+            return
+        known = self.known.setdefault((sender, receiver), {})
+        for wire in self.tables[sender].list_news(known, self.now):
+            known[wire.key] = Known(wire.boot, wire.number, wire.content)
+            aged = Wire(
+                wire.key,
+                wire.boot,
+                wire.number,
+                wire.content,
+                wire.age_s + transit,
+                wire.body,
+            )
+            if self.tables[receiver].merge(aged, self.now) is Merge.LACKING:
+                known.pop(wire.key)
+
+    @rule(name=NAME)
+    def drop_old(self, name: str) -> None:
+        self.tables[name].drop_old(self.now)
+        self.forget(name)
+
+    @rule(name=NAME)
+    def restart(self, name: str) -> None:
+        self.boots[name] += 1
+        self.tables[name] = Table(name, self.boots[name])
+        self.forget(name)
+        for pair in list(self.known):
+            if name in pair:
+                del self.known[pair]
+
+    def forget(self, name: str) -> None:
+        held = {(name, record.key.origin) for record in self.tables[name].read()}
+        self.best = {p: s for p, s in self.best.items() if p[0] != name or p in held}
+
+    @invariant()
+    def records_are_never_too_young_and_never_go_back(self) -> None:
+        for name, table in self.tables.items():
+            for record in table.read():
+                origin = record.key.origin
+                truth = self.truth[origin, record.boot, record.number]
+                assert record.made_at <= truth + 1e-6
+                state = (record.boot, record.number)
+                assert state >= self.best.get((name, origin), (0, 0))
+                self.best[name, origin] = state
+
+
+class GossipTest(Gossip.TestCase):  # type: ignore[misc,name-defined]
+    """Run the machine."""
+
+    settings = settings(
+        max_examples=150, stateful_step_count=40, derandomize=True, deadline=None
+    )
+
+
+class LackingTest(unittest.TestCase):
+    """A body that was dropped is asked for again."""
+
+    def test_state_without_body_after_a_drop_is_lacking(self) -> None:
+        source, sink = Table('a', 1), Table('b', 1)
+        source.publish('contact', 'a', ContactBody(1), 0.0)
+        (wire,) = source.list_news({}, 0.0)
+        sink.merge(wire, 0.0)
+        sink.drop_old(100.0)
+        source.publish('contact', 'a', ContactBody(1), 100.0)
+        known = {wire.key: Known(wire.boot, wire.number, wire.content)}
+        (short,) = source.list_news(known, 100.0)
+        self.assertIsNone(short.body)
+        self.assertIs(sink.merge(short, 100.0), Merge.LACKING)
+        self.assertEqual(sink.read(), ())
+
+
+class MessageTest(unittest.TestCase):
+    """The codec takes back what it gives, and refuses the rest."""
+
+    def test_round_trip(self) -> None:
+        wire = Wire(
+            RecordKey('fleet', 'x', 'a'), 5, 6, 5, 1.5, FleetBody(('d',), ('i-1',))
+        )
+        messages = [
+            Hello(1, 'a'),
+            AskChanges(7),
+            Changes(({'revision': 1},), None),
+            Digest(3, 2, 9, (wire,), (wire.key,)),
+        ]
+        for message in messages:
+            self.assertEqual(decode_message(encode_message(message)), message)
+
+    @given(st.binary(max_size=200))
+    def test_any_bytes_are_a_message_or_a_codec_error(self, data) -> None:
+        try:
+            decode_message(data)
+        except CodecError:
+            return
+
+    @given(st.integers(0, 200), st.integers(0, 255))
+    def test_a_damaged_message_is_a_message_or_a_codec_error(self, place, byte) -> None:
+        wire = Wire(
+            RecordKey('fleet', 'x', 'a'), 5, 6, 5, 1.5, FleetBody(('d',), ('i-1',))
+        )
+        data = bytearray(encode_message(Digest(3, 2, 9, (wire,))))
+        data[place % len(data)] = byte
+        try:
+            decode_message(bytes(data))
+        except CodecError:
+            return
+
+
+class TopologyTest(unittest.TestCase):
+    """Links reach everyone in few steps."""
+
+    def test_every_node_is_reached_within_the_logarithm(self) -> None:
+        for count in (2, 3, 9, 100, 370):
+            names = [f'n{number}' for number in range(count)]
+            links = {name: set(choose_peers(name, names)) for name in names}
+            for name, peers in list(links.items()):
+                for peer in peers:
+                    links[peer] = links[peer] | {name}
+            reached, steps = {'n0'}, 0
+            while len(reached) < count:
+                reached |= {peer for name in reached for peer in links[name]}
+                steps += 1
+            self.assertLessEqual(steps, count.bit_length())
+            most = max(len(peers) for peers in links.values())
+            self.assertLessEqual(most, 2 * count.bit_length())
