--- a/coursepitch/application.py
+++ b/coursepitch/application.py
@@ -303,6 +303,7 @@
                 certificate=settings.entry.tls_certificate,
                 key=settings.entry.tls_key,
                 header_limit=settings.entry.header_limit,
+                idle_s=settings.entry.idle_timeout_s,
             )
 
         async def serve_admin() -> None:
--- a/coursepitch/config/settings.py
+++ b/coursepitch/config/settings.py
@@ -63,6 +63,11 @@
     body_timeout_s: float = option(
         10.0, 'Longest time in seconds in which a body arrives.', low=0.1
     )
+    idle_timeout_s: float = option(
+        30.0,
+        'Seconds for which a connection without a whole request head is kept.',
+        low=0.1,
+    )
     header_limit: int = option(16_384, 'Largest request head in bytes.', low=1024)
     queue_limit: int = option(200, 'Most requests that wait for a replica.', low=0)
     queue_wait_s: float = option(5.0, 'Longest wait in the queue in seconds.', low=0)
--- a/coursepitch/control/duties.py
+++ b/coursepitch/control/duties.py
@@ -11,7 +11,7 @@
 from coursepitch import events, log
 from coursepitch.control.session import DUTY_PREFIX
 from coursepitch.peers.topology import rank_nodes
-from coursepitch.platform.kv import Swapped, settle_swap
+from coursepitch.platform.kv import Swapped, Unavailable, settle_swap
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable, Mapping
@@ -24,6 +24,7 @@
 __all__ = [
     'CLUSTER',
     'DutyKeeper',
+    'choose_hand_over',
     'domain_duty',
     'holds_duty',
     'should_observe',
@@ -35,6 +36,9 @@
 
 _DOMAIN = 'domain.'
 
+#: Seconds for which a node has to be live before duties move to it.
+HAND_OVER_S = 5.0
+
 #: Evidence older than this many seconds makes another node observe a domain.
 SILENCE_S = 1.5
 
@@ -59,6 +63,25 @@
     return rank_nodes(duty, view.live)[0] == me
 
 
+def choose_hand_over(
+    held: Iterable[str],
+    live: Iterable[str],
+    me: str,
+    since: Mapping[str, float],
+    now: float,
+) -> str | None:
+    """Return a held duty that another live node should have, or ``None``.
+
+    :param since: time since which each node has been seen live without a
+        break; one that has just come is left alone for a while.
+    """
+    settled = {name for name in live if now - since.get(name, now) >= HAND_OVER_S}
+    for duty in sorted(held):
+        if rank_nodes(duty, settled | {me})[0] != me:
+            return duty
+    return None
+
+
 def should_observe(
     me: str,
     domain: str,
@@ -108,6 +131,7 @@
         self._list_domains = list_domains
         self._held: frozenset[str] = frozenset()
         self._draining = False
+        self._live_since: dict[str, float] = {}
 
     @property
     def held(self) -> frozenset[str]:
@@ -124,6 +148,7 @@
             duties = [CLUSTER, *map(domain_duty, self._list_domains())]
             await self._take_free(duties)
             self._note_held(duties)
+            await self._hand_over()
             await anyio.sleep(interval_s * (0.75 + 0.5 * random.random()))
 
     def _note_held(self, duties: list[str]) -> None:
@@ -136,6 +161,22 @@
             log.emit(events.DUTY_LOST, duty=duty)
         self._held = frozenset(held)
 
+    async def _hand_over(self) -> None:
+        """Give one duty up, so that duties spread as nodes come."""
+        now = self._clock()
+        live = self._session.view.value.live
+        self._live_since = {n: self._live_since.get(n, now) for n in live}
+        duty = choose_hand_over(self._held, live, self._me, self._live_since, now)
+        if duty is None:
+            return
+        key = DUTY_PREFIX + duty
+        entry = await self._kv.get(key)
+        if isinstance(entry, Unavailable) or not entry.present:
+            return
+        if json.loads(entry.value)['lease'] == self._session.view.value.lease.name:
+            self._session.drop_duty(duty)
+            await self._kv.swap(key, None, entry.revision)
+
     async def _take_free(self, duties: list[str]) -> None:
         for duty in duties:
             view = self._session.view.value
--- a/coursepitch/control/session.py
+++ b/coursepitch/control/session.py
@@ -109,6 +109,12 @@
         duties = {**self.view.value.duties, duty: Duty(holder, lease)}
         self._replace(duties=duties)
 
+    def drop_duty(self, duty: str) -> None:
+        """Stop counting on a duty, before it is given up."""
+        duties = dict(self.view.value.duties)
+        duties.pop(duty, None)
+        self._replace(duties=duties)
+
     def changes_after(self, revision: int) -> tuple[Change, ...] | None:
         """Return all changes after a revision, or ``None`` if some are gone."""
         newest = self.view.value.configuration.revision
--- a/coursepitch/util/http.py
+++ b/coursepitch/util/http.py
@@ -20,9 +20,6 @@
 __all__ = ['Cutoff', 'StreamedAnswer', 'listen', 'read_body', 'run_unless_gone']
 __all__ += ['serve_app']
 
-#: Seconds for which an idle connection, or one with half a head, is kept.
-IDLE_S = 30.0
-
 
 def listen(address: str, port: int) -> socket.socket:
     """Return a listening TCP socket; port 0 lets the OS choose."""
@@ -43,7 +40,7 @@
     certificate: str = '',
     key: str = '',
     header_limit: int = 16_384,
-    idle_s: float = IDLE_S,
+    idle_s: float = 30.0,
 ) -> None:
     """Serve an application on a socket until ``stop`` is set.
 
--- a/tests/control/test_placement.py
+++ b/tests/control/test_placement.py
@@ -9,7 +9,7 @@
 from hypothesis import strategies as st
 
 from coursepitch.config.settings import PlacementSettings
-from coursepitch.control.duties import should_observe
+from coursepitch.control.duties import choose_hand_over, should_observe
 from coursepitch.control.placement import (
     Fleet,
     measure_stranded,
@@ -18,6 +18,7 @@
     unpack_fleet,
 )
 from coursepitch.errors import CodecError
+from coursepitch.peers.topology import rank_nodes
 from tests.builders import build_group, build_placed, build_spares
 
 DAR = PlacementSettings()
@@ -183,3 +184,15 @@
         first = self.observe('a', '', True, b=9.9)
         second = self.observe('b', '', True, a=9.9)
         self.assertNotEqual(first, second)
+
+
+class HandOverTest(unittest.TestCase):
+    """Duties spread as nodes come."""
+
+    def test_moves_only_to_nodes_that_have_been_live_for_a_while(self) -> None:
+        duties = [f'domain.d{n}' for n in range(12)]
+        since = {'a': 0.0, 'b': 0.0}
+        self.assertIsNone(choose_hand_over(duties, 'ab', 'a', since, 4.0))
+        moved = choose_hand_over(duties, 'ab', 'a', since, 6.0)
+        self.assertEqual(rank_nodes(moved, 'ab')[0], 'b')
+        self.assertIsNone(choose_hand_over([], 'ab', 'a', since, 6.0))
