Duties only among nodes that hear each other; damaged values and leases left behind

Change: duties are shared among live, registered nodes that hear each other and are more than half of those; a holder that does not hear half gives up. Claims are watched, not read. Records of nodes come every 4 s at 370 nodes, evidence every 2 s. Operators may delete the registration of a dead node. The test of a woken holder waits for its evidence instead of asserting an instant: nothing says that both replicas are fresh in the moment it is ready.

--- a/coursepitch/admin/api.py
+++ b/coursepitch/admin/api.py
@@ -244,8 +244,8 @@
     kind = request.path_params['kind']
     if kind not in (*OPERATOR_KINDS, 'node'):
         raise NotFoundError(f'no kind {kind!r}; known are {", ".join(OPERATOR_KINDS)}')
-    if kind == 'node' and request.method != 'GET':
-        raise RequestError('nodes register themselves')
+    if kind == 'node' and request.method == 'PUT':
+        raise RequestError('nodes register themselves; they can be deleted')
     return Key(kind, request.path_params['name'])
 
 
--- a/coursepitch/application.py
+++ b/coursepitch/application.py
@@ -17,7 +17,7 @@
 from coursepitch.control.chart import load_chart
 from coursepitch.control.cluster import ClusterWorker, PeerBoard
 from coursepitch.control.duties import DutyKeeper
-from coursepitch.control.fleet import FleetReader
+from coursepitch.control.fleet import FleetReader, list_live
 from coursepitch.control.observers import Observers
 from coursepitch.control.session import Session
 from coursepitch.metrics import Metrics
@@ -29,7 +29,7 @@
     LoadBody,
     NodeBody,
 )
-from coursepitch.peers.topology import pace_records
+from coursepitch.peers.topology import pace_evidence, pace_nodes
 from coursepitch.platform.instances import InstanceList
 from coursepitch.platform.kv import KeyValue
 from coursepitch.serving.admission import Admission
@@ -92,7 +92,12 @@
     def _build_control(self) -> None:
         settings = self.settings
         self.duties = DutyKeeper(
-            self.me, self.session, self.kv, self.clock, self.list_domains
+            self.me,
+            self.session,
+            self.kv,
+            self.clock,
+            self.list_domains,
+            lambda: list_live(self.hub, self.clock()),
         )
         self.observers = Observers(
             self.me,
@@ -205,7 +210,7 @@
     def _publish_domain(
         self, domain: str, body: DomainBody, load: LoadBody, made_at: float
     ) -> None:
-        pace = pace_records(len(self.session.view.value.nodes()))
+        pace = pace_evidence(len(self.session.view.value.nodes()))
         self.hub.publish_paced('domain', domain, body, made_at, pace)
         self.hub.publish_paced('load', domain, load, made_at, LOAD_S)
 
@@ -222,7 +227,7 @@
         self._note_ready(reason, view.configuration.revision)
         revision = view.configuration.revision
         body = NodeBody(self.incarnation, revision, not reason, self.gate.draining)
-        pace = pace_records(len(view.nodes()))
+        pace = pace_nodes(len(view.nodes()))
         self.hub.publish_paced('node', self.me, body, now, pace)
         self._tell_contact(revision)
         if view.contact_at is not None:
--- a/coursepitch/control/cluster.py
+++ b/coursepitch/control/cluster.py
@@ -31,7 +31,7 @@
     pack_fleet,
     plan_placement,
 )
-from coursepitch.errors import ConflictError, UnavailableError
+from coursepitch.errors import CodecError, ConflictError, UnavailableError
 from coursepitch.platform.kv import Events, Swapped, Unavailable, settle_swap
 
 if TYPE_CHECKING:
@@ -204,7 +204,12 @@
     def _take_claims(self, found: Events) -> None:
         for entry in found.entries:
             domain = entry.key.removeprefix(PREFIX)
-            claims = decode_claims(domain, entry.value)
+            try:
+                claims = decode_claims(domain, entry.value)
+            except CodecError as error:
+                # Left as it is: placement stays away from the domain.
+                log.emit(events.CLAIMS_DAMAGED, domain=domain, reason=str(error))
+                continue
             self._claims[domain] = (claims, entry.revision)
         self._after = found.revision
 
--- a/coursepitch/control/duties.py
+++ b/coursepitch/control/duties.py
@@ -9,7 +9,7 @@
 import anyio
 
 from coursepitch import events, log
-from coursepitch.control.session import DUTY_PREFIX
+from coursepitch.control.session import DUTY_PREFIX, read_duty
 from coursepitch.peers.topology import pick_first, rank_nodes
 from coursepitch.platform.kv import Swapped, Unavailable, settle_swap
 
@@ -27,6 +27,7 @@
     'choose_hand_over',
     'domain_duty',
     'holds_duty',
+    'list_reach',
     'should_observe',
     'wants_duty',
 ]
@@ -37,7 +38,7 @@
 _DOMAIN = 'domain.'
 
 #: Seconds for which a node has to be live before duties move to it.
-HAND_OVER_S = 5.0
+SETTLED_S = 5.0
 
 #: Evidence older than so many times its pace makes another node observe a
 #: domain, but not less than the seconds below.
@@ -58,28 +59,32 @@
     return view.lease.holds(now)
 
 
-def wants_duty(view: ClusterView, duty: str, me: str) -> bool:
+def list_reach(me: str, settled: Iterable[str], heard: Iterable[str]) -> frozenset[str]:
+    """Return the nodes among which this one shares duties out.
+
+    These are the nodes it hears of those that may hold duties, itself among
+    them; none when it hears no more than half.  So a node without links,
+    which could neither see evidence nor tell who has which revision, neither
+    takes duties nor is given any.
+
+    :param settled: nodes that have been live and registered for a while.
+    """
+    everyone = frozenset(settled) | {me}
+    reach = everyone & (frozenset(heard) | {me})
+    return reach if 2 * len(reach) > len(everyone) else frozenset()
+
+
+def wants_duty(view: ClusterView, duty: str, me: str, reach: frozenset[str]) -> bool:
     """Return whether this node is the one to take a duty that nobody holds."""
-    if not view.listed or duty in view.duties or not view.live:
+    if not view.listed or duty in view.duties or me not in view.candidates():
         return False
-    return pick_first(duty, view.live) == me
+    return bool(reach) and pick_first(duty, reach) == me
 
 
-def choose_hand_over(
-    held: Iterable[str],
-    live: Iterable[str],
-    me: str,
-    since: Mapping[str, float],
-    now: float,
-) -> str | None:
-    """Return a held duty that another live node should have, or ``None``.
-
-    :param since: time since which each node has been seen live without a
-        break; one that has just come is left alone for a while.
-    """
-    settled = {name for name in live if now - since.get(name, now) >= HAND_OVER_S}
+def choose_hand_over(held: Iterable[str], me: str, reach: frozenset[str]) -> str | None:
+    """Return a held duty that another node should have, or ``None``."""
     for duty in sorted(held):
-        if pick_first(duty, settled | {me}) != me:
+        if not reach or pick_first(duty, reach) != me:
             return duty
     return None
 
@@ -128,12 +133,14 @@
         kv: KeyValue,
         clock: Clock,
         list_domains: Callable[[], Iterable[str]],
+        list_heard: Callable[[], Iterable[str]],
     ) -> None:
         self._me = me
         self._session = session
         self._kv = kv
         self._clock = clock
         self._list_domains = list_domains
+        self._list_heard = list_heard
         self._held: frozenset[str] = frozenset()
         self._draining = False
         self._live_since: dict[str, float] = {}
@@ -151,9 +158,10 @@
         """Take duties until cancelled."""
         while True:
             duties = [CLUSTER, *map(domain_duty, self._list_domains())]
-            await self._take_free(duties)
+            reach = self._read_reach()
+            await self._take_free(duties, reach)
             self._note_held(duties)
-            await self._hand_over()
+            await self._hand_over(reach)
             await anyio.sleep(interval_s * (0.75 + 0.5 * random.random()))
 
     def _note_held(self, duties: list[str]) -> None:
@@ -166,28 +174,33 @@
             log.emit(events.DUTY_LOST, duty=duty)
         self._held = frozenset(held)
 
-    async def _hand_over(self) -> None:
-        """Give one duty up, so that duties spread as nodes come."""
+    def _read_reach(self) -> frozenset[str]:
         now = self._clock()
-        live = self._session.view.value.live
+        live = self._session.view.value.candidates()
         self._live_since = {n: self._live_since.get(n, now) for n in live}
-        duty = choose_hand_over(self._held, live, self._me, self._live_since, now)
+        settled = [n for n, t in self._live_since.items() if now - t >= SETTLED_S]
+        return list_reach(self._me, settled, self._list_heard())
+
+    async def _hand_over(self, reach: frozenset[str]) -> None:
+        """Give one duty up, so that duties spread as nodes come."""
+        duty = choose_hand_over(self._held, self._me, reach)
         if duty is None:
             return
         key = DUTY_PREFIX + duty
         entry = await self._kv.get(key)
         if isinstance(entry, Unavailable) or not entry.present:
             return
-        if json.loads(entry.value)['lease'] == self._session.view.value.lease.name:
+        held = read_duty(entry.value)
+        if held and held.lease == self._session.view.value.lease.name:
             self._session.drop_duty(duty)
             await self._kv.swap(key, None, entry.revision)
 
-    async def _take_free(self, duties: list[str]) -> None:
+    async def _take_free(self, duties: list[str], reach: frozenset[str]) -> None:
         for duty in duties:
             view = self._session.view.value
             if self._draining or not view.lease.holds(self._clock()):
                 return
-            if not wants_duty(view, duty, self._me):
+            if not wants_duty(view, duty, self._me, reach):
                 continue
             text = json.dumps({'holder': self._me, 'lease': view.lease.name})
             key = DUTY_PREFIX + duty
--- a/coursepitch/control/fleet.py
+++ b/coursepitch/control/fleet.py
@@ -9,7 +9,7 @@
 from coursepitch import events, log
 from coursepitch.control.duties import CLUSTER, holds_duty, should_observe
 from coursepitch.peers.records import FleetBody
-from coursepitch.peers.topology import pace_records
+from coursepitch.peers.topology import pace_nodes
 from coursepitch.platform.kv import Unavailable
 
 if TYPE_CHECKING:
@@ -30,7 +30,7 @@
 def list_live(hub: PeerHub, now: float) -> list[str]:
     """Return the nodes heard of a short time ago."""
     records = hub.records('node')
-    limit_s = LIVE_PACES * pace_records(len(records))
+    limit_s = LIVE_PACES * pace_nodes(len(records))
     return [item.key.subject for item in records if now - item.made_at < limit_s]
 
 
--- a/coursepitch/control/keeper.py
+++ b/coursepitch/control/keeper.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import random
 from typing import TYPE_CHECKING
 
 import anyio
@@ -28,7 +29,7 @@
 )
 from coursepitch.errors import CodecError, TargetError
 from coursepitch.peers.records import DomainBody, LoadBody, MemberSeen, ReplicaSeen
-from coursepitch.platform.kv import Swapped, Unavailable, settle_swap
+from coursepitch.platform.kv import Swapped, Unavailable, back_off, settle_swap
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -37,7 +38,7 @@
     from coursepitch.config.settings import TargetSettings
     from coursepitch.control.chart import Chart
     from coursepitch.control.session import Session
-    from coursepitch.platform.kv import KeyValue
+    from coursepitch.platform.kv import Entry, KeyValue
     from coursepitch.targets.engine import EngineControl
 
 __all__ = ['DomainKeeper', 'claims_of_body']
@@ -46,6 +47,9 @@
 #: Seconds between two rounds of checks when a replica has just moved on.
 LEAST_REST_S = 0.05
 
+#: Seconds for which one watch on the claims waits.
+WATCH_S = 20.0
+
 
 def claims_of_body(domain: str, body: DomainBody) -> Claims:
     """Return the claims that evidence of another node tells of."""
@@ -96,7 +100,8 @@
         self._since: dict[tuple[str, str], float] = {}
         self._missing: set[str] = set()
         self._moved = False
-        self._epoch_lease = ''
+        self._news = anyio.Event()
+        self._own_epoch = ('', 0)
         self._took_over_at = 0.0
         self._limits = Limits(
             settings.load_timeout_s,
@@ -105,20 +110,26 @@
         )
 
     async def run(self) -> None:
-        """Check, order and publish until cancelled."""
-        while True:
-            started = self._clock()
-            self._moved = False
-            await self._tick()
-            rest = self._settings.check_interval_s - (self._clock() - started)
-            await anyio.sleep(LEAST_REST_S if self._moved else max(LEAST_REST_S, rest))
+        """Watch the claims, check, order and publish until cancelled."""
+        async with anyio.create_task_group() as group:
+            group.start_soon(self._watch_claims)
+            while True:
+                started = self._clock()
+                self._moved = False
+                self._news = anyio.Event()
+                await self._tick()
+                rest = self._settings.check_interval_s - (self._clock() - started)
+                if self._moved:
+                    rest = LEAST_REST_S
+                await anyio.sleep(LEAST_REST_S)
+                with anyio.move_on_after(max(0.0, rest - LEAST_REST_S)):
+                    await self._news.wait()
 
     def _holds(self) -> bool:
         view = self._session.view.value
         return holds_duty(view, domain_duty(self._domain), self._me, self._clock())
 
     async def _tick(self) -> None:
-        await self._read_claims()
         if self._holds() and not await self._take_epoch():
             return
         asked_at = self._clock()
@@ -128,25 +139,44 @@
             for replica in self._claims.replicas:
                 await self._advance(replica)
 
-    async def _read_claims(self) -> None:
-        entry = await self._kv.get(claims_key(self._domain))
-        if isinstance(entry, Unavailable) or entry.revision < self._revision:
-            return
+    async def _watch_claims(self) -> None:
+        """Take the claims as they change; an outage leaves the last known ones."""
+        key = claims_key(self._domain)
+        after = -1
+        attempt = 0
+        while True:
+            if after < 0:
+                found = await self._kv.list_prefix(key)
+            else:
+                found = await self._kv.watch(key, after, WATCH_S)
+            if isinstance(found, Unavailable):
+                attempt += 1
+                await anyio.sleep(back_off(attempt, random.random()))
+                continue
+            attempt = 0
+            after = found.revision
+            for entry in found.entries:
+                if entry.key == key and entry.revision > self._revision:
+                    self._take_claims(entry)
+
+    def _take_claims(self, entry: Entry) -> None:
         try:
             self._claims = decode_claims(self._domain, entry.value)
-            self._revision = entry.revision
         except CodecError as error:
-            log.emit(events.ORDER_FAILED, instance='-', order='read', reason=str(error))
+            log.emit(events.CLAIMS_DAMAGED, domain=self._domain, reason=str(error))
+            return
+        self._revision = entry.revision
+        self._news.set()
 
     async def _take_epoch(self) -> bool:
-        """Raise the epoch once under each lease; orders carry it."""
+        """Raise the epoch, unless it is this holder's own; orders carry it."""
         lease = self._session.view.value.lease.name
-        if self._epoch_lease == lease:
+        if (lease, self._claims.epoch) == self._own_epoch:
             return True
         claims = dataclasses.replace(self._claims, epoch=self._claims.epoch + 1)
         if not await self._write(claims):
             return False
-        self._epoch_lease = lease
+        self._own_epoch = (lease, claims.epoch)
         self._took_over_at = self._clock()
         return True
 
--- a/coursepitch/control/observers.py
+++ b/coursepitch/control/observers.py
@@ -10,7 +10,7 @@
 from coursepitch.control.fleet import list_live
 from coursepitch.control.keeper import DomainKeeper
 from coursepitch.peers.records import DomainBody
-from coursepitch.peers.topology import pace_records
+from coursepitch.peers.topology import pace_evidence
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -86,7 +86,7 @@
         }
         live = list_live(self._hub, now)
         observing = domain in self._scopes
-        pace = pace_records(len(view.nodes()))
+        pace = pace_evidence(len(view.nodes()))
         return should_observe(
             self._me, domain, holder, observing, evidence, live, now, pace
         )
--- a/coursepitch/control/session.py
+++ b/coursepitch/control/session.py
@@ -68,6 +68,7 @@
         self._settings = settings
         self._clock = clock
         self._up = True
+        self._ending = False
         self._changes: dict[int, Change] = {}
         self._node_spec: Spec | None = None
         self.view = Topic(ClusterView())
@@ -215,8 +216,9 @@
         entry = await self._kv.get(ACCEPTED_KEY)
         if isinstance(entry, Unavailable):
             return
-        if entry.present and int(entry.value) >= revision:
-            self._replace(accepted=max(self.view.value.accepted, int(entry.value)))
+        held = read_number(entry.value)
+        if held >= revision:
+            self._replace(accepted=max(self.view.value.accepted, held))
             return
         result = await settle_swap(
             self._kv, ACCEPTED_KEY, str(revision), entry.revision
@@ -248,7 +250,7 @@
         entry = await self._kv.get(SNAPSHOT_MARK_KEY)
         if isinstance(entry, Unavailable):
             return
-        if not entry.present or int(entry.value) < revision:
+        if read_number(entry.value) < revision:
             await settle_swap(
                 self._kv, SNAPSHOT_MARK_KEY, str(revision), entry.revision
             )
@@ -257,7 +259,7 @@
 
     async def _keep_lease(self) -> None:
         attempt = 0
-        while True:
+        while not self._ending:
             lease = self.view.value.lease
             good = await self._renew(lease) if lease.name else await self._grant()
             attempt = 0 if good else attempt + 1
@@ -287,6 +289,8 @@
     async def _renew(self, lease: Lease) -> bool:
         asked_at = self._clock()
         renewed = await self._kv.renew(lease.name)
+        if self._ending:
+            return True
         if isinstance(renewed, Unavailable):
             self._note_outage(renewed)
             return False
@@ -301,6 +305,7 @@
 
     async def end_lease(self) -> None:
         """End the lease, so that others take the duties over at once."""
+        self._ending = True
         lease = self.view.value.lease
         self._replace(lease=Lease())
         if lease.name:
@@ -347,10 +352,10 @@
             if entry.key == HEAD_KEY and entry.present:
                 await self._take_head(decode_head(entry.value))
             elif entry.key == ACCEPTED_KEY and entry.present:
-                accepted = max(self.view.value.accepted, int(entry.value))
+                accepted = max(self.view.value.accepted, read_number(entry.value))
                 self._replace(accepted=accepted)
             elif entry.key == SNAPSHOT_MARK_KEY and entry.present:
-                self._replace(snapshot=int(entry.value))
+                self._replace(snapshot=read_number(entry.value))
             elif entry.key.startswith(DUTY_PREFIX):
                 _set_duty(duties, entry)
             elif entry.key.startswith(LIVE_PREFIX):
@@ -401,7 +406,7 @@
             entry = await self._kv.get(ACCEPTED_KEY)
             if isinstance(entry, Unavailable):
                 return
-            accepted = int(entry.value) if entry.present else 0
+            accepted = read_number(entry.value)
             nodes = self.view.value.configuration.of_kind('node')
             newest = max((item.revision for item in nodes), default=0)
             removed = max(
@@ -414,13 +419,28 @@
             return
 
 
+def read_number(text: str) -> int:
+    """Return a number from its text; 0 when it is absent or damaged."""
+    return int(text) if text.isascii() and text.isdigit() else 0
+
+
 def _set_duty(duties: dict[str, Duty], entry: Entry) -> None:
     name = entry.key.removeprefix(DUTY_PREFIX)
     if not entry.present:
         duties.pop(name, None)
         return
-    data = json.loads(entry.value)
-    duties[name] = Duty(data['holder'], data['lease'])
+    duty = read_duty(entry.value)
+    if duty is not None:
+        duties[name] = duty
+
+
+def read_duty(text: str) -> Duty | None:
+    """Return a duty from its text, or ``None`` when it is damaged."""
+    try:
+        data = json.loads(text)
+        return Duty(str(data['holder']), str(data['lease']))
+    except (KeyError, TypeError, ValueError):
+        return None
 
 
 def _set_live(live: dict[str, str], entry: Entry) -> None:
--- a/coursepitch/control/view.py
+++ b/coursepitch/control/view.py
@@ -59,6 +59,10 @@
     live: dict[str, str] = field(default_factory=dict)
     listed: bool = False
 
+    def candidates(self) -> frozenset[str]:
+        """Return the nodes that may hold duties: live and registered."""
+        return self.nodes() & frozenset(self.live)
+
     def nodes(self) -> frozenset[str]:
         """Return the names of the registered nodes."""
         resources = self.configuration.of_kind('node')
--- a/coursepitch/events.py
+++ b/coursepitch/events.py
@@ -80,6 +80,10 @@
     507, 'instance.leaving', 'The list shows an instance leaving.', ('instance',)
 )
 
+CLAIMS_DAMAGED = Event(
+    508, 'claims.damaged', 'Claims cannot be read.', ('domain', 'reason')
+)
+
 REQUEST_DONE = Event(
     600, 'request.done', 'A request was answered whole.', ('request', 'replica', 'wait')
 )
--- a/coursepitch/peers/hub.py
+++ b/coursepitch/peers/hub.py
@@ -4,7 +4,6 @@
 
 import hmac
 import random
-from contextlib import suppress
 from dataclasses import dataclass, field
 from http import HTTPStatus
 from typing import TYPE_CHECKING, Any
@@ -181,7 +180,6 @@
         headers = {'Authorization': f'Bearer {self._settings.key}'}
         with self._dialling[name]:
             while True:
-                reason = 'closed'
                 try:
                     async with connect(
                         f'ws://{address}/peer',
@@ -195,9 +193,12 @@
                         proxy=None,
                     ) as socket:
                         await self._hold(socket)
-                except (OSError, WebSocketException, TimeoutError) as error:
-                    reason = type(error).__name__
-                del reason
+                except (OSError, WebSocketException, TimeoutError):
+                    # A peer that is not there is dialled again.
+                    pass
+                except Exception as error:
+                    # Nothing that a peer sends may end this node.
+                    log.emit(events.PEER_REFUSED, peer=name, reason=repr(error))
                 await anyio.sleep(0.2 + 0.6 * random.random())
         self._dialling.pop(name, None)
 
@@ -355,5 +356,4 @@
             self._session.take_whole(whole, source)
         changes = tuple(unpack_change(item) for item in message.changes)
         self._session.take_changes(changes, source)
-        with suppress(KeyError):
-            self._kick_all()
+        self._kick_all()
--- a/coursepitch/peers/topology.py
+++ b/coursepitch/peers/topology.py
@@ -8,7 +8,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-__all__ = ['choose_peers', 'pace_records', 'pick_first', 'rank_nodes']
+__all__ = ['choose_peers', 'pace_evidence', 'pace_nodes', 'pick_first', 'rank_nodes']
 
 
 def choose_peers(me: str, names: Iterable[str]) -> frozenset[str]:
@@ -48,10 +48,19 @@
     return hashlib.blake2b(name.encode(), digest_size=8).digest()
 
 
-def pace_records(nodes: int) -> float:
-    """Return the seconds between two states of a record that each node makes.
+def pace_nodes(nodes: int) -> float:
+    """Return the seconds between two states of the record of a node.
 
     They grow with the nodes, so that the bytes a node passes on stay within
-    their bound: half a second up to 93 nodes, 2 s at 370.
+    their bound: half a second up to 46 nodes, 4 s at 370.
+    """
+    return max(0.5, nodes / 93)
+
+
+def pace_evidence(nodes: int) -> float:
+    """Return the seconds between two pieces of evidence of a domain.
+
+    There are fewer domains than nodes, and evidence has to be younger: half a
+    second up to 92 nodes, 2 s at 370.
     """
     return max(0.5, nodes / 185)
--- a/coursepitch/serving/attempts.py
+++ b/coursepitch/serving/attempts.py
@@ -70,7 +70,7 @@
     Only errors from before the first byte say that nothing was sent.
     """
     before = httpx.ConnectError | httpx.ConnectTimeout | httpx.PoolTimeout
-    if isinstance(error, before | httpx.UnsupportedProtocol):
+    if isinstance(error, before | httpx.UnsupportedProtocol | httpx.InvalidURL):
         return Seen.NOTHING_SENT
     return Seen.NO_HEAD
 
--- a/coursepitch/serving/dispatch.py
+++ b/coursepitch/serving/dispatch.py
@@ -319,7 +319,7 @@
                         self._board.note_first_chunk(attempt.replica, waited)
                     first = False
                     yield chunk
-        except httpx.HTTPError as error:
+        except (httpx.HTTPError, httpx.InvalidURL) as error:
             if reply is None:
                 attempt.seen = classify_error(error)
         except (CodecError, KeyError, TypeError, ValueError):
@@ -420,7 +420,7 @@
             if answer['id'] != attempt.name:
                 attempt.seen = Seen.WRONG
                 return None
-        except httpx.HTTPError as error:
+        except (httpx.HTTPError, httpx.InvalidURL) as error:
             if attempt.seen is not Seen.CUT:
                 attempt.seen = classify_error(error)
             return None
--- a/coursepitch/serving/entry.py
+++ b/coursepitch/serving/entry.py
@@ -56,6 +56,9 @@
 
 EVENT_STREAM = 'text/event-stream'
 
+#: Status of an answer to a caller that has left; it goes nowhere.
+LEFT_STATUS = 499
+
 #: States of a record by what is known of the request.
 _RECORD_STATES = {
     Outcome.NOT_RUN: RecordState.NOT_RUN,
@@ -218,14 +221,15 @@
         answer: Response | None = None
         try:
             if exchange.stream:
-                answer = await self._start_stream(job, exchange)
-                return answer
+                answer = await run_unless_gone(
+                    request.receive, lambda: self._start_stream(job, exchange)
+                )
+                return answer or self._note_left(job)
             work = await run_unless_gone(
                 request.receive, lambda: self._fetch(job, exchange)
             )
             if work is None:
-                log.emit(events.REQUEST_LEFT, request=job.request)
-                return Response(status_code=499)
+                return self._note_left(job)
             job.outcome = Outcome.ANSWERED
             return self._whole(job, work)
         except RefusedError as error:
@@ -242,6 +246,11 @@
                 with anyio.CancelScope(shield=True):
                     await self._finish(job)
 
+    def _note_left(self, job: Job) -> Response:
+        """Return what nobody reads any more."""
+        log.emit(events.REQUEST_LEFT, request=job.request)
+        return Response(status_code=LEFT_STATUS)
+
     async def _fetch(self, job: Job, exchange: Exchange) -> dict[str, Any]:
         """Return a whole answer within the deadline."""
         problem = Problem(outcomes.DEADLINE_WAITING, job.request)
--- a/coursepitch/serving/gate.py
+++ b/coursepitch/serving/gate.py
@@ -87,8 +87,9 @@
 
     def why_not_ready(self) -> str:
         """Return why callers should be turned away; empty when they should not."""
-        if self.draining:
-            return 'stopping'
+        return 'stopping' if self.draining else self._why_not_permitted()
+
+    def _why_not_permitted(self) -> str:
         if not self._session.view.value.configuration.revision:
             return 'no configuration yet'
         permit = self.judge()
@@ -106,9 +107,7 @@
 
         :raises RefusedError: the node does not serve now.
         """
-        reason = 'stopping' if self.refusing else ''
-        if not reason and not self.draining:
-            reason = self.why_not_ready()
+        reason = 'stopping' if self.refusing else self._why_not_permitted()
         if reason:
             problem = Problem(outcomes.NOT_READY, request, f'({reason})', 1.0)
             raise RefusedError(problem)
--- a/coursepitch/targets/engine.py
+++ b/coursepitch/targets/engine.py
@@ -32,7 +32,7 @@
             reply = await self._client.get(f'http://{address}/health')
             reply.raise_for_status()
             return _read_check(reply.json())
-        except (httpx.HTTPError, KeyError, TypeError, ValueError):
+        except (httpx.HTTPError, httpx.InvalidURL, KeyError, TypeError, ValueError):
             return Check(answered=False, failures=1)
 
     async def load(self, replica: Replica, rank: int, epoch: int) -> None:
@@ -64,7 +64,7 @@
         try:
             url = f'http://{address}/control/{name}'
             reply = await self._client.post(url, json=order)
-        except httpx.HTTPError as error:
+        except (httpx.HTTPError, httpx.InvalidURL) as error:
             raise TargetError(f'{name}: {type(error).__name__}') from error
         if reply.status_code != 200:
             raise TargetError(f'{name}: status {reply.status_code}')
--- a/tests/control/test_placement.py
+++ b/tests/control/test_placement.py
@@ -9,7 +9,7 @@
 from hypothesis import strategies as st
 
 from coursepitch.config.settings import PlacementSettings
-from coursepitch.control.duties import choose_hand_over, should_observe
+from coursepitch.control.duties import choose_hand_over, list_reach, should_observe
 from coursepitch.control.placement import (
     Fleet,
     measure_stranded,
@@ -187,12 +187,25 @@
 
 
 class HandOverTest(unittest.TestCase):
-    """Duties spread as nodes come."""
+    """Duties are shared among the nodes that hear each other."""
 
-    def test_moves_only_to_nodes_that_have_been_live_for_a_while(self) -> None:
-        duties = [f'domain.d{n}' for n in range(12)]
-        since = {'a': 0.0, 'b': 0.0}
-        self.assertIsNone(choose_hand_over(duties, 'ab', 'a', since, 4.0))
-        moved = choose_hand_over(duties, 'ab', 'a', since, 6.0)
+    DUTIES = tuple(f'domain.d{n}' for n in range(12))
+
+    def test_duties_move_to_the_node_that_ranks_first(self) -> None:
+        reach = list_reach('a', 'ab', 'ab')
+        moved = choose_hand_over(self.DUTIES, 'a', reach)
         self.assertEqual(rank_nodes(moved, 'ab')[0], 'b')
-        self.assertIsNone(choose_hand_over([], 'ab', 'a', since, 6.0))
+        self.assertIsNone(choose_hand_over((), 'a', reach))
+
+    def test_nothing_moves_to_a_node_that_is_not_heard(self) -> None:
+        reach = list_reach('a', 'abcd', 'abc')
+        self.assertEqual(reach, frozenset('abc'))
+
+    def test_node_that_hears_half_or_less_gives_up_what_it_holds(self) -> None:
+        reach = list_reach('d', 'abcd', 'd')
+        self.assertEqual(reach, frozenset())
+        self.assertEqual(choose_hand_over(('x',), 'd', reach), 'x')
+
+    def test_first_node_holds_everything(self) -> None:
+        reach = list_reach('a', '', '')
+        self.assertIsNone(choose_hand_over(self.DUTIES, 'a', reach))
--- a/tests/whole/test_replicas.py
+++ b/tests/whole/test_replicas.py
@@ -174,6 +174,37 @@
         )
 
 
+class DarkDomainTest(ReplicaCase):
+    """A whole fabric domain stops answering at once, and comes back."""
+
+    domains = {'fab-a': ('kurasini', 2), 'fab-b': ('mikocheni', 4)}
+
+    def test_group_refills_elsewhere_and_callers_are_served(self) -> None:
+        dark = [
+            item['id'] for item in self.harness.instances if item['domain'] == 'fab-a'
+        ]
+        victim = next(n for n, i in self.serving().items() if i['domain'] == 'fab-a')
+        for name in dark:
+            self.send(name, signal.SIGSTOP)
+        try:
+            self.wait_out(victim)
+            for node in self.nodes:
+                reply = self.harness.call(node, self.body('in the dark'))
+                self.assertEqual(reply.status_code, 200, reply.text)
+            self.harness.wait_for(
+                lambda: len(self.serving()) == 2,
+                'two replicas serve in the other domain',
+            )
+            found = {item['domain'] for item in self.serving().values()}
+            self.assertEqual(found, {'fab-b'})
+        finally:
+            for name in dark:
+                self.send(name, signal.SIGCONT)
+        # What comes back still holds the old claim and must not serve it.
+        self.assert_no_double_claim()
+        self.assertNotIn(victim, self.serving())
+
+
 class NodeTest(ReplicaCase):
     """Nodes that are killed, paused or stopped."""
 
@@ -200,7 +231,9 @@
             self.send(holder, signal.SIGCONT)
         self.harness.wait_for(lambda: self.harness.is_ready(holder), 'it serves again')
         self.assertNotEqual(self.duties()['c/duty/cluster'], holder)
-        self.assertEqual(len(self.serving(holder)), 2)
+        self.harness.wait_for(
+            lambda: len(self.serving(holder)) == 2, 'it sees both replicas'
+        )
         self.assert_no_double_claim()
         self.harness.restart_engine(victim, **self.engine)
 
@@ -260,6 +293,22 @@
         self.assertTrue(all(answer.whole for answer in answers), answers)
         self.assertEqual(self.harness.processes.pop('n7').wait(), 0)
 
+    def test_stopped_node_leaves_no_lease_behind(self) -> None:
+        self.harness.start_node('n7', 'mikocheni')
+        self.harness.wait_for(lambda: self.harness.is_ready('n7'), 'n7 serves')
+        begun = threading.Event()
+        body = self.body('long', max_tokens=500)
+        call = in_background(
+            lambda: call_stream(self.harness, 'n7', body, lambda *_: begun.set())
+        )
+        self.harness.wait_for(lambda: len(self.serving('n7')) == 2, 'n7 sees replicas')
+        begun.wait(60)
+        self.assertEqual(self.harness.stop_node('n7'), 0)
+        self.assertTrue(call.result(60).whole)
+        entries = self.harness.stats('kv')['entries']
+        self.assertNotIn('c/live/n7', entries)
+        self.assertNotIn('n7', self.duties().values())
+
     def test_second_signal_cuts_and_names_each_request(self) -> None:
         process = self.harness.start_node('n6', 'mikocheni')
         self.harness.wait_for(lambda: self.harness.is_ready('n6'), 'n6 serves')
@@ -432,6 +481,24 @@
         self.harness.restart_engine(victim, **self.engine)
 
 
+class DamageTest(ReplicaCase):
+    """Values in the service that cannot be read end no node."""
+
+    def test_damaged_values_are_passed_over(self) -> None:
+        for key in ('c/duty/domain.nowhere', 'claims/nowhere', 'c/live/x', 'c/other'):
+            body = {'key': key, 'value': '{"broken', 'expect': 0}
+            port = self.harness.processes['kv'].told['port']
+            httpx.post(f'http://127.0.0.1:{port}/swap', json=body)
+        self.harness.apply('n2', 'customer', 'after-damage', burst=2)
+        self.harness.wait_converged('n3', 'customer', 'after-damage')
+        name, replica = next(iter(self.serving().items()))
+        self.harness.processes[replica['instances'][1]].kill()
+        self.wait_out(name)
+        self.harness.wait_for(lambda: len(self.serving()) == 2, 'it is repaired')
+        for node in self.nodes:
+            self.assertIsNone(self.harness.processes[node].process.poll())
+
+
 class OperatorTest(ReplicaCase):
     """Operators that race, and bad input."""
 
