Half the links at 370 nodes; watches, holders and newest evidence written once

Change: links 1, 4, 16 ... places along the ring instead of 1, 2, 4 ...: 10 links a node at 370. The loops that follow a prefix, the reading of a duty's holder and the choice of the newest evidence stood twice and stand once now.

--- a/coursepitch/admin/status.py
+++ b/coursepitch/admin/status.py
@@ -9,6 +9,7 @@
 from coursepitch.config.history import pack_spec
 from coursepitch.config.resources import Group, Key, Resource
 from coursepitch.peers.records import DomainBody, NodeBody
+from coursepitch.serving.evidence import choose_newest
 
 if TYPE_CHECKING:
     from coursepitch.clock import Clock
@@ -135,29 +136,25 @@
 
     def _list_replicas(self, group: str) -> list[dict[str, Any]]:
         now = self._clock()
-        newest: dict[str, tuple[int, float, DomainBody]] = {}
-        for item in self._hub.records('domain'):
-            if isinstance(item.body, DomainBody):
-                rank = (item.body.claims_revision, item.made_at)
-                held = newest.get(item.key.subject)
-                if held is None or rank > held[:2]:
-                    newest[item.key.subject] = (*rank, item.body)
+        newest = choose_newest(self._hub.records('domain'))
+        newest.sort(key=lambda record: record.key.subject)
         return [
             {
                 'name': seen.name,
-                'domain': domain,
+                'domain': record.key.subject,
                 'availability_zone': seen.availability_zone,
                 'state': seen.state,
                 'version': seen.version,
                 'serving': seen.state == 'serving'
                 and seen.whole
-                and now - made_at <= self._limit_s,
-                'evidence_age_s': round(now - made_at, 2),
+                and now - record.made_at <= self._limit_s,
+                'evidence_age_s': round(now - record.made_at, 2),
                 'instances': [member.instance for member in seen.members],
                 'missing': [m.instance for m in seen.members if not m.good],
             }
-            for domain, (_, made_at, body) in sorted(newest.items())
-            for seen in body.replicas
+            for record in newest
+            if isinstance(record.body, DomainBody)
+            for seen in record.body.replicas
             if seen.group == group
         ]
 
--- a/coursepitch/control/duties.py
+++ b/coursepitch/control/duties.py
@@ -28,6 +28,7 @@
     'domain_duty',
     'holds_duty',
     'list_reach',
+    'read_holder',
     'should_observe',
     'wants_duty',
 ]
@@ -59,6 +60,14 @@
     return view.lease.holds(now)
 
 
+def read_holder(view: ClusterView, duty: str, me: str, now: float) -> str:
+    """Return who holds a duty; this node only if it surely does."""
+    held = view.duties.get(duty)
+    if held is None or (held.holder == me and not holds_duty(view, duty, me, now)):
+        return ''
+    return held.holder
+
+
 def list_reach(me: str, settled: Iterable[str], heard: Iterable[str]) -> frozenset[str]:
     """Return the nodes among which this one shares duties out.
 
--- a/coursepitch/control/fleet.py
+++ b/coursepitch/control/fleet.py
@@ -7,7 +7,7 @@
 import anyio
 
 from coursepitch import events, log
-from coursepitch.control.duties import CLUSTER, holds_duty, should_observe
+from coursepitch.control.duties import CLUSTER, read_holder, should_observe
 from coursepitch.peers.records import FleetBody
 from coursepitch.peers.topology import pace_nodes
 from coursepitch.platform.kv import Unavailable
@@ -69,10 +69,7 @@
     def _should_read(self) -> bool:
         now = self._clock()
         view = self._session.view.value
-        held = view.duties.get(CLUSTER)
-        holder = held.holder if held else ''
-        if holder == self._me and not holds_duty(view, CLUSTER, self._me, now):
-            holder = ''
+        holder = read_holder(view, CLUSTER, self._me, now)
         made = {
             item.key.origin: item.made_at
             for item in self._hub.records('fleet')
--- a/coursepitch/control/keeper.py
+++ b/coursepitch/control/keeper.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import dataclasses
-import random
 from typing import TYPE_CHECKING
 
 import anyio
@@ -29,7 +28,8 @@
 )
 from coursepitch.errors import CodecError, TargetError
 from coursepitch.peers.records import DomainBody, LoadBody, MemberSeen, ReplicaSeen
-from coursepitch.platform.kv import Swapped, Unavailable, back_off, settle_swap
+from coursepitch.platform.kv import Swapped, settle_swap
+from coursepitch.platform.watch import follow_prefix
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -38,7 +38,7 @@
     from coursepitch.config.settings import TargetSettings
     from coursepitch.control.chart import Chart
     from coursepitch.control.session import Session
-    from coursepitch.platform.kv import Entry, KeyValue
+    from coursepitch.platform.kv import Entry, Events, KeyValue
     from coursepitch.targets.engine import EngineControl
 
 __all__ = ['DomainKeeper', 'claims_of_body']
@@ -142,23 +142,14 @@
     async def _watch_claims(self) -> None:
         """Take the claims as they change; an outage leaves the last known ones."""
         key = claims_key(self._domain)
-        after = -1
-        attempt = 0
-        while True:
-            if after < 0:
-                found = await self._kv.list_prefix(key)
-            else:
-                found = await self._kv.watch(key, after, WATCH_S)
-            if isinstance(found, Unavailable):
-                attempt += 1
-                await anyio.sleep(back_off(attempt, random.random()))
-                continue
-            attempt = 0
-            after = found.revision
+
+        async def take(found: Events) -> None:
             for entry in found.entries:
                 if entry.key == key and entry.revision > self._revision:
                     self._take_claims(entry)
 
+        await follow_prefix(self._kv, key, WATCH_S, take)
+
     def _take_claims(self, entry: Entry) -> None:
         try:
             self._claims = decode_claims(self._domain, entry.value)
--- a/coursepitch/control/observers.py
+++ b/coursepitch/control/observers.py
@@ -6,7 +6,7 @@
 
 import anyio
 
-from coursepitch.control.duties import domain_duty, holds_duty, should_observe
+from coursepitch.control.duties import domain_duty, read_holder, should_observe
 from coursepitch.control.fleet import list_live
 from coursepitch.control.keeper import DomainKeeper
 from coursepitch.peers.records import DomainBody
@@ -74,11 +74,7 @@
     def _should_observe(self, domain: str) -> bool:
         now = self._clock()
         view = self._session.view.value
-        duty = domain_duty(domain)
-        held = view.duties.get(duty)
-        holder = held.holder if held else ''
-        if holder == self._me and not holds_duty(view, duty, self._me, now):
-            holder = ''
+        holder = read_holder(view, domain_duty(domain), self._me, now)
         evidence = {
             item.key.origin: item.made_at
             for item in self._hub.records('domain')
--- a/coursepitch/control/session.py
+++ b/coursepitch/control/session.py
@@ -32,6 +32,7 @@
     back_off,
     settle_swap,
 )
+from coursepitch.platform.watch import follow_prefix
 from coursepitch.util.topic import Topic
 
 if TYPE_CHECKING:
@@ -324,25 +325,8 @@
     # -- watch and contact ---------------------------------------------------
 
     async def _keep_watch(self) -> None:
-        after = -1
-        attempt = 0
-        while True:
-            if after < 0:
-                found = await self._kv.list_prefix(PREFIX)
-            else:
-                wait_s = self._settings.watch_s
-                found = await self._kv.watch(PREFIX, after, wait_s)
-            if isinstance(found, Unavailable):
-                attempt += 1
-                await anyio.sleep(back_off(attempt, random.random()))
-                continue
-            attempt = 0
-            try:
-                await self._take_events(found)
-            except (UnavailableError, CodecError):
-                after = -1
-                continue
-            after = found.revision
+        wait_s = self._settings.watch_s
+        await follow_prefix(self._kv, PREFIX, wait_s, self._take_events)
 
     async def _take_events(self, found: Events) -> None:
         view = self.view.value
--- a/coursepitch/peers/topology.py
+++ b/coursepitch/peers/topology.py
@@ -1,4 +1,4 @@
-"""Which nodes link to which: a ring with links that double in reach."""
+"""Which nodes link to which: a ring with links of growing reach."""
 
 from __future__ import annotations
 
@@ -10,13 +10,17 @@
 
 __all__ = ['choose_peers', 'pace_evidence', 'pace_nodes', 'pick_first', 'rank_nodes']
 
+#: Factor by which the reach of each further link grows.
+REACH_FACTOR = 4
+
 
 def choose_peers(me: str, names: Iterable[str]) -> frozenset[str]:
     """Return the nodes to which ``me`` opens links.
 
-    Nodes stand on a ring in the order of a hash; each links to those 1, 2, 4
-    and so on places further, so any two are at most log2(n) links apart and a
-    node has about 2 log2(n) links.  Source: Stoica et al., Chord (2001).
+    Nodes stand on a ring in the order of a hash; each links to those 1, 4, 16
+    and so on places further: 10 links a node at 370 nodes.  With steps that
+    double there would be 18, and a record crosses about every link once.
+    Source: Stoica et al., Chord (2001).
     """
     ring = sorted({me, *names}, key=_hash_name)
     place = ring.index(me)
@@ -24,7 +28,7 @@
     step = 1
     while step < len(ring):
         peers.add(ring[(place + step) % len(ring)])
-        step *= 2
+        step *= REACH_FACTOR
     return frozenset(peers - {me})
 
 
--- /dev/null
+++ b/coursepitch/platform/watch.py
@@ -0,0 +1,48 @@
+"""Following of a prefix in the key-value service through outages."""
+
+from __future__ import annotations
+
+import random
+from typing import TYPE_CHECKING
+
+import anyio
+
+from coursepitch.errors import CodecError, UnavailableError
+from coursepitch.platform.kv import Unavailable, back_off
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from coursepitch.platform.kv import Events, KeyValue
+
+__all__ = ['follow_prefix']
+
+
+async def follow_prefix(
+    kv: KeyValue, prefix: str, wait_s: float, take: Callable[[Events], Awaitable[None]]
+) -> None:
+    """List a prefix, then hand on its changes, until cancelled.
+
+    An outage is waited out with growing, jittered pauses.  When ``take``
+    cannot take what came, the prefix is listed anew.
+    """
+    after = -1
+    attempt = 0
+    while True:
+        if after < 0:
+            found = await kv.list_prefix(prefix)
+        else:
+            found = await kv.watch(prefix, after, wait_s)
+        if isinstance(found, Unavailable):
+            attempt += 1
+            await anyio.sleep(back_off(attempt, random.random()))
+            continue
+        try:
+            await take(found)
+        except (UnavailableError, CodecError):
+            attempt += 1
+            after = -1
+            await anyio.sleep(back_off(attempt, random.random()))
+            continue
+        attempt = 0
+        after = found.revision
--- a/coursepitch/serving/evidence.py
+++ b/coursepitch/serving/evidence.py
@@ -12,7 +12,7 @@
 
     from coursepitch.peers.table import Record
 
-__all__ = ['Servable', 'is_held_back', 'list_servable']
+__all__ = ['Servable', 'choose_newest', 'is_held_back', 'list_servable']
 
 
 @dataclass(frozen=True, slots=True)
@@ -48,7 +48,7 @@
     leaving = _list_leaving(fleets, now)
     running = _index_loads(loads)
     servable = []
-    for record in _choose_newest(domains):
+    for record in choose_newest(domains):
         body = record.body
         if not isinstance(body, DomainBody) or now - record.made_at > limit_s:
             continue
@@ -85,7 +85,7 @@
     return failed is not None and (item.seen_at <= failed or now - failed < hold_s)
 
 
-def _choose_newest(domains: Iterable[Record]) -> list[Record]:
+def choose_newest(domains: Iterable[Record]) -> list[Record]:
     """Return one record a domain: the newest claims, then the freshest."""
     best: dict[str, tuple[tuple[int, float], Record]] = {}
     for record in domains:
