Streams end once and leave their connection in use; services keep cookies and escapes

Change: the last chunk passes once; the rest of a body is read for at most 50 ms behind the end mark; headers of services pass pair by pair, paths as written.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -7,7 +7,12 @@
 from bench import control, pure, serving
 from bench.figures import Book
 
-PARTS = {'pure': pure.measure, 'control': control.measure, 'serving': serving.measure}
+PARTS = {
+    'pure': pure.measure,
+    'checks': control.measure_checks,
+    'control': control.measure,
+    'serving': serving.measure,
+}
 
 
 def main() -> int:
--- a/bench/control.py
+++ b/bench/control.py
@@ -24,6 +24,24 @@
     measure_reactions(book)
 
 
+def measure_checks(book: Book) -> None:
+    """Measure the processor time of one node by the instances it checks."""
+    points = []
+    for replicas in (1, 4, 8):
+        with open_system(1, replicas, instances=2) as harness:
+            pid = harness.processes['n0'].process.pid
+            time.sleep(3)
+            spent, started = read_cpu_s(pid), time.perf_counter()
+            time.sleep(QUIET_S)
+            spent, took = read_cpu_s(pid) - spent, time.perf_counter() - started
+            points.append((2.0 * replicas, 100 * spent / took))
+    slope, intercept = fit_slope(points)
+    # Two checks a second of each instance, by the default settings.
+    book.note('checks', 'processor per check of an instance', slope / 2 * 1e4, 'us')
+    book.note('checks', 'processor of a node without checks', intercept, '% of a core')
+    book.draw('% of a core by instances', points)
+
+
 def read_bytes(harness: Harness, node: str) -> dict[str, float]:
     """Return the bytes on a node's links by direction."""
     url = f'{harness.admin(node)}/metrics'
--- a/coursepitch/serving/dispatch.py
+++ b/coursepitch/serving/dispatch.py
@@ -27,7 +27,7 @@
 from coursepitch.serving.sse import END_MARK, EventParser
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncGenerator
+    from collections.abc import AsyncGenerator, AsyncIterator
 
     from coursepitch.clock import Clock
     from coursepitch.config.settings import RoutingSettings
@@ -42,6 +42,9 @@
 #: Statuses by which an engine says that it did not run a request.
 _NOT_RUN_STATUSES = frozenset({400, 404, 409, 413, 422, 429, 503})
 
+#: Longest wait in seconds for the end of a body behind its end mark.
+_REST_S = 0.05
+
 #: Seconds between two looks for a replica for a further attempt.
 _LOOK_S = 0.1
 
@@ -69,6 +72,8 @@
     """State of a request over all its attempts.
 
     :param texts: text of each chunk that the caller has.
+    :param closed: whether the caller has the chunk that gives the reason of
+        the end, which comes after the last token and has no place.
     """
 
     exchange: Exchange
@@ -79,6 +84,7 @@
     tried: set[str] = field(default_factory=set)
     current: Attempt | None = None
     finished: bool = False
+    closed: bool = False
     ran_somewhere: bool = False
 
 
@@ -300,10 +306,12 @@
             if reply is None:
                 return
             parser = EventParser()
-            async for piece in reply.aiter_raw():
+            pieces = reply.aiter_raw()
+            async for piece in pieces:
                 for event in parser.feed(piece):
                     if event.data == END_MARK:
                         attempt.seen = Seen.WHOLE
+                        await read_rest(pieces)
                         return
                     chunk = orjson.loads(event.data)
                     if chunk['id'] != attempt.name:
@@ -311,6 +319,9 @@
                         return
                     if not self._take_place(run, event.place):
                         continue
+                    if event.place is None and run.closed:
+                        continue
+                    run.closed = event.place is None
                     if event.place is not None:
                         run.texts.append(_read_text(chunk))
                         run.rejoined = False
@@ -432,6 +443,17 @@
         return answer
 
 
+async def read_rest(pieces: AsyncIterator[bytes]) -> None:
+    """Read a body to its end, so that its connection can be used again.
+
+    The end is due with the end mark; a target that holds it back does not
+    hold up the caller.
+    """
+    with anyio.move_on_after(_REST_S):
+        async for _ in pieces:
+            pass
+
+
 def _read_text(chunk: dict[str, Any]) -> str:
     choice = chunk['choices'][0]
     if 'text' in choice:
--- a/coursepitch/serving/entry.py
+++ b/coursepitch/serving/entry.py
@@ -196,7 +196,7 @@
             body['model'], job.identity.customer
         )
         if not groups:
-            raise RefusedError(Problem(outcomes.NOT_FOUND, job.request, 'model'))
+            raise RefusedError(Problem(outcomes.NOT_FOUND, job.request))
         self._gate.check_limits(job.identity, job.request)
         now = self._clock()
         exchange = Exchange(
@@ -425,7 +425,7 @@
         name = request.path_params['name']
         service = self._gate.directory().find_service(name, job.identity.customer)
         if service is None:
-            raise RefusedError(Problem(outcomes.NOT_FOUND, job.request, 'service'))
+            raise RefusedError(Problem(outcomes.NOT_FOUND, job.request))
         wishes = read_wishes(
             request.headers, self._settings.default_deadline_s, service.repeatable
         )
--- a/coursepitch/serving/services.py
+++ b/coursepitch/serving/services.py
@@ -47,6 +47,16 @@
 )
 
 
+def read_raw_path(request: Request) -> str:
+    """Return the path behind the service's name as the caller wrote it.
+
+    Escapes stay as they are: an escaped slash is not one between segments.
+    """
+    raw: bytes = request.scope['raw_path'].partition(b'?')[0]
+    _, _, rest = raw.removeprefix(b'/services/').partition(b'/')
+    return '/' + rest.decode('ascii', 'replace')
+
+
 class ServiceCaller:
     """Owner of the connections to plain services and of their load."""
 
@@ -178,7 +188,7 @@
         address: str,
         body: bytes | AsyncIterator[bytes],
     ) -> httpx.Request:
-        path = request.path_params.get('path', '')
+        path = read_raw_path(request)
         query = f'?{request.url.query}' if request.url.query else ''
         headers = [
             (name, value) for name, value in request.headers.items() if name not in _HOP
@@ -194,7 +204,7 @@
                 content = None
         return self._client.build_request(
             request.method,
-            f'http://{address}/{path}{query}',
+            f'http://{address}{path}{query}',
             headers=headers,
             content=content,
         )
@@ -206,11 +216,13 @@
         address: str,
         finish: Callable[[Job], Awaitable[None]],
     ) -> Response:
-        headers = {
-            name: value for name, value in reply.headers.items() if name not in _HOP
-        }
-        headers['x-request-id'] = job.request
-        headers['coursepitch-outcome'] = 'answered'
+        headers = {'x-request-id': job.request, 'coursepitch-outcome': 'answered'}
+        # One pair a line: cookies, for one, cannot be joined.
+        passed = [
+            (name.encode(), value.encode('latin-1', 'replace'))
+            for name, value in reply.headers.multi_items()
+            if name not in _HOP
+        ]
         length = reply.headers.get('content-length')
         job.status = reply.status_code
         job.content_type = reply.headers.get('content-type', '')
@@ -223,6 +235,7 @@
             await finish(job)
 
         answer = StreamedAnswer(body, reply.status_code, headers, end)
+        answer.raw_headers += passed
         if length is not None:
             answer.raw_headers.append((b'content-length', length.encode()))
         return answer
--- a/standins/service.py
+++ b/standins/service.py
@@ -32,9 +32,11 @@
         if fault.get('cut'):
             return StreamingResponse(cut_body())
         headers = {'x-ran': str(sum(ran.values()))}
-        return Response(
-            body or request.url.path.encode(), media_type='text/plain', headers=headers
-        )
+        path = request.scope['raw_path'].partition(b'?')[0]
+        reply = Response(body or path, media_type='text/plain', headers=headers)
+        reply.set_cookie('one', '1')
+        reply.set_cookie('two', '2')
+        return reply
 
     async def cut_body() -> Any:
         yield b'half'
--- a/tests/whole/test_path.py
+++ b/tests/whole/test_path.py
@@ -60,6 +60,13 @@
         reply = httpx.put(url, content=b'x' * 100_000, headers=headers)
         self.assertEqual((reply.status_code, len(reply.content)), (200, 100_000))
 
+    def test_service_keeps_escapes_and_each_cookie(self) -> None:
+        headers = {'Authorization': f'Bearer {CALLER_KEY}', 'Idempotency-Key': 's2'}
+        url = f'{self.harness.entry("n1")}/services/stamp/a%2Fb/c%20d'
+        reply = httpx.get(url, headers=headers)
+        self.assertEqual(reply.text, '/a%2Fb/c%20d')
+        self.assertEqual(len(reply.headers.get_list('set-cookie')), 2)
+
     def test_not_repeatable_needs_a_key(self) -> None:
         headers = {'Authorization': f'Bearer {CALLER_KEY}'}
         url = f'{self.harness.entry("n1")}/services/stamp/a'
--- a/tests/whole/test_requests.py
+++ b/tests/whole/test_requests.py
@@ -53,10 +53,10 @@
         for item in self.harness.instances:
             self.harness.set_fault(item['id'], **fault)
 
-    def runs_of(self, prompt_id: str) -> int:
-        """Return how many attempts of one request ran, by the engines' count."""
-        counts = self.harness.count_runs()
-        return sum(n for name, n in counts.items() if name.split('.')[0] == prompt_id)
+    def fault_all_alive(self, **fault: Any) -> None:
+        for item in self.harness.instances:
+            if self.harness.processes[item['id']].process.poll() is None:
+                self.harness.set_fault(item['id'], **fault)
 
     def total_runs(self) -> int:
         return sum(self.harness.count_runs().values())
@@ -332,6 +332,77 @@
         self.assertEqual((again.status, again.outcome), (409, 'unknown'))
         self.assertEqual(self.total_runs() - before, 1)
 
+    def test_killed_target_before_the_call_is_not_run_there(self) -> None:
+        victim = self.serving()[0]['instances'][0]
+        self.harness.processes[victim].kill()
+        before = self.total_runs()
+        answered = 0
+        for turn in range(12):
+            key = {'Idempotency-Key': f'dead-target-{turn}'}
+            reply = self.harness.call('n1', self.body(f'turn {turn}'), **key)
+            self.assertIn(reply.headers['coursepitch-outcome'], ('answered', 'not-run'))
+            answered += reply.status_code == 200
+        self.assertEqual(self.total_runs() - before, answered)
+        self.assertGreater(answered, 0)
+
+    def test_killed_target_before_its_head_is_unknown(self) -> None:
+        self.fault_all(hang='after_start')
+        key = {'Idempotency-Key': 'killed-before-head'}
+        before = self.harness.count_runs()
+        call = in_background(
+            lambda: self.harness.call('n1', self.body('no head'), **key)
+        )
+        self.harness.wait_for(lambda: self.harness.count_runs() != before, 'it runs')
+        (name,) = set(self.harness.count_runs()) - set(before)
+        self.kill(self.find_leader(name.split('.')[0]))
+        reply = call.result(60)
+        self.assertEqual(reply.headers['coursepitch-outcome'], 'unknown')
+        self.fault_all_alive()
+        again = self.harness.call('n2', self.body('no head'), **key)
+        self.assertEqual(again.status_code, 409)
+        # The killed engine's own count is gone with it; no other ran it.
+        self.assertEqual(set(self.harness.count_runs()) - set(before), set())
+
+    def test_killed_entry_before_the_head_does_not_run_it_again(self) -> None:
+        self.harness.start_node('n9', 'kurasini')
+        self.harness.wait_for(lambda: self.harness.is_ready('n9'), 'n9 serves')
+        self.harness.wait_for(lambda: self.count_serving('n9') == 2, 'n9 sees replicas')
+        self.fault_all(hang='after_start')
+        before = self.total_runs()
+        key = {'Idempotency-Key': 'entry-killed-early'}
+
+        def first() -> httpx.Response | httpx.HTTPError:
+            try:
+                return self.harness.call('n9', self.body('early'), **key)
+            except httpx.HTTPError as error:
+                return error
+
+        call = in_background(first)
+        self.harness.wait_for(lambda: self.total_runs() == before + 1, 'it runs')
+        self.harness.processes.pop('n9').kill()
+        self.assertIsInstance(call.result(60), httpx.HTTPError)
+        self.fault_all()
+        again = self.harness.call('n2', self.body('early'), **key)
+        self.assertEqual(again.status_code, 409)
+        self.assertEqual(self.total_runs() - before, 1)
+
+    def test_paused_entry_finishes_its_own_and_nobody_repeats_it(self) -> None:
+        key = {'Idempotency-Key': 'entry-paused'}
+        before = self.total_runs()
+        body = self.body('paused entry', max_tokens=60)
+        seconds: list[Answer] = []
+
+        def pause(leader: str) -> None:
+            self.harness.processes['n1'].send(signal.SIGSTOP)
+            seconds.append(call_stream(self.harness, 'n2', body, None, **key))
+            self.harness.processes['n1'].send(signal.SIGCONT)
+
+        answer = self.stream_with(pause, 'paused entry', 60, **key)
+        self.assertEqual((seconds[0].status, seconds[0].outcome), (409, 'unknown'))
+        self.assertTrue(answer.whole, answer)
+        self.assertEqual(answer.text, expect_tokens('paused entry', 60))
+        self.assertEqual(self.total_runs() - before, 1)
+
     def test_plain_service_call_that_hangs_is_unknown_and_runs_once(self) -> None:
         self.harness.set_fault('service', hang=True)
         headers = {
