Listing news for a peer looks only at what was updated since the last time

Change: the table keeps records in the order of their updates with a stamp; a link lists back to the stamp of its last listing. A property shows that this gives what listing everything gives; the machine of tables lists the same way.

--- a/coursepitch/peers/hub.py
+++ b/coursepitch/peers/hub.py
@@ -64,6 +64,7 @@
     """State of one link.
 
     :param sent_at: monotonic time before each digest that is not echoed yet.
+    :param listed: stamp of the table at the last listing of news.
     """
 
     socket: Any
@@ -77,6 +78,7 @@
     lacking: set[RecordKey] = field(default_factory=set)
     slots: SlotBook = field(default_factory=SlotBook)
     asked_at: float = 0.0
+    listed: int = 0
     kick: anyio.Event = field(default_factory=anyio.Event)
 
 
@@ -273,7 +275,11 @@
         now = self._clock()
         link.number += 1
         link.sent_at[link.number] = now
-        news = self._table.list_news(link.known, now)[:_DIGEST_RECORDS]
+        stamp = self._table.stamp
+        news = self._table.list_news(link.known, now, link.listed)
+        if len(news) <= _DIGEST_RECORDS:
+            link.listed = stamp
+        del news[_DIGEST_RECORDS:]
         for wire in news:
             link.known[wire.key] = Known(wire.boot, wire.number, wire.content)
         lacking, link.lacking = tuple(link.lacking), set()
@@ -302,6 +308,7 @@
         transit = now - self._sent_before(link, digest.echo)
         for key in digest.lacking:
             link.known.pop(key, None)
+            link.listed = 0
         for wire in link.slots.unpack(digest.fulls, digest.beats):
             self._take_record(link, wire, transit, now)
         revision = self._session.view.value.configuration.revision
--- a/coursepitch/peers/table.py
+++ b/coursepitch/peers/table.py
@@ -78,7 +78,10 @@
 
 
 class Table:
-    """The records that a node holds."""
+    """The records that a node holds, the last updated one at the end.
+
+    ``stamp`` counts the updates made here.
+    """
 
     def __init__(self, origin: str, boot: int) -> None:
         self._origin = origin
@@ -86,6 +89,8 @@
         self._number = 0
         self._records: dict[RecordKey, Record] = {}
         self._kinds: dict[str, dict[RecordKey, Record]] = {}
+        self._stamps: dict[RecordKey, int] = {}
+        self.stamp = 0
 
     def publish(self, kind: str, subject: str, body: Body, made_at: float) -> bool:
         """Make a new state of an own record; return whether the body changed.
@@ -101,12 +106,16 @@
         return changed
 
     def _keep(self, record: Record) -> None:
+        self.stamp += 1
+        self._stamps[record.key] = self.stamp
+        self._records.pop(record.key, None)
         self._records[record.key] = record
         self._kinds.setdefault(record.key.kind, {})[record.key] = record
 
     def _drop(self, key: RecordKey) -> None:
         if self._records.pop(key, None) is not None:
             del self._kinds[key.kind][key]
+            del self._stamps[key]
 
     def withdraw(self, kind: str, subject: str) -> None:
         """Stop refreshing an own record; peers drop it by its age."""
@@ -130,10 +139,18 @@
         self._keep(replace(held, number=wire.number, made_at=made_at))
         return Merge.SAME
 
-    def list_news(self, known: dict[RecordKey, Known], now: float) -> list[Wire]:
-        """Return what a peer lacks, given what it is known to hold."""
+    def list_news(
+        self, known: dict[RecordKey, Known], now: float, since: int = 0
+    ) -> list[Wire]:
+        """Return what a peer lacks, given what it is known to hold.
+
+        :param since: stamp of the last listing for the peer; records that
+            were not updated after it are not looked at.
+        """
         news = []
-        for key, record in self._records.items():
+        for key, record in reversed(self._records.items()):
+            if self._stamps[key] <= since:
+                break
             held = known.get(key)
             if held and (held.boot, held.number) >= (record.boot, record.number):
                 continue
--- a/tests/peers/test_table.py
+++ b/tests/peers/test_table.py
@@ -35,6 +35,7 @@
         self.boots = dict.fromkeys(NAMES, 1)
         self.tables = {name: Table(name, 1) for name in NAMES}
         self.known: dict[tuple[str, str], dict[RecordKey, Known]] = {}
+        self.listed: dict[tuple[str, str], int] = {}
         self.truth: dict[tuple[str, int, int], float] = {}
         self.best: dict[tuple[str, str], tuple[int, int]] = {}
 
@@ -54,7 +55,9 @@
         if sender == receiver:
             return
         known = self.known.setdefault((sender, receiver), {})
-        for wire in self.tables[sender].list_news(known, self.now):
+        since = self.listed.get((sender, receiver), 0)
+        self.listed[sender, receiver] = self.tables[sender].stamp
+        for wire in self.tables[sender].list_news(known, self.now, since):
             known[wire.key] = Known(wire.boot, wire.number, wire.content)
             aged = Wire(
                 wire.key,
@@ -66,6 +69,7 @@
             )
             if self.tables[receiver].merge(aged, self.now) is Merge.LACKING:
                 known.pop(wire.key)
+                self.listed[sender, receiver] = 0
 
     @rule(name=NAME)
     def drop_old(self, name: str) -> None:
@@ -80,6 +84,7 @@
         for pair in list(self.known):
             if name in pair:
                 del self.known[pair]
+                self.listed.pop(pair, None)
 
     def forget(self, name: str) -> None:
         held = {(name, record.key.origin) for record in self.tables[name].read()}
@@ -158,6 +163,23 @@
             return
 
 
+class NewsTest(unittest.TestCase):
+    """Listing by stamp gives just what listing everything gives."""
+
+    @given(st.lists(st.tuples(st.integers(0, 5), st.integers(0, 2), st.booleans())))
+    def test_since_the_last_listing(self, steps) -> None:
+        table, known, since = Table('a', 1), {}, 0
+        for subject, value, lists in steps:
+            table.publish('contact', str(subject), ContactBody(value), 0.0)
+            if lists:
+                everything = table.list_news(known, 0.0)
+                news = table.list_news(known, 0.0, since)
+                self.assertEqual(news, everything)
+                since = table.stamp
+                for wire in news:
+                    known[wire.key] = Known(wire.boot, wire.number, wire.content)
+
+
 class SlotTest(unittest.TestCase):
     """Beats stand for the records that they were."""
 
--- a/tests/whole/test_replicas.py
+++ b/tests/whole/test_replicas.py
@@ -530,6 +530,20 @@
                 current = reply.json()['error']['current']
                 self.assertEqual(current['spec'], won['spec'])
 
+    def test_node_that_joins_after_many_changes_has_them_all(self) -> None:
+        for number in range(40):
+            self.harness.apply('n1', 'customer', f'many-{number}', burst=number + 1)
+        self.harness.wait_converged('n2', 'customer', 'many-39')
+        entries = self.harness.stats('kv')['entries']
+        head = json.loads(entries['c/config']['value'])
+        self.assertGreater(head['floor'], 0)
+        self.harness.start_node('n0', 'ubungo')
+        self.harness.wait_for(lambda: self.harness.is_ready('n0'), 'n0 serves')
+        for number in range(40):
+            data = self.harness.operate('n0', 'GET', f'customer/many-{number}').json()
+            self.assertEqual(data['spec']['burst'], number + 1)
+        self.assertEqual(self.harness.stop_node('n0'), 0)
+
     def test_every_finding_is_reported_at_once(self) -> None:
         spec = {'model': 'm', 'replicas': -1, 'colour': 'red'}
         reply = self.harness.operate('n1', 'PUT', 'group/Bad_Name', json={'spec': spec})
