A new holder orders only by claims read from the service

Cause: a keeper that takes a domain over starts from the evidence of its predecessor, which carries no kind of target. When the service's revision was the same, the claims there were not taken, and raising the epoch wrote them back with every member as kind "engine": the wait for targets that check no fence was skipped from then on. UnfencedTest failed first: kinds {'engine'} instead of {'plain-engine'} after the holder was killed.

Ruled out: placement, which writes the kind that the list shows.

Change: a keeper acts only once the service has told it the claims; a step is dropped when the state of the replica changed while its members were checked; evidence is published also when the epoch cannot be raised. Besides, without change of behaviour: the registry, the runs of requests and the users' two measures have modules of their own.

--- a/coursepitch/application.py
+++ b/coursepitch/application.py
@@ -19,6 +19,7 @@
 from coursepitch.control.duties import DutyKeeper
 from coursepitch.control.fleet import FleetReader, list_live
 from coursepitch.control.observers import Observers
+from coursepitch.control.registrar import Registrar
 from coursepitch.control.session import Session
 from coursepitch.metrics import Metrics
 from coursepitch.peers.hub import PeerHub
@@ -280,9 +281,10 @@
             'peers': listen(settings.node.address, settings.peers.port),
         }
         ports = {name: sock.getsockname()[1] for name, sock in sockets.items()}
-        self._register(ports)
+        registrar = self._build_registrar(ports)
         stop_entry, stop_admin = anyio.Event(), anyio.Event()
         async with anyio.create_task_group() as group:
+            group.start_soon(registrar.run)
             for task in self._list_tasks(sockets, stop_entry, stop_admin):
                 group.start_soon(task)
             log.emit(events.NODE_STARTED, ports=ports)
@@ -292,12 +294,17 @@
             with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
                 await anext(signals)
                 cut = await self._drain(signals)
-            await self._leave(cut, stop_entry, stop_admin)
+            for request in cut:
+                log.emit(events.NODE_CUT, request=request)
+            await registrar.leave()
+            stop_entry.set()
+            stop_admin.set()
+            await self._close()
             group.cancel_scope.cancel()
         log.emit(events.NODE_STOPPED)
         return 1 if cut else 0
 
-    def _register(self, ports: dict[str, int]) -> None:
+    def _build_registrar(self, ports: dict[str, int]) -> Registrar:
         node = self.settings.node
         spec = Node(
             address=node.address,
@@ -306,7 +313,7 @@
             availability_zone=node.availability_zone,
             incarnation=self.incarnation,
         )
-        self.session.set_node(spec)
+        return Registrar(Key('node', self.me), spec, self.session, self.kv)
 
     def _list_tasks(
         self,
@@ -316,7 +323,6 @@
     ) -> list[Callable[[], Coroutine[Any, Any, None]]]:
         """Return the tasks of the node, in the order in which they start."""
         settings = self.settings
-        key = Key('node', self.me)
 
         async def serve_entry() -> None:
             await serve_app(
@@ -338,9 +344,6 @@
                 key=settings.admin.tls_key,
             )
 
-        async def register() -> None:
-            await self.session.keep_registered(key)
-
         async def take_duties() -> None:
             await self.duties.run(0.5)
 
@@ -357,7 +360,6 @@
             self.session.run,
             hold_links,
             self._tell,
-            register,
             take_duties,
             self.fleet.run,
             self.observers.run,
@@ -398,14 +400,8 @@
             group.cancel_scope.cancel()
         return self.gate.in_flight
 
-    async def _leave(
-        self, cut: tuple[str, ...], stop_entry: anyio.Event, stop_admin: anyio.Event
-    ) -> None:
-        for request in cut:
-            log.emit(events.NODE_CUT, request=request)
-        await self.session.unregister(Key('node', self.me))
-        stop_entry.set()
-        stop_admin.set()
+    async def _close(self) -> None:
+        """Close all connections to others."""
         # Answers already made go out; new connections are refused by now.
         await anyio.sleep(0.1)
         await self.dispatcher.close()
--- a/coursepitch/control/cluster.py
+++ b/coursepitch/control/cluster.py
@@ -22,6 +22,7 @@
     replace_replica,
 )
 from coursepitch.control.duties import CLUSTER, holds_duty
+from coursepitch.control.measures import measure_service
 from coursepitch.control.permit import Acceptance, advance_acceptance
 from coursepitch.control.placement import (
     Candidate,
@@ -382,20 +383,13 @@
     def _measure(self) -> None:
         now = self._clock()
         passed, self._measured_at = now - self._measured_at, now
-        serving: dict[str, int] = {}
         sizes = {item.name: item.accelerators for item in self._fleet.instances}
-        stranded = 0
-        for _, body in self._board.read_domains():
-            for seen in body.replicas:
-                whole = seen.state == 'serving' and seen.whole
-                serving[seen.group] = serving.get(seen.group, 0) + whole
-                if not whole:
-                    left = [item.instance for item in seen.members if item.good]
-                    stranded += sum(sizes.get(name, 0) for name in left)
+        bodies = [body for _, body in self._board.read_domains()]
+        measures = measure_service(bodies, sizes)
         for item in self._session.view.value.configuration.of_kind('group'):
             name = item.key.name
-            count = serving.get(name, 0)
+            count = measures.serving.get(name, 0)
             self._metrics.replicas.set({'group': name}, count)
             if not count and isinstance(item.spec, Group) and item.spec.replicas:
                 self._metrics.downtime.add({'group': name}, passed)
-        self._metrics.stranded.set({}, stranded)
+        self._metrics.stranded.set({}, measures.stranded)
--- a/coursepitch/control/keeper.py
+++ b/coursepitch/control/keeper.py
@@ -101,6 +101,8 @@
         self._missing: set[str] = set()
         self._moved = False
         self._news = anyio.Event()
+        # Claims that a peer told of lack what only orders need.
+        self._confirmed = False
         self._own_epoch = ('', 0)
         self._took_over_at = 0.0
         self._limits = Limits(
@@ -126,16 +128,18 @@
                     await self._news.wait()
 
     def _holds(self) -> bool:
+        """Return whether this node may write claims and give orders now."""
+        if not self._confirmed:
+            return False
         view = self._session.view.value
         return holds_duty(view, domain_duty(self._domain), self._me, self._clock())
 
     async def _tick(self) -> None:
-        if self._holds() and not await self._take_epoch():
-            return
+        may_act = self._holds() and await self._take_epoch()
         asked_at = self._clock()
         await self._check_members()
         self._publish(self._domain, self._describe(), self._describe_load(), asked_at)
-        if self._holds():
+        if may_act and self._holds():
             for replica in self._claims.replicas:
                 await self._advance(replica)
 
@@ -145,8 +149,10 @@
 
         async def take(found: Events) -> None:
             for entry in found.entries:
-                if entry.key == key and entry.revision > self._revision:
+                newer = entry.revision > self._revision or not self._confirmed
+                if entry.key == key and newer:
                     self._take_claims(entry)
+            self._confirmed = True
 
         await follow_prefix(self._kv, key, WATCH_S, take)
 
@@ -248,6 +254,10 @@
             await self._send_orders(replica, step)
 
     async def _move(self, replica: Replica, event: str) -> None:
+        held = self._claims.find(replica.name)
+        if held is None or held.state != replica.state:
+            # The claims changed while the members were checked.
+            return
         state = self._chart.next_state(replica.state, event)
         with log.continue_tree(replica.cause, 'replica.move'):
             gone = state == self._chart.final
--- /dev/null
+++ b/coursepitch/control/measures.py
@@ -0,0 +1,44 @@
+"""The users' two measures, from evidence: a pure reading."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Mapping
+
+    from coursepitch.peers.records import DomainBody
+
+__all__ = ['Measures', 'measure_service']
+
+
+@dataclass(frozen=True, slots=True)
+class Measures:
+    """What serves and what is idle now.
+
+    :param serving: whole serving replicas by group.
+    :param stranded: accelerators of good members of replicas that do not serve.
+    """
+
+    serving: dict[str, int]
+    stranded: int
+
+
+def measure_service(
+    domains: Iterable[DomainBody], sizes: Mapping[str, int]
+) -> Measures:
+    """Return the measures.
+
+    :param sizes: accelerators by instance.
+    """
+    serving: dict[str, int] = {}
+    stranded = 0
+    for body in domains:
+        for seen in body.replicas:
+            whole = seen.state == 'serving' and seen.whole
+            serving[seen.group] = serving.get(seen.group, 0) + whole
+            if not whole:
+                left = [item.instance for item in seen.members if item.good]
+                stranded += sum(sizes.get(name, 0) for name in left)
+    return Measures(serving, stranded)
--- a/coursepitch/control/session.py
+++ b/coursepitch/control/session.py
@@ -71,7 +71,6 @@
         self._up = True
         self._ending = False
         self._changes: dict[int, Change] = {}
-        self._node_spec: Spec | None = None
         self.view = Topic(ClusterView())
 
     async def run(self) -> None:
@@ -81,10 +80,6 @@
             group.start_soon(self._keep_watch)
             group.start_soon(self._keep_contact)
 
-    def set_node(self, spec: Spec) -> None:
-        """Set what this node registers of itself."""
-        self._node_spec = spec
-
     # -- what peers and other tasks bring ---------------------------------
 
     def take_changes(self, changes: tuple[Change, ...], source: str) -> None:
@@ -157,7 +152,7 @@
         :raises UnavailableError: the service gave no usable answer.
         """
         for _ in range(WRITE_TRIES):
-            head, entry = await self._read_head()
+            head, entry = await self.read_head()
             held = self.view.value.configuration.resources.get(key)
             version = held.revision if held else 0
             if expect is not None and expect != version:
@@ -187,8 +182,8 @@
             return self.view.value.configuration.resources[key]
         raise ConflictError(f'{key}: too many writers at once, try again')
 
-    async def _read_head(self) -> tuple[Head, Entry]:
-        """Read the head and apply it.
+    async def read_head(self) -> tuple[Head, Entry]:
+        """Read the head, apply it and note the contact.
 
         :raises UnavailableError: the service gave no usable answer.
         """
@@ -353,55 +348,12 @@
             now = self._clock()
             if contact_at is None or now - contact_at >= period * 0.9:
                 try:
-                    await self._read_head()
+                    await self.read_head()
                 except (UnavailableError, CodecError):
                     await anyio.sleep(period / 4)
                     continue
             await anyio.sleep(period * (0.5 + 0.5 * random.random()))
 
-    # -- registration -----------------------------------------------------------
-
-    async def keep_registered(self, key: Key) -> None:
-        """Register this node, one node at a time, and again if removed.
-
-        A node joins only when the last change of the registry is accepted, so
-        that two majorities always have a node in common.  Source: Ongaro,
-        Consensus: Bridging Theory and Practice (2014), section 4.1.
-        """
-        while True:
-            view = self.view.value
-            held = view.configuration.resources.get(key)
-            wanted = self._node_spec
-            if wanted is not None and (held is None or held.spec != wanted):
-                await self._try_register(key)
-            await anyio.sleep(0.2 + 0.2 * random.random())
-
-    async def unregister(self, key: Key) -> None:
-        """Remove this node from the registry, if the service answers."""
-        self._node_spec = None
-        try:
-            await self.record(key, None)
-        except (UnavailableError, ConflictError, CodecError):
-            return
-
-    async def _try_register(self, key: Key) -> None:
-        try:
-            head, _ = await self._read_head()
-            entry = await self._kv.get(ACCEPTED_KEY)
-            if isinstance(entry, Unavailable):
-                return
-            accepted = read_number(entry.value)
-            nodes = self.view.value.configuration.of_kind('node')
-            newest = max((item.revision for item in nodes), default=0)
-            removed = max(
-                (item.revision for item in head.changes if item.key.kind == 'node'),
-                default=0,
-            )
-            if max(newest, removed) <= accepted:
-                await self.record(key, self._node_spec)
-        except (UnavailableError, ConflictError, CodecError):
-            return
-
 
 def read_number(text: str) -> int:
     """Return a number from its text; 0 when it is absent or damaged."""
--- a/coursepitch/serving/dispatch.py
+++ b/coursepitch/serving/dispatch.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from contextlib import aclosing
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any
 
 import anyio
@@ -24,15 +23,16 @@
 from coursepitch.serving.clients import TargetClients
 from coursepitch.serving.outcomes import Problem, Refusal, RefusedError
 from coursepitch.serving.queue import Waiting
+from coursepitch.serving.runs import Attempt, Run, read_rest, read_text
 from coursepitch.serving.sse import END_MARK, EventParser
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncGenerator, AsyncIterator
+    from collections.abc import AsyncGenerator
 
     from coursepitch.clock import Clock
     from coursepitch.config.settings import RoutingSettings
     from coursepitch.metrics import Metrics
-    from coursepitch.serving.admission import Admission, Slot
+    from coursepitch.serving.admission import Admission
     from coursepitch.serving.board import ReplicaBoard
     from coursepitch.serving.exchange import Exchange
     from coursepitch.serving.routing import Choice
@@ -42,9 +42,6 @@
 #: Statuses by which an engine says that it did not run a request.
 _NOT_RUN_STATUSES = frozenset({400, 404, 409, 413, 422, 429, 503})
 
-#: Longest wait in seconds for the end of a body behind its end mark.
-_REST_S = 0.05
-
 #: Seconds between two looks for a replica for a further attempt.
 _LOOK_S = 0.1
 
@@ -52,42 +49,6 @@
 _FINAL_STATUSES = frozenset({400, 404, 413, 422})
 
 
-@dataclass(eq=False)
-class Attempt:
-    """State of one attempt on one replica.
-
-    :param base: chunks that the caller had when the run began.
-    """
-
-    name: str
-    address: str
-    replica: str
-    base: int = 0
-    seen: Seen = Seen.NOTHING_SENT
-    status: int = 0
-
-
-@dataclass(eq=False)
-class Run:
-    """State of a request over all its attempts.
-
-    :param texts: text of each chunk that the caller has.
-    :param closed: whether the caller has the chunk that gives the reason of
-        the end, which comes after the last token and has no place.
-    """
-
-    exchange: Exchange
-    slot: Slot
-    attempts: int = 0
-    rejoined: bool = False
-    texts: list[str] = field(default_factory=list)
-    tried: set[str] = field(default_factory=set)
-    current: Attempt | None = None
-    finished: bool = False
-    closed: bool = False
-    ran_somewhere: bool = False
-
-
 class Dispatcher:
     """Sends requests to replicas and passes answers on."""
 
@@ -323,7 +284,7 @@
                         continue
                     run.closed = event.place is None
                     if event.place is not None:
-                        run.texts.append(_read_text(chunk))
+                        run.texts.append(read_text(chunk))
                         run.rejoined = False
                     if first and mode is not Next.REJOIN:
                         waited = self._clock() - started
@@ -441,21 +402,3 @@
         attempt.seen = Seen.WHOLE
         self._board.note_first_chunk(attempt.replica, self._clock() - started)
         return answer
-
-
-async def read_rest(pieces: AsyncIterator[bytes]) -> None:
-    """Read a body to its end, so that its connection can be used again.
-
-    The end is due with the end mark; a target that holds it back does not
-    hold up the caller.
-    """
-    with anyio.move_on_after(_REST_S):
-        async for _ in pieces:
-            pass
-
-
-def _read_text(chunk: dict[str, Any]) -> str:
-    choice = chunk['choices'][0]
-    if 'text' in choice:
-        return str(choice['text'])
-    return str(choice.get('delta', {}).get('content') or '')
--- a/coursepitch/serving/entry.py
+++ b/coursepitch/serving/entry.py
@@ -47,9 +47,10 @@
     from coursepitch.clock import Clock
     from coursepitch.config.settings import EntrySettings
     from coursepitch.metrics import Metrics
-    from coursepitch.serving.dispatch import Dispatcher, Run
+    from coursepitch.serving.dispatch import Dispatcher
     from coursepitch.serving.gate import Gate
     from coursepitch.serving.identity import Identity
+    from coursepitch.serving.runs import Run
     from coursepitch.serving.services import ServiceCaller
 
 __all__ = ['Entry']
--- a/tests/control/test_placement.py
+++ b/tests/control/test_placement.py
@@ -10,6 +10,7 @@
 
 from coursepitch.config.settings import PlacementSettings
 from coursepitch.control.duties import choose_hand_over, list_reach, should_observe
+from coursepitch.control.measures import measure_service
 from coursepitch.control.placement import (
     Fleet,
     measure_stranded,
@@ -18,8 +19,9 @@
     unpack_fleet,
 )
 from coursepitch.errors import CodecError
+from coursepitch.peers.records import DomainBody
 from coursepitch.peers.topology import rank_nodes
-from tests.builders import build_group, build_placed, build_spares
+from tests.builders import build_group, build_placed, build_seen, build_spares
 
 DAR = PlacementSettings()
 STATES = st.sampled_from(['claimed', 'loading', 'serving', 'draining', 'releasing'])
@@ -166,6 +168,22 @@
         self.assertEqual(plan_placement(fleet, DAR).steps, ())
 
 
+class MeasureTest(unittest.TestCase):
+    """Group downtime and stranded accelerators."""
+
+    def test_only_whole_serving_replicas_count(self) -> None:
+        seen = (
+            build_seen('a', group='g'),
+            build_seen('b', good=False, group='g'),
+            build_seen('c', state='loading', group='h'),
+        )
+        sizes = {f'{name}-{n}': 2 for name in 'abc' for n in range(2)}
+        measures = measure_service([DomainBody(1, 1, seen)], sizes)
+        self.assertEqual(measures.serving, {'g': 1, 'h': 0})
+        # One good member of b, two of c, with two accelerators each.
+        self.assertEqual(measures.stranded, 6)
+
+
 class ObserveTest(unittest.TestCase):
     """Who checks a domain."""
 
--- a/tests/whole/test_replicas.py
+++ b/tests/whole/test_replicas.py
@@ -210,6 +210,41 @@
         self.assertNotIn(victim, self.serving())
 
 
+class UnfencedTest(ReplicaCase):
+    """Targets that check no fence, and a holder that dies."""
+
+    engine = {'token_s': 0.01, 'fenced': 0}
+
+    def read_epochs(self) -> int:
+        entries = self.harness.stats('kv')['entries']
+        return sum(
+            json.loads(entry['value'])['epoch']
+            for key, entry in entries.items()
+            if key.startswith('claims/')
+        )
+
+    def test_new_holder_knows_the_kind_and_repairs(self) -> None:
+        holder = self.duties()['c/duty/domain.fab-a']
+        epochs = self.read_epochs()
+        self.harness.processes.pop(holder).kill()
+        left = next(name for name in self.nodes if name != holder)
+        self.harness.wait_for(
+            lambda: self.read_epochs() > epochs, 'another node raises the epoch'
+        )
+        kinds = {m['kind'] for r in self.read_claims() for m in r['members']}
+        self.assertEqual(kinds, {'plain-engine'})
+        replica = next(iter(self.serving(left).values()))
+        self.harness.processes[replica['instances'][1]].kill()
+        self.harness.wait_for(
+            lambda: (
+                len(self.serving(left)) == 2
+                and replica['name'] not in self.serving(left)
+            ),
+            'it is repaired',
+        )
+        self.assert_no_double_claim()
+
+
 class NodeTest(ReplicaCase):
     """Nodes that are killed, paused or stopped."""
 
