make serve ends its processes on SIGTERM too

Cause: a trial of make serve ended with SIGTERM left its engines and nodes running; only Ctrl-C was handled.

Change: the demo takes SIGTERM as it takes Ctrl-C. The event duty.taken names its field lease, which is what it holds.

--- a/coursepitch/control/duties.py
+++ b/coursepitch/control/duties.py
@@ -178,7 +178,7 @@
         now = self._clock()
         held = {duty for duty in duties if holds_duty(view, duty, self._me, now)}
         for duty in held - self._held:
-            log.emit(events.DUTY_TAKEN, duty=duty, epoch=view.lease.name)
+            log.emit(events.DUTY_TAKEN, duty=duty, lease=view.lease.name)
         for duty in self._held - held:
             log.emit(events.DUTY_LOST, duty=duty)
         self._held = frozenset(held)
--- a/coursepitch/events.py
+++ b/coursepitch/events.py
@@ -61,7 +61,7 @@
     402, 'peer.refused', 'A peer sent what cannot be taken.', ('peer', 'reason')
 )
 
-DUTY_TAKEN = Event(500, 'duty.taken', 'The node holds a duty.', ('duty', 'epoch'))
+DUTY_TAKEN = Event(500, 'duty.taken', 'The node holds a duty.', ('duty', 'lease'))
 DUTY_LOST = Event(501, 'duty.lost', 'The node no longer holds a duty.', ('duty',))
 REPLICA_CLAIMED = Event(
     502, 'replica.claimed', 'Instances were claimed.', ('replica', 'domain', 'why')
--- a/demo/session.py
+++ b/demo/session.py
@@ -5,6 +5,7 @@
 import argparse
 import json
 import os
+import signal
 import subprocess
 import sys
 import time
@@ -30,6 +31,8 @@
     options = parser.parse_args()
     harness = Harness(options.folder)
     session = Session(harness)
+    # A plain termination ends the started processes as Ctrl-C does.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     try:
         if options.stay:
             session.stay()
