--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -12,6 +12,7 @@
     'checks': control.measure_checks,
     'control': control.measure,
     'serving': serving.measure,
+    'overload': serving.measure_overload,
 }
 
 
--- a/tests/control/test_placement.py
+++ b/tests/control/test_placement.py
@@ -9,7 +9,12 @@
 from hypothesis import strategies as st
 
 from coursepitch.config.settings import PlacementSettings
-from coursepitch.control.duties import choose_hand_over, list_reach, should_observe
+from coursepitch.control.duties import (
+    choose_hand_over,
+    holds_duty,
+    list_reach,
+    should_observe,
+)
 from coursepitch.control.measures import measure_service
 from coursepitch.control.placement import (
     Fleet,
@@ -18,6 +23,7 @@
     plan_placement,
     unpack_fleet,
 )
+from coursepitch.control.view import ClusterView, Duty, Lease
 from coursepitch.errors import CodecError
 from coursepitch.peers.records import DomainBody
 from coursepitch.peers.topology import rank_nodes
@@ -204,6 +210,22 @@
         self.assertNotEqual(first, second)
 
 
+class HoldTest(unittest.TestCase):
+    """Who holds a duty."""
+
+    def holds(self, now: float, lease: str = 'new', holder: str = 'a') -> bool:
+        duties = {'x': Duty(holder, lease)}
+        view = ClusterView(lease=Lease('new', deadline=10.0), duties=duties)
+        return holds_duty(view, 'x', 'a', now)
+
+    def test_only_under_the_present_lease_while_it_lasts(self) -> None:
+        self.assertTrue(self.holds(9.9))
+        self.assertFalse(self.holds(10.0))
+        self.assertFalse(self.holds(9.9, holder='b'))
+        # Taken before a pause; the node has another lease by now.
+        self.assertFalse(self.holds(9.9, lease='old'))
+
+
 class HandOverTest(unittest.TestCase):
     """Duties are shared among the nodes that hear each other."""
 
