--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -11,6 +11,7 @@
     'pure': pure.measure,
     'checks': control.measure_checks,
     'control': control.measure,
+    'outage': control.measure_outage,
     'serving': serving.measure,
     'overload': serving.measure_overload,
 }
--- a/bench/control.py
+++ b/bench/control.py
@@ -16,6 +16,7 @@
     from standins.harness import Harness
 
 QUIET_S = 12.0
+OUTAGE_S = 60.0
 
 
 def measure(book: Book) -> None:
@@ -24,6 +25,32 @@
     measure_reactions(book)
 
 
+def measure_outage(book: Book) -> None:
+    """Live through a minute without the service, with a member killed in it."""
+    with open_system(3, 3, instances=2, spares=1) as harness:
+        names = [f'n{n}' for n in range(3)]
+        body = {'model': GROUP, 'messages': [{'role': 'user', 'content': 'x'}]}
+        replica = harness.replicas('n0', GROUP)[0]
+        harness.set_fault('kv', mode='down')
+        started = time.perf_counter()
+        statuses = []
+        killed = False
+        while time.perf_counter() - started < OUTAGE_S:
+            for name in names:
+                statuses.append(harness.call(name, body).status_code)
+            if not killed and time.perf_counter() - started > OUTAGE_S / 2:
+                harness.processes[replica['instances'][1]].kill()
+                killed = True
+        harness.set_fault('kv', mode='none')
+        back = harness.wait_for(lambda: count_serving(harness, 'n0') == 3, 'repaired')
+        good = statuses.count(200) / len(statuses)
+        book.note(
+            'outage', 'requests in a minute without the service', len(statuses), ''
+        )
+        book.note('outage', 'share answered', good, 'share')
+        book.note('outage', 'whole replica again after the outage', back, 's')
+
+
 def measure_checks(book: Book) -> None:
     """Measure the processor time of one node by the instances it checks."""
     points = []
