The chart of a replica is drawn in the docs

Cause: the reference page listed the states and did not draw their way.

Change: the generated page draws each step from state to state above the table.

Docs build without warnings; tests of charts passed, 1 passed, 0 failed.

--- a/coursepitch/control/chart.py
+++ b/coursepitch/control/chart.py
@@ -86,8 +86,13 @@
 
 
 def draw_chart(chart: Chart) -> str:
-    """Return the chart as a table in reStructuredText."""
-    lines = ['.. list-table::', '   :header-rows: 1', '']
+    """Return the chart as a drawing and a table in reStructuredText."""
+    width = max(len(state) for state in chart.states)
+    lines = ['.. code-block:: text', '']
+    for (event, source), target in chart.steps.items():
+        arrow = f'--{event}'.ljust(12, '-') + '>'
+        lines.append(f'   {source:>{width}} {arrow} {target}')
+    lines += ['', '.. list-table::', '   :header-rows: 1', '']
     lines += ['   * - State', '     - Meaning', '     - Event → next state']
     for state, meaning in chart.states.items():
         ways = [
