Headers that Connection names are not passed to or from plain services

Cause: read in the code: only the fixed list of RFC 9110, section 7.6.1, was dropped, not what the Connection header names besides.

Change: both directions drop what it names.

--- a/coursepitch/serving/services.py
+++ b/coursepitch/serving/services.py
@@ -47,6 +47,15 @@
 )
 
 
+def list_dropped(connection: str) -> frozenset[str]:
+    """Return the headers that are not passed on, in lower case.
+
+    :param connection: value of the Connection header, which may name more.
+    """
+    named = (part.strip().lower() for part in connection.split(','))
+    return _HOP | frozenset(named)
+
+
 def read_raw_path(request: Request) -> str:
     """Return the path behind the service's name as the caller wrote it.
 
@@ -190,8 +199,11 @@
     ) -> httpx.Request:
         path = read_raw_path(request)
         query = f'?{request.url.query}' if request.url.query else ''
+        dropped = list_dropped(request.headers.get('connection', ''))
         headers = [
-            (name, value) for name, value in request.headers.items() if name not in _HOP
+            (name, value)
+            for name, value in request.headers.items()
+            if name not in dropped
         ]
         headers.append(('x-request-id', job.request))
         length = request.headers.get('content-length')
@@ -218,10 +230,11 @@
     ) -> Response:
         headers = {'x-request-id': job.request, 'coursepitch-outcome': 'answered'}
         # One pair a line: cookies, for one, cannot be joined.
+        dropped = list_dropped(reply.headers.get('connection', ''))
         passed = [
             (name.encode(), value.encode('latin-1', 'replace'))
             for name, value in reply.headers.multi_items()
-            if name not in _HOP
+            if name not in dropped
         ]
         length = reply.headers.get('content-length')
         job.status = reply.status_code
--- a/tests/serving/test_decisions.py
+++ b/tests/serving/test_decisions.py
@@ -34,6 +34,7 @@
 from coursepitch.serving.outcomes import Outcome
 from coursepitch.serving.queue import Waiting, choose_evicted, choose_next
 from coursepitch.serving.routing import choose_replica
+from coursepitch.serving.services import list_dropped
 from coursepitch.serving.slowness import SlownessMeter
 from coursepitch.serving.sse import EventParser, write_event
 from tests.builders import build_domain_record, build_seen, build_servable
@@ -254,6 +255,15 @@
         self.assertEqual(decode_record(record.encode()), record)
 
 
+class HeaderTest(unittest.TestCase):
+    """Headers of one connection stay on it."""
+
+    def test_headers_named_by_connection_are_dropped(self) -> None:
+        dropped = list_dropped('close, X-Secret')
+        self.assertTrue({'x-secret', 'connection', 'te'} <= dropped)
+        self.assertNotIn('content-type', dropped)
+
+
 class ParserTest(unittest.TestCase):
     """Parsers of what callers and targets send."""
 
