--- a/coursepitch/control/duties.py
+++ b/coursepitch/control/duties.py
@@ -153,6 +153,7 @@
         self._held: frozenset[str] = frozenset()
         self._draining = False
         self._live_since: dict[str, float] = {}
+        self._giving_up: set[str] = set()
 
     @property
     def held(self) -> frozenset[str]:
@@ -193,16 +194,28 @@
     async def _hand_over(self, reach: frozenset[str]) -> None:
         """Give one duty up, so that duties spread as nodes come."""
         duty = choose_hand_over(self._held, self._me, reach)
-        if duty is None:
-            return
+        if duty is not None:
+            self._session.drop_duty(duty)
+            self._giving_up.add(duty)
+        # One that was taken again meanwhile is held, not given up.
+        self._giving_up -= set(self._session.view.value.duties)
+        for name in sorted(self._giving_up):
+            if await self._delete_duty(name):
+                self._giving_up.discard(name)
+
+    async def _delete_duty(self, duty: str) -> bool:
+        """Delete a duty that is given up; return whether it is surely gone.
+
+        Until then nobody else can take it, so a lost answer means another try.
+        """
         key = DUTY_PREFIX + duty
         entry = await self._kv.get(key)
-        if isinstance(entry, Unavailable) or not entry.present:
-            return
-        held = read_duty(entry.value)
-        if held and held.lease == self._session.view.value.lease.name:
-            self._session.drop_duty(duty)
-            await self._kv.swap(key, None, entry.revision)
+        if isinstance(entry, Unavailable):
+            return False
+        held = read_duty(entry.value) if entry.present else None
+        if held is None or held.lease != self._session.view.value.lease.name:
+            return True
+        return isinstance(await self._kv.swap(key, None, entry.revision), Swapped)
 
     async def _take_free(self, duties: list[str], reach: frozenset[str]) -> None:
         for duty in duties:
