--- a/coursepitch/cmd/main.py
+++ b/coursepitch/cmd/main.py
@@ -4,43 +4,50 @@
 
 import os
 import sys
+from importlib import import_module
+from typing import TYPE_CHECKING
 
 from cleo.application import Application
+from cleo.loaders.factory_command_loader import FactoryCommandLoader
 
 from coursepitch import __version__
-from coursepitch.cmd.check import CheckCommand
-from coursepitch.cmd.node import NodeCommand
-from coursepitch.cmd.plan import PlanCommand
-from coursepitch.cmd.resource import (
-    ApplyCommand,
-    DeleteCommand,
-    GetCommand,
-    StatusCommand,
-    WatchCommand,
-)
-from coursepitch.cmd.timeline import TimelineCommand
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from cleo.commands.command import Command
 
 __all__ = ['build_application', 'main']
 
-#: Commands in the order in which the help lists them.
-COMMANDS = (
-    NodeCommand,
-    CheckCommand,
-    ApplyCommand,
-    GetCommand,
-    DeleteCommand,
-    WatchCommand,
-    StatusCommand,
-    PlanCommand,
-    TimelineCommand,
-)
+#: Commands by name with module and class.  They are imported when they run: a
+#: node needs neither the modules nor the memory of the others.
+COMMANDS = {
+    'serve': ('serve', 'ServeCommand'),
+    'node': ('node', 'NodeCommand'),
+    'check': ('check', 'CheckCommand'),
+    'apply': ('resource', 'ApplyCommand'),
+    'get': ('resource', 'GetCommand'),
+    'delete': ('resource', 'DeleteCommand'),
+    'watch': ('resource', 'WatchCommand'),
+    'status': ('resource', 'StatusCommand'),
+    'plan': ('plan', 'PlanCommand'),
+    'timeline': ('timeline', 'TimelineCommand'),
+}
+
+
+def _load_later(module: str, name: str) -> Callable[[], Command]:
+    def load() -> Command:
+        command: Command = getattr(import_module(f'coursepitch.cmd.{module}'), name)()
+        return command
+
+    return load
 
 
 def build_application() -> Application:
     """Return the command line with all commands."""
     application = Application('coursepitch', __version__)
-    for command in COMMANDS:
-        application.add(command())
+    loaders = {name: _load_later(*place) for name, place in COMMANDS.items()}
+    application.set_command_loader(FactoryCommandLoader(loaders))
     return application
 
 
--- /dev/null
+++ b/coursepitch/config/gateway.py
@@ -0,0 +1,90 @@
+"""Settings of a node on the users' platform, which fills them from a template."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from coursepitch.config.options import REQUIRED, option, read_ini
+from coursepitch.config.settings import LogSettings, list_sections, parse_sections
+from coursepitch.errors import FindingsError
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+__all__ = ['GatewaySettings', 'load_gateway_settings']
+
+
+@dataclass(frozen=True, slots=True)
+class GatewayNodeSettings:
+    """The node itself."""
+
+    name: str = option(REQUIRED, 'Name of the node, unlike that of any other node.')
+    address: str = option(REQUIRED, 'IP number on which peers reach it.')
+    availability_zone: str = option(REQUIRED, 'Availability zone in which it runs.')
+    bootstrap: bool = option(
+        False, "Whether this is the whole system's first start, with no groups yet."
+    )
+    stop_s: float = option(
+        8.0, 'Seconds after which a stopping process is killed.', low=1
+    )
+
+
+@dataclass(frozen=True, slots=True)
+class ListenSettings:
+    """Addresses on which the node listens."""
+
+    clients: str = option(REQUIRED, 'IP:port for clients.')
+    ready: str = option(REQUIRED, "IP:port for the balancer's question.")
+    metrics_port: int = option(9100, 'TCP port of the metrics.', low=0, high=65535)
+    peer_port: int = option(7340, 'TCP port for peers.', low=0, high=65535)
+
+
+@dataclass(frozen=True, slots=True)
+class StoreSettings:
+    """The platform's store."""
+
+    address: str = option(REQUIRED, 'IP:port of the store.')
+    timeout_s: float = option(1.0, 'Time-out of one call in seconds.', low=0.05)
+    calls_per_s: float = option(
+        60.0, 'Most calls that this node makes to the store.', low=1
+    )
+
+
+@dataclass(frozen=True, slots=True)
+class PromiseSettings:
+    """Bounds that the users state."""
+
+    revoke_s: float = option(
+        5.0, 'Seconds after which no key that was taken away is served.', low=0.5
+    )
+    stall_s: float = option(
+        5.0, 'Seconds after which a group that misses a member breaks.', low=0.1
+    )
+    retry_ratio: float = option(0.2, 'Second sends for each request.', low=0)
+    retry_extra: float = option(
+        0.0, 'Second sends a window over all nodes, whatever the traffic.', low=0
+    )
+    retry_window_s: float = option(10.0, 'The window in seconds.', low=0.1)
+
+
+@dataclass(frozen=True, slots=True)
+class GatewaySettings:
+    """All settings of a node on the platform, a field a section."""
+
+    node: GatewayNodeSettings
+    listen: ListenSettings
+    store: StoreSettings
+    promises: PromiseSettings
+    log: LogSettings
+
+
+def load_gateway_settings(path: Path) -> GatewaySettings:
+    """Read and check a settings file.
+
+    :raises FindingsError: with all findings together.
+    """
+    parts, findings = parse_sections(read_ini(path), list_sections(GatewaySettings))
+    if findings:
+        raise FindingsError(findings)
+    return GatewaySettings(**parts)
--- a/coursepitch/config/settings.py
+++ b/coursepitch/config/settings.py
@@ -32,7 +32,9 @@
     'RoutingSettings',
     'Settings',
     'TargetSettings',
+    'list_sections',
     'load_settings',
+    'parse_sections',
     'write_example',
 ]
 
@@ -236,9 +238,9 @@
     log: LogSettings
 
 
-def list_sections() -> dict[str, type[Any]]:
+def list_sections(settings: type[Any] = Settings) -> dict[str, type[Any]]:
     """Return the option table of each section by its name."""
-    return dict(get_type_hints(Settings))
+    return dict(get_type_hints(settings))
 
 
 def load_settings(path: Path) -> Settings:
@@ -254,8 +256,19 @@
 
     :raises FindingsError: with all findings together.
     """
+    parts, findings = parse_sections(ini, list_sections())
+    if not findings:
+        findings = _check_across(parts, ini)
+    if findings:
+        raise FindingsError(findings)
+    return Settings(**parts)
+
+
+def parse_sections(
+    ini: IniFile, sections: dict[str, type[Any]]
+) -> tuple[dict[str, Any], list[Finding]]:
+    """Return the tables by section, and what is wrong in the file."""
     findings: list[Finding] = []
-    sections = list_sections()
     for name in ini.sections:
         if name not in sections:
             known = ', '.join(sections)
@@ -268,11 +281,7 @@
         lines = ini.option_lines.get(name, {})
         parts[name], found = parse_options(table, values, ini.place(name), lines)
         findings.extend(found)
-    if not findings:
-        findings = _check_across(parts, ini)
-    if findings:
-        raise FindingsError(findings)
-    return Settings(**parts)
+    return parts, findings
 
 
 def _check_across(parts: dict[str, Any], ini: IniFile) -> list[Finding]:
--- a/coursepitch/events.py
+++ b/coursepitch/events.py
@@ -33,6 +33,10 @@
     106, 'admin.no_keys', 'No operator keys are set; loopback only.', ('address',)
 )
 
+SETTINGS_READ = Event(
+    107, 'node.settings_read', 'The settings were read anew.', ('outcome',)
+)
+
 SERVICE_LOST = Event(
     200, 'service.lost', 'The key-value service gave no usable answer.', ('reason',)
 )
@@ -51,6 +55,18 @@
 CONFIG_ACCEPTED = Event(
     302, 'config.accepted', 'A revision is in force everywhere.', ('revision',)
 )
+CONFIG_DAMAGED = Event(
+    304,
+    'config.damaged',
+    'A configuration in the store cannot be read; the older one stays.',
+    ('revision', 'reason'),
+)
+TABLE_IN_FORCE = Event(
+    305,
+    'config.table_in_force',
+    'A version of the routes is in force here.',
+    ('version', 'revision', 'routes'),
+)
 NODE_FORGOTTEN = Event(
     303, 'config.node_forgotten', 'A silent node was removed.', ('node',)
 )
@@ -84,6 +100,47 @@
     508, 'claims.damaged', 'Claims cannot be read.', ('domain', 'reason')
 )
 
+INSTANCE_CHANGED = Event(
+    509,
+    'instance.changed',
+    'An instance came, or tells another group.',
+    ('instance', 'draining', 'membership', 'revision'),
+)
+INSTANCE_GONE = Event(
+    510, 'instance.gone', 'An instance is no longer listed.', ('instance',)
+)
+INSTANCE_DAMAGED = Event(
+    511, 'instance.damaged', 'An entry cannot be read.', ('instance', 'reason')
+)
+LEAD_TAKEN = Event(
+    512, 'lead.taken', 'The node orders groups from now on.', ('revision',)
+)
+LEAD_LOST = Event(513, 'lead.lost', 'The node no longer orders groups.')
+GROUPS_CLAIMED = Event(
+    514,
+    'groups.claimed',
+    'Claims were changed, or the change did not go through.',
+    ('added', 'dropped', 'outcome'),
+)
+GROUP_RETIRED = Event(
+    515, 'group.retired', 'A group is taken apart.', ('group', 'reason')
+)
+ORDER_ANSWERED = Event(
+    516,
+    'order.answered',
+    'What became of an order.',
+    ('instance', 'order', 'group', 'epoch', 'result'),
+)
+INSTANCE_PROBED = Event(
+    517,
+    'instance.probed',
+    'Members of a group that stood still were asked.',
+    ('group', 'silent', 'answered'),
+)
+INSTANCE_LOST = Event(
+    518, 'instance.lost', 'An instance does not answer.', ('instance', 'answers')
+)
+
 REQUEST_DONE = Event(
     600, 'request.done', 'A request was answered whole.', ('request', 'replica', 'wait')
 )
@@ -93,6 +150,21 @@
 REQUEST_ROUTED = Event(
     602, 'request.routed', 'A replica was chosen.', ('request', 'replica', 'why')
 )
+REQUEST_ATTEMPT = Event(
+    606,
+    'request.attempt_failed',
+    'An attempt on a target ended without an answer to pass on.',
+    ('request', 'instance', 'outcome', 'reason', 'sent_s'),
+)
+REQUEST_ENDED = Event(
+    607,
+    'request.ended',
+    'What a client was told, or that it left.',
+    ('request', 'route', 'status', 'outcome', 'instance', 'attempts', 'took_s', 'age'),
+)
+LINES_DROPPED = Event(
+    608, 'log.dropped', 'Lines that standard output did not take in time.', ('count',)
+)
 REQUEST_RETRIED = Event(
     603, 'request.retried', 'A further attempt was made.', ('request', 'reason')
 )
--- /dev/null
+++ b/coursepitch/fleet/control.py
@@ -0,0 +1,117 @@
+"""Orders and questions to single instances."""
+
+from __future__ import annotations
+
+import enum
+from typing import TYPE_CHECKING
+
+import anyio
+
+from coursepitch import events, log
+from coursepitch.fleet.orders import OrderResult
+from coursepitch.http.client import ConnectionPool, ExchangeError, NoConnectionError
+from coursepitch.platform.fleet import ORDER_TARGET, REPORT_TARGET, encode_order
+from coursepitch.platform.headers import report_headers
+
+if TYPE_CHECKING:
+    from coursepitch.clock import Clock
+    from coursepitch.fleet.instances import FleetInstance
+    from coursepitch.fleet.orders import Order
+
+__all__ = ['InstanceControl', 'Probe']
+
+#: Seconds for which an order's answer is waited for.
+ORDER_TIMEOUT_S = 0.8
+
+#: Seconds for which a report is waited for, twice.  Source: an instance that
+#: lives answers within a few milliseconds and takes no slot for it.
+PROBE_TIMEOUT_S = 0.25
+PROBE_TRIES = 2
+
+#: Largest answer to an order or a question in bytes.
+ANSWER_BYTES = 262_144
+
+_RESULTS = {
+    200: OrderResult.DONE,
+    202: OrderResult.TAKEN,
+    409: OrderResult.UNFIT,
+    412: OrderResult.OUTDATED,
+    421: OrderResult.OTHER_INSTANCE,
+}
+
+
+class Probe(enum.Enum):
+    """What became of a question to an instance."""
+
+    ANSWERS = 'answers'
+    SILENT = 'silent'
+    REPLACED = 'replaced'
+
+
+class InstanceControl:
+    """Client for orders and reports."""
+
+    def __init__(self, clock: Clock) -> None:
+        self._pool = ConnectionPool(clock, connect_timeout_s=ORDER_TIMEOUT_S)
+
+    def close(self) -> None:
+        """Close all connections."""
+        self._pool.close()
+
+    async def send(self, order: Order) -> OrderResult:
+        """Send an order once and return what became of it."""
+        result = await self._send(order)
+        log.emit(
+            events.ORDER_ANSWERED,
+            instance=order.instance,
+            order=order.kind.value,
+            group=order.group,
+            epoch=order.epoch,
+            result=result.value,
+        )
+        return result
+
+    async def _send(self, order: Order) -> OrderResult:
+        headers = (
+            *report_headers(order.address, order.instance),
+            (b'Content-Type', b'application/json'),
+        )
+        try:
+            with anyio.fail_after(ORDER_TIMEOUT_S):
+                connection = await self._pool.acquire(order.address)
+                answer = await self._pool.exchange(
+                    connection, b'POST', ORDER_TARGET, headers, encode_order(order)
+                )
+                try:
+                    await answer.read_whole(ANSWER_BYTES)
+                finally:
+                    answer.release()
+        except NoConnectionError:
+            return OrderResult.UNREACHED
+        except (ExchangeError, TimeoutError):
+            return OrderResult.UNKNOWN
+        return _RESULTS.get(answer.status, OrderResult.UNKNOWN)
+
+    async def probe(self, instance: FleetInstance) -> Probe:
+        """Ask an instance for its report, at most a few times."""
+        for _ in range(PROBE_TRIES):
+            found = await self._ask(instance)
+            if found is not Probe.SILENT:
+                return found
+        return Probe.SILENT
+
+    async def _ask(self, instance: FleetInstance) -> Probe:
+        headers = report_headers(instance.address, instance.name)
+        try:
+            with anyio.fail_after(PROBE_TIMEOUT_S):
+                connection = await self._pool.acquire(instance.address, fresh=True)
+                answer = await self._pool.exchange(
+                    connection, b'GET', REPORT_TARGET, headers, b''
+                )
+                try:
+                    await answer.read_whole(ANSWER_BYTES)
+                finally:
+                    answer.release()
+        except (NoConnectionError, ExchangeError, TimeoutError):
+            return Probe.SILENT
+        return Probe.REPLACED if answer.status == 421 else Probe.ANSWERS
--- /dev/null
+++ b/coursepitch/fleet/groups.py
@@ -0,0 +1,494 @@
+"""The life of groups, as the leader decides it.
+
+:class:`GroupBook` holds what the leader knows beyond the store: the orders it
+sent and what became of them.  ``decide`` returns what to do next and does
+nothing itself, so that tests drive it without sockets or clocks.
+
+A group is opened only when every member has reported ready under its name and
+epoch.  Members join elsewhere only when the old head is known not to serve:
+it took the order to leave, or another instance answers in its place, or, when
+it is silent, its members left it so long ago that it has broken by itself.
+"""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from coursepitch.fleet.claims import GroupClaim
+from coursepitch.fleet.instances import GroupState
+from coursepitch.fleet.orders import Order, OrderKind, OrderResult
+from coursepitch.fleet.placement import SPARE_SHARE, count_targets, plan_domain
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Mapping
+
+    from coursepitch.config.routes import EngineProfile, Service
+    from coursepitch.fleet.instances import FleetInstance
+    from coursepitch.fleet.view import FleetView
+
+__all__ = ['ClaimChange', 'Decision', 'GroupBook', 'KeeperRules']
+
+#: Seconds after which an order that the instance's entry doesn't show is sent
+#: again.  Orders are carried out within some ten milliseconds or seconds late.
+JOIN_RETRY_S = 1.0
+OPEN_RETRY_S = 0.6
+LEAVE_RETRY_S = 0.4
+STAGE_RETRY_S = 3.0
+
+#: Orders to a silent head after which its members are told to leave it.
+SILENT_TRIES = 2
+
+#: Seconds added to the time after which a head without members breaks.
+STALL_MARGIN_S = 0.8
+
+#: Seconds beyond a load that a group may take to form before it is given up.
+FORM_MARGIN_S = 8.0
+
+#: Loads that may begin at once, on top of the rate.  With three quarters of the
+#: rate this stays within what the weight store bears in any window.
+LOAD_BURST = 4.0
+LOAD_RATE_PART = 0.75
+
+
+@dataclass(frozen=True, slots=True)
+class KeeperRules:
+    """Figures of the platform that the life of groups depends on.
+
+    :param stall_s: seconds after which a head that misses members breaks.
+    """
+
+    stall_s: float = 5.0
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimChange:
+    """The new claims of one fabric domain, to be written under a condition."""
+
+    service: str
+    domain: str
+    claims: tuple[GroupClaim, ...]
+    added: tuple[str, ...] = ()
+    dropped: tuple[str, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Decision:
+    """What to do now."""
+
+    changes: tuple[ClaimChange, ...] = ()
+    orders: tuple[Order, ...] = ()
+    retired: tuple[tuple[str, str], ...] = ()
+
+
+@dataclass(eq=False)
+class _Progress:
+    """What the leader knows of a group beyond its claim.
+
+    :param may_be_open: whether an order to open it was ever sent, as far as
+        is known; true for groups taken over from another leader.
+    """
+
+    since: float
+    may_be_open: bool = True
+    retiring: str = ''
+    head_settled: bool = False
+    head_failures: int = 0
+    left: set[str] = field(default_factory=set)
+    stood_since: float | None = None
+
+
+@dataclass(eq=False)
+class GroupBook:
+    """State of the leader's decisions."""
+
+    rules: KeeperRules = field(default_factory=KeeperRules)
+    dead: set[str] = field(default_factory=set)
+    _progress: dict[tuple[str, int], _Progress] = field(default_factory=dict)
+    _sent: dict[tuple[str, OrderKind, int], float] = field(default_factory=dict)
+    _load_tokens: float = 0.0
+    _load_seen: float | None = None
+    _formed: set[tuple[str, int]] = field(default_factory=set)
+    _addresses: dict[str, str] = field(default_factory=dict)
+
+    def reset(self) -> None:
+        """Forget everything, on taking the lead anew."""
+        self.dead.clear()
+        self._progress.clear()
+        self._sent.clear()
+        self._formed.clear()
+        self._load_tokens = 0.0
+        self._load_seen = None
+
+    # -- what was learnt ----------------------------------------------------------
+
+    def note_formed(self, claims: Iterable[GroupClaim]) -> None:
+        """Note claims that this leader wrote: no order to open was sent yet."""
+        self._formed.update((claim.name, claim.epoch) for claim in claims)
+
+    def note_result(self, order: Order, result: OrderResult, now: float) -> None:
+        """Note what became of an order."""
+        progress = self._progress.get((order.group, order.epoch))
+        if order.kind is not OrderKind.LEAVE or progress is None:
+            return
+        if result.definite:
+            progress.left.add(order.instance)
+            progress.head_failures = 0
+        else:
+            progress.head_failures += 1
+
+    # -- decisions ------------------------------------------------------------------
+
+    def decide(
+        self,
+        view: FleetView,
+        service: Service,
+        demand: Mapping[str, float],
+        now: float,
+        *,
+        early: bool,
+        settled: bool,
+    ) -> Decision:
+        """Return what to do with the groups of one service.
+
+        :param early: whether no request has come yet, so that loads are fast
+            and don't count.
+        :param settled: whether the list of instances has come to rest.
+        """
+        engine = service.engine
+        if engine is None:
+            return Decision()
+        orders: list[Order] = []
+        retired: list[tuple[str, str]] = []
+        dropped: set[tuple[str, int]] = set()
+        for instance in view.instances.values():
+            self._addresses[instance.name] = instance.address
+        claims = [item for item in view.all_claims() if item.service == service.name]
+        orders += self._end_strays(view, service, claims, now)
+        for claim in claims:
+            progress = self._find_progress(claim, now)
+            if not progress.retiring:
+                reason = self._find_failure(claim, view, engine, progress, now)
+                if reason:
+                    progress.retiring = reason
+                    retired.append((claim.name, reason))
+            if progress.retiring:
+                orders += self._retire(claim, view, progress, now)
+                if self._is_settled(claim, view, progress, now):
+                    dropped.add((claim.name, claim.epoch))
+            else:
+                orders += self._advance(claim, view, progress, now)
+        kept = [item for item in claims if (item.name, item.epoch) not in dropped]
+        changes, more = self._place(
+            view, service, engine, kept, dropped, demand, now, early, settled
+        )
+        orders += more
+        return Decision(tuple(changes), tuple(orders), tuple(retired))
+
+    def _end_strays(
+        self, view: FleetView, service: Service, claims: list[GroupClaim], now: float
+    ) -> list[Order]:
+        """Return orders to leave for heads that serve without a claim."""
+        claimed = {name for claim in claims for name in claim.members}
+        orders: list[Order] = []
+        for instance in view.instances.values():
+            membership = instance.membership
+            if instance.service != service.name or membership is None:
+                continue
+            if instance.name in claimed or not membership.state.may_serve:
+                continue
+            order = Order(
+                OrderKind.LEAVE,
+                instance.name,
+                instance.address,
+                membership.group,
+                membership.epoch,
+            )
+            orders += self._send(order, LEAVE_RETRY_S, now)
+        return orders
+
+    def _find_progress(self, claim: GroupClaim, now: float) -> _Progress:
+        key = (claim.name, claim.epoch)
+        progress = self._progress.get(key)
+        if progress is None:
+            progress = _Progress(now, may_be_open=key not in self._formed)
+            self._progress[key] = progress
+        return progress
+
+    def _find_failure(
+        self,
+        claim: GroupClaim,
+        view: FleetView,
+        engine: EngineProfile,
+        progress: _Progress,
+        now: float,
+    ) -> str:
+        """Return why a group can't go on, or an empty text."""
+        head = view.instances.get(claim.head)
+        serving = _is_in(head, claim) and _state(head) in (
+            GroupState.OPEN,
+            GroupState.CLOSING,
+        )
+        for name in claim.members:
+            instance = view.instances.get(name)
+            if instance is None:
+                return f'{name} is no longer listed'
+            if name in self.dead:
+                return f'{name} does not answer'
+            if _is_in(instance, claim) and _state(instance) is GroupState.BROKEN:
+                return f'{name} says that the group is broken'
+            if serving and not _is_in(instance, claim) and not view.is_lapsed(name):
+                return f'{name} left the group'
+            if instance.draining and not (serving and self._is_busy(claim, view)):
+                return f'{name} is leaving'
+        model = engine.find_model(claim.model)
+        if model is None:
+            return f'model {claim.model} is no longer wanted'
+        if not serving and now - progress.since > model.load_s * 2 + FORM_MARGIN_S:
+            return 'it did not form in time'
+        return ''
+
+    @staticmethod
+    def _is_busy(claim: GroupClaim, view: FleetView) -> bool:
+        """Whether the head may still run requests of a group that ends."""
+        head = view.instances.get(claim.head)
+        state = _state(head)
+        return state is not None and state.may_serve
+
+    def _advance(
+        self, claim: GroupClaim, view: FleetView, progress: _Progress, now: float
+    ) -> list[Order]:
+        """Return the orders that bring a group on."""
+        orders: list[Order] = []
+        members = [view.instances[name] for name in claim.members]
+        head = members[0]
+        if any(item.draining for item in members):
+            order = _order(OrderKind.CLOSE, head.name, head.address, claim)
+            return self._send(order, OPEN_RETRY_S, now)
+        for instance in members:
+            if not _is_in(instance, claim) and not view.is_lapsed(instance.name):
+                order = _order(OrderKind.JOIN, instance.name, instance.address, claim)
+                orders += self._send(order, JOIN_RETRY_S, now)
+        ready = all(
+            _is_in(item, claim) and _state(item) is GroupState.READY for item in members
+        )
+        if ready:
+            progress.may_be_open = True
+            order = _order(OrderKind.OPEN, head.name, head.address, claim)
+            orders += self._send(order, OPEN_RETRY_S, now)
+        return orders
+
+    def _retire(
+        self, claim: GroupClaim, view: FleetView, progress: _Progress, now: float
+    ) -> list[Order]:
+        """Return the orders that end a group."""
+        if not progress.may_be_open:
+            return []
+        orders: list[Order] = []
+        # A head that is no longer listed may still serve where it was.
+        address = self._addresses.get(claim.head)
+        silent = address is None or progress.head_failures >= SILENT_TRIES
+        if address is not None and claim.head not in progress.left and not silent:
+            order = _order(OrderKind.LEAVE, claim.head, address, claim)
+            orders += self._send(order, LEAVE_RETRY_S, now)
+        if silent or claim.head in self.dead:
+            for name in claim.members[1:]:
+                instance = view.instances.get(name)
+                if instance is None or name in progress.left or name in self.dead:
+                    continue
+                order = _order(OrderKind.LEAVE, name, instance.address, claim)
+                orders += self._send(order, LEAVE_RETRY_S, now)
+        return orders
+
+    def _is_settled(
+        self, claim: GroupClaim, view: FleetView, progress: _Progress, now: float
+    ) -> bool:
+        """Whether members may join elsewhere."""
+        if not progress.may_be_open:
+            return True
+        head = view.instances.get(claim.head)
+        if claim.head in progress.left:
+            return True
+        if head is not None and claim.head not in self.dead:
+            gone = not _is_in(head, claim) or _state(head) is GroupState.BROKEN
+            if gone and not view.is_lapsed(claim.head):
+                return True
+        # The head is silent.  Without any of its members it breaks by itself;
+        # one that left, or died, long enough ago is proof of that.
+        waiting = [
+            name
+            for name in claim.members[1:]
+            if name in view.instances
+            and name not in progress.left
+            and name not in self.dead
+        ]
+        if waiting:
+            return False
+        if progress.stood_since is None:
+            progress.stood_since = now
+        return now - progress.stood_since >= self.rules.stall_s + STALL_MARGIN_S
+
+    def _send(self, order: Order, retry_s: float, now: float) -> list[Order]:
+        """Return the order unless it was sent just now."""
+        key = (order.instance, order.kind, order.epoch)
+        if now - self._sent.get(key, float('-inf')) < retry_s:
+            return []
+        self._sent[key] = now
+        return [order]
+
+    # -- placement --------------------------------------------------------
+
+    def _place(
+        self,
+        view: FleetView,
+        service: Service,
+        engine: EngineProfile,
+        claims: list[GroupClaim],
+        dropped: set[tuple[str, int]],
+        demand: Mapping[str, float],
+        now: float,
+        early: bool,
+        settled: bool,
+    ) -> tuple[list[ClaimChange], list[Order]]:
+        """Return new claims and stagings for the free instances."""
+        domains = self._list_free(view, service, claims)
+        by_domain: dict[str, list[GroupClaim]] = defaultdict(list)
+        for claim in claims:
+            by_domain[claim.domain].append(claim)
+        counts: dict[str, int] = defaultdict(int)
+        for claim in claims:
+            counts[claim.model] += 1
+        total = sum(
+            1
+            for item in view.instances.values()
+            if item.service == service.name and not item.draining
+        )
+        targets = count_targets(engine.models, total, demand)
+        dirty = {
+            claim.domain
+            for claim in view.all_claims()
+            if (claim.name, claim.epoch) in dropped
+        }
+        epoch = view.store_revision + 1
+        changes: list[ClaimChange] = []
+        orders: list[Order] = []
+        for domain in sorted(set(domains) | dirty):
+            free, held = domains.get(domain, ([], 0))
+            added: list[GroupClaim] = []
+            if settled and free:
+                plan = plan_domain(
+                    free,
+                    engine.models,
+                    counts,
+                    targets,
+                    spares=int(held * SPARE_SHARE),
+                    cold=early,
+                )
+                for place, formation in enumerate(plan.formations):
+                    name = f'g{epoch}-{domain or "x"}-{place}'
+                    counts[formation.model] += 1
+                    added.append(
+                        GroupClaim(
+                            name,
+                            epoch,
+                            service.name,
+                            domain,
+                            formation.model,
+                            formation.members,
+                        )
+                    )
+                by_name = {item.name: item for item in free}
+                for staging in plan.stagings:
+                    instance = by_name[staging.instance]
+                    order = Order(
+                        OrderKind.STAGE,
+                        instance.name,
+                        instance.address,
+                        model=staging.model,
+                    )
+                    orders += self._stage(order, engine, now, early)
+            if added or domain in dirty:
+                gone = tuple(
+                    claim.name
+                    for claim in view.all_claims()
+                    if claim.domain == domain and (claim.name, claim.epoch) in dropped
+                )
+                changes.append(
+                    ClaimChange(
+                        service.name,
+                        domain,
+                        tuple(by_domain[domain] + added),
+                        tuple(claim.name for claim in added),
+                        gone,
+                    )
+                )
+        return changes, orders
+
+    def _list_free(
+        self, view: FleetView, service: Service, claims: list[GroupClaim]
+    ) -> dict[str, tuple[list[FleetInstance], int]]:
+        """Return by domain the free instances and how many there are in all."""
+        claimed = {name for claim in claims for name in claim.members}
+        found: dict[str, tuple[list[FleetInstance], int]] = {}
+        for instance in view.instances.values():
+            if instance.service != service.name or instance.draining:
+                continue
+            free, held = found.get(instance.domain, ([], 0))
+            state = _state(instance)
+            usable = (
+                instance.name not in claimed
+                and instance.name not in self.dead
+                and instance.name not in view.lost
+                and not view.is_lapsed(instance.name)
+                and not (state is not None and state.may_serve)
+            )
+            if usable:
+                free = [*free, instance]
+            found[instance.domain] = (free, held + 1)
+        return found
+
+    def _stage(
+        self, order: Order, engine: EngineProfile, now: float, early: bool
+    ) -> list[Order]:
+        """Return an order to load weights if the weight store bears it now."""
+        model = engine.find_model(order.model)
+        key = (order.instance, order.kind, 0)
+        retry_s = STAGE_RETRY_S + (model.load_s if model else 0.0)
+        if now - self._sent.get(key, float('-inf')) < retry_s:
+            return []
+        if not early and not self._take_load(engine.loads_per_s, now):
+            return []
+        self._sent[key] = now
+        return [order]
+
+    def _take_load(self, rate: float, now: float) -> bool:
+        if rate <= 0:
+            return True
+        seen = now if self._load_seen is None else self._load_seen
+        self._load_seen = now
+        self._load_tokens += (now - seen) * rate * LOAD_RATE_PART
+        self._load_tokens = min(self._load_tokens, LOAD_BURST)
+        if self._load_tokens < 1:
+            return False
+        self._load_tokens -= 1
+        return True
+
+
+def _state(instance: FleetInstance | None) -> GroupState | None:
+    if instance is None or instance.membership is None:
+        return None
+    return instance.membership.state
+
+
+def _is_in(instance: FleetInstance | None, claim: GroupClaim) -> bool:
+    if instance is None or instance.membership is None:
+        return False
+    membership = instance.membership
+    return membership.group == claim.name and membership.epoch == claim.epoch
+
+
+def _order(kind: OrderKind, name: str, address: str, claim: GroupClaim) -> Order:
+    return Order(
+        kind, name, address, claim.name, claim.epoch, claim.model, claim.members
+    )
--- /dev/null
+++ b/coursepitch/fleet/instances.py
@@ -0,0 +1,58 @@
+"""Instances of services and the groups they form, as the platform lists them."""
+
+from __future__ import annotations
+
+import enum
+from dataclasses import dataclass
+
+__all__ = ['FleetInstance', 'GroupState', 'Membership']
+
+
+class GroupState(enum.Enum):
+    """What an instance does in its group."""
+
+    JOINING = 'joining'
+    READY = 'ready'
+    OPEN = 'open'
+    CLOSING = 'closing'
+    BROKEN = 'broken'
+
+    @property
+    def may_serve(self) -> bool:
+        """Whether the group's head may be running requests."""
+        return self in (GroupState.OPEN, GroupState.CLOSING)
+
+
+@dataclass(frozen=True, slots=True)
+class Membership:
+    """The group that an instance belongs to.
+
+    :param epoch: fencing token of the order with which it joined.
+    :param rank: place in the list of members; 0 is the head.
+    """
+
+    group: str
+    epoch: int
+    rank: int
+    state: GroupState
+
+
+@dataclass(frozen=True, slots=True)
+class FleetInstance:
+    """One incarnation of an instance; its name is never used again.
+
+    :param domain: fabric domain; empty where there are none.
+    :param models: models whose weights it holds.
+    :param staged: models whose weights lie on its host.
+    """
+
+    name: str
+    service: str
+    address: str
+    availability_zone: str
+    slots: int
+    draining: bool
+    domain: str = ''
+    models: frozenset[str] = frozenset()
+    staged: frozenset[str] = frozenset()
+    membership: Membership | None = None
--- /dev/null
+++ b/coursepitch/fleet/keeper.py
@@ -0,0 +1,195 @@
+"""The leader's task: writes claims, sends orders, checks instances held for lost."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import anyio
+
+from coursepitch import events, log
+from coursepitch.fleet.claims import encode_claims
+from coursepitch.fleet.control import Probe
+from coursepitch.fleet.groups import GroupBook, KeeperRules
+from coursepitch.fleet.view import LEADER_KEY, claim_key
+from coursepitch.platform.kv import Condition, Conflict, Entry, Swapped, Write
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Mapping, Sequence
+
+    from anyio.abc import TaskGroup
+
+    from coursepitch.clock import Clock
+    from coursepitch.fleet.control import InstanceControl
+    from coursepitch.fleet.groups import ClaimChange, Decision
+    from coursepitch.fleet.orders import Order
+    from coursepitch.fleet.session import FleetSession
+
+__all__ = ['GroupKeeper']
+
+#: Longest time in seconds between two looks at all groups.
+TICK_S = 0.1
+
+#: Seconds without a new instance after which the first groups form: instances
+#: appear in a few batches about a second apart.
+REST_S = 1.3
+
+#: Seconds after the system's first start in which loads are fast.  Source: the
+#: first request comes 12 s after the nodes start.
+EARLY_S = 11.0
+
+#: Seconds between two questions to an instance held for lost that is listed.
+RECHECK_S = 1.0
+
+#: Domains whose claims change in one transaction; the platform takes 32 rows.
+DOMAINS_AT_ONCE = 15
+
+
+class GroupKeeper:
+    """Carries out what :class:`GroupBook` decides, while the node leads.
+
+    :param bootstrap: whether this is the system's first start.
+    :param has_served: whether the node saw a request.
+    """
+
+    def __init__(
+        self,
+        session: FleetSession,
+        control: InstanceControl,
+        rules: KeeperRules,
+        clock: Clock,
+        *,
+        bootstrap: bool,
+        has_served: Callable[[], bool],
+        read_demand: Callable[[], Mapping[str, float]],
+    ) -> None:
+        self._session = session
+        self._control = control
+        self._book = GroupBook(rules)
+        self._clock = clock
+        self._bootstrap = bootstrap
+        self._has_served = has_served
+        self._read_demand = read_demand
+        self._started_at = clock()
+        self._leading = 0
+        self._checked: dict[str, float] = {}
+        self._orders: set[tuple[str, str, int]] = set()
+
+    async def run(self) -> None:
+        """Keep the groups while the node leads, until cancelled."""
+        async with anyio.create_task_group() as group:
+            while True:
+                await self._session.wait_changed(TICK_S)
+                self._note_lead()
+                if self._leading:
+                    await self._keep(group)
+
+    def _note_lead(self) -> None:
+        session = self._session
+        leading = session.view.leader_revision if session.is_leader() else 0
+        if leading == self._leading:
+            return
+        if leading:
+            self._book.reset()
+        else:
+            log.emit(events.LEAD_LOST)
+        self._leading = leading
+
+    def _is_early(self) -> bool:
+        young = self._clock() - self._started_at < EARLY_S
+        return self._bootstrap and young and not self._has_served()
+
+    async def _keep(self, group: TaskGroup) -> None:
+        view = self._session.view
+        table = view.table
+        if table is None or not self._session.is_fresh():
+            return
+        view.store_revision = max(view.store_revision, view.leader_revision)
+        self._check_lost(group)
+        early = self._is_early()
+        settled = not early or self._clock() - view.arrived_at >= REST_S
+        for service in table.services.values():
+            decision = self._book.decide(
+                view,
+                service,
+                self._read_demand(),
+                self._clock(),
+                early=early,
+                settled=settled,
+            )
+            await self._carry_out(decision, group)
+
+    async def _carry_out(self, decision: Decision, group: TaskGroup) -> None:
+        for name, reason in decision.retired:
+            log.emit(events.GROUP_RETIRED, group=name, reason=reason)
+        for order in decision.orders:
+            group.start_soon(self._send, order)
+        changes = decision.changes
+        for start in range(0, len(changes), DOMAINS_AT_ONCE):
+            await self._write(changes[start : start + DOMAINS_AT_ONCE])
+
+    async def _write(self, changes: Sequence[ClaimChange]) -> None:
+        """Write claims on the condition that the node still leads."""
+        view = self._session.view
+        if not self._session.is_leader():
+            return
+        conditions = [Condition(LEADER_KEY, self._leading)]
+        writes = []
+        for change in changes:
+            key = claim_key(change.service, change.domain)
+            conditions.append(Condition(key, view.claim_revisions.get(key, 0)))
+            writes.append(Write(key, encode_claims(change.claims)))
+        result = await self._session.kv.transact(conditions, writes)
+        log.emit(
+            events.GROUPS_CLAIMED,
+            added=[name for change in changes for name in change.added],
+            dropped=[name for change in changes for name in change.dropped],
+            outcome=type(result).__name__,
+        )
+        if isinstance(result, Swapped):
+            for change, write in zip(changes, writes, strict=True):
+                self._book.note_formed(
+                    item for item in change.claims if item.name in change.added
+                )
+                view.take_claims(Entry(write.key, write.value or '', result.revision))
+            view.store_revision = max(view.store_revision, result.revision)
+            self._session.wake()
+        elif isinstance(result, Conflict):
+            for entry in result.entries:
+                view.take_entry(entry)
+
+    async def _send(self, order: Order) -> None:
+        key = (order.instance, order.kind.value, order.epoch)
+        if key in self._orders or not self._session.is_leader():
+            return
+        self._orders.add(key)
+        try:
+            result = await self._control.send(order)
+        finally:
+            self._orders.discard(key)
+        self._book.note_result(order, result, self._clock())
+        self._session.wake()
+
+    def _check_lost(self, group: TaskGroup) -> None:
+        """Ask instances that a node holds for lost."""
+        now = self._clock()
+        for name in self._session.view.lost | self._book.dead:
+            if now - self._checked.get(name, float('-inf')) >= RECHECK_S:
+                self._checked[name] = now
+                group.start_soon(self._check, name)
+
+    async def _check(self, name: str) -> None:
+        view = self._session.view
+        instance = view.instances.get(name)
+        found = Probe.REPLACED
+        if instance is not None:
+            found = await self._control.probe(instance)
+        silent = found is Probe.SILENT
+        if silent and name not in self._book.dead:
+            log.emit(events.INSTANCE_LOST, instance=name, answers=False)
+            self._book.dead.add(name)
+            self._session.wake()
+        if not silent:
+            log.emit(events.INSTANCE_LOST, instance=name, answers=True)
+            self._book.dead.discard(name)
+            if name in view.lost:
+                await self._session.clear_lost(name)
--- /dev/null
+++ b/coursepitch/fleet/view.py
@@ -0,0 +1,286 @@
+"""What a node believes of the fleet, from the platform's store.
+
+The view is changed by the entries of a listing or a watch, in their order.
+Nothing here asks for anything; the session does.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from coursepitch import events, log
+from coursepitch.errors import CodecError, FindingsError
+from coursepitch.fleet.claims import GroupClaim, decode_claims
+from coursepitch.fleet.instances import GroupState
+from coursepitch.platform.configuration import CONFIGURATION_KEY, decode_configuration
+from coursepitch.platform.fleet import INSTANCE_PREFIX, decode_instance
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from coursepitch.clock import Clock
+    from coursepitch.config.routes import RouteTable
+    from coursepitch.fleet.instances import FleetInstance
+    from coursepitch.platform.kv import Entry, Events
+
+__all__ = [
+    'CLAIM_PREFIX',
+    'LEADER_KEY',
+    'LOST_PREFIX',
+    'NODE_PREFIX',
+    'FleetView',
+    'OpenGroup',
+    'claim_key',
+]
+
+#: Keys of this system in the store; each is written under a condition.
+ROOT = 'coursepitch/'
+NODE_PREFIX = ROOT + 'nodes/'
+CLAIM_PREFIX = ROOT + 'claims/'
+LOST_PREFIX = ROOT + 'lost/'
+LEADER_KEY = ROOT + 'leader'
+
+#: Seconds for which an entry that vanished around an outage of the store still
+#: counts.  Source: the platform has entries of live instances back within about
+#: two seconds.
+LAPSE_HOLD_S = 2.3
+
+#: Seconds after an outage of the store in which a vanished entry may be a lapse.
+OUTAGE_ECHO_S = 2.5
+
+
+def claim_key(service: str, domain: str) -> str:
+    """Return the key that holds the claims of one fabric domain."""
+    return f'{CLAIM_PREFIX}{service}/{domain or "-"}'
+
+
+@dataclass(frozen=True, slots=True)
+class OpenGroup:
+    """A group that may take requests.
+
+    :param members: all members, the head first.
+    """
+
+    claim: GroupClaim
+    head: FleetInstance
+    members: tuple[FleetInstance, ...]
+
+
+@dataclass(eq=False)
+class FleetView:
+    """Configuration, instances, claims and nodes, as last heard."""
+
+    clock: Clock
+    table: RouteTable | None = None
+    instances: dict[str, FleetInstance] = field(default_factory=dict)
+    claims: dict[str, tuple[GroupClaim, ...]] = field(default_factory=dict)
+    claim_revisions: dict[str, int] = field(default_factory=dict)
+    nodes: dict[str, str] = field(default_factory=dict)
+    lost: set[str] = field(default_factory=set)
+    leader: str = ''
+    leader_revision: int = 0
+    store_revision: int = 0
+    outage_until: float = float('-inf')
+    arrived_at: float = float('-inf')
+    version: int = 0
+    _lapsed: dict[str, float] = field(default_factory=dict)
+    _groups: dict[tuple[str, str], list[OpenGroup]] = field(default_factory=dict)
+    _groups_version: int = -1
+
+    # -- what was heard ----------------------------------------------------------
+
+    def take(self, found: Events) -> None:
+        """Take what a listing or a watch gave."""
+        if found.complete:
+            self._forget_missing(found)
+        for entry in found.entries:
+            self.take_entry(entry)
+        self.store_revision = max(self.store_revision, found.revision)
+        self.version += 1
+
+    def _forget_missing(self, found: Events) -> None:
+        """Drop what a listing of all keys no longer holds."""
+        present = {entry.key for entry in found.entries}
+        for name in list(self.instances):
+            if INSTANCE_PREFIX + name not in present:
+                self._drop_instance(name)
+        for key in list(self.claims):
+            if key not in present:
+                del self.claims[key]
+                self.claim_revisions.pop(key, None)
+        for node in list(self.nodes):
+            if NODE_PREFIX + node not in present:
+                del self.nodes[node]
+        self.lost = {name for name in self.lost if LOST_PREFIX + name in present}
+        if LEADER_KEY not in present:
+            self.leader, self.leader_revision = '', 0
+
+    def take_entry(self, entry: Entry) -> None:
+        """Take one key as it was written or deleted."""
+        key = entry.key
+        if key.startswith(INSTANCE_PREFIX):
+            self._take_instance(key[len(INSTANCE_PREFIX) :], entry)
+        elif key == CONFIGURATION_KEY:
+            self.take_configuration(entry)
+        elif key.startswith(CLAIM_PREFIX):
+            self.take_claims(entry)
+        elif key.startswith(NODE_PREFIX):
+            self._take_node(key[len(NODE_PREFIX) :], entry)
+        elif key.startswith(LOST_PREFIX):
+            name = key[len(LOST_PREFIX) :]
+            (self.lost.add if entry.present else self.lost.discard)(name)
+        elif key == LEADER_KEY:
+            self.leader = entry.value if entry.present else ''
+            self.leader_revision = entry.revision
+
+    def take_configuration(self, entry: Entry) -> None:
+        """Put a configuration in force unless one as new is in force already."""
+        if not entry.present:
+            return
+        if self.table is not None and entry.revision <= self.table.revision:
+            return
+        try:
+            table = decode_configuration(entry.value, entry.revision)
+        except FindingsError as error:
+            log.emit(events.CONFIG_DAMAGED, revision=entry.revision, reason=str(error))
+            return
+        self.table = table
+        self.version += 1
+        log.emit(
+            events.TABLE_IN_FORCE,
+            version=table.version,
+            revision=table.revision,
+            routes=len(table.routes),
+        )
+
+    def take_claims(self, entry: Entry) -> None:
+        """Take the claims of a fabric domain; older ones than known are left."""
+        if entry.present and entry.revision < self.claim_revisions.get(entry.key, 0):
+            return
+        self.version += 1
+        if not entry.present:
+            self.claims.pop(entry.key, None)
+            self.claim_revisions.pop(entry.key, None)
+            return
+        try:
+            self.claims[entry.key] = decode_claims(entry.value)
+            self.claim_revisions[entry.key] = entry.revision
+        except CodecError as error:
+            log.emit(events.CLAIMS_DAMAGED, domain=entry.key, reason=str(error))
+
+    def _take_node(self, name: str, entry: Entry) -> None:
+        if entry.present:
+            self.nodes[name] = entry.value
+        else:
+            self.nodes.pop(name, None)
+
+    def _take_instance(self, name: str, entry: Entry) -> None:
+        if not entry.present:
+            self._drop_instance(name)
+            return
+        try:
+            instance = decode_instance(name, entry.value)
+        except CodecError as error:
+            log.emit(events.INSTANCE_DAMAGED, instance=name, reason=str(error))
+            return
+        before = self.instances.get(name)
+        self._lapsed.pop(name, None)
+        self.instances[name] = instance
+        if before is None:
+            self.arrived_at = self.clock()
+        if before is None or before.membership != instance.membership:
+            log.emit(
+                events.INSTANCE_CHANGED,
+                instance=name,
+                draining=instance.draining,
+                membership=str(instance.membership),
+                revision=entry.revision,
+            )
+
+    def _drop_instance(self, name: str) -> None:
+        if name not in self.instances:
+            return
+        now = self.clock()
+        if now < self.outage_until:
+            # Its entry may have lapsed with the store, not with the instance.
+            self._lapsed.setdefault(name, now + LAPSE_HOLD_S)
+            return
+        del self.instances[name]
+        self._lapsed.pop(name, None)
+        log.emit(events.INSTANCE_GONE, instance=name)
+
+    def note_outage(self) -> None:
+        """Note that the store can't be reached now."""
+        self.outage_until = self.clock() + OUTAGE_ECHO_S
+
+    def sweep(self) -> None:
+        """Drop instances whose entries did not come back after an outage."""
+        now = self.clock()
+        if now < self.outage_until - OUTAGE_ECHO_S + 1.0:
+            return
+        for name, until in list(self._lapsed.items()):
+            if now >= until:
+                del self._lapsed[name]
+                if self.instances.pop(name, None) is not None:
+                    self.version += 1
+                    log.emit(events.INSTANCE_GONE, instance=name)
+
+    # -- what follows from it -------------------------------------------------------
+
+    def all_claims(self) -> Iterable[GroupClaim]:
+        """Yield the claims of all fabric domains."""
+        for claims in self.claims.values():
+            yield from claims
+
+    def is_lapsed(self, name: str) -> bool:
+        """Whether an instance's entry vanished around an outage of the store."""
+        return name in self._lapsed
+
+    def list_serving(self, service: str) -> list[FleetInstance]:
+        """Return the instances of a service without groups that take requests."""
+        return [
+            item
+            for item in self.instances.values()
+            if item.service == service and not item.draining
+        ]
+
+    def list_open(self, service: str, model: str) -> list[OpenGroup]:
+        """Return the groups of a model whose every member is known to be there."""
+        if self._groups_version != self.version:
+            self._groups_version = self.version
+            self._groups = self._find_open()
+        return self._groups.get((service, model), [])
+
+    def _find_open(self) -> dict[tuple[str, str], list[OpenGroup]]:
+        found: dict[tuple[str, str], list[OpenGroup]] = {}
+        for claim in self.all_claims():
+            group = self.find_open(claim)
+            if group is not None:
+                found.setdefault((claim.service, claim.model), []).append(group)
+        return found
+
+    def find_open(self, claim: GroupClaim) -> OpenGroup | None:
+        """Return a claimed group if it may take requests."""
+        members = [self.instances.get(name) for name in claim.members]
+        present = [item for item in members if item is not None]
+        if len(present) < len(members):
+            return None
+        if any(item.draining or item.name in self.lost for item in present):
+            return None
+        if not all(self.holds(item, claim) for item in present):
+            return None
+        head = present[0]
+        if head.membership is None or head.membership.state is not GroupState.OPEN:
+            return None
+        return OpenGroup(claim, head, tuple(present))
+
+    @staticmethod
+    def holds(instance: FleetInstance, claim: GroupClaim) -> bool:
+        """Whether an instance says that it is in a claimed group."""
+        membership = instance.membership
+        return (
+            membership is not None
+            and membership.group == claim.name
+            and membership.epoch == claim.epoch
+        )
--- /dev/null
+++ b/coursepitch/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""The way of a request on a route: arrive, decide, send on."""
--- /dev/null
+++ b/coursepitch/gateway/arrive.py
@@ -0,0 +1,178 @@
+"""Where requests on routes arrive: identity, route, deadline, and the answer."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import anyio
+
+from coursepitch import events, log
+from coursepitch.gateway.job import RETURNED_SHARE, Ending, Job, Refusal
+from coursepitch.platform.headers import read_request_fields
+
+if TYPE_CHECKING:
+    from coursepitch.clock import Clock
+    from coursepitch.config.routes import RouteTable
+    from coursepitch.fleet.session import FleetSession
+    from coursepitch.gateway.budget import RetryBudget
+    from coursepitch.gateway.calls import CallServer
+    from coursepitch.gateway.router import Router
+    from coursepitch.gateway.streams import StreamServer
+    from coursepitch.http.messages import IncomingRequest
+    from coursepitch.http.server import Reply
+    from coursepitch.metrics import Metrics
+    from coursepitch.platform.headers import RequestFields
+
+__all__ = ['Gateway']
+
+#: Seconds after which a client comes back to a node that can't confirm its
+#: configuration; other nodes may be able to.
+STALE_AGAIN_S = 0.5
+
+
+class Gateway:
+    """Handler of clients' requests."""
+
+    def __init__(
+        self,
+        session: FleetSession,
+        router: Router,
+        streams: StreamServer,
+        calls: CallServer,
+        budget: RetryBudget,
+        metrics: Metrics,
+        clock: Clock,
+    ) -> None:
+        self._session = session
+        self._router = router
+        self._streams = streams
+        self._calls = calls
+        self._budget = budget
+        self._metrics = metrics
+        self._clock = clock
+        self.has_served = False
+        self._patience: dict[str, float] = {}
+
+    async def handle(self, request: IncomingRequest, reply: Reply) -> None:
+        """Answer one request."""
+        self.has_served = True
+        fields = read_request_fields(request)
+        found = self._admit(request, reply, fields)
+        if isinstance(found, Refusal):
+            await self._refuse(reply, fields, found)
+            self._note_end(None, fields, found.status, request.received_at)
+            return
+        job = found
+        try:
+            await self._serve(job)
+        except BaseException:
+            if job.ending is not Ending.ANSWERED:
+                job.ending = Ending.LEFT
+            raise
+        finally:
+            self._note_end(job, fields, job.status, job.arrived_at)
+
+    def _admit(
+        self, request: IncomingRequest, reply: Reply, fields: RequestFields
+    ) -> Job | Refusal:
+        """Return the job, or why there is none."""
+        table = self._session.view.table
+        if table is None or not self._session.is_fresh():
+            return Refusal(503, 'the configuration is not confirmed', STALE_AGAIN_S)
+        return self._resolve(table, request, reply, fields)
+
+    def _resolve(
+        self,
+        table: RouteTable,
+        request: IncomingRequest,
+        reply: Reply,
+        fields: RequestFields,
+    ) -> Job | Refusal:
+        route = table.find_route(fields.host, request.path.decode('latin-1'))
+        if route is None:
+            return Refusal(404, 'no route')
+        customer = table.find_customer(fields.key) if fields.key else None
+        if table.keyed and not route.public and customer is None:
+            return Refusal(401, 'unknown key')
+        if not fields.request:
+            return Refusal(400, 'no request id')
+        service = table.services.get(self._router.choose_service(route))
+        if service is None:
+            return Refusal(503, 'the service is not known', STALE_AGAIN_S)
+        patience_s = fields.patience_s
+        limit_s = route.timeout_s
+        if patience_s is not None:
+            limit_s = min(limit_s, patience_s)
+        returned = self._has_returned(route.name, patience_s)
+        return Job(
+            request,
+            reply,
+            fields,
+            route,
+            service,
+            None if route.public else customer,
+            request.received_at + limit_s,
+            returned,
+        )
+
+    def _has_returned(self, route: str, patience_s: float | None) -> bool:
+        """Whether a client was refused before: it names less than the usual."""
+        if patience_s is None:
+            return False
+        usual = max(self._patience.get(route, 0.0), patience_s)
+        self._patience[route] = usual
+        return patience_s < usual * RETURNED_SHARE
+
+    async def _serve(self, job: Job) -> None:
+        """Serve a job until its limit."""
+        self._budget.note_request(job.service.name)
+        refusal: Refusal | None = None
+        left_s = job.limit_at - self._clock()
+        with anyio.move_on_after(left_s) as scope:
+            if job.service.engine is not None and job.fields.model:
+                refusal = await self._streams.serve(job)
+            else:
+                refusal = await self._calls.serve(job)
+        if scope.cancelled_caught:
+            refusal = self._end_late(job)
+        if refusal is not None:
+            job.status = refusal.status
+            unknown = refusal.status in (502, 504)
+            job.ending = Ending.UNKNOWN if unknown else Ending.NOT_RUN
+            job.last_reason = refusal.reason
+            await self._refuse(job.reply, job.fields, refusal)
+
+    def _end_late(self, job: Job) -> Refusal | None:
+        if job.reply.started:
+            job.reply.abort()
+            job.ending = Ending.CUT
+            return None
+        if job.sent:
+            return Refusal(504, 'no answer within the limit')
+        return Refusal(503, job.last_reason or 'no target within the limit')
+
+    async def _refuse(
+        self, reply: Reply, fields: RequestFields, refusal: Refusal
+    ) -> None:
+        headers = [(b'X-Request-Id', fields.request.encode('latin-1'))]
+        if refusal.again_s:
+            headers.append((b'Retry-After', b'%.2f' % refusal.again_s))
+        await reply.send_whole(refusal.status, tuple(headers), b'')
+
+    def _note_end(
+        self, job: Job | None, fields: RequestFields, status: int, since: float
+    ) -> None:
+        outcome = job.ending if job else Ending.NOT_RUN
+        self._metrics.requests.inc({'outcome': outcome.value, 'code': str(status)})
+        log.emit(
+            events.REQUEST_ENDED,
+            request=fields.request,
+            route=job.route.name if job else '',
+            status=status,
+            outcome=outcome.value,
+            reason=job.last_reason if job else '',
+            instance=','.join(job.sent) if job else '',
+            attempts=len(job.sent) if job else 0,
+            took_s=round(self._clock() - since, 4),
+            age=round(self._session.confirmation_age_s, 3),
+        )
--- /dev/null
+++ b/coursepitch/gateway/attempts.py
@@ -0,0 +1,153 @@
+"""One attempt on one instance: sent or not, and what came back."""
+
+from __future__ import annotations
+
+import enum
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+import anyio
+
+from coursepitch import events, log
+from coursepitch.http.client import ExchangeError, NoConnectionError
+from coursepitch.platform.headers import (
+    AnswerMarks,
+    ForwardFields,
+    build_target_headers,
+    read_answer_marks,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from coursepitch.clock import Clock
+    from coursepitch.fleet.instances import FleetInstance
+    from coursepitch.gateway.job import Job
+    from coursepitch.http.client import Answer, ConnectionPool
+
+__all__ = ['Attempt', 'Result', 'send_attempt']
+
+
+class Result(enum.Enum):
+    """What is known of an attempt."""
+
+    ANSWERED = 'answered'
+    NOT_RUN = 'not run'
+    UNKNOWN = 'unknown'
+
+
+@dataclass(frozen=True, slots=True)
+class Attempt:
+    """An attempt that has come back.
+
+    :param answer: the head of the answer, with its body still to be read; only
+        with :attr:`Result.ANSWERED`.
+    """
+
+    result: Result
+    reason: str = ''
+    answer: Answer | None = None
+    marks: AnswerMarks | None = None
+
+
+#: Largest body in bytes of an answer that is read only to be dropped.
+REJECTION_BYTES = 65_536
+
+
+async def send_attempt(
+    pool: ConnectionPool,
+    job: Job,
+    instance: FleetInstance,
+    clock: Clock,
+    may_send: Callable[[], bool],
+    *,
+    last_event: bytes,
+    fresh: bool,
+    wait_s: float,
+    priority: int | None = None,
+) -> Attempt:
+    """Send a request to an instance and wait for the head of its answer.
+
+    :param may_send: asked once more when the connection is up, as the process
+        may have stood still since the request was admitted.
+    :param fresh: whether only a new connection will do.
+    :param wait_s: seconds for which the head is waited for.
+    """
+    sent_at = clock()
+    attempt = await _send(
+        pool, job, instance, clock, may_send, last_event, fresh, wait_s, priority
+    )
+    if attempt.result is not Result.NOT_RUN:
+        job.may_have_run.add(instance.name)
+    if attempt.result is not Result.ANSWERED:
+        job.last_reason = attempt.reason
+        log.emit(
+            events.REQUEST_ATTEMPT,
+            request=job.fields.request,
+            instance=instance.name,
+            outcome=attempt.result.value,
+            reason=attempt.reason,
+            sent_s=round(clock() - sent_at, 4),
+        )
+    return attempt
+
+
+async def _send(
+    pool: ConnectionPool,
+    job: Job,
+    instance: FleetInstance,
+    clock: Clock,
+    may_send: Callable[[], bool],
+    last_event: bytes,
+    fresh: bool,
+    wait_s: float,
+    priority: int | None,
+) -> Attempt:
+    try:
+        connection = await pool.acquire(instance.address, fresh=fresh)
+    except NoConnectionError as error:
+        return Attempt(Result.NOT_RUN, str(error))
+    left_s = job.limit_at - clock()
+    if left_s <= 0 or not may_send():
+        pool.discard(connection)
+        return Attempt(Result.NOT_RUN, 'no longer to be sent')
+    fields = ForwardFields(
+        instance.name,
+        left_s,
+        job.customer.name if job.customer else '',
+        last_event,
+        priority,
+    )
+    incoming = job.incoming
+    headers = build_target_headers(incoming.headers, fields)
+    job.sent.append(instance.name)
+    try:
+        with anyio.fail_after(wait_s):
+            answer = await pool.exchange(
+                connection, incoming.method, incoming.target, headers, incoming.body
+            )
+    except ExchangeError as error:
+        return Attempt(Result.UNKNOWN, str(error))
+    except TimeoutError:
+        return Attempt(Result.UNKNOWN, 'no answer in time')
+    marks = read_answer_marks(answer.status, answer.headers)
+    if marks.request != job.fields.request:
+        answer.connection.close()
+        answer.release()
+        return Attempt(Result.UNKNOWN, 'the answer is for another request')
+    if marks.not_run:
+        await _drop_rejection(answer)
+        return Attempt(Result.NOT_RUN, f'rejected with {answer.status}', None, marks)
+    return Attempt(Result.ANSWERED, '', answer, marks)
+
+
+async def _drop_rejection(answer: Answer) -> None:
+    """Read the rest of a rejection, so that its connection can be used again."""
+    try:
+        with anyio.move_on_after(0.2):
+            await answer.read_whole(REJECTION_BYTES)
+    except ExchangeError:
+        # The rejection itself stands; the connection is closed on release.
+        pass
+    finally:
+        answer.release()
--- /dev/null
+++ b/coursepitch/gateway/board.py
@@ -0,0 +1,94 @@
+"""What a node knows of the load and the health of instances from its own sends."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from coursepitch.clock import Clock
+
+__all__ = ['LoadBoard']
+
+#: Seconds for which an instance is passed over after one failure; each further
+#: failure in a row doubles it, up to the most.
+HOLD_S = 0.5
+MOST_HOLD_S = 6.0
+
+#: Weight of a new sample in the average of how slow an instance is.
+SAMPLE_WEIGHT = 0.25
+
+
+@dataclass(eq=False)
+class _Record:
+    in_flight: int = 0
+    failures: int = 0
+    held_until: float = float('-inf')
+    slowness: float = 1.0
+
+
+@dataclass(eq=False)
+class LoadBoard:
+    """Requests in flight, failures and slowness by instance.
+
+    :param peers: requests in flight from other nodes, by instance.
+    """
+
+    clock: Clock
+    peers: dict[str, int] = field(default_factory=dict)
+    _records: dict[str, _Record] = field(default_factory=dict)
+
+    def _record(self, instance: str) -> _Record:
+        return self._records.setdefault(instance, _Record())
+
+    def begin(self, instance: str) -> None:
+        """Count a request that is sent to an instance."""
+        self._record(instance).in_flight += 1
+
+    def end(self, instance: str) -> None:
+        """Count a request that ended there."""
+        self._record(instance).in_flight -= 1
+
+    def count(self, instance: str) -> int:
+        """Return the requests in flight there, those of peers among them."""
+        return self._record(instance).in_flight + self.peers.get(instance, 0)
+
+    def own_counts(self) -> dict[str, int]:
+        """Return this node's requests in flight by instance."""
+        return {
+            name: item.in_flight
+            for name, item in self._records.items()
+            if item.in_flight
+        }
+
+    def note_failure(self, instance: str) -> None:
+        """Pass an instance over for a while."""
+        record = self._record(instance)
+        record.failures += 1
+        hold_s = min(MOST_HOLD_S, HOLD_S * 2 ** min(record.failures - 1, 8))
+        record.held_until = self.clock() + hold_s
+
+    def note_success(self, instance: str, slowness: float | None = None) -> None:
+        """Note a good answer.
+
+        :param slowness: its time over the time expected.
+        """
+        record = self._record(instance)
+        record.failures = 0
+        record.held_until = float('-inf')
+        if slowness is not None:
+            record.slowness += SAMPLE_WEIGHT * (slowness - record.slowness)
+
+    def is_held(self, instance: str) -> bool:
+        """Whether an instance failed just now."""
+        return self._record(instance).held_until > self.clock()
+
+    def slowness(self, instance: str) -> float:
+        """Return how slow an instance is: 1 is as expected."""
+        return self._record(instance).slowness
+
+    def forget(self, present: set[str]) -> None:
+        """Drop what is known of instances that are gone and idle."""
+        for name in list(self._records):
+            if name not in present and self._records[name].in_flight <= 0:
+                del self._records[name]
--- /dev/null
+++ b/coursepitch/gateway/calls.py
@@ -0,0 +1,193 @@
+"""Calls of plain services: one whole answer, over as many attempts as allowed."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import anyio
+
+from coursepitch.gateway.attempts import Attempt, send_attempt
+from coursepitch.gateway.job import Ending, Refusal
+from coursepitch.http.client import ExchangeError
+from coursepitch.platform.headers import pass_answer_headers
+
+if TYPE_CHECKING:
+    from coursepitch.clock import Clock
+    from coursepitch.fleet.instances import FleetInstance
+    from coursepitch.fleet.session import FleetSession
+    from coursepitch.gateway.board import LoadBoard
+    from coursepitch.gateway.budget import RetryBudget
+    from coursepitch.gateway.job import Job
+    from coursepitch.gateway.router import Router
+    from coursepitch.http.client import Answer, ConnectionPool
+
+__all__ = ['CallServer']
+
+#: Largest answer in bytes that is taken whole before any of it is passed on.
+ANSWER_BYTES = 16_777_216
+
+#: Part of the objective for which a request waits for an instance.
+WAIT_PART = 0.2
+
+#: Seconds for which a request that came back after a refusal waits.
+RETURNED_WAIT_S = 1.0
+
+#: Objectives after which an attempt that may be repeated is given up for
+#: another one.
+ATTEMPT_OBJECTIVES = 2.0
+
+#: Seconds after which a refused client is served again: instances that reject
+#: for being full have room within some requests' time.
+AGAIN_S = 0.4
+
+#: Sends of one request, whatever the route allows: rejections count.
+MOST_SENDS = 3
+
+
+class CallServer:
+    """Serves routes whose service has no groups."""
+
+    def __init__(
+        self,
+        session: FleetSession,
+        router: Router,
+        board: LoadBoard,
+        budget: RetryBudget,
+        pool: ConnectionPool,
+        clock: Clock,
+    ) -> None:
+        self._session = session
+        self._router = router
+        self._board = board
+        self._budget = budget
+        self._pool = pool
+        self._clock = clock
+
+    async def serve(self, job: Job) -> Refusal | None:
+        """Serve a request; return what to tell the client without an answer."""
+        avoided: set[str] = set()
+        while True:
+            instance = await self._wait_instance(job, avoided)
+            if instance is None:
+                return self._give_up(job)
+            if job.sent and not self._budget.take(
+                job.service.name, self._session.count_nodes()
+            ):
+                job.last_reason = 'the budget for second sends is used up'
+                return self._give_up(job)
+            avoided.add(instance.name)
+            again = self._may_repeat_after(job)
+            if await self._run_once(job, instance, again):
+                return None
+            if not self._may_send_again(job):
+                return self._give_up(job)
+
+    def _may_repeat_after(self, job: Job) -> bool:
+        """Whether a further run would be allowed after the next one."""
+        runs = len(job.may_have_run) + 1
+        return job.route.repeatable and runs < job.route.attempts
+
+    def _may_send_again(self, job: Job) -> bool:
+        if len(job.sent) >= MOST_SENDS or self._clock() >= job.limit_at:
+            return False
+        if not job.may_have_run:
+            return True
+        return job.route.repeatable and len(job.may_have_run) < job.route.attempts
+
+    def _give_up(self, job: Job) -> Refusal:
+        if job.may_have_run:
+            late = self._clock() >= job.limit_at
+            return Refusal(504 if late else 502, job.last_reason)
+        return Refusal(503, job.last_reason or 'no instance is there', AGAIN_S)
+
+    async def _wait_instance(self, job: Job, avoided: set[str]) -> FleetInstance | None:
+        """Return an instance to send to; wait for one as long as it helps."""
+        if job.returned:
+            until = self._clock() + RETURNED_WAIT_S
+        else:
+            until = job.arrived_at + job.route.objective_s * WAIT_PART
+        until = min(until, job.limit_at)
+        while True:
+            now = self._clock()
+            if now >= job.limit_at or not self._session.is_fresh():
+                return None
+            instance = self._router.choose_instance(job.service, avoided)
+            if instance is not None:
+                return instance
+            if now >= until or avoided:
+                return None
+            await self._session.wait_changed(min(0.05, until - now))
+
+    async def _run_once(self, job: Job, instance: FleetInstance, again: bool) -> bool:
+        """Run a request at an instance; return whether the client was answered."""
+        self._board.begin(instance.name)
+        try:
+            return await self._attempt(job, instance, again)
+        finally:
+            self._board.end(instance.name)
+
+    async def _attempt(self, job: Job, instance: FleetInstance, again: bool) -> bool:
+        wait_s = max(0.001, job.limit_at - self._clock())
+        if again:
+            wait_s = min(wait_s, job.route.objective_s * ATTEMPT_OBJECTIVES)
+        sent_at = self._clock()
+        attempt = await send_attempt(
+            self._pool,
+            job,
+            instance,
+            self._clock,
+            lambda: self._session.is_fresh(),
+            last_event=b'',
+            # A reset of a connection that was used before says nothing about
+            # whether the request ran, so what runs once gets a new one.
+            fresh=not job.route.repeatable,
+            wait_s=wait_s,
+        )
+        if attempt.answer is None:
+            self._note_failure(instance, attempt)
+            return False
+        try:
+            return await self._pass_on(job, instance, attempt.answer, sent_at, again)
+        finally:
+            attempt.answer.release()
+
+    def _note_failure(self, instance: FleetInstance, attempt: Attempt) -> None:
+        del attempt
+        self._board.note_failure(instance.name)
+
+    async def _pass_on(
+        self,
+        job: Job,
+        instance: FleetInstance,
+        answer: Answer,
+        sent_at: float,
+        again: bool,
+    ) -> bool:
+        """Read a whole answer and pass it on; return whether that was done."""
+        left_s = max(0.001, job.limit_at - self._clock())
+        try:
+            with anyio.fail_after(left_s):
+                body = await answer.read_whole(ANSWER_BYTES)
+        except (ExchangeError, TimeoutError) as error:
+            job.last_reason = str(error) or 'the answer did not end in time'
+            self._board.note_failure(instance.name)
+            return False
+        failed = answer.status >= 500
+        took_s = self._clock() - sent_at
+        if failed:
+            self._board.note_failure(instance.name)
+        else:
+            self._board.note_success(
+                instance.name, max(0.5, took_s / max(0.05, job.route.objective_s / 4))
+            )
+        if failed and again and self._clock() < job.limit_at:
+            job.last_reason = f'answered with {answer.status}'
+            return False
+        if answer.status in (408, 421, 429, 503):
+            # These would promise that it did not run, which is not known.
+            job.last_reason = f'answered with {answer.status}'
+            return False
+        job.status, job.ending = answer.status, Ending.ANSWERED
+        headers = pass_answer_headers(answer.headers)
+        await job.reply.send_whole(answer.status, headers, body)
+        return True
--- /dev/null
+++ b/coursepitch/gateway/router.py
@@ -0,0 +1,90 @@
+"""Choice of the instance or group that a request goes to."""
+
+from __future__ import annotations
+
+import random
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Collection
+
+    from coursepitch.config.routes import Route, Service
+    from coursepitch.fleet.instances import FleetInstance
+    from coursepitch.fleet.view import FleetView, OpenGroup
+    from coursepitch.gateway.board import LoadBoard
+    from coursepitch.gateway.watchdog import Watchdog
+
+__all__ = ['Router']
+
+#: Cost of another availability zone, in requests in flight: bytes between
+#: zones are priced, and only equal choices are decided by it.
+ZONE_COST = 0.3
+
+
+class Router:
+    """Chooses by requests in flight, slowness, failures and zone."""
+
+    def __init__(
+        self,
+        view: FleetView,
+        board: LoadBoard,
+        watchdog: Watchdog,
+        availability_zone: str,
+    ) -> None:
+        self._view = view
+        self._board = board
+        self._watchdog = watchdog
+        self._zone = availability_zone
+
+    def choose_service(self, route: Route) -> str:
+        """Return a service of a route, by the weights of its backends."""
+        if len(route.backends) == 1:
+            return route.backends[0].service
+        weights = [item.weight for item in route.backends]
+        if sum(weights) <= 0:
+            return route.backends[0].service
+        return random.choices(route.backends, weights)[0].service
+
+    def _away(self, instance: FleetInstance) -> float:
+        return 0.0 if instance.availability_zone == self._zone else ZONE_COST
+
+    def choose_group(
+        self, service: Service, model: str, avoided: Collection[str]
+    ) -> OpenGroup | None:
+        """Return the open group of a model with the least load, or ``None``.
+
+        :param avoided: heads that the request was sent to already.
+        """
+        engine = service.engine
+        slots = engine.slots if engine else 1
+        best: OpenGroup | None = None
+        least = float('inf')
+        for group in self._view.list_open(service.name, model):
+            head = group.head.name
+            if head in avoided or self._watchdog.is_avoided(group):
+                continue
+            load = (self._board.count(head) + 1) * self._board.slowness(head)
+            cost = load + self._away(group.head) + random.random() * 0.2
+            if self._board.is_held(head):
+                cost += slots
+            if cost < least:
+                best, least = group, cost
+        return best
+
+    def choose_instance(
+        self, service: Service, avoided: Collection[str]
+    ) -> FleetInstance | None:
+        """Return the instance of a plain service with the least load."""
+        best: FleetInstance | None = None
+        least = float('inf')
+        for instance in self._view.list_serving(service.name):
+            name = instance.name
+            if name in avoided:
+                continue
+            load = (self._board.count(name) + 1) * self._board.slowness(name)
+            cost = load + self._away(instance) + random.random() * 0.2
+            if self._board.is_held(name):
+                cost += 100.0
+            if cost < least:
+                best, least = instance, cost
+        return best
--- /dev/null
+++ b/coursepitch/gateway/streams.py
@@ -0,0 +1,295 @@
+"""Streams from groups: one answer over as many runs as it takes."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import anyio
+
+from coursepitch import events, log
+from coursepitch.gateway.attempts import send_attempt
+from coursepitch.gateway.events_seam import EventSeam
+from coursepitch.gateway.job import Ending, Refusal
+from coursepitch.http.client import ExchangeError
+from coursepitch.platform.headers import pass_answer_headers
+
+if TYPE_CHECKING:
+    from coursepitch.clock import Clock
+    from coursepitch.fleet.session import FleetSession
+    from coursepitch.fleet.view import OpenGroup
+    from coursepitch.gateway.board import LoadBoard
+    from coursepitch.gateway.budget import RetryBudget
+    from coursepitch.gateway.job import Job
+    from coursepitch.gateway.router import Router
+    from coursepitch.gateway.watchdog import Watchdog
+    from coursepitch.http.client import Answer, ConnectionPool
+
+__all__ = ['StreamServer']
+
+#: Part of the objective for which a request waits for a group.  Source: a
+#: refusal later than a quarter of the objective costs as much as a failure.
+WAIT_PART = 0.2
+
+#: Seconds for which a begun stream waits for a group to go on at.  Source:
+#: clients give up a stream that stands still for two seconds or more.
+RESUME_WAIT_S = 4.0
+
+#: Seconds for which a request that came back after a refusal waits: it would
+#: rather be late than be refused again.
+RETURNED_WAIT_S = 1.5
+
+#: Seconds without an event after which the members of a group are asked.
+STALL_S = 0.45
+
+#: Seconds without a first event after which they are asked.
+FIRST_STALL_S = 0.6
+
+#: Seconds after which a refused client finds a group again, at the usual time
+#: a group takes to form anew.
+AGAIN_S = 0.7
+
+#: Largest failure body in bytes.
+FAILURE_BYTES = 1_048_576
+
+#: Runs of one answer, whatever the route allows: rejections count.
+MOST_SENDS = 5
+
+
+class StreamServer:
+    """Serves streaming routes whose service runs models in groups."""
+
+    def __init__(
+        self,
+        session: FleetSession,
+        router: Router,
+        board: LoadBoard,
+        budget: RetryBudget,
+        watchdog: Watchdog,
+        pool: ConnectionPool,
+        clock: Clock,
+    ) -> None:
+        self._session = session
+        self._router = router
+        self._board = board
+        self._budget = budget
+        self._watchdog = watchdog
+        self._pool = pool
+        self._clock = clock
+
+    async def serve(self, job: Job) -> Refusal | None:
+        """Serve a request; return what to tell the client if nothing was begun."""
+        seam = EventSeam(job.fields.last_event)
+        avoided: set[str] = set()
+        while True:
+            group = await self._wait_group(job, avoided)
+            if group is None:
+                return self._give_up(job)
+            if job.sent and not self._budget.take(
+                job.service.name, self._session.count_nodes()
+            ):
+                job.last_reason = 'the budget for second sends is used up'
+                return self._give_up(job)
+            if await self._run_once(job, group, seam):
+                return None
+            avoided.add(group.head.name)
+            if job.reply.started or job.may_have_run:
+                if not job.route.repeatable or not self._may_repeat(job):
+                    return self._give_up(job)
+            elif len(job.sent) >= MOST_SENDS:
+                return self._give_up(job)
+
+    def _may_repeat(self, job: Job) -> bool:
+        """Whether another run is allowed.
+
+        A run whose instance has gone since doesn't count.
+        """
+        view = self._session.view
+        standing = [
+            name
+            for name in job.may_have_run
+            if name in view.instances and not self._is_broken(name)
+        ]
+        return len(standing) < job.route.attempts and len(job.sent) < MOST_SENDS
+
+    def _is_broken(self, head: str) -> bool:
+        """Whether a head's group no longer takes requests."""
+        view = self._session.view
+        for claim in view.all_claims():
+            if claim.head == head:
+                group = view.find_open(claim)
+                return group is None or self._watchdog.is_avoided(group)
+        return True
+
+    def _give_up(self, job: Job) -> Refusal | None:
+        """End a request that gets no further run."""
+        if job.reply.started:
+            job.reply.abort()
+            job.ending = Ending.CUT
+            return None
+        left_s = job.limit_at - self._clock()
+        if job.may_have_run:
+            return Refusal(504 if left_s <= 0 else 502, job.last_reason)
+        return Refusal(503, job.last_reason or 'no group is open', AGAIN_S)
+
+    async def _wait_group(self, job: Job, avoided: set[str]) -> OpenGroup | None:
+        """Return a group to send to; wait for one as long as it helps."""
+        now = self._clock()
+        if job.reply.started:
+            until = now + RESUME_WAIT_S
+        elif job.returned:
+            until = now + RETURNED_WAIT_S
+        else:
+            until = job.arrived_at + job.route.objective_s * WAIT_PART
+        until = min(until, job.limit_at)
+        while True:
+            now = self._clock()
+            if now >= job.limit_at or not self._session.is_fresh():
+                return None
+            group = self._router.choose_group(job.service, job.fields.model, avoided)
+            if group is None and avoided:
+                group = self._router.choose_group(job.service, job.fields.model, ())
+            if group is not None:
+                return group
+            if now >= until:
+                return None
+            await self._session.wait_changed(min(0.05, until - now))
+
+    async def _run_once(self, job: Job, group: OpenGroup, seam: EventSeam) -> bool:
+        """Run a request at a group; return whether the client was answered."""
+        head = group.head
+        self._board.begin(head.name)
+        try:
+            attempt = await self._attempt(job, group, seam)
+            if attempt is None:
+                return False
+            try:
+                return await self._pass_on(job, group, attempt, seam)
+            finally:
+                attempt.release()
+        finally:
+            self._board.end(head.name)
+
+    async def _attempt(
+        self, job: Job, group: OpenGroup, seam: EventSeam
+    ) -> Answer | None:
+        """Send a request to the head; return the head of an answer to pass on."""
+        head = group.head
+        stalled = anyio.Event()
+        answers: list[Answer] = []
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._guard_head, group, stalled, tasks)
+            attempt = await send_attempt(
+                self._pool,
+                job,
+                head,
+                self._clock,
+                lambda: self._session.is_fresh(),
+                last_event=seam.last_event,
+                fresh=False,
+                wait_s=max(0.001, job.limit_at - self._clock()),
+            )
+            if attempt.answer is not None:
+                answers.append(attempt.answer)
+            tasks.cancel_scope.cancel()
+        if stalled.is_set() and not answers:
+            job.may_have_run.add(head.name)
+            job.last_reason = 'a member of the group does not answer'
+            self._board.note_failure(head.name)
+            return None
+        if not answers:
+            self._board.note_failure(head.name)
+            return None
+        return answers[0]
+
+    async def _guard_head(
+        self, group: OpenGroup, stalled: anyio.Event, tasks: anyio.abc.TaskGroup
+    ) -> None:
+        """Give an attempt up when a member of its group is silent."""
+        while True:
+            await anyio.sleep(FIRST_STALL_S)
+            if not await self._watchdog.check(group):
+                stalled.set()
+                tasks.cancel_scope.cancel()
+                return
+
+    async def _pass_on(
+        self,
+        job: Job,
+        group: OpenGroup,
+        answer: Answer,
+        seam: EventSeam,
+    ) -> bool:
+        """Pass an answer on; return whether the client has all of it."""
+        if answer.status != 200:
+            return await self._pass_failure(job, group, answer)
+        if not job.reply.started:
+            job.status = answer.status
+            await job.reply.start(answer.status, pass_answer_headers(answer.headers))
+        first = True
+        try:
+            while True:
+                data = await self._read_part(group, answer, first)
+                if data is None:
+                    break
+                first = False
+                whole = seam.take(data)
+                if whole:
+                    await job.reply.send(whole)
+        except ExchangeError as error:
+            seam.cut()
+            self._note_cut(job, group, seam, str(error))
+            return False
+        rest = seam.take_rest()
+        if rest:
+            await job.reply.send(rest)
+        await job.reply.end()
+        job.ending = Ending.ANSWERED
+        self._board.note_success(group.head.name)
+        return True
+
+    async def _pass_failure(self, job: Job, group: OpenGroup, answer: Answer) -> bool:
+        """Pass a failure on unless another run may do better."""
+        self._board.note_failure(group.head.name)
+        body = await _read_failure(answer)
+        again = job.route.repeatable and self._may_repeat(job) and answer.status >= 500
+        if body is None or job.reply.started or again:
+            job.last_reason = f'answered with {answer.status}'
+            return False
+        job.status, job.ending = answer.status, Ending.ANSWERED
+        headers = pass_answer_headers(answer.headers)
+        await job.reply.send_whole(answer.status, headers, body)
+        return True
+
+    async def _read_part(
+        self, group: OpenGroup, answer: Answer, first: bool
+    ) -> bytes | None:
+        """Return the next bytes of a stream, or ``None`` at its proper end.
+
+        :raises ExchangeError: it broke off, or a member of the group is silent.
+        """
+        stall_s = FIRST_STALL_S if first else STALL_S
+        while True:
+            with anyio.move_on_after(stall_s):
+                return await answer.read_part()
+            if not await self._watchdog.check(group):
+                raise ExchangeError('a member of the group does not answer')
+
+    def _note_cut(
+        self, job: Job, group: OpenGroup, seam: EventSeam, reason: str
+    ) -> None:
+        job.last_reason = reason
+        self._board.note_failure(group.head.name)
+        log.emit(
+            events.REQUEST_RESUMED,
+            request=job.fields.request,
+            offset=seam.last_event.decode('latin-1'),
+        )
+
+
+async def _read_failure(answer: Answer) -> bytes | None:
+    """Return the whole body of a failure, or ``None`` if it broke off."""
+    try:
+        with anyio.fail_after(1.0):
+            return await answer.read_whole(FAILURE_BYTES)
+    except (ExchangeError, TimeoutError):
+        return None
--- /dev/null
+++ b/coursepitch/gateway/watchdog.py
@@ -0,0 +1,92 @@
+"""Finds the dead member of a group whose streams stand still.
+
+A group whose member died goes on taking requests for seconds and answers
+nothing.  So a stream that stands still makes the node ask all members at
+once; one that is silent twice is reported to all nodes.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import anyio
+
+from coursepitch import events, log
+from coursepitch.fleet.control import Probe
+
+if TYPE_CHECKING:
+    from coursepitch.clock import Clock
+    from coursepitch.fleet.control import InstanceControl
+    from coursepitch.fleet.instances import FleetInstance
+    from coursepitch.fleet.session import FleetSession
+    from coursepitch.fleet.view import OpenGroup
+
+__all__ = ['Watchdog']
+
+#: Seconds for which the answers of a group's members are not asked again.
+VERDICT_S = 0.6
+
+#: Seconds for which this node avoids a group with a silent member, whatever
+#: the other nodes find.
+AVOID_S = 4.0
+
+
+class Watchdog:
+    """Asks members, one question a group at a time."""
+
+    def __init__(
+        self, session: FleetSession, control: InstanceControl, clock: Clock
+    ) -> None:
+        self._session = session
+        self._control = control
+        self._clock = clock
+        self._verdicts: dict[tuple[str, int], tuple[float, bool]] = {}
+        self._running: dict[tuple[str, int], anyio.Event] = {}
+        self._avoided: dict[tuple[str, int], float] = {}
+
+    def is_avoided(self, group: OpenGroup) -> bool:
+        """Whether a member of the group was silent just now."""
+        key = (group.claim.name, group.claim.epoch)
+        return self._avoided.get(key, float('-inf')) > self._clock()
+
+    async def check(self, group: OpenGroup) -> bool:
+        """Return whether all members of a group answer."""
+        key = (group.claim.name, group.claim.epoch)
+        running = self._running.get(key)
+        if running is not None:
+            await running.wait()
+        asked_at, whole = self._verdicts.get(key, (float('-inf'), True))
+        if self._clock() - asked_at < VERDICT_S:
+            return whole
+        done = self._running[key] = anyio.Event()
+        try:
+            whole = await self._ask(group)
+        finally:
+            del self._running[key]
+            done.set()
+        self._verdicts[key] = (self._clock(), whole)
+        if not whole:
+            self._avoided[key] = self._clock() + AVOID_S
+        return whole
+
+    async def _ask(self, group: OpenGroup) -> bool:
+        found: dict[str, Probe] = {}
+
+        async def ask(instance: FleetInstance) -> None:
+            found[instance.name] = await self._control.probe(instance)
+
+        async with anyio.create_task_group() as tasks:
+            for instance in group.members:
+                tasks.start_soon(ask, instance)
+        silent = [name for name, probe in found.items() if probe is not Probe.ANSWERS]
+        log.emit(
+            events.INSTANCE_PROBED,
+            group=group.claim.name,
+            silent=silent,
+            answered=len(found) - len(silent),
+        )
+        if silent:
+            with anyio.move_on_after(1.0):
+                for name in silent:
+                    await self._session.report_lost(name)
+        return not silent
--- /dev/null
+++ b/coursepitch/gateway_application.py
@@ -0,0 +1,253 @@
+"""Composition root of a node on the platform: the one place where parts meet."""
+
+from __future__ import annotations
+
+import signal
+from typing import TYPE_CHECKING
+
+import anyio
+
+from coursepitch import events, log
+from coursepitch.clock import monotonic
+from coursepitch.config.gateway import load_gateway_settings
+from coursepitch.errors import FindingsError
+from coursepitch.fleet.control import InstanceControl
+from coursepitch.fleet.groups import KeeperRules
+from coursepitch.fleet.keeper import GroupKeeper
+from coursepitch.fleet.session import FleetSession
+from coursepitch.gateway.arrive import Gateway
+from coursepitch.gateway.board import LoadBoard
+from coursepitch.gateway.budget import RetryBudget
+from coursepitch.gateway.calls import CallServer
+from coursepitch.gateway.router import Router
+from coursepitch.gateway.streams import StreamServer
+from coursepitch.gateway.watchdog import Watchdog
+from coursepitch.http.client import ConnectionPool
+from coursepitch.http.server import ConnectionRules, HttpServer
+from coursepitch.metrics import Metrics
+from coursepitch.platform.kv import KeyValue
+from coursepitch.util.http import listen
+
+if TYPE_CHECKING:
+    import socket
+    from pathlib import Path
+
+    from coursepitch.clock import Clock
+    from coursepitch.config.gateway import GatewaySettings
+    from coursepitch.http.messages import IncomingRequest
+    from coursepitch.http.server import Reply
+    from coursepitch.log import BoundedOutput
+
+__all__ = ['GatewayApplication']
+
+#: Part of the time after which keys must be out of force for which a node acts
+#: on its last confirmation.  The rest is for the way to a target.
+FRESH_PART = 0.85
+
+#: Seconds for which a stopping node goes on accepting connections: the balancer
+#: asks once a second and takes a node out after two misses.
+ACCEPT_S = 3.0
+
+#: Seconds before the end of the grace period at which a stop is over.
+STOP_MARGIN_S = 0.4
+
+#: Part of an instance's connections that all nodes together use.
+CONNECTION_PART = 0.8
+
+#: Seconds between two looks at idle connections and bounds of pools.
+TIDY_S = 0.5
+
+
+class GatewayApplication:
+    """A node with all its parts, wired but not running."""
+
+    def __init__(
+        self,
+        settings: GatewaySettings,
+        path: Path,
+        output: BoundedOutput,
+        clock: Clock = monotonic,
+    ) -> None:
+        self.settings = settings
+        self.clock = clock
+        self._path = path
+        self._output = output
+        node, promises = settings.node, settings.promises
+        self.metrics = Metrics()
+        store = settings.store
+        self.kv = KeyValue(
+            store.address, store.timeout_s, store.calls_per_s, self.metrics, clock
+        )
+        peer_address = f'{node.address}:{settings.listen.peer_port}'
+        bound_s = promises.revoke_s * FRESH_PART
+        self.session = FleetSession(node.name, peer_address, self.kv, bound_s, clock)
+        self.control = InstanceControl(clock)
+        self.pool = ConnectionPool(clock)
+        self.board = LoadBoard(clock)
+        self.watchdog = Watchdog(self.session, self.control, clock)
+        self.router = Router(
+            self.session.view, self.board, self.watchdog, node.availability_zone
+        )
+        self.budget = RetryBudget(
+            promises.retry_ratio, promises.retry_extra, promises.retry_window_s, clock
+        )
+        self.gateway = self._build_gateway()
+        self.keeper = GroupKeeper(
+            self.session,
+            self.control,
+            KeeperRules(promises.stall_s),
+            clock,
+            bootstrap=node.bootstrap,
+            has_served=lambda: self.gateway.has_served,
+            read_demand=dict,
+        )
+        self.front = HttpServer(self.gateway.handle, self._read_rules, clock)
+        self.ready_server = HttpServer(self._show_ready, ConnectionRules, clock)
+        self.metrics_server = HttpServer(self._show_metrics, ConnectionRules, clock)
+        self.stopping = False
+        self._was_ready: bool | None = None
+
+    def _build_gateway(self) -> Gateway:
+        streams = StreamServer(
+            self.session,
+            self.router,
+            self.board,
+            self.budget,
+            self.watchdog,
+            self.pool,
+            self.clock,
+        )
+        calls = CallServer(
+            self.session, self.router, self.board, self.budget, self.pool, self.clock
+        )
+        return Gateway(
+            self.session,
+            self.router,
+            streams,
+            calls,
+            self.budget,
+            self.metrics,
+            self.clock,
+        )
+
+    # -- what the servers ask ---------------------------------------------------------
+
+    def _read_rules(self) -> ConnectionRules:
+        table = self.session.view.table
+        return ConnectionRules() if table is None else table.rules
+
+    async def _show_ready(self, request: IncomingRequest, reply: Reply) -> None:
+        ready = self.session.is_fresh() and not self.stopping
+        if ready != self._was_ready:
+            self._was_ready = ready
+            age = round(self.session.confirmation_age_s, 3)
+            if ready:
+                log.emit(events.NODE_READY, revision=age)
+            else:
+                reason = 'stopping' if self.stopping else f'confirmation is {age} s old'
+                log.emit(events.NODE_NOT_READY, reason=reason)
+        await reply.send_whole(200 if ready else 503, (), b'')
+
+    async def _show_metrics(self, request: IncomingRequest, reply: Reply) -> None:
+        accept = (request.header(b'accept') or b'').decode('latin-1')
+        content, headers = self.metrics.render(accept)
+        lines = tuple((key.encode(), value.encode()) for key, value in headers.items())
+        await reply.send_whole(200, lines, content)
+
+    # -- running ----------------------------------------------------------------------
+
+    async def run(self) -> int:
+        """Run until a planned stop has ended; return the exit code."""
+        sockets = self._listen()
+        async with anyio.create_task_group() as group:
+            group.start_soon(self._output.run)
+            group.start_soon(self.session.run)
+            group.start_soon(self.keeper.run)
+            group.start_soon(self._tidy)
+            group.start_soon(self.ready_server.run, sockets['ready'])
+            group.start_soon(self.metrics_server.run, sockets['metrics'])
+            accepting = anyio.CancelScope()
+            group.start_soon(self._accept, sockets['clients'], accepting)
+            ports = {name: sock.getsockname()[1] for name, sock in sockets.items()}
+            log.emit(events.NODE_STARTED, ports=ports)
+            await self._wait_stop()
+            await self._stop()
+            group.cancel_scope.cancel()
+        self.pool.close()
+        self.control.close()
+        log.emit(events.NODE_STOPPED)
+        self._output.flush()
+        return 0
+
+    def _listen(self) -> dict[str, socket.socket]:
+        settings = self.settings.listen
+        places = {
+            'clients': settings.clients,
+            'ready': settings.ready,
+            'metrics': f'{self.settings.node.address}:{settings.metrics_port}',
+        }
+        sockets = {}
+        for name, place in places.items():
+            host, _, port = place.rpartition(':')
+            sockets[name] = listen(host, int(port))
+        return sockets
+
+    async def _accept(self, sock: socket.socket, scope: anyio.CancelScope) -> None:
+        with scope:
+            await self.front.run(sock)
+
+    async def _tidy(self) -> None:
+        """Close old idle connections and bound pools by the live nodes."""
+        while True:
+            await anyio.sleep(TIDY_S)
+            self.pool.sweep()
+            view = self.session.view
+            self.board.forget(set(view.instances))
+            if view.table is None:
+                continue
+            bounds = [item.connections for item in view.table.services.values()]
+            nodes = self.session.count_nodes()
+            if bounds:
+                self.pool.limit = max(2, int(min(bounds) * CONNECTION_PART / nodes))
+
+    async def _wait_stop(self) -> None:
+        """Return on SIGTERM; read the settings anew on SIGHUP."""
+        kinds = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+        with anyio.open_signal_receiver(*kinds) as signals:
+            async for number in signals:
+                if number != signal.SIGHUP:
+                    return
+                self._reload()
+
+    def _reload(self) -> None:
+        """Check the settings file anew; what is in force stays if it is damaged."""
+        try:
+            load_gateway_settings(self._path)
+        except FindingsError as error:
+            log.emit(events.SETTINGS_READ, outcome=str(error))
+        else:
+            log.emit(events.SETTINGS_READ, outcome='good')
+
+    async def _stop(self) -> None:
+        """Answer what was read, turn the balancer away, and end."""
+        stopped_at = self.clock()
+        self.stopping = True
+        self.front.stopping = True
+        log.emit(
+            events.NODE_DRAINING,
+            in_flight=self.front.busy_count,
+            limit_s=self.settings.node.stop_s,
+        )
+        with anyio.move_on_after(1.0):
+            await self.session.end()
+        end_at = stopped_at + self.settings.node.stop_s - STOP_MARGIN_S
+        while self.clock() < end_at:
+            waited = self.clock() - stopped_at
+            if waited >= ACCEPT_S:
+                self.front.closing_idle = True
+                if not self.front.busy_count and not self.front.connections:
+                    break
+                if waited >= ACCEPT_S + 1.2 and not self.front.busy_count:
+                    break
+            await anyio.sleep(0.05)
+        self._output.flush()
--- /dev/null
+++ b/coursepitch/http/__init__.py
@@ -0,0 +1,27 @@
+"""HTTP/1.1 on h11 under anyio: one stack for clients, targets and the store."""
+
+from __future__ import annotations
+
+from coursepitch.http.client import (
+    Answer,
+    Connection,
+    ConnectionPool,
+    ExchangeError,
+    NoConnectionError,
+)
+from coursepitch.http.messages import Headers, IncomingRequest, find_header
+from coursepitch.http.server import ConnectionRules, HttpServer, Reply
+
+__all__ = [
+    'Answer',
+    'Connection',
+    'ConnectionPool',
+    'ConnectionRules',
+    'ExchangeError',
+    'Headers',
+    'HttpServer',
+    'IncomingRequest',
+    'NoConnectionError',
+    'Reply',
+    'find_header',
+]
--- a/coursepitch/log.py
+++ b/coursepitch/log.py
@@ -2,17 +2,92 @@
 
 from __future__ import annotations
 
+import collections
+import os
 import sys
 from typing import TYPE_CHECKING, Any
 
+import anyio
 import eliot
+import orjson
+
+from coursepitch import events
 
 if TYPE_CHECKING:
     from contextlib import AbstractContextManager
 
     from coursepitch.events import Event
 
-__all__ = ['continue_tree', 'emit', 'open_log', 'start_tree', 'tree_id']
+__all__ = ['BoundedOutput', 'continue_tree', 'emit', 'open_log', 'open_output']
+__all__ += ['start_tree', 'tree_id']
+
+
+#: Lines that wait for standard output; further ones are dropped and counted.
+WAITING_LINES = 5_000
+
+#: Seconds between two writes of what waits.
+FLUSH_S = 0.05
+
+#: Bytes written to standard output at once.
+WRITE_BYTES = 65_536
+
+
+class BoundedOutput:
+    """Lines on their way to standard output, which never hold the process up.
+
+    When the reader is slow, the newest lines are dropped and counted, and a
+    line tells how many as soon as there is room.
+    """
+
+    def __init__(self, descriptor: int = 1) -> None:
+        self._descriptor = descriptor
+        self._lines: collections.deque[bytes] = collections.deque()
+        self._rest = b''
+        self.dropped = 0
+
+    def take(self, message: dict[str, Any]) -> None:
+        """Take an event as eliot makes it."""
+        if len(self._lines) >= WAITING_LINES:
+            self.dropped += 1
+            return
+        self._lines.append(orjson.dumps(message, default=str) + b'\n')
+
+    def flush(self) -> None:
+        """Write what standard output takes now."""
+        if self.dropped and len(self._lines) < WAITING_LINES:
+            count, self.dropped = self.dropped, 0
+            emit(events.LINES_DROPPED, count=count)
+        while self._lines or self._rest:
+            data = self._rest
+            while self._lines and len(data) < WRITE_BYTES:
+                data += self._lines.popleft()
+            try:
+                written = os.write(self._descriptor, data)
+            except BlockingIOError:
+                written = 0
+            except OSError:
+                # Nobody reads any more; there is no other place for a log line.
+                self._rest = b''
+                self._lines.clear()
+                return
+            self._rest = data[written:]
+            if self._rest:
+                return
+
+    async def run(self) -> None:
+        """Write now and then until cancelled."""
+        while True:
+            await anyio.sleep(FLUSH_S)
+            self.flush()
+
+
+def open_output(node: str) -> BoundedOutput:
+    """Send all events to standard output; the caller runs what is returned."""
+    output = BoundedOutput()
+    os.set_blocking(1, False)
+    eliot.add_destinations(output.take)
+    eliot.add_global_fields(node=node)
+    return output
 
 
 def open_log(path: str, node: str) -> None:
--- a/coursepitch/platform/__init__.py
+++ b/coursepitch/platform/__init__.py
@@ -4,23 +4,29 @@
 
 from coursepitch.platform.instances import Instance, InstanceList
 from coursepitch.platform.kv import (
+    Condition,
     Conflict,
     Entry,
     Events,
     KeyValue,
+    Rejected,
     Swapped,
     Unavailable,
+    Write,
     settle_swap,
 )
 
 __all__ = [
+    'Condition',
     'Conflict',
     'Entry',
     'Events',
     'Instance',
     'InstanceList',
     'KeyValue',
+    'Rejected',
     'Swapped',
     'Unavailable',
+    'Write',
     'settle_swap',
 ]
--- /dev/null
+++ b/coursepitch/platform/configuration.py
@@ -0,0 +1,178 @@
+"""Decoding of the operators' configuration from the platform's store."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+import orjson
+
+from coursepitch.config.findings import Finding, Place
+from coursepitch.config.routes import (
+    Backend,
+    EngineProfile,
+    ModelProfile,
+    Route,
+    RoutedCustomer,
+    RouteKind,
+    RouteTable,
+    Service,
+    hash_key,
+)
+from coursepitch.errors import FindingsError
+from coursepitch.http.server import ConnectionRules
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+__all__ = ['CONFIGURATION_KEY', 'decode_configuration']
+
+#: Key under which the newest configuration lies whole.
+CONFIGURATION_KEY = 'op/config'
+
+_KINDS = {
+    'idempotent': RouteKind.REPEATABLE,
+    'non_idempotent': RouteKind.ONCE,
+    'streaming': RouteKind.STREAM,
+}
+
+
+def decode_configuration(text: str, revision: int) -> RouteTable:
+    """Return the route table that a value holds.
+
+    :param revision: the store's revision of the value.
+    :raises FindingsError: with the place of each thing that can't be taken.
+    """
+    findings: list[Finding] = []
+    try:
+        data = orjson.loads(text)
+    except orjson.JSONDecodeError as error:
+        raise FindingsError([_find('', f'no JSON: {error}')]) from error
+    if not isinstance(data, dict):
+        raise FindingsError([_find('', 'not an object')])
+    routes = _decode_list(data, 'routes', _decode_route, findings)
+    services = _decode_list(data, 'services', _decode_service, findings)
+    customers = _decode_list(data, 'tenants', _decode_customer, findings)
+    rules = _decode_list({'limits': [data.get('limits') or {}]}, 'limits', _rules, [])
+    if not isinstance(data.get('version'), int):
+        findings.append(_find('version', 'missing or no whole number'))
+    if findings:
+        raise FindingsError(findings)
+    return RouteTable(
+        version=data['version'],
+        revision=revision,
+        routes=tuple(routes),
+        services={service.name: service for service in services},
+        keys={digest: customer for keys, customer in customers for digest in keys},
+        keyed=bool(data.get('tenants')),
+        rules=rules[0] if rules else ConnectionRules(),
+    )
+
+
+def _find(place: str, message: str) -> Finding:
+    return Finding(Place(CONFIGURATION_KEY, 0, place or '-'), message)
+
+
+def _decode_list(
+    data: dict[str, Any],
+    name: str,
+    decode: Callable[[dict[str, Any]], Any],
+    findings: list[Finding],
+) -> list[Any]:
+    """Decode each item of a list; note the place of those that are damaged."""
+    result = []
+    for number, item in enumerate(data.get(name) or ()):
+        try:
+            result.append(decode(item))
+        except KeyError as error:
+            findings.append(_find(f'{name}[{number}]', f'{error.args[0]}: missing'))
+        except (TypeError, ValueError, AttributeError) as error:
+            findings.append(_find(f'{name}[{number}]', f'damaged: {error}'))
+    return result
+
+
+def _decode_route(item: dict[str, Any]) -> Route:
+    kind = _KINDS.get(item['route_type'])
+    if kind is None:
+        raise ValueError(f'route_type {item["route_type"]!r} is not known')
+    timeout_s = float(item['timeout_ms']) / 1000
+    backends = item.get('backends') or [{'service': item['service'], 'weight': 1}]
+    return Route(
+        name=str(item['name']),
+        host=str(item['host']).lower(),
+        prefix=str(item['path_prefix']),
+        kind=kind,
+        timeout_s=timeout_s,
+        objective_s=float(item.get('goal_ms') or item['timeout_ms']) / 1000,
+        urgency=int(item.get('priority') or 0),
+        backends=tuple(
+            Backend(str(row['service']), float(row['weight'])) for row in backends
+        ),
+        attempts=max(1, int(item.get('max_attempts') or 1)),
+        public=bool(item.get('public')),
+        resumable=bool(item.get('resumable')),
+        pause_s=float(item.get('gap_aim_ms') or 0) / 1000,
+    )
+
+
+def _decode_service(item: dict[str, Any]) -> Service:
+    engine = item.get('engine')
+    return Service(
+        name=str(item['name']),
+        health_path=str(item.get('health_path') or '/health'),
+        connections=int(item.get('max_conns') or 100),
+        engine=_decode_engine(engine) if engine else None,
+    )
+
+
+def _decode_engine(item: dict[str, Any]) -> EngineProfile:
+    usual = item.get('usual') or {}
+    return EngineProfile(
+        slots=int(item['slots']),
+        kv_tokens=int(item['kv_capacity']),
+        models=tuple(_decode_model(row) for row in item.get('models') or ()),
+        step_s=float(item['step_ms']) / 1000,
+        sequence_s=float(item['per_seq_ms']) / 1000,
+        context_s=float(item['context_per_k']) / 1000,
+        read_per_s=float(item['read_per_s']),
+        pairs_s=float(item['pairs_per_m']) / 1000,
+        chunk=int(item['chunk']),
+        stride=int(item['stride']),
+        form_s=float(item.get('form_ms') or 0) / 1000,
+        loads_per_s=float(item.get('loads_per_s') or 0),
+        usual_prompt=int(usual.get('prompt') or 1000),
+        usual_answer=int(usual.get('answer') or 100),
+    )
+
+
+def _decode_model(item: dict[str, Any]) -> ModelProfile:
+    return ModelProfile(
+        name=str(item['name']),
+        size=max(1, int(item.get('size') or 1)),
+        share=float(item.get('share') or 0),
+        pace=float(item.get('pace') or 1),
+        load_s=float(item.get('load_s') or 0),
+        warm_s=float(item.get('warm_s') or 0),
+    )
+
+
+def _decode_customer(item: dict[str, Any]) -> tuple[list[bytes], RoutedCustomer]:
+    urgency = item.get('priority')
+    customer = RoutedCustomer(
+        str(item['name']), None if urgency is None else int(urgency)
+    )
+    keys = [hash_key(str(key).encode()) for key in item.get('api_keys') or ()]
+    return keys, customer
+
+
+def _rules(item: dict[str, Any]) -> ConnectionRules:
+    usual = ConnectionRules()
+    return ConnectionRules(
+        head_bytes=int(item.get('max_header_bytes') or usual.head_bytes),
+        body_bytes=int(item.get('max_body_bytes') or usual.body_bytes),
+        head_timeout_s=_seconds(item.get('header_timeout_ms'), usual.head_timeout_s),
+        idle_timeout_s=_seconds(item.get('idle_timeout_ms'), usual.idle_timeout_s),
+    )
+
+
+def _seconds(value: Any, usual: float) -> float:
+    return float(value) / 1000 if value else usual
--- /dev/null
+++ b/coursepitch/platform/fleet.py
@@ -0,0 +1,114 @@
+"""Instances in the platform's store: their entries, reports and orders."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Any
+
+import orjson
+
+from coursepitch.errors import CodecError
+from coursepitch.fleet.instances import FleetInstance, GroupState, Membership
+from coursepitch.fleet.orders import Order, OrderKind
+
+__all__ = [
+    'INSTANCE_PREFIX',
+    'ORDER_TARGET',
+    'REPORT_TARGET',
+    'InstanceReport',
+    'decode_instance',
+    'decode_report',
+    'encode_order',
+]
+
+#: Prefix of the keys under which instances record themselves.
+INSTANCE_PREFIX = 'servers/'
+
+#: Where an instance takes orders, and where it reports.
+ORDER_TARGET = b'/-/order'
+REPORT_TARGET = b'/-/report'
+
+
+@dataclass(frozen=True, slots=True)
+class InstanceReport:
+    """What an instance tells of itself, some hundred milliseconds old.
+
+    :param pace: factor on its times; above 1 it is slow.
+    """
+
+    membership: Membership | None
+    queued: int
+    active: int
+    pace: float
+
+
+def decode_instance(name: str, text: str) -> FleetInstance:
+    """Return the instance that an entry describes.
+
+    :raises CodecError: the entry is damaged.
+    """
+    try:
+        data = orjson.loads(text)
+        return FleetInstance(
+            name=name,
+            service=str(data['service']),
+            address=str(data['address']),
+            availability_zone=str(data.get('zone') or ''),
+            slots=int(data.get('slots') or 1),
+            draining=data.get('state') != 'ready',
+            domain=str(data.get('domain') or ''),
+            models=_read_models(data),
+            staged=frozenset(str(item) for item in data.get('staged') or ()),
+            membership=_read_membership(data.get('group')),
+        )
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        raise CodecError(f'{INSTANCE_PREFIX}{name}: {error!r}') from error
+
+
+def decode_report(body: bytes) -> InstanceReport:
+    """Return what a report says.
+
+    :raises CodecError: it is damaged.
+    """
+    try:
+        data = orjson.loads(body)
+        return InstanceReport(
+            _read_membership(data.get('group')),
+            int(data.get('queued') or 0),
+            int(data.get('active') or 0),
+            float(data.get('pace') or 1.0),
+        )
+    except (TypeError, ValueError, AttributeError, KeyError) as error:
+        raise CodecError(f'report: {error!r}') from error
+
+
+def _read_models(data: dict[str, Any]) -> frozenset[str]:
+    return frozenset(str(item['name']) for item in data.get('models') or ())
+
+
+def _read_membership(data: Any) -> Membership | None:
+    if not data or not data.get('name'):
+        return None
+    return Membership(
+        str(data['name']),
+        int(data['epoch']),
+        int(data['rank']),
+        GroupState(data['state']),
+    )
+
+
+def encode_order(order: Order) -> bytes:
+    """Return the body with which an order is sent."""
+    data: dict[str, object] = {'operation': order.kind.value}
+    if order.kind is OrderKind.STAGE:
+        data['model'] = order.model
+        return orjson.dumps(data)
+    data['group'] = order.group
+    data['epoch'] = order.epoch
+    if order.kind is OrderKind.JOIN:
+        data['model'] = order.model
+        data['members'] = list(order.members)
+    if order.kind is OrderKind.CLOSE:
+        # Requests that run or wait at the head end first.
+        data['method'] = 'queue'
+    return orjson.dumps(data)
--- /dev/null
+++ b/coursepitch/platform/headers.py
@@ -0,0 +1,158 @@
+"""Headers of the platform: read once into typed fields, written in one place."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from coursepitch.http.messages import find_header, pass_headers
+
+if TYPE_CHECKING:
+    from coursepitch.http.messages import Headers, IncomingRequest
+
+__all__ = [
+    'AnswerMarks',
+    'ForwardFields',
+    'RequestFields',
+    'build_target_headers',
+    'pass_answer_headers',
+    'read_answer_marks',
+    'read_request_fields',
+    'report_headers',
+]
+
+#: Headers of a client's request that the system replaces or keeps to itself.
+_REPLACED = frozenset(
+    {
+        b'authorization',
+        b'x-deadline-ms',
+        b'x-tenant',
+        b'x-expect-replica',
+        b'x-request-priority',
+        b'last-event-id',
+    }
+)
+
+
+@dataclass(frozen=True, slots=True)
+class RequestFields:
+    """What the headers of a client's request say.
+
+    :param request: the client's id of this attempt, passed on as it is.
+    :param patience_s: seconds for which the client waits; ``None`` if unsaid.
+    :param key: the customer's key; empty without one.
+    :param prompt_tokens: length of the prompt.
+    :param answer_tokens: most tokens that the answer may have.
+    :param expected_tokens: the client's guess of the answer's length.
+    :param last_event: id of the last event the client has; empty for none.
+    """
+
+    request: str
+    host: str
+    patience_s: float | None
+    key: bytes
+    model: str
+    prompt_tokens: int
+    answer_tokens: int
+    expected_tokens: int
+    last_event: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class ForwardFields:
+    """What the system tells a target of a request.
+
+    :param left_s: seconds after which nobody waits for the answer.
+    :param priority: 0 is let in first, 9 last; ``None`` for the usual.
+    """
+
+    instance: str
+    left_s: float
+    customer: str = ''
+    last_event: bytes = b''
+    priority: int | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerMarks:
+    """What the headers of a target's answer say of it.
+
+    :param not_run: the target says that it did not run the request.
+    :param signed: whether the target's own mark of an answer is there.
+    """
+
+    request: str
+    instance: str
+    not_run: bool
+    signed: bool
+
+
+def read_request_fields(request: IncomingRequest) -> RequestFields:
+    """Return the fields of a client's request; malformed numbers count as unsaid."""
+    found = {name.lower(): value for name, value in request.headers}
+    prompt, _, answer = found.get(b'x-token-usage', b'').partition(b',')
+    patience = _number(found.get(b'x-deadline-ms', b''), -1)
+    return RequestFields(
+        request=found.get(b'x-request-id', b'').decode('latin-1'),
+        host=found.get(b'host', b'').decode('latin-1'),
+        patience_s=patience / 1000 if patience >= 0 else None,
+        key=_read_key(found.get(b'authorization', b'')),
+        model=found.get(b'x-model', b'').decode('latin-1'),
+        prompt_tokens=int(_number(prompt, 0)),
+        answer_tokens=int(_number(answer, 0)),
+        expected_tokens=int(_number(found.get(b'x-length-hint', b''), 0)),
+        last_event=found.get(b'last-event-id', b''),
+    )
+
+
+def _number(text: bytes, usual: float) -> float:
+    try:
+        return float(text) if text.strip() else usual
+    except ValueError:
+        return usual
+
+
+def _read_key(value: bytes) -> bytes:
+    scheme, _, key = value.partition(b' ')
+    return key.strip() if scheme.lower() == b'bearer' else b''
+
+
+def build_target_headers(headers: Headers, fields: ForwardFields) -> Headers:
+    """Return the headers with which a request goes to a target."""
+    lines = list(pass_headers(headers, _REPLACED))
+    lines.append((b'X-Deadline-Ms', b'%d' % max(1, int(fields.left_s * 1000))))
+    lines.append((b'X-Expect-Replica', fields.instance.encode()))
+    if fields.customer:
+        lines.append((b'X-Tenant', fields.customer.encode()))
+    if fields.last_event:
+        lines.append((b'Last-Event-Id', fields.last_event))
+    if fields.priority is not None:
+        lines.append((b'X-Request-Priority', b'%d' % fields.priority))
+    return tuple(lines)
+
+
+def report_headers(address: str, instance: str) -> Headers:
+    """Return the headers of a question or an order to one instance."""
+    return (
+        (b'Host', address.encode()),
+        (b'X-Expect-Replica', instance.encode()),
+    )
+
+
+def read_answer_marks(status: int, headers: Headers) -> AnswerMarks:
+    """Return the marks of a target's answer."""
+
+    def text(name: bytes) -> str:
+        return (find_header(headers, name) or b'').decode('latin-1')
+
+    return AnswerMarks(
+        request=text(b'x-request-id'),
+        instance=text(b'x-replica-id'),
+        not_run=bool(text(b'x-not-executed')) or status == 421,
+        signed=bool(text(b'x-replica-signature')),
+    )
+
+
+def pass_answer_headers(headers: Headers) -> Headers:
+    """Return the headers of a target's answer that go on to the client."""
+    return pass_headers(headers, frozenset())
--- a/standins/kv.py
+++ b/standins/kv.py
@@ -1,9 +1,18 @@
-"""Stand-in for the platform's key-value service: swap, leases, watches, faults."""
+"""Stand-in for the platform's key-value service, with its faults.
+
+It speaks the published protocol of the platform's metadata store: items with
+revisions, conditional transactions, leases, watches and a bounded history.
+Faults are set by ``POST /fault`` with a mode: ``down``, ``slow``,
+``drop_answers``, ``late`` (writes are done after ``delay_s``, unanswered),
+``silent`` (watches hear nothing), ``stale`` (serializable reads are old),
+``forget`` (history is dropped at once) and ``refuse`` (429).
+"""
 
 from __future__ import annotations
 
+import base64
 import collections
-import secrets
+import contextlib
 import time
 from typing import TYPE_CHECKING, Any
 
@@ -19,21 +28,25 @@
 
 VALUE_LIMIT = 1_048_576
 HISTORY = 4096
+PAGE = 500
+ENTRY_LIMIT = 32
 
 
 class Store:
-    """Keys with revisions, leases and a bounded history of events."""
+    """Items with revisions, leases and a bounded history of events."""
 
     def __init__(self) -> None:
-        self.entries: dict[str, dict[str, Any]] = {}
-        self.leases: dict[str, tuple[float, float]] = {}
+        self.items: dict[str, dict[str, Any]] = {}
+        self.leases: dict[int, tuple[float, float]] = {}
         self.revision = 0
+        self.forgotten = 0
         self.events: collections.deque[dict[str, Any]] = collections.deque(
             maxlen=HISTORY
         )
         self.changed = anyio.Event()
         self.calls: collections.Counter[str] = collections.Counter()
         self.fault: dict[str, Any] = {'mode': 'none'}
+        self.old_items: dict[str, dict[str, Any]] = {}
 
     def expire(self) -> None:
         """Drop lapsed leases and what hangs on them."""
@@ -41,134 +54,218 @@
         lapsed = {name for name, (_, end) in self.leases.items() if end <= now}
         for name in lapsed:
             del self.leases[name]
-        if lapsed:
-            for key, entry in list(self.entries.items()):
-                if entry['lease'] in lapsed:
-                    self.put(key, None, '')
+        keys = [key for key, item in self.items.items() if item['lease'] in lapsed]
+        if keys:
+            self.apply([], keys)
 
-    def put(self, key: str, value: str | None, lease: str) -> int:
-        """Write or delete a key and tell the watches."""
+    def apply(self, writes: list[dict[str, Any]], delete: list[str]) -> int:
+        """Carry out the entries of a transaction at one revision."""
         self.revision += 1
-        if value is None:
-            self.entries.pop(key, None)
-        else:
-            self.entries[key] = {
-                'key': key,
-                'value': value,
+        for write in writes:
+            key = write['tls_key']
+            created = self.items.get(key, {}).get('created', self.revision)
+            item = {
+                'tls_key': key,
+                'value': write['value'],
                 'revision': self.revision,
-                'lease': lease,
+                'created': created,
+                'lease': int(write.get('lease') or 0),
             }
-        self.events.append({'key': key, 'value': value, 'revision': self.revision})
+            self.items[key] = item
+            self._note(item)
+        for key in delete:
+            if self.items.pop(key, None) is not None:
+                self._note({'tls_key': key, 'revision': self.revision, 'deleted': True})
+        self.wake()
+        return self.revision
+
+    def _note(self, event: dict[str, Any]) -> None:
+        if len(self.events) == HISTORY:
+            self.forgotten = self.events[0]['revision']
+        self.events.append(event)
+
+    def wake(self) -> None:
+        """Wake the watches."""
         self.changed.set()
         self.changed = anyio.Event()
-        return self.revision
+
+    def forget(self) -> None:
+        """Drop the history."""
+        self.events.clear()
+        self.forgotten = self.revision
+        self.wake()
 
     def since(self, prefix: str, after: int) -> list[dict[str, Any]] | None:
         """Return the events after a revision, or ``None`` when some are gone."""
-        if self.events and self.events[0]['revision'] > after + 1:
+        if after < self.forgotten:
             return None
         return [
             event
             for event in self.events
-            if event['revision'] > after and event['key'].startswith(prefix)
+            if event['revision'] > after and event['tls_key'].startswith(prefix)
         ]
 
+    def check(self, conditions: list[dict[str, Any]]) -> bool:
+        """Return whether all conditions hold."""
+        return all(
+            self.items.get(row['tls_key'], {}).get('revision', 0) == row['revision']
+            for row in conditions
+        )
 
-def build_app(store: Store) -> Starlette:
-    """Return the application over a store."""
-
-    async def get(data: Any) -> Any:
-        entry = store.entries.get(data['key'])
-        return {'entry': entry, 'revision': store.revision}
 
-    async def list_entries(data: Any) -> Any:
+def find_problem(store: Store, data: dict[str, Any]) -> tuple[Any, int] | None:
+    """Return the answer to a transaction that can't be carried out."""
+    writes, delete = data.get('writes', []), data.get('delete', [])
+    conditions = data.get('expected_rev', [])
+    if len(writes) + len(delete) + len(conditions) > ENTRY_LIMIT:
+        return {'error': 'too many entries'}, 400
+    keys = [write['tls_key'] for write in writes] + list(delete)
+    if any(key.startswith(('op/', 'servers/')) for key in keys):
+        return {'error': 'not allowed'}, 403
+    if any(len(base64.b64decode(item['value'])) > VALUE_LIMIT for item in writes):
+        return {'error': 'too large'}, 413
+    if not store.check(conditions):
         found = [
-            store.entries[key]
-            for key in sorted(store.entries)
-            if key.startswith(data['prefix'])
+            store.items.get(row['tls_key'], {'tls_key': row['tls_key'], 'revision': 0})
+            for row in conditions
         ]
-        return {'entries': found, 'revision': store.revision}
-
-    async def swap(data: Any) -> Any:
-        key, value, lease = data['key'], data['value'], data.get('lease', '')
-        current = store.entries.get(key)
-        held = current['revision'] if current else 0
-        too_large = value is not None and len(value) > VALUE_LIMIT
-        if too_large or (lease and lease not in store.leases):
-            return {'swapped': False, 'current': current, 'refused': True}
-        if data['expect'] != held:
-            return {'swapped': False, 'current': current}
-        return {'swapped': True, 'revision': store.put(key, value, lease)}
-
-    async def grant(data: Any) -> Any:
-        name = secrets.token_hex(8)
-        ttl = float(data['ttl_s'])
-        store.leases[name] = (ttl, time.monotonic() + ttl)
-        return {'lease': name}
-
-    async def renew(data: Any) -> Any:
-        held = store.leases.get(data['lease'])
-        if held is None:
-            return {'renewed': False}
-        store.leases[data['lease']] = (held[0], time.monotonic() + held[0])
-        return {'renewed': True}
+        return {'items': found}, 412
+    leases = {int(write.get('lease') or 0) for write in writes} - {0}
+    if leases - set(store.leases):
+        return {'error': 'no such lease'}, 404
+    return None
+
 
-    async def revoke(data: Any) -> Any:
-        if data['lease'] in store.leases:
-            store.leases[data['lease']] = (0.0, 0.0)
+def build_app(store: Store) -> Starlette:
+    """Return the application over a store."""
+
+    async def read_key(request: Request) -> tuple[Any, int]:
+        item = store.items.get(request.query_params['tls_key'])
+        if item is None:
+            return {'error': 'no such key'}, 404
+        return {**item, 'timestamp': store.revision}, 200
+
+    async def read_range(request: Request) -> tuple[Any, int]:
+        prefix = request.query_params.get('path_prefix', '')
+        after = request.query_params.get('after_rev', '')
+        items = store.items
+        if request.query_params.get('serializable') == '1':
+            items = store.old_items if store.fault['mode'] == 'stale' else items
+        keys = sorted(key for key in items if key.startswith(prefix) and key > after)
+        found = [items[key] for key in keys[:PAGE]]
+        more = len(keys) > PAGE
+        return {'items': found, 'has_more': more, 'timestamp': store.revision}, 200
+
+    async def transact(request: Request) -> tuple[Any, int]:
+        data = await read_json(request)
+        if store.fault['mode'] == 'late' and (data['writes'] or data['delete']):
+            store.calls['late'] += 1
+            await anyio.sleep(store.fault.get('delay_s', 2))
+        problem = find_problem(store, data)
+        if problem is not None:
+            return problem
+        writes, delete = data.get('writes', []), data.get('delete', [])
+        if not writes and not delete:
+            return {'revision': store.revision}, 200
+        return {'revision': store.apply(writes, delete)}, 200
+
+    async def grant(request: Request) -> tuple[Any, int]:
+        ttl_ms = int((await read_json(request))['ttl_ms'])
+        store.revision += 1
+        ttl_s = ttl_ms / 1000
+        store.leases[store.revision] = (ttl_s, time.monotonic() + ttl_s)
+        return {'lease': store.revision, 'ttl_ms': ttl_ms}, 200
+
+    async def renew(request: Request) -> tuple[Any, int]:
+        name = int(request.path_params['lease'])
+        held = store.leases.get(name)
+        if held is None:
+            return {'error': 'no such lease'}, 404
+        store.leases[name] = (held[0], time.monotonic() + held[0])
+        return {'ttl_ms': int(held[0] * 1000)}, 200
+
+    async def revoke(request: Request) -> tuple[Any, int]:
+        name = int(request.path_params['lease'])
+        if name in store.leases:
+            store.leases[name] = (0.0, 0.0)
         store.expire()
-        return {}
+        return {}, 200
 
-    async def watch(data: Any) -> Any:
-        with anyio.move_on_after(float(data['wait_s'])):
+    async def watch(request: Request) -> tuple[Any, int]:
+        prefix = request.query_params.get('path_prefix', '')
+        after = int(request.query_params['after_rev'])
+        found: list[dict[str, Any]] | None = []
+        with anyio.move_on_after(int(request.query_params['wait_ms']) / 1000):
             while True:
-                found = store.since(data['prefix'], data['after'])
-                if found is None:
-                    return {'compacted': True, 'revision': store.revision}
-                if found or store.fault['mode'] == 'down':
+                silent = store.fault['mode'] == 'silent'
+                found = [] if silent else store.since(prefix, after)
+                if found is None or found or store.fault['mode'] == 'down':
                     break
                 await store.changed.wait()
-        found = store.since(data['prefix'], data['after']) or []
-        return {'events': found, 'revision': store.revision}
+        if found is None:
+            return {'error': 'history is gone'}, 410
+        stamp = max([after, *(event['revision'] for event in found)])
+        return {'events': found, 'timestamp': stamp}, 200
 
-    def route(path: str, operation: Any) -> Route:
+    def route(path: str, method: str, name: str, operation: Any) -> Route:
         async def endpoint(request: Request) -> Response:
-            store.calls[path] += 1
-            data = await read_json(request)
+            store.calls[name] += 1
             fault = store.fault
             if fault['mode'] == 'down':
                 return answer({'error': 'down'}, 503)
+            if fault['mode'] == 'refuse':
+                return answer({'error': 'too many calls'}, 429)
             if fault['mode'] == 'slow':
                 await anyio.sleep(fault.get('delay_s', 5))
-            result = await operation(data)
-            if fault['mode'] == 'drop_answers' and path in fault['paths']:
+            result, status = await operation(request)
+            if fault['mode'] == 'drop_answers' and name in fault['paths']:
                 store.calls['dropped'] += 1
                 return answer({'error': 'answer lost'}, 504)
-            return answer(result)
+            return answer(result, status)
 
-        return Route(f'/{path}', endpoint, methods=['POST'])
+        return Route(path, endpoint, methods=[method])
 
     async def set_fault(request: Request) -> Response:
         store.fault = await read_json(request)
-        store.changed.set()
-        store.changed = anyio.Event()
+        if store.fault['mode'] == 'stale':
+            store.old_items = dict(store.items)
+        if store.fault['mode'] == 'forget':
+            store.forget()
+        store.wake()
         return answer({})
 
+    async def put_as_operator(request: Request) -> Response:
+        """Write a key that the system may not write."""
+        data = await read_json(request)
+        value = base64.b64encode(data['value'].encode()).decode()
+        writes = [{'tls_key': data['key'], 'value': value}]
+        return answer({'revision': store.apply(writes, [])})
+
+    async def delete_as_operator(request: Request) -> Response:
+        """Delete a key that the system may not write."""
+        data = await read_json(request)
+        return answer({'revision': store.apply([], [data['key']])})
+
     async def show(request: Request) -> Response:
-        return answer({'calls': store.calls, 'entries': store.entries})
-
-    operations = {
-        'get': get,
-        'list': list_entries,
-        'swap': swap,
-        'watch': watch,
-        'lease/grant': grant,
-        'lease/renew': renew,
-        'lease/revoke': revoke,
-    }
-    routes = [route(path, operation) for path, operation in operations.items()]
-    routes.append(Route('/fault', set_fault, methods=['POST']))
-    routes.append(Route('/stats', show, methods=['GET']))
+        entries = {
+            key: {**item, 'value': base64.b64decode(item['value']).decode()}
+            for key, item in store.items.items()
+        }
+        return answer({'calls': store.calls, 'entries': entries})
+
+    routes = [
+        route('/-/kv-key', 'GET', 'get', read_key),
+        route('/-/kv-range', 'GET', 'list', read_range),
+        route('/-/kv-txn', 'POST', 'swap', transact),
+        route('/-/kv-watch', 'GET', 'watch', watch),
+        route('/-/kv-lease', 'POST', 'lease/grant', grant),
+        route('/-/kv-keep/{lease}', 'POST', 'lease/renew', renew),
+        route('/-/kv-lease-end/{lease}', 'DELETE', 'lease/revoke', revoke),
+        Route('/fault', set_fault, methods=['POST']),
+        Route('/operator', put_as_operator, methods=['POST']),
+        Route('/operator', delete_as_operator, methods=['DELETE']),
+        Route('/stats', show, methods=['GET']),
+    ]
 
     async def expire_leases() -> None:
         while True:
@@ -180,7 +277,6 @@
 
 def _run_beside(task: Any) -> Any:
     """Return a lifespan that runs a task beside the application."""
-    import contextlib
 
     @contextlib.asynccontextmanager
     async def lifespan(app: Any) -> Any:
