Groups form again from spares; connections are bounded by service; a watchdog's question can be left

The bound of connections was the smallest of all services, so heads were refused their requests. Two waiting questions of the watchdog ended a process with a KeyError when the first asker's client had left. Change: targets are counted on the instances less a share of spares and any shortage is filled; the bound is that of the request's own service; a fault of one connection is logged and ends only that connection.

--- a/coursepitch/events.py
+++ b/coursepitch/events.py
@@ -37,6 +37,10 @@
     107, 'node.settings_read', 'The settings were read anew.', ('outcome',)
 )
 
+FAULT = Event(
+    108, 'node.fault', 'A fault of the program itself.', ('place', 'error', 'traceback')
+)
+
 SERVICE_LOST = Event(
     200, 'service.lost', 'The key-value service gave no usable answer.', ('reason',)
 )
--- a/coursepitch/fleet/groups.py
+++ b/coursepitch/fleet/groups.py
@@ -19,7 +19,7 @@
 from coursepitch.fleet.claims import GroupClaim
 from coursepitch.fleet.instances import GroupState
 from coursepitch.fleet.orders import Order, OrderKind, OrderResult
-from coursepitch.fleet.placement import SPARE_SHARE, count_targets, plan_domain
+from coursepitch.fleet.placement import count_targets, plan_domain
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Mapping
@@ -374,7 +374,7 @@
         changes: list[ClaimChange] = []
         orders: list[Order] = []
         for domain in sorted(set(domains) | dirty):
-            free, held = domains.get(domain, ([], 0))
+            free = domains.get(domain, [])
             added: list[GroupClaim] = []
             if settled and free:
                 plan = plan_domain(
@@ -382,7 +382,6 @@
                     engine.models,
                     counts,
                     targets,
-                    spares=int(held * SPARE_SHARE),
                     cold=early,
                 )
                 for place, formation in enumerate(plan.formations):
@@ -427,14 +426,13 @@
 
     def _list_free(
         self, view: FleetView, service: Service, claims: list[GroupClaim]
-    ) -> dict[str, tuple[list[FleetInstance], int]]:
-        """Return by domain the free instances and how many there are in all."""
+    ) -> dict[str, list[FleetInstance]]:
+        """Return the free instances by domain."""
         claimed = {name for claim in claims for name in claim.members}
-        found: dict[str, tuple[list[FleetInstance], int]] = {}
+        found: dict[str, list[FleetInstance]] = defaultdict(list)
         for instance in view.instances.values():
             if instance.service != service.name or instance.draining:
                 continue
-            free, held = found.get(instance.domain, ([], 0))
             state = _state(instance)
             usable = (
                 instance.name not in claimed
@@ -444,8 +442,7 @@
                 and not (state is not None and state.may_serve)
             )
             if usable:
-                free = [*free, instance]
-            found[instance.domain] = (free, held + 1)
+                found[instance.domain].append(instance)
         return found
 
     def _stage(
--- a/coursepitch/fleet/placement.py
+++ b/coursepitch/fleet/placement.py
@@ -18,10 +18,14 @@
 
 __all__ = ['Formation', 'PlacementPlan', 'Staging', 'count_targets', 'plan_domain']
 
-#: Share of a fabric domain's instances kept free, with weights on their hosts,
-#: to replace members that fail.  Source: on the users' standard days a member
-#: is lost every three seconds, and a load takes 12 to 16 s.
-SPARE_SHARE = 0.25
+#: Share of the instances kept free, with weights on their hosts, to replace
+#: members that fail.  Source: on the users' standard days a member is lost every
+#: three seconds, and a load takes 12 to 16 s.
+SPARE_SHARE = 0.2
+
+
+#: Part of a group that has to be wanted for it to form.
+ROUNDING = 0.5
 
 
 @dataclass(frozen=True, slots=True)
@@ -53,14 +57,13 @@
 ) -> dict[str, float]:
     """Return how many groups of each model are wanted.
 
-    :param instances: instances that can be in groups.
+    :param instances: instances that can be in groups, spares among them.
     :param demand: share of the work by model; the profile's own where absent.
     """
     shares = {item.name: demand.get(item.name, item.share) for item in models}
     total = sum(shares.values()) or 1.0
-    return {
-        item.name: instances * shares[item.name] / total / item.size for item in models
-    }
+    used = instances * (1.0 - SPARE_SHARE)
+    return {item.name: used * shares[item.name] / total / item.size for item in models}
 
 
 def plan_domain(
@@ -69,13 +72,11 @@
     groups: Mapping[str, int],
     targets: Mapping[str, float],
     *,
-    spares: int,
     cold: bool,
 ) -> PlacementPlan:
     """Return what to do with the free instances of one fabric domain.
 
     :param groups: groups of each model over all domains.
-    :param spares: instances to keep free here while all models have groups.
     :param cold: whether groups form from instances that hold no weights, as
         before the first request, when loads are fast.
     """
@@ -83,7 +84,7 @@
     counts = dict(groups)
     formations: list[Formation] = []
     while True:
-        found = _choose_formation(left, models, counts, targets, spares, cold)
+        found = _choose_formation(left, models, counts, targets, cold)
         if found is None:
             break
         formations.append(found)
@@ -115,15 +116,13 @@
     models: Sequence[ModelProfile],
     counts: Mapping[str, int],
     targets: Mapping[str, float],
-    spares: int,
     cold: bool,
 ) -> Formation | None:
     ranked = sorted(models, key=lambda item: -_shortage(item, counts, targets))
     for model in ranked:
-        short = _shortage(model, counts, targets)
-        bare = counts.get(model.name, 0) == 0
-        keep = 0 if bare else spares
-        if len(free) - model.size < keep or short <= -1.0:
+        count = counts.get(model.name, 0)
+        bare = count == 0
+        if len(free) < model.size or count + ROUNDING > targets.get(model.name, 0.0):
             continue
         members = sorted(free, key=lambda item: -_warmth(item, model.name))
         chosen = members[: model.size]
--- a/coursepitch/fleet/session.py
+++ b/coursepitch/fleet/session.py
@@ -49,7 +49,7 @@
 
 #: Shortest time in seconds between two watches, so that bursts of changes come
 #: in one answer: each answer costs a call on each node.
-WATCH_GAP_S = 0.02
+WATCH_GAP_S = 0.15
 
 #: Seconds by which the node's own reckoning of its lease ends early, for clocks
 #: that run at different rates.
--- a/coursepitch/gateway/attempts.py
+++ b/coursepitch/gateway/attempts.py
@@ -21,11 +21,12 @@
     from collections.abc import Callable
 
     from coursepitch.clock import Clock
+    from coursepitch.config.routes import Service
     from coursepitch.fleet.instances import FleetInstance
     from coursepitch.gateway.job import Job
     from coursepitch.http.client import Answer, ConnectionPool
 
-__all__ = ['Attempt', 'Result', 'send_attempt']
+__all__ = ['Attempt', 'Result', 'bound_connections', 'send_attempt']
 
 
 class Result(enum.Enum):
@@ -50,6 +51,15 @@
     marks: AnswerMarks | None = None
 
 
+#: Part of an instance's connections that all nodes together use.
+CONNECTION_PART = 0.8
+
+
+def bound_connections(service: Service, nodes: int) -> int:
+    """Return how many connections a node may have to one instance."""
+    return max(2, int(service.connections * CONNECTION_PART / max(1, nodes)))
+
+
 #: Largest body in bytes of an answer that is read only to be dropped.
 REJECTION_BYTES = 65_536
 
@@ -64,6 +74,7 @@
     last_event: bytes,
     fresh: bool,
     wait_s: float,
+    limit: int,
     priority: int | None = None,
 ) -> Attempt:
     """Send a request to an instance and wait for the head of its answer.
@@ -72,10 +83,11 @@
         may have stood still since the request was admitted.
     :param fresh: whether only a new connection will do.
     :param wait_s: seconds for which the head is waited for.
+    :param limit: most connections of this node to the instance.
     """
     sent_at = clock()
     attempt = await _send(
-        pool, job, instance, clock, may_send, last_event, fresh, wait_s, priority
+        pool, job, instance, clock, may_send, last_event, fresh, wait_s, limit, priority
     )
     if attempt.result is not Result.NOT_RUN:
         job.may_have_run.add(instance.name)
@@ -101,10 +113,11 @@
     last_event: bytes,
     fresh: bool,
     wait_s: float,
+    limit: int,
     priority: int | None,
 ) -> Attempt:
     try:
-        connection = await pool.acquire(instance.address, fresh=fresh)
+        connection = await pool.acquire(instance.address, fresh=fresh, limit=limit)
     except NoConnectionError as error:
         return Attempt(Result.NOT_RUN, str(error))
     left_s = job.limit_at - clock()
--- a/coursepitch/gateway/calls.py
+++ b/coursepitch/gateway/calls.py
@@ -6,7 +6,7 @@
 
 import anyio
 
-from coursepitch.gateway.attempts import Attempt, send_attempt
+from coursepitch.gateway.attempts import Attempt, bound_connections, send_attempt
 from coursepitch.gateway.job import Ending, Refusal
 from coursepitch.http.client import ExchangeError
 from coursepitch.platform.headers import pass_answer_headers
@@ -137,6 +137,7 @@
             instance,
             self._clock,
             lambda: self._session.is_fresh(),
+            limit=bound_connections(job.service, self._session.count_nodes()),
             last_event=b'',
             # A reset of a connection that was used before says nothing about
             # whether the request ran, so what runs once gets a new one.
--- a/coursepitch/gateway/streams.py
+++ b/coursepitch/gateway/streams.py
@@ -7,7 +7,7 @@
 import anyio
 
 from coursepitch import events, log
-from coursepitch.gateway.attempts import send_attempt
+from coursepitch.gateway.attempts import bound_connections, send_attempt
 from coursepitch.gateway.events_seam import EventSeam
 from coursepitch.gateway.job import Ending, Refusal
 from coursepitch.http.client import ExchangeError
@@ -184,6 +184,7 @@
                 head,
                 self._clock,
                 lambda: self._session.is_fresh(),
+                limit=bound_connections(job.service, self._session.count_nodes()),
                 last_event=seam.last_event,
                 fresh=False,
                 wait_s=max(0.001, job.limit_at - self._clock()),
--- a/coursepitch/gateway/watchdog.py
+++ b/coursepitch/gateway/watchdog.py
@@ -52,8 +52,7 @@
     async def check(self, group: OpenGroup) -> bool:
         """Return whether all members of a group answer."""
         key = (group.claim.name, group.claim.epoch)
-        running = self._running.get(key)
-        if running is not None:
+        while (running := self._running.get(key)) is not None:
             await running.wait()
         asked_at, whole = self._verdicts.get(key, (float('-inf'), True))
         if self._clock() - asked_at < VERDICT_S:
--- a/coursepitch/gateway_application.py
+++ b/coursepitch/gateway_application.py
@@ -51,10 +51,7 @@
 #: Seconds before the end of the grace period at which a stop is over.
 STOP_MARGIN_S = 0.4
 
-#: Part of an instance's connections that all nodes together use.
-CONNECTION_PART = 0.8
-
-#: Seconds between two looks at idle connections and bounds of pools.
+#: Seconds between two looks at idle connections.
 TIDY_S = 0.5
 
 
@@ -158,6 +155,14 @@
 
     async def run(self) -> int:
         """Run until a planned stop has ended; return the exit code."""
+        try:
+            return await self._run()
+        except Exception as error:
+            log.emit(events.FAULT, place='node', **log.describe(error))
+            self._output.flush()
+            return 1
+
+    async def _run(self) -> int:
         sockets = self._listen()
         async with anyio.create_task_group() as group:
             group.start_soon(self._output.run)
@@ -197,18 +202,11 @@
             await self.front.run(sock)
 
     async def _tidy(self) -> None:
-        """Close old idle connections and bound pools by the live nodes."""
+        """Close old idle connections and forget instances that are gone."""
         while True:
             await anyio.sleep(TIDY_S)
             self.pool.sweep()
-            view = self.session.view
-            self.board.forget(set(view.instances))
-            if view.table is None:
-                continue
-            bounds = [item.connections for item in view.table.services.values()]
-            nodes = self.session.count_nodes()
-            if bounds:
-                self.pool.limit = max(2, int(min(bounds) * CONNECTION_PART / nodes))
+            self.board.forget(set(self.session.view.instances))
 
     async def _wait_stop(self) -> None:
         """Return on SIGTERM; read the settings anew on SIGHUP."""
--- a/coursepitch/http/client.py
+++ b/coursepitch/http/client.py
@@ -49,6 +49,9 @@
 #: Seconds before the end that a target names in which it is not used any more.
 KEEP_MARGIN_S = 0.7
 
+#: Most connections to one address where nothing else is said.
+USUAL_LIMIT = 1_000
+
 #: Milliseconds after which unacknowledged bytes end a connection: a peer
 #: without power answers nothing at all.
 USER_TIMEOUT_MS = 8_000
@@ -160,14 +163,10 @@
 
 @dataclass(eq=False)
 class ConnectionPool:
-    """Connections by address; idle ones are used again, the newest first.
-
-    :param limit: most connections to one address, open or coming up.
-    """
+    """Connections by address; idle ones are used again, the newest first."""
 
     clock: Clock = monotonic
     connect_timeout_s: float = 1.0
-    limit: int = 1_000
     _idle: dict[str, list[Connection]] = field(default_factory=dict)
     _open: dict[str, int] = field(default_factory=dict)
 
@@ -175,20 +174,23 @@
         """Return how many connections to an address are open."""
         return self._open.get(address, 0)
 
-    async def acquire(self, address: str, *, fresh: bool = False) -> Connection:
+    async def acquire(
+        self, address: str, *, fresh: bool = False, limit: int = USUAL_LIMIT
+    ) -> Connection:
         """Return a connection.
 
         :param fresh: whether only a new one will do.
+        :param limit: most connections to the address, open or coming up.
         :raises NoConnectionError: none came up.
         """
         if not fresh:
             idle = self._take_idle(address)
             if idle is not None:
                 return idle
-        if self.count_open(address) >= self.limit:
+        if self.count_open(address) >= limit:
             self._drop_oldest(address)
-        if self.count_open(address) >= self.limit:
-            raise NoConnectionError(f'{self.limit} connections to {address} are open')
+        if self.count_open(address) >= limit:
+            raise NoConnectionError(f'{limit} connections to {address} are open')
         self._open[address] = self.count_open(address) + 1
         host, _, port = address.rpartition(':')
         try:
--- a/coursepitch/http/server.py
+++ b/coursepitch/http/server.py
@@ -13,6 +13,7 @@
 import anyio
 import h11
 
+from coursepitch import events, log
 from coursepitch.clock import Clock, monotonic
 from coursepitch.errors import CoursepitchError
 from coursepitch.http.messages import IncomingRequest
@@ -319,5 +320,8 @@
         self.connections.add(connection)
         try:
             await connection.run()
+        except Exception as error:
+            # One connection's fault must not end the others.
+            log.emit(events.FAULT, place='connection', **log.describe(error))
         finally:
             self.connections.discard(connection)
--- a/coursepitch/log.py
+++ b/coursepitch/log.py
@@ -5,6 +5,7 @@
 import collections
 import os
 import sys
+import traceback
 from typing import TYPE_CHECKING, Any
 
 import anyio
@@ -18,7 +19,14 @@
 
     from coursepitch.events import Event
 
-__all__ = ['BoundedOutput', 'continue_tree', 'emit', 'open_log', 'open_output']
+__all__ = [
+    'BoundedOutput',
+    'continue_tree',
+    'describe',
+    'emit',
+    'open_log',
+    'open_output',
+]
 __all__ += ['start_tree', 'tree_id']
 
 
@@ -28,6 +36,9 @@
 #: Seconds between two writes of what waits.
 FLUSH_S = 0.05
 
+#: Characters of a traceback that are logged, from its end.
+TRACEBACK_CHARS = 4_000
+
 #: Bytes written to standard output at once.
 WRITE_BYTES = 65_536
 
@@ -102,6 +113,12 @@
     eliot.log_message(message_type=event.name, number=event.number, **fields)
 
 
+def describe(error: BaseException) -> dict[str, str]:
+    """Return an error and where it was raised, as fields of an event."""
+    lines = traceback.format_exception(error)
+    return {'error': repr(error), 'traceback': ''.join(lines)[-TRACEBACK_CHARS:]}
+
+
 def start_tree(name: str, **fields: Any) -> AbstractContextManager[Any]:
     """Start an action tree, or a branch of the current one."""
     action: AbstractContextManager[Any] = eliot.start_action(action_type=name, **fields)
