--- a/coursepitch/application.py
+++ b/coursepitch/application.py
@@ -21,6 +21,7 @@
 from coursepitch.control.observers import Observers
 from coursepitch.control.registrar import Registrar
 from coursepitch.control.session import Session
+from coursepitch.http.sockets import listen
 from coursepitch.metrics import Metrics
 from coursepitch.peers.hub import PeerHub
 from coursepitch.peers.records import (
@@ -41,7 +42,7 @@
 from coursepitch.serving.idempotency import RequestRecords
 from coursepitch.serving.services import ServiceCaller
 from coursepitch.targets.engine import EngineControl
-from coursepitch.util.http import listen, serve_app
+from coursepitch.util.http import serve_app
 
 if TYPE_CHECKING:
     import socket
--- a/coursepitch/cmd/plan.py
+++ b/coursepitch/cmd/plan.py
@@ -9,7 +9,8 @@
 
 from cleo.helpers import argument, option
 
-from coursepitch.cmd.base import ADMIN_OPTIONS, AdminClient, AdminError, BaseCommand
+from coursepitch.cmd.admin_client import ADMIN_OPTIONS, AdminClient, AdminError
+from coursepitch.cmd.base import BaseCommand
 from coursepitch.config.settings import PlacementSettings
 from coursepitch.control.placement import plan_placement, unpack_fleet
 
--- a/coursepitch/cmd/resource.py
+++ b/coursepitch/cmd/resource.py
@@ -9,7 +9,8 @@
 
 from cleo.helpers import argument, option
 
-from coursepitch.cmd.base import ADMIN_OPTIONS, AdminClient, AdminError, BaseCommand
+from coursepitch.cmd.admin_client import ADMIN_OPTIONS, AdminClient, AdminError
+from coursepitch.cmd.base import BaseCommand
 from coursepitch.config.history import pack_spec
 from coursepitch.config.options import read_ini
 from coursepitch.config.resources import check_resources
--- a/coursepitch/cmd/timeline.py
+++ b/coursepitch/cmd/timeline.py
@@ -6,7 +6,8 @@
 
 from cleo.helpers import argument, option
 
-from coursepitch.cmd.base import AdminError, BaseCommand
+from coursepitch.cmd.admin_client import AdminError
+from coursepitch.cmd.base import BaseCommand
 from coursepitch.timeline import draw_page, merge_logs, read_log, write_text
 
 __all__ = ['TimelineCommand']
--- a/coursepitch/platform/instances.py
+++ b/coursepitch/platform/instances.py
@@ -4,13 +4,19 @@
 
 from dataclasses import dataclass
 from typing import Any
+from urllib.parse import urlsplit
 
-import httpx
+import anyio
+import orjson
 
+from coursepitch.http.client import ConnectionPool, ExchangeError, NoConnectionError
 from coursepitch.platform.kv import Unavailable
 
 __all__ = ['Instance', 'InstanceList']
 
+#: Largest list in bytes.
+LIST_BYTES = 16_777_216
+
 
 @dataclass(frozen=True, slots=True)
 class Instance:
@@ -30,23 +36,38 @@
 
 
 class InstanceList:
-    """Reader of the list over HTTP."""
+    """Reader of the list over HTTP.
+
+    :param url: ``http://IP:port`` of the list.
+    """
 
     def __init__(self, url: str, timeout_s: float) -> None:
-        self._client = httpx.AsyncClient(base_url=url, timeout=timeout_s)
+        self._address = urlsplit(url).netloc
+        self._timeout_s = timeout_s
+        self._pool = ConnectionPool(connect_timeout_s=timeout_s)
 
     async def close(self) -> None:
         """Close all connections."""
-        await self._client.aclose()
+        self._pool.close()
 
     async def read(self) -> tuple[Instance, ...] | Unavailable:
         """Return all instances that are listed."""
+        headers = ((b'Host', self._address.encode()),)
         try:
-            reply = await self._client.get('/instances')
-            reply.raise_for_status()
-            data = reply.json()
+            with anyio.fail_after(self._timeout_s):
+                connection = await self._pool.acquire(self._address)
+                answer = await self._pool.exchange(
+                    connection, b'GET', b'/instances', headers, b''
+                )
+                try:
+                    body = await answer.read_whole(LIST_BYTES)
+                finally:
+                    answer.release()
+            if answer.status != 200:
+                return Unavailable(f'instance list: status {answer.status}')
+            data = orjson.loads(body)
             return tuple(_read_instance(item) for item in data['instances'])
-        except httpx.HTTPError as error:
+        except (NoConnectionError, ExchangeError, TimeoutError) as error:
             return Unavailable(f'instance list: {type(error).__name__}')
         except (KeyError, TypeError, ValueError) as error:
             return Unavailable(f'instance list: {error!r}')
--- a/coursepitch/util/http.py
+++ b/coursepitch/util/http.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import math
-import socket
 from typing import TYPE_CHECKING, Any
 
 import anyio
@@ -14,23 +13,12 @@
 from coursepitch.errors import RequestError, RequestTooLargeError
 
 if TYPE_CHECKING:
+    import socket
     from collections.abc import AsyncIterator, Awaitable, Callable, Mapping
 
     from starlette.requests import Request
 
-__all__ = ['Cutoff', 'StreamedAnswer', 'listen', 'read_body', 'run_unless_gone']
-__all__ += ['serve_app']
-
-
-def listen(address: str, port: int) -> socket.socket:
-    """Return a listening TCP socket; port 0 lets the OS choose."""
-    family = socket.AF_INET6 if ':' in address else socket.AF_INET
-    sock = socket.socket(family, socket.SOCK_STREAM)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    sock.bind((address, port))
-    sock.listen(1024)
-    sock.setblocking(False)
-    return sock
+__all__ = ['Cutoff', 'StreamedAnswer', 'read_body', 'run_unless_gone', 'serve_app']
 
 
 async def serve_app(
