Groups recombine from any instances: second weights, drafts, spares in each domain

Change: before the first request each instance gets the other model's weights onto its host; the model of the last group is remembered; domains take turns in forming, so spares are spread; a group of a model with enough is drafted for one that is short; orders are repeated after 0.45 s; exits from groups are seen by every node; a head of which nothing came for 0.25 s has its members asked.

--- a/coursepitch/fleet/control.py
+++ b/coursepitch/fleet/control.py
@@ -21,11 +21,11 @@
 __all__ = ['InstanceControl', 'Probe']
 
 #: Seconds for which an order's answer is waited for.
-ORDER_TIMEOUT_S = 0.8
+ORDER_TIMEOUT_S = 0.4
 
 #: Seconds for which a report is waited for, twice.  Source: an instance that
 #: lives answers within a few milliseconds and takes no slot for it.
-PROBE_TIMEOUT_S = 0.25
+PROBE_TIMEOUT_S = 0.13
 PROBE_TRIES = 2
 
 #: Largest answer to an order or a question in bytes.
--- a/coursepitch/fleet/groups.py
+++ b/coursepitch/fleet/groups.py
@@ -19,7 +19,14 @@
 from coursepitch.fleet.claims import GroupClaim
 from coursepitch.fleet.instances import GroupState
 from coursepitch.fleet.orders import Order, OrderKind, OrderResult
-from coursepitch.fleet.placement import count_targets, plan_domain
+from coursepitch.fleet.placement import (
+    Staging,
+    choose_draft,
+    choose_second,
+    count_targets,
+    holds_model,
+    plan_domains,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Mapping
@@ -32,8 +39,8 @@
 
 #: Seconds after which an order that the instance's entry doesn't show is sent
 #: again.  Orders are carried out within some ten milliseconds or seconds late.
-JOIN_RETRY_S = 1.0
-OPEN_RETRY_S = 0.6
+JOIN_RETRY_S = 0.45
+OPEN_RETRY_S = 0.45
 LEAVE_RETRY_S = 0.4
 STAGE_RETRY_S = 3.0
 
@@ -86,6 +93,7 @@
 class _Progress:
     """What the leader knows of a group beyond its claim.
 
+    :param drafted: whether its members are wanted for a group of another model.
     :param may_be_open: whether an order to open it was ever sent, as far as
         is known; true for groups taken over from another leader.
     """
@@ -96,6 +104,7 @@
     head_settled: bool = False
     head_failures: int = 0
     left: set[str] = field(default_factory=set)
+    drafted: bool = False
     stood_since: float | None = None
 
 
@@ -242,6 +251,8 @@
                 return f'{name} left the group'
             if instance.draining and not (serving and self._is_busy(claim, view)):
                 return f'{name} is leaving'
+        if progress.drafted and not serving:
+            return 'its members are wanted for another model'
         model = engine.find_model(claim.model)
         if model is None:
             return f'model {claim.model} is no longer wanted'
@@ -263,7 +274,7 @@
         orders: list[Order] = []
         members = [view.instances[name] for name in claim.members]
         head = members[0]
-        if any(item.draining for item in members):
+        if progress.drafted or any(item.draining for item in members):
             order = _order(OrderKind.CLOSE, head.name, head.address, claim)
             return self._send(order, OPEN_RETRY_S, now)
         for instance in members:
@@ -288,8 +299,13 @@
         orders: list[Order] = []
         # A head that is no longer listed may still serve where it was.
         address = self._addresses.get(claim.head)
-        silent = address is None or progress.head_failures >= SILENT_TRIES
-        if address is not None and claim.head not in progress.left and not silent:
+        silent = (
+            address is None
+            or claim.head not in view.instances
+            or progress.head_failures >= SILENT_TRIES
+        )
+        tries_left = progress.head_failures < SILENT_TRIES
+        if address is not None and claim.head not in progress.left and tries_left:
             order = _order(OrderKind.LEAVE, claim.head, address, claim)
             orders += self._send(order, LEAVE_RETRY_S, now)
         if silent or claim.head in self.dead:
@@ -314,19 +330,21 @@
             gone = not _is_in(head, claim) or _state(head) is GroupState.BROKEN
             if gone and not view.is_lapsed(claim.head):
                 return True
-        # The head is silent.  Without any of its members it breaks by itself;
-        # one that left, or died, long enough ago is proof of that.
+        # The head is silent.  Once a member has left it stands still, and breaks
+        # by itself; when that was, every node saw for itself.
         waiting = [
             name
             for name in claim.members[1:]
             if name in view.instances
-            and name not in progress.left
             and name not in self.dead
+            and _is_in(view.instances[name], claim)
         ]
         if waiting:
             return False
         if progress.stood_since is None:
-            progress.stood_since = now
+            exits = [view.exit_time(name, claim) for name in claim.members[1:]]
+            known = [item for item in exits if item is not None]
+            progress.stood_since = min(known) if known else now
         return now - progress.stood_since >= self.rules.stall_s + STALL_MARGIN_S
 
     def _send(self, order: Order, retry_s: float, now: float) -> list[Order]:
@@ -373,17 +391,14 @@
         epoch = view.store_revision + 1
         changes: list[ClaimChange] = []
         orders: list[Order] = []
+        added_any = False
+        plans = {}
+        if settled:
+            plans = plan_domains(domains, engine.models, counts, targets, cold=early)
         for domain in sorted(set(domains) | dirty):
-            free = domains.get(domain, [])
             added: list[GroupClaim] = []
-            if settled and free:
-                plan = plan_domain(
-                    free,
-                    engine.models,
-                    counts,
-                    targets,
-                    cold=early,
-                )
+            plan = plans.get(domain)
+            if plan is not None:
                 for place, formation in enumerate(plan.formations):
                     name = f'g{epoch}-{domain or "x"}-{place}'
                     counts[formation.model] += 1
@@ -397,16 +412,9 @@
                             formation.members,
                         )
                     )
-                by_name = {item.name: item for item in free}
                 for staging in plan.stagings:
-                    instance = by_name[staging.instance]
-                    order = Order(
-                        OrderKind.STAGE,
-                        instance.name,
-                        instance.address,
-                        model=staging.model,
-                    )
-                    orders += self._stage(order, engine, now, early)
+                    orders += self._stage(staging, engine, now, early)
+            added_any = added_any or bool(added)
             if added or domain in dirty:
                 gone = tuple(
                     claim.name
@@ -422,8 +430,66 @@
                         gone,
                     )
                 )
+        if early:
+            orders += self._stage_seconds(view, service, engine, now)
+        elif not added_any:
+            self._draft(view, engine, claims, domains, counts, targets)
         return changes, orders
 
+    def _stage_seconds(
+        self, view: FleetView, service: Service, engine: EngineProfile, now: float
+    ) -> list[Order]:
+        """Return orders for a second model's weights, while loads are fast.
+
+        Any instance can then take part in any group within a second or two.
+        """
+        orders: list[Order] = []
+        for instance in view.instances.values():
+            if instance.service != service.name or instance.draining:
+                continue
+            state = _state(instance)
+            if state in (GroupState.JOINING, GroupState.BROKEN):
+                continue
+            staging = choose_second(instance, engine.models)
+            if staging is not None:
+                orders += self._stage(staging, engine, now, early=True)
+        return orders
+
+    def _draft(
+        self,
+        view: FleetView,
+        engine: EngineProfile,
+        claims: list[GroupClaim],
+        domains: Mapping[str, list[FleetInstance]],
+        counts: Mapping[str, int],
+        targets: Mapping[str, float],
+    ) -> None:
+        """Let a group of one model end for a group of another, one at a time."""
+        if any(item.drafted and not item.retiring for item in self._active(claims)):
+            return
+        pair = choose_draft(engine.models, counts, targets)
+        if pair is None:
+            return
+        needy, donor = pair
+        for claim in claims:
+            group = view.find_open(claim)
+            if claim.model != donor.name or group is None:
+                continue
+            free = [
+                item
+                for item in domains.get(claim.domain, [])
+                if holds_model(item, needy.name)
+            ]
+            able = [item for item in group.members if holds_model(item, needy.name)]
+            if len(free) < needy.size <= len(free) + len(able):
+                self._progress[claim.name, claim.epoch].drafted = True
+                return
+
+    def _active(self, claims: list[GroupClaim]) -> list[_Progress]:
+        """Return the progress of claims that still stand."""
+        keys = [(claim.name, claim.epoch) for claim in claims]
+        return [self._progress[key] for key in keys if key in self._progress]
+
     def _list_free(
         self, view: FleetView, service: Service, claims: list[GroupClaim]
     ) -> dict[str, list[FleetInstance]]:
@@ -446,10 +512,12 @@
         return found
 
     def _stage(
-        self, order: Order, engine: EngineProfile, now: float, early: bool
+        self, staging: Staging, engine: EngineProfile, now: float, early: bool
     ) -> list[Order]:
         """Return an order to load weights if the weight store bears it now."""
-        model = engine.find_model(order.model)
+        model = engine.find_model(staging.model)
+        address = self._addresses[staging.instance]
+        order = Order(OrderKind.STAGE, staging.instance, address, model=staging.model)
         key = (order.instance, order.kind, 0)
         retry_s = STAGE_RETRY_S + (model.load_s if model else 0.0)
         if now - self._sent.get(key, float('-inf')) < retry_s:
--- a/coursepitch/fleet/instances.py
+++ b/coursepitch/fleet/instances.py
@@ -44,6 +44,7 @@
     :param domain: fabric domain; empty where there are none.
     :param models: models whose weights it holds.
     :param staged: models whose weights lie on its host.
+    :param last_model: model of its last group, which it joins again at once.
     """
 
     name: str
@@ -56,3 +57,4 @@
     models: frozenset[str] = frozenset()
     staged: frozenset[str] = frozenset()
     membership: Membership | None = None
+    last_model: str = ''
--- a/coursepitch/fleet/keeper.py
+++ b/coursepitch/fleet/keeper.py
@@ -11,7 +11,14 @@
 from coursepitch.fleet.control import Probe
 from coursepitch.fleet.groups import GroupBook, KeeperRules
 from coursepitch.fleet.view import LEADER_KEY, claim_key
-from coursepitch.platform.kv import Condition, Conflict, Entry, Swapped, Write
+from coursepitch.platform.kv import (
+    Condition,
+    Conflict,
+    Entry,
+    Swapped,
+    Unavailable,
+    Write,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping, Sequence
@@ -40,6 +47,9 @@
 #: Seconds between two questions to an instance held for lost that is listed.
 RECHECK_S = 1.0
 
+#: Seconds after which claims are written again when the store gave no answer.
+WRITE_RETRY_S = 0.4
+
 #: Domains whose claims change in one transaction; the platform takes 32 rows.
 DOMAINS_AT_ONCE = 15
 
@@ -71,6 +81,7 @@
         self._read_demand = read_demand
         self._started_at = clock()
         self._leading = 0
+        self._write_after = float('-inf')
         self._checked: dict[str, float] = {}
         self._orders: set[tuple[str, str, int]] = set()
 
@@ -130,7 +141,7 @@
     async def _write(self, changes: Sequence[ClaimChange]) -> None:
         """Write claims on the condition that the node still leads."""
         view = self._session.view
-        if not self._session.is_leader():
+        if not self._session.is_leader() or self._clock() < self._write_after:
             return
         conditions = [Condition(LEADER_KEY, self._leading)]
         writes = []
@@ -153,6 +164,8 @@
                 view.take_claims(Entry(write.key, write.value or '', result.revision))
             view.store_revision = max(view.store_revision, result.revision)
             self._session.wake()
+        elif isinstance(result, Unavailable):
+            self._write_after = self._clock() + WRITE_RETRY_S
         elif isinstance(result, Conflict):
             for entry in result.entries:
                 view.take_entry(entry)
--- a/coursepitch/fleet/placement.py
+++ b/coursepitch/fleet/placement.py
@@ -16,12 +16,16 @@
     from coursepitch.config.routes import ModelProfile
     from coursepitch.fleet.instances import FleetInstance
 
-__all__ = ['Formation', 'PlacementPlan', 'Staging', 'count_targets', 'plan_domain']
+__all__ = ['Formation', 'PlacementPlan', 'Staging', 'choose_draft', 'choose_second']
+__all__ += ['count_targets', 'holds_model', 'plan_domains']
 
-#: Share of the instances kept free, with weights on their hosts, to replace
-#: members that fail.  Source: on the users' standard days a member is lost every
-#: three seconds, and a load takes 12 to 16 s.
-SPARE_SHARE = 0.2
+#: Share of the instances kept free to replace members that fail.  Source: with
+#: all weights at hand, a group is whole again from any free instances of its
+#: domain, so few spares suffice; idle ones serve nobody.
+SPARE_SHARE = 0.08
+
+#: Difference of two models' shortages at which one gives a group to the other.
+DRAFT_GAP = 0.2
 
 
 #: Part of a group that has to be wanted for it to form.
@@ -66,32 +70,45 @@
     return {item.name: used * shares[item.name] / total / item.size for item in models}
 
 
-def plan_domain(
-    free: Sequence[FleetInstance],
+def plan_domains(
+    free: Mapping[str, Sequence[FleetInstance]],
     models: Sequence[ModelProfile],
     groups: Mapping[str, int],
     targets: Mapping[str, float],
     *,
     cold: bool,
-) -> PlacementPlan:
-    """Return what to do with the free instances of one fabric domain.
+) -> dict[str, PlacementPlan]:
+    """Return what to do with the free instances of each fabric domain.
+
+    The domains take turns, one group at a time, so that the instances that
+    stay free are spread over them: a group finds spares in its own domain only.
 
     :param groups: groups of each model over all domains.
     :param cold: whether groups form from instances that hold no weights, as
         before the first request, when loads are fast.
     """
-    left = list(free)
+    left = {domain: list(items) for domain, items in free.items()}
     counts = dict(groups)
-    formations: list[Formation] = []
-    while True:
-        found = _choose_formation(left, models, counts, targets, cold)
-        if found is None:
-            break
-        formations.append(found)
-        counts[found.model] = counts.get(found.model, 0) + 1
-        left = [item for item in left if item.name not in found.members]
-    stagings = _choose_stagings(left, models, counts, targets)
-    return PlacementPlan(tuple(formations), stagings)
+    formations: dict[str, list[Formation]] = {domain: [] for domain in free}
+    placed = True
+    while placed:
+        placed = False
+        for domain in sorted(left, key=lambda name: (-len(left[name]), name)):
+            found = _choose_formation(left[domain], models, counts, targets, cold)
+            if found is None:
+                continue
+            placed = True
+            formations[domain].append(found)
+            counts[found.model] = counts.get(found.model, 0) + 1
+            left[domain] = [
+                item for item in left[domain] if item.name not in found.members
+            ]
+    return {
+        domain: PlacementPlan(
+            tuple(formations[domain]), _choose_stagings(rest, models, counts, targets)
+        )
+        for domain, rest in left.items()
+    }
 
 
 def _shortage(
@@ -106,11 +123,16 @@
 
 def _warmth(instance: FleetInstance, model: str) -> int:
     """Return 2 for weights in memory, 1 on the host, 0 for neither."""
-    if model in instance.models:
+    if model in instance.models or model == instance.last_model:
         return 2
     return 1 if model in instance.staged else 0
 
 
+def holds_model(instance: FleetInstance, model: str) -> bool:
+    """Whether an instance joins a group of a model without a load."""
+    return _warmth(instance, model) > 0
+
+
 def _choose_formation(
     free: Sequence[FleetInstance],
     models: Sequence[ModelProfile],
@@ -138,27 +160,58 @@
     counts: Mapping[str, int],
     targets: Mapping[str, float],
 ) -> tuple[Staging, ...]:
-    """Return weights to load so that free instances can complete groups."""
+    """Return weights to load so that free instances can complete groups.
+
+    Instances without any weights load those of the model that is closest to a
+    whole group here, the larger one first: it is the harder to complete.
+    """
     have = {
         model.name: sum(1 for item in free if _warmth(item, model.name))
         for model in models
     }
-    bare = [
-        item for item in free if not any(_warmth(item, model.name) for model in models)
-    ]
     stagings = []
-    for instance in bare:
-        ranked = sorted(
-            models,
+    for instance in free:
+        if any(_warmth(instance, model.name) for model in models):
+            continue
+        wanted = [item for item in models if targets.get(item.name, 0.0) > 0]
+        if not wanted:
+            break
+        model = max(
+            wanted,
             key=lambda item: (
-                min(have[item.name], item.size) / item.size,
-                -_shortage(item, counts, targets),
+                0 < have[item.name] < item.size,
+                item.size,
+                _shortage(item, counts, targets),
             ),
         )
-        # The model that is closest to whole, if one has survivors here; else
-        # the one with the fewest spares.
-        partial = [item for item in models if 0 < have[item.name] < item.size]
-        model = max(partial, key=lambda item: have[item.name]) if partial else ranked[0]
         stagings.append(Staging(instance.name, model.name))
         have[model.name] += 1
     return tuple(stagings)
+
+
+def choose_second(
+    instance: FleetInstance, models: Sequence[ModelProfile]
+) -> Staging | None:
+    """Return the weights that an instance lacks to serve either model."""
+    missing = [item for item in models if not _warmth(instance, item.name)]
+    if not missing or len(missing) == len(models):
+        return None
+    return Staging(instance.name, max(missing, key=lambda item: item.size).name)
+
+
+def choose_draft(
+    models: Sequence[ModelProfile],
+    counts: Mapping[str, int],
+    targets: Mapping[str, float],
+) -> tuple[ModelProfile, ModelProfile] | None:
+    """Return the model that needs a group most and the one that can give one up."""
+    ranked = sorted(models, key=lambda item: _shortage(item, counts, targets))
+    if len(ranked) < 2:
+        return None
+    donor, needy = ranked[0], ranked[-1]
+    after = dict(counts)
+    after[donor.name] = counts.get(donor.name, 0) - 1
+    if after[donor.name] < 1:
+        return None
+    gap = _shortage(needy, counts, targets) - _shortage(donor, after, targets)
+    return (needy, donor) if gap > DRAFT_GAP else None
--- a/coursepitch/fleet/session.py
+++ b/coursepitch/fleet/session.py
@@ -41,8 +41,8 @@
 CONFIRM_RETRY_S = 0.3
 
 #: Length in seconds of the node's lease, and how often it is renewed.
-LEASE_S = 3.0
-RENEW_S = 1.0
+LEASE_S = 2.2
+RENEW_S = 0.7
 
 #: Seconds for which one watch waits.
 WATCH_S = 10.0
--- a/coursepitch/fleet/view.py
+++ b/coursepitch/fleet/view.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import TYPE_CHECKING
 
 from coursepitch import events, log
@@ -85,6 +85,7 @@
     arrived_at: float = float('-inf')
     version: int = 0
     _lapsed: dict[str, float] = field(default_factory=dict)
+    _exits: dict[tuple[str, str, int], float] = field(default_factory=dict)
     _groups: dict[tuple[str, str], list[OpenGroup]] = field(default_factory=dict)
     _groups_version: int = -1
 
@@ -185,19 +186,37 @@
             log.emit(events.INSTANCE_DAMAGED, instance=name, reason=str(error))
             return
         before = self.instances.get(name)
+        instance = _remember_model(before, instance)
         self._lapsed.pop(name, None)
         self.instances[name] = instance
         if before is None:
             self.arrived_at = self.clock()
-        if before is None or before.membership != instance.membership:
+        else:
+            self._note_exit(before, instance)
+        if before is None or before != instance:
             log.emit(
                 events.INSTANCE_CHANGED,
                 instance=name,
                 draining=instance.draining,
                 membership=str(instance.membership),
+                domain=instance.domain,
+                models=sorted(instance.models),
+                staged=sorted(instance.staged),
                 revision=entry.revision,
             )
 
+    def _note_exit(self, before: FleetInstance, after: FleetInstance) -> None:
+        """Remember when an instance was seen out of a group."""
+        old, new = before.membership, after.membership
+        if old is None:
+            return
+        if new is None or (old.group, old.epoch) != (new.group, new.epoch):
+            self._exits[before.name, old.group, old.epoch] = self.clock()
+
+    def exit_time(self, name: str, claim: GroupClaim) -> float | None:
+        """Return when an instance was seen out of a claimed group, if it was."""
+        return self._exits.get((name, claim.name, claim.epoch))
+
     def _drop_instance(self, name: str) -> None:
         if name not in self.instances:
             return
@@ -284,3 +303,17 @@
             and membership.group == claim.name
             and membership.epoch == claim.epoch
         )
+
+
+def _remember_model(
+    before: FleetInstance | None, after: FleetInstance
+) -> FleetInstance:
+    """Return an instance with the model that it held last.
+
+    Once out of its group it no longer tells the model, but still has it.
+    """
+    if after.models:
+        return replace(after, last_model=next(iter(after.models)))
+    if before is None:
+        return after
+    return replace(after, last_model=before.last_model)
--- a/coursepitch/gateway/streams.py
+++ b/coursepitch/gateway/streams.py
@@ -38,12 +38,6 @@
 #: rather be late than be refused again.
 RETURNED_WAIT_S = 1.5
 
-#: Seconds without an event after which the members of a group are asked.
-STALL_S = 0.45
-
-#: Seconds without a first event after which they are asked.
-FIRST_STALL_S = 0.6
-
 #: Seconds after which a refused client finds a group again, at the usual time
 #: a group takes to form anew.
 AGAIN_S = 0.7
@@ -146,7 +140,7 @@
             if now >= job.limit_at or not self._session.is_fresh():
                 return None
             group = self._router.choose_group(job.service, job.fields.model, avoided)
-            if group is None and avoided:
+            if group is None and job.reply.started:
                 group = self._router.choose_group(job.service, job.fields.model, ())
             if group is not None:
                 return group
@@ -206,12 +200,9 @@
         self, group: OpenGroup, stalled: anyio.Event, tasks: anyio.abc.TaskGroup
     ) -> None:
         """Give an attempt up when a member of its group is silent."""
-        while True:
-            await anyio.sleep(FIRST_STALL_S)
-            if not await self._watchdog.check(group):
-                stalled.set()
-                tasks.cancel_scope.cancel()
-                return
+        await self._watchdog.wait_silent(group, self._clock())
+        stalled.set()
+        tasks.cancel_scope.cancel()
 
     async def _pass_on(
         self,
@@ -226,13 +217,11 @@
         if not job.reply.started:
             job.status = answer.status
             await job.reply.start(answer.status, pass_answer_headers(answer.headers))
-        first = True
         try:
             while True:
-                data = await self._read_part(group, answer, first)
+                data = await self._read_part(group, answer)
                 if data is None:
                     break
-                first = False
                 whole = seam.take(data)
                 if whole:
                     await job.reply.send(whole)
@@ -261,19 +250,24 @@
         await job.reply.send_whole(answer.status, headers, body)
         return True
 
-    async def _read_part(
-        self, group: OpenGroup, answer: Answer, first: bool
-    ) -> bytes | None:
+    async def _read_part(self, group: OpenGroup, answer: Answer) -> bytes | None:
         """Return the next bytes of a stream, or ``None`` at its proper end.
 
         :raises ExchangeError: it broke off, or a member of the group is silent.
         """
-        stall_s = FIRST_STALL_S if first else STALL_S
+        since = self._clock()
+        head = group.head.name
         while True:
-            with anyio.move_on_after(stall_s):
-                return await answer.read_part()
-            if not await self._watchdog.check(group):
+            left_s = self._watchdog.quiet_s(head, since)
+            if left_s > 0:
+                with anyio.move_on_after(left_s):
+                    data = await answer.read_part()
+                    self._watchdog.note_heard(head)
+                    return data
+            elif not await self._watchdog.check(group):
                 raise ExchangeError('a member of the group does not answer')
+            else:
+                since = self._clock()
 
     def _note_cut(
         self, job: Job, group: OpenGroup, seam: EventSeam, reason: str
--- a/coursepitch/gateway/watchdog.py
+++ b/coursepitch/gateway/watchdog.py
@@ -24,7 +24,16 @@
 __all__ = ['Watchdog']
 
 #: Seconds for which the answers of a group's members are not asked again.
-VERDICT_S = 0.6
+VERDICT_S = 0.8
+
+#: Seconds in which nothing came from a head after which its group is asked.
+#: Source: on the users' engines the events of a stream come about every 50 ms,
+#: and a pass that reads long prompts takes up to 150 ms.
+QUIET_S = 0.25
+
+#: Seconds for which a single stream may stand still while others of its head
+#: flow.
+ALONE_S = 1.5
 
 #: Seconds for which this node avoids a group with a silent member, whatever
 #: the other nodes find.
@@ -43,12 +52,40 @@
         self._verdicts: dict[tuple[str, int], tuple[float, bool]] = {}
         self._running: dict[tuple[str, int], anyio.Event] = {}
         self._avoided: dict[tuple[str, int], float] = {}
+        self._heard: dict[str, float] = {}
 
     def is_avoided(self, group: OpenGroup) -> bool:
         """Whether a member of the group was silent just now."""
         key = (group.claim.name, group.claim.epoch)
         return self._avoided.get(key, float('-inf')) > self._clock()
 
+    def note_heard(self, head: str) -> None:
+        """Note that a head sent something on any stream of this node."""
+        self._heard[head] = self._clock()
+
+    def quiet_s(self, head: str, since: float) -> float:
+        """Return for how long to wait for a head before its group is asked.
+
+        :param since: when the one who waits heard of it last.
+        """
+        now = self._clock()
+        heard = max(since, self._heard.get(head, float('-inf')))
+        return min(heard + QUIET_S, since + ALONE_S) - now
+
+    async def wait_silent(self, group: OpenGroup, since: float) -> None:
+        """Return once a member of a group is found silent.
+
+        :param since: when the one who waits heard of the head last.
+        """
+        while True:
+            left_s = self.quiet_s(group.head.name, since)
+            if left_s > 0:
+                await anyio.sleep(left_s)
+                continue
+            if not await self.check(group):
+                return
+            since = self._clock()
+
     async def check(self, group: OpenGroup) -> bool:
         """Return whether all members of a group answer."""
         key = (group.claim.name, group.claim.epoch)
