--- /dev/null
+++ b/standins/replica.py
@@ -0,0 +1,412 @@
+"""Stand-in for instances of the users' platform: entries, orders, streams, faults.
+
+One process plays several instances of one service, each on a port of its own.
+They record themselves in the store's stand-in, take the orders of groups as the
+published protocol says, and answer requests with events or a small body.  What
+goes wrong is set by ``POST /fault`` on the control port: ``dark`` (nothing is
+answered), ``mute`` (requests are taken and not answered), ``half`` (a stream
+breaks off within an event), ``surplus`` (a second answer follows), ``unframed``
+(no length), ``shed`` (rejected), ``error`` (status 500), ``late_orders`` (no
+answer, carried out after ``delay_s``) and ``stale`` (a request id of another).
+"""
+
+from __future__ import annotations
+
+import argparse
+import json
+import secrets
+import signal
+from dataclasses import dataclass, field
+from typing import Any
+
+import anyio
+import h11
+import httpx
+
+#: Seconds of a load, from memory, from the host and from the weight store.
+JOIN_S = {'again': 0.02, 'warm': 0.1, 'cold': 0.3}
+
+#: Seconds between two events of a stream.
+PAUSE_S = 0.02
+
+
+@dataclass
+class Instance:
+    """One instance; ``runs`` holds what it began to run."""
+
+    service: str
+    domain: str
+    store: str
+    engine: bool
+    name: str = field(default_factory=lambda: 'i-' + secrets.token_hex(5))
+    address: str = ''
+    state: str = 'ready'
+    group: dict[str, Any] | None = None
+    members: list[str] = field(default_factory=list)
+    seen_epoch: int = 0
+    model: str = ''
+    last_model: str = ''
+    staged: list[str] = field(default_factory=list)
+    fault: dict[str, Any] = field(default_factory=lambda: {'mode': 'none'})
+    runs: list[dict[str, Any]] = field(default_factory=list)
+    orders: list[dict[str, Any]] = field(default_factory=list)
+
+    def entry(self) -> dict[str, Any]:
+        """Return what stands in the store."""
+        data: dict[str, Any] = {
+            'service': self.service,
+            'address': self.address,
+            'zone': 'a',
+            'version': 'v1',
+            'slots': 13,
+            'state': self.state,
+            'cold_left_ms': 0,
+            'sequence': len(self.orders),
+        }
+        if self.engine:
+            told = bool(self.model)
+            data['models'] = [{'name': self.model, 'version': 1}] if told else []
+            data['domain'] = self.domain
+            data['staged'] = self.staged
+            data['group'] = self.group
+        return data
+
+
+class Host:
+    """All instances of a process, with the task group in which they run."""
+
+    def __init__(self, options: argparse.Namespace, tasks: Any) -> None:
+        self.options = options
+        self.tasks = tasks
+        self.client = httpx.AsyncClient(base_url=f'http://{options.store}')
+        self.instances = {
+            item.name: item
+            for domain in options.domain
+            for item in (
+                Instance(options.service, domain, options.store, options.engine)
+                for _ in range(options.count)
+            )
+        }
+
+    async def publish(self, instance: Instance) -> None:
+        """Write the entry of an instance."""
+        value = json.dumps(instance.entry())
+        key = f'servers/{instance.name}'
+        await self.client.post('/operator', json={'key': key, 'value': value})
+
+    async def remove(self, instance: Instance) -> None:
+        """Delete the entry of an instance."""
+        key = f'servers/{instance.name}'
+        await self.client.request('DELETE', '/operator', json={'key': key})
+
+    # -- orders ------------------------------------------------------------------
+
+    async def take_order(self, instance: Instance, order: dict[str, Any]) -> int:
+        """Take an order; return the status."""
+        if instance.fault['mode'] == 'late_orders':
+            self.tasks.start_soon(self._take_late, instance, order)
+            return 0
+        return await self._carry_out(instance, order)
+
+    async def _take_late(self, instance: Instance, order: dict[str, Any]) -> None:
+        await anyio.sleep(instance.fault.get('delay_s', 1.0))
+        await self._carry_out(instance, order)
+
+    async def _carry_out(self, instance: Instance, order: dict[str, Any]) -> int:
+        instance.orders.append(order)
+        kind = order['operation']
+        if kind == 'stage':
+            instance.staged = [order['model']]
+            await self.publish(instance)
+            return 202
+        if kind == 'join':
+            return await self._join(instance, order)
+        group = instance.group
+        named = group and (group['name'], group['epoch']) == (
+            order['group'],
+            order['epoch'],
+        )
+        if not named or group is None:
+            return 409
+        if kind == 'leave':
+            instance.group, instance.model = None, ''
+        elif kind == 'open':
+            if group['state'] != 'ready':
+                return 409
+            group['state'] = 'open'
+        elif kind == 'close':
+            group['state'] = 'ready'
+        await self.publish(instance)
+        return 202
+
+    async def _join(self, instance: Instance, order: dict[str, Any]) -> int:
+        if order['epoch'] < instance.seen_epoch:
+            return 412
+        group = instance.group
+        if group and (group['name'], group['epoch']) == (
+            order['group'],
+            order['epoch'],
+        ):
+            return 200 if instance.members == order['members'] else 412
+        instance.seen_epoch = order['epoch']
+        instance.members = order['members']
+        instance.group = {
+            'name': order['group'],
+            'epoch': order['epoch'],
+            'rank': order['members'].index(instance.name),
+            'state': 'joining',
+        }
+        instance.model = ''
+        await self.publish(instance)
+        self.tasks.start_soon(self._load, instance, instance.group, order['model'])
+        return 202
+
+    async def _load(
+        self, instance: Instance, group: dict[str, Any], model: str
+    ) -> None:
+        warmth = 'warm' if model in instance.staged else 'cold'
+        if model == instance.last_model:
+            warmth = 'again'
+        await anyio.sleep(JOIN_S[warmth])
+        if instance.group is not group:
+            return
+        instance.model = instance.last_model = model
+        if warmth == 'cold':
+            instance.staged = [model]
+        group['state'] = 'ready'
+        await self.publish(instance)
+
+    # -- connections -----------------------------------------------------------------
+
+    async def serve(self, instance: Instance, stream: Any) -> None:
+        """Serve one connection of an instance."""
+        parser = h11.Connection(h11.SERVER)
+        try:
+            while await self._serve_one(instance, stream, parser):
+                parser.start_next_cycle()
+        except (anyio.BrokenResourceError, anyio.EndOfStream, h11.ProtocolError):
+            pass
+        finally:
+            await anyio.aclose_forcefully(stream)
+
+    async def _serve_one(self, instance: Instance, stream: Any, parser: Any) -> bool:
+        request, body = await read_request(stream, parser)
+        if request is None:
+            return False
+        if instance.fault['mode'] == 'dark':
+            await anyio.sleep_forever()
+        headers = {key.decode(): value.decode() for key, value in request.headers}
+        expected = headers.get('x-expect-replica')
+        if expected and expected != instance.name:
+            await send_whole(stream, parser, 421, {'X-Replica-Id': instance.name})
+            return True
+        target = request.target.decode()
+        if target == '/-/report':
+            report = {**instance.entry(), 'queued': 0, 'active': 0, 'pace': 1.0}
+            await send_whole(stream, parser, 200, {}, json.dumps(report).encode())
+            return True
+        if target == '/-/order':
+            status = await self.take_order(instance, json.loads(body))
+            if not status:
+                await anyio.sleep_forever()
+            await send_whole(stream, parser, status, {})
+            return True
+        return await self._answer(instance, stream, parser, request, headers, body)
+
+    async def _answer(
+        self,
+        instance: Instance,
+        stream: Any,
+        parser: Any,
+        request: Any,
+        headers: dict[str, str],
+        body: bytes,
+    ) -> bool:
+        """Answer a client's request; return whether the connection goes on."""
+        mode = instance.fault['mode']
+        mark = {'X-Request-Id': headers.get('x-request-id', '')}
+        head = instance.group and instance.group['state'] == 'open'
+        if mode == 'shed' or (instance.engine and not head):
+            status = 503 if mode == 'shed' else 421
+            await send_whole(stream, parser, status, {**mark, 'X-Not-Executed': '1'})
+            return True
+        run = {
+            'request': mark['X-Request-Id'],
+            'target': request.target.decode(),
+            'method': request.method.decode(),
+            'body': body.decode('latin-1'),
+            'headers': headers,
+            'left': False,
+        }
+        instance.runs.append(run)
+        if mode == 'mute':
+            await wait_left(stream, run)
+            return False
+        mark['X-Replica-Signature'] = f'{instance.name}.{len(instance.runs)}'
+        if mode == 'stale':
+            mark['X-Request-Id'] = 'another'
+        if mode == 'error':
+            await send_whole(stream, parser, 500, mark, b'no')
+            return True
+        if instance.engine:
+            return await self._stream(instance, stream, parser, mark, run, headers)
+        answer = f'{instance.name} {run["request"]}'.encode()
+        if mode == 'unframed':
+            lines = [f'{key}: {value}\r\n' for key, value in mark.items()]
+            text = 'HTTP/1.1 200 OK\r\n' + ''.join(lines) + '\r\n'
+            await stream.send(text.encode() + answer)
+            return False
+        await send_whole(stream, parser, 200, mark, answer)
+        if mode == 'surplus':
+            await stream.send(b'HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx')
+        return True
+
+    async def _stream(
+        self,
+        instance: Instance,
+        stream: Any,
+        parser: Any,
+        mark: dict[str, str],
+        run: dict[str, Any],
+        headers: dict[str, str],
+    ) -> bool:
+        lines = list({**mark, 'Content-Type': 'text/event-stream'}.items())
+        await stream.send(parser.send(h11.Response(status_code=200, headers=lines)))
+        first = int(headers.get('last-event-id') or 0) + 1
+        last = self.options.events
+        for number in range(first, last + 1):
+            if instance.fault['mode'] == 'dark':
+                await anyio.sleep_forever()
+            event = f'id: {number}\ndata: token {number}\n\n'.encode()
+            if instance.fault['mode'] == 'half' and number == last // 2:
+                await stream.send(parser.send(h11.Data(data=event[:9])))
+                return False
+            try:
+                await stream.send(parser.send(h11.Data(data=event)))
+            except anyio.BrokenResourceError:
+                run['left'] = True
+                raise
+            await anyio.sleep(PAUSE_S)
+        await stream.send(parser.send(h11.EndOfMessage()))
+        return True
+
+
+async def read_request(stream: Any, parser: Any) -> tuple[Any, bytes]:
+    """Return the next request and its body; ``None`` at the end."""
+    request, body = None, b''
+    while True:
+        event = parser.next_event()
+        if event is h11.NEED_DATA:
+            try:
+                parser.receive_data(await stream.receive())
+            except anyio.EndOfStream:
+                return None, b''
+        elif isinstance(event, h11.Request):
+            request = event
+        elif isinstance(event, h11.Data):
+            body += bytes(event.data)
+        elif isinstance(event, h11.EndOfMessage):
+            return request, body
+        else:
+            return None, b''
+
+
+async def send_whole(
+    stream: Any, parser: Any, status: int, headers: dict[str, str], body: bytes = b''
+) -> None:
+    """Send a whole answer."""
+    lines = [*headers.items(), ('Content-Length', str(len(body)))]
+    data = parser.send(h11.Response(status_code=status, headers=lines))
+    if body:
+        data += parser.send(h11.Data(data=body))
+    await stream.send(data + parser.send(h11.EndOfMessage()))
+
+
+async def wait_left(stream: Any, run: dict[str, Any]) -> None:
+    """Wait until the other side closes."""
+    try:
+        await stream.receive()
+    except (anyio.EndOfStream, anyio.BrokenResourceError):
+        run['left'] = True
+
+
+async def serve_control(host: Host, stream: Any) -> None:
+    """Serve the port over which tests set faults and read what happened."""
+    parser = h11.Connection(h11.SERVER)
+    try:
+        while True:
+            request, body = await read_request(stream, parser)
+            if request is None:
+                return
+            result = await control(host, request.target.decode(), body)
+            await send_whole(stream, parser, 200, {}, json.dumps(result).encode())
+            parser.start_next_cycle()
+    except (anyio.BrokenResourceError, h11.ProtocolError):
+        pass
+    finally:
+        await anyio.aclose_forcefully(stream)
+
+
+async def control(host: Host, target: str, body: bytes) -> Any:
+    """Carry out one call of a test."""
+    if target == '/stats':
+        return {
+            name: {**item.entry(), 'runs': item.runs, 'orders': item.orders}
+            for name, item in host.instances.items()
+        }
+    data = json.loads(body)
+    names = data.get('instances') or list(host.instances)
+    for name in names:
+        instance = host.instances[name]
+        if target == '/fault':
+            instance.fault = data
+        elif target == '/drain':
+            instance.state = 'draining'
+            await host.publish(instance)
+        elif target == '/vanish':
+            await host.remove(instance)
+    return {}
+
+
+async def run(options: argparse.Namespace) -> None:
+    """Serve until a signal; print the control port once all instances listen."""
+    async with anyio.create_task_group() as tasks:
+        host = Host(options, tasks)
+        for instance in host.instances.values():
+            await listen(tasks, instance, host)
+        multi = await anyio.create_tcp_listener(local_host='127.0.0.1', local_port=0)
+        port = multi.extra(anyio.abc.SocketAttribute.local_port)
+        tasks.start_soon(multi.serve, lambda stream: serve_control(host, stream))
+        for instance in host.instances.values():
+            await host.publish(instance)
+        print(json.dumps({'port': port}), flush=True)
+        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+            async for _ in signals:
+                break
+        tasks.cancel_scope.cancel()
+
+
+async def listen(tasks: Any, instance: Instance, host: Host) -> None:
+    """Let an instance listen on a port of its own."""
+    listener = await anyio.create_tcp_listener(local_host='127.0.0.1', local_port=0)
+    port = listener.extra(anyio.abc.SocketAttribute.local_port)
+    instance.address = f'127.0.0.1:{port}'
+    tasks.start_soon(listener.serve, lambda stream: host.serve(instance, stream))
+
+
+def main() -> None:
+    """Run the stand-in."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--store', required=True, help='IP:port of the store')
+    parser.add_argument('--service', default='pool')
+    parser.add_argument('--domain', action='append', default=[])
+    parser.add_argument('--count', type=int, default=4, help='instances a domain')
+    parser.add_argument('--events', type=int, default=20, help='events of a stream')
+    parser.add_argument('--engine', action='store_true')
+    options = parser.parse_args()
+    options.domain = options.domain or ['']
+    anyio.run(run, options)
+
+
+if __name__ == '__main__':
+    main()
