--- a/coursepitch/events.py
+++ b/coursepitch/events.py
@@ -18,7 +18,7 @@
 
 
 NODE_STARTED = Event(100, 'node.started', 'The node listens.', ('ports',))
-NODE_READY = Event(101, 'node.ready', 'The node serves callers.', ('revision',))
+NODE_READY = Event(101, 'node.ready', 'The node serves callers.', ('revision', 'age'))
 NODE_NOT_READY = Event(
     102, 'node.not_ready', 'The node turns callers away.', ('reason',)
 )
@@ -108,7 +108,15 @@
     509,
     'instance.changed',
     'An instance came, or tells another group.',
-    ('instance', 'draining', 'membership', 'revision'),
+    (
+        'instance',
+        'draining',
+        'membership',
+        'domain',
+        'models',
+        'staged',
+        'revision',
+    ),
 )
 INSTANCE_GONE = Event(
     510, 'instance.gone', 'An instance is no longer listed.', ('instance',)
@@ -164,11 +172,37 @@
     607,
     'request.ended',
     'What a client was told, or that it left.',
-    ('request', 'route', 'status', 'outcome', 'instance', 'attempts', 'took_s', 'age'),
+    (
+        'request',
+        'route',
+        'status',
+        'outcome',
+        'reason',
+        'instance',
+        'attempts',
+        'took_s',
+        'age',
+    ),
 )
 LINES_DROPPED = Event(
     608, 'log.dropped', 'Lines that standard output did not take in time.', ('count',)
 )
+REQUEST_SENT = Event(
+    609,
+    'request.sent',
+    'An instance was chosen and the request goes there.',
+    (
+        'request',
+        'instance',
+        'group',
+        'load',
+        'choices',
+        'attempt',
+        'last_event',
+        'table',
+        'age',
+    ),
+)
 REQUEST_RETRIED = Event(
     603, 'request.retried', 'A further attempt was made.', ('request', 'reason')
 )
--- a/coursepitch/gateway/arrive.py
+++ b/coursepitch/gateway/arrive.py
@@ -164,6 +164,14 @@
     ) -> None:
         outcome = job.ending if job else Ending.NOT_RUN
         self._metrics.requests.inc({'outcome': outcome.value, 'code': str(status)})
+        took_s = self._clock() - since
+        if job is not None:
+            kind = job.route.kind.value
+            self._metrics.request_time.observe({'kind': kind}, took_s)
+            if job.first_at is not None:
+                waited_s = job.first_at - job.arrived_at
+                self._metrics.first_token.observe({'kind': kind}, waited_s)
+            self._metrics.attempts.add({'kind': kind}, len(job.sent))
         log.emit(
             events.REQUEST_ENDED,
             request=fields.request,
@@ -173,6 +181,6 @@
             reason=job.last_reason if job else '',
             instance=','.join(job.sent) if job else '',
             attempts=len(job.sent) if job else 0,
-            took_s=round(self._clock() - since, 4),
+            took_s=round(took_s, 4),
             age=round(self._session.confirmation_age_s, 3),
         )
--- a/coursepitch/gateway/calls.py
+++ b/coursepitch/gateway/calls.py
@@ -6,6 +6,7 @@
 
 import anyio
 
+from coursepitch import events, log
 from coursepitch.gateway.attempts import Attempt, bound_connections, send_attempt
 from coursepitch.gateway.job import Ending, Refusal
 from coursepitch.http.client import ExchangeError
@@ -120,6 +121,19 @@
 
     async def _run_once(self, job: Job, instance: FleetInstance, again: bool) -> bool:
         """Run a request at an instance; return whether the client was answered."""
+        table = self._session.view.table
+        log.emit(
+            events.REQUEST_SENT,
+            request=job.fields.request,
+            instance=instance.name,
+            group='',
+            load=self._board.count(instance.name),
+            choices=len(self._session.view.list_serving(job.service.name)),
+            attempt=len(job.sent) + 1,
+            last_event='',
+            table=table.version if table else 0,
+            age=round(self._session.confirmation_age_s, 3),
+        )
         self._board.begin(instance.name)
         try:
             return await self._attempt(job, instance, again)
--- a/coursepitch/gateway/job.py
+++ b/coursepitch/gateway/job.py
@@ -50,6 +50,7 @@
     :param limit_at: monotonic time past which nobody waits for the answer.
     :param sent: instances that it was sent to, in order.
     :param may_have_run: instances that ran it, or may have.
+    :param first_at: monotonic time at which the first event went on.
     """
 
     incoming: IncomingRequest
@@ -64,6 +65,7 @@
     may_have_run: set[str] = field(default_factory=set)
     last_reason: str = ''
     ending: Ending = Ending.NOT_RUN
+    first_at: float | None = None
     status: int = 0
 
     @property
--- a/coursepitch/gateway/streams.py
+++ b/coursepitch/gateway/streams.py
@@ -151,6 +151,20 @@
     async def _run_once(self, job: Job, group: OpenGroup, seam: EventSeam) -> bool:
         """Run a request at a group; return whether the client was answered."""
         head = group.head
+        table = self._session.view.table
+        choices = self._session.view.list_open(job.service.name, job.fields.model)
+        log.emit(
+            events.REQUEST_SENT,
+            request=job.fields.request,
+            instance=head.name,
+            group=f'{group.claim.name}/{group.claim.epoch}',
+            load=self._board.count(head.name),
+            choices=len(choices),
+            attempt=len(job.sent) + 1,
+            last_event=seam.last_event.decode('latin-1'),
+            table=table.version if table else 0,
+            age=round(self._session.confirmation_age_s, 3),
+        )
         self._board.begin(head.name)
         try:
             attempt = await self._attempt(job, group, seam)
@@ -224,6 +238,8 @@
                     break
                 whole = seam.take(data)
                 if whole:
+                    if job.first_at is None:
+                        job.first_at = self._clock()
                     await job.reply.send(whole)
         except ExchangeError as error:
             seam.cut()
--- a/coursepitch/gateway_application.py
+++ b/coursepitch/gateway_application.py
@@ -137,7 +137,9 @@
             self._was_ready = ready
             age = round(self.session.confirmation_age_s, 3)
             if ready:
-                log.emit(events.NODE_READY, revision=age)
+                table = self.session.view.table
+                revision = table.revision if table else 0
+                log.emit(events.NODE_READY, revision=revision, age=age)
             else:
                 reason = 'stopping' if self.stopping else f'confirmation is {age} s old'
                 log.emit(events.NODE_NOT_READY, reason=reason)
--- a/coursepitch/metrics.py
+++ b/coursepitch/metrics.py
@@ -31,6 +31,9 @@
         self.first_token = histogram(
             'first_token_seconds', 'Time from the request to its first chunk.'
         )
+        self.request_time = histogram(
+            'request_seconds', 'Time from a request to the end of its answer.'
+        )
         self.in_flight = gauge('requests_in_flight', 'Requests in flight.')
         self.queued = gauge('requests_queued', 'Requests that wait.')
         self.kv_calls = counter(
