Nodes tell each other requests in flight; groups follow the work measured; a bound by slots

Change: links of websockets and CBOR with requests in flight and work by model; targets of groups follow the work once it fills a part of the instances; a request is refused at once when no group would begin it in time, and one that came back goes before.

--- a/coursepitch/fleet/groups.py
+++ b/coursepitch/fleet/groups.py
@@ -141,7 +141,7 @@
         self,
         view: FleetView,
         service: Service,
-        demand: Mapping[str, float],
+        work: Mapping[str, float],
         now: float,
         *,
         early: bool,
@@ -149,6 +149,7 @@
     ) -> Decision:
         """Return what to do with the groups of one service.
 
+        :param work: work that arrives by model, in instance-seconds a second.
         :param early: whether no request has come yet, so that loads are fast
             and don't count.
         :param settled: whether the list of instances has come to rest.
@@ -178,7 +179,7 @@
                 orders += self._advance(claim, view, progress, now)
         kept = [item for item in claims if (item.name, item.epoch) not in dropped]
         changes, more = self._place(
-            view, service, engine, kept, dropped, demand, now, early, settled
+            view, service, engine, kept, dropped, work, now, early, settled
         )
         orders += more
         return Decision(tuple(changes), tuple(orders), tuple(retired))
@@ -363,7 +364,7 @@
         engine: EngineProfile,
         claims: list[GroupClaim],
         dropped: set[tuple[str, int]],
-        demand: Mapping[str, float],
+        work: Mapping[str, float],
         now: float,
         early: bool,
         settled: bool,
@@ -381,7 +382,7 @@
             for item in view.instances.values()
             if item.service == service.name and not item.draining
         )
-        targets = count_targets(engine.models, total, demand)
+        targets = count_targets(engine.models, total, work)
         dirty = {
             claim.domain
             for claim in view.all_claims()
--- a/coursepitch/fleet/keeper.py
+++ b/coursepitch/fleet/keeper.py
@@ -69,7 +69,7 @@
         *,
         bootstrap: bool,
         has_served: Callable[[], bool],
-        read_demand: Callable[[], Mapping[str, float]],
+        read_work: Callable[[], Mapping[str, float]],
     ) -> None:
         self._session = session
         self._control = control
@@ -77,7 +77,7 @@
         self._clock = clock
         self._bootstrap = bootstrap
         self._has_served = has_served
-        self._read_demand = read_demand
+        self._read_work = read_work
         self._started_at = clock()
         self._leading = 0
         self._write_after = float('-inf')
@@ -121,7 +121,7 @@
             decision = self._book.decide(
                 view,
                 service,
-                self._read_demand(),
+                self._read_work(),
                 self._clock(),
                 early=early,
                 settled=settled,
--- a/coursepitch/fleet/placement.py
+++ b/coursepitch/fleet/placement.py
@@ -24,6 +24,9 @@
 #: domain, so few spares suffice; idle ones serve nobody.
 SPARE_SHARE = 0.08
 
+#: Part of the instances that the measured work has to fill to be trusted fully.
+TRUSTED_PART = 0.3
+
 #: Difference of two models' shortages at which one gives a group to the other.
 DRAFT_GAP = 0.2
 
@@ -57,17 +60,28 @@
 
 
 def count_targets(
-    models: Sequence[ModelProfile], instances: int, demand: Mapping[str, float]
+    models: Sequence[ModelProfile], instances: int, work: Mapping[str, float]
 ) -> dict[str, float]:
     """Return how many groups of each model are wanted.
 
+    The operators' shares are taken for granted as far as the work measured so
+    far is small; once it fills a part of the instances, it decides.
+
     :param instances: instances that can be in groups, spares among them.
-    :param demand: share of the work by model; the profile's own where absent.
+    :param work: work that arrives by model, in instance-seconds a second.
     """
-    shares = {item.name: demand.get(item.name, item.share) for item in models}
-    total = sum(shares.values()) or 1.0
-    used = instances * (1.0 - SPARE_SHARE)
-    return {item.name: used * shares[item.name] / total / item.size for item in models}
+    stated = sum(item.share for item in models) or 1.0
+    measured = sum(work.get(item.name, 0.0) for item in models)
+    trust = min(1.0, measured / max(1.0, instances * TRUSTED_PART))
+    busy = min(1.0, measured / max(1.0, float(instances)))
+    used = instances * (1.0 - SPARE_SHARE * (1.0 - busy))
+    targets = {}
+    for item in models:
+        share = item.share / stated * (1.0 - trust)
+        if measured > 0:
+            share += work.get(item.name, 0.0) / measured * trust
+        targets[item.name] = used * share / item.size
+    return targets
 
 
 def plan_domains(
--- a/coursepitch/fleet/session.py
+++ b/coursepitch/fleet/session.py
@@ -59,7 +59,7 @@
 class FleetSession:
     """View of the store, with the tasks that keep it fresh.
 
-    :param name: name of the node.
+    :param name: name of the node.  Its ``peer_address`` is set before it runs.
     :param serve_bound_s: age of the last confirmation past which the node
         must not act on its configuration.
     """
@@ -67,7 +67,6 @@
     def __init__(
         self,
         name: str,
-        peer_address: str,
         kv: KeyValue,
         serve_bound_s: float,
         clock: Clock,
@@ -75,7 +74,7 @@
         self.view = FleetView(clock)
         self.kv = kv
         self._name = name
-        self._peer_address = peer_address
+        self.peer_address = ''
         self._bound_s = serve_bound_s
         self._clock = clock
         self._confirmed_at = float('-inf')
@@ -211,7 +210,7 @@
         if isinstance(lease, Unavailable):
             return False
         key = NODE_PREFIX + self._name
-        result = await self.kv.transact([], [Write(key, self._peer_address, lease)])
+        result = await self.kv.transact([], [Write(key, self.peer_address, lease)])
         if not isinstance(result, Swapped):
             return False
         self._lease = lease
--- a/coursepitch/gateway/arrive.py
+++ b/coursepitch/gateway/arrive.py
@@ -8,6 +8,7 @@
 
 from coursepitch import events, log
 from coursepitch.gateway.job import RETURNED_SHARE, Ending, Job, Refusal
+from coursepitch.gateway.work import WorkMeter, estimate_work
 from coursepitch.platform.headers import read_request_fields
 
 if TYPE_CHECKING:
@@ -52,6 +53,7 @@
         self._clock = clock
         self.has_served = False
         self._patience: dict[str, float] = {}
+        self.work = WorkMeter(clock)
 
     async def handle(self, request: IncomingRequest, reply: Reply) -> None:
         """Answer one request."""
@@ -130,6 +132,7 @@
         left_s = job.limit_at - self._clock()
         with anyio.move_on_after(left_s) as scope:
             if job.service.engine is not None and job.fields.model:
+                self._note_work(job)
                 refusal = await self._streams.serve(job)
             else:
                 refusal = await self._calls.serve(job)
@@ -142,6 +145,12 @@
             job.last_reason = refusal.reason
             await self._refuse(job.reply, job.fields, refusal)
 
+    def _note_work(self, job: Job) -> None:
+        engine = job.service.engine
+        model = engine.find_model(job.fields.model) if engine else None
+        if engine is not None and model is not None:
+            self.work.note(model.name, estimate_work(engine, model, job.fields))
+
     def _end_late(self, job: Job) -> Refusal | None:
         if job.reply.started:
             job.reply.abort()
--- a/coursepitch/gateway/board.py
+++ b/coursepitch/gateway/board.py
@@ -6,6 +6,8 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from coursepitch.clock import Clock
 
 __all__ = ['LoadBoard']
@@ -31,11 +33,11 @@
 class LoadBoard:
     """Requests in flight, failures and slowness by instance.
 
-    :param peers: requests in flight from other nodes, by instance.
+    :param count_peers: returns the requests in flight from other nodes.
     """
 
     clock: Clock
-    peers: dict[str, int] = field(default_factory=dict)
+    count_peers: Callable[[str], int] = lambda instance: 0
     _records: dict[str, _Record] = field(default_factory=dict)
 
     def _record(self, instance: str) -> _Record:
@@ -51,7 +53,7 @@
 
     def count(self, instance: str) -> int:
         """Return the requests in flight there, those of peers among them."""
-        return self._record(instance).in_flight + self.peers.get(instance, 0)
+        return self._record(instance).in_flight + self.count_peers(instance)
 
     def own_counts(self) -> dict[str, int]:
         """Return this node's requests in flight by instance."""
--- a/coursepitch/gateway/router.py
+++ b/coursepitch/gateway/router.py
@@ -21,6 +21,11 @@
 ZONE_COST = 0.3
 
 
+#: Requests in flight by which equal choices are told apart at random: nodes see
+#: each other's requests some 0.1 s late and must not all choose the same.
+NOISE = 0.8
+
+
 class Router:
     """Chooses by requests in flight, slowness, failures and zone."""
 
@@ -49,11 +54,12 @@
         return 0.0 if instance.availability_zone == self._zone else ZONE_COST
 
     def choose_group(
-        self, service: Service, model: str, avoided: Collection[str]
+        self, service: Service, model: str, avoided: Collection[str], bound: int
     ) -> OpenGroup | None:
         """Return the open group of a model with the least load, or ``None``.
 
         :param avoided: heads that the request was sent to already.
+        :param bound: requests in flight at which a group takes no more.
         """
         engine = service.engine
         slots = engine.slots if engine else 1
@@ -63,8 +69,11 @@
             head = group.head.name
             if head in avoided or self._watchdog.is_avoided(group):
                 continue
-            load = (self._board.count(head) + 1) * self._board.slowness(head)
-            cost = load + self._away(group.head) + random.random() * 0.2
+            count = self._board.count(head)
+            if count >= bound:
+                continue
+            load = (count + 1) * self._board.slowness(head)
+            cost = load + self._away(group.head) + random.random() * NOISE
             if self._board.is_held(head):
                 cost += slots
             if cost < least:
--- a/coursepitch/gateway/streams.py
+++ b/coursepitch/gateway/streams.py
@@ -10,6 +10,7 @@
 from coursepitch.gateway.attempts import bound_connections, send_attempt
 from coursepitch.gateway.events_seam import EventSeam
 from coursepitch.gateway.job import Ending, Refusal
+from coursepitch.gateway.work import bound_requests
 from coursepitch.http.client import ExchangeError
 from coursepitch.platform.headers import pass_answer_headers
 
@@ -42,6 +43,15 @@
 #: a group takes to form anew.
 AGAIN_S = 0.7
 
+#: Priority with which instances let in a request that came back: 5 is usual.
+RETURNED_PRIORITY = 3
+
+#: Seconds between two looks for a group with room.
+LOOK_S = 0.02
+
+#: Times the slots of a group that a stream which has begun may wait among.
+RESUMED_BOUND = 3
+
 #: Largest failure body in bytes.
 FAILURE_BYTES = 1_048_576
 
@@ -135,18 +145,32 @@
         else:
             until = job.arrived_at + job.route.objective_s * WAIT_PART
         until = min(until, job.limit_at)
+        bound = self._bound(job)
+        choose = self._router.choose_group
+        model = job.fields.model
         while True:
             now = self._clock()
             if now >= job.limit_at or not self._session.is_fresh():
                 return None
-            group = self._router.choose_group(job.service, job.fields.model, avoided)
+            group = choose(job.service, model, avoided, bound)
             if group is None and job.reply.started:
-                group = self._router.choose_group(job.service, job.fields.model, ())
+                group = choose(job.service, model, (), bound)
             if group is not None:
                 return group
             if now >= until:
                 return None
-            await self._session.wait_changed(min(0.05, until - now))
+            await self._session.wait_changed(min(LOOK_S, until - now))
+
+    def _bound(self, job: Job) -> int:
+        """Return with how many requests in flight a group is passed over."""
+        engine = job.service.engine
+        model = engine.find_model(job.fields.model) if engine else None
+        if engine is None or model is None:
+            return RESUMED_BOUND
+        if job.reply.started or job.may_have_run:
+            return engine.slots * RESUMED_BOUND
+        bound = bound_requests(engine, model, job.route.objective_s)
+        return bound + (engine.slots // 2 if job.returned else 0)
 
     async def _run_once(self, job: Job, group: OpenGroup, seam: EventSeam) -> bool:
         """Run a request at a group; return whether the client was answered."""
@@ -196,6 +220,7 @@
                 last_event=seam.last_event,
                 fresh=False,
                 wait_s=max(0.001, job.limit_at - self._clock()),
+                priority=RETURNED_PRIORITY if job.returned else None,
             )
             if attempt.answer is not None:
                 answers.append(attempt.answer)
--- a/coursepitch/gateway_application.py
+++ b/coursepitch/gateway_application.py
@@ -18,6 +18,7 @@
 from coursepitch.gateway.board import LoadBoard
 from coursepitch.gateway.budget import RetryBudget
 from coursepitch.gateway.calls import CallServer
+from coursepitch.gateway.peers import PeerLinks, PeerLoad
 from coursepitch.gateway.router import Router
 from coursepitch.gateway.streams import StreamServer
 from coursepitch.gateway.watchdog import Watchdog
@@ -74,12 +75,12 @@
         self.kv = KeyValue(
             store.address, store.timeout_s, store.calls_per_s, self.metrics, clock
         )
-        peer_address = f'{node.address}:{settings.listen.peer_port}'
         bound_s = promises.revoke_s * FRESH_PART
-        self.session = FleetSession(node.name, peer_address, self.kv, bound_s, clock)
+        self.session = FleetSession(node.name, self.kv, bound_s, clock)
         self.control = InstanceControl(clock)
         self.pool = ConnectionPool(clock)
-        self.board = LoadBoard(clock)
+        self.links = PeerLinks(node.name, self.session.view, self._read_load, clock)
+        self.board = LoadBoard(clock, self.links.count)
         self.watchdog = Watchdog(self.session, self.control, clock)
         self.router = Router(
             self.session.view, self.board, self.watchdog, node.availability_zone
@@ -94,7 +95,7 @@
             clock,
             bootstrap=node.bootstrap,
             has_served=lambda: self.gateway.has_served,
-            read_demand=dict,
+            read_work=self._read_work,
         )
         self.front = HttpServer(self.gateway.handle, self._read_rules, clock)
         self.ready_server = HttpServer(self._show_ready, ConnectionRules, clock)
@@ -125,6 +126,13 @@
             self.clock,
         )
 
+    def _read_load(self) -> PeerLoad:
+        counts = self.board.own_counts()
+        return PeerLoad(self.settings.node.name, counts, self.gateway.work.read())
+
+    def _read_work(self) -> dict[str, float]:
+        return self.links.read_work(self.gateway.work.read())
+
     # -- what the servers ask ---------------------------------------------------------
 
     def _read_rules(self) -> ConnectionRules:
@@ -164,16 +172,18 @@
 
     async def _run(self) -> int:
         sockets = self._listen()
+        ports = {name: sock.getsockname()[1] for name, sock in sockets.items()}
+        self.session.peer_address = f'{self.settings.node.address}:{ports["peers"]}'
         async with anyio.create_task_group() as group:
             group.start_soon(self._output.run)
             group.start_soon(self.session.run)
             group.start_soon(self.keeper.run)
             group.start_soon(self._tidy)
+            group.start_soon(self.links.run, sockets['peers'])
             group.start_soon(self.ready_server.run, sockets['ready'])
             group.start_soon(self.metrics_server.run, sockets['metrics'])
             accepting = anyio.CancelScope()
             group.start_soon(self._accept, sockets['clients'], accepting)
-            ports = {name: sock.getsockname()[1] for name, sock in sockets.items()}
             log.emit(events.NODE_STARTED, ports=ports)
             await self._wait_stop()
             await self._stop()
@@ -189,6 +199,7 @@
         places = {
             'clients': settings.clients,
             'ready': settings.ready,
+            'peers': f'{self.settings.node.address}:{settings.peer_port}',
             'metrics': f'{self.settings.node.address}:{settings.metrics_port}',
         }
         sockets = {}
