Followers watch the store less often; peers tell them of what matters

Change: the leader watches at once, the others 0.7 s apart, unless a peer tells of news (a group opens or ends, a lost instance, a configuration, a drain); one message is made for all links, every 0.3 s or at news.

--- a/coursepitch/fleet/session.py
+++ b/coursepitch/fleet/session.py
@@ -28,6 +28,8 @@
 )
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from coursepitch.clock import Clock
     from coursepitch.platform.kv import KeyValue
 
@@ -48,8 +50,13 @@
 WATCH_S = 10.0
 
 #: Shortest time in seconds between two watches, so that bursts of changes come
-#: in one answer: each answer costs a call on each node.
-WATCH_GAP_S = 0.15
+#: in one answer: each answer costs a call.  The leader looks sooner; others are
+#: told of what matters over the links between nodes.
+LEADER_GAP_S = 0.05
+WATCH_GAP_S = 0.7
+
+#: Seconds between two looks for such news.
+NEWS_LOOK_S = 0.04
 
 #: Seconds by which the node's own reckoning of its lease ends early, for clocks
 #: that run at different rates.
@@ -75,6 +82,8 @@
         self.kv = kv
         self._name = name
         self.peer_address = ''
+        #: Newest revision that other nodes tell to act on.
+        self.read_news: Callable[[], int] = lambda: 0
         self._bound_s = serve_bound_s
         self._clock = clock
         self._confirmed_at = float('-inf')
@@ -150,7 +159,17 @@
             if found.entries or found.complete:
                 self.view.take(found)
                 self.wake()
-            await anyio.sleep(WATCH_GAP_S)
+            await self._wait_gap()
+
+    async def _wait_gap(self) -> None:
+        """Wait before the next watch, unless there is news."""
+        until = self._clock() + WATCH_GAP_S
+        if self.is_leader() or not self.view.leader:
+            until = self._clock() + LEADER_GAP_S
+        while self._clock() < until:
+            await anyio.sleep(NEWS_LOOK_S)
+            if self.read_news() > self.view.heard_revision:
+                return
 
     async def _sweep(self) -> None:
         while True:
--- a/coursepitch/fleet/view.py
+++ b/coursepitch/fleet/view.py
@@ -69,7 +69,12 @@
 
 @dataclass(eq=False)
 class FleetView:
-    """Configuration, instances, claims and nodes, as last heard."""
+    """Configuration, instances, claims and nodes, as last heard.
+
+    :param store_revision: newest revision of the store that is known of.
+    :param heard_revision: revision up to which all changes were heard.
+    :param news_revision: newest change that every node should act on soon.
+    """
 
     clock: Clock
     table: RouteTable | None = None
@@ -81,6 +86,8 @@
     leader: str = ''
     leader_revision: int = 0
     store_revision: int = 0
+    heard_revision: int = 0
+    news_revision: int = 0
     outage_until: float = float('-inf')
     arrived_at: float = float('-inf')
     version: int = 0
@@ -97,6 +104,7 @@
         for entry in found.entries:
             self.take_entry(entry)
         self.store_revision = max(self.store_revision, found.revision)
+        self.heard_revision = max(self.heard_revision, found.revision)
         self.version += 1
 
     def _forget_missing(self, found: Events) -> None:
@@ -129,11 +137,15 @@
             self._take_node(key[len(NODE_PREFIX) :], entry)
         elif key.startswith(LOST_PREFIX):
             name = key[len(LOST_PREFIX) :]
+            self._note_news(entry)
             (self.lost.add if entry.present else self.lost.discard)(name)
         elif key == LEADER_KEY:
             self.leader = entry.value if entry.present else ''
             self.leader_revision = entry.revision
 
+    def _note_news(self, entry: Entry) -> None:
+        self.news_revision = max(self.news_revision, entry.revision)
+
     def take_configuration(self, entry: Entry) -> None:
         """Put a configuration in force unless one as new is in force already."""
         if not entry.present:
@@ -147,6 +159,7 @@
             return
         self.table = table
         self.version += 1
+        self._note_news(entry)
         log.emit(
             events.TABLE_IN_FORCE,
             version=table.version,
@@ -190,6 +203,8 @@
         self.instances[name] = instance
         if before is None:
             self.arrived_at = self.clock()
+        if before is not None and _serves_otherwise(before, instance):
+            self._note_news(entry)
         if before is None or before != instance:
             log.emit(
                 events.INSTANCE_CHANGED,
@@ -302,3 +317,12 @@
     if before is None:
         return after
     return replace(after, last_model=before.last_model)
+
+
+def _serves_otherwise(before: FleetInstance, after: FleetInstance) -> bool:
+    """Whether an instance begins or ends to take requests."""
+    states = [
+        item.membership is not None and item.membership.state is GroupState.OPEN
+        for item in (before, after)
+    ]
+    return states[0] != states[1] or before.draining != after.draining
--- a/coursepitch/gateway/peers.py
+++ b/coursepitch/gateway/peers.py
@@ -1,8 +1,7 @@
 """Links between nodes: each tells the others its requests in flight and its work.
 
 Nothing is agreed over these links and nothing depends on them: without them a
-node balances by its own requests only.  Messages are CBOR in websockets, sent
-only when something changed or so that the others know the sender lives.
+node balances by its own requests only.  Messages are CBOR in websockets.
 """
 
 from __future__ import annotations
@@ -30,11 +29,14 @@
 
 __all__ = ['PeerLinks', 'PeerLoad']
 
-#: Seconds between two messages on a link, if something changed.  Source: at 9
-#: nodes this is about 10 KB a second for a node.
-TELL_S = 0.15
+#: Seconds between two messages on a link.  Source: at 9
+#: nodes this is about 5 KB a second for a node.
+TELL_S = 0.3
 
-#: Seconds after which an unchanged load is told again.
+#: Seconds between two looks for news, which are told at once.
+NEWS_S = 0.05
+
+#: Seconds after which a link that was told nothing new is used all the same.
 REPEAT_S = 1.0
 
 #: Seconds after which what a peer told no longer counts.
@@ -56,16 +58,18 @@
 
     :param counts: requests in flight by instance.
     :param work: work that arrives by model, in instance-seconds a second.
+    :param news: revision of the newest change of the store to act on.
     """
 
     node: str
     counts: dict[str, int]
     work: dict[str, float]
+    news: int = 0
 
     def encode(self) -> bytes:
         """Return the message."""
         work = {model: round(rate, 3) for model, rate in self.work.items()}
-        return cbor2.dumps([self.node, self.counts, work])
+        return cbor2.dumps([self.node, self.counts, work, self.news])
 
     @classmethod
     def decode(cls, data: bytes) -> PeerLoad:
@@ -74,11 +78,12 @@
         :raises ValueError: it is damaged.
         """
         try:
-            node, counts, work = cbor2.loads(data)
+            node, counts, work, news = cbor2.loads(data)
             return cls(
                 str(node),
                 {str(name): int(count) for name, count in counts.items()},
                 {str(name): float(rate) for name, rate in work.items()},
+                int(news),
             )
         except (cbor2.CBORDecodeError, TypeError, AttributeError) as error:
             raise ValueError(f'damaged: {error!r}') from error
@@ -94,6 +99,8 @@
     clock: Clock
     _heard: dict[str, tuple[float, PeerLoad]] = field(default_factory=dict)
     _links: dict[str, anyio.CancelScope] = field(default_factory=dict)
+    _message: bytes = b''
+    _told: anyio.Event = field(default_factory=anyio.Event)
 
     # -- what was heard ---------------------------------------------------------
 
@@ -113,6 +120,10 @@
                 total[model] = total.get(model, 0.0) + rate
         return total
 
+    def read_news(self) -> int:
+        """Return the newest revision that a peer told to act on."""
+        return max((load.news for load in self._fresh()), default=0)
+
     def take(self, data: bytes) -> None:
         """Take a message from a peer."""
         load = PeerLoad.decode(data)
@@ -130,10 +141,24 @@
             ping_interval=None,
         )
         async with server, anyio.create_task_group() as group:
+            group.start_soon(self._compose)
             while True:
                 self._match_links(group)
                 await anyio.sleep(RETRY_S)
 
+    async def _compose(self) -> None:
+        """Make the message for all links, when it is time or there is news."""
+        news, made_at = -1, float('-inf')
+        while True:
+            load = self.read_load()
+            now = self.clock()
+            if load.news != news or now - made_at >= TELL_S:
+                news, made_at = load.news, now
+                self._message = load.encode()
+                told, self._told = self._told, anyio.Event()
+                told.set()
+            await anyio.sleep(NEWS_S)
+
     def _match_links(self, group: TaskGroup) -> None:
         """Hold one link to each listed node and none to others."""
         wanted = {
@@ -179,11 +204,9 @@
         }
         async with connect(f'ws://{address}/', **options) as link:
             log.emit(events.PEER_UP, peer=address)
-            last, told_at = b'', float('-inf')
             while True:
-                message = self.read_load().encode()
-                if message != last or self.clock() - told_at >= REPEAT_S:
-                    with anyio.fail_after(LINK_TIMEOUT_S):
-                        await link.send(message)
-                    last, told_at = message, self.clock()
-                await anyio.sleep(TELL_S)
+                told = self._told
+                with anyio.fail_after(LINK_TIMEOUT_S):
+                    await link.send(self._message)
+                with anyio.move_on_after(REPEAT_S):
+                    await told.wait()
--- a/coursepitch/gateway_application.py
+++ b/coursepitch/gateway_application.py
@@ -80,6 +80,7 @@
         self.control = InstanceControl(clock)
         self.pool = ConnectionPool(clock)
         self.links = PeerLinks(node.name, self.session.view, self._read_load, clock)
+        self.session.read_news = self.links.read_news
         self.board = LoadBoard(clock, self.links.count)
         self.watchdog = Watchdog(self.session, self.control, clock)
         self.router = Router(
@@ -128,7 +129,9 @@
 
     def _read_load(self) -> PeerLoad:
         counts = self.board.own_counts()
-        return PeerLoad(self.settings.node.name, counts, self.gateway.work.read())
+        work = self.gateway.work.read()
+        news = self.session.view.news_revision
+        return PeerLoad(self.settings.node.name, counts, work, news)
 
     def _read_work(self) -> dict[str, float]:
         return self.links.read_work(self.gateway.work.read())
