--- /dev/null
+++ b/tests/fleet/test_placement.py
@@ -0,0 +1,82 @@
+"""Which groups form from which instances."""
+
+from __future__ import annotations
+
+import unittest
+
+from coursepitch.fleet.placement import (
+    choose_draft,
+    choose_second,
+    count_targets,
+    plan_domains,
+)
+from tests.fleet.builders import LARGE, SMALL, build_instance
+
+MODELS = (LARGE, SMALL)
+
+
+def build_free(domain, count, **fields):
+    """Return free instances of a domain."""
+    return [build_instance(f'{domain}-{n}', domain, **fields) for n in range(count)]
+
+
+def plan(free, groups=None, targets=None, cold=False):
+    """Return the plan with usual targets."""
+    targets = targets or {'large': 4.0, 'small': 4.0}
+    return plan_domains(free, MODELS, groups or {}, targets, cold=cold)
+
+
+class PlacementTest(unittest.TestCase):
+    """Formations, spares and stagings."""
+
+    def test_survivors_and_a_spare_with_weights_form_at_once(self):
+        free = build_free('d', 2, last_model='large')
+        free += [build_instance('spare', 'd', staged=frozenset({'large'}))]
+        found = plan({'d': free}, groups={'large': 3, 'small': 4})['d']
+        self.assertEqual(found.formations[0].model, 'large')
+        self.assertEqual(len(found.formations[0].members), 3)
+
+    def test_instances_without_weights_load_them_and_stay_free(self):
+        free = build_free('d', 2, last_model='large') + build_free('e', 1)
+        found = plan({'d': free}, groups={'large': 3, 'small': 4})['d']
+        self.assertEqual(found.formations, ())
+        self.assertEqual([item.model for item in found.stagings], ['large'])
+
+    def test_spares_are_spread_over_domains(self):
+        free = {name: build_free(name, 8) for name in 'abcdef'}
+        targets = {'large': 6.0, 'small': 6.0}
+        found = plan(free, targets=targets, cold=True)
+        used = {
+            name: sum(len(item.members) for item in found[name].formations)
+            for name in free
+        }
+        self.assertEqual(sum(used.values()), 30)
+        self.assertLessEqual(max(used.values()), 6)
+
+    def test_no_group_spans_domains(self):
+        free = {'a': build_free('a', 1, last_model='small')}
+        free['b'] = build_free('b', 1, last_model='small')
+        found = plan(free)
+        self.assertEqual([item.formations for item in found.values()], [(), ()])
+
+    def test_targets_follow_work_once_it_fills_instances(self):
+        stated = count_targets(MODELS, 40, {})
+        measured = count_targets(MODELS, 40, {'large': 2.0, 'small': 18.0})
+        self.assertGreater(stated['large'] * 3, stated['small'] * 2)
+        self.assertLess(measured['large'] * 3, measured['small'] * 2)
+
+    def test_model_with_enough_gives_a_group_to_one_that_is_short(self):
+        targets = {'large': 6.0, 'small': 6.0}
+        found = choose_draft(MODELS, {'large': 2, 'small': 6}, targets)
+        self.assertEqual([item.name for item in found], ['large', 'small'])
+        self.assertIsNone(choose_draft(MODELS, {'large': 5, 'small': 6}, targets))
+
+    def test_last_group_of_a_model_is_never_given_up(self):
+        targets = {'large': 6.0, 'small': 1.0}
+        self.assertIsNone(choose_draft(MODELS, {'large': 1, 'small': 1}, targets))
+
+    def test_second_weights_are_those_that_are_missing(self):
+        held = build_instance('a', models=frozenset({'large'}))
+        self.assertEqual(choose_second(held, MODELS).model, 'small')
+        both = build_instance('b', last_model='large', staged=frozenset({'small'}))
+        self.assertIsNone(choose_second(both, MODELS))
--- /dev/null
+++ b/tests/fleet/test_view.py
@@ -0,0 +1,149 @@
+"""What a node believes: never back, lapses, open groups, damaged entries."""
+
+from __future__ import annotations
+
+import json
+import unittest
+
+from coursepitch.fleet.claims import GroupClaim
+from coursepitch.fleet.view import CLAIM_PREFIX, LOST_PREFIX, FleetView
+from coursepitch.platform.kv import Entry, Events
+from tests.fleet.builders import SERVICE, build_instance, build_view
+from tests.whole.platform_base import build_configuration
+
+CLAIM = GroupClaim('g', 5, SERVICE, 'd0', 'small', ('a', 'b'))
+
+
+def write_entry(name, revision=1, **fields):
+    """Return the entry of an instance as the platform holds it."""
+    data = {'service': SERVICE, 'address': '10.0.0.1:1', 'state': 'ready', **fields}
+    return Entry(f'servers/{name}', json.dumps(data), revision)
+
+
+def write_configuration(version, revision):
+    """Return a configuration as the store holds it."""
+    return Entry('op/config', json.dumps(build_configuration(version)), revision)
+
+
+def build_group(state='open', **fields):
+    """Return the members of the claimed group."""
+    return [
+        build_instance('a', state=state, group='g', epoch=5, rank=0),
+        build_instance('b', state='ready', group='g', epoch=5, rank=1, **fields),
+    ]
+
+
+class ConfigurationTest(unittest.TestCase):
+    """Versions only ever rise."""
+
+    def setUp(self):
+        self.view = FleetView(lambda: 0.0)
+
+    def test_older_configuration_never_replaces_a_newer_one(self):
+        self.view.take_entry(write_configuration(7, 20))
+        self.view.take_entry(write_configuration(9, 30))
+        self.view.take_entry(write_configuration(7, 20))
+        self.assertEqual(self.view.table.version, 9)
+
+    def test_listing_after_forgotten_history_cannot_bring_an_older_one(self):
+        self.view.take_entry(write_configuration(9, 30))
+        stale = Events((write_configuration(7, 20),), 25, complete=True)
+        self.view.take(stale)
+        self.assertEqual(self.view.table.version, 9)
+
+    def test_damaged_configuration_leaves_the_one_in_force(self):
+        self.view.take_entry(write_configuration(7, 20))
+        self.view.take_entry(Entry('op/config', '{"routes": 3', 30))
+        self.assertEqual(self.view.table.version, 7)
+
+    def test_route_is_the_longest_prefix_of_its_host(self):
+        self.view.take_entry(write_configuration(7, 20))
+        find = self.view.table.find_route
+        self.assertEqual(find('a.example:80', '/once/x/y').name, 'once')
+        self.assertIsNone(find('a.example', '/onc'))
+        self.assertIsNone(find('b.example', '/once/x'))
+
+
+class InstanceTest(unittest.TestCase):
+    """Entries that come, go, lapse or are damaged."""
+
+    def setUp(self):
+        self.now = 100.0
+        self.view = FleetView(lambda: self.now)
+        self.view.take_entry(write_entry('a'))
+
+    def test_deleted_entry_is_gone_at_once_in_calm_times(self):
+        self.view.take_entry(Entry('servers/a'))
+        self.assertEqual(self.view.instances, {})
+
+    def test_entry_that_vanishes_around_an_outage_counts_until_it_must_be_back(self):
+        self.view.note_outage()
+        self.now += 0.5
+        self.view.take_entry(Entry('servers/a'))
+        self.assertIn('a', self.view.instances)
+        self.assertTrue(self.view.is_lapsed('a'))
+        self.now += 2.5
+        self.view.sweep()
+        self.assertEqual(self.view.instances, {})
+
+    def test_entry_that_comes_back_after_an_outage_stays(self):
+        self.view.note_outage()
+        self.view.take_entry(Entry('servers/a'))
+        self.view.take_entry(write_entry('a', 9))
+        self.now += 10
+        self.view.sweep()
+        self.assertIn('a', self.view.instances)
+
+    def test_damaged_entry_is_left_out_and_the_others_stay(self):
+        self.view.take_entry(Entry('servers/b', '{"service": 3', 5))
+        self.assertEqual(set(self.view.instances), {'a'})
+
+    def test_model_of_the_last_group_is_remembered(self):
+        group = {'name': 'g', 'epoch': 1, 'rank': 0, 'state': 'ready'}
+        models = [{'name': 'm', 'version': 1}]
+        self.view.take_entry(write_entry('a', 2, group=group, models=models))
+        self.view.take_entry(write_entry('a', 3, models=[]))
+        self.assertEqual(self.view.instances['a'].last_model, 'm')
+
+
+class OpenGroupTest(unittest.TestCase):
+    """A group takes requests only while every member is known to be there."""
+
+    def find(self, instances, lost=()):
+        view = build_view(instances, [CLAIM])
+        for name in lost:
+            view.take_entry(Entry(LOST_PREFIX + name, 'n1', 12))
+        view.version += 1
+        return view.list_open(SERVICE, 'small')
+
+    def test_whole_group_is_open(self):
+        (group,) = self.find(build_group())
+        self.assertEqual(group.head.name, 'a')
+
+    def test_group_without_a_member_is_not(self):
+        self.assertEqual(self.find(build_group()[:1]), [])
+
+    def test_group_with_a_lost_member_is_not(self):
+        self.assertEqual(self.find(build_group(), lost=['b']), [])
+
+    def test_group_with_a_leaving_member_is_not(self):
+        self.assertEqual(self.find(build_group(draining=True)), [])
+
+    def test_group_whose_head_is_not_open_is_not(self):
+        self.assertEqual(self.find(build_group(state='ready')), [])
+
+    def test_member_of_another_epoch_does_not_count(self):
+        head = build_group()[0]
+        other = build_instance('b', state='ready', group='g', epoch=4, rank=1)
+        self.assertEqual(self.find([head, other]), [])
+
+    def test_open_head_without_a_claim_takes_nothing(self):
+        view = build_view(build_group())
+        self.assertEqual(view.list_open(SERVICE, 'small'), [])
+
+    def test_damaged_claims_leave_the_known_ones(self):
+        view = build_view(build_group(), [CLAIM])
+        (key,) = view.claims
+        self.assertTrue(key.startswith(CLAIM_PREFIX))
+        view.take_claims(Entry(key, '[{"name": 1}]', 50))
+        self.assertEqual(len(view.list_open(SERVICE, 'small')), 1)
