--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -4,7 +4,7 @@
 
 import sys
 
-from bench import control, pure, serving
+from bench import control, gateway, pure, serving
 from bench.figures import Book
 
 PARTS = {
@@ -14,6 +14,7 @@
     'outage': control.measure_outage,
     'serving': serving.measure,
     'overload': serving.measure_overload,
+    'gateway': gateway.measure,
 }
 
 
--- a/docs/generate.py
+++ b/docs/generate.py
@@ -12,6 +12,7 @@
 from aioprometheus import Histogram
 
 from coursepitch import events
+from coursepitch.config.gateway import GatewaySettings
 from coursepitch.config.options import describe_options
 from coursepitch.config.resources import KINDS
 from coursepitch.config.settings import format_default, list_sections, write_example
@@ -56,6 +57,21 @@
     return [*lines, *write_title('Example', '-'), '.. code-block:: ini', '', *example]
 
 
+def write_gateway_settings() -> list[str]:
+    """Return the page of settings of a node on the users' platform."""
+    lines = write_title('Settings on the platform')
+    lines += [
+        'The platform fills them from ``deploy/node.ini.template`` whenever a node',
+        'starts; ``coursepitch serve`` reads and checks them.',
+        '',
+    ]
+    for name, table in list_sections(GatewaySettings).items():
+        lines += write_title(f'[{name}]', '-')
+        lines += [(table.__doc__ or '').splitlines()[0], '']
+        lines += write_options(table)
+    return lines
+
+
 def write_resources() -> list[str]:
     """Return the page of resources."""
     lines = write_title('Resources')
@@ -110,6 +126,7 @@
 
 PAGES = {
     'settings.rst': write_settings,
+    'platform-settings.rst': write_gateway_settings,
     'resources.rst': write_resources,
     'events.rst': write_events,
     'refusals.rst': write_refusals,
--- a/tests/whole/platform_base.py
+++ b/tests/whole/platform_base.py
@@ -165,6 +165,7 @@
     revoke_s = 5.0
     nodes = ('n1', 'n2')
     engines = 5
+    events = 20
 
     @classmethod
     def setUpClass(cls):
@@ -181,6 +182,7 @@
         place = ('--store', f'127.0.0.1:{cls.store}')
         count = ('--count', str(cls.engines))
         engine = ('--service', 'pool', '--engine', '--domain', 'd0', *count)
+        engine += ('--events', str(cls.events))
         cls.start('pool', 'standins.replica', *place, *engine)
         cls.start('api', 'standins.replica', *place, '--service', 'api', '--count', '3')
         cls.running = {}
