The leader's placing, ledger of orders and loads in modules of their own

Cause: fleet/groups.py had grown to 540 lines with the life of groups, their placing and two limiters in one class.

--- a/coursepitch/fleet/groups.py
+++ b/coursepitch/fleet/groups.py
@@ -12,37 +12,30 @@
 
 from __future__ import annotations
 
-from collections import defaultdict
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-from coursepitch.fleet.claims import GroupClaim
 from coursepitch.fleet.instances import GroupState
+from coursepitch.fleet.ledger import LoadLimiter, OrderLedger
 from coursepitch.fleet.orders import Order, OrderKind, OrderResult
-from coursepitch.fleet.placement import (
-    Staging,
-    choose_draft,
-    choose_second,
-    count_targets,
-    holds_model,
-    plan_domains,
-)
+from coursepitch.fleet.placer import Placer, Scene
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Mapping
 
     from coursepitch.config.routes import EngineProfile, Service
+    from coursepitch.fleet.claims import GroupClaim
     from coursepitch.fleet.instances import FleetInstance
+    from coursepitch.fleet.placer import ClaimChange
     from coursepitch.fleet.view import FleetView
 
-__all__ = ['ClaimChange', 'Decision', 'GroupBook']
+__all__ = ['Decision', 'GroupBook']
 
 #: Seconds after which an order that the instance's entry doesn't show is sent
 #: again.  Orders are carried out within some ten milliseconds or seconds late.
 JOIN_RETRY_S = 0.45
 OPEN_RETRY_S = 0.45
 LEAVE_RETRY_S = 0.4
-STAGE_RETRY_S = 3.0
 
 #: Orders to leave that an instance leaves unanswered before it counts as silent.
 SILENT_TRIES = 2
@@ -50,22 +43,6 @@
 #: Seconds beyond a load that a group may take to form before it is given up.
 FORM_MARGIN_S = 8.0
 
-#: Loads that may begin at once, on top of the rate.  With three quarters of the
-#: rate this stays within what the weight store bears in any window.
-LOAD_BURST = 4.0
-LOAD_RATE_PART = 0.75
-
-
-@dataclass(frozen=True, slots=True)
-class ClaimChange:
-    """The new claims of one fabric domain, to be written under a condition."""
-
-    service: str
-    domain: str
-    claims: tuple[GroupClaim, ...]
-    added: tuple[str, ...] = ()
-    dropped: tuple[str, ...] = ()
-
 
 @dataclass(frozen=True, slots=True)
 class Decision:
@@ -102,22 +79,22 @@
 
     dead: set[str] = field(default_factory=set)
     _progress: dict[tuple[str, int], _Progress] = field(default_factory=dict)
-    _sent: dict[tuple[str, OrderKind, int], float] = field(default_factory=dict)
-    _load_tokens: float = 0.0
-    _load_seen: float | None = None
     _formed: set[tuple[str, int]] = field(default_factory=set)
     _ended: set[tuple[str, int]] = field(default_factory=set)
-    _addresses: dict[str, str] = field(default_factory=dict)
+    _ledger: OrderLedger = field(default_factory=OrderLedger)
+    _loads: LoadLimiter = field(default_factory=LoadLimiter)
+
+    def __post_init__(self) -> None:
+        self._placer = Placer(self._ledger, self._loads)
 
     def reset(self) -> None:
         """Forget everything, on taking the lead anew."""
         self.dead.clear()
         self._progress.clear()
-        self._sent.clear()
         self._formed.clear()
         self._ended.clear()
-        self._load_tokens = 0.0
-        self._load_seen = None
+        self._ledger.clear()
+        self._loads.clear()
 
     # -- what was learnt ----------------------------------------------------------
 
@@ -161,7 +138,7 @@
         retired: list[tuple[str, str]] = []
         dropped: set[tuple[str, int]] = set()
         for instance in view.instances.values():
-            self._addresses[instance.name] = instance.address
+            self._ledger.addresses[instance.name] = instance.address
         claims = [item for item in view.all_claims() if item.service == service.name]
         orders += self._end_strays(view, service, claims, now)
         for claim in claims:
@@ -178,11 +155,22 @@
             else:
                 orders += self._advance(claim, view, progress, now)
         kept = [item for item in claims if (item.name, item.epoch) not in dropped]
-        changes, more = self._place(
-            view, service, engine, kept, dropped, work, now, early, settled
+        scene = Scene(
+            view,
+            service,
+            engine,
+            kept,
+            [item for item in claims if (item.name, item.epoch) in dropped],
+            self._list_free(view, service, kept),
+            work,
+            now,
+            early,
+            settled,
         )
-        orders += more
-        return Decision(tuple(changes), tuple(orders), tuple(retired))
+        changes, more = self._placer.place(scene)
+        if not early and not any(change.added for change in changes):
+            self._draft(scene)
+        return Decision(tuple(changes), tuple(orders + more), tuple(retired))
 
     def _end_strays(
         self, view: FleetView, service: Service, claims: list[GroupClaim], now: float
@@ -204,7 +192,7 @@
                 membership.epoch,
                 members=('',),
             )
-            orders += self._send(order, LEAVE_RETRY_S, now)
+            orders += self._ledger.repeat(order, LEAVE_RETRY_S, now)
         return orders
 
     def _is_out(self, instance: FleetInstance) -> bool:
@@ -273,18 +261,18 @@
         head = members[0]
         if progress.drafted or any(item.draining for item in members):
             order = _order(OrderKind.CLOSE, head.name, head.address, claim)
-            return self._send(order, OPEN_RETRY_S, now)
+            return self._ledger.repeat(order, OPEN_RETRY_S, now)
         for instance in members:
             if not _is_in(instance, claim) and not view.is_lapsed(instance.name):
                 order = _order(OrderKind.JOIN, instance.name, instance.address, claim)
-                orders += self._send(order, JOIN_RETRY_S, now)
+                orders += self._ledger.repeat(order, JOIN_RETRY_S, now)
         ready = all(
             _is_in(item, claim) and _state(item) is GroupState.READY for item in members
         )
         if ready:
             progress.may_be_open = True
             order = _order(OrderKind.OPEN, head.name, head.address, claim)
-            orders += self._send(order, OPEN_RETRY_S, now)
+            orders += self._ledger.repeat(order, OPEN_RETRY_S, now)
         return orders
 
     def _retire(
@@ -299,20 +287,20 @@
             return []
         orders: list[Order] = []
         # A head that is no longer listed may still serve where it was.
-        address = self._addresses.get(claim.head)
+        address = self._ledger.addresses.get(claim.head)
         tries_left = progress.head_failures < SILENT_TRIES
         if address is not None and claim.head not in progress.left and tries_left:
             order = _order(OrderKind.LEAVE, claim.head, address, claim)
-            orders += self._send(order, LEAVE_RETRY_S, now)
+            orders += self._ledger.repeat(order, LEAVE_RETRY_S, now)
         if self._is_silent(claim.head, view, progress):
             for instance in self._list_staying(claim, view, progress):
                 order = _order(OrderKind.LEAVE, instance.name, instance.address, claim)
-                orders += self._send(order, LEAVE_RETRY_S, now)
+                orders += self._ledger.repeat(order, LEAVE_RETRY_S, now)
         return orders
 
     def _is_silent(self, head: str, view: FleetView, progress: _Progress) -> bool:
         """Whether a head can't be expected to answer."""
-        gone = head not in view.instances or head not in self._addresses
+        gone = head not in view.instances or head not in self._ledger.addresses
         return gone or head in self.dead or progress.head_failures >= SILENT_TRIES
 
     def _list_staying(
@@ -347,155 +335,14 @@
             return False
         return not self._list_staying(claim, view, progress)
 
-    def _send(self, order: Order, retry_s: float, now: float) -> list[Order]:
-        """Return the order unless it was sent just now."""
-        key = (order.instance, order.kind, order.epoch)
-        if now - self._sent.get(key, float('-inf')) < retry_s:
-            return []
-        self._sent[key] = now
-        return [order]
-
-    # -- placement --------------------------------------------------------
-
-    def _place(
-        self,
-        view: FleetView,
-        service: Service,
-        engine: EngineProfile,
-        claims: list[GroupClaim],
-        dropped: set[tuple[str, int]],
-        work: Mapping[str, float],
-        now: float,
-        early: bool,
-        settled: bool,
-    ) -> tuple[list[ClaimChange], list[Order]]:
-        """Return new claims and stagings for the free instances."""
-        domains = self._list_free(view, service, claims)
-        by_domain: dict[str, list[GroupClaim]] = defaultdict(list)
-        for claim in claims:
-            by_domain[claim.domain].append(claim)
-        counts: dict[str, int] = defaultdict(int)
-        for claim in claims:
-            counts[claim.model] += 1
-        total = sum(
-            1
-            for item in view.instances.values()
-            if item.service == service.name and not item.draining
-        )
-        targets = count_targets(engine.models, total, work)
-        dirty = {
-            claim.domain
-            for claim in view.all_claims()
-            if (claim.name, claim.epoch) in dropped
-        }
-        epoch = view.store_revision + 1
-        changes: list[ClaimChange] = []
-        orders: list[Order] = []
-        added_any = False
-        plans = {}
-        if settled:
-            plans = plan_domains(domains, engine.models, counts, targets, cold=early)
-        for domain in sorted(set(domains) | dirty):
-            added: list[GroupClaim] = []
-            plan = plans.get(domain)
-            if plan is not None:
-                for place, formation in enumerate(plan.formations):
-                    name = f'g{epoch}-{domain or "x"}-{place}'
-                    counts[formation.model] += 1
-                    added.append(
-                        GroupClaim(
-                            name,
-                            epoch,
-                            service.name,
-                            domain,
-                            formation.model,
-                            formation.members,
-                        )
-                    )
-                for staging in plan.stagings:
-                    orders += self._stage(staging, engine, now, early)
-            added_any = added_any or bool(added)
-            if added or domain in dirty:
-                gone = tuple(
-                    claim.name
-                    for claim in view.all_claims()
-                    if claim.domain == domain and (claim.name, claim.epoch) in dropped
-                )
-                changes.append(
-                    ClaimChange(
-                        service.name,
-                        domain,
-                        tuple(by_domain[domain] + added),
-                        tuple(claim.name for claim in added),
-                        gone,
-                    )
-                )
-        if early:
-            orders += self._stage_seconds(view, service, engine, now)
-        elif not added_any:
-            self._draft(view, engine, claims, domains, counts, targets)
-        return changes, orders
-
-    def _stage_seconds(
-        self, view: FleetView, service: Service, engine: EngineProfile, now: float
-    ) -> list[Order]:
-        """Return orders for a second model's weights, while loads are fast.
-
-        Any instance can then take part in any group within a second or two.
-        """
-        orders: list[Order] = []
-        for instance in view.instances.values():
-            if instance.service != service.name or instance.draining:
-                continue
-            state = _state(instance)
-            if state in (GroupState.JOINING, GroupState.BROKEN):
-                continue
-            staging = choose_second(instance, engine.models)
-            if staging is not None:
-                orders += self._stage(staging, engine, now, early=True)
-        return orders
-
-    def _draft(
-        self,
-        view: FleetView,
-        engine: EngineProfile,
-        claims: list[GroupClaim],
-        domains: Mapping[str, list[FleetInstance]],
-        counts: Mapping[str, int],
-        targets: Mapping[str, float],
-    ) -> None:
-        """Let a group of one model end for a group of another, one at a time."""
-        if any(item.drafted and not item.retiring for item in self._active(claims)):
-            return
-        pair = choose_draft(engine.models, counts, targets)
-        if pair is None:
-            return
-        needy, donor = pair
-        for claim in claims:
-            group = view.find_open(claim)
-            if claim.model != donor.name or group is None:
-                continue
-            free = [
-                item
-                for item in domains.get(claim.domain, [])
-                if holds_model(item, needy.name)
-            ]
-            able = [item for item in group.members if holds_model(item, needy.name)]
-            if len(free) < needy.size <= len(free) + len(able):
-                self._progress[claim.name, claim.epoch].drafted = True
-                return
-
-    def _active(self, claims: list[GroupClaim]) -> list[_Progress]:
-        """Return the progress of claims that still stand."""
-        keys = [(claim.name, claim.epoch) for claim in claims]
-        return [self._progress[key] for key in keys if key in self._progress]
+    # -- free instances ----------------------------------------------------------
 
     def _list_free(
         self, view: FleetView, service: Service, claims: list[GroupClaim]
     ) -> dict[str, list[FleetInstance]]:
-        """Return the free instances by domain."""
+        """Return the instances that may join a group, by fabric domain."""
         claimed = {name for claim in claims for name in claim.members}
-        found: dict[str, list[FleetInstance]] = defaultdict(list)
+        found: dict[str, list[FleetInstance]] = {}
         for instance in view.instances.values():
             if instance.service != service.name or instance.draining:
                 continue
@@ -506,37 +353,20 @@
                 and not view.is_lapsed(instance.name)
                 and self._is_out(instance)
             )
+            free = found.setdefault(instance.domain, [])
             if usable:
-                found[instance.domain].append(instance)
+                free.append(instance)
         return found
 
-    def _stage(
-        self, staging: Staging, engine: EngineProfile, now: float, early: bool
-    ) -> list[Order]:
-        """Return an order to load weights if the weight store bears it now."""
-        model = engine.find_model(staging.model)
-        address = self._addresses[staging.instance]
-        order = Order(OrderKind.STAGE, staging.instance, address, model=staging.model)
-        key = (order.instance, order.kind, 0)
-        retry_s = STAGE_RETRY_S + (model.load_s if model else 0.0)
-        if now - self._sent.get(key, float('-inf')) < retry_s:
-            return []
-        if not early and not self._take_load(engine.loads_per_s, now):
-            return []
-        self._sent[key] = now
-        return [order]
-
-    def _take_load(self, rate: float, now: float) -> bool:
-        if rate <= 0:
-            return True
-        seen = now if self._load_seen is None else self._load_seen
-        self._load_seen = now
-        self._load_tokens += (now - seen) * rate * LOAD_RATE_PART
-        self._load_tokens = min(self._load_tokens, LOAD_BURST)
-        if self._load_tokens < 1:
-            return False
-        self._load_tokens -= 1
-        return True
+    def _draft(self, scene: Scene) -> None:
+        """Let a group end for one of another model, one at a time."""
+        keys = [(claim.name, claim.epoch) for claim in scene.claims]
+        active = [self._progress[key] for key in keys if key in self._progress]
+        if any(item.drafted and not item.retiring for item in active):
+            return
+        claim = self._placer.choose_drafted(scene)
+        if claim is not None:
+            self._progress[claim.name, claim.epoch].drafted = True
 
 
 def _state(instance: FleetInstance | None) -> GroupState | None:
--- a/coursepitch/fleet/keeper.py
+++ b/coursepitch/fleet/keeper.py
@@ -27,8 +27,9 @@
 
     from coursepitch.clock import Clock
     from coursepitch.fleet.control import InstanceControl
-    from coursepitch.fleet.groups import ClaimChange, Decision
+    from coursepitch.fleet.groups import Decision
     from coursepitch.fleet.orders import Order
+    from coursepitch.fleet.placer import ClaimChange
     from coursepitch.fleet.session import FleetSession
 
 __all__ = ['GroupKeeper']
--- /dev/null
+++ b/coursepitch/fleet/placer.py
@@ -0,0 +1,210 @@
+"""New claims and loads for the free instances of a service, as the leader decides."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from coursepitch.fleet.claims import GroupClaim
+from coursepitch.fleet.instances import GroupState
+from coursepitch.fleet.orders import Order, OrderKind
+from coursepitch.fleet.placement import (
+    PlacementPlan,
+    Staging,
+    choose_draft,
+    choose_second,
+    count_targets,
+    holds_model,
+    plan_domains,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping, Sequence
+
+    from coursepitch.config.routes import EngineProfile, Service
+    from coursepitch.fleet.instances import FleetInstance
+    from coursepitch.fleet.ledger import LoadLimiter, OrderLedger
+    from coursepitch.fleet.view import FleetView
+
+__all__ = ['ClaimChange', 'Placer', 'Scene']
+
+#: Seconds beyond a load after which staging that does not show is ordered again.
+STAGE_RETRY_S = 3.0
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimChange:
+    """The new claims of one fabric domain, to be written under a condition."""
+
+    service: str
+    domain: str
+    claims: tuple[GroupClaim, ...]
+    added: tuple[str, ...] = ()
+    dropped: tuple[str, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Scene:
+    """One service as the leader sees it now.
+
+    :param claims: the claims that stay.
+    :param dropped: the claims that end now.
+    :param free: instances that may join a group, by fabric domain.
+    :param work: work that arrives by model, in instance-seconds a second.
+    :param early: whether no request has come yet, so that loads are fast and
+        don't count.
+    :param settled: whether the list of instances has come to rest.
+    """
+
+    view: FleetView
+    service: Service
+    engine: EngineProfile
+    claims: Sequence[GroupClaim]
+    dropped: Sequence[GroupClaim]
+    free: Mapping[str, Sequence[FleetInstance]]
+    work: Mapping[str, float]
+    now: float
+    early: bool
+    settled: bool
+
+    def list_instances(self) -> list[FleetInstance]:
+        """Return the instances of the service that are not leaving."""
+        return [
+            item
+            for item in self.view.instances.values()
+            if item.service == self.service.name and not item.draining
+        ]
+
+    def count_groups(self) -> dict[str, int]:
+        """Return the claimed groups by model."""
+        counts: dict[str, int] = defaultdict(int)
+        for claim in self.claims:
+            counts[claim.model] += 1
+        return counts
+
+    def find_targets(self) -> dict[str, float]:
+        """Return the groups wanted by model."""
+        total = len(self.list_instances())
+        return count_targets(self.engine.models, total, self.work)
+
+
+class Placer:
+    """Turns plans into claims and orders."""
+
+    def __init__(self, ledger: OrderLedger, loads: LoadLimiter) -> None:
+        self._ledger = ledger
+        self._loads = loads
+
+    def place(self, scene: Scene) -> tuple[list[ClaimChange], list[Order]]:
+        """Return the claims that change and the loads that begin."""
+        plans: dict[str, PlacementPlan] = {}
+        if scene.settled:
+            plans = plan_domains(
+                scene.free,
+                scene.engine.models,
+                scene.count_groups(),
+                scene.find_targets(),
+                cold=scene.early,
+            )
+        changes = self._list_changes(scene, plans)
+        orders: list[Order] = []
+        for plan in plans.values():
+            for staging in plan.stagings:
+                orders += self._stage(staging, scene)
+        if scene.early:
+            orders += self._stage_seconds(scene)
+        return changes, orders
+
+    def _list_changes(
+        self, scene: Scene, plans: Mapping[str, PlacementPlan]
+    ) -> list[ClaimChange]:
+        changes = []
+        ending = {claim.domain for claim in scene.dropped}
+        for domain in sorted(set(plans) | ending):
+            added = _form_claims(scene, domain, plans.get(domain, PlacementPlan()))
+            if not added and domain not in ending:
+                continue
+            kept = [claim for claim in scene.claims if claim.domain == domain]
+            changes.append(
+                ClaimChange(
+                    scene.service.name,
+                    domain,
+                    (*kept, *added),
+                    tuple(claim.name for claim in added),
+                    tuple(item.name for item in scene.dropped if item.domain == domain),
+                )
+            )
+        return changes
+
+    def _stage_seconds(self, scene: Scene) -> list[Order]:
+        """Return orders for a second model's weights, while loads are fast.
+
+        Any instance can then take part in any group within a second or two.
+        """
+        orders: list[Order] = []
+        for instance in scene.list_instances():
+            membership = instance.membership
+            state = membership.state if membership else None
+            if state in (GroupState.JOINING, GroupState.BROKEN):
+                continue
+            staging = choose_second(instance, scene.engine.models)
+            if staging is not None:
+                orders += self._stage(staging, scene)
+        return orders
+
+    def _stage(self, staging: Staging, scene: Scene) -> list[Order]:
+        """Return an order to load weights if the weight store bears it now."""
+        model = scene.engine.find_model(staging.model)
+        address = self._ledger.addresses[staging.instance]
+        order = Order(OrderKind.STAGE, staging.instance, address, model=staging.model)
+        retry_s = STAGE_RETRY_S + (model.load_s if model else 0.0)
+        due = self._ledger.repeat(order, retry_s, scene.now)
+        if not due or scene.early:
+            return due
+        if self._loads.take(scene.engine.loads_per_s, scene.now):
+            return due
+        self._ledger.forget(order)
+        return []
+
+    def choose_drafted(self, scene: Scene) -> GroupClaim | None:
+        """Return an open group to end for one of a model that is shorter."""
+        pair = choose_draft(
+            scene.engine.models, scene.count_groups(), scene.find_targets()
+        )
+        if pair is None:
+            return None
+        needy, donor = pair
+        for claim in scene.claims:
+            group = scene.view.find_open(claim)
+            if claim.model != donor.name or group is None:
+                continue
+            free = [
+                item
+                for item in scene.free.get(claim.domain, ())
+                if holds_model(item, needy.name)
+            ]
+            able = [item for item in group.members if holds_model(item, needy.name)]
+            if len(free) < needy.size <= len(free) + len(able):
+                return claim
+        return None
+
+
+def _form_claims(scene: Scene, domain: str, plan: PlacementPlan) -> list[GroupClaim]:
+    """Return the claims of the groups to form in a domain.
+
+    Their epoch is above that of all groups formed before: each transaction that
+    wrote claims raised the store's revision by one or more.
+    """
+    epoch = scene.view.store_revision + 1
+    return [
+        GroupClaim(
+            f'g{epoch}-{domain or "x"}-{place}',
+            epoch,
+            scene.service.name,
+            domain,
+            formation.model,
+            formation.members,
+        )
+        for place, formation in enumerate(plan.formations)
+    ]
--- a/coursepitch/gateway/streams.py
+++ b/coursepitch/gateway/streams.py
@@ -50,7 +50,7 @@
 LOOK_S = 0.02
 
 #: Times the slots of a group that a stream which has begun may wait among.
-RESUMED_BOUND = 3
+RESUMED_SLOTS = 3
 
 #: Largest failure body in bytes.
 FAILURE_BYTES = 1_048_576
@@ -166,9 +166,9 @@
         engine = job.service.engine
         model = engine.find_model(job.fields.model) if engine else None
         if engine is None or model is None:
-            return RESUMED_BOUND
+            return 0
         if job.reply.started or job.may_have_run:
-            return engine.slots * RESUMED_BOUND
+            return engine.slots * RESUMED_SLOTS
         bound = bound_requests(engine, model, job.route.objective_s)
         return bound + (engine.slots // 2 if job.returned else 0)
 
