A node that can't confirm its configuration hands its clients on before it refuses

Ruled out: the balancer alone; it moves new connections only. Change: past 0.6 of the bound a node is not ready and each answer ends its connection, while it still serves.

--- a/coursepitch/fleet/session.py
+++ b/coursepitch/fleet/session.py
@@ -39,6 +39,11 @@
 #: to be acted on within 2 s, and a watch may miss it without a sign.
 CONFIRM_S = 1.0
 
+#: Part of the bound after which a node that can't confirm its configuration
+#: hands its clients on, while it still serves: the balancer takes a second or
+#: two to take it out, and open connections stay where they are.
+FADING_PART = 0.6
+
 #: Seconds between two tries while the store gives no answer.
 CONFIRM_RETRY_S = 0.3
 
@@ -105,6 +110,10 @@
         """Whether the node may act on its configuration at this moment."""
         return self.view.table is not None and self.confirmation_age_s < self._bound_s
 
+    def is_fading(self) -> bool:
+        """Whether the confirmation is so old that clients should go elsewhere."""
+        return self.confirmation_age_s >= self._bound_s * FADING_PART
+
     def is_leader(self) -> bool:
         """Whether the node holds the lead, by its own reckoning of its lease."""
         held = self.view.leader == self._name and self.view.leader_revision > 0
--- a/coursepitch/gateway_application.py
+++ b/coursepitch/gateway_application.py
@@ -98,7 +98,9 @@
             has_served=lambda: self.gateway.has_served,
             read_work=self._read_work,
         )
-        self.front = HttpServer(self.gateway.handle, self._read_rules, clock)
+        self.front = HttpServer(
+            self.gateway.handle, self._read_rules, clock, self.session.is_fading
+        )
         self.ready_server = HttpServer(self._show_ready, ConnectionRules, clock)
         self.metrics_server = HttpServer(self._show_metrics, ConnectionRules, clock)
         self.stopping = False
@@ -143,7 +145,8 @@
         return ConnectionRules() if table is None else table.rules
 
     async def _show_ready(self, request: IncomingRequest, reply: Reply) -> None:
-        ready = self.session.is_fresh() and not self.stopping
+        fresh = self.session.is_fresh() and not self.session.is_fading()
+        ready = fresh and not self.stopping
         if ready != self._was_ready:
             self._was_ready = ready
             age = round(self.session.confirmation_age_s, 3)
--- a/coursepitch/http/server.py
+++ b/coursepitch/http/server.py
@@ -77,7 +77,7 @@
     async def start(self, status: int, headers: Headers) -> None:
         """Write the head; without a length the body goes in chunks."""
         lines = list(headers)
-        if self.connection.server.stopping:
+        if self.connection.server.is_turning_away():
             lines.append((b'Connection', b'close'))
         self.started = True
         event = h11.Response(status_code=status, headers=lines)
@@ -97,7 +97,7 @@
         """Write a whole answer in one piece."""
         parser = self.connection.parser
         lines = list(headers)
-        if self.connection.server.stopping:
+        if self.connection.server.is_turning_away():
             lines.append((b'Connection', b'close'))
         lines.append((b'Content-Length', b'%d' % len(body)))
         self.started = True
@@ -293,15 +293,21 @@
 
     :param handle: answers one request.
     :param read_rules: the rules in force now.
+    :param is_fading: whether clients should go elsewhere with what comes next.
     """
 
     handle: Callable[[IncomingRequest, Reply], Awaitable[None]]
     read_rules: Callable[[], ConnectionRules]
     clock: Clock = monotonic
+    is_fading: Callable[[], bool] = lambda: False
     stopping: bool = False
     closing_idle: bool = False
     connections: set[ServerConnection] = field(default_factory=set)
 
+    def is_turning_away(self) -> bool:
+        """Whether each answer is the last on its connection."""
+        return self.stopping or self.is_fading()
+
     @property
     def busy_count(self) -> int:
         """Requests that are being answered."""
--- a/tests/fleet/test_session.py
+++ b/tests/fleet/test_session.py
@@ -60,6 +60,12 @@
         self.store.now += 0.02
         self.assertFalse(self.session.is_fresh())
 
+    def test_node_hands_clients_on_before_it_stops_serving(self):
+        self.confirm(Swapped(12))
+        self.store.now += BOUND_S * 0.7
+        self.assertTrue(self.session.is_fading())
+        self.assertTrue(self.session.is_fresh())
+
     def test_age_counts_from_when_the_question_was_sent(self):
         self.store.delay_s = 3.0
         self.confirm(Swapped(12))
--- a/tests/http/test_exchange.py
+++ b/tests/http/test_exchange.py
@@ -268,6 +268,16 @@
         self.assertIn(b'connection: close', data.lower())
         self.assertIn(b'/last', data)
 
+    def test_fading_server_answers_and_sends_clients_elsewhere(self):
+        async def run(server, stream):
+            server.is_fading = lambda: True
+            await stream.send(b'GET /on HTTP/1.1\r\nHost: x\r\n\r\n')
+            return await read_all(stream)
+
+        data = self.play(echo, run)
+        self.assertIn(b'connection: close', data.lower())
+        self.assertIn(b'/on', data)
+
     def test_idle_connection_is_kept_as_long_as_the_rules_of_that_moment_say(self):
         async def run(server, stream):
             server.read_rules = lambda: ConnectionRules(idle_timeout_s=0.01)
