An answer that had left when its limit came is not cut; refusals at the door name why

Change: an answer that is written stays; the reason goes into request.ended. The new test fails on the code before (broken connection).

--- a/coursepitch/gateway/arrive.py
+++ b/coursepitch/gateway/arrive.py
@@ -62,7 +62,7 @@
         found = self._admit(request, reply, fields)
         if isinstance(found, Refusal):
             await self._refuse(reply, fields, found)
-            self._note_end(None, fields, found.status, request.received_at)
+            self._note_end(None, fields, found, request.received_at)
             return
         job = found
         try:
@@ -72,7 +72,8 @@
                 job.ending = Ending.LEFT
             raise
         finally:
-            self._note_end(job, fields, job.status, job.arrived_at)
+            end = Refusal(job.status, job.last_reason)
+            self._note_end(job, fields, end, job.arrived_at)
 
     def _admit(
         self, request: IncomingRequest, reply: Reply, fields: RequestFields
@@ -152,6 +153,8 @@
             self.work.note(model.name, estimate_work(engine, model, job.fields))
 
     def _end_late(self, job: Job) -> Refusal | None:
+        if job.reply.written:
+            return None
         if job.reply.started:
             job.reply.abort()
             job.ending = Ending.CUT
@@ -169,10 +172,10 @@
         await reply.send_whole(refusal.status, tuple(headers), b'')
 
     def _note_end(
-        self, job: Job | None, fields: RequestFields, status: int, since: float
+        self, job: Job | None, fields: RequestFields, end: Refusal, since: float
     ) -> None:
         outcome = job.ending if job else Ending.NOT_RUN
-        self._metrics.requests.inc({'outcome': outcome.value, 'code': str(status)})
+        self._metrics.requests.inc({'outcome': outcome.value, 'code': str(end.status)})
         took_s = self._clock() - since
         if job is not None:
             kind = job.route.kind.value
@@ -185,9 +188,9 @@
             events.REQUEST_ENDED,
             request=fields.request,
             route=job.route.name if job else '',
-            status=status,
+            status=end.status,
             outcome=outcome.value,
-            reason=job.last_reason if job else '',
+            reason=end.reason,
             instance=','.join(job.sent) if job else '',
             attempts=len(job.sent) if job else 0,
             took_s=round(took_s, 4),
--- a/coursepitch/http/server.py
+++ b/coursepitch/http/server.py
@@ -68,11 +68,15 @@
 
 @dataclass(eq=False)
 class Reply:
-    """The answer to one request; written once, from its start to its end."""
+    """The answer to one request; written once, from its start to its end.
+
+    ``written`` says that all of it has left; cancelled before, it is cut.
+    """
 
     connection: ServerConnection
     started: bool = False
     ended: bool = False
+    written: bool = False
 
     async def start(self, status: int, headers: Headers) -> None:
         """Write the head; without a length the body goes in chunks."""
@@ -92,6 +96,7 @@
         """End the body properly."""
         self.ended = True
         await self.connection.write(self.connection.parser.send(h11.EndOfMessage()))
+        self.written = True
 
     async def send_whole(self, status: int, headers: Headers, body: bytes) -> None:
         """Write a whole answer in one piece."""
@@ -107,6 +112,7 @@
         data += parser.send(h11.EndOfMessage()) or b''
         self.ended = True
         await self.connection.write(data)
+        self.written = True
 
     def abort(self) -> None:
         """End the connection, so that the answer can't pass for whole."""
--- a/tests/gateway/test_decisions.py
+++ b/tests/gateway/test_decisions.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import unittest
+from types import SimpleNamespace
 
 import anyio
 from hypothesis import given, strategies
@@ -10,13 +11,16 @@
 from coursepitch.fleet.claims import GroupClaim
 from coursepitch.fleet.control import Probe
 from coursepitch.fleet.view import OpenGroup
+from coursepitch.gateway.arrive import Gateway
 from coursepitch.gateway.board import LoadBoard
 from coursepitch.gateway.budget import RetryBudget
 from coursepitch.gateway.events_seam import EventSeam
+from coursepitch.gateway.job import Ending
 from coursepitch.gateway.peers import PeerLinks, PeerLoad
 from coursepitch.gateway.router import Router
 from coursepitch.gateway.watchdog import Watchdog
 from coursepitch.gateway.work import bound_requests, estimate_work
+from coursepitch.http.server import Reply
 from coursepitch.platform.headers import RequestFields
 from tests.fleet.builders import (
     LARGE,
@@ -287,3 +291,24 @@
             self.links.take(data)
         except ValueError:
             self.assertEqual(self.links.count('a'), 0)
+
+
+class LateAnswerTest(unittest.TestCase):
+    """An answer that was written when the limit came stays as it is."""
+
+    def end_late(self, *, started, written):
+        connection = SimpleNamespace(broken=False)
+        reply = Reply(connection, started=started, ended=written, written=written)
+        job = SimpleNamespace(reply=reply, sent=['a'], ending=Ending.ANSWERED)
+        refusal = Gateway._end_late(SimpleNamespace(), job)
+        return refusal, connection.broken
+
+    def test_written_answer_is_not_cut(self):
+        self.assertEqual(self.end_late(started=True, written=True), (None, False))
+
+    def test_answer_on_its_way_is_cut(self):
+        self.assertEqual(self.end_late(started=True, written=False), (None, True))
+
+    def test_request_without_an_answer_is_told_that_it_is_late(self):
+        refusal, broken = self.end_late(started=False, written=False)
+        self.assertEqual((refusal.status, broken), (504, False))
