--- a/coursepitch/gateway/streams.py
+++ b/coursepitch/gateway/streams.py
@@ -133,7 +133,7 @@
         left_s = job.limit_at - self._clock()
         if job.may_have_run:
             return Refusal(504 if left_s <= 0 else 502, job.last_reason)
-        return Refusal(503, job.last_reason or 'no group is open', AGAIN_S)
+        return Refusal(503, job.last_reason or 'no longer to be sent', AGAIN_S)
 
     async def _wait_group(self, job: Job, avoided: set[str]) -> OpenGroup | None:
         """Return a group to send to; wait for one as long as it helps."""
@@ -158,9 +158,16 @@
             if group is not None:
                 return group
             if now >= until:
+                job.last_reason = job.last_reason or self._why_none(job)
                 return None
             await self._session.wait_changed(min(LOOK_S, until - now))
 
+    def _why_none(self, job: Job) -> str:
+        """Return why no group takes a request."""
+        if self._session.view.list_open(job.service.name, job.fields.model):
+            return 'all groups are full or were tried'
+        return 'no group is open'
+
     def _bound(self, job: Job) -> int:
         """Return with how many requests in flight a group is passed over."""
         engine = job.service.engine
--- a/coursepitch/http/client.py
+++ b/coursepitch/http/client.py
@@ -100,6 +100,8 @@
                     data = await self.stream.receive(READ_BYTES)
                 except anyio.EndOfStream:
                     data = b''
+                if not data and self.parser.their_state is h11.SEND_RESPONSE:
+                    raise ExchangeError('closed without an answer')
                 self.parser.receive_data(data)
             except h11.RemoteProtocolError as error:
                 raise ExchangeError(f'no valid answer: {error}') from error
