--- a/coursepitch/gateway/calls.py
+++ b/coursepitch/gateway/calls.py
@@ -7,7 +7,7 @@
 import anyio
 
 from coursepitch import events, log
-from coursepitch.gateway.attempts import Attempt, bound_connections, send_attempt
+from coursepitch.gateway.attempts import bound_connections, send_attempt
 from coursepitch.gateway.job import Ending, Refusal
 from coursepitch.http.client import ExchangeError
 from coursepitch.platform.headers import pass_answer_headers
@@ -150,7 +150,7 @@
             job,
             instance,
             self._clock,
-            lambda: self._session.is_fresh(),
+            self._session.is_fresh,
             limit=bound_connections(job.service, self._session.count_nodes()),
             last_event=b'',
             # A reset of a connection that was used before says nothing about
@@ -159,17 +159,13 @@
             wait_s=wait_s,
         )
         if attempt.answer is None:
-            self._note_failure(instance, attempt)
+            self._board.note_failure(instance.name)
             return False
         try:
             return await self._pass_on(job, instance, attempt.answer, sent_at, again)
         finally:
             attempt.answer.release()
 
-    def _note_failure(self, instance: FleetInstance, attempt: Attempt) -> None:
-        del attempt
-        self._board.note_failure(instance.name)
-
     async def _pass_on(
         self,
         job: Job,
--- a/coursepitch/gateway/streams.py
+++ b/coursepitch/gateway/streams.py
@@ -222,7 +222,7 @@
                 job,
                 head,
                 self._clock,
-                lambda: self._session.is_fresh(),
+                self._session.is_fresh,
                 limit=bound_connections(job.service, self._session.count_nodes()),
                 last_event=seam.last_event,
                 fresh=False,
