--- /dev/null
+++ b/coursepitch/fleet/leases.py
@@ -0,0 +1,201 @@
+"""The leases of a node: one under which it is listed, one while it leads."""
+
+from __future__ import annotations
+
+import zlib
+from typing import TYPE_CHECKING
+
+import anyio
+
+from coursepitch import events, log
+from coursepitch.fleet.view import LEADER_KEY, NODE_PREFIX
+from coursepitch.platform.kv import Condition, Conflict, Swapped, Unavailable, Write
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from coursepitch.clock import Clock
+    from coursepitch.fleet.view import FleetView
+    from coursepitch.platform.kv import KeyValue
+
+__all__ = ['Lease', 'NodeLeases']
+
+#: Length in seconds of the lease under which a node is listed, and how often it
+#: is renewed.  Nodes hear of each other's end by their links; a listing that
+#: stays for some seconds only makes shares of limits smaller.
+NODE_LEASE_S = 6.0
+NODE_RENEW_S = 2.0
+
+#: Length in seconds of the leader's lease, and how often it is renewed: the
+#: shorter, the sooner another node leads; renewals are priced.
+LEAD_LEASE_S = 2.2
+LEAD_RENEW_S = 0.7
+
+#: Seconds between two tries while the store gives no answer.
+RETRY_S = 0.3
+
+#: Seconds by which the node's own reckoning of a lease ends early, for clocks
+#: that run at different rates.
+LEASE_MARGIN_S = 0.2
+
+#: Seconds between two looks whether somebody leads.
+LOOK_S = 0.1
+
+#: Seconds after which each further node tries to take the lead, and the longest
+#: such wait.  Source: a try is answered in some 10 ms, and told in 10 more.
+TURN_S = 0.03
+LONGEST_TURN_S = 1.0
+
+
+class Lease:
+    """One lease, with the node's own reckoning of when it ends."""
+
+    def __init__(self, kv: KeyValue, length_s: float, clock: Clock) -> None:
+        self._kv = kv
+        self._length_s = length_s
+        self._clock = clock
+        self._until = float('-inf')
+        self.name = ''
+
+    @property
+    def held(self) -> bool:
+        """Whether the lease surely still runs."""
+        return bool(self.name) and self._clock() < self._until
+
+    async def grant(self) -> bool:
+        """Get a new lease; return whether there is one."""
+        asked_at = self._clock()
+        name = await self._kv.grant(self._length_s)
+        if isinstance(name, Unavailable):
+            return False
+        self.name = name
+        self._until = asked_at + self._length_s - LEASE_MARGIN_S
+        return True
+
+    async def renew(self) -> bool:
+        """Renew the lease; it has no name any more once it has lapsed."""
+        asked_at = self._clock()
+        result = await self._kv.renew(self.name)
+        if isinstance(result, Unavailable):
+            return False
+        if not result:
+            log.emit(events.LEASE_LOST)
+            self.name = ''
+            return False
+        self._until = asked_at + self._length_s - LEASE_MARGIN_S
+        return True
+
+    async def end(self) -> None:
+        """End the lease, and with it what hangs on it."""
+        if self.name:
+            await self._kv.revoke(self.name)
+
+
+class NodeLeases:
+    """Keeps the node listed, and takes the lead when nobody has it.
+
+    :param me: name of the node.  Its ``peer_address`` is set before it runs.
+    :param wake: called when the view changed.
+    """
+
+    def __init__(
+        self,
+        me: str,
+        kv: KeyValue,
+        view: FleetView,
+        wake: Callable[[], None],
+        clock: Clock,
+    ) -> None:
+        self._me = me
+        self._kv = kv
+        self._view = view
+        self._wake = wake
+        self._node = Lease(kv, NODE_LEASE_S, clock)
+        self._lead = Lease(kv, LEAD_LEASE_S, clock)
+        self._lead_revision = 0
+        self._ending = False
+        self.peer_address = ''
+
+    def is_leader(self) -> bool:
+        """Whether the node holds the lead, by its own reckoning of its lease."""
+        view = self._view
+        held = view.leader == self._me and view.leader_revision == self._lead_revision
+        return held and self._lead_revision > 0 and self._lead.held and not self._ending
+
+    # -- being listed --------------------------------------------------------------
+
+    async def keep_listed(self) -> None:
+        """Hold the lease under which the node is listed, until cancelled."""
+        while not self._ending:
+            good = await (self._node.renew() if self._node.name else self._list())
+            if good:
+                self._wake()
+            await anyio.sleep(NODE_RENEW_S if good else RETRY_S)
+
+    async def _list(self) -> bool:
+        if not await self._node.grant():
+            return False
+        write = Write(NODE_PREFIX + self._me, self.peer_address, self._node.name)
+        result = await self._kv.transact([], [write])
+        if not isinstance(result, Swapped):
+            self._node.name = ''
+            return False
+        return True
+
+    # -- the lead ------------------------------------------------------------------
+
+    async def keep_leading(self) -> None:
+        """Renew the lead while it is held; take it when nobody has it."""
+        while not self._ending:
+            if self._lead_revision and self._lead.name:
+                await self._keep_lead()
+            elif self._is_vacant():
+                await self._campaign()
+            else:
+                await anyio.sleep(LOOK_S)
+
+    async def _keep_lead(self) -> None:
+        good = await self._lead.renew()
+        if not self._lead.name:
+            self._lead_revision = 0
+        await anyio.sleep(LEAD_RENEW_S if good else RETRY_S)
+
+    def _is_vacant(self) -> bool:
+        """Whether nobody leads, or an earlier start of this very node did."""
+        return self._view.leader in ('', self._me) and self._node.held
+
+    def _find_turn(self) -> int:
+        """Return how many nodes try before this one: another order each time."""
+        salt = str(self._view.leader_changed_at)
+        ranked = sorted(
+            self._view.nodes, key=lambda name: zlib.crc32((name + salt).encode())
+        )
+        return ranked.index(self._me) if self._me in ranked else len(ranked)
+
+    async def _campaign(self) -> None:
+        """Take the lead if nobody holds it; one node after the other tries."""
+        if not self._view.leader:
+            await anyio.sleep(min(self._find_turn() * TURN_S, LONGEST_TURN_S))
+        if not self._is_vacant() or not await self._lead.grant():
+            await anyio.sleep(TURN_S)
+            return
+        expected = self._view.leader_revision if self._view.leader else 0
+        write = Write(LEADER_KEY, self._me, self._lead.name)
+        result = await self._kv.transact([Condition(LEADER_KEY, expected)], [write])
+        if isinstance(result, Conflict):
+            self._view.take_entry(result.current)
+        if isinstance(result, Swapped):
+            self._lead_revision = result.revision
+            self._view.leader = self._me
+            self._view.leader_revision = result.revision
+            log.emit(events.LEAD_TAKEN, revision=result.revision)
+        else:
+            self._lead.name = ''
+            await anyio.sleep(RETRY_S)
+        self._wake()
+
+    async def end(self) -> None:
+        """End the leases, so that another node leads at once."""
+        self._ending = True
+        await self._lead.end()
+        await self._node.end()
--- /dev/null
+++ b/coursepitch/fleet/links.py
@@ -0,0 +1,253 @@
+"""Links between nodes, over websockets.
+
+A node links to the leader and to two other nodes, the same for all nodes as
+long as these answer.  Whoever has been linked to follows the store for those
+that did, and tells each of them the sum of the others' loads.  So the number of
+links grows with the number of nodes, not with its square.
+
+Nothing is agreed over these links and no promise hangs on them: without them a
+node asks the store itself and balances by its own requests only.
+"""
+
+from __future__ import annotations
+
+import collections
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Any
+
+import anyio
+from websockets.asyncio.client import connect
+from websockets.asyncio.server import serve
+from websockets.exceptions import WebSocketException
+
+from coursepitch import events, log
+from coursepitch.errors import CodecError
+from coursepitch.fleet.messages import (
+    Heartbeat,
+    decode_message,
+    encode_heartbeat,
+    encode_message,
+    encode_state,
+)
+from coursepitch.fleet.peers import choose_watchers
+
+if TYPE_CHECKING:
+    import socket
+    from collections.abc import Callable
+
+    from anyio.abc import TaskGroup
+    from websockets.asyncio.connection import Connection
+
+    from coursepitch.clock import Clock
+    from coursepitch.fleet.messages import Message
+    from coursepitch.fleet.peers import PeerBook
+    from coursepitch.fleet.view import FleetView
+
+__all__ = ['PeerLinks']
+
+#: Seconds between two heartbeats on a link.  Source: a load is then seen 0.25 s
+#: late in the middle, less than a request takes.
+TELL_S = 0.25
+
+#: Seconds for which a link may take to come up, and a message to leave.
+LINK_TIMEOUT_S = 1.0
+
+#: Seconds after which a link on which nothing came is given up.
+SILENT_S = 1.2
+
+#: Seconds for which a peer is passed over after its link broke.
+DOWN_S = 3.0
+
+#: Seconds between two looks at which links are wanted.
+LOOK_S = 0.2
+
+#: Messages that wait for one peer; further ones are dropped, and the peer finds
+#: by the revisions that it missed some and asks the store.
+QUEUE_LIMIT = 64
+
+#: Largest message in bytes: a configuration is the largest.  Source: the store
+#: holds values of up to 1 MB.
+MESSAGE_BYTES = 2_097_152
+
+
+@dataclass(eq=False)
+class _Link:
+    """A connection with a peer, and the messages that wait for it.
+
+    :param node: name of the peer; empty until it told.
+    """
+
+    node: str = ''
+    waiting: collections.deque[bytes] = field(default_factory=collections.deque)
+    beat: bool = True
+    wake: anyio.Event = field(default_factory=anyio.Event)
+    scope: anyio.CancelScope = field(default_factory=anyio.CancelScope)
+
+    def put(self, data: bytes) -> None:
+        """Queue a message."""
+        if len(self.waiting) < QUEUE_LIMIT:
+            self.waiting.append(data)
+        self.wake.set()
+
+
+@dataclass(eq=False)
+class PeerLinks:
+    """The links of a node.
+
+    :param me: name of this node.
+    :param read_beat: returns what this node tells of itself now.
+    :param take: called with each message that arrives.
+    """
+
+    me: str
+    view: FleetView
+    book: PeerBook
+    read_beat: Callable[[], Heartbeat]
+    take: Callable[[Message], None]
+    clock: Clock
+    _dialled: dict[str, _Link] = field(default_factory=dict)
+    _accepted: list[_Link] = field(default_factory=list)
+    _down: dict[str, float] = field(default_factory=dict)
+    _state: bytes = b''
+    _due: anyio.Event = field(default_factory=anyio.Event)
+
+    def is_followed(self) -> bool:
+        """Whether other nodes count on this one to follow the store."""
+        return bool(self._accepted)
+
+    def tell(self, message: Message, node: str = '') -> None:
+        """Queue a message for one node, or for all that are linked."""
+        data = encode_message(message)
+        for link in self._list_links():
+            if link.node and node in ('', link.node):
+                link.put(data)
+
+    def tell_now(self) -> None:
+        """Let the next heartbeat leave at once."""
+        self._due.set()
+
+    def _list_links(self) -> list[_Link]:
+        return [*self._dialled.values(), *self._accepted]
+
+    # -- tasks ----------------------------------------------------------------------
+
+    async def run(self, sock: socket.socket) -> None:
+        """Listen to peers and hold links, until cancelled."""
+        server = serve(
+            self._accept,
+            sock=sock,
+            compression=None,
+            max_size=MESSAGE_BYTES,
+            ping_interval=None,
+        )
+        async with server, anyio.create_task_group() as group:
+            group.start_soon(self._beat)
+            while True:
+                self._match_links(group)
+                await anyio.sleep(LOOK_S)
+
+    async def _beat(self) -> None:
+        """Let a heartbeat leave on all links when it is time."""
+        while True:
+            self.book.forget_silent()
+            self._state = encode_state(self.read_beat())
+            for link in self._list_links():
+                link.beat = True
+                link.wake.set()
+            with anyio.move_on_after(TELL_S):
+                await self._due.wait()
+            self._due = anyio.Event()
+
+    def _match_links(self, group: TaskGroup) -> None:
+        """Hold a link to each node that follows the store for all."""
+        now = self.clock()
+        nodes = self.view.nodes
+        up = [name for name in nodes if self._down.get(name, 0.0) <= now]
+        wanted = choose_watchers({*up, self.me}, self.view.leader) - {self.me}
+        for node in [name for name in self._dialled if name not in wanted]:
+            self._dialled.pop(node).scope.cancel()
+        for node in wanted:
+            address = nodes.get(node)
+            if address and node in up and node not in self._dialled:
+                link = self._dialled[node] = _Link(node)
+                group.start_soon(self._dial, address, link)
+
+    async def _dial(self, address: str, link: _Link) -> None:
+        """Hold a link to a peer until it breaks or is no longer wanted."""
+        options: dict[str, Any] = {
+            'compression': None,
+            'open_timeout': LINK_TIMEOUT_S,
+            'close_timeout': LINK_TIMEOUT_S,
+            'max_size': MESSAGE_BYTES,
+            'ping_interval': None,
+        }
+        reason = 'no longer wanted'
+        with link.scope:
+            try:
+                async with connect(f'ws://{address}/', **options) as connection:
+                    log.emit(events.PEER_UP, peer=link.node)
+                    reason = await self._serve(connection, link)
+            except (OSError, TimeoutError, WebSocketException) as error:
+                reason = type(error).__name__
+            self._down[link.node] = self.clock() + DOWN_S
+        log.emit(events.PEER_DOWN, peer=link.node, reason=reason)
+        if self._dialled.get(link.node) is link:
+            del self._dialled[link.node]
+
+    async def _accept(self, connection: Connection) -> None:
+        link = _Link()
+        self._accepted.append(link)
+        try:
+            with link.scope:
+                await self._serve(connection, link)
+        finally:
+            self._accepted.remove(link)
+
+    async def _serve(self, connection: Connection, link: _Link) -> str:
+        """Tell a peer and hear it until the link breaks; return why it did."""
+        reasons: list[str] = []
+        async with anyio.create_task_group() as group:
+
+            async def run(work: Callable[[Connection, _Link], Any]) -> None:
+                try:
+                    await work(connection, link)
+                except CodecError as error:
+                    log.emit(events.PEER_REFUSED, peer=link.node, reason=str(error))
+                    reasons.append(str(error))
+                except (OSError, TimeoutError, WebSocketException) as error:
+                    reasons.append(type(error).__name__)
+                group.cancel_scope.cancel()
+
+            group.start_soon(run, self._hear)
+            group.start_soon(run, self._tell)
+        return reasons[0] if reasons else 'closed'
+
+    async def _hear(self, connection: Connection, link: _Link) -> None:
+        while True:
+            with anyio.fail_after(SILENT_S):
+                data = await connection.recv(decode=False)
+            message = decode_message(data)
+            if not link.node and isinstance(message, Heartbeat):
+                link.node = message.node
+            self.take(message)
+
+    async def _tell(self, connection: Connection, link: _Link) -> None:
+        while True:
+            with anyio.fail_after(LINK_TIMEOUT_S):
+                while link.waiting:
+                    await connection.send(link.waiting.popleft())
+                if link.beat:
+                    link.beat = False
+                    await connection.send(self._compose(link.node))
+            if not link.waiting and not link.beat:
+                link.wake = anyio.Event()
+                await link.wake.wait()
+
+    def _compose(self, node: str) -> bytes:
+        """Return the heartbeat for one peer.
+
+        The clock is read after the echo, so that the echo is older.
+        """
+        incarnation, reading = self.book.read_echo(node)
+        others = self.book.sum_others(node) if self.is_followed() else None
+        return encode_heartbeat(self._state, self.clock(), incarnation, reading, others)
--- /dev/null
+++ b/coursepitch/fleet/messages.py
@@ -0,0 +1,263 @@
+"""Messages between nodes, as CBOR lists.
+
+Times in a message are readings of a node's own steady clock; nobody else reads
+them as anything but differences, see :mod:`coursepitch.fleet.peers`.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Any
+
+import cbor2
+
+from coursepitch.errors import CodecError
+from coursepitch.platform.kv import Entry
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+__all__ = [
+    'Changes',
+    'Heartbeat',
+    'Message',
+    'OtherLoads',
+    'TableRequest',
+    'TableTold',
+    'decode_message',
+    'encode_heartbeat',
+    'encode_message',
+    'encode_state',
+]
+
+_HEARTBEAT = 0
+_CHANGES = 1
+_TABLE_REQUEST = 2
+_TABLE_TOLD = 3
+
+
+@dataclass(frozen=True, slots=True)
+class OtherLoads:
+    """Loads of all nodes that the sender hears, itself too, but for the receiver.
+
+    :param nodes: how many nodes that is.
+    :param counts: their requests in flight by instance.
+    :param work: work that arrives there by model, in instance-seconds a second.
+    """
+
+    nodes: int = 0
+    counts: Mapping[str, int] = field(default_factory=dict)
+    work: Mapping[str, float] = field(default_factory=dict)
+
+
+@dataclass(frozen=True, slots=True)
+class Heartbeat:
+    """What a node tells of itself a few times a second.
+
+    :param incarnation: random number of this start of the process.
+    :param table_revision: store revision of its configuration; 0 for none.
+    :param asked_at: when it asked the store for the newest confirmation that
+        this configuration is in force; ``None`` without one.
+    :param heard: store revision up to which it heard of all changes.
+    :param watching: whether it passes on what it hears from the store.
+    :param others: the loads of other nodes, from a node that is linked to.
+    :param counts: its requests in flight by instance.
+    :param work: work that arrives there by model, in instance-seconds a second.
+    :param sent_at: when the message was made.
+    :param echo_incarnation: incarnation of the receiver that ``echo_at`` is of.
+    :param echo_at: ``sent_at`` of the newest heartbeat from the receiver that
+        had arrived when the message was made.
+    """
+
+    node: str
+    incarnation: int
+    table_revision: int = 0
+    asked_at: float | None = None
+    heard: int = 0
+    watching: bool = False
+    counts: Mapping[str, int] = field(default_factory=dict)
+    work: Mapping[str, float] = field(default_factory=dict)
+    sent_at: float = 0.0
+    echo_incarnation: int = 0
+    echo_at: float = 0.0
+    others: OtherLoads | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Changes:
+    """All changes of the store after one revision, up to another.
+
+    Configurations are left out: they are large, and each node reads its own.
+
+    :param lapse_s: seconds for which vanished entries may be due to an outage
+        of the store that the sender saw; 0 or less for none.
+    """
+
+    node: str
+    after: int
+    revision: int
+    entries: tuple[Entry, ...]
+    lapse_s: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class TableRequest:
+    """A node asks for a configuration of at least this store revision.
+
+    :param cut_off: whether the store does not answer the node.
+    """
+
+    node: str
+    revision: int
+    cut_off: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class TableTold:
+    """A configuration as it stands in the store."""
+
+    node: str
+    entry: Entry
+
+
+Message = Heartbeat | Changes | TableRequest | TableTold
+
+
+def encode_state(beat: Heartbeat) -> bytes:
+    """Return the part of a heartbeat that is the same for all receivers."""
+    return cbor2.dumps(
+        [
+            beat.node,
+            beat.incarnation,
+            beat.table_revision,
+            beat.asked_at,
+            beat.heard,
+            beat.watching,
+            dict(beat.counts),
+            _round(beat.work),
+        ]
+    )
+
+
+def _round(work: Mapping[str, float]) -> dict[str, float]:
+    return {model: round(rate, 3) for model, rate in work.items()}
+
+
+def encode_heartbeat(
+    state: bytes,
+    sent_at: float,
+    echo_incarnation: int,
+    echo_at: float,
+    others: OtherLoads | None,
+) -> bytes:
+    """Return a heartbeat for one receiver, from the part that all get."""
+    row = None
+    if others is not None:
+        row = [others.nodes, dict(others.counts), _round(others.work)]
+    return cbor2.dumps([_HEARTBEAT, state, sent_at, echo_incarnation, echo_at, row])
+
+
+def encode_message(message: Message) -> bytes:
+    """Return a message in bytes."""
+    match message:
+        case Heartbeat():
+            state = encode_state(message)
+            return encode_heartbeat(
+                state,
+                message.sent_at,
+                message.echo_incarnation,
+                message.echo_at,
+                message.others,
+            )
+        case Changes():
+            rows = [_entry_row(entry) for entry in message.entries]
+            parts = [message.after, message.revision, rows, message.lapse_s]
+            return cbor2.dumps([_CHANGES, message.node, *parts])
+        case TableRequest():
+            parts = [message.node, message.revision, message.cut_off]
+            return cbor2.dumps([_TABLE_REQUEST, *parts])
+        case TableTold():
+            row = _entry_row(message.entry)
+            return cbor2.dumps([_TABLE_TOLD, message.node, row])
+
+
+def decode_message(data: bytes) -> Message:
+    """Return the message that bytes hold.
+
+    :raises CodecError: they are damaged.
+    """
+    try:
+        kind, *parts = cbor2.loads(data)
+        if kind == _HEARTBEAT:
+            return _decode_heartbeat(parts)
+        node = _text(parts[0])
+        if kind == _CHANGES:
+            _, after, revision, rows, lapse_s = parts
+            entries = tuple(_decode_entry(row) for row in rows)
+            return Changes(node, int(after), int(revision), entries, float(lapse_s))
+        if kind == _TABLE_REQUEST:
+            return TableRequest(node, int(parts[1]), bool(parts[2]))
+        if kind == _TABLE_TOLD:
+            return TableTold(node, _decode_entry(parts[1]))
+    except (
+        cbor2.CBORDecodeError,
+        TypeError,
+        ValueError,
+        AttributeError,
+        IndexError,
+        OverflowError,
+    ) as error:
+        raise CodecError(f'message of a peer: {error!r}') from error
+    raise CodecError(f'message of a peer: kind {kind!r} is not known')
+
+
+def _decode_heartbeat(parts: list[Any]) -> Heartbeat:
+    state, sent_at, echo_incarnation, echo_at, others = parts
+    node, incarnation, revision, asked_at, heard, watching, counts, work = cbor2.loads(
+        state
+    )
+    return Heartbeat(
+        _text(node),
+        int(incarnation),
+        int(revision),
+        None if asked_at is None else float(asked_at),
+        int(heard),
+        bool(watching),
+        _decode_counts(counts),
+        _decode_work(work),
+        float(sent_at),
+        int(echo_incarnation),
+        float(echo_at),
+        None if others is None else _decode_others(others),
+    )
+
+
+def _decode_others(row: Any) -> OtherLoads:
+    nodes, counts, work = row
+    return OtherLoads(int(nodes), _decode_counts(counts), _decode_work(work))
+
+
+def _decode_counts(counts: Any) -> dict[str, int]:
+    return {_text(name): int(count) for name, count in counts.items()}
+
+
+def _decode_work(work: Any) -> dict[str, float]:
+    return {_text(name): float(rate) for name, rate in work.items()}
+
+
+def _text(value: Any) -> str:
+    if not isinstance(value, str):
+        raise TypeError(f'{value!r} is no text')
+    return value
+
+
+def _entry_row(entry: Entry) -> list[object]:
+    value = entry.value if entry.present else None
+    return [entry.key, value, entry.changed_at]
+
+
+def _decode_entry(row: Any) -> Entry:
+    key, value, revision = row
+    if value is None:
+        return Entry(_text(key), deleted_at=int(revision))
+    return Entry(_text(key), _text(value), int(revision))
--- a/coursepitch/fleet/session.py
+++ b/coursepitch/fleet/session.py
@@ -1,25 +1,35 @@
-"""A node's session with the platform's store.
+"""A node's session with the platform's store, shared among the nodes.
 
-It follows all keys, confirms the configuration once a second, and holds the
-lease under which the node is listed and may lead.  A watch that hears nothing
-proves nothing: only the confirmation, a linearizable question about the
-configuration itself, lets the node go on serving, and its age counts from the
-moment at which the question was sent.
+Few nodes follow the store and pass on what changes; the others ask it
+themselves as soon as nobody does.  A watch that hears nothing proves nothing:
+only the confirmation, a linearizable question about the configuration itself,
+lets a node go on serving.  A peer's confirmation is as good as one's own; its
+age counts from the moment at which the question was sent.
 """
 
 from __future__ import annotations
 
 import random
+import secrets
 from typing import TYPE_CHECKING
 
 import anyio
 
 from coursepitch import events, log
-from coursepitch.fleet.view import LEADER_KEY, LOST_PREFIX, NODE_PREFIX, FleetView
+from coursepitch.fleet.leases import NodeLeases
+from coursepitch.fleet.messages import (
+    Changes,
+    Heartbeat,
+    TableRequest,
+    TableTold,
+)
+from coursepitch.fleet.peers import PeerBook
+from coursepitch.fleet.view import LOST_PREFIX, FleetView
 from coursepitch.platform.configuration import CONFIGURATION_KEY
 from coursepitch.platform.kv import (
     Condition,
     Conflict,
+    Events,
     Rejected,
     Swapped,
     Unavailable,
@@ -31,13 +41,23 @@
     from collections.abc import Callable
 
     from coursepitch.clock import Clock
+    from coursepitch.fleet.messages import Message
     from coursepitch.platform.kv import KeyValue
 
 __all__ = ['FleetSession']
 
-#: Seconds between two confirmations of the configuration.  Source: a change has
-#: to be acted on within 2 s, and a watch may miss it without a sign.
-CONFIRM_S = 1.0
+#: Age in seconds of its last own confirmation at which a node that follows the
+#: store asks for another one.  Source: a change has to be acted on within 2 s,
+#: and a watch may miss it without a sign.
+CONFIRM_S = 0.8
+
+#: Age in seconds of the newest confirmation at which any node asks itself: told
+#: ones are at most 1.5 s old, of which 0.8 are the questions' pause and 0.3 each
+#: the pauses of the heartbeats both ways.
+UNTOLD_S = 1.6
+
+#: Seconds between two looks whether to ask.
+LOOK_S = 0.1
 
 #: Part of the bound after which a node that can't confirm its configuration
 #: hands its clients on, while it still serves: the balancer takes a second or
@@ -47,26 +67,23 @@
 #: Seconds between two tries while the store gives no answer.
 CONFIRM_RETRY_S = 0.3
 
-#: Length in seconds of the node's lease, and how often it is renewed.
-LEASE_S = 2.2
-RENEW_S = 0.7
+#: Seconds for which a peer's answer with its configuration is waited for.
+TABLE_WAIT_S = 0.3
+
+#: Largest configuration in bytes that nodes give each other while the store
+#: answers: larger ones would hold up heartbeats on slow links.  Source: 20 nodes
+#: that ask at once over 20 Mbit/s get it within half a second.
+TOLD_TABLE_BYTES = 65_536
 
 #: Seconds for which one watch waits.
 WATCH_S = 10.0
 
 #: Shortest time in seconds between two watches, so that bursts of changes come
-#: in one answer: each answer costs a call.  The leader looks sooner; others are
-#: told of what matters over the links between nodes.
+#: in one answer: each answer costs a call.  The leader looks sooner, and tells
+#: the others.
 LEADER_GAP_S = 0.05
 WATCH_GAP_S = 0.7
 
-#: Seconds between two looks for such news.
-NEWS_LOOK_S = 0.04
-
-#: Seconds by which the node's own reckoning of its lease ends early, for clocks
-#: that run at different rates.
-LEASE_MARGIN_S = 0.2
-
 
 class FleetSession:
     """View of the store, with the tasks that keep it fresh.
@@ -85,17 +102,20 @@
     ) -> None:
         self.view = FleetView(clock)
         self.kv = kv
+        self.book = PeerBook(secrets.randbits(48), clock)
+        self.leases = NodeLeases(name, kv, self.view, self.wake, clock)
+        #: Sends a message to one peer, or to all.
+        self.tell: Callable[[Message, str], None] = lambda message, node: None
+        #: Lets the next heartbeat leave at once.
+        self.tell_now: Callable[[], None] = lambda: None
+        #: Whether other nodes count on this one to follow the store.
+        self.is_followed: Callable[[], bool] = lambda: False
         self._name = name
-        self.peer_address = ''
-        #: Newest revision that other nodes tell to act on.
-        self.read_news: Callable[[], int] = lambda: 0
         self._bound_s = serve_bound_s
         self._clock = clock
         self._confirmed_at = float('-inf')
-        self._lease = ''
-        self._lease_until = float('-inf')
+        self._own_asked_at = float('-inf')
         self._up = True
-        self._ending = False
         self._changed = anyio.Event()
         self._reported: dict[str, float] = {}
 
@@ -116,17 +136,15 @@
 
     def is_leader(self) -> bool:
         """Whether the node holds the lead, by its own reckoning of its lease."""
-        held = self.view.leader == self._name and self.view.leader_revision > 0
-        return held and self._clock() < self._lease_until and not self._ending
+        return self.leases.is_leader()
 
-    @property
-    def lease(self) -> str:
-        """Name of the node's lease; empty without one."""
-        return self._lease if self._clock() < self._lease_until else ''
+    def is_watching(self) -> bool:
+        """Whether the node follows the store for others."""
+        return self.is_followed() or self.is_leader()
 
     def count_nodes(self) -> int:
-        """Return the number of listed nodes, at least this one."""
-        return max(1, len(self.view.nodes))
+        """Return the number of nodes that are listed or known to live."""
+        return max(1, len(self.view.nodes), self.book.count_others() + 1)
 
     async def wait_changed(self, limit_s: float) -> None:
         """Wait until the view changes, at most so long."""
@@ -146,39 +164,110 @@
         async with anyio.create_task_group() as group:
             group.start_soon(self._follow)
             group.start_soon(self._keep_confirmed)
-            group.start_soon(self._keep_lease)
+            group.start_soon(self.leases.keep_listed)
+            group.start_soon(self.leases.keep_leading)
             group.start_soon(self._sweep)
-            group.start_soon(self._keep_campaigning)
 
     async def _follow(self) -> None:
-        """List all keys, then watch them from there."""
+        """List all keys, then hear of changes from the store or from peers."""
         attempt = 0
-        after = -1
+        listed = False
         while True:
-            if after < 0:
-                found = await self.kv.list_prefix('')
-            else:
+            if listed and self._is_told():
+                await anyio.sleep(LOOK_S)
+                continue
+            after = self.view.heard_revision
+            if listed:
                 found = await self.kv.watch('', after, WATCH_S)
+            else:
+                found = await self.kv.list_prefix('')
             if isinstance(found, Unavailable):
                 attempt += 1
                 await anyio.sleep(back_off(attempt, random.random(), 0.05, 0.5))
                 continue
             attempt = 0
-            after = max(after, found.revision)
-            if found.entries or found.complete:
-                self.view.take(found)
-                self.wake()
+            listed = True
+            self._take_found(found, after)
             await self._wait_gap()
 
+    def _is_told(self) -> bool:
+        """Whether peers tell of all changes, and the node need not ask."""
+        return not self.is_watching() and self.book.is_told(self.view.heard_revision)
+
+    def _take_found(self, found: Events, after: int) -> None:
+        """Take what the store told, and pass changes on."""
+        table = self.view.table
+        if not self.view.take(found) or not found.entries:
+            return
+        self.wake()
+        if self.view.table is not table:
+            self.tell_now()
+        if found.complete or not self.is_watching():
+            return
+        entries = tuple(item for item in found.entries if item.key != CONFIGURATION_KEY)
+        lapse_s = self.view.lapse_s
+        self.tell(Changes(self._name, after, found.revision, entries, lapse_s), '')
+
     async def _wait_gap(self) -> None:
-        """Wait before the next watch, unless there is news."""
-        until = self._clock() + WATCH_GAP_S
-        if self.is_leader() or not self.view.leader:
-            until = self._clock() + LEADER_GAP_S
-        while self._clock() < until:
-            await anyio.sleep(NEWS_LOOK_S)
-            if self.read_news() > self.view.heard_revision:
-                return
+        """Wait before the next watch, so that changes come together."""
+        hasty = self.is_leader() or not self.view.leader
+        await anyio.sleep(LEADER_GAP_S if hasty else WATCH_GAP_S)
+
+    # -- what peers tell -------------------------------------------------------------
+
+    def describe(self, counts: dict[str, int], work: dict[str, float]) -> Heartbeat:
+        """Return what this node tells of itself now."""
+        known = self._own_asked_at > float('-inf')
+        beat = Heartbeat(
+            self._name,
+            self.book.incarnation,
+            self._table_revision(),
+            self._own_asked_at if known else None,
+            self.view.heard_revision,
+            self.is_watching(),
+            counts,
+            work,
+        )
+        self.book.note_own(beat)
+        return beat
+
+    def take_message(self, message: Message) -> None:
+        """Take what a peer told."""
+        match message:
+            case Heartbeat():
+                self._take_heartbeat(message)
+            case Changes():
+                self._take_changes(message)
+            case TableRequest():
+                self._answer_table(message)
+            case TableTold():
+                self.view.take_configuration(message.entry)
+                self.wake()
+
+    def _answer_table(self, request: TableRequest) -> None:
+        """Give a peer the configuration, unless it is large and the store can."""
+        entry = self.view.table_entry
+        if entry is None or entry.revision < request.revision:
+            return
+        if request.cut_off or len(entry.value) <= TOLD_TABLE_BYTES:
+            self.tell(TableTold(self._name, entry), request.node)
+
+    def _take_heartbeat(self, beat: Heartbeat) -> None:
+        found = self.book.take(beat)
+        if found is None or found.revision > self._table_revision():
+            return
+        # Nothing newer than the peer's table existed then, so nothing newer
+        # than one at least as new here.
+        self._confirmed_at = max(self._confirmed_at, found.asked_at)
+
+    def _take_changes(self, changes: Changes) -> None:
+        """Take changes that follow on what was heard; later ones leave a gap."""
+        if changes.after > self.view.heard_revision:
+            return
+        if changes.lapse_s > 0:
+            self.view.note_outage(changes.lapse_s)
+        if self.view.take(Events(changes.entries, changes.revision)):
+            self.wake()
 
     async def _sweep(self) -> None:
         while True:
@@ -187,15 +276,44 @@
 
     async def _keep_confirmed(self) -> None:
         while True:
-            good = await self.confirm()
-            await anyio.sleep(CONFIRM_S if good else CONFIRM_RETRY_S)
+            if await self._get_told_table() or not self._is_due():
+                await anyio.sleep(LOOK_S)
+            elif not await self.confirm():
+                await anyio.sleep(CONFIRM_RETRY_S)
 
-    async def confirm(self) -> bool:
-        """Ask whether the configuration in force is the newest there is."""
+    def _table_revision(self) -> int:
+        """Return the store revision of the configuration in force; 0 for none."""
         table = self.view.table
-        revision = 0 if table is None else table.revision
+        return 0 if table is None else table.revision
+
+    async def _get_told_table(self) -> bool:
+        """Get a newer configuration from a peer; ``False`` if the store must tell."""
+        revision = self._table_revision()
+        peer = self.book.find_table(revision)
+        if not peer:
+            return False
+        self.tell(TableRequest(self._name, revision + 1, not self._up), peer)
+        until = self._clock() + TABLE_WAIT_S
+        while self._clock() < until and self._table_revision() == revision:
+            await self.wait_changed(until - self._clock())
+        return self._table_revision() > revision
+
+    def _is_due(self) -> bool:
+        """Whether the node has to ask the store itself."""
+        if self.confirmation_age_s >= UNTOLD_S:
+            return True
+        if self.book.find_table(self._table_revision()):
+            return True
+        own_age_s = self._clock() - self._own_asked_at
+        return own_age_s >= CONFIRM_S and self.is_watching()
+
+    async def confirm(self) -> bool:
+        """Ask whether the configuration in force is the newest there is.
+
+        That there is none is confirmed too.
+        """
         asked_at = self._clock()
-        condition = Condition(CONFIGURATION_KEY, revision)
+        condition = Condition(CONFIGURATION_KEY, self._table_revision())
         result = await self.kv.transact([condition])
         if isinstance(result, Unavailable | Rejected):
             self._note_outage(result.reason)
@@ -204,12 +322,11 @@
         if isinstance(result, Conflict):
             self.view.take_configuration(result.current)
             self.wake()
-            table = self.view.table
-            if table is None or table.revision < result.current.revision:
+            if self._table_revision() < result.current.revision:
                 return False
-        elif table is None:
-            return False
+            self.tell_now()
         self._confirmed_at = max(self._confirmed_at, asked_at)
+        self._own_asked_at = asked_at
         return True
 
     def _note_outage(self, reason: str) -> None:
@@ -223,69 +340,9 @@
             self._up = True
             log.emit(events.SERVICE_BACK)
 
-    # -- lease and lead ---------------------------------------------------------------
-
-    async def _keep_lease(self) -> None:
-        while not self._ending:
-            good = await (self._renew() if self._lease else self._grant())
-            if good:
-                self.wake()
-            await anyio.sleep(RENEW_S if good else CONFIRM_RETRY_S)
-
-    async def _grant(self) -> bool:
-        asked_at = self._clock()
-        lease = await self.kv.grant(LEASE_S)
-        if isinstance(lease, Unavailable):
-            return False
-        key = NODE_PREFIX + self._name
-        result = await self.kv.transact([], [Write(key, self.peer_address, lease)])
-        if not isinstance(result, Swapped):
-            return False
-        self._lease = lease
-        self._lease_until = asked_at + LEASE_S - LEASE_MARGIN_S
-        return True
-
-    async def _renew(self) -> bool:
-        asked_at = self._clock()
-        result = await self.kv.renew(self._lease)
-        if isinstance(result, Unavailable):
-            return False
-        if not result:
-            log.emit(events.LEASE_LOST)
-            self._lease = ''
-            return False
-        self._lease_until = asked_at + LEASE_S - LEASE_MARGIN_S
-        return True
-
-    async def _keep_campaigning(self) -> None:
-        while not self._ending:
-            await self._campaign()
-            await self.wait_changed(RENEW_S)
-
-    async def _campaign(self) -> None:
-        """Take the lead if nobody holds it; one node after the other tries."""
-        if self.view.leader or not self.lease or self._ending:
-            return
-        names = sorted(self.view.nodes)
-        place = names.index(self._name) if self._name in names else len(names)
-        await anyio.sleep(min(place, 8) * 0.04)
-        if self.view.leader or not self.lease:
-            return
-        write = Write(LEADER_KEY, self._name, self.lease)
-        result = await self.kv.transact([Condition(LEADER_KEY, 0)], [write])
-        if isinstance(result, Conflict):
-            self.view.take_entry(result.current)
-        if isinstance(result, Swapped):
-            self.view.leader = self._name
-            self.view.leader_revision = result.revision
-            log.emit(events.LEAD_TAKEN, revision=result.revision)
-        self.wake()
-
     async def end(self) -> None:
-        """End the lease, so that another node leads at once."""
-        self._ending = True
-        if self._lease:
-            await self.kv.revoke(self._lease)
+        """End the leases, so that another node leads at once."""
+        await self.leases.end()
 
     # -- lost instances ---------------------------------------------------------------
 
--- a/coursepitch/fleet/view.py
+++ b/coursepitch/fleet/view.py
@@ -71,13 +71,15 @@
 class FleetView:
     """Configuration, instances, claims and nodes, as last heard.
 
+    :param table_entry: the configuration in force as it stands in the store.
+    :param leader_changed_at: revision at which the leader's key changed last.
     :param store_revision: newest revision of the store that is known of.
     :param heard_revision: revision up to which all changes were heard.
-    :param news_revision: newest change that every node should act on soon.
     """
 
     clock: Clock
     table: RouteTable | None = None
+    table_entry: Entry | None = None
     instances: dict[str, FleetInstance] = field(default_factory=dict)
     claims: dict[str, tuple[GroupClaim, ...]] = field(default_factory=dict)
     claim_revisions: dict[str, int] = field(default_factory=dict)
@@ -85,9 +87,9 @@
     lost: set[str] = field(default_factory=set)
     leader: str = ''
     leader_revision: int = 0
+    leader_changed_at: int = 0
     store_revision: int = 0
     heard_revision: int = 0
-    news_revision: int = 0
     outage_until: float = float('-inf')
     arrived_at: float = float('-inf')
     version: int = 0
@@ -97,15 +99,23 @@
 
     # -- what was heard ----------------------------------------------------------
 
-    def take(self, found: Events) -> None:
-        """Take what a listing or a watch gave."""
+    def take(self, found: Events) -> bool:
+        """Take what a listing or a watch gave; ``False`` if it is out of date.
+
+        Of a watch, only what is newer than what was heard already counts.
+        """
+        if found.revision < self.heard_revision:
+            return False
         if found.complete:
             self._forget_missing(found)
         for entry in found.entries:
-            self.take_entry(entry)
+            if found.complete or entry.changed_at > self.heard_revision:
+                self.take_entry(entry)
         self.store_revision = max(self.store_revision, found.revision)
-        self.heard_revision = max(self.heard_revision, found.revision)
-        self.version += 1
+        self.heard_revision = found.revision
+        if found.entries or found.complete:
+            self.version += 1
+        return True
 
     def _forget_missing(self, found: Events) -> None:
         """Drop what a listing of all keys no longer holds."""
@@ -114,14 +124,14 @@
             if INSTANCE_PREFIX + name not in present:
                 self._drop_instance(name)
         for key in list(self.claims):
-            if key not in present:
+            if key not in present and self.claim_revisions[key] <= found.revision:
                 del self.claims[key]
-                self.claim_revisions.pop(key, None)
+                del self.claim_revisions[key]
         for node in list(self.nodes):
             if NODE_PREFIX + node not in present:
                 del self.nodes[node]
         self.lost = {name for name in self.lost if LOST_PREFIX + name in present}
-        if LEADER_KEY not in present:
+        if LEADER_KEY not in present and self.leader_revision <= found.revision:
             self.leader, self.leader_revision = '', 0
 
     def take_entry(self, entry: Entry) -> None:
@@ -137,14 +147,17 @@
             self._take_node(key[len(NODE_PREFIX) :], entry)
         elif key.startswith(LOST_PREFIX):
             name = key[len(LOST_PREFIX) :]
-            self._note_news(entry)
             (self.lost.add if entry.present else self.lost.discard)(name)
         elif key == LEADER_KEY:
-            self.leader = entry.value if entry.present else ''
-            self.leader_revision = entry.revision
+            self._take_leader(entry)
 
-    def _note_news(self, entry: Entry) -> None:
-        self.news_revision = max(self.news_revision, entry.revision)
+    def _take_leader(self, entry: Entry) -> None:
+        """Take the leader's key; what is older than known is left."""
+        if entry.changed_at and entry.changed_at < self.leader_revision:
+            return
+        self.leader = entry.value if entry.present else ''
+        self.leader_revision = entry.revision
+        self.leader_changed_at = entry.changed_at
 
     def take_configuration(self, entry: Entry) -> None:
         """Put a configuration in force unless one as new is in force already."""
@@ -158,8 +171,8 @@
             log.emit(events.CONFIG_DAMAGED, revision=entry.revision, reason=str(error))
             return
         self.table = table
+        self.table_entry = entry
         self.version += 1
-        self._note_news(entry)
         log.emit(
             events.TABLE_IN_FORCE,
             version=table.version,
@@ -169,7 +182,8 @@
 
     def take_claims(self, entry: Entry) -> None:
         """Take the claims of a fabric domain; older ones than known are left."""
-        if entry.present and entry.revision < self.claim_revisions.get(entry.key, 0):
+        known = self.claim_revisions.get(entry.key, 0)
+        if entry.changed_at and entry.changed_at < known:
             return
         self.version += 1
         if not entry.present:
@@ -203,8 +217,6 @@
         self.instances[name] = instance
         if before is None:
             self.arrived_at = self.clock()
-        if before is not None and _serves_otherwise(before, instance):
-            self._note_news(entry)
         if before is None or before != instance:
             log.emit(
                 events.INSTANCE_CHANGED,
@@ -229,9 +241,17 @@
         self._lapsed.pop(name, None)
         log.emit(events.INSTANCE_GONE, instance=name)
 
-    def note_outage(self) -> None:
-        """Note that the store can't be reached now."""
-        self.outage_until = self.clock() + OUTAGE_ECHO_S
+    def note_outage(self, echo_s: float = OUTAGE_ECHO_S) -> None:
+        """Note that the store can't be reached now, or could not just before.
+
+        :param echo_s: seconds for which a vanished entry may be a lapse.
+        """
+        self.outage_until = max(self.outage_until, self.clock() + echo_s)
+
+    @property
+    def lapse_s(self) -> float:
+        """Seconds for which vanished entries may still be lapses."""
+        return self.outage_until - self.clock()
 
     def sweep(self) -> None:
         """Drop instances whose entries did not come back after an outage."""
@@ -317,12 +337,3 @@
     if before is None:
         return after
     return replace(after, last_model=before.last_model)
-
-
-def _serves_otherwise(before: FleetInstance, after: FleetInstance) -> bool:
-    """Whether an instance begins or ends to take requests."""
-    states = [
-        item.membership is not None and item.membership.state is GroupState.OPEN
-        for item in (before, after)
-    ]
-    return states[0] != states[1] or before.draining != after.draining
--- a/coursepitch/gateway/router.py
+++ b/coursepitch/gateway/router.py
@@ -5,8 +5,10 @@
 import random
 from typing import TYPE_CHECKING
 
+from coursepitch.gateway.spread import choose_spread
+
 if TYPE_CHECKING:
-    from collections.abc import Collection
+    from collections.abc import Callable, Collection
 
     from coursepitch.config.routes import Route, Service
     from coursepitch.fleet.instances import FleetInstance
@@ -21,13 +23,16 @@
 ZONE_COST = 0.3
 
 
-#: Requests in flight by which equal choices are told apart at random: nodes see
-#: each other's requests some 0.1 s late and must not all choose the same.
-NOISE = 0.8
+#: Seconds by which requests in flight from other nodes are seen late: a heartbeat
+#: to the node that adds them up, and one from it.
+SEEN_LATE_S = 0.3
 
 
 class Router:
-    """Chooses by requests in flight, slowness, failures and zone."""
+    """Chooses by requests in flight, slowness, failures and zone.
+
+    :param read_rate: returns the requests a second of all nodes for a model.
+    """
 
     def __init__(
         self,
@@ -35,11 +40,13 @@
         board: LoadBoard,
         watchdog: Watchdog,
         availability_zone: str,
+        read_rate: Callable[[str], float] = lambda model: 0.0,
     ) -> None:
         self._view = view
         self._board = board
         self._watchdog = watchdog
         self._zone = availability_zone
+        self._read_rate = read_rate
 
     def choose_service(self, route: Route) -> str:
         """Return a service of a route, by the weights of its backends."""
@@ -61,10 +68,8 @@
         :param avoided: heads that the request was sent to already.
         :param bound: requests in flight at which a group takes no more.
         """
-        engine = service.engine
-        slots = engine.slots if engine else 1
-        best: OpenGroup | None = None
-        least = float('inf')
+        groups = []
+        loads = []
         for group in self._view.list_open(service.name, model):
             head = group.head.name
             if head in avoided or self._watchdog.is_avoided(group):
@@ -72,13 +77,19 @@
             count = self._board.count(head)
             if count >= bound:
                 continue
-            load = (count + 1) * self._board.slowness(head)
-            cost = load + self._away(group.head) + random.random() * NOISE
-            if self._board.is_held(head):
-                cost += slots
-            if cost < least:
-                best, least = group, cost
-        return best
+            groups.append(group)
+            loads.append(self._weigh(group.head, count, service))
+        if not groups:
+            return None
+        arrivals = self._read_rate(model) * SEEN_LATE_S
+        return groups[choose_spread(loads, arrivals, random.random())]
+
+    def _weigh(self, head: FleetInstance, count: int, service: Service) -> float:
+        """Return a head's load with what speaks against it, in requests."""
+        load = count * self._board.slowness(head.name) + self._away(head)
+        if self._board.is_held(head.name):
+            load += service.engine.slots if service.engine else 1
+        return load
 
     def choose_instance(
         self, service: Service, avoided: Collection[str]
--- a/coursepitch/gateway/work.py
+++ b/coursepitch/gateway/work.py
@@ -59,21 +59,28 @@
 
 @dataclass(eq=False)
 class WorkMeter:
-    """Work that arrives by model, in instance-seconds a second."""
+    """Requests and work that arrive by model; work in instance-seconds a second."""
 
     clock: Clock
     _rates: dict[str, float] = field(default_factory=dict)
+    _requests: dict[str, float] = field(default_factory=dict)
     _seen: dict[str, float] = field(default_factory=dict)
 
     def note(self, model: str, work_s: float) -> None:
-        """Count a request's work."""
-        self._rates[model] = self._decay(model) + work_s / AVERAGE_S
+        """Count a request and its work."""
+        left = self._left(model)
+        self._rates[model] = self._rates.get(model, 0.0) * left + work_s / AVERAGE_S
+        self._requests[model] = self._requests.get(model, 0.0) * left + 1 / AVERAGE_S
         self._seen[model] = self.clock()
 
-    def _decay(self, model: str) -> float:
-        age_s = self.clock() - self._seen.get(model, 0.0)
-        return self._rates.get(model, 0.0) * math.exp(-age_s / AVERAGE_S)
+    def _left(self, model: str) -> float:
+        """Return which part of a rate is left since it was noted."""
+        return math.exp((self._seen.get(model, 0.0) - self.clock()) / AVERAGE_S)
+
+    def read_requests(self, model: str) -> float:
+        """Return the requests a second for a model."""
+        return self._requests.get(model, 0.0) * self._left(model)
 
     def read(self) -> dict[str, float]:
         """Return the present rates."""
-        return {model: self._decay(model) for model in self._rates}
+        return {model: rate * self._left(model) for model, rate in self._rates.items()}
--- a/coursepitch/gateway_application.py
+++ b/coursepitch/gateway_application.py
@@ -13,12 +13,12 @@
 from coursepitch.errors import FindingsError
 from coursepitch.fleet.control import InstanceControl
 from coursepitch.fleet.keeper import GroupKeeper
+from coursepitch.fleet.links import PeerLinks
 from coursepitch.fleet.session import FleetSession
 from coursepitch.gateway.arrive import Gateway
 from coursepitch.gateway.board import LoadBoard
 from coursepitch.gateway.budget import RetryBudget
 from coursepitch.gateway.calls import CallServer
-from coursepitch.gateway.peers import PeerLinks, PeerLoad
 from coursepitch.gateway.router import Router
 from coursepitch.gateway.streams import StreamServer
 from coursepitch.gateway.watchdog import Watchdog
@@ -34,6 +34,7 @@
 
     from coursepitch.clock import Clock
     from coursepitch.config.gateway import GatewaySettings
+    from coursepitch.fleet.messages import Heartbeat
     from coursepitch.http.messages import IncomingRequest
     from coursepitch.http.server import Reply
     from coursepitch.log import BoundedOutput
@@ -79,12 +80,25 @@
         self.session = FleetSession(node.name, self.kv, bound_s, clock)
         self.control = InstanceControl(clock)
         self.pool = ConnectionPool(clock)
-        self.links = PeerLinks(node.name, self.session.view, self._read_load, clock)
-        self.session.read_news = self.links.read_news
-        self.board = LoadBoard(clock, self.links.count)
+        self.links = PeerLinks(
+            node.name,
+            self.session.view,
+            self.session.book,
+            self._describe,
+            self.session.take_message,
+            clock,
+        )
+        self.session.tell = self.links.tell
+        self.session.tell_now = self.links.tell_now
+        self.session.is_followed = self.links.is_followed
+        self.board = LoadBoard(clock, self.session.book.count)
         self.watchdog = Watchdog(self.session, self.control, clock)
         self.router = Router(
-            self.session.view, self.board, self.watchdog, node.availability_zone
+            self.session.view,
+            self.board,
+            self.watchdog,
+            node.availability_zone,
+            self._read_rate,
         )
         self.budget = RetryBudget(
             promises.retry_ratio, promises.retry_extra, promises.retry_window_s, clock
@@ -129,14 +143,16 @@
             self.clock,
         )
 
-    def _read_load(self) -> PeerLoad:
-        counts = self.board.own_counts()
+    def _describe(self) -> Heartbeat:
         work = self.gateway.work.read()
-        news = self.session.view.news_revision
-        return PeerLoad(self.settings.node.name, counts, work, news)
+        return self.session.describe(self.board.own_counts(), work)
 
     def _read_work(self) -> dict[str, float]:
-        return self.links.read_work(self.gateway.work.read())
+        return self.session.book.read_work(self.gateway.work.read())
+
+    def _read_rate(self, model: str) -> float:
+        """Return the requests a second of all nodes, by this node's own."""
+        return self.gateway.work.read_requests(model) * self.session.count_nodes()
 
     # -- what the servers ask ---------------------------------------------------------
 
@@ -179,7 +195,9 @@
     async def _run(self) -> int:
         sockets = self._listen()
         ports = {name: sock.getsockname()[1] for name, sock in sockets.items()}
-        self.session.peer_address = f'{self.settings.node.address}:{ports["peers"]}'
+        self.session.leases.peer_address = (
+            f'{self.settings.node.address}:{ports["peers"]}'
+        )
         async with anyio.create_task_group() as group:
             group.start_soon(self._output.run)
             group.start_soon(self.session.run)
--- a/coursepitch/platform/kv.py
+++ b/coursepitch/platform/kv.py
@@ -73,17 +73,27 @@
 
 @dataclass(frozen=True, slots=True)
 class Entry:
-    """A key with its value; ``revision`` 0 stands for an absent key."""
+    """A key with its value; ``revision`` 0 stands for an absent key.
+
+    :param deleted_at: revision at which an absent key was deleted, where it is
+        known; 0 otherwise.
+    """
 
     key: str
     value: str = ''
     revision: int = 0
+    deleted_at: int = 0
 
     @property
     def present(self) -> bool:
         """Whether the key exists."""
         return self.revision > 0
 
+    @property
+    def changed_at(self) -> int:
+        """Revision of the newest change of the key, deletion included."""
+        return self.revision or self.deleted_at
+
 
 @dataclass(frozen=True, slots=True)
 class Condition:
@@ -387,7 +397,7 @@
 def _read_entry(data: Any) -> Entry:
     key = str(data['tls_key'])
     if data.get('deleted') or not data.get('revision'):
-        return Entry(key)
+        return Entry(key, deleted_at=int(data.get('revision') or 0))
     raw = base64.b64decode(data['value'])
     return Entry(key, raw.decode('utf-8', 'replace'), int(data['revision']))
 
--- /dev/null
+++ b/tests/fleet/test_links.py
@@ -0,0 +1,150 @@
+"""Links on loopback: few nodes hear all, and all hear the sum."""
+
+from __future__ import annotations
+
+import time
+import unittest
+
+import anyio
+
+from coursepitch.fleet.links import PeerLinks
+from coursepitch.fleet.messages import Changes, Heartbeat
+from coursepitch.fleet.peers import PeerBook, choose_watchers
+from coursepitch.fleet.view import FleetView
+from coursepitch.http.sockets import listen
+
+#: Longest time in seconds for anything to come about.
+WAIT_S = 20.0
+
+NAMES = ('n1', 'n2', 'n3', 'n4', 'n5', 'n6')
+
+
+class Node:
+    """One node's links, and what arrived on them."""
+
+    def __init__(self, name, nodes, leader):
+        self.name = name
+        self.view = FleetView(time.monotonic)
+        self.view.nodes = nodes
+        self.view.leader = leader
+        self.book = PeerBook(NAMES.index(name) + 1, time.monotonic)
+        self.links = PeerLinks(
+            name, self.view, self.book, self.read_beat, self.take, time.monotonic
+        )
+        self.heard = []
+        self.changed = anyio.Event()
+
+    def read_beat(self):
+        incarnation = self.book.incarnation
+        beat = Heartbeat(self.name, incarnation, counts={self.name: 1})
+        self.book.note_own(beat)
+        return beat
+
+    def take(self, message):
+        self.heard.append(message)
+        if isinstance(message, Heartbeat):
+            self.book.take(message)
+        self.changed.set()
+        self.changed = anyio.Event()
+
+    async def wait(self, condition):
+        """Wait until a condition holds after some message."""
+        with anyio.fail_after(WAIT_S):
+            while not condition():
+                await self.changed.wait()
+
+    def dialled(self):
+        return set(self.links._dialled)
+
+    def sees_all(self):
+        return sum(self.book.count(name) for name in NAMES) == len(NAMES) - 1
+
+
+class LinkTest(unittest.TestCase):
+    """Six nodes in one process."""
+
+    def play(self, scenario, leader='n1'):
+        async def run():
+            socks = {name: listen('127.0.0.1', 0) for name in NAMES}
+            nodes = {
+                name: f'127.0.0.1:{sock.getsockname()[1]}'
+                for name, sock in socks.items()
+            }
+            made = {name: Node(name, nodes, leader) for name in NAMES}
+            scopes = {name: anyio.CancelScope() for name in NAMES}
+
+            async def hold(name):
+                with scopes[name]:
+                    await made[name].links.run(socks[name])
+
+            async with anyio.create_task_group() as group:
+                for name in NAMES:
+                    group.start_soon(hold, name)
+                await scenario(made, scopes)
+                group.cancel_scope.cancel()
+
+        anyio.run(run)
+
+    def test_each_node_sees_the_loads_of_all_others(self):
+        async def scenario(made, scopes):
+            for node in made.values():
+                await node.wait(node.sees_all)
+
+        self.play(scenario)
+
+    def test_nodes_link_to_the_leader_and_two_more_only(self):
+        watchers = choose_watchers(NAMES, 'n1')
+
+        async def scenario(made, scopes):
+            for node in made.values():
+                await node.wait(node.sees_all)
+                self.assertEqual(node.dialled(), watchers - {node.name})
+                self.assertEqual(node.links.is_followed(), node.name in watchers)
+
+        self.play(scenario)
+
+    def test_changes_of_a_watcher_reach_all_that_are_linked(self):
+        changes = Changes('n1', 3, 4, ())
+
+        async def scenario(made, scopes):
+            for node in made.values():
+                await node.wait(node.sees_all)
+            made['n1'].links.tell(changes)
+            for name in NAMES[1:]:
+                node = made[name]
+                await node.wait(lambda node=node: changes in node.heard)
+
+        self.play(scenario)
+
+    def test_another_node_takes_the_place_of_one_that_ended(self):
+        watchers = choose_watchers(NAMES, 'n1')
+        ended = sorted(watchers - {'n1'})[0]
+        follower = next(name for name in NAMES if name not in watchers)
+
+        async def scenario(made, scopes):
+            for node in made.values():
+                await node.wait(node.sees_all)
+            scopes[ended].cancel()
+            node = made[follower]
+            rest = set(NAMES) - {ended}
+            expected = choose_watchers(rest, 'n1') - {follower}
+            await node.wait(lambda: node.dialled() == expected)
+
+        self.play(scenario)
+
+    def test_damaged_message_ends_its_link_and_no_other(self):
+        async def scenario(made, scopes):
+            for node in made.values():
+                await node.wait(node.sees_all)
+            link = next(iter(made['n6'].links._dialled.values()))
+            link.put(b'\x00')
+            node = made[link.node]
+            before = len(node.heard)
+            await node.wait(lambda: len(node.heard) > before + 20)
+            await made['n6'].wait(made['n6'].sees_all)
+
+        self.play(scenario)
+
+
+if __name__ == '__main__':
+    unittest.main()
--- /dev/null
+++ b/tests/fleet/test_peers.py
@@ -0,0 +1,321 @@
+"""What peers tell: confirmations by echo, sums of loads, who follows the store."""
+
+from __future__ import annotations
+
+import json
+import unittest
+from dataclasses import replace
+
+import anyio
+from hypothesis import given
+from hypothesis import strategies as st
+
+from coursepitch.errors import CodecError
+from coursepitch.fleet.messages import (
+    Changes,
+    Heartbeat,
+    OtherLoads,
+    TableRequest,
+    TableTold,
+    decode_message,
+    encode_message,
+)
+from coursepitch.fleet.peers import PeerBook, choose_watchers
+from coursepitch.fleet.session import FleetSession
+from coursepitch.platform.kv import Entry
+from tests.whole.platform_base import build_configuration
+
+BOUND_S = 4.25
+
+
+class MessageTest(unittest.TestCase):
+    """Messages come back as they were, and damaged ones are refused."""
+
+    def test_each_kind_comes_back_as_it_was(self):
+        for message in (
+            Heartbeat('n1', 7, 3, 1.5, 9, True, {'i': 2}, {'m': 0.5}, 2.0, 8, 1.0),
+            Heartbeat('n1', 7),
+            Heartbeat('n1', 7, others=OtherLoads(3, {'i': 2}, {'m': 0.5})),
+            Changes('n1', 3, 5, (Entry('a', 'x', 4), Entry('b', deleted_at=5)), 0.5),
+            TableRequest('n1', 4),
+            TableTold('n1', Entry('op/config', '{}', 4)),
+        ):
+            self.assertEqual(decode_message(encode_message(message)), message)
+
+    @given(st.binary(max_size=60))
+    def test_damaged_message_is_refused(self, data):
+        try:
+            decode_message(data)
+        except CodecError:
+            return
+
+    def test_unknown_kind_is_refused(self):
+        with self.assertRaises(CodecError):
+            decode_message(b'\x82\x09\x61n')
+
+
+class EchoTest(unittest.TestCase):
+    """A peer's confirmation never counts as younger than it is."""
+
+    @given(
+        skew=st.floats(-1000, 1000),
+        sent=st.floats(0, 10),
+        flight=st.floats(0, 10),
+        rest=st.floats(0, 10),
+        back=st.floats(0, 10),
+        asked_before=st.floats(0, 10),
+    )
+    def test_age_counts_from_no_later_than_the_question(
+        self, skew, sent, flight, rest, back, asked_before
+    ):
+        # All times are true ones; the peer's clock is off by ``skew``.
+        made = sent + flight + rest
+        asked = made - asked_before
+        book = PeerBook(1, lambda: made + back)
+        beat = Heartbeat(
+            'p',
+            2,
+            5,
+            asked + skew,
+            sent_at=made + skew,
+            echo_incarnation=1,
+            echo_at=sent,
+        )
+        found = book.take(beat)
+        if found is not None:
+            self.assertLessEqual(found.asked_at, asked + 1e-6)
+
+    def setUp(self):
+        self.now = 100.0
+        self.book = PeerBook(1, lambda: self.now)
+        self.beat = Heartbeat('p', 2, 5, 50.0, sent_at=51.0)
+
+    def test_echo_of_an_earlier_start_confirms_nothing(self):
+        beat = replace(self.beat, echo_incarnation=9, echo_at=99.0)
+        self.assertIsNone(self.book.take(beat))
+
+    def test_echo_of_what_was_never_sent_confirms_nothing(self):
+        beat = replace(self.beat, echo_incarnation=1, echo_at=101.0)
+        self.assertIsNone(self.book.take(beat))
+
+    def test_peer_without_a_confirmation_confirms_nothing(self):
+        beat = replace(self.beat, asked_at=None, echo_incarnation=1, echo_at=99.0)
+        self.assertIsNone(self.book.take(beat))
+
+
+class SumTest(unittest.TestCase):
+    """Loads of all peers add up, and those of silent ones end."""
+
+    def setUp(self):
+        self.now = 0.0
+        self.book = PeerBook(1, lambda: self.now)
+
+    def test_counts_and_work_of_all_peers_add_up(self):
+        self.book.take(Heartbeat('n2', 2, counts={'a': 2}, work={'m': 1.5}))
+        self.book.take(Heartbeat('n3', 3, counts={'a': 1}, work={'m': 0.5}))
+        self.assertEqual(self.book.count('a'), 3)
+        self.assertEqual(self.book.read_work({'m': 1.0}), {'m': 3.0})
+
+    def test_newer_heartbeat_takes_the_place_of_the_older(self):
+        self.book.take(Heartbeat('n2', 2, counts={'a': 2, 'b': 1}))
+        self.book.take(Heartbeat('n2', 2, counts={'b': 4}))
+        self.assertEqual((self.book.count('a'), self.book.count('b')), (0, 4))
+
+    def test_sum_for_a_peer_holds_all_but_its_own(self):
+        self.book.note_own(Heartbeat('n1', 1, counts={'a': 5}))
+        self.book.take(Heartbeat('n2', 2, counts={'a': 2}, work={'m': 1.5}))
+        self.book.take(Heartbeat('n3', 3, counts={'b': 1}))
+        others = self.book.sum_others('n2')
+        self.assertEqual(others, OtherLoads(2, {'a': 5, 'b': 1}, {}))
+
+    def test_sum_that_covers_most_nodes_counts(self):
+        for node, nodes, count in (('n2', 8, 30), ('n3', 5, 20), ('n4', 0, 0)):
+            others = OtherLoads(nodes, {'a': count}, {'m': 2.0})
+            self.book.take(Heartbeat(node, 2, counts={'a': 1}, others=others))
+        self.assertEqual(self.book.count('a'), 30)
+        self.assertEqual(self.book.count_others(), 8)
+        self.assertEqual(self.book.read_work({'m': 1.0}), {'m': 3.0})
+
+    def test_node_that_hears_more_itself_counts_itself(self):
+        others = OtherLoads(1, {'a': 9}, {})
+        self.book.take(Heartbeat('n2', 2, counts={'a': 1}, others=others))
+        self.book.take(Heartbeat('n3', 3, counts={'a': 1}, others=others))
+        self.assertEqual(self.book.count('a'), 2)
+
+    def test_silent_peer_is_forgotten(self):
+        self.book.take(Heartbeat('n2', 2, counts={'a': 2}))
+        self.now = 5.0
+        self.book.forget_silent()
+        self.assertEqual(self.book.count('a'), 0)
+        self.assertEqual(self.book.list_heard(), set())
+
+
+class WatcherTest(unittest.TestCase):
+    """Few nodes follow the store; the others notice when nobody does."""
+
+    def setUp(self):
+        self.now = 100.0
+        self.book = PeerBook(1, lambda: self.now)
+
+    def hear(self, heard, asked_ago=0.5, watching=True):
+        self.book.take(
+            Heartbeat(
+                'w',
+                2,
+                5,
+                50.0 - asked_ago,
+                heard,
+                watching,
+                sent_at=50.0,
+                echo_incarnation=1,
+                echo_at=self.now - 0.1,
+            )
+        )
+
+    @given(st.sets(st.text(min_size=1, max_size=4), min_size=1), st.data())
+    def test_all_nodes_choose_the_same_and_the_leader(self, nodes, data):
+        leader = data.draw(st.sampled_from(sorted(nodes)))
+        chosen = choose_watchers(nodes, leader)
+        self.assertIn(leader, chosen)
+        self.assertLessEqual(len(chosen), 3)
+        self.assertEqual(chosen, choose_watchers(list(nodes), leader))
+
+    def test_node_that_heard_as_much_as_a_watcher_is_told(self):
+        self.hear(7)
+        self.assertTrue(self.book.is_told(7))
+
+    def test_node_without_watchers_is_not_told(self):
+        self.hear(7, watching=False)
+        self.assertFalse(self.book.is_told(7))
+
+    def test_silent_watcher_tells_nothing(self):
+        self.hear(7)
+        self.now += 2.0
+        self.assertFalse(self.book.is_told(7))
+
+    def test_watcher_that_the_store_refuses_is_not_trusted(self):
+        self.hear(7, asked_ago=5.0)
+        self.assertFalse(self.book.is_told(7))
+
+    def test_node_that_stays_behind_asks_the_store(self):
+        self.hear(8)
+        self.assertTrue(self.book.is_told(7))
+        self.now += 0.5
+        self.assertFalse(self.book.is_told(7))
+
+
+class SessionTest(unittest.TestCase):
+    """What a node makes of what peers tell."""
+
+    def setUp(self):
+        self.now = 100.0
+        self.told = []
+        self.session = FleetSession('n1', None, BOUND_S, lambda: self.now)
+        self.session.tell = lambda message, node: self.told.append((message, node))
+        self.session.view.take_configuration(self.write_configuration(1, 10))
+
+    @staticmethod
+    def write_configuration(version, revision):
+        value = json.dumps(build_configuration(version))
+        return Entry('op/config', value, revision)
+
+    def confirm(self, revision, asked_ago=0.5):
+        beat = Heartbeat(
+            'p',
+            2,
+            revision,
+            50.0 - asked_ago,
+            sent_at=50.0,
+            echo_incarnation=self.session.book.incarnation,
+            echo_at=self.now - 0.1,
+        )
+        self.session.take_message(beat)
+
+    def test_peers_confirmation_makes_a_node_fresh(self):
+        self.assertFalse(self.session.is_fresh())
+        self.confirm(10)
+        self.assertTrue(self.session.is_fresh())
+        self.assertAlmostEqual(self.session.confirmation_age_s, 0.6)
+
+    def test_confirmation_of_a_newer_configuration_does_not(self):
+        self.confirm(11)
+        self.assertFalse(self.session.is_fresh())
+
+    def test_newer_configuration_comes_from_a_peer_that_has_it(self):
+        def answer(message, node):
+            self.told.append((message, node))
+            table = TableTold('p', self.write_configuration(2, 11))
+            self.session.take_message(table)
+
+        self.session.tell = answer
+        self.confirm(11)
+        self.assertTrue(anyio.run(self.session._get_told_table))
+        self.assertEqual(self.told, [(TableRequest('n1', 11), 'p')])
+        self.assertEqual(self.session.view.table.version, 2)
+
+    def test_nobody_is_asked_for_what_is_in_force(self):
+        self.confirm(10)
+        self.assertFalse(anyio.run(self.session._get_told_table))
+        self.assertEqual(self.told, [])
+
+    def test_large_configuration_is_given_to_a_node_that_is_cut_off_only(self):
+        routes = build_configuration()['routes']
+        many = [{**routes[0], 'path_prefix': f'/r{n}/'} for n in range(400)]
+        value = json.dumps(build_configuration(2, routes=many))
+        self.session.view.take_configuration(Entry('op/config', value, 20))
+        self.session.take_message(TableRequest('p', 20))
+        self.assertEqual(self.told, [])
+        self.session.take_message(TableRequest('p', 20, cut_off=True))
+        self.assertEqual(self.told[0][0].entry.revision, 20)
+
+    def test_that_there_is_no_configuration_is_confirmed_by_peers_too(self):
+        session = FleetSession('n2', None, BOUND_S, lambda: self.now)
+        self.session = session
+        self.confirm(0)
+        self.assertAlmostEqual(session.confirmation_age_s, 0.6)
+        self.assertFalse(session.is_fresh())
+
+    def test_older_configuration_from_a_peer_is_left(self):
+        self.session.take_message(TableTold('p', self.write_configuration(0, 9)))
+        self.assertEqual(self.session.view.table.version, 1)
+
+    def test_node_gives_its_configuration_to_a_peer_that_asks(self):
+        self.session.take_message(TableRequest('p', 10))
+        message, node = self.told[0]
+        self.assertEqual((message.entry.revision, node), (10, 'p'))
+        self.session.take_message(TableRequest('p', 11))
+        self.assertEqual(len(self.told), 1)
+
+    def test_changes_that_follow_are_taken_and_others_leave_a_gap(self):
+        view = self.session.view
+        leader = Entry('coursepitch/leader', 'n9', 12)
+        self.session.take_message(Changes('p', 11, 12, (leader,)))
+        self.assertEqual((view.leader, view.heard_revision), ('', 0))
+        view.heard_revision = 11
+        self.session.take_message(Changes('p', 11, 12, (leader,)))
+        self.assertEqual((view.leader, view.heard_revision), ('n9', 12))
+
+    def test_older_changes_told_again_change_nothing(self):
+        view = self.session.view
+        view.heard_revision = 11
+        key = 'coursepitch/nodes/n5'
+        self.session.take_message(Changes('p', 11, 13, (Entry(key, deleted_at=13),)))
+        self.session.take_message(Changes('q', 11, 12, (Entry(key, 'a:1', 12),)))
+        self.assertNotIn('n5', view.nodes)
+        rows = (Entry(key, 'a:1', 12), Entry('coursepitch/nodes/n6', 'a:2', 14))
+        self.session.take_message(Changes('q', 11, 14, rows))
+        self.assertEqual(view.nodes, {'n6': 'a:2'})
+
+    def test_entries_that_vanished_in_an_outage_that_a_peer_saw_still_count(self):
+        from tests.fleet.builders import build_instance
+
+        view = self.session.view
+        view.instances['i1'] = build_instance('i1')
+        view.heard_revision = 11
+        gone = Entry('servers/i1', deleted_at=12)
+        self.session.take_message(Changes('p', 11, 12, (gone,), lapse_s=1.0))
+        self.assertIn('i1', view.instances)
+
+
+if __name__ == '__main__':
+    unittest.main()
--- a/tests/gateway/test_decisions.py
+++ b/tests/gateway/test_decisions.py
@@ -16,7 +16,6 @@
 from coursepitch.gateway.budget import RetryBudget
 from coursepitch.gateway.events_seam import EventSeam
 from coursepitch.gateway.job import Ending
-from coursepitch.gateway.peers import PeerLinks, PeerLoad
 from coursepitch.gateway.router import Router
 from coursepitch.gateway.watchdog import Watchdog
 from coursepitch.gateway.work import bound_requests, estimate_work
@@ -264,35 +263,6 @@
         self.assertGreater(bound_requests(engine, LARGE, 0.6), engine.slots)
 
 
-class PeerTest(unittest.TestCase):
-    """What peers tell, and for how long it counts."""
-
-    def setUp(self):
-        self.now = 0.0
-        load = PeerLoad('n1', {}, {})
-        view = build_view()
-        self.links = PeerLinks('n1', view, lambda: load, lambda: self.now)
-
-    def test_counts_and_work_of_all_peers_add_up(self):
-        self.links.take(PeerLoad('n2', {'a': 2}, {'m': 1.5}, 7).encode())
-        self.links.take(PeerLoad('n3', {'a': 1}, {'m': 0.5}, 9).encode())
-        self.assertEqual(self.links.count('a'), 3)
-        self.assertEqual(self.links.read_work({'m': 1.0}), {'m': 3.0})
-        self.assertEqual(self.links.read_news(), 9)
-
-    def test_silent_peer_is_forgotten(self):
-        self.links.take(PeerLoad('n2', {'a': 2}, {}).encode())
-        self.now = 5.0
-        self.assertEqual(self.links.count('a'), 0)
-
-    @given(strategies.binary(max_size=60))
-    def test_damaged_message_is_refused_and_nothing_else_happens(self, data):
-        try:
-            self.links.take(data)
-        except ValueError:
-            self.assertEqual(self.links.count('a'), 0)
-
-
 class LateAnswerTest(unittest.TestCase):
     """An answer that was written when the limit came stays as it is."""
 
