Sums of loads go to the nodes that want them

Cause: three nodes told each node the same sums; on the grown Dar site links made about a third of the bytes between zones (worked out, 700 B a sum).

Change: a node asks one of its peers for the sum, another one on each node.

--- a/coursepitch/fleet/links.py
+++ b/coursepitch/fleet/links.py
@@ -2,8 +2,8 @@
 
 A node links to the leader and to two other nodes, the same for all nodes as
 long as these answer.  Whoever has been linked to follows the store for those
-that did, and tells each of them the sum of the others' loads.  So the number of
-links grows with the number of nodes, not with its square.
+that did, and tells the sum of the others' loads to those that want it.  So the
+number of links grows with the number of nodes, not with its square.
 
 Nothing is agreed over these links and no promise hangs on them: without them a
 node asks the store itself and balances by its own requests only.
@@ -12,6 +12,7 @@
 from __future__ import annotations
 
 import collections
+import zlib
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any
 
@@ -249,5 +250,19 @@
         The clock is read after the echo, so that the echo is older.
         """
         incarnation, reading = self.book.read_echo(node)
-        others = self.book.sum_others(node) if self.is_followed() else None
-        return encode_heartbeat(self._state, self.clock(), incarnation, reading, others)
+        return encode_heartbeat(
+            self._state,
+            self.clock(),
+            incarnation,
+            reading,
+            node == self._choose_teller(),
+            self.book.sum_others(node),
+        )
+
+    def _choose_teller(self) -> str:
+        """Return the peer that tells the others' loads: spread over those heard."""
+        heard = self.book.list_heard()
+        names = sorted(name for name in self._dialled if name in heard)
+        if not names:
+            return ''
+        return names[zlib.crc32(self.me.encode()) % len(names)]
--- a/coursepitch/fleet/messages.py
+++ b/coursepitch/fleet/messages.py
@@ -60,7 +60,8 @@
         this configuration is in force; ``None`` without one.
     :param heard: store revision up to which it heard of all changes.
     :param watching: whether it passes on what it hears from the store.
-    :param others: the loads of other nodes, from a node that is linked to.
+    :param wants_others: whether the receiver is to tell the others' loads.
+    :param others: the loads of other nodes, for a receiver that wants them.
     :param counts: its requests in flight by instance.
     :param work: work that arrives there by model, in instance-seconds a second.
     :param sent_at: when the message was made.
@@ -80,6 +81,7 @@
     sent_at: float = 0.0
     echo_incarnation: int = 0
     echo_at: float = 0.0
+    wants_others: bool = False
     others: OtherLoads | None = None
 
 
@@ -148,13 +150,15 @@
     sent_at: float,
     echo_incarnation: int,
     echo_at: float,
+    wants_others: bool,
     others: OtherLoads | None,
 ) -> bytes:
     """Return a heartbeat for one receiver, from the part that all get."""
     row = None
     if others is not None:
         row = [others.nodes, dict(others.counts), _round(others.work)]
-    return cbor2.dumps([_HEARTBEAT, state, sent_at, echo_incarnation, echo_at, row])
+    echo = [echo_incarnation, echo_at]
+    return cbor2.dumps([_HEARTBEAT, state, sent_at, *echo, wants_others, row])
 
 
 def encode_message(message: Message) -> bytes:
@@ -167,6 +171,7 @@
                 message.sent_at,
                 message.echo_incarnation,
                 message.echo_at,
+                message.wants_others,
                 message.others,
             )
         case Changes():
@@ -212,7 +217,7 @@
 
 
 def _decode_heartbeat(parts: list[Any]) -> Heartbeat:
-    state, sent_at, echo_incarnation, echo_at, others = parts
+    state, sent_at, echo_incarnation, echo_at, wants_others, others = parts
     node, incarnation, revision, asked_at, heard, watching, counts, work = cbor2.loads(
         state
     )
@@ -228,6 +233,7 @@
         float(sent_at),
         int(echo_incarnation),
         float(echo_at),
+        bool(wants_others),
         None if others is None else _decode_others(others),
     )
 
--- a/coursepitch/fleet/peers.py
+++ b/coursepitch/fleet/peers.py
@@ -143,17 +143,21 @@
         peer = self._peers.get(node)
         return (0, 0.0) if peer is None else (peer.beat.incarnation, peer.beat.sent_at)
 
-    def sum_others(self, node: str) -> OtherLoads:
-        """Return the loads of this node and all it hears, but for one of them."""
-        counts, work = dict(self._counts), dict(self._work)
+    def sum_others(self, node: str) -> OtherLoads | None:
+        """Return the loads of this node and all it hears, but for one of them.
+
+        ``None`` unless that one asked for them.
+        """
         peer = self._peers.get(node)
-        if peer is not None:
-            _add(counts, peer.beat.counts, -1)
-            _add(work, peer.beat.work, -1)
+        if peer is None or not peer.beat.wants_others:
+            return None
+        counts, work = dict(self._counts), dict(self._work)
+        _add(counts, peer.beat.counts, -1)
+        _add(work, peer.beat.work, -1)
         if self._own is not None:
             _add(counts, self._own.counts, 1)
             _add(work, self._own.work, 1)
-        return OtherLoads(len(self._peers) + (peer is None), counts, work)
+        return OtherLoads(len(self._peers), counts, work)
 
     def count(self, instance: str) -> int:
         """Return the requests in flight from other nodes at an instance."""
--- a/tests/fleet/test_peers.py
+++ b/tests/fleet/test_peers.py
@@ -33,7 +33,9 @@
 
     def test_each_kind_comes_back_as_it_was(self):
         for message in (
-            Heartbeat('n1', 7, 3, 1.5, 9, True, {'i': 2}, {'m': 0.5}, 2.0, 8, 1.0),
+            Heartbeat(
+                'n1', 7, 3, 1.5, 9, True, {'i': 2}, {'m': 0.5}, 2.0, 8, 1.0, True
+            ),
             Heartbeat('n1', 7),
             Heartbeat('n1', 7, others=OtherLoads(3, {'i': 2}, {'m': 0.5})),
             Changes('n1', 3, 5, (Entry('a', 'x', 4), Entry('b', deleted_at=5)), 0.5),
@@ -123,8 +125,10 @@
 
     def test_sum_for_a_peer_holds_all_but_its_own(self):
         self.book.note_own(Heartbeat('n1', 1, counts={'a': 5}))
-        self.book.take(Heartbeat('n2', 2, counts={'a': 2}, work={'m': 1.5}))
+        asking = Heartbeat('n2', 2, counts={'a': 2}, work={'m': 1.5})
+        self.book.take(replace(asking, wants_others=True))
         self.book.take(Heartbeat('n3', 3, counts={'b': 1}))
+        self.assertIsNone(self.book.sum_others('n3'))
         others = self.book.sum_others('n2')
         self.assertEqual(others, OtherLoads(2, {'a': 5, 'b': 1}, {}))
 
