The harness waits for a resource that a node has not heard of yet

Ruled out: a fault of the node; an absent resource is answered with an error body by design, and writes are in force on other nodes some milliseconds later.

Change: an absent resource has not converged, and is waited for.

--- a/standins/harness.py
+++ b/standins/harness.py
@@ -186,7 +186,7 @@
                 'key_value_url': self._url('kv'),
                 'instance_list_url': self._weights,
                 'lease_s': '3',
-                'permit_s': '3',
+                'confirm_bound_s': '3',
             },
             'targets': {'unfenced_kinds': 'plain-engine', 'takeover_wait_s': '1.5'},
             'placement': {'avoid_s': '3'},
@@ -247,8 +247,13 @@
         return data
 
     def conditions(self, node: str, kind: str, name: str) -> dict[str, bool]:
-        """Return the conditions of a resource."""
+        """Return the conditions of a resource.
+
+        A node that has not heard of it yet tells none; then ``Present`` is false.
+        """
         data = self.operate(node, 'GET', f'{kind}/{name}').json()
+        if 'status' not in data:
+            return {'Present': False}
         return {item['type']: item['status'] for item in data['status']['conditions']}
 
     def replicas(self, node: str, group: str) -> list[dict[str, Any]]:
