Changes reach each node about once, and the leader looks ten times a second

The leader asked the store up to twenty times a second, and nodes that knew no leader yet did the same.

Ruled out: followers that do not watch while the leader does: with a leader cut from the store, the others would hear of draining instances seconds late.

Change: changes go to the peers that chose this node as their teller, and to the followed ones, which pass on what is new to them. 0.1 s between two watches of the leader, 0.7 s for all others.

--- a/coursepitch/fleet/links.py
+++ b/coursepitch/fleet/links.py
@@ -40,7 +40,7 @@
     from websockets.asyncio.connection import Connection
 
     from coursepitch.clock import Clock
-    from coursepitch.fleet.messages import Message
+    from coursepitch.fleet.messages import Changes, Message
     from coursepitch.fleet.peers import PeerBook
     from coursepitch.fleet.view import FleetView
 
@@ -123,6 +123,18 @@
             if link.node and node in ('', link.node):
                 link.put(data)
 
+    def pass_on(self, changes: Changes, sender: str = '') -> None:
+        """Queue changes for the nodes that count on this one, and for followed ones.
+
+        These pass them on in turn, so each node gets them about once.
+
+        :param sender: who told them; it needs them no more.
+        """
+        data = encode_message(changes)
+        for link in self._list_links():
+            if link.node != sender and self.book.wants_changes(link.node):
+                link.put(data)
+
     def tell_now(self) -> None:
         """Let the next heartbeat leave at once."""
         self._due.set()
--- a/coursepitch/fleet/peers.py
+++ b/coursepitch/fleet/peers.py
@@ -159,6 +159,11 @@
             _add(work, self._own.work, 1)
         return OtherLoads(len(self._peers), counts, work)
 
+    def wants_changes(self, node: str) -> bool:
+        """Whether a peer is to be told of changes: it asked, or others follow it."""
+        peer = self._peers.get(node)
+        return peer is not None and (peer.beat.wants_others or peer.beat.watching)
+
     def count(self, instance: str) -> int:
         """Return the requests in flight from other nodes at an instance."""
         counts = self._told.counts if self._told else self._counts
--- a/coursepitch/fleet/session.py
+++ b/coursepitch/fleet/session.py
@@ -11,6 +11,7 @@
 
 import random
 import secrets
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 import anyio
@@ -81,7 +82,7 @@
 #: Shortest time in seconds between two watches, so that bursts of changes come
 #: in one answer: each answer costs a call.  The leader looks sooner, and tells
 #: the others.
-LEADER_GAP_S = 0.05
+LEADER_GAP_S = 0.1
 WATCH_GAP_S = 0.7
 
 
@@ -106,6 +107,8 @@
         self.leases = NodeLeases(name, kv, self.view, self.wake, clock)
         #: Sends a message to one peer, or to all.
         self.tell: Callable[[Message, str], None] = lambda message, node: None
+        #: Passes changes on to the nodes that count on this one.
+        self.pass_on: Callable[[Changes, str], None] = lambda changes, sender: None
         #: Lets the next heartbeat leave at once.
         self.tell_now: Callable[[], None] = lambda: None
         #: Whether other nodes count on this one to follow the store.
@@ -206,12 +209,12 @@
             return
         entries = tuple(item for item in found.entries if item.key != CONFIGURATION_KEY)
         lapse_s = self.view.lapse_s
-        self.tell(Changes(self._name, after, found.revision, entries, lapse_s), '')
+        changes = Changes(self._name, after, found.revision, entries, lapse_s)
+        self.pass_on(changes, '')
 
     async def _wait_gap(self) -> None:
         """Wait before the next watch, so that changes come together."""
-        hasty = self.is_leader() or not self.view.leader
-        await anyio.sleep(LEADER_GAP_S if hasty else WATCH_GAP_S)
+        await anyio.sleep(LEADER_GAP_S if self.is_leader() else WATCH_GAP_S)
 
     # -- what peers tell -------------------------------------------------------------
 
@@ -266,8 +269,11 @@
             return
         if changes.lapse_s > 0:
             self.view.note_outage(changes.lapse_s)
+        before = self.view.heard_revision
         if self.view.take(Events(changes.entries, changes.revision)):
             self.wake()
+        if self.view.heard_revision > before and self.is_watching():
+            self.pass_on(replace(changes, node=self._name), changes.node)
 
     async def _sweep(self) -> None:
         while True:
--- a/coursepitch/gateway_application.py
+++ b/coursepitch/gateway_application.py
@@ -89,6 +89,7 @@
             clock,
         )
         self.session.tell = self.links.tell
+        self.session.pass_on = self.links.pass_on
         self.session.tell_now = self.links.tell_now
         self.session.is_followed = self.links.is_followed
         self.board = LoadBoard(clock, self.session.book.count)
--- a/tests/fleet/test_peers.py
+++ b/tests/fleet/test_peers.py
@@ -310,6 +310,19 @@
         self.session.take_message(Changes('q', 11, 14, rows))
         self.assertEqual(view.nodes, {'n6': 'a:2'})
 
+    def test_followed_node_passes_changes_on_once(self):
+        passed = []
+        self.session.pass_on = lambda changes, sender: passed.append((changes, sender))
+        self.session.view.heard_revision = 11
+        changes = Changes('p', 11, 12, ())
+        self.session.take_message(changes)
+        self.assertEqual(passed, [])
+        self.session.is_followed = lambda: True
+        changes = Changes('p', 12, 13, ())
+        self.session.take_message(changes)
+        self.session.take_message(changes)
+        self.assertEqual(passed, [(replace(changes, node='n1'), 'p')])
+
     def test_entries_that_vanished_in_an_outage_that_a_peer_saw_still_count(self):
         from tests.fleet.builders import build_instance
 
