Permits and majorities go: nodes serve while a confirmation is young; early listening

Two changes, the second in the same files' neighbourhood; each with its tests.

Permits by majorities, the accepted revision kept in the store, and a registry that changes by one node at a time only carried serving through outages of any length, which the platform's rule on keys does not allow. Ruled out: keeping both ways by a setting. Change: a node of the product's own interface serves while the service confirmed its revision, to itself or a peer, within confirm_bound_s; a change is accepted when all registered nodes have it, or when that time is over, by each node's own reckoning. control/permit.py, the key c/accepted, the registrar's wait and the majority in the registry's forgetting are gone (124 lines of permits; some 60 elsewhere). Tests: the machine of permits is replaced by one with the same invariant (nobody serves on less than was accepted) and a second one (nobody serves on what was replaced longer ago than the bound); it fails without the wait and without the bound (seen on a copy). Tests of serving in an outage go on with a bound longer than the outage; BoundTest shows that a longer one stops all nodes.

Change: the socket for clients listens before the imports; websockets and the other side's settings are imported late or not at all; a request at a node that never had a confirmed configuration waits 0.25 s for it.

--- a/bench/control.py
+++ b/bench/control.py
@@ -27,7 +27,8 @@
 
 def measure_outage(book: Book) -> None:
     """Live through a minute without the service, with a member killed in it."""
-    with open_system(3, 3, instances=2, spares=1) as harness:
+    bound = {'platform': {'confirm_bound_s': str(2 * OUTAGE_S)}}
+    with open_system(3, 3, instances=2, spares=1, settings=bound) as harness:
         names = [f'n{n}' for n in range(3)]
         body = {'model': GROUP, 'messages': [{'role': 'user', 'content': 'x'}]}
         replica = harness.replicas('n0', GROUP)[0]
--- a/coursepitch/__main__.py
+++ b/coursepitch/__main__.py
@@ -2,7 +2,12 @@
 
 from __future__ import annotations
 
-from coursepitch.cmd.main import main
+import sys
+
+from coursepitch.listeners import listen_early
 
 if __name__ == '__main__':
+    listen_early(sys.argv)
+    from coursepitch.cmd.main import main
+
     main()
--- a/coursepitch/admin/status.py
+++ b/coursepitch/admin/status.py
@@ -6,8 +6,10 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
+from coursepitch import events, log
 from coursepitch.config.history import pack_spec
 from coursepitch.config.resources import Group, Key, Resource
+from coursepitch.control.acceptance import Acceptance, advance_acceptance
 from coursepitch.peers.records import DomainBody, NodeBody
 from coursepitch.serving.evidence import choose_newest
 
@@ -49,6 +51,7 @@
         hub: PeerHub,
         gate: Gate,
         evidence_limit_s: float,
+        confirm_bound_s: float,
         clock: Clock,
     ) -> None:
         self._me = me
@@ -56,12 +59,48 @@
         self._hub = hub
         self._gate = gate
         self._limit_s = evidence_limit_s
+        self._bound_s = confirm_bound_s
+        self._acceptance = Acceptance()
         self._clock = clock
         self._since: dict[tuple[str, str], tuple[bool, float]] = {}
 
+    @property
+    def accepted(self) -> int:
+        """Newest revision that is in force on all nodes that may serve."""
+        return self._acceptance.accepted
+
+    def advance(self) -> None:
+        """Look at what the nodes have in force; called a few times a second."""
+        held = self._session.view.value.configuration.revision
+        before = self.accepted
+        self._acceptance = advance_acceptance(
+            self._acceptance,
+            held,
+            self._list_in_force().values(),
+            self._clock(),
+            self._bound_s,
+        )
+        if self.accepted > before:
+            log.emit(events.CONFIG_ACCEPTED, revision=self.accepted)
+
+    def _list_in_force(self) -> dict[str, int]:
+        """Return what each registered node is known to have in force."""
+        configuration = self._session.view.value.configuration
+        bodies = self.read_nodes()
+        found = {}
+        for item in configuration.of_kind('node'):
+            name = item.key.name
+            body = bodies.get(name)
+            found[name] = 0
+            if name == self._me:
+                found[name] = configuration.revision
+            elif body and body.incarnation == getattr(item.spec, 'incarnation', ''):
+                found[name] = body.in_force
+        return found
+
     def render(self, resource: Resource) -> dict[str, Any]:
         """Return a resource with its status."""
-        accepted = resource.revision <= self._session.view.value.accepted
+        accepted = resource.revision <= self.accepted
         conditions = [self._judge_accepted(resource)]
         status: dict[str, Any] = {
             'observed_generation': resource.generation - (not accepted)
@@ -91,7 +130,7 @@
         return Condition(condition.type, condition.holds, condition.reason, held[1])
 
     def _judge_accepted(self, resource: Resource) -> Condition:
-        if resource.revision <= self._session.view.value.accepted:
+        if resource.revision <= self.accepted:
             return Condition('Accepted', True, 'in force everywhere')
         waiting = self.list_waiting(resource.revision)
         reason = f'waiting for {", ".join(waiting)}' if waiting else 'being confirmed'
@@ -99,16 +138,8 @@
 
     def list_waiting(self, revision: int) -> list[str]:
         """Return the registered nodes not known to have a revision in force."""
-        bodies = self.read_nodes()
-        waiting = []
-        for name in sorted(self._session.view.value.nodes()):
-            if name == self._me:
-                in_force = self._session.view.value.configuration.revision
-            else:
-                in_force = bodies[name].in_force if name in bodies else 0
-            if in_force < revision:
-                waiting.append(name)
-        return waiting
+        in_force = self._list_in_force()
+        return [name for name, held in in_force.items() if held < revision]
 
     def read_nodes(self) -> dict[str, NodeBody]:
         """Return what each node last told of itself."""
@@ -162,16 +193,15 @@
         """Return what this node knows and how old that is."""
         view = self._session.view.value
         now = self._clock()
-        permit = self._gate.judge()
         contact_at = view.contact_at
         age = None if contact_at is None else round(now - contact_at, 2)
         return {
             'node': self._me,
             'revision': view.configuration.revision,
-            'accepted': view.accepted,
+            'accepted': self.accepted,
             'service_contact_age_s': age,
             'serves': not self._gate.why_not_ready(),
-            'ground': permit.ground,
+            'service_answers': self._session.is_up,
             'links': self._hub.links_up,
             'nodes': self._describe_nodes(now),
             'duties': {name: duty.holder for name, duty in sorted(view.duties.items())},
--- a/coursepitch/application.py
+++ b/coursepitch/application.py
@@ -21,7 +21,7 @@
 from coursepitch.control.observers import Observers
 from coursepitch.control.registrar import Registrar
 from coursepitch.control.session import Session
-from coursepitch.http.sockets import listen
+from coursepitch.listeners import listen
 from coursepitch.metrics import Metrics
 from coursepitch.peers.hub import PeerHub
 from coursepitch.peers.records import (
@@ -143,7 +143,7 @@
             self.session,
             self.hub,
             self.admission,
-            settings.platform.permit_s,
+            settings.platform.confirm_bound_s,
             self.metrics,
             self.clock,
         )
@@ -181,6 +181,7 @@
             self.hub,
             self.gate,
             settings.targets.evidence_limit_s,
+            settings.platform.confirm_bound_s,
             self.clock,
         )
         self.admin = AdminApi(
@@ -242,7 +243,8 @@
         self.hub.publish_paced('demand', self.me, demand, now, DEMAND_S)
         self._take_contact(revision)
         self.metrics.revision.set({}, revision)
-        self.metrics.accepted.set({}, view.accepted)
+        self.reporter.advance()
+        self.metrics.accepted.set({}, self.reporter.accepted)
         self.metrics.duties.set({}, len(self.duties.held))
 
     def _tell_contact(self, revision: int) -> None:
@@ -258,9 +260,9 @@
         It confirmed that no revision newer than the peer's existed then, so
         none newer than one at least as new here.
         """
-        for peer in self.gate.read_peers().values():
-            if peer.contact_at is not None and peer.in_force <= revision:
-                self.session.note_contact(peer.contact_at)
+        for item in self.hub.records('contact'):
+            if isinstance(item.body, ContactBody) and item.body.in_force <= revision:
+                self.session.note_contact(item.made_at)
 
     def _note_ready(self, reason: str, revision: int) -> None:
         state = reason or 'ready'
@@ -318,7 +320,7 @@
             availability_zone=node.availability_zone,
             incarnation=self.incarnation,
         )
-        return Registrar(Key('node', self.me), spec, self.session, self.kv)
+        return Registrar(Key('node', self.me), spec, self.session)
 
     def _list_tasks(
         self,
--- a/coursepitch/cmd/check.py
+++ b/coursepitch/cmd/check.py
@@ -10,7 +10,8 @@
 from coursepitch.cmd.base import BaseCommand
 from coursepitch.config.options import IniFile, read_ini
 from coursepitch.config.resources import check_resources
-from coursepitch.config.settings import check_settings, list_sections, write_example
+from coursepitch.config.sections import list_sections
+from coursepitch.config.settings import Settings, check_settings, write_example
 from coursepitch.errors import FindingsError
 
 if TYPE_CHECKING:
@@ -54,7 +55,7 @@
 
     :raises FindingsError: with all findings.
     """
-    if set(ini.sections) & set(list_sections()):
+    if set(ini.sections) & set(list_sections(Settings)):
         check_settings(ini)
         return 'settings are good'
     return f'{len(check_resources(ini))} resources are good'
--- a/coursepitch/cmd/resource.py
+++ b/coursepitch/cmd/resource.py
@@ -177,7 +177,8 @@
     age = node['service_contact_age_s']
     contact = 'never' if age is None else f'{age} s ago'
     lines = [
-        f'node {node["node"]}: serves {node["serves"]} (ground: {node["ground"]})',
+        f'node {node["node"]}: serves {node["serves"]}, '
+        f'service answers {node["service_answers"]}',
         f'  revision {node["revision"]}, accepted {node["accepted"]}, '
         f'service confirmed {contact}, links {node["links"]}',
     ]
--- a/coursepitch/cmd/serve.py
+++ b/coursepitch/cmd/serve.py
@@ -12,12 +12,10 @@
 from coursepitch.cmd.base import BaseCommand
 from coursepitch.config.gateway import load_gateway_settings
 from coursepitch.gateway_application import GatewayApplication
+from coursepitch.listeners import SETTINGS_VARIABLE
 
 __all__ = ['ServeCommand']
 
-#: Where the platform tells a process the path of its settings.
-SETTINGS_VARIABLE = 'COURSEPITCH_CONFIG'
-
 
 class ServeCommand(BaseCommand):
     """Run a node on the platform until SIGTERM."""
--- a/coursepitch/config/gateway.py
+++ b/coursepitch/config/gateway.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 from coursepitch.config.options import REQUIRED, option, read_ini
-from coursepitch.config.settings import LogSettings, list_sections, parse_sections
+from coursepitch.config.sections import LogSettings, list_sections, parse_sections
 from coursepitch.errors import FindingsError
 
 if TYPE_CHECKING:
--- a/coursepitch/config/settings.py
+++ b/coursepitch/config/settings.py
@@ -5,7 +5,7 @@
 import dataclasses
 from dataclasses import dataclass
 from ipaddress import ip_address
-from typing import TYPE_CHECKING, Any, get_type_hints
+from typing import TYPE_CHECKING, Any
 
 from coursepitch.config.findings import Finding, Place
 from coursepitch.config.options import (
@@ -13,9 +13,9 @@
     IniFile,
     describe_options,
     option,
-    parse_options,
     read_ini,
 )
+from coursepitch.config.sections import LogSettings, list_sections, parse_sections
 from coursepitch.errors import FindingsError
 
 if TYPE_CHECKING:
@@ -24,7 +24,6 @@
 __all__ = [
     'AdminSettings',
     'EntrySettings',
-    'LogSettings',
     'NodeSettings',
     'PeerSettings',
     'PlacementSettings',
@@ -32,9 +31,7 @@
     'RoutingSettings',
     'Settings',
     'TargetSettings',
-    'list_sections',
     'load_settings',
-    'parse_sections',
     'write_example',
 ]
 
@@ -127,7 +124,7 @@
         40.0, 'Most calls that this node makes to the key-value service.', low=1
     )
     lease_s: float = option(6.0, "Length of the node's lease in seconds.", low=1)
-    permit_s: float = option(
+    confirm_bound_s: float = option(
         6.0, 'Seconds a node serves on a configuration it could not confirm.', low=1
     )
     watch_s: float = option(20.0, 'Seconds for which one watch waits.', low=0.1)
@@ -216,13 +213,6 @@
     )
 
 
-@dataclass(frozen=True, slots=True)
-class LogSettings:
-    """The log."""
-
-    path: str = option('', 'File to which events go as JSON lines; empty: stderr.')
-
-
 @dataclass(frozen=True, slots=True)
 class Settings:
     """All settings of one node, a field a section."""
@@ -238,11 +228,6 @@
     log: LogSettings
 
 
-def list_sections(settings: type[Any] = Settings) -> dict[str, type[Any]]:
-    """Return the option table of each section by its name."""
-    return dict(get_type_hints(settings))
-
-
 def load_settings(path: Path) -> Settings:
     """Read and check a settings file.
 
@@ -256,7 +241,7 @@
 
     :raises FindingsError: with all findings together.
     """
-    parts, findings = parse_sections(ini, list_sections())
+    parts, findings = parse_sections(ini, list_sections(Settings))
     if not findings:
         findings = _check_across(parts, ini)
     if findings:
@@ -264,26 +249,6 @@
     return Settings(**parts)
 
 
-def parse_sections(
-    ini: IniFile, sections: dict[str, type[Any]]
-) -> tuple[dict[str, Any], list[Finding]]:
-    """Return the tables by section, and what is wrong in the file."""
-    findings: list[Finding] = []
-    for name in ini.sections:
-        if name not in sections:
-            known = ', '.join(sections)
-            findings.append(
-                Finding(ini.place(name), 'unknown section', fix=f'known are {known}')
-            )
-    parts: dict[str, Any] = {}
-    for name, table in sections.items():
-        values = ini.sections.get(name, {})
-        lines = ini.option_lines.get(name, {})
-        parts[name], found = parse_options(table, values, ini.place(name), lines)
-        findings.extend(found)
-    return parts, findings
-
-
 def _check_across(parts: dict[str, Any], ini: IniFile) -> list[Finding]:
     """Check what concerns more than one option."""
     findings = []
@@ -343,7 +308,7 @@
 def write_example() -> str:
     """Return an annotated settings file with every option and its default."""
     lines = ['# Settings of a coursepitch node. Options without a default are marked.']
-    for name, table in list_sections().items():
+    for name, table in list_sections(Settings).items():
         lines += ['', f'# {(table.__doc__ or "").splitlines()[0]}', f'[{name}]']
         for row in describe_options(table):
             lines.append(f'# {row.doc} ({row.kind})')
--- a/coursepitch/control/cluster.py
+++ b/coursepitch/control/cluster.py
@@ -23,7 +23,6 @@
 )
 from coursepitch.control.duties import CLUSTER, holds_duty
 from coursepitch.control.measures import measure_service
-from coursepitch.control.permit import Acceptance, advance_acceptance
 from coursepitch.control.placement import (
     Candidate,
     Fleet,
@@ -105,7 +104,6 @@
     def _reset(self) -> None:
         self._claims: dict[str, tuple[Claims, int]] = {}
         self._after = -1
-        self._acceptance = Acceptance()
         self._silent_since: dict[str, float] = {}
         self._avoided: dict[str, float] = {}
         self._whole_since: dict[str, float] = {}
@@ -129,7 +127,6 @@
         return holds_duty(view, CLUSTER, self._me, self._clock())
 
     async def _tick(self) -> None:
-        await self._judge_acceptance()
         await self._session.write_snapshot()
         await self._forget_node()
         if await self._read_claims():
@@ -138,34 +135,8 @@
 
     # -- configuration -----------------------------------------------------------
 
-    async def _judge_acceptance(self) -> None:
-        view = self._session.view.value
-        nodes = view.configuration.of_kind('node')
-        bodies = self._board.read_nodes()
-        in_force = {
-            item.key.name: bodies[item.key.name].in_force
-            for item in nodes
-            if item.key.name in bodies
-            and bodies[item.key.name].incarnation
-            == getattr(item.spec, 'incarnation', '')
-        }
-        in_force[self._me] = view.configuration.revision
-        state = dataclasses.replace(
-            self._acceptance, accepted=max(self._acceptance.accepted, view.accepted)
-        )
-        self._acceptance = advance_acceptance(
-            state,
-            view.configuration.revision,
-            view.nodes(),
-            in_force,
-            self._clock(),
-            self._settings.platform.permit_s,
-        )
-        if self._acceptance.accepted > view.accepted and self._holds():
-            await self._session.write_accepted(self._acceptance.accepted)
-
     async def _forget_node(self) -> None:
-        """Remove one silent node, once the last change of the registry is accepted."""
+        """Remove one silent node from the registry."""
         view = self._session.view.value
         now = self._clock()
         # Not all that is remembered of a node: records outlive it by a minute.
@@ -178,10 +149,6 @@
         self._silent_since = {
             name: self._silent_since.get(name, now) for name in silent
         }
-        nodes = view.configuration.of_kind('node')
-        newest = max((item.revision for item in nodes), default=0)
-        if newest > view.accepted or view.accepted < view.configuration.revision:
-            return
         for name, since in self._silent_since.items():
             if now - since > FORGET_NODE_S and self._holds():
                 try:
--- a/coursepitch/control/registrar.py
+++ b/coursepitch/control/registrar.py
@@ -7,14 +7,11 @@
 
 import anyio
 
-from coursepitch.control.session import ACCEPTED_KEY, read_number
 from coursepitch.errors import CodecError, ConflictError, UnavailableError
-from coursepitch.platform.kv import Unavailable
 
 if TYPE_CHECKING:
     from coursepitch.config.resources import Key, Spec
     from coursepitch.control.session import Session
-    from coursepitch.platform.kv import KeyValue
 
 __all__ = ['Registrar']
 
@@ -23,18 +20,12 @@
 
 
 class Registrar:
-    """Owner of what this node registers of itself.
+    """Owner of what this node registers of itself."""
 
-    A node joins only when the last change of the registry is accepted, so
-    that two majorities always have a node in common.  Source: Ongaro,
-    Consensus: Bridging Theory and Practice (2014), section 4.1.
-    """
-
-    def __init__(self, key: Key, spec: Spec, session: Session, kv: KeyValue) -> None:
+    def __init__(self, key: Key, spec: Spec, session: Session) -> None:
         self._key = key
         self._spec = spec
         self._session = session
-        self._kv = kv
         self._leaving = False
 
     async def run(self) -> None:
@@ -48,17 +39,8 @@
 
     async def _try_register(self) -> None:
         try:
-            head, _ = await self._session.read_head()
-            entry = await self._kv.get(ACCEPTED_KEY)
-            if isinstance(entry, Unavailable) or self._leaving:
-                return
-            nodes = self._session.view.value.configuration.of_kind('node')
-            newest = max((item.revision for item in nodes), default=0)
-            removed = max(
-                (item.revision for item in head.changes if item.key.kind == 'node'),
-                default=0,
-            )
-            if max(newest, removed) <= read_number(entry.value):
+            await self._session.read_head()
+            if not self._leaving:
                 await self._session.record(self._key, self._spec)
         except (UnavailableError, ConflictError, CodecError):
             return
--- a/coursepitch/control/session.py
+++ b/coursepitch/control/session.py
@@ -45,7 +45,6 @@
 
 PREFIX = 'c/'
 HEAD_KEY = 'c/config'
-ACCEPTED_KEY = 'c/accepted'
 SNAPSHOT_MARK_KEY = 'c/snapshot'
 DUTY_PREFIX = 'c/duty/'
 LIVE_PREFIX = 'c/live/'
@@ -80,6 +79,11 @@
             group.start_soon(self._keep_watch)
             group.start_soon(self._keep_contact)
 
+    @property
+    def is_up(self) -> bool:
+        """Whether the service answered the last call for the lease."""
+        return self._up
+
     # -- what peers and other tasks bring ---------------------------------
 
     def take_changes(self, changes: tuple[Change, ...], source: str) -> None:
@@ -207,22 +211,6 @@
                 self.take_whole(decode_snapshot(entry.value), 'snapshot')
         self.take_changes(head.changes, 'service')
 
-    async def write_accepted(self, revision: int) -> None:
-        """Keep the newest accepted revision in the service; it never goes down."""
-        entry = await self._kv.get(ACCEPTED_KEY)
-        if isinstance(entry, Unavailable):
-            return
-        held = read_number(entry.value)
-        if held >= revision:
-            self._replace(accepted=max(self.view.value.accepted, held))
-            return
-        result = await settle_swap(
-            self._kv, ACCEPTED_KEY, str(revision), entry.revision
-        )
-        if isinstance(result, Swapped):
-            log.emit(events.CONFIG_ACCEPTED, revision=revision)
-            self._replace(accepted=max(self.view.value.accepted, revision))
-
     async def write_snapshot(self) -> None:
         """Write a snapshot when enough changed since the last one."""
         view = self.view.value
@@ -330,9 +318,6 @@
         for entry in found.entries:
             if entry.key == HEAD_KEY and entry.present:
                 await self._take_head(decode_head(entry.value))
-            elif entry.key == ACCEPTED_KEY and entry.present:
-                accepted = max(self.view.value.accepted, read_number(entry.value))
-                self._replace(accepted=accepted)
             elif entry.key == SNAPSHOT_MARK_KEY and entry.present:
                 self._replace(snapshot=read_number(entry.value))
             elif entry.key.startswith(DUTY_PREFIX):
@@ -342,7 +327,7 @@
         self._replace(duties=duties, live=live, listed=True)
 
     async def _keep_contact(self) -> None:
-        period = self._settings.permit_s / 3
+        period = self._settings.confirm_bound_s / 3
         while True:
             contact_at = self.view.value.contact_at
             now = self._clock()
--- a/coursepitch/control/view.py
+++ b/coursepitch/control/view.py
@@ -50,7 +50,6 @@
     """
 
     configuration: Configuration = field(default_factory=Configuration)
-    accepted: int = 0
     snapshot: int = 0
     contact_at: float | None = None
     own_contact_at: float | None = None
--- a/coursepitch/fleet/links.py
+++ b/coursepitch/fleet/links.py
@@ -17,9 +17,6 @@
 from typing import TYPE_CHECKING, Any
 
 import anyio
-from websockets.asyncio.client import connect
-from websockets.asyncio.server import serve
-from websockets.exceptions import WebSocketException
 
 from coursepitch import events, log
 from coursepitch.errors import CodecError
@@ -146,6 +143,9 @@
 
     async def run(self, sock: socket.socket) -> None:
         """Listen to peers and hold links, until cancelled."""
+        # Imported late, as it takes a tenth of a second: clients come first.
+        from websockets.asyncio.server import serve
+
         server = serve(
             self._accept,
             sock=sock,
@@ -187,6 +187,9 @@
 
     async def _dial(self, address: str, link: _Link) -> None:
         """Hold a link to a peer until it breaks or is no longer wanted."""
+        from websockets.asyncio.client import connect
+        from websockets.exceptions import WebSocketException
+
         options: dict[str, Any] = {
             'compression': None,
             'open_timeout': LINK_TIMEOUT_S,
@@ -218,6 +221,8 @@
 
     async def _serve(self, connection: Connection, link: _Link) -> str:
         """Tell a peer and hear it until the link breaks; return why it did."""
+        from websockets.exceptions import WebSocketException
+
         reasons: list[str] = []
         async with anyio.create_task_group() as group:
 
--- a/coursepitch/fleet/session.py
+++ b/coursepitch/fleet/session.py
@@ -133,6 +133,10 @@
         """Whether the node may act on its configuration at this moment."""
         return self.view.table is not None and self.confirmation_age_s < self._bound_s
 
+    def is_starting(self) -> bool:
+        """Whether no configuration was in force and confirmed here yet."""
+        return self.view.table is None or self._confirmed_at == float('-inf')
+
     def is_fading(self) -> bool:
         """Whether the confirmation is so old that clients should go elsewhere."""
         return self.confirmation_age_s >= self._bound_s * FADING_PART
@@ -331,8 +335,11 @@
             if self._table_revision() < result.current.revision:
                 return False
             self.tell_now()
+        starting = self.is_starting()
         self._confirmed_at = max(self._confirmed_at, asked_at)
         self._own_asked_at = asked_at
+        if starting:
+            self.wake()
         return True
 
     def _note_outage(self, reason: str) -> None:
--- a/coursepitch/gateway/arrive.py
+++ b/coursepitch/gateway/arrive.py
@@ -31,6 +31,12 @@
 STALE_AGAIN_S = 0.5
 
 
+#: Seconds for which a request waits at a node that just started.  Source: 0.1 s
+#: from listening to a confirmed configuration on the users' machines, and beyond
+#: a quarter of the shortest objective a refusal comes late.
+START_WAIT_S = 0.25
+
+
 class Gateway:
     """Handler of clients' requests."""
 
@@ -59,6 +65,7 @@
         """Answer one request."""
         self.has_served = True
         fields = read_request_fields(request)
+        await self._wait_first_confirmation(request)
         found = self._admit(request, reply, fields)
         if isinstance(found, Refusal):
             await self._refuse(reply, fields, found)
@@ -75,6 +82,16 @@
             end = Refusal(job.status, job.last_reason)
             self._note_end(job, fields, end, job.arrived_at)
 
+    async def _wait_first_confirmation(self, request: IncomingRequest) -> None:
+        """Wait a moment while the node has never yet known its configuration.
+
+        Requests that waited in the kernel while the process started come first;
+        the configuration follows within some hundredths of a second.
+        """
+        until = request.received_at + START_WAIT_S
+        while self._session.is_starting() and self._clock() < until:
+            await self._session.wait_changed(until - self._clock())
+
     def _admit(
         self, request: IncomingRequest, reply: Reply, fields: RequestFields
     ) -> Job | Refusal:
--- a/coursepitch/gateway_application.py
+++ b/coursepitch/gateway_application.py
@@ -24,7 +24,7 @@
 from coursepitch.gateway.watchdog import Watchdog
 from coursepitch.http.client import ConnectionPool
 from coursepitch.http.server import ConnectionRules, HttpServer
-from coursepitch.http.sockets import listen
+from coursepitch.listeners import listen
 from coursepitch.metrics import Metrics
 from coursepitch.platform.kv import KeyValue
 
--- a/coursepitch/serving/gate.py
+++ b/coursepitch/serving/gate.py
@@ -4,8 +4,8 @@
 
 from typing import TYPE_CHECKING
 
-from coursepitch.control.permit import PeerState, Permit, judge_permit
-from coursepitch.peers.records import ContactBody, DemandBody, NodeBody
+from coursepitch.control.acceptance import is_confirmed
+from coursepitch.peers.records import DemandBody
 from coursepitch.serving import outcomes
 from coursepitch.serving.identity import Directory, Identity, build_directory
 from coursepitch.serving.limits import DemandMeter, RateLimiter, compute_share
@@ -33,7 +33,7 @@
         session: Session,
         hub: PeerHub,
         admission: Admission,
-        permit_s: float,
+        bound_s: float,
         metrics: Metrics,
         clock: Clock,
     ) -> None:
@@ -41,7 +41,7 @@
         self._session = session
         self._hub = hub
         self._admission = admission
-        self._permit_s = permit_s
+        self._bound_s = bound_s
         self._metrics = metrics
         self._clock = clock
         self._directory = build_directory(session.view.value.configuration)
@@ -53,37 +53,10 @@
 
     # -- readiness -------------------------------------------------------------
 
-    def judge(self) -> Permit:
-        """Return whether this node may serve on its configuration."""
-        view = self._session.view.value
-        now = self._clock()
-        return judge_permit(
-            view.configuration.revision,
-            view.contact_at,
-            self._me,
-            view.nodes(),
-            self.read_peers(),
-            now,
-            self._permit_s,
-        )
-
-    def read_peers(self) -> dict[str, PeerState]:
-        """Return what is known of the other nodes."""
-        contacts = {
-            item.key.subject: (item.body.in_force, item.made_at)
-            for item in self._hub.records('contact')
-            if isinstance(item.body, ContactBody)
-        }
-        peers = {}
-        for item in self._hub.records('node'):
-            name = item.key.subject
-            if name == self._me or not isinstance(item.body, NodeBody):
-                continue
-            confirmed, contact_at = contacts.get(name, (0, None))
-            if confirmed > item.body.in_force:
-                contact_at = None
-            peers[name] = PeerState(item.body.in_force, item.made_at, contact_at)
-        return peers
+    def is_confirmed(self) -> bool:
+        """Whether this node may serve on its configuration."""
+        contact_at = self._session.view.value.contact_at
+        return is_confirmed(contact_at, self._clock(), self._bound_s)
 
     def why_not_ready(self) -> str:
         """Return why callers should be turned away; empty when they should not."""
@@ -92,8 +65,7 @@
     def _why_not_permitted(self) -> str:
         if not self._session.view.value.configuration.revision:
             return 'no configuration yet'
-        permit = self.judge()
-        return '' if permit.granted else permit.ground
+        return '' if self.is_confirmed() else 'cut off'
 
     # -- requests ----------------------------------------------------------------
 
--- a/docs/generate.py
+++ b/docs/generate.py
@@ -15,7 +15,8 @@
 from coursepitch.config.gateway import GatewaySettings
 from coursepitch.config.options import describe_options
 from coursepitch.config.resources import KINDS
-from coursepitch.config.settings import format_default, list_sections, write_example
+from coursepitch.config.sections import list_sections
+from coursepitch.config.settings import Settings, format_default, write_example
 from coursepitch.control.chart import draw_chart, load_chart
 from coursepitch.metrics import Metrics
 from coursepitch.serving.outcomes import REFUSALS
@@ -49,7 +50,7 @@
 def write_settings() -> list[str]:
     """Return the page of settings."""
     lines = write_title('Settings')
-    for name, table in list_sections().items():
+    for name, table in list_sections(Settings).items():
         lines += write_title(f'[{name}]', '-')
         lines += [(table.__doc__ or '').splitlines()[0], '']
         lines += write_options(table)
--- a/tests/fleet/test_links.py
+++ b/tests/fleet/test_links.py
@@ -12,7 +12,7 @@
 from coursepitch.fleet.messages import Changes, Heartbeat
 from coursepitch.fleet.peers import PeerBook, choose_watchers
 from coursepitch.fleet.view import FleetView
-from coursepitch.http.sockets import listen
+from coursepitch.listeners import listen
 
 #: Longest time in seconds for anything to come about.
 WAIT_S = 20.0
--- a/tests/gateway/test_decisions.py
+++ b/tests/gateway/test_decisions.py
@@ -309,3 +309,32 @@
     def test_request_without_an_answer_is_told_that_it_is_late(self):
         refusal, broken = self.end_late(started=False, written=False)
         self.assertEqual((refusal.status, broken), (504, False))
+
+
+class StartTest(unittest.TestCase):
+    """Requests that come while a node starts wait a moment for its configuration."""
+
+    def wait(self, starting_for):
+        now = [10.0]
+        waits = []
+
+        async def wait_changed(limit_s):
+            waits.append(limit_s)
+            now[0] += 0.1
+
+        session = SimpleNamespace(
+            is_starting=lambda: now[0] < 10.0 + starting_for, wait_changed=wait_changed
+        )
+        gateway = Gateway(session, None, None, None, None, None, lambda: now[0])
+        request = SimpleNamespace(received_at=10.0)
+        anyio.run(gateway._wait_first_confirmation, request)
+        return len(waits)
+
+    def test_node_that_knows_its_configuration_waits_for_nothing(self):
+        self.assertEqual(self.wait(0.0), 0)
+
+    def test_wait_ends_with_the_first_confirmation(self):
+        self.assertEqual(self.wait(0.15), 2)
+
+    def test_wait_is_bounded(self):
+        self.assertEqual(self.wait(60.0), 3)
--- a/tests/http/test_exchange.py
+++ b/tests/http/test_exchange.py
@@ -13,7 +13,7 @@
     HttpServer,
     NoConnectionError,
 )
-from coursepitch.http.sockets import listen
+from coursepitch.listeners import listen
 
 HEADERS = ((b'Host', b'x'),)
 WHOLE = b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok'
