A revision without changes is passed on too

Cause, found by reading: a watch that ends without events may tell a newer revision. A followed node then said that it had heard more than it passed on, and all that are linked to it asked the store, waiting for changes that were not there.

Change: the span is passed on, without entries. The test failed first.

--- a/coursepitch/fleet/session.py
+++ b/coursepitch/fleet/session.py
@@ -90,7 +90,7 @@
 class FleetSession:
     """View of the store, with the tasks that keep it fresh.
 
-    :param name: name of the node.  Its ``peer_address`` is set before it runs.
+    :param name: name of the node.
     :param serve_bound_s: age of the last confirmation past which the node
         must not act on its configuration.
     """
@@ -205,12 +205,14 @@
     def _take_found(self, found: Events, after: int) -> None:
         """Take what the store told, and pass changes on."""
         table = self.view.table
-        if not self.view.take(found) or not found.entries:
+        if not self.view.take(found):
             return
-        self.wake()
+        if found.entries:
+            self.wake()
         if self.view.table is not table:
             self.tell_now()
-        if found.complete or not self.is_watching():
+        # A listing can't be passed on as changes: others will find the gap.
+        if found.complete or found.revision == after or not self.is_watching():
             return
         entries = tuple(item for item in found.entries if item.key != CONFIGURATION_KEY)
         lapse_s = self.view.lapse_s
--- a/tests/fleet/test_peers.py
+++ b/tests/fleet/test_peers.py
@@ -22,7 +22,8 @@
 )
 from coursepitch.fleet.peers import PeerBook, choose_watchers
 from coursepitch.fleet.session import FleetSession
-from coursepitch.platform.kv import Entry
+from coursepitch.platform.kv import Entry, Events
+from tests.fleet.builders import build_instance
 from tests.whole.platform_base import build_configuration
 
 BOUND_S = 4.25
@@ -323,9 +324,20 @@
         self.session.take_message(changes)
         self.assertEqual(passed, [(replace(changes, node='n1'), 'p')])
 
-    def test_entries_that_vanished_in_an_outage_that_a_peer_saw_still_count(self):
-        from tests.fleet.builders import build_instance
+    def test_revision_without_changes_is_passed_on_too(self):
+        passed = []
+        self.session.pass_on = lambda changes, sender: passed.append(changes)
+        self.session.is_followed = lambda: True
+        self.session.view.heard_revision = 11
+        self.session._take_found(Events((), 11), 11)
+        self.assertEqual(passed, [])
+        self.session._take_found(Events((), 15), 11)
+        self.assertEqual(
+            [(item.after, item.revision, item.entries) for item in passed],
+            [(11, 15, ())],
+        )
 
+    def test_entries_that_vanished_in_an_outage_that_a_peer_saw_still_count(self):
         view = self.session.view
         view.instances['i1'] = build_instance('i1')
         view.heard_revision = 11
