--- a/coursepitch/gateway/attempts.py
+++ b/coursepitch/gateway/attempts.py
@@ -18,15 +18,13 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
-    from coursepitch.clock import Clock
     from coursepitch.config.routes import Service
     from coursepitch.fleet.instances import FleetInstance
     from coursepitch.gateway.job import Job
-    from coursepitch.http.client import Answer, ConnectionPool
+    from coursepitch.gateway.parts import GatewayParts
+    from coursepitch.http.client import Answer
 
-__all__ = ['Attempt', 'Result', 'bound_connections', 'send_attempt']
+__all__ = ['Attempt', 'Result', 'SendPlan', 'send_attempt']
 
 
 class Result(enum.Enum):
@@ -64,31 +62,28 @@
 REJECTION_BYTES = 65_536
 
 
-async def send_attempt(
-    pool: ConnectionPool,
-    job: Job,
-    instance: FleetInstance,
-    clock: Clock,
-    may_send: Callable[[], bool],
-    *,
-    last_event: bytes,
-    fresh: bool,
-    wait_s: float,
-    limit: int,
-    priority: int | None = None,
-) -> Attempt:
-    """Send a request to an instance and wait for the head of its answer.
+@dataclass(frozen=True, slots=True)
+class SendPlan:
+    """How a request goes to an instance.
 
-    :param may_send: asked once more when the connection is up, as the process
-        may have stood still since the request was admitted.
+    :param wait_s: seconds for which the head of the answer is waited for.
+    :param last_event: id of the last event that the client has; empty for none.
     :param fresh: whether only a new connection will do.
-    :param wait_s: seconds for which the head is waited for.
-    :param limit: most connections of this node to the instance.
+    :param priority: rank at the instance; ``None`` for the usual one.
     """
-    sent_at = clock()
-    attempt = await _send(
-        pool, job, instance, clock, may_send, last_event, fresh, wait_s, limit, priority
-    )
+
+    wait_s: float
+    last_event: bytes = b''
+    fresh: bool = False
+    priority: int | None = None
+
+
+async def send_attempt(
+    parts: GatewayParts, job: Job, instance: FleetInstance, plan: SendPlan
+) -> Attempt:
+    """Send a request to an instance and wait for the head of its answer."""
+    sent_at = parts.clock()
+    attempt = await _send(parts, job, instance, plan)
     if attempt.result is not Result.NOT_RUN:
         job.may_have_run.add(instance.name)
     if attempt.result is not Result.ANSWERED:
@@ -99,43 +94,38 @@
             instance=instance.name,
             outcome=attempt.result.value,
             reason=attempt.reason,
-            sent_s=round(clock() - sent_at, 4),
+            sent_s=round(parts.clock() - sent_at, 4),
         )
     return attempt
 
 
 async def _send(
-    pool: ConnectionPool,
-    job: Job,
-    instance: FleetInstance,
-    clock: Clock,
-    may_send: Callable[[], bool],
-    last_event: bytes,
-    fresh: bool,
-    wait_s: float,
-    limit: int,
-    priority: int | None,
+    parts: GatewayParts, job: Job, instance: FleetInstance, plan: SendPlan
 ) -> Attempt:
+    pool = parts.pool
+    limit = bound_connections(job.service, parts.session.count_nodes())
     try:
-        connection = await pool.acquire(instance.address, fresh=fresh, limit=limit)
+        connection = await pool.acquire(instance.address, fresh=plan.fresh, limit=limit)
     except NoConnectionError as error:
         return Attempt(Result.NOT_RUN, str(error))
-    left_s = job.limit_at - clock()
-    if left_s <= 0 or not may_send():
+    left_s = job.limit_at - parts.clock()
+    # Looked at once more now that the connection is up: the process may have
+    # stood still since the request was admitted.
+    if left_s <= 0 or not parts.session.is_fresh():
         pool.discard(connection)
         return Attempt(Result.NOT_RUN, 'no longer to be sent')
     fields = ForwardFields(
         instance.name,
         left_s,
         job.customer.name if job.customer else '',
-        last_event,
-        priority,
+        plan.last_event,
+        plan.priority,
     )
     incoming = job.incoming
     headers = build_target_headers(incoming.headers, fields)
     job.sent.append(instance.name)
     try:
-        with anyio.fail_after(wait_s):
+        with anyio.fail_after(plan.wait_s):
             answer = await pool.exchange(
                 connection, incoming.method, incoming.target, headers, incoming.body
             )
--- a/coursepitch/gateway/calls.py
+++ b/coursepitch/gateway/calls.py
@@ -7,20 +7,16 @@
 import anyio
 
 from coursepitch import events, log
-from coursepitch.gateway.attempts import bound_connections, send_attempt
+from coursepitch.gateway.attempts import SendPlan, send_attempt
 from coursepitch.gateway.job import Ending, Refusal
 from coursepitch.http.client import ExchangeError
 from coursepitch.platform.headers import pass_answer_headers
 
 if TYPE_CHECKING:
-    from coursepitch.clock import Clock
     from coursepitch.fleet.instances import FleetInstance
-    from coursepitch.fleet.session import FleetSession
-    from coursepitch.gateway.board import LoadBoard
-    from coursepitch.gateway.budget import RetryBudget
     from coursepitch.gateway.job import Job
-    from coursepitch.gateway.router import Router
-    from coursepitch.http.client import Answer, ConnectionPool
+    from coursepitch.gateway.parts import GatewayParts
+    from coursepitch.http.client import Answer
 
 __all__ = ['CallServer']
 
@@ -48,21 +44,8 @@
 class CallServer:
     """Serves routes whose service has no groups."""
 
-    def __init__(
-        self,
-        session: FleetSession,
-        router: Router,
-        board: LoadBoard,
-        budget: RetryBudget,
-        pool: ConnectionPool,
-        clock: Clock,
-    ) -> None:
-        self._session = session
-        self._router = router
-        self._board = board
-        self._budget = budget
-        self._pool = pool
-        self._clock = clock
+    def __init__(self, parts: GatewayParts) -> None:
+        self._parts = parts
 
     async def serve(self, job: Job) -> Refusal | None:
         """Serve a request; return what to tell the client without an answer."""
@@ -71,8 +54,8 @@
             instance = await self._wait_instance(job, avoided)
             if instance is None:
                 return self._give_up(job)
-            if job.sent and not self._budget.take(
-                job.service.name, self._session.count_nodes()
+            if job.sent and not self._parts.budget.take(
+                job.service.name, self._parts.session.count_nodes()
             ):
                 job.last_reason = 'the budget for second sends is used up'
                 return self._give_up(job)
@@ -89,7 +72,7 @@
         return job.route.repeatable and runs < job.route.attempts
 
     def _may_send_again(self, job: Job) -> bool:
-        if len(job.sent) >= MOST_SENDS or self._clock() >= job.limit_at:
+        if len(job.sent) >= MOST_SENDS or self._parts.clock() >= job.limit_at:
             return False
         if not job.may_have_run:
             return True
@@ -97,69 +80,60 @@
 
     def _give_up(self, job: Job) -> Refusal:
         if job.may_have_run:
-            late = self._clock() >= job.limit_at
+            late = self._parts.clock() >= job.limit_at
             return Refusal(504 if late else 502, job.last_reason)
         return Refusal(503, job.last_reason or 'no instance is there', AGAIN_S)
 
     async def _wait_instance(self, job: Job, avoided: set[str]) -> FleetInstance | None:
         """Return an instance to send to; wait for one as long as it helps."""
         if job.returned:
-            until = self._clock() + RETURNED_WAIT_S
+            until = self._parts.clock() + RETURNED_WAIT_S
         else:
             until = job.arrived_at + job.route.objective_s * WAIT_PART
         until = min(until, job.limit_at)
         while True:
-            now = self._clock()
-            if now >= job.limit_at or not self._session.is_fresh():
+            now = self._parts.clock()
+            if now >= job.limit_at or not self._parts.session.is_fresh():
                 return None
-            instance = self._router.choose_instance(job.service, avoided)
+            instance = self._parts.router.choose_instance(job.service, avoided)
             if instance is not None:
                 return instance
             if now >= until or avoided:
                 return None
-            await self._session.wait_changed(min(0.05, until - now))
+            await self._parts.session.wait_changed(min(0.05, until - now))
 
     async def _run_once(self, job: Job, instance: FleetInstance, again: bool) -> bool:
         """Run a request at an instance; return whether the client was answered."""
-        table = self._session.view.table
+        table = self._parts.session.view.table
         log.emit(
             events.REQUEST_SENT,
             request=job.fields.request,
             instance=instance.name,
             group='',
-            load=self._board.count(instance.name),
-            choices=len(self._session.view.list_serving(job.service.name)),
+            load=self._parts.board.count(instance.name),
+            choices=len(self._parts.session.view.list_serving(job.service.name)),
             attempt=len(job.sent) + 1,
             last_event='',
             table=table.version if table else 0,
-            age=round(self._session.confirmation_age_s, 3),
+            age=round(self._parts.session.confirmation_age_s, 3),
         )
-        self._board.begin(instance.name)
+        self._parts.board.begin(instance.name)
         try:
             return await self._attempt(job, instance, again)
         finally:
-            self._board.end(instance.name)
+            self._parts.board.end(instance.name)
 
     async def _attempt(self, job: Job, instance: FleetInstance, again: bool) -> bool:
-        wait_s = max(0.001, job.limit_at - self._clock())
+        wait_s = max(0.001, job.limit_at - self._parts.clock())
         if again:
             wait_s = min(wait_s, job.route.objective_s * ATTEMPT_OBJECTIVES)
-        sent_at = self._clock()
-        attempt = await send_attempt(
-            self._pool,
-            job,
-            instance,
-            self._clock,
-            self._session.is_fresh,
-            limit=bound_connections(job.service, self._session.count_nodes()),
-            last_event=b'',
-            # A reset of a connection that was used before says nothing about
-            # whether the request ran, so what runs once gets a new one.
-            fresh=not job.route.repeatable,
-            wait_s=wait_s,
-        )
+        sent_at = self._parts.clock()
+        # A reset of a connection that was used before says nothing about whether
+        # the request ran, so what runs once gets a new one.
+        plan = SendPlan(wait_s, fresh=not job.route.repeatable)
+        attempt = await send_attempt(self._parts, job, instance, plan)
         if attempt.answer is None:
-            self._board.note_failure(instance.name)
+            self._parts.board.note_failure(instance.name)
             return False
         try:
             return await self._pass_on(job, instance, attempt.answer, sent_at, again)
@@ -175,23 +149,23 @@
         again: bool,
     ) -> bool:
         """Read a whole answer and pass it on; return whether that was done."""
-        left_s = max(0.001, job.limit_at - self._clock())
+        left_s = max(0.001, job.limit_at - self._parts.clock())
         try:
             with anyio.fail_after(left_s):
                 body = await answer.read_whole(ANSWER_BYTES)
         except (ExchangeError, TimeoutError) as error:
             job.last_reason = str(error) or 'the answer did not end in time'
-            self._board.note_failure(instance.name)
+            self._parts.board.note_failure(instance.name)
             return False
         failed = answer.status >= 500
-        took_s = self._clock() - sent_at
+        took_s = self._parts.clock() - sent_at
         if failed:
-            self._board.note_failure(instance.name)
+            self._parts.board.note_failure(instance.name)
         else:
-            self._board.note_success(
+            self._parts.board.note_success(
                 instance.name, max(0.5, took_s / max(0.05, job.route.objective_s / 4))
             )
-        if failed and again and self._clock() < job.limit_at:
+        if failed and again and self._parts.clock() < job.limit_at:
             job.last_reason = f'answered with {answer.status}'
             return False
         if answer.status in (408, 421, 429, 503):
--- /dev/null
+++ b/coursepitch/gateway/parts.py
@@ -0,0 +1,28 @@
+"""The parts of a node that every request passes on its way."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from coursepitch.clock import Clock
+    from coursepitch.fleet.session import FleetSession
+    from coursepitch.gateway.board import LoadBoard
+    from coursepitch.gateway.budget import RetryBudget
+    from coursepitch.gateway.router import Router
+    from coursepitch.http.client import ConnectionPool
+
+__all__ = ['GatewayParts']
+
+
+@dataclass(frozen=True, slots=True)
+class GatewayParts:
+    """What serves requests of all kinds."""
+
+    session: FleetSession
+    router: Router
+    board: LoadBoard
+    budget: RetryBudget
+    pool: ConnectionPool
+    clock: Clock
--- a/coursepitch/gateway/streams.py
+++ b/coursepitch/gateway/streams.py
@@ -7,7 +7,7 @@
 import anyio
 
 from coursepitch import events, log
-from coursepitch.gateway.attempts import bound_connections, send_attempt
+from coursepitch.gateway.attempts import SendPlan, send_attempt
 from coursepitch.gateway.events_seam import EventSeam
 from coursepitch.gateway.job import Ending, Refusal
 from coursepitch.gateway.work import bound_requests
@@ -15,15 +15,11 @@
 from coursepitch.platform.headers import pass_answer_headers
 
 if TYPE_CHECKING:
-    from coursepitch.clock import Clock
-    from coursepitch.fleet.session import FleetSession
     from coursepitch.fleet.view import OpenGroup
-    from coursepitch.gateway.board import LoadBoard
-    from coursepitch.gateway.budget import RetryBudget
     from coursepitch.gateway.job import Job
-    from coursepitch.gateway.router import Router
+    from coursepitch.gateway.parts import GatewayParts
     from coursepitch.gateway.watchdog import Watchdog
-    from coursepitch.http.client import Answer, ConnectionPool
+    from coursepitch.http.client import Answer
 
 __all__ = ['StreamServer']
 
@@ -62,23 +58,9 @@
 class StreamServer:
     """Serves streaming routes whose service runs models in groups."""
 
-    def __init__(
-        self,
-        session: FleetSession,
-        router: Router,
-        board: LoadBoard,
-        budget: RetryBudget,
-        watchdog: Watchdog,
-        pool: ConnectionPool,
-        clock: Clock,
-    ) -> None:
-        self._session = session
-        self._router = router
-        self._board = board
-        self._budget = budget
+    def __init__(self, parts: GatewayParts, watchdog: Watchdog) -> None:
+        self._parts = parts
         self._watchdog = watchdog
-        self._pool = pool
-        self._clock = clock
 
     async def serve(self, job: Job) -> Refusal | None:
         """Serve a request; return what to tell the client if nothing was begun."""
@@ -88,8 +70,8 @@
             group = await self._wait_group(job, avoided)
             if group is None:
                 return self._give_up(job)
-            if job.sent and not self._budget.take(
-                job.service.name, self._session.count_nodes()
+            if job.sent and not self._parts.budget.take(
+                job.service.name, self._parts.session.count_nodes()
             ):
                 job.last_reason = 'the budget for second sends is used up'
                 return self._give_up(job)
@@ -107,7 +89,7 @@
 
         A run whose instance has gone since doesn't count.
         """
-        view = self._session.view
+        view = self._parts.session.view
         standing = [
             name
             for name in job.may_have_run
@@ -117,7 +99,7 @@
 
     def _is_broken(self, head: str) -> bool:
         """Whether a head's group no longer takes requests."""
-        view = self._session.view
+        view = self._parts.session.view
         for claim in view.all_claims():
             if claim.head == head:
                 group = view.find_open(claim)
@@ -130,14 +112,14 @@
             job.reply.abort()
             job.ending = Ending.CUT
             return None
-        left_s = job.limit_at - self._clock()
+        left_s = job.limit_at - self._parts.clock()
         if job.may_have_run:
             return Refusal(504 if left_s <= 0 else 502, job.last_reason)
         return Refusal(503, job.last_reason or 'no longer to be sent', AGAIN_S)
 
     async def _wait_group(self, job: Job, avoided: set[str]) -> OpenGroup | None:
         """Return a group to send to; wait for one as long as it helps."""
-        now = self._clock()
+        now = self._parts.clock()
         if job.reply.started:
             until = now + RESUME_WAIT_S
         elif job.returned:
@@ -146,11 +128,11 @@
             until = job.arrived_at + job.route.objective_s * WAIT_PART
         until = min(until, job.limit_at)
         bound = self._bound(job)
-        choose = self._router.choose_group
+        choose = self._parts.router.choose_group
         model = job.fields.model
         while True:
-            now = self._clock()
-            if now >= job.limit_at or not self._session.is_fresh():
+            now = self._parts.clock()
+            if now >= job.limit_at or not self._parts.session.is_fresh():
                 return None
             group = choose(job.service, model, avoided, bound)
             if group is None and job.reply.started:
@@ -160,11 +142,11 @@
             if now >= until:
                 job.last_reason = job.last_reason or self._why_none(job)
                 return None
-            await self._session.wait_changed(min(LOOK_S, until - now))
+            await self._parts.session.wait_changed(min(LOOK_S, until - now))
 
     def _why_none(self, job: Job) -> str:
         """Return why no group takes a request."""
-        if self._session.view.list_open(job.service.name, job.fields.model):
+        if self._parts.session.view.list_open(job.service.name, job.fields.model):
             return 'all groups are full or were tried'
         return 'no group is open'
 
@@ -182,21 +164,21 @@
     async def _run_once(self, job: Job, group: OpenGroup, seam: EventSeam) -> bool:
         """Run a request at a group; return whether the client was answered."""
         head = group.head
-        table = self._session.view.table
-        choices = self._session.view.list_open(job.service.name, job.fields.model)
+        table = self._parts.session.view.table
+        choices = self._parts.session.view.list_open(job.service.name, job.fields.model)
         log.emit(
             events.REQUEST_SENT,
             request=job.fields.request,
             instance=head.name,
             group=f'{group.claim.name}/{group.claim.epoch}',
-            load=self._board.count(head.name),
+            load=self._parts.board.count(head.name),
             choices=len(choices),
             attempt=len(job.sent) + 1,
             last_event=seam.last_event.decode('latin-1'),
             table=table.version if table else 0,
-            age=round(self._session.confirmation_age_s, 3),
+            age=round(self._parts.session.confirmation_age_s, 3),
         )
-        self._board.begin(head.name)
+        self._parts.board.begin(head.name)
         try:
             attempt = await self._attempt(job, group, seam)
             if attempt is None:
@@ -206,7 +188,7 @@
             finally:
                 attempt.release()
         finally:
-            self._board.end(head.name)
+            self._parts.board.end(head.name)
 
     async def _attempt(
         self, job: Job, group: OpenGroup, seam: EventSeam
@@ -215,30 +197,24 @@
         head = group.head
         stalled = anyio.Event()
         answers: list[Answer] = []
+        plan = SendPlan(
+            wait_s=max(0.001, job.limit_at - self._parts.clock()),
+            last_event=seam.last_event,
+            priority=RETURNED_PRIORITY if job.returned else None,
+        )
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._guard_head, group, stalled, tasks)
-            attempt = await send_attempt(
-                self._pool,
-                job,
-                head,
-                self._clock,
-                self._session.is_fresh,
-                limit=bound_connections(job.service, self._session.count_nodes()),
-                last_event=seam.last_event,
-                fresh=False,
-                wait_s=max(0.001, job.limit_at - self._clock()),
-                priority=RETURNED_PRIORITY if job.returned else None,
-            )
+            attempt = await send_attempt(self._parts, job, head, plan)
             if attempt.answer is not None:
                 answers.append(attempt.answer)
             tasks.cancel_scope.cancel()
         if stalled.is_set() and not answers:
             job.may_have_run.add(head.name)
             job.last_reason = 'a member of the group does not answer'
-            self._board.note_failure(head.name)
+            self._parts.board.note_failure(head.name)
             return None
         if not answers:
-            self._board.note_failure(head.name)
+            self._parts.board.note_failure(head.name)
             return None
         return answers[0]
 
@@ -246,7 +222,7 @@
         self, group: OpenGroup, stalled: anyio.Event, tasks: anyio.abc.TaskGroup
     ) -> None:
         """Give an attempt up when a member of its group is silent."""
-        await self._watchdog.wait_silent(group, self._clock())
+        await self._watchdog.wait_silent(group, self._parts.clock())
         stalled.set()
         tasks.cancel_scope.cancel()
 
@@ -271,7 +247,7 @@
                 whole = seam.take(data)
                 if whole:
                     if job.first_at is None:
-                        job.first_at = self._clock()
+                        job.first_at = self._parts.clock()
                     await job.reply.send(whole)
         except ExchangeError as error:
             seam.cut()
@@ -282,12 +258,12 @@
             await job.reply.send(rest)
         await job.reply.end()
         job.ending = Ending.ANSWERED
-        self._board.note_success(group.head.name)
+        self._parts.board.note_success(group.head.name)
         return True
 
     async def _pass_failure(self, job: Job, group: OpenGroup, answer: Answer) -> bool:
         """Pass a failure on unless another run may do better."""
-        self._board.note_failure(group.head.name)
+        self._parts.board.note_failure(group.head.name)
         body = await _read_failure(answer)
         again = job.route.repeatable and self._may_repeat(job) and answer.status >= 500
         if body is None or job.reply.started or again:
@@ -303,7 +279,7 @@
 
         :raises ExchangeError: it broke off, or a member of the group is silent.
         """
-        since = self._clock()
+        since = self._parts.clock()
         head = group.head.name
         while True:
             left_s = self._watchdog.quiet_s(head, since)
@@ -315,13 +291,13 @@
             elif not await self._watchdog.check(group):
                 raise ExchangeError('a member of the group does not answer')
             else:
-                since = self._clock()
+                since = self._parts.clock()
 
     def _note_cut(
         self, job: Job, group: OpenGroup, seam: EventSeam, reason: str
     ) -> None:
         job.last_reason = reason
-        self._board.note_failure(group.head.name)
+        self._parts.board.note_failure(group.head.name)
         log.emit(
             events.REQUEST_RESUMED,
             request=job.fields.request,
--- a/coursepitch/gateway_application.py
+++ b/coursepitch/gateway_application.py
@@ -19,6 +19,7 @@
 from coursepitch.gateway.board import LoadBoard
 from coursepitch.gateway.budget import RetryBudget
 from coursepitch.gateway.calls import CallServer
+from coursepitch.gateway.parts import GatewayParts
 from coursepitch.gateway.router import Router
 from coursepitch.gateway.streams import StreamServer
 from coursepitch.gateway.watchdog import Watchdog
@@ -122,18 +123,11 @@
         self._was_ready: bool | None = None
 
     def _build_gateway(self) -> Gateway:
-        streams = StreamServer(
-            self.session,
-            self.router,
-            self.board,
-            self.budget,
-            self.watchdog,
-            self.pool,
-            self.clock,
-        )
-        calls = CallServer(
+        parts = GatewayParts(
             self.session, self.router, self.board, self.budget, self.pool, self.clock
         )
+        streams = StreamServer(parts, self.watchdog)
+        calls = CallServer(parts)
         return Gateway(
             self.session,
             self.router,
