Where operators prefer it, nodes serve through an outage of the store

The product had no such setting.

Ruled out: dropping the bound altogether. A node that stood still for a minute would then serve keys that are long gone (test_node_that_stood_still_asks_before_it_serves).

Change: `[promises] refuse_unconfirmed`, checked at start; `fleet.freshness` holds the times of confirmations and unanswered questions and decides. A newer configuration told of by a peer ends it; a node that is alone calls itself not ready.

--- a/coursepitch/config/gateway.py
+++ b/coursepitch/config/gateway.py
@@ -58,6 +58,11 @@
     revoke_s: float = option(
         5.0, 'Seconds after which no key that was taken away is served.', low=0.5
     )
+    refuse_unconfirmed: bool = option(
+        True,
+        'Whether requests are refused while the store is away and no key is known '
+        'to be still valid; if not, they are served on the last configuration.',
+    )
     retry_ratio: float = option(0.2, 'Second sends for each request.', low=0)
     retry_extra: float = option(
         0.0, 'Second sends a window over all nodes, whatever the traffic.', low=0
--- a/coursepitch/fleet/session.py
+++ b/coursepitch/fleet/session.py
@@ -40,6 +40,7 @@
     from collections.abc import Callable
 
     from coursepitch.clock import Clock
+    from coursepitch.fleet.freshness import Freshness
     from coursepitch.fleet.messages import Message
     from coursepitch.platform.kv import KeyValue
 
@@ -91,15 +92,14 @@
     """View of the store, with the tasks that keep it fresh.
 
     :param name: name of the node.
-    :param serve_bound_s: age of the last confirmation past which the node
-        must not act on its configuration.
+    :param freshness: says for how long the node may act on its configuration.
     """
 
     def __init__(
         self,
         name: str,
         kv: KeyValue,
-        serve_bound_s: float,
+        freshness: Freshness,
         clock: Clock,
     ) -> None:
         self.view = FleetView(clock)
@@ -115,10 +115,8 @@
         #: Whether other nodes count on this one to follow the store.
         self.is_followed: Callable[[], bool] = lambda: False
         self._name = name
-        self._bound_s = serve_bound_s
+        self._freshness = freshness
         self._clock = clock
-        self._confirmed_at = float('-inf')
-        self._own_asked_at = float('-inf')
         self._up = True
         self._changed = anyio.Event()
         self._reported: dict[str, float] = {}
@@ -128,19 +126,28 @@
     @property
     def confirmation_age_s(self) -> float:
         """Seconds since the newest confirmation of the configuration was asked."""
-        return self._clock() - self._confirmed_at
+        return self._freshness.age_s
 
     def is_fresh(self) -> bool:
         """Whether the node may act on its configuration at this moment."""
-        return self.view.table is not None and self.confirmation_age_s < self._bound_s
+        if self.view.table is None:
+            return False
+        newer = bool(self.book.find_table(self._table_revision()))
+        return self._freshness.may_act(newer)
 
     def is_starting(self) -> bool:
         """Whether no configuration was in force and confirmed here yet."""
-        return self.view.table is None or self._confirmed_at == float('-inf')
+        return self.view.table is None or self.confirmation_age_s == float('inf')
 
     def is_fading(self) -> bool:
-        """Whether the confirmation is so old that clients should go elsewhere."""
-        return self.confirmation_age_s >= self._bound_s * FADING_PART
+        """Whether the confirmation is so old that clients should go elsewhere.
+
+        While others go on without one too, nobody knows better than this node.
+        """
+        if self.confirmation_age_s < self._freshness.bound_s * FADING_PART:
+            return False
+        alone = not self.book.list_heard()
+        return alone or self._freshness.refuse_unconfirmed or not self.is_fresh()
 
     def is_leader(self) -> bool:
         """Whether the node holds the lead, by its own reckoning of its lease."""
@@ -227,12 +234,12 @@
 
     def describe(self, counts: dict[str, int], work: dict[str, float]) -> Heartbeat:
         """Return what this node tells of itself now."""
-        known = self._own_asked_at > float('-inf')
+        known = self._freshness.asked_at > float('-inf')
         beat = Heartbeat(
             self._name,
             self.book.incarnation,
             self._table_revision(),
-            self._own_asked_at if known else None,
+            self._freshness.asked_at if known else None,
             self.view.heard_revision,
             self.is_watching(),
             counts,
@@ -268,7 +275,7 @@
             return
         # Nothing newer than the peer's table existed then, so nothing newer
         # than one at least as new here.
-        self._confirmed_at = max(self._confirmed_at, found.asked_at)
+        self._freshness.note_told(found.asked_at)
 
     def _take_changes(self, changes: Changes) -> None:
         """Take changes that follow on what was heard; later ones leave a gap."""
@@ -332,8 +339,7 @@
             return True
         if self.book.find_table(self._table_revision()):
             return True
-        own_age_s = self._clock() - self._own_asked_at
-        return own_age_s >= CONFIRM_S and self.is_watching()
+        return self._freshness.own_age_s >= CONFIRM_S and self.is_watching()
 
     async def confirm(self) -> bool:
         """Ask whether the configuration in force is the newest there is.
@@ -344,6 +350,7 @@
         condition = Condition(CONFIGURATION_KEY, self._table_revision())
         result = await self.kv.transact([condition])
         if isinstance(result, Unavailable | Rejected):
+            self._freshness.note_unanswered(asked_at)
             self._note_outage(result.reason)
             return False
         self._note_answer()
@@ -354,8 +361,7 @@
                 return False
             self.tell_now()
         starting = self.is_starting()
-        self._confirmed_at = max(self._confirmed_at, asked_at)
-        self._own_asked_at = asked_at
+        self._freshness.note_confirmed(asked_at)
         if starting:
             self.wake()
         return True
--- a/coursepitch/gateway_application.py
+++ b/coursepitch/gateway_application.py
@@ -12,6 +12,7 @@
 from coursepitch.config.gateway import load_gateway_settings
 from coursepitch.errors import FindingsError
 from coursepitch.fleet.control import InstanceControl
+from coursepitch.fleet.freshness import Freshness
 from coursepitch.fleet.keeper import GroupKeeper
 from coursepitch.fleet.links import PeerLinks
 from coursepitch.fleet.session import FleetSession
@@ -77,8 +78,10 @@
         self.kv = KeyValue(
             store.address, store.timeout_s, store.calls_per_s, self.metrics, clock
         )
-        bound_s = promises.revoke_s * FRESH_PART
-        self.session = FleetSession(node.name, self.kv, bound_s, clock)
+        freshness = Freshness(
+            promises.revoke_s * FRESH_PART, clock, promises.refuse_unconfirmed
+        )
+        self.session = FleetSession(node.name, self.kv, freshness, clock)
         self.control = InstanceControl(clock)
         self.pool = ConnectionPool(clock)
         self.links = PeerLinks(
--- a/tests/fleet/test_peers.py
+++ b/tests/fleet/test_peers.py
@@ -11,6 +11,7 @@
 from hypothesis import strategies as st
 
 from coursepitch.errors import CodecError
+from coursepitch.fleet.freshness import Freshness
 from coursepitch.fleet.messages import (
     Changes,
     Heartbeat,
@@ -215,7 +216,9 @@
     def setUp(self):
         self.now = 100.0
         self.told = []
-        self.session = FleetSession('n1', None, BOUND_S, lambda: self.now)
+        self.session = FleetSession(
+            'n1', None, Freshness(BOUND_S, lambda: self.now), lambda: self.now
+        )
         self.session.tell = lambda message, node: self.told.append((message, node))
         self.session.view.take_configuration(self.write_configuration(1, 10))
 
@@ -274,7 +277,9 @@
         self.assertEqual(self.told[0][0].entry.revision, 20)
 
     def test_that_there_is_no_configuration_is_confirmed_by_peers_too(self):
-        session = FleetSession('n2', None, BOUND_S, lambda: self.now)
+        session = FleetSession(
+            'n2', None, Freshness(BOUND_S, lambda: self.now), lambda: self.now
+        )
         self.session = session
         self.confirm(0)
         self.assertAlmostEqual(session.confirmation_age_s, 0.6)
--- a/tests/fleet/test_session.py
+++ b/tests/fleet/test_session.py
@@ -7,6 +7,7 @@
 
 import anyio
 
+from coursepitch.fleet.freshness import OUTAGE_SIGN_S, Freshness
 from coursepitch.fleet.messages import Heartbeat
 from coursepitch.fleet.session import (
     CONFIRM_RETRY_S,
@@ -48,7 +49,7 @@
     def setUp(self):
         self.store = FakeStore()
         clock = self.store.clock
-        self.session = FleetSession('n1', self.store, BOUND_S, clock)
+        self.session = FleetSession('n1', self.store, Freshness(BOUND_S, clock), clock)
         self.session.view.take_configuration(write_configuration(1, 10))
 
     def confirm(self, answer):
@@ -97,18 +98,77 @@
         self.assertFalse(self.session.is_fresh())
 
     def test_unknown_configuration_is_never_fresh(self):
-        session = FleetSession('n2', self.store, BOUND_S, self.store.clock)
+        clock = self.store.clock
+        session = FleetSession('n2', self.store, Freshness(BOUND_S, clock), clock)
         self.store.answer = Swapped(1)
         anyio.run(session.confirm)
         self.assertFalse(session.is_fresh())
 
 
+class UnconfirmedTest(unittest.TestCase):
+    """Where operators prefer it, a node serves through an outage of the store."""
+
+    def setUp(self):
+        self.store = FakeStore()
+        clock = self.store.clock
+        freshness = Freshness(BOUND_S, clock, refuse_unconfirmed=False)
+        self.session = FleetSession('n1', self.store, freshness, clock)
+        self.session.view.take_configuration(write_configuration(1, 10))
+        self.ask(Swapped(12))
+
+    def ask(self, answer):
+        self.store.answer = answer
+        return anyio.run(self.session.confirm)
+
+    def test_node_serves_while_the_store_stays_away(self):
+        for _ in range(30):
+            self.store.now += 2.0
+            self.ask(Unavailable('down'))
+            self.assertTrue(self.session.is_fresh())
+
+    def test_node_that_stood_still_asks_before_it_serves(self):
+        self.ask(Unavailable('down'))
+        self.store.now += 60.0
+        self.assertFalse(self.session.is_fresh())
+        self.ask(Unavailable('down'))
+        self.assertTrue(self.session.is_fresh())
+
+    def test_sign_of_an_outage_ages(self):
+        self.store.now += BOUND_S
+        self.ask(Unavailable('down'))
+        self.store.now += OUTAGE_SIGN_S + 0.01
+        self.assertFalse(self.session.is_fresh())
+
+    def test_newer_configuration_elsewhere_ends_it(self):
+        self.store.now += BOUND_S
+        self.ask(Unavailable('down'))
+        self.session.book.take(Heartbeat('n2', 2, table_revision=20))
+        self.assertFalse(self.session.is_fresh())
+        self.session.view.take_configuration(write_configuration(2, 20))
+        self.assertTrue(self.session.is_fresh())
+
+    def test_node_without_configuration_serves_nothing(self):
+        clock = self.store.clock
+        freshness = Freshness(BOUND_S, clock, refuse_unconfirmed=False)
+        self.session = FleetSession('n2', self.store, freshness, clock)
+        self.ask(Unavailable('down'))
+        self.assertFalse(self.session.is_fresh())
+
+    def test_only_a_node_that_is_alone_hands_its_clients_on(self):
+        self.store.now += BOUND_S
+        self.ask(Unavailable('down'))
+        self.assertTrue(self.session.is_fading())
+        self.session.book.take(Heartbeat('n2', 2, table_revision=10))
+        self.assertFalse(self.session.is_fading())
+
+
 class PauseTest(unittest.TestCase):
     """How often the store is asked while it gives no answer."""
 
     def setUp(self):
         self.now = 100.0
-        self.session = FleetSession('n1', None, BOUND_S, lambda: self.now)
+        freshness = Freshness(BOUND_S, lambda: self.now)
+        self.session = FleetSession('n1', None, freshness, lambda: self.now)
 
     def pauses(self):
         return [self.session._find_pause(attempt) for attempt in range(5)]
