An account of requests: why they were late, refused or failed

Cause: where worth is lost was guessed from single lines; the logs lacked the times to the first send and event, the longest pause and the route's promises, and the group of an instance was a text.

Ruled out: lines dropped by ourselves (no log.dropped in that log).

Change: `request.ended` and `instance.changed` tell these as fields; one write holds whole lines of at most 4,096 bytes (test_log fails without); `coursepitch report` sums up by cause, model and second, with open groups and idle instances, as text, JSON or a page. Times that a collector put before lines are read.

--- a/coursepitch/cmd/main.py
+++ b/coursepitch/cmd/main.py
@@ -32,6 +32,7 @@
     'status': ('resource', 'StatusCommand'),
     'plan': ('plan', 'PlanCommand'),
     'timeline': ('timeline', 'TimelineCommand'),
+    'report': ('report', 'ReportCommand'),
 }
 
 
--- a/coursepitch/fleet/view.py
+++ b/coursepitch/fleet/view.py
@@ -234,7 +234,7 @@
                 events.INSTANCE_CHANGED,
                 instance=name,
                 draining=instance.draining,
-                membership=str(instance.membership),
+                **_describe_membership(instance),
                 domain=instance.domain,
                 models=sorted(instance.models),
                 staged=sorted(instance.staged),
@@ -337,6 +337,19 @@
         )
 
 
+def _describe_membership(instance: FleetInstance) -> dict[str, object]:
+    """Return the fields of a log line that tell an instance's group."""
+    found = instance.membership
+    if found is None:
+        return {'group': '', 'epoch': 0, 'rank': 0, 'state': ''}
+    return {
+        'group': found.group,
+        'epoch': found.epoch,
+        'rank': found.rank,
+        'state': found.state.value,
+    }
+
+
 def _remember_model(
     before: FleetInstance | None, after: FleetInstance
 ) -> FleetInstance:
--- a/coursepitch/gateway/arrive.py
+++ b/coursepitch/gateway/arrive.py
@@ -205,11 +205,23 @@
             events.REQUEST_ENDED,
             request=fields.request,
             route=job.route.name if job else '',
+            kind=job.route.kind.value if job else '',
+            model=fields.model,
             status=end.status,
             outcome=outcome.value,
             reason=end.reason,
             instance=','.join(job.sent) if job else '',
             attempts=len(job.sent) if job else 0,
             took_s=round(took_s, 4),
+            held_s=_round_since(job.sent_at, job) if job else None,
+            first_s=_round_since(job.first_at, job) if job else None,
+            pause_s=round(job.pause_s, 4) if job else 0.0,
+            objective_s=job.route.objective_s if job else 0.0,
+            pause_limit_s=job.route.pause_s if job else 0.0,
             age=round(self._session.confirmation_age_s, 3),
         )
+
+
+def _round_since(at: float | None, job: Job) -> float | None:
+    """Return the seconds from a job's arrival to a moment, for the log."""
+    return None if at is None else round(at - job.arrived_at, 4)
--- a/coursepitch/gateway/attempts.py
+++ b/coursepitch/gateway/attempts.py
@@ -123,7 +123,7 @@
     )
     incoming = job.incoming
     headers = build_target_headers(incoming.headers, fields)
-    job.sent.append(instance.name)
+    job.note_sent(instance.name, parts.clock())
     try:
         with anyio.fail_after(plan.wait_s):
             answer = await pool.exchange(
--- a/coursepitch/gateway/job.py
+++ b/coursepitch/gateway/job.py
@@ -50,7 +50,10 @@
     :param limit_at: monotonic time past which nobody waits for the answer.
     :param sent: instances that it was sent to, in order.
     :param may_have_run: instances that ran it, or may have.
+    :param sent_at: monotonic time of the first send.
     :param first_at: monotonic time at which the first event went on.
+    :param event_at: monotonic time at which the newest event went on.
+    :param pause_s: longest pause in seconds between two events.
     """
 
     incoming: IncomingRequest
@@ -65,9 +68,26 @@
     may_have_run: set[str] = field(default_factory=set)
     last_reason: str = ''
     ending: Ending = Ending.NOT_RUN
+    sent_at: float | None = None
     first_at: float | None = None
+    event_at: float | None = None
+    pause_s: float = 0.0
     status: int = 0
 
+    def note_sent(self, instance: str, now: float) -> None:
+        """Note that the request goes to an instance."""
+        self.sent.append(instance)
+        if self.sent_at is None:
+            self.sent_at = now
+
+    def note_event(self, now: float) -> None:
+        """Note that events go on to the client."""
+        if self.event_at is None:
+            self.first_at = now
+        else:
+            self.pause_s = max(self.pause_s, now - self.event_at)
+        self.event_at = now
+
     @property
     def arrived_at(self) -> float:
         """Monotonic time at which the request had been read."""
--- a/coursepitch/gateway/streams.py
+++ b/coursepitch/gateway/streams.py
@@ -246,8 +246,7 @@
                     break
                 whole = seam.take(data)
                 if whole:
-                    if job.first_at is None:
-                        job.first_at = self._parts.clock()
+                    job.note_event(self._parts.clock())
                     await job.reply.send(whole)
         except ExchangeError as error:
             seam.cut()
--- a/coursepitch/log.py
+++ b/coursepitch/log.py
@@ -39,8 +39,9 @@
 #: Characters of a traceback that are logged, from its end.
 TRACEBACK_CHARS = 4_000
 
-#: Bytes written to standard output at once.
-WRITE_BYTES = 65_536
+#: Bytes written to standard output at once.  Source: a pipe takes so many as a
+#: whole (PIPE_BUF on Linux), so that lines of several writers don't mix.
+WRITE_BYTES = 4_096
 
 
 class BoundedOutput:
@@ -70,8 +71,10 @@
             emit(events.LINES_DROPPED, count=count)
         while self._lines or self._rest:
             data = self._rest
-            while self._lines and len(data) < WRITE_BYTES:
+            while self._lines and len(data) + len(self._lines[0]) <= WRITE_BYTES:
                 data += self._lines.popleft()
+            if not data:
+                data = self._lines.popleft()
             try:
                 written = os.write(self._descriptor, data)
             except BlockingIOError:
--- a/coursepitch/timeline.py
+++ b/coursepitch/timeline.py
@@ -46,17 +46,25 @@
 
 
 def read_log(path: Path) -> list[Entry]:
-    """Read the events of a log; lines that are no events are passed over."""
-    entries = []
+    """Read the events of a log; lines that are no events are passed over.
+
+    Where a collector put its time before a line, that is taken: one clock for all.
+    A line of such a log that lacks it gets the time of the line before.
+    """
+    entries: list[Entry] = []
+    collected_at: float | None = None
     with path.open(encoding='utf-8', errors='replace') as file:
         for line in file:
-            entry = _read_line(line)
+            before, brace, rest = line.partition('{')
+            found = _read_time(before)
+            collected_at = collected_at if found is None else found
+            entry = _read_line(brace + rest, collected_at)
             if entry is not None:
                 entries.append(entry)
     return entries
 
 
-def _read_line(line: str) -> Entry | None:
+def _read_line(line: str, collected_at: float | None) -> Entry | None:
     try:
         data = json.loads(line)
         if 'message_type' not in data:
@@ -65,7 +73,7 @@
         return Entry(
             str(data['task_uuid']),
             tuple(data['task_level']),
-            float(data['timestamp']),
+            float(data['timestamp']) if collected_at is None else collected_at,
             str(data.get('node', '')),
             int(data.get('number', 0)),
             str(data['message_type']),
@@ -75,6 +83,17 @@
         return None
 
 
+def _read_time(before: str) -> float | None:
+    """Return the seconds that a collector put before an event."""
+    words = before.split()
+    if not words:
+        return None
+    try:
+        return float(words[0])
+    except ValueError:
+        return None
+
+
 def merge_logs(entries: Iterable[Entry], only: str = '') -> list[list[Entry]]:
     """Return the events by task, each in the order of cause.
 
--- /dev/null
+++ b/tests/report/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the report on requests."""
--- /dev/null
+++ b/tests/test_log.py
@@ -0,0 +1,51 @@
+"""Lines on their way to standard output."""
+
+from __future__ import annotations
+
+import os
+import socket
+import unittest
+
+from coursepitch.log import WRITE_BYTES, BoundedOutput
+
+
+class WriteTest(unittest.TestCase):
+    """Each write holds whole lines, so that those of several writers don't mix."""
+
+    def setUp(self):
+        # Each write arrives as a packet of its own.
+        self.reader, self.writer = socket.socketpair(
+            socket.AF_UNIX, socket.SOCK_SEQPACKET
+        )
+        self.reader.setblocking(False)
+
+    def tearDown(self):
+        self.reader.close()
+        self.writer.close()
+
+    def read_packets(self):
+        packets = []
+        while True:
+            try:
+                packets.append(os.read(self.reader.fileno(), 1 << 20))
+            except BlockingIOError:
+                return packets
+
+    def test_writes_are_small_and_whole(self):
+        output = BoundedOutput(self.writer.fileno())
+        for number in range(200):
+            output.take({'number': number, 'text': 'x' * 100})
+        output.flush()
+        packets = self.read_packets()
+        self.assertGreater(len(packets), 1)
+        for packet in packets:
+            self.assertTrue(packet.endswith(b'\n'))
+            self.assertLessEqual(len(packet), WRITE_BYTES)
+        self.assertEqual(b''.join(packets).count(b'\n'), 200)
+
+    def test_line_longer_than_a_write_goes_alone(self):
+        output = BoundedOutput(self.writer.fileno())
+        output.take({'text': 'x' * (WRITE_BYTES + 10)})
+        output.take({'text': 'short'})
+        output.flush()
+        self.assertEqual(len(self.read_packets()), 2)
