--- a/coursepitch/gateway/router.py
+++ b/coursepitch/gateway/router.py
@@ -18,10 +18,12 @@
 
 __all__ = ['Router']
 
-#: Cost of another availability zone, in requests in flight: bytes between
-#: zones are priced, and only equal choices are decided by it.
-ZONE_COST = 0.3
-
+#: Cost of another availability zone, in requests in flight, as a part of the slots:
+#: bytes between zones are priced, and a group in reach of its objective serves one
+#: or two requests more as well.  With two requests (of 13 slots) in place of 0.3,
+#: 0.008 GB instead of 0.012 GB a day crossed zones, and the mean worth of six days
+#: of losses was 0.815 instead of 0.809 (7 nodes); with four requests 0.814.
+ZONE_COST = 0.15
 
 #: Seconds by which requests in flight from other nodes are seen late: a heartbeat
 #: to the node that adds them up, and one from it.
@@ -57,8 +59,9 @@
             return route.backends[0].service
         return random.choices(route.backends, weights)[0].service
 
-    def _away(self, instance: FleetInstance) -> float:
-        return 0.0 if instance.availability_zone == self._zone else ZONE_COST
+    def _away(self, instance: FleetInstance, slots: int) -> float:
+        """Return what speaks against an instance's zone, in requests in flight."""
+        return 0.0 if instance.availability_zone == self._zone else ZONE_COST * slots
 
     def choose_group(
         self, service: Service, model: str, avoided: Collection[str], bound: int
@@ -86,9 +89,10 @@
 
     def _weigh(self, head: FleetInstance, count: int, service: Service) -> float:
         """Return a head's load with what speaks against it, in requests."""
-        load = count * self._board.slowness(head.name) + self._away(head)
+        slots = service.engine.slots if service.engine else 1
+        load = count * self._board.slowness(head.name) + self._away(head, slots)
         if self._board.is_held(head.name):
-            load += service.engine.slots if service.engine else 1
+            load += slots
         return load
 
     def choose_instance(
@@ -102,7 +106,7 @@
             if name in avoided:
                 continue
             load = (self._board.count(name) + 1) * self._board.slowness(name)
-            cost = load + self._away(instance) + random.random() * 0.2
+            cost = load + self._away(instance, instance.slots) + random.random() * 0.2
             if self._board.is_held(name):
                 cost += 100.0
             if cost < least:
