--- a/coursepitch/events.py
+++ b/coursepitch/events.py
@@ -59,6 +59,12 @@
 CONFIG_ACCEPTED = Event(
     302, 'config.accepted', 'A revision is in force everywhere.', ('revision',)
 )
+WATCH_SILENT = Event(
+    204,
+    'service.watch_silent',
+    'A watch told nothing of changes; all keys are listed anew.',
+    ('heard', 'revision'),
+)
 CONFIG_DAMAGED = Event(
     304,
     'config.damaged',
@@ -220,6 +226,12 @@
         'age',
     ),
 )
+REQUEST_OVERDUE = Event(
+    610,
+    'request.overdue',
+    'A request stands still at a group that answers, and goes to another.',
+    ('request', 'instance', 'load', 'begun'),
+)
 REQUEST_RETRIED = Event(
     603, 'request.retried', 'A further attempt was made.', ('request', 'reason')
 )
--- a/tests/fleet/test_session.py
+++ b/tests/fleet/test_session.py
@@ -14,7 +14,7 @@
     LONGEST_RETRY_S,
     FleetSession,
 )
-from coursepitch.platform.kv import Conflict, Entry, Swapped, Unavailable
+from coursepitch.platform.kv import Conflict, Entry, Events, Swapped, Unavailable
 from tests.whole.platform_base import build_configuration
 
 BOUND_S = 4.25
@@ -186,3 +186,52 @@
         self.session.book.take(Heartbeat('n2', 2))
         self.session.is_followed = lambda: True
         self.assertEqual(self.pauses(), [CONFIRM_RETRY_S] * 5)
+
+
+class SilentWatchTest(unittest.IsolatedAsyncioTestCase):
+    """A watch whose connection went silent is ended by what other calls tell."""
+
+    def setUp(self):
+        self.store = FakeStore()
+        freshness = Freshness(BOUND_S, self.store.clock)
+        self.session = FleetSession('n1', self.store, freshness, self.store.clock)
+        self.session.is_followed = lambda: True
+        self.listings = 0
+        self.listed_again = anyio.Event()
+        self.store.list_prefix = self.list_all
+        self.store.watch = self.stay_silent
+        self.waiting = anyio.Event()
+
+    async def list_all(self, prefix):
+        self.listings += 1
+        if self.listings == 2:
+            self.listed_again.set()
+        return Events((), 10 * self.listings, complete=True)
+
+    async def stay_silent(self, prefix, after, wait_s):
+        self.waiting.set()
+        await anyio.sleep_forever()
+
+    async def confirm(self, revision):
+        self.store.answer = Swapped(revision)
+        await self.session.confirm()
+        self.store.now += 0.8
+
+    async def run_watch(self, revisions):
+        """Confirm with the store's revisions while a watch waits."""
+        async with anyio.create_task_group() as group:
+            group.start_soon(self.session._follow)
+            await self.waiting.wait()
+            for revision in revisions:
+                await self.confirm(revision)
+            with anyio.move_on_after(0.5):
+                await self.listed_again.wait()
+            group.cancel_scope.cancel()
+        return self.listings
+
+    async def test_silent_watch_is_ended_and_all_is_listed(self):
+        self.assertEqual(await self.run_watch([11, 11, 12]), 2)
+        self.assertEqual(self.session.view.heard_revision, 20)
+
+    async def test_watch_that_is_up_to_date_goes_on(self):
+        self.assertEqual(await self.run_watch([10, 10, 10, 11]), 1)
