Settings that change are taken as far as that is safe, and the log says which

Cause: on SIGHUP the file was checked and nothing was taken, and no line said which options are in force.

Change: the promises change while running (confirmation bound, serving through an outage, budget for second sends); other options wait for a restart; `node.settings_read` names both.

Tests: SettingsTest (a node is told to serve through an outage and does; another option waits; a damaged file changes nothing). The first failed before: the option was not taken.

--- a/coursepitch/config/gateway.py
+++ b/coursepitch/config/gateway.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, fields
 from typing import TYPE_CHECKING
 
 from coursepitch.config.options import REQUIRED, option, read_ini
@@ -12,7 +12,8 @@
 if TYPE_CHECKING:
     from pathlib import Path
 
-__all__ = ['GatewaySettings', 'load_gateway_settings']
+__all__ = ['GatewaySettings', 'PromiseSettings', 'list_changed_options']
+__all__ += ['load_gateway_settings']
 
 
 @dataclass(frozen=True, slots=True)
@@ -90,3 +91,14 @@
     if findings:
         raise FindingsError(findings)
     return GatewaySettings(**parts)
+
+
+def list_changed_options(old: GatewaySettings, new: GatewaySettings) -> list[str]:
+    """Return the options that differ, each as its section, a dot and its name."""
+    return [
+        f'{section.name}.{row.name}'
+        for section in fields(GatewaySettings)
+        for row in fields(getattr(old, section.name))
+        if getattr(getattr(old, section.name), row.name)
+        != getattr(getattr(new, section.name), row.name)
+    ]
--- a/coursepitch/events.py
+++ b/coursepitch/events.py
@@ -34,7 +34,10 @@
 )
 
 SETTINGS_READ = Event(
-    107, 'node.settings_read', 'The settings were read anew.', ('outcome',)
+    107,
+    'node.settings_read',
+    'The settings were read anew: which options are in force now, which wait.',
+    ('outcome', 'taken', 'waiting'),
 )
 
 FAULT = Event(
--- a/coursepitch/gateway_application.py
+++ b/coursepitch/gateway_application.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 import signal
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 import anyio
 
 from coursepitch import events, log
 from coursepitch.clock import monotonic
-from coursepitch.config.gateway import load_gateway_settings
+from coursepitch.config.gateway import list_changed_options, load_gateway_settings
 from coursepitch.errors import FindingsError
 from coursepitch.fleet.control import InstanceControl
 from coursepitch.fleet.freshness import Freshness
@@ -35,7 +36,7 @@
     from pathlib import Path
 
     from coursepitch.clock import Clock
-    from coursepitch.config.gateway import GatewaySettings
+    from coursepitch.config.gateway import GatewaySettings, PromiseSettings
     from coursepitch.fleet.messages import Heartbeat
     from coursepitch.http.messages import IncomingRequest
     from coursepitch.http.server import Reply
@@ -78,10 +79,10 @@
         self.kv = KeyValue(
             store.address, store.timeout_s, store.calls_per_s, self.metrics, clock
         )
-        freshness = Freshness(
+        self.freshness = Freshness(
             promises.revoke_s * FRESH_PART, clock, promises.refuse_unconfirmed
         )
-        self.session = FleetSession(node.name, self.kv, freshness, clock)
+        self.session = FleetSession(node.name, self.kv, self.freshness, clock)
         self.control = InstanceControl(clock)
         self.pool = ConnectionPool(clock)
         self.links = PeerLinks(
@@ -251,13 +252,32 @@
                 self._reload()
 
     def _reload(self) -> None:
-        """Check the settings file anew; what is in force stays if it is damaged."""
+        """Take the settings file anew as far as that is safe while running.
+
+        The promises change at once; addresses, names and the like wait for a
+        restart.  What is in force stays if the file is damaged.
+        """
         try:
-            load_gateway_settings(self._path)
+            settings = load_gateway_settings(self._path)
         except FindingsError as error:
-            log.emit(events.SETTINGS_READ, outcome=str(error))
-        else:
-            log.emit(events.SETTINGS_READ, outcome='good')
+            log.emit(events.SETTINGS_READ, outcome=str(error), taken=[], waiting=[])
+            return
+        changed = list_changed_options(self.settings, settings)
+        self.settings = replace(self.settings, promises=settings.promises)
+        self._take_promises(settings.promises)
+        log.emit(
+            events.SETTINGS_READ,
+            outcome='good',
+            taken=[name for name in changed if name.startswith('promises.')],
+            waiting=[name for name in changed if not name.startswith('promises.')],
+        )
+
+    def _take_promises(self, promises: PromiseSettings) -> None:
+        self.freshness.bound_s = promises.revoke_s * FRESH_PART
+        self.freshness.refuse_unconfirmed = promises.refuse_unconfirmed
+        self.budget.ratio = promises.retry_ratio
+        self.budget.extra = promises.retry_extra
+        self.budget.window_s = promises.retry_window_s
 
     async def _stop(self) -> None:
         """Answer what was read, turn the balancer away, and end."""
