Groups form of what no shorter model can use; loads by what they gain, tried and left

Cause: two instances with the smaller model's weights alone stayed idle while the larger model was short, which they can't serve.

Change: beyond the targets groups form of instances that the shortest model can't use.

Tried and reverted: choosing each load by the worth of the group that it makes possible, members of other groups included.

--- a/coursepitch/fleet/placement.py
+++ b/coursepitch/fleet/placement.py
@@ -17,21 +17,12 @@
     from coursepitch.config.routes import ModelProfile
     from coursepitch.fleet.instances import FleetInstance
 
-__all__ = ['Conversion', 'Formation', 'PlacementPlan', 'Staging', 'StandingGroup']
-__all__ += ['choose_conversion', 'choose_second', 'count_targets', 'plan_domains']
+__all__ = ['Formation', 'PlacementPlan', 'Staging', 'choose_second', 'count_targets']
+__all__ += ['find_warmth', 'is_served', 'plan_domains']
 
 #: Part of the instances that the measured work has to fill to be trusted fully.
 TRUSTED_PART = 0.3
 
-#: How much closer to what is wanted an exchange of groups has to come, for what it
-#: costs: its instances serve nobody for two to three seconds.  Exchanges chosen over
-#: all domains brought the mean worth of ten days of losses from 0.811 to 0.817 (two
-#: seeds each of five days, 7 nodes).
-CONVERSION_GAIN = 0.15
-
-#: Groups that end at most for one of another model.
-MOST_ENDED = 3
-
 #: Difference of two models' shortages at which instances that hold the weights of
 #: both wait for the shorter one, while its missing members load theirs.
 RESERVED_GAP = 0.2
@@ -57,24 +48,6 @@
     model: str
 
 
-@dataclass(frozen=True, slots=True)
-class StandingGroup:
-    """An open group."""
-
-    name: str
-    model: str
-    members: tuple[FleetInstance, ...]
-
-
-@dataclass(frozen=True, slots=True)
-class Conversion:
-    """Groups of a fabric domain to end, so that one of another model forms."""
-
-    domain: str
-    model: str
-    ended: tuple[str, ...]
-
-
 @dataclass(frozen=True, slots=True)
 class PlacementPlan:
     """What to do in one fabric domain."""
@@ -134,9 +107,9 @@
     placed = True
     while placed:
         placed = False
-        # Beyond the targets groups form of what nobody is short of, or when all
-        # weights are near: what stays idle would serve nobody.
-        beyond = all(_is_served(item, counts, targets) for item in models)
+        # Beyond the targets groups form as well, of what no shorter model can use:
+        # idle instances would serve nobody.
+        beyond = all(is_served(item, counts, targets) for item in models)
         for domain in sorted(left, key=lambda name: (-len(left[name]), name)):
             if domain in reserved:
                 continue
@@ -169,14 +142,14 @@
     return (target - counts.get(model.name, 0)) / target
 
 
-def _warmth(instance: FleetInstance, model: str) -> int:
+def find_warmth(instance: FleetInstance, model: str) -> int:
     """Return 2 for weights in memory, 1 on the host, 0 for neither."""
     if model in instance.models or model == instance.last_model:
         return 2
     return 1 if model in instance.staged else 0
 
 
-def _is_served(
+def is_served(
     model: ModelProfile, counts: Mapping[str, int], targets: Mapping[str, float]
 ) -> bool:
     """Whether a model has the groups that are wanted for it."""
@@ -194,21 +167,21 @@
 ) -> Formation | None:
     """Return a group to form from free instances, of the shortest model that can.
 
-    :param beyond: whether a group more than wanted forms too.
+    :param beyond: whether all models have what is wanted, so that a group more
+        takes nothing from another model.
     """
     ranked = sorted(models, key=lambda item: -_shortage(item, counts, targets))
     for model in ranked:
         bare = counts.get(model.name, 0) == 0
-        wanted = targets.get(model.name, 0.0) > 0
-        spare = _is_served(model, counts, targets) and not (cold or beyond)
-        if len(free) < model.size or not wanted or spare:
+        if len(free) < model.size or targets.get(model.name, 0.0) <= 0:
             continue
         usable = free
-        if not cold and _gives_way(model, ranked[0], free, counts, targets):
-            usable = [item for item in free if not _warmth(item, ranked[0].name)]
-        members = sorted(usable, key=lambda item: -_warmth(item, model.name))
+        served = is_served(model, counts, targets) and not beyond
+        if not cold and (served or _gives_way(model, ranked[0], free, counts, targets)):
+            usable = [item for item in free if not find_warmth(item, ranked[0].name)]
+        members = sorted(usable, key=lambda item: -find_warmth(item, model.name))
         chosen = members[: model.size]
-        warm = all(_warmth(item, model.name) for item in chosen)
+        warm = all(find_warmth(item, model.name) for item in chosen)
         if len(chosen) == model.size and (warm or cold or bare):
             return Formation(model.name, tuple(item.name for item in chosen))
     return None
@@ -240,12 +213,12 @@
     whole group here, the larger one first: it is the harder to complete.
     """
     have = {
-        model.name: sum(1 for item in free if _warmth(item, model.name))
+        model.name: sum(1 for item in free if find_warmth(item, model.name))
         for model in models
     }
     stagings = []
     for instance in free:
-        if any(_warmth(instance, model.name) for model in models):
+        if any(find_warmth(instance, model.name) for model in models):
             continue
         wanted = [item for item in models if targets.get(item.name, 0.0) > 0]
         if not wanted:
@@ -277,103 +250,3 @@
     if not missing:
         return None
     return Staging(instance.name, max(missing, key=lambda item: item.size).name)
-
-
-def choose_conversion(
-    free: Mapping[str, Sequence[FleetInstance]],
-    standing: Mapping[str, Sequence[StandingGroup]],
-    models: Sequence[ModelProfile],
-    groups: Mapping[str, int],
-    targets: Mapping[str, float],
-) -> Conversion | None:
-    """Return the groups to end so that one of a shorter model forms, or ``None``.
-
-    Of all domains, the exchange that brings the groups closest to what is wanted.
-
-    :param standing: open groups by fabric domain.
-    :param groups: groups of each model over all domains.
-    """
-    best: Conversion | None = None
-    least = _weigh_shortage(models, groups, targets) - CONVERSION_GAIN
-    for domain, instances in free.items():
-        for model in models:
-            if _is_served(model, groups, targets):
-                continue
-            others = [
-                item for item in standing.get(domain, ()) if item.model != model.name
-            ]
-            ended = _choose_ended(model, instances, others)
-            if not ended:
-                continue
-            after = _count_after(model, instances, ended, models, groups)
-            loss = _weigh_shortage(models, after, targets)
-            if loss < least and all(after[item.model] > 0 for item in ended):
-                least = loss
-                names = tuple(item.name for item in ended)
-                best = Conversion(domain, model.name, names)
-    return best
-
-
-def _weigh_shortage(
-    models: Sequence[ModelProfile],
-    counts: Mapping[str, int],
-    targets: Mapping[str, float],
-) -> float:
-    """Return how badly groups fit what is wanted: 1 for as wanted, more for worse.
-
-    A model's part grows with the square of how many times the work of a group
-    its groups have to do.
-    """
-    sizes = {item.name: targets.get(item.name, 0.0) * item.size for item in models}
-    total = sum(sizes.values()) or 1.0
-    return sum(
-        sizes[item.name]
-        / total
-        * (targets.get(item.name, 0.0) / max(0.5, counts.get(item.name, 0))) ** 2
-        for item in models
-    )
-
-
-def _choose_ended(
-    model: ModelProfile,
-    free: Sequence[FleetInstance],
-    others: Sequence[StandingGroup],
-) -> list[StandingGroup]:
-    """Return the fewest groups whose members complete a group, or none."""
-
-    def count_able(group: StandingGroup) -> int:
-        return sum(1 for item in group.members if _warmth(item, model.name))
-
-    missing = model.size - sum(1 for item in free if _warmth(item, model.name))
-    ended: list[StandingGroup] = []
-    for group in sorted(others, key=lambda item: (-count_able(item), item.name)):
-        if missing <= 0 or len(ended) == MOST_ENDED:
-            break
-        missing -= count_able(group)
-        ended.append(group)
-    return ended if missing <= 0 else []
-
-
-def _count_after(
-    model: ModelProfile,
-    free: Sequence[FleetInstance],
-    ended: Sequence[StandingGroup],
-    models: Sequence[ModelProfile],
-    groups: Mapping[str, int],
-) -> dict[str, int]:
-    """Return the groups of each model once one formed in place of others.
-
-    What is left of the instances forms other groups as far as it can.
-    """
-    after = {item.name: groups.get(item.name, 0) for item in models}
-    pool = [*free, *(item for group in ended for item in group.members)]
-    for group in ended:
-        after[group.model] -= 1
-    after[model.name] += 1
-    used = sorted(pool, key=lambda item: -_warmth(item, model.name))[: model.size]
-    left = [item for item in pool if item not in used]
-    for other in models:
-        if other.name != model.name and ended and other.name == ended[0].model:
-            able = sum(1 for item in left if _warmth(item, other.name))
-            after[other.name] += able // other.size
-    return after
--- a/coursepitch/fleet/placer.py
+++ b/coursepitch/fleet/placer.py
@@ -7,14 +7,16 @@
 from typing import TYPE_CHECKING
 
 from coursepitch.fleet.claims import GroupClaim
+from coursepitch.fleet.exchanges import (
+    Conversion,
+    StandingGroup,
+    choose_conversion,
+)
 from coursepitch.fleet.instances import GroupState
 from coursepitch.fleet.orders import Order, OrderKind
 from coursepitch.fleet.placement import (
-    Conversion,
     PlacementPlan,
     Staging,
-    StandingGroup,
-    choose_conversion,
     choose_second,
     count_targets,
     plan_domains,
@@ -92,6 +94,17 @@
             counts[claim.model] += 1
         return counts
 
+    def list_standing(self) -> dict[str, list[StandingGroup]]:
+        """Return the open groups by fabric domain."""
+        standing: dict[str, list[StandingGroup]] = defaultdict(list)
+        for claim in self.claims:
+            group = self.view.find_open(claim)
+            if group is not None:
+                standing[claim.domain].append(
+                    StandingGroup(claim.name, claim.model, group.members)
+                )
+        return standing
+
     def find_targets(self) -> dict[str, float]:
         """Return the groups wanted by model."""
         total = len(self.list_instances())
@@ -191,16 +204,9 @@
 
     def choose_conversion(self, scene: Scene) -> Conversion | None:
         """Return the open groups to end for one of a model that is shorter."""
-        standing: dict[str, list[StandingGroup]] = defaultdict(list)
-        for claim in scene.claims:
-            group = scene.view.find_open(claim)
-            if group is not None:
-                standing[claim.domain].append(
-                    StandingGroup(claim.name, claim.model, group.members)
-                )
         return choose_conversion(
             scene.free,
-            standing,
+            scene.list_standing(),
             scene.engine.models,
             scene.count_groups(),
             scene.find_targets(),
--- a/tests/fleet/test_placement.py
+++ b/tests/fleet/test_placement.py
@@ -4,9 +4,8 @@
 
 import unittest
 
+from coursepitch.fleet.exchanges import StandingGroup, choose_conversion
 from coursepitch.fleet.placement import (
-    StandingGroup,
-    choose_conversion,
     choose_second,
     count_targets,
     plan_domains,
@@ -61,9 +60,12 @@
         self.assertLessEqual(max(idle.values()), 1)
 
     def test_a_model_takes_no_more_than_it_needs_from_one_that_is_short(self):
-        free = {'d': build_free('d', 2, last_model='small')}
-        found = plan(free, groups={'large': 2, 'small': 4})['d']
+        both = {'last_model': 'small', 'staged': frozenset({'large'})}
+        found = plan({'d': build_free('d', 2, **both)}, {'large': 2, 'small': 4})['d']
         self.assertEqual(found.formations, ())
+        only = build_free('d', 2, last_model='small')
+        found = plan({'d': only}, {'large': 2, 'small': 4})['d']
+        self.assertEqual([item.model for item in found.formations], ['small'])
 
     def test_none_is_kept_idle_that_nobody_is_short_of(self):
         free = {'d': build_free('d', 2, last_model='small')}
