A stream that was left while its instance answered gets no third run

The first run was left for being overdue, its instance alive; the second for a member held for silent; and a run in a group that is avoided does not count. Members that are 12 times slower do not answer two questions of 0.13 s each.

Change: once a run was left alive, only those whose instance is gone are left out of the count.

Test: RepeatTest, seen to fail before.

--- a/coursepitch/gateway/streams.py
+++ b/coursepitch/gateway/streams.py
@@ -93,13 +93,17 @@
     def _may_repeat(self, job: Job) -> bool:
         """Whether another run is allowed.
 
-        A run whose instance has gone since doesn't count.
+        A run whose instance has gone since doesn't count, nor does one whose group
+        broke; but once one was left alive, only those that are gone are left out: a
+        verdict on a slow group may be wrong, and with both one stream ran on three
+        instances of the two allowed.
         """
         view = self._parts.session.view
+        strict = bool(job.left_alive)
         standing = [
             name
             for name in job.may_have_run
-            if name in view.instances and not self._is_broken(name)
+            if name in view.instances and (strict or not self._is_broken(name))
         ]
         return len(standing) < job.route.attempts and len(job.sent) < MOST_SENDS
 
@@ -271,6 +275,7 @@
         return choose(job.service, job.fields.model, tried, engine.slots) is not None
 
     def _note_overdue(self, job: Job, group: OpenGroup) -> None:
+        job.left_alive.add(group.head.name)
         log.emit(
             events.REQUEST_OVERDUE,
             request=job.fields.request,
--- a/tests/gateway/test_decisions.py
+++ b/tests/gateway/test_decisions.py
@@ -18,6 +18,7 @@
 from coursepitch.gateway.events_seam import EventSeam
 from coursepitch.gateway.job import Ending
 from coursepitch.gateway.router import Router
+from coursepitch.gateway.streams import StreamServer
 from coursepitch.gateway.watchdog import FIRST_QUIET_S, Watchdog
 from coursepitch.gateway.work import bound_requests, estimate_work
 from coursepitch.http.server import Reply
@@ -332,6 +333,32 @@
         self.assertEqual((refusal.status, broken), (504, False))
 
 
+class RepeatTest(unittest.TestCase):
+    """How many runs a stream gets."""
+
+    def setUp(self):
+        # Neither head is in an open group, so both groups count as broken.
+        view = build_view([build_instance('a'), build_instance('b')])
+        parts = SimpleNamespace(session=SimpleNamespace(view=view))
+        self.streams = StreamServer(parts, None)
+
+    def may_repeat(self, ran, left_alive=()):
+        job = SimpleNamespace(
+            may_have_run=set(ran),
+            left_alive=set(left_alive),
+            sent=list(ran),
+            route=SimpleNamespace(attempts=2),
+        )
+        return self.streams._may_repeat(job)
+
+    def test_runs_in_groups_that_broke_do_not_count(self):
+        self.assertTrue(self.may_repeat(['a', 'b']))
+
+    def test_once_one_was_left_alive_only_gone_instances_are_left_out(self):
+        self.assertFalse(self.may_repeat(['a', 'b'], left_alive=['a']))
+        self.assertTrue(self.may_repeat(['a', 'gone'], left_alive=['a']))
+
+
 class StartTest(unittest.TestCase):
     """Requests that come while a node starts wait a moment for its configuration."""
 
