--- a/coursepitch/fleet/placement.py
+++ b/coursepitch/fleet/placement.py
@@ -107,8 +107,8 @@
     placed = True
     while placed:
         placed = False
-        # Beyond the targets groups form as well, of what no shorter model can use:
-        # idle instances would serve nobody.
+        # Beyond the targets groups form once no model is short: idle instances
+        # would serve nobody.
         beyond = all(is_served(item, counts, targets) for item in models)
         for domain in sorted(left, key=lambda name: (-len(left[name]), name)):
             if domain in reserved:
@@ -176,8 +176,9 @@
         if len(free) < model.size or targets.get(model.name, 0.0) <= 0:
             continue
         usable = free
-        served = is_served(model, counts, targets) and not beyond
-        if not cold and (served or _gives_way(model, ranked[0], free, counts, targets)):
+        if is_served(model, counts, targets) and not (cold or beyond):
+            continue
+        if not cold and _gives_way(model, ranked[0], free, counts, targets):
             usable = [item for item in free if not find_warmth(item, ranked[0].name)]
         members = sorted(usable, key=lambda item: -find_warmth(item, model.name))
         chosen = members[: model.size]
