--- a/tests/cmd/test_report.py
+++ b/tests/cmd/test_report.py
@@ -9,7 +9,6 @@
 import unittest
 from pathlib import Path
 
-
 ENDED = {
     'message_type': 'request.ended',
     'number': 607,
