Ports of stand-ins that listen later are held, so nobody else gets them

Any of those processes, or a connection of theirs, could get it meanwhile. Ruled out: a process of an earlier test class left over (a fresh port each time). Change: the harness holds such a port with a bound socket that doesn't listen; engines, which are started again on their port, get theirs the same way. Conclusion: the race is closed by construction for these two uses.

--- a/standins/harness.py
+++ b/standins/harness.py
@@ -8,6 +8,7 @@
 import os
 import shutil
 import signal
+import socket
 import subprocess
 import sys
 import tempfile
@@ -20,7 +21,14 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-__all__ = ['CALLER_KEY', 'OPERATOR_KEY', 'Harness', 'HarnessError', 'Process']
+__all__ = [
+    'CALLER_KEY',
+    'OPERATOR_KEY',
+    'Harness',
+    'HarnessError',
+    'PortReservations',
+    'Process',
+]
 
 CALLER_KEY = 'demo-caller'
 OPERATOR_KEY = 'demo-operator'
@@ -34,6 +42,33 @@
     """A process did not do what was asked of it."""
 
 
+class PortReservations:
+    """Ports that the OS chose and gives to nobody else until they are let go.
+
+    Each is held by a socket that is bound and doesn't listen.  A process that sets
+    ``SO_REUSEADDR`` can listen there, again after its end as well; while none does,
+    connections are refused.
+    """
+
+    def __init__(self) -> None:
+        self._sockets: list[socket.socket] = []
+
+    def reserve(self) -> int:
+        """Return the port of a new reservation."""
+        sock = socket.socket()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.bind(('127.0.0.1', 0))
+        self._sockets.append(sock)
+        port: int = sock.getsockname()[1]
+        return port
+
+    def close(self) -> None:
+        """Let all ports go."""
+        for sock in self._sockets:
+            sock.close()
+        self._sockets.clear()
+
+
 class Process:
     """A started process that told its ports in one JSON line."""
 
@@ -86,6 +121,7 @@
         self.instances: list[dict[str, Any]] = []
         self.client = httpx.Client(timeout=10, trust_env=False)
         self.settings: dict[str, dict[str, str]] = {}
+        self._ports = PortReservations()
 
     # -- processes -----------------------------------------------------------
 
@@ -105,14 +141,14 @@
         :param domains: zone and number of instances of each fabric domain.
         :param engine: options of the engine stand-in.
         """
-        weights_port = _free_port()
+        weights_port = self._ports.reserve()
         self._weights = f'http://127.0.0.1:{weights_port}'
         self._start('kv', 'standins.kv').wait_told()
         names = []
         for domain, (zone, count) in domains.items():
             for number in range(count):
                 name = f'{domain}-{number}'
-                self._start_engine(name, 0, engine)
+                self._start_engine(name, self._ports.reserve(), engine)
                 names.append((name, domain, zone))
         for name, domain, zone in names:
             self.processes[name].wait_told()
@@ -329,15 +365,7 @@
         for process in self.processes.values():
             process.wait()
         self.processes.clear()
+        self._ports.close()
         self.client.close()
         if self._made and not os.environ.get('COURSEPITCH_KEEP'):
             shutil.rmtree(self.folder, ignore_errors=True)
-
-
-def _free_port() -> int:
-    import socket
-
-    with socket.socket() as sock:
-        sock.bind(('127.0.0.1', 0))
-        port: int = sock.getsockname()[1]
-    return port
