--- a/tests/whole/base.py
+++ b/tests/whole/base.py
@@ -10,6 +10,10 @@
 
 GROUP = 'release-notes'
 
+#: Settings of nodes whose tests are not about a slow store: on a busy machine a call
+#: to its stand-in may take longer than the usual second.
+PATIENT = {'platform': {'timeout_s': '5'}}
+
 
 def hash_key(key: str) -> str:
     """Return the SHA-256 of a key in hex."""
--- a/tests/whole/test_replicas.py
+++ b/tests/whole/test_replicas.py
@@ -10,7 +10,7 @@
 import httpx
 
 from standins.harness import CALLER_KEY
-from tests.whole.base import GROUP, SystemCase
+from tests.whole.base import GROUP, PATIENT, SystemCase
 from tests.whole.calls import call_stream, expect_tokens, in_background
 
 
@@ -78,6 +78,8 @@
 class MemberTest(ReplicaCase):
     """No replica serves while one of its instances is missing."""
 
+    settings = PATIENT
+
     def test_killed_member_takes_its_replica_out_and_a_whole_one_comes(self) -> None:
         name, replica = next(iter(self.serving().items()))
         victim = replica['instances'][1]
--- a/tests/whole/test_requests.py
+++ b/tests/whole/test_requests.py
@@ -12,7 +12,7 @@
 import httpx
 
 from standins.harness import CALLER_KEY
-from tests.whole.base import GROUP, SystemCase, hash_key
+from tests.whole.base import GROUP, PATIENT, SystemCase, hash_key
 from tests.whole.calls import Answer, call_stream, expect_tokens, in_background
 
 
@@ -186,6 +186,8 @@
 class AtMostOnceTest(RequestCase):
     """Requests that are not repeatable run at most once."""
 
+    settings = PATIENT
+
     def test_one_key_at_all_entries_at_once_runs_once(self) -> None:
         before = self.total_runs()
         body = self.body('approve image 9')
