--- a/coursepitch/fleet/session.py
+++ b/coursepitch/fleet/session.py
@@ -25,6 +25,7 @@
 )
 from coursepitch.fleet.peers import PeerBook
 from coursepitch.fleet.view import LOST_PREFIX, FleetView
+from coursepitch.fleet.watching import GuardedWatch
 from coursepitch.platform.configuration import CONFIGURATION_KEY
 from coursepitch.platform.kv import (
     Condition,
@@ -79,15 +80,6 @@
 #: half a second.
 TOLD_TABLE_BYTES = 524_288
 
-#: Seconds for which one watch waits.
-WATCH_S = 10.0
-
-#: Seconds for which the store may be ahead of what a waiting watch has told before
-#: the watch counts as silent: an open connection may go silent for good without a
-#: sign.  Source: changes come within some milliseconds of a watch, and the next
-#: watch begins at most 0.7 s after an answer.
-WATCH_LAG_S = 1.5
-
 #: Shortest time in seconds between two watches, so that bursts of changes come
 #: in one answer: each answer costs a call.  The leader looks sooner, and tells
 #: the others.
@@ -128,8 +120,7 @@
         self._clock = clock
         self._up = True
         self._changed = anyio.Event()
-        self._watch_scope: anyio.CancelScope | None = None
-        self._ahead: tuple[int, float] | None = None
+        self._watch = GuardedWatch(kv, self.view, clock)
         self._reported: dict[str, float] = {}
 
     # -- what others ask -----------------------------------------------------------
@@ -208,7 +199,7 @@
                 continue
             after = self.view.heard_revision
             if listed:
-                found = await self._watch(after)
+                found = await self._watch.wait(after)
                 listed = found is not None
             else:
                 found = await self.kv.list_prefix('')
@@ -223,30 +214,6 @@
             self._take_found(found, after)
             await self._wait_gap()
 
-    async def _watch(self, after: int) -> Events | Unavailable | None:
-        """Return what a watch told; ``None`` if it was silent while changes came."""
-        self._ahead = None
-        with anyio.CancelScope() as scope:
-            self._watch_scope = scope
-            return await self.kv.watch('', after, WATCH_S)
-        return None
-
-    def _note_store_revision(self, revision: int) -> None:
-        """End a watch that says nothing of changes which the store has made.
-
-        :param revision: the store's, as another call told it.
-        """
-        heard = self.view.heard_revision
-        if revision <= heard:
-            self._ahead = None
-        elif self._ahead is None or self._ahead[0] != heard:
-            self._ahead = (heard, self._clock())
-        elif self._clock() - self._ahead[1] >= WATCH_LAG_S:
-            self._ahead = None
-            log.emit(events.WATCH_SILENT, heard=heard, revision=revision)
-            if self._watch_scope is not None:
-                self._watch_scope.cancel()
-
     def _is_told(self) -> bool:
         """Whether peers tell of all changes, and the node need not ask."""
         return not self.is_following() and self.book.is_told(self.view.heard_revision)
@@ -412,7 +379,7 @@
                 return False
             self.tell_now()
         else:
-            self._note_store_revision(result.revision)
+            self._watch.note_store_revision(result.revision)
         starting = self.is_starting()
         self._freshness.note_confirmed(asked_at)
         if starting:
