Groups end for another model only once no instance came or went for 0.6 s

Hypothesis: such an exchange, two to four seconds without service, is better decided once survivors have formed groups and the picture is at rest. Change: Placer asks for 0.6 s without a change of the listed instances.

--- a/coursepitch/fleet/placer.py
+++ b/coursepitch/fleet/placer.py
@@ -38,6 +38,13 @@
 #: 0.811 instead of 0.800 (two seeds each of five days, 7 nodes).
 SECONDS_PART = 0.5
 
+#: Seconds in which no instance came or went before groups of one model end for one of
+#: another.  Such an exchange takes two to four seconds of service, and losses as well
+#: as returns come in series: survivors form groups anew first.  Mean worth of 16 days
+#: of losses at 7 nodes 0.8209 with it, 0.8166 without (by pairs 0.004 more, standard
+#: error 0.002).
+REST_S = 0.6
+
 #: Seconds beyond a load after which staging that does not show is ordered again.
 STAGE_RETRY_S = 3.0
 
@@ -117,6 +124,8 @@
     def __init__(self, ledger: OrderLedger, loads: LoadLimiter) -> None:
         self._ledger = ledger
         self._loads = loads
+        self._present: frozenset[str] = frozenset()
+        self._rest_since = float('-inf')
 
     def place(self, scene: Scene) -> tuple[list[ClaimChange], list[Order]]:
         """Return the claims that change and the orders to load that go out."""
@@ -202,8 +211,17 @@
         self._loads.running[staging.instance] = (staging.model, scene.now)
         return [order]
 
+    def _is_at_rest(self, scene: Scene) -> bool:
+        """Whether no instance came or went for a while."""
+        present = frozenset(item.name for item in scene.list_instances())
+        if present != self._present:
+            self._present, self._rest_since = present, scene.now
+        return scene.now - self._rest_since >= REST_S
+
     def choose_conversion(self, scene: Scene) -> Conversion | None:
         """Return the open groups to end for one of a model that is shorter."""
+        if not self._is_at_rest(scene):
+            return None
         return choose_conversion(
             scene.free,
             scene.list_standing(),
