Relays are told the loads every 0.1 s; loads count as seen 0.4 s late

Cause: with relays a node's load reaches others through two nodes in place of one. Ruled out: the bytes (links of the slow nodes carry less than before). Change: the leader's heartbeats to a relay leave every 0.1 s in place of 0.25 s, and the choice among groups reckons with loads that are 0.4 s old. RelayTest failed before (there was nothing to tell more often).

--- a/coursepitch/fleet/links.py
+++ b/coursepitch/fleet/links.py
@@ -46,6 +46,11 @@
 #: late in the middle, less than a request takes.
 TELL_S = 0.25
 
+#: The same on a link to a relay, which tells the loads on, so that they are not seen
+#: much later for it: mean worth of two days that lose 19 of 171 instances 0.816 in
+#: place of 0.797 (68 nodes, one run each; a part of it may be chance).
+RELAY_TELL_S = 0.1
+
 #: Seconds for which a link may take to come up, and a message to leave.
 LINK_TIMEOUT_S = 1.0
 
@@ -162,6 +167,7 @@
         )
         async with server, anyio.create_task_group() as group:
             group.start_soon(self._beat)
+            group.start_soon(self._beat_relays)
             while True:
                 self._match_links(group)
                 await anyio.sleep(LOOK_S)
@@ -178,6 +184,15 @@
                 await self._due.wait()
             self._due = anyio.Event()
 
+    async def _beat_relays(self) -> None:
+        """Let heartbeats leave more often to relays that tell the loads on."""
+        while True:
+            await anyio.sleep(RELAY_TELL_S)
+            for link in self._accepted:
+                if self.book.is_relay(link.node):
+                    link.beat = True
+                    link.wake.set()
+
     def _match_links(self, group: TaskGroup) -> None:
         """Hold a link to each node that follows the store for all."""
         now = self.clock()
--- a/coursepitch/fleet/peers.py
+++ b/coursepitch/fleet/peers.py
@@ -151,6 +151,11 @@
             _add(work, self._own.work, 1)
         return OtherLoads(nodes, counts, work)
 
+    def is_relay(self, node: str) -> bool:
+        """Whether a peer tells others what it wants to be told."""
+        peer = self._peers.get(node)
+        return peer is not None and peer.beat.wants_others and peer.beat.watching
+
     def wants_changes(self, node: str) -> bool:
         """Whether a peer is to be told of changes: it asked, or others follow it."""
         peer = self._peers.get(node)
--- a/coursepitch/gateway/router.py
+++ b/coursepitch/gateway/router.py
@@ -26,8 +26,8 @@
 ZONE_COST = 0.15
 
 #: Seconds by which requests in flight from other nodes are seen late: a heartbeat
-#: to the node that adds them up, and one from it.
-SEEN_LATE_S = 0.3
+#: to the leader, which adds them up, one from it to a relay, and one from there.
+SEEN_LATE_S = 0.4
 
 
 class Router:
--- a/tests/fleet/test_links.py
+++ b/tests/fleet/test_links.py
@@ -8,7 +8,7 @@
 
 import anyio
 
-from coursepitch.fleet.links import PeerLinks
+from coursepitch.fleet.links import PeerLinks, _Link
 from coursepitch.fleet.messages import Changes, Heartbeat
 from coursepitch.fleet.nodes import NodePlace
 from coursepitch.fleet.peers import PeerBook
@@ -175,5 +175,26 @@
         self.play(scenario)
 
 
+class RelayTest(unittest.TestCase):
+    """A node that tells loads on is told them more often than others."""
+
+    def test_heartbeats_to_relays_leave_in_between(self):
+        async def run():
+            node = Node('n1', {}, 'n1')
+            relay, plain = (_Link(name, beat=False) for name in ('n4', 'n2'))
+            node.links._accepted += [relay, plain]
+            for name, watching in (('n4', True), ('n2', False)):
+                beat = Heartbeat(name, 2, watching=watching, wants_others=True)
+                node.book.take(beat)
+            with anyio.fail_after(WAIT_S):
+                async with anyio.create_task_group() as group:
+                    group.start_soon(node.links._beat_relays)
+                    await relay.wake.wait()
+                    group.cancel_scope.cancel()
+            self.assertEqual((relay.beat, plain.beat), (True, False))
+
+        anyio.run(run)
+
+
 if __name__ == '__main__':
     unittest.main()
