--- a/coursepitch/fleet/session.py
+++ b/coursepitch/fleet/session.py
@@ -232,7 +232,7 @@
         if found.revision == after or not self.is_watching():
             return
         # Where the store has forgotten its history one node lists all keys, not all
-        # nodes: 65 of 68 listed them on a day of the grown further site.
+        # nodes: 65 of 68 listed them within five seconds.
         if found.complete and not listed_anew:
             return
         entries = tuple(item for item in entries if item.key != CONFIGURATION_KEY)
