--- a/tests/whole/test_outcomes.py
+++ b/tests/whole/test_outcomes.py
@@ -11,7 +11,7 @@
 import httpx
 
 from standins.harness import CALLER_KEY
-from tests.whole.base import GROUP, SystemCase
+from tests.whole.base import GROUP, PATIENT, SystemCase
 
 GOLDEN = Path(__file__).parent.parent / 'golden' / 'outcomes.txt'
 
@@ -31,6 +31,7 @@
     nodes = {'n1': 'kurasini'}
     domains = {'fab-a': ('kurasini', 2)}
     replicas = 1
+    settings = PATIENT
     maxDiff = None
 
     def send(self, title: str, body: Any, **headers: str) -> str:
