Sight: second sends and entries that count on are told in the log

Cause: nothing told of what a budget for second sends decided, nor that an entry which had vanished counted on; the timeline of both faults had a gap just there. request.again holds the decision with its inputs, instance.vanished and instance.gone how long an entry counted on, request.sent how far the node had heard. The double asking of the budget in calls and streams is one function now.

--- a/coursepitch/events.py
+++ b/coursepitch/events.py
@@ -131,7 +131,16 @@
     ),
 )
 INSTANCE_GONE = Event(
-    510, 'instance.gone', 'An instance is no longer listed.', ('instance',)
+    510,
+    'instance.gone',
+    'An instance is no longer listed, and counts no more.',
+    ('instance', 'held_s'),
+)
+INSTANCE_VANISHED = Event(
+    520,
+    'instance.vanished',
+    'An entry went, and counts on: it may have lapsed with the store.',
+    ('instance', 'away_s'),
 )
 INSTANCE_DAMAGED = Event(
     511, 'instance.damaged', 'An entry cannot be read.', ('instance', 'reason')
@@ -227,6 +236,7 @@
         'last_event',
         'table',
         'age',
+        'heard',
     ),
 )
 REQUEST_OVERDUE = Event(
@@ -235,6 +245,13 @@
     'A request stands still at a group that answers, and goes to another.',
     ('request', 'instance', 'load', 'begun'),
 )
+SEND_AGAIN = Event(
+    611,
+    'request.again',
+    'A second send was asked for: second sends and requests in the window, the most '
+    'allowed, and the nodes that share the constant.',
+    ('request', 'service', 'granted', 'spent', 'requests', 'bound', 'nodes'),
+)
 REQUEST_RETRIED = Event(
     603, 'request.retried', 'A further attempt was made.', ('request', 'reason')
 )
--- a/coursepitch/fleet/view.py
+++ b/coursepitch/fleet/view.py
@@ -283,11 +283,17 @@
         now = self.clock()
         if now < self.outage_until:
             # Its entry may have lapsed with the store, not with the instance.
-            self._lapsed.setdefault(name, now + LAPSE_HOLD_S)
+            if name not in self._lapsed:
+                self._lapsed[name] = now + LAPSE_HOLD_S
+                log.emit(
+                    events.INSTANCE_VANISHED,
+                    instance=name,
+                    away_s=round(self.lapse_s, 3),
+                )
             return
         del self.instances[name]
         self._lapsed.pop(name, None)
-        log.emit(events.INSTANCE_GONE, instance=name)
+        log.emit(events.INSTANCE_GONE, instance=name, held_s=0.0)
 
     def note_outage(self, echo_s: float = OUTAGE_ECHO_S) -> None:
         """Note that the store can't be reached now, or could not just before.
@@ -315,7 +321,8 @@
                 del self._lapsed[name]
                 if self.instances.pop(name, None) is not None:
                     self.version += 1
-                    log.emit(events.INSTANCE_GONE, instance=name)
+                    held_s = round(now - until + LAPSE_HOLD_S, 3)
+                    log.emit(events.INSTANCE_GONE, instance=name, held_s=held_s)
 
     # -- what follows from it -------------------------------------------------------
 
--- a/coursepitch/gateway/attempts.py
+++ b/coursepitch/gateway/attempts.py
@@ -24,7 +24,7 @@
     from coursepitch.gateway.parts import GatewayParts
     from coursepitch.http.client import Answer
 
-__all__ = ['Attempt', 'Result', 'SendPlan', 'send_attempt']
+__all__ = ['Attempt', 'Result', 'SendPlan', 'send_attempt', 'take_second_send']
 
 
 class Result(enum.Enum):
@@ -84,6 +84,15 @@
     priority: int | None = None
 
 
+def take_second_send(parts: GatewayParts, job: Job) -> bool:
+    """Take a send beyond a request's first; ``False`` if the budget is used up."""
+    nodes = parts.session.count_nodes()
+    if parts.budget.take(job.service.name, nodes, job.fields.request):
+        return True
+    job.last_reason = 'the budget for second sends is used up'
+    return False
+
+
 async def send_attempt(
     parts: GatewayParts, job: Job, instance: FleetInstance, plan: SendPlan
 ) -> Attempt:
--- a/coursepitch/gateway/budget.py
+++ b/coursepitch/gateway/budget.py
@@ -11,6 +11,8 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from coursepitch import events, log
+
 if TYPE_CHECKING:
     from coursepitch.clock import Clock
 
@@ -45,15 +47,28 @@
         window = self._windows.setdefault(service, _Window())
         window.firsts.append(self.clock())
 
-    def take(self, service: str, nodes: int) -> bool:
-        """Take one second send; ``False`` if the budget is used up."""
+    def take(self, service: str, nodes: int, request: str = '') -> bool:
+        """Take one second send; ``False`` if the budget is used up.
+
+        :param request: id of the request, for the log.
+        """
         window = self._windows.setdefault(service, _Window())
         start = self.clock() - self.window_s
         for times in (window.firsts, window.agains):
             while times and times[0] < start:
                 times.popleft()
         bound = self.ratio * len(window.firsts) + self.extra / max(1, nodes)
-        if len(window.agains) + 1 > bound * USED_PART:
-            return False
-        window.agains.append(self.clock())
-        return True
+        granted = len(window.agains) + 1 <= bound * USED_PART
+        log.emit(
+            events.SEND_AGAIN,
+            request=request,
+            service=service,
+            granted=granted,
+            spent=len(window.agains),
+            requests=len(window.firsts),
+            bound=round(bound * USED_PART, 2),
+            nodes=nodes,
+        )
+        if granted:
+            window.agains.append(self.clock())
+        return granted
--- a/coursepitch/gateway/calls.py
+++ b/coursepitch/gateway/calls.py
@@ -7,7 +7,7 @@
 import anyio
 
 from coursepitch import events, log
-from coursepitch.gateway.attempts import SendPlan, send_attempt
+from coursepitch.gateway.attempts import SendPlan, send_attempt, take_second_send
 from coursepitch.gateway.job import Ending, Refusal
 from coursepitch.http.client import ExchangeError
 from coursepitch.platform.headers import pass_answer_headers
@@ -54,10 +54,7 @@
             instance = await self._wait_instance(job, avoided)
             if instance is None:
                 return self._give_up(job)
-            if job.sent and not self._parts.budget.take(
-                job.service.name, self._parts.session.count_nodes()
-            ):
-                job.last_reason = 'the budget for second sends is used up'
+            if job.sent and not take_second_send(self._parts, job):
                 return self._give_up(job)
             avoided.add(instance.name)
             again = self._may_repeat_after(job)
@@ -116,6 +113,7 @@
             last_event='',
             table=table.version if table else 0,
             age=round(self._parts.session.confirmation_age_s, 3),
+            heard=self._parts.session.view.heard_revision,
         )
         self._parts.board.begin(instance.name)
         try:
--- a/coursepitch/gateway/streams.py
+++ b/coursepitch/gateway/streams.py
@@ -7,7 +7,7 @@
 import anyio
 
 from coursepitch import events, log
-from coursepitch.gateway.attempts import SendPlan, send_attempt
+from coursepitch.gateway.attempts import SendPlan, send_attempt, take_second_send
 from coursepitch.gateway.events_seam import EventSeam
 from coursepitch.gateway.job import Ending, Refusal
 from coursepitch.gateway.work import bound_requests
@@ -76,10 +76,7 @@
             group = await self._wait_group(job, avoided)
             if group is None:
                 return self._give_up(job)
-            if job.sent and not self._parts.budget.take(
-                job.service.name, self._parts.session.count_nodes()
-            ):
-                job.last_reason = 'the budget for second sends is used up'
+            if job.sent and not take_second_send(self._parts, job):
                 return self._give_up(job)
             if await self._run_once(job, group, seam):
                 return None
@@ -186,6 +183,7 @@
             last_event=seam.last_event.decode('latin-1'),
             table=table.version if table else 0,
             age=round(self._parts.session.confirmation_age_s, 3),
+            heard=self._parts.session.view.heard_revision,
         )
         self._parts.board.begin(head.name)
         try:
