--- a/coursepitch/fleet/leases.py
+++ b/coursepitch/fleet/leases.py
@@ -146,7 +146,7 @@
         attempt = 0
         while not self._ending:
             listed = bool(self._node.name)
-            if await (self._node.renew() if listed else self._list()):
+            if await self.renew_listing():
                 attempt = 0
                 self._wake()
                 await anyio.sleep(NODE_RENEW_S)
@@ -158,6 +158,10 @@
                 await self._wait_back(pause_s)
                 attempt += 1
 
+    async def renew_listing(self) -> bool:
+        """Renew the lease under which the node is listed, or list it anew."""
+        return await (self._node.renew() if self._node.name else self._list())
+
     async def _list(self) -> bool:
         if not await self._node.grant():
             return False
