An instance is looked at once more before a request leaves for it

Change: once the connection is up, the instance has to take requests still; otherwise the request is not run there and another is chosen, which costs no second send, as no byte left.

--- a/coursepitch/gateway/attempts.py
+++ b/coursepitch/gateway/attempts.py
@@ -124,11 +124,14 @@
     except NoConnectionError as error:
         return Attempt(Result.NOT_RUN, str(error))
     left_s = job.limit_at - parts.clock()
-    # Looked at once more now that the connection is up: the process may have
-    # stood still since the request was admitted.
+    # Looked at once more now that the connection is up: that takes up to a second,
+    # in which the instance may have left, and the process may have stood still.
     if left_s <= 0 or not parts.session.is_fresh():
         pool.discard(connection)
         return Attempt(Result.NOT_RUN, 'no longer to be sent')
+    if not parts.session.view.takes_requests(instance.name):
+        pool.discard(connection)
+        return Attempt(Result.NOT_RUN, 'the instance left meanwhile')
     fields = ForwardFields(
         instance.name,
         left_s,
--- /dev/null
+++ b/tests/gateway/test_attempts.py
@@ -0,0 +1,89 @@
+"""What is looked at again once a connection to an instance is up."""
+
+from __future__ import annotations
+
+import unittest
+from dataclasses import replace
+from types import SimpleNamespace
+
+import anyio
+
+from coursepitch.gateway.attempts import Result, SendPlan, send_attempt
+from tests.fleet.builders import build_instance, build_service, build_view
+
+
+class FakePool:
+    """Brings connections up; ``meanwhile`` is called while one does."""
+
+    def __init__(self):
+        self.meanwhile = lambda: None
+        self.discarded = []
+        self.sent = []
+
+    async def acquire(self, address, *, fresh, limit):
+        self.meanwhile()
+        return 'connection'
+
+    def discard(self, connection):
+        self.discarded.append(connection)
+
+    async def exchange(self, *parts):
+        self.sent.append(parts)
+        raise AssertionError('nothing is to be sent')
+
+
+class MeanwhileTest(unittest.TestCase):
+    """A request whose connection took its time goes nowhere it must not go.
+
+    An instance that left while a connection to it came up, for as long as a second,
+    got the request later than users allow.
+    """
+
+    def setUp(self):
+        self.instance = build_instance('a')
+        self.view = build_view([self.instance])
+        self.fresh = True
+        self.pool = FakePool()
+        session = SimpleNamespace(
+            view=self.view, count_sharing=lambda: 3, is_fresh=lambda: self.fresh
+        )
+        self.parts = SimpleNamespace(
+            session=session, pool=self.pool, clock=lambda: 100.0
+        )
+        self.job = SimpleNamespace(
+            service=build_service(),
+            limit_at=105.0,
+            may_have_run=set(),
+            sent=[],
+            last_reason='',
+            fields=SimpleNamespace(request='r'),
+        )
+
+    def check_not_sent(self):
+        attempt = anyio.run(
+            send_attempt, self.parts, self.job, self.instance, SendPlan(5.0)
+        )
+        self.assertIs(attempt.result, Result.NOT_RUN)
+        self.assertEqual(self.pool.sent, [])
+        self.assertEqual(self.pool.discarded, ['connection'])
+        self.assertEqual(self.job.sent, [])
+
+    def test_instance_that_says_it_leaves(self):
+        leaving = replace(self.instance, draining=True)
+        self.pool.meanwhile = lambda: self.view.instances.update(a=leaving)
+        self.check_not_sent()
+
+    def test_instance_that_goes(self):
+        self.pool.meanwhile = self.view.instances.clear
+        self.check_not_sent()
+
+    def test_node_that_may_no_longer_act(self):
+        def lose():
+            self.fresh = False
+
+        self.pool.meanwhile = lose
+        self.check_not_sent()
+
+
+if __name__ == '__main__':
+    unittest.main()
