More of the budget for second sends is used, and a first start waits for nobody

Change: 0.9 of the ratio (a send leaves up to a second after it was granted) and 0.8 of the constant in place of 0.7 of both; with bootstrap, parts hold one second after the listing.

--- a/coursepitch/fleet/shares.py
+++ b/coursepitch/fleet/shares.py
@@ -26,6 +26,10 @@
 #: two watches, and 0.65 s until a node that missed a message asks the store.
 LIST_LAG_S = 2.0
 
+#: Seconds after which all nodes of a system's first start know of each other.  Source:
+#: they start within 0.3 s, and hear of changes within 0.7 s.
+FIRST_LIST_S = 1.0
+
 
 @dataclass(eq=False)
 class LimitShare:
@@ -37,11 +41,16 @@
     391 were allowed.  It keeps it for a while when the store can't be reached, as the
     others count it for longer than that.
 
+    On the whole system's first start there was no earlier start, so that no node has
+    to wait.
+
     :param window_s: length of the windows.
+    :param first_start: whether this is the whole system's first start.
     """
 
     window_s: float
     clock: Clock
+    first_start: bool = False
     _seen: dict[str, float] = field(default_factory=dict)
     _listed_since: float = float('inf')
     _listed_at: float = float('-inf')
@@ -76,6 +85,7 @@
         now = self.clock()
         if now - self._listed_at > self._kept_s:
             return 0.0
-        if now - self._listed_since < self.window_s + LIST_LAG_S:
+        wait_s = FIRST_LIST_S if self.first_start else self.window_s + LIST_LAG_S
+        if now - self._listed_since < wait_s:
             return 0.0
         return 1.0 / self.count()
--- a/coursepitch/gateway/budget.py
+++ b/coursepitch/gateway/budget.py
@@ -21,10 +21,13 @@
 
 __all__ = ['RetryBudget']
 
-#: Part of the budget that is used.  The rest is for second sends that leave late,
-#: up to a second after they were granted, and for nodes that were cut off before
-#: others were added.
-USED_PART = 0.7
+#: Part of the ratio that is used: a send leaves up to a second, a tenth of the users'
+#: windows, after it was granted.
+RATIO_PART = 0.9
+
+#: Part of the constant that is used: nodes that were cut off before others were added
+#: divide it by too few as well.
+EXTRA_PART = 0.8
 
 
 @dataclass(eq=False)
@@ -67,8 +70,9 @@
         for times in (window.firsts, window.agains):
             while times and times[0] < start:
                 times.popleft()
-        bound = self.ratio * len(window.firsts) + self.extra * part
-        granted = len(window.agains) + 1 <= bound * USED_PART + self.offset
+        bound = self.ratio * RATIO_PART * len(window.firsts)
+        bound += self.extra * EXTRA_PART * part
+        granted = len(window.agains) + 1 <= bound + self.offset
         log.emit(
             events.SEND_AGAIN,
             request=request,
@@ -76,7 +80,7 @@
             granted=granted,
             spent=len(window.agains),
             requests=len(window.firsts),
-            bound=round(bound * USED_PART, 2),
+            bound=round(bound, 2),
             part=round(part, 4),
         )
         if granted:
--- a/coursepitch/gateway_application.py
+++ b/coursepitch/gateway_application.py
@@ -117,6 +117,7 @@
         self.budget = RetryBudget(
             promises.retry_ratio, promises.retry_extra, promises.retry_window_s, clock
         )
+        self.session.share.first_start = node.bootstrap
         self._take_promises(promises)
         self.gateway = self._build_gateway()
         self.keeper = GroupKeeper(
--- a/tests/gateway/test_budget.py
+++ b/tests/gateway/test_budget.py
@@ -141,6 +141,19 @@
         spent = sum(node.spend(0) for node in nodes.values())
         self.assertLessEqual(spent, EXTRA)
 
+    def test_nodes_of_the_first_start_have_their_parts_soon(self):
+        names = [f'n{number}' for number in range(9)]
+        nodes = [Node(name, self.clock) for name in names]
+        for node in nodes:
+            node.session.share.first_start = True
+        for _ in range(8):
+            self.now += 0.25
+            for node in nodes:
+                node.see(names)
+        spent = sum(node.spend(0) for node in nodes)
+        self.assertLessEqual(spent, EXTRA)
+        self.assertGreater(spent, EXTRA * 0.5)
+
     def test_nodes_that_stay_have_most_of_the_constant(self):
         names = [f'n{number}' for number in range(9)]
         nodes = self.start_all(names)
