A watch from before a gap is begun anew once the store answers again

Cause (read in the code): a node that was cut off keeps its watch, whose answer may be lost; it waits for 10 s more, or until changes that others hear of show it to be silent for 1.5 s. What left meanwhile takes requests that long.

Change: when a node's own confirmation is the first after a gap of 2 s, its watch ends and is begun where it was; all keys are listed only where the watch was silent, as before. The test fails without it. Its worth is not measured by itself.

--- a/coursepitch/fleet/contact.py
+++ b/coursepitch/fleet/contact.py
@@ -31,13 +31,18 @@
     since: float = float('-inf')
     newest: float = float('-inf')
 
-    def note_answered(self, asked_at: float) -> None:
-        """Note that the store answered a question that was sent at that time."""
+    def note_answered(self, asked_at: float) -> bool:
+        """Note that the store answered a question that was sent at that time.
+
+        :return: whether a gap ended with it.
+        """
         if asked_at <= self.newest:
-            return
-        if asked_at - self.newest > GAP_S:
+            return False
+        gap = asked_at - self.newest > GAP_S
+        if gap:
             self.since = asked_at
         self.newest = asked_at
+        return gap
 
     @property
     def steady_s(self) -> float:
--- a/coursepitch/fleet/session.py
+++ b/coursepitch/fleet/session.py
@@ -422,7 +422,10 @@
             self._note_outage(result.reason)
             return False
         self._note_answer()
-        self._contact.note_answered(asked_at)
+        if self._contact.note_answered(asked_at):
+            # A watch from before the gap may wait for an answer that was lost, for as
+            # long as it would wait for changes: 10 s.
+            self._watch.end()
         if isinstance(result, Conflict):
             self.view.take_configuration(result.current)
             self.wake()
--- a/coursepitch/fleet/watching.py
+++ b/coursepitch/fleet/watching.py
@@ -8,11 +8,12 @@
 import anyio
 
 from coursepitch import events, log
+from coursepitch.platform.kv import Unavailable
 
 if TYPE_CHECKING:
     from coursepitch.clock import Clock
     from coursepitch.fleet.view import FleetView
-    from coursepitch.platform.kv import Events, KeyValue, Unavailable
+    from coursepitch.platform.kv import Events, KeyValue
 
 __all__ = ['GuardedWatch']
 
@@ -35,6 +36,7 @@
     clock: Clock
     _scope: anyio.CancelScope | None = None
     _ahead: tuple[int, float] | None = None
+    _silent: bool = False
 
     async def wait(self, after: int) -> Events | Unavailable | None:
         """Return what the watch told; ``None`` if it was silent while changes came.
@@ -42,10 +44,11 @@
         :param after: store revision after which changes are wanted.
         """
         self._ahead = None
+        self._silent = False
         with anyio.CancelScope() as scope:
             self._scope = scope
             return await self.kv.watch('', after, WATCH_S)
-        return None
+        return None if self._silent else Unavailable('watch: begun before a gap')
 
     def note_store_revision(self, revision: int) -> None:
         """End a watch that says nothing of changes which the store has made.
@@ -58,7 +61,12 @@
         elif self._ahead is None or self._ahead[0] != heard:
             self._ahead = (heard, self.clock())
         elif self.clock() - self._ahead[1] >= WATCH_LAG_S:
-            self._ahead = None
             log.emit(events.WATCH_SILENT, heard=heard, revision=revision)
-            if self._scope is not None:
-                self._scope.cancel()
+            self._silent = True
+            self.end()
+
+    def end(self) -> None:
+        """End the watch, if one waits, so that it is begun anew."""
+        self._ahead = None
+        if self._scope is not None:
+            self._scope.cancel()
--- a/tests/fleet/test_session.py
+++ b/tests/fleet/test_session.py
@@ -7,6 +7,7 @@
 
 import anyio
 
+from coursepitch.fleet.contact import GAP_S
 from coursepitch.fleet.freshness import OUTAGE_SIGN_S, Freshness
 from coursepitch.fleet.messages import Heartbeat
 from coursepitch.fleet.session import (
@@ -275,5 +276,29 @@
         self.assertEqual(await self.run_watch([11, 11, 12]), 2)
         self.assertEqual(self.session.view.heard_revision, 20)
 
+    async def test_watch_from_before_a_gap_is_begun_anew(self):
+        watches = []
+
+        async def count_watches(prefix, after, wait_s):
+            watches.append(after)
+            self.waiting.set()
+            if len(watches) == 2:
+                begun_anew.set()
+            await anyio.sleep_forever()
+
+        begun_anew = anyio.Event()
+        self.store.watch = count_watches
+        await self.confirm(10)
+        async with anyio.create_task_group() as group:
+            group.start_soon(self.session._follow)
+            await self.waiting.wait()
+            self.store.now += GAP_S
+            await self.confirm(10)
+            with anyio.fail_after(5):
+                await begun_anew.wait()
+            group.cancel_scope.cancel()
+        self.assertEqual(watches, [10, 10])
+        self.assertEqual(self.listings, 1)
+
     async def test_watch_that_is_up_to_date_goes_on(self):
         self.assertEqual(await self.run_watch([10, 10, 10, 11]), 1)
