A node whose live entry could not be written tries again under another lease

Cause (read in the code while tracing a test that failed): the lease was granted and the write of the entry under it had no answer; the node went on renewing the lease and never wrote the entry, so that it was no candidate for duties until the lease lapsed.

Change: without its entry the lease counts for nothing, the next try grants another.

--- a/coursepitch/control/session.py
+++ b/coursepitch/control/session.py
@@ -260,7 +260,12 @@
             return False
         self._note_answer()
         self._replace(lease=Lease(name, asked_at + self._settings.lease_s))
-        return await self._write_live(name)
+        if await self._write_live(name):
+            return True
+        # Without its entry the node counts as dead and takes no duty, however long the
+        # lease runs: another one is granted, and the entry tried again.
+        self._replace(lease=Lease())
+        return False
 
     async def _write_live(self, lease: str) -> bool:
         key = LIVE_PREFIX + self._name
--- /dev/null
+++ b/tests/control/test_session.py
@@ -0,0 +1,83 @@
+"""A node is live by its entry, which stands under its lease."""
+
+from __future__ import annotations
+
+import unittest
+
+import anyio
+
+from coursepitch.config.settings import PlatformSettings
+from coursepitch.control.session import LIVE_PREFIX, Session
+from coursepitch.platform.kv import Conflict, Entry, Swapped, Unavailable
+
+
+class FakeKeyValue:
+    """Grants leases and keeps entries; fails as many writes as it is told to."""
+
+    def __init__(self, failing):
+        self.failing = failing
+        self.entries = {}
+        self.granted = 0
+
+    async def grant(self, ttl_s):
+        self.granted += 1
+        return str(self.granted)
+
+    async def renew(self, lease):
+        return True
+
+    async def get(self, key):
+        return self.entries.get(key, Entry(key))
+
+    async def swap(self, key, value, expect, lease=''):
+        if self.failing:
+            self.failing -= 1
+            return Unavailable('no answer in time')
+        held = self.entries.get(key, Entry(key))
+        if held.revision != expect:
+            return Conflict(held)
+        self.entries[key] = Entry(key, value, held.revision + 1)
+        return Swapped(held.revision + 1)
+
+
+class LiveEntryTest(unittest.TestCase):
+    """An entry whose write failed is written by and by.
+
+    A node whose lease was granted while the write of its entry had no answer kept
+    renewing the lease, and was dead to all others for good: nobody took the duties
+    that it was first for.
+    """
+
+    def keep_lease(self, failing, rounds):
+        """Let a node keep its lease for some rounds; return the store and the node."""
+        kv = FakeKeyValue(failing)
+        platform = PlatformSettings(key_value_url='-', instance_list_url='-')
+        session = Session('n1', kv, platform, lambda: 100.0)
+
+        async def run():
+            for _ in range(rounds):
+                lease = session.view.value.lease
+                if lease.name:
+                    await session._renew(lease)
+                else:
+                    await session._grant()
+
+        anyio.run(run)
+        return kv, session.view.value.lease
+
+    def test_entry_is_written_after_a_failure(self):
+        kv, lease = self.keep_lease(failing=2, rounds=4)
+        self.assertEqual(kv.entries[LIVE_PREFIX + 'n1'].value, lease.name)
+        self.assertEqual(kv.granted, 3)
+
+    def test_lease_without_an_entry_is_none(self):
+        _, lease = self.keep_lease(failing=9, rounds=1)
+        self.assertEqual(lease.name, '')
+
+    def test_one_lease_is_enough_where_nothing_fails(self):
+        kv, lease = self.keep_lease(failing=0, rounds=3)
+        self.assertEqual((kv.granted, lease.name), (1, '1'))
+
+
+if __name__ == '__main__':
+    unittest.main()
