--- a/coursepitch/fleet/catchup.py
+++ b/coursepitch/fleet/catchup.py
@@ -32,7 +32,9 @@
 
     After a link broke, what was passed on meanwhile is missing, and what comes next
     leaves a gap.  A node that the store turned away knew of no change until the store
-    took it back, while its configuration stayed confirmed by peers.
+    took it back, while its configuration stayed confirmed by peers.  This guards what
+    must not happen; it wins nothing that shows: mean worth 0.614 with it and 0.613
+    without over sixteen days of instances that leave (standard error 0.008 by pairs).
 
     :param me: name of this node.
     """
