Idle nodes wake for what came, not to look whether something did

Ruled out: decoding of heartbeats of instances (the store tells of no entry in which only the count of heartbeats changed); heartbeats themselves, a quarter of it.

Change: the log, the catch-up and the lead wait to be woken; nodes that follow nobody's store look four times a second, and are woken when a peer tells of a newer configuration; links are planned anew only when nodes change, and are looked at for silence together.

Figures: idle node of eight, 20 s each, 1.9% of a core before, 1.1% after.

--- a/coursepitch/fleet/catchup.py
+++ b/coursepitch/fleet/catchup.py
@@ -45,6 +45,11 @@
         self._book = book
         self._history = ChangeHistory()
         self._behind_at = 0
+        self._told_ahead = anyio.Event()
+
+    def note_ahead(self) -> None:
+        """Note that a peer told that it has heard of more."""
+        self._told_ahead.set()
 
     def note_taken(self, after: int, entries: tuple[Entry, ...]) -> None:
         """Keep changes that were taken, for peers that miss them.
@@ -77,9 +82,12 @@
     async def run(self, tell: Callable[[Message, str], None]) -> None:
         """Ask while this node stays behind, until cancelled."""
         while True:
+            self._told_ahead = anyio.Event()
             found = self.find_request()
             if found is not None:
                 request, peer = found
                 log.emit(events.CHANGES_MISSED, heard=request.after, peer=peer)
                 tell(request, peer)
+            if not self._behind_at:
+                await self._told_ahead.wait()
             await anyio.sleep(BEHIND_S)
--- a/coursepitch/fleet/leases.py
+++ b/coursepitch/fleet/leases.py
@@ -13,7 +13,7 @@
 from coursepitch.platform.kv import Condition, Conflict, Swapped, Unavailable, Write
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Awaitable, Callable
 
     from coursepitch.clock import Clock
     from coursepitch.fleet.view import FleetView
@@ -39,8 +39,9 @@
 #: that run at different rates.
 LEASE_MARGIN_S = 0.2
 
-#: Seconds between two looks whether somebody leads.
-LOOK_S = 0.1
+#: Longest time in seconds between two looks whether somebody leads; a node looks also
+#: whenever its view changes.
+LOOK_S = 0.5
 
 #: Seconds after which each further node tries to take the lead, and the longest
 #: such wait.  Source: a try is answered in some 10 ms, and told in 10 more.
@@ -117,6 +118,8 @@
         self._ending = False
         self._back = anyio.Event()
         self.place = NodePlace('')
+        #: Waits until the view changes, at most so many seconds.
+        self.wait_changed: Callable[[float], Awaitable[None]] = anyio.sleep
 
     def is_leader(self) -> bool:
         """Whether the node holds the lead, by its own reckoning of its lease."""
@@ -187,7 +190,7 @@
             elif self._is_vacant():
                 await self._campaign()
             else:
-                await anyio.sleep(LOOK_S)
+                await self.wait_changed(LOOK_S)
 
     async def _keep_lead(self) -> None:
         good = await self._lead.renew()
--- a/coursepitch/fleet/links.py
+++ b/coursepitch/fleet/links.py
@@ -37,6 +37,7 @@
 
     from coursepitch.clock import Clock
     from coursepitch.fleet.messages import Changes, Message
+    from coursepitch.fleet.nodes import NodePlace
     from coursepitch.fleet.peers import PeerBook
     from coursepitch.fleet.view import FleetView
 
@@ -60,9 +61,6 @@
 #: Seconds for which a peer is passed over after its link broke.
 DOWN_S = 3.0
 
-#: Seconds between two looks at which links are wanted.
-LOOK_S = 0.2
-
 #: Messages that wait for one peer; further ones are dropped, and the peer finds
 #: by the revisions that it missed some and asks the store.
 QUEUE_LIMIT = 64
@@ -77,6 +75,9 @@
     """A connection with a peer, and the messages that wait for it.
 
     :param node: name of the peer; empty until it told.
+    :param heard_at: when something came last.
+    :param sending_since: since when a message has been leaving, if one is.
+    :param ended: why the link was given up; empty while it wasn't.
     """
 
     node: str = ''
@@ -84,6 +85,24 @@
     beat: bool = True
     wake: anyio.Event = field(default_factory=anyio.Event)
     scope: anyio.CancelScope = field(default_factory=anyio.CancelScope)
+    heard_at: float = float('inf')
+    sending_since: float = float('inf')
+    ended: str = ''
+    serving: anyio.CancelScope | None = None
+
+    def find_fault(self, now: float) -> str:
+        """Return why the link is to be given up; empty if it is sound."""
+        if now - self.heard_at > SILENT_S:
+            return 'silent'
+        if now - self.sending_since > LINK_TIMEOUT_S:
+            return 'a message does not leave'
+        return ''
+
+    def give_up(self, reason: str) -> None:
+        """End the exchange of messages; the connection is then closed."""
+        self.ended = reason
+        if self.serving is not None:
+            self.serving.cancel()
 
     def put(self, data: bytes) -> None:
         """Queue a message."""
@@ -115,6 +134,7 @@
     _plan: LinkPlan = field(default_factory=LinkPlan)
     _state: bytes = b''
     _due: anyio.Event = field(default_factory=anyio.Event)
+    _planned_for: tuple[dict[str, NodePlace], str] | None = None
 
     def is_followed(self) -> bool:
         """Whether other nodes count on this one to tell them of changes."""
@@ -166,15 +186,14 @@
             ping_interval=None,
         )
         async with server, anyio.create_task_group() as group:
-            group.start_soon(self._beat)
             group.start_soon(self._beat_relays)
-            while True:
-                self._match_links(group)
-                await anyio.sleep(LOOK_S)
+            await self._beat(group)
 
-    async def _beat(self) -> None:
-        """Let a heartbeat leave on all links when it is time."""
+    async def _beat(self, group: TaskGroup) -> None:
+        """Match the links and let a heartbeat leave on all when it is time."""
         while True:
+            self._match_links(group)
+            self._give_up_faulty()
             self.book.forget_silent()
             self._state = encode_state(self.read_beat())
             for link in self._list_links():
@@ -187,22 +206,44 @@
     async def _beat_relays(self) -> None:
         """Let heartbeats leave more often to relays that tell the loads on."""
         while True:
-            await anyio.sleep(RELAY_TELL_S)
-            for link in self._accepted:
-                if self.book.is_relay(link.node):
-                    link.beat = True
-                    link.wake.set()
+            relays = [item for item in self._accepted if self.book.is_relay(item.node)]
+            for link in relays:
+                link.beat = True
+                link.wake.set()
+            await anyio.sleep(RELAY_TELL_S if relays else TELL_S)
+
+    def _give_up_faulty(self) -> None:
+        """Give up links that are silent or take nothing.
+
+        One look at all of them costs less than a timer for each message.
+        """
+        now = self.clock()
+        for link in self._list_links():
+            fault = link.find_fault(now)
+            if fault:
+                link.give_up(fault)
+
+    def _plan_links(self, up: dict[str, NodePlace]) -> LinkPlan:
+        """Return the links wanted; they are chosen anew when the nodes change.
+
+        :param up: the nodes that can be linked to.
+        """
+        key = (up, self.view.leader)
+        if key != self._planned_for:
+            self._planned_for = key
+            zones = {name: place.availability_zone for name, place in up.items()}
+            self._plan = choose_links(
+                self.me, {**zones, self.me: self.zone}, self.view.leader
+            )
+        return self._plan
 
     def _match_links(self, group: TaskGroup) -> None:
         """Hold a link to each node that follows the store for all."""
         now = self.clock()
+        self._down = {name: until for name, until in self._down.items() if until > now}
         nodes = self.view.nodes
-        up = [name for name in nodes if self._down.get(name, 0.0) <= now]
-        zones = {name: nodes[name].availability_zone for name in up}
-        self._plan = choose_links(
-            self.me, {**zones, self.me: self.zone}, self.view.leader
-        )
-        wanted = set(self._plan.peers)
+        up = {name: place for name, place in nodes.items() if name not in self._down}
+        wanted = set(self._plan_links(up).peers)
         for node in [name for name in self._dialled if name not in wanted]:
             self._dialled.pop(node).scope.cancel()
         for node in wanted:
@@ -249,7 +290,9 @@
         from websockets.exceptions import WebSocketException
 
         reasons: list[str] = []
+        link.heard_at = self.clock()
         async with anyio.create_task_group() as group:
+            link.serving = group.cancel_scope
 
             async def run(work: Callable[[Connection, _Link], Any]) -> None:
                 try:
@@ -263,12 +306,12 @@
 
             group.start_soon(run, self._hear)
             group.start_soon(run, self._tell)
-        return reasons[0] if reasons else 'closed'
+        return link.ended or (reasons[0] if reasons else 'closed')
 
     async def _hear(self, connection: Connection, link: _Link) -> None:
         while True:
-            with anyio.fail_after(SILENT_S):
-                data = await connection.recv(decode=False)
+            data = await connection.recv(decode=False)
+            link.heard_at = self.clock()
             message = decode_message(data)
             if not link.node and isinstance(message, Heartbeat):
                 link.node = message.node
@@ -276,12 +319,13 @@
 
     async def _tell(self, connection: Connection, link: _Link) -> None:
         while True:
-            with anyio.fail_after(LINK_TIMEOUT_S):
-                while link.waiting:
-                    await connection.send(link.waiting.popleft())
-                if link.beat:
-                    link.beat = False
-                    await connection.send(self._compose(link.node))
+            link.sending_since = self.clock()
+            while link.waiting:
+                await connection.send(link.waiting.popleft())
+            if link.beat:
+                link.beat = False
+                await connection.send(self._compose(link.node))
+            link.sending_since = float('inf')
             if not link.waiting and not link.beat:
                 link.wake = anyio.Event()
                 await link.wake.wait()
--- a/coursepitch/fleet/session.py
+++ b/coursepitch/fleet/session.py
@@ -61,8 +61,12 @@
 #: the pauses of the heartbeats both ways.
 UNTOLD_S = 1.6
 
-#: Seconds between two looks whether to ask.
+#: Seconds between two looks whether to ask: of a node that follows the store or knows
+#: no configuration yet, and of all others, who are woken when a peer tells of a newer
+#: one.  An idle node takes 1.1% of a core in place of 1.9 by this and by links without
+#: a timer for each message (eight nodes on one machine, 20 s each).
 LOOK_S = 0.1
+TOLD_LOOK_S = 0.25
 
 #: Part of the bound after which a node that can't confirm its configuration
 #: hands its clients on, while it still serves: the balancer takes a second or
@@ -116,6 +120,7 @@
         self.kv = kv
         self.book = PeerBook(secrets.randbits(48), clock)
         self.leases = NodeLeases(name, kv, self.view, self.wake, clock)
+        self.leases.wait_changed = self.wait_changed
         #: This node's part of limits that all nodes share.
         self.share = LimitShare(USUAL_WINDOW_S, clock)
         #: Sends a message to one peer, or to all.
@@ -226,7 +231,7 @@
         listed = False
         while True:
             if listed and self._is_told():
-                await anyio.sleep(LOOK_S)
+                await anyio.sleep(self._find_look_s())
                 continue
             after = self.view.heard_revision
             if listed:
@@ -329,6 +334,10 @@
 
     def _take_heartbeat(self, beat: Heartbeat) -> None:
         found = self.book.take(beat)
+        if beat.table_revision > self._table_revision():
+            self.wake()
+        if beat.heard > self.view.heard_revision:
+            self._catch_up.note_ahead()
         if found is None:
             return
         self._contact.note_answered(found.asked_at)
@@ -367,13 +376,18 @@
         while True:
             if await self._get_told_table() or not self._is_due():
                 attempt = 0
-                await anyio.sleep(LOOK_S)
+                await self.wait_changed(self._find_look_s())
             elif await self.confirm():
                 attempt = 0
             else:
                 await anyio.sleep(self._find_pause(attempt))
                 attempt += 1
 
+    def _find_look_s(self) -> float:
+        """Return the seconds until the node looks again whether to ask."""
+        soon = self.is_following() or self.is_starting()
+        return LOOK_S if soon else TOLD_LOOK_S
+
     def _find_pause(self, attempt: int) -> float:
         """Return the seconds before the store is asked again after a failure.
 
--- a/coursepitch/log.py
+++ b/coursepitch/log.py
@@ -55,6 +55,7 @@
         self._descriptor = descriptor
         self._lines: collections.deque[bytes] = collections.deque()
         self._rest = b''
+        self._came: anyio.Event | None = None
         self.dropped = 0
 
     def take(self, message: dict[str, Any]) -> None:
@@ -63,6 +64,8 @@
             self.dropped += 1
             return
         self._lines.append(orjson.dumps(message, default=str) + b'\n')
+        if self._came is not None:
+            self._came.set()
 
     def flush(self) -> None:
         """Write what standard output takes now."""
@@ -89,8 +92,11 @@
                 return
 
     async def run(self) -> None:
-        """Write now and then until cancelled."""
+        """Write what came, now and then, until cancelled."""
         while True:
+            if not self._lines and not self._rest:
+                self._came = anyio.Event()
+                await self._came.wait()
             await anyio.sleep(FLUSH_S)
             self.flush()
 
--- a/tests/fleet/test_links.py
+++ b/tests/fleet/test_links.py
@@ -7,8 +7,9 @@
 import unittest
 
 import anyio
+from websockets.asyncio.server import serve
 
-from coursepitch.fleet.links import PeerLinks, _Link
+from coursepitch.fleet.links import LINK_TIMEOUT_S, SILENT_S, PeerLinks, _Link
 from coursepitch.fleet.messages import Changes, Heartbeat
 from coursepitch.fleet.nodes import NodePlace
 from coursepitch.fleet.peers import PeerBook
@@ -196,5 +197,53 @@
         anyio.run(run)
 
 
+def build_link(**fields):
+    """Return a link outside of an event loop."""
+    return _Link('n2', scope=None, **fields)
+
+
+class FaultTest(unittest.TestCase):
+    """A link is given up when nothing comes on it, or nothing leaves."""
+
+    def test_silent_link_is_faulty(self):
+        link = build_link(heard_at=100.0)
+        self.assertEqual(link.find_fault(99.9 + SILENT_S), '')
+        self.assertEqual(link.find_fault(100.1 + SILENT_S), 'silent')
+
+    def test_link_on_which_a_message_does_not_leave_is_faulty(self):
+        link = build_link(heard_at=200.0, sending_since=100.0)
+        self.assertEqual(link.find_fault(99.9 + LINK_TIMEOUT_S), '')
+        self.assertTrue(link.find_fault(100.1 + LINK_TIMEOUT_S))
+
+    def test_link_that_is_not_up_yet_is_sound(self):
+        self.assertEqual(build_link().find_fault(1e9), '')
+
+    def test_peer_that_takes_a_link_and_says_nothing_is_given_up(self):
+        async def run():
+            sock, silent = listen('127.0.0.1', 0), listen('127.0.0.1', 0)
+            nodes = {
+                name: NodePlace(f'127.0.0.1:{item.getsockname()[1]}', 'a')
+                for name, item in (('n1', sock), ('n2', silent))
+            }
+            ended = anyio.Event()
+
+            async def hear_nothing(connection):
+                # The other side ends the link; whatever came is left unread.
+                await connection.wait_closed()
+                ended.set()
+
+            node = Node('n1', nodes, 'n2')
+            with anyio.fail_after(WAIT_S):
+                async with (
+                    serve(hear_nothing, sock=silent),
+                    anyio.create_task_group() as group,
+                ):
+                    group.start_soon(node.links.run, sock)
+                    await ended.wait()
+                    group.cancel_scope.cancel()
+
+        anyio.run(run)
+
+
 if __name__ == '__main__':
     unittest.main()
--- a/tests/test_log.py
+++ b/tests/test_log.py
@@ -3,9 +3,12 @@
 from __future__ import annotations
 
 import os
+import select
 import socket
 import unittest
 
+import anyio
+
 from coursepitch.log import WRITE_BYTES, BoundedOutput
 
 
@@ -31,6 +34,10 @@
             except BlockingIOError:
                 return packets
 
+    def wait_readable(self):
+        readable, _, _ = select.select([self.reader], [], [], 10)
+        self.assertTrue(readable)
+
     def test_writes_are_small_and_whole(self):
         output = BoundedOutput(self.writer.fileno())
         for number in range(200):
@@ -49,3 +56,19 @@
         output.take({'text': 'short'})
         output.flush()
         self.assertEqual(len(self.read_packets()), 2)
+
+    def test_line_that_comes_after_a_rest_is_written(self):
+        output = BoundedOutput(self.writer.fileno())
+
+        async def scenario():
+            async with anyio.create_task_group() as group:
+                group.start_soon(output.run)
+                for number in range(2):
+                    # The output rests until a line wakes it.
+                    await anyio.wait_all_tasks_blocked()
+                    output.take({'number': number})
+                    await anyio.to_thread.run_sync(self.wait_readable)
+                    self.assertEqual(len(self.read_packets()), 1)
+                group.cancel_scope.cancel()
+
+        anyio.run(scenario)
