--- a/coursepitch/events.py
+++ b/coursepitch/events.py
@@ -144,13 +144,13 @@
     ('instance', 'steady_s'),
 )
 INSTANCE_RESTARTED = Event(
-    521,
+    523,
     'instance.restarted',
     'An instance started again under its name; what was known of it is forgotten.',
     ('instance', 'born'),
 )
 INSTANCE_STALE = Event(
-    522,
+    524,
     'instance.stale',
     'An entry that an earlier start of an instance wrote is left.',
     ('instance', 'born'),
