--- a/coursepitch/fleet/instances.py
+++ b/coursepitch/fleet/instances.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import enum
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 __all__ = ['FleetInstance', 'GroupState', 'Membership']
 
@@ -65,3 +65,14 @@
     def is_restart_of(self, before: FleetInstance) -> bool:
         """Whether this is a later incarnation than another one of that name."""
         return 0 < before.born < self.born
+
+    def carry_over(self, before: FleetInstance) -> FleetInstance:
+        """Return this with the model that it is known to hold from its last group.
+
+        Once out of its group it no longer tells the model, but still has it, unless it
+        started again.
+        """
+        if self.models or self.is_restart_of(before):
+            return self
+        last_model = next(iter(before.models), before.last_model)
+        return replace(self, last_model=last_model)
--- a/coursepitch/fleet/view.py
+++ b/coursepitch/fleet/view.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 from coursepitch import events, log
@@ -288,14 +288,13 @@
             return
         self._damaged.discard(name)
         before = self.instances.get(name)
-        if before is not None and before.is_restart_of(instance):
-            # A late write of an earlier start says nothing of the present one.
-            log.emit(events.INSTANCE_STALE, instance=name, born=instance.born)
-            return
-        if before is not None and instance.is_restart_of(before):
-            log.emit(events.INSTANCE_RESTARTED, instance=name, born=instance.born)
-            self.tell_restart(name)
-        instance = _remember_model(before, instance)
+        if before is not None:
+            if before.is_restart_of(instance):
+                # A late write of an earlier start says nothing of the present one.
+                log.emit(events.INSTANCE_STALE, instance=name, born=instance.born)
+                return
+            self._note_restart(before, instance)
+            instance = instance.carry_over(before)
         self._lapsed.pop(name, None)
         self._passed_over.discard(name)
         self.instances[name] = instance
@@ -313,6 +312,12 @@
                 revision=entry.revision,
             )
 
+    def _note_restart(self, before: FleetInstance, after: FleetInstance) -> None:
+        """Tell of an instance if it started again."""
+        if after.is_restart_of(before):
+            log.emit(events.INSTANCE_RESTARTED, instance=after.name, born=after.born)
+            self.tell_restart(after.name)
+
     def _note_damaged(self, name: str, reason: str) -> None:
         """Note an entry that another writer left; what was known of its key holds.
 
@@ -441,18 +446,3 @@
         'rank': found.rank,
         'state': found.state.value,
     }
-
-
-def _remember_model(
-    before: FleetInstance | None, after: FleetInstance
-) -> FleetInstance:
-    """Return an instance with the model that it held last.
-
-    Once out of its group it no longer tells the model, but still has it, unless it
-    started again.
-    """
-    if after.models:
-        return replace(after, last_model=next(iter(after.models)))
-    if before is None or after.is_restart_of(before):
-        return after
-    return replace(after, last_model=before.last_model)
