--- a/coursepitch/__main__.py
+++ b/coursepitch/__main__.py
@@ -10,7 +10,7 @@
 if __name__ == '__main__':
     listen_early(sys.argv)
     if takes_no_options(sys.argv):
-        # Importing the command line's libraries takes a tenth of a node's start.
+        # A node that starts again serves nobody while libraries are imported.
         sys.exit(run_directly(sys.argv))
     from coursepitch.cmd.main import main
 
