The soak's checkers, as functions over a recorded run

The first part of the soak of the product's own: what callers, targets and operators saw, as frozen records, and seven promises as pure functions over them (own answers, events, runs once, refusals, leaving, keys, second sends). Each tells how many records it looked at. Tests break each promise once, and keep it once.

Not there yet: the driver, the proxy, the faults; so nothing is proved by it so far.

--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomized runs of real processes under faults, and what they must keep."""
--- /dev/null
+++ b/soak/checkers.py
@@ -0,0 +1,215 @@
+"""Promises as functions over what was recorded of a run.
+
+Each returns how many records it looked at: one that looked at none has proved nothing.
+"""
+
+from __future__ import annotations
+
+import bisect
+from collections import Counter, defaultdict
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from soak.history import Ending
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Sequence
+
+    from soak.history import History
+
+__all__ = ['CHECKERS', 'Bounds', 'Finding', 'Verdict', 'check_all']
+
+
+@dataclass(frozen=True, slots=True)
+class Bounds:
+    """What users allow.
+
+    :param drain_s: seconds after which an instance that left gets nothing.
+    :param revoke_s: seconds after which a key that was taken away runs nothing.
+    :param retry_ratio: second sends allowed, as a part of the calls in a window.
+    :param retry_extra: second sends allowed beside these.
+    :param retry_window_s: length of the window in seconds.
+    """
+
+    drain_s: float = 2.0
+    revoke_s: float = 5.0
+    retry_ratio: float = 0.2
+    retry_extra: int = 100
+    retry_window_s: float = 10.0
+
+
+@dataclass(frozen=True, slots=True)
+class Finding:
+    """A broken promise: which call, instance or service, when, and how."""
+
+    subject: str
+    at: float
+    what: str
+
+
+@dataclass(frozen=True, slots=True)
+class Verdict:
+    """What one checker found.
+
+    :param looked_at: records that could have broken the promise.
+    """
+
+    checker: str
+    looked_at: int
+    findings: tuple[Finding, ...]
+
+    @property
+    def proved(self) -> bool:
+        """Whether the promise was put to the test and kept."""
+        return self.looked_at > 0 and not self.findings
+
+
+def check_own_answers(history: History, bounds: Bounds) -> Verdict:
+    """Each caller gets the answer to its own request."""
+    answered = [call for call in history.calls if call.answered_for]
+    findings = [
+        Finding(call.id, call.ended_at, f'got the answer to {call.answered_for}')
+        for call in answered
+        if call.answered_for != call.id
+    ]
+    return Verdict('own answers', len(answered), tuple(findings))
+
+
+def check_events(history: History, bounds: Bounds) -> Verdict:
+    """Events come once and in order, and a whole answer has all of them."""
+    findings = []
+    looked_at = 0
+    for call in history.calls:
+        if not call.expected:
+            continue
+        looked_at += 1
+        if call.events != tuple(range(1, len(call.events) + 1)):
+            findings.append(Finding(call.id, call.ended_at, 'an event is out of place'))
+        elif call.ending is Ending.WHOLE and len(call.events) < call.expected:
+            findings.append(Finding(call.id, call.ended_at, 'ended before its last'))
+    return Verdict('events', looked_at, tuple(findings))
+
+
+def check_runs_once(history: History, bounds: Bounds) -> Verdict:
+    """What may not be repeated runs once at most."""
+    once = {call.id for call in history.calls if not call.repeatable}
+    runs = Counter(run.call for run in history.runs if run.executed)
+    findings = [
+        Finding(run.call, run.arrived_at, f'ran {runs[run.call]} times')
+        for run in {run.call: run for run in history.runs}.values()
+        if run.call in once and runs[run.call] > 1
+    ]
+    return Verdict('runs once', len(once), tuple(findings))
+
+
+def check_refusals(history: History, bounds: Bounds) -> Verdict:
+    """A call that was told that it has not run never ran, nor will."""
+    refused = {call.id for call in history.calls if call.ending is Ending.NOT_RUN}
+    findings = [
+        Finding(run.call, run.arrived_at, f'ran on {run.instance}, told not run')
+        for run in history.runs
+        if run.executed and run.call in refused
+    ]
+    return Verdict('refusals', len(refused), tuple(findings))
+
+
+def check_leaving(history: History, bounds: Bounds) -> Verdict:
+    """Instances that left get nothing after the time that users allow."""
+    left = {item.instance: item.acknowledged_at for item in history.left}
+    findings = [
+        Finding(
+            run.call,
+            run.arrived_at,
+            f'{run.arrived_at - left[run.instance]:.3f} s after {run.instance} left',
+        )
+        for run in history.runs
+        if run.instance in left and run.arrived_at > left[run.instance] + bounds.drain_s
+    ]
+    return Verdict('leaving', len(left), tuple(findings))
+
+
+def check_keys(history: History, bounds: Bounds) -> Verdict:
+    """Keys that were taken away run nothing after the time that users allow."""
+    gone_at = _find_keys_gone(history)
+    calls = history.map_calls()
+    findings = []
+    for run in history.runs:
+        call = calls.get(run.call)
+        if call is None or call.key not in gone_at or not run.executed:
+            continue
+        if call.sent_at > gone_at[call.key] + bounds.revoke_s:
+            text = f'sent {call.sent_at - gone_at[call.key]:.3f} s after its key went'
+            findings.append(Finding(call.id, run.arrived_at, text))
+    return Verdict('keys', len(gone_at), tuple(findings))
+
+
+def _find_keys_gone(history: History) -> dict[str, float]:
+    """Return when each key was taken away that did not come back."""
+    gone_at: dict[str, float] = {}
+    held: frozenset[str] = frozenset()
+    for item in history.configurations:
+        for key in held - item.keys:
+            gone_at[key] = item.acknowledged_at
+        for key in item.keys:
+            gone_at.pop(key, None)
+        held = item.keys
+    return gone_at
+
+
+def check_second_sends(history: History, bounds: Bounds) -> Verdict:
+    """Second sends of all nodes stay within the budget in any window.
+
+    The calls are counted in whichever window has most of them: this one, the one
+    before it, or the one half a window before it.
+    """
+    looked_at = 0
+    findings = []
+    for service, again in sorted(_list_second_sends(history).items()):
+        looked_at += len(again)
+        sent = sorted(c.sent_at for c in history.calls if c.service == service)
+        for place, start in enumerate(again):
+            end = start + bounds.retry_window_s
+            count = bisect.bisect_left(again, end) - place
+            calls = _count_calls(sent, start, bounds.retry_window_s)
+            most = bounds.retry_ratio * calls + bounds.retry_extra
+            if count > most:
+                text = f'{count} second sends for {calls} calls, {most:.0f} allowed'
+                findings.append(Finding(service, start, text))
+                break
+    return Verdict('second sends', looked_at, tuple(findings))
+
+
+def _list_second_sends(history: History) -> dict[str, list[float]]:
+    """Return the times of arrivals beyond the first of each call, by service."""
+    seen: set[str] = set()
+    again: dict[str, list[float]] = defaultdict(list)
+    for run in sorted(history.runs, key=lambda item: item.arrived_at):
+        if run.call in seen:
+            again[run.service].append(run.arrived_at)
+        seen.add(run.call)
+    return again
+
+
+def _count_calls(sent: Sequence[float], start: float, window_s: float) -> int:
+    def count(begin: float) -> int:
+        end = bisect.bisect_left(sent, begin + window_s)
+        return end - bisect.bisect_left(sent, begin)
+
+    return max(count(start - back * window_s) for back in (0.0, 0.5, 1.0))
+
+
+#: All checkers, in the order in which a run reports them.
+CHECKERS: tuple[Callable[[History, Bounds], Verdict], ...] = (
+    check_own_answers,
+    check_events,
+    check_runs_once,
+    check_refusals,
+    check_leaving,
+    check_keys,
+    check_second_sends,
+)
+
+
+def check_all(history: History, bounds: Bounds) -> tuple[Verdict, ...]:
+    """Return what each checker finds."""
+    return tuple(check(history, bounds) for check in CHECKERS)
--- /dev/null
+++ b/soak/history.py
@@ -0,0 +1,92 @@
+"""What callers, targets and operators saw of a run, as its driver records it.
+
+All times are seconds of one steady clock, that of the driver.
+"""
+
+from __future__ import annotations
+
+import enum
+from dataclasses import dataclass, field
+
+__all__ = ['Acknowledged', 'Call', 'Ending', 'History', 'Left', 'Run']
+
+
+class Ending(enum.Enum):
+    """How a call ended for its caller."""
+
+    WHOLE = 'whole'
+    NOT_RUN = 'not run'
+    UNKNOWN = 'unknown'
+    CUT = 'cut'
+
+
+@dataclass(frozen=True, slots=True)
+class Call:
+    """One try of a caller.
+
+    :param key: the caller's key; empty for none.
+    :param repeatable: whether it may run more than once.
+    :param ended_at: when the answer was whole, refused, or its connection gone.
+    :param answered_for: id that the answer named; empty without one.
+    :param events: numbers of the events that came, in their order.
+    :param expected: events that the whole answer has.
+    """
+
+    id: str
+    service: str
+    key: str
+    sent_at: float
+    ended_at: float
+    ending: Ending
+    repeatable: bool = True
+    answered_for: str = ''
+    events: tuple[int, ...] = ()
+    expected: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Run:
+    """A request that arrived at an instance.
+
+    :param executed: whether the instance began work on it.
+    """
+
+    call: str
+    instance: str
+    service: str
+    arrived_at: float
+    executed: bool = True
+
+
+@dataclass(frozen=True, slots=True)
+class Left:
+    """An instance whose leaving the store acknowledged."""
+
+    instance: str
+    acknowledged_at: float
+
+
+@dataclass(frozen=True, slots=True)
+class Acknowledged:
+    """A configuration that the store acknowledged.
+
+    :param keys: keys that it holds.
+    """
+
+    version: int
+    acknowledged_at: float
+    keys: frozenset[str] = frozenset()
+
+
+@dataclass(frozen=True, slots=True)
+class History:
+    """All that was recorded of a run, each part in the order of its times."""
+
+    calls: tuple[Call, ...] = ()
+    runs: tuple[Run, ...] = ()
+    left: tuple[Left, ...] = ()
+    configurations: tuple[Acknowledged, ...] = field(default=())
+
+    def map_calls(self) -> dict[str, Call]:
+        """Return the calls by their ids."""
+        return {call.id: call for call in self.calls}
--- /dev/null
+++ b/tests/soak/builders.py
@@ -0,0 +1,23 @@
+"""Builders of recorded runs."""
+
+from __future__ import annotations
+
+from soak.history import Call, Ending, Run
+
+
+def build_call(name='c', sent_at=10.0, ending=Ending.WHOLE, **fields):
+    """Return a call that was answered as it should be."""
+    values = {
+        'service': 'pool',
+        'key': 'k',
+        'ended_at': sent_at + 1.0,
+        'answered_for': name if ending is Ending.WHOLE else '',
+        'events': (1, 2, 3) if ending is Ending.WHOLE else (),
+        'expected': 3,
+    }
+    return Call(id=name, sent_at=sent_at, ending=ending, **{**values, **fields})
+
+
+def build_run(call='c', instance='i', arrived_at=10.1, **fields):
+    """Return the arrival of a call at an instance."""
+    return Run(call, instance, fields.pop('service', 'pool'), arrived_at, **fields)
--- /dev/null
+++ b/tests/soak/test_checkers.py
@@ -0,0 +1,108 @@
+"""Each checker fires on a history that breaks its promise, and on no other."""
+
+from __future__ import annotations
+
+import unittest
+
+from soak.checkers import (
+    CHECKERS,
+    Bounds,
+    check_all,
+    check_events,
+    check_keys,
+    check_leaving,
+    check_own_answers,
+    check_refusals,
+    check_runs_once,
+    check_second_sends,
+)
+from soak.history import Acknowledged, Ending, History, Left
+from tests.soak.builders import build_call, build_run
+
+BOUNDS = Bounds()
+
+
+class CheckerTest(unittest.TestCase):
+    """One history for each way in which a promise can break."""
+
+    def assert_fires(self, checker, history, subject):
+        verdict = checker(history, BOUNDS)
+        self.assertEqual([item.subject for item in verdict.findings], [subject])
+        self.assertFalse(verdict.proved)
+
+    def assert_proves(self, checker, history):
+        verdict = checker(history, BOUNDS)
+        self.assertEqual(verdict.findings, ())
+        self.assertTrue(verdict.proved)
+
+    def test_answer_to_another_call(self):
+        wrong = build_call('c', answered_for='d')
+        self.assert_fires(check_own_answers, History((wrong,)), 'c')
+        self.assert_proves(check_own_answers, History((build_call(),)))
+
+    def test_events_missing_doubled_or_left_out_at_the_end(self):
+        for events in ((1, 3), (1, 1, 2, 3), (2, 1, 3), (1, 2)):
+            wrong = build_call(events=events)
+            self.assert_fires(check_events, History((wrong,)), 'c')
+
+    def test_answer_that_was_cut_may_lack_its_end(self):
+        cut = build_call(ending=Ending.CUT, events=(1, 2))
+        self.assert_proves(check_events, History((cut,)))
+
+    def test_second_run_of_what_runs_once(self):
+        call = build_call(repeatable=False)
+        runs = (build_run(), build_run(instance='j', arrived_at=10.5))
+        self.assert_fires(check_runs_once, History((call,), runs), 'c')
+        rejected = (build_run(executed=False), runs[1])
+        self.assert_proves(check_runs_once, History((call,), rejected))
+
+    def test_run_of_a_call_that_was_told_not_run(self):
+        call = build_call(ending=Ending.NOT_RUN)
+        late = build_run(arrived_at=14.0)
+        self.assert_fires(check_refusals, History((call,), (late,)), 'c')
+        rejected = build_run(executed=False)
+        self.assert_proves(check_refusals, History((call,), (rejected,)))
+
+    def test_arrival_at_an_instance_that_left(self):
+        left = (Left('i', 10.0),)
+        late = build_run(arrived_at=10.1 + BOUNDS.drain_s)
+        self.assert_fires(check_leaving, History((), (late,), left), 'c')
+        soon = build_run(arrived_at=9.9 + BOUNDS.drain_s)
+        self.assert_proves(check_leaving, History((), (soon,), left))
+
+    def test_run_with_a_key_that_was_taken_away(self):
+        changes = (
+            Acknowledged(1, 0.0, frozenset({'k', 'l'})),
+            Acknowledged(2, 10.0, frozenset({'l'})),
+        )
+        late = build_call(sent_at=10.1 + BOUNDS.revoke_s)
+        run = build_run(arrived_at=late.sent_at)
+        history = History((late,), (run,), (), changes)
+        self.assert_fires(check_keys, history, 'c')
+        again = (*changes, Acknowledged(3, 12.0, frozenset({'k', 'l'})))
+        verdict = check_keys(History((late,), (run,), (), again), BOUNDS)
+        self.assertEqual((verdict.looked_at, verdict.findings), (0, ()))
+
+    def test_second_sends_beyond_the_budget_of_a_window(self):
+        """Each life of a node spent its part anew: 447 second sends, 391 allowed."""
+        calls = tuple(build_call(f'c{n}', sent_at=n * 0.01) for n in range(1000))
+        most = int(BOUNDS.retry_ratio * len(calls)) + BOUNDS.retry_extra
+
+        def build(count):
+            first = [build_run(call.id, 'i', call.sent_at) for call in calls]
+            second = [
+                build_run(call.id, 'j', call.sent_at + 0.001) for call in calls[:count]
+            ]
+            return History(calls, (*first, *second))
+
+        self.assert_fires(check_second_sends, build(most + 1), 'pool')
+        self.assert_proves(check_second_sends, build(most - 1))
+
+    def test_checker_that_saw_nothing_proves_nothing(self):
+        verdicts = check_all(History(), BOUNDS)
+        self.assertEqual(len(verdicts), len(CHECKERS))
+        self.assertFalse(any(verdict.proved for verdict in verdicts))
+
+
+if __name__ == '__main__':
+    unittest.main()
