Logs tell an instance that ended under a request from a broken connection

Change: a body is hashed as it is read; customer, host, method, path and body make a fingerprint. Where a request breaks off at an instance that is listed and not leaving, its node asks the instance once whether anybody listens there, for all requests that broke off; event 525 names instance, start, request and fingerprint. No decision rests on it yet.

--- a/coursepitch/events.py
+++ b/coursepitch/events.py
@@ -155,6 +155,13 @@
     'An entry that an earlier start of an instance wrote is left.',
     ('instance', 'born'),
 )
+INSTANCE_CRASHED = Event(
+    525,
+    'instance.crashed',
+    'An instance ended, unasked, while it had requests of this node: their ids, and '
+    'their fingerprints, which stay the same when clients send them again.',
+    ('instance', 'born', 'requests', 'fingerprints'),
+)
 INSTANCE_DAMAGED = Event(
     511, 'instance.damaged', 'An entry cannot be read.', ('instance', 'reason')
 )
--- a/coursepitch/fleet/control.py
+++ b/coursepitch/fleet/control.py
@@ -50,6 +50,7 @@
 
     ANSWERS = 'answers'
     SILENT = 'silent'
+    REFUSED = 'refused'
     REPLACED = 'replaced'
 
 
@@ -107,6 +108,14 @@
                 return found
         return Probe.SILENT
 
+    async def has_ended(self, instance: FleetInstance) -> bool:
+        """Whether an instance's process is gone, by one question.
+
+        Nobody listens at its address, or another instance does.  Silence says nothing:
+        a cut network and a machine that stands still look the same.
+        """
+        return await self._ask(instance) in (Probe.REFUSED, Probe.REPLACED)
+
     async def _ask(self, instance: FleetInstance) -> Probe:
         headers = report_headers(instance.address, instance.name)
         try:
@@ -119,6 +128,8 @@
                     await answer.read_whole(ANSWER_BYTES)
                 finally:
                     answer.release()
-        except (NoConnectionError, ExchangeError, TimeoutError):
+        except NoConnectionError as error:
+            return Probe.REFUSED if error.refused else Probe.SILENT
+        except (ExchangeError, TimeoutError):
             return Probe.SILENT
         return Probe.REPLACED if answer.status == 421 else Probe.ANSWERS
--- a/coursepitch/fleet/keeper.py
+++ b/coursepitch/fleet/keeper.py
@@ -228,7 +228,7 @@
         found = Probe.REPLACED
         if instance is not None:
             found = await self._control.probe(instance)
-        silent = found is Probe.SILENT
+        silent = found in (Probe.SILENT, Probe.REFUSED)
         if silent and name not in self._book.dead:
             log.emit(events.INSTANCE_LOST, instance=name, answers=False)
             self._book.dead.add(name)
--- a/coursepitch/gateway/attempts.py
+++ b/coursepitch/gateway/attempts.py
@@ -98,6 +98,7 @@
 ) -> Attempt:
     """Send a request to an instance and wait for the head of its answer."""
     sent_at = parts.clock()
+    job.broken_at = None
     attempt = await _send(parts, job, instance, plan)
     if attempt.result is not Result.NOT_RUN:
         job.may_have_run.add(instance.name)
@@ -148,6 +149,7 @@
                 connection, incoming.method, incoming.target, headers, incoming.body
             )
     except ExchangeError as error:
+        job.broken_at = instance
         return Attempt(Result.UNKNOWN, str(error))
     except TimeoutError:
         return Attempt(Result.UNKNOWN, 'no answer in time')
--- a/coursepitch/gateway/calls.py
+++ b/coursepitch/gateway/calls.py
@@ -60,6 +60,7 @@
             again = self._may_repeat_after(job)
             if await self._run_once(job, instance, again):
                 return None
+            await self._parts.inquiry.look_into(job)
             if not self._may_send_again(job):
                 return self._give_up(job)
 
@@ -152,6 +153,8 @@
             with anyio.fail_after(left_s):
                 body = await answer.read_whole(ANSWER_BYTES)
         except (ExchangeError, TimeoutError) as error:
+            if isinstance(error, ExchangeError):
+                job.broken_at = instance
             job.last_reason = str(error) or 'the answer did not end in time'
             self._parts.board.note_failure(instance.name)
             return False
--- /dev/null
+++ b/coursepitch/gateway/inquiry.py
@@ -0,0 +1,83 @@
+"""Finds out whether an instance ended under the requests that broke off there."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import anyio
+
+from coursepitch import events, log
+
+if TYPE_CHECKING:
+    from coursepitch.clock import Clock
+    from coursepitch.fleet.control import InstanceControl
+    from coursepitch.fleet.instances import FleetInstance
+    from coursepitch.fleet.session import FleetSession
+    from coursepitch.gateway.job import Job
+
+__all__ = ['CrashInquiry']
+
+#: Seconds for which an instance that ended is not asked again.  Source: the requests
+#: that break off as it ends do so within some hundredths of a second, and its entry
+#: lapses after three heartbeats, of 1.2 s or so.
+VERDICT_S = 5.0
+
+
+class CrashInquiry:
+    """Asks an instance at which a request broke off, once for all that did.
+
+    Only an instance that was listed and not leaving can have crashed: one that says
+    that it leaves, or whose entry has gone, ends on purpose.
+    """
+
+    def __init__(
+        self, session: FleetSession, control: InstanceControl, clock: Clock
+    ) -> None:
+        self._session = session
+        self._control = control
+        self._clock = clock
+        self._verdicts: dict[tuple[str, int], tuple[float, bool]] = {}
+        self._running: dict[tuple[str, int], anyio.Event] = {}
+
+    async def look_into(self, job: Job) -> None:
+        """Find out whether the instance ended at which a request's run broke off."""
+        instance = job.broken_at
+        if instance is None or not self._session.view.takes_requests(instance.name):
+            return
+        if await self._find_verdict(instance):
+            log.emit(
+                events.INSTANCE_CRASHED,
+                instance=instance.name,
+                born=instance.born,
+                requests=[job.fields.request],
+                fingerprints=[job.fingerprint],
+            )
+
+    async def _find_verdict(self, instance: FleetInstance) -> bool:
+        key = (instance.name, instance.born)
+        while (running := self._running.get(key)) is not None:
+            await running.wait()
+        self._forget_old()
+        if key in self._verdicts:
+            return self._verdicts[key][1]
+        done = self._running[key] = anyio.Event()
+        try:
+            ended = await self._has_ended(instance)
+        finally:
+            del self._running[key]
+            done.set()
+        if ended:
+            # A live one is asked again the next time: it may end after all.
+            self._verdicts[key] = (self._clock(), True)
+        return ended
+
+    async def _has_ended(self, instance: FleetInstance) -> bool:
+        present = self._session.view.instances.get(instance.name)
+        if present is not None and present.is_restart_of(instance):
+            return True
+        return await self._control.has_ended(instance)
+
+    def _forget_old(self) -> None:
+        start = self._clock() - VERDICT_S
+        for key in [key for key, (at, _) in self._verdicts.items() if at < start]:
+            del self._verdicts[key]
--- a/coursepitch/gateway/job.py
+++ b/coursepitch/gateway/job.py
@@ -4,10 +4,14 @@
 
 import enum
 from dataclasses import dataclass, field
+from functools import cached_property
 from typing import TYPE_CHECKING
 
+from coursepitch.gateway.fingerprint import build_fingerprint
+
 if TYPE_CHECKING:
     from coursepitch.config.routes import Route, RoutedCustomer, Service
+    from coursepitch.fleet.instances import FleetInstance
     from coursepitch.http.messages import IncomingRequest
     from coursepitch.http.server import Reply
     from coursepitch.platform.headers import RequestFields
@@ -50,6 +54,7 @@
     :param limit_at: monotonic time past which nobody waits for the answer.
     :param sent: instances that it was sent to, in order.
     :param may_have_run: instances that ran it, or may have.
+    :param broken_at: instance at which the newest run broke off; ``None`` if it didn't.
     :param sent_at: monotonic time of the first send.
     :param first_at: monotonic time at which the first event went on.
     :param event_at: monotonic time at which the newest event went on.
@@ -66,6 +71,7 @@
     returned: bool = False
     sent: list[str] = field(default_factory=list)
     may_have_run: set[str] = field(default_factory=set)
+    broken_at: FleetInstance | None = None
     last_reason: str = ''
     ending: Ending = Ending.NOT_RUN
     sent_at: float | None = None
@@ -88,6 +94,12 @@
             self.pause_s = max(self.pause_s, now - self.event_at)
         self.event_at = now
 
+    @cached_property
+    def fingerprint(self) -> str:
+        """What names the request over ids, nodes and time."""
+        customer = self.customer.name if self.customer else ''
+        return build_fingerprint(self.incoming, self.fields.host, customer)
+
     @property
     def arrived_at(self) -> float:
         """Monotonic time at which the request had been read."""
--- a/coursepitch/gateway/parts.py
+++ b/coursepitch/gateway/parts.py
@@ -10,6 +10,7 @@
     from coursepitch.fleet.session import FleetSession
     from coursepitch.gateway.board import LoadBoard
     from coursepitch.gateway.budget import RetryBudget
+    from coursepitch.gateway.inquiry import CrashInquiry
     from coursepitch.gateway.router import Router
     from coursepitch.http.client import ConnectionPool
 
@@ -25,4 +26,5 @@
     board: LoadBoard
     budget: RetryBudget
     pool: ConnectionPool
+    inquiry: CrashInquiry
     clock: Clock
--- a/coursepitch/gateway/streams.py
+++ b/coursepitch/gateway/streams.py
@@ -61,6 +61,10 @@
 MOST_SENDS = 5
 
 
+class StalledError(ExchangeError):
+    """Nothing comes any more, though the connection stands."""
+
+
 class StreamServer:
     """Serves streaming routes whose service runs models in groups."""
 
@@ -80,6 +84,7 @@
                 return self._give_up(job)
             if await self._run_once(job, group, seam):
                 return None
+            await self._parts.inquiry.look_into(job)
             avoided.add(group.head.name)
             if job.reply.started or job.may_have_run:
                 if not job.route.repeatable or not self._may_repeat(job):
@@ -291,6 +296,8 @@
                     await job.reply.send(whole)
         except ExchangeError as error:
             seam.cut()
+            if not isinstance(error, StalledError):
+                job.broken_at = group.head
             self._note_cut(job, group, seam, str(error))
             return False
         rest = seam.take_rest()
@@ -319,8 +326,9 @@
     ) -> bytes | None:
         """Return the next bytes of a stream, or ``None`` at its proper end.
 
-        :raises ExchangeError: it broke off, a member of the group is silent, or
-            this stream alone stands still and may go on elsewhere.
+        :raises ExchangeError: it broke off.
+        :raises StalledError: a member of the group is silent, or this stream alone
+            stands still and may go on elsewhere.
         """
         began = since = self._parts.clock()
         head = group.head.name
@@ -332,12 +340,12 @@
                     self._watchdog.note_heard(head)
                     return data
             elif not await self._watchdog.check(group):
-                raise ExchangeError('a member of the group does not answer')
+                raise StalledError('a member of the group does not answer')
             elif self._parts.clock() - began >= OVERDUE_S and self._may_go_elsewhere(
                 job, group, began
             ):
                 self._note_overdue(job, group)
-                raise ExchangeError('the stream stands still')
+                raise StalledError('the stream stands still')
             else:
                 since = self._parts.clock()
 
--- a/coursepitch/gateway_application.py
+++ b/coursepitch/gateway_application.py
@@ -21,6 +21,7 @@
 from coursepitch.gateway.board import LoadBoard
 from coursepitch.gateway.budget import RetryBudget
 from coursepitch.gateway.calls import CallServer
+from coursepitch.gateway.inquiry import CrashInquiry
 from coursepitch.gateway.parts import GatewayParts
 from coursepitch.gateway.router import Router
 from coursepitch.gateway.streams import StreamServer
@@ -135,7 +136,13 @@
 
     def _build_gateway(self) -> Gateway:
         parts = GatewayParts(
-            self.session, self.router, self.board, self.budget, self.pool, self.clock
+            self.session,
+            self.router,
+            self.board,
+            self.budget,
+            self.pool,
+            CrashInquiry(self.session, self.control, self.clock),
+            self.clock,
         )
         streams = StreamServer(parts, self.watchdog)
         calls = CallServer(parts)
--- a/coursepitch/http/client.py
+++ b/coursepitch/http/client.py
@@ -58,10 +58,17 @@
 
 
 class NoConnectionError(CoursepitchError):
-    """No connection came up, so no byte of the request left."""
+    """No connection came up, so no byte of the request left.
+
+    :param refused: whether nobody listens at the address, as its machine says.
+    """
 
     category = 'connect'
 
+    def __init__(self, message: str, refused: bool = False) -> None:
+        super().__init__(message)
+        self.refused = refused
+
 
 class ExchangeError(CoursepitchError):
     """The exchange broke after bytes of the request had left."""
@@ -200,7 +207,11 @@
                 stream = await anyio.connect_tcp(host, int(port))
         except (OSError, TimeoutError) as error:
             self._count_closed(address)
-            raise NoConnectionError(f'{address}: {type(error).__name__}') from error
+            # The library wraps what the system said.
+            refused = isinstance(error.__cause__ or error, ConnectionRefusedError)
+            raise NoConnectionError(
+                f'{address}: {type(error).__name__}', refused
+            ) from error
         except BaseException:
             self._count_closed(address)
             raise
--- a/coursepitch/http/messages.py
+++ b/coursepitch/http/messages.py
@@ -2,9 +2,21 @@
 
 from __future__ import annotations
 
+import hashlib
 from dataclasses import dataclass
 
-__all__ = ['HOP_HEADERS', 'Headers', 'IncomingRequest', 'find_header', 'pass_headers']
+__all__ = [
+    'HOP_HEADERS',
+    'Headers',
+    'IncomingRequest',
+    'find_header',
+    'pass_headers',
+    'start_digest',
+]
+
+#: Bytes of a digest.  128 bits: nobody finds a second body with the digest of another
+#: customer's (RFC 7693, section 4), and a message between nodes stays short.
+DIGEST_BYTES = 16
 
 #: Header lines in their order, names as they were spelled.
 Headers = tuple[tuple[bytes, bytes], ...]
@@ -27,6 +39,11 @@
 )
 
 
+def start_digest() -> hashlib.blake2b:
+    """Return the hash to which a body is given piece by piece, as it is read."""
+    return hashlib.blake2b(digest_size=DIGEST_BYTES)
+
+
 def find_header(headers: Headers, name: bytes) -> bytes | None:
     """Return the value of a header, or ``None``.
 
@@ -60,6 +77,7 @@
 
     :param target: path and query, unaltered.
     :param received_at: monotonic time at which its last byte was read.
+    :param body_digest: cryptographic hash of the body, see :func:`start_digest`.
     """
 
     method: bytes
@@ -67,6 +85,7 @@
     headers: Headers
     body: bytes
     received_at: float
+    body_digest: bytes = b''
 
     @property
     def path(self) -> bytes:
--- a/coursepitch/http/server.py
+++ b/coursepitch/http/server.py
@@ -16,7 +16,7 @@
 from coursepitch import events, log
 from coursepitch.clock import Clock, monotonic
 from coursepitch.errors import CoursepitchError
-from coursepitch.http.messages import IncomingRequest
+from coursepitch.http.messages import IncomingRequest, start_digest
 
 if TYPE_CHECKING:
     import socket
@@ -197,6 +197,7 @@
         self.rested_since = self.server.clock()
         head: h11.Request | None = None
         parts: list[bytes] = []
+        digest = start_digest()
         size = 0
         begun_at: float | None = None
         while True:
@@ -227,6 +228,7 @@
                 if size > self.server.read_rules().body_bytes:
                     raise _RequestProblemError(413, 'the body is too large')
                 parts.append(bytes(event.data))
+                digest.update(event.data)
             elif isinstance(event, h11.EndOfMessage) and head is not None:
                 return IncomingRequest(
                     bytes(head.method),
@@ -234,6 +236,7 @@
                     tuple(head.headers.raw_items()),
                     b''.join(parts),
                     self.server.clock(),
+                    digest.digest(),
                 )
             else:
                 return None
