--- a/standins/replica.py
+++ b/standins/replica.py
@@ -8,6 +8,8 @@
 breaks off within an event), ``surplus`` (a second answer follows), ``unframed``
 (no length), ``shed`` (rejected), ``error`` (status 500), ``late_orders`` (no
 answer, carried out after ``delay_s``) and ``stale`` (a request id of another).
+``POST /crash_on`` names a body: each instance that begins to run a request with it
+ends at once, and an empty one takes its place.
 """
 
 from __future__ import annotations
@@ -26,6 +28,9 @@
 #: Seconds of a load, from memory, from the host and from the weight store.
 JOIN_S = {'again': 0.02, 'warm': 0.1, 'cold': 0.3}
 
+#: Seconds after a crash until the entry has lapsed and an empty instance starts.
+LAPSE_S = 1.0
+
 #: Seconds between two events of a stream.
 PAUSE_S = 0.02
 
@@ -50,6 +55,8 @@
     fault: dict[str, Any] = field(default_factory=lambda: {'mode': 'none'})
     runs: list[dict[str, Any]] = field(default_factory=list)
     orders: list[dict[str, Any]] = field(default_factory=list)
+    scope: anyio.CancelScope = field(default_factory=anyio.CancelScope)
+    crashed: bool = False
 
     def entry(self) -> dict[str, Any]:
         """Return what stands in the store."""
@@ -79,6 +86,7 @@
         self.options = options
         self.tasks = tasks
         self.client = httpx.AsyncClient(base_url=f'http://{options.store}')
+        self.crash_body = b''
         self.instances = {
             item.name: item
             for domain in options.domain
@@ -99,6 +107,25 @@
         key = f'servers/{instance.name}'
         await self.client.request('DELETE', '/operator', json={'key': key})
 
+    # -- crashes -----------------------------------------------------------------
+
+    def crash(self, instance: Instance) -> None:
+        """End an instance with all its connections, as a killed process."""
+        instance.crashed = True
+        instance.scope.cancel()
+        self.tasks.start_soon(self._replace, instance)
+
+    async def _replace(self, instance: Instance) -> None:
+        """Let the entry of a crashed instance lapse and an empty one start."""
+        await anyio.sleep(LAPSE_S)
+        await self.remove(instance)
+        item = Instance(
+            instance.service, instance.domain, instance.store, instance.engine
+        )
+        self.instances[item.name] = item
+        await listen(self.tasks, item, self)
+        await self.publish(item)
+
     # -- orders ------------------------------------------------------------------
 
     async def take_order(self, instance: Instance, order: dict[str, Any]) -> int:
@@ -242,6 +269,9 @@
         if mode == 'mute':
             await wait_left(stream, run)
             return False
+        if self.crash_body and body == self.crash_body:
+            self.crash(instance)
+            await anyio.sleep_forever()
         mark['X-Replica-Signature'] = f'{instance.name}.{len(instance.runs)}'
         if mode == 'stale':
             mark['X-Request-Id'] = 'another'
@@ -354,10 +384,18 @@
     """Carry out one call of a test."""
     if target == '/stats':
         return {
-            name: {**item.entry(), 'runs': item.runs, 'orders': item.orders}
+            name: {
+                **item.entry(),
+                'runs': item.runs,
+                'orders': item.orders,
+                'crashed': item.crashed,
+            }
             for name, item in host.instances.items()
         }
     data = json.loads(body)
+    if target == '/crash_on':
+        host.crash_body = data['body'].encode()
+        return {}
     names = data.get('instances') or list(host.instances)
     for name in names:
         instance = host.instances[name]
@@ -394,7 +432,14 @@
     listener = await anyio.create_tcp_listener(local_host='127.0.0.1', local_port=0)
     port = listener.extra(anyio.abc.SocketAttribute.local_port)
     instance.address = f'127.0.0.1:{port}'
-    tasks.start_soon(listener.serve, lambda stream: host.serve(instance, stream))
+    tasks.start_soon(serve_instance, host, instance, listener)
+
+
+async def serve_instance(host: Host, instance: Instance, listener: Any) -> None:
+    """Serve an instance's connections until it crashes."""
+    with instance.scope:
+        async with listener:
+            await listener.serve(lambda stream: host.serve(instance, stream))
 
 
 def main() -> None:
