Leases, confirmations and windows count the time that a machine was suspended

Cause: all parts read the monotonic clock, which stands still while a machine is suspended. After seconds of that a lease that had lapsed looked held, a confirmation young, peers' evidence fresh. Class: time measured by a clock that stops with the one who measures.

Timers of the event loop still stop with the machine: a request that was held meanwhile is ended that much later.

--- a/coursepitch/application.py
+++ b/coursepitch/application.py
@@ -12,7 +12,7 @@
 from coursepitch import events, log
 from coursepitch.admin.api import AdminApi
 from coursepitch.admin.status import StatusReporter
-from coursepitch.clock import monotonic
+from coursepitch.clock import boottime
 from coursepitch.config.resources import Key, Node
 from coursepitch.control.chart import load_chart
 from coursepitch.control.cluster import ClusterWorker, PeerBoard
@@ -69,7 +69,7 @@
 class NodeApplication:
     """A node with all its parts, wired but not running."""
 
-    def __init__(self, settings: Settings, clock: Clock = monotonic) -> None:
+    def __init__(self, settings: Settings, clock: Clock = boottime) -> None:
         self.settings = settings
         self.clock = clock
         me = settings.node.name
--- a/coursepitch/gateway_application.py
+++ b/coursepitch/gateway_application.py
@@ -9,7 +9,7 @@
 import anyio
 
 from coursepitch import events, log
-from coursepitch.clock import monotonic
+from coursepitch.clock import boottime
 from coursepitch.config.gateway import list_changed_options, load_gateway_settings
 from coursepitch.errors import FindingsError
 from coursepitch.fleet.control import InstanceControl
@@ -80,7 +80,7 @@
         settings: GatewaySettings,
         path: Path,
         output: BoundedOutput,
-        clock: Clock = monotonic,
+        clock: Clock = boottime,
     ) -> None:
         self.settings = settings
         self.clock = clock
--- a/coursepitch/http/client.py
+++ b/coursepitch/http/client.py
@@ -16,7 +16,7 @@
 import h11
 from anyio.abc import SocketAttribute
 
-from coursepitch.clock import Clock, monotonic
+from coursepitch.clock import Clock, boottime
 from coursepitch.errors import CoursepitchError
 from coursepitch.http.messages import find_header
 
@@ -174,7 +174,7 @@
 class ConnectionPool:
     """Connections by address; idle ones are used again, the newest first."""
 
-    clock: Clock = monotonic
+    clock: Clock = boottime
     connect_timeout_s: float = 1.0
     _idle: dict[str, list[Connection]] = field(default_factory=dict)
     _open: dict[str, int] = field(default_factory=dict)
--- a/coursepitch/http/server.py
+++ b/coursepitch/http/server.py
@@ -14,7 +14,7 @@
 import h11
 
 from coursepitch import events, log
-from coursepitch.clock import Clock, monotonic
+from coursepitch.clock import Clock, boottime
 from coursepitch.errors import CoursepitchError
 from coursepitch.http.messages import IncomingRequest, start_digest
 
@@ -307,7 +307,7 @@
 
     handle: Callable[[IncomingRequest, Reply], Awaitable[None]]
     read_rules: Callable[[], ConnectionRules]
-    clock: Clock = monotonic
+    clock: Clock = boottime
     is_fading: Callable[[], bool] = lambda: False
     stopping: bool = False
     closing_idle: bool = False
--- a/coursepitch/platform/kv.py
+++ b/coursepitch/platform/kv.py
@@ -17,7 +17,7 @@
 import orjson
 
 from coursepitch import events, log
-from coursepitch.clock import Clock, monotonic
+from coursepitch.clock import Clock, boottime
 from coursepitch.http.client import ConnectionPool, ExchangeError, NoConnectionError
 
 if TYPE_CHECKING:
@@ -179,7 +179,7 @@
         timeout_s: float,
         calls_per_s: float,
         metrics: Metrics,
-        clock: Clock = monotonic,
+        clock: Clock = boottime,
     ) -> None:
         self._address = urlsplit(url).netloc or url
         self._pool = ConnectionPool(clock, connect_timeout_s=timeout_s)
