What a killed process spent of the retry budget is safe for the one after it

Cause: a node may spend a part of the requests of the ten seconds before, at once; a new process began with nothing spent and the same part of the requests that follow. So a window around a kill held both: 775 second sends for 757 allowed on 58 nodes of which 52 were killed.

Ruled out: that nodes spend the constant twice (part 0 in the log of new processes).

Change: what traffic allows is split. Nobody has to be left who knows.

--- a/coursepitch/events.py
+++ b/coursepitch/events.py
@@ -275,8 +275,8 @@
     611,
     'request.again',
     'A second send was asked for: second sends and requests in the window, the most '
-    "allowed, and the node's part of the constant.",
-    ('request', 'service', 'granted', 'spent', 'requests', 'bound', 'part'),
+    "allowed, and the node's parts of the constant and of what traffic allows.",
+    ('request', 'service', 'granted', 'spent', 'requests', 'bound', 'part', 'traffic'),
 )
 REQUEST_SUSPECTED = Event(
     612,
--- a/coursepitch/fleet/session.py
+++ b/coursepitch/fleet/session.py
@@ -49,6 +49,7 @@
     from coursepitch.clock import Clock
     from coursepitch.fleet.freshness import Freshness
     from coursepitch.fleet.messages import Message
+    from coursepitch.fleet.shares import LimitPart
     from coursepitch.platform.kv import KeyValue
 
 __all__ = ['FleetSession']
@@ -194,13 +195,14 @@
         """Return the number of nodes that are listed or known to live."""
         return max(1, len(self.view.nodes), self.book.count_others() + 1)
 
-    def find_share(self) -> float:
-        """Return the part of a shared limit that this node may use, from 0 to 1."""
+    def find_share(self) -> LimitPart:
+        """Return the part of a shared limit that this node may use."""
         self._note_listed()
         return self.share.find_part()
 
     def _note_listed(self) -> None:
         self.share.note_nodes(self.view.nodes)
+        self.share.note_live(self.book.count_others() + 1)
         if self.leases.is_listed():
             self.share.note_listed()
 
--- a/coursepitch/gateway/budget.py
+++ b/coursepitch/gateway/budget.py
@@ -1,10 +1,9 @@
 """The budget for second sends, which all nodes share without talking.
 
 In each window, the sends of a service beyond the first of each request may be
-a ratio of the requests plus a constant.  A node takes the ratio of its own
-requests and its part of the constant (see :mod:`coursepitch.fleet.shares`): what
-an earlier start of it spent is not known here, so that a process that started
-just now lives on the ratio alone.
+a ratio of the requests plus a constant.  A node takes its part of both (see
+:mod:`coursepitch.fleet.shares`): what an earlier start of it spent is not known here,
+and what nodes that are gone spent isn't either.
 """
 
 from __future__ import annotations
@@ -18,13 +17,10 @@
 
 if TYPE_CHECKING:
     from coursepitch.clock import Clock
+    from coursepitch.fleet.shares import LimitPart
 
 __all__ = ['RetryBudget']
 
-#: Part of the ratio that is used: a send leaves up to a second, a tenth of the users'
-#: windows, after it was granted.
-RATIO_PART = 0.9
-
 #: Part of the constant that is used: nodes that were cut off before others were added
 #: divide it by too few as well.
 EXTRA_PART = 0.8
@@ -59,10 +55,10 @@
         window = self._windows.setdefault(service, _Window())
         window.firsts.append(self.clock())
 
-    def take(self, service: str, part: float, request: str = '') -> bool:
+    def take(self, service: str, part: LimitPart, request: str = '') -> bool:
         """Take one second send; ``False`` if the budget is used up.
 
-        :param part: of the constant, which this node may use.
+        :param part: what this node may use.
         :param request: id of the request, for the log.
         """
         window = self._windows.setdefault(service, _Window())
@@ -70,8 +66,8 @@
         for times in (window.firsts, window.agains):
             while times and times[0] < start:
                 times.popleft()
-        bound = self.ratio * RATIO_PART * len(window.firsts)
-        bound += self.extra * EXTRA_PART * part
+        bound = self.ratio * part.traffic * len(window.firsts)
+        bound += self.extra * EXTRA_PART * part.constant
         granted = len(window.agains) + 1 <= bound + self.offset
         log.emit(
             events.SEND_AGAIN,
@@ -81,7 +77,8 @@
             spent=len(window.agains),
             requests=len(window.firsts),
             bound=round(bound, 2),
-            part=round(part, 4),
+            part=round(part.constant, 4),
+            traffic=round(part.traffic, 3),
         )
         if granted:
             window.agains.append(self.clock())
