A configuration whose lists are none no longer ends the nodes that read it

Change: such a part is a finding with its place, as other damage; the configuration in force stays. Generated entries under every key of the store now go through the view.

--- a/coursepitch/platform/configuration.py
+++ b/coursepitch/platform/configuration.py
@@ -79,13 +79,17 @@
     findings: list[Finding],
 ) -> list[Any]:
     """Decode each item of a list; note the place of those that are damaged."""
+    items = data.get(name) or []
+    if not isinstance(items, list):
+        findings.append(_find(name, 'no list'))
+        return []
     result = []
-    for number, item in enumerate(data.get(name) or ()):
+    for number, item in enumerate(items):
         try:
             result.append(decode(item))
         except KeyError as error:
             findings.append(_find(f'{name}[{number}]', f'{error.args[0]}: missing'))
-        except (TypeError, ValueError, AttributeError) as error:
+        except (TypeError, ValueError, AttributeError, OverflowError) as error:
             findings.append(_find(f'{name}[{number}]', f'damaged: {error}'))
     return result
 
--- /dev/null
+++ b/tests/fleet/test_entries.py
@@ -0,0 +1,108 @@
+"""Entries that any writer may have left: none of them ends a node.
+
+A node that ended at an entry would read it again at its next start, as all others would.
+"""
+
+from __future__ import annotations
+
+import json
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from coursepitch.fleet.view import (
+    CLAIM_PREFIX,
+    LEADER_KEY,
+    LOAD_PREFIX,
+    LOST_PREFIX,
+    NODE_PREFIX,
+    REFUSED_PREFIX,
+    FleetView,
+)
+from coursepitch.platform.configuration import CONFIGURATION_KEY
+from coursepitch.platform.fleet import INSTANCE_PREFIX
+from coursepitch.platform.kv import Entry
+from tests.whole.platform_base import build_configuration
+
+KEYS = (
+    CLAIM_PREFIX + 'pool/d0',
+    LEADER_KEY,
+    LOAD_PREFIX + 'pool',
+    LOST_PREFIX + 'i1',
+    NODE_PREFIX + 'n1',
+    REFUSED_PREFIX + 'f1',
+    CONFIGURATION_KEY,
+    INSTANCE_PREFIX + 'i1',
+)
+
+#: Names of fields that entries of some kind have.
+FIELDS = st.sampled_from(
+    [
+        'service',
+        'address',
+        'state',
+        'group',
+        'models',
+        'routes',
+        'services',
+        'tenants',
+        'limits',
+        'version',
+        'customer',
+        'ended',
+        'claims',
+        'name',
+        'epoch',
+        'members',
+        'zone',
+    ]
+)
+LEAVES = (
+    st.none()
+    | st.booleans()
+    | st.integers()
+    | st.floats(allow_nan=False, allow_infinity=False)
+    | st.text(max_size=8)
+)
+VALUES = st.recursive(
+    LEAVES,
+    lambda inner: (
+        st.lists(inner, max_size=4) | st.dictionaries(FIELDS, inner, max_size=5)
+    ),
+    max_leaves=12,
+)
+
+
+class AnyWriterTest(unittest.TestCase):
+    """Whatever stands there, a node goes on."""
+
+    @given(st.sampled_from(KEYS), VALUES)
+    def test_any_json_under_any_key_is_taken_or_left(self, key, value):
+        FleetView(lambda: 1.0).take_entry(Entry(key, json.dumps(value), 5))
+
+    @given(st.sampled_from(KEYS), st.text(max_size=30))
+    def test_any_text_under_any_key_is_taken_or_left(self, key, text):
+        FleetView(lambda: 1.0).take_entry(Entry(key, text, 5))
+
+    @given(st.sampled_from(['routes', 'services', 'tenants', 'limits']), VALUES)
+    def test_configuration_with_any_part_changed_is_taken_or_left(self, part, value):
+        data = {**build_configuration(), part: value}
+        view = FleetView(lambda: 1.0)
+        view.take_entry(Entry(CONFIGURATION_KEY, json.dumps(data), 5))
+
+    @given(
+        st.sampled_from(['routes', 'services', 'tenants']), st.data(), LEAVES | VALUES
+    )
+    def test_configuration_with_any_field_changed_is_taken_or_left(
+        self, part, data, value
+    ):
+        changed = build_configuration()
+        row = changed[part][0]
+        row[data.draw(st.sampled_from(sorted(row)))] = value
+        view = FleetView(lambda: 1.0)
+        view.take_entry(Entry(CONFIGURATION_KEY, json.dumps(changed), 5))
+
+
+if __name__ == '__main__':
+    unittest.main()
