A refused request is tried again once all instances run other software

Cause: a refusal ended by time or by an operator only, also after the software that it ended had been replaced.

Change: a crash tells the version that ran there; where none of the service's instances runs one of these, the request may run, and is refused again if it ends what runs now. Plain services have their test as well. Requests that are cleared are told once a second, as most that an instance took along are innocent; what explains all ends is looked up without building sets for each suspect.

--- a/coursepitch/fleet/instances.py
+++ b/coursepitch/fleet/instances.py
@@ -45,6 +45,7 @@
     :param models: models whose weights it holds.
     :param staged: models whose weights lie on its host.
     :param last_model: model of its last group, which it joins again at once.
+    :param software: version of the program that runs there; empty where untold.
     :param born: Unix millisecond at which this incarnation started; 0 where it isn't
         told.
     """
@@ -61,6 +62,7 @@
     membership: Membership | None = None
     last_model: str = ''
     born: int = 0
+    software: str = ''
 
     def is_restart_of(self, before: FleetInstance) -> bool:
         """Whether this is a later incarnation than another one of that name."""
--- a/coursepitch/fleet/messages.py
+++ b/coursepitch/fleet/messages.py
@@ -329,6 +329,7 @@
             item.born,
             item.at,
             item.seen_by,
+            item.software,
         ]
         for item in told.crashes
     ]
@@ -347,9 +348,16 @@
 
 
 def _decode_crash(row: Any) -> Crash:
-    fingerprint, customer, instance, born, at, seen_by = row
-    texts = (_text(fingerprint), _text(customer), _text(instance))
-    return Crash(*texts, int(born), float(at), _text(seen_by))
+    fingerprint, customer, instance, born, at, seen_by, software = row
+    return Crash(
+        _text(fingerprint),
+        _text(customer),
+        _text(instance),
+        int(born),
+        float(at),
+        _text(seen_by),
+        _text(software),
+    )
 
 
 def _text(value: Any) -> str:
--- a/coursepitch/fleet/refused.py
+++ b/coursepitch/fleet/refused.py
@@ -30,11 +30,13 @@
 
     :param born: Unix millisecond at which it had started; 0 if untold.
     :param seen_by: the node that saw it.
+    :param software: version of the program that ran there; empty where untold.
     """
 
     name: str
     born: int
     seen_by: str
+    software: str = ''
 
 
 @dataclass(frozen=True, slots=True)
@@ -55,7 +57,8 @@
 def encode_refused(suspect: Suspect) -> str:
     """Return the value of a suspect's entry."""
     rows = [
-        [item.instance, item.born, item.seen_by] for item in suspect.crashes.values()
+        [item.instance, item.born, item.seen_by, item.software]
+        for item in suspect.crashes.values()
     ]
     return orjson.dumps({'customer': suspect.customer, 'ended': rows}).decode()
 
@@ -76,8 +79,8 @@
             fingerprint,
             str(data['customer']),
             tuple(
-                EndedInstance(str(name), int(born), str(seen_by))
-                for name, born, seen_by in data.get('ended') or ()
+                EndedInstance(str(name), int(born), str(seen_by), str(software))
+                for name, born, seen_by, software in data.get('ended') or ()
             ),
             bool(data.get('lifted')),
         )
--- a/coursepitch/fleet/reports.py
+++ b/coursepitch/fleet/reports.py
@@ -129,8 +129,9 @@
         acquittal = Acquittal(fingerprint, self._clock())
         if self._suspects.acquit(acquittal):
             log.emit(events.SUSPECT_CLEARED, fingerprint=fingerprint, why='answered')
+            # It may wait for the next look: most of what an instance took is innocent,
+            # and a message for each would cost more than the crash.
             self._acquittals.append(acquittal)
-            self._wake()
 
     # -- what others tell ----------------------------------------------------------
 
@@ -149,7 +150,7 @@
         if self.is_watching():
             self._crashes += new_crashes
             self._acquittals += new_acquittals
-        if new_crashes or new_acquittals:
+        if new_crashes:
             self._wake()
 
     def greet(self, node: str) -> None:
@@ -172,7 +173,15 @@
             return
         for item in found.ended:
             self._suspects.note_crash(
-                Crash(name, found.customer, item.name, item.born, now, item.seen_by)
+                Crash(
+                    name,
+                    found.customer,
+                    item.name,
+                    item.born,
+                    now,
+                    item.seen_by,
+                    item.software,
+                )
             )
         self._suspects.note_known(name)
         self._wake()
@@ -202,7 +211,8 @@
             self._seen_end = anyio.Event()
             ended, self._ended = self._ended, []
             for instance in ended:
-                await self.report_lost(instance)
+                if instance in self._view.instances:
+                    await self.report_lost(instance)
 
     async def _keep_told(self) -> None:
         while True:
@@ -225,15 +235,19 @@
         return CrashesTold(self._me, self._clock(), tuple(crashes), tuple(acquittals))
 
     async def _keep_stored(self) -> None:
-        """Write down what is refused; forget what is old while anything is known."""
+        """Look once a second, while anything is known, at what is due.
+
+        What is old is forgotten, those cleared are told, what is refused is stored.
+        """
         while True:
-            if not len(self._suspects):
+            if not len(self._suspects) and not self._acquittals:
                 await self._changed.wait()
             with anyio.move_on_after(LOOK_S):
                 await self._changed.wait()
             self._changed = anyio.Event()
             await anyio.sleep(SETTLE_S)
             self._suspects.sweep()
+            self.tell_waiting()
             for suspect in self._list_unstored():
                 await self._store(suspect)
 
--- a/coursepitch/fleet/suspects.py
+++ b/coursepitch/fleet/suspects.py
@@ -12,7 +12,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable
+    from collections.abc import Callable, Collection, Iterable, Iterator
 
     from coursepitch.clock import Clock
 
@@ -66,6 +66,7 @@
     :param born: Unix millisecond at which the instance had started; 0 if untold.
     :param at: reading of this node's clock.
     :param seen_by: the node that saw it.
+    :param software: version of the program that ran there; empty where untold.
     """
 
     fingerprint: str
@@ -74,6 +75,7 @@
     born: int
     at: float
     seen_by: str
+    software: str = ''
 
     @property
     def incarnation(self) -> tuple[str, int]:
@@ -112,6 +114,11 @@
         """Reading of this node's clock at the newest crash."""
         return max(item.at for item in self.crashes.values())
 
+    @property
+    def software(self) -> set[str]:
+        """Versions of the programs that ended under it."""
+        return {item.software for item in self.crashes.values()}
+
     @property
     def refuse_s(self) -> float:
         """Seconds after the newest crash for which the request is refused."""
@@ -231,11 +238,17 @@
         """Return all suspects."""
         return tuple(self._suspects.values())
 
-    def find_refused_s(self, fingerprint: str) -> float:
-        """Return the seconds for which a request is refused from now on; 0 for none."""
+    def find_refused_s(self, fingerprint: str, software: Collection[str] = ()) -> float:
+        """Return the seconds for which a request is refused from now on; 0 for none.
+
+        :param software: versions that run at the instances it may go to.  Where it
+            ended none of them, it is tried again.
+        """
         suspect = self._suspects.get(fingerprint)
         if suspect is None or not self._is_known(suspect):
             return 0.0
+        if software and not suspect.software & set(software):
+            return 0.0
         return max(0.0, suspect.newest_at + suspect.refuse_s - self.clock())
 
     def find_pause_s(self, fingerprint: str) -> float:
@@ -267,23 +280,26 @@
             suspect.known = self._explains_all(suspect)
         return suspect.known
 
-    def _find_unexplained(self, suspect: Suspect) -> set[tuple[str, int]]:
-        """Return the ends of late that neither a request explains nor a known one."""
+    def _list_unexplained(self, suspect: Suspect) -> Iterator[tuple[str, int]]:
+        """Yield the ends of late that neither a request explains nor a known one."""
         start = self.clock() - EVIDENCE_S
-        found = {key for key, at in self._ends.items() if at >= start}
-        found -= suspect.crashes.keys()
-        for other in self._suspects.values():
-            if other.known and not other.by_chance:
-                found -= other.crashes.keys()
-        return found
+        known = [
+            item
+            for item in self._suspects.values()
+            if item is suspect or (item.known and not item.by_chance)
+        ]
+        for key, at in self._ends.items():
+            if at >= start and not any(key in item.crashes for item in known):
+                yield key
 
     def _explains_half(self, suspect: Suspect) -> bool:
         """Whether a request had at least half of the instances that ended of late."""
-        return len(suspect.crashes) >= len(self._find_unexplained(suspect))
+        unexplained = sum(1 for _ in self._list_unexplained(suspect))
+        return len(suspect.crashes) >= unexplained
 
     def _explains_all(self, suspect: Suspect) -> bool:
         """Whether a request, and it alone, had every instance that ended of late."""
-        if self._find_unexplained(suspect):
+        if next(self._list_unexplained(suspect), None) is not None:
             return False
         return not any(
             len(other.crashes) >= ALONE_AFTER and not other.known
--- a/coursepitch/fleet/view.py
+++ b/coursepitch/fleet/view.py
@@ -413,6 +413,12 @@
             if item.service == service and self.takes_requests(item.name)
         ]
 
+    def list_software(self, service: str) -> set[str]:
+        """Return the versions of the programs that run at a service's instances."""
+        return {
+            item.software for item in self.instances.values() if item.service == service
+        }
+
     def takes_requests(self, name: str) -> bool:
         """Whether an instance is listed, not leaving, and not long without an entry."""
         found = self.instances.get(name)
--- a/coursepitch/gateway/inquiry.py
+++ b/coursepitch/gateway/inquiry.py
@@ -77,6 +77,7 @@
                 instance.born,
                 self._clock(),
                 self._me,
+                instance.software,
             )
         )
 
--- a/coursepitch/gateway/suspicion.py
+++ b/coursepitch/gateway/suspicion.py
@@ -17,6 +17,7 @@
     from coursepitch.clock import Clock
     from coursepitch.fleet.reports import CrashReporter
     from coursepitch.fleet.suspects import Suspect, SuspectTable
+    from coursepitch.fleet.view import FleetView
     from coursepitch.gateway.job import Job
     from coursepitch.metrics import Metrics
 
@@ -61,12 +62,14 @@
         self,
         suspects: SuspectTable,
         reporter: CrashReporter,
+        view: FleetView,
         metrics: Metrics,
         clock: Clock,
         chance: Callable[[], float] = random.random,
     ) -> None:
         self._suspects = suspects
         self._reporter = reporter
+        self._view = view
         self._metrics = metrics
         self._clock = clock
         self._chance = chance
@@ -91,7 +94,8 @@
         suspect = self._suspects.find(job.fingerprint)
         if suspect is None:
             return None
-        refused_s = self._suspects.find_refused_s(job.fingerprint)
+        software = self._view.list_software(job.service.name)
+        refused_s = self._suspects.find_refused_s(job.fingerprint, software)
         if refused_s > 0:
             self._note(job, suspect, True, refused_s)
             return self._refuse(job, suspect, refused_s)
@@ -108,8 +112,8 @@
         ended = len(suspect.crashes)
         detail = (
             f'{_count(ended).capitalize()} ended while running it, so it was not run '
-            'this time.  It is tried again when that is long enough ago, or when an '
-            'operator has lifted the refusal.'
+            'this time.  It is tried again when that is long enough ago, when all '
+            'instances run other software, or when an operator has lifted the refusal.'
         )
         problem = Problem(TITLE, detail, 'not-run', ended, job.fingerprint, refused_s)
         reason = 'instances end under this request'
--- a/coursepitch/gateway_application.py
+++ b/coursepitch/gateway_application.py
@@ -158,7 +158,7 @@
         streams = StreamServer(parts, self.watchdog)
         calls = CallServer(parts)
         suspicion = SuspicionGate(
-            self.suspects, self.reporter, self.metrics, self.clock
+            self.suspects, self.reporter, self.session.view, self.metrics, self.clock
         )
         return Gateway(parts, streams, calls, suspicion, self.metrics)
 
--- a/coursepitch/platform/fleet.py
+++ b/coursepitch/platform/fleet.py
@@ -64,6 +64,7 @@
             staged=frozenset(_check_text(item) for item in data.get('staged') or ()),
             membership=_read_membership(data.get('group')),
             born=_check_number(data.get('born', 0)),
+            software=_check_text(data.get('version', '')),
         )
     except (KeyError, TypeError, ValueError, AttributeError) as error:
         raise CodecError(f'{INSTANCE_PREFIX}{name}: {error!r}') from error
--- a/tests/fleet/test_peers.py
+++ b/tests/fleet/test_peers.py
@@ -67,7 +67,7 @@
             CrashesTold(
                 'n1',
                 9.5,
-                (Crash('f', 'acme', 'i1', 7, 9.25, 'n2'),),
+                (Crash('f', 'acme', 'i1', 7, 9.25, 'n2', 'v1'),),
                 (Acquittal('g', 9.0),),
             ),
         ):
--- a/tests/fleet/test_suspects.py
+++ b/tests/fleet/test_suspects.py
@@ -99,6 +99,18 @@
             self.crash('i1', 'a', born=born)
         self.assertTrue(self.is_refused('a'))
 
+    def test_request_is_tried_again_once_no_instance_runs_what_it_ended(self):
+        for number in range(KNOWN_AFTER):
+            self.table.note_crash(
+                Crash('a', 'acme', f'i{number}', 1, self.now, 'n1', 'v1')
+            )
+        self.assertGreater(self.table.find_refused_s('a', {'v1', 'v2'}), 0)
+        self.assertEqual(self.table.find_refused_s('a', {'v2'}), 0.0)
+        self.table.note_crash(Crash('a', 'acme', 'i9', 1, self.now, 'n1', 'v2'))
+        self.assertGreater(self.table.find_refused_s('a', {'v2'}), 0)
+        # Nothing is known of what runs: no reason to try it.
+        self.assertGreater(self.table.find_refused_s('a', ()), 0)
+
     def test_requests_with_two_crashes_wait_for_a_moment(self):
         self.crash('i1', 'a', 'b')
         self.assertEqual(self.table.find_pause_s('a'), 0.0)
--- a/tests/gateway/test_suspicion.py
+++ b/tests/gateway/test_suspicion.py
@@ -11,7 +11,7 @@
 from coursepitch.fleet.control import InstanceControl
 from coursepitch.fleet.reports import CrashReporter
 from coursepitch.fleet.standstill import STAND_S, Standstill
-from coursepitch.fleet.suspects import KNOWN_AFTER, Crash, SuspectTable
+from coursepitch.fleet.suspects import KNOWN_AFTER, PAUSE_S, Crash, SuspectTable
 from coursepitch.gateway.fingerprint import build_fingerprint
 from coursepitch.gateway.inquiry import CrashInquiry
 from coursepitch.gateway.job import Ending, Job
@@ -19,7 +19,7 @@
 from coursepitch.gateway.suspicion import SuspicionGate, explain_crashes
 from coursepitch.http.messages import IncomingRequest, start_digest
 from coursepitch.metrics import Metrics
-from tests.fleet.builders import build_instance, build_view
+from tests.fleet.builders import SERVICE, build_instance, build_view
 
 
 def build_incoming(body=b'x', target=b'/notes/1', method=b'POST'):
@@ -36,7 +36,7 @@
         None,
         SimpleNamespace(request=request, host='a.example'),
         None,
-        None,
+        SimpleNamespace(name=SERVICE),
         SimpleNamespace(name=customer) if customer else None,
         108.0,
     )
@@ -96,7 +96,7 @@
         session = SimpleNamespace(view=self.view, standstill=self.standstill)
         self.inquiry = CrashInquiry('n1', session, self.instances, self.reporter, clock)
         self.gate = SuspicionGate(
-            self.table, self.reporter, Metrics(), clock, lambda: 0.5
+            self.table, self.reporter, self.view, Metrics(), clock, lambda: 0.5
         )
 
     def clock(self):
@@ -236,6 +236,15 @@
         self.assertIsNone(self.gate.judge(build_job(customer='other')))
         self.assertIsNone(self.gate.judge(build_job(customer='')))
 
+    def test_request_runs_again_once_all_instances_run_other_software(self):
+        self.end_instances(KNOWN_AFTER)
+        self.now += PAUSE_S
+        for name in 'ab':
+            self.view.instances[name] = build_instance(name, software='v2')
+        self.assertIsNotNone(self.gate.judge(build_job()))
+        self.view.instances['c'] = build_instance('c', software='v2')
+        self.assertIsNone(self.gate.judge(build_job()))
+
     def test_request_under_another_id_is_refused(self):
         self.end_instances(KNOWN_AFTER)
         self.assertIsNotNone(self.gate.judge(build_job(request='r2')))
--- a/tests/whole/test_crashes.py
+++ b/tests/whole/test_crashes.py
@@ -168,3 +168,32 @@
     def test_other_requests_go_on(self):
         reply = self.send('n1', 'POST', '/stream/x', 'other', content='another one')
         self.assertEqual(reply.status_code, 200)
+
+
+class PlainCrashTest(PlatformCase):
+    """The same before instances without groups, on routes of both kinds."""
+
+    count = 0
+
+    def test_call_that_ends_instances_is_refused(self):
+        self.control('api', '/crash_on', body=POISON)
+
+        def send(path):
+            self.count += 1
+            node = self.nodes[self.count % 2]
+            request = f'call-{self.count}'
+            reply = self.send(node, 'POST', f'/{path}/x', request, content=POISON)
+            return reply.status_code
+
+        def count_runs(path):
+            return sum(
+                run['target'] == f'/{path}/x'
+                for item in self.stats('api').values()
+                for run in item['runs']
+            )
+
+        for path in ('again', 'once'):
+            with self.subTest(path=path):
+                # 503 while all instances start anew.
+                self.wait_for(lambda path=path: send(path) == 500, 'it is refused')
+                self.assertLessEqual(count_runs(path), KNOWN_AFTER)
