Many clients that send a request which ends instances, at once to four nodes

A test of what the one with one client leaves open: no more instances end than three and those that other clients had under way.

--- a/tests/whole/test_crashes.py
+++ b/tests/whole/test_crashes.py
@@ -5,6 +5,7 @@
 import json
 import subprocess
 import sys
+import threading
 import time
 
 import httpx
@@ -197,3 +198,28 @@
                 # 503 while all instances start anew.
                 self.wait_for(lambda path=path: send(path) == 500, 'it is refused')
                 self.assertLessEqual(count_runs(path), KNOWN_AFTER)
+
+
+class ManyClientsTest(CrashCase):
+    """Clients that send it at once, each to another node."""
+
+    nodes = ('n1', 'n2', 'n3', 'n4')
+    engines = 40
+    tries = 8
+
+    def test_only_what_was_under_way_reaches_further_instances(self):
+        def send(place):
+            for number in range(self.tries):
+                self.send_poison(self.nodes[(place + number) % len(self.nodes)])
+
+        threads = [
+            threading.Thread(target=send, args=(place,))
+            for place in range(len(self.nodes))
+        ]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        others = len(threads) - 1
+        self.assertLessEqual(self.count_crashed(), KNOWN_AFTER + others)
+        self.assertLessEqual(self.count_runs(), KNOWN_AFTER + others)
