--- a/coursepitch/fleet/suspects.py
+++ b/coursepitch/fleet/suspects.py
@@ -19,7 +19,7 @@
 __all__ = ['Acquittal', 'Crash', 'Suspect', 'SuspectTable']
 
 #: Instances that ended under a request after which it is refused whatever else ended.
-#: Source: users bear three, and no further runs more than ``contact_ms`` after these.
+#: Source: users bear three, and a few runs more until all nodes can know of them.
 KNOWN_AFTER = 3
 
 #: The same for a request that alone explains all ends of late: it had each instance
@@ -31,7 +31,7 @@
 SETTLE_S = 0.06
 
 #: Seconds for which a crash speaks against a request that isn't refused yet.  Source:
-#: clients come again within their time limit, 8 s, and callers with the same work
+#: clients come again within their deadline, 8 s, and callers with the same work
 #: within a minute or two.
 EVIDENCE_S = 120.0
 
