--- a/standins/replica.py
+++ b/standins/replica.py
@@ -25,6 +25,8 @@
 import h11
 import httpx
 
+from standins.exchange import read_request, send_whole, wait_left
+
 #: Seconds of a load, from memory, from the host and from the weight store.
 JOIN_S = {'again': 0.02, 'warm': 0.1, 'cold': 0.3}
 
@@ -324,45 +326,6 @@
         return True
 
 
-async def read_request(stream: Any, parser: Any) -> tuple[Any, bytes]:
-    """Return the next request and its body; ``None`` at the end."""
-    request, body = None, b''
-    while True:
-        event = parser.next_event()
-        if event is h11.NEED_DATA:
-            try:
-                parser.receive_data(await stream.receive())
-            except anyio.EndOfStream:
-                return None, b''
-        elif isinstance(event, h11.Request):
-            request = event
-        elif isinstance(event, h11.Data):
-            body += bytes(event.data)
-        elif isinstance(event, h11.EndOfMessage):
-            return request, body
-        else:
-            return None, b''
-
-
-async def send_whole(
-    stream: Any, parser: Any, status: int, headers: dict[str, str], body: bytes = b''
-) -> None:
-    """Send a whole answer."""
-    lines = [*headers.items(), ('Content-Length', str(len(body)))]
-    data = parser.send(h11.Response(status_code=status, headers=lines))
-    if body:
-        data += parser.send(h11.Data(data=body))
-    await stream.send(data + parser.send(h11.EndOfMessage()))
-
-
-async def wait_left(stream: Any, run: dict[str, Any]) -> None:
-    """Wait until the other side closes."""
-    try:
-        await stream.receive()
-    except (anyio.EndOfStream, anyio.BrokenResourceError):
-        run['left'] = True
-
-
 async def serve_control(host: Host, stream: Any) -> None:
     """Serve the port over which tests set faults and read what happened."""
     parser = h11.Connection(h11.SERVER)
