--- a/tests/fleet/test_control.py
+++ b/tests/fleet/test_control.py
@@ -6,7 +6,12 @@
 
 import anyio
 
-from coursepitch.fleet.control import ORDERS_AT_ONCE, InstanceControl
+from coursepitch.fleet.control import (
+    ENDING_TRIES,
+    ORDERS_AT_ONCE,
+    InstanceControl,
+    Probe,
+)
 from coursepitch.fleet.orders import Order, OrderKind, OrderResult
 
 
@@ -45,5 +50,40 @@
         self.assertEqual(answered, [OrderResult.TAKEN] * count)
 
 
+class EndTest(unittest.TestCase):
+    """Whether an instance's process is gone.
+
+    A process that ends closes its connections one by one: a question may still be
+    accepted and break off.  Where that passes for no end, the crash is not counted.
+    """
+
+    def ask(self, *answers):
+        """Return what is found when questions end so, and how many were asked."""
+        left = list(answers)
+
+        async def answer(instance):
+            return left.pop(0)
+
+        async def run():
+            control = InstanceControl(lambda: 0.0)
+            control._ask = answer
+            return await control.has_ended(None)
+
+        return anyio.run(run), len(answers) - len(left)
+
+    def test_refused_connection_and_another_instance_show_the_end(self):
+        self.assertEqual(self.ask(Probe.REFUSED), (True, 1))
+        self.assertEqual(self.ask(Probe.REPLACED), (True, 1))
+
+    def test_question_that_breaks_off_is_asked_again(self):
+        self.assertEqual(self.ask(Probe.BROKEN, Probe.REFUSED), (True, 2))
+        self.assertEqual(self.ask(Probe.BROKEN, Probe.ANSWERS), (False, 2))
+
+    def test_silence_and_questions_that_go_on_breaking_off_show_nothing(self):
+        self.assertEqual(self.ask(Probe.SILENT), (False, 1))
+        broken = [Probe.BROKEN] * ENDING_TRIES
+        self.assertEqual(self.ask(*broken), (False, ENDING_TRIES))
+
+
 if __name__ == '__main__':
     unittest.main()
