A configuration changed in an outage is fetched as soon as a peer has it

Tables came into force in waves: 36 nodes within 0.2 s, 14 after 1.0 s, 23 after 1.7 s. Ruled out: size of the configuration (51 KB, 4 KB on a link), the rule itself (a node that knows of a newer one must not act on the older), heartbeats that come late (the refusals say that the node knows). Change: the pause ends when a peer tells of a newer configuration. Conclusion: kept, as it guards callers from refusals that nothing calls for.

--- a/coursepitch/fleet/session.py
+++ b/coursepitch/fleet/session.py
@@ -391,9 +391,20 @@
             elif await self.confirm():
                 attempt = 0
             else:
-                await anyio.sleep(self._find_pause(attempt))
+                await self._wait_next_try(self._find_pause(attempt))
                 attempt += 1
 
+    async def _wait_next_try(self, limit_s: float) -> None:
+        """Wait at most so long, and no longer than until a peer has what is newer.
+
+        A configuration that was changed at the end of an outage reached 80 nodes within
+        2.0 s, as they slept out their pauses, and 291 of 1,190 requests were refused
+        meanwhile (one day of 68 nodes, one run).
+        """
+        with anyio.move_on_after(limit_s):
+            while not self.book.find_table(self._table_revision()):
+                await self.wait_changed(limit_s)
+
     def _find_look_s(self) -> float:
         """Return the seconds until the node looks again whether to ask."""
         soon = self.is_following() or self.is_starting()
--- a/tests/fleet/test_session.py
+++ b/tests/fleet/test_session.py
@@ -4,12 +4,13 @@
 
 import json
 import unittest
+from unittest import mock
 
 import anyio
 
 from coursepitch.fleet.contact import GAP_S
 from coursepitch.fleet.freshness import OUTAGE_SIGN_S, Freshness
-from coursepitch.fleet.messages import Heartbeat
+from coursepitch.fleet.messages import Heartbeat, TableTold
 from coursepitch.fleet.session import (
     CONFIRM_RETRY_S,
     LONGEST_RETRY_S,
@@ -231,6 +232,58 @@
         self.assertEqual(self.pauses(), [CONFIRM_RETRY_S] * 5)
 
 
+class ReturnTest(unittest.IsolatedAsyncioTestCase):
+    """The end of an outage in which the configuration was changed.
+
+    What callers saw: for 1.7 s after the store had come back, 291 of 1,190 requests
+    were refused, "the configuration is not confirmed".  Order: the store went away for
+    8 s; an operator changed the configuration at its end; the leader confirmed and
+    told of a newer one at once; from then on nobody else may act on the older one;
+    36 of 80 nodes had the newer one after 0.2 s, 14 after 1.0 s, 23 after 1.7 s.
+    Cause: after two questions without an answer a node waited 2 s for the next try,
+    and nothing woke it.  Evidence: the times at which tables came into force, in the
+    logs of all nodes, lie in waves, and each node of the later ones had asked the
+    store 2 s before.
+    """
+
+    def setUp(self):
+        self.store = FakeStore()
+        self.store.answer = Unavailable('down')
+        clock = self.store.clock
+        freshness = Freshness(BOUND_S, clock, refuse_unconfirmed=False)
+        self.session = FleetSession('n1', self.store, freshness, clock)
+        self.session.view.take_configuration(write_configuration(1, 10))
+        self.session.tell = self.answer
+        self.asked_twice = anyio.Event()
+        self.in_force = anyio.Event()
+        self.store.transact = self.stay_away
+
+    async def stay_away(self, conditions, writes=()):
+        self.store.calls.append(conditions)
+        if len(self.store.calls) == 2:
+            self.asked_twice.set()
+        return self.store.answer
+
+    def answer(self, message, node):
+        self.session.take_message(TableTold(node, write_configuration(2, 20)))
+        self.in_force.set()
+
+    async def test_newer_configuration_is_fetched_at_once(self):
+        self.session.book.take(Heartbeat('n2', 2, table_revision=10))
+        pauses = {'CONFIRM_RETRY_S': 0.01, 'LONGEST_RETRY_S': 600.0}
+        with mock.patch.multiple('coursepitch.fleet.session', **pauses):
+            async with anyio.create_task_group() as group:
+                group.start_soon(self.session._keep_confirmed)
+                with anyio.fail_after(20):
+                    await self.asked_twice.wait()
+                    beat = Heartbeat('n2', 2, table_revision=20)
+                    self.session.take_message(beat)
+                    await self.in_force.wait()
+                group.cancel_scope.cancel()
+        self.assertEqual(self.session.view.table.version, 2)
+        self.assertTrue(self.session.is_fresh())
+
+
 class SilentWatchTest(unittest.IsolatedAsyncioTestCase):
     """A watch whose connection went silent is ended by what other calls tell."""
 
