Silent instances are told of over links, from node to node

Ruled out: groups short (4 and 18 open, by what nodes knew), the budget's parts (all nodes were listed for longer than a window). Ways: (a) the store only, as before; (b) in the heartbeats, 0.1 to 0.4 s later and sent on for as long as it holds; (c) a message of its own, passed on once by relays and the leader. Change: fleet/lost keeps what is known and tells it; what nodes tell counts for 4 s, the store's word as before; the leader looks at both and tells who answers after all.

--- a/coursepitch/fleet/groups.py
+++ b/coursepitch/fleet/groups.py
@@ -308,7 +308,7 @@
         Nothing new is sent there.  The member may serve on: it leaves without a word,
         or only the store has lost it.
         """
-        if name in view.lost or not self._is_busy(claim, view):
+        if view.lost.has(name) or not self._is_busy(claim, view):
             return False
         if progress.finishing_since is None:
             progress.finishing_since = now
@@ -420,7 +420,7 @@
             usable = (
                 instance.name not in claimed
                 and instance.name not in self.dead
-                and instance.name not in view.lost
+                and not view.lost.has(instance.name)
                 and not view.is_lapsed(instance.name)
                 and self._is_out(instance)
             )
--- a/coursepitch/fleet/keeper.py
+++ b/coursepitch/fleet/keeper.py
@@ -217,7 +217,7 @@
     def _check_lost(self, group: TaskGroup) -> None:
         """Ask instances that a node holds for lost."""
         now = self._clock()
-        for name in self._session.view.lost | self._book.dead:
+        for name in self._session.view.lost.list_all() | self._book.dead:
             if now - self._checked.get(name, float('-inf')) >= RECHECK_S:
                 self._checked[name] = now
                 group.start_soon(self._check, name)
@@ -236,5 +236,5 @@
         if not silent:
             log.emit(events.INSTANCE_LOST, instance=name, answers=True)
             self._book.dead.discard(name)
-            if name in view.lost:
-                await self._session.clear_lost(name)
+            if view.lost.has(name):
+                await self._session.losses.clear(name)
--- a/coursepitch/fleet/messages.py
+++ b/coursepitch/fleet/messages.py
@@ -24,6 +24,7 @@
     'ChangesRequest',
     'CrashesTold',
     'Heartbeat',
+    'LostTold',
     'Message',
     'OtherLoads',
     'TableRequest',
@@ -52,6 +53,7 @@
 _TABLE_TOLD = 3
 _CHANGES_REQUEST = 4
 _CRASHES_TOLD = 5
+_LOST_TOLD = 6
 
 
 @dataclass(frozen=True, slots=True)
@@ -161,7 +163,24 @@
     acquittals: tuple[Acquittal, ...] = ()
 
 
-Message = Heartbeat | Changes | ChangesRequest | CrashesTold | TableRequest | TableTold
+@dataclass(frozen=True, slots=True)
+class LostTold:
+    """Instances that were found silent, and such that answer after all."""
+
+    node: str
+    lost: tuple[str, ...] = ()
+    answering: tuple[str, ...] = ()
+
+
+Message = (
+    Heartbeat
+    | Changes
+    | ChangesRequest
+    | CrashesTold
+    | LostTold
+    | TableRequest
+    | TableTold
+)
 
 
 def encode_state(beat: Heartbeat) -> bytes:
@@ -248,6 +267,9 @@
             return _pack([_TABLE_TOLD, message.node, row])
         case CrashesTold():
             return _pack([_CRASHES_TOLD, *_crash_rows(message)])
+        case LostTold():
+            rows = [list(message.lost), list(message.answering)]
+            return _pack([_LOST_TOLD, message.node, *rows])
 
 
 def decode_message(data: bytes) -> Message:
@@ -272,6 +294,9 @@
             return TableTold(node, _decode_entry(parts[1]))
         if kind == _CRASHES_TOLD:
             return _decode_crashes(parts)
+        if kind == _LOST_TOLD:
+            lost, answering = (tuple(map(_text, row)) for row in parts[1:])
+            return LostTold(node, lost, answering)
     except (
         cbor2.CBORDecodeError,
         zlib.error,
--- a/coursepitch/fleet/session.py
+++ b/coursepitch/fleet/session.py
@@ -19,18 +19,20 @@
 from coursepitch.fleet.catchup import CatchUp
 from coursepitch.fleet.contact import StoreContact
 from coursepitch.fleet.leases import NodeLeases
+from coursepitch.fleet.lost import LossReporter
 from coursepitch.fleet.messages import (
     Changes,
     ChangesRequest,
     CrashesTold,
     Heartbeat,
+    LostTold,
     TableRequest,
     TableTold,
 )
 from coursepitch.fleet.peers import PeerBook
 from coursepitch.fleet.shares import LimitShare
 from coursepitch.fleet.standstill import Standstill
-from coursepitch.fleet.view import LOST_PREFIX, FleetView
+from coursepitch.fleet.view import FleetView
 from coursepitch.fleet.watching import GuardedWatch
 from coursepitch.platform.configuration import CONFIGURATION_KEY
 from coursepitch.platform.kv import (
@@ -38,9 +40,7 @@
     Conflict,
     Events,
     Rejected,
-    Swapped,
     Unavailable,
-    Write,
 )
 
 if TYPE_CHECKING:
@@ -129,6 +129,9 @@
         self.book = PeerBook(secrets.randbits(48), clock)
         self.leases = NodeLeases(name, kv, self.view, self.wake, clock)
         self.leases.wait_changed = self.wait_changed
+        #: Tells all nodes of instances that do not answer.
+        self.losses = LossReporter(name, kv, self.view, self.wake)
+        self.losses.is_watching = self.is_watching
         #: Whether this process ran all the time.
         self.standstill = Standstill(clock)
         #: This node's part of limits that all nodes share.
@@ -155,7 +158,6 @@
         self._changed = anyio.Event()
         self._watch = GuardedWatch(kv, self.view, clock)
         self._catch_up = CatchUp(name, self.view, self.book)
-        self._reported: dict[str, float] = {}
 
     # -- what others ask -----------------------------------------------------------
 
@@ -338,6 +340,8 @@
                 self._answer_table(message)
             case CrashesTold():
                 self.take_crashes(message)
+            case LostTold():
+                self.losses.take(message)
             case TableTold():
                 self.view.take_configuration(message.entry)
                 self.wake()
@@ -507,26 +511,3 @@
     async def end(self) -> None:
         """End the leases, so that another node leads at once."""
         await self.leases.end()
-
-    # -- lost instances ---------------------------------------------------------------
-
-    async def report_lost(self, instance: str) -> None:
-        """Tell all nodes that an instance does not answer, once."""
-        if instance in self.view.lost or instance in self._reported:
-            return
-        self._reported[instance] = self._clock()
-        key = LOST_PREFIX + instance
-        result = await self.kv.transact([Condition(key, 0)], [Write(key, self._name)])
-        if isinstance(result, Swapped):
-            self.view.lost.add(instance)
-            self.view.version += 1
-            self.wake()
-        self._reported.pop(instance, None)
-
-    async def clear_lost(self, instance: str) -> None:
-        """Tell all nodes that an instance answers after all, or is gone."""
-        result = await self.kv.transact([], [Write(LOST_PREFIX + instance, None)])
-        if isinstance(result, Swapped):
-            self.view.lost.discard(instance)
-            self.view.version += 1
-            self.wake()
--- a/coursepitch/fleet/view.py
+++ b/coursepitch/fleet/view.py
@@ -13,6 +13,7 @@
 from coursepitch.errors import CodecError, FindingsError
 from coursepitch.fleet.claims import GroupClaim, decode_claims, decode_loads
 from coursepitch.fleet.instances import GroupState
+from coursepitch.fleet.lost import LOST_PREFIX, LostInstances
 from coursepitch.fleet.nodes import decode_place
 from coursepitch.fleet.refused import decode_refused
 from coursepitch.platform.configuration import CONFIGURATION_KEY, decode_configuration
@@ -33,7 +34,6 @@
     'CLAIM_PREFIX',
     'LEADER_KEY',
     'LOAD_PREFIX',
-    'LOST_PREFIX',
     'NODE_PREFIX',
     'REFUSED_PREFIX',
     'FleetView',
@@ -45,7 +45,6 @@
 ROOT = 'coursepitch/'
 NODE_PREFIX = ROOT + 'nodes/'
 CLAIM_PREFIX = ROOT + 'claims/'
-LOST_PREFIX = ROOT + 'lost/'
 LOAD_PREFIX = ROOT + 'loads/'
 REFUSED_PREFIX = ROOT + 'refused/'
 LEADER_KEY = ROOT + 'leader'
@@ -88,6 +87,7 @@
 class FleetView:
     """Configuration, instances, claims and nodes, as last heard.
 
+    :param lost: instances that do not answer.
     :param loads: models whose loads have begun, by service and instance.
     :param table_entry: the configuration in force as it stands in the store.
     :param leader_changed_at: revision at which the leader's key changed last.
@@ -110,7 +110,7 @@
     claim_revisions: dict[str, int] = field(default_factory=dict)
     loads: dict[str, dict[str, str]] = field(default_factory=dict)
     nodes: dict[str, NodePlace] = field(default_factory=dict)
-    lost: set[str] = field(default_factory=set)
+    lost: LostInstances = field(init=False)
     leader: str = ''
     leader_revision: int = 0
     leader_changed_at: int = 0
@@ -130,6 +130,9 @@
     _groups: dict[tuple[str, str], list[OpenGroup]] = field(default_factory=dict)
     _groups_version: int = -1
 
+    def __post_init__(self) -> None:
+        self.lost = LostInstances(self.clock)
+
     # -- what was heard ----------------------------------------------------------
 
     def take(self, found: Events) -> bool:
@@ -170,7 +173,7 @@
         known = [
             *(INSTANCE_PREFIX + name for name in self.instances),
             *(NODE_PREFIX + name for name in self.nodes),
-            *(LOST_PREFIX + name for name in self.lost),
+            *(LOST_PREFIX + name for name in self.lost.stored),
             *(LOAD_PREFIX + name for name in self.loads),
             *(REFUSED_PREFIX + name for name in self.refused),
         ]
@@ -200,13 +203,41 @@
         elif key.startswith(NODE_PREFIX):
             self._take_node(key[len(NODE_PREFIX) :], entry)
         elif key.startswith(LOST_PREFIX):
-            name = key[len(LOST_PREFIX) :]
-            (self.lost.add if entry.present else self.lost.discard)(name)
+            self._take_lost(key[len(LOST_PREFIX) :], entry)
         elif key.startswith(REFUSED_PREFIX):
             self._take_refused(key[len(REFUSED_PREFIX) :], entry)
         elif key == LEADER_KEY:
             self._take_leader(entry)
 
+    def _take_lost(self, name: str, entry: Entry) -> None:
+        if entry.present:
+            self.note_stored_lost(name)
+        else:
+            self.drop_stored_lost(name)
+
+    def note_stored_lost(self, name: str) -> None:
+        """Take that the store names an instance that does not answer."""
+        self.lost.note_stored(name)
+        self.version += 1
+
+    def drop_stored_lost(self, name: str) -> None:
+        """Take that the store no longer names such an instance."""
+        self.lost.stored.discard(name)
+        self.note_answering(name)
+        self.version += 1
+
+    def note_told_lost(self, name: str) -> bool:
+        """Take that a node found an instance silent; ``False`` if it is no news."""
+        news = name in self.instances and self.lost.note_told(name)
+        self.version += news
+        return news
+
+    def note_answering(self, name: str) -> bool:
+        """Take that an instance answers after all; ``False`` if it is no news."""
+        news = self.lost.note_answering(name)
+        self.version += news
+        return news
+
     def _take_leader(self, entry: Entry) -> None:
         """Take the leader's key; what is older than known is left."""
         if entry.changed_at and entry.changed_at < self.leader_revision:
@@ -343,6 +374,7 @@
     def _note_restart(self, before: FleetInstance, after: FleetInstance) -> None:
         """Tell of an instance if it started again."""
         if after.is_restart_of(before):
+            self.note_answering(after.name)
             log.emit(events.INSTANCE_RESTARTED, instance=after.name, born=after.born)
             self.tell_restart(after.name)
 
@@ -382,6 +414,7 @@
 
     def sweep(self) -> None:
         """Drop what did not come back with the store; pass over what may not."""
+        self.version += self.lost.forget_old()
         if not self._may_have_lapsed():
             for node in self._lapsed_nodes:
                 self.nodes.pop(node, None)
@@ -447,7 +480,7 @@
         present = [item for item in members if item is not None]
         if len(present) < len(members):
             return None
-        if any(item.name in self.lost for item in present):
+        if any(self.lost.has(item.name) for item in present):
             return None
         if not all(self.takes_requests(item.name) for item in present):
             return None
--- a/coursepitch/gateway/watchdog.py
+++ b/coursepitch/gateway/watchdog.py
@@ -82,7 +82,7 @@
     def _is_lost(self, group: OpenGroup) -> bool:
         """Whether a node found a member silent and told all."""
         lost = self._session.view.lost
-        return any(item.name in lost for item in group.members)
+        return any(lost.has(item.name) for item in group.members)
 
     async def wait_silent(self, group: OpenGroup, since: float) -> None:
         """Return once a member of a group is found silent, here or elsewhere.
@@ -138,5 +138,5 @@
         if silent:
             with anyio.move_on_after(1.0):
                 for name in silent:
-                    await self._session.report_lost(name)
+                    await self._session.losses.report(name)
         return not silent
--- a/coursepitch/gateway_application.py
+++ b/coursepitch/gateway_application.py
@@ -108,6 +108,7 @@
             clock,
         )
         self.session.tell = self.links.tell
+        self.session.losses.tell = self.links.tell
         self.session.pass_on = self.links.pass_on
         self.session.tell_now = self.links.tell_now
         self.session.is_followed = self.links.is_followed
@@ -172,7 +173,7 @@
         reporter.tell = self.links.tell
         reporter.is_watching = session.is_watching
         reporter.is_leader = session.is_leader
-        reporter.report_lost = session.report_lost
+        reporter.report_lost = session.losses.report
         session.take_crashes = reporter.take
         session.view.tell_refused = reporter.take_stored
         self.links.greet = reporter.greet
--- a/tests/fleet/simulated_pool.py
+++ b/tests/fleet/simulated_pool.py
@@ -305,7 +305,7 @@
         for name, since in self.dead_at.items():
             if self.now - since >= NOTICE_S:
                 self.book.dead.add(name)
-                self.view.lost.add(name)
+                self.view.lost.note_stored(name)
         self.view.version += 1
         early = self.now < 0
         decision = self.book.decide(
--- a/tests/fleet/test_finishing.py
+++ b/tests/fleet/test_finishing.py
@@ -39,7 +39,7 @@
             ],
             [CLAIM],
         )
-        view.lost |= self.lost
+        view.lost.stored |= self.lost
         return self.book.decide(
             view, build_service(), {}, now, early=False, settled=True
         )
--- a/tests/gateway/test_decisions.py
+++ b/tests/gateway/test_decisions.py
@@ -200,8 +200,9 @@
         self.reported = []
         self.view = build_view()
         self.wake = anyio.Event()
+        self.losses = SimpleNamespace(report=self.report)
 
-    async def report_lost(self, name):
+    async def report(self, name):
         self.reported.append(name)
 
     async def wait_changed(self, limit_s):
@@ -252,7 +253,7 @@
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(watchdog.wait_silent, self.group, self.now)
                 await anyio.wait_all_tasks_blocked()
-                self.session.view.lost.add('b')
+                self.session.view.lost.note_stored('b')
                 self.session.wake.set()
             return await watchdog.check(self.group)
 
