Heads are doubted by the longest of the newest good times

Ruled out: telling (the others know 0.1 s later), the leader's own look (0.3 s later, but nothing is sent there meanwhile).

--- a/coursepitch/gateway/streams.py
+++ b/coursepitch/gateway/streams.py
@@ -40,12 +40,6 @@
 #: a group takes to form anew.
 AGAIN_S = 0.7
 
-#: Seconds without an event after which a stream goes on elsewhere although all
-#: members of its group answer: its answer is lost, or its connection silent.  Source:
-#: where there is room, 99.9 in 100 first events come within 0.7 s on days of losses,
-#: and clients give a stream up after two seconds.
-OVERDUE_S = 1.0
-
 #: Seconds between two looks whether an answer that is overdue may be given up.
 OVERDUE_LOOK_S = 0.1
 
@@ -241,7 +235,7 @@
     ) -> None:
         """Give an attempt up when its answer is overdue and another may be made."""
         sent_at = self._parts.clock()
-        await anyio.sleep(OVERDUE_S)
+        await anyio.sleep(self._watchdog.times.find_overdue_s(job.fields.model))
         while not self._may_go_elsewhere(job, group, sent_at):
             await anyio.sleep(OVERDUE_LOOK_S)
         self._note_overdue(job, group)
@@ -310,6 +304,9 @@
         await job.reply.end()
         job.ending = Ending.ANSWERED
         self._parts.board.note_success(group.head.name)
+        if len(job.sent) == 1 and job.first_at is not None:
+            first_s = job.first_at - job.run_at
+            self._watchdog.times.note(job.fields.model, first_s, job.pause_s)
         return True
 
     async def _pass_failure(self, job: Job, group: OpenGroup, answer: Answer) -> bool:
@@ -336,8 +333,9 @@
         """
         began = since = self._parts.clock()
         head = group.head.name
+        times, model = self._watchdog.times, job.fields.model
         while True:
-            left_s = self._watchdog.quiet_s(head, since)
+            left_s = self._watchdog.quiet_s(head, since, times.find_quiet_s(model))
             if left_s > 0:
                 with anyio.move_on_after(left_s):
                     data = await answer.read_part()
@@ -345,7 +343,7 @@
                     return data
             elif not await self._watchdog.check(group):
                 raise StalledError('a member of the group does not answer')
-            elif self._parts.clock() - began >= OVERDUE_S and self._may_go_elsewhere(
+            elif self._is_overdue(job, began) and self._may_go_elsewhere(
                 job, group, began
             ):
                 self._note_overdue(job, group)
@@ -353,6 +351,11 @@
             else:
                 since = self._parts.clock()
 
+    def _is_overdue(self, job: Job, began: float) -> bool:
+        """Whether a stream stands still for so long that it may go on elsewhere."""
+        limit_s = self._watchdog.times.find_overdue_s(job.fields.model)
+        return self._parts.clock() - began >= limit_s
+
     def _note_cut(
         self, job: Job, group: OpenGroup, seam: EventSeam, reason: str
     ) -> None:
--- a/coursepitch/gateway/watchdog.py
+++ b/coursepitch/gateway/watchdog.py
@@ -13,6 +13,7 @@
 
 from coursepitch import events, log
 from coursepitch.fleet.control import Probe
+from coursepitch.gateway.reply_times import ReplyTimes
 
 if TYPE_CHECKING:
     from coursepitch.clock import Clock
@@ -23,19 +24,9 @@
 
 __all__ = ['Watchdog']
 
-#: Seconds for which the answers of a group's members are not asked again.
-VERDICT_S = 0.8
-
-#: Seconds in which nothing came from a head after which its group is asked.
-#: Source: on the users' engines the events of a stream come about every 50 ms,
-#: and a pass that reads long prompts takes up to 150 ms.
-QUIET_S = 0.25
-
-#: The same for a request whose answer has not begun: it may wait for its turn, and
-#: where its group is dead, streams that had begun there tell so sooner.  Source:
-#: on 58 nodes few have two requests at one head, and with 0.25 s there were 1.4
-#: questions a request.
-FIRST_QUIET_S = 0.45
+#: Seconds for which the members of a group are not asked again: for so long the loss of
+#: one that had just answered may go unnoticed.
+VERDICT_S = 0.4
 
 #: Seconds for which a single stream may stand still while others of its head
 #: flow.
@@ -59,6 +50,8 @@
         self._running: dict[tuple[str, int], anyio.Event] = {}
         self._avoided: dict[tuple[str, int], float] = {}
         self._heard: dict[str, float] = {}
+        #: How long answers usually take.
+        self.times = ReplyTimes()
 
     def is_avoided(self, group: OpenGroup) -> bool:
         """Whether a member of the group was silent just now."""
@@ -69,7 +62,7 @@
         """Note that a head sent something on any stream of this node."""
         self._heard[head] = self._clock()
 
-    def quiet_s(self, head: str, since: float, most_s: float = QUIET_S) -> float:
+    def quiet_s(self, head: str, since: float, most_s: float) -> float:
         """Return for how long to wait for a head before its group is asked.
 
         :param since: when the one who waits heard of it last.
@@ -90,7 +83,8 @@
         :param since: when the one who waits heard of the head last.
         """
         while not self._is_lost(group):
-            left_s = self.quiet_s(group.head.name, since, FIRST_QUIET_S)
+            most_s = self.times.find_first_quiet_s(group.claim.model)
+            left_s = self.quiet_s(group.head.name, since, most_s)
             if left_s > 0:
                 await self._session.wait_changed(left_s)
                 continue
--- a/tests/gateway/test_decisions.py
+++ b/tests/gateway/test_decisions.py
@@ -18,9 +18,10 @@
 from coursepitch.gateway.budget import RetryBudget
 from coursepitch.gateway.events_seam import EventSeam
 from coursepitch.gateway.job import Ending
+from coursepitch.gateway.reply_times import FIRST_QUIET_S, QUIET_S
 from coursepitch.gateway.router import Router
 from coursepitch.gateway.streams import StreamServer
-from coursepitch.gateway.watchdog import FIRST_QUIET_S, Watchdog
+from coursepitch.gateway.watchdog import Watchdog
 from coursepitch.gateway.work import bound_requests, estimate_work
 from coursepitch.http.server import Reply
 from coursepitch.platform.headers import RequestFields
@@ -264,7 +265,7 @@
         watchdog = self.build(FakeControl())
         since = self.now
         self.now += 0.3
-        self.assertLess(watchdog.quiet_s('a', since), 0)
+        self.assertLess(watchdog.quiet_s('a', since, QUIET_S), 0)
         self.assertGreater(watchdog.quiet_s('a', since, FIRST_QUIET_S), 0)
 
     def test_asker_that_leaves_hands_the_question_on(self):
@@ -300,9 +301,9 @@
         watchdog = self.build(FakeControl())
         self.now = 20.0
         watchdog.note_heard('a')
-        self.assertGreater(watchdog.quiet_s('a', since=19.0), 0)
-        self.assertLess(watchdog.quiet_s('b', since=19.0), 0)
-        self.assertLess(watchdog.quiet_s('a', since=18.0), 0)
+        self.assertGreater(watchdog.quiet_s('a', 19.0, QUIET_S), 0)
+        self.assertLess(watchdog.quiet_s('b', 19.0, QUIET_S), 0)
+        self.assertLess(watchdog.quiet_s('a', 18.0, QUIET_S), 0)
 
 
 class WorkTest(unittest.TestCase):
--- /dev/null
+++ b/tests/gateway/test_reply_times.py
@@ -0,0 +1,81 @@
+"""When a head is doubted, by how long good answers take."""
+
+from __future__ import annotations
+
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from coursepitch.gateway.reply_times import (
+    FEWEST,
+    FIRST_QUIET_S,
+    KEPT,
+    LEAST_FIRST_QUIET_S,
+    LEAST_OVERDUE_S,
+    LEAST_QUIET_S,
+    OVERDUE_S,
+    QUIET_S,
+    ReplyTimes,
+)
+
+SECONDS = st.floats(0.0, 20.0)
+
+
+class ReplyTimesTest(unittest.TestCase):
+    """One node."""
+
+    def setUp(self):
+        self.times = ReplyTimes()
+
+    def note(self, count, first_s, pause_s, model='m'):
+        for _ in range(count):
+            self.times.note(model, first_s, pause_s)
+
+    def find(self, model='m'):
+        return (
+            self.times.find_quiet_s(model),
+            self.times.find_first_quiet_s(model),
+            self.times.find_overdue_s(model),
+        )
+
+    def test_few_answers_say_nothing(self):
+        self.note(FEWEST - 1, 0.17, 0.04)
+        self.assertEqual(self.find(), (QUIET_S, FIRST_QUIET_S, OVERDUE_S))
+
+    def test_head_of_a_quick_model_is_doubted_sooner(self):
+        self.note(FEWEST, 0.23, 0.08)
+        quiet_s, first_quiet_s, overdue_s = self.find()
+        self.assertLess(quiet_s, 0.15)
+        self.assertTrue(0.23 < first_quiet_s < 0.3)
+        self.assertTrue(0.4 <= overdue_s < 0.5)
+
+    def test_head_of_a_slow_model_is_doubted_no_later_than_before(self):
+        self.note(FEWEST, 3.0, 1.0)
+        self.assertEqual(self.find(), (QUIET_S, FIRST_QUIET_S, OVERDUE_S))
+
+    def test_models_are_told_apart(self):
+        self.note(FEWEST, 0.17, 0.04, 'quick')
+        self.note(FEWEST, 0.50, 0.24, 'slow')
+        self.assertLess(self.find('quick'), self.find('slow'))
+
+    def test_longest_time_counts_until_it_is_old(self):
+        self.note(1, 0.4, 0.2)
+        self.note(KEPT - 1, 0.17, 0.04)
+        self.assertGreater(self.find()[1], 0.4)
+        self.note(1, 0.17, 0.04)
+        self.assertLess(self.find()[1], 0.25)
+
+    @given(st.lists(st.tuples(SECONDS, SECONDS), max_size=2 * KEPT))
+    def test_limits_stay_within_their_bounds(self, answers):
+        times = ReplyTimes()
+        for first_s, pause_s in answers:
+            times.note('m', first_s, pause_s)
+        self.assertTrue(LEAST_QUIET_S <= times.find_quiet_s('m') <= QUIET_S)
+        first_quiet_s = times.find_first_quiet_s('m')
+        self.assertTrue(LEAST_FIRST_QUIET_S <= first_quiet_s <= FIRST_QUIET_S)
+        self.assertTrue(LEAST_OVERDUE_S <= times.find_overdue_s('m') <= OVERDUE_S)
+
+
+if __name__ == '__main__':
+    unittest.main()
