Only nodes that follow the store log what instances tell

Change: the leader and the deputy log instance.changed; a node that begins to lead logs all instances once. What a node knew at a send is told by request.sent, heard.

--- a/coursepitch/fleet/keeper.py
+++ b/coursepitch/fleet/keeper.py
@@ -108,6 +108,7 @@
         if leading:
             self._book.reset()
             self._book.adopt_loads(session.view, self._clock())
+            session.view.tell_all()
         else:
             log.emit(events.LEAD_LOST)
         self._leading = leading
--- a/coursepitch/fleet/session.py
+++ b/coursepitch/fleet/session.py
@@ -154,6 +154,7 @@
         self._began = clock()
         self._contact = StoreContact(clock)
         self.view.find_steady_s = self._find_steady_s
+        self.view.tells_changes = self.is_following
         self._up = True
         self._changed = anyio.Event()
         self._watch = GuardedWatch(kv, self.view, clock)
--- a/coursepitch/fleet/view.py
+++ b/coursepitch/fleet/view.py
@@ -98,6 +98,8 @@
     :param find_steady_s: returns the seconds for which the store is known to have
         answered, up to now.
     :param tell_restart: called with an instance that started again under its name.
+    :param tells_changes: whether this node logs what instances tell.  One that follows
+        the store does: with all of 89 nodes, 80 in 100 lines of a day told the same.
     :param refused: requests that are known to end instances, by fingerprint.
     :param tell_refused: called with such a request when its entry was written.
     """
@@ -119,6 +121,7 @@
     lapsed_serve_s: float = USUAL_LAPSED_S
     find_steady_s: Callable[[], float] = lambda: float('inf')
     tell_restart: Callable[[str], None] = lambda name: None
+    tells_changes: Callable[[], bool] = lambda: True
     refused: dict[str, RefusedRequest] = field(default_factory=dict)
     tell_refused: Callable[[RefusedRequest], None] = lambda found: None
     arrived_at: float = float('-inf')
@@ -359,17 +362,13 @@
         self.instances[name] = instance
         if before is None:
             self.arrived_at = self.clock()
-        if before is None or before != instance:
-            log.emit(
-                events.INSTANCE_CHANGED,
-                instance=name,
-                draining=instance.draining,
-                **_describe_membership(instance),
-                domain=instance.domain,
-                models=sorted(instance.models),
-                staged=sorted(instance.staged),
-                revision=entry.revision,
-            )
+        if (before is None or before != instance) and self.tells_changes():
+            _tell_instance(instance, entry.revision)
+
+    def tell_all(self) -> None:
+        """Log all instances as they are known, for a node that leads from now on."""
+        for instance in self.instances.values():
+            _tell_instance(instance, self.heard_revision)
 
     def _note_restart(self, before: FleetInstance, after: FleetInstance) -> None:
         """Tell of an instance if it started again."""
@@ -502,6 +501,20 @@
         )
 
 
+def _tell_instance(instance: FleetInstance, revision: int) -> None:
+    """Log what an instance's entry says, heard at a revision of the store."""
+    log.emit(
+        events.INSTANCE_CHANGED,
+        instance=instance.name,
+        draining=instance.draining,
+        **_describe_membership(instance),
+        domain=instance.domain,
+        models=sorted(instance.models),
+        staged=sorted(instance.staged),
+        revision=revision,
+    )
+
+
 def _describe_membership(instance: FleetInstance) -> dict[str, object]:
     """Return the fields of a log line that tell an instance's group."""
     found = instance.membership
--- a/tests/fleet/test_view.py
+++ b/tests/fleet/test_view.py
@@ -5,6 +5,8 @@
 import json
 import unittest
 
+import eliot
+
 from coursepitch.fleet.claims import GroupClaim
 from coursepitch.fleet.view import (
     CLAIM_PREFIX,
@@ -196,3 +198,34 @@
         self.assertTrue(key.startswith(CLAIM_PREFIX))
         view.take_claims(Entry(key, '[{"name": 1}]', 50))
         self.assertEqual(len(view.list_open(SERVICE, 'small')), 1)
+
+
+class LinesTest(unittest.TestCase):
+    """Which nodes log what instances tell.
+
+    On a day of 89 nodes 66,000 of 82,000 lines told of instances, each 89 times.
+    """
+
+    def setUp(self):
+        self.lines = []
+        eliot.add_destinations(self.lines.append)
+        self.addCleanup(eliot.remove_destination, self.lines.append)
+        self.view = FleetView(lambda: 0.0)
+
+    def count(self):
+        return sum(
+            line.get('message_type') == 'instance.changed' for line in self.lines
+        )
+
+    def test_node_that_follows_the_store_logs_each_change_once(self):
+        for revision in (1, 2):
+            self.view.take_entry(write_entry('i1', revision))
+        self.assertEqual(self.count(), 1)
+
+    def test_other_nodes_log_none_until_they_lead(self):
+        self.view.tells_changes = lambda: False
+        for name in ('i1', 'i2'):
+            self.view.take_entry(write_entry(name))
+        self.assertEqual(self.count(), 0)
+        self.view.tell_all()
+        self.assertEqual(self.count(), 2)
