The test of logged instances leaves out what was logged before it

Cause: the log hands its first destination what came before, so the test that was committed with the change failed beside other tests. Change: the lines are cleared after the destination was added. Conclusion: the test passes alone and beside the others of its module.

--- a/tests/fleet/test_view.py
+++ b/tests/fleet/test_view.py
@@ -210,6 +210,7 @@
         self.lines = []
         eliot.add_destinations(self.lines.append)
         self.addCleanup(eliot.remove_destination, self.lines.append)
+        self.lines.clear()  # The first destination gets what was logged before it.
         self.view = FleetView(lambda: 0.0)
 
     def count(self):
