A node that starts reads the configuration once

Both the confirmation and the listing of all keys bring it, over links of 20 Mbit/s, 0.5 MB each time. Ruled out: decoding (0.05 s at half a core for 1,200 routes, without processor time none), the store (1,000 Mbit/s). Change: the first listing is of the system's own keys and of the instances.

--- a/coursepitch/fleet/session.py
+++ b/coursepitch/fleet/session.py
@@ -32,9 +32,10 @@
 from coursepitch.fleet.peers import PeerBook
 from coursepitch.fleet.shares import LimitShare
 from coursepitch.fleet.standstill import Standstill
-from coursepitch.fleet.view import FleetView
+from coursepitch.fleet.view import ROOT, FleetView
 from coursepitch.fleet.watching import GuardedWatch
 from coursepitch.platform.configuration import CONFIGURATION_KEY
+from coursepitch.platform.fleet import INSTANCE_PREFIX
 from coursepitch.platform.kv import (
     Condition,
     Conflict,
@@ -266,7 +267,7 @@
                 found = await self._watch.wait(after)
                 listed = found is not None
             else:
-                found = await self.kv.list_prefix('')
+                found = await self._list_all()
             if found is None:
                 continue
             if isinstance(found, Unavailable):
@@ -278,6 +279,21 @@
             self._take_found(found, after)
             await self._wait_gap()
 
+    async def _list_all(self) -> Events | Unavailable:
+        """List all keys but the configuration, which the first confirmation brings.
+
+        With it in both, 54 nodes that started at once with one of 1,800 routes had it
+        after 0.81 s in the middle, over links of 20 Mbit/s (one run).
+        """
+        parts: list[Events] = []
+        for prefix in (ROOT, INSTANCE_PREFIX):
+            found = await self.kv.list_prefix(prefix)
+            if isinstance(found, Unavailable):
+                return found
+            parts.append(found)
+        entries = tuple(item for part in parts for item in part.entries)
+        return Events(entries, parts[0].revision, complete=True)
+
     def _is_told(self) -> bool:
         """Whether peers tell of all changes, and the node need not ask."""
         return not self.is_following() and self.book.is_told(self.view.heard_revision)
--- a/coursepitch/fleet/view.py
+++ b/coursepitch/fleet/view.py
@@ -36,6 +36,7 @@
     'LOAD_PREFIX',
     'NODE_PREFIX',
     'REFUSED_PREFIX',
+    'ROOT',
     'FleetView',
     'OpenGroup',
     'claim_key',
