--- /dev/null
+++ b/tests/gateway/test_truthful.py
@@ -0,0 +1,63 @@
+"""A refusal that promises that a request has not run is true."""
+
+from __future__ import annotations
+
+import unittest
+from types import SimpleNamespace
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from coursepitch.gateway.arrive import Gateway
+from coursepitch.gateway.calls import CallServer
+from coursepitch.gateway.streams import StreamServer
+from tests.fleet.builders import build_instance, build_view
+
+#: Statuses that promise it.
+PROMISES = {408, 421, 429, 503}
+
+NAMES = st.lists(st.sampled_from('abc'), unique=True)
+
+
+def build_job(sent, ran, left_s):
+    """Return a request that went to some instances, of which some may have run it."""
+    return SimpleNamespace(
+        sent=list(sent),
+        may_have_run=set(ran),
+        limit_at=100.0 + left_s,
+        last_reason='',
+        crashes=0,
+        reply=SimpleNamespace(started=False, written=False),
+        route=SimpleNamespace(attempts=2, repeatable=True),
+    )
+
+
+class TruthfulTest(unittest.TestCase):
+    """Whatever came before, a promise is given only where nothing can have run."""
+
+    def setUp(self):
+        view = build_view([build_instance('a')])
+        session = SimpleNamespace(view=view)
+        self.parts = SimpleNamespace(
+            session=session, router=None, budget=None, clock=lambda: 100.0
+        )
+
+    def check(self, refusal, job):
+        promised = refusal.status in PROMISES
+        self.assertFalse(promised and job.may_have_run, refusal)
+
+    @given(sent=NAMES, ran=NAMES, left_s=st.floats(-5.0, 5.0))
+    def test_given_up(self, sent, ran, left_s):
+        job = build_job(sent, ran, left_s)
+        self.check(StreamServer(self.parts, None)._give_up(job), job)
+        self.check(CallServer(self.parts)._give_up(job), job)
+
+    @given(sent=NAMES)
+    def test_at_the_limit_all_that_was_sent_may_have_run(self, sent):
+        gateway = Gateway(self.parts, None, None, None, None)
+        refusal = gateway._end_late(build_job(sent, (), 0.0))
+        self.assertEqual(refusal.status in PROMISES, not sent)
+
+
+if __name__ == '__main__':
+    unittest.main()
