--- a/coursepitch/fleet/lost.py
+++ b/coursepitch/fleet/lost.py
@@ -49,7 +49,7 @@
 
     def has(self, name: str) -> bool:
         """Whether an instance is known not to answer."""
-        return name in self.stored or self._told.get(name, 0.0) > self.clock()
+        return name in self.stored or self._told.get(name, float('-inf')) > self.clock()
 
     def list_all(self) -> set[str]:
         """Return the instances that are known not to answer."""
