Sight: a line when an instance names a limit, another, or none any more

Cause: no log line held what an instance says of itself in an answer. Change: the adapter reads the limit into a typed field (decimal numbers only, the lowest of several; anything else is damaged and says nothing); each node keeps the newest reading of each instance and logs changes. Nothing acts on it yet. Answers that are not an instance's own (421) say nothing; a rejection without a limit does not lift one. Ruled out: nothing yet.

--- a/coursepitch/events.py
+++ b/coursepitch/events.py
@@ -162,6 +162,20 @@
     'which stays the same when clients send it again.',
     ('instance', 'born', 'request', 'fingerprint', 'customer'),
 )
+INSTANCE_LIMITED = Event(
+    526,
+    'instance.limited',
+    'An instance names how many requests a second it takes from all nodes together, or '
+    'none any more (null): the limit, the one before it, the node that read it in an '
+    'answer, and how long ago.',
+    ('instance', 'limit', 'before', 'read_by', 'age'),
+)
+LIMIT_DAMAGED = Event(
+    527,
+    'instance.limit_damaged',
+    'An instance names a limit that is no decimal number; what was known stays.',
+    ('instance', 'value'),
+)
 INSTANCE_DAMAGED = Event(
     511, 'instance.damaged', 'An entry cannot be read.', ('instance', 'reason')
 )
--- a/coursepitch/gateway/attempts.py
+++ b/coursepitch/gateway/attempts.py
@@ -20,6 +20,7 @@
 if TYPE_CHECKING:
     from coursepitch.config.routes import Service
     from coursepitch.fleet.instances import FleetInstance
+    from coursepitch.fleet.rate_limits import RateLimits
     from coursepitch.gateway.job import Job
     from coursepitch.gateway.parts import GatewayParts
     from coursepitch.http.client import Answer
@@ -158,6 +159,8 @@
         answer.connection.close()
         answer.release()
         return Attempt(Result.UNKNOWN, 'the answer is for another request')
+    if answer.status != MISPLACED:
+        _note_limit(parts.limits, instance, marks)
     if marks.not_run:
         await _drop_rejection(answer)
         reason = f'rejected with {answer.status}'
@@ -165,6 +168,20 @@
     return Attempt(Result.ANSWERED, '', answer, marks)
 
 
+def _note_limit(
+    limits: RateLimits, instance: FleetInstance, marks: AnswerMarks
+) -> None:
+    """Take what an answer says of the instance's limit.
+
+    A rejection without one says nothing: it may come from an instance that is too busy
+    to name it.
+    """
+    if marks.damaged_limit is not None:
+        limits.note_damaged(instance.name, marks.damaged_limit)
+    if marks.limit is not None or (marks.signed and marks.damaged_limit is None):
+        limits.note_answer(instance.name, marks.limit)
+
+
 async def _drop_rejection(answer: Answer) -> None:
     """Read the rest of a rejection, so that its connection can be used again."""
     try:
--- a/coursepitch/gateway/parts.py
+++ b/coursepitch/gateway/parts.py
@@ -7,6 +7,7 @@
 
 if TYPE_CHECKING:
     from coursepitch.clock import Clock
+    from coursepitch.fleet.rate_limits import RateLimits
     from coursepitch.fleet.session import FleetSession
     from coursepitch.gateway.board import LoadBoard
     from coursepitch.gateway.budget import RetryBudget
@@ -27,4 +28,5 @@
     budget: RetryBudget
     pool: ConnectionPool
     inquiry: CrashInquiry
+    limits: RateLimits
     clock: Clock
--- a/coursepitch/gateway_application.py
+++ b/coursepitch/gateway_application.py
@@ -16,6 +16,7 @@
 from coursepitch.fleet.freshness import Freshness
 from coursepitch.fleet.links import PeerLinks
 from coursepitch.fleet.nodes import NodePlace
+from coursepitch.fleet.rate_limits import RateLimits
 from coursepitch.fleet.reports import CrashReporter, StandingInstances
 from coursepitch.fleet.session import FleetSession
 from coursepitch.fleet.suspects import SuspectTable
@@ -122,7 +123,8 @@
         )
         self._wire_reports()
         self.board = LoadBoard(clock, self.session.book.count)
-        self.session.view.tell_restart = self.board.note_restart
+        self.limits = RateLimits(node.name, clock)
+        self.session.view.tell_restart = self._note_restart
         self.watchdog = Watchdog(self.session, self.control, clock)
         self.router = Router(
             self.session.view,
@@ -154,6 +156,7 @@
             self.budget,
             self.pool,
             self._build_inquiry(),
+            self.limits,
             self.clock,
         )
         streams = StreamServer(parts, self.watchdog)
@@ -163,6 +166,10 @@
         )
         return Gateway(parts, streams, calls, suspicion, self.metrics)
 
+    def _note_restart(self, instance: str) -> None:
+        self.board.note_restart(instance)
+        self.limits.note_restart(instance)
+
     def _build_inquiry(self) -> CrashInquiry:
         name = self.settings.node.name
         return CrashInquiry(name, self.session, self.control, self.reporter, self.clock)
@@ -299,7 +306,9 @@
         while True:
             await anyio.sleep(TIDY_S)
             self.pool.sweep()
-            self.board.forget(set(self.session.view.instances))
+            present = set(self.session.view.instances)
+            self.board.forget(present)
+            self.limits.forget(present)
 
     async def _wait_stop(self) -> None:
         """Return on SIGTERM; read the settings anew on SIGHUP."""
--- a/coursepitch/platform/headers.py
+++ b/coursepitch/platform/headers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -33,6 +34,15 @@
     }
 )
 
+#: Header in which a target names the requests a second that it takes from all nodes.
+_LIMIT = b'server-limit'
+
+#: A decimal number without sign or exponent, of at most 20 characters.
+_DECIMAL = re.compile(rb'(?=.{1,20}$)(\d+(\.\d*)?|\.\d+)')
+
+#: Bytes of a damaged value that are kept for the log.
+_SHOWN_BYTES = 40
+
 
 @dataclass(frozen=True, slots=True)
 class RequestFields:
@@ -79,12 +89,17 @@
 
     :param not_run: the target says that it did not run the request.
     :param signed: whether the target's own mark of an answer is there.
+    :param limit: how many requests a second the target takes from all nodes together,
+        the lowest of several; ``None`` if it names no limit that can be read.
+    :param damaged_limit: a value that is no limit, cut to some bytes; ``None`` without.
     """
 
     request: str
     instance: str
     not_run: bool
     signed: bool
+    limit: float | None = None
+    damaged_limit: str | None = None
 
 
 def read_request_fields(request: IncomingRequest) -> RequestFields:
@@ -145,11 +160,16 @@
     def text(name: bytes) -> str:
         return (find_header(headers, name) or b'').decode('latin-1')
 
+    limits = [value.strip() for key, value in headers if key.lower() == _LIMIT]
+    readable = [float(value) for value in limits if _DECIMAL.fullmatch(value)]
+    damaged = [value for value in limits if not _DECIMAL.fullmatch(value)]
     return AnswerMarks(
         request=text(b'x-request-id'),
         instance=text(b'x-replica-id'),
         not_run=bool(text(b'x-not-executed')) or status == 421,
         signed=bool(text(b'x-replica-signature')),
+        limit=min(readable, default=None),
+        damaged_limit=damaged[0][:_SHOWN_BYTES].decode('latin-1') if damaged else None,
     )
 
 
