A failing test: instances get more requests than they say they take

Symptom: an instance that names a limit of 1 request a second gets 119 (plain service) and 75 (head of a group) within 4 s from four nodes; users allow 11. Ruled out: nothing new; the tests run first sends only. Change: the stand-in for instances names a limit on demand and notes arrivals.

--- a/standins/replica.py
+++ b/standins/replica.py
@@ -9,7 +9,8 @@
 (no length), ``shed`` (rejected), ``error`` (status 500), ``late_orders`` (no
 answer, carried out after ``delay_s``) and ``stale`` (a request id of another).
 ``POST /crash_on`` names a body: each instance that begins to run a request with it
-ends at once, and an empty one takes its place.
+ends at once, and an empty one takes its place.  ``POST /limit`` names a limit that
+instances tell in all their answers to requests from then on; null for none.
 """
 
 from __future__ import annotations
@@ -18,6 +19,7 @@
 import json
 import secrets
 import signal
+import time
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -39,7 +41,10 @@
 
 @dataclass
 class Instance:
-    """One instance; ``runs`` holds what it began to run."""
+    """One instance; ``runs`` holds what it began to run.
+
+    ``arrivals`` holds readings of the machine's steady clock, one for each request.
+    """
 
     service: str
     domain: str
@@ -59,6 +64,8 @@
     orders: list[dict[str, Any]] = field(default_factory=list)
     scope: anyio.CancelScope = field(default_factory=anyio.CancelScope)
     crashed: bool = False
+    limit: str | None = None
+    arrivals: list[float] = field(default_factory=list)
 
     def entry(self) -> dict[str, Any]:
         """Return what stands in the store."""
@@ -253,7 +260,10 @@
     ) -> bool:
         """Answer a client's request; return whether the connection goes on."""
         mode = instance.fault['mode']
+        instance.arrivals.append(time.monotonic())
         mark = {'X-Request-Id': headers.get('x-request-id', '')}
+        if instance.limit is not None:
+            mark['Server-Limit'] = instance.limit
         head = instance.group and instance.group['state'] == 'open'
         if mode == 'shed' or (instance.engine and not head):
             status = 503 if mode == 'shed' else 421
@@ -352,6 +362,7 @@
                 'runs': item.runs,
                 'orders': item.orders,
                 'crashed': item.crashed,
+                'arrivals': item.arrivals,
             }
             for name, item in host.instances.items()
         }
@@ -364,6 +375,8 @@
         instance = host.instances[name]
         if target == '/fault':
             instance.fault = data
+        elif target == '/limit':
+            instance.limit = data['limit']
         elif target == '/drain':
             instance.state = 'draining'
             await host.publish(instance)
