One look whether all instances are closed by their limits

Cause: the same question stood in two servers, and a plain call whose instances all had no room was told that no instance is there. Change: are_closed() answers it for both, false for no instances; the reason names the limits.

--- a/coursepitch/fleet/send_permits.py
+++ b/coursepitch/fleet/send_permits.py
@@ -19,7 +19,7 @@
 from coursepitch.fleet.messages import SendAnswered, SendAsked
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable
+    from collections.abc import Callable, Collection, Iterable
 
     from coursepitch.clock import Clock
     from coursepitch.fleet.messages import Message
@@ -172,26 +172,28 @@
 
     # -- requests of this node -------------------------------------------------------
 
-    def _find_open_at(self, instance: str) -> float:
-        """Return the monotonic time from which a permit may be asked for."""
-        if self.limits.find(instance) is None:
-            return float('-inf')
-        return self._open_at.get(instance, float('-inf'))
-
     def is_closed(self, instance: str) -> bool:
         """Whether an instance takes no request now, or its permit is being asked for.
 
         One question at a time is enough for what its limit allows.
         """
+        if self.limits.find(instance) is None:
+            return False
         return self._is_asked(instance) or self._find_open_at(instance) > self.clock()
 
     def _is_asked(self, instance: str) -> bool:
         return any(item.instance == instance for item in self._questions.values())
 
-    def are_closed(self, instances: Iterable[str], until: float) -> bool:
-        """Whether all of these are known to take no request before a time."""
-        return all(
-            not self._is_asked(name) and self._find_open_at(name) > until
+    def _find_open_at(self, instance: str) -> float:
+        """Return the monotonic time from which a permit may be asked for."""
+        return self._open_at.get(instance, float('-inf'))
+
+    def are_closed(self, instances: Collection[str], until: float) -> bool:
+        """Whether all of these, and there are some, take no request before a time."""
+        return bool(instances) and all(
+            self.limits.find(name) is not None
+            and not self._is_asked(name)
+            and self._find_open_at(name) > until
             for name in instances
         )
 
--- a/coursepitch/gateway/calls.py
+++ b/coursepitch/gateway/calls.py
@@ -99,11 +99,6 @@
         serving = self._parts.session.view.list_serving(job.service.name)
         return [instance.name for instance in serving]
 
-    def _are_limited(self, job: Job, until: float) -> bool:
-        """Whether all instances take no request before a time, by their limits."""
-        names = self._list_names(job)
-        return bool(names) and self._parts.permits.are_closed(names, until)
-
     async def _wait_instance(self, job: Job, avoided: set[str]) -> FleetInstance | None:
         """Return an instance to send to; wait for one as long as it helps."""
         if job.returned:
@@ -120,10 +115,10 @@
                 if await take_permit(self._parts, job, instance.name):
                     return instance
                 continue
-            if now >= until or avoided:
-                return None
-            if self._are_limited(job, until):
-                job.last_reason = ALL_LIMITED
+            names = self._list_names(job)
+            if now >= until or avoided or self._parts.permits.are_closed(names, until):
+                if self._parts.permits.are_closed(names, now):
+                    job.last_reason = job.last_reason or ALL_LIMITED
                 return None
             await self._parts.session.wait_changed(min(0.05, until - now))
 
--- a/coursepitch/gateway/streams.py
+++ b/coursepitch/gateway/streams.py
@@ -149,7 +149,8 @@
                 if await take_permit(self._parts, job, group.head.name):
                     return group
                 continue
-            if now >= until or self._are_limited(job, until):
+            heads = self._list_heads(job)
+            if now >= until or self._parts.permits.are_closed(heads, until):
                 job.last_reason = job.last_reason or self._why_none(job)
                 return None
             await self._parts.session.wait_changed(min(LOOK_S, until - now))
@@ -159,16 +160,12 @@
         groups = view.list_open(job.service.name, job.fields.model)
         return [group.head.name for group in groups]
 
-    def _are_limited(self, job: Job, until: float) -> bool:
-        """Whether no group takes a request before a time, by their heads' limits."""
-        heads = self._list_heads(job)
-        return bool(heads) and self._parts.permits.are_closed(heads, until)
-
     def _why_none(self, job: Job) -> str:
         """Return why no group takes a request."""
-        if self._are_limited(job, self._parts.clock()):
+        heads = self._list_heads(job)
+        if self._parts.permits.are_closed(heads, self._parts.clock()):
             return ALL_LIMITED
-        if self._parts.session.view.list_open(job.service.name, job.fields.model):
+        if heads:
             return 'all groups are full or were tried'
         return 'no group is open'
 
