The leader rests after each decision, three times as long as it took

Cause: each answer to an order wakes the leader, which then looks at all instances and groups: 25 to 75 ms at 3,000 instances, again and again while thousands of orders are answered. Change: a rest of three times a decision's time; questions to lost instances are begun only when they are due, not as a task for each at each look. Figures: decisions take a quarter of the time at most; the test fails without the rest.

--- a/coursepitch/fleet/keeper.py
+++ b/coursepitch/fleet/keeper.py
@@ -40,6 +40,11 @@
 TICK_S = 0.1
 IDLE_TICK_S = 1.0
 
+#: Rest after a decision, as a multiple of the time it took.  Each answer to an order
+#: wakes the leader: without a rest thousands of them would leave no time for its
+#: clients, its leases and the nodes that it tells.
+REST_PART = 3.0
+
 #: Seconds without a new instance after which the first groups form: instances
 #: appear in a few batches about a second apart.
 REST_S = 1.3
@@ -87,6 +92,7 @@
         self._started_at = started_at
         self._leading = 0
         self._write_after = float('-inf')
+        self._decided_s = 0.0
         self._checked: dict[str, float] = {}
         self._orders: set[tuple[str, str, int]] = set()
 
@@ -97,8 +103,10 @@
                 tick_s = TICK_S if self._leading else IDLE_TICK_S
                 await self._session.wait_changed(tick_s)
                 self._note_lead()
+                self._decided_s = 0.0
                 if self._leading:
                     await self._keep(group)
+                await anyio.sleep(self._decided_s * REST_PART)
 
     def _note_lead(self) -> None:
         session = self._session
@@ -127,6 +135,7 @@
         early = self._is_early()
         settled = not early or self._clock() - view.arrived_at >= REST_S
         for service in table.services.values():
+            began = self._clock()
             decision = self._book.decide(
                 view,
                 service,
@@ -135,6 +144,7 @@
                 early=early,
                 settled=settled,
             )
+            self._decided_s += self._clock() - began
             await self._carry_out(decision, service.name, early, group)
 
     async def _carry_out(
@@ -228,8 +238,10 @@
 
     def _check_lost(self, group: TaskGroup) -> None:
         """Ask instances that a node holds for lost."""
+        due = self._clock() - RECHECK_S
         for name in self._session.view.lost.list_all() | self._book.dead:
-            group.start_soon(self._check_soon, name)
+            if self._checked.get(name, float('-inf')) <= due:
+                group.start_soon(self._check_soon, name)
 
     async def _check(self, name: str) -> None:
         view = self._session.view
--- a/tests/fleet/test_keeper.py
+++ b/tests/fleet/test_keeper.py
@@ -3,14 +3,21 @@
 from __future__ import annotations
 
 import unittest
+import unittest.mock
 from types import SimpleNamespace
 
 import anyio
 
 from coursepitch.fleet.control import Probe
-from coursepitch.fleet.keeper import GroupKeeper
+from coursepitch.fleet.groups import Decision
+from coursepitch.fleet.keeper import REST_PART, GroupKeeper
 from coursepitch.fleet.orders import Order, OrderKind, OrderResult
-from tests.fleet.builders import build_instance, build_view
+from tests.fleet.builders import (
+    build_instance,
+    build_service,
+    build_table,
+    build_view,
+)
 
 
 class FakeControl:
@@ -76,5 +83,65 @@
         self.assertEqual(control.asked, [])
 
 
+class RestTest(unittest.TestCase):
+    """A leader that is woken all the time leaves time for all else.
+
+    What was seen: in a fleet of 300 nodes the leader's node took 63 to 76% of a core,
+    and 0.19 of all requests of a day were refused.  Order: thousands of instances are
+    ordered to join, each answer wakes the leader, and each time it looks at all
+    instances and groups, 25 to 75 ms at 3,000.  Cause: it looked as often as it was
+    woken.  Evidence: the time of a decision in a simulated pool of that size; that this
+    is what cost the requests is suspected, as that day was not played again.
+    """
+
+    def test_decisions_take_a_quarter_of_the_time_at_most(self):
+        self.now = 100.0
+        decided, rested = [], []
+
+        class EnoughError(Exception):
+            pass
+
+        def decide(*parts, **options):
+            decided.append(0.05)
+            self.now += 0.05
+            return Decision()
+
+        async def rest(seconds):
+            rested.append(seconds)
+            self.now += seconds
+
+        async def wake(limit_s):
+            if len(decided) == 20:
+                raise EnoughError
+
+        view = build_view([build_instance('i1')])
+        view.table = build_table(services=[build_service()])
+        view.leader_revision = 7
+        session = SimpleNamespace(
+            view=view,
+            is_leader=lambda: True,
+            is_fresh=lambda: True,
+            wait_changed=wake,
+        )
+        keeper = GroupKeeper(
+            session,
+            FakeControl(OrderResult.DONE, Probe.ANSWERS),
+            lambda: self.now,
+            bootstrap=False,
+            has_served=lambda: True,
+            read_work=dict,
+            started_at=0.0,
+        )
+        keeper._book.decide = decide
+        with (
+            unittest.mock.patch('coursepitch.fleet.keeper.anyio.sleep', rest),
+            self.assertRaises(BaseExceptionGroup) as found,
+        ):
+            anyio.run(keeper.run)
+        self.assertIsNotNone(found.exception.subgroup(EnoughError))
+        self.assertGreaterEqual(sum(rested), REST_PART * sum(decided) - 1e-9)
+        self.assertLessEqual(sum(decided) / (self.now - 100.0), 0.25 + 1e-9)
+
+
 if __name__ == '__main__':
     unittest.main()
