A request that ended an instance waits for what other nodes saw before it runs again

Ruled out: reports that links pass on late; they left at once, and took up to some 40 ms. Streams whose events had begun go on at once.

--- a/coursepitch/fleet/reports.py
+++ b/coursepitch/fleet/reports.py
@@ -21,7 +21,7 @@
 from coursepitch.platform.kv import Swapped, Unavailable, Write
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable, Callable
+    from collections.abc import Awaitable, Callable, Collection
 
     from coursepitch.clock import Clock
     from coursepitch.fleet.messages import Message
@@ -117,6 +117,10 @@
             self._crashes.append(crash)
             self._wake()
 
+    def is_refused(self, fingerprint: str, software: Collection[str]) -> bool:
+        """Whether a request is known to end instances that run such software."""
+        return self._suspects.find_refused_s(fingerprint, software) > 0
+
     def note_ended(self, instance: str) -> None:
         """Tell all nodes, in a while, that nobody listens at an instance any more."""
         self._ended.append(instance)
--- a/coursepitch/gateway/calls.py
+++ b/coursepitch/gateway/calls.py
@@ -14,7 +14,7 @@
     take_permit,
     take_second_send,
 )
-from coursepitch.gateway.job import MOST_CRASHES, Ending, Refusal
+from coursepitch.gateway.job import Ending, Refusal
 from coursepitch.gateway.suspicion import explain_crashes
 from coursepitch.http.client import ExchangeError
 from coursepitch.platform.headers import pass_answer_headers
@@ -68,7 +68,7 @@
             if await self._run_once(job, instance, again):
                 return None
             await self._parts.inquiry.look_into(job)
-            if job.crashes >= MOST_CRASHES or not self._may_send_again(job):
+            if self._parts.inquiry.is_enough(job) or not self._may_send_again(job):
                 return self._give_up(job)
 
     def _may_repeat_after(self, job: Job) -> bool:
--- a/coursepitch/gateway/inquiry.py
+++ b/coursepitch/gateway/inquiry.py
@@ -7,7 +7,8 @@
 import anyio
 
 from coursepitch import events, log
-from coursepitch.fleet.suspects import Crash
+from coursepitch.fleet.suspects import SETTLE_S, Crash
+from coursepitch.gateway.job import MOST_CRASHES
 
 if TYPE_CHECKING:
     from coursepitch.clock import Clock
@@ -80,6 +81,21 @@
                 instance.software,
             )
         )
+        if job.event_at is None or job.event_at < job.run_at:
+            # Only what had no event of this run is likely to have ended the instance.
+            # It waits for what other nodes see at this moment: four nodes that went on
+            # at once ended eight instances before any had heard of another's crash.
+            await anyio.sleep(SETTLE_S)
+
+    def is_enough(self, job: Job) -> bool:
+        """Whether a request that ended instances gets no further run here.
+
+        It may have run at other nodes meanwhile, so what they saw counts as well.
+        """
+        if job.crashes >= MOST_CRASHES:
+            return True
+        software = self._session.view.list_software(job.service.name)
+        return job.crashes > 0 and self._reporter.is_refused(job.fingerprint, software)
 
     async def _find_verdict(self, instance: FleetInstance) -> bool:
         key = (instance.name, instance.born)
--- a/coursepitch/gateway/streams.py
+++ b/coursepitch/gateway/streams.py
@@ -15,7 +15,7 @@
     take_second_send,
 )
 from coursepitch.gateway.events_seam import EventSeam
-from coursepitch.gateway.job import MOST_CRASHES, Ending, Refusal
+from coursepitch.gateway.job import Ending, Refusal
 from coursepitch.gateway.suspicion import explain_crashes
 from coursepitch.gateway.work import bound_requests
 from coursepitch.http.client import ExchangeError
@@ -85,7 +85,7 @@
             if await self._run_once(job, group, seam):
                 return None
             await self._parts.inquiry.look_into(job)
-            if job.crashes >= MOST_CRASHES:
+            if self._parts.inquiry.is_enough(job):
                 return self._give_up(job)
             avoided.add(group.head.name)
             if job.reply.started or job.may_have_run:
--- a/tests/gateway/test_suspicion.py
+++ b/tests/gateway/test_suspicion.py
@@ -9,9 +9,16 @@
 import anyio
 
 from coursepitch.fleet.control import InstanceControl
+from coursepitch.fleet.messages import CrashesTold
 from coursepitch.fleet.reports import CrashReporter
 from coursepitch.fleet.standstill import STAND_S, Standstill
-from coursepitch.fleet.suspects import KNOWN_AFTER, PAUSE_S, Crash, SuspectTable
+from coursepitch.fleet.suspects import (
+    KNOWN_AFTER,
+    PAUSE_S,
+    SETTLE_S,
+    Crash,
+    SuspectTable,
+)
 from coursepitch.gateway.fingerprint import build_fingerprint
 from coursepitch.gateway.inquiry import CrashInquiry
 from coursepitch.gateway.job import Ending, Job
@@ -113,6 +120,77 @@
         return 0 if suspect is None else len(suspect.crashes)
 
 
+class FurtherRunTest(GuiltCase):
+    """A request whose run broke off is looked at again before its next one.
+
+    What was seen, once: four clients sent a request that ends instances to four nodes
+    at once, and eight instances ended where six are allowed.  Order: each node runs it,
+    an instance ends under each run, each node hears of the other three within some
+    milliseconds and runs it once more.  Cause: a node looked at what others saw only
+    when a request arrived, not before its second run, and began that a millisecond
+    after the first had ended.  Evidence: logs of two runs with eight and seven ends;
+    in one all four nodes saw their first crash within 7 ms, and each sent the request
+    again 1 ms later.
+    """
+
+    def tell_crashes(self, job, *names):
+        """Let other nodes tell of instances that ended under the same request."""
+        crashes = tuple(
+            Crash(job.fingerprint, 'acme', name, 1, self.now, f'n-{name}')
+            for name in names
+        )
+        self.reporter.take(CrashesTold('n2', self.now, crashes))
+
+    def test_request_known_by_now_gets_no_second_run(self):
+        job = build_job()
+        self.break_off(job, 'a')
+        self.tell_crashes(job, 'x', 'y')
+        self.assertTrue(self.inquiry.is_enough(job))
+
+    def test_crash_that_is_told_a_moment_later_counts(self):
+        job = build_job()
+        job.note_sent('a', self.now)
+        job.broken_at = self.view.instances['a']
+
+        async def run():
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self.inquiry.look_into, job)
+                await anyio.wait_all_tasks_blocked()
+                self.tell_crashes(job, 'x', 'y')
+
+        anyio.run(run)
+        self.assertTrue(self.inquiry.is_enough(job))
+
+    def test_stream_whose_events_came_goes_on_at_once(self):
+        job = build_job()
+        job.note_sent('a', self.now)
+        job.note_event(self.now + 0.1)
+        job.broken_at = self.view.instances['a']
+
+        async def run():
+            with anyio.fail_after(SETTLE_S / 2):
+                await self.inquiry.look_into(job)
+
+        anyio.run(run)
+        self.assertEqual(job.crashes, 1)
+
+    def test_request_that_is_not_known_yet_gets_one(self):
+        job = build_job()
+        self.break_off(job, 'a')
+        self.assertFalse(self.inquiry.is_enough(job))
+
+    def test_request_that_ended_two_here_gets_none(self):
+        job = build_job()
+        self.break_off(job, 'a')
+        self.break_off(job, 'b')
+        self.assertTrue(self.inquiry.is_enough(job))
+
+    def test_request_that_ended_nothing_here_goes_on(self):
+        job = build_job()
+        self.tell_crashes(job, 'x', 'y', 'z')
+        self.assertFalse(self.inquiry.is_enough(job))
+
+
 class EvidenceTest(GuiltCase):
     """What is a crash by a request, and what is none."""
 
