One place refuses a request that nothing has run; ages of peers' readings are not below zero

Cause: two servers reckoned Retry-After from limits in the same words; an age below zero in a peer's message would have outlived all later readings. Change: refuse_unsent() for both; the age is cut at zero.

--- a/coursepitch/fleet/rate_limits.py
+++ b/coursepitch/fleet/rate_limits.py
@@ -112,7 +112,7 @@
 
     def take_row(self, row: ToldLimit) -> bool:
         """Take one reading of a peer; return whether it is news."""
-        read_at = self.clock() - row.age_s
+        read_at = self.clock() - max(0.0, row.age_s)
         origin = (row.read_by, row.origin, row.stamp)
         return self._take(row.instance, LimitReading(row.limit, read_at, *origin))
 
--- a/coursepitch/fleet/send_permits.py
+++ b/coursepitch/fleet/send_permits.py
@@ -29,7 +29,8 @@
 
 #: Seconds of a limit that may be sent at once after a pause, besides one request.  With
 #: those granted just before a window, and the time a permit holds, an instance gets at
-#: most ``1 + (w + 0.75) * limit`` requests in any ``w`` seconds.
+#: most ``1 + (w + 0.75) * limit`` requests in any ``w`` seconds, or as many as for
+#: :data:`TRIAL_RATE` if that is more.
 BURST_S = 0.5
 
 #: Seconds from the question for which a permit holds.
--- a/coursepitch/gateway/attempts.py
+++ b/coursepitch/gateway/attempts.py
@@ -9,6 +9,7 @@
 import anyio
 
 from coursepitch import events, log
+from coursepitch.gateway.job import Refusal
 from coursepitch.http.client import ExchangeError, NoConnectionError
 from coursepitch.platform.headers import (
     AnswerMarks,
@@ -18,6 +19,8 @@
 )
 
 if TYPE_CHECKING:
+    from collections.abc import Callable, Collection
+
     from coursepitch.config.routes import Service
     from coursepitch.fleet.instances import FleetInstance
     from coursepitch.fleet.rate_limits import RateLimits
@@ -30,6 +33,7 @@
     'Attempt',
     'Result',
     'SendPlan',
+    'refuse_unsent',
     'send_attempt',
     'take_permit',
     'take_second_send',
@@ -105,6 +109,24 @@
     return False
 
 
+def refuse_unsent(
+    parts: GatewayParts,
+    job: Job,
+    list_instances: Callable[[Job], Collection[str]],
+    again_s: float,
+) -> Refusal:
+    """Return the refusal of a request that nothing has run.
+
+    :param list_instances: returns those that it could go to.
+    :param again_s: seconds after which a new try makes sense at the soonest.
+    """
+    if job.last_reason == ALL_LIMITED:
+        nodes = parts.session.count_nodes()
+        limited_s = parts.permits.find_again_s(list_instances(job), nodes)
+        again_s = max(again_s, limited_s)
+    return Refusal(503, job.last_reason, again_s)
+
+
 async def take_permit(parts: GatewayParts, job: Job, instance: str) -> bool:
     """Get a permit for the next send; ``False`` if the instance takes no more now."""
     job.permit = await parts.permits.take(instance)
--- a/coursepitch/gateway/calls.py
+++ b/coursepitch/gateway/calls.py
@@ -10,6 +10,7 @@
 from coursepitch.gateway.attempts import (
     ALL_LIMITED,
     SendPlan,
+    refuse_unsent,
     send_attempt,
     take_permit,
     take_second_send,
@@ -88,12 +89,8 @@
             late = self._parts.clock() >= job.limit_at
             status = 504 if late else 502
             return Refusal(status, job.last_reason, problem=explain_crashes(job))
-        again_s = AGAIN_S
-        if job.last_reason == ALL_LIMITED:
-            nodes = self._parts.session.count_nodes()
-            names = self._list_names(job)
-            again_s = max(AGAIN_S, self._parts.permits.find_again_s(names, nodes))
-        return Refusal(503, job.last_reason or 'no instance is there', again_s)
+        job.last_reason = job.last_reason or 'no instance is there'
+        return refuse_unsent(self._parts, job, self._list_names, AGAIN_S)
 
     def _list_names(self, job: Job) -> list[str]:
         serving = self._parts.session.view.list_serving(job.service.name)
--- a/coursepitch/gateway/streams.py
+++ b/coursepitch/gateway/streams.py
@@ -10,6 +10,7 @@
 from coursepitch.gateway.attempts import (
     ALL_LIMITED,
     SendPlan,
+    refuse_unsent,
     send_attempt,
     take_permit,
     take_second_send,
@@ -57,6 +58,7 @@
 
 #: Largest failure body in bytes.
 FAILURE_BYTES = 1_048_576
+
 #: Runs of one answer, whatever the route allows: rejections count.
 MOST_SENDS = 5
 
@@ -116,14 +118,8 @@
         if job.may_have_run:
             status = 504 if left_s <= 0 else 502
             return Refusal(status, job.last_reason, problem=explain_crashes(job))
-        again_s = AGAIN_S
-        if job.last_reason == ALL_LIMITED:
-            again_s = max(AGAIN_S, self._find_again_s(job))
-        return Refusal(503, job.last_reason or 'no longer to be sent', again_s)
-
-    def _find_again_s(self, job: Job) -> float:
-        nodes = self._parts.session.count_nodes()
-        return self._parts.permits.find_again_s(self._list_heads(job), nodes)
+        job.last_reason = job.last_reason or 'no longer to be sent'
+        return refuse_unsent(self._parts, job, self._list_heads, AGAIN_S)
 
     async def _wait_group(self, job: Job, avoided: set[str]) -> OpenGroup | None:
         """Return a group to send to; wait for one as long as it helps."""
