--- a/coursepitch/fleet/messages.py
+++ b/coursepitch/fleet/messages.py
@@ -13,6 +13,15 @@
 import cbor2
 
 from coursepitch.errors import CodecError
+from coursepitch.fleet.limit_messages import (
+    LimitsTold,
+    SendAnswered,
+    SendAsked,
+    ToldLimit,
+    decode_limit,
+    encode_limit,
+)
+from coursepitch.fleet.rows import read_text
 from coursepitch.fleet.suspects import Acquittal, Crash
 from coursepitch.platform.kv import Entry
 
@@ -179,61 +188,6 @@
     answering: tuple[str, ...] = ()
 
 
-@dataclass(frozen=True, slots=True)
-class ToldLimit:
-    """A rate limit that an instance named in an answer.
-
-    :param limit: requests a second that it takes from all nodes together; ``None`` for
-        as many as come.
-    :param age_s: seconds since it was read, as the sender knows.
-    :param read_by: node that read it.
-    :param origin: incarnation of that node.
-    :param stamp: reading of that node's clock, in seconds.
-    """
-
-    instance: str
-    limit: float | None
-    age_s: float
-    read_by: str
-    origin: int
-    stamp: float
-
-
-@dataclass(frozen=True, slots=True)
-class LimitsTold:
-    """Rate limits that were read in answers of instances."""
-
-    node: str
-    rows: tuple[ToldLimit, ...] = ()
-
-
-@dataclass(frozen=True, slots=True)
-class SendAsked:
-    """A node asks the leader whether it may send one request to an instance.
-
-    :param number: names the question at its node.
-    :param limit: what the node knows of the instance's limit.
-    """
-
-    node: str
-    number: int
-    limit: ToldLimit
-
-
-@dataclass(frozen=True, slots=True)
-class SendAnswered:
-    """The leader's answer to a question whether a request may be sent.
-
-    :param number: names the question at the node that asked.
-    :param again_s: seconds after which to ask again, where it may not.
-    """
-
-    node: str
-    number: int
-    granted: bool
-    again_s: float = 0.0
-
-
 Message = (
     Heartbeat
     | Changes
@@ -336,10 +290,10 @@
             rows = [list(message.lost), list(message.answering)]
             return _pack([_LOST_TOLD, message.node, *rows])
         case LimitsTold():
-            rows = [_limit_row(row) for row in message.rows]
+            rows = [encode_limit(row) for row in message.rows]
             return _pack([_LIMITS_TOLD, message.node, rows])
         case SendAsked():
-            row = _limit_row(message.limit)
+            row = encode_limit(message.limit)
             return _pack([_SEND_ASKED, message.node, message.number, row])
         case SendAnswered():
             parts = [message.number, message.granted, message.again_s]
@@ -355,7 +309,7 @@
         kind, *parts = _unpack(data)
         if kind == _HEARTBEAT:
             return _decode_heartbeat(parts)
-        node = _text(parts[0])
+        node = read_text(parts[0])
         if kind == _CHANGES:
             _, after, revision, rows = parts
             entries = tuple(_decode_entry(row) for row in rows)
@@ -369,12 +323,12 @@
         if kind == _CRASHES_TOLD:
             return _decode_crashes(parts)
         if kind == _LOST_TOLD:
-            lost, answering = (tuple(map(_text, row)) for row in parts[1:])
+            lost, answering = (tuple(map(read_text, row)) for row in parts[1:])
             return LostTold(node, lost, answering)
         if kind == _LIMITS_TOLD:
-            return LimitsTold(node, tuple(map(_decode_limit, parts[1])))
+            return LimitsTold(node, tuple(map(decode_limit, parts[1])))
         if kind == _SEND_ASKED:
-            return SendAsked(node, int(parts[1]), _decode_limit(parts[2]))
+            return SendAsked(node, int(parts[1]), decode_limit(parts[2]))
         if kind == _SEND_ANSWERED:
             _, number, granted, again_s = parts
             return SendAnswered(node, int(number), bool(granted), float(again_s))
@@ -396,7 +350,7 @@
     node, incarnation, revision, asked_at, heard, watching, *sums = cbor2.loads(state)
     counts, work, steady_s = sums
     return Heartbeat(
-        _text(node),
+        read_text(node),
         int(incarnation),
         int(revision),
         None if asked_at is None else float(asked_at),
@@ -419,11 +373,11 @@
 
 
 def _decode_counts(counts: Any) -> dict[str, int]:
-    return {_text(name): int(count) for name, count in counts.items()}
+    return {read_text(name): int(count) for name, count in counts.items()}
 
 
 def _decode_work(work: Any) -> dict[str, float]:
-    return {_text(name): float(rate) for name, rate in work.items()}
+    return {read_text(name): float(rate) for name, rate in work.items()}
 
 
 def _crash_rows(told: CrashesTold) -> list[object]:
@@ -446,49 +400,26 @@
 def _decode_crashes(parts: list[Any]) -> CrashesTold:
     node, sent_at, crashes, acquittals = parts
     return CrashesTold(
-        _text(node),
+        read_text(node),
         float(sent_at),
         tuple(_decode_crash(row) for row in crashes),
-        tuple(Acquittal(_text(name), float(at)) for name, at in acquittals),
+        tuple(Acquittal(read_text(name), float(at)) for name, at in acquittals),
     )
 
 
 def _decode_crash(row: Any) -> Crash:
     fingerprint, customer, instance, born, at, seen_by, software = row
     return Crash(
-        _text(fingerprint),
-        _text(customer),
-        _text(instance),
+        read_text(fingerprint),
+        read_text(customer),
+        read_text(instance),
         int(born),
         float(at),
-        _text(seen_by),
-        _text(software),
-    )
-
-
-def _limit_row(row: ToldLimit) -> list[object]:
-    origin = [row.read_by, row.origin, row.stamp]
-    return [row.instance, row.limit, row.age_s, *origin]
-
-
-def _decode_limit(row: Any) -> ToldLimit:
-    instance, limit, age_s, read_by, origin, stamp = row
-    return ToldLimit(
-        _text(instance),
-        None if limit is None else float(limit),
-        float(age_s),
-        _text(read_by),
-        int(origin),
-        float(stamp),
+        read_text(seen_by),
+        read_text(software),
     )
 
 
-def _text(value: Any) -> str:
-    if not isinstance(value, str):
-        raise TypeError(f'{value!r} is no text')
-    return value
-
-
 def _entry_row(entry: Entry) -> list[object]:
     value = entry.value if entry.present else None
     return [entry.key, value, entry.changed_at]
@@ -497,5 +428,5 @@
 def _decode_entry(row: Any) -> Entry:
     key, value, revision = row
     if value is None:
-        return Entry(_text(key), deleted_at=int(revision))
-    return Entry(_text(key), _text(value), int(revision))
+        return Entry(read_text(key), deleted_at=int(revision))
+    return Entry(read_text(key), read_text(value), int(revision))
--- a/coursepitch/fleet/rate_limits.py
+++ b/coursepitch/fleet/rate_limits.py
@@ -10,7 +10,7 @@
 from typing import TYPE_CHECKING
 
 from coursepitch import events, log
-from coursepitch.fleet.messages import LimitsTold, ToldLimit
+from coursepitch.fleet.limit_messages import LimitsTold, ToldLimit
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
--- a/coursepitch/fleet/send_permits.py
+++ b/coursepitch/fleet/send_permits.py
@@ -16,7 +16,7 @@
 import anyio
 
 from coursepitch import events, log
-from coursepitch.fleet.messages import SendAnswered, SendAsked
+from coursepitch.fleet.limit_messages import SendAnswered, SendAsked
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Collection, Iterable
