Log what instances say of themselves in answers: rests and leaving

Cause of the missing sight: no line told whether a rejection names a time to stay away, nor that an instance says in its answers that it leaves. Ruled out: nothing; no decision changes. Change: the headers of every answer of an instance (to requests, status questions and orders) are decoded into one typed record and read in one place, fleet.notices, which takes the rate limits as before. Two events, one counter. A time to rest is a decimal number on 429 or 503; a date or anything else is damaged and logged. Conclusion: the hypotheses can be told apart by instance.resting and request.sent.

--- a/coursepitch/events.py
+++ b/coursepitch/events.py
@@ -176,6 +176,20 @@
     'An instance names a limit that is no decimal number; what was known stays.',
     ('instance', 'value'),
 )
+INSTANCE_RESTING = Event(
+    528,
+    'instance.resting',
+    'An instance rejects a request and wants none from this node for some seconds; '
+    'nothing if its answer names a time that cannot be read (`value`).',
+    ('instance', 'rest_s', 'value'),
+)
+INSTANCE_SAYS_LEAVING = Event(
+    529,
+    'instance.says_leaving',
+    'An instance says in an answer that it is about to end: the node that read it, and '
+    'whether its entry in the store says so too.',
+    ('instance', 'born', 'read_by', 'listed_leaving'),
+)
 INSTANCE_DAMAGED = Event(
     511, 'instance.damaged', 'An entry cannot be read.', ('instance', 'reason')
 )
--- a/coursepitch/fleet/control.py
+++ b/coursepitch/fleet/control.py
@@ -11,7 +11,7 @@
 from coursepitch.fleet.orders import OrderKind, OrderResult
 from coursepitch.http.client import ConnectionPool, ExchangeError, NoConnectionError
 from coursepitch.platform.fleet import ORDER_TARGET, REPORT_TARGET, encode_order
-from coursepitch.platform.headers import report_headers
+from coursepitch.platform.headers import read_answer_marks, report_headers
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -19,6 +19,8 @@
     from coursepitch.clock import Clock
     from coursepitch.fleet.instances import FleetInstance
     from coursepitch.fleet.orders import Order
+    from coursepitch.http.client import Answer
+    from coursepitch.platform.headers import AnswerMarks
 
 __all__ = ['InstanceControl', 'Probe']
 
@@ -74,6 +76,8 @@
         self._pool = ConnectionPool(clock, connect_timeout_s=ORDER_TIMEOUT_S)
         self._limiter = anyio.CapacityLimiter(ORDERS_AT_ONCE)
         self._stagings = anyio.CapacityLimiter(STAGINGS_AT_ONCE)
+        #: Takes what an answer says of the instance of that name.
+        self.take_marks: Callable[[str, AnswerMarks], None] = lambda name, marks: None
 
     def close(self) -> None:
         """Close all connections."""
@@ -118,8 +122,12 @@
             return OrderResult.UNREACHED
         except (ExchangeError, TimeoutError):
             return OrderResult.UNKNOWN
+        self._note(order.instance, answer)
         return _RESULTS.get(answer.status, OrderResult.UNKNOWN)
 
+    def _note(self, instance: str, answer: Answer) -> None:
+        self.take_marks(instance, read_answer_marks(answer.status, answer.headers))
+
     async def probe(self, instance: FleetInstance) -> Probe:
         """Ask an instance for its report, again before the first time-out."""
         found: list[Probe] = []
@@ -169,4 +177,5 @@
             return Probe.BROKEN
         except TimeoutError:
             return Probe.SILENT
+        self._note(instance.name, answer)
         return Probe.REPLACED if answer.status == 421 else Probe.ANSWERS
--- a/coursepitch/gateway/attempts.py
+++ b/coursepitch/gateway/attempts.py
@@ -23,7 +23,6 @@
 
     from coursepitch.config.routes import Service
     from coursepitch.fleet.instances import FleetInstance
-    from coursepitch.fleet.rate_limits import RateLimits
     from coursepitch.gateway.job import Job
     from coursepitch.gateway.parts import GatewayParts
     from coursepitch.http.client import Answer
@@ -73,10 +72,6 @@
     return max(2, int(service.connections * CONNECTION_PART / max(1, nodes)))
 
 
-#: Status with which an instance says that a request belongs elsewhere: it is another
-#: one, or no longer the head of its group.  Source: RFC 9110, section 15.5.20.
-MISPLACED = 421
-
 #: Reason of a refusal where no instance takes more requests a second.
 ALL_LIMITED = 'the rate limits of all instances are used up'
 
@@ -203,29 +198,14 @@
         answer.connection.close()
         answer.release()
         return Attempt(Result.UNKNOWN, 'the answer is for another request')
-    if answer.status != MISPLACED:
-        _note_limit(parts.limits, instance, marks)
+    parts.notices.take(instance.name, marks)
     if marks.not_run:
         await _drop_rejection(answer)
         reason = f'rejected with {answer.status}'
-        return Attempt(Result.NOT_RUN, reason, None, marks, answer.status == MISPLACED)
+        return Attempt(Result.NOT_RUN, reason, None, marks, marks.misplaced)
     return Attempt(Result.ANSWERED, '', answer, marks)
 
 
-def _note_limit(
-    limits: RateLimits, instance: FleetInstance, marks: AnswerMarks
-) -> None:
-    """Take what an answer says of the instance's limit.
-
-    A rejection without one says nothing: it may come from an instance that is too busy
-    to name it.
-    """
-    if marks.damaged_limit is not None:
-        limits.note_damaged(instance.name, marks.damaged_limit)
-    if marks.limit is not None or (marks.signed and marks.damaged_limit is None):
-        limits.note_answer(instance.name, marks.limit)
-
-
 async def _drop_rejection(answer: Answer) -> None:
     """Read the rest of a rejection, so that its connection can be used again."""
     try:
--- a/coursepitch/gateway/parts.py
+++ b/coursepitch/gateway/parts.py
@@ -7,7 +7,7 @@
 
 if TYPE_CHECKING:
     from coursepitch.clock import Clock
-    from coursepitch.fleet.rate_limits import RateLimits
+    from coursepitch.fleet.notices import InstanceNotices
     from coursepitch.fleet.send_permits import SendPermits
     from coursepitch.fleet.session import FleetSession
     from coursepitch.gateway.board import LoadBoard
@@ -29,6 +29,6 @@
     budget: RetryBudget
     pool: ConnectionPool
     inquiry: CrashInquiry
-    limits: RateLimits
+    notices: InstanceNotices
     permits: SendPermits
     clock: Clock
--- a/coursepitch/gateway_application.py
+++ b/coursepitch/gateway_application.py
@@ -16,6 +16,7 @@
 from coursepitch.fleet.freshness import Freshness
 from coursepitch.fleet.links import PeerLinks
 from coursepitch.fleet.nodes import NodePlace
+from coursepitch.fleet.notices import InstanceNotices
 from coursepitch.fleet.reports import CrashReporter, StandingInstances
 from coursepitch.fleet.session import FleetSession
 from coursepitch.fleet.suspects import SuspectTable
@@ -97,6 +98,8 @@
         )
         self.session = FleetSession(node.name, self.kv, self.freshness, clock)
         self.control = InstanceControl(clock)
+        self.notices = self._build_notices()
+        self.control.take_marks = self.notices.take
         self.pool = ConnectionPool(clock)
         self.links = PeerLinks(
             node.name,
@@ -158,7 +161,7 @@
             self.budget,
             self.pool,
             self._build_inquiry(),
-            self.session.limits,
+            self.notices,
             self.session.permits,
             self.clock,
         )
@@ -169,6 +172,14 @@
         )
         return Gateway(parts, streams, calls, suspicion, self.metrics)
 
+    def _build_notices(self) -> InstanceNotices:
+        session = self.session
+        name = self.settings.node.name
+        return InstanceNotices(name, session.view, session.limits, self._count_notice)
+
+    def _count_notice(self, kind: str) -> None:
+        self.metrics.notices.inc({'kind': kind})
+
     def _note_restart(self, instance: str) -> None:
         self.board.note_restart(instance)
         self.session.limits.note_restart(instance)
@@ -322,6 +333,7 @@
             self.board.forget(present)
             self.session.limits.forget(present)
             self.session.permits.forget(present)
+            self.notices.forget(present)
 
     async def _wait_stop(self) -> None:
         """Return on SIGTERM; read the settings anew on SIGHUP."""
--- a/coursepitch/metrics.py
+++ b/coursepitch/metrics.py
@@ -39,6 +39,10 @@
         self.limited_instances = gauge(
             'limited_instances', 'Instances known to name a rate limit.'
         )
+        self.notices = counter(
+            'instance_notices_total',
+            'Answers of instances that ask for a rest or say that they leave, by kind.',
+        )
         self.first_token = histogram(
             'first_token_seconds', 'Time from the request to its first chunk.'
         )
--- a/coursepitch/platform/headers.py
+++ b/coursepitch/platform/headers.py
@@ -37,6 +37,20 @@
 #: Header in which a target names the requests a second that it takes from all nodes.
 _LIMIT = b'server-limit'
 
+#: Header in which a target that is about to end says so, and its only value.
+_LEAVING = b'server-leaving'
+_IS_LEAVING = b'1'
+
+#: Header in which a target that rejects a request says for how long it wants no more
+#: from the node that it answers, and the statuses with which that counts.
+#: Source: RFC 9110, section 10.2.3, and RFC 6585, section 4.
+_REST = b'retry-after'
+_RESTING_STATUSES = frozenset({429, 503})
+
+#: Status with which a target says that a request belongs elsewhere: it is another
+#: one, or no longer the head of its group.  Source: RFC 9110, section 15.5.20.
+_MISPLACED = 421
+
 #: A decimal number without sign or exponent, of at most 20 characters.
 _DECIMAL = re.compile(rb'(?=.{1,20}$)(\d+(\.\d*)?|\.\d+)')
 
@@ -87,19 +101,30 @@
 class AnswerMarks:
     """What the headers of a target's answer say of it.
 
+    :param instance: the target's id, where it tells it.
     :param not_run: the target says that it did not run the request.
     :param signed: whether the target's own mark of an answer is there.
+    :param misplaced: the target says that the request belongs elsewhere.
     :param limit: how many requests a second the target takes from all nodes together,
         the lowest of several; ``None`` if it names no limit that can be read.
     :param damaged_limit: a value that is no limit, cut to some bytes; ``None`` without.
+    :param rest_s: seconds for which the target wants no requests from this node, the
+        longest of several; ``None`` if it names none that can be read.
+    :param damaged_rest: a value that is no such time, cut to some bytes; ``None``
+        without.  A date is one: clocks differ by seconds.
+    :param leaving: the target says that it is about to end.
     """
 
     request: str
     instance: str
     not_run: bool
     signed: bool
+    misplaced: bool = False
     limit: float | None = None
     damaged_limit: str | None = None
+    rest_s: float | None = None
+    damaged_rest: str | None = None
+    leaving: bool = False
 
 
 def read_request_fields(request: IncomingRequest) -> RequestFields:
@@ -160,19 +185,36 @@
     def text(name: bytes) -> str:
         return (find_header(headers, name) or b'').decode('latin-1')
 
-    limits = [value.strip() for key, value in headers if key.lower() == _LIMIT]
-    readable = [float(value) for value in limits if _DECIMAL.fullmatch(value)]
-    damaged = [value for value in limits if not _DECIMAL.fullmatch(value)]
+    limits, damaged_limit = _read_decimals(headers, _LIMIT)
+    resting = status in _RESTING_STATUSES
+    rests, damaged_rest = _read_decimals(headers, _REST) if resting else ([], None)
     return AnswerMarks(
         request=text(b'x-request-id'),
         instance=text(b'x-replica-id'),
-        not_run=bool(text(b'x-not-executed')) or status == 421,
+        not_run=bool(text(b'x-not-executed')) or status == _MISPLACED,
         signed=bool(text(b'x-replica-signature')),
-        limit=min(readable, default=None),
-        damaged_limit=damaged[0][:_SHOWN_BYTES].decode('latin-1') if damaged else None,
+        misplaced=status == _MISPLACED,
+        limit=min(limits, default=None),
+        damaged_limit=damaged_limit,
+        rest_s=max(rests, default=None),
+        damaged_rest=damaged_rest,
+        leaving=_IS_LEAVING in _list_values(headers, _LEAVING),
     )
 
 
+def _list_values(headers: Headers, name: bytes) -> list[bytes]:
+    return [value.strip() for key, value in headers if key.lower() == name]
+
+
+def _read_decimals(headers: Headers, name: bytes) -> tuple[list[float], str | None]:
+    """Return the decimal numbers in a header, and the first value that is none."""
+    values = _list_values(headers, name)
+    numbers = [float(value) for value in values if _DECIMAL.fullmatch(value)]
+    damaged = [value for value in values if not _DECIMAL.fullmatch(value)]
+    shown = damaged[0][:_SHOWN_BYTES].decode('latin-1') if damaged else None
+    return numbers, shown
+
+
 def pass_answer_headers(headers: Headers) -> Headers:
     """Return the headers of a target's answer that go on to the client."""
     return pass_headers(headers, frozenset())
--- /dev/null
+++ b/tests/fleet/test_notices.py
@@ -0,0 +1,61 @@
+"""What is taken from the answers of instances, and of whom."""
+
+from __future__ import annotations
+
+import unittest
+from unittest import mock
+
+from coursepitch.fleet.notices import InstanceNotices
+from coursepitch.fleet.rate_limits import RateLimits
+from coursepitch.platform.headers import read_answer_marks
+from tests.fleet.builders import build_instance, build_view
+
+
+def read_marks(status, **headers):
+    """Return the marks of an answer with these headers."""
+    lines = tuple(
+        (name.replace('_', '-').encode(), value.encode())
+        for name, value in headers.items()
+    )
+    return read_answer_marks(status, lines)
+
+
+class NoticesTest(unittest.TestCase):
+    """An answer tells of its sender, or of nobody."""
+
+    def setUp(self):
+        self.view = build_view([build_instance('a', born=5)])
+        self.counts = []
+        limits = RateLimits('n1', 1, lambda: 100.0)
+        self.notices = InstanceNotices('n1', self.view, limits, self.counts.append)
+        patcher = mock.patch('coursepitch.fleet.notices.log.emit')
+        self.emit = patcher.start()
+        self.addCleanup(patcher.stop)
+
+    def test_rest_is_told_of(self):
+        self.notices.take('a', read_marks(503, retry_after='2.5'))
+        self.assertEqual(self.counts, ['rest'])
+        self.assertEqual(self.emit.call_args.kwargs['rest_s'], 2.5)
+
+    def test_time_that_cannot_be_read_is_told_of(self):
+        self.notices.take('a', read_marks(503, retry_after='soon'))
+        self.assertEqual(self.counts, ['damaged'])
+        self.assertEqual(self.emit.call_args.kwargs['value'], 'soon')
+
+    def test_leaving_is_told_of_once(self):
+        for _ in range(3):
+            self.notices.take('a', read_marks(200, server_leaving='1'))
+        self.assertEqual(self.counts, ['leaving'])
+        fields = self.emit.call_args.kwargs
+        self.assertEqual((fields['born'], fields['listed_leaving']), (5, False))
+
+    def test_answer_of_another_instance_says_nothing(self):
+        headers = {'server_leaving': '1', 'server_limit': '1'}
+        self.notices.take('a', read_marks(421, **headers))
+        self.notices.take('a', read_marks(421, x_replica_id='b', **headers))
+        self.assertEqual(self.counts, [])
+        self.assertIsNone(self.notices.limits.find('a'))
+
+    def test_instance_that_is_no_head_any_more_says_that_it_leaves(self):
+        self.notices.take('a', read_marks(421, server_leaving='1', x_replica_id='a'))
+        self.assertEqual(self.counts, ['leaving'])
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -1,4 +1,4 @@
-"""Rate limits that instances name in the headers of their answers."""
+"""What instances say of themselves in the headers of their answers."""
 
 from __future__ import annotations
 
@@ -51,3 +51,78 @@
     def test_any_bytes_are_read(self, value):
         limit, _ = read_limit(value)
         self.assertTrue(limit is None or 0 <= limit < float('inf'))
+
+
+def read_rest(*values, status=503):
+    """Return the rest and the damaged value of an answer with these headers."""
+    headers = tuple((b'Retry-After', value) for value in values)
+    marks = read_answer_marks(status, headers)
+    return marks.rest_s, marks.damaged_rest
+
+
+class RestHeaderTest(unittest.TestCase):
+    """Each value has one meaning."""
+
+    def test_seconds_with_fractions_are_rests(self):
+        for value, rest_s in (
+            (b'3', 3.0),
+            (b' 0.25 ', 0.25),
+            (b'0', 0.0),
+            (b'.5', 0.5),
+        ):
+            with self.subTest(value=value):
+                self.assertEqual(read_rest(value), (rest_s, None))
+
+    def test_longest_rest_is_taken_as_it_is(self):
+        self.assertEqual(read_rest(b'9' * 20), (float('9' * 20), None))
+
+    def test_anything_else_is_damaged_and_no_rest(self):
+        date = b'Thu, 03 Dec 2026 09:00:00 GMT'
+        for value in (
+            b'',
+            b'-1',
+            b'+1',
+            b'nan',
+            b'inf',
+            b'1e3',
+            b'1,5',
+            date,
+            b'9' * 21,
+        ):
+            with self.subTest(value=value):
+                self.assertEqual(read_rest(value), (None, value.decode()))
+
+    def test_longest_of_several_counts(self):
+        self.assertEqual(read_rest(b'1', b'2.5', b'2'), (2.5, None))
+        self.assertEqual(read_rest(b'x', b'1.5'), (1.5, 'x'))
+
+    def test_only_rejections_for_load_ask_for_a_rest(self):
+        for status in (200, 301, 421, 500, 502):
+            with self.subTest(status=status):
+                self.assertEqual(read_rest(b'3', status=status), (None, None))
+        self.assertEqual(read_rest(b'3', status=429), (3.0, None))
+
+    @given(strategies.binary(max_size=60))
+    def test_any_bytes_are_read(self, value):
+        rest_s, _ = read_rest(value)
+        self.assertTrue(rest_s is None or 0 <= rest_s < float('inf'))
+
+
+class LeavingHeaderTest(unittest.TestCase):
+    """One value says that the sender leaves, in answers of any status."""
+
+    def test_only_one_says_so(self):
+        for value, leaving in (
+            (b'1', True),
+            (b' 1 ', True),
+            (b'0', False),
+            (b'', False),
+        ):
+            with self.subTest(value=value):
+                marks = read_answer_marks(200, ((b'server-leaving', value),))
+                self.assertIs(marks.leaving, leaving)
+
+    def test_any_status_counts(self):
+        for status in (200, 404, 421, 429, 500, 503):
+            marks = read_answer_marks(status, ((b'Server-Leaving', b'1'),))
+            self.assertTrue(marks.leaving)
