Nothing is sent to an instance in the time for which it asked for a rest

What callers saw: nothing failed, but each request that an instance turned away took a second send of the retry budget and an answer more; where all instances turned requests away they were sent from one to the next. The instance got what it had asked not to get. Cause: no node read Retry-After of a rejection. A rejection made the instance dearer for a time of the node's own, never closed. Class: what an instance says of itself in answers is read by nobody. Ruled out: a known time that ends early (nothing knew one); second sends and resumed streams as the only senders (all sends in the logs are first ones). Change: rests are kept by instance, from the moment the answer is read to the longest end. One gate decides whether a request may go to an instance (listed and not leaving, not resting, within its rate limit), with a reason, where it is chosen and at the last moment before it leaves. After a rest one request goes first. Where all instances rest, the client is refused at once and told when the first rest ends, spread over half as long again. A request that does not leave no longer counts as a failure of the instance. Why this holds: every send passes the gate after its connection is up, with nothing awaited between, and only a later start of the instance or the end of the rest opens it.

--- a/coursepitch/fleet/notices.py
+++ b/coursepitch/fleet/notices.py
@@ -11,6 +11,7 @@
     from collections.abc import Callable
 
     from coursepitch.fleet.rate_limits import RateLimits
+    from coursepitch.fleet.rests import InstanceRests
     from coursepitch.fleet.view import FleetView
     from coursepitch.platform.headers import AnswerMarks
 
@@ -27,6 +28,7 @@
     me: str
     view: FleetView
     limits: RateLimits
+    rests: InstanceRests
     #: Counts notices by kind.
     count: Callable[[str], None] = lambda kind: None
     _leaving: dict[str, int] = field(default_factory=dict)
@@ -48,6 +50,8 @@
         if marks.rest_s is None and marks.damaged_rest is None:
             return
         self.count('rest' if marks.rest_s is not None else 'damaged')
+        if marks.rest_s is not None:
+            self.rests.note(name, marks.rest_s)
         log.emit(
             events.INSTANCE_RESTING,
             instance=name,
--- a/coursepitch/gateway/attempts.py
+++ b/coursepitch/gateway/attempts.py
@@ -25,10 +25,9 @@
     from coursepitch.fleet.instances import FleetInstance
     from coursepitch.gateway.job import Job
     from coursepitch.gateway.parts import GatewayParts
-    from coursepitch.http.client import Answer
+    from coursepitch.http.client import Answer, Connection
 
 __all__ = [
-    'ALL_LIMITED',
     'Attempt',
     'Result',
     'SendPlan',
@@ -54,6 +53,7 @@
     :param answer: the head of the answer, with its body still to be read; only
         with :attr:`Result.ANSWERED`.
     :param misplaced: whether the instance says that the request belongs elsewhere.
+    :param withheld: whether the request did not leave, as the instance wants none now.
     """
 
     result: Result
@@ -61,6 +61,7 @@
     answer: Answer | None = None
     marks: AnswerMarks | None = None
     misplaced: bool = False
+    withheld: bool = False
 
 
 #: Part of an instance's connections that all nodes together use.
@@ -72,9 +73,6 @@
     return max(2, int(service.connections * CONNECTION_PART / max(1, nodes)))
 
 
-#: Reason of a refusal where no instance takes more requests a second.
-ALL_LIMITED = 'the rate limits of all instances are used up'
-
 #: Largest body in bytes of an answer that is read only to be dropped.
 REJECTION_BYTES = 65_536
 
@@ -115,16 +113,16 @@
     :param list_instances: returns those that it could go to.
     :param again_s: seconds after which a new try makes sense at the soonest.
     """
-    if job.last_reason == ALL_LIMITED:
+    names = list_instances(job)
+    if parts.gate.are_closed(names):
         nodes = parts.session.count_nodes()
-        limited_s = parts.permits.find_again_s(list_instances(job), nodes)
-        again_s = max(again_s, limited_s)
+        again_s = max(again_s, parts.gate.find_again_s(names, nodes))
     return Refusal(503, job.last_reason, again_s)
 
 
 async def take_permit(parts: GatewayParts, job: Job, instance: str) -> bool:
     """Get a permit for the next send; ``False`` if the instance takes no more now."""
-    job.permit = await parts.permits.take(instance)
+    job.permit = await parts.gate.take_permit(instance)
     return job.permit is not None
 
 
@@ -166,16 +164,32 @@
     if left_s <= 0 or not parts.session.is_fresh():
         pool.discard(connection)
         return Attempt(Result.NOT_RUN, 'no longer to be sent')
-    if not parts.session.view.takes_requests(instance.name):
-        pool.discard(connection)
-        return Attempt(Result.NOT_RUN, 'the instance left meanwhile')
     # Every send passes here, so that none is missing in what an instance gets.
-    if not parts.permits.allows(instance.name, permit):
+    withheld = parts.gate.withhold(instance.name, permit)
+    if withheld is not None:
         pool.discard(connection)
-        return Attempt(Result.NOT_RUN, 'the permit to send is over')
+        return Attempt(Result.NOT_RUN, withheld.value, withheld=True)
+    trial = parts.gate.rests.begin_trial(instance.name)
+    attempt = Attempt(Result.UNKNOWN, 'given up')
+    try:
+        attempt = await _exchange(parts, job, instance, plan, connection)
+    finally:
+        if trial is not None:
+            served = attempt.result is Result.ANSWERED
+            parts.gate.rests.end_trial(trial, served)
+    return attempt
+
+
+async def _exchange(
+    parts: GatewayParts,
+    job: Job,
+    instance: FleetInstance,
+    plan: SendPlan,
+    connection: Connection,
+) -> Attempt:
     fields = ForwardFields(
         instance.name,
-        left_s,
+        job.limit_at - parts.clock(),
         job.customer.name if job.customer else '',
         plan.last_event,
         plan.priority,
@@ -185,7 +199,7 @@
     job.note_sent(instance.name, parts.clock())
     try:
         with anyio.fail_after(plan.wait_s):
-            answer = await pool.exchange(
+            answer = await parts.pool.exchange(
                 connection, incoming.method, incoming.target, headers, incoming.body
             )
     except ExchangeError as error:
--- a/coursepitch/gateway/calls.py
+++ b/coursepitch/gateway/calls.py
@@ -8,7 +8,6 @@
 
 from coursepitch import events, log
 from coursepitch.gateway.attempts import (
-    ALL_LIMITED,
     SendPlan,
     refuse_unsent,
     send_attempt,
@@ -113,9 +112,14 @@
                     return instance
                 continue
             names = self._list_names(job)
-            if now >= until or avoided or self._parts.permits.are_closed(names, until):
-                if self._parts.permits.are_closed(names, now):
-                    job.last_reason = job.last_reason or ALL_LIMITED
+            if (
+                now >= until
+                or avoided
+                or self._parts.gate.are_closed(names, until - now)
+            ):
+                if self._parts.gate.are_closed(names):
+                    why = self._parts.gate.explain_closed(names)
+                    job.last_reason = job.last_reason or why
                 return None
             await self._parts.session.wait_changed(min(0.05, until - now))
 
@@ -151,7 +155,8 @@
         plan = SendPlan(wait_s, fresh=not job.route.repeatable)
         attempt = await send_attempt(self._parts, job, instance, plan)
         if attempt.answer is None:
-            self._parts.board.note_failure(instance.name)
+            if not attempt.withheld:
+                self._parts.board.note_failure(instance.name)
             return False
         try:
             return await self._pass_on(job, instance, attempt.answer, sent_at, again)
--- a/coursepitch/gateway/parts.py
+++ b/coursepitch/gateway/parts.py
@@ -8,12 +8,12 @@
 if TYPE_CHECKING:
     from coursepitch.clock import Clock
     from coursepitch.fleet.notices import InstanceNotices
-    from coursepitch.fleet.send_permits import SendPermits
     from coursepitch.fleet.session import FleetSession
     from coursepitch.gateway.board import LoadBoard
     from coursepitch.gateway.budget import RetryBudget
     from coursepitch.gateway.inquiry import CrashInquiry
     from coursepitch.gateway.router import Router
+    from coursepitch.gateway.send_gate import SendGate
     from coursepitch.http.client import ConnectionPool
 
 __all__ = ['GatewayParts']
@@ -30,5 +30,5 @@
     pool: ConnectionPool
     inquiry: CrashInquiry
     notices: InstanceNotices
-    permits: SendPermits
+    gate: SendGate
     clock: Clock
--- a/coursepitch/gateway/router.py
+++ b/coursepitch/gateway/router.py
@@ -34,7 +34,7 @@
     """Chooses by requests in flight, slowness, failures and zone.
 
     :param read_rate: returns the requests a second of all nodes for a model.
-    :param is_closed: whether an instance takes no request now, by its rate limit.
+    :param is_closed: whether an instance that is listed takes no request now.
     """
 
     def __init__(
--- a/coursepitch/gateway/streams.py
+++ b/coursepitch/gateway/streams.py
@@ -8,7 +8,6 @@
 
 from coursepitch import events, log
 from coursepitch.gateway.attempts import (
-    ALL_LIMITED,
     SendPlan,
     refuse_unsent,
     send_attempt,
@@ -146,7 +145,7 @@
                     return group
                 continue
             heads = self._list_heads(job)
-            if now >= until or self._parts.permits.are_closed(heads, until):
+            if now >= until or self._parts.gate.are_closed(heads, until - now):
                 job.last_reason = job.last_reason or self._why_none(job)
                 return None
             await self._parts.session.wait_changed(min(LOOK_S, until - now))
@@ -159,8 +158,8 @@
     def _why_none(self, job: Job) -> str:
         """Return why no group takes a request."""
         heads = self._list_heads(job)
-        if self._parts.permits.are_closed(heads, self._parts.clock()):
-            return ALL_LIMITED
+        if self._parts.gate.are_closed(heads):
+            return self._parts.gate.explain_closed(heads)
         if heads:
             return 'all groups are full or were tried'
         return 'no group is open'
@@ -233,7 +232,8 @@
         if not answers:
             if attempt.misplaced:
                 self._parts.board.note_outdated(head)
-            self._parts.board.note_failure(head.name)
+            if not attempt.withheld:
+                self._parts.board.note_failure(head.name)
             return None
         return answers[0]
 
--- a/coursepitch/gateway_application.py
+++ b/coursepitch/gateway_application.py
@@ -18,6 +18,7 @@
 from coursepitch.fleet.nodes import NodePlace
 from coursepitch.fleet.notices import InstanceNotices
 from coursepitch.fleet.reports import CrashReporter, StandingInstances
+from coursepitch.fleet.rests import InstanceRests
 from coursepitch.fleet.session import FleetSession
 from coursepitch.fleet.suspects import SuspectTable
 from coursepitch.gateway.arrive import Gateway
@@ -27,6 +28,7 @@
 from coursepitch.gateway.inquiry import CrashInquiry
 from coursepitch.gateway.parts import GatewayParts
 from coursepitch.gateway.router import Router
+from coursepitch.gateway.send_gate import SendGate
 from coursepitch.gateway.streams import StreamServer
 from coursepitch.gateway.suspicion import SuspicionGate
 from coursepitch.gateway.watchdog import Watchdog
@@ -98,6 +100,7 @@
         )
         self.session = FleetSession(node.name, self.kv, self.freshness, clock)
         self.control = InstanceControl(clock)
+        self.rests = InstanceRests(clock)
         self.notices = self._build_notices()
         self.control.take_marks = self.notices.take
         self.pool = ConnectionPool(clock)
@@ -130,13 +133,16 @@
         self.board = LoadBoard(clock, self.session.book.count)
         self.session.view.tell_restart = self._note_restart
         self.watchdog = Watchdog(self.session, self.control, clock)
+        self.gate = SendGate(
+            self.session.view, self.rests, self.session.permits, self._count_withheld
+        )
         self.router = Router(
             self.session.view,
             self.board,
             self.watchdog,
             node.availability_zone,
             self._read_rate,
-            self.session.permits.is_closed,
+            self.gate.is_closed,
         )
         self.budget = RetryBudget(
             promises.retry_ratio, promises.retry_extra, promises.retry_window_s, clock
@@ -162,7 +168,7 @@
             self.pool,
             self._build_inquiry(),
             self.notices,
-            self.session.permits,
+            self.gate,
             self.clock,
         )
         streams = StreamServer(parts, self.watchdog)
@@ -175,7 +181,12 @@
     def _build_notices(self) -> InstanceNotices:
         session = self.session
         name = self.settings.node.name
-        return InstanceNotices(name, session.view, session.limits, self._count_notice)
+        return InstanceNotices(
+            name, session.view, session.limits, self.rests, self._count_notice
+        )
+
+    def _count_withheld(self, reason: str) -> None:
+        self.metrics.withheld_sends.inc({'reason': reason})
 
     def _count_notice(self, kind: str) -> None:
         self.metrics.notices.inc({'kind': kind})
@@ -183,6 +194,7 @@
     def _note_restart(self, instance: str) -> None:
         self.board.note_restart(instance)
         self.session.limits.note_restart(instance)
+        self.rests.note_restart(instance)
 
     def _build_inquiry(self) -> CrashInquiry:
         name = self.settings.node.name
@@ -241,6 +253,7 @@
 
     async def _show_metrics(self, request: IncomingRequest, reply: Reply) -> None:
         self.metrics.limited_instances.set({}, self.session.limits.count_limited())
+        self.metrics.resting_instances.set({}, self.rests.count_resting())
         accept = (request.header(b'accept') or b'').decode('latin-1')
         content, headers = self.metrics.render(accept)
         lines = tuple((key.encode(), value.encode()) for key, value in headers.items())
@@ -334,6 +347,7 @@
             self.session.limits.forget(present)
             self.session.permits.forget(present)
             self.notices.forget(present)
+            self.rests.forget(present)
 
     async def _wait_stop(self) -> None:
         """Return on SIGTERM; read the settings anew on SIGHUP."""
--- a/coursepitch/metrics.py
+++ b/coursepitch/metrics.py
@@ -43,6 +43,13 @@
             'instance_notices_total',
             'Answers of instances that ask for a rest or say that they leave, by kind.',
         )
+        self.resting_instances = gauge(
+            'resting_instances', 'Instances that want no requests from this node now.'
+        )
+        self.withheld_sends = counter(
+            'withheld_sends_total',
+            'Requests that did not leave for a chosen instance, by reason.',
+        )
         self.first_token = histogram(
             'first_token_seconds', 'Time from the request to its first chunk.'
         )
--- a/tests/fleet/test_notices.py
+++ b/tests/fleet/test_notices.py
@@ -7,6 +7,7 @@
 
 from coursepitch.fleet.notices import InstanceNotices
 from coursepitch.fleet.rate_limits import RateLimits
+from coursepitch.fleet.rests import InstanceRests
 from coursepitch.platform.headers import read_answer_marks
 from tests.fleet.builders import build_instance, build_view
 
@@ -27,7 +28,10 @@
         self.view = build_view([build_instance('a', born=5)])
         self.counts = []
         limits = RateLimits('n1', 1, lambda: 100.0)
-        self.notices = InstanceNotices('n1', self.view, limits, self.counts.append)
+        self.rests = InstanceRests(lambda: 100.0)
+        self.notices = InstanceNotices(
+            'n1', self.view, limits, self.rests, self.counts.append
+        )
         patcher = mock.patch('coursepitch.fleet.notices.log.emit')
         self.emit = patcher.start()
         self.addCleanup(patcher.stop)
@@ -36,11 +40,13 @@
         self.notices.take('a', read_marks(503, retry_after='2.5'))
         self.assertEqual(self.counts, ['rest'])
         self.assertEqual(self.emit.call_args.kwargs['rest_s'], 2.5)
+        self.assertEqual(self.rests.find_left_s('a'), 2.5)
 
     def test_time_that_cannot_be_read_is_told_of(self):
         self.notices.take('a', read_marks(503, retry_after='soon'))
         self.assertEqual(self.counts, ['damaged'])
         self.assertEqual(self.emit.call_args.kwargs['value'], 'soon')
+        self.assertFalse(self.rests.is_closed('a'))
 
     def test_leaving_is_told_of_once(self):
         for _ in range(3):
--- a/tests/gateway/test_attempts.py
+++ b/tests/gateway/test_attempts.py
@@ -8,7 +8,9 @@
 
 import anyio
 
+from coursepitch.fleet.rests import InstanceRests
 from coursepitch.gateway.attempts import Result, SendPlan, send_attempt
+from coursepitch.gateway.send_gate import SendGate
 from tests.fleet.builders import build_instance, build_service, build_view
 
 
@@ -45,13 +47,15 @@
         self.fresh = True
         self.allowed = True
         self.pool = FakePool()
+        self.rests = InstanceRests(lambda: 100.0)
+        permits = SimpleNamespace(allows=lambda instance, permit: self.allowed)
         session = SimpleNamespace(
             view=self.view, count_nodes=lambda: 3, is_fresh=lambda: self.fresh
         )
         self.parts = SimpleNamespace(
             session=session,
             pool=self.pool,
-            permits=SimpleNamespace(allows=lambda instance, permit: self.allowed),
+            gate=SendGate(self.view, self.rests, permits),
             clock=lambda: 100.0,
         )
         self.job = SimpleNamespace(
@@ -96,6 +100,15 @@
         self.pool.meanwhile = lapse
         self.check_not_sent()
 
+    def test_instance_that_asks_for_a_rest(self):
+        self.pool.meanwhile = lambda: self.rests.note('a', 0.1)
+        self.check_not_sent()
+
+    def test_instance_that_is_tried_after_a_rest(self):
+        self.rests.note('a', 0.0)
+        self.pool.meanwhile = lambda: self.rests.begin_trial('a')
+        self.check_not_sent()
+
 
 if __name__ == '__main__':
     unittest.main()
--- /dev/null
+++ b/tests/gateway/test_send_gate.py
@@ -0,0 +1,275 @@
+"""Whether a request may go to an instance, in whatever order it was heard of."""
+
+from __future__ import annotations
+
+import unittest
+from dataclasses import replace
+from types import SimpleNamespace
+
+import anyio
+from hypothesis import settings, strategies
+from hypothesis.stateful import RuleBasedStateMachine, initialize, rule
+
+from coursepitch.fleet.notices import InstanceNotices
+from coursepitch.fleet.rate_limits import RateLimits
+from coursepitch.fleet.rests import InstanceRests
+from coursepitch.fleet.send_permits import SendGranter, SendPermits
+from coursepitch.gateway.attempts import Result, SendPlan, send_attempt
+from coursepitch.gateway.send_gate import RETURN_SPREAD, SendGate, Withheld
+from coursepitch.platform.fleet import INSTANCE_PREFIX
+from coursepitch.platform.headers import read_answer_marks
+from coursepitch.platform.kv import Entry
+from tests.fleet.builders import build_instance, build_service, build_view
+
+NAMES = ('a', 'b', 'c')
+
+
+class Node:
+    """The parts of a node that decide whether a request may leave."""
+
+    def __init__(self, instances, clock):
+        self.view = build_view(instances, (), clock)
+        self.limits = RateLimits('n1', 1, clock)
+        granter = SendGranter(self.limits, lambda: 1, clock)
+        permits = SendPermits('n1', self.limits, granter, lambda: 'n1', clock)
+        self.rests = InstanceRests(clock)
+        self.notices = InstanceNotices('n1', self.view, self.limits, self.rests)
+        self.counts = []
+        self.gate = SendGate(
+            self.view, self.rests, permits, self.counts.append, lambda: 0.0
+        )
+        self.view.tell_restart = self.rests.note_restart
+
+    def take_answer(self, name, status, **headers):
+        """Take an answer of an instance with these headers."""
+        lines = tuple(
+            (key.replace('_', '-').encode(), value.encode())
+            for key, value in headers.items()
+        )
+        self.notices.take(name, read_answer_marks(status, lines))
+
+
+class GateTest(unittest.TestCase):
+    """One decision with a reason."""
+
+    def setUp(self):
+        self.now = 100.0
+        instances = [build_instance(name) for name in NAMES]
+        self.node = Node(instances, lambda: self.now)
+        self.gate = self.node.gate
+
+    def check_withheld(self, reason):
+        self.assertIs(self.gate.withhold('a', None), reason)
+
+    def test_instance_of_which_nothing_is_known_is_open(self):
+        self.assertFalse(self.gate.is_closed('a'))
+        self.check_withheld(None)
+
+    def test_each_reason_is_told_and_counted(self):
+        self.node.limits.note_answer('a', 1.0)
+        self.check_withheld(Withheld.NO_PERMIT)
+        self.node.take_answer('a', 503, retry_after='2')
+        self.check_withheld(Withheld.RESTING)
+        del self.node.view.instances['a']
+        self.check_withheld(Withheld.LEFT)
+        self.assertEqual(self.node.counts, ['no_permit', 'resting', 'left'])
+
+    def test_good_answer_to_an_earlier_request_does_not_end_a_rest(self):
+        self.node.take_answer('a', 503, retry_after='2')
+        self.node.take_answer('a', 200, x_replica_signature='s')
+        self.check_withheld(Withheld.RESTING)
+
+    def test_all_of_several_are_closed_until_the_first_rest_ends(self):
+        self.assertFalse(self.gate.are_closed(()))
+        for name, rest_s in zip(NAMES, ('3', '1', '2'), strict=True):
+            self.assertFalse(self.gate.are_closed(NAMES))
+            self.node.take_answer(name, 503, retry_after=rest_s)
+        self.assertTrue(self.gate.are_closed(NAMES))
+        self.assertTrue(self.gate.are_closed(NAMES, 0.9))
+        self.assertFalse(self.gate.are_closed(NAMES, 1.0))
+        self.assertEqual(self.gate.find_again_s(NAMES, 9), 1.0)
+
+    def test_clients_that_were_turned_away_come_back_one_after_the_other(self):
+        self.node.take_answer('a', 503, retry_after='4')
+        self.gate.chance = lambda: 1.0
+        self.assertEqual(self.gate.find_again_s(['a'], 9), 4.0 * (1 + RETURN_SPREAD))
+
+    def test_limited_instance_is_waited_for_where_others_rest_longer(self):
+        self.node.take_answer('a', 503, retry_after='9')
+        self.node.limits.note_answer('b', 2.0)
+        anyio.run(self.gate.take_permit, 'b')
+        self.assertTrue(self.gate.are_closed(('a', 'b')))
+        self.assertEqual(self.gate.find_again_s(('a', 'b'), 9), 4.5)
+        self.assertIn('rest', self.gate.explain_closed(('a', 'b')))
+        self.assertNotIn('rest', self.gate.explain_closed(('b',)))
+
+
+class Pool:
+    """Gives one answer to each request."""
+
+    def __init__(self, answer):
+        self.answer = answer
+
+    async def acquire(self, address, *, fresh, limit):
+        return 'connection'
+
+    async def exchange(self, connection, *request):
+        return self.answer
+
+
+class TrialTest(unittest.IsolatedAsyncioTestCase):
+    """What became of the first request after a rest opens or closes an instance."""
+
+    def setUp(self):
+        self.now = 100.0
+        instance = build_instance('a')
+        self.node = Node([instance], lambda: self.now)
+        self.node.take_answer('a', 503, retry_after='1')
+        self.now += 1.0
+
+    async def send(self, status, **headers):
+        """Send a request and return what became of it."""
+        lines = [(b'X-Request-Id', b'r')]
+        for key, value in headers.items():
+            lines.append((key.replace('_', '-').encode(), value.encode()))
+
+        async def read_whole(limit):
+            return b''
+
+        answer = SimpleNamespace(
+            status=status,
+            headers=tuple(lines),
+            read_whole=read_whole,
+            release=lambda: None,
+        )
+        node = self.node
+        session = SimpleNamespace(
+            view=node.view, count_nodes=lambda: 3, is_fresh=lambda: True
+        )
+        parts = SimpleNamespace(
+            session=session,
+            pool=Pool(answer),
+            gate=node.gate,
+            notices=node.notices,
+            clock=lambda: self.now,
+        )
+        incoming = SimpleNamespace(headers=(), method=b'GET', target=b'/', body=b'')
+        job = SimpleNamespace(
+            service=build_service(),
+            limit_at=self.now + 5.0,
+            may_have_run=set(),
+            sent=[],
+            permit=None,
+            customer=None,
+            incoming=incoming,
+            last_reason='',
+            note_sent=lambda name, now: None,
+            fields=SimpleNamespace(request='r'),
+        )
+        instance = node.view.instances['a']
+        return await send_attempt(parts, job, instance, SendPlan(5.0))
+
+    async def test_good_answer_opens_the_instance(self):
+        attempt = await self.send(200)
+        self.assertIs(attempt.result, Result.ANSWERED)
+        self.assertIsNone(self.node.rests.begin_trial('a'))
+
+    async def test_rejection_with_a_time_begins_another_rest(self):
+        await self.send(503, x_not_executed='1', retry_after='2')
+        self.assertEqual(self.node.rests.find_left_s('a'), 2.0)
+
+    async def test_rejection_without_a_time_lets_one_more_go_first(self):
+        await self.send(503, x_not_executed='1')
+        self.assertFalse(self.node.gate.is_closed('a'))
+        self.assertIsNotNone(self.node.rests.begin_trial('a'))
+
+
+class GateMachine(RuleBasedStateMachine):
+    """Requests that wait for connections, answers that overtake each other, restarts.
+
+    ``rests`` and ``leaving`` hold what the node has read: the end of each instance's
+    longest rest, and the starts of instances that said that they leave.
+    """
+
+    @initialize()
+    def start(self):
+        self.now = 100.0
+        self.born = dict.fromkeys(NAMES, 1)
+        self.rests = dict.fromkeys(NAMES, 0.0)
+        self.trying = dict.fromkeys(NAMES, False)
+        self.leaving = set()
+        self.in_flight = []
+        self.connecting = []
+        instances = [build_instance(name, born=1) for name in NAMES]
+        self.node = Node(instances, lambda: self.now)
+
+    @rule(seconds=strategies.sampled_from((0.0, 0.1, 0.5, 1.0, 3.0)))
+    def wait(self, seconds):
+        self.now += seconds
+
+    @rule(name=strategies.sampled_from(NAMES))
+    def choose(self, name):
+        if not self.node.gate.is_closed(name):
+            self.connecting.append(name)
+
+    @rule(data=strategies.data())
+    def connect(self, data):
+        if not self.connecting:
+            return
+        place = data.draw(strategies.integers(0, len(self.connecting) - 1))
+        name = self.connecting.pop(place)
+        if self.node.gate.withhold(name, None) is not None:
+            return
+        assert self.now >= self.rests[name], 'sent within a rest'
+        assert (name, self.born[name]) not in self.leaving, 'sent to one that leaves'
+        first = self.rests[name] > 0
+        assert not (first and self.trying[name]), 'sent beside the first request'
+        self.trying[name] = first
+        trial = self.node.rests.begin_trial(name)
+        self.in_flight.append((name, self.born[name], first, trial))
+
+    @rule(
+        data=strategies.data(),
+        status=strategies.sampled_from((200, 500, 503)),
+        rest_s=strategies.sampled_from((None, '0.5', '1', '3')),
+    )
+    def answer(self, data, status, rest_s):
+        if not self.in_flight:
+            return
+        place = data.draw(strategies.integers(0, len(self.in_flight) - 1))
+        name, born, first, trial = self.in_flight.pop(place)
+        if born != self.born[name]:
+            return
+        headers = {'retry_after': rest_s} if rest_s else {}
+        self.node.take_answer(name, status, **headers)
+        if rest_s and status == 503:
+            self.rests[name] = max(self.rests[name], self.now + float(rest_s))
+        if trial is not None:
+            self.node.rests.end_trial(trial, status != 503)
+        if first:
+            self.trying[name] = False
+            if status != 503 and self.rests[name] <= self.now:
+                self.rests[name] = 0.0
+
+    @rule(name=strategies.sampled_from(NAMES), again=strategies.booleans())
+    def list_instance(self, name, again):
+        """The store tells of an instance: the same start, or a later one."""
+        if again:
+            self.born[name] += 1
+            self.rests[name] = 0.0
+            self.trying[name] = False
+        found = replace(self.node.view.instances[name], born=self.born[name])
+        self.node.view.take_entry(build_entry(found))
+
+
+def build_entry(instance):
+    """Return the entry of an instance that is ready, as it stands in the store."""
+    value = (
+        f'{{"service": "{instance.service}", "address": "{instance.address}", '
+        f'"zone": "a", "slots": 13, "state": "ready", "born": {instance.born}}}'
+    )
+    return Entry(INSTANCE_PREFIX + instance.name, value, 5)
+
+
+GateMachine.TestCase.settings = settings(max_examples=60, stateful_step_count=60)
+GateMachineTest = GateMachine.TestCase
--- a/tests/gateway/test_truthful.py
+++ b/tests/gateway/test_truthful.py
@@ -11,7 +11,7 @@
 from coursepitch.gateway.arrive import Gateway
 from coursepitch.gateway.calls import CallServer
 from coursepitch.gateway.streams import StreamServer
-from tests.fleet.builders import build_instance, build_view
+from tests.fleet.builders import build_instance, build_service, build_view
 
 #: Statuses that promise it.
 PROMISES = {408, 421, 429, 503}
@@ -28,6 +28,8 @@
         last_reason='',
         crashes=0,
         reply=SimpleNamespace(started=False, written=False),
+        service=build_service(),
+        fields=SimpleNamespace(model=''),
         route=SimpleNamespace(attempts=2, repeatable=True),
     )
 
@@ -39,7 +41,11 @@
         view = build_view([build_instance('a')])
         session = SimpleNamespace(view=view)
         self.parts = SimpleNamespace(
-            session=session, router=None, budget=None, clock=lambda: 100.0
+            session=session,
+            router=None,
+            budget=None,
+            gate=SimpleNamespace(are_closed=lambda names: False),
+            clock=lambda: 100.0,
         )
 
     def check(self, refusal, job):
--- a/tests/whole/test_rests.py
+++ b/tests/whole/test_rests.py
@@ -63,9 +63,15 @@
     def test_node_sends_nothing_when_all_instances_asked_for_a_rest(self):
         names = list(self.stats('api'))
         self.ask_rest('api', *names)
-        self.send_for(2 * REST_S, 'GET', '/again/x')
+        replies = self.send_for(2 * REST_S, 'GET', '/again/x')
         for name in names:
             self.assertLessEqual(self.count_in_rests('api', name), MOST_IN_REST)
+        self.assertEqual({reply.status_code for reply, _ in replies}, {503})
+        for reply, _ in replies:
+            self.assertGreater(float(reply.headers['retry-after']), 0)
+        # Without an instance to wait for, clients are told at once.
+        waits = sorted(took_s for _, took_s in replies)
+        self.assertLess(waits[len(waits) // 2], 0.05)
 
 
 class LeavingTest(NoticeCase):
