Nodes tell each other of rests, and pass a resting instance over while others have room

Cause: a rest is asked of one node, so each node of many finds out each resting instance by a rejection of its own, with a second send each time. Ruled out: closing the instance for all nodes, as it asks one node and its room may be needed. Change: a node tells all others of a rest, once until one ends half a second later than known; they add its slots to the load that they see there, as after a failure of their own.

--- a/coursepitch/fleet/messages.py
+++ b/coursepitch/fleet/messages.py
@@ -33,10 +33,10 @@
     'ChangesRequest',
     'CrashesTold',
     'Heartbeat',
-    'LeavingTold',
     'LimitsTold',
     'LostTold',
     'Message',
+    'NoticesTold',
     'OtherLoads',
     'SendAnswered',
     'SendAsked',
@@ -71,7 +71,7 @@
 _LIMITS_TOLD = 7
 _SEND_ASKED = 8
 _SEND_ANSWERED = 9
-_LEAVING_TOLD = 10
+_NOTICES_TOLD = 10
 
 
 @dataclass(frozen=True, slots=True)
@@ -191,14 +191,18 @@
 
 
 @dataclass(frozen=True, slots=True)
-class LeavingTold:
-    """Instances that said in an answer that they leave.
+class NoticesTold:
+    """What instances said of themselves in answers.
 
-    :param starts: each with the Unix millisecond of the start that said so.
+    :param leaving: those that leave, each with the Unix millisecond of the start that
+        said so.
+    :param resting: those that asked a node for a rest, each with its start and the
+        seconds left.
     """
 
     node: str
-    starts: tuple[tuple[str, int], ...]
+    leaving: tuple[tuple[str, int], ...] = ()
+    resting: tuple[tuple[str, int, float], ...] = ()
 
 
 Message = (
@@ -206,9 +210,9 @@
     | Changes
     | ChangesRequest
     | CrashesTold
-    | LeavingTold
     | LimitsTold
     | LostTold
+    | NoticesTold
     | SendAnswered
     | SendAsked
     | TableRequest
@@ -303,9 +307,9 @@
         case LostTold():
             rows = [list(message.lost), list(message.answering)]
             return _pack([_LOST_TOLD, message.node, *rows])
-        case LeavingTold():
-            rows = [list(start) for start in message.starts]
-            return _pack([_LEAVING_TOLD, message.node, rows])
+        case NoticesTold():
+            rows = [list(message.leaving), list(message.resting)]
+            return _pack([_NOTICES_TOLD, message.node, *rows])
         case LimitsTold():
             rows = [encode_limit(row) for row in message.rows]
             return _pack([_LIMITS_TOLD, message.node, rows])
@@ -342,9 +346,8 @@
         if kind == _LOST_TOLD:
             lost, answering = (tuple(map(read_text, row)) for row in parts[1:])
             return LostTold(node, lost, answering)
-        if kind == _LEAVING_TOLD:
-            starts = ((read_text(name), int(born)) for name, born in parts[1])
-            return LeavingTold(node, tuple(starts))
+        if kind == _NOTICES_TOLD:
+            return _decode_notices(node, parts[1], parts[2])
         if kind == _LIMITS_TOLD:
             return LimitsTold(node, tuple(map(decode_limit, parts[1])))
         if kind == _SEND_ASKED:
@@ -365,6 +368,17 @@
     raise CodecError(f'message of a peer: kind {kind!r} is not known')
 
 
+def _decode_notices(node: str, leaving: Any, resting: Any) -> NoticesTold:
+    return NoticesTold(
+        node,
+        tuple((read_text(name), int(born)) for name, born in leaving),
+        tuple(
+            (read_text(name), int(born), float(left_s))
+            for name, born, left_s in resting
+        ),
+    )
+
+
 def _decode_heartbeat(parts: list[Any]) -> Heartbeat:
     state, sent_at, echo_incarnation, echo_at, wants_others, others = parts
     node, incarnation, revision, asked_at, heard, watching, *sums = cbor2.loads(state)
--- a/coursepitch/fleet/notices.py
+++ b/coursepitch/fleet/notices.py
@@ -2,15 +2,16 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 from coursepitch import events, log
-from coursepitch.fleet.messages import LeavingTold
+from coursepitch.fleet.messages import NoticesTold
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from coursepitch.clock import Clock
     from coursepitch.fleet.messages import Message
     from coursepitch.fleet.rate_limits import RateLimits
     from coursepitch.fleet.rests import InstanceRests
@@ -19,13 +20,19 @@
 
 __all__ = ['InstanceNotices']
 
+#: Least seconds by which a rest has to end later than known to be told to all nodes: a
+#: shorter one is about over when they hear of it, and what comes round by several
+#: links ends some tenths later each time.
+TOLD_REST_S = 0.5
+
 
 @dataclass(eq=False)
 class InstanceNotices:
     """Reads every answer of an instance: to requests, questions and orders.
 
-    A rest is asked of this node alone.  That an instance leaves is told to all nodes:
-    its entry may never say so, and the store may be away.
+    A rest is asked of this node alone; other nodes are told, and use the instance where
+    no other has room.  That an instance leaves is told to all nodes, as its entry may
+    never say so.
 
     :param me: name of this node.
     """
@@ -34,12 +41,16 @@
     view: FleetView
     limits: RateLimits
     rests: InstanceRests
+    clock: Clock
     #: Counts notices by kind.
     count: Callable[[str], None] = lambda kind: None
     #: Sends a message to one peer, or to all.
     tell: Callable[[Message, str], None] = lambda message, node: None
     #: Whether others count on this node to pass on what it hears.
     is_watching: Callable[[], bool] = lambda: False
+    #: Passes an instance over for some seconds where others have room.
+    avoid: Callable[[str, float], None] = lambda name, seconds: None
+    _told_until: dict[str, float] = field(default_factory=dict)
 
     def take(self, name: str, born: int, marks: AnswerMarks) -> None:
         """Take what an answer says of the instance that was asked.
@@ -53,18 +64,20 @@
         late = found is not None and found.born > born
         if late or (marks.misplaced and marks.instance != name):
             return
-        self._take_rest(name, marks)
+        self._take_rest(name, born, marks)
         if marks.leaving:
             self._take_leaving(name, born)
         if not marks.misplaced:
             self._take_limit(name, marks)
 
-    def _take_rest(self, name: str, marks: AnswerMarks) -> None:
+    def _take_rest(self, name: str, born: int, marks: AnswerMarks) -> None:
         if marks.rest_s is None and marks.damaged_rest is None:
             return
         self.count('rest' if marks.rest_s is not None else 'damaged')
         if marks.rest_s is not None:
             self.rests.note(name, marks.rest_s)
+            if self._is_news(name, marks.rest_s):
+                self.tell(NoticesTold(self.me, (), ((name, born, marks.rest_s),)), '')
         log.emit(
             events.INSTANCE_RESTING,
             instance=name,
@@ -72,9 +85,17 @@
             value=marks.damaged_rest,
         )
 
+    def _is_news(self, name: str, rest_s: float) -> bool:
+        """Whether other nodes don't know yet that an instance rests for so long."""
+        until = self.clock() + rest_s
+        if until < self._told_until.get(name, self.clock()) + TOLD_REST_S:
+            return False
+        self._told_until[name] = until
+        return True
+
     def _take_leaving(self, name: str, born: int) -> None:
         if self._note_leaving(name, born, self.me):
-            self.tell(LeavingTold(self.me, ((name, born),)), '')
+            self.tell(NoticesTold(self.me, ((name, born),)), '')
 
     def _note_leaving(self, name: str, born: int, told_by: str) -> bool:
         """Note an instance that leaves; return whether it is news."""
@@ -105,18 +126,32 @@
 
     # -- what peers tell -------------------------------------------------------------
 
-    def take_told(self, told: LeavingTold) -> None:
+    def take_told(self, told: NoticesTold) -> None:
         """Take what a peer told; pass news on if others count on that."""
-        news = tuple(
+        leaving = tuple(
             (name, born)
-            for name, born in told.starts
+            for name, born in told.leaving
             if self._note_leaving(name, born, told.node)
         )
-        if news and self.is_watching():
-            self.tell(LeavingTold(self.me, news), '')
+        resting = tuple(row for row in told.resting if self._take_told_rest(*row))
+        if (leaving or resting) and self.is_watching():
+            self.tell(NoticesTold(self.me, leaving, resting), '')
+
+    def _take_told_rest(self, name: str, born: int, rest_s: float) -> bool:
+        """Take that an instance asked a peer for a rest; return whether it is news."""
+        found = self.view.instances.get(name)
+        if found is None or found.born != born or not self._is_news(name, rest_s):
+            return False
+        self.avoid(name, rest_s)
+        return True
 
     def greet(self, node: str) -> None:
         """Tell a peer whose link came up of all instances that leave."""
         starts = self.view.leaving.list_all()
         if starts:
-            self.tell(LeavingTold(self.me, starts), node)
+            self.tell(NoticesTold(self.me, starts), node)
+
+    def forget(self, present: set[str]) -> None:
+        """Drop what is known of instances that are gone."""
+        for name in [name for name in self._told_until if name not in present]:
+            del self._told_until[name]
--- a/coursepitch/fleet/session.py
+++ b/coursepitch/fleet/session.py
@@ -25,9 +25,9 @@
     ChangesRequest,
     CrashesTold,
     Heartbeat,
-    LeavingTold,
     LimitsTold,
     LostTold,
+    NoticesTold,
     SendAnswered,
     SendAsked,
     TableRequest,
@@ -159,8 +159,8 @@
         self.pass_on: Callable[[Changes, str], None] = lambda changes, sender: None
         #: Takes reports of crashes.
         self.take_crashes: Callable[[CrashesTold], None] = lambda told: None
-        #: Takes what peers tell of instances that leave.
-        self.take_leaving: Callable[[LeavingTold], None] = lambda told: None
+        #: Takes what peers tell of instances that leave or rest.
+        self.take_notices: Callable[[NoticesTold], None] = lambda told: None
         #: Lets the next heartbeat leave at once.
         self.tell_now: Callable[[], None] = lambda: None
         #: Whether other nodes count on this one to tell them of changes.
@@ -384,8 +384,8 @@
                 self.take_crashes(message)
             case LostTold():
                 self.losses.take(message)
-            case LeavingTold():
-                self.take_leaving(message)
+            case NoticesTold():
+                self.take_notices(message)
                 self.wake()
             case LimitsTold():
                 self.limits.take(message)
--- a/coursepitch/gateway/board.py
+++ b/coursepitch/gateway/board.py
@@ -82,6 +82,11 @@
         hold_s = min(MOST_HOLD_S, HOLD_S * 2 ** min(record.failures - 1, 8))
         record.held_until = self.clock() + hold_s
 
+    def hold(self, instance: str, seconds: float) -> None:
+        """Pass an instance over for some seconds, as another node was turned away."""
+        record = self._record(instance)
+        record.held_until = max(record.held_until, self.clock() + seconds)
+
     def note_success(self, instance: str, slowness: float | None = None) -> None:
         """Note a good answer.
 
--- a/coursepitch/gateway_application.py
+++ b/coursepitch/gateway_application.py
@@ -121,7 +121,7 @@
         self.session.permits.count = self._count_permit
         self.notices.tell = self.links.tell
         self.notices.is_watching = self.session.is_watching
-        self.session.take_leaving = self.notices.take_told
+        self.session.take_notices = self.notices.take_told
         self.session.pass_on = self.links.pass_on
         self.session.tell_now = self.links.tell_now
         self.session.is_followed = self.links.is_followed
@@ -135,6 +135,7 @@
         )
         self._wire_reports()
         self.board = LoadBoard(clock, self.session.book.count)
+        self.notices.avoid = self.board.hold
         self.session.view.tell_restart = self._note_restart
         self.watchdog = Watchdog(self.session, self.control, clock)
         self.gate = SendGate(
@@ -186,7 +187,12 @@
         session = self.session
         name = self.settings.node.name
         return InstanceNotices(
-            name, session.view, session.limits, self.rests, self._count_notice
+            name,
+            session.view,
+            session.limits,
+            self.rests,
+            self.clock,
+            self._count_notice,
         )
 
     def _find_born(self, instance: str) -> int:
@@ -356,6 +362,7 @@
             self.session.limits.forget(present)
             self.session.permits.forget(present)
             self.rests.forget(present)
+            self.notices.forget(present)
 
     async def _wait_stop(self) -> None:
         """Return on SIGTERM; read the settings anew on SIGHUP."""
--- a/tests/fleet/test_notices.py
+++ b/tests/fleet/test_notices.py
@@ -5,7 +5,7 @@
 import unittest
 from unittest import mock
 
-from coursepitch.fleet.messages import LeavingTold, decode_message, encode_message
+from coursepitch.fleet.messages import NoticesTold, decode_message, encode_message
 from coursepitch.fleet.notices import InstanceNotices
 from coursepitch.fleet.rate_limits import RateLimits
 from coursepitch.fleet.rests import InstanceRests
@@ -29,9 +29,10 @@
         self.view = build_view([build_instance('a', born=5)])
         self.counts = []
         limits = RateLimits('n1', 1, lambda: 100.0)
-        self.rests = InstanceRests(lambda: 100.0)
+        self.now = 100.0
+        self.rests = InstanceRests(lambda: self.now)
         self.notices = InstanceNotices(
-            'n1', self.view, limits, self.rests, self.counts.append
+            'n1', self.view, limits, self.rests, lambda: self.now, self.counts.append
         )
         self.told = []
         self.notices.tell = lambda message, node: self.told.append((message, node))
@@ -57,7 +58,7 @@
         self.assertEqual(self.counts, ['leaving'])
         fields = self.emit.call_args.kwargs
         self.assertEqual((fields['born'], fields['listed_leaving']), (5, False))
-        self.assertEqual(self.told, [(LeavingTold('n1', (('a', 5),)), '')])
+        self.assertEqual(self.told, [(NoticesTold('n1', (('a', 5),)), '')])
 
     def test_answer_of_another_instance_says_nothing(self):
         headers = {'server_leaving': '1', 'server_limit': '1'}
@@ -77,24 +78,51 @@
         self.assertFalse(self.rests.is_closed('a'))
 
     def test_relay_passes_on_what_is_news(self):
-        told = LeavingTold('n2', (('a', 5),))
+        told = NoticesTold('n2', (('a', 5),))
         self.notices.take_told(told)
         self.notices.take_told(told)
         self.assertFalse(self.view.takes_requests('a'))
         self.assertEqual((self.counts, self.told), (['leaving'], []))
         self.notices.is_watching = lambda: True
-        more = LeavingTold('n2', (('a', 5), ('b', 7)))
+        more = NoticesTold('n2', (('a', 5), ('b', 7)))
         self.notices.take_told(more)
-        self.assertEqual(self.told, [(LeavingTold('n1', (('b', 7),)), '')])
+        self.assertEqual(self.told, [(NoticesTold('n1', (('b', 7),)), '')])
 
     def test_peer_whose_link_came_up_is_told_all(self):
         self.notices.greet('n5')
         self.assertEqual(self.told, [])
-        self.notices.take_told(LeavingTold('n2', (('a', 5), ('b', 7))))
+        self.notices.take_told(NoticesTold('n2', (('a', 5), ('b', 7))))
         self.notices.greet('n5')
-        self.assertEqual(self.told, [(LeavingTold('n1', (('a', 5), ('b', 7))), 'n5')])
+        self.assertEqual(self.told, [(NoticesTold('n1', (('a', 5), ('b', 7))), 'n5')])
 
     def test_message_comes_as_it_was_sent(self):
-        for starts in ((), (('a', 5),), (('a', 0), ('b', 1_769_994_961_810))):
-            message = LeavingTold('n1', starts)
+        for rows in (
+            (),
+            ((('a', 5),),),
+            ((('a', 0), ('b', 1_769_994_961_810)), (('c', 1, 0.5),)),
+        ):
+            message = NoticesTold('n1', *rows)
             self.assertEqual(decode_message(encode_message(message)), message)
+
+    def test_rest_is_told_to_all_until_they_know_of_one_that_ends_as_late(self):
+        for rest_s in ('3', '0.4', '3'):
+            self.notices.take('a', 5, read_marks(503, retry_after=rest_s))
+            self.now += 0.2
+        self.assertEqual(self.told, [(NoticesTold('n1', (), (('a', 5, 3.0),)), '')])
+        self.now += 0.2
+        self.notices.take('a', 5, read_marks(503, retry_after='3'))
+        self.assertEqual(len(self.told), 2)
+
+    def test_short_rest_is_not_told(self):
+        self.notices.take('a', 5, read_marks(503, retry_after='0.4'))
+        self.assertEqual(self.told, [])
+
+    def test_rest_that_a_peer_was_asked_for_makes_an_instance_dearer(self):
+        avoided = []
+        self.notices.avoid = lambda name, seconds: avoided.append((name, seconds))
+        self.notices.is_watching = lambda: True
+        rows = (('a', 5, 3.0), ('a', 5, 3.2), ('a', 4, 9.0), ('b', 7, 3.0))
+        self.notices.take_told(NoticesTold('n2', (), rows))
+        self.assertEqual(avoided, [('a', 3.0)])
+        self.assertFalse(self.rests.is_closed('a'))
+        self.assertEqual(self.told, [(NoticesTold('n1', (), (('a', 5, 3.0),)), '')])
--- /dev/null
+++ b/tests/gateway/test_rests_at_size.py
@@ -0,0 +1,62 @@
+"""Rests over all nodes of a fleet, by the decisions of each."""
+
+from __future__ import annotations
+
+import unittest
+from types import SimpleNamespace
+from unittest import mock
+
+from tests.gateway.simulated_rests import REST_S, TROUBLE_S, SimulatedFleet
+
+#: Part of the requests that second sends may come to, as users state.
+RETRY_RATIO = 0.2
+
+#: Nodes, instances, requests a second, and instances that reject all.
+SIZES = ((9, 14, 65, 4), (89, 27, 203, 8), (300, 100, 1000, 30))
+
+
+class RestsAtSizeTest(unittest.TestCase):
+    """A third of the instances turn requests away and ask for rests."""
+
+    def setUp(self):
+        patcher = mock.patch('coursepitch.log.emit')
+        patcher.start()
+        self.addCleanup(patcher.stop)
+
+    def test_second_sends_stay_within_the_budget_of_all_nodes(self):
+        for nodes, instances, rate, bad in SIZES:
+            with self.subTest(nodes=nodes):
+                found = SimulatedFleet(nodes, instances, 1).run(rate, bad)
+                allowed = RETRY_RATIO * found.requests
+                self.assertLessEqual(found.second_sends, allowed)
+                self.assertEqual(found.unserved, 0)
+
+    def test_no_node_sends_in_a_rest_when_all_instances_turn_requests_away(self):
+        fleet = SimulatedFleet(9, 14, 2)
+        ends = {}
+
+        def follow(node, note):
+            def follow_note(name, rest_s):
+                end = fleet.now + rest_s
+                ends[node, name] = max(end, ends.get((node, name), 0.0))
+                note(name, rest_s)
+
+            return follow_note
+
+        def check(row):
+            now, node, name = row
+            self.assertGreaterEqual(now, ends.get((node, name), 0.0))
+
+        for node in fleet.nodes:
+            node.gate.rests.note = follow(node, node.gate.rests.note)
+        fleet.sends = SimpleNamespace(append=check)
+        found = fleet.run(200, 14, 2 * REST_S)
+        self.assertGreater(found.rejections, 0)
+
+    def test_fewer_are_turned_away_again_with_one_request_first_after_a_rest(self):
+        counts = {}
+        for tries in (False, True):
+            fleet = SimulatedFleet(9, 14, 3, tries=tries)
+            counts[tries] = fleet.run(220, 14, TROUBLE_S)
+        self.assertLess(counts[True].rejections, counts[False].rejections)
+        self.assertLessEqual(counts[True].unserved, counts[False].unserved)
--- a/tests/gateway/test_send_gate.py
+++ b/tests/gateway/test_send_gate.py
@@ -15,7 +15,7 @@
     rule,
 )
 
-from coursepitch.fleet.messages import LeavingTold
+from coursepitch.fleet.messages import NoticesTold
 from coursepitch.fleet.notices import InstanceNotices
 from coursepitch.fleet.rate_limits import RateLimits
 from coursepitch.fleet.rests import InstanceRests
@@ -51,7 +51,7 @@
         granter = SendGranter(self.limits, lambda: 1, clock)
         permits = SendPermits('n1', self.limits, granter, lambda: 'n1', clock)
         self.rests = InstanceRests(clock)
-        self.notices = InstanceNotices('n1', self.view, self.limits, self.rests)
+        self.notices = InstanceNotices('n1', self.view, self.limits, self.rests, clock)
         self.counts = []
         self.gate = SendGate(
             self.view, self.rests, permits, self.counts.append, lambda: 0.0
@@ -292,7 +292,7 @@
         """A peer tells of this start, or of an earlier one."""
         born = self.born[name] - (not present)
         self.leaving.add((name, born))
-        self.node.notices.take_told(LeavingTold('n2', ((name, born),)))
+        self.node.notices.take_told(NoticesTold('n2', ((name, born),)))
 
     @rule(name=strategies.sampled_from(FEW), event=STORE_EVENTS)
     def hear_from_store(self, name, event):
