A failure that promises the request did not run is passed on for no stream

What callers saw: a stream answered 503, 429, 408 or 421 without the instance's mark that it did not run it reached the client as it was, with Retry-After, so the client could send again what may run once only. Cause: the rule that plain calls keep was missing for streams; found while looking for whose Retry-After reaches a client. Ruled out: answers with the mark, which count as not run and are never passed on. Change: one set of statuses for both; such an answer ends as 502, or another run where allowed.

--- a/coursepitch/gateway/attempts.py
+++ b/coursepitch/gateway/attempts.py
@@ -28,6 +28,7 @@
     from coursepitch.http.client import Answer, Connection
 
 __all__ = [
+    'PROMISING',
     'Attempt',
     'Result',
     'SendPlan',
@@ -73,6 +74,9 @@
     return max(2, int(service.connections * CONNECTION_PART / max(1, nodes)))
 
 
+#: Statuses that promise a client that its request did not run.
+PROMISING = frozenset({408, 421, 429, 503})
+
 #: Largest body in bytes of an answer that is read only to be dropped.
 REJECTION_BYTES = 65_536
 
--- a/coursepitch/gateway/calls.py
+++ b/coursepitch/gateway/calls.py
@@ -8,6 +8,7 @@
 
 from coursepitch import events, log
 from coursepitch.gateway.attempts import (
+    PROMISING,
     SendPlan,
     refuse_unsent,
     send_attempt,
@@ -193,8 +194,8 @@
         if failed and again and self._parts.clock() < job.limit_at:
             job.last_reason = f'answered with {answer.status}'
             return False
-        if answer.status in (408, 421, 429, 503):
-            # These would promise that it did not run, which is not known.
+        if answer.status in PROMISING:
+            # Whether it ran is not known.
             job.last_reason = f'answered with {answer.status}'
             return False
         job.status, job.ending = answer.status, Ending.ANSWERED
--- a/coursepitch/gateway/streams.py
+++ b/coursepitch/gateway/streams.py
@@ -8,6 +8,7 @@
 
 from coursepitch import events, log
 from coursepitch.gateway.attempts import (
+    PROMISING,
     SendPlan,
     refuse_unsent,
     send_attempt,
@@ -333,7 +334,9 @@
         self._parts.board.note_failure(group.head.name)
         body = await _read_failure(answer)
         again = job.route.repeatable and self._may_repeat(job) and answer.status >= 500
-        if body is None or job.reply.started or again:
+        # Whether it ran is not known.
+        untrue = answer.status in PROMISING
+        if body is None or job.reply.started or again or untrue:
             job.last_reason = f'answered with {answer.status}'
             return False
         job.status, job.ending = answer.status, Ending.ANSWERED
--- a/tests/gateway/test_truthful.py
+++ b/tests/gateway/test_truthful.py
@@ -5,6 +5,7 @@
 import unittest
 from types import SimpleNamespace
 
+import anyio
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -64,6 +65,27 @@
         refusal = gateway._end_late(build_job(sent, (), 0.0))
         self.assertEqual(refusal.status in PROMISES, not sent)
 
+    @given(status=st.sampled_from(sorted({400, 500, 502} | PROMISES)))
+    def test_failure_of_an_instance_that_may_have_run_it(self, status):
+        async def read_whole(limit):
+            return b''
+
+        sent = []
+
+        async def send_whole(code, headers, body):
+            sent.append(code)
+
+        board = SimpleNamespace(note_failure=lambda name: None)
+        parts = SimpleNamespace(**vars(self.parts), board=board)
+        job = build_job(['a'], ['a'], 5.0)
+        job.route.repeatable = False
+        job.reply.send_whole = send_whole
+        answer = SimpleNamespace(status=status, headers=(), read_whole=read_whole)
+        group = SimpleNamespace(head=build_instance('a'))
+        server = StreamServer(parts, None)
+        anyio.run(server._pass_failure, job, group, answer)
+        self.assertEqual(sent, [] if status in PROMISES else [status])
+
 
 if __name__ == '__main__':
     unittest.main()
