A soak of real processes: nodes, instances and the store go wrong, checkers look on

Cause: the checkers had no run to look at, and no test let nodes die, stand still and start again while instances rest and leave. Ruled out: nothing. Change: a seed draws faults that overlap (kill, stop, freeze, store, rests, leaving told in answers, in the store or not at all, crashes); clients keep their connections and come back when told. Two checkers are new, rests and told leaving, with tests that see them fire.

--- a/soak/checkers.py
+++ b/soak/checkers.py
@@ -15,7 +15,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
 
-    from soak.history import History
+    from soak.history import History, Run
 
 __all__ = ['CHECKERS', 'Bounds', 'Finding', 'Verdict', 'check_all']
 
@@ -29,6 +29,9 @@
     :param retry_ratio: second sends allowed, as a part of the calls in a window.
     :param retry_extra: second sends allowed beside these.
     :param retry_window_s: length of the window in seconds.
+    :param contact_s: seconds after trouble within which nodes act on what is new.
+    :param under_way_s: seconds for which requests may be on their way.
+    :param most_in_rest: requests of a node to an instance in a rest after that.
     """
 
     drain_s: float = 2.0
@@ -36,6 +39,9 @@
     retry_ratio: float = 0.2
     retry_extra: int = 100
     retry_window_s: float = 10.0
+    contact_s: float = 3.0
+    under_way_s: float = 0.5
+    most_in_rest: int = 2
 
 
 @dataclass(frozen=True, slots=True)
@@ -116,6 +122,15 @@
 def check_leaving(history: History, bounds: Bounds) -> Verdict:
     """Instances that left get nothing after the time that users allow."""
     left = {item.instance: item.acknowledged_at for item in history.left}
+    nodes = {call.id: call.node for call in history.calls}
+
+    def is_excused(run: Run) -> bool:
+        since = left[run.instance] - bounds.contact_s
+        return any(
+            history.was_disturbed(node, since, run.arrived_at)
+            for node in ('', nodes.get(run.call, ''))
+        )
+
     findings = [
         Finding(
             run.call,
@@ -123,11 +138,64 @@
             f'{run.arrived_at - left[run.instance]:.3f} s after {run.instance} left',
         )
         for run in history.runs
-        if run.instance in left and run.arrived_at > left[run.instance] + bounds.drain_s
+        if run.instance in left
+        and run.arrived_at > left[run.instance] + bounds.drain_s
+        and not is_excused(run)
     ]
     return Verdict('leaving', len(left), tuple(findings))
 
 
+def check_rests(history: History, bounds: Bounds) -> Verdict:
+    """An instance gets next to nothing from a node while it asked it for a rest."""
+    looked_at = 0
+    findings = []
+    for (node, instance), runs in _group_runs(history).items():
+        for asked in runs:
+            first = asked.arrived_at + bounds.under_way_s
+            last = asked.arrived_at + asked.rest_s
+            if last <= first or history.was_disturbed(node, asked.arrived_at, last):
+                continue
+            looked_at += 1
+            count = sum(first < run.arrived_at < last for run in runs)
+            if count > bounds.most_in_rest:
+                text = f'{count} requests of {node} in a rest of {asked.rest_s} s'
+                findings.append(Finding(instance, asked.arrived_at, text))
+    return Verdict('rests', looked_at, tuple(findings))
+
+
+def check_told_leaving(history: History, bounds: Bounds) -> Verdict:
+    """A node that passed on that an instance leaves sends it nothing much later."""
+    calls = history.map_calls()
+    looked_at = 0
+    findings = []
+    for (node, instance), runs in _group_runs(history).items():
+        told = [calls[run.call] for run in runs if run.told_leaving]
+        passed = [call.ended_at for call in told if call.ending is Ending.WHOLE]
+        if not passed:
+            continue
+        looked_at += 1
+        known_at = min(passed)
+        for run in runs:
+            sent_at = calls[run.call].sent_at
+            late = sent_at > known_at + bounds.drain_s
+            if late and not history.was_disturbed(node, known_at, run.arrived_at):
+                text = (
+                    f'sent {sent_at - known_at:.3f} s after {node} knew that it leaves'
+                )
+                findings.append(Finding(instance, run.arrived_at, text))
+    return Verdict('told leaving', looked_at, tuple(findings))
+
+
+def _group_runs(history: History) -> dict[tuple[str, str], list[Run]]:
+    """Return the arrivals by the node that sent them and the instance."""
+    nodes = {call.id: call.node for call in history.calls}
+    groups: dict[tuple[str, str], list[Run]] = defaultdict(list)
+    for run in history.runs:
+        if run.call in nodes:
+            groups[nodes[run.call], run.instance].append(run)
+    return groups
+
+
 def check_keys(history: History, bounds: Bounds) -> Verdict:
     """Keys that were taken away run nothing after the time that users allow."""
     gone_at = _find_keys_gone(history)
@@ -205,6 +273,8 @@
     check_runs_once,
     check_refusals,
     check_leaving,
+    check_rests,
+    check_told_leaving,
     check_keys,
     check_second_sends,
 )
--- /dev/null
+++ b/soak/driver.py
@@ -0,0 +1,226 @@
+"""One run: processes are started, faults come in their order, and all is recorded."""
+
+from __future__ import annotations
+
+import signal
+import subprocess
+import threading
+import time
+from typing import TYPE_CHECKING
+
+from soak.clients import Client
+from soak.history import Call, Disturbed, History, Left, Run
+from soak.plan import FaultKind, draw_plan
+from tests.whole.platform_base import KEY, PlatformCase
+
+if TYPE_CHECKING:
+    from soak.plan import Fault
+
+__all__ = ['SoakRun']
+
+#: Clients of a run, by node.
+CLIENTS = 2
+
+#: Seconds until a process that was killed or stopped is started again.
+START_AFTER_S = 0.5
+
+#: Seconds that a stopped process has to end by itself.
+STOP_S = 9.0
+
+#: Seconds for which a run goes on after its last fault.
+SETTLE_S = 4.0
+
+
+class _System(PlatformCase):
+    """Store, instances and nodes as processes."""
+
+    events = 5
+
+
+class SoakRun:
+    """A run of some seconds under faults that a seed decides.
+
+    :param count: number of nodes.
+    """
+
+    def __init__(self, seed: int, seconds: float, count: int) -> None:
+        self._seed = seed
+        self._seconds = seconds
+        self._names = tuple(f'n{number}' for number in range(1, count + 1))
+        self._disturbed: list[Disturbed] = []
+        self._left: list[Left] = []
+        self._away: set[str] = set()
+        self._lock = threading.Lock()
+        self._tasks: list[threading.Thread] = []
+        self._pause = threading.Event()
+
+    def run(self) -> History:
+        """Run it and return what was recorded."""
+        _System.nodes = self._names
+        _System.setUpClass()
+        try:
+            return self._run()
+        finally:
+            _System.doClassCleanups()
+
+    def _run(self) -> History:
+        clients = [
+            Client(
+                f'{name}c{number}', f'{self._seed}/{name}/{number}', KEY, 5, self._find
+            )
+            for name in self._names
+            for number in range(CLIENTS)
+        ]
+        began_at = time.monotonic()
+        for client in clients:
+            client.start()
+        for fault in draw_plan(self._seed, self._seconds):
+            self._pause.wait(max(0.0, began_at + fault.at - time.monotonic()))
+            self._begin(fault)
+        for task in self._tasks:
+            task.join()
+        self._pause.wait(SETTLE_S)
+        for client in clients:
+            client.end()
+        calls = sorted(
+            (call for client in clients for call in client.calls),
+            key=lambda call: call.sent_at,
+        )
+        return self._collect(calls)
+
+    def _collect(self, calls: list[Call]) -> History:
+        runs = [
+            Run(
+                visit['request'],
+                name,
+                service,
+                visit['at'],
+                visit['ran'],
+                float(visit['rest'] or 0),
+                visit['leaving'],
+            )
+            for service in ('pool', 'api')
+            for name, item in _System.stats(service).items()
+            for visit in item['visits']
+        ]
+        runs.sort(key=lambda run: run.arrived_at)
+        return History(
+            tuple(calls),
+            tuple(runs),
+            tuple(self._left),
+            disturbed=tuple(self._disturbed),
+        )
+
+    def _find(self, choice: float) -> tuple[str, str]:
+        """Return the name and the URL of a node."""
+        name = self._names[int(choice * len(self._names))]
+        return name, _System.running[name].url
+
+    # -- faults ------------------------------------------------------------------
+
+    def _begin(self, fault: Fault) -> None:
+        """Let a fault begin and end, beside others."""
+        kinds = {
+            FaultKind.KILL: self._end_node,
+            FaultKind.STOP: self._end_node,
+            FaultKind.FREEZE: self._freeze,
+            FaultKind.STORE: self._trouble_store,
+            FaultKind.REST: self._rest,
+            FaultKind.LEAVE: self._leave,
+            FaultKind.DRAIN: self._leave,
+            FaultKind.CRASH: self._leave,
+        }
+        task = threading.Thread(target=kinds[fault.kind], args=(fault,))
+        task.start()
+        self._tasks.append(task)
+
+    def _take(self, names: list[str], choice: float) -> str:
+        """Return one that no other fault concerns now, and keep it; empty for none."""
+        with self._lock:
+            free = [name for name in names if name not in self._away]
+            # Half of them stay, so that something is left to serve.
+            if len(free) <= len(names) / 2:
+                return ''
+            name = free[int(choice * len(free))]
+            self._away.add(name)
+            return name
+
+    def _give_back(self, name: str) -> None:
+        with self._lock:
+            self._away.discard(name)
+
+    def _note(self, node: str, since: float) -> None:
+        self._disturbed.append(Disturbed(node, since, time.monotonic()))
+
+    def _end_node(self, fault: Fault) -> None:
+        """Kill or stop a node's process, and start it again."""
+        name = self._take(list(self._names), fault.choice)
+        if not name:
+            return
+        since = time.monotonic()
+        node = _System.running[name]
+        killed = fault.kind is FaultKind.KILL
+        node.process.send_signal(signal.SIGKILL if killed else signal.SIGTERM)
+        try:
+            node.process.wait(STOP_S)
+        except subprocess.TimeoutExpired:
+            node.process.kill()
+            node.process.wait()
+        self._pause.wait(START_AFTER_S)
+        node.start_again()
+        _System.wait_for(node.has_started_again, f'{name} listens')
+        self._note(name, since)
+        self._give_back(name)
+
+    def _freeze(self, fault: Fault) -> None:
+        """Let a node's process stand still for a while."""
+        name = self._take(list(self._names), fault.choice)
+        if not name:
+            return
+        since = time.monotonic()
+        process = _System.running[name].process
+        process.send_signal(signal.SIGSTOP)
+        self._pause.wait(fault.length_s)
+        process.send_signal(signal.SIGCONT)
+        self._note(name, since)
+        self._give_back(name)
+
+    def _trouble_store(self, fault: Fault) -> None:
+        """Let the store answer nothing, or nobody, for a while."""
+        if not self._take(['store'], 0.0):
+            return
+        since = time.monotonic()
+        _System.set_store_fault(mode='down' if fault.choice < 0.5 else 'refuse')
+        self._pause.wait(fault.length_s)
+        _System.set_store_fault(mode='none')
+        self._note('', since)
+        self._give_back('store')
+
+    def _list_present(self, service: str) -> list[str]:
+        stats = _System.stats(service)
+        return sorted(name for name, item in stats.items() if not item['crashed'])
+
+    def _rest(self, fault: Fault) -> None:
+        """Let a part of a service's instances turn requests away and ask for rests."""
+        present = self._list_present(fault.service)
+        count = max(1, round(fault.share * len(present)))
+        start = int(fault.choice * len(present))
+        chosen = (present + present)[start : start + count]
+        rest = str(fault.rest_s)
+        _System.control(fault.service, '/rest', instances=chosen, rest=rest)
+        self._pause.wait(fault.length_s)
+        _System.control(fault.service, '/rest', instances=chosen, rest=None)
+
+    def _leave(self, fault: Fault) -> None:
+        """Let an instance end: announced in answers, in the store, or not at all."""
+        name = self._take(self._list_present(fault.service), fault.choice)
+        if not name:
+            return
+        if fault.kind is FaultKind.LEAVE:
+            _System.control(fault.service, '/leave', instances=[name])
+        elif fault.kind is FaultKind.DRAIN:
+            _System.control(fault.service, '/drain', instances=[name])
+            self._left.append(Left(name, time.monotonic()))
+        if fault.kind is not FaultKind.CRASH:
+            self._pause.wait(fault.length_s)
+        _System.control(fault.service, '/crash', instances=[name])
--- a/soak/history.py
+++ b/soak/history.py
@@ -8,7 +8,7 @@
 import enum
 from dataclasses import dataclass, field
 
-__all__ = ['Acknowledged', 'Call', 'Ending', 'History', 'Left', 'Run']
+__all__ = ['Acknowledged', 'Call', 'Disturbed', 'Ending', 'History', 'Left', 'Run']
 
 
 class Ending(enum.Enum):
@@ -30,6 +30,7 @@
     :param answered_for: id that the answer named; empty without one.
     :param events: numbers of the events that came, in their order.
     :param expected: events that the whole answer has.
+    :param node: node that it was sent to.
     """
 
     id: str
@@ -42,6 +43,7 @@
     answered_for: str = ''
     events: tuple[int, ...] = ()
     expected: int = 0
+    node: str = ''
 
 
 @dataclass(frozen=True, slots=True)
@@ -49,6 +51,8 @@
     """A request that arrived at an instance.
 
     :param executed: whether the instance began work on it.
+    :param rest_s: seconds for which it asked for no more in answer; 0 for none.
+    :param told_leaving: whether it said in answer that it leaves.
     """
 
     call: str
@@ -56,6 +60,8 @@
     service: str
     arrived_at: float
     executed: bool = True
+    rest_s: float = 0.0
+    told_leaving: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -78,6 +84,18 @@
     keys: frozenset[str] = frozenset()
 
 
+@dataclass(frozen=True, slots=True)
+class Disturbed:
+    """A node that was ended, started or stood still, or the store in trouble.
+
+    :param node: empty for the store.
+    """
+
+    node: str
+    since: float
+    until: float
+
+
 @dataclass(frozen=True, slots=True)
 class History:
     """All that was recorded of a run, each part in the order of its times."""
@@ -86,7 +104,15 @@
     runs: tuple[Run, ...] = ()
     left: tuple[Left, ...] = ()
     configurations: tuple[Acknowledged, ...] = field(default=())
+    disturbed: tuple[Disturbed, ...] = ()
 
     def map_calls(self) -> dict[str, Call]:
         """Return the calls by their ids."""
         return {call.id: call for call in self.calls}
+
+    def was_disturbed(self, node: str, since: float, until: float) -> bool:
+        """Whether a node was disturbed in a time; of no name, the store."""
+        return any(
+            item.node == node and item.since <= until and item.until >= since
+            for item in self.disturbed
+        )
--- /dev/null
+++ b/soak/plan.py
@@ -0,0 +1,89 @@
+"""What goes wrong in a run, drawn from its seed."""
+
+from __future__ import annotations
+
+import enum
+import random
+from dataclasses import dataclass
+
+__all__ = ['Fault', 'FaultKind', 'draw_plan']
+
+#: Seconds between two faults, at least and at most: they overlap.
+GAP_S = (0.3, 2.5)
+
+#: Seconds that a fault lasts, at least and at most.
+LENGTH_S = (0.3, 4.0)
+
+#: Seconds of the rests that instances ask for.
+RESTS_S = (0.7, 1.5, 3.0)
+
+#: Seconds from an instance's word that it leaves until it ends.
+LEAVING_S = (2.5, 4.0)
+
+
+class FaultKind(enum.Enum):
+    """What happens."""
+
+    KILL = 'kill'
+    FREEZE = 'freeze'
+    STOP = 'stop'
+    STORE = 'store'
+    REST = 'rest'
+    LEAVE = 'leave'
+    DRAIN = 'drain'
+    CRASH = 'crash'
+
+
+#: How often each kind is drawn.
+WEIGHTS = {
+    FaultKind.KILL: 2,
+    FaultKind.FREEZE: 2,
+    FaultKind.STOP: 1,
+    FaultKind.STORE: 2,
+    FaultKind.REST: 6,
+    FaultKind.LEAVE: 3,
+    FaultKind.DRAIN: 2,
+    FaultKind.CRASH: 1,
+}
+
+
+@dataclass(frozen=True, slots=True)
+class Fault:
+    """One fault.
+
+    :param at: seconds from the start of the run.
+    :param choice: from 0 to 1; chooses a node, or instances.
+    :param share: part of the instances that it concerns, from 0 to 1.
+    :param rest_s: seconds of the rests that instances ask for.
+    """
+
+    at: float
+    kind: FaultKind
+    length_s: float
+    service: str
+    choice: float
+    share: float
+    rest_s: float
+
+
+def draw_plan(seed: int, seconds: float) -> list[Fault]:
+    """Return the faults of a run, in their order."""
+    chance = random.Random(seed)
+    faults = []
+    at = chance.uniform(*GAP_S)
+    while at < seconds:
+        kind = chance.choices(list(WEIGHTS), list(WEIGHTS.values()))[0]
+        leaving = kind in (FaultKind.LEAVE, FaultKind.DRAIN)
+        faults.append(
+            Fault(
+                at,
+                kind,
+                chance.uniform(*(LEAVING_S if leaving else LENGTH_S)),
+                chance.choice(('pool', 'api')),
+                chance.random(),
+                chance.random(),
+                chance.choice(RESTS_S),
+            )
+        )
+        at += chance.uniform(*GAP_S)
+    return faults
--- a/tests/soak/test_checkers.py
+++ b/tests/soak/test_checkers.py
@@ -13,10 +13,12 @@
     check_leaving,
     check_own_answers,
     check_refusals,
+    check_rests,
     check_runs_once,
     check_second_sends,
+    check_told_leaving,
 )
-from soak.history import Acknowledged, Ending, History, Left
+from soak.history import Acknowledged, Disturbed, Ending, History, Left
 from tests.soak.builders import build_call, build_run
 
 BOUNDS = Bounds()
@@ -70,6 +72,45 @@
         soon = build_run(arrived_at=9.9 + BOUNDS.drain_s)
         self.assert_proves(check_leaving, History((), (soon,), left))
 
+    def test_arrival_at_an_instance_that_left_while_the_store_was_away(self):
+        late = build_run(arrived_at=10.1 + BOUNDS.drain_s)
+        away = (Disturbed('', 9.0, 11.0),)
+        history = History((), (late,), (Left('i', 10.0),), (), away)
+        self.assert_proves(check_leaving, history)
+
+    def test_arrivals_in_a_rest(self):
+        times = (10.0, 10.4, 11.0, 12.0, 12.9)
+        calls = tuple(build_call(f'c{n}', at, node='n1') for n, at in enumerate(times))
+        asked = build_run('c0', arrived_at=10.0, executed=False, rest_s=3.0)
+        later = [build_run(call.id, arrived_at=call.sent_at) for call in calls[1:]]
+        history = History(calls, (asked, *later))
+        self.assert_fires(check_rests, history, 'i')
+        self.assert_proves(check_rests, History(calls, (asked, *later[:-1])))
+        stopped = (Disturbed('n1', 9.0, 10.1),)
+        verdict = check_rests(
+            History(calls, (asked, *later), disturbed=stopped), BOUNDS
+        )
+        self.assertEqual((verdict.looked_at, verdict.findings), (0, ()))
+        other = tuple(
+            build_call(call.id, call.sent_at, node='n2') for call in calls[1:]
+        )
+        self.assert_proves(check_rests, History((calls[0], *other), (asked, *later)))
+
+    def test_call_that_is_sent_to_an_instance_long_after_it_said_that_it_leaves(self):
+        first = build_call('c', 10.0, node='n1')
+        soon = build_call('d', 10.9 + BOUNDS.drain_s, node='n1')
+        late = build_call('e', 11.1 + BOUNDS.drain_s, node='n1')
+        runs = [
+            build_run(call.id, arrived_at=call.sent_at, told_leaving=True)
+            for call in (first, soon, late)
+        ]
+        calls = (first, soon, late)
+        self.assert_fires(check_told_leaving, History(calls, tuple(runs)), 'i')
+        self.assert_proves(check_told_leaving, History(calls, tuple(runs[:2])))
+        started = (Disturbed('n1', 11.5, 12.0),)
+        history = History(calls, tuple(runs), disturbed=started)
+        self.assert_proves(check_told_leaving, history)
+
     def test_run_with_a_key_that_was_taken_away(self):
         changes = (
             Acknowledged(1, 0.0, frozenset({'k', 'l'})),
