--- a/coursepitch/events.py
+++ b/coursepitch/events.py
@@ -176,15 +176,15 @@
     'An instance names a limit that is no decimal number; what was known stays.',
     ('instance', 'value'),
 )
-INSTANCE_RESTING = Event(
+INSTANCE_BACKOFF = Event(
     528,
-    'instance.resting',
+    'instance.backoff',
     'An instance rejects a request and wants none from this node for some seconds.',
-    ('instance', 'rest_s'),
+    ('instance', 'backoff_s'),
 )
-REST_DAMAGED = Event(
+BACKOFF_DAMAGED = Event(
     530,
-    'instance.rest_damaged',
+    'instance.backoff_damaged',
     'An instance names a time to want no requests that is no decimal number; it counts '
     'for nothing.',
     ('instance', 'value'),
--- a/coursepitch/fleet/messages.py
+++ b/coursepitch/fleet/messages.py
@@ -196,13 +196,13 @@
 
     :param leaving: those that leave, each with the Unix millisecond of the start that
         said so.
-    :param resting: those that asked a node for a rest, each with its start and the
+    :param backoffs: those that asked a node for a backoff, each with its start and the
         seconds left.
     """
 
     node: str
     leaving: tuple[tuple[str, int], ...] = ()
-    resting: tuple[tuple[str, int, float], ...] = ()
+    backoffs: tuple[tuple[str, int, float], ...] = ()
 
 
 Message = (
@@ -308,7 +308,7 @@
             rows = [list(message.lost), list(message.answering)]
             return _pack([_LOST_TOLD, message.node, *rows])
         case NoticesTold():
-            rows = [list(message.leaving), list(message.resting)]
+            rows = [list(message.leaving), list(message.backoffs)]
             return _pack([_NOTICES_TOLD, message.node, *rows])
         case LimitsTold():
             rows = [encode_limit(row) for row in message.rows]
@@ -368,13 +368,13 @@
     raise CodecError(f'message of a peer: kind {kind!r} is not known')
 
 
-def _decode_notices(node: str, leaving: Any, resting: Any) -> NoticesTold:
+def _decode_notices(node: str, leaving: Any, backoffs: Any) -> NoticesTold:
     return NoticesTold(
         node,
         tuple((read_text(name), int(born)) for name, born in leaving),
         tuple(
             (read_text(name), int(born), float(left_s))
-            for name, born, left_s in resting
+            for name, born, left_s in backoffs
         ),
     )
 
--- a/coursepitch/fleet/notices.py
+++ b/coursepitch/fleet/notices.py
@@ -12,27 +12,27 @@
     from collections.abc import Callable
 
     from coursepitch.clock import Clock
+    from coursepitch.fleet.backoffs import InstanceBackoffs
     from coursepitch.fleet.messages import Message
     from coursepitch.fleet.rate_limits import RateLimits
-    from coursepitch.fleet.rests import InstanceRests
     from coursepitch.fleet.view import FleetView
     from coursepitch.platform.headers import AnswerMarks
 
 __all__ = ['InstanceNotices']
 
-#: Least seconds by which a rest has to end later than known to be told to all nodes: a
-#: shorter one is about over when they hear of it, and what comes round by several
+#: Least seconds by which a backoff has to end later than known to be told to all nodes:
+#: a shorter one is about over when they hear of it, and what comes round by several
 #: links ends some tenths later each time.
-TOLD_REST_S = 0.5
+TOLD_BACKOFF_S = 0.5
 
 
 @dataclass(eq=False)
 class InstanceNotices:
     """Reads every answer of an instance: to requests, questions and orders.
 
-    A rest is asked of this node alone; other nodes are told, and use the instance where
-    no other has room.  That an instance leaves is told to all nodes, as its entry may
-    never say so.
+    A backoff is asked of this node alone; other nodes are told, and use the instance
+    where no other has room.  That an instance leaves is told to all nodes, as its entry
+    may never say so.
 
     :param me: name of this node.
     """
@@ -40,7 +40,7 @@
     me: str
     view: FleetView
     limits: RateLimits
-    rests: InstanceRests
+    backoffs: InstanceBackoffs
     clock: Clock
     #: Counts notices by kind.
     count: Callable[[str], None] = lambda kind: None
@@ -65,34 +65,36 @@
         late = found is not None and found.born > born
         if late or (marks.misplaced and marks.instance != name):
             return
-        self._take_rest(name, born, marks)
+        self._take_backoff(name, born, marks)
         if marks.leaving:
             self._take_leaving(name, born)
         if not marks.misplaced:
             self._take_limit(name, marks)
 
-    def _take_rest(self, name: str, born: int, marks: AnswerMarks) -> None:
-        if marks.damaged_rest is not None:
-            self._note_damaged(name, marks.damaged_rest)
-        if marks.rest_s is None:
+    def _take_backoff(self, name: str, born: int, marks: AnswerMarks) -> None:
+        if marks.damaged_retry_after is not None:
+            self._note_damaged(name, marks.damaged_retry_after)
+        if marks.retry_after_s is None:
             return
-        self.count('rest')
-        self.rests.note(name, marks.rest_s)
-        log.emit(events.INSTANCE_RESTING, instance=name, rest_s=marks.rest_s)
-        if self._is_news(name, marks.rest_s):
-            self.tell(NoticesTold(self.me, (), ((name, born, marks.rest_s),)), '')
+        self.count('backoff')
+        self.backoffs.note(name, marks.retry_after_s)
+        log.emit(events.INSTANCE_BACKOFF, instance=name, backoff_s=marks.retry_after_s)
+        if self._is_news(name, marks.retry_after_s):
+            self.tell(
+                NoticesTold(self.me, (), ((name, born, marks.retry_after_s),)), ''
+            )
 
     def _note_damaged(self, name: str, value: str) -> None:
         """Log a time that can't be read, once until it is another one."""
         self.count('damaged')
         if self._damaged.get(name) != value:
             self._damaged[name] = value
-            log.emit(events.REST_DAMAGED, instance=name, value=value)
+            log.emit(events.BACKOFF_DAMAGED, instance=name, value=value)
 
-    def _is_news(self, name: str, rest_s: float) -> bool:
-        """Whether other nodes don't know yet that an instance rests for so long."""
-        until = self.clock() + rest_s
-        if until < self._told_until.get(name, self.clock()) + TOLD_REST_S:
+    def _is_news(self, name: str, backoff_s: float) -> bool:
+        """Whether other nodes don't know yet of a backoff that ends as late."""
+        until = self.clock() + backoff_s
+        if until < self._told_until.get(name, self.clock()) + TOLD_BACKOFF_S:
             return False
         self._told_until[name] = until
         return True
@@ -137,16 +139,16 @@
             for name, born in told.leaving
             if self._note_leaving(name, born, told.node)
         )
-        resting = tuple(row for row in told.resting if self._take_told_rest(*row))
-        if (leaving or resting) and self.is_watching():
-            self.tell(NoticesTold(self.me, leaving, resting), '')
+        backoffs = tuple(row for row in told.backoffs if self._take_told_backoff(*row))
+        if (leaving or backoffs) and self.is_watching():
+            self.tell(NoticesTold(self.me, leaving, backoffs), '')
 
-    def _take_told_rest(self, name: str, born: int, rest_s: float) -> bool:
-        """Take that an instance asked a peer for a rest; return whether it is news."""
+    def _take_told_backoff(self, name: str, born: int, backoff_s: float) -> bool:
+        """Take a backoff that a peer was asked for; return whether it is news."""
         found = self.view.instances.get(name)
-        if found is None or found.born != born or not self._is_news(name, rest_s):
+        if found is None or found.born != born or not self._is_news(name, backoff_s):
             return False
-        self.avoid(name, rest_s)
+        self.avoid(name, backoff_s)
         return True
 
     def greet(self, node: str) -> None:
--- a/coursepitch/fleet/session.py
+++ b/coursepitch/fleet/session.py
@@ -159,7 +159,7 @@
         self.pass_on: Callable[[Changes, str], None] = lambda changes, sender: None
         #: Takes reports of crashes.
         self.take_crashes: Callable[[CrashesTold], None] = lambda told: None
-        #: Takes what peers tell of instances that leave or rest.
+        #: Takes what peers tell of instances that leave or ask for a backoff.
         self.take_notices: Callable[[NoticesTold], None] = lambda told: None
         #: Lets the next heartbeat leave at once.
         self.tell_now: Callable[[], None] = lambda: None
--- a/coursepitch/gateway/attempts.py
+++ b/coursepitch/gateway/attempts.py
@@ -173,14 +173,14 @@
     if withheld is not None:
         pool.discard(connection)
         return Attempt(Result.NOT_RUN, withheld.value, withheld=True)
-    trial = parts.gate.rests.begin_trial(instance.name)
+    trial = parts.gate.backoffs.begin_trial(instance.name)
     attempt = Attempt(Result.UNKNOWN, 'given up')
     try:
         attempt = await _exchange(parts, job, instance, plan, connection)
     finally:
         if trial is not None:
             served = attempt.result is Result.ANSWERED
-            parts.gate.rests.end_trial(trial, served)
+            parts.gate.backoffs.end_trial(trial, served)
     return attempt
 
 
--- a/coursepitch/gateway/send_gate.py
+++ b/coursepitch/gateway/send_gate.py
@@ -10,17 +10,17 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Collection
 
-    from coursepitch.fleet.rests import InstanceRests
+    from coursepitch.fleet.backoffs import InstanceBackoffs
     from coursepitch.fleet.send_permits import Permit, SendPermits
     from coursepitch.fleet.view import FleetView
 
 __all__ = ['SendGate', 'Withheld']
 
 #: Longest time in seconds for which a client is told to stay away: instances that start
-#: meanwhile may serve it sooner than those that rest.
+#: meanwhile may serve it sooner than those that asked for a backoff.
 MOST_AGAIN_S = 10.0
 
-#: Part of the time until the first rest ends over which clients come back after it.
+#: Part of the time until the first backoff ends over which clients come back after it.
 #: They were turned away all the time, and would come at once.
 RETURN_SPREAD = 0.5
 
@@ -29,7 +29,7 @@
     """Why a request that was meant for an instance does not leave."""
 
     LEFT = 'the instance left meanwhile'
-    RESTING = 'the instance asked for a rest'
+    BACKOFF = 'the instance asked for a backoff'
     NO_PERMIT = 'the permit to send is over'
 
 
@@ -44,14 +44,14 @@
     """
 
     view: FleetView
-    rests: InstanceRests
+    backoffs: InstanceBackoffs
     permits: SendPermits
     count: Callable[[str], None] = lambda reason: None
     chance: Callable[[], float] = random.random
 
     def is_closed(self, instance: str) -> bool:
         """Whether an instance that is listed takes no request of this node now."""
-        return self.rests.is_closed(instance) or self.permits.is_closed(instance)
+        return self.backoffs.is_closed(instance) or self.permits.is_closed(instance)
 
     async def take_permit(self, instance: str) -> Permit | None:
         """Get a permit for one request; ``None`` if the instance takes no more now."""
@@ -67,8 +67,8 @@
     def _find_reason(self, instance: str, permit: Permit | None) -> Withheld | None:
         if not self.view.takes_requests(instance):
             return Withheld.LEFT
-        if self.rests.is_closed(instance):
-            return Withheld.RESTING
+        if self.backoffs.is_closed(instance):
+            return Withheld.BACKOFF
         if not self.permits.allows(instance, permit):
             return Withheld.NO_PERMIT
         return None
@@ -79,25 +79,27 @@
         """Whether all of these, and there are some, take none for so many seconds."""
         open_at = self.permits.clock() + wait_s
         return bool(instances) and all(
-            self.rests.find_left_s(name) > wait_s
+            self.backoffs.find_left_s(name) > wait_s
             or self.permits.are_closed((name,), open_at)
             for name in instances
         )
 
     def explain_closed(self, instances: Collection[str]) -> str:
         """Return why none of these takes a request."""
-        if any(self.rests.find_left_s(name) > 0 for name in instances):
-            return 'all instances asked for a rest or have no room in their rate limits'
+        if any(self.backoffs.find_left_s(name) > 0 for name in instances):
+            return (
+                'all instances asked for a backoff or have no room in their rate limits'
+            )
         return 'the rate limits of all instances are used up'
 
     def find_again_s(self, instances: Collection[str], nodes: int) -> float:
         """Return after how long a refused client finds one of these that takes it."""
-        rests = [self.rests.find_left_s(name) for name in instances]
+        backoffs = [self.backoffs.find_left_s(name) for name in instances]
         awake = [
-            name for name, left_s in zip(instances, rests, strict=True) if not left_s
+            name for name, left_s in zip(instances, backoffs, strict=True) if not left_s
         ]
         limited_s = self.permits.find_again_s(awake, nodes)
-        times = [left_s * self._spread() for left_s in rests if left_s]
+        times = [left_s * self._spread() for left_s in backoffs if left_s]
         times += [limited_s] if limited_s else []
         return min(MOST_AGAIN_S, *times) if times else 0.0
 
--- a/coursepitch/gateway_application.py
+++ b/coursepitch/gateway_application.py
@@ -12,13 +12,13 @@
 from coursepitch.clock import boottime
 from coursepitch.config.gateway import list_changed_options, load_gateway_settings
 from coursepitch.errors import FindingsError
+from coursepitch.fleet.backoffs import InstanceBackoffs
 from coursepitch.fleet.control import InstanceControl
 from coursepitch.fleet.freshness import Freshness
 from coursepitch.fleet.links import PeerLinks
 from coursepitch.fleet.nodes import NodePlace
 from coursepitch.fleet.notices import InstanceNotices
 from coursepitch.fleet.reports import CrashReporter, StandingInstances
-from coursepitch.fleet.rests import InstanceRests
 from coursepitch.fleet.session import FleetSession
 from coursepitch.fleet.suspects import SuspectTable
 from coursepitch.gateway.arrive import Gateway
@@ -100,7 +100,7 @@
         )
         self.session = FleetSession(node.name, self.kv, self.freshness, clock)
         self.control = InstanceControl(clock)
-        self.rests = InstanceRests(clock)
+        self.backoffs = InstanceBackoffs(clock)
         self.notices = self._build_notices()
         self.control.take_marks = self.notices.take
         self.control.find_born = self._find_born
@@ -139,7 +139,7 @@
         self.session.view.tell_restart = self._note_restart
         self.watchdog = Watchdog(self.session, self.control, clock)
         self.gate = SendGate(
-            self.session.view, self.rests, self.session.permits, self._count_withheld
+            self.session.view, self.backoffs, self.session.permits, self._count_withheld
         )
         self.router = Router(
             self.session.view,
@@ -190,7 +190,7 @@
             name,
             session.view,
             session.limits,
-            self.rests,
+            self.backoffs,
             self.clock,
             self._count_notice,
         )
@@ -208,7 +208,7 @@
     def _note_restart(self, instance: str) -> None:
         self.board.note_restart(instance)
         self.session.limits.note_restart(instance)
-        self.rests.note_restart(instance)
+        self.backoffs.note_restart(instance)
 
     def _build_inquiry(self) -> CrashInquiry:
         name = self.settings.node.name
@@ -268,7 +268,7 @@
 
     async def _show_metrics(self, request: IncomingRequest, reply: Reply) -> None:
         self.metrics.limited_instances.set({}, self.session.limits.count_limited())
-        self.metrics.resting_instances.set({}, self.rests.count_resting())
+        self.metrics.backed_off_instances.set({}, self.backoffs.count_active())
         accept = (request.header(b'accept') or b'').decode('latin-1')
         content, headers = self.metrics.render(accept)
         lines = tuple((key.encode(), value.encode()) for key, value in headers.items())
@@ -361,7 +361,7 @@
             self.board.forget(present)
             self.session.limits.forget(present)
             self.session.permits.forget(present)
-            self.rests.forget(present)
+            self.backoffs.forget(present)
             self.notices.forget(present)
 
     async def _wait_stop(self) -> None:
--- a/coursepitch/metrics.py
+++ b/coursepitch/metrics.py
@@ -41,10 +41,11 @@
         )
         self.notices = counter(
             'instance_notices_total',
-            'Answers of instances that ask for a rest or say that they leave, by kind.',
+            'Answers in which instances ask for a backoff or say they leave, by kind.',
         )
-        self.resting_instances = gauge(
-            'resting_instances', 'Instances that want no requests from this node now.'
+        self.backed_off_instances = gauge(
+            'backed_off_instances',
+            'Instances that want no requests from this node now.',
         )
         self.withheld_sends = counter(
             'withheld_sends_total',
--- a/coursepitch/platform/headers.py
+++ b/coursepitch/platform/headers.py
@@ -44,8 +44,8 @@
 #: Header in which a target that rejects a request says for how long it wants no more
 #: from the node that it answers, and the statuses with which that counts.
 #: Source: RFC 9110, section 10.2.3, and RFC 6585, section 4.
-_REST = b'retry-after'
-_RESTING_STATUSES = frozenset({429, 503})
+_RETRY_AFTER = b'retry-after'
+_RETRY_AFTER_STATUSES = frozenset({429, 503})
 
 #: Status with which a target says that a request belongs elsewhere: it is another
 #: one, or no longer the head of its group.  Source: RFC 9110, section 15.5.20.
@@ -108,10 +108,10 @@
     :param limit: how many requests a second the target takes from all nodes together,
         the lowest of several; ``None`` if it names no limit that can be read.
     :param damaged_limit: a value that is no limit, cut to some bytes; ``None`` without.
-    :param rest_s: seconds for which the target wants no requests from this node, the
-        longest of several; ``None`` if it names none that can be read.
-    :param damaged_rest: a value that is no such time, cut to some bytes; ``None``
-        without.  A date is one: clocks differ by seconds.
+    :param retry_after_s: seconds for which the target wants no requests from this node,
+        the longest of several; ``None`` if it names none that can be read.
+    :param damaged_retry_after: a value that is no such time, cut to some bytes;
+        ``None`` without.  A date is one: clocks differ by seconds.
     :param leaving: the target says that it is about to end.
     """
 
@@ -122,8 +122,8 @@
     misplaced: bool = False
     limit: float | None = None
     damaged_limit: str | None = None
-    rest_s: float | None = None
-    damaged_rest: str | None = None
+    retry_after_s: float | None = None
+    damaged_retry_after: str | None = None
     leaving: bool = False
 
 
@@ -186,8 +186,10 @@
         return (find_header(headers, name) or b'').decode('latin-1')
 
     limits, damaged_limit = _read_decimals(headers, _LIMIT)
-    resting = status in _RESTING_STATUSES
-    rests, damaged_rest = _read_decimals(headers, _REST) if resting else ([], None)
+    counts = status in _RETRY_AFTER_STATUSES
+    times, damaged_retry_after = (
+        _read_decimals(headers, _RETRY_AFTER) if counts else ([], None)
+    )
     return AnswerMarks(
         request=text(b'x-request-id'),
         instance=text(b'x-replica-id'),
@@ -196,8 +198,8 @@
         misplaced=status == _MISPLACED,
         limit=min(limits, default=None),
         damaged_limit=damaged_limit,
-        rest_s=max(rests, default=None),
-        damaged_rest=damaged_rest,
+        retry_after_s=max(times, default=None),
+        damaged_retry_after=damaged_retry_after,
         leaving=_IS_LEAVING in _list_values(headers, _LEAVING),
     )
 
--- a/soak/checkers.py
+++ b/soak/checkers.py
@@ -31,7 +31,7 @@
     :param retry_window_s: length of the window in seconds.
     :param contact_s: seconds after trouble within which nodes act on what is new.
     :param under_way_s: seconds for which requests may be on their way.
-    :param most_in_rest: requests of a node to an instance in a rest after that.
+    :param most_in_backoff: requests of a node to an instance in a backoff after that.
     """
 
     drain_s: float = 2.0
@@ -41,7 +41,7 @@
     retry_window_s: float = 10.0
     contact_s: float = 3.0
     under_way_s: float = 0.5
-    most_in_rest: int = 2
+    most_in_backoff: int = 2
 
 
 @dataclass(frozen=True, slots=True)
@@ -145,22 +145,22 @@
     return Verdict('leaving', len(left), tuple(findings))
 
 
-def check_rests(history: History, bounds: Bounds) -> Verdict:
-    """An instance gets next to nothing from a node while it asked it for a rest."""
+def check_backoffs(history: History, bounds: Bounds) -> Verdict:
+    """An instance gets next to nothing from a node while it asked it for a backoff."""
     looked_at = 0
     findings = []
     for (node, instance), runs in _group_runs(history).items():
         for asked in runs:
             first = asked.arrived_at + bounds.under_way_s
-            last = asked.arrived_at + asked.rest_s
+            last = asked.arrived_at + asked.backoff_s
             if last <= first or history.was_disturbed(node, asked.arrived_at, last):
                 continue
             looked_at += 1
             count = sum(first < run.arrived_at < last for run in runs)
-            if count > bounds.most_in_rest:
-                text = f'{count} requests of {node} in a rest of {asked.rest_s} s'
+            if count > bounds.most_in_backoff:
+                text = f'{count} requests of {node} in a backoff of {asked.backoff_s} s'
                 findings.append(Finding(instance, asked.arrived_at, text))
-    return Verdict('rests', looked_at, tuple(findings))
+    return Verdict('backoffs', looked_at, tuple(findings))
 
 
 def check_told_leaving(history: History, bounds: Bounds) -> Verdict:
@@ -273,7 +273,7 @@
     check_runs_once,
     check_refusals,
     check_leaving,
-    check_rests,
+    check_backoffs,
     check_told_leaving,
     check_keys,
     check_second_sends,
--- a/soak/driver.py
+++ b/soak/driver.py
@@ -96,7 +96,7 @@
                 service,
                 visit['at'],
                 visit['ran'],
-                float(visit['rest'] or 0),
+                float(visit['backoff'] or 0),
                 visit['leaving'],
             )
             for service in ('pool', 'api')
@@ -125,7 +125,7 @@
             FaultKind.STOP: self._end_node,
             FaultKind.FREEZE: self._freeze,
             FaultKind.STORE: self._trouble_store,
-            FaultKind.REST: self._rest,
+            FaultKind.BACKOFF: self._backoff,
             FaultKind.LEAVE: self._leave,
             FaultKind.DRAIN: self._leave,
             FaultKind.CRASH: self._leave,
@@ -200,16 +200,16 @@
         stats = _System.stats(service)
         return sorted(name for name, item in stats.items() if not item['crashed'])
 
-    def _rest(self, fault: Fault) -> None:
-        """Let a part of a service's instances turn requests away and ask for rests."""
+    def _backoff(self, fault: Fault) -> None:
+        """Let some of a service's instances turn requests away and ask for backoffs."""
         present = self._list_present(fault.service)
         count = max(1, round(fault.share * len(present)))
         start = int(fault.choice * len(present))
         chosen = (present + present)[start : start + count]
-        rest = str(fault.rest_s)
-        _System.control(fault.service, '/rest', instances=chosen, rest=rest)
+        backoff = str(fault.backoff_s)
+        _System.control(fault.service, '/backoff', instances=chosen, backoff=backoff)
         self._pause.wait(fault.length_s)
-        _System.control(fault.service, '/rest', instances=chosen, rest=None)
+        _System.control(fault.service, '/backoff', instances=chosen, backoff=None)
 
     def _leave(self, fault: Fault) -> None:
         """Let an instance end: announced in answers, in the store, or not at all."""
--- a/soak/history.py
+++ b/soak/history.py
@@ -51,7 +51,7 @@
     """A request that arrived at an instance.
 
     :param executed: whether the instance began work on it.
-    :param rest_s: seconds for which it asked for no more in answer; 0 for none.
+    :param backoff_s: seconds for which it asked for no more in answer; 0 for none.
     :param told_leaving: whether it said in answer that it leaves.
     """
 
@@ -60,7 +60,7 @@
     service: str
     arrived_at: float
     executed: bool = True
-    rest_s: float = 0.0
+    backoff_s: float = 0.0
     told_leaving: bool = False
 
 
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -14,8 +14,8 @@
 #: Seconds that a fault lasts, at least and at most.
 LENGTH_S = (0.3, 4.0)
 
-#: Seconds of the rests that instances ask for.
-RESTS_S = (0.7, 1.5, 3.0)
+#: Seconds of the backoffs that instances ask for.
+BACKOFFS_S = (0.7, 1.5, 3.0)
 
 #: Seconds from an instance's word that it leaves until it ends.
 LEAVING_S = (2.5, 4.0)
@@ -28,7 +28,7 @@
     FREEZE = 'freeze'
     STOP = 'stop'
     STORE = 'store'
-    REST = 'rest'
+    BACKOFF = 'backoff'
     LEAVE = 'leave'
     DRAIN = 'drain'
     CRASH = 'crash'
@@ -40,7 +40,7 @@
     FaultKind.FREEZE: 2,
     FaultKind.STOP: 1,
     FaultKind.STORE: 2,
-    FaultKind.REST: 6,
+    FaultKind.BACKOFF: 6,
     FaultKind.LEAVE: 3,
     FaultKind.DRAIN: 2,
     FaultKind.CRASH: 1,
@@ -54,7 +54,7 @@
     :param at: seconds from the start of the run.
     :param choice: from 0 to 1; chooses a node, or instances.
     :param share: part of the instances that it concerns, from 0 to 1.
-    :param rest_s: seconds of the rests that instances ask for.
+    :param backoff_s: seconds of the backoffs that instances ask for.
     """
 
     at: float
@@ -63,7 +63,7 @@
     service: str
     choice: float
     share: float
-    rest_s: float
+    backoff_s: float
 
 
 def draw_plan(seed: int, seconds: float) -> list[Fault]:
@@ -82,7 +82,7 @@
                 chance.choice(('pool', 'api')),
                 chance.random(),
                 chance.random(),
-                chance.choice(RESTS_S),
+                chance.choice(BACKOFFS_S),
             )
         )
         at += chance.uniform(*GAP_S)
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -11,7 +11,7 @@
 ``POST /crash_on`` names a body: each instance that begins to run a request with it
 ends at once, and an empty one takes its place.  ``POST /limit`` names a limit that
 instances tell in all their answers to requests from then on; null for none.
-``POST /rest`` names the seconds for which instances want no requests, told in the
+``POST /backoff`` names the seconds for which instances want no requests, told in the
 rejection of each request that they get; null for none.  ``POST /leave`` lets instances
 say in all answers that they leave, while their entries do not; ``POST /crash`` ends
 instances, and empty ones take their places.
@@ -71,7 +71,7 @@
     crashed: bool = False
     limit: str | None = None
     visits: list[dict[str, Any]] = field(default_factory=list)
-    rest: str | None = None
+    backoff: str | None = None
     leaving: bool = False
 
     def entry(self) -> dict[str, Any]:
@@ -271,7 +271,7 @@
         visit = {
             'request': mark['X-Request-Id'],
             'at': time.monotonic(),
-            'rest': instance.rest,
+            'backoff': instance.backoff,
             'leaving': instance.leaving,
             'ran': False,
         }
@@ -280,8 +280,8 @@
             mark['Server-Limit'] = instance.limit
         if instance.leaving:
             mark['Server-Leaving'] = '1'
-        if instance.rest is not None:
-            mark |= {'X-Not-Executed': '1', 'Retry-After': instance.rest}
+        if instance.backoff is not None:
+            mark |= {'X-Not-Executed': '1', 'Retry-After': instance.backoff}
             await send_whole(stream, parser, 503, mark)
             return True
         head = instance.group and instance.group['state'] == 'open'
@@ -399,8 +399,8 @@
             instance.fault = data
         elif target == '/limit':
             instance.limit = data['limit']
-        elif target == '/rest':
-            instance.rest = data['rest']
+        elif target == '/backoff':
+            instance.backoff = data['backoff']
         elif target == '/leave':
             instance.leaving = True
         elif target == '/crash':
--- a/tests/fleet/test_notices.py
+++ b/tests/fleet/test_notices.py
@@ -5,10 +5,10 @@
 import unittest
 from unittest import mock
 
+from coursepitch.fleet.backoffs import InstanceBackoffs
 from coursepitch.fleet.messages import NoticesTold, decode_message, encode_message
 from coursepitch.fleet.notices import InstanceNotices
 from coursepitch.fleet.rate_limits import RateLimits
-from coursepitch.fleet.rests import InstanceRests
 from coursepitch.platform.headers import read_answer_marks
 from tests.fleet.builders import build_instance, build_view
 
@@ -30,9 +30,9 @@
         self.counts = []
         limits = RateLimits('n1', 1, lambda: 100.0)
         self.now = 100.0
-        self.rests = InstanceRests(lambda: self.now)
+        self.backoffs = InstanceBackoffs(lambda: self.now)
         self.notices = InstanceNotices(
-            'n1', self.view, limits, self.rests, lambda: self.now, self.counts.append
+            'n1', self.view, limits, self.backoffs, lambda: self.now, self.counts.append
         )
         self.told = []
         self.notices.tell = lambda message, node: self.told.append((message, node))
@@ -40,11 +40,11 @@
         self.emit = patcher.start()
         self.addCleanup(patcher.stop)
 
-    def test_rest_is_told_of(self):
+    def test_backoff_is_told_of(self):
         self.notices.take('a', 5, read_marks(503, retry_after='2.5'))
-        self.assertEqual(self.counts, ['rest'])
-        self.assertEqual(self.emit.call_args.kwargs['rest_s'], 2.5)
-        self.assertEqual(self.rests.find_left_s('a'), 2.5)
+        self.assertEqual(self.counts, ['backoff'])
+        self.assertEqual(self.emit.call_args.kwargs['backoff_s'], 2.5)
+        self.assertEqual(self.backoffs.find_left_s('a'), 2.5)
 
     def test_time_that_cannot_be_read_is_told_of_once(self):
         for _ in range(3):
@@ -52,7 +52,7 @@
         self.assertEqual(self.counts, ['damaged'] * 3)
         self.emit.assert_called_once()
         self.assertEqual(self.emit.call_args.kwargs['value'], 'soon')
-        self.assertFalse(self.rests.is_closed('a'))
+        self.assertFalse(self.backoffs.is_closed('a'))
 
     def test_leaving_is_told_of_once(self):
         for _ in range(3):
@@ -77,7 +77,7 @@
         self.notices.take('a', 4, read_marks(503, retry_after='9', server_leaving='1'))
         self.assertEqual(self.counts, [])
         self.assertTrue(self.view.takes_requests('a'))
-        self.assertFalse(self.rests.is_closed('a'))
+        self.assertFalse(self.backoffs.is_closed('a'))
 
     def test_relay_passes_on_what_is_news(self):
         told = NoticesTold('n2', (('a', 5),))
@@ -106,25 +106,25 @@
             message = NoticesTold('n1', *rows)
             self.assertEqual(decode_message(encode_message(message)), message)
 
-    def test_rest_is_told_to_all_until_they_know_of_one_that_ends_as_late(self):
-        for rest_s in ('3', '0.4', '3'):
-            self.notices.take('a', 5, read_marks(503, retry_after=rest_s))
+    def test_backoff_is_told_to_all_until_they_know_of_one_that_ends_as_late(self):
+        for backoff_s in ('3', '0.4', '3'):
+            self.notices.take('a', 5, read_marks(503, retry_after=backoff_s))
             self.now += 0.2
         self.assertEqual(self.told, [(NoticesTold('n1', (), (('a', 5, 3.0),)), '')])
         self.now += 0.2
         self.notices.take('a', 5, read_marks(503, retry_after='3'))
         self.assertEqual(len(self.told), 2)
 
-    def test_short_rest_is_not_told(self):
+    def test_short_backoff_is_not_told(self):
         self.notices.take('a', 5, read_marks(503, retry_after='0.4'))
         self.assertEqual(self.told, [])
 
-    def test_rest_that_a_peer_was_asked_for_makes_an_instance_dearer(self):
+    def test_backoff_that_a_peer_was_asked_for_makes_an_instance_dearer(self):
         avoided = []
         self.notices.avoid = lambda name, seconds: avoided.append((name, seconds))
         self.notices.is_watching = lambda: True
         rows = (('a', 5, 3.0), ('a', 5, 3.2), ('a', 4, 9.0), ('b', 7, 3.0))
         self.notices.take_told(NoticesTold('n2', (), rows))
         self.assertEqual(avoided, [('a', 3.0)])
-        self.assertFalse(self.rests.is_closed('a'))
+        self.assertFalse(self.backoffs.is_closed('a'))
         self.assertEqual(self.told, [(NoticesTold('n1', (), (('a', 5, 3.0),)), '')])
--- a/tests/gateway/simulated_rests.py
+++ b/tests/gateway/simulated_backoffs.py
@@ -1,7 +1,7 @@
 """Nodes before instances some of which turn requests away, without sockets.
 
 Each node has the decisions of the product: the spread over the least loads, the gate,
-what it keeps of rests, and what it tells the others.  Loads of all nodes are seen late.
+what it keeps of backoffs, and what it tells the others.  Loads are seen late.
 """
 
 from __future__ import annotations
@@ -11,9 +11,9 @@
 import random
 from dataclasses import dataclass
 
+from coursepitch.fleet.backoffs import InstanceBackoffs
 from coursepitch.fleet.notices import InstanceNotices
 from coursepitch.fleet.rate_limits import RateLimits
-from coursepitch.fleet.rests import InstanceRests
 from coursepitch.fleet.send_permits import SendGranter, SendPermits
 from coursepitch.gateway.board import LoadBoard
 from coursepitch.gateway.send_gate import SendGate
@@ -30,9 +30,9 @@
 LOADS_EVERY_S = 0.3
 LOADS_LATE_S = 0.1
 
-#: Seconds of a rest, and those from the start of a run for which some instances reject
-#: all that they get.
-REST_S = 3.0
+#: Seconds of a backoff, and those from the start of a run for which some instances
+#: reject all that they get.
+BACKOFF_S = 3.0
 TROUBLE_S = 8.0
 
 #: Most requests that an instance serves at once; it rejects any beyond.
@@ -64,10 +64,10 @@
         limits = RateLimits(name, 1, clock)
         granter = SendGranter(limits, lambda: 1, clock)
         permits = SendPermits(name, limits, granter, lambda: name, clock)
-        rests = InstanceRests(clock)
-        self.notices = InstanceNotices(name, self.view, limits, rests, clock)
+        backoffs = InstanceBackoffs(clock)
+        self.notices = InstanceNotices(name, self.view, limits, backoffs, clock)
         self.notices.tell = lambda message, node: fleet.tell(self, message)
-        self.gate = SendGate(self.view, rests, permits, chance=fleet.random.random)
+        self.gate = SendGate(self.view, backoffs, permits, chance=fleet.random.random)
         self.notices.avoid = self.board.hold
 
     def choose(self, loads, avoided, arrivals, chance):
@@ -86,8 +86,8 @@
 class SimulatedFleet:
     """Nodes, instances and clients.
 
-    :param tells: whether nodes tell each other of rests.
-    :param tries: whether one request goes first after a rest.
+    :param tells: whether nodes tell each other of backoffs.
+    :param tries: whether one request goes first after a backoff.
     """
 
     def __init__(self, nodes, instances, seed, tells=True, tries=True):
@@ -159,7 +159,7 @@
             self.send(node, avoided | {name}, returned)
             return
         self.second_sends += bool(avoided)
-        trial = node.gate.rests.begin_trial(name) if self.tries else None
+        trial = node.gate.backoffs.begin_trial(name) if self.tries else None
         self.sends.append((self.now, node, name))
         node.board.begin(name)
         served = name not in self.bad and self.in_flight[name] < SLOTS
@@ -174,11 +174,11 @@
         self.in_flight[name] -= served
         if not served:
             self.rejections += 1
-            headers = ((b'Retry-After', b'%.1f' % REST_S),)
+            headers = ((b'Retry-After', b'%.1f' % BACKOFF_S),)
             node.notices.take(name, 0, read_answer_marks(503, headers))
             node.board.note_failure(name)
         if trial is not None:
-            node.gate.rests.end_trial(trial, served)
+            node.gate.backoffs.end_trial(trial, served)
         if not served:
             self.send(node, avoided, returned)
 
--- a/tests/gateway/test_attempts.py
+++ b/tests/gateway/test_attempts.py
@@ -8,7 +8,7 @@
 
 import anyio
 
-from coursepitch.fleet.rests import InstanceRests
+from coursepitch.fleet.backoffs import InstanceBackoffs
 from coursepitch.gateway.attempts import Result, SendPlan, send_attempt
 from coursepitch.gateway.send_gate import SendGate
 from tests.fleet.builders import build_instance, build_service, build_view
@@ -47,7 +47,7 @@
         self.fresh = True
         self.allowed = True
         self.pool = FakePool()
-        self.rests = InstanceRests(lambda: 100.0)
+        self.backoffs = InstanceBackoffs(lambda: 100.0)
         permits = SimpleNamespace(allows=lambda instance, permit: self.allowed)
         session = SimpleNamespace(
             view=self.view, count_nodes=lambda: 3, is_fresh=lambda: self.fresh
@@ -55,7 +55,7 @@
         self.parts = SimpleNamespace(
             session=session,
             pool=self.pool,
-            gate=SendGate(self.view, self.rests, permits),
+            gate=SendGate(self.view, self.backoffs, permits),
             clock=lambda: 100.0,
         )
         self.job = SimpleNamespace(
@@ -100,13 +100,13 @@
         self.pool.meanwhile = lapse
         self.check_not_sent()
 
-    def test_instance_that_asks_for_a_rest(self):
-        self.pool.meanwhile = lambda: self.rests.note('a', 0.1)
+    def test_instance_that_asks_for_a_backoff(self):
+        self.pool.meanwhile = lambda: self.backoffs.note('a', 0.1)
         self.check_not_sent()
 
-    def test_instance_that_is_tried_after_a_rest(self):
-        self.rests.note('a', 0.0)
-        self.pool.meanwhile = lambda: self.rests.begin_trial('a')
+    def test_instance_that_is_tried_after_a_backoff(self):
+        self.backoffs.note('a', 0.0)
+        self.pool.meanwhile = lambda: self.backoffs.begin_trial('a')
         self.check_not_sent()
 
 
--- a/tests/gateway/test_rests_at_size.py
+++ b/tests/gateway/test_backoffs_at_size.py
@@ -1,4 +1,4 @@
-"""Rests over all nodes of a fleet, by the decisions of each."""
+"""Backoffs over all nodes of a fleet, by the decisions of each."""
 
 from __future__ import annotations
 
@@ -6,7 +6,7 @@
 from types import SimpleNamespace
 from unittest import mock
 
-from tests.gateway.simulated_rests import REST_S, TROUBLE_S, SimulatedFleet
+from tests.gateway.simulated_backoffs import BACKOFF_S, TROUBLE_S, SimulatedFleet
 
 #: Part of the requests that second sends may come to, as users state.
 RETRY_RATIO = 0.2
@@ -15,8 +15,8 @@
 SIZES = ((9, 14, 65, 4), (89, 27, 203, 8), (300, 100, 1000, 30))
 
 
-class RestsAtSizeTest(unittest.TestCase):
-    """A third of the instances turn requests away and ask for rests."""
+class BackoffsAtSizeTest(unittest.TestCase):
+    """A third of the instances turn requests away and ask for backoffs."""
 
     def setUp(self):
         patcher = mock.patch('coursepitch.log.emit')
@@ -31,15 +31,15 @@
                 self.assertLessEqual(found.second_sends, allowed)
                 self.assertEqual(found.unserved, 0)
 
-    def test_no_node_sends_in_a_rest_when_all_instances_turn_requests_away(self):
+    def test_no_node_sends_in_a_backoff_when_all_instances_turn_requests_away(self):
         fleet = SimulatedFleet(9, 14, 2)
         ends = {}
 
         def follow(node, note):
-            def follow_note(name, rest_s):
-                end = fleet.now + rest_s
+            def follow_note(name, backoff_s):
+                end = fleet.now + backoff_s
                 ends[node, name] = max(end, ends.get((node, name), 0.0))
-                note(name, rest_s)
+                note(name, backoff_s)
 
             return follow_note
 
@@ -48,12 +48,12 @@
             self.assertGreaterEqual(now, ends.get((node, name), 0.0))
 
         for node in fleet.nodes:
-            node.gate.rests.note = follow(node, node.gate.rests.note)
+            node.gate.backoffs.note = follow(node, node.gate.backoffs.note)
         fleet.sends = SimpleNamespace(append=check)
-        found = fleet.run(200, 14, 2 * REST_S)
+        found = fleet.run(200, 14, 2 * BACKOFF_S)
         self.assertGreater(found.rejections, 0)
 
-    def test_fewer_are_turned_away_again_with_one_request_first_after_a_rest(self):
+    def test_fewer_are_turned_away_again_with_one_request_first_after_a_backoff(self):
         counts = {}
         for tries in (False, True):
             fleet = SimulatedFleet(9, 14, 3, tries=tries)
--- a/tests/gateway/test_send_gate.py
+++ b/tests/gateway/test_send_gate.py
@@ -15,10 +15,10 @@
     rule,
 )
 
+from coursepitch.fleet.backoffs import InstanceBackoffs
 from coursepitch.fleet.messages import NoticesTold
 from coursepitch.fleet.notices import InstanceNotices
 from coursepitch.fleet.rate_limits import RateLimits
-from coursepitch.fleet.rests import InstanceRests
 from coursepitch.fleet.send_permits import SendGranter, SendPermits
 from coursepitch.gateway.attempts import Result, SendPlan, send_attempt
 from coursepitch.gateway.send_gate import RETURN_SPREAD, SendGate, Withheld
@@ -34,7 +34,7 @@
 
 SELDOM = strategies.sampled_from((False,) * 9 + (True,))
 
-#: Statuses with the seconds of a rest.
+#: Statuses with the seconds of a backoff.
 ANSWERS = strategies.sampled_from(
     ((200, None), (200, '1'), (500, '1'), (503, None), (503, '0.5'), (503, '9'))
 )
@@ -50,13 +50,15 @@
         self.limits = RateLimits('n1', 1, clock)
         granter = SendGranter(self.limits, lambda: 1, clock)
         permits = SendPermits('n1', self.limits, granter, lambda: 'n1', clock)
-        self.rests = InstanceRests(clock)
-        self.notices = InstanceNotices('n1', self.view, self.limits, self.rests, clock)
+        self.backoffs = InstanceBackoffs(clock)
+        self.notices = InstanceNotices(
+            'n1', self.view, self.limits, self.backoffs, clock
+        )
         self.counts = []
         self.gate = SendGate(
-            self.view, self.rests, permits, self.counts.append, lambda: 0.0
+            self.view, self.backoffs, permits, self.counts.append, lambda: 0.0
         )
-        self.view.tell_restart = self.rests.note_restart
+        self.view.tell_restart = self.backoffs.note_restart
 
     def take_answer(self, name, status, born=0, **headers):
         """Take an answer of an instance with these headers."""
@@ -87,26 +89,26 @@
         self.node.limits.note_answer('a', 1.0)
         self.check_withheld(Withheld.NO_PERMIT)
         self.node.take_answer('a', 503, retry_after='2')
-        self.check_withheld(Withheld.RESTING)
+        self.check_withheld(Withheld.BACKOFF)
         del self.node.view.instances['a']
         self.check_withheld(Withheld.LEFT)
-        self.assertEqual(self.node.counts, ['no_permit', 'resting', 'left'])
+        self.assertEqual(self.node.counts, ['no_permit', 'backoff', 'left'])
 
-    def test_good_answer_to_an_earlier_request_does_not_end_a_rest(self):
+    def test_good_answer_to_an_earlier_request_does_not_end_a_backoff(self):
         self.node.take_answer('a', 503, retry_after='2')
         self.node.take_answer('a', 200, x_replica_signature='s')
-        self.check_withheld(Withheld.RESTING)
+        self.check_withheld(Withheld.BACKOFF)
 
-    def test_instance_that_rests_is_not_chosen(self):
+    def test_instance_that_backoffs_is_not_chosen(self):
         self.node.take_answer('a', 503, retry_after='2')
         self.assertTrue(self.gate.is_closed('a'))
         self.assertFalse(self.gate.is_closed('b'))
 
-    def test_all_of_several_are_closed_until_the_first_rest_ends(self):
+    def test_all_of_several_are_closed_until_the_first_backoff_ends(self):
         self.assertFalse(self.gate.are_closed(()))
-        for name, rest_s in zip(NAMES, ('3', '1', '2'), strict=True):
+        for name, backoff_s in zip(NAMES, ('3', '1', '2'), strict=True):
             self.assertFalse(self.gate.are_closed(NAMES))
-            self.node.take_answer(name, 503, retry_after=rest_s)
+            self.node.take_answer(name, 503, retry_after=backoff_s)
         self.assertTrue(self.gate.are_closed(NAMES))
         self.assertTrue(self.gate.are_closed(NAMES, 0.9))
         self.assertFalse(self.gate.are_closed(NAMES, 1.0))
@@ -117,14 +119,14 @@
         self.gate.chance = lambda: 1.0
         self.assertEqual(self.gate.find_again_s(['a'], 9), 4.0 * (1 + RETURN_SPREAD))
 
-    def test_limited_instance_is_waited_for_where_others_rest_longer(self):
+    def test_limited_instance_is_waited_for_where_others_backoff_longer(self):
         self.node.take_answer('a', 503, retry_after='9')
         self.node.limits.note_answer('b', 2.0)
         anyio.run(self.gate.take_permit, 'b')
         self.assertTrue(self.gate.are_closed(('a', 'b')))
         self.assertEqual(self.gate.find_again_s(('a', 'b'), 9), 4.5)
-        self.assertIn('rest', self.gate.explain_closed(('a', 'b')))
-        self.assertNotIn('rest', self.gate.explain_closed(('b',)))
+        self.assertIn('backoff', self.gate.explain_closed(('a', 'b')))
+        self.assertNotIn('backoff', self.gate.explain_closed(('b',)))
 
 
 class Pool:
@@ -141,7 +143,7 @@
 
 
 class TrialTest(unittest.IsolatedAsyncioTestCase):
-    """What became of the first request after a rest opens or closes an instance."""
+    """What became of the first request after a backoff opens or closes an instance."""
 
     def setUp(self):
         self.now = 100.0
@@ -195,30 +197,30 @@
     async def test_good_answer_opens_the_instance(self):
         attempt = await self.send(200)
         self.assertIs(attempt.result, Result.ANSWERED)
-        self.assertIsNone(self.node.rests.begin_trial('a'))
+        self.assertIsNone(self.node.backoffs.begin_trial('a'))
 
-    async def test_rejection_with_a_time_begins_another_rest(self):
+    async def test_rejection_with_a_time_begins_another_backoff(self):
         await self.send(503, x_not_executed='1', retry_after='2')
-        self.assertEqual(self.node.rests.find_left_s('a'), 2.0)
+        self.assertEqual(self.node.backoffs.find_left_s('a'), 2.0)
 
     async def test_rejection_without_a_time_lets_one_more_go_first(self):
         await self.send(503, x_not_executed='1')
         self.assertFalse(self.node.gate.is_closed('a'))
-        self.assertIsNotNone(self.node.rests.begin_trial('a'))
+        self.assertIsNotNone(self.node.backoffs.begin_trial('a'))
 
 
 class GateMachine(RuleBasedStateMachine):
     """Requests that wait for connections, answers that overtake each other, restarts.
 
-    ``rests`` and ``leaving`` hold what the node has read: the end of each instance's
-    longest rest, and the starts of instances that said that they leave.
+    ``backoffs`` and ``leaving`` hold what the node has read: the end of each instance's
+    longest backoff, and the starts of instances that said that they leave.
     """
 
     @initialize()
     def start(self):
         self.now = 100.0
         self.born = dict.fromkeys(FEW, 1)
-        self.rests = dict.fromkeys(FEW, 0.0)
+        self.backoffs = dict.fromkeys(FEW, 0.0)
         self.trying = dict.fromkeys(FEW, False)
         self.leaving = set()
         self.in_flight = []
@@ -255,12 +257,12 @@
         """Let a request leave, if it may."""
         if self.node.gate.withhold(name, None) is not None:
             return
-        assert self.now >= self.rests[name], 'sent within a rest'
+        assert self.now >= self.backoffs[name], 'sent within a backoff'
         assert (name, self.born[name]) not in self.leaving, 'sent to one that leaves'
-        first = self.rests[name] > 0
+        first = self.backoffs[name] > 0
         assert not (first and self.trying[name]), 'sent beside the first request'
         self.trying[name] = first
-        trial = self.node.rests.begin_trial(name)
+        trial = self.node.backoffs.begin_trial(name)
         self.in_flight.append((name, self.born[name], first, trial))
 
     @precondition(lambda self: self.in_flight)
@@ -269,23 +271,23 @@
         """Let any request in flight be answered, so that answers overtake others."""
         place = data.draw(strategies.integers(0, len(self.in_flight) - 1))
         name, born, first, trial = self.in_flight.pop(place)
-        status, rest_s = answer
+        status, backoff_s = answer
         headers = {'x_replica_signature': 's'} if status == 200 else {}
-        if rest_s:
-            headers['retry_after'] = rest_s
+        if backoff_s:
+            headers['retry_after'] = backoff_s
         if leaves:
             headers['server_leaving'] = '1'
             self.leaving.add((name, born))
         self.node.take_answer(name, status, born, **headers)
         present = born == self.born[name]
-        if present and rest_s and status == 503:
-            self.rests[name] = max(self.rests[name], self.now + float(rest_s))
+        if present and backoff_s and status == 503:
+            self.backoffs[name] = max(self.backoffs[name], self.now + float(backoff_s))
         if trial is not None:
-            self.node.rests.end_trial(trial, status != 503)
+            self.node.backoffs.end_trial(trial, status != 503)
         if present and first:
             self.trying[name] = False
-            if status != 503 and self.rests[name] <= self.now:
-                self.rests[name] = 0.0
+            if status != 503 and self.backoffs[name] <= self.now:
+                self.backoffs[name] = 0.0
 
     @rule(name=strategies.sampled_from(FEW), present=SELDOM)
     def hear_that_it_leaves(self, name, present):
@@ -301,10 +303,10 @@
         if event == 'lapse':
             self.node.view.take_entry(Entry(INSTANCE_PREFIX + name, deleted_at=6))
             self.node.view.leaving.forget_old(self.node.view.instances)
-            self.node.rests.forget(set(self.node.view.instances))
+            self.node.backoffs.forget(set(self.node.view.instances))
         if event == 'restart':
             self.born[name] += 1
-            self.rests[name] = 0.0
+            self.backoffs[name] = 0.0
             self.trying[name] = False
         self.node.view.take_entry(build_entry(replace(found, born=self.born[name])))
 
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -53,30 +53,30 @@
         self.assertTrue(limit is None or 0 <= limit < float('inf'))
 
 
-def read_rest(*values, status=503):
+def read_retry_after(*values, status=503):
     """Return the rest and the damaged value of an answer with these headers."""
     headers = tuple((b'Retry-After', value) for value in values)
     marks = read_answer_marks(status, headers)
-    return marks.rest_s, marks.damaged_rest
+    return marks.retry_after_s, marks.damaged_retry_after
 
 
-class RestHeaderTest(unittest.TestCase):
+class RetryAfterHeaderTest(unittest.TestCase):
     """Each value has one meaning."""
 
     def test_seconds_with_fractions_are_rests(self):
-        for value, rest_s in (
+        for value, backoff_s in (
             (b'3', 3.0),
             (b' 0.25 ', 0.25),
             (b'0', 0.0),
             (b'.5', 0.5),
         ):
             with self.subTest(value=value):
-                self.assertEqual(read_rest(value), (rest_s, None))
+                self.assertEqual(read_retry_after(value), (backoff_s, None))
 
-    def test_longest_rest_is_taken_as_it_is(self):
-        self.assertEqual(read_rest(b'9' * 20), (float('9' * 20), None))
+    def test_longest_backoff_is_taken_as_it_is(self):
+        self.assertEqual(read_retry_after(b'9' * 20), (float('9' * 20), None))
 
-    def test_anything_else_is_damaged_and_no_rest(self):
+    def test_anything_else_is_damaged_and_no_backoff(self):
         date = b'Thu, 03 Dec 2026 09:00:00 GMT'
         for value in (
             b'',
@@ -90,22 +90,22 @@
             b'9' * 21,
         ):
             with self.subTest(value=value):
-                self.assertEqual(read_rest(value), (None, value.decode()))
+                self.assertEqual(read_retry_after(value), (None, value.decode()))
 
     def test_longest_of_several_counts(self):
-        self.assertEqual(read_rest(b'1', b'2.5', b'2'), (2.5, None))
-        self.assertEqual(read_rest(b'x', b'1.5'), (1.5, 'x'))
+        self.assertEqual(read_retry_after(b'1', b'2.5', b'2'), (2.5, None))
+        self.assertEqual(read_retry_after(b'x', b'1.5'), (1.5, 'x'))
 
-    def test_only_rejections_for_load_ask_for_a_rest(self):
+    def test_only_rejections_for_load_ask_for_a_backoff(self):
         for status in (200, 301, 421, 500, 502):
             with self.subTest(status=status):
-                self.assertEqual(read_rest(b'3', status=status), (None, None))
-        self.assertEqual(read_rest(b'3', status=429), (3.0, None))
+                self.assertEqual(read_retry_after(b'3', status=status), (None, None))
+        self.assertEqual(read_retry_after(b'3', status=429), (3.0, None))
 
     @given(strategies.binary(max_size=60))
     def test_any_bytes_are_read(self, value):
-        rest_s, _ = read_rest(value)
-        self.assertTrue(rest_s is None or 0 <= rest_s < float('inf'))
+        backoff_s, _ = read_retry_after(value)
+        self.assertTrue(backoff_s is None or 0 <= backoff_s < float('inf'))
 
 
 class LeavingHeaderTest(unittest.TestCase):
--- a/tests/soak/test_checkers.py
+++ b/tests/soak/test_checkers.py
@@ -8,12 +8,12 @@
     CHECKERS,
     Bounds,
     check_all,
+    check_backoffs,
     check_events,
     check_keys,
     check_leaving,
     check_own_answers,
     check_refusals,
-    check_rests,
     check_runs_once,
     check_second_sends,
     check_told_leaving,
@@ -78,23 +78,23 @@
         history = History((), (late,), (Left('i', 10.0),), (), away)
         self.assert_proves(check_leaving, history)
 
-    def test_arrivals_in_a_rest(self):
+    def test_arrivals_in_a_backoff(self):
         times = (10.0, 10.4, 11.0, 12.0, 12.9)
         calls = tuple(build_call(f'c{n}', at, node='n1') for n, at in enumerate(times))
-        asked = build_run('c0', arrived_at=10.0, executed=False, rest_s=3.0)
+        asked = build_run('c0', arrived_at=10.0, executed=False, backoff_s=3.0)
         later = [build_run(call.id, arrived_at=call.sent_at) for call in calls[1:]]
         history = History(calls, (asked, *later))
-        self.assert_fires(check_rests, history, 'i')
-        self.assert_proves(check_rests, History(calls, (asked, *later[:-1])))
+        self.assert_fires(check_backoffs, history, 'i')
+        self.assert_proves(check_backoffs, History(calls, (asked, *later[:-1])))
         stopped = (Disturbed('n1', 9.0, 10.1),)
-        verdict = check_rests(
+        verdict = check_backoffs(
             History(calls, (asked, *later), disturbed=stopped), BOUNDS
         )
         self.assertEqual((verdict.looked_at, verdict.findings), (0, ()))
         other = tuple(
             build_call(call.id, call.sent_at, node='n2') for call in calls[1:]
         )
-        self.assert_proves(check_rests, History((calls[0], *other), (asked, *later)))
+        self.assert_proves(check_backoffs, History((calls[0], *other), (asked, *later)))
 
     def test_call_that_is_sent_to_an_instance_long_after_it_said_that_it_leaves(self):
         first = build_call('c', 10.0, node='n1')
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -9,7 +9,7 @@
 from soak.plan import draw_plan
 
 #: Promises that a run of this length puts to the test.
-PUT_TO_THE_TEST = {'own answers', 'events', 'runs once', 'refusals', 'rests'}
+PUT_TO_THE_TEST = {'own answers', 'events', 'runs once', 'refusals', 'backoffs'}
 
 
 class PlanTest(unittest.TestCase):
--- a/tests/whole/test_rests.py
+++ b/tests/whole/test_backoffs.py
@@ -1,4 +1,4 @@
-"""Instances that ask a node for a rest, or say that they leave, in their answers."""
+"""Instances that ask a node for a backoff, or say that they leave, in their answers."""
 
 from __future__ import annotations
 
@@ -6,12 +6,12 @@
 from tests.whole.steady_clients import SteadyClientsCase
 
 #: Seconds for which an instance wants no requests from a node that it rejects.
-REST_S = 3.0
+BACKOFF_S = 3.0
 
 #: Seconds after a rejection from which requests are no longer under way, and the most
-#: that a node may send then until the rest is over, as users state.
+#: that a node may send then until the backoff is over, as users state.
 UNDER_WAY_S = 0.5
-MOST_IN_REST = 2
+MOST_IN_BACKOFF = 2
 
 #: Clients of a node, enough for both heads to have requests in flight.
 CLIENTS = 3
@@ -24,51 +24,51 @@
     """Instances that tell nodes something in their answers."""
 
     def read_arrivals(self, service, name, node):
-        """Return when a node's requests came to an instance, and if it named a rest."""
+        """Return when a node's requests came, and if the instance asked to back off."""
         return [
-            (visit['at'], visit['rest'] is not None)
+            (visit['at'], visit['backoff'] is not None)
             for visit in self.stats(service)[name]['visits']
             if visit['request'].startswith(node)
         ]
 
     def count_in_rests(self, service, name):
-        """Return the most requests that a node sent to an instance in one rest."""
+        """Return the most requests that a node sent to an instance in one backoff."""
         counts = [0]
         for node in self.nodes:
             arrivals = self.read_arrivals(service, name, node)
-            for asked_at, rested in arrivals:
-                first, last = asked_at + UNDER_WAY_S, asked_at + REST_S
-                if rested:
+            for asked_at, backed_off in arrivals:
+                first, last = asked_at + UNDER_WAY_S, asked_at + BACKOFF_S
+                if backed_off:
                     counts.append(sum(first < at < last for at, _ in arrivals))
         return max(counts)
 
-    def ask_rest(self, service, *names):
-        """Let instances reject everything and ask for a rest."""
-        self.control(service, '/rest', instances=list(names), rest=str(REST_S))
+    def ask_backoff(self, service, *names):
+        """Let instances reject everything and ask for a backoff."""
+        self.control(service, '/backoff', instances=list(names), backoff=str(BACKOFF_S))
 
 
-class HeadRestTest(NoticeCase):
-    """The head of a group asks for rests."""
+class HeadBackoffTest(NoticeCase):
+    """The head of a group asks for backoffs."""
 
-    def test_node_sends_nothing_to_a_head_that_asked_for_a_rest(self):
+    def test_node_sends_nothing_to_a_head_that_asked_for_a_backoff(self):
         name = min(self.wait_for(self.find_heads, 'two groups are open'))
         # Until then nodes have no second send for what is turned away.
         self.send_for(2 * FIRST_LIST_S, 'POST', '/stream/x')
-        self.ask_rest('pool', name)
-        replies = self.send_for(2 * REST_S, 'POST', '/stream/x', CLIENTS)
-        self.assertLessEqual(self.count_in_rests('pool', name), MOST_IN_REST)
+        self.ask_backoff('pool', name)
+        replies = self.send_for(2 * BACKOFF_S, 'POST', '/stream/x', CLIENTS)
+        self.assertLessEqual(self.count_in_rests('pool', name), MOST_IN_BACKOFF)
         self.assertEqual({reply.status_code for reply, _ in replies}, {200})
 
 
-class AllRestTest(NoticeCase):
-    """All instances of a plain service ask for rests."""
+class AllBackoffTest(NoticeCase):
+    """All instances of a plain service ask for backoffs."""
 
-    def test_node_sends_nothing_when_all_instances_asked_for_a_rest(self):
+    def test_node_sends_nothing_when_all_instances_asked_for_a_backoff(self):
         names = list(self.stats('api'))
-        self.ask_rest('api', *names)
-        replies = self.send_for(2 * REST_S, 'GET', '/again/x')
+        self.ask_backoff('api', *names)
+        replies = self.send_for(2 * BACKOFF_S, 'GET', '/again/x')
         for name in names:
-            self.assertLessEqual(self.count_in_rests('api', name), MOST_IN_REST)
+            self.assertLessEqual(self.count_in_rests('api', name), MOST_IN_BACKOFF)
         self.assertEqual({reply.status_code for reply, _ in replies}, {503})
         for reply, _ in replies:
             self.assertGreater(float(reply.headers['retry-after']), 0)
@@ -111,6 +111,6 @@
         self.wait_for(node.has_started_again, 'n2 listens')
         self.wait_for(lambda: self.serves('n2'), 'n2 serves')
         name = min(self.stats('api'))
-        self.control('api', '/rest', instances=[name], rest='0.1')
+        self.control('api', '/backoff', instances=[name], backoff='0.1')
         replies = self.send_for(DRAIN_S, 'GET', '/again/x')
         self.assertEqual({reply.status_code for reply, _ in replies}, {200})
