--- a/tests/gateway/test_send_gate.py
+++ b/tests/gateway/test_send_gate.py
@@ -99,7 +99,7 @@
         self.node.take_answer('a', 200, x_replica_signature='s')
         self.check_withheld(Withheld.BACKOFF)
 
-    def test_instance_that_backoffs_is_not_chosen(self):
+    def test_instance_that_is_backed_off_is_not_chosen(self):
         self.node.take_answer('a', 503, retry_after='2')
         self.assertTrue(self.gate.is_closed('a'))
         self.assertFalse(self.gate.is_closed('b'))
--- a/tests/whole/test_backoffs.py
+++ b/tests/whole/test_backoffs.py
@@ -31,7 +31,7 @@
             if visit['request'].startswith(node)
         ]
 
-    def count_in_rests(self, service, name):
+    def count_in_backoffs(self, service, name):
         """Return the most requests that a node sent to an instance in one backoff."""
         counts = [0]
         for node in self.nodes:
@@ -56,7 +56,7 @@
         self.send_for(2 * FIRST_LIST_S, 'POST', '/stream/x')
         self.ask_backoff('pool', name)
         replies = self.send_for(2 * BACKOFF_S, 'POST', '/stream/x', CLIENTS)
-        self.assertLessEqual(self.count_in_rests('pool', name), MOST_IN_BACKOFF)
+        self.assertLessEqual(self.count_in_backoffs('pool', name), MOST_IN_BACKOFF)
         self.assertEqual({reply.status_code for reply, _ in replies}, {200})
 
 
@@ -68,7 +68,7 @@
         self.ask_backoff('api', *names)
         replies = self.send_for(2 * BACKOFF_S, 'GET', '/again/x')
         for name in names:
-            self.assertLessEqual(self.count_in_rests('api', name), MOST_IN_BACKOFF)
+            self.assertLessEqual(self.count_in_backoffs('api', name), MOST_IN_BACKOFF)
         self.assertEqual({reply.status_code for reply, _ in replies}, {503})
         for reply, _ in replies:
             self.assertGreater(float(reply.headers['retry-after']), 0)
