Campaign after the first listing; ask a silent store less often together

Change: a node campaigns once its first listing has arrived; the pause between two attempts in an outage grows with the number of nodes, up to 10 s, for nodes that hear peers, do not watch the store and would refuse anyway. Nodes that serve unconfirmed keep asking every 2 s, as their own attempts tell them of the outage. Tests: FirstCampaignTest and RetryDelayTest failed before.

--- a/coursepitch/fleet/leases.py
+++ b/coursepitch/fleet/leases.py
@@ -193,11 +193,16 @@
     # -- leadership ------------------------------------------------------------------
 
     async def keep_leading(self) -> None:
-        """Renew leadership while it is held; campaign when it is vacant."""
+        """Renew leadership while it is held; campaign when it is vacant.
+
+        Before its first listing a node does not know whether there is a leader.  When
+        nodes campaigned without it, each of 74 that started at once made two calls to
+        the store in vain.
+        """
         while not self._ending:
             if self._lead_revision and self._leader_lease.name:
                 await self._renew_lead()
-            elif self._is_vacant():
+            elif self._view.received_revision and self._is_vacant():
                 await self._campaign()
             else:
                 await self.wait_changed(VACANCY_CHECK_S)
--- a/coursepitch/fleet/session.py
+++ b/coursepitch/fleet/session.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import random
 import secrets
 from dataclasses import replace
 from typing import TYPE_CHECKING
@@ -89,6 +90,13 @@
 CONFIRM_RETRY_S = 0.3
 MAX_RETRY_S = 2.0
 
+#: Calls per second that all nodes together make to a store that does not answer, in
+#: addition to those of the nodes that watch it, and the longest pause of a node in
+#: seconds.  With a pause of 2 s each, 74 nodes made 37 calls per second in an outage;
+#: a node that still reaches the store passes its confirmation on to the others.
+OUTAGE_CALLS_PER_S = 10.0
+MAX_OUTAGE_RETRY_S = 10.0
+
 #: Seconds for which a process may count as starting.  The median first listing takes
 #: 0.84 s when 68 nodes start at once.  A node that takes longer starts during an
 #: outage, and refuses requests at once.
@@ -502,7 +510,13 @@
         stale = self.confirmation_age_s >= STALE_CONFIRMATION_S
         if (stale and self.is_following()) or not self.book.list_heard():
             return CONFIRM_RETRY_S
-        return MAX_RETRY_S if attempt else CONFIRM_RETRY_S
+        if not attempt:
+            return CONFIRM_RETRY_S
+        if not self._freshness.refuse_unconfirmed:
+            # Only its own recent attempts show a node that the store is down for all.
+            return MAX_RETRY_S
+        spread_s = self.count_nodes() / OUTAGE_CALLS_PER_S * random.uniform(0.5, 1.5)
+        return max(MAX_RETRY_S, min(MAX_OUTAGE_RETRY_S, spread_s))
 
     def _table_revision(self) -> int:
         """Return the store revision of the active configuration; 0 for none."""
--- a/tests/fleet/test_leases.py
+++ b/tests/fleet/test_leases.py
@@ -10,7 +10,14 @@
 from coursepitch.fleet import leases
 from coursepitch.fleet.leases import LEAD_LEASE_S, NodeLeases
 from coursepitch.fleet.view import LEADER_KEY, FleetView
-from coursepitch.platform.kv import Condition, Conflict, Entry, Swapped, Unavailable
+from coursepitch.platform.kv import (
+    Condition,
+    Conflict,
+    Entry,
+    Events,
+    Swapped,
+    Unavailable,
+)
 
 
 class FakeStore:
@@ -98,6 +105,47 @@
         self.assertFalse(self.leases.is_leader())
 
 
+class FirstCampaignTest(unittest.TestCase):
+    """A starting node campaigns only once it knows whether there is a leader."""
+
+    def setUp(self):
+        self.store = FakeStore()
+        self.calls = []
+        self.store.on_grant = lambda: self.calls.append('grant')
+        self.view = FleetView(lambda: 100.0)
+        self.node = NodeLeases('n1', self.store, self.view, lambda: None, lambda: 100.0)
+        anyio.run(self.node._node_lease.grant)
+        self.calls.clear()
+
+    def run_checks(self, count):
+        """Run ``keep_leading`` until it has checked for a vacancy several times."""
+
+        async def run():
+            checked = []
+            async with anyio.create_task_group() as tasks:
+
+                async def wait(limit_s):
+                    checked.append(limit_s)
+                    if len(checked) == count:
+                        tasks.cancel_scope.cancel()
+                    await anyio.lowlevel.checkpoint()
+
+                self.node.wait_changed = wait
+                with anyio.fail_after(5):
+                    await self.node.keep_leading()
+
+        anyio.run(run)
+
+    def test_no_calls_before_the_first_listing(self):
+        self.run_checks(3)
+        self.assertEqual(self.calls, [])
+
+    def test_no_calls_when_the_listing_shows_a_leader(self):
+        self.view.apply(Events((self.store.write('n2'),), 11, complete=True))
+        self.run_checks(3)
+        self.assertEqual(self.calls, [])
+
+
 class ListingTest(unittest.TestCase):
     """A node is listed again as soon as the store permits."""
 
--- a/tests/fleet/test_session.py
+++ b/tests/fleet/test_session.py
@@ -11,6 +11,7 @@
 from coursepitch.fleet.contact import GAP_S
 from coursepitch.fleet.freshness import OUTAGE_EVIDENCE_S, Freshness
 from coursepitch.fleet.messages import Heartbeat, TableReply
+from coursepitch.fleet.nodes import NodeLocation
 from coursepitch.fleet.session import (
     CONFIRM_RETRY_S,
     MAX_RETRY_S,
@@ -308,6 +309,24 @@
         self.session.book.take(Heartbeat('n2', 2))
         self.assertEqual(self.pauses(), [CONFIRM_RETRY_S, *[MAX_RETRY_S] * 4])
 
+    def test_many_nodes_ask_a_silent_store_less_often_together(self):
+        """Guards against a rate of calls in an outage that grows with the nodes."""
+        self.session.book.take(Heartbeat('n2', 2))
+        for count in (74, 370):
+            for number in range(count):
+                self.session.view.nodes[f'n{number}'] = NodeLocation('10.0.0.1:1')
+            for pause_s in self.pauses()[1:]:
+                self.assertGreaterEqual(pause_s, min(10.0, 0.5 * count / 10.0))
+                self.assertLessEqual(pause_s, 10.0)
+
+    def test_nodes_that_serve_unconfirmed_keep_asking(self):
+        """Guards against a node that refuses for want of own signs of an outage."""
+        self.session.book.take(Heartbeat('n2', 2))
+        self.session._freshness.refuse_unconfirmed = False
+        for number in range(370):
+            self.session.view.nodes[f'n{number}'] = NodeLocation('10.0.0.1:1')
+        self.assertLess(max(self.pauses()), OUTAGE_EVIDENCE_S)
+
     def test_unconfirmed_watcher_asks_often(self):
         self.session.book.take(Heartbeat('n2', 2))
         self.session.follows = lambda: True
