Evacuate a zone when operators request it

Cause: operators write op/evacuate/ZONE, and nothing read the key, so requests went on arriving at instances of the zone.

Ruled out: a time in the key's value, as nothing in it is agreed with operators; the age in the message Changes, which nodes of earlier versions don't read and which the sender doesn't know after a listing; to end the groups of the zone, which would then have to form again after the withdrawal; to drop a request for a zone without instances, as they may be listed later.

Change: Evacuations holds when each zone is closed, by an injected clock. The zone is closed at once if the request was listed, if the newest confirmation is older than 1 s, within 1 s after a cut, or if the store or a peer has been ahead for more than 1 s. The gate asks when a target is chosen and right before the first byte; where all zones of a service are closed, requests are refused at once. The leader leaves the zone out of targets, counts, free instances and conversions, and its groups unchanged. With evacuate_s = 0, the default, keys are neither listed nor followed. When it is set while the node runs, the keys are listed once.

--- a/coursepitch/config/gateway.py
+++ b/coursepitch/config/gateway.py
@@ -72,6 +72,12 @@
     heartbeat_s: float = option(
         1.2, 'Seconds between two heartbeats of an instance to the store.', low=0.05
     )
+    evacuate_s: float = option(
+        0.0,
+        'Seconds after the request to evacuate a zone within which requests may reach '
+        'it; 0 if the deployment has no evacuations.',
+        low=0,
+    )
     retry_ratio: float = option(0.2, 'Second sends for each request.', low=0)
     retry_extra: float = option(
         0.0, 'Second sends a window over all nodes, whatever the traffic.', low=0
--- a/coursepitch/events.py
+++ b/coursepitch/events.py
@@ -311,6 +311,39 @@
     ('loads', 'outcome'),
 )
 
+ZONE_REQUESTED = Event(
+    540,
+    'zone.evacuation_requested',
+    'The evacuation of a zone was requested: whether the request is known to be '
+    'recent, and after how long this node sends nothing more there.',
+    ('zone', 'known_age', 'closes_in_s'),
+)
+ZONE_CLOSED = Event(
+    541,
+    'zone.closed',
+    'This node sends no further requests to the instances of a zone.',
+    ('zone',),
+)
+ZONE_WITHDRAWN = Event(
+    542,
+    'zone.evacuation_withdrawn',
+    'The request to evacuate a zone was withdrawn; its instances get requests again.',
+    ('zone',),
+)
+ZONE_UNKNOWN = Event(
+    543,
+    'zone.unknown',
+    'An evacuation was requested for a zone without instances and nodes, or for none; '
+    'it has no effect unless instances of that zone are listed later.',
+    ('zone',),
+)
+SERVICE_EVACUATED = Event(
+    544,
+    'service.evacuated',
+    'All instances of a service are in evacuated zones; its requests are refused.',
+    ('service',),
+)
+
 REQUEST_DONE = Event(
     600,
     'request.done',
--- a/coursepitch/fleet/groups.py
+++ b/coursepitch/fleet/groups.py
@@ -206,6 +206,9 @@
         orders += self._evict_unclaimed(view, service, claims, now)
         for claim in claims:
             record = self._find_record(claim, now)
+            if record.converting_to and view.is_being_evacuated(claim):
+                # The new group could not be claimed; the old one opens again.
+                record.converting_to = ''
             if self._is_stable(claim, view, engine, record):
                 continue
             if not record.retire_reason:
@@ -499,12 +502,17 @@
     def _list_free(
         self, view: FleetView, service: Service, claims: list[GroupClaim]
     ) -> dict[str, list[FleetInstance]]:
-        """Return the instances that may join a group, by fabric domain."""
+        """Return the instances that may join a group, by fabric domain.
+
+        Domains in zones whose evacuation is requested are left out.
+        """
         claimed = {name for claim in claims for name in claim.members}
         found: dict[str, list[FleetInstance]] = {}
         for instance in view.instances.values():
             if instance.service != service.name or instance.draining:
                 continue
+            if view.evacuations.is_requested(instance.availability_zone):
+                continue
             usable = (
                 instance.name not in claimed
                 and instance.name not in self.unresponsive
--- a/coursepitch/fleet/placer.py
+++ b/coursepitch/fleet/placer.py
@@ -103,7 +103,22 @@
     reserved: Mapping[str, str]
 
     def list_instances(self) -> list[FleetInstance]:
-        """Return the instances of the service that are not leaving."""
+        """Return the instances of the service that can be in groups from now on.
+
+        They are not leaving, and the evacuation of their zone is not requested.
+        """
+        evacuations = self.view.evacuations
+        present = self.list_present()
+        if not evacuations.is_any_requested:
+            return present
+        return [
+            item
+            for item in present
+            if not evacuations.is_requested(item.availability_zone)
+        ]
+
+    def list_present(self) -> list[FleetInstance]:
+        """Return the instances of the service that are not leaving, in all zones."""
         return [
             item
             for item in self.view.instances.values()
@@ -111,18 +126,19 @@
         ]
 
     def count_groups(self) -> dict[str, int]:
-        """Return the number of claimed groups by model."""
+        """Return the number of claimed groups by model, except in evacuated zones."""
         counts: dict[str, int] = defaultdict(int)
         for claim in self.claims:
-            counts[claim.model] += 1
+            if not self.view.is_being_evacuated(claim):
+                counts[claim.model] += 1
         return counts
 
     def list_open_groups(self) -> dict[str, list[ConvertibleGroup]]:
-        """Return the open groups by fabric domain."""
+        """Return the open groups by fabric domain, except in evacuated zones."""
         standing: dict[str, list[ConvertibleGroup]] = defaultdict(list)
         for claim in self.claims:
             group = self.view.find_open(claim)
-            if group is not None:
+            if group is not None and not self.view.is_being_evacuated(claim):
                 standing[claim.domain].append(
                     ConvertibleGroup(claim.name, claim.model, group.members)
                 )
@@ -291,7 +307,7 @@
 
     def _is_quiet(self, snapshot: ServiceSnapshot) -> bool:
         """Whether no instance came or went for :data:`CONVERSION_QUIET_S`."""
-        present = frozenset(item.name for item in snapshot.list_instances())
+        present = frozenset(item.name for item in snapshot.list_present())
         if present != self._last_instances:
             self._last_instances, self._unchanged_since = present, snapshot.now
         return snapshot.now - self._unchanged_since >= CONVERSION_QUIET_S
--- a/coursepitch/fleet/session.py
+++ b/coursepitch/fleet/session.py
@@ -40,7 +40,7 @@
 from coursepitch.fleet.view import ROOT, FleetView
 from coursepitch.fleet.watching import GuardedWatch
 from coursepitch.platform.configuration import CONFIGURATION_KEY
-from coursepitch.platform.fleet import INSTANCE_PREFIX
+from coursepitch.platform.fleet import EVACUATION_PREFIX, INSTANCE_PREFIX
 from coursepitch.platform.kv import (
     Condition,
     Conflict,
@@ -114,6 +114,12 @@
 LEADER_WATCH_GAP_S = 0.1
 WATCH_GAP_S = 0.7
 
+#: Seconds since the newest confirmation, or since a peer or the store was known to be
+#: ahead, above which this node counts as cut off: a change that arrives then may have
+#: been written long ago.  So may one that arrives within this time after a cut, as a
+#: heartbeat usually arrives before the changes that were missed.
+MAX_CHANGE_AGE_S = 1.0
+
 
 class FleetSession:
     """Local view of the store, and the tasks that keep it up to date.
@@ -174,6 +180,10 @@
         self._contact = StoreContact(clock)
         self.view.find_store_uptime_s = self._find_store_uptime_s
         self.view.logs_changes = self.is_following
+        self.view.is_change_recent = self._is_change_recent
+        self._evacuations_unlisted = anyio.Event()
+        self._newer_revision = (0, clock())
+        self._reconnected_at = float('-inf')
         self._store_up = True
         self._changed = anyio.Event()
         self._watch = GuardedWatch(kv, self.view, clock)
@@ -281,6 +291,7 @@
             group.start_soon(self.leases.keep_listed)
             group.start_soon(self.leases.keep_leading)
             group.start_soon(self._sweep)
+            group.start_soon(self._list_evacuations)
 
     async def _follow_changes(self) -> None:
         """List all keys, then receive changes from the store or from peers."""
@@ -310,11 +321,16 @@
     async def _list_all(self) -> Events | Unavailable:
         """List all keys but the configuration, which the first confirmation returns.
 
+        Evacuation requests come last, so that none is missed for a listed instance.
+
         With the configuration in both responses, 54 nodes that started at once with
         1,800 routes over links of 20 Mbit/s had it after a median of 0.81 s (one run).
         """
         parts: list[Events] = []
-        for prefix in (ROOT, INSTANCE_PREFIX):
+        prefixes = [ROOT, INSTANCE_PREFIX]
+        if self.view.evacuations.enabled:
+            prefixes.append(EVACUATION_PREFIX)
+        for prefix in prefixes:
             found = await self.kv.list_prefix(prefix)
             if isinstance(found, Unavailable):
                 return found
@@ -322,6 +338,41 @@
         entries = tuple(item for part in parts for item in part.entries)
         return Events(entries, parts[0].revision, complete=True)
 
+    def note_evacuations_enabled(self) -> None:
+        """List evacuation requests, as the first listing did not contain them."""
+        self._evacuations_unlisted.set()
+
+    async def _list_evacuations(self) -> None:
+        """List evacuation requests whenever evacuations are enabled while running."""
+        while True:
+            await self._evacuations_unlisted.wait()
+            found = await self.kv.list_prefix(EVACUATION_PREFIX)
+            if isinstance(found, Unavailable):
+                await anyio.sleep(CONFIRM_RETRY_S)
+                continue
+            self._evacuations_unlisted = anyio.Event()
+            for entry in found.entries:
+                self.view.apply_entry(entry, listed=True)
+            self.wake()
+
+    def _is_change_recent(self) -> bool:
+        """Whether a change that arrives now was written only a moment ago.
+
+        It may be older if this node is or was cut off, or if its relay lags.
+        """
+        if self._clock() - self._reconnected_at <= MAX_CHANGE_AGE_S:
+            return False
+        revision, since = self._newer_revision
+        behind = revision > self.view.received_revision
+        lag_s = self._clock() - since if behind else 0.0
+        return max(lag_s, self.confirmation_age_s) <= MAX_CHANGE_AGE_S
+
+    def _note_newer_revision(self, revision: int) -> None:
+        """Record a known revision of the store, to measure how far the view lags."""
+        received = self.view.received_revision
+        if revision > received >= self._newer_revision[0]:
+            self._newer_revision = (revision, self._clock())
+
     def _has_relayed_all(self) -> bool:
         """Whether peers relay all changes, so that the node needs no watch."""
         return not self.is_following() and self.book.is_relayed(
@@ -430,6 +481,7 @@
             self.wake()
         if beat.received_revision > self.view.received_revision:
             self._catch_up.note_ahead()
+            self._note_newer_revision(beat.received_revision)
         if found is None:
             return
         self._contact.note_answered(found.asked_at)
@@ -444,6 +496,7 @@
         self._freshness.note_peer_confirmed(found.asked_at)
         if was_stale and self.confirmation_age_s < STALE_CONFIRMATION_S:
             # The first confirmation after an outage for all nodes.
+            self._reconnected_at = self._clock()
             self.leases.note_store_back()
 
     def _handle_changes(self, changes: Changes) -> None:
@@ -554,6 +607,9 @@
             self.send_heartbeat_now()
         else:
             self._watch.note_store_revision(result.revision)
+            self._note_newer_revision(result.revision)
+        if self.confirmation_age_s >= STALE_CONFIRMATION_S:
+            self._reconnected_at = self._clock()
         starting = not self._is_set_up()
         self._freshness.note_confirmed(asked_at)
         if starting:
--- a/coursepitch/fleet/view.py
+++ b/coursepitch/fleet/view.py
@@ -12,13 +12,18 @@
 from coursepitch import events, log
 from coursepitch.errors import CodecError, FindingsError
 from coursepitch.fleet.claims import GroupClaim, decode_claims, decode_loads
+from coursepitch.fleet.evacuations import Evacuations
 from coursepitch.fleet.instances import GroupState
 from coursepitch.fleet.leaving import LeavingInstances
 from coursepitch.fleet.lost import LOST_PREFIX, LostInstances
 from coursepitch.fleet.nodes import decode_place
 from coursepitch.fleet.refused import decode_refused
 from coursepitch.platform.configuration import CONFIGURATION_KEY, decode_configuration
-from coursepitch.platform.fleet import INSTANCE_PREFIX, decode_instance
+from coursepitch.platform.fleet import (
+    EVACUATION_PREFIX,
+    INSTANCE_PREFIX,
+    decode_instance,
+)
 from coursepitch.platform.kv import Entry
 
 if TYPE_CHECKING:
@@ -91,6 +96,7 @@
 
     :param lost: instances that do not respond.
     :param leaving: instances that announced in a response that they are leaving.
+    :param evacuations: zones that operators evacuate.
     :param loads: models whose loading has begun, by service and instance.
     :param table_entry: store entry of the active configuration.
     :param leader_changed_at: revision at which the leader's key last changed.
@@ -104,6 +110,8 @@
     :param logs_changes: returns whether this node logs changes of instances.  Only
         nodes that watch the store do: when all 89 nodes did, 80% of the log lines
         were duplicates.
+    :param is_change_recent: returns whether a change that arrives now was written only
+        a moment ago.
     :param refused: requests that are known to crash instances, by fingerprint.
     :param on_refused: called with such a request when its entry is received.
     """
@@ -118,6 +126,7 @@
     nodes: dict[str, NodeLocation] = field(default_factory=dict)
     lost: LostInstances = field(init=False)
     leaving: LeavingInstances = field(init=False)
+    evacuations: Evacuations = field(init=False)
     leader: str = ''
     leader_revision: int = 0
     leader_changed_at: int = 0
@@ -127,6 +136,7 @@
     find_store_uptime_s: Callable[[], float] = lambda: float('inf')
     on_restart: Callable[[str], None] = lambda name: None
     logs_changes: Callable[[], bool] = lambda: True
+    is_change_recent: Callable[[], bool] = lambda: True
     refused: dict[str, RefusedRequest] = field(default_factory=dict)
     on_refused: Callable[[RefusedRequest], None] = lambda found: None
     arrived_at: float = float('-inf')
@@ -135,6 +145,11 @@
     _lapsed_nodes: set[str] = field(default_factory=set)
     _excluded: set[str] = field(default_factory=set)
     _damaged_names: set[str] = field(default_factory=set)
+    _evacuation_revisions: dict[str, int] = field(default_factory=dict)
+    _unknown_zones: set[str] = field(default_factory=set)
+    _evacuated_services: set[str] = field(default_factory=set)
+    _zone_examples: dict[str, dict[str, str]] = field(default_factory=dict)
+    _zone_examples_version: int = -1
     _open_by_model: dict[tuple[str, str], list[OpenGroup]] = field(default_factory=dict)
     _open_by_model_version: int = -1
     _open_groups: dict[GroupClaim, OpenGroup] = field(default_factory=dict)
@@ -142,6 +157,7 @@
     def __post_init__(self) -> None:
         self.lost = LostInstances(self.clock)
         self.leaving = LeavingInstances(self.clock)
+        self.evacuations = Evacuations(self.clock)
 
     # -- applying changes --------------------------------------------------------
 
@@ -157,7 +173,7 @@
                 self.apply_entry(entry)
         for entry in found.entries:
             if found.complete or entry.changed_at > self.received_revision:
-                self.apply_entry(entry)
+                self.apply_entry(entry, listed=found.complete)
         self.store_revision = max(self.store_revision, found.revision)
         self.received_revision = found.revision
         if found.entries or found.complete:
@@ -186,6 +202,7 @@
             *(LOST_PREFIX + name for name in self.lost.stored),
             *(LOAD_PREFIX + name for name in self.loads),
             *(REFUSED_PREFIX + name for name in self.refused),
+            *(EVACUATION_PREFIX + zone for zone in self.evacuations.list_requested()),
         ]
         # This node may have written these after the listing was made.
         known += [
@@ -199,8 +216,12 @@
             Entry(key, deleted_at=found.revision) for key in known if key not in present
         ]
 
-    def apply_entry(self, entry: Entry) -> None:
-        """Apply the write or deletion of one key."""
+    def apply_entry(self, entry: Entry, *, listed: bool = False) -> None:
+        """Apply the write or deletion of one key.
+
+        :param listed: whether the entry comes from a listing, so that it may have been
+            written long ago.
+        """
         key = entry.key
         if key.startswith(INSTANCE_PREFIX):
             self._apply_instance(key[len(INSTANCE_PREFIX) :], entry)
@@ -218,6 +239,8 @@
             self._apply_refused(key[len(REFUSED_PREFIX) :], entry)
         elif key == LEADER_KEY:
             self._apply_leader(entry)
+        elif key.startswith(EVACUATION_PREFIX):
+            self._apply_evacuation(key[len(EVACUATION_PREFIX) :], entry, listed)
 
     def _apply_lost(self, name: str, entry: Entry) -> None:
         if entry.present:
@@ -333,6 +356,64 @@
         except CodecError as error:
             log.emit(events.CLAIMS_DAMAGED, domain=entry.key, reason=str(error))
 
+    def _apply_evacuation(self, zone: str, entry: Entry, listed: bool) -> None:
+        """Apply the request to evacuate a zone, or its withdrawal.
+
+        The value is not read: the presence of the key is the request.
+        """
+        if not self.evacuations.enabled:
+            return
+        # A listing may contain a request whose withdrawal has already arrived.
+        if 0 < entry.changed_at < self._evacuation_revisions.get(zone, 0):
+            return
+        self._evacuation_revisions[zone] = entry.changed_at
+        if not entry.present:
+            self._unknown_zones.discard(zone)
+            if self.evacuations.note_withdrawn(zone):
+                self._evacuated_services.clear()
+                log.emit(events.ZONE_WITHDRAWN, zone=zone)
+            return
+        if not self._has_zone(zone):
+            self._log_unknown_zone(zone)
+        known_age = not listed and self.is_change_recent()
+        # A request for a zone without instances is kept, in case they are listed later.
+        if zone and self.evacuations.note_requested(zone, known_age):
+            left_s = round(self.evacuations.find_left_s(zone), 3)
+            log.emit(
+                events.ZONE_REQUESTED,
+                zone=zone,
+                known_age=known_age,
+                closes_in_s=left_s,
+            )
+            self._log_closed_zones()
+
+    def _has_zone(self, zone: str) -> bool:
+        """Whether an instance or node in a zone is listed."""
+        return any(
+            item.availability_zone == zone for item in self.instances.values()
+        ) or any(item.availability_zone == zone for item in self.nodes.values())
+
+    def _log_unknown_zone(self, zone: str) -> None:
+        """Log an evacuation key without a known zone, once until it is deleted."""
+        if (
+            zone not in self._unknown_zones
+            and len(self._unknown_zones) < MAX_LOGGED_DAMAGED_KEYS
+        ):
+            self._unknown_zones.add(zone)
+            log.emit(events.ZONE_UNKNOWN, zone=zone)
+
+    def _log_closed_zones(self) -> None:
+        """Log zones that were closed since the last call, and services without any."""
+        for zone in self.evacuations.take_newly_closed():
+            log.emit(events.ZONE_CLOSED, zone=zone)
+        if not self.evacuations.is_any_requested:
+            return
+        services = self._find_zone_examples()
+        evacuated = {name for name in services if self.list_evacuated(name)}
+        for service in sorted(evacuated - self._evacuated_services):
+            log.emit(events.SERVICE_EVACUATED, service=service)
+        self._evacuated_services = evacuated
+
     def _apply_node(self, name: str, entry: Entry) -> None:
         if entry.present:
             self.nodes[name] = decode_place(entry.value)
@@ -446,6 +527,7 @@
         requests.
         """
         self.version += self.lost.forget_old()
+        self._log_closed_zones()
         self.leaving.forget_old(self.instances)
         if not self._may_have_lapsed():
             for node in self._lapsed_nodes:
@@ -489,6 +571,56 @@
         found = self.instances.get(name)
         return found is not None and not found.draining and name not in self._excluded
 
+    def is_evacuated(self, name: str) -> bool:
+        """Whether an instance is in a closed zone, so that nothing is sent to it."""
+        if not self.evacuations.is_any_requested:
+            return False
+        found = self.instances.get(name)
+        return found is not None and self.evacuations.is_closed(found.availability_zone)
+
+    def list_evacuated(self, service: str) -> list[str]:
+        """Return one instance of each zone of a service if all zones are closed.
+
+        If any zone is open, none is returned.
+        """
+        examples = self._find_zone_examples().get(service, {})
+        if all(self.evacuations.is_closed(zone) for zone in examples):
+            return list(examples.values())
+        return []
+
+    def _find_zone_examples(self) -> dict[str, dict[str, str]]:
+        """Return an instance that accepts requests, by service and zone."""
+        if self._zone_examples_version != self.version:
+            self._zone_examples_version = self.version
+            self._zone_examples = {}
+            for item in self.instances.values():
+                if self.accepts_requests(item.name):
+                    zones = self._zone_examples.setdefault(item.service, {})
+                    zones[item.availability_zone] = item.name
+        return self._zone_examples
+
+    def drop_evacuated(self, service: str, names: list[str]) -> list[str]:
+        """Return the instances outside closed zones.
+
+        If all zones of the service are closed, some instances there are returned.
+
+        :param names: some instances of the service.
+        """
+        if not self.evacuations.is_any_requested:
+            return names
+        left = [name for name in names if not self.is_evacuated(name)]
+        return left or self.list_evacuated(service)
+
+    def is_being_evacuated(self, claim: GroupClaim) -> bool:
+        """Whether the evacuation of a group's zone is requested."""
+        if not self.evacuations.is_any_requested:
+            return False
+        for name in claim.members:
+            found = self.instances.get(name)
+            if found is not None:
+                return self.evacuations.is_requested(found.availability_zone)
+        return False
+
     def list_open(self, service: str, model: str) -> list[OpenGroup]:
         """Return the open groups of a model, those whose members are all available."""
         if self._open_by_model_version != self.version:
--- a/coursepitch/gateway/router.py
+++ b/coursepitch/gateway/router.py
@@ -25,6 +25,10 @@
 #: with losses was 0.815 instead of 0.809 (7 nodes); with four requests it was 0.814.
 ZONE_COST_PER_SLOT = 0.15
 
+#: Cost of sending to a zone whose evacuation is requested, in requests in flight: more
+#: than any load, so that it is used only where no other zone has room.
+EVACUATION_COST = 1000.0
+
 #: Delay in seconds of the loads of other nodes: they take one heartbeat to the leader,
 #: which adds them up, one from the leader to a relay, and one from the relay.
 PEER_LOAD_DELAY_S = 0.4
@@ -64,6 +68,8 @@
 
     def _zone_cost(self, instance: FleetInstance, slots: int) -> float:
         """Return the cost of an instance's zone, in requests in flight."""
+        if self._view.evacuations.is_requested(instance.availability_zone):
+            return EVACUATION_COST
         return (
             0.0
             if instance.availability_zone == self._zone
--- a/coursepitch/gateway/send_gate.py
+++ b/coursepitch/gateway/send_gate.py
@@ -24,11 +24,16 @@
 #: are refused during the whole backoff and would otherwise all retry at its end.
 RETRY_AFTER_JITTER = 0.5
 
+#: Retry-After in seconds, before jitter, while all zones of a service are evacuated:
+#: when a request is withdrawn is not known in advance.
+EVACUATED_RETRY_S = 1.0
+
 
 class Withheld(enum.Enum):
     """Reason why a request is not sent to the instance chosen for it."""
 
     LEFT = 'the instance left meanwhile'
+    EVACUATED = 'the zone of the instance is evacuated'
     BACKOFF = 'the instance asked for a backoff'
     NO_PERMIT = 'the permit to send is over'
 
@@ -52,7 +57,11 @@
 
     def is_closed(self, instance: str) -> bool:
         """Whether a listed instance accepts no requests of this node at present."""
-        return self.backoffs.is_closed(instance) or self.permits.is_closed(instance)
+        return (
+            self.view.is_evacuated(instance)
+            or self.backoffs.is_closed(instance)
+            or self.permits.is_closed(instance)
+        )
 
     async def take_permit(self, instance: str) -> Permit | None:
         """Return a permit for one request, or ``None`` if none is available."""
@@ -68,6 +77,8 @@
     def _find_reason(self, instance: str, permit: Permit | None) -> Withheld | None:
         if not self.view.accepts_requests(instance):
             return Withheld.LEFT
+        if self.view.is_evacuated(instance):
+            return Withheld.EVACUATED
         if self.backoffs.is_closed(instance):
             return Withheld.BACKOFF
         if not self.permits.allows(instance, permit):
@@ -83,13 +94,16 @@
         """
         open_at = self.permits.clock() + wait_s
         return bool(instances) and all(
-            self.backoffs.find_left_s(name) > wait_s
+            self.view.is_evacuated(name)
+            or self.backoffs.find_left_s(name) > wait_s
             or self.permits.are_closed((name,), open_at)
             for name in instances
         )
 
     def explain_closed(self, instances: Collection[str]) -> str:
         """Return why none of these instances accepts a request."""
+        if all(self.view.is_evacuated(name) for name in instances):
+            return 'all zones of the service are evacuated'
         if any(self.backoffs.find_left_s(name) > 0 for name in instances):
             return (
                 'all instances asked for a backoff or have no room in their rate limits'
@@ -101,9 +115,12 @@
 
         :param nodes: number of nodes that share the rate limits.
         """
-        backoffs = [self.backoffs.find_left_s(name) for name in instances]
+        names = [name for name in instances if not self.view.is_evacuated(name)]
+        if instances and not names:
+            return EVACUATED_RETRY_S * self._draw_jitter_factor()
+        backoffs = [self.backoffs.find_left_s(name) for name in names]
         available = [
-            name for name, left_s in zip(instances, backoffs, strict=True) if not left_s
+            name for name, left_s in zip(names, backoffs, strict=True) if not left_s
         ]
         limited_s = self.permits.find_retry_s(available, nodes)
         times = [left_s * self._draw_jitter_factor() for left_s in backoffs if left_s]
--- a/coursepitch/gateway/streams.py
+++ b/coursepitch/gateway/streams.py
@@ -159,7 +159,8 @@
     def _list_heads(self, job: Job) -> list[str]:
         view = self._components.session.view
         groups = view.list_open(job.service.name, job.fields.model)
-        return [group.head.name for group in groups]
+        names = [group.head.name for group in groups]
+        return view.drop_evacuated(job.service.name, names)
 
     def _explain_no_group(self, job: Job) -> str:
         """Return why no group accepts the request."""
--- a/coursepitch/gateway_application.py
+++ b/coursepitch/gateway_application.py
@@ -279,6 +279,12 @@
     ) -> None:
         self.metrics.limited_instances.set({}, self.session.limits.count_limited())
         self.metrics.backed_off_instances.set({}, self.backoffs.count_active())
+        evacuations = self.session.view.evacuations
+        for state, zones in (
+            ('requested', evacuations.list_requested()),
+            ('closed', evacuations.list_closed()),
+        ):
+            self.metrics.evacuated_zones.set({'state': state}, len(zones))
         accept = (request.header(b'accept') or b'').decode('latin-1')
         content, headers = self.metrics.render(accept)
         lines = tuple((key.encode(), value.encode()) for key, value in headers.items())
@@ -397,7 +403,10 @@
             return
         changed = list_changed_options(self.settings, settings)
         self.settings = replace(self.settings, promises=settings.promises)
+        was_enabled = self.session.view.evacuations.enabled
         self._apply_promises(settings.promises)
+        if not was_enabled and self.session.view.evacuations.enabled:
+            self.session.note_evacuations_enabled()
         log.emit(
             events.SETTINGS_READ,
             outcome='good',
@@ -413,6 +422,7 @@
         self.budget.window_s = promises.retry_window_s
         self.session.share.window_s = promises.retry_window_s
         self.standing.heartbeat_s = promises.heartbeat_s
+        self.session.view.evacuations.set_bound(promises.evacuate_s)
         self.session.view.lapsed_serve_s = promises.drain_s * EXPIRED_ENTRY_TIME_SHARE
 
     async def _stop(self) -> None:
--- a/coursepitch/metrics.py
+++ b/coursepitch/metrics.py
@@ -71,6 +71,11 @@
             'withheld_sends_total',
             'Requests not sent to the selected instance, by reason.',
         )
+        self.evacuated_zones = gauge(
+            'evacuated_zones',
+            'Zones whose evacuation is requested, and those to which this node sends '
+            'nothing more, by state.',
+        )
         self.first_token = histogram(
             'first_token_seconds',
             'Time from the arrival of a request to its first chunk.',
--- a/coursepitch/platform/fleet.py
+++ b/coursepitch/platform/fleet.py
@@ -14,6 +14,7 @@
 from coursepitch.fleet.orders import Order, OrderKind
 
 __all__ = [
+    'EVACUATION_PREFIX',
     'INSTANCE_PREFIX',
     'ORDER_TARGET',
     'REPORT_TARGET',
@@ -26,6 +27,9 @@
 #: Key prefix under which instances register themselves.
 INSTANCE_PREFIX = 'servers/'
 
+#: Key prefix under which operators request the evacuation of a zone.
+EVACUATION_PREFIX = 'op/evacuate/'
+
 #: Paths at which an instance accepts orders and serves its report.
 ORDER_TARGET = b'/-/order'
 REPORT_TARGET = b'/-/report'
