Test the evacuation of a zone with real processes

Cause: tests of the parts do not show that a key in the store reaches every node in time.

Change: stand-ins of instances have a zone, and nodes of tests an evacuate_s.

Ruled out: to evacuate the zone in which the nodes are not, as the cost of other zones keeps it unused under the test's load (seen: 'not within 30.0 s: zone b is used').

--- a/standins/replica.py
+++ b/standins/replica.py
@@ -54,6 +54,7 @@
     service: str
     domain: str
     store: str
+    zone: str
     engine: bool
     name: str = field(default_factory=lambda: 'i-' + secrets.token_hex(5))
     address: str = ''
@@ -79,7 +80,7 @@
         data: dict[str, Any] = {
             'service': self.service,
             'address': self.address,
-            'zone': 'a',
+            'zone': self.zone,
             'version': 'v1',
             'slots': 13,
             'state': self.state,
@@ -107,7 +108,13 @@
             item.name: item
             for domain in options.domain
             for item in (
-                Instance(options.service, domain, options.store, options.engine)
+                Instance(
+                    options.service,
+                    domain,
+                    options.store,
+                    options.zone,
+                    options.engine,
+                )
                 for _ in range(options.count)
             )
         }
@@ -136,7 +143,11 @@
         await anyio.sleep(LAPSE_S)
         await self.remove(instance)
         item = Instance(
-            instance.service, instance.domain, instance.store, instance.engine
+            instance.service,
+            instance.domain,
+            instance.store,
+            instance.zone,
+            instance.engine,
         )
         self.instances[item.name] = item
         await listen(self.tasks, item, self)
@@ -451,6 +462,7 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument('--store', required=True, help='IP:port of the store')
     parser.add_argument('--service', default='pool')
+    parser.add_argument('--zone', default='a', help='zone of all instances')
     parser.add_argument('--domain', action='append', default=[])
     parser.add_argument('--count', type=int, default=4, help='instances a domain')
     parser.add_argument('--events', type=int, default=20, help='events of a stream')
--- a/tests/whole/platform_base.py
+++ b/tests/whole/platform_base.py
@@ -43,6 +43,7 @@
 revoke_s = {revoke_s}
 retry_ratio = 0.2
 retry_extra = 100
+evacuate_s = {evacuate_s}
 
 [log]
 path = -
@@ -123,9 +124,11 @@
 class Node:
     """A node as a process, its output in a file."""
 
-    def __init__(self, name, store, folder, revoke_s):
+    def __init__(self, name, store, folder, revoke_s, evacuate_s=0):
         settings = folder / f'{name}.ini'
-        text = SETTINGS.format(name=name, store=store, revoke_s=revoke_s)
+        text = SETTINGS.format(
+            name=name, store=store, revoke_s=revoke_s, evacuate_s=evacuate_s
+        )
         settings.write_text(text)
         self.name = name
         self.output = folder / f'{name}.out'
@@ -189,6 +192,7 @@
     """A store, four engines in one domain, three plain instances, two nodes."""
 
     revoke_s = 5.0
+    evacuate_s = 0
     nodes = ('n1', 'n2')
     engines = 5
     events = 20
@@ -227,7 +231,7 @@
     @classmethod
     def start_node(cls, name):
         """Start a node and wait until it listens."""
-        node = Node(name, cls.store, cls.folder, cls.revoke_s)
+        node = Node(name, cls.store, cls.folder, cls.revoke_s, cls.evacuate_s)
         cls.running[name] = node
         before = len(node.read_events('node.started'))
         cls.wait_for(
