--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -4,11 +4,12 @@
 
 import sys
 
-from bench import control, gateway, pure, serving
+from bench import control, gateway, pure, serving, waiting
 from bench.figures import Book
 
 PARTS = {
     'pure': pure.measure,
+    'waiting': waiting.measure,
     'checks': control.measure_checks,
     'control': control.measure,
     'outage': control.measure_outage,
