Requests wait for a target in a queue instead of polling

Cause: a request without a free group polled every 20 ms (50 ms for plain services) in no order: a slot went to whoever asked next, two requests could get the same one, and a request that could not be served was held until its wait was over.

Ruled out: a task per queue (an idle node would keep it); waking through the session's change event alone (a freed slot is no change of the view); refusing plain requests by the estimate (their targets queue themselves, and today none is refused for that).

Change: gateway/admission.py gives each request its target in the order of the queue, when a request ends, the view changes or peers report loads. A chosen target counts the request at once. Waits are as long as before. Streams that are known to be late are refused at once, with a Retry-After from the measured rate and jitter; streams that were interrupted are not. A client that returns keeps the time of its first attempt. Waits, decisions and reasons are counted and logged.

Found by a test: a client that left after its slot was reserved was still served, as the cancellation is delivered only at the next suspension; checked before a target is returned.

Shown: tests/gateway/test_admission.py (28 tests, injected clock).

--- a/coursepitch/events.py
+++ b/coursepitch/events.py
@@ -409,6 +409,29 @@
     'the next attempt.',
     ('instance', 'limit', 'leader', 'outcome', 'again_s'),
 )
+ADMISSION_DECIDED = Event(
+    616,
+    'request.admission',
+    'A request that waited for a target got one, or a request got none: the decision, '
+    'its wait and the wait that was expected (0: none could be told), and the requests '
+    'that still wait.',
+    (
+        'request',
+        'customer',
+        'urgency',
+        'decision',
+        'waited_s',
+        'expected_s',
+        'waiting',
+    ),
+)
+ADMISSIONS_COUNTED = Event(
+    617,
+    'request.admissions',
+    'Further decisions on requests that waited for a target, beyond the lines that a '
+    'node writes in one second.',
+    ('decision', 'count'),
+)
 SUSPECT_STORED = Event(
     613,
     'suspect.stored',
--- a/coursepitch/gateway/attempts.py
+++ b/coursepitch/gateway/attempts.py
@@ -120,6 +120,7 @@
     :param retry_after_s: shortest Retry-After in seconds.
     """
     names = list_instances(job)
+    retry_after_s = max(retry_after_s, job.retry_after_s)
     if components.gate.are_closed(names):
         nodes = components.session.count_nodes()
         retry_after_s = max(
--- a/coursepitch/gateway/calls.py
+++ b/coursepitch/gateway/calls.py
@@ -7,6 +7,7 @@
 import anyio
 
 from coursepitch import events, log
+from coursepitch.gateway.admission import Denied, Terms
 from coursepitch.gateway.attempts import (
     NOT_EXECUTED_STATUSES,
     SendPlan,
@@ -107,27 +108,35 @@
             until = self._components.clock() + CLIENT_RETRY_WAIT_S
         else:
             until = job.arrived_at + job.route.objective_s * WAIT_OBJECTIVE_SHARE
-        until = min(until, job.deadline_at)
-        while True:
-            now = self._components.clock()
-            if now >= job.deadline_at or not self._components.session.is_fresh():
-                return None
+        # A request that was rejected does not wait: another instance has room now, or
+        # the client is told to come back.
+        until = self._components.clock() if tried else min(until, job.deadline_at)
+
+        def choose() -> tuple[str, FleetInstance] | None:
             instance = self._components.router.choose_instance(job.service, tried)
-            if instance is not None:
-                if await take_permit(self._components, job, instance.name):
-                    return instance
-                continue
-            names = self._list_names(job)
-            if (
-                now >= until
-                or tried
-                or self._components.gate.are_closed(names, until - now)
-            ):
-                if self._components.gate.are_closed(names):
-                    why = self._components.gate.explain_closed(names)
-                    job.last_reason = job.last_reason or why
+            return None if instance is None else (instance.name, instance)
+
+        terms = Terms(
+            until,
+            lambda: self._list_names(job),
+            MIN_RETRY_AFTER_S,
+            frozenset(tried),
+            refuse_late=False,
+        )
+        while True:
+            found = await self._components.admission.acquire(job, terms, choose)
+            if isinstance(found, Denied):
+                self._note_denied(job, found)
                 return None
-            await self._components.session.wait_changed(min(0.05, until - now))
+            if await take_permit(self._components, job, found.name):
+                return found
+
+    def _note_denied(self, job: Job, denied: Denied) -> None:
+        job.retry_after_s = denied.retry_after_s
+        names = self._list_names(job)
+        if self._components.gate.are_closed(names):
+            why = self._components.gate.explain_closed(names)
+            job.last_reason = job.last_reason or why
 
     async def _run_once(
         self, job: Job, instance: FleetInstance, may_retry: bool
@@ -152,6 +161,8 @@
             return await self._attempt(job, instance, may_retry)
         finally:
             self._components.load_tracker.end(instance.name)
+            completed = job.ending is Ending.ANSWERED
+            self._components.admission.note_end(job, completed=completed)
 
     async def _attempt(
         self, job: Job, instance: FleetInstance, may_retry: bool
--- a/coursepitch/gateway/components.py
+++ b/coursepitch/gateway/components.py
@@ -9,6 +9,7 @@
     from coursepitch.clock import Clock
     from coursepitch.fleet.notices import InstanceNotices
     from coursepitch.fleet.session import FleetSession
+    from coursepitch.gateway.admission import Admission
     from coursepitch.gateway.budget import RetryBudget
     from coursepitch.gateway.crash_detector import CrashDetector
     from coursepitch.gateway.load_tracker import LoadTracker
@@ -31,4 +32,5 @@
     crash_detector: CrashDetector
     notices: InstanceNotices
     gate: SendGate
+    admission: Admission
     clock: Clock
--- a/coursepitch/gateway/job.py
+++ b/coursepitch/gateway/job.py
@@ -61,6 +61,10 @@
 
     :param deadline_at: monotonic time of the deadline.
     :param is_client_retry: whether the client retries after a refusal.
+    :param waited_before_s: seconds that passed since the client's first attempt.
+    :param work: predicted work in instance-seconds; 1 for services without engines.
+    :param retry_after_s: Retry-After in seconds if the request is refused now; 0 if
+        not known.
     :param sent: instances that the request was sent to, in order.
     :param may_have_run: instances that executed it, or may have.
     :param permit: permit for the next send, where the instance limits its rate.
@@ -81,6 +85,9 @@
     customer: RoutedCustomer | None
     deadline_at: float
     is_client_retry: bool = False
+    waited_before_s: float = 0.0
+    work: float = 1.0
+    retry_after_s: float = 0.0
     sent: list[str] = field(default_factory=list)
     may_have_run: set[str] = field(default_factory=set)
     permit: Permit | None = None
@@ -127,6 +134,11 @@
         """Monotonic time at which the request was completely read."""
         return self.incoming.received_at
 
+    @property
+    def first_arrived_at(self) -> float:
+        """Monotonic time of the client's first attempt, which was refused."""
+        return self.arrived_at - self.waited_before_s
+
     @property
     def urgency(self) -> int:
         """Priority of the request; 0 is the most urgent."""
--- a/coursepitch/gateway/request_handler.py
+++ b/coursepitch/gateway/request_handler.py
@@ -134,7 +134,7 @@
         timeout_s = route.timeout_s
         if patience_s is not None:
             timeout_s = min(timeout_s, patience_s)
-        is_client_retry = self._is_client_retry(route.name, patience_s)
+        waited_before_s = self._find_waited_before_s(route.name, patience_s)
         return Job(
             request,
             reply,
@@ -143,16 +143,22 @@
             service,
             None if route.public else customer,
             request.received_at + timeout_s,
-            is_client_retry,
+            is_client_retry=waited_before_s > 0,
+            waited_before_s=waited_before_s,
         )
 
-    def _is_client_retry(self, route: str, patience_s: float | None) -> bool:
-        """Whether the client retries a refused request: its timeout is below usual."""
+    def _find_waited_before_s(self, route: str, patience_s: float | None) -> float:
+        """Return the seconds since the first attempt of a client that retries.
+
+        A client retries a refused request if its timeout is below the usual one.
+        """
         if patience_s is None:
-            return False
+            return 0.0
         usual = max(self._usual_patience_s.get(route, 0.0), patience_s)
         self._usual_patience_s[route] = usual
-        return patience_s < usual * CLIENT_RETRY_TIMEOUT_SHARE
+        if patience_s >= usual * CLIENT_RETRY_TIMEOUT_SHARE:
+            return 0.0
+        return usual - patience_s
 
     async def _serve(self, job: Job) -> None:
         """Serve a request up to its deadline, and send the refusal if it fails."""
@@ -184,7 +190,8 @@
         engine = job.service.engine
         model = engine.find_model(job.fields.model) if engine else None
         if engine is not None and model is not None:
-            self.work.note(model.name, estimate_work(engine, model, job.fields))
+            job.work = estimate_work(engine, model, job.fields)
+            self.work.note(model.name, job.work)
 
     def _end_at_deadline(self, job: Job) -> Refusal | None:
         if job.reply.written:
--- a/coursepitch/gateway/streams.py
+++ b/coursepitch/gateway/streams.py
@@ -7,6 +7,7 @@
 import anyio
 
 from coursepitch import events, log
+from coursepitch.gateway.admission import Denial, Denied, Terms
 from coursepitch.gateway.attempts import (
     NOT_EXECUTED_STATUSES,
     SendPlan,
@@ -23,6 +24,8 @@
 from coursepitch.platform.headers import forward_response_headers
 
 if TYPE_CHECKING:
+    from collections.abc import Collection
+
     from coursepitch.fleet.view import OpenGroup
     from coursepitch.gateway.components import GatewayComponents
     from coursepitch.gateway.job import Job
@@ -49,9 +52,6 @@
 #: Interval in seconds of checks whether an overdue attempt may be abandoned.
 OVERDUE_CHECK_INTERVAL_S = 0.1
 
-#: Interval in seconds of checks for a group with free capacity.
-GROUP_CHECK_INTERVAL_S = 0.02
-
 #: Requests in flight per slot up to which a group accepts a resumed stream.
 RESUMED_REQUESTS_PER_SLOT = 3
 
@@ -62,6 +62,15 @@
 MAX_SENDS = 5
 
 
+#: Reasons for clients whose requests the queue denied.
+DENIAL_REASONS = {
+    Denial.LATE: 'no group is expected to have room in time',
+    Denial.EVICTED: 'other requests go first and the queue is full',
+    Denial.FULL: 'the queue of waiting requests is full',
+    Denial.REMOVED: 'the service is unknown',
+}
+
+
 class StalledError(ExchangeError):
     """The stream stalled although its connection is open."""
 
@@ -135,26 +144,40 @@
             until = job.arrived_at + job.route.objective_s * WAIT_OBJECTIVE_SHARE
         until = min(until, job.deadline_at)
         max_in_flight = self._find_max_in_flight(job)
-        choose = self._components.router.choose_group
-        model = job.fields.model
-        while True:
-            now = self._components.clock()
-            if now >= job.deadline_at or not self._components.session.is_fresh():
-                return None
-            group = choose(job.service, model, tried, max_in_flight)
+
+        def choose() -> tuple[str, OpenGroup] | None:
+            group = self._choose_group(job, tried, max_in_flight)
             if group is None and job.reply.started:
-                group = choose(job.service, model, (), max_in_flight)
-            if group is not None:
-                if await take_permit(self._components, job, group.head.name):
-                    return group
-                continue
-            heads = self._list_heads(job)
-            if now >= until or self._components.gate.are_closed(heads, until - now):
-                job.last_reason = job.last_reason or self._explain_no_group(job)
+                group = self._choose_group(job, (), max_in_flight)
+            return None if group is None else (group.head.name, group)
+
+        terms = Terms(
+            until,
+            lambda: self._list_heads(job),
+            MIN_RETRY_AFTER_S,
+            (max_in_flight, job.reply.started, frozenset(tried)),
+        )
+        while True:
+            found = await self._components.admission.acquire(job, terms, choose)
+            if isinstance(found, Denied):
+                self._note_denied(job, found)
                 return None
-            await self._components.session.wait_changed(
-                min(GROUP_CHECK_INTERVAL_S, until - now)
-            )
+            if await take_permit(self._components, job, found.head.name):
+                return found
+
+    def _choose_group(
+        self, job: Job, tried: Collection[str], max_in_flight: int
+    ) -> OpenGroup | None:
+        """Return the group to send a request to, or ``None`` if none has room."""
+        return self._components.router.choose_group(
+            job.service, job.fields.model, tried, max_in_flight
+        )
+
+    def _note_denied(self, job: Job, denied: Denied) -> None:
+        job.retry_after_s = denied.retry_after_s
+        if denied.denial is not Denial.UNCONFIRMED and not job.last_reason:
+            reason = DENIAL_REASONS.get(denied.denial)
+            job.last_reason = reason or self._explain_no_group(job)
 
     def _list_heads(self, job: Job) -> list[str]:
         view = self._components.session.view
@@ -213,6 +236,8 @@
                 attempt.release()
         finally:
             self._components.load_tracker.end(head.name)
+            completed = job.ending is Ending.ANSWERED
+            self._components.admission.note_end(job, completed=completed)
 
     async def _attempt(
         self, job: Job, group: OpenGroup, splitter: EventSplitter
@@ -291,8 +316,7 @@
         ):
             return False
         tried = {head, *job.sent}
-        choose = self._components.router.choose_group
-        return choose(job.service, job.fields.model, tried, engine.slots) is not None
+        return self._choose_group(job, tried, engine.slots) is not None
 
     def _log_overdue(self, job: Job, group: OpenGroup) -> None:
         log.emit(
--- a/coursepitch/gateway_application.py
+++ b/coursepitch/gateway_application.py
@@ -16,11 +16,13 @@
 from coursepitch.fleet.control import InstanceControl
 from coursepitch.fleet.freshness import Freshness
 from coursepitch.fleet.links import PeerLinks
+from coursepitch.fleet.messages import Heartbeat
 from coursepitch.fleet.nodes import NodeLocation
 from coursepitch.fleet.notices import InstanceNotices
 from coursepitch.fleet.reports import CrashReporter, LiveInstances
 from coursepitch.fleet.session import FleetSession
 from coursepitch.fleet.suspects import SuspectTable
+from coursepitch.gateway.admission import Admission
 from coursepitch.gateway.budget import RetryBudget
 from coursepitch.gateway.calls import CallServer
 from coursepitch.gateway.components import GatewayComponents
@@ -44,7 +46,7 @@
 
     from coursepitch.clock import Clock
     from coursepitch.config.gateway import GatewaySettings, PromiseSettings
-    from coursepitch.fleet.messages import Heartbeat
+    from coursepitch.fleet.messages import Message
     from coursepitch.http.messages import IncomingRequest
     from coursepitch.http.server import ResponseWriter
     from coursepitch.log import BoundedOutput
@@ -114,7 +116,7 @@
             self.session.view,
             self.session.book,
             self._build_heartbeat,
-            self.session.handle_message,
+            self._handle_message,
             clock,
         )
         self.session.send = self.links.send
@@ -142,6 +144,9 @@
         self.gate = SendGate(
             self.session.view, self.backoffs, self.session.permits, self._count_withheld
         )
+        self.admission = Admission(
+            self.session, self.gate, self.load_tracker, self.metrics, clock
+        )
         self.router = Router(
             self.session.view,
             self.load_tracker,
@@ -178,6 +183,7 @@
             self._build_crash_detector(),
             self.notices,
             self.gate,
+            self.admission,
             self.clock,
         )
         streams = StreamServer(components, self.watchdog)
@@ -199,6 +205,11 @@
             self._count_notice,
         )
 
+    def _handle_message(self, message: Message) -> None:
+        self.session.handle_message(message)
+        if isinstance(message, Heartbeat):
+            self.admission.note_loads()
+
     def _find_born(self, instance: str) -> int:
         found = self.session.view.instances.get(instance)
         return found.born if found else 0
@@ -279,11 +290,20 @@
     ) -> None:
         self.metrics.limited_instances.set({}, self.session.limits.count_limited())
         self.metrics.backed_off_instances.set({}, self.backoffs.count_active())
+        self._set_waiting()
         accept = (request.header(b'accept') or b'').decode('latin-1')
         content, headers = self.metrics.render(accept)
         lines = tuple((key.encode(), value.encode()) for key, value in headers.items())
         await reply.send_whole(200, lines, content)
 
+    def _set_waiting(self) -> None:
+        counts = self.admission.count_waiting()
+        urgencies = {
+            int(labels['urgency']) for labels, _ in self.metrics.waiting.get_all()
+        }
+        for urgency in urgencies | set(counts):
+            self.metrics.waiting.set({'urgency': str(urgency)}, counts.get(urgency, 0))
+
     # -- running ----------------------------------------------------------------------
 
     async def run(self) -> int:
@@ -308,6 +328,7 @@
             group.start_soon(self.reporter.run)
             group.start_soon(self._keep_groups)
             group.start_soon(self._clean_up)
+            group.start_soon(self.admission.run)
             group.start_soon(self.links.run, sockets['peers'])
             group.start_soon(self.ready_server.run, sockets['ready'])
             group.start_soon(self.metrics_server.run, sockets['metrics'])
--- a/coursepitch/metrics.py
+++ b/coursepitch/metrics.py
@@ -81,6 +81,26 @@
         )
         self.in_flight = gauge('requests_in_flight', 'Requests in flight.')
         self.queued = gauge('requests_queued', 'Requests that wait in the queue.')
+        self.waiting = gauge(
+            'requests_waiting', 'Requests that wait for a target, by urgency.'
+        )
+        self.admitted = counter(
+            'admitted_requests_total', 'Requests that got a target, by urgency.'
+        )
+        self.denied = counter(
+            'denied_requests_total',
+            'Requests that got no target, by urgency and reason.',
+        )
+        self.admission_wait = histogram(
+            'admission_wait_seconds',
+            'Time that a request waited for a target, by urgency; requests that did '
+            'not wait are not counted.',
+        )
+        self.expected_wait = histogram(
+            'expected_wait_seconds',
+            'Wait that was expected when a request began to wait for a target, by '
+            'urgency; 0 if none could be told.',
+        )
         self.kv_calls = counter(
             'key_value_calls_total', 'Calls to the key-value service by operation.'
         )
--- a/coursepitch/scheduling/waiting.py
+++ b/coursepitch/scheduling/waiting.py
@@ -58,6 +58,7 @@
     :param expires_at: time at which it stops waiting.
     :param resumed: whether its response has begun and was interrupted.
     :param constraint: equal for requests that can start at the same targets.
+    :param refuse_late: whether it is refused as soon as it is known to be late.
     :param weight: share of its customer in relation to others.
     :param expected_s: wait that was expected when it began to wait.
     :param number: order of arrival, set by the queue.
@@ -70,6 +71,7 @@
     expires_at: float
     resumed: bool = False
     constraint: Hashable = None
+    refuse_late: bool = True
     weight: float = 1.0
     expected_s: float = 0.0
     number: int = 0
@@ -354,25 +356,28 @@
         return (ahead + self._rate.mean_work) / rate
 
     def is_too_late(self, request: WaitingRequest, now: float) -> bool:
-        """Whether a waiting request is known not to be served in time."""
+        """Whether a waiting request is to be refused as it cannot start in time."""
+        if not request.refuse_late:
+            return False
         expected_s = self.estimate_wait_s(request, now)
         return expected_s > LATE_FACTOR * max(0.0, request.expires_at - now)
 
     def find_retry_after_s(
-        self, now: float, least_s: float, random_fraction: float
+        self, now: float, least_s: float, honoured_s: float, random_fraction: float
     ) -> float:
         """Return the Retry-After in seconds: when the present queue will be served.
 
         :param least_s: shortest time before the jitter is added.
+        :param honoured_s: longest time that the client honours, which the jitter does
+            not exceed.
         :param random_fraction: random number from 0 to 1, for the jitter.
         """
         self._advance(now)
         rate = self._rate.work_per_s
         work = sum(level.work for level in self._levels.values())
-        wait_s = max(least_s, work / rate if rate else 0.0)
-        return min(MAX_RETRY_AFTER_S, wait_s) * (
-            1.0 + RETRY_AFTER_JITTER * random_fraction
-        )
+        wait_s = min(MAX_RETRY_AFTER_S, max(least_s, work / rate if rate else 0.0))
+        jitter_s = min(wait_s * RETRY_AFTER_JITTER, max(0.0, honoured_s - wait_s))
+        return wait_s + jitter_s * random_fraction
 
     # -- internals --------------------------------------------------------------------
 
--- /dev/null
+++ b/tests/gateway/test_admission.py
@@ -0,0 +1,437 @@
+"""Requests wait for a target in a queue and are woken by freed capacity.
+
+No test lets real time pass: the clock is injected, and a request that waits is woken
+only by what the test does.
+"""
+
+from __future__ import annotations
+
+import unittest
+from types import SimpleNamespace
+from unittest import mock
+
+import anyio
+
+from coursepitch import events
+from coursepitch.gateway.admission import MAX_LINES_PER_S, MAX_WAITING, DecisionLog
+from coursepitch.gateway.request_handler import Gateway
+from tests.gateway.waiting_node import OBJECTIVE_S, WaitingNode, run, settle
+
+
+class FreeCapacityTest(unittest.TestCase):
+    """With free capacity, requests are sent as without a queue."""
+
+    def check_sent_at_once(self, node, job, before):
+        coroutine = node.ask(job)
+        with self.assertRaises(StopIteration):
+            coroutine.send(None)
+        self.assertEqual(node.got, ['r'])
+        self.assertEqual(before + 1, sum(node.load_tracker.count_own().values()))
+
+    def test_request_gets_the_group_without_waiting(self):
+        node = WaitingNode(groups=2)
+        node.fill('h0', count=1)
+        choose = mock.Mock(wraps=node.router.choose_group)
+        node.router.choose_group = choose
+        self.check_sent_at_once(node, node.build_job(), before=1)
+        choose.assert_called_once_with(node.engine_service, 'small', set(), 2)
+        self.assertEqual(node.load_tracker.count_in_flight('h1'), 1)
+
+    def test_request_gets_the_plain_instance_without_waiting(self):
+        node = WaitingNode()
+        node.fill('p0', count=1)
+        self.check_sent_at_once(node, node.build_job(plain=True), before=1)
+        self.assertEqual(node.load_tracker.count_in_flight('p1'), 1)
+
+
+class WakeTest(unittest.TestCase):
+    """Waiting requests are woken by what makes room for them."""
+
+    def check_woken(self, make_room, groups=1):
+        node = WaitingNode(groups)
+        node.fill(*[f'h{number}' for number in range(groups)])
+
+        async def scenario(tasks):
+            tasks.start_soon(node.admission.run)
+            tasks.start_soon(node.ask, node.build_job())
+            await settle()
+            self.assertEqual((node.got, node.list_waiting()), ([], 1))
+            make_room(node)
+            await settle()
+            self.assertEqual((node.got, node.list_waiting()), (['r'], 0))
+
+        run(scenario)
+
+    def test_end_of_a_request(self):
+        self.check_woken(lambda node: node.end())
+
+    def test_failure_of_a_request(self):
+        self.check_woken(lambda node: node.end(completed=False))
+
+    def test_newer_loads_of_peers(self):
+        def make_room(node):
+            node.load_tracker.count_peers = lambda name: -1
+            node.admission.note_loads()
+
+        self.check_woken(make_room)
+
+    def test_change_of_the_view(self):
+        def make_room(node):
+            node.load_tracker._records.clear()
+            node.session.wake()
+
+        self.check_woken(make_room)
+
+    def test_freed_slot_wakes_one_request(self):
+        """Guards against several requests that are sent to the same free slot."""
+        node = WaitingNode()
+        node.fill('h0')
+
+        async def scenario(tasks):
+            for name in 'abc':
+                tasks.start_soon(node.ask, node.build_job(name))
+            await settle()
+            node.end()
+            # Before the woken request has run, another one arrives.
+            tasks.start_soon(node.ask, node.build_job('d'))
+            await settle()
+            self.assertEqual(node.got, ['a'])
+            self.assertEqual(node.load_tracker.count_in_flight('h0'), 2)
+
+        run(scenario)
+
+    def test_client_that_left_is_never_sent_and_its_slot_goes_to_the_next(self):
+        node = WaitingNode()
+        node.fill('h0')
+        scopes = []
+
+        async def leave():
+            with anyio.CancelScope() as scope:
+                scopes.append(scope)
+                await node.ask(node.build_job('left', urgency=0))
+
+        async def scenario(tasks):
+            tasks.start_soon(leave)
+            tasks.start_soon(node.ask, node.build_job('next', urgency=1))
+            await settle()
+            # The target is reserved for the first request when its client leaves.
+            node.end()
+            scopes[0].cancel()
+            await settle()
+            self.assertEqual(node.got, ['next'])
+            self.assertEqual(node.load_tracker.count_in_flight('h0'), 2)
+
+        run(scenario)
+
+    def test_client_that_leaves_is_removed_at_once(self):
+        node = WaitingNode()
+        node.fill('h0')
+        scopes = []
+
+        async def leave():
+            with anyio.CancelScope() as scope:
+                scopes.append(scope)
+                await node.ask(node.build_job('left'))
+
+        async def scenario(tasks):
+            tasks.start_soon(leave)
+            await settle()
+            self.assertEqual(node.list_waiting(), 1)
+            scopes[0].cancel()
+            await settle()
+            self.assertEqual(node.list_waiting(), 0)
+            node.end()
+            await settle()
+            self.assertEqual(node.got, [])
+
+        run(scenario)
+
+
+class OrderTest(unittest.TestCase):
+    """The order in which waiting requests get targets."""
+
+    def serve(self, *requests):
+        """Return the order in which requests that wait are served."""
+        node = WaitingNode()
+        node.fill('h0')
+
+        async def scenario(tasks):
+            for fields in requests:
+                tasks.start_soon(node.ask, node.build_job(**fields))
+                await settle()
+            for _ in requests:
+                node.end()
+                await settle()
+
+        run(scenario)
+        return node.got
+
+    def test_more_urgent_requests_go_first(self):
+        order = self.serve(
+            {'name': 'low', 'urgency': 2},
+            {'name': 'high', 'urgency': 0},
+            {'name': 'middle', 'urgency': 1},
+        )
+        self.assertEqual(order, ['high', 'middle', 'low'])
+
+    def test_interrupted_stream_goes_before_requests_that_have_not_started(self):
+        order = self.serve(
+            {'name': 'new', 'urgency': 0},
+            {
+                'name': 'interrupted',
+                'urgency': 2,
+                'reply': SimpleNamespace(started=True),
+                'deadline_at': 1e6,
+            },
+        )
+        self.assertEqual(order, ['interrupted', 'new'])
+
+    def test_small_customer_goes_before_the_second_request_of_a_large_one(self):
+        large = [{'name': f'l{n}', 'customer': 'large'} for n in range(5)]
+        order = self.serve(*large, {'name': 's', 'customer': 'small'})
+        self.assertEqual(order[:2], ['l0', 's'])
+
+    def test_client_that_returns_keeps_the_time_of_its_first_attempt(self):
+        order = self.serve(
+            {'name': 'new', 'arrived_at': 100.0},
+            {'name': 'retry', 'first_arrived_at': 97.0},
+        )
+        self.assertEqual(order, ['retry', 'new'])
+
+
+class WaitTest(unittest.TestCase):
+    """How long requests wait, and when waiting is futile."""
+
+    def setUp(self):
+        self.node = WaitingNode()
+        self.node.fill('h0')
+
+    def check_wait(self, limit_s, **fields):
+        """Check that a request is denied after a time and not before."""
+        node = self.node
+        job = node.build_job(**fields)
+        real = mock.patch.object(anyio, 'move_on_after', lambda s: anyio.CancelScope())
+
+        async def scenario(tasks):
+            tasks.start_soon(node.ask, job)
+            await settle()
+            node.now = 100.0 + limit_s - 0.001
+            node.admission.check()
+            await settle()
+            self.assertEqual((node.denied, node.list_waiting()), ([], 1))
+            node.now = 100.0 + limit_s + 0.001
+            node.admission.check()
+            await settle()
+            self.assertEqual((node.denied, node.list_waiting()), (['r'], 0))
+
+        with real:
+            run(scenario)
+        self.assertGreater(job.retry_after_s, 0)
+        return job
+
+    def test_request_waits_for_a_fifth_of_its_objective(self):
+        job = self.check_wait(0.2 * OBJECTIVE_S)
+        self.assertEqual(job.last_reason, 'all groups are full or were tried')
+
+    def test_retry_of_a_client_waits_for_1500_ms(self):
+        self.check_wait(1.5, is_client_retry=True)
+
+    def test_interrupted_stream_waits_for_4_s(self):
+        self.check_wait(4.0, reply=SimpleNamespace(started=True))
+
+    def test_wait_ends_with_the_deadline(self):
+        self.check_wait(0.5, deadline_at=100.5)
+
+    def check_denied(self, job, change):
+        node = self.node
+
+        async def scenario(tasks):
+            tasks.start_soon(node.ask, job)
+            await settle()
+            self.assertEqual(node.list_waiting(), 1)
+            change()
+            node.admission.check()
+            await settle()
+            self.assertEqual((node.denied, node.list_waiting()), (['r'], 0))
+
+        run(scenario)
+
+    def test_unconfirmed_configuration_ends_the_wait(self):
+        self.check_denied(
+            self.node.build_job(), lambda: setattr(self.node.session, 'fresh', False)
+        )
+
+    def test_service_that_is_removed_ends_the_wait(self):
+        job = self.node.build_job()
+        self.check_denied(job, lambda: self.node.view.table.services.clear())
+        self.assertEqual(job.last_reason, 'the service is unknown')
+
+    def test_backoff_of_all_groups_that_lasts_longer_ends_the_wait(self):
+        job = self.node.build_job(is_client_retry=True)
+        self.check_denied(job, lambda: self.node.backoffs.note('h0', 9.0))
+
+    def test_shorter_backoff_does_not_end_the_wait(self):
+        node = self.node
+
+        async def scenario(tasks):
+            tasks.start_soon(node.ask, node.build_job())
+            await settle()
+            node.backoffs.note('h0', 0.1)
+            node.admission.check()
+            await settle()
+            self.assertEqual((node.denied, node.list_waiting()), ([], 1))
+
+        run(scenario)
+
+    def test_rejected_plain_request_does_not_wait(self):
+        node = self.node
+        job = node.build_job(plain=True)
+        anyio.run(node.ask, job, ('p0', 'p1'))
+        self.assertEqual(node.denied, ['r'])
+
+
+class KnownLateTest(unittest.TestCase):
+    """Requests that are known not to be served in time are refused at once."""
+
+    def setUp(self):
+        self.node = WaitingNode()
+        self.node.fill('h0')
+
+    async def complete(self, tasks, rate=10):
+        """Measure completions per second while requests wait."""
+        node = self.node
+        tasks.start_soon(
+            node.ask, node.build_job('long', reply=SimpleNamespace(started=True))
+        )
+        await settle()
+        for _ in range(2 * rate):
+            node.now += 1 / rate
+            node.admission.note_end(node.build_job(), completed=True)
+
+    def test_request_behind_a_long_queue_is_refused_at_once(self):
+        node = self.node
+
+        async def scenario(tasks):
+            await self.complete(tasks)
+            # 15 requests at 10 per second: 1.5 s, and a client's retry waits 1.5 s.
+            for number in range(40):
+                job = node.build_job(f'r{number}', is_client_retry=True)
+                tasks.start_soon(node.ask, job)
+                await settle()
+            self.assertNotIn('r0', node.denied)
+            self.assertNotIn('r12', node.denied)
+            self.assertIn('r39', node.denied)
+            self.assertEqual(
+                job.last_reason, 'no group is expected to have room in time'
+            )
+            # The queue takes over 2 s to serve; jitter lengthens that.
+            self.assertGreater(job.retry_after_s, 2.0)
+            self.assertLess(job.retry_after_s, 5.0)
+
+        run(scenario)
+
+    def test_interrupted_stream_is_not_refused_early(self):
+        node = self.node
+
+        async def scenario(tasks):
+            await self.complete(tasks)
+            for number in range(100):
+                job = node.build_job(f's{number}', reply=SimpleNamespace(started=True))
+                tasks.start_soon(node.ask, job)
+            await settle()
+            node.admission.check()
+            await settle()
+            self.assertEqual(node.denied, [])
+
+        run(scenario)
+
+    def test_urgent_request_is_not_refused_behind_less_urgent_ones(self):
+        node = self.node
+
+        async def scenario(tasks):
+            await self.complete(tasks)
+            for number in range(40):
+                job = node.build_job(f'r{number}', urgency=2)
+                tasks.start_soon(node.ask, job)
+            await settle()
+            job = node.build_job('urgent', urgency=0, is_client_retry=True)
+            tasks.start_soon(node.ask, job)
+            await settle()
+            self.assertNotIn('urgent', node.denied)
+            node.end()
+            node.end()
+            await settle()
+            self.assertIn('urgent', node.got)
+
+        run(scenario)
+
+    def test_urgent_request_evicts_the_least_urgent_of_a_full_queue(self):
+        node = self.node
+
+        async def scenario(tasks):
+            jobs = [
+                node.build_job(f'r{n}', urgency=2 if n == 7 else 1)
+                for n in range(MAX_WAITING)
+            ]
+            for job in jobs:
+                tasks.start_soon(node.ask, job)
+            await settle()
+            self.assertEqual(node.list_waiting(), MAX_WAITING)
+            tasks.start_soon(node.ask, node.build_job('urgent', urgency=0))
+            await settle()
+            self.assertEqual(node.denied, ['r7'])
+            self.assertIn('other requests', jobs[7].last_reason)
+            tasks.start_soon(node.ask, node.build_job('late', urgency=2))
+            await settle()
+            self.assertEqual(node.denied, ['r7', 'late'])
+
+        run(scenario)
+
+
+class FirstAttemptTest(unittest.TestCase):
+    """The time of a client's first attempt follows from its remaining timeout."""
+
+    def test_remaining_timeout_tells_how_long_ago_it_was(self):
+        components = SimpleNamespace(
+            session=None, router=None, budget=None, clock=lambda: 0.0
+        )
+        gateway = Gateway(components, None, None, None, None)
+        self.assertEqual(gateway._find_waited_before_s('r', 8.0), 0.0)
+        self.assertEqual(gateway._find_waited_before_s('r', 7.95), 0.0)
+        self.assertEqual(gateway._find_waited_before_s('r', 6.5), 1.5)
+        self.assertEqual(gateway._find_waited_before_s('r', None), 0.0)
+
+
+class DecisionLogTest(unittest.TestCase):
+    """Decisions are logged one by one up to a bound, and counted beyond it."""
+
+    def test_decisions_beyond_the_bound_are_counted_by_reason(self):
+        now = [10.0]
+        lines = []
+        log = DecisionLog(lambda: now[0])
+        with mock.patch(
+            'coursepitch.log.emit',
+            lambda event, **fields: lines.append((event, fields)),
+        ):
+            for _ in range(MAX_LINES_PER_S + 30):
+                log.note('wait over', request='r')
+            log.note('evicted', request='r')
+            self.assertEqual(len(lines), MAX_LINES_PER_S)
+            self.assertTrue(log.has_counts())
+            now[0] = 11.0
+            log.flush()
+        counted = [
+            fields for event, fields in lines if event is events.ADMISSIONS_COUNTED
+        ]
+        self.assertEqual(
+            counted,
+            [
+                {'decision': 'evicted', 'count': 1},
+                {'decision': 'wait over', 'count': 30},
+            ],
+        )
+        self.assertFalse(log.has_counts())
+
+
+if __name__ == '__main__':
+    unittest.main()
--- a/tests/gateway/test_truthful.py
+++ b/tests/gateway/test_truthful.py
@@ -28,6 +28,7 @@
         deadline_at=100.0 + left_s,
         last_reason='',
         crashes=0,
+        retry_after_s=0.0,
         reply=SimpleNamespace(started=False, written=False),
         service=build_service(),
         fields=SimpleNamespace(model=''),
--- a/tests/scheduling/test_waiting.py
+++ b/tests/scheduling/test_waiting.py
@@ -245,11 +245,28 @@
         queue = WaitingQueue(1000)
         now = self.complete(queue)
         fill(queue, *[build(expires=now + 9) for _ in range(30)], now=now)
-        times = [queue.find_retry_after_s(now, 0.7, n / 10) for n in range(11)]
+        times = [queue.find_retry_after_s(now, 0.7, 60.0, n / 10) for n in range(11)]
         self.assertAlmostEqual(times[0], 3.0, delta=0.2)
         self.assertAlmostEqual(times[-1], 1.5 * times[0], delta=1e-6)
         self.assertEqual(len(set(times)), 11)
-        self.assertEqual(WaitingQueue(9).find_retry_after_s(0.0, 0.7, 0.0), 0.7)
+        self.assertEqual(WaitingQueue(9).find_retry_after_s(0.0, 0.7, 60.0, 0.0), 0.7)
+
+    def test_jitter_does_not_exceed_what_the_client_honours(self):
+        """A client does not return after a Retry-After that is too long for it."""
+        queue = WaitingQueue(9)
+        self.assertEqual(queue.find_retry_after_s(0.0, 0.7, 0.8, 1.0), 0.8)
+        self.assertEqual(queue.find_retry_after_s(0.0, 0.7, 0.2, 1.0), 0.7)
+
+    def test_request_that_must_not_be_refused_early_waits_until_its_end(self):
+        queue = WaitingQueue(1000)
+        now = self.complete(queue)
+        requests = fill(
+            queue,
+            *[build(expires=now + 0.5, refuse_late=False) for _ in range(20)],
+            now=now,
+        )
+        self.assertFalse(queue.is_too_late(requests[-1], now))
+        self.assertEqual(queue.expire(now), [])
 
 
 SMALL = [Source(f's{n}', n % 3, 2.0, 0.1) for n in range(18)]
