Send the priority of a request where urgencies differ

Cause: nothing read Job.urgency, and SendPlan.priority was never set, so targets ranked urgent requests like all others.

Ruled out: a priority for every request (a deployment with one urgency would send other requests than before, and its requests would be ranked against those that have none).

Change: RouteTable.find_priority, decided once per version of the configuration, and the field Job.priority, which attempts of both kinds pass on. Public routes have the urgency of the route, as their requests have no customer.

--- a/coursepitch/config/routes.py
+++ b/coursepitch/config/routes.py
@@ -29,6 +29,10 @@
 ]
 
 
+#: Lowest priority that a target knows; 0 is the highest.
+LEAST_PRIORITY = 9
+
+
 class RouteKind(enum.Enum):
     """What may be done with the requests of a route."""
 
@@ -179,10 +183,35 @@
     keyed: bool
     rules: ConnectionRules
     _index: dict[tuple[str, str], Route] = field(default_factory=dict, repr=False)
+    _prioritized: frozenset[str] = field(init=False, repr=False)
 
     def __post_init__(self) -> None:
         for route in self.routes:
             self._index[route.host, route.prefix] = route
+        object.__setattr__(self, '_prioritized', self._find_prioritized())
+
+    def _find_prioritized(self) -> frozenset[str]:
+        """Return the services whose requests differ in urgency."""
+        own = {customer.urgency for customer in self.keys.values()}
+        found: dict[str, set[int]] = {}
+        for route in self.routes:
+            urgencies = {route.urgency}
+            if not route.public:
+                urgencies = {route.urgency if item is None else item for item in own}
+                urgencies = urgencies or {route.urgency}
+            for backend in route.backends:
+                found.setdefault(backend.service, set()).update(urgencies)
+        return frozenset(name for name, values in found.items() if len(values) > 1)
+
+    def find_priority(self, service: str, urgency: int) -> int | None:
+        """Return the priority that a request has at its target.
+
+        ``None`` stands for the target's default, where all requests of the service are
+        equally urgent.
+        """
+        if service not in self._prioritized:
+            return None
+        return min(LEAST_PRIORITY, max(0, urgency))
 
     def find_route(self, host: str, path: str) -> Route | None:
         """Return the route with the longest prefix of a path on a host."""
--- a/coursepitch/gateway/calls.py
+++ b/coursepitch/gateway/calls.py
@@ -175,7 +175,11 @@
         sent_at = self._components.clock()
         # A reset of a reused connection does not tell whether the request was
         # executed, so a request that must not be repeated gets a new connection.
-        plan = SendPlan(headers_timeout_s, new_connection=not job.route.repeatable)
+        plan = SendPlan(
+            headers_timeout_s,
+            new_connection=not job.route.repeatable,
+            priority=job.priority,
+        )
         attempt = await send_attempt(self._components, job, instance, plan)
         if attempt.answer is None:
             if not attempt.withheld:
--- a/coursepitch/gateway/job.py
+++ b/coursepitch/gateway/job.py
@@ -62,6 +62,7 @@
     :param deadline_at: monotonic time of the deadline.
     :param is_client_retry: whether the client retries after a refusal.
     :param waited_before_s: seconds that passed since the client's first attempt.
+    :param priority: priority at the target; ``None`` for the target's default.
     :param work: predicted work in instance-seconds; 1 for services without engines.
     :param retry_after_s: Retry-After in seconds if the request is refused now; 0 if
         not known.
@@ -86,6 +87,7 @@
     deadline_at: float
     is_client_retry: bool = False
     waited_before_s: float = 0.0
+    priority: int | None = None
     work: float = 1.0
     retry_after_s: float = 0.0
     sent: list[str] = field(default_factory=list)
--- a/coursepitch/gateway/request_handler.py
+++ b/coursepitch/gateway/request_handler.py
@@ -135,7 +135,7 @@
         if patience_s is not None:
             timeout_s = min(timeout_s, patience_s)
         waited_before_s = self._find_waited_before_s(route.name, patience_s)
-        return Job(
+        job = Job(
             request,
             reply,
             fields,
@@ -146,6 +146,8 @@
             is_client_retry=waited_before_s > 0,
             waited_before_s=waited_before_s,
         )
+        job.priority = table.find_priority(service.name, job.urgency)
+        return job
 
     def _find_waited_before_s(self, route: str, patience_s: float | None) -> float:
         """Return the seconds since the first attempt of a client that retries.
--- a/coursepitch/gateway/streams.py
+++ b/coursepitch/gateway/streams.py
@@ -250,6 +250,7 @@
         plan = SendPlan(
             headers_timeout_s=max(0.001, job.deadline_at - self._components.clock()),
             last_event=splitter.last_event,
+            priority=job.priority,
         )
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._cancel_when_unresponsive, group, stalled, tasks)
--- a/tests/whole/test_platform.py
+++ b/tests/whole/test_platform.py
@@ -34,10 +34,12 @@
         self.assertEqual(run['body'], 'hello')
 
     def test_target_gets_customer_and_time_left_and_never_the_key(self):
-        forged = {'X-Tenant': 'someone'}
+        forged = {'X-Tenant': 'someone', 'X-Request-Priority': '0'}
         self.send('n1', 'POST', '/once/a', 'path-2', headers=forged)
         (run,) = self.find_runs('path-2')
         self.assertEqual(run['headers']['x-tenant'], 'acme')
+        # All routes are equally urgent, so no priority is sent.
+        self.assertNotIn('x-request-priority', run['headers'])
         self.assertNotIn('authorization', run['headers'])
         self.assertLessEqual(int(run['headers']['x-deadline-ms']), 8000)
         self.assertIn('x-expect-replica', run['headers'])
