Bound the requests sent to a target over all nodes

Cause: plain instances got requests in any number, however full they were known to be, and groups were full by slots only, whatever key-value cache their requests needed.

Ruled out: a bound that refuses (only the target knows whether it has room, and loads of peers are up to 0.4 s old); choosing another instance when the best one is full (it would be a slower one, or one that just failed); tokens in heartbeats (a few bytes per head for a bound that is rarely reached; the usual tokens stand for the requests of peers).

Change: a request to a plain service waits while the instance it would be sent to has one and a half times its slots in flight from all nodes; a stream waits while the caches of the chosen groups are full. At the end of its wait, or if the queue denies it, it is sent as before. A larger request is not overtaken by smaller ones.

Not shown: full caches in a played load.

--- a/coursepitch/gateway/calls.py
+++ b/coursepitch/gateway/calls.py
@@ -20,6 +20,7 @@
 from coursepitch.gateway.suspicion import explain_crashes
 from coursepitch.http.client import ExchangeError
 from coursepitch.platform.headers import forward_response_headers
+from coursepitch.scheduling.capacity import find_plain_bound
 
 if TYPE_CHECKING:
     from coursepitch.fleet.instances import FleetInstance
@@ -112,10 +113,18 @@
         # the client is told to come back.
         until = self._components.clock() if tried else min(until, job.deadline_at)
 
-        def choose() -> tuple[str, FleetInstance] | None:
+        def choose_last() -> tuple[str, FleetInstance] | None:
+            # The bound is there to choose and to wait: an instance queues requests
+            # itself, and only it knows whether it has room.
             instance = self._components.router.choose_instance(job.service, tried)
             return None if instance is None else (instance.name, instance)
 
+        def choose() -> tuple[str, FleetInstance] | None:
+            found = choose_last()
+            if found is not None and not tried and self._is_full(found[1]):
+                return None
+            return found
+
         terms = Terms(
             until,
             lambda: self._list_names(job),
@@ -124,13 +133,20 @@
             refuse_late=False,
         )
         while True:
-            found = await self._components.admission.acquire(job, terms, choose)
+            found = await self._components.admission.acquire(
+                job, terms, choose, choose_last
+            )
             if isinstance(found, Denied):
                 self._note_denied(job, found)
                 return None
             if await take_permit(self._components, job, found.name):
                 return found
 
+    def _is_full(self, instance: FleetInstance) -> bool:
+        """Whether an instance has requests beyond its bound from all nodes."""
+        count = self._components.load_tracker.count_in_flight(instance.name)
+        return count >= find_plain_bound(instance.slots)
+
     def _note_denied(self, job: Job, denied: Denied) -> None:
         job.retry_after_s = denied.retry_after_s
         names = self._list_names(job)
--- a/coursepitch/gateway/load_tracker.py
+++ b/coursepitch/gateway/load_tracker.py
@@ -67,6 +67,10 @@
         """Return the requests in flight to an instance, including those of peers."""
         return self._record(instance).in_flight + self.count_peers(instance)
 
+    def count_other_nodes(self, instance: str) -> int:
+        """Return the requests in flight to an instance from other nodes."""
+        return self.count_peers(instance)
+
     def count_own(self) -> dict[str, int]:
         """Return this node's requests in flight by instance."""
         return {
--- a/coursepitch/gateway/streams.py
+++ b/coursepitch/gateway/streams.py
@@ -19,12 +19,13 @@
 from coursepitch.gateway.event_splitter import EventSplitter
 from coursepitch.gateway.job import Ending, Refusal
 from coursepitch.gateway.suspicion import explain_crashes
-from coursepitch.gateway.work import find_max_in_flight
+from coursepitch.gateway.work import estimate_tokens, find_max_in_flight
 from coursepitch.http.client import ExchangeError
 from coursepitch.platform.headers import forward_response_headers
+from coursepitch.scheduling.capacity import TokensInFlight
 
 if TYPE_CHECKING:
-    from collections.abc import Collection
+    from collections.abc import Callable, Collection
 
     from coursepitch.fleet.view import OpenGroup
     from coursepitch.gateway.components import GatewayComponents
@@ -55,6 +56,9 @@
 #: Requests in flight per slot up to which a group accepts a resumed stream.
 RESUMED_REQUESTS_PER_SLOT = 3
 
+#: Groups that are examined for room in their key-value caches for one request.
+MAX_EXAMINED_GROUPS = 4
+
 #: Largest body in bytes of an error response.
 MAX_ERROR_BYTES = 1_048_576
 
@@ -81,6 +85,7 @@
     def __init__(self, components: GatewayComponents, watchdog: Watchdog) -> None:
         self._components = components
         self._watchdog = watchdog
+        self._tokens = TokensInFlight()
 
     async def serve(self, job: Job) -> Refusal | None:
         """Serve a request; return the refusal to send if no response has started."""
@@ -145,10 +150,12 @@
         until = min(until, job.deadline_at)
         max_in_flight = self._find_max_in_flight(job)
 
-        def choose() -> tuple[str, OpenGroup] | None:
-            group = self._choose_group(job, tried, max_in_flight)
+        def find(
+            select: Callable[[Job, Collection[str], int], OpenGroup | None],
+        ) -> tuple[str, OpenGroup] | None:
+            group = select(job, tried, max_in_flight)
             if group is None and job.reply.started:
-                group = self._choose_group(job, (), max_in_flight)
+                group = select(job, (), max_in_flight)
             return None if group is None else (group.head.name, group)
 
         terms = Terms(
@@ -158,13 +165,41 @@
             (max_in_flight, job.reply.started, frozenset(tried)),
         )
         while True:
-            found = await self._components.admission.acquire(job, terms, choose)
+            found = await self._components.admission.acquire(
+                job,
+                terms,
+                lambda: find(self._choose_group_with_room),
+                # The tokens at a group are an estimate, and its engine queues requests.
+                lambda: find(self._choose_group),
+            )
             if isinstance(found, Denied):
                 self._note_denied(job, found)
                 return None
             if await take_permit(self._components, job, found.head.name):
                 return found
 
+    def _choose_group_with_room(
+        self, job: Job, tried: Collection[str], max_in_flight: int
+    ) -> OpenGroup | None:
+        """Return a group whose slots and key-value cache have room, or ``None``."""
+        excluded = tried
+        for _ in range(MAX_EXAMINED_GROUPS):
+            group = self._choose_group(job, excluded, max_in_flight)
+            if group is None or self._has_token_room(job, group.head.name):
+                return group
+            excluded = {*excluded, group.head.name}
+        return None
+
+    def _has_token_room(self, job: Job, head: str) -> bool:
+        engine = job.service.engine
+        if engine is None:
+            return True
+        # Peers report the number of their requests and not their tokens.
+        peers = max(0, self._components.load_tracker.count_other_nodes(head))
+        peer_tokens = peers * (engine.usual_prompt + engine.usual_answer)
+        tokens = estimate_tokens(engine, job.fields)
+        return self._tokens.has_room(head, tokens, peer_tokens, engine.kv_tokens)
+
     def _choose_group(
         self, job: Job, tried: Collection[str], max_in_flight: int
     ) -> OpenGroup | None:
@@ -225,7 +260,10 @@
             age=round(self._components.session.confirmation_age_s, 3),
             heard=self._components.session.view.received_revision,
         )
+        engine = job.service.engine
+        tokens = estimate_tokens(engine, job.fields) if engine else 0
         self._components.load_tracker.begin(head.name)
+        self._tokens.begin(head.name, tokens)
         try:
             attempt = await self._attempt(job, group, splitter)
             if attempt is None:
@@ -236,6 +274,7 @@
                 attempt.release()
         finally:
             self._components.load_tracker.end(head.name)
+            self._tokens.end(head.name, tokens)
             completed = job.ending is Ending.ANSWERED
             self._components.admission.note_end(job, completed=completed)
 
--- a/coursepitch/gateway/work.py
+++ b/coursepitch/gateway/work.py
@@ -11,7 +11,7 @@
     from coursepitch.config.routes import EngineProfile, ModelProfile
     from coursepitch.platform.headers import RequestFields
 
-__all__ = ['WorkMeter', 'find_max_in_flight', 'estimate_work']
+__all__ = ['WorkMeter', 'estimate_tokens', 'estimate_work', 'find_max_in_flight']
 
 #: Number of concurrent requests assumed to share a step: about half the slots of
 #: users' engines.
@@ -33,15 +33,25 @@
     :param fields: request fields with the token counts that the client announced.
     """
     prompt = fields.prompt_tokens or engine.usual_prompt
-    answer = fields.expected_tokens or engine.usual_answer
-    if fields.answer_tokens:
-        answer = min(answer, fields.answer_tokens)
+    answer = _estimate_answer(engine, fields)
     pairs_m = prompt * prompt / 2e6
     read_s = prompt / engine.read_per_s + pairs_m * engine.pairs_s
     step_s = engine.step_s / TYPICAL_BATCH_SIZE + engine.sequence_s
     return (read_s + answer * step_s) * model.pace * model.size
 
 
+def estimate_tokens(engine: EngineProfile, fields: RequestFields) -> int:
+    """Return the tokens that a request needs in the key-value cache of its group."""
+    return (fields.prompt_tokens or engine.usual_prompt) + _estimate_answer(
+        engine, fields
+    )
+
+
+def _estimate_answer(engine: EngineProfile, fields: RequestFields) -> int:
+    answer = fields.expected_tokens or engine.usual_answer
+    return min(answer, fields.answer_tokens) if fields.answer_tokens else answer
+
+
 def find_max_in_flight(
     engine: EngineProfile, model: ModelProfile, objective_s: float
 ) -> int:
--- a/tests/gateway/test_admission.py
+++ b/tests/gateway/test_admission.py
@@ -388,6 +388,154 @@
         run(scenario)
 
 
+class PlainBoundTest(unittest.TestCase):
+    """Requests to plain services wait while the instances are full, and are then sent.
+
+    The instances have two slots, so that they are full with three requests.
+    """
+
+    def setUp(self):
+        self.node = WaitingNode()
+
+    def test_request_waits_while_the_instances_are_full(self):
+        node = self.node
+        node.fill('p0', 'p1', count=3)
+
+        async def scenario(tasks):
+            tasks.start_soon(node.ask, node.build_job(plain=True))
+            await settle()
+            self.assertEqual((node.got, node.list_waiting()), ([], 1))
+            node.end('p1', job=node.build_job(plain=True))
+            await settle()
+            self.assertEqual(node.got, ['r'])
+            self.assertEqual(node.load_tracker.count_in_flight('p1'), 3)
+
+        run(scenario)
+
+    def test_requests_of_other_nodes_count(self):
+        node = self.node
+        node.load_tracker.count_peers = lambda name: 3
+
+        async def scenario(tasks):
+            tasks.start_soon(node.ask, node.build_job(plain=True))
+            await settle()
+            self.assertEqual((node.got, node.list_waiting()), ([], 1))
+
+        run(scenario)
+
+    def test_request_is_sent_at_the_end_of_its_wait(self):
+        """Guards against refusals because of the bound alone."""
+        node = self.node
+        node.fill('p0', count=3)
+        node.fill('p1', count=4)
+
+        async def scenario(tasks):
+            tasks.start_soon(node.ask, node.build_job(plain=True))
+            await settle()
+            node.now += 0.2 * OBJECTIVE_S + 0.001
+            node.admission.check()
+            await settle()
+            self.assertEqual((node.got, node.denied), (['r'], []))
+            self.assertEqual(node.load_tracker.count_in_flight('p0'), 4)
+
+        run(scenario)
+
+    def test_request_is_sent_although_the_queue_is_full(self):
+        node = self.node
+        node.fill('p0', 'p1', count=3)
+
+        async def scenario(tasks):
+            for number in range(MAX_WAITING + 1):
+                job = node.build_job(f'r{number}', plain=True)
+                tasks.start_soon(node.ask, job)
+            await settle()
+            self.assertEqual(node.denied, [])
+            self.assertEqual((len(node.got), node.list_waiting()), (1, MAX_WAITING))
+
+        run(scenario)
+
+    def test_full_instance_is_not_passed_over_for_one_that_fails(self):
+        node = self.node
+        node.fill('p0', count=3)
+        node.load_tracker.note_failure('p1')
+
+        async def scenario(tasks):
+            tasks.start_soon(node.ask, node.build_job(plain=True))
+            await settle()
+            self.assertEqual((node.got, node.list_waiting()), ([], 1))
+
+        run(scenario)
+
+    def test_rejected_request_goes_to_another_instance_at_once(self):
+        node = self.node
+        node.fill('p1', count=9)
+        anyio.run(node.ask, node.build_job(plain=True), ('p0',))
+        self.assertEqual(node.got, ['r'])
+
+
+class TokenBoundTest(unittest.TestCase):
+    """Groups get no more than their key-value caches hold (700,000 tokens)."""
+
+    def setUp(self):
+        self.node = WaitingNode(groups=2, bound=100)
+
+    def build_job(self, prompt, **fields):
+        job = self.node.build_job(**fields)
+        job.fields.prompt_tokens = prompt
+        return job
+
+    def test_group_with_a_full_cache_is_passed_over(self):
+        node = self.node
+        node.streams._tokens.begin('h0', 699_900)
+        node.fill('h1', count=5)
+        anyio.run(node.ask, self.build_job(400))
+        self.assertEqual(node.load_tracker.count_own(), {'h1': 6})
+
+    def test_requests_of_other_nodes_count_with_the_usual_tokens(self):
+        node = self.node
+        node.load_tracker.count_peers = lambda name: 0 if name == 'h1' else 10
+        node.fill('h1', count=20)
+        # The requests of others at h0 need 11,000 tokens.
+        anyio.run(node.ask, self.build_job(689_000))
+        self.assertEqual(node.load_tracker.count_own(), {'h1': 21})
+        anyio.run(node.ask, self.build_job(688_900))
+        self.assertEqual(node.load_tracker.count_own(), {'h1': 21, 'h0': 1})
+
+    def test_request_waits_until_tokens_are_free(self):
+        node = self.node
+        for head in ('h0', 'h1'):
+            node.streams._tokens.begin(head, 699_900)
+
+        async def scenario(tasks):
+            tasks.start_soon(node.ask, self.build_job(400))
+            # A smaller one that would fit does not overtake it.
+            tasks.start_soon(node.ask, self.build_job(1, name='small'))
+            await settle()
+            self.assertEqual((node.got, node.list_waiting()), ([], 2))
+            node.streams._tokens.end('h1', 699_900)
+            node.admission.note_end(node.build_job(), completed=True)
+            await settle()
+            self.assertEqual(node.got, ['r', 'small'])
+
+        run(scenario)
+
+    def test_request_is_sent_at_the_end_of_its_wait(self):
+        """Guards against refusals because of estimated tokens alone."""
+        node = self.node
+        for head in ('h0', 'h1'):
+            node.streams._tokens.begin(head, 699_900)
+
+        async def scenario(tasks):
+            tasks.start_soon(node.ask, self.build_job(400))
+            await settle()
+            node.now += 0.2 * OBJECTIVE_S + 0.001
+            node.admission.check()
+            await settle()
+            self.assertEqual((node.got, node.denied), (['r'], []))
+
+        run(scenario)
+
+
 class FirstAttemptTest(unittest.TestCase):
     """The time of a client's first attempt follows from its remaining timeout."""
 
