The OpenAI entry uses the same queue of waiting requests

Cause: serving/queue.py ordered requests by arrival within a customer and shared slots by the number of requests in flight, looked at all waiting requests for each decision, and took the completion rate at any time for the capacity.

Ruled out: one queue with the group as constraint (a search would give up after eight groups); a limit per group in place of the limit over all groups (queue_limit would allow more than operators set).

Change: serving/admission.py keeps a WaitingQueue for each group and evicts over all of them. Work is counted in tokens of a response, as this entry has no engine profile. Requests that are known to be late are refused while they wait. Retry-After has jitter.

--- a/coursepitch/scheduling/waiting.py
+++ b/coursepitch/scheduling/waiting.py
@@ -44,7 +44,7 @@
 MAX_LATE_PER_CALL = 8
 
 #: Longest Retry-After in seconds, and its jitter as a share of the time.
-MAX_RETRY_AFTER_S = 10.0
+MAX_RETRY_AFTER_S = 30.0
 RETRY_AFTER_JITTER = 0.5
 
 
@@ -274,7 +274,7 @@
         self._add(request)
         if len(self) <= self._max_size:
             return Offer(accepted=True)
-        victim = self._find_least_wanted()
+        victim = self.find_least_wanted()
         self.remove(victim)
         if victim is request:
             return Offer(accepted=False)
@@ -324,13 +324,21 @@
         for _ in range(MAX_LATE_PER_CALL):
             if not self._expiry or not self._rate.work_per_s:
                 break
-            last = self._find_least_wanted()
+            last = self.find_least_wanted()
             if not self.is_too_late(last, now):
                 break
             removed.append(last)
             self.remove(last)
         return removed
 
+    def find_least_wanted(self) -> WaitingRequest:
+        """Return the waiting request to give up first."""
+        return self._list_levels()[-1].find_largest().requests[-1][2]
+
+    def find_customer_work(self, request: WaitingRequest) -> float:
+        """Return the work that waits for a customer with the rank of its request."""
+        return self._levels[request.rank].customers[request.customer].work
+
     def list_by_expiry(self) -> list[WaitingRequest]:
         """Return the waiting requests, those whose wait ends first in front."""
         return [request for _, _, request in self._expiry]
@@ -396,7 +404,3 @@
     def _list_levels(self) -> list[_Level]:
         """Return the levels that have requests, the most urgent first."""
         return [level for _, level in sorted(self._levels.items()) if level.customers]
-
-    def _find_least_wanted(self) -> WaitingRequest:
-        """Return the request to give up first."""
-        return self._list_levels()[-1].find_largest().requests[-1][2]
--- a/coursepitch/serving/admission.py
+++ b/coursepitch/serving/admission.py
@@ -1,20 +1,17 @@
-"""Admission control: slots on replicas and the queue of waiting requests."""
+"""Admission control: slots on replicas and the queues of waiting requests."""
 
 from __future__ import annotations
 
+import math
+import random
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 import anyio
 
+from coursepitch.scheduling.waiting import WaitingQueue, WaitingRequest
 from coursepitch.serving import outcomes
 from coursepitch.serving.outcomes import Problem, RefusedError
-from coursepitch.serving.queue import (
-    QueuedRequest,
-    choose_evicted,
-    choose_next,
-    estimate_wait,
-)
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -22,19 +19,35 @@
     from coursepitch.clock import Clock
     from coursepitch.serving.routing import Choice
 
-__all__ = ['Admission', 'Slot']
+__all__ = ['Admission', 'QueuedRequest', 'Slot']
 
-#: Window in seconds over which the completion rate is averaged.
-_RATE_WINDOW_S = 5.0
+#: Shortest Retry-After in seconds, without jitter.
+LEAST_RETRY_AFTER_S = 1.0
+
+
+@dataclass(eq=False, slots=True)
+class QueuedRequest(WaitingRequest):
+    """A request for a slot.
+
+    :param request_id: identifier of the request.
+    :param group: name of the queue: the groups that can serve the request.
+    """
+
+    request_id: str = ''
+    group: str = ''
 
 
 @dataclass(eq=False)
 class Slot:
-    """A unit of a replica's concurrency limit, held by one request."""
+    """A unit of a replica's concurrency limit, held by one request.
+
+    :param work: predicted work of the request.
+    """
 
     customer: str
     group: str
     choice: Choice
+    work: float = 1.0
 
 
 @dataclass(eq=False)
@@ -44,22 +57,30 @@
     request: QueuedRequest
     ready: anyio.Event = field(default_factory=anyio.Event)
     choice: Choice | None = None
-    evicted: bool = False
 
 
 class Admission:
-    """Tracks the slots in use on this node and its queue of requests.
+    """Tracks the slots in use on this node and its queues of requests.
 
-    :param queue_limit: largest number of queued requests.
+    :param queue_limit: largest number of queued requests of all queues.
     :param queue_wait_s: longest wait in the queue in seconds.
+    :param random_fraction: returns a random number from 0 to 1, for the jitter of
+        Retry-After.
     """
 
-    def __init__(self, queue_limit: int, queue_wait_s: float, clock: Clock) -> None:
+    def __init__(
+        self,
+        queue_limit: int,
+        queue_wait_s: float,
+        clock: Clock,
+        random_fraction: Callable[[], float] = random.random,
+    ) -> None:
         self._queue_limit = queue_limit
         self._queue_wait_s = queue_wait_s
         self._clock = clock
-        self._entries: list[_QueueEntry] = []
-        self._rates: dict[str, tuple[float, float]] = {}
+        self._random_fraction = random_fraction
+        self._queues: dict[str, WaitingQueue] = {}
+        self._entries: dict[WaitingRequest, _QueueEntry] = {}
         self.in_flight_by_replica: dict[str, int] = {}
         self.in_flight_by_customer: dict[str, int] = {}
 
@@ -83,76 +104,74 @@
         :raises RefusedError: no replica serves the group, the queue is full, or
             the wait would be or was too long.
         """
-        if not any(entry.request.group == request.group for entry in self._entries):
-            choice = choose()
-            if choice is not None:
-                return self._allocate(request, choice)
+        queue = self._find_queue(request.group)
+        now = self._clock()
+        others_wait = len(queue) > 0
+        queue.offer(request, now)
+        choice = None if others_wait else choose()
+        if choice is not None:
+            # Taken from the queue, so that its customer is charged for it.
+            queue.take_next(now, lambda waiting: True)
+            return self._allocate(request, choice)
         if not capacity():
+            queue.remove(request)
             raise RefusedError(
                 Problem(outcomes.NO_REPLICA, request.request_id, '', 2.0)
             )
-        return await self._wait(request)
-
-    async def _wait(self, request: QueuedRequest) -> Slot:
-        entry = _QueueEntry(request)
-        self._refuse_if_wait_too_long(request)
-        if len(self._entries) >= self._queue_limit:
-            self._evict(request)
-        self._entries.append(entry)
+        return await self._wait(queue, request)
+
+    async def _wait(self, queue: WaitingQueue, request: QueuedRequest) -> Slot:
+        entry = self._entries[request] = _QueueEntry(request)
+        if queue.is_too_late(request, self._clock()):
+            self._remove(entry)
+        elif len(self._entries) > self._queue_limit:
+            self._evict()
         try:
-            with anyio.move_on_after(request.expires_at - self._clock()):
-                await entry.ready.wait()
+            if request in self._entries:
+                with anyio.move_on_after(request.expires_at - self._clock()):
+                    await entry.ready.wait()
         except BaseException:
             # The slot may have been assigned just before the cancellation.
             if entry.choice is not None:
-                self.release(Slot(request.customer, request.group, entry.choice))
+                self.release(self._build_slot(request, entry.choice))
             raise
         finally:
-            if entry in self._entries:
-                self._entries.remove(entry)
+            if request in self._entries:
+                self._remove(entry)
         if entry.choice is None:
             raise RefusedError(self._build_overloaded(request))
-        return Slot(request.customer, request.group, entry.choice)
-
-    def _refuse_if_wait_too_long(self, request: QueuedRequest) -> None:
-        """Refuse a request at once if its expected wait is too long.
-
-        :raises RefusedError: the expected wait ends after ``expires_at``.
-        """
-        ahead = sum(
-            entry.request.group == request.group
-            and entry.request.urgency <= request.urgency
-            for entry in self._entries
-        )
-        rate = self._completion_rate(request.group)
-        expected = estimate_wait(ahead, rate)
-        if expected > request.expires_at - self._clock():
-            raise RefusedError(self._build_overloaded(request))
-
-    def _evict(self, new_request: QueuedRequest) -> None:
-        """Remove one request from the full queue to make room for a new one.
-
-        :raises RefusedError: the new request itself is the one to give up.
-        """
-        victim = choose_evicted([entry.request for entry in self._entries], new_request)
-        if victim is new_request:
-            raise RefusedError(self._build_overloaded(new_request))
-        for entry in self._entries:
-            if entry.request is victim:
-                self._entries.remove(entry)
-                entry.evicted = True
-                entry.ready.set()
-                return
+        return self._build_slot(request, entry.choice)
+
+    def _find_queue(self, group: str) -> WaitingQueue:
+        queue = self._queues.get(group)
+        if queue is None:
+            # The number of waiting requests is limited over all queues.
+            queue = self._queues[group] = WaitingQueue(self._queue_limit + 1)
+        return queue
+
+    def _remove(self, entry: _QueueEntry) -> None:
+        self._queues[entry.request.group].remove(entry.request)
+        del self._entries[entry.request]
+
+    def _evict(self) -> None:
+        """Remove the least urgent request of all queues, which may be the newest."""
+        queues = [queue for queue in self._queues.values() if len(queue)]
+        queue = max(queues, key=_find_eviction_key)
+        entry = self._entries[queue.find_least_wanted()]
+        self._remove(entry)
+        entry.ready.set()
 
     def _build_overloaded(self, request: QueuedRequest) -> Problem:
-        ahead = sum(entry.request.group == request.group for entry in self._entries)
-        wait = estimate_wait(ahead, self._completion_rate(request.group))
-        return Problem(
-            outcomes.OVERLOADED, request.request_id, '', min(30.0, max(1.0, wait))
+        retry_after_s = self._find_queue(request.group).find_retry_after_s(
+            self._clock(), LEAST_RETRY_AFTER_S, math.inf, self._random_fraction()
         )
+        return Problem(outcomes.OVERLOADED, request.request_id, '', retry_after_s)
+
+    def _build_slot(self, request: QueuedRequest, choice: Choice) -> Slot:
+        return Slot(request.customer, request.group, choice, request.work)
 
     def _allocate(self, request: QueuedRequest, choice: Choice) -> Slot:
-        slot = Slot(request.customer, request.group, choice)
+        slot = self._build_slot(request, choice)
         name = choice.replica.name
         self.in_flight_by_replica[name] = self.in_flight_by_replica.get(name, 0) + 1
         self.in_flight_by_customer[slot.customer] = (
@@ -174,9 +193,7 @@
         if not self.in_flight_by_customer[slot.customer]:
             del self.in_flight_by_customer[slot.customer]
         if completed:
-            now = self._clock()
-            rate = self._completion_rate(slot.group)
-            self._rates[slot.group] = (rate + 1.0 / _RATE_WINDOW_S, now)
+            self._find_queue(slot.group).note_completion(slot.work, self._clock())
 
     def move(self, slot: Slot, choice: Choice) -> None:
         """Move a slot to another replica for a retry."""
@@ -192,33 +209,32 @@
     ) -> None:
         """Assign free slots to the queued requests of a group.
 
+        Requests that are known to be served too late are refused.
+
         :param choose: returns a replica below its limit, or ``None``.
         """
-        while True:
-            request = choose_next(
-                [entry.request for entry in self._entries],
-                self.in_flight_by_customer,
-                group,
-            )
-            if request is None:
-                return
-            choice = choose(request)
-            if choice is None:
-                return
-            for entry in self._entries:
-                if entry.request is request:
-                    self._entries.remove(entry)
-                    self._allocate(request, choice)
-                    entry.choice = choice
-                    entry.ready.set()
-                    break
+        queue = self._find_queue(group)
+        now = self._clock()
+
+        def can_start(request: WaitingRequest) -> bool:
+            entry = self._entries[request]
+            entry.choice = choose(entry.request)
+            return entry.choice is not None
+
+        while (request := queue.take_next(now, can_start)) is not None:
+            entry = self._entries.pop(request)
+            if entry.choice is not None:
+                self._allocate(entry.request, entry.choice)
+            entry.ready.set()
+        for request in queue.expire(now):
+            self._entries.pop(request).ready.set()
 
     def list_queued_groups(self) -> set[str]:
         """Return the groups that have queued requests."""
-        return {entry.request.group for entry in self._entries}
+        return {entry.request.group for entry in self._entries.values()}
+
 
-    def _completion_rate(self, group: str) -> float:
-        """Return the recent completions per second of a group."""
-        rate, updated_at = self._rates.get(group, (0.0, 0.0))
-        decay = max(0.0, 1.0 - (self._clock() - updated_at) / _RATE_WINDOW_S)
-        return rate * decay
+def _find_eviction_key(queue: WaitingQueue) -> tuple[tuple[bool, int], float]:
+    """Return the sort key of a queue's least wanted request, the largest goes first."""
+    request = queue.find_least_wanted()
+    return (request.rank, queue.find_customer_work(request))
--- a/coursepitch/serving/dispatch.py
+++ b/coursepitch/serving/dispatch.py
@@ -12,6 +12,7 @@
 from coursepitch import events, log
 from coursepitch.errors import CodecError
 from coursepitch.serving import outcomes
+from coursepitch.serving.admission import QueuedRequest
 from coursepitch.serving.attempts import (
     AttemptResult,
     NextStep,
@@ -22,7 +23,6 @@
 )
 from coursepitch.serving.clients import TargetClients
 from coursepitch.serving.outcomes import Problem, Refusal, RefusedError
-from coursepitch.serving.queue import QueuedRequest
 from coursepitch.serving.runs import Attempt, Run, drain_body, read_text
 from coursepitch.serving.sse import DONE_DATA, EventParser
 
@@ -106,12 +106,13 @@
             model_request.arrived_at + self._queue_wait_s, model_request.deadline_at
         )
         queued = QueuedRequest(
-            model_request.request_id,
-            model_request.identity.customer,
-            model_request.queue_name,
-            model_request.urgency,
-            model_request.arrived_at,
-            expires_at,
+            customer=model_request.identity.customer,
+            urgency=model_request.urgency,
+            work=model_request.work,
+            deadline_at=model_request.deadline_at,
+            expires_at=expires_at,
+            request_id=model_request.request_id,
+            group=model_request.queue_name,
         )
 
         def choose() -> Choice | None:
