--- a/coursepitch/gateway/calls.py
+++ b/coursepitch/gateway/calls.py
@@ -121,7 +121,7 @@
 
         def choose() -> tuple[str, FleetInstance] | None:
             found = choose_last()
-            if found is not None and not tried and self._is_full(found[1]):
+            if found is not None and self._is_full(found[1]):
                 return None
             return found
 
--- a/coursepitch/scheduling/waiting.py
+++ b/coursepitch/scheduling/waiting.py
@@ -373,7 +373,9 @@
     def find_retry_after_s(
         self, now: float, least_s: float, honoured_s: float, random_fraction: float
     ) -> float:
-        """Return the Retry-After in seconds: when the present queue will be served.
+        """Return the Retry-After in seconds: when the present queue will be empty.
+
+        It is empty once its work is done, or the last waiting request has expired.
 
         :param least_s: shortest time before the jitter is added.
         :param honoured_s: longest time that the client honours, which the jitter does
@@ -383,7 +385,10 @@
         self._advance(now)
         rate = self._rate.work_per_s
         work = sum(level.work for level in self._levels.values())
-        wait_s = min(MAX_RETRY_AFTER_S, max(least_s, work / rate if rate else 0.0))
+        wait_s = 0.0
+        if rate and self._expiry:
+            wait_s = min(work / rate, self._expiry[-1][0] - now, MAX_RETRY_AFTER_S)
+        wait_s = max(least_s, wait_s)
         jitter_s = min(wait_s * RETRY_AFTER_JITTER, max(0.0, honoured_s - wait_s))
         return wait_s + jitter_s * random_fraction
 
--- a/tests/gateway/test_admission.py
+++ b/tests/gateway/test_admission.py
@@ -191,6 +191,20 @@
         order = self.serve(*large, {'name': 's', 'customer': 'small'})
         self.assertEqual(order[:2], ['l0', 's'])
 
+    def test_request_that_tried_the_free_group_does_not_block_others(self):
+        node = WaitingNode(groups=2)
+        node.fill('h1')
+
+        async def scenario(tasks):
+            tasks.start_soon(node.ask, node.build_job('rejected'), ('h0',))
+            await settle()
+            self.assertEqual(node.list_waiting(), 1)
+            tasks.start_soon(node.ask, node.build_job('new'))
+            await settle()
+            self.assertEqual((node.got, node.list_waiting()), (['new'], 1))
+
+        run(scenario)
+
     def test_client_that_returns_keeps_the_time_of_its_first_attempt(self):
         order = self.serve(
             {'name': 'new', 'arrived_at': 100.0},
@@ -440,6 +454,23 @@
 
         run(scenario)
 
+    def test_retry_of_a_client_waits_for_1_s(self):
+        node = self.node
+        node.fill('p0', 'p1', count=3)
+
+        async def scenario(tasks):
+            job = node.build_job(plain=True, is_client_retry=True)
+            tasks.start_soon(node.ask, job)
+            await settle()
+            for late_s, expected in ((0.999, []), (1.001, ['r'])):
+                node.now = 100.0 + late_s
+                node.admission.check()
+                await settle()
+                self.assertEqual(node.got, expected)
+
+        with mock.patch.object(anyio, 'move_on_after', lambda s: anyio.CancelScope()):
+            run(scenario)
+
     def test_request_is_sent_although_the_queue_is_full(self):
         node = self.node
         node.fill('p0', 'p1', count=3)
@@ -454,6 +485,28 @@
 
         run(scenario)
 
+    def test_request_that_is_expected_to_be_late_waits_all_the_same(self):
+        """Guards against a burst that is sent to full instances at once."""
+        node = self.node
+        node.fill('p0', 'p1', count=3)
+
+        async def scenario(tasks):
+            tasks.start_soon(node.ask, node.build_job('first', plain=True))
+            await settle()
+            for _ in range(20):
+                node.now += 0.1
+                job = node.build_job(plain=True)
+                node.admission.note_end(job, completed=True)
+            for number in range(40):
+                job = node.build_job(f'r{number}', plain=True, is_client_retry=True)
+                tasks.start_soon(node.ask, job)
+            await settle()
+            node.admission.check()
+            await settle()
+            self.assertEqual((node.got, node.list_waiting()), ([], 41))
+
+        run(scenario)
+
     def test_full_instance_is_not_passed_over_for_one_that_fails(self):
         node = self.node
         node.fill('p0', count=3)
--- a/tests/scheduling/test_waiting.py
+++ b/tests/scheduling/test_waiting.py
@@ -251,6 +251,13 @@
         self.assertEqual(len(set(times)), 11)
         self.assertEqual(WaitingQueue(9).find_retry_after_s(0.0, 0.7, 60.0, 0.0), 0.7)
 
+    def test_retry_after_ends_when_all_waiting_requests_have_expired(self):
+        """Most of the requests of a burst are refused, and never do their work."""
+        queue = WaitingQueue(1000)
+        now = self.complete(queue)
+        fill(queue, *[build(expires=now + 1.2) for _ in range(90)], now=now)
+        self.assertAlmostEqual(queue.find_retry_after_s(now, 0.7, 60.0, 0.0), 1.2)
+
     def test_jitter_does_not_exceed_what_the_client_honours(self):
         """A client does not return after a Retry-After that is too long for it."""
         queue = WaitingQueue(9)
