Tests of the wiring of admission and of the priority header

Guards against a node whose waiting requests are not woken by heartbeats, handlers that use different queues, a gauge that keeps the last count of an urgency that no longer waits, and a priority that a client forged.

--- a/tests/gateway/test_admission.py
+++ b/tests/gateway/test_admission.py
@@ -6,16 +6,22 @@
 
 from __future__ import annotations
 
+import tempfile
 import unittest
+from pathlib import Path
 from types import SimpleNamespace
 from unittest import mock
 
 import anyio
 
 from coursepitch import events
+from coursepitch.config.gateway import load_gateway_settings
+from coursepitch.fleet.messages import Heartbeat
 from coursepitch.gateway.admission import MAX_LINES_PER_S, MAX_WAITING, DecisionLog
 from coursepitch.gateway.request_handler import Gateway
+from coursepitch.gateway_application import GatewayApplication
 from tests.gateway.waiting_node import OBJECTIVE_S, WaitingNode, run, settle
+from tests.whole.platform_base import SETTINGS
 
 
 class FreeCapacityTest(unittest.TestCase):
@@ -603,6 +609,40 @@
         self.assertEqual(gateway._find_waited_before_s('r', None), 0.0)
 
 
+class ApplicationTest(unittest.TestCase):
+    """The node passes on what makes room, and counts what waits."""
+
+    def setUp(self):
+        text = SETTINGS.format(name='n1', store=1, revoke_s=5.0)
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / 'node.ini'
+            path.write_text(text, encoding='utf-8')
+            settings = load_gateway_settings(path)
+        self.application = GatewayApplication(settings, path, None, lambda: 0.0)
+
+    def test_heartbeats_of_peers_wake_waiting_requests(self):
+        application = self.application
+        order = []
+        application.session.handle_message = lambda message: order.append('session')
+        application.admission.note_loads = lambda: order.append('admission')
+        application._handle_message(Heartbeat.__new__(Heartbeat))
+        self.assertEqual(order, ['session', 'admission'])
+
+    def test_components_share_one_admission(self):
+        application = self.application
+        for server in (application.gateway._streams, application.gateway._calls):
+            self.assertIs(server._components.admission, application.admission)
+
+    def test_waiting_requests_are_counted_by_urgency(self):
+        application = self.application
+        for counts in ({0: 2, 1: 5}, {1: 1}):
+            application.admission.count_waiting = lambda counts=counts: counts
+            application._set_waiting()
+        text = application.metrics.render('')[0].decode()
+        self.assertIn('coursepitch_requests_waiting{urgency="0"} 0', text)
+        self.assertIn('coursepitch_requests_waiting{urgency="1"} 1', text)
+
+
 class DecisionLogTest(unittest.TestCase):
     """Decisions are logged one by one up to a bound, and counted beyond it."""
 
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -6,7 +6,11 @@
 
 from hypothesis import given, strategies
 
-from coursepitch.platform.headers import read_response_metadata
+from coursepitch.platform.headers import (
+    ForwardFields,
+    build_target_headers,
+    read_response_metadata,
+)
 
 
 def read_limit(*values):
@@ -16,6 +20,23 @@
     return metadata.limit, metadata.invalid_limit
 
 
+class PriorityHeaderTest(unittest.TestCase):
+    """Only the node sets the priority of a request at its target."""
+
+    def read_priorities(self, priority):
+        sent = ((b'x-request-priority', b'0'), (b'X-Request-Priority', b'9'))
+        fields = ForwardFields('i', 1.0, priority=priority)
+        headers = build_target_headers(sent, fields)
+        return [v for name, v in headers if name.lower() == b'x-request-priority']
+
+    def test_priority_replaces_what_the_client_sent(self):
+        self.assertEqual(self.read_priorities(0), [b'0'])
+        self.assertEqual(self.read_priorities(2), [b'2'])
+
+    def test_none_is_sent_without_one(self):
+        self.assertEqual(self.read_priorities(None), [])
+
+
 class LimitHeaderTest(unittest.TestCase):
     """Each value has one meaning."""
 
