The first request in line is not refused before its wait ends

The time until the next completion counted in full however long a request had waited for it.

Change: only the work ahead of a request counts for a refusal. The constraint of a stream that has begun no longer has the groups that it tried, as it may return to them.

Shown: test_first_request_in_line_is_never_refused_early.

--- a/coursepitch/gateway/streams.py
+++ b/coursepitch/gateway/streams.py
@@ -162,7 +162,8 @@
             until,
             lambda: self._list_heads(job),
             MIN_RETRY_AFTER_S,
-            (max_in_flight, job.reply.started, frozenset(tried)),
+            # A stream that has begun may return to groups that it tried.
+            (max_in_flight, frozenset(() if job.reply.started else tried)),
         )
         while True:
             found = await self._components.admission.acquire(
--- a/coursepitch/scheduling/waiting.py
+++ b/coursepitch/scheduling/waiting.py
@@ -357,18 +357,27 @@
         rate = self._rate.work_per_s
         if not rate:
             return 0.0
+        return (self._estimate_work_ahead(request) + self._rate.mean_work) / rate
+
+    def _estimate_work_ahead(self, request: WaitingRequest) -> float:
+        """Estimate the work that is served before a waiting request."""
         ahead = sum(
             level.work for rank, level in self._levels.items() if rank < request.rank
         )
-        ahead += self._levels[request.rank].estimate_work_ahead(request)
-        return (ahead + self._rate.mean_work) / rate
+        return ahead + self._levels[request.rank].estimate_work_ahead(request)
 
     def is_too_late(self, request: WaitingRequest, now: float) -> bool:
-        """Whether a waiting request is to be refused as it cannot start in time."""
-        if not request.refuse_late:
+        """Whether a waiting request is to be refused as it cannot start in time.
+
+        Only the work ahead of it counts, and not the time until the next completion:
+        that may be at any moment, so the first request in line is never too late.
+        """
+        self._advance(now)
+        rate = self._rate.work_per_s
+        if not request.refuse_late or not rate:
             return False
-        expected_s = self.estimate_wait_s(request, now)
-        return expected_s > LATE_FACTOR * max(0.0, request.expires_at - now)
+        left_s = max(0.0, request.expires_at - now)
+        return self._estimate_work_ahead(request) / rate > LATE_FACTOR * left_s
 
     def find_retry_after_s(
         self, now: float, least_s: float, honoured_s: float, random_fraction: float
--- a/tests/scheduling/test_waiting.py
+++ b/tests/scheduling/test_waiting.py
@@ -188,6 +188,15 @@
         self.assertIn(requests[-1], removed)
         self.assertNotIn(requests[0], removed)
 
+    def test_first_request_in_line_is_never_refused_early(self):
+        """Guards against refusals right before the completion that was waited for."""
+        queue = WaitingQueue(1000)
+        now = self.complete(queue, every_s=0.5, count=20)
+        (first,) = fill(queue, build(expires=now + 0.4), now=now)
+        self.assertFalse(queue.is_too_late(first, now + 0.39))
+        self.assertEqual(queue.expire(now + 0.39), [])
+        self.assertEqual(queue.expire(now + 0.4), [first])
+
     def test_urgent_request_does_not_wait_for_less_urgent_ones(self):
         queue = WaitingQueue(1000)
         now = self.complete(queue)
