--- a/coursepitch/gateway/streams.py
+++ b/coursepitch/gateway/streams.py
@@ -7,6 +7,7 @@
 import anyio
 
 from coursepitch import events, log
+from coursepitch.gateway.admission import Denial, Denied, Terms
 from coursepitch.gateway.attempts import (
     NOT_EXECUTED_STATUSES,
     SendPlan,
@@ -18,11 +19,14 @@
 from coursepitch.gateway.event_splitter import EventSplitter
 from coursepitch.gateway.job import Ending, Refusal
 from coursepitch.gateway.suspicion import explain_crashes
-from coursepitch.gateway.work import find_max_in_flight
+from coursepitch.gateway.work import estimate_tokens, find_max_in_flight
 from coursepitch.http.client import ExchangeError
 from coursepitch.platform.headers import forward_response_headers
+from coursepitch.scheduling.capacity import TokensInFlight
 
 if TYPE_CHECKING:
+    from collections.abc import Callable, Collection
+
     from coursepitch.fleet.view import OpenGroup
     from coursepitch.gateway.components import GatewayComponents
     from coursepitch.gateway.job import Job
@@ -49,12 +53,12 @@
 #: Interval in seconds of checks whether an overdue attempt may be abandoned.
 OVERDUE_CHECK_INTERVAL_S = 0.1
 
-#: Interval in seconds of checks for a group with free capacity.
-GROUP_CHECK_INTERVAL_S = 0.02
-
 #: Requests in flight per slot up to which a group accepts a resumed stream.
 RESUMED_REQUESTS_PER_SLOT = 3
 
+#: Groups that are examined for room in their key-value caches for one request.
+MAX_EXAMINED_GROUPS = 4
+
 #: Largest body in bytes of an error response.
 MAX_ERROR_BYTES = 1_048_576
 
@@ -62,6 +66,15 @@
 MAX_SENDS = 5
 
 
+#: Reasons for clients whose requests the queue denied.
+DENIAL_REASONS = {
+    Denial.LATE: 'no group is expected to have room in time',
+    Denial.EVICTED: 'other requests go first and the queue is full',
+    Denial.FULL: 'the queue of waiting requests is full',
+    Denial.REMOVED: 'the service is unknown',
+}
+
+
 class StalledError(ExchangeError):
     """The stream stalled although its connection is open."""
 
@@ -72,6 +85,7 @@
     def __init__(self, components: GatewayComponents, watchdog: Watchdog) -> None:
         self._components = components
         self._watchdog = watchdog
+        self._tokens = TokensInFlight()
 
     async def serve(self, job: Job) -> Refusal | None:
         """Serve a request; return the refusal to send if no response has started."""
@@ -135,26 +149,71 @@
             until = job.arrived_at + job.route.objective_s * WAIT_OBJECTIVE_SHARE
         until = min(until, job.deadline_at)
         max_in_flight = self._find_max_in_flight(job)
-        choose = self._components.router.choose_group
-        model = job.fields.model
-        while True:
-            now = self._components.clock()
-            if now >= job.deadline_at or not self._components.session.is_fresh():
-                return None
-            group = choose(job.service, model, tried, max_in_flight)
+
+        def find(
+            select: Callable[[Job, Collection[str], int], OpenGroup | None],
+        ) -> tuple[str, OpenGroup] | None:
+            group = select(job, tried, max_in_flight)
             if group is None and job.reply.started:
-                group = choose(job.service, model, (), max_in_flight)
-            if group is not None:
-                if await take_permit(self._components, job, group.head.name):
-                    return group
-                continue
-            heads = self._list_heads(job)
-            if now >= until or self._components.gate.are_closed(heads, until - now):
-                job.last_reason = job.last_reason or self._explain_no_group(job)
-                return None
-            await self._components.session.wait_changed(
-                min(GROUP_CHECK_INTERVAL_S, until - now)
+                group = select(job, (), max_in_flight)
+            return None if group is None else (group.head.name, group)
+
+        terms = Terms(
+            until,
+            lambda: self._list_heads(job),
+            MIN_RETRY_AFTER_S,
+            # A stream that has begun may return to groups that it tried.
+            (max_in_flight, frozenset(() if job.reply.started else tried)),
+        )
+        while True:
+            found = await self._components.admission.acquire(
+                job,
+                terms,
+                lambda: find(self._choose_group_with_room),
+                # The tokens at a group are an estimate, and its engine queues requests.
+                lambda: find(self._choose_group),
             )
+            if isinstance(found, Denied):
+                self._note_denied(job, found)
+                return None
+            if await take_permit(self._components, job, found.head.name):
+                return found
+
+    def _choose_group_with_room(
+        self, job: Job, tried: Collection[str], max_in_flight: int
+    ) -> OpenGroup | None:
+        """Return a group whose slots and key-value cache have room, or ``None``."""
+        excluded = tried
+        for _ in range(MAX_EXAMINED_GROUPS):
+            group = self._choose_group(job, excluded, max_in_flight)
+            if group is None or self._has_token_room(job, group.head.name):
+                return group
+            excluded = {*excluded, group.head.name}
+        return None
+
+    def _has_token_room(self, job: Job, head: str) -> bool:
+        engine = job.service.engine
+        if engine is None:
+            return True
+        # Peers report the number of their requests and not their tokens.
+        peers = max(0, self._components.load_tracker.count_other_nodes(head))
+        peer_tokens = peers * (engine.usual_prompt + engine.usual_answer)
+        tokens = estimate_tokens(engine, job.fields)
+        return self._tokens.has_room(head, tokens, peer_tokens, engine.kv_tokens)
+
+    def _choose_group(
+        self, job: Job, tried: Collection[str], max_in_flight: int
+    ) -> OpenGroup | None:
+        """Return the group to send a request to, or ``None`` if none has room."""
+        return self._components.router.choose_group(
+            job.service, job.fields.model, tried, max_in_flight
+        )
+
+    def _note_denied(self, job: Job, denied: Denied) -> None:
+        job.retry_after_s = denied.retry_after_s
+        if denied.denial is not Denial.UNCONFIRMED and not job.last_reason:
+            reason = DENIAL_REASONS.get(denied.denial)
+            job.last_reason = reason or self._explain_no_group(job)
 
     def _list_heads(self, job: Job) -> list[str]:
         view = self._components.session.view
@@ -203,7 +262,10 @@
             age=round(self._components.session.confirmation_age_s, 3),
             heard=self._components.session.view.received_revision,
         )
+        engine = job.service.engine
+        tokens = estimate_tokens(engine, job.fields) if engine else 0
         self._components.load_tracker.begin(head.name)
+        self._tokens.begin(head.name, tokens)
         try:
             attempt = await self._attempt(job, group, splitter)
             if attempt is None:
@@ -214,6 +276,9 @@
                 attempt.release()
         finally:
             self._components.load_tracker.end(head.name)
+            self._tokens.end(head.name, tokens)
+            completed = job.ending is Ending.ANSWERED
+            self._components.admission.note_end(job, completed=completed)
 
     async def _attempt(
         self, job: Job, group: OpenGroup, splitter: EventSplitter
@@ -226,6 +291,7 @@
         plan = SendPlan(
             headers_timeout_s=max(0.001, job.deadline_at - self._components.clock()),
             last_event=splitter.last_event,
+            priority=job.priority,
         )
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._cancel_when_unresponsive, group, stalled, tasks)
@@ -292,8 +358,7 @@
         ):
             return False
         tried = {head, *job.sent}
-        choose = self._components.router.choose_group
-        return choose(job.service, job.fields.model, tried, engine.slots) is not None
+        return self._choose_group(job, tried, engine.slots) is not None
 
     def _log_overdue(self, job: Job, group: OpenGroup) -> None:
         log.emit(
