--- a/tests/gateway/test_admission.py
+++ b/tests/gateway/test_admission.py
@@ -613,7 +613,7 @@
     """The node passes on what makes room, and counts what waits."""
 
     def setUp(self):
-        text = SETTINGS.format(name='n1', store=1, revoke_s=5.0)
+        text = SETTINGS.format(name='n1', store=1, revoke_s=5.0, evacuate_s=0)
         with tempfile.TemporaryDirectory() as folder:
             path = Path(folder) / 'node.ini'
             path.write_text(text, encoding='utf-8')
--- a/tests/gateway/test_evacuations.py
+++ b/tests/gateway/test_evacuations.py
@@ -15,6 +15,7 @@
 from coursepitch.fleet.evacuations import USE_FRACTION
 from coursepitch.fleet.rate_limits import RateLimits
 from coursepitch.fleet.send_permits import SendGranter, SendPermits
+from coursepitch.gateway.admission import Admission
 from coursepitch.gateway.attempts import Result, SendPlan, send_attempt
 from coursepitch.gateway.calls import CallServer
 from coursepitch.gateway.load_tracker import LoadTracker
@@ -27,6 +28,7 @@
 )
 from coursepitch.gateway.streams import StreamServer
 from coursepitch.gateway.watchdog import Watchdog
+from coursepitch.metrics import Metrics
 from coursepitch.platform.kv import Entry
 from tests.fleet.builders import SERVICE, build_instance, build_service, build_view
 
@@ -178,32 +180,52 @@
     """What clients are told where all zones, or all but one, are closed."""
 
     def build_components(self):
-        async def wait_changed(limit_s):
-            self.waits += 1
-            self.now += limit_s
-
         session = SimpleNamespace(
-            view=self.view,
-            is_fresh=lambda: True,
-            count_nodes=lambda: 2,
-            wait_changed=wait_changed,
+            view=self.view, is_fresh=lambda: True, count_nodes=lambda: 2
         )
+        admission = Admission(
+            session, self.gate, self.load_tracker, Metrics(), self.clock, lambda: 0.0
+        )
+        wait = admission._wait
+
+        async def count_wait(queue, entry):
+            self.waits += 1
+            await wait(queue, entry)
+
+        admission._wait = count_wait
         return SimpleNamespace(
-            session=session, router=self.router, gate=self.gate, clock=self.clock
+            session=session,
+            router=self.router,
+            load_tracker=self.load_tracker,
+            gate=self.gate,
+            admission=admission,
+            clock=self.clock,
         )
 
     def build_job(self, service):
         return SimpleNamespace(
             service=service,
+            customer=None,
+            urgency=0,
+            work=1.0,
             arrived_at=self.now,
+            first_arrived_at=self.now,
             deadline_at=self.now + 8.0,
-            route=SimpleNamespace(objective_s=0.5),
-            fields=SimpleNamespace(model='small', last_event=b''),
+            route=SimpleNamespace(objective_s=0.05),
+            fields=SimpleNamespace(
+                request='r',
+                model='small',
+                last_event=b'',
+                prompt_tokens=100,
+                answer_tokens=100,
+                expected_tokens=100,
+            ),
             reply=SimpleNamespace(started=False),
             is_client_retry=False,
             may_have_run=set(),
             sent=[],
             last_reason='',
+            retry_after_s=0.0,
         )
 
     def refuse_stream(self):
@@ -212,7 +234,9 @@
 
     def refuse_call(self):
         server = CallServer(self.build_components())
-        return anyio.run(server.serve, self.build_job(SimpleNamespace(name='api')))
+        return anyio.run(
+            server.serve, self.build_job(SimpleNamespace(name='api', engine=None))
+        )
 
     def check_refused_at_once(self, refusal):
         self.assertEqual((refusal.status, refusal.reason), (503, REASON))
