Read how long instances stay cold

Cause: entries and responses state for how long an instance is cold, and the configuration how many requests it takes meanwhile; nobody read either. An entry is written at each heartbeat while its instance is cold (every 1.2 s, 54 instances of a zone), and each replaced the instance in the view, so that the leader and all nodes evaluated its group again.

Ruled out: rejecting an entry with a malformed cold_left_ms, as services without cold instances don't use the field; keeping the countdown as part of the instance's state, as it would be logged and evaluated at each heartbeat.

Change: the field is decoded and is no part of an instance's equality. The view reports it for each entry and keeps the known instance if nothing else changed. Malformed cold_s or cold_per_s of a service is a finding.

Shown by tests.fleet.test_view.ColdEntryTest, tests.fleet.test_scale (test_leader_skips_groups_of_instances_that_only_count_down_to_warm) and tests.platform; the first two fail with the code before.

--- a/coursepitch/config/routes.py
+++ b/coursepitch/config/routes.py
@@ -140,12 +140,17 @@
     """Instances that answer alike.
 
     :param connections: most connections an instance takes from all nodes.
+    :param cold_s: seconds for which an instance that starts is cold.
+    :param cold_per_s: requests per second that a cold instance takes from all nodes
+        together; 0 for no limit.
     """
 
     name: str
     health_path: str
     connections: int
     engine: EngineProfile | None = None
+    cold_s: float = 0.0
+    cold_per_s: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/coursepitch/fleet/instances.py
+++ b/coursepitch/fleet/instances.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import enum
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
 
 __all__ = ['REMEMBERED_S', 'FleetInstance', 'GroupState', 'Membership']
 
@@ -52,6 +52,9 @@
     :param last_model: model of its last group, which it can rejoin without loading.
     :param born: start time of this incarnation in Unix milliseconds; 0 if unknown.
     :param software: version of its software; empty if unknown.
+    :param cold_left_s: seconds for which it stayed cold when its entry was received.
+        The view keeps the instance while nothing else changes, so the current value is
+        in :class:`coursepitch.fleet.cold.ColdInstances`.
     """
 
     name: str
@@ -67,6 +70,7 @@
     last_model: str = ''
     born: int = 0
     software: str = ''
+    cold_left_s: float = field(default=0.0, compare=False)
 
     def is_restart_of(self, before: FleetInstance) -> bool:
         """Whether this is a later incarnation of the same instance."""
--- a/coursepitch/fleet/view.py
+++ b/coursepitch/fleet/view.py
@@ -105,6 +105,8 @@
         nodes that watch the store do: when all 89 nodes did, 80% of the log lines
         were duplicates.
     :param refused: requests that are known to crash instances, by fingerprint.
+    :param on_cold: called with the name of an instance and the seconds for which it
+        stays cold, for each entry of an instance that is received.
     :param on_refused: called with such a request when its entry is received.
     """
 
@@ -126,6 +128,7 @@
     lapsed_serve_s: float = DEFAULT_LAPSED_SERVE_S
     find_store_uptime_s: Callable[[], float] = lambda: float('inf')
     on_restart: Callable[[str], None] = lambda name: None
+    on_cold: Callable[[str, float], None] = lambda name, left_s: None
     logs_changes: Callable[[], bool] = lambda: True
     refused: dict[str, RefusedRequest] = field(default_factory=dict)
     on_refused: Callable[[RefusedRequest], None] = lambda found: None
@@ -152,16 +155,16 @@
         """
         if found.revision < self.received_revision:
             return False
+        changed = found.complete
         if found.complete:
             for entry in self._list_missing(found):
                 self.apply_entry(entry)
         for entry in found.entries:
             if found.complete or entry.changed_at > self.received_revision:
-                self.apply_entry(entry)
+                changed |= self.apply_entry(entry)
         self.store_revision = max(self.store_revision, found.revision)
         self.received_revision = found.revision
-        if found.entries or found.complete:
-            self.version += 1
+        self.version += changed
         return True
 
     def list_changes(self, found: Events) -> tuple[Entry, ...]:
@@ -199,12 +202,16 @@
             Entry(key, deleted_at=found.revision) for key in known if key not in present
         ]
 
-    def apply_entry(self, entry: Entry) -> None:
-        """Apply the write or deletion of one key."""
+    def apply_entry(self, entry: Entry) -> bool:
+        """Apply the write or deletion of one key.
+
+        Return ``False`` for the entry of an instance of which at most the time until it
+        is warm changed.
+        """
         key = entry.key
         if key.startswith(INSTANCE_PREFIX):
-            self._apply_instance(key[len(INSTANCE_PREFIX) :], entry)
-        elif key == CONFIGURATION_KEY:
+            return self._apply_instance(key[len(INSTANCE_PREFIX) :], entry)
+        if key == CONFIGURATION_KEY:
             self.apply_configuration(entry)
         elif key.startswith(CLAIM_PREFIX):
             self.apply_claims(entry)
@@ -218,6 +225,7 @@
             self._apply_refused(key[len(REFUSED_PREFIX) :], entry)
         elif key == LEADER_KEY:
             self._apply_leader(entry)
+        return True
 
     def _apply_lost(self, name: str, entry: Entry) -> None:
         if entry.present:
@@ -362,26 +370,31 @@
         """
         return self.find_store_uptime_s() < LAPSE_HOLD_S
 
-    def _apply_instance(self, name: str, entry: Entry) -> None:
+    def _apply_instance(self, name: str, entry: Entry) -> bool:
         if not entry.present:
             self._remove_or_hold_instance(name)
-            return
+            return True
         try:
             instance = decode_instance(name, entry.value)
         except CodecError as error:
             self._log_damaged(name, str(error))
-            return
+            return True
         self._damaged_names.discard(name)
         before = self.instances.get(name)
         if before is not None:
             if before.is_restart_of(instance):
                 # A late write of an earlier incarnation is ignored.
                 log.emit(events.INSTANCE_STALE, instance=name, born=instance.born)
-                return
+                return True
             self._handle_restart(before, instance)
             instance = instance.carry_over_model(before)
+        self.on_cold(name, instance.cold_left_s)
         if self.leaving.has(instance):
             instance = replace(instance, draining=True)
+        if instance == before and name not in self._lapsed_since:
+            # Groups are evaluated again when the object of a member is replaced, and
+            # the entry of a cold instance is written at each of its heartbeats.
+            return False
         self._lapsed_since.pop(name, None)
         self._excluded.discard(name)
         self.instances[name] = instance
@@ -389,6 +402,7 @@
             self.arrived_at = self.clock()
         if (before is None or before != instance) and self.logs_changes():
             _log_instance(instance, entry.revision)
+        return True
 
     def log_instances(self) -> None:
         """Log the state of all instances; called when this node becomes leader."""
--- a/coursepitch/platform/configuration.py
+++ b/coursepitch/platform/configuration.py
@@ -130,9 +130,19 @@
         health_path=str(item.get('health_path') or '/health'),
         connections=int(item.get('max_conns') or 100),
         engine=_decode_engine(engine) if engine else None,
+        cold_s=_check_not_negative(item, 'cold_s'),
+        cold_per_s=_check_not_negative(item, 'cold_per_s'),
     )
 
 
+def _check_not_negative(item: dict[str, Any], name: str) -> float:
+    """Return a finite number of at least 0; 0 if it is absent."""
+    value = float(item.get(name) or 0)
+    if not 0 <= value < float('inf'):
+        raise ValueError(f'{name} {value!r} is not a number of at least 0')
+    return value
+
+
 def _decode_engine(item: dict[str, Any]) -> EngineProfile:
     usual = item.get('usual') or {}
     return EngineProfile(
--- a/coursepitch/platform/fleet.py
+++ b/coursepitch/platform/fleet.py
@@ -74,6 +74,7 @@
             membership=_decode_membership(data.get('group')),
             born=_check_integer(data.get('born', 0)),
             software=_check_string(data.get('version', '')),
+            cold_left_s=_read_cold_left(data.get('cold_left_ms')),
         )
     except (KeyError, TypeError, ValueError, AttributeError) as error:
         raise CodecError(f'{INSTANCE_PREFIX}{name}: {error!r}') from error
@@ -136,6 +137,17 @@
     return value
 
 
+def _read_cold_left(value: object) -> float:
+    """Return for how many seconds an instance stays cold.
+
+    A malformed value counts as 0: services without cold instances ignore the field, so
+    it must not reject their entries.
+    """
+    if not isinstance(value, int | float) or isinstance(value, bool):
+        return 0.0
+    return max(0.0, value / 1000)
+
+
 def _check_address(value: object) -> str:
     """Return an address of the form ``IP:port``."""
     host, _, port = _check_string(value).rpartition(':')
--- a/coursepitch/platform/headers.py
+++ b/coursepitch/platform/headers.py
@@ -37,6 +37,9 @@
 #: Header with the rate limit of a target: requests per second from all nodes.
 _RATE_LIMIT_HEADER = b'server-limit'
 
+#: Header with the milliseconds for which a target stays cold.
+_COLD_HEADER = b'x-cold-ms'
+
 #: Header by which a target announces its shutdown, and its only valid value.
 _LEAVING_HEADER = b'server-leaving'
 _LEAVING_VALUE = b'1'
@@ -115,6 +118,8 @@
     :param invalid_retry_after: an invalid back-off time, truncated; ``None`` without
         one.  Dates count as invalid, as clocks differ by seconds.
     :param leaving: the target announces that it is about to shut down.
+    :param cold_left_s: seconds for which the target stays cold, the longest of
+        several; ``None`` without a valid value.
     """
 
     request: str
@@ -127,6 +132,7 @@
     retry_after_s: float | None = None
     invalid_retry_after: str | None = None
     leaving: bool = False
+    cold_left_s: float | None = None
 
 
 def read_request_fields(request: IncomingRequest) -> RequestFields:
@@ -192,6 +198,7 @@
     times, invalid_retry_after = (
         _parse_decimals(headers, _RETRY_AFTER_HEADER) if counts else ([], None)
     )
+    cold_times, _ = _parse_decimals(headers, _COLD_HEADER)
     return ResponseMetadata(
         request=text(b'x-request-id'),
         instance=text(b'x-replica-id'),
@@ -203,6 +210,7 @@
         retry_after_s=max(times, default=None),
         invalid_retry_after=invalid_retry_after,
         leaving=_LEAVING_VALUE in _get_values(headers, _LEAVING_HEADER),
+        cold_left_s=max(cold_times) / 1000 if cold_times else None,
     )
 
 
--- a/tests/fleet/test_scale.py
+++ b/tests/fleet/test_scale.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import json
 import unittest
 import unittest.mock
 
@@ -12,6 +13,7 @@
 from coursepitch.fleet.groups import GroupController
 from coursepitch.fleet.placement import choose_second_weights
 from coursepitch.fleet.view import FleetView
+from coursepitch.platform.kv import Entry, Events
 from tests.fleet.builders import LARGE, SERVICE, SMALL, build_engine
 from tests.fleet.simulated_pool import Demand, SimulatedPool
 
@@ -69,6 +71,57 @@
         asked = [call.args[0].name for call in seen.call_args_list]
         self.assertEqual(asked, [item.name for item in lacking])
 
+    def test_leader_skips_groups_of_instances_that_only_count_down_to_warm(self):
+        """Entries of cold instances are written at each heartbeat."""
+        view = self.pool.view
+        claim = next(iter(view.all_claims()))
+        name = claim.members[1]
+        text = self.write_entry(view.instances[name])
+
+        def lead():
+            revision = view.received_revision + 1
+            entry = Entry(f'servers/{name}', text, revision)
+            view.apply(Events((entry,), revision))
+            self.pool.lead()
+
+        # The simulated instance has an entry like those of the platform from now on.
+        lead()
+        view.list_open(SERVICE, claim.model)
+
+        for function in ('_find_failure', '_advance'):
+            with self.subTest(name=function):
+                self.assertEqual(self.count(GroupController, function, lead), 0)
+
+        def look():
+            lead()
+            view.list_open(SERVICE, claim.model)
+
+        self.assertEqual(self.count(FleetView, '_evaluate_group', look), 0)
+
+    def write_entry(self, instance):
+        """Return the entry of an instance as the platform writes it."""
+        group = instance.membership
+        data = {
+            'service': instance.service,
+            'address': instance.address,
+            'zone': instance.availability_zone,
+            'slots': instance.slots,
+            'state': 'ready',
+            'domain': instance.domain,
+            'models': [{'name': name} for name in instance.models],
+            'staged': list(instance.staged),
+            'born': instance.born,
+            'version': instance.software,
+            'cold_left_ms': 1200,
+            'group': {
+                'name': group.group,
+                'epoch': group.epoch,
+                'rank': group.rank,
+                'state': group.state.value,
+            },
+        }
+        return json.dumps(data)
+
     def test_node_only_evaluates_changed_groups(self):
         view = self.pool.view
         claim = next(iter(view.all_claims()))
--- a/tests/fleet/test_view.py
+++ b/tests/fleet/test_view.py
@@ -4,6 +4,7 @@
 
 import json
 import unittest
+from unittest import mock
 
 import eliot
 
@@ -231,3 +232,71 @@
         self.assertEqual(self.count(), 0)
         self.view.log_instances()
         self.assertEqual(self.count(), 2)
+
+
+class ColdEntryTest(unittest.TestCase):
+    """Entries of cold instances, which are written at each heartbeat.
+
+    Guards against a log line, and an evaluation of the group by the leader and all
+    nodes, for each of the 54 instances of a zone every 1.2 s.
+    """
+
+    def setUp(self):
+        self.view = FleetView(lambda: 100.0)
+        self.left = []
+        self.view.on_cold = lambda name, left_s: self.left.append((name, left_s))
+        self.group = {'name': 'g', 'epoch': 5, 'rank': 0, 'state': 'open'}
+        self.write(1, 3000)
+
+    def write(self, revision, left_ms, **fields):
+        """Apply an entry of the instance with a watch."""
+        fields = {'group': self.group, 'sequence': revision, **fields}
+        entry = write_entry('a', revision, cold_left_ms=left_ms, **fields)
+        self.view.apply(Events((entry,), revision))
+
+    def test_countdown_is_no_change(self):
+        instance, version = self.view.instances['a'], self.view.version
+        with mock.patch('coursepitch.fleet.view.log.emit') as emit:
+            for revision, left_ms in ((2, 1800), (3, 600), (4, 0), (5, 3000)):
+                self.write(revision, left_ms)
+        emit.assert_not_called()
+        self.assertIs(self.view.instances['a'], instance)
+        self.assertEqual(self.view.version, version)
+        self.assertEqual([left_s for _, left_s in self.left], [3.0, 1.8, 0.6, 0, 3.0])
+        self.assertEqual(self.view.received_revision, 5)
+
+    def test_other_change_with_the_countdown_is_a_change(self):
+        version = self.view.version
+        with mock.patch('coursepitch.fleet.view.log.emit') as emit:
+            self.write(2, 1800, state='draining')
+        emit.assert_called_once()
+        self.assertTrue(self.view.instances['a'].draining)
+        self.assertGreater(self.view.version, version)
+
+    def test_entry_that_returns_after_an_outage_is_a_change(self):
+        self.view.find_store_uptime_s = lambda: 0.0
+        self.view.apply(Events((Entry('servers/a', deleted_at=2),), 2))
+        self.assertTrue(self.view.is_lapsed('a'))
+        version = self.view.version
+        self.write(3, 1800)
+        self.assertFalse(self.view.is_lapsed('a'))
+        self.assertGreater(self.view.version, version)
+
+    def test_entry_of_an_earlier_incarnation_is_ignored(self):
+        self.write(2, 0, born=9)
+        self.left.clear()
+        self.write(3, 3000, born=8)
+        self.assertEqual(self.left, [])
+
+    def test_listing_tells_which_instances_are_cold(self):
+        """A node that starts treats them as cold for the time in their entries."""
+        view = FleetView(lambda: 100.0)
+        left = []
+        view.on_cold = lambda name, left_s: left.append((name, left_s))
+        entries = (
+            write_entry('a', 7, cold_left_ms=1500),
+            write_entry('b', 8, cold_left_ms=0),
+            write_entry('c', 9),
+        )
+        view.apply(Events(entries, 9, complete=True))
+        self.assertEqual(left, [('a', 1.5), ('b', 0.0), ('c', 0.0)])
--- a/tests/platform/test_entries.py
+++ b/tests/platform/test_entries.py
@@ -93,5 +93,27 @@
                 decode_instance('i', text)
 
 
+class ColdTest(unittest.TestCase):
+    """How long an instance stays cold."""
+
+    def read(self, **fields):
+        return decode_instance('i', json.dumps({**VALID_ENTRY, **fields})).cold_left_s
+
+    def test_milliseconds_are_read(self):
+        self.assertEqual(self.read(cold_left_ms=3000), 3.0)
+        self.assertEqual(self.read(cold_left_ms=0.5), 0.0005)
+
+    def test_absent_and_malformed_values_count_as_warm(self):
+        """Services without cold instances don't use the field."""
+        for value in (None, 'soon', True, [3000], -5, {}):
+            with self.subTest(value=value):
+                self.assertEqual(self.read(cold_left_ms=value), 0.0)
+
+    def test_instances_that_differ_only_in_it_are_equal(self):
+        entries = ({**VALID_ENTRY, 'cold_left_ms': left} for left in (3000, 1800))
+        first, second = (decode_instance('i', json.dumps(data)) for data in entries)
+        self.assertEqual(first, second)
+
+
 if __name__ == '__main__':
     unittest.main()
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -126,3 +126,22 @@
         for status in (200, 404, 421, 429, 500, 503):
             metadata = read_response_metadata(status, ((b'Server-Leaving', b'1'),))
             self.assertTrue(metadata.leaving)
+
+
+class ColdHeaderTest(unittest.TestCase):
+    """The time until a target is warm."""
+
+    def test_milliseconds_are_read(self):
+        for values, left_s in (
+            ((b'3000',), 3.0),
+            ((b'0',), 0.0),
+            ((b'1200', b'900'), 1.2),
+            ((b'soon', b'900'), 0.9),
+            ((b'soon',), None),
+            ((b'-1',), None),
+            ((), None),
+        ):
+            with self.subTest(values=values):
+                headers = tuple((b'X-Cold-Ms', value) for value in values)
+                found = read_response_metadata(200, headers).cold_left_s
+                self.assertEqual(found, left_s)
