Limit requests to cold instances, partly without asking the leader

Cause: an instance takes cold_per_s requests a second from all nodes together while it is cold and fails well above that; nodes sent it all they had.

Ruled out: permits as for Server-Limit alone. They allow 41 in one second at a limit of 23, deny the first request for each instance, and send nothing while no leader answers. A part for each of 74 nodes exceeds the bound with one request each; permits in stock lapse, as a node sends a head a request every 14 s.

Change: ColdInstances is one more source of RateLimits.find. Half as many nodes as the limit, chosen by hash for each instance, may send it a request every 1.5 s without a permit once they are listed for 12 s; the leader grants the rest. Together that is at most 1 + 1.5 times the limit in any second. A silent leader is waited for 0.05 s, once for all instances. The leader and peers are told of instances that are cold by a response.

--- a/coursepitch/events.py
+++ b/coursepitch/events.py
@@ -256,6 +256,19 @@
     'the instance as leaving.',
     ('instance', 'born', 'told_by', 'listed_leaving'),
 )
+INSTANCE_COLD = Event(
+    531,
+    'instance.cold',
+    'An instance is cold: for how many seconds, and how many requests per second it '
+    'takes from all nodes meanwhile.',
+    ('instance', 'left_s', 'limit'),
+)
+INSTANCE_WARM = Event(
+    532,
+    'instance.warm',
+    'An instance is no longer cold, or was removed.',
+    ('instance',),
+)
 INSTANCE_DAMAGED = Event(
     511,
     'instance.damaged',
--- a/coursepitch/fleet/limit_messages.py
+++ b/coursepitch/fleet/limit_messages.py
@@ -50,12 +50,22 @@
     """Request to the leader for permission to send one request to an instance.
 
     :param number: identifies the message at its sender.
-    :param limit: the instance's limit as known to the sender.
+    :param limit: the instance's limit as known to the sender, if it set one.
+    :param cold: name of the instance and the seconds for which it stays cold, as known
+        to the sender; ``None`` if it is warm.
     """
 
     node: str
     number: int
-    limit: ReportedLimit
+    limit: ReportedLimit | None
+    cold: tuple[str, float] | None = None
+
+    @property
+    def instance(self) -> str:
+        """The instance's name; empty if the message names none."""
+        if self.limit is not None:
+            return self.limit.instance
+        return self.cold[0] if self.cold else ''
 
 
 @dataclass(frozen=True, slots=True)
--- a/coursepitch/fleet/messages.py
+++ b/coursepitch/fleet/messages.py
@@ -198,11 +198,13 @@
         incarnation in Unix milliseconds.
     :param backoffs: instances that requested a backoff: name, start time, and the
         remaining seconds.
+    :param cold: instances that are cold: name, start time, and the remaining seconds.
     """
 
     node: str
     leaving: tuple[tuple[str, int], ...] = ()
     backoffs: tuple[tuple[str, int, float], ...] = ()
+    cold: tuple[tuple[str, int, float], ...] = ()
 
 
 Message = (
@@ -315,13 +317,14 @@
             return _pack([_LOST_REPORT, message.node, *rows])
         case NoticeReport():
             rows = [list(message.leaving), list(message.backoffs)]
+            if message.cold:
+                rows.append(list(message.cold))
             return _pack([_NOTICE_REPORT, message.node, *rows])
         case LimitReport():
             rows = [encode_limit(row) for row in message.rows]
             return _pack([_LIMIT_REPORT, message.node, rows])
         case SendRequest():
-            row = encode_limit(message.limit)
-            return _pack([_SEND_REQUEST, message.node, message.number, row])
+            return _pack([_SEND_REQUEST, *_encode_send_request(message)])
         case SendReply():
             parts = [message.number, message.granted, message.again_s]
             return _pack([_SEND_REPLY, message.node, *parts])
@@ -353,11 +356,11 @@
             lost, answering = (tuple(map(read_text, row)) for row in parts[1:])
             return LostReport(node, lost, answering)
         if kind == _NOTICE_REPORT:
-            return _decode_notices(node, parts[1], parts[2])
+            return _decode_notices(node, *parts[1:])
         if kind == _LIMIT_REPORT:
             return LimitReport(node, tuple(map(decode_limit, parts[1])))
         if kind == _SEND_REQUEST:
-            return SendRequest(node, int(parts[1]), decode_limit(parts[2]))
+            return _decode_send_request(node, *parts[1:])
         if kind == _SEND_REPLY:
             _, number, granted, again_s = parts
             return SendReply(node, int(number), bool(granted), float(again_s))
@@ -374,7 +377,29 @@
     raise CodecError(f'unknown kind of peer message: {kind!r}')
 
 
-def _decode_notices(node: str, leaving: Any, backoffs: Any) -> NoticeReport:
+def _encode_send_request(message: SendRequest) -> list[object]:
+    row = None if message.limit is None else encode_limit(message.limit)
+    parts: list[object] = [message.node, message.number, row]
+    return [*parts, list(message.cold)] if message.cold else parts
+
+
+def _decode_send_request(
+    node: str, number: Any, row: Any, cold: Any = None
+) -> SendRequest:
+    limit = None if row is None else decode_limit(row)
+    if cold is None:
+        if limit is None:
+            raise ValueError('the request names no instance')
+        return SendRequest(node, int(number), limit)
+    name, left_s = cold
+    if limit is not None and limit.instance != name:
+        raise ValueError('the request names two instances')
+    return SendRequest(node, int(number), limit, (read_text(name), float(left_s)))
+
+
+def _decode_notices(
+    node: str, leaving: Any, backoffs: Any, cold: Any = ()
+) -> NoticeReport:
     return NoticeReport(
         node,
         tuple((read_text(name), int(born)) for name, born in leaving),
@@ -382,6 +407,9 @@
             (read_text(name), int(born), float(left_s))
             for name, born, left_s in backoffs
         ),
+        tuple(
+            (read_text(name), int(born), float(left_s)) for name, born, left_s in cold
+        ),
     )
 
 
--- a/coursepitch/fleet/notices.py
+++ b/coursepitch/fleet/notices.py
@@ -1,4 +1,7 @@
-"""Notices that instances add to their answers: backoff, leaving and rate limit."""
+"""Notices that instances add to their answers.
+
+These are backoffs, leaving, rate limits, and for how long an instance stays cold.
+"""
 
 from __future__ import annotations
 
@@ -50,6 +53,9 @@
     is_watching: Callable[[], bool] = lambda: False
     #: Avoids an instance for some seconds while others have capacity.
     avoid: Callable[[str, float], None] = lambda name, seconds: None
+    #: Records for how many seconds an instance stays cold; returns whether this was
+    #: not known.
+    note_cold: Callable[[str, float], bool] = lambda name, seconds: False
     _told_until: dict[str, float] = field(default_factory=dict)
     _damaged: dict[str, str] = field(default_factory=dict)
 
@@ -71,6 +77,10 @@
             self._take_leaving(name, born)
         if not marks.misdirected:
             self._take_limit(name, marks)
+        if marks.cold_left_s and self.note_cold(name, marks.cold_left_s):
+            self.tell(
+                NoticeReport(self.me, cold=((name, born, marks.cold_left_s),)), ''
+            )
 
     def _take_backoff(self, name: str, born: int, marks: ResponseMetadata) -> None:
         if marks.invalid_retry_after is not None:
@@ -143,8 +153,14 @@
             if self._note_leaving(name, born, told.node)
         )
         backoffs = tuple(row for row in told.backoffs if self._take_told_backoff(*row))
-        if (leaving or backoffs) and self.is_watching():
-            self.tell(NoticeReport(self.me, leaving, backoffs), '')
+        cold = tuple(row for row in told.cold if self._take_told_cold(*row))
+        if (leaving or backoffs or cold) and self.is_watching():
+            self.tell(NoticeReport(self.me, leaving, backoffs, cold), '')
+
+    def _take_told_cold(self, name: str, born: int, left_s: float) -> bool:
+        """Process for how long an instance stays cold; return whether it is news."""
+        found = self.view.instances.get(name)
+        return found is not None and found.born == born and self.note_cold(name, left_s)
 
     def _take_told_backoff(self, name: str, born: int, backoff_s: float) -> bool:
         """Process a backoff requested from a peer; return whether it was not known."""
--- a/coursepitch/fleet/rate_limits.py
+++ b/coursepitch/fleet/rate_limits.py
@@ -60,16 +60,36 @@
     tell: Callable[[Message, str], None] = lambda message, node: None
     #: Whether peers rely on this node to forward messages.
     is_watching: Callable[[], bool] = lambda: False
+    #: Returns the limit of an instance while it is cold, ``None`` if it is warm.
+    find_cold: Callable[[str], float | None] = lambda instance: None
     _readings: dict[str, LimitReading] = field(default_factory=dict)
     _newest: dict[str, dict[int, float]] = field(default_factory=dict)
     _damaged: dict[str, str] = field(default_factory=dict)
     _stamp: float = float('-inf')
 
     def find(self, instance: str) -> float | None:
-        """Return the limit of an instance in requests per second; ``None`` for none."""
+        """Return the limit of an instance in requests per second; ``None`` for none.
+
+        This is the lower of the limit that it set and its limit while it is cold.
+        """
+        announced = self._find_announced(instance)
+        cold = self.find_cold(instance)
+        if cold is None:
+            return announced
+        return cold if announced is None else min(announced, cold)
+
+    def _find_announced(self, instance: str) -> float | None:
         reading = self._readings.get(instance)
         return None if reading is None else reading.limit
 
+    def is_by_cold(self, instance: str) -> bool:
+        """Whether an instance is cold and set no lower limit itself."""
+        cold = self.find_cold(instance)
+        if cold is None:
+            return False
+        announced = self._find_announced(instance)
+        return announced is None or cold <= announced
+
     def count_limited(self) -> int:
         """Return the number of instances with a limit."""
         return sum(item.limit is not None for item in self._readings.values())
--- a/coursepitch/fleet/session.py
+++ b/coursepitch/fleet/session.py
@@ -16,6 +16,12 @@
 
 from coursepitch import events, log
 from coursepitch.fleet.catchup import CatchUp
+from coursepitch.fleet.cold import (
+    MAX_CONFIRMATION_AGE_S,
+    UNASKED_WINDOW_S,
+    ColdInstances,
+    UnaskedSends,
+)
 from coursepitch.fleet.contact import StoreContact
 from coursepitch.fleet.leases import NodeLeases
 from coursepitch.fleet.lost import LossReporter
@@ -53,6 +59,7 @@
     from collections.abc import Callable
 
     from coursepitch.clock import Clock
+    from coursepitch.config.routes import Service
     from coursepitch.fleet.freshness import Freshness
     from coursepitch.fleet.messages import Message
     from coursepitch.fleet.shares import LimitFractions
@@ -140,12 +147,22 @@
         #: Rate limits set by instances, and permits to send to these instances.
         self.limits = RateLimits(name, self.book.incarnation, clock)
         self.limits.is_watching = self.is_watching
+        #: Instances that are cold, and requests to them that need no permit.
+        self.cold = ColdInstances(clock, self._find_service, self.is_following)
+        self.limits.find_cold = self.cold.find_limit
+        self.view.on_cold = self.cold.note_entry
+        self.unasked = UnaskedSends(name, clock, self._may_send_unasked)
+        self._unasked_share = LimitShare(UNASKED_WINDOW_S, clock)
+        self._is_settled = False
         self.permits = SendPermits(
             name,
             self.limits,
-            SendGranter(self.limits, self._read_term, clock),
+            SendGranter(self.limits, self._read_term, clock, cold=self.cold),
             self._read_leader,
             clock,
+            cold=self.cold,
+            unasked=self.unasked,
+            hears_leader=self._hears_leader,
         )
         #: Detects pauses of this process.
         self.pause_detector = PauseDetector(clock)
@@ -252,6 +269,30 @@
         if self.leases.is_listed():
             self.share.note_listed()
 
+    def _update_unasked(self) -> None:
+        """Update which nodes may send to cold instances without a permit."""
+        self._unasked_share.note_nodes(self.view.nodes)
+        if self.leases.is_listed():
+            self._unasked_share.note_listed()
+        self.unasked.note_nodes(self._unasked_share.list_nodes())
+        self._is_settled = self._unasked_share.find_fractions().constant > 0
+
+    def _may_send_unasked(self) -> bool:
+        """Whether this node is listed for long enough and knows the other nodes."""
+        return self._is_settled and self.confirmation_age_s <= MAX_CONFIRMATION_AGE_S
+
+    def _hears_leader(self) -> bool:
+        leader = self.view.leader
+        return leader == self._name or leader in self.book.list_heard()
+
+    def _find_service(self, instance: str) -> Service | None:
+        """Return the service of a listed instance."""
+        found = self.view.instances.get(instance)
+        table = self.view.table
+        if found is None or table is None:
+            return None
+        return table.services.get(found.service)
+
     async def wait_changed(self, limit_s: float) -> None:
         """Wait until the view changes.
 
@@ -463,6 +504,9 @@
             self.pause_detector.note_tick()
             self.view.sweep()
             self._update_share()
+            self._update_unasked()
+            self.cold.sweep()
+            self.permits.granter.note_term()
 
     async def _keep_confirmed(self) -> None:
         attempt = 0
--- a/coursepitch/gateway_application.py
+++ b/coursepitch/gateway_application.py
@@ -124,6 +124,7 @@
         self.session.permits.count = self._count_permit
         self.notices.tell = self.links.send
         self.notices.is_watching = self.session.is_watching
+        self.notices.note_cold = self.session.cold.note_told
         self.session.take_notices = self.notices.take_told
         self.session.relay_changes = self.links.relay_changes
         self.session.send_heartbeat_now = self.links.send_heartbeat_now
@@ -212,6 +213,7 @@
     def _note_restart(self, instance: str) -> None:
         self.load_tracker.note_restart(instance)
         self.session.limits.note_restart(instance)
+        self.session.cold.note_restart(instance)
         self.backoffs.note_restart(instance)
 
     def _build_crash_detector(self) -> CrashDetector:
@@ -278,6 +280,7 @@
         self, request: IncomingRequest, reply: ResponseWriter
     ) -> None:
         self.metrics.limited_instances.set({}, self.session.limits.count_limited())
+        self.metrics.cold_instances.set({}, len(self.session.cold.list_cold()))
         self.metrics.backed_off_instances.set({}, self.backoffs.count_active())
         accept = (request.header(b'accept') or b'').decode('latin-1')
         content, headers = self.metrics.render(accept)
--- a/coursepitch/metrics.py
+++ b/coursepitch/metrics.py
@@ -58,6 +58,9 @@
         self.limited_instances = gauge(
             'limited_instances', 'Instances with a known rate limit.'
         )
+        self.cold_instances = gauge(
+            'cold_instances', 'Instances that are cold and limit their requests.'
+        )
         self.instance_notices = counter(
             'instance_notices_total',
             'Responses in which an instance requests a backoff or announces its '
--- a/tests/fleet/test_notices.py
+++ b/tests/fleet/test_notices.py
@@ -3,9 +3,12 @@
 from __future__ import annotations
 
 import unittest
+from dataclasses import replace
 from unittest import mock
 
+from coursepitch.config.routes import Service
 from coursepitch.fleet.backoffs import InstanceBackoffs
+from coursepitch.fleet.cold import ColdInstances
 from coursepitch.fleet.messages import NoticeReport, decode_message, encode_message
 from coursepitch.fleet.notices import InstanceNotices
 from coursepitch.fleet.rate_limits import RateLimits
@@ -90,6 +93,36 @@
         self.notices.take_told(more)
         self.assertEqual(self.told, [(NoticeReport('n1', (('b', 7),)), '')])
 
+    def note_cold(self):
+        """Let the node know which instances are cold; return that state."""
+        service = Service('pool', '/', 100, None, 3.0, 23.0)
+        cold = ColdInstances(lambda: self.now, lambda name: service)
+        self.notices.note_cold = cold.note_told
+        return cold
+
+    def test_cold_instance_is_told_once(self):
+        cold = self.note_cold()
+        for left in ('3000', '2900', '0'):
+            self.notices.take('a', 5, read_marks(200, x_cold_ms=left))
+            self.now += 0.1
+        self.assertEqual(cold.find_limit('a'), 23.0)
+        told = NoticeReport('n1', cold=(('a', 5, 3.0),))
+        self.assertEqual(self.told, [(told, '')])
+
+    def test_relay_forwards_that_an_instance_is_cold(self):
+        cold = self.note_cold()
+        self.notices.is_watching = lambda: True
+        rows = (('a', 4, 3.0), ('a', 5, 3.0), ('a', 5, 2.9), ('b', 7, 3.0))
+        self.notices.take_told(NoticeReport('n2', cold=rows))
+        told = NoticeReport('n1', cold=(('a', 5, 3.0),))
+        self.assertEqual(self.told, [(told, '')])
+        self.assertIsNone(cold.find_limit('b'))
+
+    def test_misdirected_answer_does_not_make_an_instance_cold(self):
+        cold = self.note_cold()
+        self.notices.take('a', 5, read_marks(421, x_cold_ms='3000'))
+        self.assertIsNone(cold.find_limit('a'))
+
     def test_all_leaving_instances_are_sent_when_a_link_comes_up(self):
         self.notices.send_all('n5')
         self.assertEqual(self.told, [])
@@ -105,6 +138,8 @@
         ):
             message = NoticeReport('n1', *rows)
             self.assertEqual(decode_message(encode_message(message)), message)
+            message = replace(message, cold=(('d', 1, 2.5),))
+            self.assertEqual(decode_message(encode_message(message)), message)
 
     def test_backoff_is_sent_only_if_it_ends_later_than_the_known_one(self):
         for backoff_s in ('3', '0.4', '3'):
--- a/tests/fleet/test_send_permits.py
+++ b/tests/fleet/test_send_permits.py
@@ -8,6 +8,7 @@
 from hypothesis import settings, strategies
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
+from coursepitch.errors import CodecError
 from coursepitch.fleet.messages import (
     LimitReport,
     ReportedLimit,
@@ -209,11 +210,22 @@
         for message in (
             LimitReport('n1', (limit, ReportedLimit('i2', None, 0.0, 'n2', 8, 1.0))),
             SendRequest('n1', 3, limit),
+            SendRequest('n1', 3, limit, ('i1', 2.5)),
+            SendRequest('n1', 3, None, ('i1', 2.5)),
             SendReply('n2', 3, False, 0.7),
         ):
             with self.subTest(message=message):
                 self.assertEqual(decode_message(encode_message(message)), message)
 
+    def test_request_must_name_one_instance(self):
+        limit = ReportedLimit('i1', 1.5, 0.25, 'n1', 7, 123.5)
+        for message in (
+            SendRequest('n1', 3, None),
+            SendRequest('n1', 3, limit, ('i2', 2.5)),
+        ):
+            with self.assertRaises(CodecError):
+                decode_message(encode_message(message))
+
 
 def play(count, limit, seconds=40.0, rate=40.0, seed=1):
     """Simulate a constant limit under high load; return the fleet."""
--- a/tests/fleet/test_session.py
+++ b/tests/fleet/test_session.py
@@ -8,6 +8,7 @@
 
 import anyio
 
+from coursepitch.fleet.cold import MAX_CONFIRMATION_AGE_S
 from coursepitch.fleet.contact import GAP_S
 from coursepitch.fleet.freshness import OUTAGE_EVIDENCE_S, Freshness
 from coursepitch.fleet.messages import Heartbeat, TableReply
@@ -189,6 +190,79 @@
         self.assertIsInstance(await session._list_all(), Unavailable)
 
 
+class ColdTest(unittest.TestCase):
+    """A session limits what is sent to cold instances of its configuration."""
+
+    def setUp(self):
+        self.store = FakeStore()
+        clock = self.store.clock
+        self.session = FleetSession('n1', self.store, Freshness(BOUND_S, clock), clock)
+        self.session.view.nodes['n1'] = None
+        self.listed = True
+        self.session.leases.is_listed = lambda: self.listed
+
+    def apply(self, left_ms, **service):
+        data = build_configuration()
+        data['services'][0].update(service)
+        instance = {
+            'service': 'pool',
+            'address': '10.0.0.1:1',
+            'state': 'ready',
+            'cold_left_ms': left_ms,
+        }
+        self.session.view.apply_entry(Entry('op/config', json.dumps(data), 10))
+        self.session.view.apply_entry(Entry('servers/a', json.dumps(instance), 11))
+
+    def wait(self, seconds, age_s=0.0):
+        """Let some time pass, with sweeps and confirmations of this age."""
+        end = self.store.now + seconds
+        while self.store.now < end:
+            self.store.now += 0.25
+            self.session._update_unasked()
+            self.session._freshness.note_confirmed(self.store.now - age_s)
+
+    def can_send(self):
+        return not self.session.permits.is_closed('a')
+
+    def test_limit_follows_the_entry_and_the_configuration(self):
+        self.apply(3000, cold_s=3, cold_per_s=23)
+        self.assertEqual(self.session.limits.find('a'), 23.0)
+        self.store.now += 3.0
+        self.assertIsNone(self.session.limits.find('a'))
+
+    def test_nothing_is_limited_without_the_figures(self):
+        self.apply(3000)
+        self.assertIsNone(self.session.limits.find('a'))
+        self.assertTrue(self.can_send())
+
+    def test_restarted_node_does_not_send_without_permits(self):
+        """It does not know all nodes yet, nor what its earlier process sent."""
+        self.apply(60_000, cold_s=60, cold_per_s=23)
+        self.wait(11.0)
+        self.assertIsNone(self.session.permits.take_unasked('a'))
+        self.wait(2.0)
+        self.assertIsNotNone(self.session.permits.take_unasked('a'))
+
+    def test_node_that_is_not_listed_does_not_send_without_permits(self):
+        self.listed = False
+        self.apply(60_000, cold_s=60, cold_per_s=23)
+        self.wait(30.0)
+        self.assertIsNone(self.session.permits.take_unasked('a'))
+
+    def test_node_that_is_cut_off_does_not_send_without_permits(self):
+        """Others may have been listed meanwhile."""
+        self.apply(90_000, cold_s=90, cold_per_s=23)
+        self.wait(13.0)
+        self.store.now += MAX_CONFIRMATION_AGE_S + 0.1
+        self.assertIsNone(self.session.permits.take_unasked('a'))
+
+    def test_leader_is_heard_while_its_heartbeats_arrive(self):
+        self.session.view.leader = 'n2'
+        self.assertFalse(self.session._hears_leader())
+        self.session.view.leader = 'n1'
+        self.assertTrue(self.session._hears_leader())
+
+
 class UnconfirmedTest(unittest.TestCase):
     """Without ``refuse_unconfirmed``, a node serves during an outage of the store."""
 
