No two nodes take the same place for requests without a permit

Cause: whether a node is listed for long enough followed LimitShare, which keeps a share for 18 s without a lease.

Ruled out: a shorter time in LimitShare, as the budget of second sends relies on it.

Change: UnaskedSends keeps the times itself: 12 s listed, 3 s at most without a lease, a confirmation of 5 s at most, and 30 s for which a node counts after it was listed.

--- a/coursepitch/fleet/cold.py
+++ b/coursepitch/fleet/cold.py
@@ -22,9 +22,11 @@
     from coursepitch.config.routes import Service
 
 __all__ = [
+    'COUNTED_S',
     'MAX_CONFIRMATION_AGE_S',
+    'MAX_LEASE_GAP_S',
+    'SETTLE_S',
     'UNASKED_INTERVAL_S',
-    'UNASKED_WINDOW_S',
     'ColdInstances',
     'UnaskedSends',
     'count_unasked_nodes',
@@ -40,15 +42,23 @@
 #: between the delivery times of two requests (0.15 s) and a margin.
 UNASKED_INTERVAL_S = 1.5
 
-#: Window in seconds for :class:`coursepitch.fleet.shares.LimitShare`, which tells since
-#: when this node is listed and which nodes may count themselves among the chosen ones.
-UNASKED_WINDOW_S = 10.0
+#: Seconds for which a node must be listed before it sends without asking.  It is then
+#: known to all others that do so, as their lists are at most 7 s old: 5 s by the age of
+#: the confirmation, and 2 s for the delivery of changes.
+SETTLE_S = 12.0
 
 #: Greatest age in seconds of a node's confirmation with which it sends without asking.
-#: With 2 s for the delivery of changes, the node knows the list of 7 s ago, and so all
-#: nodes that have been listed for 12 s.  Only these send without asking.
 MAX_CONFIRMATION_AGE_S = 5.0
 
+#: Longest time in seconds between the end of a node's lease and the next one, after
+#: which it need not wait again.  With more, a node that starts meanwhile might not know
+#: it: with the 18 s of :class:`coursepitch.fleet.shares.LimitShare`, four nodes took
+#: three places (simulated, nodes that are cut off at random).
+MAX_LEASE_GAP_S = 3.0
+
+#: Seconds for which a node counts after it was last listed.  It may send for 5 s more.
+COUNTED_S = 30.0
+
 #: Minimum seconds by which a response must extend the known time before other nodes are
 #: told: entries tell them soon, and a time that arrives over several links seems to end
 #: later each time.
@@ -186,24 +196,48 @@
     never take the same place.
 
     :param me: name of this node.
-    :param may_send: returns whether this node is listed for long enough and knows the
-        list of nodes.
+    :param find_age_s: returns the age of this node's confirmation in seconds.
     """
 
     me: str
     clock: Clock
-    may_send: Callable[[], bool]
+    find_age_s: Callable[[], float]
+    _listed_since: float = float('inf')
+    _listed_at: float = float('-inf')
+    _last_listed_at: dict[str, float] = field(default_factory=dict)
     _nodes: frozenset[str] = frozenset()
     _ranks: dict[str, int] = field(default_factory=dict)
     _next_at: dict[str, float] = field(default_factory=dict)
 
     def note_nodes(self, names: Iterable[str]) -> None:
-        """Record the nodes that may send without asking."""
-        nodes = frozenset(names)
+        """Record which nodes are listed now."""
+        now = self.clock()
+        known = self._last_listed_at
+        known.update(dict.fromkeys(names, now))
+        old = now - COUNTED_S
+        for name in [name for name, at in known.items() if at < old]:
+            del known[name]
+        nodes = frozenset(known)
         if nodes != self._nodes:
             self._nodes = nodes
             self._ranks.clear()
 
+    def note_listed(self) -> None:
+        """Record that the lease under which this node is listed is active."""
+        now = self.clock()
+        if now - self._listed_at > MAX_LEASE_GAP_S:
+            self._listed_since = now
+        self._listed_at = now
+
+    def may_send(self) -> bool:
+        """Whether all others that send without asking know this node."""
+        now = self.clock()
+        return (
+            now - self._listed_since >= SETTLE_S
+            and now - self._listed_at <= MAX_CONFIRMATION_AGE_S
+            and self.find_age_s() <= MAX_CONFIRMATION_AGE_S
+        )
+
     def find_next_at(self, instance: str, limit: float) -> float:
         """Return the monotonic time of the next such request; infinite for never.
 
--- a/coursepitch/fleet/session.py
+++ b/coursepitch/fleet/session.py
@@ -16,12 +16,7 @@
 
 from coursepitch import events, log
 from coursepitch.fleet.catchup import CatchUp
-from coursepitch.fleet.cold import (
-    MAX_CONFIRMATION_AGE_S,
-    UNASKED_WINDOW_S,
-    ColdInstances,
-    UnaskedSends,
-)
+from coursepitch.fleet.cold import ColdInstances, UnaskedSends
 from coursepitch.fleet.contact import StoreContact
 from coursepitch.fleet.leases import NodeLeases
 from coursepitch.fleet.lost import LossReporter
@@ -151,9 +146,7 @@
         self.cold = ColdInstances(clock, self._find_service, self.is_following)
         self.limits.find_cold = self.cold.find_limit
         self.view.on_cold = self.cold.note_entry
-        self.unasked = UnaskedSends(name, clock, self._may_send_unasked)
-        self._unasked_share = LimitShare(UNASKED_WINDOW_S, clock)
-        self._is_settled = False
+        self.unasked = UnaskedSends(name, clock, lambda: self.confirmation_age_s)
         self.permits = SendPermits(
             name,
             self.limits,
@@ -271,15 +264,9 @@
 
     def _update_unasked(self) -> None:
         """Update which nodes may send to cold instances without a permit."""
-        self._unasked_share.note_nodes(self.view.nodes)
+        self.unasked.note_nodes(self.view.nodes)
         if self.leases.is_listed():
-            self._unasked_share.note_listed()
-        self.unasked.note_nodes(self._unasked_share.list_nodes())
-        self._is_settled = self._unasked_share.find_fractions().constant > 0
-
-    def _may_send_unasked(self) -> bool:
-        """Whether this node is listed for long enough and knows the other nodes."""
-        return self._is_settled and self.confirmation_age_s <= MAX_CONFIRMATION_AGE_S
+            self.unasked.note_listed()
 
     def _hears_leader(self) -> bool:
         leader = self.view.leader
--- a/coursepitch/fleet/shares.py
+++ b/coursepitch/fleet/shares.py
@@ -113,16 +113,11 @@
         """Seconds without a lease for which the node keeps its share."""
         return (COUNTED_WINDOWS - 1) * self.window_s - LIST_LAG_S
 
-    def list_nodes(self) -> Iterable[str]:
-        """Return the nodes that may use a share in this window."""
+    def count(self) -> int:
+        """Return the number of nodes that may use a share in this window."""
         start = self.clock() - COUNTED_WINDOWS * self.window_s
         for name in [name for name, at in self._last_listed_at.items() if at < start]:
             del self._last_listed_at[name]
-        return self._last_listed_at
-
-    def count(self) -> int:
-        """Return the number of nodes that may use a share in this window."""
-        self.list_nodes()
         return max(1, len(self._last_listed_at))
 
     def find_fractions(self) -> LimitFractions:
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -14,7 +14,8 @@
 ``POST /backoff`` names the seconds for which instances want no requests, told in the
 rejection of each request that they get; null for none.  ``POST /leave`` lets instances
 say in all answers that they leave, while their entries do not; ``POST /crash`` ends
-instances, and empty ones take their places.
+instances, and empty ones take their places.  ``POST /cold`` writes to the entries of
+instances for how many milliseconds they stay cold, and does not count down.
 """
 
 from __future__ import annotations
@@ -73,6 +74,7 @@
     visits: list[dict[str, Any]] = field(default_factory=list)
     backoff: str | None = None
     leaving: bool = False
+    cold_left_ms: int = 0
 
     def entry(self) -> dict[str, Any]:
         """Return what stands in the store."""
@@ -83,7 +85,7 @@
             'version': 'v1',
             'slots': 13,
             'state': self.state,
-            'cold_left_ms': 0,
+            'cold_left_ms': self.cold_left_ms,
             'sequence': len(self.orders),
         }
         if self.engine:
@@ -401,6 +403,9 @@
             instance.limit = data['limit']
         elif target == '/backoff':
             instance.backoff = data['backoff']
+        elif target == '/cold':
+            instance.cold_left_ms = data['left_ms']
+            await host.publish(instance)
         elif target == '/leave':
             instance.leaving = True
         elif target == '/crash':
--- a/tests/fleet/simulated_cold.py
+++ b/tests/fleet/simulated_cold.py
@@ -51,14 +51,14 @@
     def __init__(self, fleet, name):
         self.fleet = fleet
         self.name = name
-        self.settled = True
         self.knows_leader = True
         clock = fleet.read_clock
         self.limits = RateLimits(name, next(fleet.order), clock)
         self.cold = ColdInstances(clock, lambda name: fleet.service, lambda: False)
         if fleet.enforces:
             self.limits.find_cold = self.cold.find_limit
-        self.unasked = UnaskedSends(name, clock, lambda: self.settled)
+        self.unasked = UnaskedSends(name, clock, lambda: 0.0)
+        self.unasked.may_send = lambda: True
         granter = SendGranter(
             self.limits, self.read_term, clock, fleet.random.random, self.cold
         )
--- a/tests/fleet/test_cold.py
+++ b/tests/fleet/test_cold.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 import unittest
 from unittest import mock
 
@@ -10,6 +11,7 @@
 
 from coursepitch.config.routes import Service
 from coursepitch.fleet.cold import (
+    COUNTED_S,
     UNASKED_INTERVAL_S,
     ColdInstances,
     UnaskedSends,
@@ -26,10 +28,14 @@
     SendGranter,
     SendPermits,
 )
+from coursepitch.fleet.shares import LIST_LAG_S
 from tests.fleet.simulated_cold import SimulatedColdFleet
 
 LIMIT = 23.0
 
+#: Duration in seconds of a node's lease in the store.
+LEASE_S = 2.0
+
 #: Requests that users allow in any one second.
 BOUND = 1.5 * LIMIT + 5
 
@@ -230,7 +236,8 @@
         self.settled = True
 
     def build(self, me, names):
-        unasked = UnaskedSends(me, lambda: self.now, lambda: self.settled)
+        unasked = UnaskedSends(me, lambda: self.now, lambda: 0.0)
+        unasked.may_send = lambda: self.settled
         unasked.note_nodes(names)
         return unasked
 
@@ -272,6 +279,7 @@
         self.assertFalse(self.build('n1', ['n1']).take('a', 1.0))
 
     def test_change_of_the_nodes_counts(self):
+        """A node that is no longer listed still has its place for some time."""
         unasked = self.build('n1', ['n1'])
         first = next(
             name
@@ -281,6 +289,81 @@
         self.assertTrue(unasked.find_next_at(first, LIMIT) <= self.now)
         unasked.note_nodes(self.names)
         self.assertEqual(unasked.find_next_at(first, LIMIT), float('inf'))
+        self.now += COUNTED_S
+        unasked.note_nodes(['n1'])
+        self.assertEqual(unasked.find_next_at(first, LIMIT), float('inf'))
+        self.now += 0.1
+        unasked.note_nodes(['n1'])
+        self.assertLessEqual(unasked.find_next_at(first, LIMIT), self.now)
+
+
+class ListedNode:
+    """A node that starts, is cut off and ends, with its knowledge of the others.
+
+    :param lists: what the store listed, by time.
+    :param waits: whether the node waits until it is listed for long enough.
+    """
+
+    def __init__(self, name, now, lists, *, waits):
+        self.name = name
+        self.now = now
+        self.lists = lists
+        self.cut_at = None
+        self.lease_until = now + LEASE_S
+        self.unasked = UnaskedSends(name, lambda: self.now, self.find_age_s)
+        if not waits:
+            self.unasked.may_send = lambda: True
+
+    def find_age_s(self):
+        return 0.0 if self.cut_at is None else self.now - self.cut_at
+
+    def step(self, now):
+        """Learn what the store listed 2 s ago, or 2 s before this node was cut off."""
+        self.now = now
+        if self.cut_at is None:
+            self.lease_until = now + LEASE_S
+        if now < self.lease_until:
+            self.unasked.note_listed()
+        known_at = (now if self.cut_at is None else self.cut_at) - LIST_LAG_S
+        self.unasked.note_nodes(self.lists.get(known_at, ()))
+
+
+class ChosenNodesTest(unittest.TestCase):
+    """No more nodes than chosen send without asking, whatever each knows of the others.
+
+    Nodes of new and old names start, end and are cut off at random.
+    """
+
+    def play(self, seed, *, waits=True):
+        """Return the most requests without permits in a second, for one instance."""
+        choice = random.Random(seed)
+        lists, nodes, leases, takes = {}, {}, {}, []
+        step_s = 0.25
+        for number in range(1200):
+            now = 1000.0 + step_s * number
+            if choice.random() < 0.08 or not nodes:
+                name = f'n{choice.randrange(30)}'
+                nodes[name] = ListedNode(name, now, lists, waits=waits)
+            if choice.random() < 0.05:
+                nodes.pop(choice.choice(sorted(nodes)), None)
+            for node in nodes.values():
+                if choice.random() < 0.01:
+                    node.cut_at = now if node.cut_at is None else None
+                node.step(now)
+                leases[node.name] = node.lease_until
+                if node.unasked.take('a', 6.0):
+                    takes.append(now)
+            lists[now] = [name for name, until in leases.items() if until > now]
+        self.assertGreater(len(takes), 20)
+        return max(sum(at <= other < at + 1.0 for other in takes) for at in takes)
+
+    def test_chosen_nodes_are_never_more(self):
+        most = max(self.play(seed) for seed in range(20))
+        self.assertEqual(most, count_unasked_nodes(6.0))
+
+    def test_check_fails_if_nodes_send_right_after_their_start(self):
+        most = max(self.play(seed, waits=False) for seed in range(20))
+        self.assertGreater(most, count_unasked_nodes(6.0))
 
 
 class ColdPermitsTest(ColdTestCase):
@@ -294,7 +377,8 @@
         granter = SendGranter(
             self.limits, lambda: 1, lambda: self.now, lambda: 0.0, self.cold
         )
-        self.unasked = UnaskedSends('n1', lambda: self.now, lambda: self.settled)
+        self.unasked = UnaskedSends('n1', lambda: self.now, lambda: 0.0)
+        self.unasked.may_send = lambda: self.settled
         self.settled = False
         self.unasked.note_nodes(['n1'])
         self.permits = SendPermits(
