Keep permits for cold instances that come late

Cause: a node waits 0.05 s for an answer about a cold instance. A grant that comes later counts at the leader and was lost at the node.

Ruled out: a longer wait, as other instances usually have room and objectives begin at 0.25 s.

Change: a late permit is kept for the node's next request while it is valid, and a late answer of either kind ends the pause after a silent leader.

Shown by three tests of ColdPermitsTest.

--- a/coursepitch/fleet/send_permits.py
+++ b/coursepitch/fleet/send_permits.py
@@ -212,6 +212,10 @@
     # The leader that did not answer, and when to ask it again for cold instances.
     _silent_leader: str = ''
     _silent_until: float = float('-inf')
+    # Requests for cold instances that were given up, and permits that came too late
+    # for these, for the next request.
+    _given_up: dict[int, PermitRequest] = field(default_factory=dict)
+    _late_permits: dict[str, Permit] = field(default_factory=dict)
 
     # -- requests of this node -------------------------------------------------------
 
@@ -243,6 +247,9 @@
         """Return the monotonic time of the next request without a permit."""
         if self.unasked is None or not self.limits.is_by_cold(instance):
             return float('inf')
+        late = self._late_permits.get(instance)
+        if late is not None and self.clock() <= late.until:
+            return float('-inf')
         limit = self.limits.find(instance) or 0.0
         return self.unasked.find_next_at(instance, limit)
 
@@ -286,9 +293,13 @@
         return self.finish(request)
 
     def take_unasked(self, instance: str) -> Permit | None:
-        """Return a permit that the leader need not grant, if this node has one."""
+        """Return a permit that the leader need not grant now, if this node has one."""
         if self.unasked is None or not self.limits.is_by_cold(instance):
             return None
+        late = self._late_permits.pop(instance, None)
+        if late is not None and self.clock() <= late.until:
+            self.count('granted')
+            return late
         if not self.unasked.take(instance, self.limits.find(instance) or 0.0):
             return None
         self.count('not asked')
@@ -331,6 +342,7 @@
             retry_s = COLD_UNANSWERED_RETRY_S
             self._silent_leader = self.read_leader()
             self._silent_until = self.clock() + retry_s
+            self._note_given_up(request)
         else:
             self._retry_at[instance] = self.clock() + retry_s
         if grant is not None and grant.granted:
@@ -379,11 +391,36 @@
         if request is not None:
             request.grant = Grant(answer.granted, answer.again_s)
             request.answered.set()
+        elif answer.number in self._given_up:
+            self._take_late_answer(self._given_up.pop(answer.number), answer)
+
+    def _note_given_up(self, request: PermitRequest) -> None:
+        """Record a request for a cold instance to which no answer came in time."""
+        old = self.clock() - PERMIT_VALID_S
+        for item in [item for item in self._given_up.values() if item.asked_at < old]:
+            del self._given_up[item.number]
+        self._given_up[request.number] = request
+
+    def _take_late_answer(self, request: PermitRequest, answer: SendReply) -> None:
+        """Keep a late permit for the next request, as it counts at the leader.
+
+        Without this, a leader that takes longer to answer grants all that the instance
+        takes, and nothing is sent.
+        """
+        instance = request.instance
+        self._silent_until = float('-inf')
+        if answer.granted:
+            until = request.asked_at + PERMIT_VALID_S
+            self._late_permits[instance] = Permit(instance, until)
+        else:
+            self._retry_at[instance] = self.clock() + answer.again_s
 
     def forget(self, present: set[str]) -> None:
         """Drop the state of instances that are no longer listed."""
         for name in [name for name in self._retry_at if name not in present]:
             del self._retry_at[name]
+        for name in [name for name in self._late_permits if name not in present]:
+            del self._late_permits[name]
         if self.unasked is not None:
             self.unasked.forget(present)
         self.granter.forget(present)
--- a/tests/fleet/test_cold.py
+++ b/tests/fleet/test_cold.py
@@ -482,6 +482,34 @@
         self.leader, self.heard = '', True
         self.assertEqual(self.permits.find_timeout_s('a'), 0.0)
 
+    def test_late_permit_is_used_by_the_next_request(self):
+        """Guards against a slow leader whose grants all come too late."""
+        self.assertIsNone(self.take('a'))
+        asked, _ = self.told[-1]
+        asked_at = self.now
+        self.now += 0.1
+        self.permits.take_answer(SendReply('n2', asked.number, True))
+        self.assertFalse(self.permits.is_closed('a'))
+        self.assertFalse(self.permits.is_closed('b'))
+        permit = self.take('a')
+        self.assertEqual(permit, Permit('a', asked_at + PERMIT_VALID_S))
+        self.assertIsNone(self.take('a', (False, 1.0)))
+        self.assertEqual(len(self.told), 2)
+
+    def test_late_permit_is_not_used_when_it_is_over(self):
+        self.assertIsNone(self.take('a'))
+        asked, _ = self.told[-1]
+        self.permits.take_answer(SendReply('n2', asked.number, True))
+        self.now += PERMIT_VALID_S + 0.01
+        self.assertIsNone(self.take('a', (False, 1.0)))
+
+    def test_late_denial_counts(self):
+        self.assertIsNone(self.take('a'))
+        asked, _ = self.told[-1]
+        self.permits.take_answer(SendReply('n2', asked.number, False, 0.7))
+        self.assertTrue(self.permits.is_closed('a'))
+        self.assertFalse(self.permits.is_closed('b'))
+
     def test_leader_that_did_not_know_grants_within_the_limit(self):
         """A node may know sooner than the leader that an instance is cold."""
         self.cold.note_entry('a', 0.0)
