Forward events without timers, rereads of sockets and the HTTP parser

Ruled out: a parser of our own for whole responses. Heads, ends of bodies, trailers, chunk extensions and bodies with a length or without one are still read by h11, so framing rules stay as strict as they are. Several events in one write were ruled out as well, as the bytes on the wire would change.

Change: coursepitch.http.stream has streams on asyncio transports that keep reading into a bounded buffer and keep all deadlines of a stream with one timer. The client decodes a chunk without the parser if it has arrived completely, has no extension and is not empty; at anything else the parser takes over for the rest of the body. The server frames chunks itself once the parser has framed one. The end of a client's connection is a callback instead of a task. Connections are opened with the event loop's own call instead of anyio.connect_tcp; log lines of failed attempts now name the error of the operating system, such as ConnectionRefusedError.

--- a/coursepitch/gateway/streams.py
+++ b/coursepitch/gateway/streams.py
@@ -380,17 +380,18 @@
                 head, since, times.find_quiet_limit_s(model)
             )
             if left_s > 0:
-                with anyio.move_on_after(left_s):
-                    data = await answer.read_chunk()
-                    self._watchdog.note_activity(head)
-                    return data
-            elif not await self._watchdog.check_members(group):
+                try:
+                    data = await answer.read_chunk(left_s)
+                except TimeoutError:
+                    continue
+                self._watchdog.note_activity(head)
+                return data
+            if not await self._watchdog.check_members(group):
                 raise StalledError('a member of the group does not answer')
-            elif self._is_overdue(job, began) and self._may_reroute(job, group, began):
+            if self._is_overdue(job, began) and self._may_reroute(job, group, began):
                 self._log_overdue(job, group)
                 raise StalledError('the stream stalled')
-            else:
-                since = self._components.clock()
+            since = self._components.clock()
 
     def _is_overdue(self, job: Job, began: float) -> bool:
         """Whether a stream has stalled long enough to be resumed at another group."""
--- a/coursepitch/http/__init__.py
+++ b/coursepitch/http/__init__.py
@@ -1,4 +1,4 @@
-"""HTTP/1.1 server and client based on h11 and anyio."""
+"""HTTP/1.1 server and client based on h11, anyio and asyncio transports."""
 
 from __future__ import annotations
 
--- a/coursepitch/http/client.py
+++ b/coursepitch/http/client.py
@@ -6,23 +6,23 @@
 
 from __future__ import annotations
 
-import select
+import re
 import socket
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 import anyio
+import anyio.lowlevel
 import h11
-from anyio.abc import SocketAttribute
 
 from coursepitch.clock import Clock, boottime
 from coursepitch.errors import CoursepitchError
 from coursepitch.http.messages import find_header
+from coursepitch.http.stream import connect
 
 if TYPE_CHECKING:
-    from anyio.abc import SocketStream
-
     from coursepitch.http.messages import Headers
+    from coursepitch.http.stream import ByteStream
 
 __all__ = [
     'Connection',
@@ -32,9 +32,6 @@
     'Response',
 ]
 
-#: Maximum number of bytes per read from a socket.
-READ_BYTES = 65_536
-
 #: Maximum size of a response head in bytes; larger heads are protocol errors.
 MAX_RESPONSE_HEAD_BYTES = 65_536
 
@@ -56,6 +53,17 @@
 #: power sends no reset.
 USER_TIMEOUT_MS = 8_000
 
+#: Matches the end of a response head as h11 finds it.
+_HEAD_END = re.compile(rb'\n\r?\n')
+
+#: Matches the size line of a chunk without extensions (RFC 9112, section 7.1).
+_CHUNK_SIZE = re.compile(rb'([0-9A-Fa-f]{1,20})\r\n')
+
+#: Statuses and methods whose responses have no body, whatever their headers say.
+#: Source: RFC 9112, section 6.3.
+_BODILESS_STATUSES = frozenset({204, 304})
+_BODILESS_METHODS = frozenset({b'HEAD', b'CONNECT'})
+
 
 class NoConnectionError(CoursepitchError):
     """No connection could be established, so no byte of the request was sent.
@@ -81,50 +89,101 @@
 class Connection:
     """An open connection to an address.
 
+    The bytes of the head and of the body are kept apart, so that a chunked body can be
+    decoded without the parser as long as it arrives in complete chunks without
+    extensions.  Everything else, including the end of the body, is left to the parser.
+
     :param reusable_until: time of the pool's clock until which it may be reused.
     :param used: whether an earlier exchange used it.
+    :param decodes_chunks: whether chunks are decoded without the parser; the parser is
+        then at the start of a chunk and has no unread bytes.
     """
 
     address: str
-    stream: SocketStream
+    stream: ByteStream
     parser: h11.Connection
     reusable_until: float = 0.0
     used: bool = False
+    decodes_chunks: bool = False
+    _unparsed: bytes = b''
+    _head_tail: bytes = b''
 
     def has_no_pending_input(self) -> bool:
         """Whether neither data nor the end of the stream is pending."""
-        raw = self.stream.extra(SocketAttribute.raw_socket)
-        poll = select.poll()
-        poll.register(raw.fileno(), select.POLLIN | select.POLLHUP | select.POLLERR)
-        return not poll.poll(0)
+        return not self._unparsed and not self.stream.has_input()
 
-    async def read_event(self) -> h11.Event | type[h11.PAUSED]:
+    async def read_event(
+        self, deadline: float | None = None
+    ) -> h11.Event | type[h11.PAUSED]:
         """Return the next event of the response.
 
+        :param deadline: time of the event loop until which to wait.
         :raises ExchangeError: the connection failed or the response is malformed.
+        :raises TimeoutError: the deadline passed.
         """
         while True:
             try:
                 event = self.parser.next_event()
                 if event is not h11.NEED_DATA:
                     return event  # type: ignore[return-value]
-                try:
-                    data = await self.stream.receive(READ_BYTES)
-                except anyio.EndOfStream:
-                    data = b''
-                if not data and self.parser.their_state is h11.SEND_RESPONSE:
-                    raise ExchangeError('connection closed without a response')
+                data = self._unparsed or await self._receive(deadline)
+                self._unparsed = b''
+                if self.parser.their_state is h11.SEND_RESPONSE:
+                    if not data:
+                        raise ExchangeError('connection closed without a response')
+                    data = self._split_head(data)
                 self.parser.receive_data(data)
             except h11.RemoteProtocolError as error:
                 raise ExchangeError(f'invalid response: {error}') from error
-            except (anyio.BrokenResourceError, anyio.ClosedResourceError) as error:
-                raise ExchangeError('connection reset') from error
+
+    def _split_head(self, data: bytes) -> bytes:
+        """Return the part of received bytes up to the end of a head; keep the rest."""
+        before = len(self._head_tail)
+        found = _HEAD_END.search(self._head_tail + data)
+        if found is None:
+            self._head_tail = (self._head_tail + data)[-2:]
+            return data
+        self._head_tail = b''
+        end = found.end() - before
+        self._unparsed = data[end:]
+        return data[:end]
+
+    async def _receive(self, deadline: float | None) -> bytes:
+        """Return received bytes, or none at the end of the stream."""
+        try:
+            return await self.stream.receive(deadline)
+        except anyio.EndOfStream:
+            return b''
+        except (anyio.BrokenResourceError, anyio.ClosedResourceError) as error:
+            raise ExchangeError('connection reset') from error
+
+    async def read_simple_chunk(self, deadline: float | None) -> bytes | None:
+        """Return the content of the next chunk, or ``None`` if the parser must read it.
+
+        Chunks that are incomplete, empty, malformed or have extensions are read by the
+        parser, and so are all chunks after them.
+
+        :raises ExchangeError: the connection failed.
+        :raises TimeoutError: the deadline passed.
+        """
+        data = self._unparsed
+        if not data:
+            data = self._unparsed = await self._receive(deadline)
+        size = _CHUNK_SIZE.match(data)
+        if size is not None:
+            start = size.end()
+            end = start + int(size[1], 16)
+            if end > start and data[end : end + 2] == b'\r\n':
+                self._unparsed = data[end + 2 :]
+                return data[start:end]
+        self.decodes_chunks = False
+        if not data:
+            self.parser.receive_data(b'')
+        return None
 
     def close(self) -> None:
         """Abort the connection without waiting for bytes in flight."""
-        transport = getattr(self.stream, '_transport', None)
-        if transport is not None:
-            transport.abort()
+        self.stream.close()
 
 
 @dataclass(eq=False)
@@ -144,14 +203,24 @@
         """Return the value of a header; ``name`` must be in lower case."""
         return find_header(self.headers, name)
 
-    async def read_chunk(self) -> bytes | None:
+    async def read_chunk(self, timeout_s: float | None = None) -> bytes | None:
         """Return the next bytes of the body, or ``None`` at its regular end.
 
-        Cancellation loses no bytes.
+        Cancellation and a timeout lose no bytes.
 
         :raises ExchangeError: the body is truncated or malformed.
+        :param timeout_s: seconds to wait at most.
+        :raises TimeoutError: nothing arrived in time.
         """
-        event = await self.connection.read_event()
+        connection = self.connection
+        deadline = None
+        if timeout_s is not None:
+            deadline = connection.stream.find_deadline(timeout_s)
+        if connection.decodes_chunks:
+            data = await connection.read_simple_chunk(deadline)
+            if data is not None:
+                return data
+        event = await connection.read_event(deadline)
         if isinstance(event, h11.Data):
             return bytes(event.data)
         if isinstance(event, h11.EndOfMessage):
@@ -217,19 +286,17 @@
         host, _, port = address.rpartition(':')
         try:
             with anyio.fail_after(self.connect_timeout_s):
-                stream = await anyio.connect_tcp(host, int(port))
+                stream = await connect(host, int(port))
         except (OSError, TimeoutError) as error:
             self._count_closed(address)
-            # anyio wraps the error of the operating system.
-            refused = isinstance(error.__cause__ or error, ConnectionRefusedError)
+            refused = isinstance(error, ConnectionRefusedError)
             raise NoConnectionError(
                 f'{address}: {type(error).__name__}', refused
             ) from error
         except BaseException:
             self._count_closed(address)
             raise
-        raw = stream.extra(SocketAttribute.raw_socket)
-        raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+        stream.set_option(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
         parser = h11.Connection(h11.CLIENT, MAX_RESPONSE_HEAD_BYTES)
         return Connection(address, stream, parser)
 
@@ -342,7 +409,7 @@
             content = (parser.send(h11.Data(data=body)) or b'') if body else b''
             end = parser.send(h11.EndOfMessage()) or b''
             await _write(connection, head + content + end)
-            return await self._read_head(connection)
+            return await self._read_head(connection, method)
         response: list[Response] = []
         async with anyio.create_task_group() as group:
 
@@ -362,12 +429,12 @@
 
             group.start_soon(write_ignoring_errors)
             try:
-                response.append(await self._read_head(connection))
+                response.append(await self._read_head(connection, method))
             finally:
                 group.cancel_scope.cancel()
         return response[0]
 
-    async def _read_head(self, connection: Connection) -> Response:
+    async def _read_head(self, connection: Connection, method: bytes) -> Response:
         while True:
             event = await connection.read_event()
             if isinstance(event, h11.InformationalResponse):
@@ -377,10 +444,18 @@
                     f'expected a response, received {type(event).__name__}'
                 )
             headers = tuple(event.headers.raw_items())
+            # The parser accepts no transfer coding but chunked.
+            connection.decodes_chunks = (
+                find_header(headers, b'transfer-encoding') is not None
+                and event.status_code not in _BODILESS_STATUSES
+                and method not in _BODILESS_METHODS
+                and not connection.parser.trailing_data[0]
+            )
             return Response(event.status_code, headers, connection, self)
 
 
 async def _write(connection: Connection, data: bytes) -> None:
+    await anyio.lowlevel.checkpoint_if_cancelled()
     try:
         await connection.stream.send(data)
     except (anyio.BrokenResourceError, anyio.ClosedResourceError) as error:
--- a/coursepitch/http/server.py
+++ b/coursepitch/http/server.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
@@ -17,28 +18,21 @@
 from coursepitch.clock import Clock, boottime
 from coursepitch.errors import CoursepitchError
 from coursepitch.http.messages import IncomingRequest, start_digest
+from coursepitch.http.stream import ByteStream
 
 if TYPE_CHECKING:
     import socket
     from collections.abc import Awaitable, Callable
 
-    from anyio.abc import SocketStream, TaskGroup
-
     from coursepitch.http.messages import Headers
 
 __all__ = ['ConnectionRules', 'HttpServer', 'ResponseWriter']
 
-#: Maximum number of bytes per read from a socket.
-READ_BYTES = 65_536
-
-#: Maximum number of bytes read ahead while a request is being handled.
-READ_AHEAD_MAX_BYTES = 262_144
-
 #: Interval in seconds at which an idle connection checks its limits again, which may
 #: have changed with the configuration.
 IDLE_CHECK_S = 1.0
 
-#: Timeout in seconds for the final write to, and the closing of, a connection.
+#: Timeout in seconds for the final write to a connection.
 FINAL_WRITE_TIMEOUT_S = 1.0
 
 
@@ -78,12 +72,15 @@
     :param started: whether writing the head has begun.
     :param ended: whether writing the end of the body has begun.
     :param written: whether the whole response was written; false if cancelled before.
+    :param _is_chunked: whether the parser frames the body as chunks; ``None`` until it
+        has framed a part of it.
     """
 
     connection: ServerConnection
     started: bool = False
     ended: bool = False
     written: bool = False
+    _is_chunked: bool | None = None
 
     async def start(self, status: int, headers: Headers) -> None:
         """Write the head; without a Content-Length the body is sent chunked."""
@@ -95,9 +92,18 @@
         await self.connection.write(self.connection.parser.send(event) or b'')
 
     async def send(self, data: bytes) -> None:
-        """Write a part of the body."""
-        event = h11.Data(data=data)
-        await self.connection.write(self.connection.parser.send(event) or b'')
+        """Write a part of the body.
+
+        Once the parser has framed one part as a chunk, further parts are framed here.
+        An empty chunk would end the body, so empty parts are left to the parser.
+        """
+        if self._is_chunked and data and not self.ended:
+            await self.connection.write(_frame_chunk(data))
+            return
+        framed = self.connection.parser.send(h11.Data(data=data)) or b''
+        if data and self._is_chunked is None:
+            self._is_chunked = framed == _frame_chunk(data)
+        await self.connection.write(framed)
 
     async def end(self) -> None:
         """Write the regular end of the body."""
@@ -126,6 +132,11 @@
         self.connection.broken = True
 
 
+def _frame_chunk(data: bytes) -> bytes:
+    """Return a part of a body as the parser frames it in a chunked response."""
+    return b'%x\r\n%b\r\n' % (len(data), data)
+
+
 @dataclass(eq=False)
 class ServerConnection:
     """One connection from a client.
@@ -136,7 +147,7 @@
     """
 
     server: HttpServer
-    stream: SocketStream
+    stream: ByteStream
     parser: h11.Connection
     broken: bool = False
     idle_since: float = 0.0
@@ -164,7 +175,7 @@
         except _RequestProblemError as problem:
             await self._send_error(problem)
         finally:
-            await self._close()
+            self.stream.close()
 
     def _start_next(self) -> bool:
         parser = self.parser
@@ -177,33 +188,25 @@
         """Run the handler; cancel it when the client disconnects."""
         reply = ResponseWriter(self)
         self.busy = True
+        scope = anyio.CancelScope()
+
+        def cancel() -> None:
+            self.broken = True
+            scope.cancel()
+
+        self.stream.on_end = cancel
+        if self.stream.ended:
+            # The end arrived together with the request.
+            asyncio.get_running_loop().call_soon(cancel)
         try:
-            async with anyio.create_task_group() as group:
-                group.start_soon(self._watch_client, group)
+            with scope:
                 await self.server.handle(request, reply)
-                group.cancel_scope.cancel()
         finally:
+            self.stream.on_end = None
             self.busy = False
         if not reply.ended:
             self.broken = True
 
-    async def _watch_client(self, group: TaskGroup) -> None:
-        """Cancel the handler when the client disconnects; keep bytes sent ahead."""
-        read_ahead = 0
-        while read_ahead < READ_AHEAD_MAX_BYTES:
-            try:
-                data = await self.stream.receive(READ_BYTES)
-            except (
-                anyio.EndOfStream,
-                anyio.BrokenResourceError,
-                anyio.ClosedResourceError,
-            ):
-                self.broken = True
-                group.cancel_scope.cancel()
-                return
-            read_ahead += len(data)
-            self.parser.receive_data(data)
-
     async def _read_request(self) -> IncomingRequest | None:
         """Return the next request, or ``None`` at the end of the connection.
 
@@ -280,16 +283,18 @@
                     return None
                 timeout_s = min(timeout_s, IDLE_CHECK_S)
             try:
-                with anyio.move_on_after(timeout_s):
-                    return await self.stream.receive(READ_BYTES)
+                return await self.stream.receive(self.stream.find_deadline(timeout_s))
+            except TimeoutError:
+                if head is not None:
+                    raise _RequestProblemError(
+                        408, 'timed out reading the request body'
+                    ) from None
             except (
                 anyio.EndOfStream,
                 anyio.BrokenResourceError,
                 anyio.ClosedResourceError,
             ):
                 return None
-            if head is not None:
-                raise _RequestProblemError(408, 'timed out reading the request body')
 
     async def _send_error(self, problem: _RequestProblemError) -> None:
         if self.parser.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
@@ -304,14 +309,6 @@
         with anyio.move_on_after(FINAL_WRITE_TIMEOUT_S):
             await self.write(data)
 
-    async def _close(self) -> None:
-        transport = getattr(self.stream, '_transport', None)
-        if self.broken and transport is not None:
-            transport.abort()
-            return
-        with anyio.CancelScope(shield=True), anyio.move_on_after(FINAL_WRITE_TIMEOUT_S):
-            await self.stream.aclose()
-
 
 @dataclass(eq=False)
 class HttpServer:
@@ -343,11 +340,18 @@
 
     async def run(self, sock: socket.socket) -> None:
         """Accept connections until cancelled."""
-        listener = await anyio.abc.SocketListener.from_socket(sock)
-        async with listener:
-            await listener.serve(self._serve)
+        loop = asyncio.get_running_loop()
+        try:
+            async with anyio.create_task_group() as group:
+                while True:
+                    accepted, _ = await loop.sock_accept(sock)
+                    _, stream = await loop.connect_accepted_socket(ByteStream, accepted)
+                    group.start_soon(self._serve, stream)
+        finally:
+            loop.remove_reader(sock)
+            sock.close()
 
-    async def _serve(self, stream: SocketStream) -> None:
+    async def _serve(self, stream: ByteStream) -> None:
         rules = self.read_rules()
         parser = h11.Connection(h11.SERVER, rules.head_bytes)
         connection = ServerConnection(self, stream, parser)
--- /dev/null
+++ b/coursepitch/http/stream.py
@@ -0,0 +1,242 @@
+"""TCP streams with deadlines, on asyncio transports.
+
+The streams of anyio register the socket with the event loop again for each read, pass
+through the event loop once more for each write, and need a cancel scope with a timer
+for each timeout.  These streams keep reading into a bounded buffer, and one timer
+serves all deadlines of a stream.  They raise the exceptions of anyio.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import select
+from typing import TYPE_CHECKING
+
+import anyio
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+__all__ = ['ByteStream', 'connect']
+
+#: Maximum number of bytes that one call of :meth:`ByteStream.receive` returns.
+READ_BYTES = 65_536
+
+#: Number of unread bytes at which reading from the socket pauses.
+MAX_UNREAD_BYTES = 262_144
+
+
+class ByteStream(asyncio.Protocol):
+    """A connected TCP socket; at most one task reads, and at most one writes.
+
+    :param on_end: called once the other side has ended or reset the connection, which
+        is not noticed while :data:`MAX_UNREAD_BYTES` are unread.
+    """
+
+    def __init__(self) -> None:
+        self.on_end: Callable[[], None] | None = None
+        self._loop = asyncio.get_running_loop()
+        self._transport: asyncio.Transport = None  # type: ignore[assignment]
+        self._received: collections.deque[bytes] = collections.deque()
+        self._unread_bytes = 0
+        self._reading_paused = False
+        self._ended = False
+        self._lost = False
+        self._closed = False
+        self._error: Exception | None = None
+        self._reader: asyncio.Future[None] | None = None
+        self._writer: asyncio.Future[None] | None = None
+        self._writing_paused = False
+        self._deadline: float | None = None
+        self._timer: asyncio.TimerHandle | None = None
+
+    # -- callbacks of the transport ---------------------------------------------------
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Start with a transport whose writes wait for the kernel's buffer."""
+        self._transport = transport  # type: ignore[assignment]
+        self._transport.set_write_buffer_limits(0)
+
+    def data_received(self, data: bytes) -> None:
+        """Buffer received bytes."""
+        self._received.append(data)
+        self._unread_bytes += len(data)
+        if self._unread_bytes >= MAX_UNREAD_BYTES:
+            self._reading_paused = True
+            self._transport.pause_reading()
+        self._wake_reader()
+
+    def eof_received(self) -> bool:
+        """Note the end of the other side's data; writing remains possible."""
+        self._note_end()
+        return True
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Note that the connection was reset, or closed by this side."""
+        self._lost = True
+        self._error = exc
+        self._stop_timer()
+        self._note_end()
+        self.resume_writing()
+
+    def pause_writing(self) -> None:
+        """Let writes wait, as the kernel's buffer is full."""
+        self._writing_paused = True
+
+    def resume_writing(self) -> None:
+        """Let a waiting write continue."""
+        self._writing_paused = False
+        if self._writer is not None and not self._writer.done():
+            self._writer.set_result(None)
+
+    def _note_end(self) -> None:
+        if self._ended:
+            return
+        self._ended = True
+        self._wake_reader()
+        if self.on_end is not None:
+            self.on_end()
+
+    def _wake_reader(self) -> None:
+        if self._reader is not None and not self._reader.done():
+            self._reader.set_result(None)
+
+    def set_option(self, level: int, option: int, value: int) -> None:
+        """Set an option of the socket."""
+        self._transport.get_extra_info('socket').setsockopt(level, option, value)
+
+    # -- reading ----------------------------------------------------------------------
+
+    @property
+    def ended(self) -> bool:
+        """Whether the other side has ended or reset the connection."""
+        return self._ended
+
+    def has_input(self) -> bool:
+        """Whether unread bytes or the end of the stream have arrived."""
+        if self._received or self._ended:
+            return True
+        poll = select.poll()
+        fileno = self._transport.get_extra_info('socket').fileno()
+        poll.register(fileno, select.POLLIN | select.POLLHUP | select.POLLERR)
+        return bool(poll.poll(0))
+
+    def find_deadline(self, timeout_s: float) -> float:
+        """Return the time of the event loop at which a timeout that starts now ends."""
+        return self._loop.time() + timeout_s
+
+    async def receive(self, deadline: float | None = None) -> bytes:
+        """Return the next bytes; cancellation and a timeout lose none.
+
+        :param deadline: time of the event loop until which to wait.
+
+        :raises TimeoutError: none arrived in time.
+        :raises anyio.EndOfStream: the other side has ended the stream.
+        :raises anyio.BrokenResourceError: the connection was reset.
+        :raises anyio.ClosedResourceError: this side has closed the stream.
+        """
+        if self._received or self._ended:
+            # A peer that always has data ready must not keep other tasks from running.
+            await asyncio.sleep(0)
+        else:
+            await self._wait_readable(deadline)
+        if not self._received:
+            if self._closed:
+                raise anyio.ClosedResourceError
+            if self._error is not None:
+                raise anyio.BrokenResourceError from self._error
+            if self._ended:
+                raise anyio.EndOfStream
+            raise TimeoutError
+        data = self._received.popleft()
+        if len(data) > READ_BYTES:
+            self._received.appendleft(data[READ_BYTES:])
+            data = data[:READ_BYTES]
+        self._unread_bytes -= len(data)
+        if self._reading_paused and self._unread_bytes < MAX_UNREAD_BYTES:
+            self._reading_paused = False
+            self._transport.resume_reading()
+        return data
+
+    async def _wait_readable(self, deadline: float | None) -> None:
+        """Wait for bytes, for the end of the stream, or until the deadline."""
+        self._reader = self._loop.create_future()
+        self._deadline = deadline
+        if deadline is not None:
+            self._start_timer(deadline)
+        try:
+            await self._reader
+        finally:
+            self._reader = None
+
+    def _start_timer(self, deadline: float) -> None:
+        """Ensure that the timer runs out at a deadline, or before.
+
+        A timer that runs out before the deadline is started again then, so that a
+        stream that receives bytes in time needs no new timer for each of its reads.
+        """
+        if self._timer is not None:
+            if self._timer.when() <= deadline:
+                return
+            self._timer.cancel()
+        self._timer = self._loop.call_at(deadline, self._check_deadline)
+
+    def _check_deadline(self) -> None:
+        self._timer = None
+        if self._reader is None or self._deadline is None:
+            return
+        if self._loop.time() >= self._deadline:
+            self._wake_reader()
+        else:
+            self._start_timer(self._deadline)
+
+    def _stop_timer(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+    # -- writing and closing ----------------------------------------------------------
+
+    async def send(self, data: bytes) -> None:
+        """Write bytes and wait until the kernel has taken all of them.
+
+        :raises anyio.BrokenResourceError: the connection was reset.
+        :raises anyio.ClosedResourceError: this side has closed the stream.
+        """
+        if self._writing_paused:
+            await self._wait_written()
+        self._check_writable()
+        self._transport.write(data)
+        if self._writing_paused:
+            await self._wait_written()
+            self._check_writable()
+
+    def _check_writable(self) -> None:
+        if self._closed:
+            raise anyio.ClosedResourceError
+        if self._lost:
+            raise anyio.BrokenResourceError from self._error
+
+    async def _wait_written(self) -> None:
+        self._writer = self._loop.create_future()
+        try:
+            await self._writer
+        finally:
+            self._writer = None
+
+    def close(self) -> None:
+        """Close the connection at once, without waiting for bytes in flight."""
+        self._closed = True
+        self._stop_timer()
+        self._transport.abort()
+
+
+async def connect(host: str, port: int) -> ByteStream:
+    """Return a stream that is connected to an address.
+
+    :raises OSError: the connection could not be established.
+    """
+    loop = asyncio.get_running_loop()
+    _, stream = await loop.create_connection(ByteStream, host, port)
+    return stream
