Look up times of a model and ends of events once per response and chunk

Cause: for each event a node searched up to 60 response times for the longest one, and searched the event for two kinds of ends from behind, although the times change only with a response and chunks usually end with an event.

Ruled out: keeping the timeouts themselves, as they have bounds that belong to the functions that return them.

Change: ReplyTimes keeps the longest times when a response is noted; EventSplitter takes a chunk that ends with an event as it is. New tests: events with either kind of line ends, split anywhere, are forwarded only completely; bytes that complete no chunk do not extend a timeout of a read; a failed connection is not counted and tells whether it was refused.

--- a/coursepitch/gateway/event_splitter.py
+++ b/coursepitch/gateway/event_splitter.py
@@ -28,9 +28,14 @@
 
     def feed(self, data: bytes) -> bytes:
         """Add received bytes; return the events that are complete now."""
-        data = self._partial + data
-        end = max(_find_end(data, b'\n\n'), _find_end(data, b'\r\n\r\n'))
-        whole, self._partial = data[:end], data[end:]
+        if self._partial:
+            data = self._partial + data
+        if data.endswith((b'\n\n', b'\r\n\r\n')):
+            # Targets usually send complete events.
+            whole, self._partial = data, b''
+        else:
+            end = max(_find_end(data, b'\n\n'), _find_end(data, b'\r\n\r\n'))
+            whole, self._partial = data[:end], data[end:]
         if whole:
             ids = _ID_FIELD.findall(whole)
             if ids:
--- a/coursepitch/gateway/reply_times.py
+++ b/coursepitch/gateway/reply_times.py
@@ -55,12 +55,20 @@
 
 @dataclass(eq=False)
 class _Times:
+    """Times of one model.
+
+    :param longest: the longest time to a first event and the longest pause kept, once
+        there are enough samples.  They are looked up for each event of a stream, but
+        change only with a response.
+    """
+
     first_events_s: collections.deque[float] = field(
         default_factory=lambda: collections.deque(maxlen=MAX_SAMPLES)
     )
     pauses_s: collections.deque[float] = field(
         default_factory=lambda: collections.deque(maxlen=MAX_SAMPLES)
     )
+    longest: tuple[float, float] | None = None
 
 
 @dataclass(eq=False)
@@ -78,6 +86,8 @@
         times = self._models.setdefault(model, _Times())
         times.first_events_s.append(first_s)
         times.pauses_s.append(pause_s)
+        if len(times.first_events_s) >= MIN_SAMPLES:
+            times.longest = max(times.first_events_s), max(times.pauses_s)
 
     def find_quiet_limit_s(self, model: str) -> float:
         """Return the silence of a head in seconds before its group is probed."""
@@ -105,6 +115,4 @@
     def _find_longest(self, model: str) -> tuple[float, float] | None:
         """Return the longest time to a first event and the longest pause kept."""
         times = self._models.get(model)
-        if times is None or len(times.first_events_s) < MIN_SAMPLES:
-            return None
-        return max(times.first_events_s), max(times.pauses_s)
+        return None if times is None else times.longest
--- a/tests/gateway/test_decisions.py
+++ b/tests/gateway/test_decisions.py
@@ -59,6 +59,18 @@
         again = b''.join(b'id: %d\ndata: x\n\n' % n for n in range(first, 9))
         self.assertEqual(out + splitter.feed(again), EVENTS)
 
+    @given(strategies.lists(strategies.integers(1, 9), max_size=40))
+    def test_only_complete_events_are_forwarded_whatever_their_line_ends(self, sizes):
+        for end in (b'\n', b'\r\n'):
+            events = [b'id: %d' % n + end + b'data: x' + end * 2 for n in range(1, 6)]
+            rest, splitter, out = b''.join(events), EventSplitter(), b''
+            starts = {b''.join(events[:n]) for n in range(6)}
+            for size in [*sizes, len(rest)]:
+                out += splitter.feed(rest[:size])
+                rest = rest[size:]
+                self.assertIn(out, starts)
+            self.assertEqual((splitter.last_event, splitter.flush()), (b'5', b''))
+
     def test_id_within_data_is_ignored(self):
         splitter = EventSplitter()
         splitter.feed(b'id: 4\ndata: a id: 9\n\n')
--- a/tests/http/test_framing.py
+++ b/tests/http/test_framing.py
@@ -13,7 +13,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from coursepitch.http import ConnectionPool, ExchangeError
+from coursepitch.http import ConnectionPool, ExchangeError, NoConnectionError
 from coursepitch.http.client import Connection
 from coursepitch.http.stream import MAX_UNREAD_BYTES, ByteStream, connect
 from coursepitch.listeners import listen
@@ -185,6 +185,44 @@
 
         anyio.run(run)
 
+    def test_bytes_that_complete_no_chunk_do_not_extend_a_timeout(self):
+        async def run():
+            stream, _ = build_stream()
+            connection = Connection('x:1', stream, h11.Connection(h11.CLIENT))
+            stream.data_received(HEAD)
+            pool = ConnectionPool()
+            answer = await pool.exchange(connection, b'GET', b'/', HEADERS, b'')
+
+            async def dribble():
+                for byte in b'000000000002\r\nok\r\n0\r\n\r\n':
+                    stream.data_received(bytes((byte,)))
+                    await anyio.sleep(0.02)
+
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(dribble)
+                with self.assertRaises(TimeoutError):
+                    await answer.read_chunk(0.1)
+                self.assertEqual(await answer.read_whole(10), b'ok')
+
+        anyio.run(run)
+
+    def test_failed_connections_are_not_counted_and_tell_whether_refused(self):
+        async def run():
+            sock = listen('127.0.0.1', 0)
+            address = f'127.0.0.1:{sock.getsockname()[1]}'
+            pool = ConnectionPool(connect_timeout_s=0)
+            with self.assertRaises(NoConnectionError) as caught:
+                await pool.acquire(address)
+            self.assertFalse(caught.exception.refused)
+            sock.close()
+            pool = ConnectionPool()
+            with self.assertRaises(NoConnectionError) as caught:
+                await pool.acquire(address)
+            self.assertTrue(caught.exception.refused)
+            self.assertEqual(pool.count_open(address), 0)
+
+        anyio.run(run)
+
     def test_response_before_the_end_of_the_request_is_read(self):
         async def run():
             sock = listen('127.0.0.1', 0)
