Measure forwarding, idling and starting of a node in the bench

Cause: the bench measured chunks of 24 bytes of one request at a time with clock ticks of 10 ms, and neither new connections, starts nor idle nodes.

Change: the part "forwarding" sends requests over ten connections, kept and new, to a node before streams of 28 and 112 events of 85 bytes, and prints the processor time per event, request, idle second and imports of a start, each beside the figure of the previous run.

The part was not run as a bench; its code ran as a trial on a scratch copy, alternately with the code before this work.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -4,7 +4,7 @@
 
 import sys
 
-from bench import control, gateway, pure, serving
+from bench import control, forwarding, gateway, pure, serving
 from bench.figures import Book
 
 PARTS = {
@@ -15,6 +15,7 @@
     'serving': serving.measure,
     'overload': serving.measure_overload,
     'gateway': gateway.measure,
+    'forwarding': forwarding.measure,
 }
 
 
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -343,7 +343,8 @@
             if instance.fault['mode'] == 'still' and number == last // 2:
                 await wait_left(stream, run)
                 return False
-            event = f'id: {number}\ndata: token {number}\n\n'.encode()
+            text = f'id: {number}\ndata: token {number}'
+            event = f'{text.ljust(self.options.event_bytes - 2)}\n\n'.encode()
             if instance.fault['mode'] == 'half' and number == last // 2:
                 await stream.send(parser.send(h11.Data(data=event[:9])))
                 return False
@@ -454,6 +455,7 @@
     parser.add_argument('--domain', action='append', default=[])
     parser.add_argument('--count', type=int, default=4, help='instances a domain')
     parser.add_argument('--events', type=int, default=20, help='events of a stream')
+    parser.add_argument('--event-bytes', type=int, default=0)
     parser.add_argument('--engine', action='store_true')
     options = parser.parse_args()
     options.domain = options.domain or ['']
--- a/tests/whole/platform_base.py
+++ b/tests/whole/platform_base.py
@@ -192,6 +192,7 @@
     nodes = ('n1', 'n2')
     engines = 5
     events = 20
+    event_bytes = 0
 
     @classmethod
     def setUpClass(cls):
@@ -209,6 +210,7 @@
         count = ('--count', str(cls.engines))
         engine = ('--service', 'pool', '--engine', '--domain', 'd0', *count)
         engine += ('--events', str(cls.events))
+        engine += ('--event-bytes', str(cls.event_bytes))
         cls.start('pool', 'standins.replica', *place, *engine)
         cls.start('api', 'standins.replica', *place, '--service', 'api', '--count', '3')
         cls.running = {}
