Measure connections to instances in the bench

Ruled out: an engine stand-in that closes after each response, as the node's time per connection would then hide in that of a request.

Change: the part opens and closes 1,500 connections to a listener in another thread and prints the processor time of the thread that opens them.

--- a/bench/forwarding.py
+++ b/bench/forwarding.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import json
+import socket
 import statistics
 import subprocess
 import sys
@@ -16,9 +17,11 @@
 from pathlib import Path
 from typing import TYPE_CHECKING
 
+import anyio
 import httpx
 
 from bench.figures import FOLDER
+from coursepitch.http import ConnectionPool
 from tests.whole.platform_base import KEY, PlatformCase
 
 if TYPE_CHECKING:
@@ -35,6 +38,9 @@
 REQUESTS = 200
 CLIENTS = 10
 
+#: Connections to an instance that are opened and closed.
+CONNECTIONS = 1_500
+
 #: Seconds for which an idle node is observed, and number of starts.
 IDLE_S = 5.0
 STARTS = 5
@@ -115,6 +121,32 @@
         case.doClassCleanups()
 
 
+async def open_connections(address: str) -> float:
+    """Return the processor seconds of this thread for a connection to an instance."""
+    pool = ConnectionPool()
+    spent = 0.0
+    for _ in range(CONNECTIONS):
+        before = time.thread_time()
+        pool.discard(await pool.acquire(address, fresh=True))
+        spent += time.thread_time() - before
+    return spent / CONNECTIONS
+
+
+def measure_connections() -> float:
+    """Return the same for connections to a listener in another thread."""
+    with socket.create_server(('127.0.0.1', 0), backlog=512) as listener:
+
+        def accept() -> None:
+            for _ in range(CONNECTIONS):
+                listener.accept()[0].close()
+
+        thread = threading.Thread(target=accept)
+        thread.start()
+        found = anyio.run(open_connections, f'127.0.0.1:{listener.getsockname()[1]}')
+        thread.join()
+        return found
+
+
 def measure_start() -> float:
     """Return the median processor seconds of the imports of a node."""
     code = (
@@ -145,6 +177,11 @@
         ('processor for an event', event_s * 1e6, 'us'),
         ('processor for a request of 28 events', short['kept'] * 1000, 'ms'),
         ('processor for it on a new connection', short['new'] * 1000, 'ms'),
+        (
+            'processor for a connection to an instance',
+            measure_connections() * 1e6,
+            'us',
+        ),
         ('processor of an idle node per second', short['idle'] * 1000, 'ms'),
         ('processor for the imports of a start', measure_start() * 1000, 'ms'),
     )
