--- a/standins/kv.py
+++ b/standins/kv.py
@@ -45,6 +45,7 @@
         )
         self.changed = anyio.Event()
         self.calls: collections.Counter[str] = collections.Counter()
+        self.listings: collections.Counter[str] = collections.Counter()
         self.fault: dict[str, Any] = {'mode': 'none'}
         self.old_items: dict[str, dict[str, Any]] = {}
 
@@ -147,6 +148,7 @@
 
     async def read_range(request: Request) -> tuple[Any, int]:
         prefix = request.query_params.get('path_prefix', '')
+        store.listings[prefix] += 1
         after = request.query_params.get('after_rev', '')
         items = store.items
         if request.query_params.get('serializable') == '1':
@@ -251,7 +253,8 @@
             key: {**item, 'value': base64.b64decode(item['value']).decode()}
             for key, item in store.items.items()
         }
-        return answer({'calls': store.calls, 'entries': entries})
+        stats = {'calls': store.calls, 'listings': store.listings}
+        return answer({**stats, 'entries': entries})
 
     routes = [
         route('/-/kv-key', 'GET', 'get', read_key),
