Let the simulated pool lose zones, gain instances and run exact passes

A pool has one demand per model and loses members without notice only. A pass takes at least one step of 50 ms, which halves the rate of an engine whose passes take 25 ms. An instance still counts as holding the model of its last group after it has loaded another one, which the view forgets.

Change: several demands of one model, departures with notice, added instances, the loss of a zone, one zone per domain, and the model of the last group forgotten once another is in memory. Exact passes and losses whose order depends on the seed only are used where rounds_up_passes is false.

Ruled out: exact passes in the pools that exist.

--- a/tests/fleet/simulated_pool.py
+++ b/tests/fleet/simulated_pool.py
@@ -44,6 +44,12 @@
 #: few requests, of which passes take 0.05 s.
 FIRST_EVENT_DELAY_S = 0.15
 
+#: Upper bound of the numbers of instances, for the order in which they are lost.
+MAX_INSTANCES = 300
+
+#: Seconds from the announcement that an instance leaves to its end.
+LEAVE_NOTICE_S = 2.0
+
 #: Seconds until a member is ready that had the model in its last group.
 REJOIN_S = 0.2
 
@@ -92,11 +98,15 @@
 
 @dataclass
 class _Group:
-    """The engine of an open group, which runs passes over its pending requests."""
+    """The engine of an open group, which runs passes over its pending requests.
+
+    :param rounds_up: whether a pass takes at least a step of the simulation.
+    """
 
     pace: float
     requests: list[_Request] = field(default_factory=list)
     pass_ends_at: float = 0.0
+    rounds_up: bool = True
 
     def run_pass(self, engine, now):
         """Run one pass; return the requests that it completed."""
@@ -110,7 +120,10 @@
         writing = [item for item in self.requests[: engine.slots] if item.unread <= 0]
         step_s = engine.step_s + len(writing) * engine.sequence_s
         took_s = (steps * step_s + reading / engine.read_per_s) * self.pace
-        self.pass_ends_at = max(now, self.pass_ends_at) + took_s
+        started_at = self.pass_ends_at
+        if self.rounds_up:
+            started_at = max(now, started_at)
+        self.pass_ends_at = started_at + took_s
         for item in writing:
             if item.first_at is None:
                 item.first_at = self.pass_ends_at + FIRST_EVENT_DELAY_S * self.pace
@@ -136,19 +149,26 @@
 
 @dataclass
 class SimulatedPool:
-    """The pool, its leader and its clients; deterministic for a seed."""
+    """The pool, its leader and its clients; deterministic for a seed.
+
+    :param rounds_up_passes: whether each pass of an engine takes at least one step of
+        the simulation, 50 ms.  Passes of 25 ms then generate tokens at half the
+        engine's rate.  Pools whose figures were measured this way keep it.
+    """
 
     engine: EngineProfile
     demands: tuple[Demand, ...]
     domains: int
     domain_size: int
     seed: int
+    rounds_up_passes: bool = True
     now: float = -12.0
     tallies: dict[str, Tally] = field(default_factory=dict)
     open_counts: list[dict[str, int]] = field(default_factory=list)
 
     def __post_init__(self):
         self.random = random.Random(self.seed)
+        self.loss_random = random.Random(self.seed + 1000)
         self.view = FleetView(lambda: self.now)
         self.view.store_revision = 10
         self.book = GroupController()
@@ -161,7 +181,8 @@
         self.joining: dict[str, str] = {}
         self.staging: dict[str, tuple[str, float]] = {}
         self.groups: dict[str, _Group] = {}
-        self.debts = {item.model.name: 0.0 for item in self.demands}
+        self.debts = [0.0] * len(self.demands)
+        self.removed_at: dict[str, float] = {}
         self.added = 0
         for item in self.demands:
             self.tallies[item.model.name] = Tally()
@@ -175,8 +196,9 @@
         """Add an empty instance to a domain."""
         self.added += 1
         name = f'i{self.added}'
+        zone = 'abc'[int(domain[1:]) % 3]
         self.view.instances[name] = FleetInstance(
-            name, SERVICE, f'10.0.0.{self.added}:80', 'a', 24, False, domain
+            name, SERVICE, f'10.0.0.{self.added}:80', zone, 24, False, domain
         )
         self.view.version += 1
 
@@ -193,6 +215,17 @@
         """Kill an instance without a notice."""
         self.dead_at[name] = self.now
 
+    def leave(self, name):
+        """Announce that an instance leaves; it ends :data:`LEAVE_NOTICE_S` later."""
+        self.change(name, draining=True)
+        self.removed_at[name] = self.now + LEAVE_NOTICE_S
+
+    def lose_zone(self, zone):
+        """Kill all instances of a zone."""
+        for name, instance in self.view.instances.items():
+            if instance.availability_zone == zone:
+                self.dead_at.setdefault(name, self.now)
+
     def lose_entry(self, name):
         """Delete an instance's entry; it runs on, but gets no more requests."""
         del self.view.instances[name]
@@ -201,7 +234,11 @@
     def list_grouped(self):
         """Return the live instances that are members of groups."""
         claimed = {name for claim in self.view.all_claims() for name in claim.members}
-        return sorted(name for name in claimed if name not in self.dead_at)
+        return sorted(
+            name
+            for name in claimed
+            if name not in self.dead_at and name not in self.removed_at
+        )
 
     def take_order(self, order):
         if order.instance in self.dead_at:
@@ -268,6 +305,10 @@
 
     def settle(self):
         """Apply the state changes of instances that are due."""
+        for name, until in list(self.removed_at.items()):
+            if until <= self.now and name in self.view.instances:
+                self.dead_at[name] = self.now
+                self.lose_entry(name)
         for name, (model, until) in list(self.staging.items()):
             if until <= self.now and name in self.view.instances:
                 del self.staging[name]
@@ -286,7 +327,7 @@
     def become_ready(self, name):
         model = self.memory[name] = self.joining[name]
         staged = self.view.instances[name].staged or frozenset({model})
-        self.change(name, models=frozenset({model}), staged=staged)
+        self.change(name, models=frozenset({model}), staged=staged, last_model='')
         self.set_state(name, GroupState.READY)
 
     # -- the leader ---------------------------------------------------------------
@@ -296,13 +337,13 @@
         if self.now < 0:
             return {}
         step_s = self.engine.step_s / TYPICAL_BATCH_SIZE + self.engine.sequence_s
-        return {
-            item.model.name: item.per_s
-            * (item.prompt / self.engine.read_per_s + item.answer * step_s)
-            * item.model.pace
-            * item.model.size
-            for item in self.demands
-        }
+        work: dict[str, float] = {}
+        for item in self.demands:
+            engine_s = item.prompt / self.engine.read_per_s + item.answer * step_s
+            model = item.model
+            found = item.per_s * engine_s * model.pace * model.size
+            work[model.name] = work.get(model.name, 0.0) + found
+        return work
 
     def lead(self):
         for name, since in self.dead_at.items():
@@ -346,12 +387,17 @@
                 self.run_passes(group)
                 self.note_closed(head, group)
         for head, model in open_heads.items():
-            self.groups.setdefault(head, _Group(model.pace, pass_ends_at=self.now))
-        for demand in self.demands:
+            self.groups.setdefault(
+                head,
+                _Group(
+                    model.pace, pass_ends_at=self.now, rounds_up=self.rounds_up_passes
+                ),
+            )
+        for place, demand in enumerate(self.demands):
             heads = [name for name, item in open_heads.items() if item is demand.model]
-            self.debts[demand.model.name] += demand.per_s * STEP_S
-            while self.debts[demand.model.name] >= 1:
-                self.debts[demand.model.name] -= 1
+            self.debts[place] += demand.per_s * STEP_S
+            while self.debts[place] >= 1:
+                self.debts[place] -= 1
                 self.arrive(demand, heads)
 
     def note_closed(self, head, group):
@@ -398,17 +444,42 @@
 
     # -- time ---------------------------------------------------------------------
 
-    def run(self, until, losses=()):
+    def choose_lost(self, count):
+        """Return members of groups to lose.
+
+        Where passes are exact, the order in which instances are lost depends on the
+        seed only, so that two runs with the same seed differ less by chance.
+        """
+        grouped = self.list_grouped()
+        if self.rounds_up_passes:
+            return self.random.sample(grouped, count)
+        order = list(range(1, MAX_INSTANCES))
+        self.loss_random.shuffle(order)
+        found = [f'i{number}' for number in order if f'i{number}' in grouped]
+        return found[:count]
+
+    def run(self, until, losses=(), departures=(), additions=()):
         """Run the simulation until a time.
 
         :param losses: times, and how many members of groups are lost at each.
+        :param departures: times at which a member of a group announces that it leaves.
+        :param additions: times at which an empty instance is added to some domain.
         """
         waiting = sorted(losses)
+        leaving = sorted(departures)
+        coming = sorted(additions)
         steps = 0
         while self.now < until:
+            while leaving and leaving[0] <= self.now:
+                leaving.pop(0)
+                self.leave(self.choose_lost(1)[0])
+            while coming and coming[0] <= self.now:
+                coming.pop(0)
+                place = self.loss_random.randrange(self.domains)
+                self.add_instance(f'd{place}')
             while waiting and waiting[0][0] <= self.now:
                 _, count = waiting.pop(0)
-                for name in self.random.sample(self.list_grouped(), count):
+                for name in self.choose_lost(count):
                     self.lose(name)
             self.settle()
             if steps % DECISION_STEPS == 0:
