Keep spares of the largest model in memory

Cause: a group of 16 that got a member with the weights only on its host opened 2.1 s after its claim, one without such a member 0.77 s. Free instances held mostly the smaller model in memory.

Change: in each domain with a group of the largest model, up to three free instances that hold it on their hosts load it into memory, by the order to join an unclaimed group that exists.

--- a/coursepitch/fleet/placer.py
+++ b/coursepitch/fleet/placer.py
@@ -19,6 +19,7 @@
     Staging,
     choose_second_weights,
     count_targets,
+    find_weight_tier,
     plan_domains,
 )
 
@@ -54,6 +55,11 @@
 #: again.
 WARMUP_RETRY_S = 3.0
 
+#: Free instances that hold the largest model in memory, kept in each fabric domain that
+#: has a group of it, with the instances that are loading it.  Two or three members are
+#: lost at a time.
+LARGEST_MODEL_SPARES = 3
+
 #: Seconds beyond a model's load time after which an order to load is sent again if the
 #: instance's entry does not show the weights.
 STAGE_RETRY_S = 3.0
@@ -179,6 +185,8 @@
             for formation in plan.formations
             for name in formation.members
         }
+        if not snapshot.loads_fast:
+            orders += self._order_spares(snapshot, used)
         return changes, orders + self._order_warmups(snapshot, used)
 
     def _order_warmups(
@@ -215,6 +223,68 @@
             orders.append(_order_warmup(snapshot, instance, model.name))
         return orders
 
+    def _order_spares(
+        self, snapshot: ServiceSnapshot, used: Collection[str]
+    ) -> list[Order]:
+        """Return orders that make spares of the largest model hold it in memory.
+
+        A group that lost members forms again from its survivors and free instances.
+        Where one of these holds the weights only on its host, the whole group waits
+        ``warm_s`` for it instead of 0.2 s.  Only domains with a group of the model get
+        spares.
+
+        :param used: names of instances from which groups are being formed.
+        """
+        largest = max(snapshot.engine.models, key=lambda item: item.size)
+        if all(item.size == largest.size for item in snapshot.engine.models):
+            return []
+        able: dict[str, list[FleetInstance]] = {}
+        for domain, items in snapshot.free.items():
+            for instance in items:
+                if self._may_become_spare(instance, largest, snapshot.now):
+                    able.setdefault(domain, []).append(instance)
+        if not able:
+            return []
+        domains = {
+            claim.domain for claim in snapshot.claims if claim.model == largest.name
+        }
+        orders: list[Order] = []
+        for domain in sorted(domains.intersection(able)):
+            have = sum(
+                self._is_spare(item, largest, snapshot.now)
+                for item in snapshot.free[domain]
+                if item.name not in used
+            )
+            chosen = [item for item in able[domain] if item.name not in used]
+            for instance in chosen[: max(0, LARGEST_MODEL_SPARES - have)]:
+                self._warmup_ordered_at[instance.name] = snapshot.now
+                orders.append(_order_warmup(snapshot, instance, largest.name))
+        return orders
+
+    def _may_become_spare(
+        self, instance: FleetInstance, model: ModelProfile, now: float
+    ) -> bool:
+        """Whether a free instance may be ordered to load a model from its host."""
+        return (
+            instance.membership is None
+            and instance.last_model not in ('', model.name)
+            and model.name in instance.staged
+            and instance.name not in self._loads.running
+            and not self._is_spare(instance, model, now)
+        )
+
+    def _is_spare(
+        self, instance: FleetInstance, model: ModelProfile, now: float
+    ) -> bool:
+        """Whether a free instance holds a model in memory or was ordered to load it."""
+        if find_weight_tier(instance, model.name) == 2:
+            return True
+        ordered_at = self._warmup_ordered_at.get(instance.name, float('-inf'))
+        return (
+            model.name in instance.staged
+            and now - ordered_at < model.warm_s + WARMUP_RETRY_S
+        )
+
     def _may_load_second_models(self, engine: EngineProfile) -> bool:
         """Whether loads of second models, which no group waits for, may start."""
         most = int(engine.loads_at_once * SECOND_MODEL_LOAD_FRACTION)
--- a/tests/fleet/test_losses.py
+++ b/tests/fleet/test_losses.py
@@ -112,6 +112,82 @@
             self.assertGreater(statistics.mean(gains), 2 * error)
 
 
+LARGER = ModelProfile('large', 16, 0.5, 1.0, 16.0, 1.6)
+SMALLER = ModelProfile('small', 4, 0.5, 0.6, 12.0, 1.1)
+
+#: Two or three members of groups are lost every 3 s, one announces every 5.9 s that it
+#: leaves, and an empty instance is added every 2.5 s.
+UNEVEN_LOSSES = [(2.7 + 2.95 * number, 2 + number % 2) for number in range(10)]
+DEPARTURES = [4.2 + 5.9 * number for number in range(5)]
+ADDITIONS = [5.0 + 2.5 * number for number in range(10)]
+
+
+def build_uneven_pool(seed):
+    """Return 222 instances in six domains under 222 requests/s."""
+    engine = replace(
+        build_engine((LARGER, SMALLER), 14.0, 20),
+        slots=15,
+        step_s=0.00595,
+        sequence_s=0.0000967,
+        read_per_s=50_700.0,
+        stride=7,
+    )
+    demands = (
+        Demand(LARGER, 18.8, 1420, 175, worth=2.95, objective_s=0.304),
+        Demand(LARGER, 12.6, 1960, 21, worth=2.95, objective_s=0.405),
+        Demand(SMALLER, 191, 674, 217, worth=1.7, objective_s=0.253),
+    )
+    return SimulatedPool(engine, demands, 6, 37, seed, rounds_up_passes=False)
+
+
+def play_uneven(seed):
+    """Return the mean number of open groups of 16, both shares in time, the value."""
+    pool = build_uneven_pool(seed)
+    pool.run(34.0, UNEVEN_LOSSES, DEPARTURES, ADDITIONS)
+    return (
+        statistics.mean(counts['large'] for counts in pool.open_counts),
+        pool.tallies['large'].share,
+        pool.tallies['small'].share,
+        pool.compute_earned_share(),
+    )
+
+
+@functools.cache
+def play_all_uneven():
+    """Return the results of :func:`play_uneven` for all seeds, without patches."""
+    return [play_uneven(seed) for seed in SEEDS]
+
+
+def compare(after, before):
+    """Return the mean gain of each result and its standard error."""
+    gains = [
+        [new - old for new, old in zip(*pair, strict=True)]
+        for pair in zip(after, before, strict=True)
+    ]
+    return [
+        (statistics.mean(item), statistics.stdev(item) / len(item) ** 0.5)
+        for item in zip(*gains, strict=True)
+    ]
+
+
+class SpareTest(unittest.TestCase):
+    """Spares that hold the larger model in memory, compared with none.
+
+    A group of 16 that got a member with the weights only on its host opened 2.1 s after
+    it was claimed, one without such a member 0.77 s.  Averaged over these runs, 4.95
+    groups of 16 are open without spares and 5.04 with them (standard error 0.027).
+    """
+
+    def test_more_groups_of_the_larger_model_are_open_at_no_loss_of_value(self):
+        after = play_all_uneven()
+        with mock.patch.object(Placer, '_order_spares', return_value=[]):
+            before = [play_uneven(seed) for seed in SEEDS]
+        groups, large, small, value = compare(after, before)
+        self.assertGreater(groups[0], 2 * groups[1])
+        for gain, error in (large, small, value):
+            self.assertGreater(gain, -2 * error)
+
+
 class NoLossTest(unittest.TestCase):
     """The same load without losses."""
 
--- a/tests/fleet/test_placer.py
+++ b/tests/fleet/test_placer.py
@@ -8,7 +8,12 @@
 from coursepitch.fleet.groups import GroupController
 from coursepitch.fleet.ledger import LoadLimiter, OrderLedger
 from coursepitch.fleet.orders import OrderKind
-from coursepitch.fleet.placer import CONVERSION_QUIET_S, Placer, ServiceSnapshot
+from coursepitch.fleet.placer import (
+    CONVERSION_QUIET_S,
+    LARGEST_MODEL_SPARES,
+    Placer,
+    ServiceSnapshot,
+)
 from tests.fleet.builders import (
     SERVICE,
     build_engine,
@@ -128,5 +133,53 @@
         self.assertEqual(set(change.claims[0].members), {'i1', 'i2'})
 
 
+class SpareTest(unittest.TestCase):
+    """Spares of the largest model in domains that have a group of it.
+
+    Guards against groups that wait 1.6 s for one member with weights on its host only.
+    """
+
+    def place(self, claimed_domain, count=5, **fields):
+        """Return the instances of a domain that are ordered to load the model."""
+        placer = Placer(OrderLedger(), LoadLimiter())
+        values = {'last_model': 'small', 'staged': frozenset({'large'}), **fields}
+        free = [build_instance(f'i{n}', **values) for n in range(count)]
+        claim = GroupClaim('g', 1, SERVICE, claimed_domain, 'large', ('a', 'b', 'c'))
+        for item in free:
+            placer._ledger.addresses[item.name] = item.address
+        snapshot = ServiceSnapshot(
+            build_view(free, [claim]),
+            build_service(),
+            build_engine(),
+            [claim],
+            [],
+            {'d0': free},
+            {},
+            100.0,
+            loads_fast=False,
+            instances_stable=False,
+            reserved={},
+        )
+        found = placer.place(snapshot)[1], placer.place(snapshot)[1]
+        return [
+            [item.instance for item in orders if item.kind is OrderKind.JOIN]
+            for orders in found
+        ]
+
+    def test_a_few_free_instances_load_the_model_once(self):
+        first, second = self.place('d0')
+        self.assertEqual(len(first), LARGEST_MODEL_SPARES)
+        self.assertEqual(second, [])
+
+    def test_domain_without_a_group_of_the_model_gets_none(self):
+        self.assertEqual(self.place('d1'), [[], []])
+
+    def test_instances_that_hold_the_model_count(self):
+        self.assertEqual(self.place('d0', last_model='large'), [[], []])
+
+    def test_instances_without_the_weights_on_their_hosts_get_no_order(self):
+        self.assertEqual(self.place('d0', staged=frozenset({'small'})), [[], []])
+
+
 if __name__ == '__main__':
     unittest.main()
