Give a model without any group one after the loss of a zone

Cause: at most three groups are ended for one of another model, so three groups of 4 never complete one of 16. A conversion also needs instances that hold the weights, and has to reduce the shortage of all models. In a simulated pool of three domains of 21, the zone with the only group of 16 was lost, and the model had no group for the remaining 34 s.

Change: for a model that has no group and doesn't meet its target, as many groups as needed are ended, whatever the shortage of the others, whose last group stays. Instances without the weights count only where no domain has enough that hold them.

Without the change one test of ZoneLossTest and two of ConversionTest fail. 53 tests of test_losses, test_scale, test_placer, test_placement, test_machine and test_finishing pass.

--- a/coursepitch/fleet/conversions.py
+++ b/coursepitch/fleet/conversions.py
@@ -24,7 +24,8 @@
 #: with losses (five scenarios with two random seeds each, 7 nodes).
 CONVERSION_GAIN = 0.15
 
-#: Maximum number of groups ended for one group of another model.
+#: Maximum number of groups ended for one group of another model, unless that model has
+#: no group at all.
 MAX_ENDED_GROUPS = 3
 
 
@@ -55,23 +56,72 @@
 ) -> Conversion | None:
     """Return the conversion that reduces the shortage most over all domains.
 
-    ``None`` if no conversion reduces it by ``CONVERSION_GAIN``.
+    ``None`` if no conversion reduces it by ``CONVERSION_GAIN``, or gives its first
+    group to a model.
 
     :param free: free instances by fabric domain.
     :param standing: open groups by fabric domain.
     :param groups: groups of each model over all domains.
     :param targets: wanted number of groups by model.
     """
+    absent = [
+        item
+        for item in models
+        if not groups.get(item.name, 0) and not meets_target(item, groups, targets)
+    ]
+    # A model without any group, as after the loss of a zone, gets one whatever the
+    # shortage of the others; instances that hold its weights are preferred.
+    for allow_unloaded in (False, True) if absent else ():
+        found = _choose_best(
+            free,
+            standing,
+            models,
+            groups,
+            targets,
+            wanted=absent,
+            allow_unloaded=allow_unloaded,
+        )
+        if found is not None:
+            return found
+    return _choose_best(
+        free, standing, models, groups, targets, wanted=models, allow_unloaded=False
+    )
+
+
+def _choose_best(
+    free: Mapping[str, Sequence[FleetInstance]],
+    standing: Mapping[str, Sequence[ConvertibleGroup]],
+    models: Sequence[ModelProfile],
+    groups: Mapping[str, int],
+    targets: Mapping[str, float],
+    *,
+    wanted: Sequence[ModelProfile],
+    allow_unloaded: bool,
+) -> Conversion | None:
+    """Return the best conversion to one of the wanted models.
+
+    It need not reduce the shortage if none of these has a group.
+
+    :param allow_unloaded: whether instances without the model's weights count.
+    """
     best: Conversion | None = None
     least = _compute_shortage(models, groups, targets) - CONVERSION_GAIN
+    if not any(groups.get(item.name, 0) for item in wanted):
+        least = float('inf')
     for domain, instances in free.items():
-        for model in models:
+        for model in wanted:
             if meets_target(model, groups, targets):
                 continue
             others = [
                 item for item in standing.get(domain, ()) if item.model != model.name
             ]
-            ended = _choose_ended(model, instances, others)
+            ended = _choose_ended(
+                model,
+                instances,
+                others,
+                has_no_group=groups.get(model.name, 0) == 0,
+                allow_unloaded=allow_unloaded,
+            )
             if not ended:
                 continue
             after = _count_groups_after(model, instances, ended, models, groups)
@@ -106,18 +156,32 @@
     model: ModelProfile,
     free: Sequence[FleetInstance],
     others: Sequence[ConvertibleGroup],
+    *,
+    has_no_group: bool,
+    allow_unloaded: bool,
 ) -> list[ConvertibleGroup]:
-    """Return the fewest groups whose members complete a new group, or none."""
+    """Return the fewest groups whose members complete a new group, or none.
+
+    For a model without any group, as after the loss of a zone, as many groups as needed
+    are ended: three groups of 4 never complete one of 16.
+    """
 
-    def count_able(group: ConvertibleGroup) -> int:
-        return sum(1 for item in group.members if find_weight_tier(item, model.name))
+    def count_able(instances: Sequence[FleetInstance]) -> int:
+        return sum(
+            1
+            for item in instances
+            if allow_unloaded or find_weight_tier(item, model.name)
+        )
 
-    missing = model.size - sum(1 for item in free if find_weight_tier(item, model.name))
+    missing = model.size - count_able(free)
     ended: list[ConvertibleGroup] = []
-    for group in sorted(others, key=lambda item: (-count_able(item), item.name)):
-        if missing <= 0 or len(ended) == MAX_ENDED_GROUPS:
+    for group in sorted(
+        others, key=lambda item: (-count_able(item.members), item.name)
+    ):
+        full = len(ended) == MAX_ENDED_GROUPS and not has_no_group
+        if missing <= 0 or full:
             break
-        missing -= count_able(group)
+        missing -= count_able(group.members)
         ended.append(group)
     return ended if missing <= 0 else []
 
--- a/tests/fleet/test_losses.py
+++ b/tests/fleet/test_losses.py
@@ -20,7 +20,7 @@
 
 from coursepitch.config.routes import ModelProfile
 from coursepitch.fleet.placer import Placer
-from tests.fleet.builders import build_engine
+from tests.fleet.builders import SERVICE, build_engine
 from tests.fleet.simulated_pool import Demand, SimulatedPool
 
 LARGE = ModelProfile('large', 12, 0.5, 1.0, 16.0, 1.6)
@@ -188,6 +188,44 @@
             self.assertGreater(gain, -2 * error)
 
 
+class ZoneLossTest(unittest.TestCase):
+    """The loss of the zone that contains all groups of a model.
+
+    Guards against a model that stays without a group although instances elsewhere can
+    form one.  The only group of 16 was in the lost zone; the other zones had groups of
+    4 and a few free instances.  At most three groups of 4 were ended for one of 16, so
+    it had no group for the rest of the 34 s.
+    """
+
+    def test_larger_model_gets_a_group_in_another_zone(self):
+        demands = (
+            Demand(LARGER, 3.0, 1420, 175, objective_s=0.304),
+            Demand(SMALLER, 60.0, 674, 217, objective_s=0.253),
+        )
+        engine = build_uneven_pool(1).engine
+        pool = SimulatedPool(engine, demands, 3, 21, 1, rounds_up_passes=False)
+        pool.run(5.0)
+        zones = {
+            group.head.availability_zone
+            for group in pool.view.list_open(SERVICE, 'large')
+        }
+        self.assertEqual(len(zones), 1)
+        pool.lose_zone(zones.pop())
+        pool.run(20.0)
+        self.assertGreater(pool.open_counts[-1]['large'], 0)
+        self.assertGreater(pool.open_counts[-1]['small'], 0)
+
+    def test_no_model_stays_without_a_group_after_the_loss_of_any_zone(self):
+        for zone in 'abc':
+            with self.subTest(zone=zone):
+                pool = build_uneven_pool(1)
+                pool.run(5.0)
+                pool.lose_zone(zone)
+                pool.run(12.0)
+                self.assertGreater(pool.open_counts[-1]['large'], 0)
+                self.assertGreater(pool.open_counts[-1]['small'], 0)
+
+
 class NoLossTest(unittest.TestCase):
     """The same load without losses."""
 
--- a/tests/fleet/test_placement.py
+++ b/tests/fleet/test_placement.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import unittest
+from dataclasses import replace
 
 from coursepitch.fleet.conversions import ConvertibleGroup, choose_conversion
 from coursepitch.fleet.placement import (
@@ -182,3 +183,34 @@
         free = build_free('d', 3, last_model='large')
         near = [build_standing('near', 'small', 'large')]
         self.assertIsNone(self.choose(free, near, {'large': 2, 'small': 6}))
+
+    def test_model_without_a_group_gets_as_many_groups_as_it_needs(self):
+        """Three groups of two never complete one of eight."""
+        models = (replace(LARGE, size=8), SMALL)
+        near = [build_standing(name, 'small', 'large') for name in 'abcde']
+        targets = {'large': 2.0, 'small': 6.0}
+
+        def choose(large):
+            return choose_conversion(
+                {'d': []}, {'d': near}, models, {'large': large, 'small': 5}, targets
+            )
+
+        self.assertEqual(choose(0).ended, ('a', 'b', 'c', 'd'))
+        self.assertIsNone(choose(1))
+
+    def test_model_without_a_group_gets_instances_without_its_weights(self):
+        pair = [build_standing(name, 'small', 'small') for name in ('a', 'b')]
+        found = self.choose([], pair, {'large': 0, 'small': 7})
+        self.assertEqual((found.model, found.ended), ('large', ('a', 'b')))
+
+    def test_instances_with_the_weights_are_preferred_for_a_model_without_a_group(self):
+        cold = [build_standing(name, 'small', 'small') for name in ('a', 'b')]
+        warm = [build_standing(name, 'small', 'large') for name in ('e', 'f')]
+        found = choose_conversion(
+            {'c': [], 'd': []},
+            {'c': cold, 'd': warm},
+            MODELS,
+            {'large': 0, 'small': 7},
+            self.TARGETS,
+        )
+        self.assertEqual((found.domain, found.ended), ('d', ('e', 'f')))
