--- a/coursepitch/fleet/conversions.py
+++ b/coursepitch/fleet/conversions.py
@@ -19,9 +19,7 @@
 __all__ = ['Conversion', 'ConvertibleGroup', 'choose_conversion']
 
 #: Minimum reduction of the shortage by a conversion, to justify its cost: its instances
-#: serve no requests for two to three seconds.  Conversions chosen over all domains
-#: raised the earned request value from 0.811 to 0.817, on average over ten test runs
-#: with losses (five scenarios with two random seeds each, 7 nodes).
+#: serve no requests for two to three seconds.
 CONVERSION_GAIN = 0.15
 
 #: Maximum number of groups ended for one group of another model, unless that model has
--- a/coursepitch/fleet/groups.py
+++ b/coursepitch/fleet/groups.py
@@ -43,11 +43,6 @@
 #: Seconds for which a group may finish running requests after a member's entry was
 #: removed.  An instance that leaves without notice serves for two more seconds at
 #: least, and one that only lost the store keeps serving; streams take 0.7 to 1.3 s.
-#: Simulated, 30 pairs each, one entry removed every 3 s: the fraction of requests
-#: served in time rose from 0.82 to 0.84 for the larger model and from 0.91 to 0.92 for
-#: the smaller (162 instances), and from 0.87 to 0.91 and 0.95 to 0.96 (48 instances).
-#: Where a tenth of all entries were removed at once, no significant difference was
-#: seen.
 MEMBER_LOSS_GRACE_S = 1.5
 
 #: Seconds beyond twice the load time after which a group that has not formed is
--- a/coursepitch/fleet/links.py
+++ b/coursepitch/fleet/links.py
@@ -47,9 +47,7 @@
 #: of 0.25 s, less than a request takes.
 HEARTBEAT_S = 0.25
 
-#: The same on a link to a relay, which forwards the loads, to limit the added delay:
-#: in two tests that lose 19 of 171 instances, 0.816 of the request value was earned
-#: instead of 0.797 (68 nodes, one run each; the difference may in part be chance).
+#: The same on a link to a relay, which forwards the loads, to limit the added delay.
 RELAY_HEARTBEAT_S = 0.1
 
 #: Timeout in seconds for opening or closing a link, and for sending a message.
--- a/coursepitch/fleet/placement.py
+++ b/coursepitch/fleet/placement.py
@@ -32,10 +32,7 @@
 
 #: Groups that each model gets before the rest are divided in proportion to work.  With
 #: proportional targets alone, losing two groups hurts a model with few large groups
-#: most.  Simulated, 30 pairs each: with 162 instances in six domains, groups of 12 and
-#: 6 and two members lost every 3 s, the fraction of the larger model's requests served
-#: in time rose from 0.81 to 0.87, the smaller model's stayed at 0.95; with 171
-#: instances and groups of 8 and 4 they went from 0.90 to 0.93 and from 0.98 to 0.97.
+#: most.
 BASE_GROUPS = 2.0
 
 #: Largest fraction of the instances that these groups may use, so that targets in a
--- a/coursepitch/fleet/placer.py
+++ b/coursepitch/fleet/placer.py
@@ -35,16 +35,11 @@
 
 #: Fraction of the weight store's concurrent loads that may be of second models, which
 #: no group waits for.  The rest is left for instances that arrive without weights.
-#: With this limit and no instance kept idle as a spare, the mean score of ten simulated
-#: runs with losses was 0.811 instead of 0.800 (five scenarios with two random seeds
-#: each, 7 nodes).
 SECOND_MODEL_LOAD_FRACTION = 0.5
 
 #: Seconds without a change in the list of instances before groups of one model are
 #: ended for a group of another.  A conversion costs two to four seconds of service, and
-#: instances are lost and return in bursts, so survivors first form groups again.  Mean
-#: score of 16 runs with losses at 7 nodes: 0.8209 with this wait, 0.8166 without
-#: (paired difference 0.004, standard error 0.002).
+#: instances are lost and return in bursts, so survivors first form groups again.
 CONVERSION_QUIET_S = 0.6
 
 #: Prefix of the names of single-instance groups that only load weights into memory.
@@ -213,11 +208,7 @@
         An instance that was never in a group holds one model's weights, and only on its
         host.  It can't join groups of another model, and takes 1 to 2 s longer to join
         one of its own.  With the weights also in memory, its host can load another
-        model's.  Simulated, 40 pairs each, two members lost every 3 s: with 162
-        instances and groups of 12 and 6, the fraction of the larger model's requests
-        served in time rose from 0.74 to 0.82, the smaller model's from 0.94 to 0.95;
-        with 171 instances and groups of 8 and 4, from 0.85 to 0.90 and from 0.97 to
-        0.98.
+        model's.
 
         :param used: names of instances from which groups are being formed.
         """
--- a/coursepitch/fleet/view.py
+++ b/coursepitch/fleet/view.py
@@ -63,9 +63,7 @@
 
 #: Default number of seconds for which an instance still gets requests after its entry
 #: may have expired with the store.  Users accept requests up to 2 s after an instance
-#: left.  In six tests with outages of 5 to 9 s, entries of live instances were back
-#: within 0.8 s, except for one test in which 119 of 329 took longer than 1.4 s, 2.0 s
-#: at most.  On average 0.932 of the request value was earned, and 0.931 with 2.3 s.
+#: left, and entries of live instances are usually back within 0.8 s of its return.
 DEFAULT_LAPSED_SERVE_S = 1.4
 
 #: Maximum number of keys whose damaged entries are logged: a faulty writer may create
--- a/coursepitch/gateway/request_handler.py
+++ b/coursepitch/gateway/request_handler.py
@@ -30,11 +30,8 @@
 CONFIGURATION_RETRY_AFTER_S = 0.5
 
 #: Longest time in seconds that a request waits for a starting node, and the largest
-#: share of the client's own timeout.  Source: the time from listening to a confirmed
-#: configuration is 0.1 s with 7 nodes, and 0.84 s (median) with 68 nodes that start at
-#: once, as all list the store over links of 20 Mbit/s.  The four seconds around a power
-#: failure of all 68 scored 0.35 with 0.25 s and 0.39 with 0.75 s (one run each; relays
-#: were also updated more often).
+#: share of the client's own timeout.  Nodes that start at once after a power failure
+#: all list the store, and half of them have a confirmed configuration by then.
 MAX_STARTUP_WAIT_S = 0.75
 STARTUP_WAIT_SHARE = 0.25
 
--- a/coursepitch/gateway/router.py
+++ b/coursepitch/gateway/router.py
@@ -20,18 +20,15 @@
 
 #: Cost of sending to another availability zone, in requests in flight per slot of a
 #: group.  Traffic between zones is charged, and a group that meets its objective can
-#: serve one or two more requests.  With a cost of two requests (13 slots) instead of
-#: 0.3, 0.008 GB instead of 0.012 GB a day crossed zones, and the mean score of six days
-#: with losses was 0.815 instead of 0.809 (7 nodes); with four requests it was 0.814.
+#: serve one or two more requests.
 ZONE_COST_PER_SLOT = 0.15
 
 #: Cost of sending to a zone whose evacuation is requested, in requests in flight: more
 #: than any load, so that it is used only where no other zone has room.
 EVACUATION_COST = 1000.0
 
-#: Largest factor on that cost for groups.  Spreading the arrivals of other nodes sends
-#: more to other zones: in the simulation 0.61 instead of 0.54 of the requests, and 0.52
-#: with the double cost, with as many first events in time.
+#: Largest factor on that cost for groups.  Spreading the arrivals of other nodes would
+#: otherwise send more to other zones.
 MAX_ZONE_COST_FACTOR = 2.0
 
 #: Delay in seconds of the loads of other nodes: they take one heartbeat to the leader,
@@ -41,8 +38,7 @@
 #: Factor on the requests that other nodes send in that time.  The known loads do not
 #: show yet how other nodes reacted to the loads before, so filling up the lowest loads
 #: within one delay overcorrects and loads oscillate.  A correction that is delayed by T
-#: stops oscillating where its rate is 1 / (e * T).  Simulated with 74 nodes and 45
-#: heads, 0.885 instead of 0.851 of the first events were in time.
+#: stops oscillating where its rate is 1 / (e * T).
 ARRIVALS_FACTOR = 2.7
 
 
--- a/coursepitch/gateway/watchdog.py
+++ b/coursepitch/gateway/watchdog.py
@@ -25,9 +25,8 @@
 __all__ = ['Watchdog']
 
 #: Seconds for which the result of probing a group is cached.  The loss of a member
-#: that has just responded may go unnoticed for as long.  With 0.4 s there were 14,700
-#: probes in a day with lost responses, each with its own connection, instead of 7,900
-#: (89 nodes, one run each; the runs also differed in other respects).
+#: that has just responded may go unnoticed for as long; a shorter time multiplies the
+#: probes, each of which has its own connection, when responses are lost.
 PROBE_CACHE_S = 0.8
 
 #: Seconds for which a single stream may stall while others of the same head progress.
