--- a/coursepitch/gateway/request_handler.py
+++ b/coursepitch/gateway/request_handler.py
@@ -30,8 +30,8 @@
 CONFIGURATION_RETRY_AFTER_S = 0.5
 
 #: Longest time in seconds that a request waits for a starting node, and the largest
-#: share of the client's own timeout.  Nodes that start at once after a power failure
-#: all list the store, and half of them have a confirmed configuration by then.
+#: share of the client's own timeout.  A node alone has a confirmed configuration after
+#: 0.1 s, but many that start at once all list the store, and take up to a second.
 MAX_STARTUP_WAIT_S = 0.75
 STARTUP_WAIT_SHARE = 0.25
 
