Print nodes' refusals, exits and errors when a test with processes fails

A failed test or demo named a status or an exit code; the folder with the logs was removed, so its cause could not be told afterwards (a 503 in GroupLimitTest, "node-2 ended with code 1" in the demo).

The test result now asks a failed test for a summary of its nodes: how each ended, its last errors, its refusals by reason, and its duties. The demo prints the same on standard error when it fails or a node ends with another code than 0. COURSEPITCH_KEEP keeps the logs of tests on the platform as it did for the others.

--- a/demo/session.py
+++ b/demo/session.py
@@ -42,6 +42,7 @@
         session.stop()
     except (HarnessError, httpx.HTTPError, OSError, KeyError, ValueError) as error:
         print(f'FAILED at step "{session.step}": {error}', file=sys.stderr)
+        print(harness.summarize_nodes(), file=sys.stderr)
         return 1
     finally:
         harness.close()
@@ -211,7 +212,10 @@
         self.begin('stop the nodes in order')
         for name in ZONES:
             if name in self.harness.processes:
-                print(f'{name} ended with code {self.harness.stop_node(name)}')
+                code = self.harness.stop_node(name)
+                print(f'{name} ended with code {code}')
+                if code:
+                    print(self.harness.summarize_nodes(), file=sys.stderr)
 
 
 if __name__ == '__main__':
--- a/standins/harness.py
+++ b/standins/harness.py
@@ -18,6 +18,8 @@
 
 import httpx
 
+from standins.diagnosis import summarize_node
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -118,6 +120,8 @@
         self.folder = folder or Path(tempfile.mkdtemp(prefix='coursepitch-'))
         self.folder.mkdir(parents=True, exist_ok=True)
         self.processes: dict[str, Process] = {}
+        #: All processes by name, the last one of a name, also after it was stopped.
+        self.started: dict[str, Process] = {}
         self.instances: list[dict[str, Any]] = []
         self.client = httpx.Client(timeout=10, trust_env=False)
         self.settings: dict[str, dict[str, str]] = {}
@@ -127,7 +131,7 @@
 
     def _start(self, name: str, *command: str) -> Process:
         process = Process(name, [sys.executable, '-m', *command], self.folder)
-        self.processes[name] = process
+        self.processes[name] = self.started[name] = process
         return process
 
     def _url(self, name: str) -> str:
@@ -357,6 +361,17 @@
         process.send(signal.SIGTERM)
         return process.wait()
 
+    def summarize_nodes(self) -> str:
+        """Return what the nodes' logs tell of a failure, see ``standins.diagnosis``."""
+        parts = []
+        for name, process in sorted(self.started.items()):
+            log = self.folder / f'{name}.log'
+            if log.exists():
+                code = process.process.poll()
+                errors = process.error_path.read_text(errors='replace')
+                parts.append(summarize_node(name, log, code, errors))
+        return '\n'.join(parts)
+
     def close(self) -> None:
         """End all processes; remove the folder if it was made here."""
         for process in self.processes.values():
--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -39,16 +39,23 @@
 
     def addError(self, test, error):  # noqa: N802, D102
         super().addError(test, error)
-        self.failed.add(test.id())
+        self._note_failed(test)
 
     def addFailure(self, test, error):  # noqa: N802, D102
         super().addFailure(test, error)
-        self.failed.add(test.id())
+        self._note_failed(test)
 
     def addSubTest(self, test, subtest, error):  # noqa: N802, D102
         super().addSubTest(test, subtest, error)
         if error is not None:
-            self.failed.add(test.id())
+            self._note_failed(test)
+
+    def _note_failed(self, test):
+        """Keep the test's name; print what it tells of its processes, if it can."""
+        self.failed.add(test.id())
+        summarize = getattr(test, 'summarize_nodes', None)
+        if summarize is not None:
+            self.stream.writeln(summarize())
 
 
 def main() -> int:
--- a/tests/whole/base.py
+++ b/tests/whole/base.py
@@ -59,6 +59,11 @@
                 f'{node} sees all replicas serve',
             )
 
+    @classmethod
+    def summarize_nodes(cls) -> str:
+        """Return what the nodes' logs tell of a failure."""
+        return cls.harness.summarize_nodes()
+
     @classmethod
     def declare(cls, service: str) -> None:
         """Write the resources that all tests use."""
--- a/tests/whole/platform_base.py
+++ b/tests/whole/platform_base.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import os
 import shutil
 import signal
 import subprocess
@@ -14,6 +15,7 @@
 
 import httpx
 
+from standins.diagnosis import summarize_node
 from standins.harness import Process
 
 #: Longest time in seconds for anything to come about.
@@ -202,7 +204,8 @@
     def setUpClass(cls):
         """Start all and wait until a group serves on every node."""
         cls.folder = Path(tempfile.mkdtemp(prefix='coursepitch-'))
-        cls.addClassCleanup(shutil.rmtree, cls.folder, ignore_errors=True)
+        if not os.environ.get('COURSEPITCH_KEEP'):
+            cls.addClassCleanup(shutil.rmtree, cls.folder, ignore_errors=True)
         cls.client = httpx.Client(timeout=15, trust_env=False)
         cls.addClassCleanup(cls.client.close)
         cls.processes = {}
@@ -265,6 +268,14 @@
             time.sleep(0.02)
         raise AssertionError(f'not within {WAIT_S} s: {what}')
 
+    @classmethod
+    def summarize_nodes(cls):
+        """Return what the nodes' logs tell of a failure."""
+        return f'logs in {cls.folder}\n' + '\n'.join(
+            summarize_node(name, node.output, node.process.poll())
+            for name, node in cls.running.items()
+        )
+
     # -- the platform -----------------------------------------------------------
 
     @classmethod
--- a/tests/whole/test_demo.py
+++ b/tests/whole/test_demo.py
@@ -47,4 +47,4 @@
         text = normalise(done.stdout)
         if os.environ.get('COURSEPITCH_WRITE_GOLDEN'):
             GOLDEN.write_text(text, encoding='utf-8')
-        self.assertEqual(text, GOLDEN.read_text(encoding='utf-8'))
+        self.assertEqual(text, GOLDEN.read_text(encoding='utf-8'), done.stderr)
