Let peers lend retries to a node that started recently

Callers got 503 for requests that an instance had rejected, though other instances had room, from nodes that had started less than 12 s ago, and in the first second of the whole system.

Cause: a process may not use its node's share of the retry budget for a window and 2 s, as the process before it may have used it in the same window; until then it had 0.15 of what its own traffic allows. Evidence: the refusals of each failed run say "the budget for second sends is used up" and none came from a node that had been there. Ruled out: rejections by all instances (one or two had room), a lost link, the lease (listed by then).

A peer whose share is settled now takes a retry from its own budget on behalf of the node, half of its share at most. The sum over all nodes is what it was, so the users' bound needs no new argument: a lent retry counts at the lender. A request also waits for a share that takes effect within a second and before its deadline.

The wait of two seconds in HeadBackoffTest is gone, which hid this fault. With it gone the test still failed, of its own precondition: members of the second group are told that it is open up to 0.1 s before the nodes hear of it; in a run with its logs kept all 14 refusals came while nodes had one group to choose from. find_heads waits until every node has two groups to choose from: that is what the tests say they need, and nothing that they check is eased. The first second is guarded by a test of its own, FirstStartTest.

tests.gateway.test_budget is unchanged but for its simulated node, which moved to a module of its own.

--- a/coursepitch/events.py
+++ b/coursepitch/events.py
@@ -439,6 +439,20 @@
     'ratio of traffic.',
     ('request', 'service', 'granted', 'spent', 'requests', 'bound', 'part', 'traffic'),
 )
+RETRY_BORROWED = Event(
+    618,
+    'request.borrowed',
+    "A retry beyond a starting node's own share was requested from peers: those "
+    'asked, and the last answer.',
+    ('request', 'service', 'asked', 'outcome'),
+)
+RETRY_LENT = Event(
+    619,
+    'request.lent',
+    'A peer requested a retry from the budget: retries, those lent among them, and '
+    'the maximum number of retries in the window.',
+    ('peer', 'service', 'granted', 'spent', 'lent', 'bound'),
+)
 REQUEST_SUSPECTED = Event(
     612,
     'request.suspected',
--- a/coursepitch/fleet/messages.py
+++ b/coursepitch/fleet/messages.py
@@ -21,6 +21,7 @@
     decode_limit,
     encode_limit,
 )
+from coursepitch.fleet.retry_loans import RetryReply, RetryRequest
 from coursepitch.fleet.rows import read_text
 from coursepitch.fleet.suspects import Clearance, Crash
 from coursepitch.platform.kv import Entry
@@ -39,6 +40,8 @@
     'NoticeReport',
     'OtherLoads',
     'ReportedLimit',
+    'RetryReply',
+    'RetryRequest',
     'SendReply',
     'SendRequest',
     'TableReply',
@@ -72,6 +75,8 @@
 _SEND_REQUEST = 8
 _SEND_REPLY = 9
 _NOTICE_REPORT = 10
+_RETRY_REQUEST = 11
+_RETRY_REPLY = 12
 
 
 @dataclass(frozen=True, slots=True)
@@ -215,6 +220,8 @@
     | LimitReport
     | LostReport
     | NoticeReport
+    | RetryReply
+    | RetryRequest
     | SendReply
     | SendRequest
     | TableRequest
@@ -328,6 +335,12 @@
         case SendReply():
             parts = [message.number, message.granted, message.again_s]
             return _pack([_SEND_REPLY, message.node, *parts])
+        case RetryRequest():
+            parts = [message.number, message.service]
+            return _pack([_RETRY_REQUEST, message.node, *parts])
+        case RetryReply():
+            parts = [message.number, message.granted]
+            return _pack([_RETRY_REPLY, message.node, *parts])
 
 
 def decode_message(data: bytes) -> Message:
@@ -364,6 +377,12 @@
         if kind == _SEND_REPLY:
             _, number, granted, again_s = parts
             return SendReply(node, int(number), bool(granted), float(again_s))
+        if kind == _RETRY_REQUEST:
+            _, number, service = parts
+            return RetryRequest(node, int(number), read_text(service))
+        if kind == _RETRY_REPLY:
+            _, number, granted = parts
+            return RetryReply(node, int(number), bool(granted))
     except (
         cbor2.CBORDecodeError,
         zlib.error,
--- a/coursepitch/fleet/session.py
+++ b/coursepitch/fleet/session.py
@@ -29,6 +29,8 @@
     LimitReport,
     LostReport,
     NoticeReport,
+    RetryReply,
+    RetryRequest,
     SendReply,
     SendRequest,
     TableReply,
@@ -37,6 +39,7 @@
 from coursepitch.fleet.pause_detector import PauseDetector
 from coursepitch.fleet.peers import PeerRegistry
 from coursepitch.fleet.rate_limits import RateLimits
+from coursepitch.fleet.retry_loans import RetryLoans
 from coursepitch.fleet.send_permits import SendGranter, SendPermits
 from coursepitch.fleet.shares import LimitShare
 from coursepitch.fleet.view import ROOT, FleetView
@@ -175,6 +178,10 @@
         self.pause_detector = PauseDetector(clock)
         #: This node's share of the limits that all nodes enforce together.
         self.share = LimitShare(DEFAULT_LIMIT_WINDOW_S, clock)
+        #: Retries borrowed from peers, or lent to them.
+        self.loans = RetryLoans(
+            name, self.book.list_heard, lambda: self.count_nodes() > 1, clock
+        )
         #: Sends a message to one peer, or to all.
         self.send: Callable[[Message, str], None] = lambda message, node: None
         #: Relays changes to the nodes that depend on this one.
@@ -490,6 +497,10 @@
                 self.permits.answer(message)
             case SendReply():
                 self.permits.take_answer(message)
+            case RetryRequest():
+                self.loans.answer(message)
+            case RetryReply():
+                self.loans.take_answer(message)
             case TableReply():
                 self.view.apply_configuration(message.entry)
                 self.wake()
@@ -513,6 +524,7 @@
 
     def _handle_heartbeat(self, beat: Heartbeat) -> None:
         found = self.book.take(beat)
+        self.loans.note_heard()
         if beat.table_revision > self._table_revision():
             self.wake()
         if beat.received_revision > self.view.received_revision:
--- a/coursepitch/fleet/shares.py
+++ b/coursepitch/fleet/shares.py
@@ -124,18 +124,36 @@
         """Return this node's current share."""
         return LimitFractions(self._find_constant(), self._find_traffic())
 
+    def find_settled_at(self) -> float:
+        """Return the time from which the node uses its whole share.
+
+        Infinite while its lease is not active.
+        """
+        if self.clock() - self._lease_active_at > self._share_kept_s:
+            return float('inf')
+        return max(self._lease_active_since, self._traffic_since) + self._wait_s
+
+    @property
+    def _wait_s(self) -> float:
+        """Seconds from the activation of the lease to the use of a share."""
+        return FIRST_START_LAG_S if self.first_start else self.window_s + LIST_LAG_S
+
+    @property
+    def _traffic_since(self) -> float:
+        """Time from which the node may count its own traffic."""
+        return float('-inf') if self.first_start else self._started_at
+
     def _find_constant(self) -> float:
         now = self.clock()
         if now - self._lease_active_at > self._share_kept_s:
             return 0.0
-        wait_s = FIRST_START_LAG_S if self.first_start else self.window_s + LIST_LAG_S
-        if now - self._lease_active_since < wait_s:
+        if now - self._lease_active_since < self._wait_s:
             return 0.0
         return 1.0 / self.count()
 
     def _find_traffic(self) -> float:
         now = self.clock()
-        if not self.first_start and now - self._started_at < self.window_s + LIST_LAG_S:
+        if now - self._traffic_since < self._wait_s:
             return STARTING_FRACTION
         self._live = {
             count: at for count, at in self._live.items() if now - at < LIVE_TIMEOUT_S
--- a/coursepitch/gateway/attempts.py
+++ b/coursepitch/gateway/attempts.py
@@ -31,7 +31,10 @@
     'NOT_EXECUTED_STATUSES',
     'Attempt',
     'Result',
+    'Retry',
     'SendPlan',
+    'lend_retry',
+    'obtain_retry',
     'refuse_unexecuted',
     'send_attempt',
     'take_permit',
@@ -47,6 +50,18 @@
     UNKNOWN = 'unknown'
 
 
+class Retry(enum.Enum):
+    """Answer to a request for a retry.
+
+    :cvar LATER: the node's share has just taken effect: choose a target anew, as the
+        request waited, and ask again.
+    """
+
+    TAKEN = 'taken'
+    LATER = 'later'
+    DENIED = 'denied'
+
+
 @dataclass(frozen=True, slots=True)
 class Attempt:
     """A completed attempt.
@@ -76,6 +91,13 @@
     return max(2, int(service.connections * CONNECTION_SHARE / max(1, nodes)))
 
 
+#: Longest time in seconds for which a request waits until the node's share of the retry
+#: budget takes effect: clients abandon a stream that stalls for two seconds.
+MAX_SHARE_WAIT_S = 1.0
+
+#: Time in seconds before the deadline at which a request no longer waits.
+MIN_TIME_LEFT_S = 0.2
+
 #: Statuses that guarantee to a client that its request was not executed.
 NOT_EXECUTED_STATUSES = frozenset({408, 421, 429, 503})
 
@@ -108,6 +130,36 @@
     return False
 
 
+async def obtain_retry(components: GatewayComponents, job: Job) -> Retry:
+    """Take one retry from the budget; a node that started recently may borrow it.
+
+    A node whose share takes effect shortly waits for it, unless the deadline passes
+    first.
+    """
+    if take_retry(components, job):
+        return Retry.TAKEN
+    session = components.session
+    now = components.clock()
+    settled_at = session.share.find_settled_at()
+    if settled_at <= now:
+        return Retry.DENIED
+    if await session.loans.borrow(job.service.name, job.fields.request):
+        return Retry.TAKEN
+    if settled_at > min(now + MAX_SHARE_WAIT_S, job.deadline_at - MIN_TIME_LEFT_S):
+        return Retry.DENIED
+    await anyio.sleep(settled_at - components.clock())
+    return Retry.LATER
+
+
+def lend_retry(components: GatewayComponents, service: str, peer: str) -> bool:
+    """Take one retry for a peer from this node's budget, once its share is settled."""
+    session = components.session
+    share = session.find_share()
+    if session.share.find_settled_at() > components.clock():
+        return False
+    return components.budget.lend(service, share, peer)
+
+
 def refuse_unexecuted(
     components: GatewayComponents,
     job: Job,
--- a/coursepitch/gateway/budget.py
+++ b/coursepitch/gateway/budget.py
@@ -3,7 +3,8 @@
 In each window, the retries of a service may amount to a ratio of its requests plus a
 constant.  A node uses its share of both, see :mod:`coursepitch.fleet.shares`, because
 it knows neither what its own process used before a restart nor what was used by nodes
-that have gone.
+that have gone.  A node that started recently borrows retries from its peers, see
+:mod:`coursepitch.fleet.retry_loans`.
 """
 
 from __future__ import annotations
@@ -25,11 +26,15 @@
 #: which do not learn of added nodes and so divide the constant by too few.
 EXTRA_SHARE = 0.8
 
+#: Largest share of a node's retries in a window that it lends to peers.
+LENT_SHARE = 0.5
+
 
 @dataclass(eq=False)
 class _Window:
     first_sends: collections.deque[float] = field(default_factory=collections.deque)
     retries: collections.deque[float] = field(default_factory=collections.deque)
+    lent: collections.deque[float] = field(default_factory=collections.deque)
 
 
 @dataclass(eq=False)
@@ -62,13 +67,8 @@
         :param share: this node's share of the budget.
         :param request: id of the request, for the log.
         """
-        window = self._windows.setdefault(service, _Window())
-        start = self.clock() - self.window_s
-        for times in (window.first_sends, window.retries):
-            while times and times[0] < start:
-                times.popleft()
-        bound = self.ratio * share.traffic * len(window.first_sends)
-        bound += self.extra * EXTRA_SHARE * share.constant
+        window = self._read_window(service)
+        bound = self._find_bound(window, share)
         granted = len(window.retries) + 1 <= bound + self.offset
         log.emit(
             events.RETRY_REQUESTED,
@@ -84,3 +84,45 @@
         if granted:
             window.retries.append(self.clock())
         return granted
+
+    def lend(self, service: str, share: LimitFractions, peer: str) -> bool:
+        """Take one retry on behalf of a peer; return ``False`` if none is left to lend.
+
+        Retries that are lent count as this node's own, and are at most
+        :data:`LENT_SHARE` of them, so that its own requests keep the rest.
+
+        :param share: this node's share of the budget.
+        """
+        window = self._read_window(service)
+        bound = self._find_bound(window, share)
+        granted = (
+            len(window.retries) + 1 <= bound + self.offset
+            and len(window.lent) + 1 <= bound * LENT_SHARE + self.offset
+        )
+        log.emit(
+            events.RETRY_LENT,
+            peer=peer,
+            service=service,
+            granted=granted,
+            spent=len(window.retries),
+            lent=len(window.lent),
+            bound=round(bound, 2),
+        )
+        if granted:
+            window.retries.append(self.clock())
+            window.lent.append(self.clock())
+        return granted
+
+    def _read_window(self, service: str) -> _Window:
+        """Return the current window of a service, without what is older."""
+        window = self._windows.setdefault(service, _Window())
+        start = self.clock() - self.window_s
+        for times in (window.first_sends, window.retries, window.lent):
+            while times and times[0] < start:
+                times.popleft()
+        return window
+
+    def _find_bound(self, window: _Window, share: LimitFractions) -> float:
+        """Return the largest number of retries of this node in a window."""
+        bound = self.ratio * share.traffic * len(window.first_sends)
+        return bound + self.extra * EXTRA_SHARE * share.constant
--- a/coursepitch/gateway/calls.py
+++ b/coursepitch/gateway/calls.py
@@ -10,11 +10,12 @@
 from coursepitch.gateway.admission import Denied, Terms
 from coursepitch.gateway.attempts import (
     NOT_EXECUTED_STATUSES,
+    Retry,
     SendPlan,
+    obtain_retry,
     refuse_unexecuted,
     send_attempt,
     take_permit,
-    take_retry,
 )
 from coursepitch.gateway.job import Ending, Refusal
 from coursepitch.gateway.suspicion import explain_crashes
@@ -63,8 +64,12 @@
             instance = await self._wait_for_instance(job, tried)
             if instance is None:
                 return self._give_up(job)
-            if job.sent and not take_retry(self._components, job):
-                return self._give_up(job)
+            if job.sent:
+                retry = await obtain_retry(self._components, job)
+                if retry is Retry.LATER:
+                    continue
+                if retry is Retry.DENIED:
+                    return self._give_up(job)
             tried.add(instance.name)
             may_retry = self._may_retry_after_next(job)
             if await self._run_once(job, instance, may_retry):
--- a/coursepitch/gateway/streams.py
+++ b/coursepitch/gateway/streams.py
@@ -10,11 +10,12 @@
 from coursepitch.gateway.admission import Denial, Denied, Terms
 from coursepitch.gateway.attempts import (
     NOT_EXECUTED_STATUSES,
+    Retry,
     SendPlan,
+    obtain_retry,
     refuse_unexecuted,
     send_attempt,
     take_permit,
-    take_retry,
 )
 from coursepitch.gateway.event_splitter import EventSplitter
 from coursepitch.gateway.job import Ending, Refusal
@@ -95,8 +96,12 @@
             group = await self._wait_for_group(job, tried)
             if group is None:
                 return self._give_up(job)
-            if job.sent and not take_retry(self._components, job):
-                return self._give_up(job)
+            if job.sent:
+                retry = await obtain_retry(self._components, job)
+                if retry is Retry.LATER:
+                    continue
+                if retry is Retry.DENIED:
+                    return self._give_up(job)
             if await self._run_once(job, group, splitter):
                 return None
             await self._components.crash_detector.check_crash(job)
--- a/coursepitch/gateway_application.py
+++ b/coursepitch/gateway_application.py
@@ -4,6 +4,7 @@
 
 import signal
 from dataclasses import replace
+from functools import partial
 from typing import TYPE_CHECKING
 
 import anyio
@@ -23,6 +24,7 @@
 from coursepitch.fleet.session import FleetSession
 from coursepitch.fleet.suspects import SuspectTable
 from coursepitch.gateway.admission import Admission
+from coursepitch.gateway.attempts import lend_retry
 from coursepitch.gateway.budget import RetryBudget
 from coursepitch.gateway.calls import CallServer
 from coursepitch.gateway.components import GatewayComponents
@@ -124,6 +126,8 @@
         self.session.limits.tell = self.links.send
         self.session.permits.tell = self.links.send
         self.session.permits.count = self._count_permit
+        self.session.loans.tell = self.links.send
+        self.session.loans.count = self._count_loan
         self.notices.tell = self.links.send
         self.notices.is_watching = self.session.is_watching
         self.notices.note_cold = self.session.cold.note_told
@@ -188,6 +192,7 @@
             self.admission,
             self.clock,
         )
+        self.session.loans.lend = partial(lend_retry, components)
         streams = StreamServer(components, self.watchdog)
         calls = CallServer(components)
         suspicion = SuspicionGate(
@@ -245,6 +250,9 @@
         session.view.on_refused = reporter.apply_stored
         self.links.greet = self._synchronize_peer
 
+    def _count_loan(self, outcome: str) -> None:
+        self.metrics.borrowed_retries.inc({'outcome': outcome})
+
     def _count_permit(self, outcome: str) -> None:
         self.metrics.limited_sends.inc({'outcome': outcome})
 
--- a/coursepitch/metrics.py
+++ b/coursepitch/metrics.py
@@ -55,6 +55,10 @@
             'limited_sends_total',
             'Permits requested to send to rate-limited instances, by outcome.',
         )
+        self.borrowed_retries = counter(
+            'borrowed_retries_total',
+            'Retries requested from peers while this node starts, by outcome.',
+        )
         self.limited_instances = gauge(
             'limited_instances', 'Instances with a known rate limit.'
         )
--- a/tests/gateway/test_budget.py
+++ b/tests/gateway/test_budget.py
@@ -10,99 +10,17 @@
 
 from __future__ import annotations
 
-import contextlib
 import random
 import unittest
-from types import SimpleNamespace
 
-from coursepitch.fleet.freshness import Freshness
-from coursepitch.fleet.nodes import NodeLocation
-from coursepitch.fleet.session import FleetSession
 from coursepitch.fleet.shares import SETTLED_FRACTION
-from coursepitch.gateway.attempts import take_retry
-from coursepitch.gateway.budget import RetryBudget
-from coursepitch.platform.kv import Swapped
-
-RATIO = 0.2
-EXTRA = 136.0
-WINDOW_S = 10.0
-SERVICE = 'pool'
+from tests.gateway.simulated_budget import EXTRA, RATIO, SERVICE, WINDOW_S, Node
 
 #: Step in seconds of a simulated fleet, and the time until it starts to retry.
 STEP_S = 0.25
 RETRY_START_S = 30.0
 
 
-class FakeStore:
-    """Store that grants every lease and accepts every write."""
-
-    async def grant(self, ttl_s):
-        return '7'
-
-    async def renew(self, lease):
-        return True
-
-    async def transact(self, conditions, writes=()):
-        return Swapped(5)
-
-
-class FakeBook:
-    """Heartbeat book with a settable number of other nodes."""
-
-    others = 0
-
-    def count_others(self):
-        return self.others
-
-
-def run_to_end(work):
-    """Run a coroutine that never suspends."""
-    with contextlib.suppress(StopIteration):
-        work.send(None)
-
-
-class Node:
-    """The retry budget of one process of a node."""
-
-    def __init__(self, name, clock, extra=None):
-        self.session = FleetSession(name, FakeStore(), Freshness(4.0, clock), clock)
-        self.session.book = FakeBook()
-        self.budget = RetryBudget(RATIO, extra or EXTRA, WINDOW_S, clock)
-        self._components = SimpleNamespace(session=self.session, budget=self.budget)
-
-    def update_listing(self, names):
-        """Register the node, and set the nodes that it sees as listed."""
-        nodes = self.session.view.nodes
-        for name in set(nodes) - set(names):
-            del nodes[name]
-        for name in names:
-            nodes[name] = NodeLocation('a:1')
-        run_to_end(self.session.leases.renew_listing())
-        self.session.book.others = len(names) - 1
-        self.session.find_share()
-
-    def use_budget(self, requests):
-        """Take retries until the budget is used up; return their number.
-
-        :param requests: requests that arrived at the node just before.
-        """
-        for _ in range(requests):
-            self.budget.note_request(SERVICE)
-        return self.take_retries()
-
-    def take_retries(self, most=100_000):
-        """Take up to a number of retries; return how many were granted."""
-        job = SimpleNamespace(
-            service=SimpleNamespace(name=SERVICE),
-            fields=SimpleNamespace(request='r'),
-            last_reason='',
-        )
-        count = 0
-        while count < most and take_retry(self._components, job):
-            count += 1
-        return count
-
-
 class RestartedProcessesTest(unittest.TestCase):
     """The retries of all nodes in a window stay within the budget."""
 
--- a/tests/whole/steady_clients.py
+++ b/tests/whole/steady_clients.py
@@ -49,10 +49,21 @@
         return replies
 
     def find_heads(self):
-        """Return the heads of open groups once there are two."""
+        """Return the heads of open groups once there are two and all nodes know.
+
+        The members of a group are told before its entry says that it is open.
+        """
         heads = [
             name
             for name, item in self.stats('pool').items()
             if item['group'] and item['group']['state'] == 'open'
         ]
-        return heads if len(heads) > 1 else None
+        if len(heads) < 2:
+            return None
+        return heads if all(map(self.knows_two_groups, self.nodes)) else None
+
+    def knows_two_groups(self, node):
+        """Whether a stream on a node had two groups to choose from."""
+        if not self.serves(node):
+            return False
+        return self.running[node].read_events('request.sent')[-1]['choices'] > 1
--- a/tests/whole/test_backoffs.py
+++ b/tests/whole/test_backoffs.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from coursepitch.fleet.shares import FIRST_START_LAG_S
+from collections import Counter
+
 from tests.whole.steady_clients import SteadyClientsCase
 
 #: Seconds for which an instance wants no requests from a node that it rejects.
@@ -42,6 +43,15 @@
                     counts.append(sum(first < at < last for at, _ in arrivals))
         return max(counts)
 
+    def start_again(self, name):
+        """Kill a node and wait until its next process serves."""
+        node = self.running[name]
+        node.process.kill()
+        node.process.wait()
+        node.start_again()
+        self.wait_for(node.has_started_again, f'{name} listens')
+        self.wait_for(lambda: self.serves(name), f'{name} serves')
+
     def ask_backoff(self, service, *names):
         """Let instances reject everything and ask for a backoff."""
         self.control(service, '/backoff', instances=list(names), backoff=str(BACKOFF_S))
@@ -52,8 +62,6 @@
 
     def test_node_sends_nothing_to_a_head_that_asked_for_a_backoff(self):
         name = min(self.wait_for(self.find_heads, 'two groups are open'))
-        # Until then nodes have no second send for what is turned away.
-        self.send_for(2 * FIRST_START_LAG_S, 'POST', '/stream/x')
         self.ask_backoff('pool', name)
         replies = self.send_for(2 * BACKOFF_S, 'POST', '/stream/x', CLIENTS)
         self.assertLessEqual(self.count_in_backoffs('pool', name), MOST_IN_BACKOFF)
@@ -104,13 +112,45 @@
     nodes = ('n1', 'n2')
 
     def test_started_node_serves_what_one_of_three_instances_turned_away(self):
-        node = self.running['n2']
-        node.process.kill()
-        node.process.wait()
-        node.start_again()
-        self.wait_for(node.has_started_again, 'n2 listens')
-        self.wait_for(lambda: self.serves('n2'), 'n2 serves')
+        self.start_again('n2')
         name = min(self.stats('api'))
         self.control('api', '/backoff', instances=[name], backoff='0.1')
         replies = self.send_for(DRAIN_S, 'GET', '/again/x')
         self.assertEqual({reply.status_code for reply, _ in replies}, {200})
+
+
+class BusyStartedNodeTest(NoticeCase):
+    """A node that starts again beside another, while clients send much."""
+
+    nodes = ('n1', 'n2')
+
+    # Guards against 503 for what instances rejected while another has room, as a node
+    # that started just before has next to no share of the retry budget.
+    def test_started_node_serves_all_when_two_of_three_instances_reject(self):
+        self.start_again('n2')
+        names = sorted(self.stats('api'))[:2]
+        self.control('api', '/backoff', instances=names, backoff='0.02')
+        replies = self.send_for(4 * DRAIN_S, 'GET', '/again/x', 2 * CLIENTS)
+        self.assertEqual(Counter(reply.status_code for reply, _ in replies)[503], 0)
+        self.assertEqual({reply.status_code for reply, _ in replies}, {200})
+
+
+class FirstStartTest(NoticeCase):
+    """A node of the system's first start that starts a little after the others."""
+
+    nodes = ('n1', 'n2')
+
+    # Guards against 503 in the first second after a first start, in which a node has
+    # no share of the constant part of the retry budget.
+    def test_node_serves_all_at_once_when_two_of_three_instances_reject(self):
+        self.start_node('n3')
+        self.nodes = ('n1', 'n2', 'n3')
+        names = sorted(self.stats('api'))[:2]
+        self.wait_for(self.answers, 'n3 answers')
+        self.control('api', '/backoff', instances=names, backoff='0.02')
+        replies = self.send_for(DRAIN_S, 'GET', '/again/x', 2 * CLIENTS)
+        self.assertEqual({reply.status_code for reply, _ in replies}, {200})
+
+    def answers(self):
+        """Whether n3 passes requests on."""
+        return self.send('n3', 'GET', '/again/x', 'probe').status_code == 200
