Wait for the servers' end at a planned stop

A node of the OpenAI side that stopped as planned closed connections 0.1 s after its last request had ended.

Cause: a request left the list of those in flight when its response was built, not when it was written; then the node slept for 0.1 s and cancelled the servers. The server library, when cancelled while a connection is open, asks tasks that have not ended for their exception.

A request is now in flight until its response has been written; a client that does not read one for as long as a connection may be idle is disconnected and logged (620). The stop waits for the servers, 2 s at most, 0.1 s if a second signal cut requests, and 1 s more for closing.

The same was looked for in gateway_application, where a write waits until the operating system has all of it: sound. tests.test_application overrides the method that lists the tasks, whose parameters changed; what it checks is the same.

--- a/coursepitch/application.py
+++ b/coursepitch/application.py
@@ -42,7 +42,7 @@
 from coursepitch.serving.replica_selector import ReplicaSelector
 from coursepitch.serving.services import ServiceCaller
 from coursepitch.targets.engine import EngineControl
-from coursepitch.util.http import serve_app
+from coursepitch.util.http import ServerStop, serve_app
 
 if TYPE_CHECKING:
     import socket
@@ -59,8 +59,13 @@
 #: Seconds after which an unchanged load is told again.
 LOAD_S = 10.0
 
-#: Seconds for which a stopping node lets answers go out that are made already.
-ANSWERS_OUT_S = 0.1
+#: Longest time in seconds for which a stopping node waits until clients have received
+#: what was written to their connections, and the same if requests were cut.
+ANSWERS_OUT_S = 2.0
+CUT_ANSWERS_OUT_S = 0.1
+
+#: Seconds after that for which the servers may take to close their connections.
+CLOSE_TIMEOUT_S = 1.0
 
 #: Seconds between two looks at duties, contact and readiness.
 _TELL_S = 0.25
@@ -299,25 +304,30 @@
         }
         ports = {name: sock.getsockname()[1] for name, sock in sockets.items()}
         registrar = self._build_registrar(ports)
-        stop_entry, stop_admin = anyio.Event(), anyio.Event()
+        stop = ServerStop()
         async with anyio.create_task_group() as group:
             group.start_soon(registrar.run)
-            for task in self._list_tasks(sockets, stop_entry, stop_admin):
+            for task in self._list_tasks(sockets['peers']):
                 group.start_soon(task)
-            log.emit(events.NODE_STARTED, ports=ports)
-            if not settings.admin.key_hashes:
-                log.emit(events.ADMIN_KEYS_MISSING, address=settings.admin.address)
-            announce(ports)
-            with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-                await anext(signals)
-                cut = await self._drain(signals)
-            for request in cut:
-                log.emit(events.REQUEST_ABORTED, request=request)
-            await registrar.leave()
-            stop_entry.set()
-            stop_admin.set()
-            # Answers already made go out; new connections are refused by now.
-            await anyio.sleep(ANSWERS_OUT_S)
+            async with anyio.create_task_group() as servers:
+                for server in self._list_servers(sockets, stop):
+                    servers.start_soon(server)
+                log.emit(events.NODE_STARTED, ports=ports)
+                if not settings.admin.key_hashes:
+                    log.emit(events.ADMIN_KEYS_MISSING, address=settings.admin.address)
+                announce(ports)
+                with anyio.open_signal_receiver(
+                    signal.SIGTERM, signal.SIGINT
+                ) as signals:
+                    await anext(signals)
+                    cut = await self._drain(signals)
+                for request in cut:
+                    log.emit(events.REQUEST_ABORTED, request=request)
+                await registrar.leave()
+                stop.request(CUT_ANSWERS_OUT_S if cut else ANSWERS_OUT_S)
+                servers.cancel_scope.deadline = (
+                    anyio.current_time() + stop.grace_s + CLOSE_TIMEOUT_S
+                )
             group.cancel_scope.cancel()
         # Only now: a task that met a closed client ended the node with code 1, in 4 of
         # 43 sessions of the demo beside other work.
@@ -336,20 +346,17 @@
         )
         return Registrar(Key('node', self.me), spec, self.session)
 
-    def _list_tasks(
-        self,
-        sockets: dict[str, socket.socket],
-        stop_entry: anyio.Event,
-        stop_admin: anyio.Event,
+    def _list_servers(
+        self, sockets: dict[str, socket.socket], stop: ServerStop
     ) -> list[Callable[[], Coroutine[Any, Any, None]]]:
-        """Return the tasks of the node, in the order in which they start."""
+        """Return the tasks that serve operators and clients."""
         settings = self.settings
 
         async def serve_entry() -> None:
             await serve_app(
                 self.caller_api.build_app(),
                 sockets['entry'],
-                stop_entry,
+                stop,
                 certificate=settings.entry.tls_certificate,
                 key=settings.entry.tls_key,
                 header_limit=settings.entry.header_limit,
@@ -360,16 +367,26 @@
             await serve_app(
                 self.admin.build_app(),
                 sockets['admin'],
-                stop_admin,
+                stop,
                 certificate=settings.admin.tls_certificate,
                 key=settings.admin.tls_key,
             )
 
+        return [serve_admin, serve_entry]
+
+    def _list_tasks(
+        self, peers: socket.socket
+    ) -> list[Callable[[], Coroutine[Any, Any, None]]]:
+        """Return the other tasks of the node, in the order in which they start.
+
+        :param peers: listening socket for links of peers.
+        """
+
         async def take_duties() -> None:
             await self.duties.run(0.5)
 
         async def hold_links() -> None:
-            await self.hub.run(sockets['peers'])
+            await self.hub.run(peers)
 
         async def wake_waiting() -> None:
             await self.dispatcher.run_slot_assignment(0.1)
@@ -387,8 +404,6 @@
             self.cluster.run,
             wake_waiting,
             settle_records,
-            serve_admin,
-            serve_entry,
         ]
 
     # -- planned stop -------------------------------------------------------------
--- a/coursepitch/events.py
+++ b/coursepitch/events.py
@@ -453,6 +453,12 @@
     'the maximum number of retries in the window.',
     ('peer', 'service', 'granted', 'spent', 'lent', 'bound'),
 )
+RESPONSE_UNREAD = Event(
+    620,
+    'request.unread',
+    'A client was disconnected as it did not read its response within a time limit.',
+    ('request', 'limit_s'),
+)
 REQUEST_SUSPECTED = Event(
     612,
     'request.suspected',
--- a/coursepitch/serving/caller_api.py
+++ b/coursepitch/serving/caller_api.py
@@ -5,6 +5,7 @@
 import hashlib
 import secrets
 from dataclasses import dataclass, field
+from functools import partial
 from typing import TYPE_CHECKING, Any
 
 import anyio
@@ -39,7 +40,12 @@
     build_refusal,
 )
 from coursepitch.serving.sse import DONE_DATA, encode_event
-from coursepitch.util.http import StreamedResponse, read_body, run_until_disconnect
+from coursepitch.util.http import (
+    StreamedResponse,
+    TrackedResponse,
+    read_body,
+    run_until_disconnect,
+)
 
 if TYPE_CHECKING:
     from collections.abc import AsyncGenerator, AsyncIterator, Awaitable, Callable
@@ -137,11 +143,27 @@
 
     def _wrap_handler(
         self, handle: Callable[[Request, RequestContext], Awaitable[Response]]
-    ) -> Callable[[Request], Awaitable[Response]]:
-        """Wrap a handler: check identity and readiness, turn errors into refusals."""
+    ) -> Callable[[Request], Awaitable[TrackedResponse]]:
+        """Wrap a handler: check identity and readiness, turn errors into refusals.
+
+        A request is in flight until its response has been written.
+        """
 
-        async def endpoint(request: Request) -> Response:
+        async def endpoint(request: Request) -> TrackedResponse:
             request_id = secrets.token_hex(8)
+            end = partial(self._gate.end_request, request_id)
+            try:
+                response = await answer(request, request_id)
+            except BaseException:
+                end()
+                raise
+            timeout_s = self._settings.idle_timeout_s
+            note_unread = partial(
+                log.emit, events.RESPONSE_UNREAD, request=request_id, limit_s=timeout_s
+            )
+            return TrackedResponse(response, end, note_unread, timeout_s)
+
+        async def answer(request: Request, request_id: str) -> Response:
             with log.start_action('request', request=request_id, path=request.url.path):
                 try:
                     identity = self._gate.identify(
@@ -168,7 +190,6 @@
 
     def _refuse(self, problem: Problem) -> Response:
         refusal = problem.refusal
-        self._gate.end_request(problem.request_id)
         self._metrics.requests.inc(
             {'outcome': refusal.outcome.value, 'code': str(refusal.number)}
         )
@@ -183,7 +204,6 @@
     # -- models ------------------------------------------------------------------
 
     async def _list_models(self, request: Request, context: RequestContext) -> Response:
-        self._gate.end_request(context.request_id)
         names = self._gate.directory().list_models(context.identity.customer)
         data = [
             {'id': name, 'object': 'model', 'created': 0, 'owned_by': 'coursepitch'}
@@ -408,7 +428,6 @@
                 context.content_type,
                 bytes(context.answer),
             )
-        self._gate.end_request(context.request_id)
         if context.outcome is Outcome.ANSWERED:
             self._metrics.requests.inc({'outcome': 'answered', 'code': '0'})
             waited = round(self._clock() - context.started_at, 4)
@@ -455,7 +474,6 @@
             return None
         stored = claim_result.stored
         if decision is Decision.REPLAY and stored is not None:
-            self._gate.end_request(context.request_id)
             context.status, context.content_type = stored.status, stored.content_type
             answer = self._build_answer(context, stored.body)
             answer.headers['idempotency-replayed'] = 'true'
--- a/coursepitch/util/http.py
+++ b/coursepitch/util/http.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+import asyncio
 import math
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any
 
 import anyio
+import anyio.lowlevel
 from hypercorn.asyncio import serve
 from hypercorn.config import Config
 from starlette.responses import Response
@@ -20,27 +23,45 @@
 
 __all__ = [
     'Cutoff',
+    'ServerStop',
     'StreamedResponse',
+    'TrackedResponse',
     'read_body',
     'run_until_disconnect',
     'serve_app',
 ]
 
 
+@dataclass(eq=False)
+class ServerStop:
+    """Tells servers to stop.
+
+    :param grace_s: seconds for which open connections may still send what was written.
+    """
+
+    grace_s: float = 0.0
+    requested: anyio.Event = field(default_factory=anyio.Event)
+
+    def request(self, grace_s: float) -> None:
+        """Stop the servers; they close connections as soon as these are idle."""
+        self.grace_s = grace_s
+        self.requested.set()
+
+
 async def serve_app(
     app: Any,
     sock: socket.socket,
-    stop: anyio.Event,
+    stop: ServerStop,
     *,
     certificate: str = '',
     key: str = '',
     header_limit: int = 16_384,
     idle_s: float = 30.0,
 ) -> None:
-    """Serve an application on a socket until ``stop`` is set.
+    """Serve an application on a socket until ``stop`` is requested.
 
-    The caller must finish the requests in flight before it sets ``stop``; the server's
-    own grace period only covers connections that are about to close.
+    The caller must finish the requests in flight before that; the grace period only
+    covers what the operating system has not accepted yet.
 
     :param certificate: path of the TLS certificate; empty for plain HTTP.
     :param key: path of the TLS key.
@@ -53,11 +74,21 @@
     config.keyfile = key or None
     config.errorlog = None
     config.accesslog = None
-    config.graceful_timeout = 2.0
     config.keep_alive_timeout = idle_s
     config.h11_max_incomplete_size = header_limit
     config.include_server_header = False
-    await serve(app, config, shutdown_trigger=stop.wait)
+
+    async def wait_stop() -> None:
+        await stop.requested.wait()
+        config.graceful_timeout = stop.grace_s
+
+    try:
+        await serve(app, config, shutdown_trigger=wait_stop)
+    except asyncio.InvalidStateError:
+        # A server that is cancelled while connections are open reads the results of
+        # tasks that have not ended.
+        await anyio.lowlevel.checkpoint_if_cancelled()
+        raise
 
 
 async def read_body(request: Request, limit: int, timeout_s: float) -> bytes:
@@ -170,3 +201,38 @@
         finally:
             with anyio.CancelScope(shield=True):
                 await self._finish()
+
+
+class TrackedResponse:
+    """A response that reports when it has been sent, or that sending it failed.
+
+    :param end: called once, after the last byte was written or the client was
+        disconnected.
+    :param note_unread: called if the client is disconnected as it does not read.
+    :param timeout_s: seconds after which a client that does not read a whole response
+        is disconnected; a :class:`StreamedResponse` has a deadline of its own.
+    """
+
+    def __init__(
+        self,
+        response: Response,
+        end: Callable[[], None],
+        note_unread: Callable[[], None],
+        timeout_s: float,
+    ) -> None:
+        self._response = response
+        self._end = end
+        self._note_unread = note_unread
+        streamed = isinstance(response, StreamedResponse)
+        self._timeout_s = math.inf if streamed else timeout_s
+
+    async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
+        """Send the response."""
+        try:
+            with anyio.move_on_after(self._timeout_s) as sending:
+                await self._response(scope, receive, send)
+            if sending.cancelled_caught:
+                self._note_unread()
+                raise Cutoff('the client does not read its response')
+        finally:
+            self._end()
--- a/tests/test_application.py
+++ b/tests/test_application.py
@@ -35,7 +35,10 @@
 
         return SimpleNamespace(run=anyio.sleep_forever, leave=leave)
 
-    def _list_tasks(self, sockets, stop_entry, stop_admin):
+    def _list_servers(self, sockets, stop):
+        return []
+
+    def _list_tasks(self, peers):
         async def use_clients():
             while True:
                 await anyio.lowlevel.checkpoint()
