Link past absent nodes, so that those that are left take over duties

Of four nodes of the OpenAI side two that are opposite in the ring of links were lost; nobody held the cluster duty or a domain's any more, so no replica was repaired, until one of them came back. test_paused_holder_of_duties failed once that way, beside a killed node that was still registered.

Cause: links go to fixed places of the ring of all registered nodes. With those in between absent the others hear nobody, and a node that hears from half of the nodes or fewer takes no duty; only a holder of the cluster duty removes the absent ones. Ruled out: a duty that stayed in the service, a lease that was not renewed.

The nodes that are present form a ring too, and each node links by both; they are equal while none is absent, so a whole fleet has the links that it had.

--- a/coursepitch/application.py
+++ b/coursepitch/application.py
@@ -94,6 +94,7 @@
         self.session = Session(me, self.kv, platform, clock)
         boot = int(time.time() * 1000)
         self.hub = PeerHub(me, boot, self.session, settings.peers, self.metrics, clock)
+        self.hub.list_present = self._list_present
         self._build_control()
         self._build_serving()
         self._ready = ''
@@ -210,6 +211,11 @@
                 domains.update(item.body.domains)
         return tuple(sorted(domains))
 
+    def _list_present(self) -> frozenset[str]:
+        """Return the nodes that have a lease or were heard from recently."""
+        heard = list_live_nodes(self.hub, self.clock())
+        return frozenset(self.session.view.value.live) | frozenset(heard)
+
     def _read_nodes(self) -> dict[str, NodeBody]:
         return self.reporter.read_nodes()
 
--- a/coursepitch/peers/hub.py
+++ b/coursepitch/peers/hub.py
@@ -33,10 +33,11 @@
 )
 from coursepitch.peers.slots import SlotTable
 from coursepitch.peers.table import KnownState, MergeResult, Record, RecordKey, Table
-from coursepitch.peers.topology import choose_peers
+from coursepitch.peers.topology import choose_links
 
 if TYPE_CHECKING:
     import socket
+    from collections.abc import Callable, Collection
 
     from coursepitch.clock import Clock
     from coursepitch.config.settings import PeerSettings
@@ -55,6 +56,9 @@
 #: Kinds of records that are forwarded at once when their body changes.
 _URGENT_KINDS = frozenset({'node', 'domain', 'fleet'})
 
+#: Seconds for which a peer counts as absent after a link to it failed or broke.
+UNREACHABLE_S = 10.0
+
 #: Maximum number of records in one digest; the rest follows in the next one.
 _MAX_DIGEST_RECORDS = 2000
 
@@ -111,8 +115,11 @@
         self._metrics = metrics
         self._clock = clock
         self._table = Table(node_name, boot)
+        #: Returns the nodes that have a lease or were heard from recently.
+        self.list_present: Callable[[], Collection[str]] = tuple
         self._links: set[Link] = set()
         self._link_scopes: dict[str, anyio.CancelScope] = {}
+        self._failed_at: dict[str, float] = {}
 
     # -- public interface ---------------------------------------------------
 
@@ -185,7 +192,10 @@
             for item in nodes
         }
         if len(addresses) > 1 or self._node_name in addresses:
-            chosen = choose_peers(self._node_name, addresses)
+            start = self._clock() - UNREACHABLE_S
+            unreachable = {name for name, at in self._failed_at.items() if at > start}
+            present = set(self.list_present()) - unreachable
+            chosen = choose_links(self._node_name, addresses, present)
             return {name: addresses[name] for name in chosen}
         return {address: address for address in self._settings.seeds}
 
@@ -215,10 +225,11 @@
                         close_timeout=1,
                         proxy=None,
                     ) as socket:
+                        self._failed_at.pop(name, None)
                         await self._run_link(socket)
                 except (OSError, WebSocketException, TimeoutError):
-                    # The peer is unreachable: retry.
-                    pass
+                    # The peer is unreachable: retry, and link past it meanwhile.
+                    self._failed_at[name] = self._clock()
                 except Exception as error:
                     # No input from a peer may terminate this node.
                     log.emit(events.PEER_REFUSED, peer=name, reason=repr(error))
--- a/coursepitch/peers/topology.py
+++ b/coursepitch/peers/topology.py
@@ -9,6 +9,7 @@
     from collections.abc import Iterable
 
 __all__ = [
+    'choose_links',
     'choose_peers',
     'compute_domain_interval',
     'compute_node_interval',
@@ -39,6 +40,23 @@
     return frozenset(peers - {node_name})
 
 
+def choose_links(
+    node_name: str, names: Iterable[str], present: Iterable[str]
+) -> frozenset[str]:
+    """Return the nodes to which ``node_name`` opens links, past absent ones.
+
+    Two absent nodes can separate the others of a small ring, so the nodes that are
+    present form a ring of their own too.  While all are present the rings are equal.
+
+    :param names: all nodes.
+    :param present: nodes that are known to be alive.
+    """
+    everyone = frozenset(names)
+    return choose_peers(node_name, everyone) | choose_peers(
+        node_name, everyone & frozenset(present)
+    )
+
+
 def rank_nodes(subject: str, names: Iterable[str]) -> list[str]:
     """Return the nodes sorted by rendezvous hash for a subject, best first.
 
