Measure on every node for how long others have been silent

Cause: a node is removed after 20 s of silence, which only the holder of the cluster duty measured; a stall of the service longer than a lease moves the duty, and the new holder began at 0.

Every node measures now, and the holder acts on it; a process that was suspended begins anew.

--- a/coursepitch/control/cluster.py
+++ b/coursepitch/control/cluster.py
@@ -31,6 +31,7 @@
     plan_placement,
 )
 from coursepitch.control.service_metrics import compute_service_metrics
+from coursepitch.control.silent_nodes import SilentNodes
 from coursepitch.errors import CodecError, ConflictError, UnavailableError
 from coursepitch.platform.kv import Events, Swapped, Unavailable, swap_with_readback
 
@@ -54,6 +55,8 @@
 #: from the registry.
 NODE_REMOVAL_DELAY_S = 20.0
 
+#: Seconds between two observations of which nodes are silent.
+OBSERVATION_INTERVAL_S = 1.0
 
 #: Seconds for which a replica must serve with all members healthy before every node
 #: is assumed to know of it; longer than a peer record takes to cross all links.
@@ -100,18 +103,23 @@
         self._peer_reader = peer_reader
         self._metrics = metrics
         self._clock = clock
+        self._silent_nodes = SilentNodes(clock)
         self._reset()
 
     def _reset(self) -> None:
         self._claims: dict[str, tuple[Claims, int]] = {}
         self._claims_revision = -1
-        self._silent_since: dict[str, float] = {}
         self._avoided_until: dict[str, float] = {}
         self._healthy_since: dict[str, float] = {}
         self._measured_at = self._clock()
 
     async def run(self) -> None:
         """Perform the duty whenever it is held, until cancelled."""
+        async with anyio.create_task_group() as group:
+            group.start_soon(self._observe_nodes)
+            await self._perform_duty()
+
+    async def _perform_duty(self) -> None:
         held = False
         while True:
             if not self._holds_cluster_duty():
@@ -136,29 +144,26 @@
 
     # -- configuration -----------------------------------------------------------
 
+    async def _observe_nodes(self) -> None:
+        """Observe which nodes are registered, without a lease and not heard from."""
+        while True:
+            view = self._session.view.value
+            # Count only nodes heard from recently, as peer records are kept for a
+            # minute after their node has stopped.
+            present = {*view.live, *self._peer_reader.list_heard(), self._me}
+            self._silent_nodes.observe(view.registered_nodes() - present)
+            await anyio.sleep(OBSERVATION_INTERVAL_S)
+
     async def _remove_silent_node(self) -> None:
         """Remove at most one unresponsive node from the registry."""
-        view = self._session.view.value
-        now = self._clock()
-        # Count only nodes heard from recently, as peer records are kept for a minute
-        # after their node has stopped.
-        heard = self._peer_reader.list_heard()
-        silent = [
-            name
-            for name in sorted(view.registered_nodes())
-            if name not in view.live and name not in heard and name != self._me
-        ]
-        self._silent_since = {
-            name: self._silent_since.get(name, now) for name in silent
-        }
-        for name, since in self._silent_since.items():
-            if now - since > NODE_REMOVAL_DELAY_S and self._holds_cluster_duty():
-                try:
-                    await self._session.record(Key('node', name), None)
-                except (UnavailableError, ConflictError):
-                    return
-                log.emit(events.NODE_FORGOTTEN, node=name)
-                return
+        silent = self._silent_nodes.list_silent(NODE_REMOVAL_DELAY_S)
+        if not silent or not self._holds_cluster_duty():
+            return
+        try:
+            await self._session.record(Key('node', silent[0]), None)
+        except (UnavailableError, ConflictError):
+            return
+        log.emit(events.NODE_FORGOTTEN, node=silent[0])
 
     # -- fleet state ----------------------------------------------------------------
 
--- a/tests/whole/test_survivors.py
+++ b/tests/whole/test_survivors.py
@@ -1,8 +1,10 @@
-"""Nodes that go on after others were lost."""
+"""Nodes that go on after others were lost, or while the service stalls."""
 
 from __future__ import annotations
 
 import json
+import signal
+import threading
 import time
 from collections import Counter
 
@@ -10,6 +12,11 @@
 from coursepitch.peers.topology import choose_peers
 from tests.whole.replica_base import ReplicaCase
 
+#: Seconds for which the service's process stands still, longer than a lease, and for
+#: which it runs in between, shorter than a lost node is waited for.
+STALL_S = 4.0
+RUN_S = 12.0
+
 
 class LostNodesCase(ReplicaCase):
     """Four nodes, of which two that are opposite in the ring of links are killed."""
@@ -77,3 +84,36 @@
             lambda: self.has_linked(one, other) or self.has_linked(other, one),
             'the nodes that are left link to each other',
         )
+
+
+class StallingServiceTest(ReplicaCase):
+    """The service's process stands still now and then, and all leases lapse."""
+
+    # Guards against a killed node that stays registered, as the time for which it was
+    # silent began anew with each holder of the cluster duty.
+    def test_killed_node_is_forgotten_though_the_service_stalls(self) -> None:
+        self.harness.start_node('n8', 'kurasini')
+        self.harness.wait_for(lambda: self.harness.is_ready('n8'), 'n8 serves')
+        self.harness.wait_for(self.is_known, 'n1 knows n8')
+        self.harness.processes.pop('n8').kill()
+        ended = threading.Event()
+        stalling = threading.Thread(target=self.stall, args=(ended,))
+        stalling.start()
+        try:
+            self.harness.wait_for(lambda: not self.is_known(), 'n8 is forgotten')
+        finally:
+            ended.set()
+            stalling.join()
+
+    def is_known(self) -> bool:
+        """Whether n1 has n8 among the registered nodes."""
+        items = self.harness.operate('n1', 'GET', 'node').json()['items']
+        return any(item['name'] == 'n8' for item in items)
+
+    def stall(self, ended: threading.Event) -> None:
+        """Stop and continue the service's process until told to end."""
+        while not ended.is_set():
+            self.send('kv', signal.SIGSTOP)
+            ended.wait(STALL_S)
+            self.send('kv', signal.SIGCONT)
+            ended.wait(RUN_S)
