--- a/tests/gateway/test_load_tracker.py
+++ b/tests/gateway/test_load_tracker.py
@@ -47,3 +47,28 @@
             self.load_tracker.note_success(name, 4.0 if name == 'a' else 0.5)
             tries += name == 'a'
         self.assertLess(tries, 12)
+
+
+class UnsampledInstanceTest(unittest.TestCase):
+    """An instance that a node had no response from, beside others.
+
+    Guards against an instance that some nodes pass over as long as the others are idle:
+    one that named a limit for its first seconds got requests from few nodes, and
+    afterwards none from the rest.
+    """
+
+    def test_instance_without_a_sample_gets_its_share(self):
+        now = 100.0
+        load_tracker = LoadTracker(lambda: now)
+        view = build_view([build_instance(name) for name in 'abc'])
+        router = Router(view, load_tracker, None, 'a')
+        for name in 'bc':
+            for _ in range(20):
+                load_tracker.note_success(name, 0.5)
+        count = 0
+        for _ in range(300):
+            now += 0.05
+            name = router.choose_instance(build_service(), ()).name
+            load_tracker.note_success(name, 0.5)
+            count += name == 'a'
+        self.assertGreater(count, 0.2 * 300)
