Wait longer for the answer that confirms the configuration

Once each call to the service took 1.3 s, nodes of the OpenAI side with the usual settings answered 503 not_ready to everything. Tests hid it: many of their nodes wait 5 s for an answer and serve for 60 s on a confirmation.

Cause: a confirmation counts for 6 s from the question, and each question was given up after 1 s, the time-out of any call.

The question now waits for 0.45 of the time for which its answer counts; a late answer is followed by the next question at once, so that two leave no gap. The time for which a node may serve without a confirmation is unchanged, as its age begins with the question.

--- a/coursepitch/control/session.py
+++ b/coursepitch/control/session.py
@@ -53,6 +53,11 @@
 #: Number of changes after which a new snapshot is written.
 SNAPSHOT_INTERVAL = 8
 
+#: Longest time for an answer that confirms the configuration, as a share of the time
+#: for which a confirmation counts.  Its age begins with the question, so that two such
+#: answers in a row leave no gap.
+CONFIRM_TIMEOUT_SHARE = 0.45
+
 #: Maximum number of attempts at a write that conflicts with concurrent writers; after
 #: the last one, the write fails.
 MAX_WRITE_ATTEMPTS = 8
@@ -200,14 +205,15 @@
             return self.view.value.configuration.resources[key]
         raise ConflictError(f'{key}: too many concurrent writers, try again')
 
-    async def read_head(self) -> tuple[Head, Entry]:
+    async def read_head(self, wait_s: float = 0.0) -> tuple[Head, Entry]:
         """Read and apply the head of the change history, and record the contact.
 
+        :param wait_s: seconds to wait for the answer beyond the usual timeout.
         :raises CodecError: the head or the snapshot is damaged.
         :raises UnavailableError: the service did not return a usable answer.
         """
         asked_at = self._clock()
-        entry = await self._kv.get(HEAD_KEY)
+        entry = await self._kv.get(HEAD_KEY, wait_s)
         if isinstance(entry, Unavailable):
             raise UnavailableError(entry.reason)
         head = decode_head(entry.value) if entry.present else Head()
@@ -351,18 +357,27 @@
         self._update_view(duties=duties, live=live, is_loaded=True)
 
     async def _refresh_contact(self) -> None:
-        period = self._settings.confirm_bound_s / 3
+        bound_s = self._settings.confirm_bound_s
+        period = bound_s / 3
+        wait_s = max(0.0, bound_s * CONFIRM_TIMEOUT_SHARE - self._settings.timeout_s)
         while True:
-            contact_at = self.view.value.contact_at
-            now = self._clock()
-            if contact_at is None or now - contact_at >= period * 0.9:
+            before = self.view.value.contact_at
+            if self._needs_contact(period):
                 try:
-                    await self.read_head()
+                    await self.read_head(wait_s)
                 except (UnavailableError, CodecError):
                     await anyio.sleep(period / 4)
                     continue
+                if self._needs_contact(period) and before != self.view.value.contact_at:
+                    # The service is slow: the next answer will be as old.
+                    continue
             await anyio.sleep(period * (0.5 + 0.5 * random.random()))
 
+    def _needs_contact(self, period: float) -> bool:
+        """Whether the last contact is about a period old, or there was none."""
+        contact_at = self.view.value.contact_at
+        return contact_at is None or self._clock() - contact_at >= period * 0.9
+
 
 def parse_number(text: str) -> int:
     """Parse a decimal number; return 0 if it is missing or damaged."""
--- a/coursepitch/platform/kv.py
+++ b/coursepitch/platform/kv.py
@@ -195,9 +195,13 @@
         """Close all connections."""
         self._pool.close()
 
-    async def get(self, key: str) -> Entry | Unavailable:
-        """Read one key."""
-        response = await self._call('get', 'GET', f'/-/kv-key?tls_key={quote(key)}')
+    async def get(self, key: str, wait_s: float = 0.0) -> Entry | Unavailable:
+        """Read one key.
+
+        :param wait_s: seconds to wait for the answer beyond the usual timeout.
+        """
+        target = f'/-/kv-key?tls_key={quote(key)}'
+        response = await self._call('get', 'GET', target, wait_s=wait_s)
         if isinstance(response, Unavailable):
             return response
         status, data = response
--- a/tests/control/test_session.py
+++ b/tests/control/test_session.py
@@ -26,7 +26,7 @@
     async def renew(self, lease):
         return True
 
-    async def get(self, key):
+    async def get(self, key, wait_s=0.0):
         return self.entries.get(key, Entry(key))
 
     async def swap(self, key, value, expect, lease=''):
--- a/tests/whole/test_service_outages.py
+++ b/tests/whole/test_service_outages.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import signal
+import time
 
 import httpx
 
@@ -129,6 +130,24 @@
         self.harness.restart_engine(victim, **self.engine)
 
 
+class SlowServiceTest(ReplicaCase):
+    """The service answers, but later than a call usually waits."""
+
+    settings = {'platform': {'confirm_bound_s': '6'}}
+
+    # Guards against nodes that refuse all requests as not ready, though the service
+    # confirms the configuration well within the time for which that counts.
+    def test_nodes_serve_while_confirmations_come_late(self) -> None:
+        self.harness.set_fault('kv', mode='slow', delay_s=1.3)
+        until = time.monotonic() + 12.0
+        replies = []
+        while time.monotonic() < until:
+            for node in self.nodes:
+                replies.append(self.harness.call(node, self.body('slow service')))
+        self.harness.set_fault('kv', mode='none')
+        self.assertEqual({reply.status_code for reply in replies}, {200})
+
+
 class BoundTest(ReplicaCase):
     """Nodes serve on a configuration only while it was confirmed just before."""
 
