--- a/coursepitch/application.py
+++ b/coursepitch/application.py
@@ -59,9 +59,11 @@
 #: Seconds after which an unchanged load is told again.
 LOAD_S = 10.0
 
-#: Longest time in seconds for which a stopping node waits until clients have received
-#: what was written to their connections, and the same if requests were cut.
+#: Longest time in seconds for which a stopping node waits until the operating system
+#: has accepted what was written to connections.
 ANSWERS_OUT_S = 2.0
+
+#: The same if the operator cut requests by a second signal.
 CUT_ANSWERS_OUT_S = 0.1
 
 #: Seconds after that for which the servers may take to close their connections.
--- a/coursepitch/peers/hub.py
+++ b/coursepitch/peers/hub.py
@@ -116,7 +116,7 @@
         self._clock = clock
         self._table = Table(node_name, boot)
         #: Returns the nodes that have a lease or were heard from recently.
-        self.list_present: Callable[[], Collection[str]] = tuple
+        self.list_present: Callable[[], Collection[str]] = lambda: ()
         self._links: set[Link] = set()
         self._link_scopes: dict[str, anyio.CancelScope] = {}
         self._failed_at: dict[str, float] = {}
