Take back that instances without a sample count as fast

load_tracker and router are as they were before. A value that fades from the cautious one while nothing is known is the way to try next.

--- a/coursepitch/gateway/load_tracker.py
+++ b/coursepitch/gateway/load_tracker.py
@@ -111,7 +111,7 @@
         record.failures = 0
         record.avoided_until = float('-inf')
         if slowness is not None:
-            before = self.find_relative_slowness(instance)
+            before = self.slowness(instance)
             sample = max(MIN_SLOWNESS, slowness)
             record.slowness = before + SAMPLE_WEIGHT * (sample - before)
             record.sampled_at = self.clock()
@@ -149,16 +149,6 @@
         above = record.slowness - MIN_SLOWNESS
         return MIN_SLOWNESS + above * math.exp(-age_s / SLOWNESS_DECAY_S)
 
-    def find_relative_slowness(self, instance: str) -> float:
-        """Return the slowness by which instances of a plain service are compared.
-
-        An instance without a sample counts as fast.  Otherwise a node that never had a
-        response from it would pass it over for as long as others are idle.
-        """
-        if self._record(instance).sampled_at == float('-inf'):
-            return MIN_SLOWNESS
-        return self.slowness(instance)
-
     def forget(self, present: set[str]) -> None:
         """Drop the records of instances that are gone and have nothing in flight.
 
--- a/coursepitch/gateway/router.py
+++ b/coursepitch/gateway/router.py
@@ -172,7 +172,7 @@
                 continue
             load = (
                 self._load_tracker.count_in_flight(name) + 1
-            ) * self._load_tracker.find_relative_slowness(name)
+            ) * self._load_tracker.slowness(name)
             zone_cost = self._zone_cost(instance, ZONE_COST_PER_SLOT * instance.slots)
             cost = load + zone_cost + random.random() * 0.2
             if self._load_tracker.is_avoided(name):
