--- a/coursepitch/events.py
+++ b/coursepitch/events.py
@@ -456,7 +456,7 @@
 RESPONSE_UNREAD = Event(
     620,
     'request.unread',
-    'A client was disconnected as it did not read its response within a time limit.',
+    'A client was disconnected as it did not read its response in time.',
     ('request', 'limit_s'),
 )
 REQUEST_SUSPECTED = Event(
