Tell refused from unanswered probes, and count connection attempts by outcome

In the incident of nodes cut off from the instances the logs did not show whether a probe was refused or unanswered, nor whether a node's connections failed to all instances or to some. The events 517 and 518 now name what the probe found, and coursepitch_instance_connections_total counts attempts by outcome, orders and probes included. No decision changes.

ProbeTest.test_refusals_are_told_from_silence and the outcomes in test_failed_connections_are_not_counted_and_tell_whether_refused are new; the code before had neither.

--- a/coursepitch/events.py
+++ b/coursepitch/events.py
@@ -299,15 +299,16 @@
 INSTANCE_PROBED = Event(
     517,
     'instance.probed',
-    'The members of a stalled group were probed.',
-    ('group', 'silent', 'answered'),
+    'The members of a stalled group were probed: which did not answer, and which of '
+    'these refused the connection.',
+    ('group', 'silent', 'refused', 'answered'),
 )
 INSTANCE_LOST = Event(
     518,
     'instance.lost',
     'The result of checking an instance that may be lost: false if it does not '
-    'respond.',
-    ('instance', 'answers'),
+    'respond, and what the probe found.',
+    ('instance', 'answers', 'found'),
 )
 
 CHANGES_MISSED = Event(
--- a/coursepitch/fleet/control.py
+++ b/coursepitch/fleet/control.py
@@ -19,7 +19,7 @@
     from coursepitch.clock import Clock
     from coursepitch.fleet.instances import FleetInstance
     from coursepitch.fleet.orders import Order
-    from coursepitch.http.client import Response
+    from coursepitch.http.client import ConnectOutcome, Response
     from coursepitch.platform.headers import ResponseMetadata
 
 __all__ = ['InstanceControl', 'Probe']
@@ -70,10 +70,19 @@
 
 
 class InstanceControl:
-    """Sends orders to instances, and requests their reports."""
-
-    def __init__(self, clock: Clock) -> None:
-        self._pool = ConnectionPool(clock, connect_timeout_s=ORDER_TIMEOUT_S)
+    """Sends orders to instances, and requests their reports.
+
+    :param note_attempt: called with the outcome of each connection attempt.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        note_attempt: Callable[[ConnectOutcome], None] = lambda outcome: None,
+    ) -> None:
+        self._pool = ConnectionPool(
+            clock, connect_timeout_s=ORDER_TIMEOUT_S, note_attempt=note_attempt
+        )
         self._order_limiter = anyio.CapacityLimiter(MAX_CONCURRENT_ORDERS)
         self._staging_limiter = anyio.CapacityLimiter(MAX_CONCURRENT_STAGINGS)
         #: Called with an instance's name, its start time and the metadata of a
@@ -139,6 +148,7 @@
     async def probe(self, instance: FleetInstance) -> Probe:
         """Request an instance's report, a second time before the first times out."""
         found: list[Probe] = []
+        failed: set[Probe] = set()
         async with anyio.create_task_group() as tasks:
 
             async def ask(turn: int) -> None:
@@ -147,10 +157,13 @@
                 if answer in (Probe.ANSWERS, Probe.REPLACED):
                     found.append(answer)
                     tasks.cancel_scope.cancel()
+                failed.add(answer)
 
             for turn in range(PROBE_TRIES):
                 tasks.start_soon(ask, turn)
-        return found[0] if found else Probe.SILENT
+        if found:
+            return found[0]
+        return Probe.REFUSED if failed == {Probe.REFUSED} else Probe.SILENT
 
     async def has_ended(self, instance: FleetInstance) -> bool:
         """Whether an instance's process is gone.
--- a/coursepitch/fleet/keeper.py
+++ b/coursepitch/fleet/keeper.py
@@ -267,13 +267,17 @@
         found = Probe.REPLACED
         if instance is not None:
             found = await self._control.probe(instance)
-        silent = found is Probe.SILENT
+        silent = found in (Probe.SILENT, Probe.REFUSED)
         if silent and name not in self._controller.unresponsive:
-            log.emit(events.INSTANCE_LOST, instance=name, answers=False)
+            log.emit(
+                events.INSTANCE_LOST, instance=name, answers=False, found=found.value
+            )
             self._controller.unresponsive.add(name)
             self._session.wake()
         if not silent:
-            log.emit(events.INSTANCE_LOST, instance=name, answers=True)
+            log.emit(
+                events.INSTANCE_LOST, instance=name, answers=True, found=found.value
+            )
             self._controller.unresponsive.discard(name)
             if view.lost.has(name):
                 await self._session.losses.clear(name)
--- a/coursepitch/gateway/watchdog.py
+++ b/coursepitch/gateway/watchdog.py
@@ -127,6 +127,7 @@
             events.INSTANCE_PROBED,
             group=group.claim.name,
             silent=silent,
+            refused=[name for name in silent if found[name] is Probe.REFUSED],
             answered=len(found) - len(silent),
         )
         if silent:
--- a/coursepitch/gateway_application.py
+++ b/coursepitch/gateway_application.py
@@ -49,6 +49,7 @@
     from coursepitch.clock import Clock
     from coursepitch.config.gateway import GatewaySettings, PromiseSettings
     from coursepitch.fleet.messages import Message
+    from coursepitch.http.client import ConnectOutcome
     from coursepitch.http.messages import IncomingRequest
     from coursepitch.http.server import ResponseWriter
     from coursepitch.log import BoundedOutput
@@ -106,12 +107,12 @@
             promises.refuse_unconfirmed,
         )
         self.session = FleetSession(node.name, self.kv, self.freshness, clock)
-        self.control = InstanceControl(clock)
+        self.control = InstanceControl(clock, self._count_connection)
         self.backoffs = InstanceBackoffs(clock)
         self.notices = self._build_notices()
         self.control.take_marks = self.notices.take
         self.control.find_born = self._find_born
-        self.pool = ConnectionPool(clock)
+        self.pool = ConnectionPool(clock, note_attempt=self._count_connection)
         self.links = PeerLinks(
             node.name,
             node.availability_zone,
@@ -224,6 +225,9 @@
     def _count_withheld(self, reason: str) -> None:
         self.metrics.withheld_sends.inc({'reason': reason})
 
+    def _count_connection(self, outcome: ConnectOutcome) -> None:
+        self.metrics.instance_connections.inc({'outcome': outcome.value})
+
     def _count_notice(self, kind: str) -> None:
         self.metrics.instance_notices.inc({'kind': kind})
 
--- a/coursepitch/http/client.py
+++ b/coursepitch/http/client.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import enum
 import re
 import socket
 from dataclasses import dataclass, field
@@ -21,10 +22,13 @@
 from coursepitch.http.stream import connect
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from coursepitch.http.messages import Headers
     from coursepitch.http.stream import ByteStream
 
 __all__ = [
+    'ConnectOutcome',
     'Connection',
     'ConnectionPool',
     'ExchangeError',
@@ -65,6 +69,15 @@
 _BODILESS_METHODS = frozenset({b'HEAD', b'CONNECT'})
 
 
+class ConnectOutcome(enum.Enum):
+    """Outcome of an attempt to open a connection."""
+
+    CONNECTED = 'connected'
+    REFUSED = 'refused'
+    TIMED_OUT = 'timed out'
+    FAILED = 'failed'
+
+
 class NoConnectionError(CoursepitchError):
     """No connection could be established, so no byte of the request was sent.
 
@@ -252,10 +265,12 @@
     """Pool of connections by address; reuses the most recently used idle one first.
 
     :param connect_timeout_s: timeout of a connection attempt in seconds.
+    :param note_attempt: called with the outcome of each connection attempt.
     """
 
     clock: Clock = boottime
     connect_timeout_s: float = 1.0
+    note_attempt: Callable[[ConnectOutcome], None] = lambda outcome: None
     _idle: dict[str, list[Connection]] = field(default_factory=dict)
     _open: dict[str, int] = field(default_factory=dict)
 
@@ -294,6 +309,7 @@
                 stream = await connect(host, int(port))
         except (OSError, TimeoutError) as error:
             self._count_closed(address)
+            self.note_attempt(_classify_failure(error))
             refused = isinstance(error, ConnectionRefusedError)
             raise NoConnectionError(
                 f'{address}: {type(error).__name__}', refused
@@ -301,6 +317,7 @@
         except BaseException:
             self._count_closed(address)
             raise
+        self.note_attempt(ConnectOutcome.CONNECTED)
         stream.set_option(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
         parser = h11.Connection(h11.CLIENT, MAX_RESPONSE_HEAD_BYTES)
         return Connection(address, stream, parser)
@@ -459,6 +476,14 @@
             return Response(event.status_code, headers, connection, self)
 
 
+def _classify_failure(error: Exception) -> ConnectOutcome:
+    if isinstance(error, ConnectionRefusedError):
+        return ConnectOutcome.REFUSED
+    if isinstance(error, TimeoutError):
+        return ConnectOutcome.TIMED_OUT
+    return ConnectOutcome.FAILED
+
+
 async def _write(connection: Connection, data: bytes) -> None:
     await anyio.lowlevel.checkpoint_if_cancelled()
     try:
--- a/coursepitch/metrics.py
+++ b/coursepitch/metrics.py
@@ -113,6 +113,10 @@
             'Wait that was expected when a request began to wait for a target, by '
             'urgency; 0 if none could be told.',
         )
+        self.instance_connections = counter(
+            'instance_connections_total',
+            'Attempts to connect to instances by outcome.',
+        )
         self.kv_calls = counter(
             'key_value_calls_total', 'Calls to the key-value service by operation.'
         )
--- a/tests/fleet/test_control.py
+++ b/tests/fleet/test_control.py
@@ -150,6 +150,12 @@
     def test_answered_request_is_not_repeated(self):
         self.assertEqual(self.probe(Probe.ANSWERS, None), (Probe.ANSWERS, 1))
 
+    def test_refusals_are_told_from_silence(self):
+        found = self.probe(Probe.REFUSED, Probe.REFUSED)
+        self.assertEqual(found, (Probe.REFUSED, 2))
+        found = self.probe(Probe.REFUSED, Probe.SILENT)
+        self.assertEqual(found, (Probe.SILENT, 2))
+
     def test_two_unanswered_requests_prove_silence(self):
         found = self.probe(Probe.SILENT, Probe.BROKEN)
         self.assertEqual(found, (Probe.SILENT, 2))
--- a/tests/http/test_framing.py
+++ b/tests/http/test_framing.py
@@ -14,7 +14,7 @@
 from hypothesis import strategies as st
 
 from coursepitch.http import ConnectionPool, ExchangeError, NoConnectionError
-from coursepitch.http.client import Connection
+from coursepitch.http.client import Connection, ConnectOutcome
 from coursepitch.http.stream import MAX_UNREAD_BYTES, ByteStream, connect
 from coursepitch.listeners import listen
 from tests.http.test_exchange import HEADERS, read_all, run_with_server
@@ -210,16 +210,26 @@
         async def run():
             sock = listen('127.0.0.1', 0)
             address = f'127.0.0.1:{sock.getsockname()[1]}'
-            pool = ConnectionPool(connect_timeout_s=0)
+            outcomes = []
+            pool = ConnectionPool(connect_timeout_s=0, note_attempt=outcomes.append)
             with self.assertRaises(NoConnectionError) as caught:
                 await pool.acquire(address)
             self.assertFalse(caught.exception.refused)
+            pool.connect_timeout_s = 5.0
+            pool.discard(await pool.acquire(address))
             sock.close()
-            pool = ConnectionPool()
             with self.assertRaises(NoConnectionError) as caught:
                 await pool.acquire(address)
             self.assertTrue(caught.exception.refused)
             self.assertEqual(pool.count_open(address), 0)
+            self.assertEqual(
+                outcomes,
+                [
+                    ConnectOutcome.TIMED_OUT,
+                    ConnectOutcome.CONNECTED,
+                    ConnectOutcome.REFUSED,
+                ],
+            )
 
         anyio.run(run)
 
