Reproduce nodes that lose their paths to the instances

Stand-ins: an instance listens at a host of its own for each node, so that the paths of single nodes can hang, be reset, or live on while new connections are refused (standins.paths). standins.network runs a node whose connections to instances go to that host; the program itself is unchanged.

--- a/standins/replica.py
+++ b/standins/replica.py
@@ -16,6 +16,8 @@
 say in all answers that they leave, while their entries do not; ``POST /crash`` ends
 instances, and empty ones take their places.  ``POST /cold`` writes to the entries of
 instances for how many milliseconds they stay cold, and does not count down.
+``POST /cut`` cuts the paths of ``nodes`` to instances, see :mod:`standins.paths`:
+each node named with ``--nodes`` has a path of its own to each instance.
 """
 
 from __future__ import annotations
@@ -33,6 +35,8 @@
 import httpx
 
 from standins.exchange import read_request, send_whole, wait_left
+from standins.network import INSTANCE_HOST, find_host
+from standins.paths import Path
 
 #: Seconds of a load, from memory, from the host and from the weight store.
 JOIN_S = {'again': 0.02, 'warm': 0.1, 'cold': 0.3}
@@ -40,6 +44,9 @@
 #: Seconds after a crash until the entry has lapsed and an empty instance starts.
 LAPSE_S = 1.0
 
+#: Ports that are tried until one is free at the hosts of all nodes.
+BIND_TRIES = 20
+
 #: Seconds between two events of a stream.
 PAUSE_S = 0.02
 
@@ -76,6 +83,7 @@
     backoff: str | None = None
     leaving: bool = False
     cold_left_ms: int = 0
+    paths: dict[str, Path] = field(default_factory=dict)
 
     def entry(self) -> dict[str, Any]:
         """Return what stands in the store."""
@@ -106,6 +114,8 @@
         self.tasks = tasks
         self.client = httpx.AsyncClient(base_url=f'http://{options.store}')
         self.crash_body = b''
+        #: Modes of the paths of nodes, for instances that are yet to start.
+        self.cuts: dict[str, str] = {}
         self.instances = {
             item.name: item
             for domain in options.domain
@@ -407,9 +417,14 @@
         host.crash_body = data['body'].encode()
         return {}
     names = data.get('instances') or list(host.instances)
+    if target == '/cut':
+        host.cuts |= dict.fromkeys(data['nodes'], data['mode'])
     for name in names:
         instance = host.instances[name]
-        if target == '/fault':
+        if target == '/cut':
+            for node in data['nodes']:
+                instance.paths[node].cut(data['mode'])
+        elif target == '/fault':
             instance.fault = data
         elif target == '/limit':
             instance.limit = data['limit']
@@ -449,17 +464,43 @@
 
 
 async def listen(tasks: Any, instance: Instance, host: Host) -> None:
-    """Let an instance listen on a port of its own."""
-    listener = await anyio.create_tcp_listener(local_host='127.0.0.1', local_port=0)
-    port = listener.extra(anyio.abc.SocketAttribute.local_port)
-    instance.address = f'127.0.0.1:{port}'
-    tasks.start_soon(serve_instance, host, instance, listener)
+    """Let an instance listen on a port of its own, once for each node with a path."""
 
+    async def serve(stream: Any) -> None:
+        await host.serve(instance, stream)
 
-async def serve_instance(host: Host, instance: Instance, listener: Any) -> None:
+    for _ in range(BIND_TRIES):
+        listener = await anyio.create_tcp_listener(
+            local_host=INSTANCE_HOST, local_port=0
+        )
+        port = listener.extra(anyio.abc.SocketAttribute.local_port)
+        try:
+            instance.paths = {
+                node: Path(find_host(number), port, serve)
+                for number, node in enumerate(host.options.nodes)
+            }
+            break
+        except OSError:
+            await listener.aclose()
+    instance.address = f'{INSTANCE_HOST}:{port}'
+    for node, path in instance.paths.items():
+        path.cut(host.cuts.get(node, 'none'))
+    await tasks.start(serve_instance, host, instance, listener)
+
+
+async def serve_instance(
+    host: Host,
+    instance: Instance,
+    listener: Any,
+    *,
+    task_status: anyio.abc.TaskStatus[None],
+) -> None:
     """Serve an instance's connections until it crashes."""
     with instance.scope:
-        async with listener:
+        async with listener, anyio.create_task_group() as tasks:
+            for path in instance.paths.values():
+                await tasks.start(path.run)
+            task_status.started()
             await listener.serve(lambda stream: host.serve(instance, stream))
 
 
@@ -474,6 +515,7 @@
     parser.add_argument('--events', type=int, default=20, help='events of a stream')
     parser.add_argument('--event-bytes', type=int, default=0)
     parser.add_argument('--engine', action='store_true')
+    parser.add_argument('--nodes', nargs='*', default=[], help='nodes with own paths')
     options = parser.parse_args()
     options.domain = options.domain or ['']
     anyio.run(run, options)
--- a/tests/whole/platform_base.py
+++ b/tests/whole/platform_base.py
@@ -17,6 +17,7 @@
 
 from standins.diagnosis import summarize_node
 from standins.harness import Process
+from standins.network import find_host
 
 #: Longest time in seconds for anything to come about.
 WAIT_S = 30.0
@@ -126,7 +127,9 @@
 class Node:
     """A node as a process, its output in a file."""
 
-    def __init__(self, name, store, folder, revoke_s, evacuate_s=0):
+    def __init__(
+        self, name, store, folder, revoke_s, evacuate_s=0, module=('coursepitch',)
+    ):
         settings = folder / f'{name}.ini'
         text = SETTINGS.format(
             name=name, store=store, revoke_s=revoke_s, evacuate_s=evacuate_s
@@ -134,7 +137,7 @@
         settings.write_text(text)
         self.name = name
         self.output = folder / f'{name}.out'
-        self.command = [sys.executable, '-m', 'coursepitch', 'serve', str(settings)]
+        self.command = [sys.executable, '-m', *module, 'serve', str(settings)]
         self.ports = {}
         self.starts = 0
         self._spawn()
@@ -199,6 +202,8 @@
     engines = 5
     events = 20
     event_bytes = 0
+    #: Whether each node has paths of its own to the instances, which can be cut.
+    own_paths = False
 
     @classmethod
     def setUpClass(cls):
@@ -217,9 +222,11 @@
         count = ('--count', str(cls.engines))
         engine = ('--service', 'pool', '--engine', '--domain', 'd0', *count)
         engine += ('--events', str(cls.events))
-        engine += ('--event-bytes', str(cls.event_bytes))
+        paths = ('--nodes', *cls.nodes) if cls.own_paths else ()
+        engine += ('--event-bytes', str(cls.event_bytes), *paths)
         cls.start('pool', 'standins.replica', *place, *engine)
-        cls.start('api', 'standins.replica', *place, '--service', 'api', '--count', '3')
+        api = ('--service', 'api', '--count', '3', *paths)
+        cls.start('api', 'standins.replica', *place, *api)
         cls.running = {}
         for name in cls.nodes:
             cls.start_node(name)
@@ -236,7 +243,12 @@
     @classmethod
     def start_node(cls, name):
         """Start a node and wait until it listens."""
-        node = Node(name, cls.store, cls.folder, cls.revoke_s, cls.evacuate_s)
+        module = ('coursepitch',)
+        if cls.own_paths:
+            module = ('standins.network', find_host(cls.nodes.index(name)))
+        node = Node(
+            name, cls.store, cls.folder, cls.revoke_s, cls.evacuate_s, module=module
+        )
         cls.running[name] = node
         before = len(node.read_events('node.started'))
         cls.wait_for(
@@ -299,6 +311,15 @@
         url = f'http://127.0.0.1:{port}{path}'
         return cls.client.post(url, json=fields).json()
 
+    @classmethod
+    def cut(cls, nodes, mode, service=''):
+        """Cut the paths of nodes to the instances of a service, or of all.
+
+        :param mode: see :mod:`standins.paths`; ``none`` ends the cut.
+        """
+        for name in (service,) if service else ('pool', 'api'):
+            cls.control(name, '/cut', nodes=list(nodes), mode=mode)
+
     @classmethod
     def stats(cls, service):
         """Return the instances of a service by name."""
--- /dev/null
+++ b/tests/whole/test_partitions.py
@@ -0,0 +1,205 @@
+"""Nodes that reach clients, the store and each other, but no instance."""
+
+from __future__ import annotations
+
+import threading
+import time
+from dataclasses import dataclass
+
+import httpx
+
+from tests.whole.platform_base import PlatformCase
+
+#: Seconds for which clients send before the cut.
+BEFORE_S = 1.0
+
+#: Seconds after the start of a cut from which users count, and seconds counted.
+CONTACT_S = 3.0
+COUNTED_S = 6.0
+
+#: First tries of which one may fail at nodes that are cut off, as users count.
+TRIES_PER_FAILURE = 50
+
+#: Longest time in seconds that a refusal may take if it is known that nothing serves.
+REFUSAL_S = 0.3
+
+#: Seconds between two requests of one client.
+PAUSE_S = 0.05
+
+#: Requests of the clients of each node: method, path, whether they may run twice.
+REQUESTS = (
+    ('POST', '/stream/x'),
+    ('POST', '/stream/x'),
+    ('GET', '/again/x'),
+    ('POST', '/once/x'),
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Try:
+    """One request of a client.
+
+    :param sent_at: monotonic time of its send.
+    :param status: 0 without a response.
+    """
+
+    node: str
+    path: str
+    sent_at: float
+    took_s: float
+    status: int
+    retry_after: str = ''
+
+
+class PartitionCase(PlatformCase):
+    """Four nodes with paths of their own to plain instances and groups of two."""
+
+    nodes = ('n1', 'n2', 'n3', 'n4')
+    engines = 8
+    events = 5
+    own_paths = True
+
+    def setUp(self):
+        """Wait until all nodes serve and know of the leader."""
+        self.addCleanup(self.cut, self.nodes, 'none')
+        for name in self.nodes:
+            self.wait_for(lambda name=name: self.serves(name), f'{name} serves')
+        self.began = {name: self.count_events(name) for name in self.nodes}
+
+    @classmethod
+    def count_events(cls, node):
+        return len(cls.running[node].read_events())
+
+    def list_new_events(self, name):
+        """Return the nodes' events of a name since the start of the test."""
+        return [
+            event
+            for node in self.nodes
+            for event in self.running[node].read_events()[self.began[node] :]
+            if event.get('message_type') == name
+        ]
+
+    def find_leader(self):
+        """Return the leader, as the store has it."""
+        url = f'http://127.0.0.1:{self.store}/stats'
+        entries = self.client.get(url).json()['entries']
+        return self.wait_for(
+            lambda: entries.get('coursepitch/leader', {}).get('value'), 'a leader'
+        )
+
+    def list_followers(self):
+        """Return the nodes that do not lead."""
+        leader = self.find_leader()
+        return [name for name in self.nodes if name != leader]
+
+    def play_cut(self, nodes, mode):
+        """Cut nodes off while clients of all nodes send; return the counted tries."""
+        tries = []
+        pause, ended = threading.Event(), threading.Event()
+
+        def send(node, number, method, path):
+            while not ended.is_set():
+                sent_at = time.monotonic()
+                status, retry_after = 0, ''
+                try:
+                    reply = self.send(node, method, path, f'{node}-{number}-{sent_at}')
+                    status = reply.status_code
+                    retry_after = reply.headers.get('retry-after', '')
+                except httpx.HTTPError:
+                    # Counted as a try without a response.
+                    pass
+                took_s = time.monotonic() - sent_at
+                tries.append(Try(node, path, sent_at, took_s, status, retry_after))
+                pause.wait(PAUSE_S)
+
+        threads = [
+            threading.Thread(target=send, args=(node, number, *request))
+            for node in self.nodes
+            for number, request in enumerate(REQUESTS)
+        ]
+        for thread in threads:
+            thread.start()
+        pause.wait(BEFORE_S)
+        self.cut(nodes, mode)
+        counted_from = time.monotonic() + CONTACT_S
+        pause.wait(CONTACT_S + COUNTED_S)
+        ended.set()
+        for thread in threads:
+            thread.join()
+        return [item for item in tries if item.sent_at >= counted_from]
+
+    def assert_served(self, tries, nodes):
+        """Check that first tries at some nodes were served."""
+        found = [item for item in tries if item.node in nodes]
+        failed = [item for item in found if item.status != 200]
+        self.assertGreater(len(found), TRIES_PER_FAILURE)
+        allowed = len(found) // TRIES_PER_FAILURE
+        self.assertLessEqual(len(failed), allowed, failed[:8])
+
+    def assert_all_served(self, tries, cut_off):
+        """Check the nodes that are cut off, and the others."""
+        self.assert_served(tries, [name for name in self.nodes if name not in cut_off])
+        self.assert_served(tries, cut_off)
+
+
+class CutOffNodeTest(PartitionCase):
+    """Nodes are cut off by silence: connections hang, and new ones do not come up."""
+
+    # Guards against a node that fails its clients while other nodes reach instances.
+    def test_clients_of_a_node_that_is_cut_off_are_served(self):
+        cut_off = self.list_followers()[:1]
+        self.assert_all_served(self.play_cut(cut_off, 'hang'), cut_off)
+
+    # Guards against a leader that takes its own lost paths for lost instances, and ends
+    # their groups for all nodes.
+    def test_leader_that_is_cut_off_ends_no_group(self):
+        cut_off = [self.find_leader()]
+        tries = self.play_cut(cut_off, 'hang')
+        self.assertEqual(self.list_new_events('group.retired'), [])
+        self.assert_all_served(tries, cut_off)
+
+    # Guards against nodes that are no use to each other as most of them are cut off.
+    def test_clients_are_served_while_one_node_reaches_the_instances(self):
+        cut_off = [self.find_leader(), *self.list_followers()[:2]]
+        self.assert_all_served(self.play_cut(cut_off, 'hang'), cut_off)
+
+
+class RefusedNodeTest(PartitionCase):
+    """Connections of nodes are reset, or live on, and new ones are refused."""
+
+    # Guards against refused connections that count as proof that instances ended: the
+    # requests that they ran are then suspected by all nodes.
+    def test_reset_connections_of_a_node_are_no_crashes(self):
+        cut_off = self.list_followers()[:1]
+        tries = self.play_cut(cut_off, 'reset')
+        self.assertEqual(self.list_new_events('instance.crashed'), [])
+        self.assertEqual(self.list_new_events('request.suspected'), [])
+        self.assert_all_served(tries, cut_off)
+
+    # Guards against a leader whose orders and probes are refused, and that ends groups.
+    def test_leader_whose_connections_are_reset_ends_no_group(self):
+        cut_off = [self.find_leader()]
+        tries = self.play_cut(cut_off, 'reset')
+        self.assertEqual(self.list_new_events('group.retired'), [])
+        self.assert_all_served(tries, cut_off)
+
+    # Guards against a node that is sound only as long as its connections last.
+    def test_clients_of_a_node_without_new_connections_are_served(self):
+        cut_off = [self.find_leader()]
+        self.assert_all_served(self.play_cut(cut_off, 'refuse'), cut_off)
+
+
+class AllCutOffTest(PartitionCase):
+    """No node reaches an instance."""
+
+    # Guards against clients that wait for nothing, and groups that are lost meanwhile.
+    def test_requests_are_refused_at_once_and_groups_outlast_the_cut(self):
+        tries = self.play_cut(self.nodes, 'hang')
+        slow = [item for item in tries if item.took_s > REFUSAL_S]
+        self.assertEqual(slow, [])
+        self.assertEqual({item.status for item in tries}, {503})
+        self.assertNotIn('', {item.retry_after for item in tries})
+        self.cut(self.nodes, 'none')
+        for name in self.nodes:
+            self.wait_for(lambda name=name: self.serves(name), f'{name} serves')
+        self.assertEqual(self.list_new_events('group.retired'), [])
