Send through peers where a node does not reach the instances

Cause: a node had one path to an instance, its own, and took what it found there for the state of the instance. Its probes were told to all as lost instances, and a leader that was cut off ended the groups; a refused connection counted as proof that a process had ended, so that requests were suspected of crashes. Class: the view of one observer taken for the state of what it observes.

Change: * fleet.tunnels: a node opens a connection to an instance through a peer, as a WebSocket connection on the peer port. HTTP is spoken end to end, so that deadline, outcome, permits, budget and connection limits stay with the node that took the request. The close code tells a regular end from a failure. Only listed instances, only for listed nodes, one hop, at most 256. * fleet.paths: a direct connection that fails or takes 0.15 s competes with a tunnel. After a failure a node connects to four other instances; if it reaches none, it is cut off, sends through peers only, and checks four times a second whether it reaches instances again. If no peer helps either, requests are refused at once. * Probes: silence counts only if the node reaches others and no peer gets an answer; a peer tells that an instance refuses or is silent only if it reaches others itself. * A refused connection proves an end under the same conditions only.

Ruled out: handing whole requests to a peer (deadline, at most once and budget would have to be kept in two places), and withdrawing from the balancer alone (it takes two seconds, open connections stay, and a zone of which over half is out is used whole).

Fakes of connections and components in tests/gateway get the new argument and field; no check changes.

--- a/coursepitch/events.py
+++ b/coursepitch/events.py
@@ -281,6 +281,25 @@
 LEADERSHIP_LOST = Event(
     513, 'lead.lost', 'The node is no longer the leader that manages groups.'
 )
+PATHS_LOST = Event(
+    533,
+    'paths.lost',
+    'The node reaches no instance directly, and sends through peers; the instances '
+    'that it tried.',
+    ('instances',),
+)
+PATHS_RECOVERED = Event(
+    534,
+    'paths.recovered',
+    'The node reaches instances directly again: seconds for which it did not.',
+    ('after_s',),
+)
+TUNNEL_REFUSED = Event(
+    535,
+    'tunnel.refused',
+    'A peer asked for a connection to an instance and got none.',
+    ('peer', 'instance', 'reason'),
+)
 GROUPS_CLAIMED = Event(
     514,
     'groups.claimed',
--- a/coursepitch/fleet/control.py
+++ b/coursepitch/fleet/control.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+from functools import partial
 from typing import TYPE_CHECKING
 
 import anyio
@@ -19,6 +20,7 @@
     from coursepitch.clock import Clock
     from coursepitch.fleet.instances import FleetInstance
     from coursepitch.fleet.orders import Order
+    from coursepitch.fleet.paths import InstancePaths
     from coursepitch.http.client import ConnectOutcome, Response
     from coursepitch.platform.headers import ResponseMetadata
 
@@ -34,6 +36,11 @@
 PROBE_TRIES = 2
 PROBE_STAGGER_S = 0.05
 
+#: Seconds until a peer is asked about an instance that has not answered, and timeout in
+#: seconds of its answer.
+WITNESS_DELAY_S = 0.03
+WITNESS_TIMEOUT_S = 0.2
+
 #: Number of requests to an instance whose process may be exiting, and seconds between
 #: them.  The operating system closes a process's sockets within some milliseconds.
 ENDING_TRIES = 4
@@ -60,29 +67,53 @@
 
 
 class Probe(enum.Enum):
-    """Result of a report request to an instance."""
+    """Result of a report request to an instance.
+
+    :cvar INDIRECT: it answers a peer, and not this node.
+    :cvar NO_PATH: this node reaches no instance, so its result tells nothing.
+    """
 
     ANSWERS = 'answers'
     SILENT = 'silent'
     BROKEN = 'broken off'
     REFUSED = 'refused'
     REPLACED = 'replaced'
+    INDIRECT = 'answers a peer'
+    NO_PATH = 'no path'
+
+    @property
+    def answers(self) -> bool:
+        """Whether the instance, or another one at its address, answered."""
+        return self in (Probe.ANSWERS, Probe.REPLACED, Probe.INDIRECT)
 
 
 class InstanceControl:
     """Sends orders to instances, and requests their reports.
 
     :param note_attempt: called with the outcome of each connection attempt.
+    :param paths: this node's paths to the instances; without them, all connections are
+        direct, and the findings of this node alone count.
     """
 
     def __init__(
         self,
         clock: Clock,
         note_attempt: Callable[[ConnectOutcome], None] = lambda outcome: None,
+        paths: InstancePaths | None = None,
     ) -> None:
-        self._pool = ConnectionPool(
-            clock, connect_timeout_s=ORDER_TIMEOUT_S, note_attempt=note_attempt
+        self._clock = clock
+        self._paths = paths
+        build_pool = partial(
+            ConnectionPool,
+            clock,
+            connect_timeout_s=ORDER_TIMEOUT_S,
+            note_attempt=note_attempt,
         )
+        self._pool = self._direct_pool = build_pool()
+        if paths is not None:
+            self._pool = build_pool(connect=paths.connect)
+            self._direct_pool = build_pool(connect=paths.connect_directly)
+            self._peer_pool = build_pool(connect=paths.connect_through_peer)
         self._order_limiter = anyio.CapacityLimiter(MAX_CONCURRENT_ORDERS)
         self._staging_limiter = anyio.CapacityLimiter(MAX_CONCURRENT_STAGINGS)
         #: Called with an instance's name, its start time and the metadata of a
@@ -93,6 +124,10 @@
         #: Returns ``FleetInstance.born`` of an instance's current incarnation.
         self.find_born: Callable[[str], int] = lambda name: 0
 
+    def close_idle(self) -> None:
+        """Close the connections that are not in use."""
+        self._pool.close_idle()
+
     def close(self) -> None:
         """Close all connections."""
         self._pool.close()
@@ -126,7 +161,9 @@
         born = self.find_born(order.instance)
         try:
             with anyio.fail_after(ORDER_TIMEOUT_S):
-                connection = await self._pool.acquire(order.address)
+                connection = await self._pool.acquire(
+                    order.address, instance=order.instance
+                )
                 answer = await self._pool.exchange(
                     connection, b'POST', ORDER_TARGET, headers, encode_order(order)
                 )
@@ -146,6 +183,54 @@
         self.take_marks(instance, born, marks)
 
     async def probe(self, instance: FleetInstance) -> Probe:
+        """Find out whether an instance answers, this node or a peer.
+
+        Silence only counts if this node reaches other instances, and no peer that was
+        asked in the meantime gets an answer.  Source: the indirect probes of SWIM (Das,
+        Gupta, Motivala, 2002).
+        """
+        paths = self._paths
+        if paths is None:
+            return await self._probe_directly(instance)
+        if paths.is_cut_off:
+            return await self._probe_through_peer(instance)
+        began_at = self._clock()
+        direct, indirect, reaches_others = Probe.SILENT, Probe.NO_PATH, True
+        async with anyio.create_task_group() as tasks:
+
+            async def ask_directly() -> None:
+                nonlocal direct
+                direct = await self._probe_directly(instance)
+                if direct.answers:
+                    tasks.cancel_scope.cancel()
+
+            async def ask_peer() -> None:
+                nonlocal indirect
+                await anyio.sleep(WITNESS_DELAY_S)
+                with anyio.move_on_after(WITNESS_TIMEOUT_S):
+                    indirect = await self._probe_through_peer(instance)
+
+            async def check_paths() -> None:
+                nonlocal reaches_others
+                await anyio.sleep(WITNESS_DELAY_S)
+                reaches_others = await paths.check(began_at, instance.name)
+
+            for ask in (ask_directly, ask_peer, check_paths):
+                tasks.start_soon(ask)
+        if direct.answers:
+            return direct
+        if indirect.answers:
+            return Probe.INDIRECT
+        return direct if reaches_others else Probe.NO_PATH
+
+    async def _probe_through_peer(self, instance: FleetInstance) -> Probe:
+        """Request an instance's report through a peer."""
+        found = await self._request_report(instance, self._peer_pool)
+        if found.answers or found is Probe.REFUSED:
+            return found
+        return Probe.NO_PATH
+
+    async def _probe_directly(self, instance: FleetInstance) -> Probe:
         """Request an instance's report, a second time before the first times out."""
         found: list[Probe] = []
         failed: set[Probe] = set()
@@ -154,7 +239,7 @@
             async def ask(turn: int) -> None:
                 await anyio.sleep(turn * PROBE_STAGGER_S)
                 answer = await self._request_report(instance)
-                if answer in (Probe.ANSWERS, Probe.REPLACED):
+                if answer.answers:
                     found.append(answer)
                     tasks.cancel_scope.cancel()
                 failed.add(answer)
@@ -168,24 +253,40 @@
     async def has_ended(self, instance: FleetInstance) -> bool:
         """Whether an instance's process is gone.
 
-        This is proven if its address refuses connections or belongs to another
-        instance.  A timeout proves nothing: a network partition or a paused machine
-        looks the same.  An exiting process closes its connections one by one, so a
-        request whose connection breaks is repeated.
+        This is proven if its address belongs to another instance, or refuses
+        connections while this node reaches others and no peer gets an answer.  A
+        timeout proves nothing: a network partition or a paused machine looks the same.
+        An exiting process closes its connections one by one, so a request whose
+        connection breaks is repeated.
         """
+        began_at = self._clock()
         for _ in range(ENDING_TRIES):
             found = await self._request_report(instance)
             if found is not Probe.BROKEN:
                 break
             await anyio.sleep(ENDING_PAUSE_S)
-        return found in (Probe.REFUSED, Probe.REPLACED)
-
-    async def _request_report(self, instance: FleetInstance) -> Probe:
+        if found is not Probe.REFUSED or self._paths is None:
+            return found in (Probe.REFUSED, Probe.REPLACED)
+        if not await self._paths.check(began_at, instance.name):
+            return False
+        return not (await self._probe_through_peer(instance)).answers
+
+    async def _request_report(
+        self, instance: FleetInstance, pool: ConnectionPool | None = None
+    ) -> Probe:
+        """Request an instance's report once.
+
+        :param pool: opens the connection; a direct one by default.
+        """
+        pool = self._direct_pool if pool is None else pool
+        timeout_s = PROBE_TIMEOUT_S if pool is self._direct_pool else WITNESS_TIMEOUT_S
         headers = build_instance_headers(instance.address, instance.name)
         try:
-            with anyio.fail_after(PROBE_TIMEOUT_S):
-                connection = await self._pool.acquire(instance.address, fresh=True)
-                answer = await self._pool.exchange(
+            with anyio.fail_after(timeout_s):
+                connection = await pool.acquire(
+                    instance.address, instance=instance.name, fresh=True
+                )
+                answer = await pool.exchange(
                     connection, b'GET', REPORT_TARGET, headers, b''
                 )
                 try:
--- a/coursepitch/fleet/keeper.py
+++ b/coursepitch/fleet/keeper.py
@@ -267,7 +267,9 @@
         found = Probe.REPLACED
         if instance is not None:
             found = await self._control.probe(instance)
-        silent = found in (Probe.SILENT, Probe.REFUSED)
+        if found is Probe.NO_PATH:
+            return
+        silent = not found.answers
         if silent and name not in self._controller.unresponsive:
             log.emit(
                 events.INSTANCE_LOST, instance=name, answers=False, found=found.value
--- a/coursepitch/fleet/links.py
+++ b/coursepitch/fleet/links.py
@@ -27,13 +27,15 @@
     encode_state,
 )
 from coursepitch.fleet.topology import LinkPlan, choose_links
+from coursepitch.fleet.tunnels import TUNNEL_PATH
 
 if TYPE_CHECKING:
     import socket
-    from collections.abc import Callable
+    from collections.abc import Awaitable, Callable
 
     from anyio.abc import TaskGroup
     from websockets.asyncio.connection import Connection
+    from websockets.asyncio.server import ServerConnection
 
     from coursepitch.clock import Clock
     from coursepitch.fleet.messages import Changes, Message
@@ -120,6 +122,8 @@
     :param build_heartbeat: returns this node's current heartbeat.
     :param take: called with each received message.
     :param greet: called with the name of a peer when its link is up.
+    :param serve_tunnel: serves a peer's connection to an instance, see
+        :mod:`coursepitch.fleet.tunnels`.
     """
 
     me: str
@@ -130,6 +134,7 @@
     take: Callable[[Message], None]
     clock: Clock
     greet: Callable[[str], None] = lambda node: None
+    serve_tunnel: Callable[[ServerConnection], Awaitable[None]] | None = None
     _dialled: dict[str, _Link] = field(default_factory=dict)
     _accepted: list[_Link] = field(default_factory=list)
     _down_until: dict[str, float] = field(default_factory=dict)
@@ -283,7 +288,12 @@
         if self._dialled.get(link.node) is link:
             del self._dialled[link.node]
 
-    async def _accept(self, connection: Connection) -> None:
+    async def _accept(self, connection: ServerConnection) -> None:
+        request = connection.request
+        if request is not None and request.path.startswith(TUNNEL_PATH):
+            if self.serve_tunnel is not None:
+                await self.serve_tunnel(connection)
+            return
         link = _Link()
         self._accepted.append(link)
         try:
--- /dev/null
+++ b/coursepitch/fleet/paths.py
@@ -0,0 +1,326 @@
+"""Paths of this node to the instances: direct, or through a peer.
+
+That one instance cannot be reached says little about it: it may be gone, or the node
+may have lost its path.  So before a node concludes anything about an instance, it
+checks whether it reaches others.  A node that reaches none is cut off; it sends through
+peers, and its failures count for nothing.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import random
+from typing import TYPE_CHECKING
+
+import anyio
+
+from coursepitch import events, log
+from coursepitch.fleet.tunnels import TunnelError, TunnelOutcome
+from coursepitch.http.client import connect_directly
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Collection
+
+    from coursepitch.clock import Clock
+    from coursepitch.fleet.instances import FleetInstance
+    from coursepitch.fleet.tunnels import TunnelClient
+    from coursepitch.fleet.view import FleetView
+    from coursepitch.http.stream import ByteStream
+
+__all__ = ['InstancePaths']
+
+#: Seconds after which a direct connection that is not up competes with a tunnel.
+TUNNEL_DELAY_S = 0.15
+
+#: Seconds for which a node connects through peers to an instance that it did not reach,
+#: before it tries directly again.
+INDIRECT_S = 2.0
+
+#: Number of other instances that a check connects to, and its timeout in seconds.
+CHECKED_INSTANCES = 4
+CHECK_TIMEOUT_S = 0.25
+
+#: Minimum seconds between two checks after failed connections.
+CHECK_PAUSE_S = 0.2
+
+#: Seconds between two checks of a node that is cut off, whether it reaches an instance
+#: again, directly or through a peer.
+RECOVERY_CHECK_S = 0.25
+
+#: Timeout in seconds of a connection on behalf of a peer.
+PEER_CONNECT_TIMEOUT_S = 0.25
+
+
+class InstancePaths:
+    """Opens connections to instances, and detects that this node is cut off.
+
+    :param is_cut_off: whether this node reaches no instance directly.
+    """
+
+    def __init__(self, view: FleetView, tunnels: TunnelClient, clock: Clock) -> None:
+        self._view = view
+        self._tunnels = tunnels
+        self._clock = clock
+        self.is_cut_off = False
+        #: Called when the node is cut off, and when it is no longer.
+        self.on_change: Callable[[], None] = lambda: None
+        #: Monotonic time at which the node was last found to be cut off.
+        self.cut_off_at = float('-inf')
+        self._connected_at = float('-inf')
+        self._indirect_until: dict[str, float] = {}
+        self._check_done: anyio.Event | None = None
+        self._check_due = anyio.Event()
+
+    # -- connections ------------------------------------------------------------------
+
+    async def connect(self, address: str, instance: str) -> ByteStream:
+        """Return a connection to an instance.
+
+        A connection counts as refused only if a peer that reaches other instances was
+        refused as well, or if there is no peer to ask.
+
+        :param address: IP:port of the instance.
+        :raises OSError: no connection could be established.
+        """
+        if self.is_cut_off:
+            return await self.connect_through_peer(address, instance)
+        if self._indirect_until.get(instance, float('-inf')) > self._clock():
+            with contextlib.suppress(OSError):
+                return await self.connect_through_peer(address, instance)
+        return await self._connect_either_way(address, instance)
+
+    def note_unreached(self, instance: str) -> None:
+        """Record that this node does not reach an instance which answers a peer."""
+        now = self._clock()
+        self._indirect_until = {
+            name: until for name, until in self._indirect_until.items() if until > now
+        }
+        self._indirect_until[instance] = now + INDIRECT_S
+
+    async def _connect_either_way(self, address: str, instance: str) -> ByteStream:
+        """Connect directly, and through a peer if that fails or takes long."""
+        began_at = self._clock()
+        found: list[ByteStream] = []
+        errors: list[OSError] = []
+        direct_failed = anyio.Event()
+        try:
+            async with anyio.create_task_group() as tasks:
+
+                def take(stream: ByteStream) -> None:
+                    found.append(stream)
+                    tasks.cancel_scope.cancel()
+
+                async def try_directly() -> None:
+                    try:
+                        take(await self.connect_directly(address, instance))
+                    except OSError as error:
+                        errors.insert(0, error)
+                        direct_failed.set()
+
+                async def try_peers() -> None:
+                    with anyio.move_on_after(TUNNEL_DELAY_S):
+                        await direct_failed.wait()
+                    if self._connected_at < began_at:
+                        self._check_due.set()
+                    try:
+                        take(await self.connect_through_peer(address, instance))
+                        self.note_unreached(instance)
+                    except OSError as error:
+                        errors.append(error)
+
+                tasks.start_soon(try_directly)
+                tasks.start_soon(try_peers)
+        except BaseException:
+            for stream in found:
+                stream.close()
+            raise
+        if not found:
+            raise _choose_error(*errors)
+        for stream in found[1:]:
+            stream.close()
+        return found[0]
+
+    async def connect_directly(self, address: str, instance: str) -> ByteStream:
+        """Return a direct connection to an instance.
+
+        :raises OSError: it could not be established.
+        """
+        stream = await connect_directly(address, instance)
+        self._connected_at = self._clock()
+        return stream
+
+    async def connect_through_peer(self, address: str, instance: str) -> ByteStream:
+        """Return a connection to an instance through a peer.
+
+        :raises ConnectionRefusedError: a peer that reaches others was refused.
+        :raises OSError: it could not be established.
+        """
+        try:
+            return await self._tunnels.open(instance)
+        except TunnelError as error:
+            if error.outcome is TunnelOutcome.REFUSED:
+                raise ConnectionRefusedError(str(error)) from error
+            raise
+
+    async def connect_for_peer(self, instance: str) -> ByteStream:
+        """Return a direct connection to a listed instance, on behalf of a peer.
+
+        :raises TunnelError: it failed; the outcome only concerns the instance if this
+            node reaches others.
+        """
+        found = self._view.instances.get(instance)
+        if found is None:
+            raise TunnelError(TunnelOutcome.UNLISTED)
+        if self.is_cut_off:
+            raise TunnelError(TunnelOutcome.NO_PATH)
+        began_at = self._clock()
+        try:
+            with anyio.fail_after(PEER_CONNECT_TIMEOUT_S):
+                return await self.connect_directly(found.address, instance)
+        except OSError as error:
+            if not await self.check(began_at, instance):
+                raise TunnelError(TunnelOutcome.NO_PATH) from error
+            refused = isinstance(error, ConnectionRefusedError)
+            raise TunnelError(
+                TunnelOutcome.REFUSED if refused else TunnelOutcome.SILENT
+            ) from error
+
+    def was_cut_off_after(self, since: float) -> bool:
+        """Whether the node is cut off, and was found to be so after a point in time.
+
+        Direct connections that have been silent since then may hang.
+        """
+        return self.is_cut_off and since < self.cut_off_at
+
+    def is_isolated(self) -> bool:
+        """Whether no instance can be reached, neither directly nor through peers."""
+        return self.is_cut_off and self._tunnels.failed_at > self._tunnels.opened_at
+
+    # -- detection --------------------------------------------------------------------
+
+    async def check(self, since: float, suspect: str = '') -> bool:
+        """Return whether this node reaches an instance directly.
+
+        :param since: monotonic time since when a connection counts as a proof.
+        :param suspect: instance that is not asked.
+        """
+        while self._check_done is not None:
+            await self._check_done.wait()
+        if self._connected_at >= since:
+            return True
+        if self.is_cut_off:
+            return False
+        chosen = self._choose_instances(CHECKED_INSTANCES, {suspect})
+        if not chosen:
+            return True
+        done = self._check_done = anyio.Event()
+        try:
+            reached = await self._reach_any(chosen)
+        finally:
+            self._check_done = None
+            done.set()
+        if not reached:
+            self._note_cut_off([item.name for item in chosen])
+        return reached
+
+    def _choose_instances(
+        self, count: int, excluded: Collection[str] = ()
+    ) -> list[FleetInstance]:
+        """Return random instances that should answer, from many domains."""
+        view = self._view
+        items = [
+            item
+            for item in view.instances.values()
+            if item.name not in excluded
+            and view.accepts_requests(item.name)
+            and not view.lost.has(item.name)
+        ]
+        random.shuffle(items)
+        domains: set[tuple[str, str]] = set()
+        first: list[FleetInstance] = []
+        others: list[FleetInstance] = []
+        for item in items:
+            place = (item.availability_zone, item.domain)
+            (others if place in domains else first).append(item)
+            domains.add(place)
+        return (first + others)[:count]
+
+    async def _reach_any(self, instances: list[FleetInstance]) -> bool:
+        """Whether a direct connection to one of several instances comes up."""
+        reached = False
+        with anyio.move_on_after(CHECK_TIMEOUT_S):
+            async with anyio.create_task_group() as tasks:
+
+                async def reach(instance: FleetInstance) -> None:
+                    nonlocal reached
+                    try:
+                        stream = await self.connect_directly(
+                            instance.address, instance.name
+                        )
+                    except OSError:
+                        # The caller logs the result of all attempts.
+                        return
+                    stream.close()
+                    reached = True
+                    tasks.cancel_scope.cancel()
+
+                for instance in instances:
+                    tasks.start_soon(reach, instance)
+        return reached
+
+    def _note_cut_off(self, instances: list[str]) -> None:
+        if self.is_cut_off:
+            return
+        self.is_cut_off = True
+        self.cut_off_at = self._clock()
+        log.emit(events.PATHS_LOST, instances=instances)
+        self._check_due.set()
+        self.on_change()
+
+    def _note_recovered(self) -> None:
+        self.is_cut_off = False
+        self._indirect_until.clear()
+        after_s = round(self._clock() - self.cut_off_at, 3)
+        log.emit(events.PATHS_RECOVERED, after_s=after_s)
+        self.on_change()
+
+    async def run(self) -> None:
+        """Check the paths after failures, and while cut off, until cancelled."""
+        while True:
+            await self._check_due.wait()
+            self._check_due = anyio.Event()
+            await self.check(self._clock())
+            while self.is_cut_off:
+                await self._check_recovery()
+            await anyio.sleep(CHECK_PAUSE_S)
+
+    async def _check_recovery(self) -> None:
+        """Check once whether this node reaches instances again."""
+        chosen = self._choose_instances(2)
+        if not chosen or await self._reach_any(chosen):
+            self._note_recovered()
+            return
+        if self.is_isolated():
+            await self._check_peers(chosen[0].name)
+        await anyio.sleep(RECOVERY_CHECK_S)
+
+    async def _check_peers(self, instance: str) -> None:
+        try:
+            stream = await self._tunnels.open(instance)
+        except TunnelError:
+            # The client notes that its peers failed.
+            return
+        stream.close()
+
+
+def _choose_error(direct: OSError, indirect: OSError) -> OSError:
+    """Return what to raise after a direct connection and the peers have failed.
+
+    A refusal alone proves nothing about the instance if a peer could have told more.
+    """
+    alone = (
+        isinstance(indirect, TunnelError) and indirect.outcome is TunnelOutcome.NO_PEER
+    )
+    if isinstance(direct, ConnectionRefusedError) and not alone:
+        return indirect
+    return direct
--- a/coursepitch/gateway/attempts.py
+++ b/coursepitch/gateway/attempts.py
@@ -33,6 +33,7 @@
     'Result',
     'Retry',
     'SendPlan',
+    'is_isolated',
     'lend_retry',
     'obtain_retry',
     'refuse_unexecuted',
@@ -72,6 +73,7 @@
         place.
     :param withheld: whether the request was not sent because the instance accepts none
         at present.
+    :param path_lost: whether it was not sent because this node is cut off.
     """
 
     result: Result
@@ -80,6 +82,12 @@
     marks: ResponseMetadata | None = None
     misplaced: bool = False
     withheld: bool = False
+    path_lost: bool = False
+
+    @property
+    def blames_instance(self) -> bool:
+        """Whether the instance is to be avoided after an attempt without an answer."""
+        return not (self.withheld or self.path_lost)
 
 
 #: Share of an instance's connection limit that all nodes together use.
@@ -160,6 +168,14 @@
     return components.budget.lend(service, share, peer)
 
 
+def is_isolated(components: GatewayComponents, job: Job) -> bool:
+    """Whether this node reaches no instance by any path; record it as the reason."""
+    if not components.paths.is_isolated():
+        return False
+    job.last_reason = 'this node has no path to the instances'
+    return True
+
+
 def refuse_unexecuted(
     components: GatewayComponents,
     job: Job,
@@ -216,10 +232,14 @@
     limit = find_max_connections(job.service, components.session.count_nodes())
     try:
         connection = await pool.acquire(
-            instance.address, fresh=plan.new_connection, limit=limit
+            instance.address,
+            instance=instance.name,
+            fresh=plan.new_connection,
+            limit=limit,
         )
     except NoConnectionError as error:
-        return Attempt(Result.NOT_RUN, str(error))
+        lost = components.paths.is_cut_off
+        return Attempt(Result.NOT_RUN, str(error), path_lost=lost)
     left_s = job.deadline_at - components.clock()
     permit, job.permit = job.permit, None
     # Connecting takes up to a second, in which the instance may have left or the
--- a/coursepitch/gateway/calls.py
+++ b/coursepitch/gateway/calls.py
@@ -12,6 +12,7 @@
     NOT_EXECUTED_STATUSES,
     Retry,
     SendPlan,
+    is_isolated,
     obtain_retry,
     refuse_unexecuted,
     send_attempt,
@@ -61,6 +62,8 @@
         """Serve a request; return the refusal to send if there is no response."""
         tried: set[str] = set()
         while True:
+            if is_isolated(self._components, job):
+                return self._give_up(job)
             instance = await self._wait_for_instance(job, tried)
             if instance is None:
                 return self._give_up(job)
@@ -203,7 +206,7 @@
         )
         attempt = await send_attempt(self._components, job, instance, plan)
         if attempt.answer is None:
-            if not attempt.withheld:
+            if attempt.blames_instance:
                 self._components.load_tracker.note_failure(instance.name)
             return False
         try:
--- a/coursepitch/gateway/components.py
+++ b/coursepitch/gateway/components.py
@@ -8,6 +8,7 @@
 if TYPE_CHECKING:
     from coursepitch.clock import Clock
     from coursepitch.fleet.notices import InstanceNotices
+    from coursepitch.fleet.paths import InstancePaths
     from coursepitch.fleet.session import FleetSession
     from coursepitch.gateway.admission import Admission
     from coursepitch.gateway.budget import RetryBudget
@@ -33,4 +34,5 @@
     notices: InstanceNotices
     gate: SendGate
     admission: Admission
+    paths: InstancePaths
     clock: Clock
--- a/coursepitch/gateway/streams.py
+++ b/coursepitch/gateway/streams.py
@@ -12,6 +12,7 @@
     NOT_EXECUTED_STATUSES,
     Retry,
     SendPlan,
+    is_isolated,
     obtain_retry,
     refuse_unexecuted,
     send_attempt,
@@ -93,6 +94,8 @@
         splitter = EventSplitter(job.fields.last_event)
         tried: set[str] = set()
         while True:
+            if not job.reply.started and is_isolated(self._components, job):
+                return self._give_up(job)
             group = await self._wait_for_group(job, tried)
             if group is None:
                 return self._give_up(job)
@@ -309,12 +312,13 @@
         if stalled.is_set() and not answers:
             job.may_have_run.add(head.name)
             job.last_reason = 'no response from the group, or none to this request'
-            self._components.load_tracker.note_failure(head.name)
+            if not self._components.paths.is_cut_off:
+                self._components.load_tracker.note_failure(head.name)
             return None
         if not answers:
             if attempt.misplaced:
                 self._components.load_tracker.note_outdated(head)
-            if not attempt.withheld:
+            if attempt.blames_instance:
                 self._components.load_tracker.note_failure(head.name)
             return None
         return answers[0]
@@ -457,7 +461,7 @@
                     continue
                 self._watchdog.note_activity(head)
                 return data
-            if not await self._watchdog.check_members(group):
+            if not await self._watchdog.check_members(group, since):
                 raise StalledError('a member of the group does not answer')
             if self._is_overdue(job, began) and self._may_reroute(job, group, began):
                 self._log_overdue(job, group)
@@ -473,7 +477,8 @@
         self, job: Job, group: OpenGroup, splitter: EventSplitter, reason: str
     ) -> None:
         job.last_reason = reason
-        self._components.load_tracker.note_failure(group.head.name)
+        if not self._components.paths.is_cut_off:
+            self._components.load_tracker.note_failure(group.head.name)
         log.emit(
             events.REQUEST_RESUMED,
             request=job.fields.request,
--- a/coursepitch/gateway/watchdog.py
+++ b/coursepitch/gateway/watchdog.py
@@ -16,6 +16,8 @@
 from coursepitch.gateway.reply_times import ReplyTimes
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from coursepitch.clock import Clock
     from coursepitch.fleet.control import InstanceControl
     from coursepitch.fleet.instances import FleetInstance
@@ -38,11 +40,20 @@
 
 
 class Watchdog:
-    """Probe the members of groups, with one probe per group at a time."""
+    """Probe the members of groups, with one probe per group at a time.
+
+    :param was_cut_off_after: whether this node has lost its paths to the instances
+        since a monotonic time.
+    """
 
     def __init__(
-        self, session: FleetSession, control: InstanceControl, clock: Clock
+        self,
+        session: FleetSession,
+        control: InstanceControl,
+        clock: Clock,
+        was_cut_off_after: Callable[[float], bool] = lambda since: False,
     ) -> None:
+        self._was_cut_off_after = was_cut_off_after
         self._session = session
         self._control = control
         self._clock = clock
@@ -50,6 +61,8 @@
         self._pending: dict[tuple[str, int], anyio.Event] = {}
         self._avoided: dict[tuple[str, int], float] = {}
         self._last_activity: dict[str, float] = {}
+        #: Called with a head that this node does not reach directly.
+        self.on_unreached: Callable[[FleetInstance], None] = lambda instance: None
         #: Response times of models, for the timeouts.
         self.reply_times = ReplyTimes()
 
@@ -88,13 +101,19 @@
             if left_s > 0:
                 await self._session.wait_changed(left_s)
                 continue
-            if not await self.check_members(group):
+            if not await self.check_members(group, since):
                 return
             since = self._clock()
 
-    async def check_members(self, group: OpenGroup) -> bool:
-        """Return whether all members of a group respond; probe them if necessary."""
-        if self._is_lost(group):
+    async def check_members(
+        self, group: OpenGroup, since: float = float('inf')
+    ) -> bool:
+        """Return whether all members of a group respond; probe them if necessary.
+
+        :param since: monotonic time at which the stream that waits last progressed.
+        :return: ``False`` as well if the connection of the stream is lost.
+        """
+        if self._is_lost(group) or self._was_cut_off_after(since):
             return False
         key = (group.claim.name, group.claim.epoch)
         while (pending := self._pending.get(key)) is not None:
@@ -109,8 +128,6 @@
             del self._pending[key]
             done.set()
         self._cached_results[key] = (self._clock(), all_respond)
-        if not all_respond:
-            self._avoided[key] = self._clock() + GROUP_AVOIDANCE_S
         return all_respond
 
     async def _probe_members(self, group: OpenGroup) -> bool:
@@ -123,6 +140,12 @@
             for instance in group.members:
                 tasks.start_soon(ask, instance)
         silent = [name for name, probe in found.items() if probe is not Probe.ANSWERS]
+        unreached = {
+            name
+            for name, probe in found.items()
+            if probe in (Probe.INDIRECT, Probe.NO_PATH)
+        }
+        lost = [name for name in silent if name not in unreached]
         log.emit(
             events.INSTANCE_PROBED,
             group=group.claim.name,
@@ -130,8 +153,12 @@
             refused=[name for name in silent if found[name] is Probe.REFUSED],
             answered=len(found) - len(silent),
         )
-        if silent:
+        if lost:
+            key = (group.claim.name, group.claim.epoch)
+            self._avoided[key] = self._clock() + GROUP_AVOIDANCE_S
             with anyio.move_on_after(1.0):
-                for name in silent:
+                for name in lost:
                     await self._session.losses.report(name)
-        return not silent
+        if group.head.name in unreached:
+            self.on_unreached(group.head)
+        return not lost and group.head.name not in unreached
--- a/coursepitch/gateway_application.py
+++ b/coursepitch/gateway_application.py
@@ -20,9 +20,11 @@
 from coursepitch.fleet.messages import Heartbeat
 from coursepitch.fleet.nodes import NodeLocation
 from coursepitch.fleet.notices import InstanceNotices
+from coursepitch.fleet.paths import InstancePaths
 from coursepitch.fleet.reports import CrashReporter, LiveInstances
 from coursepitch.fleet.session import FleetSession
 from coursepitch.fleet.suspects import SuspectTable
+from coursepitch.fleet.tunnels import TunnelClient, TunnelServer
 from coursepitch.gateway.admission import Admission
 from coursepitch.gateway.attempts import lend_retry
 from coursepitch.gateway.budget import RetryBudget
@@ -44,10 +46,12 @@
 
 if TYPE_CHECKING:
     import socket
+    from collections.abc import Mapping
     from pathlib import Path
 
     from coursepitch.clock import Clock
     from coursepitch.config.gateway import GatewaySettings, PromiseSettings
+    from coursepitch.fleet.instances import FleetInstance
     from coursepitch.fleet.messages import Message
     from coursepitch.http.client import ConnectOutcome
     from coursepitch.http.messages import IncomingRequest
@@ -107,12 +111,21 @@
             promises.refuse_unconfirmed,
         )
         self.session = FleetSession(node.name, self.kv, self.freshness, clock)
-        self.control = InstanceControl(clock, self._count_connection)
+        self.tunnels = TunnelClient(
+            node.name, node.availability_zone, self._list_nodes, clock
+        )
+        self.tunnels.count = self._count_tunnel
+        self.paths = InstancePaths(self.session.view, self.tunnels, clock)
+        self.paths.on_change = self._note_paths_changed
+        self.control = InstanceControl(clock, self._count_connection, self.paths)
         self.backoffs = InstanceBackoffs(clock)
         self.notices = self._build_notices()
         self.control.take_marks = self.notices.take
         self.control.find_born = self._find_born
-        self.pool = ConnectionPool(clock, note_attempt=self._count_connection)
+        self.pool = ConnectionPool(
+            clock, note_attempt=self._count_connection, connect=self.paths.connect
+        )
+        self.tunnel_server = TunnelServer(self._list_nodes, self.paths.connect_for_peer)
         self.links = PeerLinks(
             node.name,
             node.availability_zone,
@@ -122,6 +135,7 @@
             self._handle_message,
             clock,
         )
+        self.links.serve_tunnel = self.tunnel_server.serve
         self.session.send = self.links.send
         self.session.losses.tell = self.links.send
         self.session.limits.tell = self.links.send
@@ -146,7 +160,10 @@
         self.load_tracker = LoadTracker(clock, self.session.book.count)
         self.notices.avoid = self.load_tracker.avoid
         self.session.view.on_restart = self._note_restart
-        self.watchdog = Watchdog(self.session, self.control, clock)
+        self.watchdog = Watchdog(
+            self.session, self.control, clock, self.paths.was_cut_off_after
+        )
+        self.watchdog.on_unreached = self._note_unreached
         self.gate = SendGate(
             self.session.view, self.backoffs, self.session.permits, self._count_withheld
         )
@@ -191,6 +208,7 @@
             self.notices,
             self.gate,
             self.admission,
+            self.paths,
             self.clock,
         )
         self.session.loans.lend = partial(lend_retry, components)
@@ -225,6 +243,21 @@
     def _count_withheld(self, reason: str) -> None:
         self.metrics.withheld_sends.inc({'reason': reason})
 
+    def _list_nodes(self) -> Mapping[str, NodeLocation]:
+        return self.session.view.nodes
+
+    def _note_paths_changed(self) -> None:
+        """Close idle connections: they may hang, or take the way through a peer."""
+        self.pool.close_idle()
+        self.control.close_idle()
+
+    def _note_unreached(self, instance: FleetInstance) -> None:
+        self.paths.note_unreached(instance.name)
+        self.pool.close_idle_at(instance.address)
+
+    def _count_tunnel(self, outcome: str) -> None:
+        self.metrics.tunnels.inc({'outcome': outcome})
+
     def _count_connection(self, outcome: ConnectOutcome) -> None:
         self.metrics.instance_connections.inc({'outcome': outcome.value})
 
@@ -352,6 +385,7 @@
             group.start_soon(self._keep_groups)
             group.start_soon(self._clean_up)
             group.start_soon(self.admission.run)
+            group.start_soon(self.paths.run)
             group.start_soon(self.links.run, sockets['peers'])
             group.start_soon(self.ready_server.run, sockets['ready'])
             group.start_soon(self.metrics_server.run, sockets['metrics'])
--- a/coursepitch/http/client.py
+++ b/coursepitch/http/client.py
@@ -22,11 +22,13 @@
 from coursepitch.http.stream import connect
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Awaitable, Callable
 
     from coursepitch.http.messages import Headers
     from coursepitch.http.stream import ByteStream
 
+    Connect = Callable[[str, str], Awaitable[ByteStream]]
+
 __all__ = [
     'ConnectOutcome',
     'Connection',
@@ -260,17 +262,28 @@
         self.pool.release(self.connection, self)
 
 
+async def connect_directly(address: str, instance: str) -> ByteStream:
+    """Return a stream that is connected to an address.
+
+    :raises OSError: the connection could not be established.
+    """
+    host, _, port = address.rpartition(':')
+    return await connect(host, int(port))
+
+
 @dataclass(eq=False)
 class ConnectionPool:
     """Pool of connections by address; reuses the most recently used idle one first.
 
     :param connect_timeout_s: timeout of a connection attempt in seconds.
     :param note_attempt: called with the outcome of each connection attempt.
+    :param connect: connects to an address, of the instance of that name.
     """
 
     clock: Clock = boottime
     connect_timeout_s: float = 1.0
     note_attempt: Callable[[ConnectOutcome], None] = lambda outcome: None
+    connect: Connect = connect_directly
     _idle: dict[str, list[Connection]] = field(default_factory=dict)
     _open: dict[str, int] = field(default_factory=dict)
 
@@ -284,10 +297,16 @@
         return any(item.reusable_until > self.clock() for item in idle[-1:])
 
     async def acquire(
-        self, address: str, *, fresh: bool = False, limit: int = DEFAULT_MAX_CONNECTIONS
+        self,
+        address: str,
+        *,
+        instance: str = '',
+        fresh: bool = False,
+        limit: int = DEFAULT_MAX_CONNECTIONS,
     ) -> Connection:
         """Return an idle connection or open a new one.
 
+        :param instance: name of the instance at the address.
         :param fresh: whether to open a new one in any case.
         :param limit: maximum number of open or opening connections to the address.
         :raises NoConnectionError: the attempt failed or the limit is reached.
@@ -303,10 +322,9 @@
                 f'limit of {limit} connections to {address} reached'
             )
         self._open[address] = self.count_open(address) + 1
-        host, _, port = address.rpartition(':')
         try:
             with anyio.fail_after(self.connect_timeout_s):
-                stream = await connect(host, int(port))
+                stream = await self.connect(address, instance)
         except (OSError, TimeoutError) as error:
             self._count_closed(address)
             self.note_attempt(_classify_failure(error))
@@ -328,12 +346,18 @@
             connection = idle.pop()
             if (
                 connection.reusable_until > self.clock()
+                and connection.stream.reusable
                 and connection.has_no_pending_input()
             ):
                 return connection
             self.discard(connection)
         return None
 
+    def close_idle_at(self, address: str) -> None:
+        """Close the idle connections to an address."""
+        for connection in self._idle.pop(address, ()):
+            self.discard(connection)
+
     def _close_oldest_idle(self, address: str) -> None:
         idle = self._idle.get(address, [])
         if idle:
@@ -360,7 +384,10 @@
         parser = connection.parser
         done = parser.our_state is h11.DONE and parser.their_state is h11.DONE
         return (
-            done and not parser.trailing_data[0] and connection.has_no_pending_input()
+            done
+            and connection.stream.reusable
+            and not parser.trailing_data[0]
+            and connection.has_no_pending_input()
         )
 
     def discard(self, connection: Connection) -> None:
@@ -386,12 +413,16 @@
             if not self._idle[address]:
                 del self._idle[address]
 
-    def close(self) -> None:
+    def close_idle(self) -> None:
         """Close all idle connections."""
-        for connections in self._idle.values():
+        idle, self._idle = self._idle, {}
+        for connections in idle.values():
             for connection in connections:
-                connection.close()
-        self._idle.clear()
+                self.discard(connection)
+
+    def close(self) -> None:
+        """Close all idle connections, as the pool is no longer used."""
+        self.close_idle()
 
     async def exchange(
         self,
--- a/coursepitch/http/stream.py
+++ b/coursepitch/http/stream.py
@@ -32,9 +32,11 @@
 
     :param on_end: called once the other side has ended or reset the connection, which
         is not noticed while :data:`MAX_UNREAD_BYTES` are unread.
+    :param reusable: whether it may be used for another exchange.
     """
 
     def __init__(self) -> None:
+        self.reusable = True
         self.on_end: Callable[[], None] | None = None
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.Transport = None  # type: ignore[assignment]
--- a/coursepitch/metrics.py
+++ b/coursepitch/metrics.py
@@ -117,6 +117,10 @@
             'instance_connections_total',
             'Attempts to connect to instances by outcome.',
         )
+        self.tunnels = counter(
+            'tunnels_total',
+            'Attempts to connect to instances through peers by outcome.',
+        )
         self.kv_calls = counter(
             'key_value_calls_total', 'Calls to the key-value service by operation.'
         )
--- a/tests/fleet/builders.py
+++ b/tests/fleet/builders.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from types import SimpleNamespace
+
 from coursepitch.config.routes import EngineProfile, ModelProfile, RouteTable, Service
 from coursepitch.fleet.claims import encode_claims
 from coursepitch.fleet.instances import FleetInstance, GroupState, Membership
@@ -11,6 +13,9 @@
 
 SERVICE = 'pool'
 
+#: Paths of a node that reaches all instances directly.
+SOUND_PATHS = SimpleNamespace(is_cut_off=False, is_isolated=lambda: False)
+
 LARGE = ModelProfile('large', 3, 0.6, 1.0, 16.0, 1.6)
 SMALL = ModelProfile('small', 2, 0.4, 0.6, 12.0, 1.1)
 
--- a/tests/fleet/test_control.py
+++ b/tests/fleet/test_control.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import unittest
+from types import SimpleNamespace
 
 import anyio
 
@@ -14,6 +15,7 @@
     Probe,
 )
 from coursepitch.fleet.orders import Order, OrderKind, OrderResult
+from tests.fleet.builders import build_instance
 
 
 class ConcurrencyTest(unittest.TestCase):
@@ -161,6 +163,77 @@
         self.assertEqual(found, (Probe.SILENT, 2))
 
 
+class WitnessTest(unittest.TestCase):
+    """What an unanswered probe proves, by this node's paths and a peer's probe."""
+
+    def build(self, direct, indirect, reaches_others, is_cut_off=False):
+        """Return a control whose probes have these results."""
+
+        async def check(since, suspect):
+            return reaches_others
+
+        paths = SimpleNamespace(
+            is_cut_off=is_cut_off,
+            check=check,
+            connect=None,
+            connect_directly=None,
+            connect_through_peer=None,
+        )
+        control = InstanceControl(lambda: 0.0, paths=paths)
+
+        async def answer(instance, pool=None):
+            found = indirect if pool is control._peer_pool else direct
+            if found is None:
+                await anyio.sleep_forever()
+            return found
+
+        control._request_report = answer
+        return control
+
+    def probe(self, *results, **options):
+        control = self.build(*results, **options)
+        return anyio.run(control.probe, build_instance('a'))
+
+    def has_ended(self, *results, **options):
+        control = self.build(*results, **options)
+        return anyio.run(control.has_ended, build_instance('a'))
+
+    def test_silence_counts_if_no_peer_gets_an_answer(self):
+        for indirect in (Probe.SILENT, Probe.REFUSED, Probe.BROKEN, None):
+            with self.subTest(indirect):
+                found = self.probe(Probe.SILENT, indirect, True)
+                self.assertIs(found, Probe.SILENT)
+
+    # Guards against one node's lost path that is told to all as a lost instance.
+    def test_instance_that_answers_a_peer_is_not_lost(self):
+        for direct in (Probe.SILENT, Probe.REFUSED):
+            with self.subTest(direct):
+                found = self.probe(direct, Probe.ANSWERS, True)
+                self.assertIs(found, Probe.INDIRECT)
+                self.assertTrue(found.answers)
+
+    def test_node_that_reaches_no_other_instance_tells_nothing(self):
+        for direct in (Probe.SILENT, Probe.REFUSED):
+            with self.subTest(direct):
+                found = self.probe(direct, Probe.SILENT, False)
+                self.assertIs(found, Probe.NO_PATH)
+                self.assertFalse(found.answers)
+
+    def test_node_that_is_cut_off_asks_a_peer_only(self):
+        found = self.probe(None, Probe.ANSWERS, False, is_cut_off=True)
+        self.assertIs(found, Probe.ANSWERS)
+        found = self.probe(None, Probe.SILENT, False, is_cut_off=True)
+        self.assertIs(found, Probe.NO_PATH)
+
+    # Guards against refusals on a cut path that are taken for crashes.
+    def test_refused_connection_proves_the_end_on_a_sound_path_only(self):
+        self.assertTrue(self.has_ended(Probe.REFUSED, Probe.REFUSED, True))
+        self.assertTrue(self.has_ended(Probe.REFUSED, Probe.SILENT, True))
+        self.assertFalse(self.has_ended(Probe.REFUSED, Probe.ANSWERS, True))
+        self.assertFalse(self.has_ended(Probe.REFUSED, Probe.REFUSED, False))
+        self.assertTrue(self.has_ended(Probe.REPLACED, Probe.ANSWERS, False))
+
+
 class EndTest(unittest.TestCase):
     """Whether an instance's process is gone.
 
--- a/tests/fleet/test_keeper.py
+++ b/tests/fleet/test_keeper.py
@@ -73,6 +73,13 @@
         keeper, _ = self.send(OrderResult.UNKNOWN, Probe.ANSWERS)
         self.assertEqual(keeper._controller.unresponsive, set())
 
+    # Guards against a leader that ends groups as it has no path to their members.
+    def test_member_is_not_marked_by_a_node_without_a_path(self):
+        for found in (Probe.NO_PATH, Probe.INDIRECT):
+            with self.subTest(found):
+                keeper, _ = self.send(OrderResult.UNREACHED, found)
+                self.assertEqual(keeper._controller.unresponsive, set())
+
     def test_member_is_not_probed_again_at_once(self):
         _, control = self.send(OrderResult.UNKNOWN, Probe.ANSWERS, times=3)
         self.assertEqual(control.asked, ['i1'])
--- a/tests/gateway/test_attempts.py
+++ b/tests/gateway/test_attempts.py
@@ -11,7 +11,12 @@
 from coursepitch.fleet.backoffs import InstanceBackoffs
 from coursepitch.gateway.attempts import Result, SendPlan, send_attempt
 from coursepitch.gateway.send_gate import SendGate
-from tests.fleet.builders import build_instance, build_service, build_view
+from tests.fleet.builders import (
+    SOUND_PATHS,
+    build_instance,
+    build_service,
+    build_view,
+)
 
 
 class FakePool:
@@ -22,7 +27,7 @@
         self.discarded = []
         self.sent = []
 
-    async def acquire(self, address, *, fresh, limit):
+    async def acquire(self, address, *, instance, fresh, limit):
         self.on_acquire()
         return 'connection'
 
@@ -56,6 +61,7 @@
             session=session,
             pool=self.pool,
             gate=SendGate(self.view, self.backoffs, permits),
+            paths=SOUND_PATHS,
             clock=lambda: 100.0,
         )
         self.job = SimpleNamespace(
--- a/tests/gateway/test_decisions.py
+++ b/tests/gateway/test_decisions.py
@@ -230,15 +230,16 @@
 class FakeControl:
     """Answers probes as configured, once the test sets ``go``."""
 
-    def __init__(self, silent=()):
+    def __init__(self, silent=(), found=Probe.SILENT):
         self.silent = silent
+        self.found = found
         self.asked = []
         self.go = anyio.Event()
 
     async def probe(self, instance):
         self.asked.append(instance.name)
         await self.go.wait()
-        return Probe.SILENT if instance.name in self.silent else Probe.ANSWERS
+        return self.found if instance.name in self.silent else Probe.ANSWERS
 
 
 class FakeSession:
@@ -293,6 +294,52 @@
         self.assertEqual(sorted(control.asked), ['a', 'b'])
         self.assertEqual(self.session.reported, ['b'])
 
+    # Guards against a node's lost paths that are told to all as lost instances.
+    def test_member_without_a_path_ends_the_wait_and_is_not_reported(self):
+        for found in (Probe.INDIRECT, Probe.NO_PATH):
+            with self.subTest(found):
+                self.session.reported.clear()
+                control = FakeControl(silent=('a',), found=found)
+                unreached = []
+
+                async def run(control=control, unreached=unreached):
+                    control.go.set()
+                    watchdog = self.build(control)
+                    watchdog.on_unreached = unreached.append
+                    all_respond = await watchdog.check_members(self.group)
+                    return all_respond, watchdog.is_avoided(self.group)
+
+                self.assertEqual(anyio.run(run), (False, False))
+                self.assertEqual(unreached, [self.group.head])
+                self.assertEqual(self.session.reported, [])
+
+    def test_path_to_a_member_that_takes_no_requests_does_not_matter(self):
+        control = FakeControl(silent=('b',), found=Probe.INDIRECT)
+
+        async def run():
+            control.go.set()
+            return await self.build(control).check_members(self.group)
+
+        self.assertTrue(anyio.run(run))
+
+    def test_stream_from_before_a_cut_does_not_wait_for_a_probe(self):
+        control = FakeControl()
+        cut_off_at = self.now
+
+        def was_cut_off_after(since):
+            return since < cut_off_at
+
+        async def run(since):
+            watchdog = Watchdog(
+                self.session, control, lambda: self.now, was_cut_off_after
+            )
+            control.go.set()
+            return await watchdog.check_members(self.group, since)
+
+        self.assertFalse(anyio.run(run, self.now - 0.1))
+        self.assertEqual(control.asked, [])
+        self.assertTrue(anyio.run(run, self.now + 0.1))
+
     def test_member_reported_lost_ends_a_wait_without_a_probe(self):
         control = FakeControl()
 
--- a/tests/gateway/test_evacuations.py
+++ b/tests/gateway/test_evacuations.py
@@ -30,7 +30,13 @@
 from coursepitch.gateway.watchdog import Watchdog
 from coursepitch.metrics import Metrics
 from coursepitch.platform.kv import Entry
-from tests.fleet.builders import SERVICE, build_instance, build_service, build_view
+from tests.fleet.builders import (
+    SERVICE,
+    SOUND_PATHS,
+    build_instance,
+    build_service,
+    build_view,
+)
 
 EVACUATE_S = 5.0
 USE_S = EVACUATE_S * USE_FRACTION
@@ -150,14 +156,18 @@
         self.evacuate('b')
         discarded = []
 
-        async def acquire(address, *, fresh, limit):
+        async def acquire(address, *, instance, fresh, limit):
             self.now += USE_S
             return 'connection'
 
         pool = SimpleNamespace(acquire=acquire, discard=discarded.append)
         session = SimpleNamespace(count_nodes=lambda: 2, is_fresh=lambda: True)
         components = SimpleNamespace(
-            session=session, pool=pool, gate=self.gate, clock=self.clock
+            session=session,
+            pool=pool,
+            gate=self.gate,
+            paths=SOUND_PATHS,
+            clock=self.clock,
         )
         job = SimpleNamespace(
             service=build_service(),
@@ -199,6 +209,7 @@
             load_tracker=self.load_tracker,
             gate=self.gate,
             admission=admission,
+            paths=SOUND_PATHS,
             clock=self.clock,
         )
 
--- a/tests/gateway/test_send_gate.py
+++ b/tests/gateway/test_send_gate.py
@@ -25,7 +25,12 @@
 from coursepitch.platform.fleet import INSTANCE_PREFIX
 from coursepitch.platform.headers import read_response_metadata
 from coursepitch.platform.kv import Entry
-from tests.fleet.builders import build_instance, build_service, build_view
+from tests.fleet.builders import (
+    SOUND_PATHS,
+    build_instance,
+    build_service,
+    build_view,
+)
 
 NAMES = ('a', 'b', 'c')
 
@@ -137,7 +142,7 @@
     def __init__(self, answer):
         self.answer = answer
 
-    async def acquire(self, address, *, fresh, limit):
+    async def acquire(self, address, *, instance, fresh, limit):
         return 'connection'
 
     async def exchange(self, connection, *request):
@@ -178,6 +183,7 @@
             pool=Pool(answer),
             gate=node.gate,
             notices=node.notices,
+            paths=SOUND_PATHS,
             clock=lambda: self.now,
         )
         incoming = SimpleNamespace(headers=(), method=b'GET', target=b'/', body=b'')
--- a/tests/gateway/waiting_node.py
+++ b/tests/gateway/waiting_node.py
@@ -20,6 +20,7 @@
 from coursepitch.metrics import Metrics
 from tests.fleet.builders import (
     SERVICE,
+    SOUND_PATHS,
     build_instance,
     build_service,
     build_table,
@@ -128,6 +129,7 @@
             load_tracker=self.load_tracker,
             gate=self.gate,
             admission=self.admission,
+            paths=SOUND_PATHS,
             clock=self.clock,
         )
         self.streams = StreamServer(components, watchdog)
