Keep the group of an instance that falls silent for a second

What callers saw: a head that stood still for a second lost its group, so that the streams there ended and its place stayed empty until another group had formed.

Cause: the leader ended a group after one probe without an answer.

Change: a serving group whose member is silent ends after 2.3 s of silence by the leader's probes. Nodes avoid it from the first report on, as before. A member that refuses connections, or whose group does not serve yet, is given up at once.

--- a/coursepitch/fleet/groups.py
+++ b/coursepitch/fleet/groups.py
@@ -45,6 +45,10 @@
 #: least, and one that only lost the store keeps serving; streams take 0.7 to 1.3 s.
 MEMBER_LOSS_GRACE_S = 1.5
 
+#: Seconds for which a serving group with a silent member is kept: a sound instance may
+#: fall silent for a second or so.  Requests avoid the group meanwhile.
+SILENCE_GRACE_S = 2.3
+
 #: Seconds beyond twice the load time after which a group that has not formed is
 #: retired.
 FORM_TIMEOUT_MARGIN_S = 8.0
@@ -99,9 +103,12 @@
     """State from which the leader decides about groups.
 
     :param unresponsive: instances that do not answer the leader.
+    :param silent_since: monotonic times since when those among them are silent whose
+        connections are not refused.
     """
 
     unresponsive: set[str] = field(default_factory=set)
+    silent_since: dict[str, float] = field(default_factory=dict)
     _records: dict[tuple[str, int], _GroupRecord] = field(default_factory=dict)
     _unopened: set[tuple[str, int]] = field(default_factory=set)
     _ended_groups: set[tuple[str, int]] = field(default_factory=set)
@@ -116,6 +123,7 @@
     def reset(self) -> None:
         """Drop all state when the node becomes leader."""
         self.unresponsive.clear()
+        self.silent_since.clear()
         self._records.clear()
         self._unopened.clear()
         self._ended_groups.clear()
@@ -152,6 +160,22 @@
         elif order.instance == order.members[0]:
             record.head_failures += 1
 
+    def note_unresponsive(self, name: str, now: float, *, silent: bool) -> None:
+        """Record that an instance does not answer.
+
+        :param silent: whether it is silent, rather than refusing connections.
+        """
+        self.unresponsive.add(name)
+        if silent:
+            self.silent_since.setdefault(name, now)
+        else:
+            self.silent_since.pop(name, None)
+
+    def note_responsive(self, name: str) -> None:
+        """Record that an instance answers."""
+        self.unresponsive.discard(name)
+        self.silent_since.pop(name, None)
+
     def _note_start(self, instance: FleetInstance) -> None:
         """Drop the state of an instance that has restarted.
 
@@ -162,7 +186,7 @@
         if 0 < before < instance.born:
             self._ledger.forget_instance(instance.name)
             self._loads.running.pop(instance.name, None)
-            self.unresponsive.discard(instance.name)
+            self.note_responsive(instance.name)
 
     # -- decisions ----------------------------------------------------------------
 
@@ -338,6 +362,8 @@
         for name in claim.members:
             instance = view.instances.get(name)
             if name in self.unresponsive:
+                if serving and self._may_answer_again(name, now):
+                    continue
                 return f'{name} does not answer'
             if instance is None:
                 if serving and self._may_finish(name, claim, view, record, now):
@@ -366,6 +392,11 @@
             return 'the group did not form in time'
         return ''
 
+    def _may_answer_again(self, name: str, now: float) -> bool:
+        """Whether an instance has been silent only for a short time."""
+        since = self.silent_since.get(name)
+        return since is not None and now - since < SILENCE_GRACE_S
+
     def _may_finish(
         self,
         name: str,
--- a/coursepitch/fleet/keeper.py
+++ b/coursepitch/fleet/keeper.py
@@ -269,17 +269,19 @@
             found = await self._control.probe(instance)
         if found is Probe.NO_PATH:
             return
-        silent = not found.answers
-        if silent and name not in self._controller.unresponsive:
+        known = name in self._controller.unresponsive
+        if found.answers or not known:
             log.emit(
-                events.INSTANCE_LOST, instance=name, answers=False, found=found.value
+                events.INSTANCE_LOST,
+                instance=name,
+                answers=found.answers,
+                found=found.value,
             )
-            self._controller.unresponsive.add(name)
+        if not found.answers:
+            silent = found is Probe.SILENT
+            self._controller.note_unresponsive(name, self._clock(), silent=silent)
             self._session.wake()
-        if not silent:
-            log.emit(
-                events.INSTANCE_LOST, instance=name, answers=True, found=found.value
-            )
-            self._controller.unresponsive.discard(name)
-            if view.lost.has(name):
-                await self._session.losses.clear(name)
+            return
+        self._controller.note_responsive(name)
+        if view.lost.has(name):
+            await self._session.losses.clear(name)
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -417,7 +417,7 @@
         host.crash_body = data['body'].encode()
         return {}
     names = data.get('instances') or list(host.instances)
-    if target == '/cut':
+    if target == '/cut' and not data.get('instances'):
         host.cuts |= dict.fromkeys(data['nodes'], data['mode'])
     for name in names:
         instance = host.instances[name]
--- a/tests/fleet/test_finishing.py
+++ b/tests/fleet/test_finishing.py
@@ -14,7 +14,11 @@
 import unittest
 
 from coursepitch.fleet.claims import GroupClaim
-from coursepitch.fleet.groups import MEMBER_LOSS_GRACE_S, GroupController
+from coursepitch.fleet.groups import (
+    MEMBER_LOSS_GRACE_S,
+    SILENCE_GRACE_S,
+    GroupController,
+)
 from coursepitch.fleet.orders import OrderKind
 from tests.fleet.builders import SERVICE, build_instance, build_service, build_view
 
@@ -75,6 +79,29 @@
         del self.states['head']
         self.assertEqual(len(self.decide(100.1).retired), 1)
 
+    def test_group_of_a_silent_member_is_retired_after_the_grace_period(self):
+        self.controller.note_unresponsive('a', 100.1, silent=True)
+        self.assertEqual(self.decide(100.2).retired, ())
+        self.controller.note_unresponsive('a', 101.1, silent=True)
+        self.assertEqual(self.decide(100.0 + SILENCE_GRACE_S).retired, ())
+        self.assertEqual(len(self.decide(100.2 + SILENCE_GRACE_S).retired), 1)
+
+    def test_member_that_answers_again_was_not_silent_for_long(self):
+        self.controller.note_unresponsive('a', 100.1, silent=True)
+        self.controller.note_responsive('a')
+        self.controller.note_unresponsive('a', 102.1, silent=True)
+        self.assertEqual(self.decide(100.2 + SILENCE_GRACE_S).retired, ())
+
+    def test_group_is_retired_at_once_if_a_member_refuses_connections(self):
+        self.controller.note_unresponsive('head', 100.1, silent=True)
+        self.controller.note_unresponsive('head', 100.2, silent=False)
+        self.assertEqual(len(self.decide(100.3).retired), 1)
+
+    def test_group_that_does_not_serve_does_not_wait_for_a_silent_member(self):
+        self.states['head'] = 'ready'
+        self.controller.note_unresponsive('a', 100.1, silent=True)
+        self.assertEqual(len(self.decide(100.2).retired), 1)
+
 
 if __name__ == '__main__':
     unittest.main()
--- a/tests/whole/test_partitions.py
+++ b/tests/whole/test_partitions.py
@@ -20,6 +20,9 @@
 #: First tries of which one may fail at nodes that are cut off, as users count.
 TRIES_PER_FAILURE = 50
 
+#: Seconds for which a sound instance may fall silent, as users say.
+SILENCE_S = 1.2
+
 #: Longest time in seconds that a refusal may take if it is known that nothing serves.
 REFUSAL_S = 0.3
 
@@ -189,6 +192,32 @@
         self.assert_all_served(self.play_cut(cut_off, 'refuse'), cut_off)
 
 
+class SilentHeadTest(PartitionCase):
+    """An instance falls silent for all nodes, and goes on."""
+
+    # Guards against a group that is ended as its head stood still for a second.
+    def test_group_outlasts_a_second_of_silence_of_its_head(self):
+        head = next(
+            name
+            for name, item in self.stats('pool').items()
+            if item['group'] and item['group']['state'] == 'open'
+        )
+        began_at = time.monotonic()
+        hang = {'nodes': list(self.nodes), 'instances': [head]}
+        self.control('pool', '/cut', **hang, mode='hang')
+        while time.monotonic() - began_at < SILENCE_S:
+            for name in self.nodes:
+                self.serves(name)
+        self.control('pool', '/cut', **hang, mode='none')
+        self.wait_for(
+            lambda: time.monotonic() - began_at > SILENCE_S + CONTACT_S,
+            'the time in which the leader acts',
+        )
+        found = self.list_new_events('instance.lost')
+        self.assertIn(False, [event['answers'] for event in found])
+        self.assertEqual(self.list_new_events('group.retired'), [])
+
+
 class AllCutOffTest(PartitionCase):
     """No node reaches an instance."""
 
