Hand the lead to a node that reaches instances

What callers saw: nothing yet in the record, as its leader had its paths; with a leader that is cut off all orders and probes went through tunnels, one more place at which the repair of groups can fail.

Change: a leader that is cut off ends its lease once a peer has connected for it, and a node that is cut off campaigns 1.1 s after all others. Where all are cut off no peer connects, and the lead stays: AllCutOffTest checks it.

--- a/coursepitch/events.py
+++ b/coursepitch/events.py
@@ -300,6 +300,11 @@
     'A peer asked for a connection to an instance and got none.',
     ('peer', 'instance', 'reason'),
 )
+LEADERSHIP_RESIGNED = Event(
+    536,
+    'lead.resigned',
+    'The leader reaches no instance, and a peer does; it gives up the lead.',
+)
 GROUPS_CLAIMED = Event(
     514,
     'groups.claimed',
--- a/coursepitch/fleet/leases.py
+++ b/coursepitch/fleet/leases.py
@@ -48,6 +48,10 @@
 CAMPAIGN_STAGGER_S = 0.03
 MAX_CAMPAIGN_DELAY_S = 1.0
 
+#: Further delay in seconds of the campaign of a node that reaches no instances, so that
+#: it only leads if no other node does.
+IMPAIRED_DELAY_S = 1.1
+
 
 class Lease:
     """A lease, with a local estimate of when it ends."""
@@ -118,6 +122,10 @@
         self._ending = False
         self._store_back = anyio.Event()
         self.place = NodeLocation('')
+        #: Whether this node should give up the lead, as another one can do more.
+        self.should_resign: Callable[[], bool] = lambda: False
+        #: Whether any other node should be preferred as the leader.
+        self.is_impaired: Callable[[], bool] = lambda: False
         #: Waits until the view changes, at most so many seconds.
         self.wait_changed: Callable[[float], Awaitable[None]] = anyio.sleep
 
@@ -208,6 +216,9 @@
                 await self.wait_changed(VACANCY_CHECK_S)
 
     async def _renew_lead(self) -> None:
+        if self.should_resign():
+            await self._resign()
+            return
         good = await self._leader_lease.renew()
         if not self._leader_lease.name:
             self._lead_revision = 0
@@ -216,6 +227,15 @@
         else:
             await self._wait_store_back(RETRY_S)
 
+    async def _resign(self) -> None:
+        """End the lead, so that another node can take it at once."""
+        self._lead_revision = 0
+        self._view.leader = ''
+        log.emit(events.LEADERSHIP_RESIGNED)
+        await self._leader_lease.end()
+        self._leader_lease.name = ''
+        self._wake()
+
     def _is_vacant(self) -> bool:
         """Whether there is no leader, or it is an earlier incarnation of this node."""
         return self._view.leader in ('', self._me) and self._node_lease.held
@@ -231,12 +251,11 @@
     async def _campaign(self) -> None:
         """Campaign for leadership; nodes do so one after the other."""
         if not self._view.leader:
-            await anyio.sleep(
-                min(
-                    self._find_campaign_rank() * CAMPAIGN_STAGGER_S,
-                    MAX_CAMPAIGN_DELAY_S,
-                )
-            )
+            delay_s = self._find_campaign_rank() * CAMPAIGN_STAGGER_S
+            delay_s = min(delay_s, MAX_CAMPAIGN_DELAY_S)
+            if self.is_impaired():
+                delay_s += IMPAIRED_DELAY_S
+            await anyio.sleep(delay_s)
         # Checked again after the grant: another node may have become leader in the
         # meantime, and must not be replaced.
         granted = self._is_vacant() and await self._leader_lease.grant()
--- a/coursepitch/fleet/paths.py
+++ b/coursepitch/fleet/paths.py
@@ -192,6 +192,10 @@
         """
         return self.is_cut_off and since < self.cut_off_at
 
+    def reaches_less_than_peers(self) -> bool:
+        """Whether the node is cut off and a peer that it asked since is not."""
+        return self.is_cut_off and self._tunnels.opened_at >= self.cut_off_at
+
     def is_isolated(self) -> bool:
         """Whether no instance can be reached, neither directly nor through peers."""
         return self.is_cut_off and self._tunnels.failed_at > self._tunnels.opened_at
--- a/coursepitch/gateway_application.py
+++ b/coursepitch/gateway_application.py
@@ -117,6 +117,8 @@
         self.tunnels.count = self._count_tunnel
         self.paths = InstancePaths(self.session.view, self.tunnels, clock)
         self.paths.on_change = self._note_paths_changed
+        self.session.leases.should_resign = self.paths.reaches_less_than_peers
+        self.session.leases.is_impaired = lambda: self.paths.is_cut_off
         self.control = InstanceControl(clock, self._count_connection, self.paths)
         self.backoffs = InstanceBackoffs(clock)
         self.notices = self._build_notices()
--- a/tests/fleet/test_leases.py
+++ b/tests/fleet/test_leases.py
@@ -8,7 +8,11 @@
 import anyio
 
 from coursepitch.fleet import leases
-from coursepitch.fleet.leases import LEAD_LEASE_S, NodeLeases
+from coursepitch.fleet.leases import (
+    LEAD_LEASE_S,
+    MAX_CAMPAIGN_DELAY_S,
+    NodeLeases,
+)
 from coursepitch.fleet.view import LEADER_KEY, FleetView
 from coursepitch.platform.kv import (
     Condition,
@@ -105,6 +109,39 @@
         self.assertFalse(self.leases.is_leader())
 
 
+class ResignationTest(unittest.TestCase):
+    """A leader that reaches no instance gives the lead to a node that does."""
+
+    def setUp(self):
+        self.store = FakeStore()
+        self.view = FleetView(lambda: 100.0)
+        self.leases = NodeLeases(
+            'n1', self.store, self.view, lambda: None, lambda: 100.0
+        )
+        anyio.run(self.leases._node_lease.grant)
+        anyio.run(self.leases._campaign)
+
+    def test_leader_ends_its_lease(self):
+        self.leases.should_resign = lambda: True
+        with mock.patch.object(self.leases._leader_lease, 'end') as end:
+            anyio.run(self.leases._renew_lead)
+        end.assert_awaited_once()
+        self.assertFalse(self.leases.is_leader())
+        self.assertEqual(self.view.leader, '')
+
+    def test_impaired_node_campaigns_after_the_others(self):
+        delays = {}
+        self.view.leader = ''
+        for impaired in (False, True):
+            self.leases.is_impaired = lambda value=impaired: value
+            with mock.patch.object(anyio, 'sleep') as sleep:
+                anyio.run(self.leases._campaign)
+            delays[impaired] = sleep.await_args_list[0].args[0]
+            self.view.leader = ''
+        self.assertGreater(delays[True], MAX_CAMPAIGN_DELAY_S)
+        self.assertLessEqual(delays[False], MAX_CAMPAIGN_DELAY_S)
+
+
 class FirstCampaignTest(unittest.TestCase):
     """A starting node campaigns only once it knows whether there is a leader."""
 
--- a/tests/whole/test_partitions.py
+++ b/tests/whole/test_partitions.py
@@ -161,6 +161,15 @@
         self.assertEqual(self.list_new_events('group.retired'), [])
         self.assert_all_served(tries, cut_off)
 
+    # Guards against a leader whose orders and probes all depend on tunnels.
+    def test_leader_that_is_cut_off_hands_the_lead_over_once(self):
+        leader = self.find_leader()
+        self.play_cut([leader], 'hang')
+        taken = [event['node'] for event in self.list_new_events('lead.taken')]
+        self.assertEqual(len(taken), 1)
+        self.assertNotEqual(taken[0], leader)
+        self.assertEqual(self.find_leader(), taken[0])
+
     # Guards against nodes that are no use to each other as most of them are cut off.
     def test_clients_are_served_while_one_node_reaches_the_instances(self):
         cut_off = [self.find_leader(), *self.list_followers()[:2]]
@@ -228,6 +237,7 @@
         self.assertEqual(slow, [])
         self.assertEqual({item.status for item in tries}, {503})
         self.assertNotIn('', {item.retry_after for item in tries})
+        self.assertEqual(self.list_new_events('lead.taken'), [])
         self.cut(self.nodes, 'none')
         for name in self.nodes:
             self.wait_for(lambda name=name: self.serves(name), f'{name} serves')
