Let a leader that nobody replaced keep the lead for ten seconds

A leader that was cut off and whose peers were about to stop gave up the lead again in the moment in which it had taken it back (seen in the log of a test, lead.resigned 0.1 ms after lead.taken): the peers had carried something since the cut.

It now resigns only if the peer that it asked last could connect, and at most once in ten seconds. ResignationTest.test_leader_that_nobody_replaced_does_not_resign_again_soon; without the change each renewal resigns.

--- a/coursepitch/fleet/leases.py
+++ b/coursepitch/fleet/leases.py
@@ -48,6 +48,9 @@
 CAMPAIGN_STAGGER_S = 0.03
 MAX_CAMPAIGN_DELAY_S = 1.0
 
+#: Seconds for which a node that has taken the lead back does not resign again.
+RESIGN_PAUSE_S = 10.0
+
 #: Further delay in seconds of the campaign of a node that reaches no instances, so that
 #: it only leads if no other node does.
 IMPAIRED_DELAY_S = 1.1
@@ -119,6 +122,8 @@
         self._node_lease = Lease(kv, NODE_LEASE_S, clock)
         self._leader_lease = Lease(kv, LEAD_LEASE_S, clock)
         self._lead_revision = 0
+        self._resigned_at = float('-inf')
+        self._clock = clock
         self._ending = False
         self._store_back = anyio.Event()
         self.place = NodeLocation('')
@@ -216,7 +221,9 @@
                 await self.wait_changed(VACANCY_CHECK_S)
 
     async def _renew_lead(self) -> None:
-        if self.should_resign():
+        now = self._clock()
+        if self.should_resign() and now - self._resigned_at >= RESIGN_PAUSE_S:
+            self._resigned_at = now
             await self._resign()
             return
         good = await self._leader_lease.renew()
--- a/coursepitch/fleet/paths.py
+++ b/coursepitch/fleet/paths.py
@@ -193,8 +193,11 @@
         return self.is_cut_off and since < self.cut_off_at
 
     def reaches_less_than_peers(self) -> bool:
-        """Whether the node is cut off and a peer that it asked since is not."""
-        return self.is_cut_off and self._tunnels.opened_at >= self.cut_off_at
+        """Whether the node is cut off and the peer that it asked last is not."""
+        opened_at = self._tunnels.opened_at
+        return self.is_cut_off and opened_at >= max(
+            self.cut_off_at, self._tunnels.failed_at
+        )
 
     def is_isolated(self) -> bool:
         """Whether no instance can be reached, neither directly nor through peers."""
--- a/tests/fleet/test_leases.py
+++ b/tests/fleet/test_leases.py
@@ -11,6 +11,7 @@
 from coursepitch.fleet.leases import (
     LEAD_LEASE_S,
     MAX_CAMPAIGN_DELAY_S,
+    RESIGN_PAUSE_S,
     NodeLeases,
 )
 from coursepitch.fleet.view import LEADER_KEY, FleetView
@@ -113,10 +114,12 @@
     """A leader that reaches no instance gives the lead to a node that does."""
 
     def setUp(self):
+        self.now = 100.0
+        self.resigned = 0
         self.store = FakeStore()
-        self.view = FleetView(lambda: 100.0)
+        self.view = FleetView(lambda: self.now)
         self.leases = NodeLeases(
-            'n1', self.store, self.view, lambda: None, lambda: 100.0
+            'n1', self.store, self.view, lambda: None, lambda: self.now
         )
         anyio.run(self.leases._node_lease.grant)
         anyio.run(self.leases._campaign)
@@ -129,6 +132,15 @@
         self.assertFalse(self.leases.is_leader())
         self.assertEqual(self.view.leader, '')
 
+    def test_leader_that_nobody_replaced_does_not_resign_again_soon(self):
+        self.leases.should_resign = lambda: True
+        for expected in (1, 1, 2):
+            with mock.patch.object(self.leases, '_resign') as resign:
+                anyio.run(self.leases._renew_lead)
+            self.resigned += resign.await_count
+            self.assertEqual(self.resigned, expected)
+            self.now += RESIGN_PAUSE_S / 2
+
     def test_impaired_node_campaigns_after_the_others(self):
         delays = {}
         self.view.leader = ''
