Finish what peers send through a node before it stops

What callers saw: a stream of a node that is cut off was broken as the node that carried it stopped as planned, and was not resumed where that was the only one.

--- a/coursepitch/gateway_application.py
+++ b/coursepitch/gateway_application.py
@@ -500,7 +500,10 @@
         self.session.view.lapsed_serve_s = promises.drain_s * EXPIRED_ENTRY_TIME_SHARE
 
     async def _stop(self) -> None:
-        """Stop gracefully: report not ready, finish open requests, then end."""
+        """Stop gracefully: report not ready, finish open requests, then end.
+
+        Requests that peers send through this node are finished as well.
+        """
         stopped_at = self.clock()
         self.stopping = True
         self.front.stopping = True
@@ -510,15 +513,17 @@
             limit_s=self.settings.node.stop_s,
         )
         with anyio.move_on_after(1.0):
+            await self.tunnel_server.stop()
             await self.session.end()
         end_at = stopped_at + self.settings.node.stop_s - STOP_MARGIN_S
         while self.clock() < end_at:
             waited = self.clock() - stopped_at
             if waited >= STOP_ACCEPT_S:
                 self.front.closing_idle = True
-                if not self.front.busy_count and not self.front.connections:
+                busy = self.front.busy_count or self.tunnel_server.count_open()
+                if not busy and not self.front.connections:
                     break
-                if waited >= STOP_ACCEPT_S + 1.2 and not self.front.busy_count:
+                if waited >= STOP_ACCEPT_S + 1.2 and not busy:
                     break
             await anyio.sleep(0.05)
         self._output.flush()
--- a/tests/whole/platform_base.py
+++ b/tests/whole/platform_base.py
@@ -124,6 +124,24 @@
     }
 
 
+def build_headers(request, key=KEY, **headers):
+    """Return the headers of a client's request.
+
+    :param request: its id.
+    """
+    fields = {
+        'Host': 'a.example',
+        'X-Request-Id': request,
+        'X-Deadline-Ms': '8000',
+        'X-Model': 'm',
+        'X-Token-Usage': '100,20',
+        **headers,
+    }
+    if key:
+        fields['Authorization'] = f'Bearer {key}'
+    return fields
+
+
 class Node:
     """A node as a process, its output in a file."""
 
@@ -346,16 +364,7 @@
     @classmethod
     def call(cls, node, method, path, request, *, key=KEY, headers=None, **options):
         """Send a request to a node and return its answer."""
-        fields = {
-            'Host': 'a.example',
-            'X-Request-Id': request,
-            'X-Deadline-Ms': '8000',
-            'X-Model': 'm',
-            'X-Token-Usage': '100,20',
-            **(headers or {}),
-        }
-        if key:
-            fields['Authorization'] = f'Bearer {key}'
+        fields = build_headers(request, key, **(headers or {}))
         url = cls.running[node].url + path
         return cls.client.request(method, url, headers=fields, **options)
 
--- a/tests/whole/test_partitions.py
+++ b/tests/whole/test_partitions.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
+import signal
 import threading
 import time
 from dataclasses import dataclass
 
 import httpx
 
-from tests.whole.platform_base import PlatformCase
+from tests.whole.platform_base import PlatformCase, build_headers
 
 #: Seconds for which clients send before the cut.
 BEFORE_S = 1.0
@@ -227,6 +228,53 @@
         self.assertEqual(self.list_new_events('group.retired'), [])
 
 
+class StoppingPeersTest(PartitionCase):
+    """A peer stops as planned while it carries a stream."""
+
+    nodes = ('n1', 'n2')
+    events = 240
+
+    def setUp(self):
+        """Note where the logs begin; each stream takes seconds."""
+        self.began = {name: self.count_events(name) for name in self.nodes}
+
+    # Guards against a stream that is cut as the node that carries it stops.
+    def test_stream_outlasts_the_planned_stop_of_the_node_that_carries_it(self):
+        node, peer = self.nodes
+        self.cut([node], 'hang')
+        self.wait_for(
+            lambda: (
+                self.send(node, 'GET', '/again/x', f'a-{time.monotonic()}')
+                and self.list_new_events('paths.lost')
+            ),
+            'the node knows that it is cut off',
+        )
+        replies = []
+        begun = threading.Event()
+
+        def read_stream():
+            url = self.running[node].url + '/stream/x'
+            headers = build_headers('long')
+            with self.client.stream('POST', url, headers=headers) as reply:
+                text = ''
+                for part in reply.iter_text():
+                    begun.set()
+                    text += part
+                replies.append((reply.status_code, text))
+
+        thread = threading.Thread(target=read_stream)
+        thread.start()
+        self.assertTrue(begun.wait(CONTACT_S))
+        self.running[peer].process.send_signal(signal.SIGTERM)
+        thread.join()
+        self.assertEqual(len(replies), 1)
+        status, text = replies[0]
+        self.assertEqual(status, 200)
+        self.assertEqual(text.count('id: '), self.events)
+        self.assertEqual(self.list_new_events('request.resumed'), [])
+        self.assertEqual(self.running[peer].process.wait(), 0)
+
+
 class AllCutOffTest(PartitionCase):
     """No node reaches an instance."""
 
