Soak nodes that lose their paths to the instances

A share of the nodes, or all, lose their paths for 1 to 8 s, by silence, by resets or by refused connections, beside kills, restarts, frozen processes, store outages and leaving instances. check_cut_off judges first tries at such nodes from 3 s after the start of a cut as users do; test_checkers shows that it fires.

--- a/soak/checkers.py
+++ b/soak/checkers.py
@@ -15,7 +15,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
 
-    from soak.history import History, Run
+    from soak.history import Call, History, Run
 
 __all__ = ['CHECKERS', 'Bounds', 'Finding', 'Verdict', 'check_all']
 
@@ -32,6 +32,10 @@
     :param contact_s: seconds after trouble within which nodes act on what is new.
     :param under_way_s: seconds for which requests may be on their way.
     :param most_in_backoff: requests of a node to an instance in a backoff after that.
+    :param cut_off_share: how often calls at nodes without paths to the instances are
+        served, as a part of how often those at the others are.
+    :param cut_off_failures: failed calls at such nodes in a cut beyond one in
+        ``calls_per_failure``.
     """
 
     drain_s: float = 2.0
@@ -42,6 +46,9 @@
     contact_s: float = 3.0
     under_way_s: float = 0.5
     most_in_backoff: int = 2
+    cut_off_share: float = 2 / 3
+    cut_off_failures: int = 10
+    calls_per_failure: int = 50
 
 
 @dataclass(frozen=True, slots=True)
@@ -266,6 +273,52 @@
     return max(count(start - back * window_s) for back in (0.0, 0.5, 1.0))
 
 
+def check_cut_off(history: History, bounds: Bounds) -> Verdict:
+    """Calls at nodes without paths to the instances are served as elsewhere.
+
+    Counted from ``contact_s`` after the start of a cut, at nodes that no other fault
+    concerns, and only while some nodes have their paths.
+    """
+    looked_at = 0
+    findings = []
+    for cut in history.cuts:
+        since = cut.since + bounds.contact_s
+        if history.was_disturbed('', cut.since, cut.until):
+            continue
+        groups: dict[bool, list[Call]] = {True: [], False: []}
+        for call in history.calls:
+            if not since <= call.sent_at or not call.ended_at <= cut.until:
+                continue
+            if history.was_disturbed(call.node, cut.since, call.ended_at):
+                continue
+            cut_off = call.node in cut.nodes
+            others = [item for item in history.cuts if call.node in item.nodes]
+            if cut_off or not any(
+                item.since <= call.ended_at
+                and item.until >= call.sent_at - bounds.contact_s
+                for item in others
+            ):
+                groups[cut_off].append(call)
+        if not groups[False] or not groups[True]:
+            continue
+        looked_at += len(groups[True])
+        served = {key: _count_whole(calls) for key, calls in groups.items()}
+        failed = len(groups[True]) - served[True]
+        share = served[False] / len(groups[False]) * bounds.cut_off_share
+        most = bounds.cut_off_failures + len(groups[True]) / bounds.calls_per_failure
+        if served[True] / len(groups[True]) < share and failed > most:
+            text = (
+                f'{served[True]} of {len(groups[True])} calls served, at the others '
+                f'{served[False]} of {len(groups[False])}'
+            )
+            findings.append(Finding(', '.join(sorted(cut.nodes)), since, text))
+    return Verdict('cut off', looked_at, tuple(findings))
+
+
+def _count_whole(calls: Sequence[Call]) -> int:
+    return sum(call.ending is Ending.WHOLE for call in calls)
+
+
 #: All checkers, in the order in which a run reports them.
 CHECKERS: tuple[Callable[[History, Bounds], Verdict], ...] = (
     check_own_answers,
@@ -277,6 +330,7 @@
     check_told_leaving,
     check_keys,
     check_second_sends,
+    check_cut_off,
 )
 
 
--- a/soak/driver.py
+++ b/soak/driver.py
@@ -9,7 +9,7 @@
 from typing import TYPE_CHECKING
 
 from soak.clients import Client
-from soak.history import Call, Disturbed, History, Left, Run
+from soak.history import Call, Cut, Disturbed, History, Left, Run
 from soak.plan import FaultKind, draw_plan
 from tests.whole.platform_base import KEY, PlatformCase
 
@@ -35,6 +35,7 @@
     """Store, instances and nodes as processes."""
 
     events = 5
+    own_paths = True
 
 
 class SoakRun:
@@ -49,7 +50,9 @@
         self._names = tuple(f'n{number}' for number in range(1, count + 1))
         self._disturbed: list[Disturbed] = []
         self._left: list[Left] = []
+        self._cuts: list[Cut] = []
         self._away: set[str] = set()
+        self._without_paths: set[str] = set()
         self._lock = threading.Lock()
         self._tasks: list[threading.Thread] = []
         self._pause = threading.Event()
@@ -109,6 +112,7 @@
             tuple(runs),
             tuple(self._left),
             disturbed=tuple(self._disturbed),
+            cuts=tuple(self._cuts),
         )
 
     def _find(self, choice: float) -> tuple[str, str]:
@@ -129,6 +133,7 @@
             FaultKind.LEAVE: self._leave,
             FaultKind.DRAIN: self._leave,
             FaultKind.CRASH: self._leave,
+            FaultKind.PATHS: self._cut_paths,
         }
         task = threading.Thread(target=kinds[fault.kind], args=(fault,))
         task.start()
@@ -185,6 +190,25 @@
         self._note(name, since)
         self._give_back(name)
 
+    def _cut_paths(self, fault: Fault) -> None:
+        """Let some nodes, or all, lose their paths to all instances for a while."""
+        with self._lock:
+            names = [name for name in self._names if name not in self._without_paths]
+            count = round(fault.share * len(names))
+            start = int(fault.choice * len(names))
+            chosen = (names + names)[start : start + max(1, count)]
+            self._without_paths.update(chosen)
+        if not chosen:
+            return
+        since = time.monotonic()
+        _System.cut(chosen, fault.mode)
+        self._pause.wait(fault.length_s)
+        until = time.monotonic()
+        _System.cut(chosen, 'none')
+        self._cuts.append(Cut(frozenset(chosen), since, until))
+        with self._lock:
+            self._without_paths.difference_update(chosen)
+
     def _trouble_store(self, fault: Fault) -> None:
         """Let the store answer nothing, or nobody, for a while."""
         if not self._take(['store'], 0.0):
--- a/soak/history.py
+++ b/soak/history.py
@@ -8,7 +8,16 @@
 import enum
 from dataclasses import dataclass, field
 
-__all__ = ['Acknowledged', 'Call', 'Disturbed', 'Ending', 'History', 'Left', 'Run']
+__all__ = [
+    'Acknowledged',
+    'Call',
+    'Cut',
+    'Disturbed',
+    'Ending',
+    'History',
+    'Left',
+    'Run',
+]
 
 
 class Ending(enum.Enum):
@@ -96,6 +105,15 @@
     until: float
 
 
+@dataclass(frozen=True, slots=True)
+class Cut:
+    """Nodes that had no path of their own to any instance."""
+
+    nodes: frozenset[str]
+    since: float
+    until: float
+
+
 @dataclass(frozen=True, slots=True)
 class History:
     """All that was recorded of a run, each part in the order of its times."""
@@ -105,6 +123,7 @@
     left: tuple[Left, ...] = ()
     configurations: tuple[Acknowledged, ...] = field(default=())
     disturbed: tuple[Disturbed, ...] = ()
+    cuts: tuple[Cut, ...] = ()
 
     def map_calls(self) -> dict[str, Call]:
         """Return the calls by their ids."""
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -17,6 +17,10 @@
 #: Seconds of the backoffs that instances ask for.
 BACKOFFS_S = (0.7, 1.5, 3.0)
 
+#: Seconds for which nodes lose their paths to all instances, and how.
+CUT_S = (1.0, 8.0)
+CUT_MODES = ('hang', 'reset', 'refuse')
+
 #: Seconds from an instance's word that it leaves until it ends.
 LEAVING_S = (2.5, 4.0)
 
@@ -32,6 +36,7 @@
     LEAVE = 'leave'
     DRAIN = 'drain'
     CRASH = 'crash'
+    PATHS = 'paths'
 
 
 #: How often each kind is drawn.
@@ -44,6 +49,7 @@
     FaultKind.LEAVE: 3,
     FaultKind.DRAIN: 2,
     FaultKind.CRASH: 1,
+    FaultKind.PATHS: 5,
 }
 
 
@@ -55,6 +61,7 @@
     :param choice: from 0 to 1; chooses a node, or instances.
     :param share: part of the instances that it concerns, from 0 to 1.
     :param backoff_s: seconds of the backoffs that instances ask for.
+    :param mode: how nodes lose their paths.
     """
 
     at: float
@@ -64,6 +71,7 @@
     choice: float
     share: float
     backoff_s: float
+    mode: str
 
 
 def draw_plan(seed: int, seconds: float) -> list[Fault]:
@@ -73,16 +81,21 @@
     at = chance.uniform(*GAP_S)
     while at < seconds:
         kind = chance.choices(list(WEIGHTS), list(WEIGHTS.values()))[0]
-        leaving = kind in (FaultKind.LEAVE, FaultKind.DRAIN)
+        lengths = {
+            FaultKind.LEAVE: LEAVING_S,
+            FaultKind.DRAIN: LEAVING_S,
+            FaultKind.PATHS: CUT_S,
+        }
         faults.append(
             Fault(
                 at,
                 kind,
-                chance.uniform(*(LEAVING_S if leaving else LENGTH_S)),
+                chance.uniform(*lengths.get(kind, LENGTH_S)),
                 chance.choice(('pool', 'api')),
                 chance.random(),
                 chance.random(),
                 chance.choice(BACKOFFS_S),
+                chance.choice(CUT_MODES),
             )
         )
         at += chance.uniform(*GAP_S)
--- a/tests/soak/test_checkers.py
+++ b/tests/soak/test_checkers.py
@@ -9,6 +9,7 @@
     Bounds,
     check_all,
     check_backoffs,
+    check_cut_off,
     check_events,
     check_keys,
     check_leaving,
@@ -18,7 +19,7 @@
     check_second_sends,
     check_told_leaving,
 )
-from soak.history import Acknowledged, Disturbed, Ending, History, Left
+from soak.history import Acknowledged, Cut, Disturbed, Ending, History, Left
 from tests.soak.builders import build_call, build_run
 
 BOUNDS = Bounds()
@@ -51,6 +52,33 @@
         cut = build_call(ending=Ending.CUT, events=(1, 2))
         self.assert_proves(check_events, History((cut,)))
 
+    def build_cut(self, ending, disturbed=()):
+        """Return a history of a cut at one node of two, whose calls end like that."""
+        calls = [
+            build_call(
+                f'{node}{number}',
+                14.0 + number / 10,
+                ending if node == 'n1' else Ending.WHOLE,
+                ended_at=14.1 + number / 10,
+                node=node,
+            )
+            for node in ('n1', 'n2')
+            for number in range(20)
+        ]
+        cuts = (Cut(frozenset({'n1'}), 10.0, 20.0),)
+        return History(tuple(calls), disturbed=disturbed, cuts=cuts)
+
+    def test_calls_refused_at_a_node_that_is_cut_off(self):
+        for ending in (Ending.NOT_RUN, Ending.UNKNOWN, Ending.CUT):
+            self.assert_fires(check_cut_off, self.build_cut(ending), 'n1')
+        self.assert_proves(check_cut_off, self.build_cut(Ending.WHOLE))
+
+    def test_cut_beside_another_fault_proves_nothing(self):
+        for node in ('n1', ''):
+            disturbed = (Disturbed(node, 12.0, 13.0),)
+            history = self.build_cut(Ending.NOT_RUN, disturbed)
+            self.assertEqual(check_cut_off(history, BOUNDS).looked_at, 0)
+
     def test_second_run_of_what_runs_once(self):
         call = build_call(repeatable=False)
         runs = (build_run(), build_run(instance='j', arrived_at=10.5))
