Count a node as cut off until it reaches most instances again

A check for recovery now needs two of three instances; one of four is still enough not to be cut off. test_node_that_reaches_one_of_three_instances_has_not_recovered failed before.

--- a/coursepitch/fleet/paths.py
+++ b/coursepitch/fleet/paths.py
@@ -43,9 +43,10 @@
 #: Minimum seconds between two checks after failed connections.
 CHECK_PAUSE_S = 0.2
 
-#: Seconds between two checks of a node that is cut off, whether it reaches an instance
-#: again, directly or through a peer.
+#: Seconds between two checks of a node that is cut off, whether it reaches instances
+#: again, directly or through a peer, and number of instances that it connects to.
 RECOVERY_CHECK_S = 0.25
+RECOVERY_INSTANCES = 3
 
 #: Timeout in seconds of a connection on behalf of a peer.
 PEER_CONNECT_TIMEOUT_S = 0.25
@@ -222,7 +223,7 @@
             return True
         done = self._check_done = anyio.Event()
         try:
-            reached = await self._reach_any(chosen)
+            reached = await self._reach(chosen, 1)
         finally:
             self._check_done = None
             done.set()
@@ -252,9 +253,9 @@
             domains.add(place)
         return (first + others)[:count]
 
-    async def _reach_any(self, instances: list[FleetInstance]) -> bool:
-        """Whether a direct connection to one of several instances comes up."""
-        reached = False
+    async def _reach(self, instances: list[FleetInstance], count: int) -> bool:
+        """Whether direct connections to so many of several instances come up."""
+        reached = 0
         with anyio.move_on_after(CHECK_TIMEOUT_S):
             async with anyio.create_task_group() as tasks:
 
@@ -268,12 +269,13 @@
                         # The caller logs the result of all attempts.
                         return
                     stream.close()
-                    reached = True
-                    tasks.cancel_scope.cancel()
+                    reached += 1
+                    if reached >= count:
+                        tasks.cancel_scope.cancel()
 
                 for instance in instances:
                     tasks.start_soon(reach, instance)
-        return reached
+        return reached >= count
 
     def _note_cut_off(self, instances: list[str]) -> None:
         if self.is_cut_off:
@@ -302,9 +304,13 @@
             await anyio.sleep(CHECK_PAUSE_S)
 
     async def _check_recovery(self) -> None:
-        """Check once whether this node reaches instances again."""
-        chosen = self._choose_instances(2)
-        if not chosen or await self._reach_any(chosen):
+        """Check once whether this node reaches most instances again.
+
+        If one were enough, a node that reaches a few would be cut off and recover in
+        turns, and would close its connections each time.
+        """
+        chosen = self._choose_instances(RECOVERY_INSTANCES)
+        if not chosen or await self._reach(chosen, len(chosen) // 2 + 1):
             self._note_recovered()
             return
         if self.is_isolated():
--- a/tests/fleet/test_paths.py
+++ b/tests/fleet/test_paths.py
@@ -175,6 +175,15 @@
         anyio.run(run)
         self.assertEqual(self.connect().way, 'direct')
 
+    def test_node_that_reaches_one_of_three_instances_has_not_recovered(self):
+        self.cut('refuse')
+        self.check()
+        for reached, recovered in (('a', False), ('ab', True)):
+            for name in reached:
+                self.faults.pop(name, None)
+            anyio.run(self.paths._check_recovery)
+            self.assertEqual(self.paths.is_cut_off, not recovered)
+
     def test_node_whose_peers_fail_too_is_isolated_until_one_connects(self):
         self.cut('refuse')
         self.check()
