Call a node not ready that reaches instances by no path while others may

A node that is cut off and whose peers are busy, stopping or of an earlier version refuses all requests, yet the balancer kept sending clients. It now answers that it is not ready, unless its peers say that they are cut off as well: then no other node serves better, and all would withdraw at once. A node that serves through peers stays ready.

tests.fleet.test_paths.WithdrawTest is new; the code before had no such decision.

--- a/coursepitch/fleet/paths.py
+++ b/coursepitch/fleet/paths.py
@@ -204,6 +204,15 @@
         """Whether no instance can be reached, neither directly nor through peers."""
         return self.is_cut_off and self._tunnels.failed_at > self._tunnels.opened_at
 
+    def should_withdraw(self) -> bool:
+        """Whether clients are better served by other nodes.
+
+        Not while peers are cut off as well: their clients would come back in turn.
+        """
+        return self.is_isolated() and (
+            self._tunnels.failure is not TunnelOutcome.NO_PATH
+        )
+
     # -- detection --------------------------------------------------------------------
 
     async def check(self, since: float, suspect: str = '') -> bool:
--- a/coursepitch/fleet/tunnels.py
+++ b/coursepitch/fleet/tunnels.py
@@ -108,6 +108,9 @@
         #: asked last failed to open one.
         self.opened_at = float('-inf')
         self.failed_at = float('-inf')
+        #: Outcome at the last peer that was asked then; a node without peers is no
+        #: worse off than they are.
+        self.failure = TunnelOutcome.NO_PATH
         #: Counts the attempts at peers by outcome.
         self.count: Callable[[str], None] = lambda outcome: None
 
@@ -136,6 +139,8 @@
             self.opened_at = self._clock()
             return stream
         self.failed_at = self._clock()
+        if asked:
+            self.failure = outcome
         raise TunnelError(outcome)
 
     def _choose_peer(self, asked: set[str]) -> str:
--- a/coursepitch/gateway_application.py
+++ b/coursepitch/gateway_application.py
@@ -323,7 +323,8 @@
         self, request: IncomingRequest, reply: ResponseWriter
     ) -> None:
         fresh = self.session.is_fresh() and not self.session.is_fading()
-        ready = fresh and not self.stopping
+        withdrawn = self.paths.should_withdraw()
+        ready = fresh and not self.stopping and not withdrawn
         if ready != self._was_ready:
             self._was_ready = ready
             age = round(self.session.confirmation_age_s, 3)
@@ -332,7 +333,9 @@
                 revision = table.revision if table else 0
                 log.emit(events.NODE_READY, revision=revision, age=age)
             else:
-                reason = 'stopping' if self.stopping else f'confirmation is {age} s old'
+                reason = 'no path to the instances' if withdrawn else ''
+                reason = reason or f'confirmation is {age} s old'
+                reason = 'stopping' if self.stopping else reason
                 log.emit(events.NODE_NOT_READY, reason=reason)
         await reply.send_whole(200 if ready else 503, (), b'')
 
--- a/tests/fleet/test_paths.py
+++ b/tests/fleet/test_paths.py
@@ -33,12 +33,14 @@
         self.outcome = None
         self.asked = []
         self.opened_at = self.failed_at = float('-inf')
+        self.failure = TunnelOutcome.NO_PATH
 
     async def open(self, instance):
         self.asked.append(instance)
         await anyio.lowlevel.checkpoint()
         if self.outcome is not None:
             self.failed_at = time.monotonic()
+            self.failure = self.outcome
             raise TunnelError(self.outcome)
         self.opened_at = time.monotonic()
         return FakeStream('peer')
@@ -197,6 +199,34 @@
         self.assertFalse(self.paths.is_isolated())
 
 
+class WithdrawTest(PathsCase):
+    """When a node asks the balancer for no more clients."""
+
+    def should_withdraw(self, outcome):
+        self.tunnels.outcome = outcome
+        with contextlib.suppress(OSError):
+            self.connect()
+        return self.paths.should_withdraw()
+
+    def test_node_that_serves_through_peers_stays(self):
+        self.assertFalse(self.should_withdraw(TunnelOutcome.BUSY))
+        self.cut('refuse')
+        anyio.run(self.paths.check, time.monotonic())
+        self.assertFalse(self.should_withdraw(None))
+
+    # Guards against all nodes that withdraw at once.
+    def test_node_whose_peers_are_cut_off_too_stays(self):
+        self.cut('refuse')
+        anyio.run(self.paths.check, time.monotonic())
+        self.assertFalse(self.should_withdraw(TunnelOutcome.NO_PATH))
+
+    def test_node_whose_peers_cannot_help_withdraws(self):
+        self.cut('refuse')
+        anyio.run(self.paths.check, time.monotonic())
+        self.assertTrue(self.should_withdraw(TunnelOutcome.BUSY))
+        self.assertTrue(self.should_withdraw(TunnelOutcome.NO_PEER))
+
+
 class ForPeerTest(PathsCase):
     """Connections on behalf of peers."""
 
