Let only a peer that was refused as well prove that an instance has ended

Cause: the links of three nodes were reset, those to one service a few milliseconds before those to the other. A node whose connections to the one were refused still reached the other, so it counted as sound; its peers were cut off too and could not contradict, and that counted as agreement.

Change: a node counts as sound for an instance only if it reaches others of the same service, and an end is proved only by a peer that was refused too, or where no other node is listed.

test_refused_connection_proves_the_end_on_a_sound_path_only took a silent peer for agreement, which was the fault; it now asks for the refusal.

--- a/coursepitch/fleet/control.py
+++ b/coursepitch/fleet/control.py
@@ -185,9 +185,10 @@
     async def probe(self, instance: FleetInstance) -> Probe:
         """Find out whether an instance answers, this node or a peer.
 
-        Silence only counts if this node reaches other instances, and no peer that was
-        asked in the meantime gets an answer.  Source: the indirect probes of SWIM (Das,
-        Gupta, Motivala, 2002).
+        Silence only counts if this node reaches others of the service, and no peer that
+        was asked in the meantime gets an answer.  A refusal that no peer confirms is no
+        more than silence.  Source: the indirect probes of SWIM (Das, Gupta, Motivala,
+        2002).
         """
         paths = self._paths
         if paths is None:
@@ -221,7 +222,11 @@
             return direct
         if indirect.answers:
             return Probe.INDIRECT
-        return direct if reaches_others else Probe.NO_PATH
+        if not reaches_others:
+            return Probe.NO_PATH
+        if direct is Probe.REFUSED and indirect is not Probe.REFUSED:
+            return Probe.REFUSED if not paths.has_peers() else Probe.SILENT
+        return direct
 
     async def _probe_through_peer(self, instance: FleetInstance) -> Probe:
         """Request an instance's report through a peer."""
@@ -254,10 +259,10 @@
         """Whether an instance's process is gone.
 
         This is proven if its address belongs to another instance, or refuses
-        connections while this node reaches others and no peer gets an answer.  A
-        timeout proves nothing: a network partition or a paused machine looks the same.
-        An exiting process closes its connections one by one, so a request whose
-        connection breaks is repeated.
+        connections of this node and of a peer, both of which reach others.  A timeout
+        proves nothing: a network partition or a paused machine looks the same.  An
+        exiting process closes its connections one by one, so a request whose connection
+        breaks is repeated.
         """
         began_at = self._clock()
         for _ in range(ENDING_TRIES):
@@ -269,7 +274,8 @@
             return found in (Probe.REFUSED, Probe.REPLACED)
         if not await self._paths.check(began_at, instance.name):
             return False
-        return not (await self._probe_through_peer(instance)).answers
+        found = await self._probe_through_peer(instance)
+        return found is Probe.REFUSED or not self._paths.has_peers()
 
     async def _request_report(
         self, instance: FleetInstance, pool: ConnectionPool | None = None
--- a/coursepitch/fleet/paths.py
+++ b/coursepitch/fleet/paths.py
@@ -19,7 +19,7 @@
 from coursepitch.http.client import connect_directly
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Collection
+    from collections.abc import Callable
 
     from coursepitch.clock import Clock
     from coursepitch.fleet.instances import FleetInstance
@@ -67,7 +67,7 @@
         self.on_change: Callable[[], None] = lambda: None
         #: Monotonic time at which the node was last found to be cut off.
         self.cut_off_at = float('-inf')
-        self._connected_at = float('-inf')
+        self._connected_at: dict[str, float] = {}
         self._indirect_until: dict[str, float] = {}
         self._check_done: anyio.Event | None = None
         self._check_due = anyio.Event()
@@ -121,7 +121,7 @@
                 async def try_peers() -> None:
                     with anyio.move_on_after(TUNNEL_DELAY_S):
                         await direct_failed.wait()
-                    if self._connected_at < began_at:
+                    if max(self._connected_at.values(), default=0.0) < began_at:
                         self._check_due.set()
                     try:
                         take(await self.connect_through_peer(address, instance))
@@ -147,9 +147,13 @@
         :raises OSError: it could not be established.
         """
         stream = await connect_directly(address, instance)
-        self._connected_at = self._clock()
+        self._connected_at[self._find_service(instance)] = self._clock()
         return stream
 
+    def _find_service(self, instance: str) -> str:
+        found = self._view.instances.get(instance)
+        return found.service if found is not None else ''
+
     async def connect_through_peer(self, address: str, instance: str) -> ByteStream:
         """Return a connection to an instance through a peer.
 
@@ -200,6 +204,10 @@
             self.cut_off_at, self._tunnels.failed_at
         )
 
+    def has_peers(self) -> bool:
+        """Whether other nodes are listed, so that they can be asked."""
+        return self._tunnels.has_peers()
+
     def is_isolated(self) -> bool:
         """Whether no instance can be reached, neither directly nor through peers."""
         return self.is_cut_off and self._tunnels.failed_at > self._tunnels.opened_at
@@ -216,48 +224,70 @@
     # -- detection --------------------------------------------------------------------
 
     async def check(self, since: float, suspect: str = '') -> bool:
-        """Return whether this node reaches an instance directly.
+        """Return whether this node directly reaches instances like a suspected one.
+
+        These are others of its service, as a partition may separate a node from one
+        service only.
 
         :param since: monotonic time since when a connection counts as a proof.
-        :param suspect: instance that is not asked.
+        :param suspect: the suspected instance; empty if any instance counts.
         """
         while self._check_done is not None:
             await self._check_done.wait()
-        if self._connected_at >= since:
+        service = self._find_service(suspect)
+        if self._has_connected(since, service):
             return True
         if self.is_cut_off:
             return False
-        chosen = self._choose_instances(CHECKED_INSTANCES, {suspect})
+        alike = self._choose_instances(CHECKED_INSTANCES, service, suspect)
+        chosen = alike or self._choose_instances(CHECKED_INSTANCES, '', suspect)
         if not chosen:
             return True
         done = self._check_done = anyio.Event()
         try:
             reached = await self._reach(chosen, 1)
+            if not reached and not self._has_connected(since):
+                await self._check_others(since, suspect)
         finally:
             self._check_done = None
             done.set()
-        if not reached:
-            self._note_cut_off([item.name for item in chosen])
         return reached
 
+    def _has_connected(self, since: float, service: str = '') -> bool:
+        """Whether a direct connection to a service, or to any, came up since."""
+        if service:
+            return self._connected_at.get(service, float('-inf')) >= since
+        return any(at >= since for at in self._connected_at.values())
+
+    async def _check_others(self, since: float, suspect: str) -> None:
+        """Find out whether this node reaches instances of any service."""
+        chosen = self._choose_instances(CHECKED_INSTANCES, '', suspect)
+        if not await self._reach(chosen, 1) and not self._has_connected(since):
+            self._note_cut_off([item.name for item in chosen])
+
     def _choose_instances(
-        self, count: int, excluded: Collection[str] = ()
+        self, count: int, service: str = '', excluded: str = ''
     ) -> list[FleetInstance]:
-        """Return random instances that should answer, from many domains."""
+        """Return random instances that should answer, from many services and domains.
+
+        :param service: service of the instances; empty for any.
+        :param excluded: instance that is not returned.
+        """
         view = self._view
         items = [
             item
             for item in view.instances.values()
-            if item.name not in excluded
+            if item.name != excluded
+            and service in ('', item.service)
             and view.accepts_requests(item.name)
             and not view.lost.has(item.name)
         ]
         random.shuffle(items)
-        domains: set[tuple[str, str]] = set()
+        domains: set[tuple[str, str, str]] = set()
         first: list[FleetInstance] = []
         others: list[FleetInstance] = []
         for item in items:
-            place = (item.availability_zone, item.domain)
+            place = (item.service, item.availability_zone, item.domain)
             (others if place in domains else first).append(item)
             domains.add(place)
         return (first + others)[:count]
--- a/coursepitch/fleet/tunnels.py
+++ b/coursepitch/fleet/tunnels.py
@@ -143,6 +143,10 @@
             self.failure = outcome
         raise TunnelError(outcome)
 
+    def has_peers(self) -> bool:
+        """Whether other nodes are listed."""
+        return any(name != self._me for name in self._list_nodes())
+
     def _choose_peer(self, asked: set[str]) -> str:
         """Return the better of two random peers, or an empty string.
 
--- a/tests/fleet/test_control.py
+++ b/tests/fleet/test_control.py
@@ -166,7 +166,7 @@
 class WitnessTest(unittest.TestCase):
     """What an unanswered probe proves, by this node's paths and a peer's probe."""
 
-    def build(self, direct, indirect, reaches_others, is_cut_off=False):
+    def build(self, direct, indirect, reaches_others, is_cut_off=False, has_peers=True):
         """Return a control whose probes have these results."""
 
         async def check(since, suspect):
@@ -174,6 +174,7 @@
 
         paths = SimpleNamespace(
             is_cut_off=is_cut_off,
+            has_peers=lambda: has_peers,
             check=check,
             connect=None,
             connect_directly=None,
@@ -204,6 +205,14 @@
                 found = self.probe(Probe.SILENT, indirect, True)
                 self.assertIs(found, Probe.SILENT)
 
+    def test_refusal_that_no_peer_confirms_is_silence(self):
+        self.assertIs(self.probe(Probe.REFUSED, Probe.REFUSED, True), Probe.REFUSED)
+        for indirect in (Probe.SILENT, None):
+            found = self.probe(Probe.REFUSED, indirect, True)
+            self.assertIs(found, Probe.SILENT)
+        alone = self.probe(Probe.REFUSED, Probe.SILENT, True, has_peers=False)
+        self.assertIs(alone, Probe.REFUSED)
+
     # Guards against one node's lost path that is told to all as a lost instance.
     def test_instance_that_answers_a_peer_is_not_lost(self):
         for direct in (Probe.SILENT, Probe.REFUSED):
@@ -228,7 +237,10 @@
     # Guards against refusals on a cut path that are taken for crashes.
     def test_refused_connection_proves_the_end_on_a_sound_path_only(self):
         self.assertTrue(self.has_ended(Probe.REFUSED, Probe.REFUSED, True))
-        self.assertTrue(self.has_ended(Probe.REFUSED, Probe.SILENT, True))
+        for indirect in (Probe.SILENT, Probe.BROKEN):
+            self.assertFalse(self.has_ended(Probe.REFUSED, indirect, True))
+        alone = self.has_ended(Probe.REFUSED, Probe.SILENT, True, has_peers=False)
+        self.assertTrue(alone)
         self.assertFalse(self.has_ended(Probe.REFUSED, Probe.ANSWERS, True))
         self.assertFalse(self.has_ended(Probe.REFUSED, Probe.REFUSED, False))
         self.assertTrue(self.has_ended(Probe.REPLACED, Probe.ANSWERS, False))
--- a/tests/fleet/test_paths.py
+++ b/tests/fleet/test_paths.py
@@ -257,6 +257,15 @@
                 self.assertIs(self.fail(), TunnelOutcome.NO_PATH)
                 self.assertIs(self.fail(), TunnelOutcome.NO_PATH)
 
+    # Guards against accusations by a node that is separated from one service.
+    def test_node_that_reaches_another_service_only_accuses_no_instance(self):
+        self.view.instances['d'] = build_instance('d', service='api', address='d:1')
+        for fault in ('hang', 'refuse'):
+            with self.subTest(fault):
+                self.cut(fault)
+                self.assertIs(self.fail(), TunnelOutcome.NO_PATH)
+                self.assertFalse(self.paths.is_cut_off)
+
     def test_tunnel_does_not_lead_through_another_tunnel(self):
         self.faults = {'a': 'refuse'}
         self.fail()
--- a/tests/whole/test_partitions.py
+++ b/tests/whole/test_partitions.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import signal
 import threading
 import time
@@ -21,6 +22,10 @@
 #: First tries of which one may fail at nodes that are cut off, as users count.
 TRIES_PER_FAILURE = 50
 
+#: Number of short cuts, and seconds of one.
+SHORT_CUTS = 5
+SHORT_CUT_S = 0.4
+
 #: Seconds for which a sound instance may fall silent, as users say.
 SILENCE_S = 1.2
 
@@ -98,6 +103,17 @@
 
     def play_cut(self, nodes, mode):
         """Cut nodes off while clients of all nodes send; return the counted tries."""
+        with self.send_requests() as tries:
+            pause = threading.Event()
+            pause.wait(BEFORE_S)
+            self.cut(nodes, mode)
+            counted_from = time.monotonic() + CONTACT_S
+            pause.wait(CONTACT_S + COUNTED_S)
+        return [item for item in tries if item.sent_at >= counted_from]
+
+    @contextlib.contextmanager
+    def send_requests(self):
+        """Let clients of all nodes send, and yield the list of their tries."""
         tries = []
         pause, ended = threading.Event(), threading.Event()
 
@@ -123,14 +139,12 @@
         ]
         for thread in threads:
             thread.start()
-        pause.wait(BEFORE_S)
-        self.cut(nodes, mode)
-        counted_from = time.monotonic() + CONTACT_S
-        pause.wait(CONTACT_S + COUNTED_S)
-        ended.set()
-        for thread in threads:
-            thread.join()
-        return [item for item in tries if item.sent_at >= counted_from]
+        try:
+            yield tries
+        finally:
+            ended.set()
+            for thread in threads:
+                thread.join()
 
     def assert_served(self, tries, nodes):
         """Check that first tries at some nodes were served."""
@@ -189,6 +203,20 @@
         self.assertEqual(self.list_new_events('request.suspected'), [])
         self.assert_all_served(tries, cut_off)
 
+    # Guards against nodes that reach instances of another service, and confirm to each
+    # other that those of this one have ended.
+    def test_resets_of_one_service_at_most_nodes_are_no_crashes(self):
+        cut_off = self.list_followers()
+        pause = threading.Event()
+        with self.send_requests():
+            for _ in range(SHORT_CUTS):
+                pause.wait(BEFORE_S)
+                self.cut(cut_off, 'reset', 'pool')
+                pause.wait(SHORT_CUT_S)
+                self.cut(cut_off, 'none', 'pool')
+        self.assertEqual(self.list_new_events('instance.crashed'), [])
+        self.assertEqual(self.list_new_events('group.retired'), [])
+
     # Guards against a leader whose orders and probes are refused, and that ends groups.
     def test_leader_whose_connections_are_reset_ends_no_group(self):
         cut_off = [self.find_leader()]
