Reproduce nodes of the OpenAI interface that lose their paths to the engines

The same cause elsewhere: the node that observes a fabric domain publishes that no member answers, and the domain's replica is out of service for all nodes as long as the cut lasts; a node that observes nothing stays ready and keeps its callers waiting.

--- a/standins/harness.py
+++ b/standins/harness.py
@@ -19,9 +19,10 @@
 import httpx
 
 from standins.diagnosis import summarize_node
+from standins.network import INSTANCE_HOST, find_host
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterable
 
 __all__ = [
     'CALLER_KEY',
@@ -125,6 +126,8 @@
         self.instances: list[dict[str, Any]] = []
         self.client = httpx.Client(timeout=10, trust_env=False)
         self.settings: dict[str, dict[str, str]] = {}
+        #: Nodes that have paths of their own to the engines, which can be cut.
+        self.nodes_with_paths: tuple[str, ...] = ()
         self._ports = PortReservations()
 
     # -- processes -----------------------------------------------------------
@@ -154,12 +157,20 @@
                 name = f'{domain}-{number}'
                 self._start_engine(name, self._ports.reserve(), engine)
                 names.append((name, domain, zone))
-        for name, domain, zone in names:
+        for name, _, _ in names:
             self.processes[name].wait_told()
+        host = '127.0.0.1'
+        if self.nodes_with_paths:
+            host = INSTANCE_HOST
+            ports = [str(self.processes[name].told['port']) for name, _, _ in names]
+            nodes = ('--nodes', *self.nodes_with_paths)
+            command = ('standins.paths', *nodes, '--ports', *ports)
+            self._start('paths', *command).wait_told()
+        for name, domain, zone in names:
             self.instances.append(
                 {
                     'id': name,
-                    'address': f'127.0.0.1:{self.processes[name].told["port"]}',
+                    'address': f'{host}:{self.processes[name].told["port"]}',
                     'zone': zone,
                     'domain': domain,
                     'kind': 'engine' if engine.get('fenced', 1) else 'plain-engine',
@@ -244,7 +255,11 @@
     def start_node(self, name: str, zone: str, **ports: int) -> Process:
         """Start a node, without waiting until it serves."""
         path = self.write_settings(name, zone, **ports)
-        process = self._start(name, 'coursepitch.cmd.main', 'node', str(path))
+        module = ('coursepitch.cmd.main',)
+        if name in self.nodes_with_paths:
+            own_host = find_host(self.nodes_with_paths.index(name))
+            module = ('standins.network', own_host)
+        process = self._start(name, *module, 'node', str(path))
         process.wait_told()
         return process
 
@@ -319,6 +334,11 @@
             timeout=60,
         )
 
+    def cut(self, nodes: Iterable[str], mode: str) -> None:
+        """Cut the paths of nodes to the engines, see :mod:`standins.paths`."""
+        body = {'nodes': list(nodes), 'mode': mode}
+        self.client.post(f'{self._url("paths")}/cut', json=body)
+
     def set_fault(self, name: str, **fault: Any) -> None:
         """Set the fault of a stand-in."""
         path = '/standin/fault' if name.startswith('service') else '/fault'
--- a/standins/paths.py
+++ b/standins/paths.py
@@ -3,6 +3,10 @@
 A cut path is in one of three modes: ``hang`` (connections stand still, and new ones
 do not come up), ``reset`` (connections are reset, and new ones refused) or ``refuse``
 (connections go on, and new ones are refused).
+
+Instances that listen on loopback only get paths from a process of their own:
+``python -m standins.paths --nodes NAME... --ports PORT...`` forwards connections, and
+``POST /cut`` on its control port cuts the paths of ``nodes`` in a ``mode``.
 """
 
 from __future__ import annotations
@@ -10,16 +14,24 @@
 import contextlib
 import socket
 import struct
+from functools import partial
 from typing import TYPE_CHECKING, Any
 
 import anyio
 import anyio.abc
 from anyio.abc import SocketAttribute
+from starlette.applications import Starlette
+from starlette.routing import Route
+
+from standins.common import answer, build_parser, read_json, run
+from standins.network import INSTANCE_HOST, find_host
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
     from anyio.abc import TaskGroup, TaskStatus
+    from starlette.requests import Request
+    from starlette.responses import Response
 
 __all__ = ['Path']
 
@@ -154,3 +166,71 @@
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     sock.bind((host, port))
     return sock
+
+
+async def forward(port: int, stream: Any) -> None:
+    """Forward a connection to a port on loopback until either side ends."""
+    try:
+        async with (
+            stream,
+            await anyio.connect_tcp('127.0.0.1', port) as target,
+            anyio.create_task_group() as tasks,
+        ):
+
+            async def copy(source: Any, sink: Any) -> None:
+                with contextlib.suppress(anyio.EndOfStream):
+                    while True:
+                        await sink.send(await source.receive())
+                tasks.cancel_scope.cancel()
+
+            tasks.start_soon(copy, stream, target)
+            tasks.start_soon(copy, target, stream)
+    except* (OSError, anyio.BrokenResourceError, anyio.ClosedResourceError):
+        # Both connections are closed; the caller sees the end of its own.
+        pass
+
+
+def build_app(nodes: list[str], ports: list[int]) -> Starlette:
+    """Return the application of the control port, which runs the paths.
+
+    :param nodes: nodes whose paths can be cut.
+    :param ports: ports of the instances on loopback.
+    """
+    paths: dict[str, list[Path]] = {}
+    hosts = {node: find_host(number) for number, node in enumerate(nodes)}
+    # Instances reach each other at the host at which they are listed.
+    hosts[''] = INSTANCE_HOST
+
+    async def cut(request: Request) -> Response:
+        data = await read_json(request)
+        for node in data['nodes']:
+            for path in paths[node]:
+                path.cut(data['mode'])
+        return answer({})
+
+    @contextlib.asynccontextmanager
+    async def run_paths(app: Any) -> Any:
+        async with anyio.create_task_group() as tasks:
+            for node, host in hosts.items():
+                paths[node] = [
+                    Path(host, port, partial(forward, port)) for port in ports
+                ]
+                for path in paths[node]:
+                    await tasks.start(path.run)
+            yield
+            tasks.cancel_scope.cancel()
+
+    return Starlette(routes=[Route('/cut', cut, methods=['POST'])], lifespan=run_paths)
+
+
+def main() -> None:
+    """Run the paths."""
+    parser = build_parser(__doc__ or '')
+    parser.add_argument('--nodes', nargs='+', required=True)
+    parser.add_argument('--ports', nargs='+', type=int, required=True)
+    options = parser.parse_args()
+    run(build_app(options.nodes, options.ports), options.port)
+
+
+if __name__ == '__main__':
+    main()
--- a/tests/whole/base.py
+++ b/tests/whole/base.py
@@ -39,6 +39,8 @@
     engine: ClassVar[dict[str, Any]] = {'token_s': 0.01}
     settings: ClassVar[dict[str, dict[str, str]]] = {}
     replicas = 2
+    #: Whether each node has paths of its own to the engines, which can be cut.
+    own_paths = False
 
     harness: Harness
 
@@ -48,6 +50,8 @@
         cls.harness = Harness()
         cls.addClassCleanup(cls.harness.close)
         cls.harness.settings = cls.settings
+        if cls.own_paths:
+            cls.harness.nodes_with_paths = tuple(cls.nodes)
         cls.harness.start_platform(cls.domains, **cls.engine)
         service = cls.harness.start_service('service')
         cls.harness.start_nodes(cls.nodes)
