Hand the duties of a node that reaches no engine to one that does

What callers saw: as long as the node that observes a fabric domain was cut off from the engines, the replica of that domain was out of service at all nodes; at a node that observes nothing callers waited while it called itself ready.

Cause: the observer's lost paths were published as members that do not answer, and a node without duties did not look at its paths.

It refuses requests to models at once, and is not ready while another node reaches engines. The record of a sound node is what it was.

--- a/coursepitch/application.py
+++ b/coursepitch/application.py
@@ -17,8 +17,13 @@
 from coursepitch.control.chart import load_chart
 from coursepitch.control.cluster import ClusterController, PeerReader
 from coursepitch.control.duties import DutyManager
-from coursepitch.control.fleet import InstanceListReader, list_live_nodes
+from coursepitch.control.fleet import (
+    InstanceListReader,
+    list_live_nodes,
+    list_nodes_with_paths,
+)
 from coursepitch.control.observers import DomainObservers
+from coursepitch.control.reach import EngineReach
 from coursepitch.control.registrar import Registrar
 from coursepitch.control.session import Session
 from coursepitch.listeners import listen
@@ -104,13 +109,17 @@
 
     def _build_control(self) -> None:
         settings = self.settings
+        self.reach = EngineReach(
+            self._answers, self._list_answering_engines, self.clock
+        )
         self.duties = DutyManager(
             self.me,
             self.session,
             self.kv,
             self.clock,
             self.list_domains,
-            lambda: list_live_nodes(self.hub, self.clock()),
+            lambda: list_nodes_with_paths(self.hub, self.clock()),
+            lambda: bool(self._explain_withdrawn()),
         )
         self.observers = DomainObservers(
             self.me,
@@ -123,6 +132,7 @@
             self._publish_domain,
             self.clock,
             self.list_domains,
+            self.reach,
         )
         self.fleet = InstanceListReader(
             self.me, self.session, self.hub, self.instances, self.clock
@@ -158,6 +168,7 @@
             self.metrics,
             self.clock,
         )
+        self.gate.explain_withdrawn = self._explain_withdrawn
         selector = ReplicaSelector(
             self.hub,
             settings.node.availability_zone,
@@ -173,6 +184,7 @@
             self.metrics,
             self.clock,
         )
+        self.dispatcher.is_cut_off = lambda: self.reach.is_cut_off
         self.services = ServiceCaller(settings.routing, self.clock)
         self.records = RequestRecords(
             self.kv, entry.record_ttl_s, entry.record_body_limit, self.clock
@@ -213,6 +225,26 @@
                 domains.update(item.body.domains)
         return tuple(sorted(domains))
 
+    async def _answers(self, address: str) -> bool:
+        return (await self.engines.check(address)).answered
+
+    def _list_answering_engines(self) -> list[str]:
+        """Return the addresses of the engines that answer, as observed by any node."""
+        return [
+            member.address
+            for _, body in self._read_domains()
+            for replica in body.replicas
+            for member in replica.members
+            if member.answers
+        ]
+
+    def _explain_withdrawn(self) -> str:
+        """Return why other nodes serve better; empty if they do not."""
+        if not self.reach.is_cut_off:
+            return ''
+        others = set(list_nodes_with_paths(self.hub, self.clock())) - {self.me}
+        return 'no path to the engines' if others else ''
+
     def _list_present(self) -> frozenset[str]:
         """Return the nodes that have a lease or were heard from recently."""
         heard = list_live_nodes(self.hub, self.clock())
@@ -249,7 +281,13 @@
         reason = self.gate.explain_not_ready()
         self._note_ready(reason, view.configuration.revision)
         revision = view.configuration.revision
-        body = NodeBody(self.incarnation, revision, not reason, self.gate.draining)
+        body = NodeBody(
+            self.incarnation,
+            revision,
+            not reason,
+            self.gate.draining,
+            self.reach.is_cut_off,
+        )
         pace = compute_node_interval(len(view.registered_nodes()))
         self.hub.publish_if_due('node', self.me, body, now, pace)
         self._tell_contact(revision)
@@ -408,6 +446,7 @@
             self._tell,
             take_duties,
             self.fleet.run,
+            self.reach.run,
             self.observers.run,
             self.cluster.run,
             wake_waiting,
--- a/coursepitch/control/domain.py
+++ b/coursepitch/control/domain.py
@@ -42,6 +42,7 @@
     from coursepitch.clock import Clock
     from coursepitch.config.settings import TargetSettings
     from coursepitch.control.chart import Chart
+    from coursepitch.control.reach import EngineReach
     from coursepitch.control.session import Session
     from coursepitch.platform.kv import Entry, Events, KeyValue
     from coursepitch.targets.engine import EngineControl
@@ -90,7 +91,9 @@
         publish: Callable[[str, DomainBody, LoadBody, float], None],
         clock: Clock,
         known: DomainBody | None,
+        reach: EngineReach,
     ) -> None:
+        self._reach = reach
         self._domain = domain
         self._me = me
         self._session = session
@@ -144,6 +147,8 @@
         may_act = self._may_act() and await self._acquire_epoch()
         asked_at = self._clock()
         await self._check_members()
+        if not await self._is_evidence():
+            return
         self._publish(
             self._domain, self._describe_domain(), self._describe_load(), asked_at
         )
@@ -210,6 +215,12 @@
             for member in members:
                 group.start_soon(self._check_member, member)
 
+    async def _is_evidence(self) -> bool:
+        """Return whether the checks tell of the members rather than of this node."""
+        if not self._checks or any(item.answered for item in self._checks.values()):
+            return True
+        return await self._reach.confirm()
+
     async def _check_member(self, member: Member) -> None:
         check = await self._engines.check(member.address)
         if not check.answered:
--- a/coursepitch/control/duties.py
+++ b/coursepitch/control/duties.py
@@ -152,7 +152,11 @@
 
 
 class DutyManager:
-    """Acquires free duties that rank this node first and hands over the others."""
+    """Acquires free duties that rank this node first and hands over the others.
+
+    :param list_heard: returns the nodes heard from that can hold duties.
+    :param should_yield: returns whether this node should hand over all its duties.
+    """
 
     def __init__(
         self,
@@ -162,6 +166,7 @@
         clock: Clock,
         list_domains: Callable[[], Iterable[str]],
         list_heard: Callable[[], Iterable[str]],
+        should_yield: Callable[[], bool] = lambda: False,
     ) -> None:
         self._me = me
         self._session = session
@@ -169,6 +174,7 @@
         self._clock = clock
         self._list_domains = list_domains
         self._list_heard = list_heard
+        self._should_yield = should_yield
         self._held: frozenset[str] = frozenset()
         self._taking_stopped = False
         self._live_since: dict[str, float] = {}
@@ -208,6 +214,8 @@
         live = self._session.view.value.eligible_nodes()
         self._live_since = {n: self._live_since.get(n, now) for n in live}
         settled = [n for n, t in self._live_since.items() if now - t >= MIN_LIVE_S]
+        if self._should_yield():
+            return frozenset()
         return list_reachable(self._me, settled, self._list_heard())
 
     async def _hand_over_duty(self, reachable: frozenset[str]) -> None:
--- a/coursepitch/control/fleet.py
+++ b/coursepitch/control/fleet.py
@@ -8,7 +8,7 @@
 
 from coursepitch import events, log
 from coursepitch.control.duties import CLUSTER_DUTY, get_holder, should_observe
-from coursepitch.peers.records import FleetBody
+from coursepitch.peers.records import FleetBody, NodeBody
 from coursepitch.peers.topology import compute_node_interval
 from coursepitch.platform.kv import Unavailable
 
@@ -18,7 +18,7 @@
     from coursepitch.peers.hub import PeerHub
     from coursepitch.platform.instances import Instance, InstanceList
 
-__all__ = ['InstanceListReader', 'list_live_nodes']
+__all__ = ['InstanceListReader', 'list_live_nodes', 'list_nodes_with_paths']
 
 #: Seconds between two reads of the list.
 READ_INTERVAL_S = 0.5
@@ -35,6 +35,16 @@
     return [item.key.subject for item in records if now - item.made_at < limit_s]
 
 
+def list_nodes_with_paths(hub: PeerHub, now: float) -> list[str]:
+    """Return the nodes heard from recently that reach engines."""
+    cut_off = {
+        item.key.subject
+        for item in hub.records('node')
+        if isinstance(item.body, NodeBody) and item.body.cut_off
+    }
+    return [name for name in list_live_nodes(hub, now) if name not in cut_off]
+
+
 class InstanceListReader:
     """Reads the instance list and keeps this node's latest copy.
 
--- a/coursepitch/control/observers.py
+++ b/coursepitch/control/observers.py
@@ -8,7 +8,7 @@
 
 from coursepitch.control.domain import DomainController
 from coursepitch.control.duties import domain_duty, get_holder, should_observe
-from coursepitch.control.fleet import list_live_nodes
+from coursepitch.control.fleet import list_nodes_with_paths
 from coursepitch.peers.records import DomainBody
 from coursepitch.peers.topology import compute_domain_interval
 
@@ -18,6 +18,7 @@
     from coursepitch.clock import Clock
     from coursepitch.config.settings import TargetSettings
     from coursepitch.control.chart import Chart
+    from coursepitch.control.reach import EngineReach
     from coursepitch.control.session import Session
     from coursepitch.peers.hub import PeerHub
     from coursepitch.peers.records import LoadBody
@@ -45,7 +46,9 @@
         publish: Callable[[str, DomainBody, LoadBody, float], None],
         clock: Clock,
         list_domains: Callable[[], Iterable[str]],
+        reach: EngineReach,
     ) -> None:
+        self._reach = reach
         self._me = me
         self._session = session
         self._hub = hub
@@ -72,6 +75,8 @@
                 await anyio.sleep(CHECK_INTERVAL_S)
 
     def _should_observe(self, domain: str) -> bool:
+        if self._reach.is_cut_off:
+            return False
         now = self._clock()
         view = self._session.view.value
         holder = get_holder(view, domain_duty(domain), self._me, now)
@@ -80,7 +85,7 @@
             for item in self._hub.records('domain')
             if item.key.subject == domain and item.key.origin != self._me
         }
-        live = list_live_nodes(self._hub, now)
+        live = list_nodes_with_paths(self._hub, now)
         observing = domain in self._cancel_scopes
         interval_s = compute_domain_interval(len(view.registered_nodes()))
         return should_observe(
@@ -99,6 +104,7 @@
             self._publish,
             self._clock,
             self._find_newest_observation(domain),
+            self._reach,
         )
         with self._cancel_scopes[domain]:
             await controller.run()
--- a/coursepitch/peers/records.py
+++ b/coursepitch/peers/records.py
@@ -33,12 +33,14 @@
     """Status of a node.
 
     :param in_force: revision of the configuration in force at the node.
+    :param cut_off: whether it reaches no engine.
     """
 
     incarnation: str
     in_force: int
     ready: bool
     draining: bool
+    cut_off: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -129,7 +131,8 @@
 def pack_body(body: Body) -> list[Any]:
     """Convert a body to plain data for encoding."""
     if isinstance(body, NodeBody):
-        return [body.incarnation, body.in_force, body.ready, body.draining]
+        row = [body.incarnation, body.in_force, body.ready, body.draining]
+        return [*row, True] if body.cut_off else row
     if isinstance(body, ContactBody):
         return [body.in_force]
     if isinstance(body, DemandBody):
@@ -191,12 +194,15 @@
 
 
 def _unpack_node(data: Any) -> NodeBody:
-    incarnation, in_force, ready, draining = data
+    incarnation, in_force, ready, draining, *cut_off = data
+    if len(cut_off) > 1:
+        raise ValueError('too many fields')
     return NodeBody(
         _check_text(incarnation),
         _check_integer(in_force),
         ready is True,
         draining is True,
+        cut_off == [True],
     )
 
 
--- a/coursepitch/serving/dispatch.py
+++ b/coursepitch/serving/dispatch.py
@@ -27,7 +27,7 @@
 from coursepitch.serving.sse import DONE_DATA, EventParser
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncGenerator
+    from collections.abc import AsyncGenerator, Callable
 
     from coursepitch.clock import Clock
     from coursepitch.config.settings import RoutingSettings
@@ -74,6 +74,8 @@
         timeout = httpx.Timeout(settings.gap_timeout_s, connect=1.0, pool=1.0)
         self._clients = TargetClients(timeout, reuse=True)
         self._single_use_clients = TargetClients(timeout, reuse=False)
+        #: Whether this node reaches no engine.
+        self.is_cut_off: Callable[[], bool] = lambda: False
 
     async def close(self) -> None:
         """Close all connections."""
@@ -100,8 +102,13 @@
     async def admit(self, model_request: ModelRequest) -> Run:
         """Wait for a slot.
 
-        :raises RefusedError: no slot is available in time.
+        :raises RefusedError: no slot is available in time, or no engine is reached.
         """
+        if self.is_cut_off():
+            detail = '(no path to the engines)'
+            raise RefusedError(
+                Problem(outcomes.NOT_READY, model_request.request_id, detail, 1.0)
+            )
         expires_at = min(
             model_request.arrived_at + self._queue_wait_s, model_request.deadline_at
         )
--- a/coursepitch/serving/gate.py
+++ b/coursepitch/serving/gate.py
@@ -12,6 +12,8 @@
 from coursepitch.serving.outcomes import Problem, RefusedError
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from coursepitch.clock import Clock
     from coursepitch.control.session import Session
     from coursepitch.metrics import Metrics
@@ -55,6 +57,8 @@
         self._open_requests: dict[str, float] = {}
         self.rejects_all = False
         self.draining = False
+        #: Returns why other nodes serve better; empty if they do not.
+        self.explain_withdrawn: Callable[[], str] = lambda: ''
 
     # -- readiness -------------------------------------------------------------
 
@@ -65,7 +69,9 @@
 
     def explain_not_ready(self) -> str:
         """Return why the node is not ready for new requests; empty if it is ready."""
-        return 'stopping' if self.draining else self._explain_not_serving()
+        if self.draining:
+            return 'stopping'
+        return self._explain_not_serving() or self.explain_withdrawn()
 
     def _explain_not_serving(self) -> str:
         if not self._session.view.value.configuration.revision:
--- a/tests/peers/test_table.py
+++ b/tests/peers/test_table.py
@@ -17,7 +17,13 @@
     decode_message,
     encode_message,
 )
-from coursepitch.peers.records import ContactBody, FleetBody
+from coursepitch.peers.records import (
+    ContactBody,
+    FleetBody,
+    NodeBody,
+    pack_body,
+    unpack_body,
+)
 from coursepitch.peers.slots import SlotDefinition, SlotTable, SlotUpdate
 from coursepitch.peers.table import (
     KnownState,
@@ -133,6 +139,24 @@
         self.assertEqual(sink.read(), ())
 
 
+class NodeRecordTest(unittest.TestCase):
+    """Status of nodes, also of nodes of a version that does not tell of paths."""
+
+    def test_node_tells_whether_it_reaches_engines(self):
+        for cut_off in (False, True):
+            body = NodeBody('i', 7, True, False, cut_off)
+            self.assertEqual(unpack_body('node', pack_body(body)), body)
+
+    def test_sound_node_is_told_as_before(self):
+        self.assertEqual(
+            pack_body(NodeBody('i', 7, True, False)), ['i', 7, True, False]
+        )
+
+    def test_longer_record_is_refused(self):
+        with self.assertRaises(CodecError):
+            unpack_body('node', ['i', 7, True, False, True, True])
+
+
 class MessageTest(unittest.TestCase):
     """The codec decodes its own output and rejects any other input."""
 
