--- a/coursepitch/events.py
+++ b/coursepitch/events.py
@@ -133,11 +133,11 @@
 DUTY_TAKEN = Event(500, 'duty.taken', 'The node acquired a duty.', ('duty', 'lease'))
 DUTY_LOST = Event(501, 'duty.lost', 'The node no longer holds a duty.', ('duty',))
 ENGINES_LOST = Event(
-    510,
+    537,
     'engines.lost',
     'The node reaches no engine: it observes no domain and refuses requests to models.',
 )
-ENGINES_REACHED = Event(520, 'engines.reached', 'The node reaches engines again.')
+ENGINES_REACHED = Event(538, 'engines.reached', 'The node reaches engines again.')
 REPLICA_CLAIMED = Event(
     502,
     'replica.claimed',
