Close the connections of probes

Since probes have a pool of their own, their connections went back to it, and as each probe opens a new one, nothing used or expired them: a descriptor a probe, and for nodes that are cut off a tunnel at a peer. ProbeConnectionTest.test_probes_leave_no_connection_open failed before (not closed within 5 s). Found by reading the change.

--- a/coursepitch/fleet/control.py
+++ b/coursepitch/fleet/control.py
@@ -298,7 +298,11 @@
                 try:
                     await answer.read_whole(MAX_ANSWER_BYTES)
                 finally:
-                    answer.release()
+                    if pool is self._pool:
+                        answer.release()
+                    else:
+                        # Nothing else uses connections of this pool.
+                        pool.discard(connection)
         except NoConnectionError as error:
             return Probe.REFUSED if error.refused else Probe.SILENT
         except ExchangeError:
--- a/tests/fleet/test_control.py
+++ b/tests/fleet/test_control.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import unittest
 from types import SimpleNamespace
 
@@ -15,6 +16,7 @@
     Probe,
 )
 from coursepitch.fleet.orders import Order, OrderKind, OrderResult
+from coursepitch.http.client import connect_directly
 from tests.fleet.builders import build_instance
 
 
@@ -246,6 +248,49 @@
         self.assertTrue(self.has_ended(Probe.REPLACED, Probe.ANSWERS, False))
 
 
+class ProbeConnectionTest(unittest.TestCase):
+    """Connections of probes, which are new ones each time."""
+
+    # Guards against a node that runs out of descriptors by probing.
+    def test_probes_leave_no_connection_open(self):
+        async def serve(stream):
+            async with stream:
+                await stream.receive()
+                await stream.send(b'HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n')
+                with contextlib.suppress(anyio.EndOfStream, anyio.BrokenResourceError):
+                    await stream.receive()
+                closed.append(stream)
+
+        async def check(since, suspect):
+            return True
+
+        closed = []
+
+        async def run():
+            listener = await anyio.create_tcp_listener(local_host='127.0.0.1')
+            port = listener.extra(anyio.abc.SocketAttribute.local_port)
+            instance = build_instance('a', address=f'127.0.0.1:{port}')
+            paths = SimpleNamespace(
+                is_cut_off=False,
+                check=check,
+                connect=connect_directly,
+                connect_directly=connect_directly,
+                connect_through_peer=connect_directly,
+            )
+            control = InstanceControl(lambda: 0.0, paths=paths)
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(listener.serve, serve)
+                with anyio.fail_after(5):
+                    for cut_off in (False, True):
+                        paths.is_cut_off = cut_off
+                        self.assertIs(await control.probe(instance), Probe.ANSWERS)
+                    while len(closed) < 2:
+                        await anyio.sleep(0.01)
+                tasks.cancel_scope.cancel()
+
+        anyio.run(run)
+
+
 class EndTest(unittest.TestCase):
     """Whether an instance's process is gone.
 
