--- a/soak/checkers.py
+++ b/soak/checkers.py
@@ -176,7 +176,12 @@
     looked_at = 0
     findings = []
     for (node, instance), runs in _group_runs(history).items():
-        told = [calls[run.call] for run in runs if run.told_leaving]
+        # A request that arrives after its call has ended was answered by another run.
+        told = [
+            calls[run.call]
+            for run in runs
+            if run.told_leaving and run.arrived_at <= calls[run.call].ended_at
+        ]
         passed = [call.ended_at for call in told if call.ending is Ending.WHOLE]
         if not passed:
             continue
--- a/tests/soak/test_checkers.py
+++ b/tests/soak/test_checkers.py
@@ -135,6 +135,10 @@
         calls = (first, soon, late)
         self.assert_fires(check_told_leaving, History(calls, tuple(runs)), 'i')
         self.assert_proves(check_told_leaving, History(calls, tuple(runs[:2])))
+        # A run that arrives long after its call was answered elsewhere told nobody.
+        delayed = build_run('c', arrived_at=20.0, told_leaving=True)
+        history = History(calls, (delayed, build_run('e', arrived_at=late.sent_at)))
+        self.assertEqual(check_told_leaving(history, BOUNDS).looked_at, 0)
         started = (Disturbed('n1', 11.5, 12.0),)
         history = History(calls, tuple(runs), disturbed=started)
         self.assert_proves(check_told_leaving, history)
