Count a connection that ends before its options are set as failed

Cause: the time-out of unacknowledged bytes is set on a new connection outside the handling of failed connections. A tunnel whose peer closes it at once has no socket any more then.

Change: the option is set where a failure counts as no connection, so that another instance or path is tried. test_connection_that_ends_at_once_is_a_failed_connection failed before.

--- a/coursepitch/http/client.py
+++ b/coursepitch/http/client.py
@@ -325,6 +325,10 @@
         try:
             with anyio.fail_after(self.connect_timeout_s):
                 stream = await self.connect(address, instance)
+            # Fails if the connection has already ended.
+            stream.set_option(
+                socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS
+            )
         except (OSError, TimeoutError) as error:
             self._count_closed(address)
             self.note_attempt(_classify_failure(error))
@@ -336,7 +340,6 @@
             self._count_closed(address)
             raise
         self.note_attempt(ConnectOutcome.CONNECTED)
-        stream.set_option(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
         parser = h11.Connection(h11.CLIENT, MAX_RESPONSE_HEAD_BYTES)
         return Connection(address, stream, parser)
 
--- a/tests/http/test_framing.py
+++ b/tests/http/test_framing.py
@@ -14,7 +14,7 @@
 from hypothesis import strategies as st
 
 from coursepitch.http import ConnectionPool, ExchangeError, NoConnectionError
-from coursepitch.http.client import Connection, ConnectOutcome
+from coursepitch.http.client import Connection, ConnectOutcome, connect_directly
 from coursepitch.http.stream import MAX_UNREAD_BYTES, ByteStream, connect
 from coursepitch.listeners import listen
 from tests.http.test_exchange import HEADERS, read_all, run_with_server
@@ -206,6 +206,27 @@
 
         anyio.run(run)
 
+    # Guards against a request that fails with an internal error as its new connection
+    # ended before an option of its socket was set.
+    def test_connection_that_ends_at_once_is_a_failed_connection(self):
+        async def run():
+            sock = listen('127.0.0.1', 0)
+            address = f'127.0.0.1:{sock.getsockname()[1]}'
+
+            async def connect_and_lose(address, instance):
+                stream = await connect_directly(address, instance)
+                stream.close()
+                await anyio.sleep(0.01)
+                return stream
+
+            pool = ConnectionPool(connect=connect_and_lose)
+            with self.assertRaises(NoConnectionError):
+                await pool.acquire(address)
+            self.assertEqual(pool.count_open(address), 0)
+            sock.close()
+
+        anyio.run(run)
+
     def test_failed_connections_are_not_counted_and_tell_whether_refused(self):
         async def run():
             sock = listen('127.0.0.1', 0)
