--- a/coursepitch/fleet/tunnel_streams.py
+++ b/coursepitch/fleet/tunnel_streams.py
@@ -1,6 +1,7 @@
 """Tunnels to instances as WebSocket connections between nodes.
 
-Imported on first use, as :mod:`websockets` takes a tenth of a second to import.
+Imported on first use, as a node that is not cut off starts sooner without
+:mod:`websockets`.
 """
 
 from __future__ import annotations
--- a/coursepitch/fleet/tunnels.py
+++ b/coursepitch/fleet/tunnels.py
@@ -48,7 +48,7 @@
 PEER_PAUSE_S = 1.0
 
 #: Largest number of tunnels that a node keeps open for peers.  Each takes two
-#: descriptors and up to 0.5 MB of buffers.
+#: descriptors and buffers in both directions.
 MAX_TUNNELS = 256
 
 
