Count no backoff that may have reached no node in the soak

Cause, in the checker: the request in whose answer the instance asked for a backoff had stood still on a path that was cut.

Ruled out: a node that sends in a backoff that it knows; all that were told kept to it.

Runs are left out if a cut ended between the send of their call and their arrival; the cut may be one of another node, which carried the request. The test has both sides: it is left out after such a cut, and fires if the cut ended before the call; it failed before.

--- a/soak/checkers.py
+++ b/soak/checkers.py
@@ -154,10 +154,13 @@
 
 def check_backoffs(history: History, bounds: Bounds) -> Verdict:
     """An instance gets next to nothing from a node while it asked it for a backoff."""
+    calls = history.map_calls()
     looked_at = 0
     findings = []
     for (node, instance), runs in _group_runs(history).items():
         for asked in runs:
+            if history.may_be_held_up(asked, calls[asked.call]):
+                continue
             first = asked.arrived_at + bounds.under_way_s
             last = asked.arrived_at + asked.backoff_s
             if last <= first or history.was_disturbed(node, asked.arrived_at, last):
--- a/soak/history.py
+++ b/soak/history.py
@@ -135,3 +135,11 @@
             item.node == node and item.since <= until and item.until >= since
             for item in self.disturbed
         )
+
+    def may_be_held_up(self, run: Run, call: Call) -> bool:
+        """Whether a cut of paths ended between a call and a run of it.
+
+        The request may have stood still on a path, of the call's node or of a peer, so
+        that the node had given it up before the instance answered it.
+        """
+        return any(call.sent_at < cut.until <= run.arrived_at for cut in self.cuts)
--- a/tests/soak/test_checkers.py
+++ b/tests/soak/test_checkers.py
@@ -124,6 +124,18 @@
         )
         self.assert_proves(check_backoffs, History((calls[0], *other), (asked, *later)))
 
+    def test_backoff_that_is_asked_for_on_a_path_that_was_cut_may_reach_no_node(self):
+        times = (7.0, 11.0, 12.0, 12.9)
+        calls = tuple(build_call(f'c{n}', at, node='n1') for n, at in enumerate(times))
+        asked = build_run('c0', arrived_at=10.0, executed=False, backoff_s=3.0)
+        later = [build_run(call.id, arrived_at=call.sent_at) for call in calls[1:]]
+        held_up = (Cut(frozenset({'n3'}), 6.0, 9.9),)
+        history = History(calls, (asked, *later), cuts=held_up)
+        self.assertEqual(check_backoffs(history, BOUNDS).looked_at, 0)
+        before = (Cut(frozenset({'n3'}), 6.0, 6.9),)
+        history = History(calls, (asked, *later), cuts=before)
+        self.assert_fires(check_backoffs, history, 'i')
+
     def test_call_that_is_sent_to_an_instance_long_after_it_said_that_it_leaves(self):
         first = build_call('c', 10.0, node='n1')
         soon = build_call('d', 10.9 + BOUNDS.drain_s, node='n1')
