Prove the end of instances while all of a service end at once

What callers would see: a request that ends each instance which runs it is never refused, if several clients send it to a small service, and all its instances end over and over.

Change: the proof is sought until it is found, for 2 s at most: the instance refused, then another of its service was reached, and it still refuses. A node that connects for a peer does so for 0.25 s. An instance whose entry is gone needs no other. A node that is cut off altogether gives up at once, as before. What a cut of one service does not prove stays unproved: while it lasts no other is reached, and after it the instance answers.

--- a/coursepitch/fleet/control.py
+++ b/coursepitch/fleet/control.py
@@ -46,6 +46,11 @@
 ENDING_TRIES = 4
 ENDING_PAUSE_S = 0.02
 
+#: Seconds until it counts as unknown whether an instance that refuses connections has
+#: ended, and seconds between two checks, while no other of its service is reached.
+CONFIRM_TIMEOUT_S = 2.0
+CONFIRM_PAUSE_S = 0.05
+
 #: Maximum number of concurrent orders.  One takes about 6 ms on a machine with half a
 #: core; with all orders of a cold start of 171 instances in flight, most timed out.
 MAX_CONCURRENT_ORDERS = 16
@@ -259,23 +264,41 @@
         """Whether an instance's process is gone.
 
         This is proven if its address belongs to another instance, or refuses
-        connections of this node and of a peer, both of which reach others.  A timeout
+        connections of this node and of a peer, both of which reach others, or if its
+        entry is gone and it refuses those of this node.  A timeout
         proves nothing: a network partition or a paused machine looks the same.  An
         exiting process closes its connections one by one, so a request whose connection
         breaks is repeated.
         """
-        began_at = self._clock()
+        with anyio.move_on_after(CONFIRM_TIMEOUT_S):
+            return await self._confirm_end(instance, self._clock())
+        return False
+
+    async def _confirm_end(self, instance: FleetInstance, began_at: float) -> bool:
+        """Check an instance until it is known whether its process is gone."""
+        while True:
+            found = await self._request_until_clear(instance)
+            if found is not Probe.REFUSED or self._paths is None:
+                return found in (Probe.REFUSED, Probe.REPLACED)
+            if not self._paths.is_listed(instance.name):
+                return True
+            if await self._paths.check(began_at, instance.name):
+                found = await self._probe_through_peer(instance)
+                if found is not Probe.NO_PATH or not self._paths.has_peers():
+                    return not found.answers
+            if self._paths.is_cut_off:
+                return False
+            # All instances of the service may have ended, and new ones are starting.
+            await anyio.sleep(CONFIRM_PAUSE_S)
+
+    async def _request_until_clear(self, instance: FleetInstance) -> Probe:
+        """Request an instance's report until the connection does not break."""
         for _ in range(ENDING_TRIES):
             found = await self._request_report(instance)
             if found is not Probe.BROKEN:
                 break
             await anyio.sleep(ENDING_PAUSE_S)
-        if found is not Probe.REFUSED or self._paths is None:
-            return found in (Probe.REFUSED, Probe.REPLACED)
-        if not await self._paths.check(began_at, instance.name):
-            return False
-        found = await self._probe_through_peer(instance)
-        return found is Probe.REFUSED or not self._paths.has_peers()
+        return found
 
     async def _request_report(
         self, instance: FleetInstance, pool: ConnectionPool | None = None
--- a/coursepitch/fleet/paths.py
+++ b/coursepitch/fleet/paths.py
@@ -51,6 +51,11 @@
 #: Timeout in seconds of a connection on behalf of a peer.
 PEER_CONNECT_TIMEOUT_S = 0.25
 
+#: Number of connections on behalf of a peer while an instance refuses them and no other
+#: of its service is reached, and seconds between them.
+PEER_TRIES = 5
+PEER_PAUSE_S = 0.05
+
 
 class InstancePaths:
     """Opens connections to instances, and detects that this node is cut off.
@@ -179,16 +184,22 @@
         if self.is_cut_off:
             raise TunnelError(TunnelOutcome.NO_PATH)
         began_at = self._clock()
-        try:
-            with anyio.fail_after(PEER_CONNECT_TIMEOUT_S):
-                return await self.connect_directly(found.address, instance)
-        except OSError as error:
-            if not await self.check(began_at, instance):
-                raise TunnelError(TunnelOutcome.NO_PATH) from error
-            refused = isinstance(error, ConnectionRefusedError)
-            raise TunnelError(
-                TunnelOutcome.REFUSED if refused else TunnelOutcome.SILENT
-            ) from error
+        for _ in range(PEER_TRIES):
+            try:
+                with anyio.fail_after(PEER_CONNECT_TIMEOUT_S):
+                    return await self.connect_directly(found.address, instance)
+            except ConnectionRefusedError as error:
+                if await self.check(began_at, instance):
+                    raise TunnelError(TunnelOutcome.REFUSED) from error
+            except OSError as error:
+                if await self.check(began_at, instance):
+                    raise TunnelError(TunnelOutcome.SILENT) from error
+                break
+            if self.is_cut_off:
+                break
+            # All instances of the service may have ended, and new ones are starting.
+            await anyio.sleep(PEER_PAUSE_S)
+        raise TunnelError(TunnelOutcome.NO_PATH)
 
     def was_cut_off_after(self, since: float) -> bool:
         """Whether the node is cut off, and was found to be so after a point in time.
@@ -208,6 +219,10 @@
         """Whether other nodes are listed, so that they can be asked."""
         return self._tunnels.has_peers()
 
+    def is_listed(self, instance: str) -> bool:
+        """Whether the store holds an entry of an instance, as far as is known."""
+        return instance in self._view.instances
+
     def is_isolated(self) -> bool:
         """Whether no instance can be reached, neither directly nor through peers."""
         return self.is_cut_off and self._tunnels.failed_at > self._tunnels.opened_at
--- a/tests/fleet/test_control.py
+++ b/tests/fleet/test_control.py
@@ -168,7 +168,15 @@
 class WitnessTest(unittest.TestCase):
     """What an unanswered probe proves, by this node's paths and a peer's probe."""
 
-    def build(self, direct, indirect, reaches_others, is_cut_off=False, has_peers=True):
+    def build(
+        self,
+        direct,
+        indirect,
+        reaches_others,
+        is_cut_off=False,
+        has_peers=True,
+        is_listed=True,
+    ):
         """Return a control whose probes have these results."""
 
         async def check(since, suspect):
@@ -177,6 +185,7 @@
         paths = SimpleNamespace(
             is_cut_off=is_cut_off,
             has_peers=lambda: has_peers,
+            is_listed=lambda name: is_listed,
             check=check,
             connect=None,
             connect_directly=None,
@@ -246,6 +255,20 @@
         self.assertFalse(self.has_ended(Probe.REFUSED, Probe.ANSWERS, True))
         self.assertFalse(self.has_ended(Probe.REFUSED, Probe.REFUSED, False))
         self.assertTrue(self.has_ended(Probe.REPLACED, Probe.ANSWERS, False))
+        gone = self.has_ended(Probe.REFUSED, Probe.SILENT, False, is_listed=False)
+        self.assertTrue(gone)
+
+    # Guards against a request that ends all instances of a service at once, so that no
+    # end is ever proved, and that ends those which take their places.
+    def test_end_is_proved_once_another_instance_is_reached(self):
+        control = self.build(Probe.REFUSED, Probe.REFUSED, None)
+        reached = iter([False, False, True])
+
+        async def check(since, suspect):
+            return next(reached)
+
+        control._paths.check = check
+        self.assertTrue(anyio.run(control.has_ended, build_instance('a')))
 
 
 class ProbeConnectionTest(unittest.TestCase):
--- a/tests/whole/test_crashes.py
+++ b/tests/whole/test_crashes.py
@@ -10,13 +10,16 @@
 
 import httpx
 
-from tests.whole.platform_base import PlatformCase
+from tests.whole.platform_base import WAIT_S, PlatformCase
 
 POISON = 'a request that no engine survives'
 
 #: Crashes after which a request is known for what it does, as users count.
 KNOWN_AFTER = 3
 
+#: Clients that send a call at once, twice as many as there are instances.
+CLIENTS = 6
+
 #: Seconds within which all nodes know it: a third of what users allow.
 TOLD_S = 1.0
 
@@ -199,6 +202,38 @@
                 self.wait_for(lambda path=path: send(path) == 500, 'it is refused')
                 self.assertLessEqual(count_runs(path), KNOWN_AFTER)
 
+    # Guards against ends that no node can prove, as all instances of the service end at
+    # once and again.
+    def test_call_that_ends_all_instances_at_once_is_refused(self):
+        body = 'a call of many clients'
+        self.control('api', '/crash_on', body=body)
+        refused = threading.Event()
+
+        def send(place):
+            until = time.monotonic() + WAIT_S
+            while not refused.is_set() and time.monotonic() < until:
+                self.count += 1
+                node = self.nodes[place % len(self.nodes)]
+                request = f'many-{place}-{self.count}'
+                reply = self.send(node, 'POST', '/again/y', request, content=body)
+                if reply.status_code == 500:
+                    refused.set()
+
+        threads = [
+            threading.Thread(target=send, args=(place,)) for place in range(CLIENTS)
+        ]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        self.assertTrue(refused.is_set())
+        runs = sum(
+            run['body'] == body
+            for item in self.stats('api').values()
+            for run in item['runs']
+        )
+        self.assertLessEqual(runs, KNOWN_AFTER + CLIENTS - 1)
+
 
 class ManyClientsTest(CrashCase):
     """Clients that send it at once, each to another node."""
