Record the outcome of a keyed request before its answer ends

What callers saw: a client that had the whole answer of a request with an idempotency key and repeated it at once got 409 "running, or its outcome is unknown" with Retry-After: 1 in place of the recorded answer.

Cause: answers of plain services, and streams, were sent to their end first and recorded afterwards; answers that are not streamed were recorded first. Between the two the record says that the request runs.

Change: the record is written before the last piece that completes a Content-Length, before [DONE] of a stream, and before the end of any other body. It is shielded from a client that disconnects. In return the end of a keyed answer waits for one call to the service. The stand-in of the service can slow down single operations.

--- a/coursepitch/serving/caller_api.py
+++ b/coursepitch/serving/caller_api.py
@@ -398,6 +398,7 @@
             end = encode_event(DONE_DATA.encode())
             context.answer += end
             context.outcome = Outcome.ANSWERED
+            await self._record_outcome(context)
             yield end
             return
         yield self._encode_error(problem)
@@ -418,20 +419,29 @@
         if context.run is not None:
             await self._dispatcher.finish(context.run)
             context.run = None
-        if context.claim is not None:
-            claim, context.claim = context.claim, None
-            state = _RECORD_STATES[context.outcome]
+        await self._record_outcome(context)
+        if context.outcome is Outcome.ANSWERED:
+            self._metrics.requests.inc({'outcome': 'answered', 'code': '0'})
+            waited = round(self._clock() - context.started_at, 4)
+            log.emit(events.REQUEST_DONE, request=context.request_id, wait=waited)
+
+    async def _record_outcome(self, context: RequestContext) -> None:
+        """Write the idempotency record, unless the request has none or it is written.
+
+        A client that has a whole answer may repeat the request at once, so this comes
+        before the end of an answer is sent.
+        """
+        if context.claim is None:
+            return
+        claim, context.claim = context.claim, None
+        with anyio.CancelScope(shield=True):
             await self._records.record_outcome(
                 claim,
-                state,
+                _RECORD_STATES[context.outcome],
                 context.status,
                 context.content_type,
                 bytes(context.answer),
             )
-        if context.outcome is Outcome.ANSWERED:
-            self._metrics.requests.inc({'outcome': 'answered', 'code': '0'})
-            waited = round(self._clock() - context.started_at, 4)
-            log.emit(events.REQUEST_DONE, request=context.request_id, wait=waited)
 
     # -- idempotency keys -------------------------------------------------------------
 
@@ -507,7 +517,14 @@
             body = request.stream()
         context.outcome = Outcome.UNKNOWN
         return await self._services.call(
-            request, context, name, service, options, body, self._finish
+            request,
+            context,
+            name,
+            service,
+            options,
+            body,
+            self._record_outcome,
+            self._finish,
         )
 
 
--- a/coursepitch/serving/services.py
+++ b/coursepitch/serving/services.py
@@ -98,10 +98,12 @@
         service: Service,
         options: RequestOptions,
         body: bytes | AsyncIterator[bytes],
+        record: Callable[[RequestContext], Awaitable[None]],
         finish: Callable[[RequestContext], Awaitable[None]],
     ) -> Response:
         """Forward a call and return its streamed answer.
 
+        :param record: called once the answer is whole, before its end is sent.
         :param finish: called once when the answer or the call has ended.
         :raises RefusedError: no address answered in time.
         """
@@ -120,7 +122,7 @@
                 problem = Problem(outcomes.DEADLINE, context.request_id)
                 raise RefusedError(problem) from error
             raise
-        return self._build_answer(context, reply, address, finish)
+        return self._build_answer(context, reply, address, record, finish)
 
     async def _attempt(
         self,
@@ -238,6 +240,7 @@
         context: RequestContext,
         reply: httpx.Response,
         address: str,
+        record: Callable[[RequestContext], Awaitable[None]],
         finish: Callable[[RequestContext], Awaitable[None]],
     ) -> Response:
         headers = {
@@ -254,7 +257,7 @@
         length = reply.headers.get('content-length')
         context.status = reply.status_code
         context.content_type = reply.headers.get('content-type', '')
-        body = self._relay_body(context, reply)
+        body = self._relay_body(context, reply, record)
 
         async def end() -> None:
             await body.aclose()
@@ -269,14 +272,22 @@
         return answer
 
     async def _relay_body(
-        self, context: RequestContext, reply: httpx.Response
+        self,
+        context: RequestContext,
+        reply: httpx.Response,
+        record: Callable[[RequestContext], Awaitable[None]],
     ) -> AsyncGenerator[bytes, None]:
         """Yield the body; close the connection abnormally if it is truncated."""
+        length = int(reply.headers.get('content-length', -1))
         try:
             async for piece in reply.aiter_raw():
                 if context.claim is not None:
                     context.answer += piece
+                    if len(context.answer) == length:
+                        context.outcome = Outcome.ANSWERED
+                        await record(context)
                 yield piece
         except httpx.HTTPError as error:
             raise Cutoff('the answer of the service was truncated') from error
         context.outcome = Outcome.ANSWERED
+        await record(context)
--- a/standins/kv.py
+++ b/standins/kv.py
@@ -2,10 +2,11 @@
 
 It speaks the published protocol of the platform's metadata store: items with
 revisions, conditional transactions, leases, watches and a bounded history.
-Faults are set by ``POST /fault`` with a mode: ``down``, ``slow``,
-``drop_answers``, ``late`` (writes are done after ``delay_s``, unanswered),
-``silent`` (watches hear nothing), ``stale`` (serializable reads are old),
-``forget`` (history is dropped at once) and ``refuse`` (429).
+Faults are set by ``POST /fault`` with a mode: ``down``, ``slow`` (the operations in
+``paths``, or all), ``drop_answers`` (of the operations in ``paths``), ``late`` (writes
+are done after ``delay_s``, unanswered), ``silent`` (watches hear nothing), ``stale``
+(serializable reads are old), ``forget`` (history is dropped at once) and ``refuse``
+(429).
 """
 
 from __future__ import annotations
@@ -217,7 +218,7 @@
                 return answer({'error': 'down'}, 503)
             if fault['mode'] == 'refuse':
                 return answer({'error': 'too many calls'}, 429)
-            if fault['mode'] == 'slow':
+            if fault['mode'] == 'slow' and name in fault.get('paths', (name,)):
                 await anyio.sleep(fault.get('delay_s', 5))
             result, status = await operation(request)
             if fault['mode'] == 'drop_answers' and name in fault['paths']:
--- a/tests/whole/test_requests.py
+++ b/tests/whole/test_requests.py
@@ -220,6 +220,29 @@
         self.assertEqual(first.text, second.text)
         self.assertEqual(self.total_runs(), before)
 
+    # Guards against 409 for a client that repeats a request after its whole answer.
+    def test_answer_is_replayed_as_soon_as_it_has_ended(self) -> None:
+        url = f'{self.harness.entry("n1")}/services/stamp/echo'
+        headers = {'Authorization': f'Bearer {CALLER_KEY}', 'Idempotency-Key': 'slow-1'}
+        self.harness.set_fault('kv', mode='slow', paths=['swap'], delay_s=0.3)
+        calls = [
+            self.harness.client.post(url, content=content, headers=headers)
+            for content in (b'stamped', b'stamped')
+        ]
+        self.assertEqual([call.status_code for call in calls], [200, 200])
+        self.assertEqual(calls[1].headers['idempotency-replayed'], 'true')
+        self.assertEqual(calls[0].content, calls[1].content)
+
+    def test_streamed_answer_is_replayed_as_soon_as_it_has_ended(self) -> None:
+        key = {'Idempotency-Key': 'slow-stream'}
+        self.harness.set_fault('kv', mode='slow', paths=['swap'], delay_s=0.3)
+        answers = [
+            call_stream(self.harness, 'n1', self.body('slow stream'), None, **key)
+            for _ in range(2)
+        ]
+        self.assertEqual([answer.status for answer in answers], [200, 200])
+        self.assertEqual(answers[0].text, answers[1].text)
+
     def test_key_with_another_body_is_refused(self) -> None:
         key = {'Idempotency-Key': 'reused'}
         self.harness.call('n1', self.body('one'), **key)
