Ask the only peer with paths again after it was late

Cause: a peer that does not open a tunnel within 0.6 s is not asked for a second, as one that answered that it has no path, even if no other is left; and a node refuses everything at once after one such failure, until its own check reaches a peer. A late answer was taken for the knowledge that there is none.

Change: a peer that opened a tunnel within the last 3 s and has only been late since is asked if no other is left, and until then the node is not isolated. An answer of the peer that it cannot help ends this at once. In return requests may wait 0.6 s for a peer that has frozen, for 3 s at most.

--- a/coursepitch/fleet/paths.py
+++ b/coursepitch/fleet/paths.py
@@ -225,7 +225,12 @@
 
     def is_isolated(self) -> bool:
         """Whether no instance can be reached, neither directly nor through peers."""
-        return self.is_cut_off and self._tunnels.failed_at > self._tunnels.opened_at
+        tunnels = self._tunnels
+        return (
+            self.is_cut_off
+            and tunnels.failed_at > tunnels.opened_at
+            and not tunnels.trusts_peer()
+        )
 
     def should_withdraw(self) -> bool:
         """Whether clients are better served by other nodes.
--- a/coursepitch/fleet/tunnels.py
+++ b/coursepitch/fleet/tunnels.py
@@ -44,9 +44,14 @@
 #: Peers that are asked for one tunnel.
 MAX_PEERS = 4
 
-#: Seconds for which a peer that could not open a tunnel is not asked again.
+#: Seconds for which a peer that could not open a tunnel is asked again only if
+#: :data:`PEER_TRUST_S` allows it.
 PEER_PAUSE_S = 1.0
 
+#: Seconds since its last tunnel for which the peer that opened it is asked though it is
+#: paused, if it only did not answer in time and no other peer is left.
+PEER_TRUST_S = 3.0
+
 #: Largest number of tunnels that a node keeps open for peers.  Each takes two
 #: descriptors and buffers in both directions.
 MAX_TUNNELS = 256
@@ -104,6 +109,7 @@
         self._list_nodes = list_nodes
         self._clock = clock
         self._paused_until: dict[str, float] = {}
+        self._trusted_peer = ''
         #: Time at which a tunnel was last opened, and at which all peers that were
         #: asked last failed to open one.
         self.opened_at = float('-inf')
@@ -129,14 +135,13 @@
             except TunnelError as error:
                 self.count(error.outcome.name.lower())
                 if error.outcome.concerns_instance:
-                    self.opened_at = self._clock()
+                    self._note_path(peer)
                     raise
                 outcome = error.outcome
-                if outcome is not TunnelOutcome.UNLISTED:
-                    self._paused_until[peer] = self._clock() + PEER_PAUSE_S
+                self._note_failure(peer, outcome)
                 continue
             self.count('opened')
-            self.opened_at = self._clock()
+            self._note_path(peer)
             return stream
         self.failed_at = self._clock()
         if asked:
@@ -147,6 +152,25 @@
         """Whether other nodes are listed."""
         return any(name != self._me for name in self._list_nodes())
 
+    def trusts_peer(self) -> bool:
+        """Whether a peer opened a tunnel lately and has only been late since."""
+        return (
+            self._trusted_peer in self._list_nodes()
+            and self._clock() - self.opened_at <= PEER_TRUST_S
+        )
+
+    def _note_path(self, peer: str) -> None:
+        """Record that a peer reached an instance or others like it."""
+        self.opened_at = self._clock()
+        self._trusted_peer = peer
+
+    def _note_failure(self, peer: str, outcome: TunnelOutcome) -> None:
+        """Pause a peer that could not open a tunnel."""
+        if outcome is not TunnelOutcome.UNLISTED:
+            self._paused_until[peer] = self._clock() + PEER_PAUSE_S
+        if outcome is not TunnelOutcome.NO_PEER and peer == self._trusted_peer:
+            self._trusted_peer = ''
+
     def _choose_peer(self, asked: set[str]) -> str:
         """Return the better of two random peers, or an empty string.
 
@@ -163,6 +187,8 @@
             for name in nodes
             if name != self._me and name not in asked and name not in self._paused_until
         ]
+        if not names and self.trusts_peer() and self._trusted_peer not in asked:
+            return self._trusted_peer
         two = random.sample(names, min(2, len(names)))
         near = [name for name in two if nodes[name].availability_zone == self._zone]
         return next(iter(near or two), '')
--- a/tests/fleet/test_paths.py
+++ b/tests/fleet/test_paths.py
@@ -34,6 +34,7 @@
         self.asked = []
         self.opened_at = self.failed_at = float('-inf')
         self.failure = TunnelOutcome.NO_PATH
+        self.trusts_peer = lambda: False
 
     async def open(self, instance):
         self.asked.append(instance)
@@ -198,6 +199,17 @@
         self.connect()
         self.assertFalse(self.paths.is_isolated())
 
+    # Guards against refusals while the only peer with paths is late.
+    def test_node_is_not_isolated_while_a_peer_may_only_be_late(self):
+        self.cut('refuse')
+        self.check()
+        self.tunnels.outcome = TunnelOutcome.NO_PEER
+        for trusted in (True, False):
+            self.tunnels.trusts_peer = lambda trusted=trusted: trusted
+            with contextlib.suppress(OSError):
+                self.connect()
+            self.assertEqual(self.paths.is_isolated(), not trusted)
+
 
 class WithdrawTest(PathsCase):
     """When a node asks the balancer for no more clients."""
--- a/tests/fleet/test_tunnels.py
+++ b/tests/fleet/test_tunnels.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import socket
 import struct
 import time
@@ -272,6 +273,45 @@
             anyio.run(client.open, 'i')
         self.assertEqual(len(asked), 4)
 
+    def open_in_turn(self, outcomes, later_s=0.0):
+        """Open tunnels through one peer; return how often it was asked.
+
+        :param outcomes: results of the peer; None where it opens a tunnel.
+        :param later_s: seconds between the last tunnel and those before.
+        """
+        now = [100.0]
+        left = list(outcomes)
+
+        async def open_at(peer, instance):
+            if (outcome := left.pop(0)) is not None:
+                raise TunnelError(outcome)
+            return mock.Mock()
+
+        nodes = {name: NodeLocation('127.0.0.1:1', 'a') for name in ('me', 'b')}
+        client = TunnelClient('me', 'a', lambda: nodes, lambda: now[0])
+        client._open_at = open_at
+        for number in range(len(outcomes)):
+            if number == len(outcomes) - 1:
+                now[0] += later_s
+            with contextlib.suppress(TunnelError):
+                anyio.run(client.open, 'i')
+        return len(outcomes) - len(left)
+
+    # Guards against refusals where the only peer with paths is late once.
+    def test_only_peer_that_was_late_once_is_asked_again(self):
+        late = TunnelOutcome.NO_PEER
+        self.assertEqual(self.open_in_turn([None, late, None]), 3)
+        self.assertEqual(self.open_in_turn([None, late, late, None]), 4)
+
+    def test_only_peer_is_paused_where_nothing_speaks_for_it(self):
+        late, no_path = TunnelOutcome.NO_PEER, TunnelOutcome.NO_PATH
+        self.assertEqual(self.open_in_turn([late, None]), 1)
+        self.assertEqual(self.open_in_turn([None, no_path, None]), 2)
+        with mock.patch.object(module, 'PEER_PAUSE_S', 10.0):
+            trusted_s = module.PEER_TRUST_S
+            self.assertEqual(self.open_in_turn([None, late, None], trusted_s), 3)
+            self.assertEqual(self.open_in_turn([None, late, None], trusted_s + 0.1), 2)
+
     # Guards against one node of a zone that carries the traffic of the whole zone.
     def test_traffic_is_spread_beyond_the_own_zone(self):
         counts = dict.fromkeys(('b', 'c', 'd', 'e'), 0)
--- a/tests/whole/test_partitions.py
+++ b/tests/whole/test_partitions.py
@@ -27,6 +27,13 @@
 SHORT_CUTS = 5
 SHORT_CUT_S = 0.4
 
+#: Number of stalls of a node, seconds of one, seconds after it in which tries count,
+#: and seconds to the next one.
+STALLS = 3
+STALL_S = 0.8
+AFTER_STALL_S = 1.0
+BETWEEN_STALLS_S = 3.0
+
 #: Seconds for which a sound instance may fall silent, as users say.
 SILENCE_S = 1.2
 
@@ -213,6 +220,29 @@
         cut_off = [self.find_leader(), *self.list_followers()[:2]]
         self.assert_all_served(self.play_cut(cut_off, 'hang'), cut_off)
 
+    # Guards against nodes that ask the only peer with paths no more once it was late.
+    def test_clients_are_served_once_the_only_node_with_paths_goes_on(self):
+        *cut_off, last = [*self.list_followers(), self.find_leader()]
+        pause = threading.Event()
+        with self.send_requests() as tries:
+            pause.wait(BEFORE_S)
+            self.cut(cut_off, 'hang')
+            pause.wait(CONTACT_S)
+            for _ in range(STALLS):
+                self.running[last].process.send_signal(signal.SIGSTOP)
+                pause.wait(STALL_S)
+                self.running[last].process.send_signal(signal.SIGCONT)
+                went_on_at = time.monotonic()
+                pause.wait(BETWEEN_STALLS_S)
+                self.assert_served(
+                    [
+                        item
+                        for item in list(tries)
+                        if went_on_at < item.sent_at < went_on_at + AFTER_STALL_S
+                    ],
+                    cut_off,
+                )
+
 
 class RefusedNodeTest(PartitionCase):
     """Connections of nodes are reset, or live on, and new ones are refused."""
