--- a/tests/fleet/test_tunnels.py
+++ b/tests/fleet/test_tunnels.py
@@ -312,6 +312,16 @@
             self.assertEqual(self.open_in_turn([None, late, None], trusted_s), 3)
             self.assertEqual(self.open_in_turn([None, late, None], trusted_s + 0.1), 2)
 
+    def test_peer_that_has_left_is_asked_no_more(self):
+        nodes = {name: NodeLocation('127.0.0.1:1', 'a') for name in ('me', 'b')}
+        client = TunnelClient('me', 'a', lambda: nodes, lambda: 100.0)
+        client._open_at = mock.AsyncMock()
+        anyio.run(client.open, 'i')
+        del nodes['b']
+        with self.assertRaises(TunnelError):
+            anyio.run(client.open, 'i')
+        self.assertEqual(client._open_at.await_count, 1)
+
     # Guards against one node of a zone that carries the traffic of the whole zone.
     def test_traffic_is_spread_beyond_the_own_zone(self):
         counts = dict.fromkeys(('b', 'c', 'd', 'e'), 0)
