--- a/coursepitch/fleet/control.py
+++ b/coursepitch/fleet/control.py
@@ -51,8 +51,8 @@
 CONFIRM_TIMEOUT_S = 2.0
 CONFIRM_PAUSE_S = 0.05
 
-#: Maximum number of concurrent orders.  One takes about 6 ms on a machine with half a
-#: core; with all orders of a cold start of 171 instances in flight, most timed out.
+#: Maximum number of concurrent orders.  With those of a cold start all in flight, each
+#: would wait for the processor until most time out.
 MAX_CONCURRENT_ORDERS = 16
 
 #: Maximum number of concurrent orders to load weights that no group waits for, as
@@ -265,10 +265,9 @@
 
         This is proven if its address belongs to another instance, or refuses
         connections of this node and of a peer, both of which reach others, or if its
-        entry is gone and it refuses those of this node.  A timeout
-        proves nothing: a network partition or a paused machine looks the same.  An
-        exiting process closes its connections one by one, so a request whose connection
-        breaks is repeated.
+        entry is gone and it refuses those of this node.  A timeout proves nothing: a
+        network partition or a paused machine looks the same.  An exiting process closes
+        its connections one by one, so a request whose connection breaks is repeated.
         """
         with anyio.move_on_after(CONFIRM_TIMEOUT_S):
             return await self._confirm_end(instance, self._clock())
--- a/coursepitch/fleet/keeper.py
+++ b/coursepitch/fleet/keeper.py
@@ -243,8 +243,8 @@
         self._controller.note_result(order, result, self._clock())
         self._session.wake()
         if order.kind is OrderKind.JOIN and not result.definite:
-            # The instance may be gone though its entry still exists.  Waiting for the
-            # entry to lapse delayed groups by 2.4 s (162 instances, one run).
+            # The instance may be gone though its entry still exists, and the group
+            # should not wait until the entry lapses.
             await self._probe_if_due(order.instance)
 
     async def _probe_if_due(self, name: str) -> None:
