Give duties to nodes with paths, however few they are

Cause: a node takes duties only if it hears from more than half of the nodes, so that one without peers takes none. Nodes without paths were left out of those it hears from, so the only node with paths took itself for one without peers: it took the duties that the others gave up, and gave them up after 2 s.

Change: the share counts all nodes that are heard from; of these the ones with paths get the duties, or all if none has paths.

--- a/coursepitch/application.py
+++ b/coursepitch/application.py
@@ -118,6 +118,7 @@
             self.kv,
             self.clock,
             self.list_domains,
+            lambda: list_live_nodes(self.hub, self.clock()),
             lambda: list_nodes_with_paths(self.hub, self.clock()),
             lambda: bool(self._explain_withdrawn()),
         )
--- a/coursepitch/control/duties.py
+++ b/coursepitch/control/duties.py
@@ -33,6 +33,7 @@
     'holds_duty',
     'list_reachable',
     'get_holder',
+    'prefer_nodes_with_paths',
     'should_observe',
     'should_take_duty',
 ]
@@ -96,6 +97,17 @@
     return reachable if 2 * len(reachable) > len(everyone) else frozenset()
 
 
+def prefer_nodes_with_paths(
+    reachable: frozenset[str], with_paths: Iterable[str]
+) -> frozenset[str]:
+    """Return the nodes that reach engines, or all if none does.
+
+    They may be few: unlike a node without peers, one without paths to the engines knows
+    the others' observations and revisions, and counts among the reachable ones.
+    """
+    return reachable & frozenset(with_paths) or reachable
+
+
 def should_take_duty(
     view: ClusterView, duty: str, me: str, reachable: frozenset[str]
 ) -> bool:
@@ -154,7 +166,9 @@
 class DutyManager:
     """Acquires free duties that rank this node first and hands over the others.
 
-    :param list_heard: returns the nodes heard from that can hold duties.
+    :param list_heard: returns the nodes heard from.
+    :param list_with_paths: returns those that reach engines; only they get duties, if
+        there are any.
     :param should_yield: returns whether this node should hand over all its duties.
     """
 
@@ -166,6 +180,7 @@
         clock: Clock,
         list_domains: Callable[[], Iterable[str]],
         list_heard: Callable[[], Iterable[str]],
+        list_with_paths: Callable[[], Iterable[str]],
         should_yield: Callable[[], bool] = lambda: False,
     ) -> None:
         self._me = me
@@ -174,6 +189,7 @@
         self._clock = clock
         self._list_domains = list_domains
         self._list_heard = list_heard
+        self._list_with_paths = list_with_paths
         self._should_yield = should_yield
         self._held: frozenset[str] = frozenset()
         self._taking_stopped = False
@@ -216,7 +232,8 @@
         settled = [n for n, t in self._live_since.items() if now - t >= MIN_LIVE_S]
         if self._should_yield():
             return frozenset()
-        return list_reachable(self._me, settled, self._list_heard())
+        reachable = list_reachable(self._me, settled, self._list_heard())
+        return prefer_nodes_with_paths(reachable, self._list_with_paths())
 
     async def _hand_over_duty(self, reachable: frozenset[str]) -> None:
         """Give up one duty per call so that duties spread to nodes that join."""
--- a/tests/control/test_placement.py
+++ b/tests/control/test_placement.py
@@ -13,6 +13,7 @@
     choose_duty_to_hand_over,
     holds_duty,
     list_reachable,
+    prefer_nodes_with_paths,
     should_observe,
 )
 from coursepitch.control.placement import (
@@ -253,6 +254,12 @@
         self.assertEqual(reachable, frozenset())
         self.assertEqual(choose_duty_to_hand_over(('x',), 'd', reachable), 'x')
 
+    def test_few_nodes_with_paths_hold_everything(self) -> None:
+        reachable = list_reachable('a', 'abcd', 'abcd')
+        self.assertEqual(prefer_nodes_with_paths(reachable, 'bx'), frozenset('b'))
+        self.assertEqual(prefer_nodes_with_paths(reachable, ''), reachable)
+        self.assertEqual(prefer_nodes_with_paths(frozenset(), 'b'), frozenset())
+
     def test_first_node_holds_everything(self) -> None:
         reachable = list_reachable('a', '', '')
         self.assertIsNone(choose_duty_to_hand_over(self.DUTIES, 'a', reachable))
--- a/tests/whole/test_replica_paths.py
+++ b/tests/whole/test_replica_paths.py
@@ -4,7 +4,7 @@
 
 import time
 
-from tests.whole.base import PATIENT
+from tests.whole.base import GROUP, PATIENT
 from tests.whole.replica_base import ReplicaCase
 
 #: Seconds after the start of a cut from which users count, and seconds counted.
@@ -58,6 +58,35 @@
                 counts.add(count)
         self.assertEqual(counts, {self.replicas})
 
+    def list_engines(self, node: str) -> set[str]:
+        """Return the engines of the replicas that serve, as a node sees it."""
+        return {
+            engine
+            for replica in self.harness.replicas(node, GROUP)
+            if replica['serving']
+            for engine in replica['instances']
+        }
+
+    # Guards against duties that nobody holds while most nodes reach no engine.
+    def test_callers_of_the_only_node_with_paths_are_served(self) -> None:
+        holders = set(self.duties().values())
+        last = min(self.nodes, key=lambda name: (name in holders, name))
+        cut_off = [name for name in self.nodes if name != last]
+        engines = self.list_engines(last)
+        self.harness.cut(cut_off, 'hang')
+        began_at = time.monotonic()
+        statuses = set()
+        while time.monotonic() - began_at < CONTACT_S + COUNTED_S:
+            status = self.harness.call(last, self.body()).status_code
+            if time.monotonic() - began_at > CONTACT_S:
+                statuses.add(status)
+        self.assertEqual(statuses, {200})
+        self.assertEqual(self.list_engines(last), engines)
+        self.assertEqual(set(self.duties().values()), {last})
+        for node in cut_off:
+            status = self.harness.call(node, self.body()).status_code
+            self.assertEqual(status, REFUSED, node)
+
     # Guards against callers who wait for a node that can reach no engine.
     def test_node_that_is_cut_off_refuses_at_once_and_is_not_ready(self) -> None:
         node = next(iter(self.nodes))
