Count no time without paths against groups that form

What callers would see: groups that were forming when all nodes lost their paths are claimed anew after the cut, so the model has fewer groups for that long.

Cause: a leader retires a group that has not formed within twice its load time and 8 s, also if it reached no instance meanwhile: it then takes its own lack of paths for a fault of the group. Class of the incident: the view of one observer taken for the state of what it observes.

Change: the time limit counts from when the leader last reached no instance, neither directly nor through peers.

--- a/coursepitch/fleet/control.py
+++ b/coursepitch/fleet/control.py
@@ -260,6 +260,10 @@
             return found[0]
         return Probe.REFUSED if failed == {Probe.REFUSED} else Probe.SILENT
 
+    def is_isolated(self) -> bool:
+        """Whether no instance can be reached, neither directly nor through peers."""
+        return self._paths is not None and self._paths.is_isolated()
+
     async def has_ended(self, instance: FleetInstance) -> bool:
         """Whether an instance's process is gone.
 
--- a/coursepitch/fleet/groups.py
+++ b/coursepitch/fleet/groups.py
@@ -109,6 +109,7 @@
 
     unresponsive: set[str] = field(default_factory=set)
     silent_since: dict[str, float] = field(default_factory=dict)
+    _isolated_at: float = float('-inf')
     _records: dict[tuple[str, int], _GroupRecord] = field(default_factory=dict)
     _unopened: set[tuple[str, int]] = field(default_factory=set)
     _ended_groups: set[tuple[str, int]] = field(default_factory=set)
@@ -136,6 +137,10 @@
         """Record claims that this leader wrote and has not ordered to open."""
         self._unopened.update((claim.name, claim.epoch) for claim in claims)
 
+    def note_isolated(self, now: float) -> None:
+        """Record that the leader reaches no instance at this time."""
+        self._isolated_at = now
+
     def adopt_loads(self, view: FleetView, now: float) -> None:
         """Take over the loads that the previous leader started."""
         for loads in view.loads.values():
@@ -385,10 +390,9 @@
         model = engine.find_model(claim.model)
         if model is None:
             return f'model {claim.model} is no longer configured'
-        if (
-            not serving
-            and now - record.first_seen_at > model.load_s * 2 + FORM_TIMEOUT_MARGIN_S
-        ):
+        # Orders reach no member while the leader has no path to any instance.
+        began_at = max(record.first_seen_at, self._isolated_at)
+        if not serving and now - began_at > model.load_s * 2 + FORM_TIMEOUT_MARGIN_S:
             return 'the group did not form in time'
         return ''
 
--- a/coursepitch/fleet/keeper.py
+++ b/coursepitch/fleet/keeper.py
@@ -141,6 +141,8 @@
             return
         view.store_revision = max(view.store_revision, view.leader_revision)
         self._probe_lost(group)
+        if self._control.is_isolated():
+            self._controller.note_isolated(self._clock())
         loads_fast = self._are_loads_fast()
         instances_stable = (
             not loads_fast or self._clock() - view.arrived_at >= FIRST_GROUPS_QUIET_S
--- a/tests/fleet/test_keeper.py
+++ b/tests/fleet/test_keeper.py
@@ -29,6 +29,9 @@
     async def send(self, order, is_due):
         return self.result
 
+    def is_isolated(self):
+        return False
+
     async def probe(self, instance):
         self.asked.append(instance.name)
         return self.found
