Count calls in the soak's cuts only while some node has paths

Cause, from the trace: a second cut took the paths of n1, the last node that had any, 2.3 s before the first one ended. Calls that were refused from then on counted at n2, n3 and n4, and n1's calls only from before. No node had a path, so refusing at once is what the product should do; the checker's own description says that it counts only while some nodes have their paths.

The bounds are as before. Calls of the same time still count for all other checkers.

The new test fails without the change and checks that the finding comes if the second cut begins after the calls.

--- a/soak/checkers.py
+++ b/soak/checkers.py
@@ -289,6 +289,7 @@
     """
     looked_at = 0
     findings = []
+    total_cuts = history.list_total_cuts()
     for cut in history.cuts:
         since = cut.since + bounds.contact_s
         if history.was_disturbed('', cut.since, cut.until):
@@ -299,6 +300,11 @@
                 continue
             if history.was_disturbed(call.node, cut.since, call.ended_at):
                 continue
+            if any(
+                begun <= call.ended_at and call.sent_at <= ended + bounds.contact_s
+                for begun, ended in total_cuts
+            ):
+                continue
             cut_off = call.node in cut.nodes
             others = [item for item in history.cuts if call.node in item.nodes]
             if cut_off or not any(
--- a/soak/history.py
+++ b/soak/history.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import enum
+import itertools
 from dataclasses import dataclass, field
 
 __all__ = [
@@ -136,6 +137,22 @@
             for item in self.disturbed
         )
 
+    def list_total_cuts(self) -> list[tuple[float, float]]:
+        """Return the times in which no node that calls went to had a path."""
+        nodes = {call.node for call in self.calls}
+        times = sorted({at for cut in self.cuts for at in (cut.since, cut.until)})
+        found = []
+        for since, until in itertools.pairwise(times):
+            cut_off = {
+                node
+                for cut in self.cuts
+                if cut.since <= since and until <= cut.until
+                for node in cut.nodes
+            }
+            if nodes <= cut_off:
+                found.append((since, until))
+        return found
+
     def may_be_held_up(self, run: Run, call: Call) -> bool:
         """Whether a cut of paths ended between a call and a run of it.
 
--- a/tests/soak/test_checkers.py
+++ b/tests/soak/test_checkers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import unittest
+from dataclasses import replace
 
 from soak.checkers import (
     CHECKERS,
@@ -79,6 +80,20 @@
             history = self.build_cut(Ending.NOT_RUN, disturbed)
             self.assertEqual(check_cut_off(history, BOUNDS).looked_at, 0)
 
+    def test_calls_count_only_while_some_node_has_paths(self):
+        history = self.build_cut(Ending.NOT_RUN)
+        later = tuple(
+            replace(call, sent_at=call.sent_at + 1.0, ended_at=call.ended_at + 1.0)
+            if call.node == 'n1'
+            else call
+            for call in history.calls
+        )
+        for since, subjects in ((14.95, []), (17.5, ['n1'])):
+            second = Cut(frozenset({'n2'}), since, 21.0)
+            beside = replace(history, calls=later, cuts=(*history.cuts, second))
+            findings = check_cut_off(beside, BOUNDS).findings
+            self.assertEqual([item.subject for item in findings], subjects)
+
     def test_second_run_of_what_runs_once(self):
         call = build_call(repeatable=False)
         runs = (build_run(), build_run(instance='j', arrived_at=10.5))
