Log how responses are framed, and streams that end inside an event

What callers saw: streams that had been broken off arrived as complete; the log called each of them answered and told nothing of how it had ended.

Cause of the gap: neither the response nor the log kept what tells the end of a body: its length, its last chunk, or the end of its connection.

Change: the response of the HTTP client names its framing, request.ended logs it, and response.broken_off (621) is logged where a stream ends inside an event. What is forwarded is the same as before. This tells apart an end of the connection inside an event, a reset that is read as an end, and a fault in the decoding of chunks.

Ruled out: nothing yet.

--- a/coursepitch/events.py
+++ b/coursepitch/events.py
@@ -430,6 +430,7 @@
         'objective_s',
         'pause_limit_s',
         'age',
+        'framing',
     ),
 )
 LINES_DROPPED = Event(
@@ -490,6 +491,13 @@
     'A client was disconnected as it did not read its response in time.',
     ('request', 'limit_s'),
 )
+RESPONSE_BROKEN_OFF = Event(
+    621,
+    'response.broken_off',
+    'An instance ended a response before its end: how the response is framed, what '
+    'shows that it is not whole, and the bytes after the last complete event.',
+    ('request', 'instance', 'framing', 'reason', 'rest'),
+)
 REQUEST_SUSPECTED = Event(
     612,
     'request.suspected',
--- a/coursepitch/gateway/attempts.py
+++ b/coursepitch/gateway/attempts.py
@@ -297,6 +297,7 @@
         answer.connection.close()
         answer.release()
         return Attempt(Result.UNKNOWN, 'the response has the id of another request')
+    job.framing = answer.framing
     components.notices.take(instance.name, instance.born, marks)
     if marks.not_executed:
         await _drop_rejection(answer)
--- a/coursepitch/gateway/job.py
+++ b/coursepitch/gateway/job.py
@@ -14,6 +14,7 @@
     from coursepitch.fleet.instances import FleetInstance
     from coursepitch.fleet.send_permits import Permit
     from coursepitch.gateway.problems import Problem
+    from coursepitch.http.client import Framing
     from coursepitch.http.messages import IncomingRequest
     from coursepitch.http.server import ResponseWriter
     from coursepitch.platform.headers import RequestFields
@@ -76,6 +77,7 @@
     :param first_event_at: monotonic time at which the first event was forwarded.
     :param last_event_at: monotonic time at which the latest event was forwarded.
     :param pause_s: longest pause in seconds between two events.
+    :param framing: how the latest response is framed; ``None`` before the first.
     """
 
     incoming: IncomingRequest
@@ -103,6 +105,7 @@
     last_event_at: float | None = None
     pause_s: float = 0.0
     status: int = 0
+    framing: Framing | None = None
 
     def note_sent(self, instance: str, now: float) -> None:
         """Record a send to an instance.
--- a/coursepitch/gateway/request_handler.py
+++ b/coursepitch/gateway/request_handler.py
@@ -248,6 +248,7 @@
             objective_s=job.route.objective_s if job else 0.0,
             pause_limit_s=job.route.pause_s if job else 0.0,
             age=round(self._session.confirmation_age_s, 3),
+            framing=job.framing.value if job and job.framing else '',
         )
 
 
--- a/coursepitch/gateway/streams.py
+++ b/coursepitch/gateway/streams.py
@@ -410,6 +410,14 @@
             return False
         rest = splitter.flush()
         if rest:
+            log.emit(
+                events.RESPONSE_BROKEN_OFF,
+                request=job.fields.request,
+                instance=group.head.name,
+                framing=answer.framing.value,
+                reason='the stream ended inside an event',
+                rest=len(rest),
+            )
             await job.reply.send(rest)
         await job.reply.end()
         job.ending = Ending.ANSWERED
--- a/coursepitch/http/__init__.py
+++ b/coursepitch/http/__init__.py
@@ -6,6 +6,7 @@
     Connection,
     ConnectionPool,
     ExchangeError,
+    Framing,
     NoConnectionError,
     Response,
 )
@@ -17,6 +18,7 @@
     'ConnectionPool',
     'ConnectionRules',
     'ExchangeError',
+    'Framing',
     'Headers',
     'HttpServer',
     'IncomingRequest',
--- a/coursepitch/http/client.py
+++ b/coursepitch/http/client.py
@@ -34,6 +34,7 @@
     'Connection',
     'ConnectionPool',
     'ExchangeError',
+    'Framing',
     'NoConnectionError',
     'Response',
 ]
@@ -80,6 +81,19 @@
     FAILED = 'failed'
 
 
+class Framing(enum.Enum):
+    """What tells the end of a response's body (RFC 9112, section 6.3).
+
+    :cvar LENGTH: its length, which is also known of a response without a body.
+    :cvar CHUNKS: its last chunk.
+    :cvar CONNECTION: the end of its connection, which also ends if the sender fails.
+    """
+
+    LENGTH = 'length'
+    CHUNKS = 'chunks'
+    CONNECTION = 'connection'
+
+
 class NoConnectionError(CoursepitchError):
     """No connection could be established, so no byte of the request was sent.
 
@@ -212,6 +226,7 @@
     headers: Headers
     connection: Connection
     pool: ConnectionPool
+    framing: Framing
     complete: bool = False
 
     def header(self, name: bytes) -> bytes | None:
@@ -500,14 +515,23 @@
                     f'expected a response, received {type(event).__name__}'
                 )
             headers = tuple(event.headers.raw_items())
-            # The parser accepts no transfer coding but chunked.
+            framing = _find_framing(method, event.status_code, headers)
             connection.decodes_chunks = (
-                find_header(headers, b'transfer-encoding') is not None
-                and event.status_code not in _BODILESS_STATUSES
-                and method not in _BODILESS_METHODS
-                and not connection.parser.trailing_data[0]
+                framing is Framing.CHUNKS and not connection.parser.trailing_data[0]
             )
-            return Response(event.status_code, headers, connection, self)
+            return Response(event.status_code, headers, connection, self, framing)
+
+
+def _find_framing(method: bytes, status: int, headers: Headers) -> Framing:
+    """Return what tells the end of a response to a method."""
+    if status in _BODILESS_STATUSES or method in _BODILESS_METHODS:
+        return Framing.LENGTH
+    # The parser accepts no transfer coding but chunked.
+    if find_header(headers, b'transfer-encoding') is not None:
+        return Framing.CHUNKS
+    if find_header(headers, b'content-length') is not None:
+        return Framing.LENGTH
+    return Framing.CONNECTION
 
 
 def _classify_failure(error: Exception) -> ConnectOutcome:
