Test that streams which instances break off never look complete

What callers saw: an answer that had been broken off reached them as if it were complete.

Ruled out, by tests that pass: a fault in decoding chunks or lengths (the same ends with either), and a reset that is read as an end.

Change: the stand-in of instances frames its answers in each way that HTTP/1.1 allows, for streams too, and breaks them off at four places, with or without a reset. The test of a plain answer without length sets the framing instead of the mode that is gone; what it checks is the same.

--- a/standins/replica.py
+++ b/standins/replica.py
@@ -5,9 +5,12 @@
 published protocol says, and answer requests with events or a small body.  What
 goes wrong is set by ``POST /fault`` on the control port: ``dark`` (nothing is
 answered), ``mute`` (requests are taken and not answered), ``half`` (a stream
-breaks off within an event), ``surplus`` (a second answer follows), ``unframed``
-(no length), ``shed`` (rejected), ``error`` (status 500), ``late_orders`` (no
-answer, carried out after ``delay_s``) and ``stale`` (a request id of another).
+breaks off at ``place``: ``inside`` an event, before its last ``line`` break, before
+the ``first`` event or ``between`` two; with a reset if ``reset`` is set), ``surplus``
+(a second answer follows), ``shed`` (rejected), ``error`` (status 500), ``late_orders``
+(no answer, carried out after ``delay_s``) and ``stale`` (a request id of another).
+Beside the mode, ``framing`` says what tells the end of answers with status 200:
+their ``length``, ``chunks``, or the end of their ``connection``.
 ``POST /crash_on`` names a body: each instance that begins to run a request with it
 ends at once, and an empty one takes its place.  ``POST /limit`` names a limit that
 instances tell in all their answers to requests from then on; null for none.
@@ -34,7 +37,7 @@
 import h11
 import httpx
 
-from standins.exchange import read_request, send_whole, wait_left
+from standins.exchange import AnswerWriter, read_request, send_whole, wait_left
 from standins.network import INSTANCE_HOST, find_host
 from standins.paths import Path
 
@@ -337,15 +340,19 @@
         if instance.engine:
             return await self._stream(instance, stream, parser, mark, run, headers)
         answer = f'{instance.name} {run["request"]}'.encode()
-        if mode == 'unframed':
-            lines = [f'{key}: {value}\r\n' for key, value in mark.items()]
-            text = 'HTTP/1.1 200 OK\r\n' + ''.join(lines) + '\r\n'
-            await stream.send(text.encode() + answer)
-            return False
-        await send_whole(stream, parser, 200, mark, answer)
         if mode == 'surplus':
+            await send_whole(stream, parser, 200, mark, answer)
             await stream.send(b'HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx')
-        return True
+            return True
+        writer = AnswerWriter(stream, parser, self._choose_framing(instance))
+        await writer.start(mark, len(answer))
+        await writer.send(answer)
+        return await writer.end()
+
+    def _choose_framing(self, instance: Instance) -> str:
+        """Return what tells the end of the next answer."""
+        framing: str = instance.fault.get('framing', 'chunks')
+        return framing
 
     async def _stream(
         self,
@@ -356,29 +363,41 @@
         run: dict[str, Any],
         headers: dict[str, str],
     ) -> bool:
-        lines = list({**mark, 'Content-Type': 'text/event-stream'}.items())
-        await stream.send(parser.send(h11.Response(status_code=200, headers=lines)))
         first = int(headers.get('last-event-id') or 0) + 1
         last = self.options.events
-        for number in range(first, last + 1):
-            if instance.fault['mode'] == 'dark':
+        events = {
+            number: self._build_event(number) for number in range(first, last + 1)
+        }
+        writer = AnswerWriter(stream, parser, self._choose_framing(instance))
+        told = {**mark, 'Content-Type': 'text/event-stream'}
+        await writer.start(told, sum(map(len, events.values())))
+        for number, event in events.items():
+            fault = instance.fault
+            if fault['mode'] == 'dark':
                 await anyio.sleep_forever()
-            if instance.fault['mode'] == 'still' and number == last // 2:
+            if fault['mode'] == 'still' and number == last // 2:
                 await wait_left(stream, run)
                 return False
-            text = f'id: {number}\ndata: token {number}'
-            event = f'{text.ljust(self.options.event_bytes - 2)}\n\n'.encode()
-            if instance.fault['mode'] == 'half' and number == last // 2:
-                await stream.send(parser.send(h11.Data(data=event[:9])))
-                return False
+            if fault['mode'] == 'half':
+                place = fault.get('place', 'inside')
+                if number == (first if place == 'first' else last // 2):
+                    sent = {'inside': event[:9], 'line': event[:-1]}.get(place, b'')
+                    if sent:
+                        await writer.send(sent)
+                    if fault.get('reset'):
+                        writer.reset()
+                    return False
             try:
-                await stream.send(parser.send(h11.Data(data=event)))
+                await writer.send(event)
             except anyio.BrokenResourceError:
                 run['left'] = True
                 raise
             await anyio.sleep(PAUSE_S)
-        await stream.send(parser.send(h11.EndOfMessage()))
-        return True
+        return await writer.end()
+
+    def _build_event(self, number: int) -> bytes:
+        text = f'id: {number}\ndata: token {number}'
+        return f'{text.ljust(self.options.event_bytes - 2)}\n\n'.encode()
 
 
 async def serve_control(host: Host, stream: Any) -> None:
--- /dev/null
+++ b/tests/whole/test_broken_off.py
@@ -0,0 +1,170 @@
+"""Streams that instances break off, and what their clients get."""
+
+from __future__ import annotations
+
+import httpx
+
+from standins.exchange import FRAMINGS
+from tests.whole.platform_base import (
+    PlatformCase,
+    build_configuration,
+    build_headers,
+)
+
+EVENTS = 8
+
+WHOLE = list(range(1, EVENTS + 1))
+
+#: Where a stream breaks off so that its bytes show it.
+PLACES = ('inside', 'line', 'first')
+
+
+def read_ids(text):
+    """Return the ids of the whole events of a stream."""
+    return [int(event.split()[1]) for event in text.split('\n\n')[:-1]]
+
+
+class BrokenOffCase(PlatformCase):
+    """One route of streams that may be resumed, and one of streams that may not."""
+
+    events = EVENTS
+
+    @classmethod
+    def configure(cls, **fields):
+        """Write a configuration with both routes."""
+        routes = build_configuration()['routes']
+        single = {'name': 'single', 'path_prefix': '/single/', 'resumable': False}
+        super().configure(routes=[*routes, {**routes[0], **single}], **fields)
+
+    def find_heads(self):
+        """Return the heads of the open groups once there are two."""
+        heads = [
+            name
+            for name, item in self.stats('pool').items()
+            if item['group'] and item['group']['state'] == 'open'
+        ]
+        return heads if len(heads) >= 2 else None
+
+    def break_off(self, heads, **fault):
+        self.control('pool', '/fault', mode='half', instances=heads, **fault)
+        self.addCleanup(self.control, 'pool', '/fault', mode='none')
+
+    def read_stream(self, path, request):
+        """Return the ids that a client got, and whether its stream looked complete."""
+        text = ''
+        try:
+            with self.client.stream(
+                'POST',
+                self.running['n1'].url + path,
+                headers=build_headers(request),
+            ) as reply:
+                for part in reply.iter_text():
+                    text += part
+        except httpx.RemoteProtocolError:
+            return read_ids(text), False
+        return read_ids(text), reply.status_code == 200
+
+
+class StreamEndTest(BrokenOffCase):
+    """What tells the end of a stream decides nothing about what its client gets."""
+
+    nodes = ('n1',)
+
+    def check_goes_on(self, framing):
+        heads = self.wait_for(self.find_heads, 'two groups are open')
+        for place in PLACES:
+            for head in heads[:2]:
+                self.control('pool', '/fault', mode='none')
+                self.break_off([head], framing=framing, place=place)
+                for number in range(2):
+                    with self.subTest(place=place, head=head, number=number):
+                        request = f'on-{framing}-{place}-{head}-{number}'
+                        found = self.read_stream('/stream/x', request)
+                        self.assertEqual(found, (WHOLE, True))
+
+    def check_looks_broken_off(self, framing, **fault):
+        heads = self.wait_for(self.find_heads, 'two groups are open')
+        for place in PLACES:
+            self.break_off(heads, framing=framing, place=place, **fault)
+            for path in ('/stream/x', '/single/x'):
+                with self.subTest(place=place, path=path):
+                    request = f'off-{framing}-{place}-{path}-{len(fault)}'
+                    ids, complete = self.read_stream(path, request)
+                    self.assertFalse(complete, ids)
+                    self.assertEqual(ids, WHOLE[: len(ids)])
+                    self.assertTrue(self.find_runs(request))
+
+    def test_stream_with_a_length_that_ends_inside_an_event_goes_on(self):
+        self.check_goes_on('length')
+
+    def test_chunked_stream_that_ends_inside_an_event_goes_on(self):
+        self.check_goes_on('chunks')
+
+    # Guards against broken streams that are forwarded as complete.
+    def test_stream_without_length_that_ends_inside_an_event_goes_on(self):
+        self.check_goes_on('connection')
+
+    def test_broken_stream_with_a_length_never_looks_complete(self):
+        self.check_looks_broken_off('length')
+
+    def test_broken_chunked_stream_never_looks_complete(self):
+        self.check_looks_broken_off('chunks')
+
+    # Guards against broken streams that are forwarded as complete.
+    def test_broken_stream_without_length_never_looks_complete(self):
+        self.check_looks_broken_off('connection')
+
+    def test_reset_stream_without_length_never_looks_complete(self):
+        self.check_looks_broken_off('connection', reset=True)
+
+    # Guards against broken runs that count as answered.
+    def test_broken_stream_without_length_is_logged_and_not_counted_as_answered(self):
+        heads = self.wait_for(self.find_heads, 'two groups are open')
+        self.break_off(heads, framing='connection')
+        self.read_stream('/single/x', 'logged')
+
+        def find(name):
+            events = self.running['n1'].read_events(name)
+            return [item for item in events if item['request'] == 'logged']
+
+        ended = self.wait_for(lambda: find('request.ended'), 'its end is logged')
+        self.assertEqual(
+            (ended[0]['outcome'], ended[0]['framing']), ('cut', 'connection')
+        )
+        self.assertEqual(
+            find('response.broken_off')[0]['instance'], ended[0]['instance']
+        )
+
+    def test_whole_stream_is_whole_however_it_is_framed(self):
+        self.addCleanup(self.control, 'pool', '/fault', mode='none')
+        for framing in FRAMINGS:
+            self.control('pool', '/fault', mode='none', framing=framing)
+            for number in range(2):
+                found = self.read_stream('/single/x', f'whole-{framing}-{number}')
+                self.assertEqual(found, (WHOLE, True), framing)
+
+
+class CarriedStreamTest(BrokenOffCase):
+    """The same for streams that reach their node through a peer."""
+
+    nodes = ('n1', 'n2', 'n3')
+    own_paths = True
+
+    # Guards against broken streams that a peer carried and that look complete.
+    def test_broken_stream_without_length_that_a_peer_carried_never_looks_complete(
+        self,
+    ):
+        heads = self.wait_for(self.find_heads, 'two groups are open')
+        self.cut(['n1'], 'refuse')
+        self.addCleanup(self.cut, ['n1'], 'none')
+        self.control('pool', '/fault', mode='none', framing='connection')
+        self.wait_for(
+            lambda: self.read_stream('/stream/x', 'carried') == (WHOLE, True),
+            'n1 serves through its peers',
+        )
+        for place in PLACES:
+            self.break_off(heads, framing='connection', place=place)
+            for path in ('/stream/x', '/single/x'):
+                with self.subTest(place=place, path=path):
+                    ids, complete = self.read_stream(path, f'carried-{place}-{path}')
+                    self.assertFalse(complete, ids)
--- a/tests/whole/test_platform.py
+++ b/tests/whole/test_platform.py
@@ -129,7 +129,8 @@
             self.assertTrue(reply.text.endswith(request), reply.text)
 
     def test_answer_without_length_is_whole_at_its_end(self):
-        self.break_api('unframed')
+        self.control('api', '/fault', mode='none', framing='connection')
+        self.addCleanup(self.control, 'api', '/fault', mode='none')
         reply = self.send('n1', 'GET', '/again/a', 'out-5')
         self.assertEqual(reply.status_code, 200)
         self.assertTrue(reply.text.endswith('out-5'))
