Take streams that end inside an event, or before any, as broken off

What callers saw: streams without length and without chunks that an instance broke off reached them with the last chunk, as if complete.

Cause: the gateway took the end of the body for the end of the stream. With a length or chunks the parser has checked it; without, the end of the connection is all there is, and it comes in the same way when the instance fails. What was left of an event was then flushed to the client as if it were the rest of a whole stream. The run also counted as answered: a success of its group, nothing interrupted, so neither a resumption nor the search for a crash followed.

Ruled out: resets, lengths and chunks (their tests passed before).

Change: once the body is read, the bytes decide. A stream that is inside an event was broken off, however it is framed; so was one without any event that ends with its connection, unless its client resumes and may have had the last event. Both now go the way of a lost connection: resumed where the route allows it, broken off to the client elsewhere, a failure of the group, and a reason to look for a crash. Comments and empty lines after the last event are no event, and a response of another media type is forwarded as it is.

An end between two events is not covered by this change.

--- a/coursepitch/gateway/event_splitter.py
+++ b/coursepitch/gateway/event_splitter.py
@@ -10,6 +10,13 @@
 #: Matches the id field of an event.  Source: HTML standard, section 9.2.6.
 _ID_FIELD = re.compile(rb'(?:^|[\r\n])id: ?([^\r\n]*)')
 
+#: Matches the end of an event: two line ends.  A carriage return is one by itself,
+#: unless a line feed follows.
+_EVENT_END = re.compile(rb'(?:\r\n|\r(?!\n)|\n){2}')
+
+#: Matches a line that is neither empty nor a comment.
+_FIELD_LINE = re.compile(rb'(?:^|[\r\n])[^:\r\n]')
+
 #: Largest event in bytes that is buffered until it is complete.
 MAX_EVENT_BYTES = 1_048_576
 
@@ -19,7 +26,7 @@
     """Split a byte stream into complete events, and buffer an incomplete one.
 
     :param last_event: id of the last complete event.
-    :param count: number of complete events.
+    :param count: number of complete events of the present run.
     """
 
     last_event: bytes = b''
@@ -45,14 +52,25 @@
             whole, self._partial = whole + self._partial, b''
         return whole
 
+    @property
+    def buffered(self) -> int:
+        """Number of bytes after the last complete event."""
+        return len(self._partial)
+
+    def is_inside_event(self) -> bool:
+        """Whether an event has begun and is not complete; comments are no events."""
+        rest = _EVENT_END.split(self._partial)[-1]
+        return _FIELD_LINE.search(rest) is not None
+
     def flush(self) -> bytes:
         """Return the bytes after the last complete event, once the stream has ended."""
         rest, self._partial = self._partial, b''
         return rest
 
-    def discard_partial(self) -> None:
-        """Discard an incomplete event after its run was interrupted."""
+    def start_run(self) -> None:
+        """Start over after the last complete event, as another run begins."""
         self._partial = b''
+        self.count = 0
 
 
 def _find_end(data: bytes, delimiter: bytes) -> int:
--- /dev/null
+++ b/coursepitch/gateway/response_ends.py
@@ -0,0 +1,78 @@
+"""Checks of responses that have ended: their framing may not prove that they are whole.
+
+A response with a length or in chunks is whole once the client of an instance has read
+its end.  One that ends with its connection looks the same whether it is whole or its
+sender failed, so what else is known of it decides.  A stream of events that ends inside
+an event was broken off in either case.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from coursepitch import events, log
+from coursepitch.config.routes import RouteKind
+from coursepitch.http.client import ExchangeError, Framing
+from coursepitch.http.messages import find_header
+
+if TYPE_CHECKING:
+    from coursepitch.fleet.instances import FleetInstance
+    from coursepitch.gateway.event_splitter import EventSplitter
+    from coursepitch.gateway.job import Job
+    from coursepitch.http.client import Response
+
+__all__ = ['BrokenOffError', 'check_events', 'is_event_stream']
+
+#: Media type of streams of events.  Source: HTML standard, section 9.2.
+EVENT_STREAM_TYPE = b'text/event-stream'
+
+
+class BrokenOffError(ExchangeError):
+    """An instance ended a response before its end."""
+
+    category = 'broken off'
+
+
+def is_event_stream(job: Job, answer: Response) -> bool:
+    """Whether the body of a response consists of events.
+
+    On a streaming route it does, unless the response names another media type.
+    """
+    value = find_header(answer.headers, b'content-type')
+    if value is None:
+        return job.route.kind is RouteKind.STREAM
+    return value.partition(b';')[0].strip().lower() == EVENT_STREAM_TYPE
+
+
+def check_events(
+    job: Job, answer: Response, instance: FleetInstance, splitter: EventSplitter
+) -> None:
+    """Check that a stream whose body has been read did not break off.
+
+    Without any event, the end of a connection proves nothing.  Only a client that
+    resumes may already have had the last event, and only the first run tells it: a
+    later one follows an interruption.
+
+    :raises BrokenOffError: it did.
+    """
+    if not is_event_stream(job, answer):
+        return
+    if splitter.is_inside_event():
+        reason = 'the stream ended inside an event'
+    elif (
+        answer.framing is Framing.CONNECTION
+        and not splitter.count
+        and (not job.fields.last_event or len(job.sent) > 1)
+    ):
+        reason = 'the stream ended before its first event'
+    else:
+        return
+    log.emit(
+        events.RESPONSE_BROKEN_OFF,
+        request=job.fields.request,
+        instance=instance.name,
+        framing=answer.framing.value,
+        reason=reason,
+        rest=splitter.buffered,
+    )
+    raise BrokenOffError(reason)
--- a/coursepitch/gateway/streams.py
+++ b/coursepitch/gateway/streams.py
@@ -20,6 +20,7 @@
 )
 from coursepitch.gateway.event_splitter import EventSplitter
 from coursepitch.gateway.job import Ending, Refusal
+from coursepitch.gateway.response_ends import check_events
 from coursepitch.gateway.suspicion import explain_crashes
 from coursepitch.gateway.work import estimate_tokens, find_max_in_flight
 from coursepitch.http.client import ExchangeError
@@ -393,6 +394,7 @@
             await job.reply.start(
                 answer.status, forward_response_headers(answer.headers)
             )
+        splitter.start_run()
         try:
             while True:
                 data = await self._read_chunk(job, group, answer)
@@ -402,22 +404,14 @@
                 if whole:
                     job.note_event(self._components.clock())
                     await job.reply.send(whole)
+            check_events(job, answer, group.head, splitter)
         except ExchangeError as error:
-            splitter.discard_partial()
             if not isinstance(error, StalledError):
                 job.interrupted_by = group.head
             self._record_interruption(job, group, splitter, str(error))
             return False
         rest = splitter.flush()
         if rest:
-            log.emit(
-                events.RESPONSE_BROKEN_OFF,
-                request=job.fields.request,
-                instance=group.head.name,
-                framing=answer.framing.value,
-                reason='the stream ended inside an event',
-                rest=len(rest),
-            )
             await job.reply.send(rest)
         await job.reply.end()
         job.ending = Ending.ANSWERED
--- a/tests/gateway/test_decisions.py
+++ b/tests/gateway/test_decisions.py
@@ -54,7 +54,7 @@
     def test_stream_cut_at_any_byte_resumes_without_gap_or_duplicate(self, place):
         splitter = EventSplitter()
         out = splitter.feed(EVENTS[:place])
-        splitter.discard_partial()
+        splitter.start_run()
         first = int(splitter.last_event or 0) + 1
         again = b''.join(b'id: %d\ndata: x\n\n' % n for n in range(first, 9))
         self.assertEqual(out + splitter.feed(again), EVENTS)
@@ -71,6 +71,22 @@
                 self.assertIn(out, starts)
             self.assertEqual((splitter.last_event, splitter.flush()), (b'5', b''))
 
+    def test_only_a_line_end_after_the_last_field_completes_an_event(self):
+        for end in (b'\n', b'\r\n', b'\r'):
+            stream = b'id: 1' + end + b'data: x' + end * 2
+            for cut in range(len(stream) + 1):
+                splitter = EventSplitter()
+                splitter.feed(stream[:cut])
+                # Half of the last line end of two bytes is one by itself.
+                inside = 0 < cut < len(stream) - (len(end) - 1)
+                self.assertIs(splitter.is_inside_event(), inside, stream[:cut])
+
+    def test_comments_and_empty_lines_after_an_event_begin_no_other(self):
+        splitter = EventSplitter()
+        splitter.feed(b'data: x\n\n\n: ping\n')
+        self.assertFalse(splitter.is_inside_event())
+        self.assertEqual(splitter.flush(), b': ping\n')
+
     def test_id_within_data_is_ignored(self):
         splitter = EventSplitter()
         splitter.feed(b'id: 4\ndata: a id: 9\n\n')
