Reset connections whose end would make a broken response look complete

What callers saw: to clients of HTTP/1.0, which read no chunks, a stream that the node knew to be broken ended as regularly as a whole one; so did one that reached its time limit and one whose node was killed.

Cause: such a response ends with its connection, and closing a socket sends a FIN once its data are written. Aborting a transport is no reset.

Evidence: five new tests fail before (on sockets: aborted, unended, failed and merely closed responses; on processes: streams broken off in each framing of the instance, at the time limit, and at the end of a killed node) and pass now. Ruled out: chunked responses, whose missing last chunk tells it.

Change: while a response that ends with its connection is under way, the socket is set to reset when it is closed, and back at the regular end, so that any other end resets, the kernel's after SIGKILL included. Responses with a length or chunks end as before, as a reset could take bytes from a client that has not read them yet.

--- a/coursepitch/http/server.py
+++ b/coursepitch/http/server.py
@@ -17,7 +17,7 @@
 from coursepitch import events, log
 from coursepitch.clock import Clock, boottime
 from coursepitch.errors import CoursepitchError
-from coursepitch.http.messages import IncomingRequest, start_digest
+from coursepitch.http.messages import IncomingRequest, find_header, start_digest
 from coursepitch.http.stream import ByteStream
 
 if TYPE_CHECKING:
@@ -74,6 +74,8 @@
     :param written: whether the whole response was written; false if cancelled before.
     :param _is_chunked: whether the parser frames the body as chunks; ``None`` until it
         has framed a part of it.
+    :param _ends_with_connection: whether only the end of the connection tells the
+        client the end of the body.
     """
 
     connection: ServerConnection
@@ -81,9 +83,18 @@
     ended: bool = False
     written: bool = False
     _is_chunked: bool | None = None
+    _ends_with_connection: bool = False
 
     async def start(self, status: int, headers: Headers) -> None:
-        """Write the head; without a Content-Length the body is sent chunked."""
+        """Write the head; without a Content-Length the body is sent chunked.
+
+        To a client of HTTP/1.0, which reads no chunks, it ends with the connection.
+        Until the regular end, the connection is then set to end with a reset.
+        """
+        version = self.connection.parser.their_http_version or b'1.1'
+        if version < b'1.1' and find_header(headers, b'content-length') is None:
+            self._ends_with_connection = True
+            self.connection.stream.set_reset_on_close(True)
         lines = list(headers)
         if self.connection.server.closes_after_response():
             lines.append((b'Connection', b'close'))
@@ -109,6 +120,8 @@
         """Write the regular end of the body."""
         self.ended = True
         await self.connection.write(self.connection.parser.send(h11.EndOfMessage()))
+        if self._ends_with_connection:
+            self.connection.stream.set_reset_on_close(False)
         self.written = True
 
     async def send_whole(self, status: int, headers: Headers, body: bytes) -> None:
--- a/coursepitch/http/stream.py
+++ b/coursepitch/http/stream.py
@@ -11,6 +11,8 @@
 import asyncio
 import collections
 import select
+import socket
+import struct
 from typing import TYPE_CHECKING
 
 import anyio
@@ -104,10 +106,24 @@
         if self._reader is not None and not self._reader.done():
             self._reader.set_result(None)
 
-    def set_option(self, level: int, option: int, value: int) -> None:
+    def set_option(self, level: int, option: int, value: int | bytes) -> None:
         """Set an option of the socket."""
         self._transport.get_extra_info('socket').setsockopt(level, option, value)
 
+    def set_reset_on_close(self, resets: bool) -> None:
+        """Set whether the connection ends with a reset, whoever closes it.
+
+        The kernel does so even if this process is killed.  Source: SO_LINGER with a
+        timeout of zero, socket(7).
+        """
+        try:
+            self.set_option(
+                socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', resets, 0)
+            )
+        except OSError:
+            # The connection has already ended, which the next write finds out.
+            return
+
     # -- reading ----------------------------------------------------------------------
 
     @property
--- a/tests/http/test_exchange.py
+++ b/tests/http/test_exchange.py
@@ -273,6 +273,70 @@
         data = self.run_test(cut, run)
         self.assertFalse(data.endswith(b'0\r\n\r\n'))
 
+    def read_end(self, handle, leave=None):
+        """Return what an HTTP/1.0 client reads, and whether it ends regularly.
+
+        :param leave: called once a part of the body has arrived.
+        """
+
+        async def run(server, stream):
+            await stream.send(b'GET / HTTP/1.0\r\nHost: x\r\n\r\n')
+            data = b''
+            try:
+                while True:
+                    data += await stream.receive()
+                    if leave is not None and data.endswith(b'half'):
+                        leave(server)
+            except anyio.EndOfStream:
+                return data, True
+            except anyio.BrokenResourceError:
+                return data, False
+
+        return self.run_test(handle, run)
+
+    # Guards against broken responses that look complete to clients of HTTP/1.0.
+    def test_response_without_length_or_chunks_that_breaks_off_ends_with_a_reset(self):
+        async def abort(request, reply):
+            await reply.start(200, ())
+            await reply.send(b'half')
+            reply.abort()
+
+        async def forget(request, reply):
+            await reply.start(200, ())
+            await reply.send(b'half')
+
+        async def fail(request, reply):
+            await reply.start(200, ())
+            await reply.send(b'half')
+            raise RuntimeError('a fault')
+
+        for handle in (abort, forget, fail):
+            with self.subTest(handle=handle.__name__):
+                self.assertFalse(self.read_end(handle)[1])
+
+    # Guards against the same for responses that are under way when a process ends.
+    def test_response_without_length_or_chunks_ends_with_a_reset_if_just_closed(self):
+        async def wait(request, reply):
+            await reply.start(200, ())
+            await reply.send(b'half')
+            await anyio.sleep_forever()
+
+        def close_all(server):
+            for connection in server.connections:
+                connection.stream.close()
+
+        self.assertFalse(self.read_end(wait, close_all)[1])
+
+    def test_whole_response_without_length_or_chunks_ends_regularly(self):
+        async def send(request, reply):
+            await reply.start(200, ())
+            await reply.send(b'all ' * 50_000)
+            await reply.end()
+
+        data, regular = self.read_end(send)
+        self.assertTrue(regular)
+        self.assertTrue(data.endswith(b'all ' * 50_000))
+
     def test_stopping_server_responds_and_closes(self):
         async def run(server, stream):
             server.stopping = True
--- a/tests/whole/test_broken_off.py
+++ b/tests/whole/test_broken_off.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import socket
+
 import httpx
 
 from standins.exchange import FRAMINGS
@@ -24,6 +26,11 @@
     return [int(event.split()[1]) for event in text.split('\n\n')[:-1]]
 
 
+def split_body(data):
+    """Return the body of an answer."""
+    return data.partition(b'\r\n\r\n')[2].decode()
+
+
 class BrokenOffCase(PlatformCase):
     """One route of streams that may be resumed, and one of streams that may not."""
 
@@ -64,6 +71,28 @@
             return read_ids(text), False
         return read_ids(text), reply.status_code == 200
 
+    def read_unframed(self, path, request, on_data=None, **headers):
+        """Return the ids that a client of HTTP/1.0 got, and whether it ended regularly.
+
+        :param on_data: called once a part of the answer has arrived.
+        """
+        fields = build_headers(request, **headers)
+        lines = ''.join(f'{key}: {value}\r\n' for key, value in fields.items())
+        data = b''
+        node = self.running['n1']
+        with socket.create_connection(('127.0.0.1', node.ports['clients']), 10) as sock:
+            sock.sendall(f'POST {path} HTTP/1.0\r\n{lines}\r\n'.encode())
+            try:
+                while part := sock.recv(65_536):
+                    data += part
+                    if on_data is not None:
+                        on_data()
+                        on_data = None
+            except ConnectionResetError:
+                return read_ids(split_body(data)), False
+        self.assertIn(b' 200 ', data.partition(b'\r\n')[0])
+        return read_ids(split_body(data)), True
+
 
 class StreamEndTest(BrokenOffCase):
     """What tells the end of a stream decides nothing about what its client gets."""
@@ -144,6 +173,48 @@
                 self.assertEqual(found, (WHOLE, True), framing)
 
 
+class OldClientTest(BrokenOffCase):
+    """Clients of HTTP/1.0, for whom the end of the connection is all there is."""
+
+    nodes = ('n1',)
+
+    def test_whole_stream_ends_regularly(self):
+        self.assertEqual(self.read_unframed('/single/x', 'old-whole'), (WHOLE, True))
+
+    # Guards against broken streams that look complete to clients of HTTP/1.0.
+    def test_stream_that_an_instance_breaks_off_ends_with_a_reset(self):
+        heads = self.wait_for(self.find_heads, 'two groups are open')
+        for framing in FRAMINGS:
+            self.break_off(heads, framing=framing)
+            with self.subTest(framing=framing):
+                request = f'old-{framing}'
+                self.assertFalse(self.read_unframed('/single/x', request)[1])
+                self.assertTrue(self.find_runs(request))
+
+    # Guards against streams that look complete to clients of HTTP/1.0 at a time limit.
+    def test_stream_that_reaches_its_time_limit_ends_with_a_reset(self):
+        self.control('pool', '/fault', mode='still')
+        self.addCleanup(self.control, 'pool', '/fault', mode='none')
+        fields = {'X-Deadline-Ms': '400'}
+        ids, regular = self.read_unframed('/single/x', 'old-late', **fields)
+        self.assertFalse(regular, ids)
+        self.assertTrue(ids)
+
+
+class EndingNodeTest(BrokenOffCase):
+    """Nodes that end while a client of HTTP/1.0 reads a stream."""
+
+    nodes = ('n1',)
+
+    # Guards against streams that look complete to clients of HTTP/1.0 at a node's end.
+    def test_stream_of_a_node_that_is_killed_ends_with_a_reset(self):
+        self.control('pool', '/fault', mode='still')
+        ids, regular = self.read_unframed(
+            '/single/x', 'old-killed', self.running['n1'].process.kill
+        )
+        self.assertFalse(regular, ids)
+
+
 class CarriedStreamTest(BrokenOffCase):
     """The same for streams that reach their node through a peer."""
 
