Take responses without length as broken off if their instance crashed

Cause: the kernel closes the connections of a process that ends as the process itself does after a whole response, and nothing looked at whether it still runs.

Ways: passing the doubt on, by a response to the client that ends with its connection as well, costs each such client its connection and tells it nothing it can act on; taking each end as whole is what was seen; a response is now taken as whole unless its instance is proven gone, by the same check that interrupted requests use. It costs one report of the instance for each response without length. Responses that end at the same time share a report that began since. An instance that leaves as planned ends after its responses, so these stay whole.

Error responses are checked in the same way. What stays open: an instance that lives on and closes the connection between two events.

--- a/coursepitch/gateway/calls.py
+++ b/coursepitch/gateway/calls.py
@@ -19,6 +19,7 @@
     take_permit,
 )
 from coursepitch.gateway.job import Ending, Refusal
+from coursepitch.gateway.response_ends import check_sender
 from coursepitch.gateway.suspicion import explain_crashes
 from coursepitch.http.client import ExchangeError
 from coursepitch.platform.headers import forward_response_headers
@@ -229,6 +230,8 @@
         try:
             with anyio.fail_after(left_s):
                 body = await answer.read_whole(MAX_RESPONSE_BYTES)
+                detector = self._components.crash_detector
+                await check_sender(detector, job, answer, instance)
         except (ExchangeError, TimeoutError) as error:
             if isinstance(error, ExchangeError):
                 job.interrupted_by = instance
--- a/coursepitch/gateway/crash_detector.py
+++ b/coursepitch/gateway/crash_detector.py
@@ -54,9 +54,7 @@
         """Record a crash if the instance that interrupted a request has ended."""
         instance = job.interrupted_by
         session = self._session
-        if instance is None or not session.view.accepts_requests(instance.name):
-            return
-        if not await self._check_ended(instance):
+        if instance is None or not await self.has_crashed(instance):
             return
         if not session.pause_detector.has_run_since(job.last_sent_at):
             return
@@ -87,6 +85,12 @@
             # once, eight instances crashed before any node had another's report.
             await anyio.sleep(REPORT_DELAY_S)
 
+    async def has_crashed(self, instance: FleetInstance) -> bool:
+        """Whether an instance ended that was listed and not leaving."""
+        if not self._session.view.accepts_requests(instance.name):
+            return False
+        return await self._check_ended(instance)
+
     def forbids_retry(self, job: Job) -> bool:
         """Whether a request that crashed instances may not be retried here.
 
@@ -99,20 +103,24 @@
 
     async def _check_ended(self, instance: FleetInstance) -> bool:
         key = (instance.name, instance.born)
+        asked_at, waited = self._clock(), False
         while (pending := self._pending.get(key)) is not None:
+            waited = True
             await pending.wait()
         self._drop_expired()
-        if key in self._cached_results:
-            return self._cached_results[key][1]
+        began_at, ended = self._cached_results.get(key, (float('-inf'), False))
+        # A live instance may still end, so only checks that began since tell of it.
+        if ended or (waited and began_at >= asked_at):
+            return ended
         done = self._pending[key] = anyio.Event()
+        began_at = self._clock()
         try:
             ended = await self._has_ended(instance)
         finally:
             del self._pending[key]
             done.set()
+        self._cached_results[key] = (began_at, ended)
         if ended:
-            # A live instance is not cached, as it may still end.
-            self._cached_results[key] = (self._clock(), True)
             self._reporter.note_ended(instance.name)
         return ended
 
--- a/coursepitch/gateway/response_ends.py
+++ b/coursepitch/gateway/response_ends.py
@@ -17,11 +17,12 @@
 
 if TYPE_CHECKING:
     from coursepitch.fleet.instances import FleetInstance
+    from coursepitch.gateway.crash_detector import CrashDetector
     from coursepitch.gateway.event_splitter import EventSplitter
     from coursepitch.gateway.job import Job
     from coursepitch.http.client import Response
 
-__all__ = ['BrokenOffError', 'check_events', 'is_event_stream']
+__all__ = ['BrokenOffError', 'check_events', 'check_sender', 'is_event_stream']
 
 #: Media type of streams of events.  Source: HTML standard, section 9.2.
 EVENT_STREAM_TYPE = b'text/event-stream'
@@ -67,12 +68,35 @@
         reason = 'the stream ended before its first event'
     else:
         return
+    _log_broken_off(job, answer, instance, reason, splitter.buffered)
+    raise BrokenOffError(reason)
+
+
+async def check_sender(
+    detector: CrashDetector, job: Job, answer: Response, instance: FleetInstance
+) -> None:
+    """Check that an instance did not crash with a response that has ended.
+
+    The kernel closes the connections of a crashed process as the process does after a
+    whole response.
+
+    :raises BrokenOffError: it did, and the end of the connection is all that tells the
+        end of the response.
+    """
+    if answer.framing is Framing.CONNECTION and await detector.has_crashed(instance):
+        reason = 'the instance ended with its response'
+        _log_broken_off(job, answer, instance, reason, 0)
+        raise BrokenOffError(reason)
+
+
+def _log_broken_off(
+    job: Job, answer: Response, instance: FleetInstance, reason: str, rest: int
+) -> None:
     log.emit(
         events.RESPONSE_BROKEN_OFF,
         request=job.fields.request,
         instance=instance.name,
         framing=answer.framing.value,
         reason=reason,
-        rest=splitter.buffered,
+        rest=rest,
     )
-    raise BrokenOffError(reason)
--- a/coursepitch/gateway/streams.py
+++ b/coursepitch/gateway/streams.py
@@ -20,7 +20,7 @@
 )
 from coursepitch.gateway.event_splitter import EventSplitter
 from coursepitch.gateway.job import Ending, Refusal
-from coursepitch.gateway.response_ends import check_events
+from coursepitch.gateway.response_ends import check_events, check_sender
 from coursepitch.gateway.suspicion import explain_crashes
 from coursepitch.gateway.work import estimate_tokens, find_max_in_flight
 from coursepitch.http.client import ExchangeError
@@ -405,6 +405,7 @@
                     job.note_event(self._components.clock())
                     await job.reply.send(whole)
             check_events(job, answer, group.head, splitter)
+            await check_sender(self._components.crash_detector, job, answer, group.head)
         except ExchangeError as error:
             if not isinstance(error, StalledError):
                 job.interrupted_by = group.head
@@ -426,7 +427,7 @@
     ) -> bool:
         """Forward an error response unless the request can be retried."""
         self._components.load_tracker.note_failure(group.head.name)
-        body = await _read_error_body(answer)
+        body = await self._read_error_body(job, group, answer)
         may_retry = (
             job.route.repeatable and self._may_run_again(job) and answer.status >= 500
         )
@@ -440,6 +441,22 @@
         await job.reply.send_whole(answer.status, headers, body)
         return True
 
+    async def _read_error_body(
+        self, job: Job, group: OpenGroup, answer: Response
+    ) -> bytes | None:
+        """Return the body of an error response, or ``None`` if it is incomplete."""
+        try:
+            with anyio.fail_after(1.0):
+                body = await answer.read_whole(MAX_ERROR_BYTES)
+                detector = self._components.crash_detector
+                await check_sender(detector, job, answer, group.head)
+                return body
+        except TimeoutError:
+            return None
+        except ExchangeError:
+            job.interrupted_by = group.head
+            return None
+
     async def _read_chunk(
         self, job: Job, group: OpenGroup, answer: Response
     ) -> bytes | None:
@@ -486,12 +503,3 @@
             request=job.fields.request,
             offset=splitter.last_event.decode('latin-1'),
         )
-
-
-async def _read_error_body(answer: Response) -> bytes | None:
-    """Return the body of an error response, or ``None`` if it is incomplete."""
-    try:
-        with anyio.fail_after(1.0):
-            return await answer.read_whole(MAX_ERROR_BYTES)
-    except (ExchangeError, TimeoutError):
-        return None
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -12,8 +12,10 @@
 Beside the mode, ``framing`` says what tells the end of answers with status 200:
 their ``length``, ``chunks``, or the end of their ``connection``.
 ``POST /crash_on`` names a body: each instance that begins to run a request with it
-ends at once, and an empty one takes its place.  ``POST /limit`` names a limit that
-instances tell in all their answers to requests from then on; null for none.
+ends at once, or after the head of its answer and ``events`` events or parts, and an
+empty one takes its place; ``times`` bounds how often.
+``POST /limit`` names a limit that instances tell in all their answers to requests from
+then on; null for none.
 ``POST /backoff`` names the seconds for which instances want no requests, told in the
 rejection of each request that they get; null for none.  ``POST /leave`` lets instances
 say in all answers that they leave, while their entries do not; ``POST /crash`` ends
@@ -117,6 +119,9 @@
         self.tasks = tasks
         self.client = httpx.AsyncClient(base_url=f'http://{options.store}')
         self.crash_body = b''
+        #: Events or parts of an answer after which an instance ends; ``None`` for none.
+        self.crash_events: int | None = None
+        self.crashes_left = 0
         #: Modes of the paths of nodes, for instances that are yet to start.
         self.cuts: dict[str, str] = {}
         self.instances = {
@@ -328,9 +333,9 @@
         if mode == 'mute':
             await wait_left(stream, run)
             return False
-        if self.crash_body and body == self.crash_body:
-            self.crash(instance)
-            await anyio.sleep_forever()
+        run['ends'] = bool(self.crash_body) and body == self.crash_body
+        if self.crash_events is None:
+            await self._end_with(instance, run)
         mark['X-Replica-Signature'] = f'{instance.name}.{len(instance.runs)}'
         if mode == 'stale':
             mark['X-Request-Id'] = 'another'
@@ -346,9 +351,19 @@
             return True
         writer = AnswerWriter(stream, parser, self._choose_framing(instance))
         await writer.start(mark, len(answer))
-        await writer.send(answer)
+        for number, part in enumerate((answer[:3], answer[3:])):
+            if self.crash_events == number:
+                await self._end_with(instance, run)
+            await writer.send(part)
         return await writer.end()
 
+    async def _end_with(self, instance: Instance, run: dict[str, Any]) -> None:
+        """Let the instance end if this run is one that ends it."""
+        if run['ends'] and self.crashes_left > 0:
+            self.crashes_left -= 1
+            self.crash(instance)
+            await anyio.sleep_forever()
+
     def _choose_framing(self, instance: Instance) -> str:
         """Return what tells the end of the next answer."""
         framing: str = instance.fault.get('framing', 'chunks')
@@ -373,6 +388,8 @@
         await writer.start(told, sum(map(len, events.values())))
         for number, event in events.items():
             fault = instance.fault
+            if self.crash_events == number - first:
+                await self._end_with(instance, run)
             if fault['mode'] == 'dark':
                 await anyio.sleep_forever()
             if fault['mode'] == 'still' and number == last // 2:
@@ -434,6 +451,8 @@
     data = json.loads(body)
     if target == '/crash_on':
         host.crash_body = data['body'].encode()
+        host.crash_events = data.get('events')
+        host.crashes_left = data.get('times', 1_000_000)
         return {}
     names = data.get('instances') or list(host.instances)
     if target == '/cut' and not data.get('instances'):
--- a/tests/gateway/test_suspicion.py
+++ b/tests/gateway/test_suspicion.py
@@ -215,6 +215,35 @@
         self.assertEqual(self.instances.asked, ['a'])
         self.assertEqual([job.crashes for job in jobs], [1] * 13)
 
+    def test_checks_that_wait_share_the_next_query_of_a_live_instance(self):
+        self.instances.ended.clear()
+        found = []
+
+        async def check():
+            found.append(
+                await self.crash_detector.has_crashed(self.view.instances['a'])
+            )
+
+        async def run():
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(check)
+                await anyio.lowlevel.checkpoint()
+                self.now += 0.01
+                for _ in range(12):
+                    tasks.start_soon(check)
+                await anyio.lowlevel.checkpoint()
+                self.now += 0.01
+
+        anyio.run(run)
+        self.assertEqual(found, [False] * 13)
+        # The first query began before the others were asked for.
+        self.assertEqual(self.instances.asked, ['a', 'a'])
+
+    def test_end_of_a_leaving_instance_leaves_its_responses_whole(self):
+        self.view.instances['a'] = build_instance('a', born=1, draining=True)
+        found = anyio.run(self.crash_detector.has_crashed, self.view.instances['a'])
+        self.assertEqual((found, self.instances.asked), (False, []))
+
     def test_ended_instance_is_reported_once(self):
         reported = []
 
--- a/tests/whole/test_broken_off.py
+++ b/tests/whole/test_broken_off.py
@@ -56,7 +56,7 @@
         self.control('pool', '/fault', mode='half', instances=heads, **fault)
         self.addCleanup(self.control, 'pool', '/fault', mode='none')
 
-    def read_stream(self, path, request):
+    def read_stream(self, path, request, **options):
         """Return the ids that a client got, and whether its stream looked complete."""
         text = ''
         try:
@@ -64,6 +64,7 @@
                 'POST',
                 self.running['n1'].url + path,
                 headers=build_headers(request),
+                **options,
             ) as reply:
                 for part in reply.iter_text():
                     text += part
@@ -215,6 +216,49 @@
         self.assertFalse(regular, ids)
 
 
+class EndingInstanceTest(BrokenOffCase):
+    """Instances that end while they answer, between two events or parts.
+
+    The kernel closes their connections as it does after a whole answer.
+    """
+
+    nodes = ('n1',)
+    engines = 9
+
+    def end_instances(self, service, body, **fields):
+        """Let instances end that answer a body, with answers without length."""
+        self.control(service, '/fault', mode='none', framing='connection')
+        self.addCleanup(self.control, service, '/fault', mode='none')
+        self.control(service, '/crash_on', body=body, **fields)
+
+    # Guards against streams that look complete although their instance has ended.
+    def test_stream_without_length_whose_instance_ends_between_events_goes_on(self):
+        self.wait_for(self.find_heads, 'two groups are open')
+        self.end_instances('pool', 'ends one', events=3, times=1)
+        found = self.read_stream('/stream/x', 'ends-one', content='ends one')
+        self.assertEqual(found, (WHOLE, True))
+        self.assertEqual(len(self.find_runs('ends-one')), 2)
+
+    # Guards against the same on a route whose streams cannot go on elsewhere.
+    def test_stream_without_length_whose_instance_ends_never_looks_complete(self):
+        self.wait_for(self.find_heads, 'two groups are open')
+        self.end_instances('pool', 'ends it', events=3, times=1)
+        found = self.read_stream('/single/x', 'ends-it', content='ends it')
+        self.assertEqual(found, (WHOLE[:3], False))
+
+    # Guards against parts of answers that look whole although their instance has ended.
+    def test_call_without_length_whose_instance_ends_is_never_cut_short(self):
+        for path, status in (('/again/x', 200), ('/once/x', 502)):
+            with self.subTest(path=path):
+                body = f'ends at {path}'
+                self.end_instances('api', body, events=1, times=1)
+                request = f'ends-{path}'
+                reply = self.send('n1', 'POST', path, request, content=body)
+                self.assertEqual(reply.status_code, status)
+                if status == 200:
+                    self.assertTrue(reply.text.endswith(request), reply.text)
+
+
 class CarriedStreamTest(BrokenOffCase):
     """The same for streams that reach their node through a peer."""
 
--- a/tests/whole/test_crashes.py
+++ b/tests/whole/test_crashes.py
@@ -93,6 +93,23 @@
         self.assertEqual(self.count_runs(), before)
 
 
+class CrashingStreamTest(CrashCase):
+    """The same request, whose instances end while they answer it."""
+
+    # Guards against ends of instances that pass for ends of answers without length.
+    def test_request_that_ended_three_instances_while_they_answered_reaches_no_other(
+        self,
+    ):
+        self.control('pool', '/fault', mode='none', framing='connection')
+        self.control('pool', '/crash_on', body=POISON, events=2)
+        self.end_instances()
+        before = self.count_runs()
+        self.assertLessEqual(self.count_crashed(), KNOWN_AFTER)
+        for number in range(6):
+            self.send_poison(self.nodes[number % 2])
+        self.assertEqual(self.count_runs(), before)
+
+
 class ToldTest(CrashCase):
     """What clients and operators are told of it, and what outlives the nodes."""
 
