Check streams of services without groups as all others are

What callers saw: a stream of a service without groups, without length and without chunks, that its instance broke off inside an event or before any came as a complete answer with a length.

Cause: such responses are buffered whole and their events were never looked at.

Change: a buffered stream goes through the same checks as one that is forwarded event by event: sent again where the route allows it, 502 elsewhere. Only responses with status 200 are streams, so the body of an error is what it was.

--- a/coursepitch/gateway/calls.py
+++ b/coursepitch/gateway/calls.py
@@ -19,7 +19,7 @@
     take_permit,
 )
 from coursepitch.gateway.job import Ending, Refusal
-from coursepitch.gateway.response_ends import check_sender
+from coursepitch.gateway.response_ends import check_body
 from coursepitch.gateway.suspicion import explain_crashes
 from coursepitch.http.client import ExchangeError
 from coursepitch.platform.headers import forward_response_headers
@@ -231,7 +231,7 @@
             with anyio.fail_after(left_s):
                 body = await answer.read_whole(MAX_RESPONSE_BYTES)
                 detector = self._components.crash_detector
-                await check_sender(detector, job, answer, instance)
+                await check_body(detector, job, answer, instance, body)
         except (ExchangeError, TimeoutError) as error:
             if isinstance(error, ExchangeError):
                 job.interrupted_by = instance
--- a/coursepitch/gateway/response_ends.py
+++ b/coursepitch/gateway/response_ends.py
@@ -12,17 +12,17 @@
 
 from coursepitch import events, log
 from coursepitch.config.routes import RouteKind
+from coursepitch.gateway.event_splitter import EventSplitter
 from coursepitch.http.client import ExchangeError, Framing
 from coursepitch.http.messages import find_header
 
 if TYPE_CHECKING:
     from coursepitch.fleet.instances import FleetInstance
     from coursepitch.gateway.crash_detector import CrashDetector
-    from coursepitch.gateway.event_splitter import EventSplitter
     from coursepitch.gateway.job import Job
     from coursepitch.http.client import Response
 
-__all__ = ['BrokenOffError', 'check_events', 'check_sender', 'is_event_stream']
+__all__ = ['BrokenOffError', 'check_body', 'check_events', 'check_sender']
 
 #: Media type of streams of events.  Source: HTML standard, section 9.2.
 EVENT_STREAM_TYPE = b'text/event-stream'
@@ -34,11 +34,13 @@
     category = 'broken off'
 
 
-def is_event_stream(job: Job, answer: Response) -> bool:
+def _has_events(job: Job, answer: Response) -> bool:
     """Whether the body of a response consists of events.
 
     On a streaming route it does, unless the response names another media type.
     """
+    if answer.status != 200:
+        return False
     value = find_header(answer.headers, b'content-type')
     if value is None:
         return job.route.kind is RouteKind.STREAM
@@ -56,7 +58,7 @@
 
     :raises BrokenOffError: it did.
     """
-    if not is_event_stream(job, answer):
+    if not _has_events(job, answer):
         return
     if splitter.is_inside_event():
         reason = 'the stream ended inside an event'
@@ -89,6 +91,24 @@
         raise BrokenOffError(reason)
 
 
+async def check_body(
+    detector: CrashDetector,
+    job: Job,
+    answer: Response,
+    instance: FleetInstance,
+    body: bytes,
+) -> None:
+    """Check a response that has been read whole, as a stream that has ended.
+
+    :raises BrokenOffError: it broke off.
+    """
+    if _has_events(job, answer):
+        splitter = EventSplitter()
+        splitter.feed(body)
+        check_events(job, answer, instance, splitter)
+    await check_sender(detector, job, answer, instance)
+
+
 def _log_broken_off(
     job: Job, answer: Response, instance: FleetInstance, reason: str, rest: int
 ) -> None:
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -9,6 +9,7 @@
 the ``first`` event or ``between`` two; with a reset if ``reset`` is set), ``surplus``
 (a second answer follows), ``shed`` (rejected), ``error`` (status 500), ``late_orders``
 (no answer, carried out after ``delay_s``) and ``stale`` (a request id of another).
+Plain instances answer with events below ``/events/``.
 Beside the mode, ``framing`` says what tells the end of answers with status 200:
 their ``length``, ``chunks``, or the end of their ``connection``.
 ``POST /crash_on`` names a body: each instance that begins to run a request with it
@@ -342,7 +343,7 @@
         if mode == 'error':
             await send_whole(stream, parser, 500, mark, b'no')
             return True
-        if instance.engine:
+        if instance.engine or run['target'].startswith('/events/'):
             return await self._stream(instance, stream, parser, mark, run, headers)
         answer = f'{instance.name} {run["request"]}'.encode()
         if mode == 'surplus':
--- a/tests/whole/platform_base.py
+++ b/tests/whole/platform_base.py
@@ -239,11 +239,12 @@
         place = ('--store', f'127.0.0.1:{cls.store}')
         count = ('--count', str(cls.engines))
         engine = ('--service', 'pool', '--engine', '--domain', 'd0', *count)
-        engine += ('--events', str(cls.events))
+        events = ('--events', str(cls.events))
+        engine += events
         paths = ('--nodes', *cls.nodes) if cls.own_paths else ()
         engine += ('--event-bytes', str(cls.event_bytes), *paths)
         cls.start('pool', 'standins.replica', *place, *engine)
-        api = ('--service', 'api', '--count', '3', *paths)
+        api = ('--service', 'api', '--count', '3', *events, *paths)
         cls.start('api', 'standins.replica', *place, *api)
         cls.running = {}
         for name in cls.nodes:
--- a/tests/whole/test_broken_off.py
+++ b/tests/whole/test_broken_off.py
@@ -32,7 +32,7 @@
 
 
 class BrokenOffCase(PlatformCase):
-    """One route of streams that may be resumed, and one of streams that may not."""
+    """Routes of streams that may be resumed, that may not, and of a plain service."""
 
     events = EVENTS
 
@@ -41,7 +41,9 @@
         """Write a configuration with both routes."""
         routes = build_configuration()['routes']
         single = {'name': 'single', 'path_prefix': '/single/', 'resumable': False}
-        super().configure(routes=[*routes, {**routes[0], **single}], **fields)
+        plain = {'name': 'plain', 'path_prefix': '/events/', 'service': 'api'}
+        more = [{**routes[0], **changes} for changes in (single, plain)]
+        super().configure(routes=[*routes, *more], **fields)
 
     def find_heads(self):
         """Return the heads of the open groups once there are two."""
@@ -52,9 +54,9 @@
         ]
         return heads if len(heads) >= 2 else None
 
-    def break_off(self, heads, **fault):
-        self.control('pool', '/fault', mode='half', instances=heads, **fault)
-        self.addCleanup(self.control, 'pool', '/fault', mode='none')
+    def break_off(self, instances, service='pool', **fault):
+        self.control(service, '/fault', mode='half', instances=instances, **fault)
+        self.addCleanup(self.control, service, '/fault', mode='none')
 
     def read_stream(self, path, request, **options):
         """Return the ids that a client got, and whether its stream looked complete."""
@@ -165,6 +167,22 @@
             find('response.broken_off')[0]['instance'], ended[0]['instance']
         )
 
+    # Guards against broken streams of services without groups that look complete.
+    def test_broken_stream_of_a_plain_service_is_sent_again_or_fails(self):
+        names = sorted(self.stats('api'))
+        for framing in FRAMINGS:
+            for place in PLACES:
+                with self.subTest(framing=framing, place=place):
+                    self.control('api', '/fault', mode='none')
+                    request = f'plain-{framing}-{place}'
+                    self.break_off(names[:1], 'api', framing=framing, place=place)
+                    for number in range(4):
+                        found = self.read_stream('/events/x', f'{request}-{number}')
+                        self.assertEqual(found, (WHOLE, True))
+                    self.break_off(names, 'api', framing=framing, place=place)
+                    reply = self.send('n1', 'POST', '/events/x', request)
+                    self.assertEqual(reply.status_code, 502)
+
     def test_whole_stream_is_whole_however_it_is_framed(self):
         self.addCleanup(self.control, 'pool', '/fault', mode='none')
         for framing in FRAMINGS:
