Count writes as possibly done whose successful answer is malformed

What callers saw: nothing so far; found while looking for other places that take the end of a connection for the end of a body.

Cause: a call that the store answered with 200 and a body that is empty or lacks its fields, as an answer without length does that breaks off before its body, was reported as a write that had not taken effect. A caller that reads back only what may have been done then goes on as if it were not.

Change: decoding a response that confirms a write says that it may be done.

--- a/coursepitch/platform/kv.py
+++ b/coursepitch/platform/kv.py
@@ -266,7 +266,9 @@
             if isinstance(found, Unavailable):
                 return found
             return Conflict(_find_conflict(conditions, found), found)
-        return _decode(lambda: Swapped(int(data['revision'])), operation)
+        return _decode(
+            lambda: Swapped(int(data['revision'])), operation, write=bool(writes)
+        )
 
     async def swap(
         self, key: str, value: str | None, expect: int, lease: str = ''
@@ -289,7 +291,9 @@
         )
         if isinstance(response, Unavailable):
             return response
-        return _decode(lambda: str(int(response[1]['lease'])), 'lease/grant')
+        return _decode(
+            lambda: str(int(response[1]['lease'])), 'lease/grant', write=True
+        )
 
     async def renew(self, lease: str) -> bool | Unavailable:
         """Renew a lease; return ``False`` if it has expired."""
@@ -398,12 +402,18 @@
     return {'tls_key': item.key, 'value': value, 'lease': int(item.lease or 0)}
 
 
-def _decode(decode: Callable[[], T], operation: str) -> T | Unavailable:
-    """Return the decoded response, or :class:`Unavailable` if it is malformed."""
+def _decode(
+    decode: Callable[[], T], operation: str, *, write: bool = False
+) -> T | Unavailable:
+    """Return the decoded response, or :class:`Unavailable` if it is malformed.
+
+    :param write: whether the response says that a write took effect.
+    """
     try:
         return decode()
     except (KeyError, TypeError, ValueError) as error:
-        return Unavailable(f'{operation}: malformed response: {error!r}')
+        reason = f'{operation}: malformed response: {error!r}'
+        return Unavailable(reason, maybe_applied=write)
 
 
 def _decode_entry(data: Any) -> Entry:
