Tell the end of an instance's connection by a close code of its own

What callers saw: nothing so far; found while looking for other places that take the end of a connection for the end of a body.

Cause: a tunnel ended with the code of a normal closure after the regular end of the instance's connection, and the library sends the same code whenever the handler of a peer returns, for whatever reason. A response without length that was under way then looked whole.

Evidence: the new test, in which a handler returns in the middle of a response, fails before and passes now. Ruled out, by tests that passed before: a reset of the instance and the loss of the peer.

Change: a private code. While nodes of two versions run, a response without length that a peer of the other version carried counts as broken off, which is the safe side.

--- a/coursepitch/fleet/tunnel_streams.py
+++ b/coursepitch/fleet/tunnel_streams.py
@@ -39,8 +39,9 @@
 STOPPING = 'stopping'
 
 #: Close codes of a tunnel after the regular end of the instance's connection, and after
-#: a reset.
-ENDED_CODE = 1000
+#: a reset.  The code of a normal closure would not do: the library sends it whenever a
+#: handler returns.
+ENDED_CODE = 4001
 RESET_CODE = 4000
 
 #: Messages and bytes of a tunnel that are buffered before reading or writing pauses.
--- a/tests/fleet/test_tunnels.py
+++ b/tests/fleet/test_tunnels.py
@@ -180,6 +180,22 @@
         with mock.patch.object(self, 'serve_instance', self.serve_slowly):
             self.play(scenario)
 
+    # Guards against a response that looks complete as the handler of a peer returned.
+    def test_close_that_tells_nothing_of_the_instance_is_no_regular_end(self):
+        async def serve_and_return(server, connection):
+            await connection.send('connected')
+            await connection.recv()
+            await connection.send(b'HTTP/1.1 200 OK\r\n\r\nhalf')
+
+        async def scenario():
+            pool = self.build_pool()
+            connection = await pool.acquire('a:1', instance='i')
+            with self.assertRaises(ExchangeError):
+                await self.fetch(pool, connection)
+
+        with mock.patch.object(TunnelServer, 'serve', serve_and_return):
+            self.play(scenario)
+
     async def serve_slowly(self, stream):
         async with stream:
             self.received += await stream.receive()
