Send a length to HTTP/1.0 clients of plain services

What callers saw: on the side of the OpenAI API, an answer of a plain service that was cut ended as regularly as a whole one for a client of HTTP/1.0.

Cause: a response without a length ends with its connection for such a client, and the server closes it in the same way when the response is aborted.

Evidence: test_chunked_answer_that_is_cut_never_looks_whole fails before (the client gets half of the body and status 200) and passes now. Ruled out: streams of the OpenAI API, whose last event tells the end, and answers with a length.

Change: such a response is held back to its end and sent with its length, up to 16 MiB; one that is cut is a 502. Setting the socket to reset, as the other server does, is not possible here: the application does not see the connection. A client of HTTP/1.0 therefore gets the events of a plain service all at once.

--- a/coursepitch/serving/caller_api.py
+++ b/coursepitch/serving/caller_api.py
@@ -366,7 +366,13 @@
 
         left_s = model_request.deadline_at - self._clock()
         return StreamedResponse(
-            body, 200, headers, finish, left_s, encode_deadline_error
+            body,
+            200,
+            headers,
+            finish,
+            left_s,
+            encode_deadline_error,
+            has_last_event=True,
         )
 
     async def _encode_events(
--- a/coursepitch/util/http.py
+++ b/coursepitch/util/http.py
@@ -32,6 +32,10 @@
 ]
 
 
+#: Largest response in bytes that is held back until its end.
+MAX_HELD_BYTES = 16_777_216
+
+
 @dataclass(eq=False)
 class ServerStop:
     """Tells servers to stop.
@@ -154,6 +158,7 @@
     :param timeout_s: timeout in seconds for the whole body.
     :param build_late_end: returns the final bytes after a timeout; without it, the
         response is aborted.
+    :param has_last_event: whether an event of the body tells that it is the last.
     """
 
     def __init__(
@@ -164,20 +169,36 @@
         finish: Callable[[], Awaitable[None]],
         timeout_s: float = math.inf,
         build_late_end: Callable[[], bytes] | None = None,
+        has_last_event: bool = False,
     ) -> None:
         super().__init__(status_code=status, headers=dict(headers))
         self._chunks = chunks
         self._finish = finish
         self._timeout_s = timeout_s
         self._build_late_end = build_late_end
+        self._has_last_event = has_last_event
         self.raw_headers = [
             item for item in self.raw_headers if item[0] != b'content-length'
         ]
 
+    def _tells_its_end(self) -> bool:
+        """Whether its length or its last event tells a client the end of the body."""
+        return self._has_last_event or b'content-length' in dict(self.raw_headers)
+
     async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
         """Send head and body; stop if the caller disconnects."""
+        if scope['http_version'] == '1.0' and not self._tells_its_end():
+            send = _HeldSender(send)
 
         async def send_response() -> None:
+            try:
+                await send_parts()
+            except Cutoff:
+                if not isinstance(send, _HeldSender):
+                    raise
+                await send.fail()
+
+        async def send_parts() -> None:
             start = {
                 'type': 'http.response.start',
                 'status': self.status_code,
@@ -203,6 +224,42 @@
                 await self._finish()
 
 
+class _HeldSender:
+    """Holds a response back until its end, and sends it with its length.
+
+    To a client of HTTP/1.0 a response without length ends with its connection, whether
+    it is whole or not.
+
+    :param send: the ASGI send callable.
+    """
+
+    def __init__(self, send: Callable[[Any], Awaitable[None]]) -> None:
+        self._send = send
+        self._start: dict[str, Any] = {}
+        self._body = bytearray()
+
+    async def __call__(self, message: dict[str, Any]) -> None:
+        """Take a message of the response."""
+        if message['type'] == 'http.response.start':
+            self._start = message
+            return
+        self._body += message['body']
+        if len(self._body) > MAX_HELD_BYTES:
+            raise Cutoff(f'a response of more than {MAX_HELD_BYTES} bytes')
+        if message['more_body']:
+            return
+        length = (b'content-length', b'%d' % len(self._body))
+        headers = [*self._start['headers'], length]
+        await self._send({**self._start, 'headers': headers})
+        await self._send({**message, 'body': bytes(self._body)})
+
+    async def fail(self) -> None:
+        """Send status 502 in place of the response."""
+        headers = [(b'content-length', b'0')]
+        await self._send({**self._start, 'status': 502, 'headers': headers})
+        await self._send({'type': 'http.response.body'})
+
+
 class TrackedResponse:
     """A response that reports when it has been sent, or that sending it failed.
 
