Check answers of plain services that end with their connection

What callers saw: on the side of the OpenAI API, an answer without length of a plain service whose process had ended, and a stream of events that ended inside an event, came with their last chunk, as if complete; keyed calls were recorded as answered.

Cause: the end of the connection was taken for the end of the body.

Evidence: two tests of tests.whole.test_service_ends fail before and pass now; the two others pass before and after: whole answers stay whole.

Change: a stream must not end inside an event, and the end of a connection counts only while the address does not refuse connections. The splitter of events moves to coursepitch.http, as both sides use it. What stays open is as on the other side: a process that lives on and closes the connection early.

--- a/coursepitch/gateway/response_ends.py
+++ b/coursepitch/gateway/response_ends.py
@@ -12,8 +12,8 @@
 
 from coursepitch import events, log
 from coursepitch.config.routes import RouteKind
-from coursepitch.gateway.event_splitter import EventSplitter
 from coursepitch.http.client import ExchangeError, Framing
+from coursepitch.http.event_splitter import EVENT_STREAM_TYPE, EventSplitter
 from coursepitch.http.messages import find_header
 
 if TYPE_CHECKING:
@@ -24,9 +24,6 @@
 
 __all__ = ['BrokenOffError', 'check_body', 'check_events', 'check_sender']
 
-#: Media type of streams of events.  Source: HTML standard, section 9.2.
-EVENT_STREAM_TYPE = b'text/event-stream'
-
 
 class BrokenOffError(ExchangeError):
     """An instance ended a response before its end."""
@@ -44,7 +41,8 @@
     value = find_header(answer.headers, b'content-type')
     if value is None:
         return job.route.kind is RouteKind.STREAM
-    return value.partition(b';')[0].strip().lower() == EVENT_STREAM_TYPE
+    media_type = value.partition(b';')[0].strip().lower()
+    return media_type == EVENT_STREAM_TYPE.encode()
 
 
 def check_events(
--- a/coursepitch/gateway/streams.py
+++ b/coursepitch/gateway/streams.py
@@ -18,12 +18,12 @@
     send_attempt,
     take_permit,
 )
-from coursepitch.gateway.event_splitter import EventSplitter
 from coursepitch.gateway.job import Ending, Refusal
 from coursepitch.gateway.response_ends import check_events, check_sender
 from coursepitch.gateway.suspicion import explain_crashes
 from coursepitch.gateway.work import estimate_tokens, find_max_in_flight
 from coursepitch.http.client import ExchangeError
+from coursepitch.http.event_splitter import EventSplitter
 from coursepitch.platform.headers import forward_response_headers
 from coursepitch.scheduling.capacity import TokensInFlight
 
--- a/coursepitch/http/event_splitter.py
+++ b/coursepitch/http/event_splitter.py
@@ -5,7 +5,10 @@
 import re
 from dataclasses import dataclass
 
-__all__ = ['EventSplitter']
+__all__ = ['EVENT_STREAM_TYPE', 'EventSplitter']
+
+#: Media type of streams of events.  Source: HTML standard, section 9.2.
+EVENT_STREAM_TYPE = 'text/event-stream'
 
 #: Matches the id field of an event.  Source: HTML standard, section 9.2.6.
 _ID_FIELD = re.compile(rb'(?:^|[\r\n])id: ?([^\r\n]*)')
--- a/coursepitch/serving/services.py
+++ b/coursepitch/serving/services.py
@@ -7,6 +7,7 @@
 import anyio
 import httpx
 
+from coursepitch.http.event_splitter import EVENT_STREAM_TYPE, EventSplitter
 from coursepitch.serving import outcomes
 from coursepitch.serving.attempts import (
     AttemptResult,
@@ -32,6 +33,9 @@
 
 __all__ = ['ServiceCaller']
 
+#: Timeout in seconds of the check whether a service still listens.
+CHECK_TIMEOUT_S = 0.5
+
 #: Headers that are not forwarded: those that apply to a single connection
 #: (RFC 9110, section 7.6.1) and those that this node sets itself.
 _NOT_FORWARDED = frozenset(
@@ -257,7 +261,7 @@
         length = reply.headers.get('content-length')
         context.status = reply.status_code
         context.content_type = reply.headers.get('content-type', '')
-        body = self._relay_body(context, reply, record)
+        body = self._relay_body(context, reply, address, record)
 
         async def end() -> None:
             await body.aclose()
@@ -275,12 +279,17 @@
         self,
         context: RequestContext,
         reply: httpx.Response,
+        address: str,
         record: Callable[[RequestContext], Awaitable[None]],
     ) -> AsyncGenerator[bytes, None]:
         """Yield the body; close the connection abnormally if it is truncated."""
         length = int(reply.headers.get('content-length', -1))
+        media_type = context.content_type.partition(';')[0].strip().lower()
+        splitter = EventSplitter() if media_type == EVENT_STREAM_TYPE else None
         try:
             async for piece in reply.aiter_raw():
+                if splitter is not None:
+                    splitter.feed(piece)
                 if context.claim is not None:
                     context.answer += piece
                     if len(context.answer) == length:
@@ -289,5 +298,34 @@
                 yield piece
         except httpx.HTTPError as error:
             raise Cutoff('the answer of the service was truncated') from error
+        if splitter is not None and splitter.is_inside_event():
+            raise Cutoff('the stream of the service ended inside an event')
+        if _ends_with_connection(reply) and await _refuses_connections(address):
+            raise Cutoff('the service ended with its answer')
         context.outcome = Outcome.ANSWERED
         await record(context)
+
+
+def _ends_with_connection(reply: httpx.Response) -> bool:
+    """Whether only the end of its connection tells the end of an answer's body."""
+    bodiless = reply.request.method == 'HEAD' or reply.status_code in (204, 304)
+    framed = not {'content-length', 'transfer-encoding'}.isdisjoint(reply.headers)
+    return not bodiless and not framed
+
+
+async def _refuses_connections(address: str) -> bool:
+    """Whether no process listens at an address any more.
+
+    The kernel closes the connections of a process that is killed as the process itself
+    does after a whole answer.  A timeout proves nothing.
+    """
+    host, _, port = address.rpartition(':')
+    try:
+        with anyio.fail_after(CHECK_TIMEOUT_S):
+            stream = await anyio.connect_tcp(host, int(port))
+    except TimeoutError:
+        return False
+    except OSError as error:
+        return isinstance(error.__cause__ or error, ConnectionRefusedError)
+    await stream.aclose()
+    return False
--- a/tests/gateway/test_decisions.py
+++ b/tests/gateway/test_decisions.py
@@ -14,7 +14,6 @@
 from coursepitch.fleet.shares import LimitFractions
 from coursepitch.fleet.view import OpenGroup
 from coursepitch.gateway.budget import RetryBudget
-from coursepitch.gateway.event_splitter import EventSplitter
 from coursepitch.gateway.job import Ending
 from coursepitch.gateway.load_tracker import LoadTracker
 from coursepitch.gateway.reply_times import MAX_FIRST_QUIET_S, MAX_QUIET_S
@@ -23,6 +22,7 @@
 from coursepitch.gateway.streams import StreamServer
 from coursepitch.gateway.watchdog import Watchdog
 from coursepitch.gateway.work import estimate_work, find_max_in_flight
+from coursepitch.http.event_splitter import EventSplitter
 from coursepitch.http.server import ResponseWriter
 from coursepitch.platform.headers import RequestFields
 from tests.fleet.builders import (
--- a/tests/whole/test_service_ends.py
+++ b/tests/whole/test_service_ends.py
@@ -105,6 +105,18 @@
             self.assertEqual(self.fetch(url), body)
             self.assertEqual(self.fetch_as_old_client(url), body)
 
+    # Guards against streams of plain services that end inside an event and look whole.
+    def test_stream_that_ends_inside_an_event_never_looks_whole(self) -> None:
+        url = self.declare_service(HEAD % b'text/event-stream' + WHOLE_STREAM[:-3])
+        self.assertIsNone(self.fetch(url))
+        self.assertIsNone(self.fetch_as_old_client(url))
+
+    # Guards against answers that look whole although the process that sent them ended.
+    def test_answer_of_a_process_that_ended_never_looks_whole(self) -> None:
+        for fetch in (self.fetch, self.fetch_as_old_client):
+            url = self.declare_service(HEAD % b'text/plain' + b'half', ends=True)
+            self.assertIsNone(fetch(url))
+
     # Guards against answers that clients of HTTP/1.0 take for whole after a cut.
     def test_chunked_answer_that_is_cut_never_looks_whole(self) -> None:
         head = b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
