Frame answers at random in the stand-ins, and break them off in the soak

Tests and soak did not see broken answers without length that look complete: the stand-in of groups framed all answers as chunks, and nothing in the soak broke an answer off.

Change: the stand-in of instances draws what tells the end of each answer, unless a test sets it, so that all tests on processes meet each framing. The soak lets instances break answers off at a drawn place, sends a quarter of its requests as HTTP/1.0, and checks that whole answers of plain services have their end. The checker's new finding has a test that sees it fire.

--- a/soak/checkers.py
+++ b/soak/checkers.py
@@ -89,14 +89,16 @@
 
 
 def check_events(history: History, bounds: Bounds) -> Verdict:
-    """Events come once and in order, and a whole answer has all of them."""
+    """Events come once and in order, and a whole answer has all its events or bytes."""
     findings = []
     looked_at = 0
     for call in history.calls:
-        if not call.expected:
+        looked_at += bool(call.expected)
+        if call.ending is Ending.WHOLE and call.short:
+            findings.append(Finding(call.id, call.ended_at, 'ended before its end'))
+        elif not call.expected:
             continue
-        looked_at += 1
-        if call.events != tuple(range(1, len(call.events) + 1)):
+        elif call.events != tuple(range(1, len(call.events) + 1)):
             findings.append(Finding(call.id, call.ended_at, 'an event is out of place'))
         elif call.ending is Ending.WHOLE and len(call.events) < call.expected:
             findings.append(Finding(call.id, call.ended_at, 'ended before its last'))
--- a/soak/clients.py
+++ b/soak/clients.py
@@ -1,10 +1,15 @@
-"""Clients of a run: they keep connections, come back when told, and record it all."""
+"""Clients of a run: they keep connections, come back when told, and record it all.
+
+Some of their requests are of HTTP/1.0, to which an answer may end with its connection.
+"""
 
 from __future__ import annotations
 
+import http.client
 import random
 import threading
 import time
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 import httpx
@@ -12,7 +17,7 @@
 from soak.history import Call, Ending
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Mapping
 
 __all__ = ['Client']
 
@@ -30,10 +35,41 @@
 #: Seconds between two requests, at most.
 PAUSE_S = 0.08
 
+#: Share of the requests that are of HTTP/1.0.
+OLD_SHARE = 0.25
+
+#: Seconds for which a client waits for an answer.
+PATIENCE_S = 10
+
 #: Statuses that promise that a request did not run.
 PROMISING = frozenset({408, 421, 429, 503})
 
 
+@dataclass(frozen=True, slots=True)
+class _Answer:
+    """What came of one request.
+
+    :param away_s: seconds for which to stay away.
+    """
+
+    ending: Ending
+    answered_for: str = ''
+    body: str = ''
+    away_s: float = 0.0
+
+    def list_events(self) -> tuple[int, ...]:
+        """Return the ids of the events that came."""
+        lines = self.body.split('\n')[:-1]
+        return tuple(int(line[4:]) for line in lines if line.startswith('id: '))
+
+
+class _OldConnection(http.client.HTTPConnection):
+    """A connection whose requests are of HTTP/1.0."""
+
+    _http_vsn = 10
+    _http_vsn_str = 'HTTP/1.0'
+
+
 class Client:
     """One client in a thread of its own.
 
@@ -56,7 +92,7 @@
         self._find_node = find_node
         self._chance = random.Random(seed)
         self._ended = threading.Event()
-        self._http = httpx.Client(timeout=10, trust_env=False)
+        self._http = httpx.Client(timeout=PATIENCE_S, trust_env=False)
         self._thread = threading.Thread(target=self._run, daemon=True)
 
     def start(self) -> None:
@@ -80,7 +116,10 @@
         node, url = self._find_node(self._chance.random())
         request = f'{self._name}-{len(self.calls)}'
         sent_at = time.monotonic()
-        ending, answered_for, events, away_s = self._send(method, url + path, request)
+        is_old = self._chance.random() < OLD_SHARE
+        send = self._send_as_old_client if is_old else self._send
+        answer = send(method, url, path, request)
+        streamed = service == 'pool'
         self.calls.append(
             Call(
                 request,
@@ -88,20 +127,19 @@
                 self._key,
                 sent_at,
                 time.monotonic(),
-                ending,
+                answer.ending,
                 repeatable,
-                answered_for,
-                events,
-                self._events if service == 'pool' else 0,
+                answer.answered_for,
+                answer.list_events() if streamed else (),
+                self._events if streamed else 0,
                 node,
+                not streamed and not answer.body.endswith(request),
             )
         )
-        return away_s
+        return answer.away_s
 
-    def _send(
-        self, method: str, url: str, request: str
-    ) -> tuple[Ending, str, tuple[int, ...], float]:
-        headers = {
+    def _build_headers(self, request: str) -> dict[str, str]:
+        return {
             'Host': 'a.example',
             'X-Request-Id': request,
             'X-Deadline-Ms': '8000',
@@ -109,23 +147,59 @@
             'X-Token-Usage': '100,20',
             'Authorization': f'Bearer {self._key}',
         }
-        events: list[int] = []
-        answered_for = ''
+
+    def _send(self, method: str, url: str, path: str, request: str) -> _Answer:
+        """Send a request on a connection that is kept."""
+        headers = self._build_headers(request)
+        answered_for, body = '', ''
         ending = Ending.UNKNOWN
         try:
-            with self._http.stream(method, url, headers=headers) as reply:
-                if reply.status_code in PROMISING:
-                    away_s = float(reply.headers.get('retry-after', 0))
-                    return Ending.NOT_RUN, '', (), min(MOST_AWAY_S, away_s)
-                if reply.status_code != 200:
-                    return Ending.UNKNOWN, '', (), 0.0
+            with self._http.stream(method, url + path, headers=headers) as reply:
+                refusal = _read_refusal(reply.status_code, reply.headers)
+                if refusal is not None:
+                    return refusal
                 ending = Ending.CUT
                 answered_for = reply.headers.get('x-request-id', '')
-                for line in reply.iter_lines():
-                    if line.startswith('id: '):
-                        events.append(int(line[4:]))
+                for part in reply.iter_text():
+                    body += part
                 ending = Ending.WHOLE
         except httpx.HTTPError:
             # What is known of it, its ending says.
             pass
-        return ending, answered_for, tuple(events), 0.0
+        return _Answer(ending, answered_for, body)
+
+    def _send_as_old_client(
+        self, method: str, url: str, path: str, request: str
+    ) -> _Answer:
+        """Send a request of HTTP/1.0 on a connection of its own."""
+        parsed = httpx.URL(url)
+        connection = _OldConnection(parsed.host, parsed.port, timeout=PATIENCE_S)
+        answered_for, body = '', b''
+        ending = Ending.UNKNOWN
+        try:
+            connection.request(method, path, headers=self._build_headers(request))
+            reply = connection.getresponse()
+            refusal = _read_refusal(reply.status, reply.headers)
+            if refusal is not None:
+                return refusal
+            ending = Ending.CUT
+            answered_for = reply.headers.get('x-request-id', '')
+            while part := reply.read1():
+                body += part
+            # What is left of its length; none is known if the connection tells its end.
+            if not reply.length:
+                ending = Ending.WHOLE
+        except (OSError, http.client.HTTPException):
+            # What is known of it, its ending says.
+            pass
+        finally:
+            connection.close()
+        return _Answer(ending, answered_for, body.decode())
+
+
+def _read_refusal(status: int, headers: Mapping[str, str]) -> _Answer | None:
+    """Return what an answer other than 200 tells, or ``None`` for 200."""
+    if status in PROMISING:
+        away_s = float(headers.get('retry-after') or 0)
+        return _Answer(Ending.NOT_RUN, away_s=min(MOST_AWAY_S, away_s))
+    return None if status == 200 else _Answer(Ending.UNKNOWN)
--- a/soak/driver.py
+++ b/soak/driver.py
@@ -134,6 +134,7 @@
             FaultKind.DRAIN: self._leave,
             FaultKind.CRASH: self._leave,
             FaultKind.PATHS: self._cut_paths,
+            FaultKind.BREAK: self._break_off,
         }
         task = threading.Thread(target=kinds[fault.kind], args=(fault,))
         task.start()
@@ -235,6 +236,19 @@
         self._pause.wait(fault.length_s)
         _System.control(fault.service, '/backoff', instances=chosen, backoff=None)
 
+    def _break_off(self, fault: Fault) -> None:
+        """Let some of a service's instances break off all their answers."""
+        present = self._list_present(fault.service)
+        count = max(1, round(fault.share * len(present)))
+        start = int(fault.choice * len(present))
+        chosen = (present + present)[start : start + count]
+        broken = {'place': fault.place, 'reset': fault.place == 'between'}
+        _System.control(
+            fault.service, '/fault', mode='half', instances=chosen, **broken
+        )
+        self._pause.wait(fault.length_s)
+        _System.control(fault.service, '/fault', mode='none', instances=chosen)
+
     def _leave(self, fault: Fault) -> None:
         """Let an instance end: announced in answers, in the store, or not at all."""
         name = self._take(self._list_present(fault.service), fault.choice)
--- a/soak/history.py
+++ b/soak/history.py
@@ -40,6 +40,7 @@
     :param answered_for: id that the answer named; empty without one.
     :param events: numbers of the events that came, in their order.
     :param expected: events that the whole answer has.
+    :param short: whether the body lacks its end, where that is known.
     :param node: node that it was sent to.
     """
 
@@ -54,6 +55,7 @@
     events: tuple[int, ...] = ()
     expected: int = 0
     node: str = ''
+    short: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -21,6 +21,9 @@
 CUT_S = (1.0, 8.0)
 CUT_MODES = ('hang', 'reset', 'refuse')
 
+#: Where instances break streams off.  Between two events only a reset tells it.
+PLACES = ('inside', 'line', 'first', 'between')
+
 #: Seconds from an instance's word that it leaves until it ends.
 LEAVING_S = (2.5, 4.0)
 
@@ -37,6 +40,7 @@
     DRAIN = 'drain'
     CRASH = 'crash'
     PATHS = 'paths'
+    BREAK = 'break'
 
 
 #: How often each kind is drawn.
@@ -50,6 +54,7 @@
     FaultKind.DRAIN: 2,
     FaultKind.CRASH: 1,
     FaultKind.PATHS: 5,
+    FaultKind.BREAK: 4,
 }
 
 
@@ -62,6 +67,7 @@
     :param share: part of the instances that it concerns, from 0 to 1.
     :param backoff_s: seconds of the backoffs that instances ask for.
     :param mode: how nodes lose their paths.
+    :param place: where instances break streams off.
     """
 
     at: float
@@ -72,6 +78,7 @@
     share: float
     backoff_s: float
     mode: str
+    place: str
 
 
 def draw_plan(seed: int, seconds: float) -> list[Fault]:
@@ -96,6 +103,7 @@
                 chance.random(),
                 chance.choice(BACKOFFS_S),
                 chance.choice(CUT_MODES),
+                chance.choice(PLACES),
             )
         )
         at += chance.uniform(*GAP_S)
--- a/standins/exchange.py
+++ b/standins/exchange.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import socket
 import struct
 from typing import Any
@@ -10,7 +11,14 @@
 import h11
 from anyio.abc import SocketAttribute
 
-__all__ = ['FRAMINGS', 'AnswerWriter', 'read_request', 'send_whole', 'wait_left']
+__all__ = [
+    'FRAMINGS',
+    'AnswerWriter',
+    'read_request',
+    'reset_on_close',
+    'send_whole',
+    'wait_left',
+]
 
 #: What may tell the end of an answer's body (RFC 9112, section 6.3).
 FRAMINGS = ('length', 'chunks', 'connection')
@@ -56,41 +64,46 @@
     def __init__(self, stream: Any, parser: Any, framing: str) -> None:
         self._stream = stream
         self._parser = parser
-        self._framing = framing
+        self.framing = framing
 
     async def start(self, headers: dict[str, str], length: int) -> None:
         """Send the head of an answer with status 200.
 
         :param length: bytes of the whole body.
         """
-        if self._framing == 'connection':
+        if self.framing == 'connection':
             lines = ''.join(f'{key}: {value}\r\n' for key, value in headers.items())
             await self._stream.send(f'HTTP/1.1 200 OK\r\n{lines}\r\n'.encode())
             return
         fields = list(headers.items())
-        if self._framing == 'length':
+        if self.framing == 'length':
             fields.append(('Content-Length', str(length)))
         head = h11.Response(status_code=200, headers=fields)
         await self._stream.send(self._parser.send(head))
 
     async def send(self, data: bytes) -> None:
         """Send a part of the body."""
-        if self._framing != 'connection':
+        if self.framing != 'connection':
             data = self._parser.send(h11.Data(data=data))
         await self._stream.send(data)
 
     async def end(self) -> bool:
         """End the answer; return whether the connection goes on."""
-        if self._framing == 'connection':
+        if self.framing == 'connection':
             return False
         await self._stream.send(self._parser.send(h11.EndOfMessage()) or b'')
         return True
 
     def reset(self) -> None:
         """Let the connection end with a reset."""
-        sock = self._stream.extra(SocketAttribute.raw_socket)
-        linger = struct.pack('ii', 1, 0)
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        reset_on_close(self._stream)
+
+
+def reset_on_close(stream: Any) -> None:
+    """Let a connection end with a reset once it is closed, unless it has ended."""
+    sock = stream.extra(SocketAttribute.raw_socket)
+    with contextlib.suppress(OSError):
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0))
 
 
 async def wait_left(stream: Any, run: dict[str, Any]) -> None:
--- a/standins/paths.py
+++ b/standins/paths.py
@@ -13,17 +13,16 @@
 
 import contextlib
 import socket
-import struct
 from functools import partial
 from typing import TYPE_CHECKING, Any
 
 import anyio
 import anyio.abc
-from anyio.abc import SocketAttribute
 from starlette.applications import Starlette
 from starlette.routing import Route
 
 from standins.common import answer, build_parser, read_json, run
+from standins.exchange import reset_on_close
 from standins.network import INSTANCE_HOST, find_host
 
 if TYPE_CHECKING:
@@ -72,10 +71,14 @@
         self._path.forget(self)
         await self._stream.aclose()
 
+    @property
+    def extra_attributes(self) -> Any:
+        """Attributes of the socket."""
+        return self._stream.extra_attributes
+
     def reset(self) -> None:
         """Close the connection with a reset."""
-        sock = self._stream.extra(SocketAttribute.raw_socket)
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0))
+        reset_on_close(self._stream)
         transport: Any = self._stream
         transport._transport.abort()
 
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -6,12 +6,15 @@
 goes wrong is set by ``POST /fault`` on the control port: ``dark`` (nothing is
 answered), ``mute`` (requests are taken and not answered), ``half`` (a stream
 breaks off at ``place``: ``inside`` an event, before its last ``line`` break, before
-the ``first`` event or ``between`` two; with a reset if ``reset`` is set), ``surplus``
-(a second answer follows), ``shed`` (rejected), ``error`` (status 500), ``late_orders``
-(no answer, carried out after ``delay_s``) and ``stale`` (a request id of another).
+the ``first`` event or ``between`` two; other answers break off in their middle, with a
+reset where only the end of the connection tells their end or ``reset`` is set),
+``surplus`` (a second answer follows), ``shed`` (rejected), ``error`` (status 500),
+``late_orders`` (no answer, carried out after ``delay_s``) and ``stale`` (a request id
+of another).
 Plain instances answer with events below ``/events/``.
 Beside the mode, ``framing`` says what tells the end of answers with status 200:
-their ``length``, ``chunks``, or the end of their ``connection``.
+their ``length``, ``chunks``, or the end of their ``connection``; by default any of
+these, drawn anew for each answer by ``--seed``.
 ``POST /crash_on`` names a body: each instance that begins to run a request with it
 ends at once, or after the head of its answer and ``events`` events or parts, and an
 empty one takes its place; ``times`` bounds how often.
@@ -30,6 +33,7 @@
 
 import argparse
 import json
+import random
 import secrets
 import signal
 import time
@@ -40,7 +44,13 @@
 import h11
 import httpx
 
-from standins.exchange import AnswerWriter, read_request, send_whole, wait_left
+from standins.exchange import (
+    FRAMINGS,
+    AnswerWriter,
+    read_request,
+    send_whole,
+    wait_left,
+)
 from standins.network import INSTANCE_HOST, find_host
 from standins.paths import Path
 
@@ -119,6 +129,7 @@
         self.options = options
         self.tasks = tasks
         self.client = httpx.AsyncClient(base_url=f'http://{options.store}')
+        self.chance = random.Random(options.seed)
         self.crash_body = b''
         #: Events or parts of an answer after which an instance ends; ``None`` for none.
         self.crash_events: int | None = None
@@ -355,6 +366,10 @@
         for number, part in enumerate((answer[:3], answer[3:])):
             if self.crash_events == number:
                 await self._end_with(instance, run)
+            if mode == 'half' and number:
+                if writer.framing == 'connection' or instance.fault.get('reset'):
+                    writer.reset()
+                return False
             await writer.send(part)
         return await writer.end()
 
@@ -367,7 +382,8 @@
 
     def _choose_framing(self, instance: Instance) -> str:
         """Return what tells the end of the next answer."""
-        framing: str = instance.fault.get('framing', 'chunks')
+        drawn = self.chance.choice(FRAMINGS)
+        framing: str = instance.fault.get('framing', drawn)
         return framing
 
     async def _stream(
@@ -553,6 +569,7 @@
     parser.add_argument('--count', type=int, default=4, help='instances a domain')
     parser.add_argument('--events', type=int, default=20, help='events of a stream')
     parser.add_argument('--event-bytes', type=int, default=0)
+    parser.add_argument('--seed', default='1', help='decides the framing of answers')
     parser.add_argument('--engine', action='store_true')
     parser.add_argument('--nodes', nargs='*', default=[], help='nodes with own paths')
     options = parser.parse_args()
--- a/tests/soak/test_checkers.py
+++ b/tests/soak/test_checkers.py
@@ -49,6 +49,12 @@
             wrong = build_call(events=events)
             self.assert_fires(check_events, History((wrong,)), 'c')
 
+    def test_answer_without_events_that_lacks_its_end(self):
+        fields = {'service': 'api', 'events': (), 'expected': 0, 'short': True}
+        self.assert_fires(check_events, History((build_call(**fields),)), 'c')
+        cut = build_call(ending=Ending.CUT, **fields)
+        self.assert_proves(check_events, History((cut, build_call())))
+
     def test_answer_that_was_cut_may_lack_its_end(self):
         cut = build_call(ending=Ending.CUT, events=(1, 2))
         self.assert_proves(check_events, History((cut,)))
