Count neither comments nor parts of large events as whole events

Found by the unit tests of this commit: a stream of comments alone that ended with its connection passed for a whole one, as each block of lines counted as an event; and after the beginning of an event beyond the buffer had been forwarded, an end inside that event was not seen.

Evidence: test_stream_without_events_is_broken_off_if_its_connection_tells_its_end failed before; the tests of each other decision and of a killed peer that carried a stream passed at once.

--- a/coursepitch/gateway/response_ends.py
+++ b/coursepitch/gateway/response_ends.py
@@ -62,7 +62,7 @@
         reason = 'the stream ended inside an event'
     elif (
         answer.framing is Framing.CONNECTION
-        and not splitter.count
+        and not splitter.has_events()
         and (not job.fields.last_event or len(job.sent) > 1)
     ):
         reason = 'the stream ended before its first event'
--- a/coursepitch/http/event_splitter.py
+++ b/coursepitch/http/event_splitter.py
@@ -29,12 +29,14 @@
     """Split a byte stream into complete events, and buffer an incomplete one.
 
     :param last_event: id of the last complete event.
-    :param count: number of complete events of the present run.
+    :param count: number of complete events of the present run; comments are none.
+    :param _split_event: whether the beginning of an incomplete event was returned.
     """
 
     last_event: bytes = b''
     count: int = 0
     _partial: bytes = b''
+    _split_event: bool = False
 
     def feed(self, data: bytes) -> bytes:
         """Add received bytes; return the events that are complete now."""
@@ -50,9 +52,12 @@
             ids = _ID_FIELD.findall(whole)
             if ids:
                 self.last_event = ids[-1]
-            self.count += max(1, len(ids))
+            has_fields = self._split_event or _FIELD_LINE.search(whole) is not None
+            self.count += max(len(ids), has_fields)
+            self._split_event = False
         if len(self._partial) > MAX_EVENT_BYTES:
             whole, self._partial = whole + self._partial, b''
+            self._split_event = True
         return whole
 
     @property
@@ -63,7 +68,15 @@
     def is_inside_event(self) -> bool:
         """Whether an event has begun and is not complete; comments are no events."""
         rest = _EVENT_END.split(self._partial)[-1]
-        return _FIELD_LINE.search(rest) is not None
+        return self._split_event or _FIELD_LINE.search(rest) is not None
+
+    def has_events(self) -> bool:
+        """Whether an event of the present run has begun."""
+        return (
+            self.count > 0
+            or self._split_event
+            or _FIELD_LINE.search(self._partial) is not None
+        )
 
     def flush(self) -> bytes:
         """Return the bytes after the last complete event, once the stream has ended."""
@@ -73,6 +86,7 @@
     def start_run(self) -> None:
         """Start over after the last complete event, as another run begins."""
         self._partial = b''
+        self._split_event = False
         self.count = 0
 
 
--- /dev/null
+++ b/tests/gateway/test_response_ends.py
@@ -0,0 +1,103 @@
+"""What shows that a response is not whole, by its framing, events and instance."""
+
+from __future__ import annotations
+
+import unittest
+from types import SimpleNamespace
+
+import anyio
+
+from coursepitch.config.routes import RouteKind
+from coursepitch.gateway.response_ends import BrokenOffError, check_body
+from coursepitch.http.client import Framing
+
+EVENT = b'id: 1\ndata: x\n\n'
+
+
+class FakeDetector:
+    """Knows whether the instance has crashed; counts the questions."""
+
+    def __init__(self, crashed=False):
+        self.crashed = crashed
+        self.asked = 0
+
+    async def has_crashed(self, instance):
+        self.asked += 1
+        return self.crashed
+
+
+class ResponseEndTest(unittest.TestCase):
+    """Responses as they are read, to their end."""
+
+    def is_broken_off(
+        self,
+        body,
+        framing=Framing.CONNECTION,
+        *,
+        media_type=None,
+        kind=RouteKind.STREAM,
+        status=200,
+        last_event=b'',
+        runs=1,
+        detector=None,
+    ):
+        headers = () if media_type is None else ((b'Content-Type', media_type),)
+        answer = SimpleNamespace(status=status, headers=headers, framing=framing)
+        job = SimpleNamespace(
+            route=SimpleNamespace(kind=kind),
+            fields=SimpleNamespace(request='r', last_event=last_event),
+            sent=['i'] * runs,
+        )
+        instance = SimpleNamespace(name='i')
+        detector = detector or FakeDetector()
+        try:
+            anyio.run(check_body, detector, job, answer, instance, body)
+        except BrokenOffError:
+            return True
+        return False
+
+    def test_stream_that_ends_inside_an_event_is_broken_off_in_any_framing(self):
+        for framing in Framing:
+            for end in range(1, len(EVENT)):
+                body = EVENT + EVENT[:end]
+                self.assertTrue(self.is_broken_off(body, framing), body)
+            self.assertFalse(self.is_broken_off(EVENT, framing))
+
+    def test_stream_without_events_is_broken_off_if_its_connection_tells_its_end(self):
+        self.assertTrue(self.is_broken_off(b''))
+        self.assertTrue(self.is_broken_off(b': ping\n\n'))
+        for framing in (Framing.LENGTH, Framing.CHUNKS):
+            self.assertFalse(self.is_broken_off(b'', framing))
+
+    def test_stream_whose_lines_end_with_carriage_returns_has_events(self):
+        self.assertFalse(self.is_broken_off(b'id: 1\rdata: x\r\r'))
+
+    def test_client_that_resumes_may_have_had_the_last_event(self):
+        self.assertFalse(self.is_broken_off(b'', last_event=b'8'))
+
+    # Guards against a second run that ends at once and hides what the first one lost.
+    def test_second_run_without_events_is_broken_off(self):
+        self.assertTrue(self.is_broken_off(b'', last_event=b'8', runs=2))
+
+    def test_media_type_decides_what_has_events(self):
+        half = EVENT[:-1]
+        for media_type in (b'text/event-stream', b'Text/Event-Stream; charset=utf-8'):
+            for kind in RouteKind:
+                found = self.is_broken_off(half, media_type=media_type, kind=kind)
+                self.assertTrue(found)
+        self.assertFalse(self.is_broken_off(b'{}', media_type=b'application/json'))
+        self.assertFalse(self.is_broken_off(b'text', kind=RouteKind.ONCE))
+
+    def test_body_of_an_error_has_no_events(self):
+        self.assertFalse(self.is_broken_off(b'no', status=500))
+
+    def test_crash_breaks_off_only_what_its_connection_ends(self):
+        for framing in Framing:
+            detector = FakeDetector(crashed=True)
+            found = self.is_broken_off(EVENT, framing, detector=detector)
+            unproved = framing is Framing.CONNECTION
+            self.assertEqual((found, detector.asked), (unproved, int(unproved)))
+
+    def test_response_of_an_instance_that_lives_is_whole(self):
+        for kind in RouteKind:
+            self.assertFalse(self.is_broken_off(EVENT, kind=kind))
--- a/tests/whole/test_broken_off.py
+++ b/tests/whole/test_broken_off.py
@@ -58,8 +58,11 @@
         self.control(service, '/fault', mode='half', instances=instances, **fault)
         self.addCleanup(self.control, service, '/fault', mode='none')
 
-    def read_stream(self, path, request, **options):
-        """Return the ids that a client got, and whether its stream looked complete."""
+    def read_stream(self, path, request, on_data=None, **options):
+        """Return the ids that a client got, and whether its stream looked complete.
+
+        :param on_data: called once a part of the body has arrived.
+        """
         text = ''
         try:
             with self.client.stream(
@@ -70,6 +73,9 @@
             ) as reply:
                 for part in reply.iter_text():
                     text += part
+                    if on_data is not None:
+                        on_data()
+                        on_data = None
         except httpx.RemoteProtocolError:
             return read_ids(text), False
         return read_ids(text), reply.status_code == 200
@@ -283,18 +289,49 @@
     nodes = ('n1', 'n2', 'n3')
     own_paths = True
 
-    # Guards against broken streams that a peer carried and that look complete.
-    def test_broken_stream_without_length_that_a_peer_carried_never_looks_complete(
-        self,
-    ):
+    def serve_through_peers(self):
+        """Cut n1 off until it serves through its peers; return the heads of groups."""
         heads = self.wait_for(self.find_heads, 'two groups are open')
         self.cut(['n1'], 'refuse')
         self.addCleanup(self.cut, ['n1'], 'none')
         self.control('pool', '/fault', mode='none', framing='connection')
+        self.addCleanup(self.control, 'pool', '/fault', mode='none')
         self.wait_for(
             lambda: self.read_stream('/stream/x', 'carried') == (WHOLE, True),
             'n1 serves through its peers',
         )
+        return heads
+
+    def start_again(self, name):
+        """Start a node again if it was killed, and wait until it serves."""
+        node = self.running[name]
+        if node.process.poll() is None:
+            return
+        node.start_again()
+        self.wait_for(node.has_started_again, f'{name} listens')
+        self.wait_for(lambda: self.serves(name), f'{name} serves')
+
+    # Guards against streams that look complete as the peer that carried them died.
+    def test_stream_without_length_whose_peer_is_killed_never_looks_complete(self):
+        for name in ('n2', 'n3'):
+            self.addCleanup(self.start_again, name)
+        self.serve_through_peers()
+        self.control('pool', '/fault', mode='still', framing='connection')
+
+        def kill_peers():
+            for name in ('n2', 'n3'):
+                self.running[name].process.kill()
+                self.running[name].process.wait()
+
+        ids, complete = self.read_stream('/single/x', 'peer-killed', on_data=kill_peers)
+        self.assertFalse(complete, ids)
+        self.assertTrue(self.find_runs('peer-killed'))
+
+    # Guards against broken streams that a peer carried and that look complete.
+    def test_broken_stream_without_length_that_a_peer_carried_never_looks_complete(
+        self,
+    ):
+        heads = self.serve_through_peers()
         for place in PLACES:
             self.break_off(heads, framing='connection', place=place)
             for path in ('/stream/x', '/single/x'):
