--- a/tests/gateway/test_suspicion.py
+++ b/tests/gateway/test_suspicion.py
@@ -81,9 +81,13 @@
     def __init__(self, ended=()):
         self.ended = set(ended)
         self.asked = []
+        #: Set once queries are answered, if they are held back.
+        self.held = None
 
     async def has_ended(self, instance):
         self.asked.append(instance.name)
+        if self.held is not None:
+            await self.held.wait()
         await anyio.lowlevel.checkpoint()
         return instance.name in self.ended
 
@@ -225,18 +229,19 @@
             )
 
         async def run():
+            self.instances.held = anyio.Event()
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(check)
-                await anyio.lowlevel.checkpoint()
+                await anyio.wait_all_tasks_blocked()
+                # These ask later than the first query began, so it tells them nothing.
                 self.now += 0.01
                 for _ in range(12):
                     tasks.start_soon(check)
-                await anyio.lowlevel.checkpoint()
-                self.now += 0.01
+                await anyio.wait_all_tasks_blocked()
+                self.instances.held.set()
 
         anyio.run(run)
         self.assertEqual(found, [False] * 13)
-        # The first query began before the others were asked for.
         self.assertEqual(self.instances.asked, ['a', 'a'])
 
     def test_end_of_a_leaving_instance_leaves_its_responses_whole(self):
