Take the word of a peer for the end of an instance where a node is cut off

What callers saw: at a node without paths of its own to the instances, a stream without length whose instance ended between two events still came as complete.

Cause: a node that is cut off concluded nothing about any instance, though a peer that reaches others can tell that one refuses connections.

Change: while the node is cut off, the finding of a peer decides: refused, or another instance at the address. Silence and a peer without paths decide nothing, as before.

--- a/coursepitch/fleet/control.py
+++ b/coursepitch/fleet/control.py
@@ -269,7 +269,8 @@
 
         This is proven if its address belongs to another instance, or refuses
         connections of this node and of a peer, both of which reach others, or if its
-        entry is gone and it refuses those of this node.  A timeout proves nothing: a
+        entry is gone and it refuses those of this node.  The word of a peer is enough
+        for a node that is cut off.  A timeout proves nothing: a
         network partition or a paused machine looks the same.  An exiting process closes
         its connections one by one, so a request whose connection breaks is repeated.
         """
@@ -280,6 +281,9 @@
     async def _confirm_end(self, instance: FleetInstance, began_at: float) -> bool:
         """Check an instance until it is known whether its process is gone."""
         while True:
+            if self._paths is not None and self._paths.is_cut_off:
+                found = await self._probe_through_peer(instance)
+                return found in (Probe.REFUSED, Probe.REPLACED)
             found = await self._request_until_clear(instance)
             if found is not Probe.REFUSED or self._paths is None:
                 return found in (Probe.REFUSED, Probe.REPLACED)
@@ -290,7 +294,7 @@
                 if found is not Probe.NO_PATH or not self._paths.has_peers():
                     return not found.answers
             if self._paths.is_cut_off:
-                return False
+                continue
             # All instances of the service may have ended, and new ones are starting.
             await anyio.sleep(CONFIRM_PAUSE_S)
 
--- a/tests/whole/test_broken_off.py
+++ b/tests/whole/test_broken_off.py
@@ -287,12 +287,13 @@
     """The same for streams that reach their node through a peer."""
 
     nodes = ('n1', 'n2', 'n3')
+    engines = 9
     own_paths = True
 
-    def serve_through_peers(self):
+    def serve_through_peers(self, mode='refuse'):
         """Cut n1 off until it serves through its peers; return the heads of groups."""
         heads = self.wait_for(self.find_heads, 'two groups are open')
-        self.cut(['n1'], 'refuse')
+        self.cut(['n1'], mode)
         self.addCleanup(self.cut, ['n1'], 'none')
         self.control('pool', '/fault', mode='none', framing='connection')
         self.addCleanup(self.control, 'pool', '/fault', mode='none')
@@ -311,6 +312,18 @@
         self.wait_for(node.has_started_again, f'{name} listens')
         self.wait_for(lambda: self.serves(name), f'{name} serves')
 
+    # Guards against ends of instances that a node without paths of its own cannot see.
+    def test_stream_without_length_whose_instance_ends_behind_a_peer_goes_on(self):
+        for mode in ('refuse', 'hang'):
+            with self.subTest(mode=mode):
+                self.cut(['n1'], 'none')
+                self.serve_through_peers(mode)
+                body = f'ends behind a peer, {mode}'
+                self.control('pool', '/crash_on', body=body, events=3, times=1)
+                found = self.read_stream('/stream/x', f'behind-{mode}', content=body)
+                self.assertEqual(found, (WHOLE, True))
+                self.assertEqual(len(self.find_runs(f'behind-{mode}')), 2)
+
     # Guards against streams that look complete as the peer that carried them died.
     def test_stream_without_length_whose_peer_is_killed_never_looks_complete(self):
         for name in ('n2', 'n3'):
