--- a/tests/gateway/test_send_gate.py
+++ b/tests/gateway/test_send_gate.py
@@ -22,6 +22,7 @@
 from coursepitch.fleet.send_permits import SendGranter, SendPermits
 from coursepitch.gateway.attempts import Result, SendPlan, send_attempt
 from coursepitch.gateway.send_gate import RETRY_AFTER_JITTER, SendGate, Withheld
+from coursepitch.http.client import Framing
 from coursepitch.platform.fleet import INSTANCE_PREFIX
 from coursepitch.platform.headers import read_response_metadata
 from coursepitch.platform.kv import Entry
@@ -171,6 +172,7 @@
         answer = SimpleNamespace(
             status=status,
             headers=tuple(lines),
+            framing=Framing.LENGTH,
             read_whole=read_whole,
             release=lambda: None,
         )
--- a/tests/gateway/test_truthful.py
+++ b/tests/gateway/test_truthful.py
@@ -12,6 +12,7 @@
 from coursepitch.gateway.calls import CallServer
 from coursepitch.gateway.request_handler import Gateway
 from coursepitch.gateway.streams import StreamServer
+from coursepitch.http.client import Framing
 from tests.fleet.builders import build_instance, build_service, build_view
 
 #: Statuses that guarantee that a request was not executed.
@@ -77,11 +78,15 @@
             sent.append(code)
 
         load_tracker = SimpleNamespace(note_failure=lambda name: None)
-        components = SimpleNamespace(**vars(self.components), load_tracker=load_tracker)
+        components = SimpleNamespace(
+            **vars(self.components), load_tracker=load_tracker, crash_detector=None
+        )
         job = build_job(['a'], ['a'], 5.0)
         job.route.repeatable = False
         job.reply.send_whole = send_whole
-        answer = SimpleNamespace(status=status, headers=(), read_whole=read_whole)
+        answer = SimpleNamespace(
+            status=status, headers=(), framing=Framing.LENGTH, read_whole=read_whole
+        )
         group = SimpleNamespace(head=build_instance('a'))
         server = StreamServer(components, None)
         anyio.run(server._forward_error, job, group, answer)
