--- a/coursepitch/fleet/control.py
+++ b/coursepitch/fleet/control.py
@@ -270,9 +270,9 @@
         This is proven if its address belongs to another instance, or refuses
         connections of this node and of a peer, both of which reach others, or if its
         entry is gone and it refuses those of this node.  The word of a peer is enough
-        for a node that is cut off.  A timeout proves nothing: a
-        network partition or a paused machine looks the same.  An exiting process closes
-        its connections one by one, so a request whose connection breaks is repeated.
+        for a node that is cut off.  A timeout proves nothing: a network partition or a
+        paused machine looks the same.  An exiting process closes its connections one by
+        one, so a request whose connection breaks is repeated.
         """
         with anyio.move_on_after(CONFIRM_TIMEOUT_S):
             return await self._confirm_end(instance, self._clock())
