Ask again where a connection to an instance ends while it comes up

Cause: a process that exits closes its sockets one by one, so a connection may come up and end before a request is sent. That counted as silence, which proves nothing, and not as a broken request, which is repeated.

The new unit test fails before and passes now.

Change: a connection that cannot be made says whether it ended while it came up, and the check repeats such a request, also through a peer. Crashes by requests that were interrupted are found by the same check. A unit test shows what the word of a peer decides for a node that is cut off.

--- a/coursepitch/fleet/control.py
+++ b/coursepitch/fleet/control.py
@@ -282,7 +282,7 @@
         """Check an instance until it is known whether its process is gone."""
         while True:
             if self._paths is not None and self._paths.is_cut_off:
-                found = await self._probe_through_peer(instance)
+                found = await self._request_until_clear(instance, self._peer_pool)
                 return found in (Probe.REFUSED, Probe.REPLACED)
             found = await self._request_until_clear(instance)
             if found is not Probe.REFUSED or self._paths is None:
@@ -298,10 +298,15 @@
             # All instances of the service may have ended, and new ones are starting.
             await anyio.sleep(CONFIRM_PAUSE_S)
 
-    async def _request_until_clear(self, instance: FleetInstance) -> Probe:
-        """Request an instance's report until the connection does not break."""
+    async def _request_until_clear(
+        self, instance: FleetInstance, pool: ConnectionPool | None = None
+    ) -> Probe:
+        """Request an instance's report until the connection does not break.
+
+        :param pool: opens the connections; direct ones by default.
+        """
         for _ in range(ENDING_TRIES):
-            found = await self._request_report(instance)
+            found = await self._request_report(instance, pool)
             if found is not Probe.BROKEN:
                 break
             await anyio.sleep(ENDING_PAUSE_S)
@@ -334,6 +339,8 @@
                         # Nothing else uses connections of this pool.
                         pool.discard(connection)
         except NoConnectionError as error:
+            if error.lost:
+                return Probe.BROKEN
             return Probe.REFUSED if error.refused else Probe.SILENT
         except ExchangeError:
             return Probe.BROKEN
--- a/coursepitch/http/client.py
+++ b/coursepitch/http/client.py
@@ -99,13 +99,16 @@
 
     :param refused: whether the instance refused the connection, as no process
         listens at the address.
+    :param lost: whether the connection ended while it came up, as it does if the
+        process that listens is just exiting.
     """
 
     category = 'connect'
 
-    def __init__(self, message: str, refused: bool = False) -> None:
+    def __init__(self, message: str, refused: bool = False, lost: bool = False) -> None:
         super().__init__(message)
         self.refused = refused
+        self.lost = lost
 
 
 class ExchangeError(CoursepitchError):
@@ -337,6 +340,7 @@
                 f'limit of {limit} connections to {address} reached'
             )
         self._open[address] = self.count_open(address) + 1
+        stream: ByteStream | None = None
         try:
             with anyio.fail_after(self.connect_timeout_s):
                 stream = await self.connect(address, instance)
@@ -348,8 +352,9 @@
             self._count_closed(address)
             self.note_attempt(_classify_failure(error))
             refused = isinstance(error, ConnectionRefusedError)
+            lost = stream is not None or isinstance(error, ConnectionResetError)
             raise NoConnectionError(
-                f'{address}: {type(error).__name__}', refused
+                f'{address}: {type(error).__name__}', refused, lost
             ) from error
         except BaseException:
             self._count_closed(address)
--- a/tests/fleet/test_control.py
+++ b/tests/fleet/test_control.py
@@ -224,6 +224,17 @@
         alone = self.probe(Probe.REFUSED, Probe.SILENT, True, has_peers=False)
         self.assertIs(alone, Probe.REFUSED)
 
+    def test_peer_tells_a_node_that_is_cut_off_of_an_end(self):
+        for direct in (Probe.SILENT, Probe.REFUSED):
+            for indirect in (Probe.REFUSED, Probe.REPLACED):
+                self.assertTrue(
+                    self.has_ended(direct, indirect, False, is_cut_off=True)
+                )
+            for indirect in (Probe.ANSWERS, Probe.SILENT, Probe.BROKEN):
+                self.assertFalse(
+                    self.has_ended(direct, indirect, False, is_cut_off=True)
+                )
+
     # Guards against one node's lost path that is told to all as a lost instance.
     def test_instance_that_answers_a_peer_is_not_lost(self):
         for direct in (Probe.SILENT, Probe.REFUSED):
@@ -328,7 +339,7 @@
         """
         left = list(answers)
 
-        async def answer(instance):
+        async def answer(instance, pool=None):
             return left.pop(0)
 
         async def run():
@@ -346,6 +357,20 @@
         self.assertEqual(self.ask(Probe.BROKEN, Probe.REFUSED), (True, 2))
         self.assertEqual(self.ask(Probe.BROKEN, Probe.ANSWERS), (False, 2))
 
+    # Guards against crashes that are missed as a connection ends while it comes up.
+    def test_connection_that_ends_as_it_comes_up_is_repeated(self):
+        errors = [ConnectionResetError(), ConnectionRefusedError()]
+
+        async def connect(address, instance):
+            raise errors.pop(0)
+
+        async def run():
+            control = InstanceControl(lambda: 0.0)
+            control._direct_pool.connect = connect
+            return await control.has_ended(build_instance('a'))
+
+        self.assertTrue(anyio.run(run))
+
     def test_silence_and_repeatedly_broken_requests_prove_nothing(self):
         self.assertEqual(self.ask(Probe.SILENT), (False, 1))
         broken = [Probe.BROKEN] * ENDING_TRIES
--- a/tests/http/test_framing.py
+++ b/tests/http/test_framing.py
@@ -220,8 +220,9 @@
                 return stream
 
             pool = ConnectionPool(connect=connect_and_lose)
-            with self.assertRaises(NoConnectionError):
+            with self.assertRaises(NoConnectionError) as caught:
                 await pool.acquire(address)
+            self.assertTrue(caught.exception.lost)
             self.assertEqual(pool.count_open(address), 0)
             sock.close()
 
@@ -242,6 +243,7 @@
             with self.assertRaises(NoConnectionError) as caught:
                 await pool.acquire(address)
             self.assertTrue(caught.exception.refused)
+            self.assertFalse(caught.exception.lost)
             self.assertEqual(pool.count_open(address), 0)
             self.assertEqual(
                 outcomes,
