--- a/tests/fleet/test_keeper.py
+++ b/tests/fleet/test_keeper.py
@@ -92,6 +92,35 @@
         self.assertEqual(control.asked, [])
 
 
+class IsolatedLeaderTest(unittest.TestCase):
+    """A leader tells its controller whether it reaches any instance."""
+
+    # Guards against groups that are given up for the time in which no order left.
+    def test_time_without_paths_is_told_to_the_controller(self):
+        for isolated in (False, True):
+            with self.subTest(isolated=isolated):
+                view = build_view([])
+                view.table = build_table(services=[])
+                session = SimpleNamespace(
+                    view=view, is_leader=lambda: True, is_fresh=lambda: True
+                )
+                control = FakeControl(OrderResult.TAKEN, Probe.ANSWERS)
+                control.is_isolated = lambda isolated=isolated: isolated
+                keeper = LeaderTask(
+                    session,
+                    control,
+                    lambda: 100.0,
+                    bootstrap=False,
+                    has_served=lambda: True,
+                    read_work=dict,
+                    started_at=0.0,
+                )
+                told = []
+                keeper._controller.note_isolated = told.append
+                anyio.run(keeper._manage, None)
+                self.assertEqual(told, [100.0] if isolated else [])
+
+
 class EarlyLoadTest(unittest.TestCase):
     """Loads before the first request are due until it arrives or time is up."""
 
