--- a/tests/whole/platform_base.py
+++ b/tests/whole/platform_base.py
@@ -358,6 +358,16 @@
             if run['request'] == request
         ]
 
+    @classmethod
+    def find_heads(cls):
+        """Return the heads of the open groups once there are two."""
+        heads = [
+            name
+            for name, item in cls.stats('pool').items()
+            if item['group'] and item['group']['state'] == 'open'
+        ]
+        return heads if len(heads) >= 2 else None
+
     # -- clients --------------------------------------------------------------------
 
     def send(self, node, method, path, request, *, key=KEY, **options):
--- a/tests/whole/steady_clients.py
+++ b/tests/whole/steady_clients.py
@@ -53,12 +53,8 @@
 
         The members of a group are told before its entry says that it is open.
         """
-        heads = [
-            name
-            for name, item in self.stats('pool').items()
-            if item['group'] and item['group']['state'] == 'open'
-        ]
-        if len(heads) < 2:
+        heads = super().find_heads()
+        if heads is None:
             return None
         return heads if all(map(self.knows_two_groups, self.nodes)) else None
 
--- a/tests/whole/test_broken_off.py
+++ b/tests/whole/test_broken_off.py
@@ -45,15 +45,6 @@
         more = [{**routes[0], **changes} for changes in (single, plain)]
         super().configure(routes=[*routes, *more], **fields)
 
-    def find_heads(self):
-        """Return the heads of the open groups once there are two."""
-        heads = [
-            name
-            for name, item in self.stats('pool').items()
-            if item['group'] and item['group']['state'] == 'open'
-        ]
-        return heads if len(heads) >= 2 else None
-
     def break_off(self, instances, service='pool', **fault):
         """Let instances of a service break off their answers; none named: all."""
         self.control(service, '/fault', mode='half', instances=instances, **fault)
--- a/tests/whole/test_platform.py
+++ b/tests/whole/test_platform.py
@@ -135,15 +135,6 @@
         self.assertEqual(reply.status_code, 200)
         self.assertTrue(reply.text.endswith('out-5'))
 
-    def find_heads(self):
-        """Return the heads of the open groups once there are two."""
-        heads = [
-            name
-            for name, item in self.stats('pool').items()
-            if item['group'] and item['group']['state'] == 'open'
-        ]
-        return heads if len(heads) >= 2 else None
-
     def test_stream_that_breaks_within_an_event_goes_on_without_seam(self):
         heads = self.wait_for(self.find_heads, 'two groups are open')
         self.control('pool', '/fault', mode='half', instances=heads[:1])
