Count no arrival that a cut path held up against instances that left, in the soak

Change: the checker leaves out what a cut held up, as it does for backoffs. Its test fails before; an arrival after a cut that had ended before the request was sent still counts.

--- a/soak/checkers.py
+++ b/soak/checkers.py
@@ -132,8 +132,12 @@
     """Instances that left get nothing after the time that users allow."""
     left = {item.instance: item.acknowledged_at for item in history.left}
     nodes = {call.id: call.node for call in history.calls}
+    calls = history.map_calls()
 
     def is_excused(run: Run) -> bool:
+        call = calls.get(run.call)
+        if call is not None and history.may_be_held_up(run, call):
+            return True
         since = left[run.instance] - bounds.contact_s
         return any(
             history.was_disturbed(node, since, run.arrived_at)
--- a/tests/soak/test_checkers.py
+++ b/tests/soak/test_checkers.py
@@ -127,6 +127,17 @@
         history = History((), (late,), (Left('i', 10.0),), (), away)
         self.assert_proves(check_leaving, history)
 
+    def test_arrival_that_a_cut_path_held_up_may_be_late(self):
+        left = (Left('i', 10.0),)
+        call, run = build_call(sent_at=10.1, node='n'), build_run(arrived_at=12.6)
+        for until in (10.05, 12.59):
+            cut = Cut(frozenset({'n'}), 9.0, until)
+            history = History((call,), (run,), left, cuts=(cut,))
+            if until < call.sent_at:
+                self.assert_fires(check_leaving, history, 'c')
+            else:
+                self.assertEqual(check_leaving(history, BOUNDS).findings, ())
+
     def test_arrivals_in_a_backoff(self):
         times = (10.0, 10.4, 11.0, 12.0, 12.9)
         calls = tuple(build_call(f'c{n}', at, node='n1') for n, at in enumerate(times))
