Log the parts of a prompt whose run ended an instance

Callers saw back ends end one after the other under requests that share a part of their prompts. The logs named each request's fingerprint, and nothing that several requests have in common, so they could not tell whether such crashes are missed or are counted apart. instance.crashed (525) names the parts of the prompt, read from the platform's header, and for how long the run had written events. Malformed parts are left out.

--- a/coursepitch/events.py
+++ b/coursepitch/events.py
@@ -224,8 +224,17 @@
     525,
     'instance.crashed',
     'An instance ended unexpectedly while it processed a request: the request id, '
-    'and the fingerprint, which is the same when clients resend the request.',
-    ('instance', 'born', 'request', 'fingerprint', 'customer'),
+    'and the fingerprint, which is the same when clients resend the request, the parts '
+    'of its prompt, and the seconds between the first and the latest event of the run.',
+    (
+        'instance',
+        'born',
+        'request',
+        'fingerprint',
+        'customer',
+        'parts',
+        'wrote_s',
+    ),
 )
 INSTANCE_LIMITED = Event(
     526,
--- a/coursepitch/gateway/crash_detector.py
+++ b/coursepitch/gateway/crash_detector.py
@@ -67,6 +67,8 @@
             request=job.fields.request,
             fingerprint=job.fingerprint,
             customer=customer,
+            parts=list(job.fields.prompt_parts),
+            wrote_s=round(job.wrote_s, 3),
         )
         self._reporter.note_crash(
             Crash(
--- a/coursepitch/gateway/job.py
+++ b/coursepitch/gateway/job.py
@@ -74,6 +74,8 @@
     :param crashes: number of instances that ended while executing it.
     :param first_sent_at: monotonic time of the first send.
     :param last_sent_at: monotonic time of the latest send.
+    :param run_began_at: monotonic time at which the first event of the latest run was
+        forwarded; ``None`` before it.
     :param first_event_at: monotonic time at which the first event was forwarded.
     :param last_event_at: monotonic time at which the latest event was forwarded.
     :param pause_s: longest pause in seconds between two events.
@@ -101,6 +103,7 @@
     ending: Ending = Ending.NOT_RUN
     first_sent_at: float | None = None
     last_sent_at: float = 0.0
+    run_began_at: float | None = None
     first_event_at: float | None = None
     last_event_at: float | None = None
     pause_s: float = 0.0
@@ -114,6 +117,7 @@
         """
         self.sent.append(instance)
         self.last_sent_at = now
+        self.run_began_at = None
         if self.first_sent_at is None:
             self.first_sent_at = now
 
@@ -122,12 +126,21 @@
 
         :param now: present monotonic time in seconds.
         """
+        if self.run_began_at is None:
+            self.run_began_at = now
         if self.last_event_at is None:
             self.first_event_at = now
         else:
             self.pause_s = max(self.pause_s, now - self.last_event_at)
         self.last_event_at = now
 
+    @property
+    def wrote_s(self) -> float:
+        """Seconds between the first and the latest event of the latest run."""
+        if self.run_began_at is None or self.last_event_at is None:
+            return 0.0
+        return self.last_event_at - self.run_began_at
+
     @cached_property
     def fingerprint(self) -> str:
         """Fingerprint that equal requests share, whatever their ids and nodes."""
--- a/coursepitch/platform/headers.py
+++ b/coursepitch/platform/headers.py
@@ -57,6 +57,12 @@
 #: A decimal number without sign or exponent, of at most 20 characters.
 _DECIMAL = re.compile(rb'(?=.{1,20}$)(\d+(\.\d*)?|\.\d+)')
 
+#: One part of a prompt: its id in hexadecimal and its length in tokens.
+_PROMPT_PART = re.compile(rb'([0-9A-Fa-f]{1,64}):\d{1,12}')
+
+#: Most parts of a prompt that are read; the longest known prompts have about ten.
+MAX_PROMPT_PARTS = 64
+
 #: Bytes of an invalid header value that are kept for the log.
 _LOGGED_VALUE_BYTES = 40
 
@@ -72,6 +78,8 @@
     :param answer_tokens: maximum length of the response in tokens.
     :param expected_tokens: the client's estimate of the response length in tokens.
     :param last_event: id of the last event that the client received; empty for none.
+    :param prompt_parts: ids of the parts of the prompt, in order and without
+        duplicates.
     """
 
     request: str
@@ -83,6 +91,7 @@
     answer_tokens: int
     expected_tokens: int
     last_event: bytes
+    prompt_parts: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -150,9 +159,17 @@
         answer_tokens=int(_parse_number(response, 0)),
         expected_tokens=int(_parse_number(found.get(b'x-length-hint', b''), 0)),
         last_event=found.get(b'last-event-id', b''),
+        prompt_parts=_parse_prompt_parts(found.get(b'x-prompt-prefix', b'')),
     )
 
 
+def _parse_prompt_parts(value: bytes) -> tuple[str, ...]:
+    """Return the ids of the parts of a prompt; malformed parts are left out."""
+    found = map(_PROMPT_PART.fullmatch, map(bytes.strip, value.split(b',')))
+    names = [match[1].decode().lower() for match in found if match is not None]
+    return tuple(dict.fromkeys(names))[:MAX_PROMPT_PARTS]
+
+
 def _parse_number(text: bytes, default: float) -> float:
     try:
         return float(text) if text.strip() else default
--- a/tests/gateway/test_suspicion.py
+++ b/tests/gateway/test_suspicion.py
@@ -41,7 +41,7 @@
     return Job(
         build_incoming(body, target),
         None,
-        SimpleNamespace(request=request, host='a.example'),
+        SimpleNamespace(request=request, host='a.example', prompt_parts=()),
         None,
         SimpleNamespace(name=SERVICE),
         SimpleNamespace(name=customer) if customer else None,
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -6,9 +6,11 @@
 
 from hypothesis import given, strategies
 
+from coursepitch.http.messages import IncomingRequest
 from coursepitch.platform.headers import (
     ForwardFields,
     build_target_headers,
+    read_request_fields,
     read_response_metadata,
 )
 
@@ -166,3 +168,27 @@
                 headers = tuple((b'X-Cold-Ms', value) for value in values)
                 found = read_response_metadata(200, headers).cold_left_s
                 self.assertEqual(found, left_s)
+
+
+class PromptPartsTest(unittest.TestCase):
+    """Ids of the parts of a prompt."""
+
+    def read(self, value):
+        headers = ((b'X-Prompt-Prefix', value),)
+        request = IncomingRequest(b'POST', b'/', headers, b'', 0.0, b'')
+        return read_request_fields(request).prompt_parts
+
+    def test_ids_are_read_in_order(self):
+        self.assertEqual(
+            self.read(b'5c1e07a2:800, 91BD3f06:410,e4402b7d:250'),
+            ('5c1e07a2', '91bd3f06', 'e4402b7d'),
+        )
+
+    def test_malformed_parts_and_repeats_are_left_out(self):
+        self.assertEqual(self.read(b''), ())
+        self.assertEqual(self.read(b'a:1,,b,c:x,zz:1,d:2,a:3,:4'), ('a', 'd'))
+
+    @given(strategies.binary(max_size=200))
+    def test_any_value_is_read(self, value):
+        for name in self.read(value):
+            int(name, 16)
