--- a/standins/replica.py
+++ b/standins/replica.py
@@ -15,9 +15,10 @@
 Beside the mode, ``framing`` says what tells the end of answers with status 200:
 their ``length``, ``chunks``, or the end of their ``connection``; by default any of
 these, drawn anew for each answer by ``--seed``.
-``POST /crash_on`` names a body: each instance that begins to run a request with it
-ends at once, or after the head of its answer and ``events`` events or parts, and an
-empty one takes its place; ``times`` bounds how often.
+``POST /crash_on`` names a body, or a ``part`` of prompts that is not the last: each
+instance that begins to run a request with it ends at once, or after the head of its
+answer and ``events`` events or parts, and an empty one takes its place; ``times``
+bounds how often.
 ``POST /limit`` names a limit that instances tell in all their answers to requests from
 then on; null for none.
 ``POST /backoff`` names the seconds for which instances want no requests, told in the
@@ -94,6 +95,7 @@
     orders: list[dict[str, Any]] = field(default_factory=list)
     scope: anyio.CancelScope = field(default_factory=anyio.CancelScope)
     crashed: bool = False
+    crashed_at: float | None = None
     limit: str | None = None
     visits: list[dict[str, Any]] = field(default_factory=list)
     backoff: str | None = None
@@ -131,6 +133,8 @@
         self.client = httpx.AsyncClient(base_url=f'http://{options.store}')
         self.chance = random.Random(options.seed)
         self.crash_body = b''
+        #: Part of prompts that ends instances, if it is not the last; empty for none.
+        self.crash_part = ''
         #: Events or parts of an answer after which an instance ends; ``None`` for none.
         self.crash_events: int | None = None
         self.crashes_left = 0
@@ -167,6 +171,7 @@
     def crash(self, instance: Instance) -> None:
         """End an instance with all its connections, as a killed process."""
         instance.crashed = True
+        instance.crashed_at = time.monotonic()
         instance.scope.cancel()
         self.tasks.start_soon(self._replace, instance)
 
@@ -345,7 +350,7 @@
         if mode == 'mute':
             await wait_left(stream, run)
             return False
-        run['ends'] = bool(self.crash_body) and body == self.crash_body
+        run['ends'] = self._ends_instances(headers, body)
         if self.crash_events is None:
             await self._end_with(instance, run)
         mark['X-Replica-Signature'] = f'{instance.name}.{len(instance.runs)}'
@@ -373,6 +378,14 @@
             await writer.send(part)
         return await writer.end()
 
+    def _ends_instances(self, headers: dict[str, str], body: bytes) -> bool:
+        parts = headers.get('x-prompt-prefix', '').split(',')[:-1]
+        if self.crash_part and self.crash_part in [
+            part.split(':')[0] for part in parts
+        ]:
+            return True
+        return bool(self.crash_body) and body == self.crash_body
+
     async def _end_with(self, instance: Instance, run: dict[str, Any]) -> None:
         """Let the instance end if this run is one that ends it."""
         if run['ends'] and self.crashes_left > 0:
@@ -460,6 +473,7 @@
                 'runs': item.runs,
                 'orders': item.orders,
                 'crashed': item.crashed,
+                'crashed_at': item.crashed_at,
                 'arrivals': [visit['at'] for visit in item.visits],
                 'visits': item.visits,
             }
@@ -467,7 +481,8 @@
         }
     data = json.loads(body)
     if target == '/crash_on':
-        host.crash_body = data['body'].encode()
+        host.crash_body = data.get('body', '').encode()
+        host.crash_part = data.get('part', '')
         host.crash_events = data.get('events')
         host.crashes_left = data.get('times', 1_000_000)
         return {}
