--- a/coursepitch/cmd/refused.py
+++ b/coursepitch/cmd/refused.py
@@ -11,12 +11,12 @@
 
 from coursepitch.cmd.base import BaseCommand
 from coursepitch.config.gateway import load_gateway_settings
-from coursepitch.errors import CodecError, NotFoundError, UnavailableError
-from coursepitch.fleet.refused import (
+from coursepitch.crashes.refused import (
     RefusedRequest,
     decode_refused,
     encode_lifted,
 )
+from coursepitch.errors import CodecError, NotFoundError, UnavailableError
 from coursepitch.fleet.view import REFUSED_PREFIX
 from coursepitch.metrics import Metrics
 from coursepitch.platform.kv import KeyValue, Swapped, Unavailable, Write
--- /dev/null
+++ b/coursepitch/crashes/__init__.py
@@ -0,0 +1,1 @@
+"""Requests that crash instances: what is seen, told, concluded and stored of them."""
--- a/coursepitch/fleet/refused.py
+++ b/coursepitch/crashes/refused.py
@@ -13,7 +13,7 @@
 from coursepitch.errors import CodecError
 
 if TYPE_CHECKING:
-    from coursepitch.fleet.suspects import Suspect
+    from coursepitch.crashes.suspects import Suspect
 
 __all__ = [
     'CrashedInstance',
--- a/coursepitch/fleet/reports.py
+++ b/coursepitch/crashes/reports.py
@@ -13,9 +13,9 @@
 import anyio
 
 from coursepitch import events, log
+from coursepitch.crashes.refused import encode_refused
+from coursepitch.crashes.suspects import REPORT_DELAY_S, Clearance, Crash
 from coursepitch.fleet.messages import CrashReport
-from coursepitch.fleet.refused import encode_refused
-from coursepitch.fleet.suspects import REPORT_DELAY_S, Clearance, Crash
 from coursepitch.fleet.view import REFUSED_PREFIX
 from coursepitch.platform.kv import Swapped, Unavailable, Write
 
@@ -23,9 +23,9 @@
     from collections.abc import Awaitable, Callable, Collection
 
     from coursepitch.clock import Clock
+    from coursepitch.crashes.refused import RefusedRequest
+    from coursepitch.crashes.suspects import Suspect, SuspectTable
     from coursepitch.fleet.messages import Message
-    from coursepitch.fleet.refused import RefusedRequest
-    from coursepitch.fleet.suspects import Suspect, SuspectTable
     from coursepitch.fleet.view import FleetView
     from coursepitch.platform.kv import KeyValue
 
--- a/coursepitch/fleet/messages.py
+++ b/coursepitch/fleet/messages.py
@@ -12,6 +12,7 @@
 
 import cbor2
 
+from coursepitch.crashes.suspects import Clearance, Crash
 from coursepitch.errors import CodecError
 from coursepitch.fleet.limit_messages import (
     LimitReport,
@@ -23,7 +24,6 @@
 )
 from coursepitch.fleet.retry_loans import RetryReply, RetryRequest
 from coursepitch.fleet.rows import read_text
-from coursepitch.fleet.suspects import Clearance, Crash
 from coursepitch.platform.kv import Entry
 
 if TYPE_CHECKING:
--- a/coursepitch/fleet/view.py
+++ b/coursepitch/fleet/view.py
@@ -10,6 +10,7 @@
 from typing import TYPE_CHECKING
 
 from coursepitch import events, log
+from coursepitch.crashes.refused import decode_refused
 from coursepitch.errors import CodecError, FindingsError
 from coursepitch.fleet.claims import GroupClaim, decode_claims, decode_loads
 from coursepitch.fleet.evacuations import Evacuations
@@ -17,7 +18,6 @@
 from coursepitch.fleet.leaving import LeavingInstances
 from coursepitch.fleet.lost import LOST_PREFIX, LostInstances
 from coursepitch.fleet.nodes import decode_place
-from coursepitch.fleet.refused import decode_refused
 from coursepitch.platform.configuration import CONFIGURATION_KEY, decode_configuration
 from coursepitch.platform.fleet import (
     EVACUATION_PREFIX,
@@ -31,9 +31,9 @@
 
     from coursepitch.clock import Clock
     from coursepitch.config.routes import RouteTable
+    from coursepitch.crashes.refused import RefusedRequest
     from coursepitch.fleet.instances import FleetInstance
     from coursepitch.fleet.nodes import NodeLocation
-    from coursepitch.fleet.refused import RefusedRequest
     from coursepitch.platform.kv import Events
 
 __all__ = [
--- a/coursepitch/gateway/crash_detector.py
+++ b/coursepitch/gateway/crash_detector.py
@@ -7,14 +7,14 @@
 import anyio
 
 from coursepitch import events, log
-from coursepitch.fleet.suspects import REPORT_DELAY_S, Crash
+from coursepitch.crashes.suspects import REPORT_DELAY_S, Crash
 from coursepitch.gateway.job import MAX_CRASHES
 
 if TYPE_CHECKING:
     from coursepitch.clock import Clock
+    from coursepitch.crashes.reports import CrashReporter
     from coursepitch.fleet.control import InstanceControl
     from coursepitch.fleet.instances import FleetInstance
-    from coursepitch.fleet.reports import CrashReporter
     from coursepitch.fleet.session import FleetSession
     from coursepitch.gateway.job import Job
 
--- a/coursepitch/gateway/suspicion.py
+++ b/coursepitch/gateway/suspicion.py
@@ -15,8 +15,8 @@
     from collections.abc import Callable, Iterator
 
     from coursepitch.clock import Clock
-    from coursepitch.fleet.reports import CrashReporter
-    from coursepitch.fleet.suspects import Suspect, SuspectTable
+    from coursepitch.crashes.reports import CrashReporter
+    from coursepitch.crashes.suspects import Suspect, SuspectTable
     from coursepitch.fleet.view import FleetView
     from coursepitch.gateway.job import Job
     from coursepitch.metrics import Metrics
--- a/coursepitch/gateway_application.py
+++ b/coursepitch/gateway_application.py
@@ -12,6 +12,8 @@
 from coursepitch import events, log
 from coursepitch.clock import boottime
 from coursepitch.config.gateway import list_changed_options, load_gateway_settings
+from coursepitch.crashes.reports import CrashReporter, LiveInstances
+from coursepitch.crashes.suspects import SuspectTable
 from coursepitch.errors import FindingsError
 from coursepitch.fleet.backoffs import InstanceBackoffs
 from coursepitch.fleet.control import InstanceControl
@@ -21,9 +23,7 @@
 from coursepitch.fleet.nodes import NodeLocation
 from coursepitch.fleet.notices import InstanceNotices
 from coursepitch.fleet.paths import InstancePaths
-from coursepitch.fleet.reports import CrashReporter, LiveInstances
 from coursepitch.fleet.session import FleetSession
-from coursepitch.fleet.suspects import SuspectTable
 from coursepitch.fleet.tunnels import TunnelClient, TunnelServer
 from coursepitch.gateway.admission import Admission
 from coursepitch.gateway.attempts import lend_retry
--- /dev/null
+++ b/tests/crashes/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of :mod:`coursepitch.crashes`."""
--- a/tests/fleet/test_reports.py
+++ b/tests/crashes/test_reports.py
@@ -6,14 +6,14 @@
 
 import anyio
 
-from coursepitch.fleet.messages import CrashReport, decode_message, encode_message
-from coursepitch.fleet.refused import encode_lifted
-from coursepitch.fleet.reports import (
+from coursepitch.crashes.refused import encode_lifted
+from coursepitch.crashes.reports import (
     LAPSE_HEARTBEATS,
     CrashReporter,
     LiveInstances,
 )
-from coursepitch.fleet.suspects import CRASHES_TO_CONFIRM, Crash, SuspectTable
+from coursepitch.crashes.suspects import CRASHES_TO_CONFIRM, Crash, SuspectTable
+from coursepitch.fleet.messages import CrashReport, decode_message, encode_message
 from coursepitch.fleet.view import REFUSED_PREFIX, FleetView
 from coursepitch.platform.kv import Entry, Events, Swapped, Unavailable
 from tests.fleet.builders import build_instance
--- a/tests/fleet/test_suspects.py
+++ b/tests/crashes/test_suspects.py
@@ -5,7 +5,7 @@
 import random
 import unittest
 
-from coursepitch.fleet.suspects import (
+from coursepitch.crashes.suspects import (
     COINCIDENCE_REFUSE_S,
     CRASH_RELEVANT_S,
     CRASHES_TO_CONFIRM,
--- a/tests/fleet/test_peers.py
+++ b/tests/fleet/test_peers.py
@@ -11,6 +11,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from coursepitch.crashes.suspects import Clearance, Crash
 from coursepitch.errors import CodecError
 from coursepitch.fleet.freshness import Freshness
 from coursepitch.fleet.messages import (
@@ -29,7 +30,6 @@
 from coursepitch.fleet.nodes import NodeLocation
 from coursepitch.fleet.peers import FORGET_S, PeerRegistry
 from coursepitch.fleet.session import FleetSession
-from coursepitch.fleet.suspects import Clearance, Crash
 from coursepitch.fleet.view import FleetView
 from coursepitch.platform.kv import Entry, Events
 from tests.fleet.builders import build_instance
--- a/tests/gateway/test_suspicion.py
+++ b/tests/gateway/test_suspicion.py
@@ -8,17 +8,17 @@
 
 import anyio
 
-from coursepitch.fleet.control import InstanceControl
-from coursepitch.fleet.messages import CrashReport
-from coursepitch.fleet.pause_detector import PAUSE_THRESHOLD_S, PauseDetector
-from coursepitch.fleet.reports import CrashReporter
-from coursepitch.fleet.suspects import (
+from coursepitch.crashes.reports import CrashReporter
+from coursepitch.crashes.suspects import (
     CRASHES_TO_CONFIRM,
     REPORT_DELAY_S,
     RETRY_PAUSE_S,
     Crash,
     SuspectTable,
 )
+from coursepitch.fleet.control import InstanceControl
+from coursepitch.fleet.messages import CrashReport
+from coursepitch.fleet.pause_detector import PAUSE_THRESHOLD_S, PauseDetector
 from coursepitch.gateway.crash_detector import CrashDetector
 from coursepitch.gateway.fingerprint import build_fingerprint
 from coursepitch.gateway.job import Ending, Job
