Find the part of prompts that crashes instances, and refuse requests with it

Callers saw one back end end after the other: requests that share a part of their prompts, no two alike, each ended as many instances as its route allows attempts, and took up to 16 streams of others along with each.

Cause: crashes were counted for whole requests only, by a hash of customer, host, target and body, so what such requests have in common was known to nobody. Counting alone would convict what all requests share, as it is on every instance that ends.

Change: a crash names the parts of the prompts of runs that had just begun. A part is concluded to crash instances after three crashes without a success in between, if no other part explains them; parts that were not told apart are refused only together. Successes count for the same customer, model and software, and only if the instance provably outlived its answer: an answer that ends with its connection now asks the instance, and clears nothing otherwise, neither parts nor requests. What is found is told, stored, listed and lifted as requests are; it is looked at again as each request is sent, as some wait for seconds; after 3 s the leader tries one request at a time, after an end the next in 120 s. Requests whose crashes a part explains are not suspected any more; a stored refusal that proved wrong is lifted.

--- a/coursepitch/cmd/refused.py
+++ b/coursepitch/cmd/refused.py
@@ -55,7 +55,8 @@
             self.print_raw(json.dumps([build_row(item) for item in found]))
         for item in found if not self.option('json') else ():
             ended = ', '.join(f'{row.name} ({row.seen_by})' for row in item.ended)
-            self.print_raw(f'{item.fingerprint} {item.customer or "-"}: {ended}')
+            customers = ','.join(item.customers) or '-'
+            self.print_raw(f'{item.fingerprint} {customers}: {ended}')
         return 0
 
 
@@ -68,6 +69,8 @@
     return {
         'fingerprint': item.fingerprint,
         'customer': item.customer,
+        'customers': item.customers,
+        'companions': list(item.companions),
         'ended': ended,
     }
 
--- a/coursepitch/crashes/refused.py
+++ b/coursepitch/crashes/refused.py
@@ -1,4 +1,4 @@
-"""Store entries of requests that are refused because they crash instances.
+"""Store entries of requests and parts of prompts that crash instances.
 
 The entries outlive the nodes that wrote them; operators can list and lift them.
 """
@@ -10,6 +10,8 @@
 
 import orjson
 
+from coursepitch.crashes.parts import PART_PREFIX, SuspectPart
+from coursepitch.crashes.suspects import Crash
 from coursepitch.errors import CodecError
 
 if TYPE_CHECKING:
@@ -31,20 +33,28 @@
     :param born: its start in Unix milliseconds; 0 if unknown.
     :param seen_by: node that observed the crash.
     :param software: version of the instance's software; empty if unknown.
+    :param customer: customer that sent the request.
+    :param workload: service and model that the request was for.
     """
 
     name: str
     born: int
     seen_by: str
     software: str = ''
+    customer: str = ''
+    workload: str = ''
 
 
 @dataclass(frozen=True, slots=True)
 class RefusedRequest:
-    """A request that is refused on all nodes.
+    """A request, or all with a part in their prompts, that is refused on all nodes.
 
-    :param customer: customer that sent the request; empty on public routes.
+    :param fingerprint: fingerprint of the request, or key of the part.
+    :param customer: customer that sent the request, or the first one of several; empty
+        on public routes.
     :param ended: instances that crashed while they ran it.
+    :param companions: parts without which a part is not known to crash instances.
+    :param tried: whether a trial of a refused part crashed an instance.
     :param lifted: whether an operator allowed it again.  This is stored, since a
         missing entry may also have been lost with the store.
     """
@@ -52,16 +62,61 @@
     fingerprint: str
     customer: str
     ended: tuple[CrashedInstance, ...] = ()
+    companions: tuple[str, ...] = ()
+    tried: bool = False
     lifted: bool = False
 
-
-def encode_refused(suspect: Suspect) -> str:
-    """Encode a suspected request as a value of the store."""
-    rows = [
-        [item.instance, item.born, item.seen_by, item.software]
-        for item in suspect.crashes.values()
-    ]
-    return orjson.dumps({'customer': suspect.customer, 'ended': rows}).decode()
+    @property
+    def customers(self) -> list[str]:
+        """Customers whose requests crashed instances, in order."""
+        found = (item.customer or self.customer for item in self.ended)
+        return list(dict.fromkeys(found)) or [self.customer]
+
+    def list_crashes(self, at: float) -> list[Crash]:
+        """Return the crashes as they count from a monotonic time on."""
+        parts: tuple[str, ...] = ()
+        fingerprint = self.fingerprint
+        if fingerprint.startswith(PART_PREFIX):
+            parts = (fingerprint.removeprefix(PART_PREFIX), *self.companions)
+            fingerprint = ''
+        return [
+            Crash(
+                fingerprint,
+                item.customer or self.customer,
+                item.name,
+                item.born,
+                at,
+                item.seen_by,
+                item.software,
+                item.workload,
+                parts,
+            )
+            for item in self.ended
+        ]
+
+
+def encode_refused(suspect: Suspect | SuspectPart) -> str:
+    """Encode a suspected request or part as a value of the store."""
+    crashes = list(suspect.list_crashes())
+    found = {
+        item.incarnation: [
+            item.instance,
+            item.born,
+            item.seen_by,
+            item.software,
+            item.customer,
+            item.workload,
+        ]
+        for item in crashes
+    }
+    data: dict[str, object] = {
+        'customer': crashes[0].customer,
+        'ended': list(found.values()),
+    }
+    if isinstance(suspect, SuspectPart):
+        data['companions'] = sorted(suspect.companions)
+        data['tried'] = suspect.tried
+    return orjson.dumps(data).decode()
 
 
 def encode_lifted(found: RefusedRequest) -> str:
@@ -80,9 +135,11 @@
             fingerprint,
             str(data['customer']),
             tuple(
-                CrashedInstance(str(name), int(born), str(seen_by), str(software))
-                for name, born, seen_by, software in data.get('ended') or ()
+                CrashedInstance(str(name), int(born), *map(str, texts))
+                for name, born, *texts in data.get('ended') or ()
             ),
+            tuple(map(str, data.get('companions') or ())),
+            bool(data.get('tried')),
             bool(data.get('lifted')),
         )
     except (AttributeError, KeyError, TypeError, ValueError) as error:
--- a/coursepitch/crashes/reports.py
+++ b/coursepitch/crashes/reports.py
@@ -13,8 +13,9 @@
 import anyio
 
 from coursepitch import events, log
-from coursepitch.crashes.refused import encode_refused
-from coursepitch.crashes.suspects import REPORT_DELAY_S, Clearance, Crash
+from coursepitch.crashes.parts import PART_PREFIX, Scope, SuspectPart
+from coursepitch.crashes.refused import encode_lifted, encode_refused
+from coursepitch.crashes.suspects import REPORT_DELAY_S, Clearance
 from coursepitch.fleet.messages import CrashReport
 from coursepitch.fleet.view import REFUSED_PREFIX
 from coursepitch.platform.kv import Swapped, Unavailable, Write
@@ -24,7 +25,7 @@
 
     from coursepitch.clock import Clock
     from coursepitch.crashes.refused import RefusedRequest
-    from coursepitch.crashes.suspects import Suspect, SuspectTable
+    from coursepitch.crashes.suspects import Crash, Suspect, SuspectTable, Traits
     from coursepitch.fleet.messages import Message
     from coursepitch.fleet.view import FleetView
     from coursepitch.platform.kv import KeyValue
@@ -38,6 +39,9 @@
 #: Seconds between two sweeps of old suspects and checks for unstored refusals.
 SWEEP_S = 1.0
 
+#: Seconds for which the store holds that a refusal was lifted.
+LIFTED_S = 600.0
+
 #: Heartbeat intervals after which the entry of an ended instance is gone: three missed
 #: heartbeats, and two until every node has received the deletion.
 LAPSE_HEARTBEATS = 5
@@ -94,6 +98,8 @@
         self._queued_crashes: list[Crash] = []
         self._queued_acquittals: list[Clearance] = []
         self._observed: set[str] = set()
+        self._outdated_entries: set[str] = set()
+        self._logged_parts: set[str] = set()
         self._ended_instances: list[str] = []
         self._ended_noted = anyio.Event()
         self._report_due = anyio.Event()
@@ -113,15 +119,23 @@
         """Record a crash that this node observed, and report it to peers."""
         if self._suspects.note_crash(crash):
             self._observed.add(crash.fingerprint)
+            self._observed.update(PART_PREFIX + name for name in crash.parts)
             self._queued_crashes.append(crash)
             self._wake()
 
-    def is_refused(self, fingerprint: str, software: Collection[str]) -> bool:
-        """Whether a request is known to crash instances.
+    def has_suspects(self) -> bool:
+        """Whether any request or part is suspected of crashing instances."""
+        return len(self._suspects) > 0
+
+    def is_refused(self, traits: Traits, software: Collection[str]) -> bool:
+        """Whether a request, or a part of its prompt, is known to crash instances.
 
         :param software: software versions of the instances it could run on.
         """
-        return self._suspects.find_refused_s(fingerprint, software) > 0
+        if self._suspects.find_refused_s(traits.fingerprint, software) > 0:
+            return True
+        part = self._suspects.find_crashing_part(traits, software)
+        return part is not None and self._suspects.find_part_refused_s(part) > 0
 
     def note_ended(self, instance: str) -> None:
         """Schedule a report to all nodes that an instance's process has ended."""
@@ -130,15 +144,44 @@
 
     def note_answered(self, fingerprint: str) -> None:
         """Clear a request that completed successfully, and report it to peers."""
-        if self._suspects.find(fingerprint) is None:
-            return
-        acquittal = Clearance(fingerprint, self._clock())
-        if self._suspects.clear_request(acquittal):
-            log.emit(events.SUSPECT_CLEARED, fingerprint=fingerprint, why='answered')
+        if self._suspects.find(fingerprint) is not None:
+            self._clear(Clearance(fingerprint, self._clock()))
+
+    def note_sound(self, traits: Traits, software: str) -> None:
+        """Clear the parts of a request that succeeded, and report it to peers."""
+        scope = Scope(traits.customer, traits.workload, software)
+        now = self._clock()
+        for name in traits.parts:
+            if self._suspects.parts.find(name) is None:
+                self._suspects.parts.note_sound(name, scope, now)
+            else:
+                self._clear(Clearance(PART_PREFIX + name, now, scope))
+
+    def list_sound_parts(
+        self, traits: Traits, software: str
+    ) -> tuple[tuple[str, float], ...]:
+        """Return the parts of a request that are known to be sound, and since when."""
+        scope = Scope(traits.customer, traits.workload, software)
+        found = (
+            (name, self._suspects.parts.find_sound_at(name, scope))
+            for name in traits.parts
+        )
+        return tuple((name, at) for name, at in found if at is not None)
+
+    def _clear(self, acquittal: Clearance) -> None:
+        name = acquittal.fingerprint
+        causes = self._suspects.list_causes()
+        was_refused = name.removeprefix(PART_PREFIX) in causes
+        if self._suspects.clear(acquittal):
+            log.emit(events.SUSPECT_CLEARED, fingerprint=name, why='answered')
             # Sent with the next sweep: most requests that an instance ran when it
             # crashed are innocent, and a message for each would cost more than the
             # crash.
             self._queued_acquittals.append(acquittal)
+            if was_refused:
+                self._wake()
+            if name not in self._suspects.list_keys() and name in self._view.refused:
+                self._outdated_entries.add(name)
 
     # -- reports of others -----------------------------------------------------------
 
@@ -146,29 +189,21 @@
         """Record a peer's reports; a relay forwards those that are new."""
         now = self._clock()
         shift_s = now - report.sent_at
-        crashes = [
-            replace(item, at=min(now, item.at + shift_s)) for item in report.crashes
-        ]
+        crashes = [item.shift(shift_s, now) for item in report.crashes]
         acquittals = [
             replace(item, at=min(now, item.at + shift_s)) for item in report.acquittals
         ]
         new_crashes = [item for item in crashes if self._suspects.note_crash(item)]
-        new_acquittals = [
-            item for item in acquittals if self._suspects.clear_request(item)
-        ]
+        new_acquittals = [item for item in acquittals if self._suspects.clear(item)]
         if self.is_watching():
             self._queued_crashes += new_crashes
             self._queued_acquittals += new_acquittals
-        if new_crashes:
+        if new_crashes or (new_acquittals and self.is_watching()):
             self._wake()
 
     def greet(self, node: str) -> None:
         """Send all known crashes to a peer whose link came up."""
-        crashes = [
-            crash
-            for suspect in self._suspects.list_suspects()
-            for crash in suspect.crashes.values()
-        ]
+        crashes = self._suspects.list_crashes()
         if crashes:
             self.send(self._compose(crashes, []), node)
 
@@ -177,22 +212,12 @@
         now = self._clock()
         name = found.fingerprint
         if found.lifted:
-            if self._suspects.clear_request(Clearance(name, now)):
+            if self._suspects.clear(Clearance(name, now)):
                 log.emit(events.SUSPECT_CLEARED, fingerprint=name, why='lifted')
             return
-        for item in found.ended:
-            self._suspects.note_crash(
-                Crash(
-                    name,
-                    found.customer,
-                    item.name,
-                    item.born,
-                    now,
-                    item.seen_by,
-                    item.software,
-                )
-            )
-        self._suspects.note_confirmed(name)
+        for crash in found.list_crashes(now):
+            self._suspects.note_crash(crash)
+        self._suspects.note_confirmed(name, found.tried)
         self._wake()
 
     # -- tasks ---------------------------------------------------------------------
@@ -257,42 +282,80 @@
             await anyio.sleep(REPORT_DELAY_S)
             self._suspects.sweep()
             self.tell_waiting()
+            self._log_found_parts()
             for suspect in self._list_unstored():
                 await self._store(suspect)
+            for name in tuple(self._outdated_entries):
+                await self._lift(name)
+
+    def _log_found_parts(self) -> None:
+        """Log the parts that were found to crash instances since the last sweep."""
+        found = self._suspects.list_causes()
+        for name in found.keys() - self._logged_parts:
+            part = self._suspects.parts.find(name)
+            if part is None:
+                continue
+            crashes = list(part.list_crashes())
+            log.emit(
+                events.PART_FOUND,
+                part=name,
+                companions=sorted(found[name]),
+                ended=sorted({item.instance for item in crashes}),
+                customers=sorted({item.customer for item in crashes}),
+            )
+        self._logged_parts = set(found)
 
-    def _list_unstored(self) -> list[Suspect]:
-        """Return the refused requests that this node has to store.
+    def _list_unstored(self) -> list[Suspect | SuspectPart]:
+        """Return the refused requests and parts that this node has to store.
 
         These are the ones it observed, or all of them if it is the leader.
         """
-        refused = self._suspects.list_refused()
-        self._observed &= {item.fingerprint for item in self._suspects.list_suspects()}
+        refused: list[Suspect | SuspectPart] = [
+            *self._suspects.list_refused(),
+            *self._suspects.list_refused_parts(),
+        ]
+        self._observed &= self._suspects.list_keys()
         return [
             item
             for item in refused
-            if (item.fingerprint in self._observed or self.is_leader())
+            if (item.key in self._observed or self.is_leader())
             and not self._is_stored(item)
         ]
 
-    def _is_stored(self, suspect: Suspect) -> bool:
-        found = self._view.refused.get(suspect.fingerprint)
-        count = len(found.ended) if found is not None else 0
-        return count >= len(suspect.crashes)
+    def _is_stored(self, suspect: Suspect | SuspectPart) -> bool:
+        found = self._view.refused.get(suspect.key)
+        if found is None or len(found.ended) < len(suspect.crashes):
+            return False
+        return found.tried or not (isinstance(suspect, SuspectPart) and suspect.tried)
 
-    async def _store(self, suspect: Suspect) -> None:
-        """Write an entry that expires when the request is forgotten here as well."""
-        lease = await self._kv.grant(suspect.keep_s)
-        if isinstance(lease, Unavailable):
-            return
-        key = REFUSED_PREFIX + suspect.fingerprint
-        write = Write(key, encode_refused(suspect), lease)
-        result = await self._kv.transact([], [write])
-        stored = isinstance(result, Swapped)
+    async def _store(self, suspect: Suspect | SuspectPart) -> None:
+        """Write an entry that expires when the suspect is forgotten here as well."""
+        value = encode_refused(suspect)
+        stored = await self._write(suspect.key, value, suspect.keep_s)
         if stored:
-            self._view.note_refused(suspect.fingerprint, encode_refused(suspect))
+            self._view.note_refused(suspect.key, value)
         log.emit(
             events.SUSPECT_STORED,
-            fingerprint=suspect.fingerprint,
+            fingerprint=suspect.key,
             crashes=len(suspect.crashes),
             outcome='stored' if stored else 'not stored',
         )
+
+    async def _lift(self, name: str) -> None:
+        """Lift a stored refusal that proved wrong, for nodes that start."""
+        found = self._view.refused.get(name)
+        if found is None or found.lifted:
+            self._outdated_entries.discard(name)
+            return
+        value = encode_lifted(found)
+        if await self._write(name, value, LIFTED_S):
+            self._view.note_refused(name, value)
+            self._outdated_entries.discard(name)
+
+    async def _write(self, name: str, value: str, ttl_s: float) -> bool:
+        """Write the entry of a suspect; return whether it is known to be written."""
+        lease = await self._kv.grant(ttl_s)
+        if isinstance(lease, Unavailable):
+            return False
+        write = Write(REFUSED_PREFIX + name, value, lease)
+        return isinstance(await self._kv.transact([], [write]), Swapped)
--- a/coursepitch/crashes/suspects.py
+++ b/coursepitch/crashes/suspects.py
@@ -3,20 +3,25 @@
 A crash of an instance ends all its requests, of which at most one caused it.  So one
 crash makes all of them suspects, and a request is refused only after several instances
 crashed while they ran it.  A successful run clears a request.
+
+What crashes instances may also be a part of a prompt that several requests share, see
+:mod:`coursepitch.crashes.parts`.
 """
 
 from __future__ import annotations
 
 import collections
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import TYPE_CHECKING
 
+from coursepitch.crashes.parts import PART_PREFIX, Scope, SuspectPart, SuspectParts
+
 if TYPE_CHECKING:
     from collections.abc import Callable, Collection, Iterable, Iterator
 
     from coursepitch.clock import Clock
 
-__all__ = ['Clearance', 'Crash', 'Suspect', 'SuspectTable']
+__all__ = ['Clearance', 'Crash', 'Suspect', 'SuspectTable', 'Traits']
 
 #: Crashed instances after which a request is refused, regardless of other crashes.
 #: Users accept three, and a few more runs until all nodes can know of them.
@@ -60,16 +65,37 @@
 MAX_INSTANCE_CRASHES = 1_024
 
 
+@dataclass(frozen=True, slots=True)
+class Traits:
+    """What a request may share with others under which instances crashed.
+
+    :param customer: customer that sent the request; empty on public routes.
+    :param workload: service and model that it is for.
+    :param parts: names of the parts of its prompt.
+    """
+
+    fingerprint: str
+    customer: str = ''
+    workload: str = ''
+    parts: tuple[str, ...] = ()
+
+
 @dataclass(frozen=True, slots=True)
 class Crash:
     """A crash of an instance while it ran a request.
 
-    :param fingerprint: fingerprint of the request.
+    :param fingerprint: fingerprint of the request; empty if only a part of its prompt
+        is known.
     :param customer: customer that sent the request; empty on public routes.
     :param born: start of the instance in Unix milliseconds; 0 if unknown.
     :param at: monotonic time of this node at the crash.
     :param seen_by: node that observed the crash.
     :param software: version of the instance's software; empty if unknown.
+    :param workload: service and model that the request was for.
+    :param parts: names of the parts of its prompt, if it had just begun to run; empty
+        otherwise.
+    :param sound_parts: those of them with which requests of the same scope succeeded,
+        as far as the observing node knows, and monotonic times at which the last did.
     """
 
     fingerprint: str
@@ -79,22 +105,43 @@
     at: float
     seen_by: str
     software: str = ''
+    workload: str = ''
+    parts: tuple[str, ...] = ()
+    sound_parts: tuple[tuple[str, float], ...] = ()
 
     @property
     def incarnation(self) -> tuple[str, int]:
         """Name and start of the instance, which identify its incarnation."""
         return self.instance, self.born
 
+    def shift(self, seconds: float, latest: float) -> Crash:
+        """Return the crash with times of another clock, none later than the latest."""
+        return replace(
+            self,
+            at=min(latest, self.at + seconds),
+            sound_parts=tuple(
+                (name, min(latest, at + seconds)) for name, at in self.sound_parts
+            ),
+        )
+
+    @property
+    def scope(self) -> Scope:
+        """Requests whose success proves that a part of the prompt is sound."""
+        return Scope(self.customer, self.workload, self.software)
+
 
 @dataclass(frozen=True, slots=True)
 class Clearance:
     """A successful run of a suspected request, or an operator's decision to clear it.
 
+    :param fingerprint: fingerprint of the request, or key of a part.
     :param at: monotonic time of this node.
+    :param scope: requests for which a part is cleared; ``None`` for all.
     """
 
     fingerprint: str
     at: float
+    scope: Scope | None = None
 
 
 @dataclass(eq=False)
@@ -113,6 +160,15 @@
     confirmed: bool = False
     by_chance: bool = False
 
+    @property
+    def key(self) -> str:
+        """Key of the request in logs, in the store and for operators."""
+        return self.fingerprint
+
+    def list_crashes(self) -> Iterator[Crash]:
+        """Yield the crashes."""
+        yield from self.crashes.values()
+
     @property
     def newest_at(self) -> float:
         """Monotonic time of the newest crash."""
@@ -158,17 +214,29 @@
     _suspects: dict[str, Suspect] = field(default_factory=dict)
     _cleared_at: dict[str, float] = field(default_factory=dict)
     _instance_crashes: dict[tuple[str, int], float] = field(default_factory=dict)
+    _causes: dict[str, frozenset[str]] | None = None
+
+    def __post_init__(self) -> None:
+        self.parts = SuspectParts(self.clock)
 
     def __len__(self) -> int:
-        return len(self._suspects)
+        return len(self._suspects) + len(self.parts)
 
     # -- observations -----------------------------------------------------------------
 
     def note_crash(self, crash: Crash) -> bool:
         """Record a crash; return whether it was not known."""
+        self._causes = None
         self._instance_crashes.setdefault(crash.incarnation, crash.at)
         if len(self._instance_crashes) > MAX_INSTANCE_CRASHES:
             del self._instance_crashes[next(iter(self._instance_crashes))]
+        is_new_of_part = self.parts.note_crash(crash)
+        return self._note_request(crash) or is_new_of_part
+
+    def _note_request(self, crash: Crash) -> bool:
+        """Record a crash for the request that ran; return whether it was not known."""
+        if not crash.fingerprint:
+            return False
         if crash.at <= self._cleared_at.get(crash.fingerprint, float('-inf')):
             return False
         suspect = self._suspects.get(crash.fingerprint)
@@ -184,13 +252,36 @@
             self._drop_weakest()
         return crash.fingerprint in self._suspects
 
-    def note_confirmed(self, fingerprint: str) -> None:
-        """Record that another node confirmed that a suspect crashes instances."""
+    def note_confirmed(self, fingerprint: str, tried: bool = False) -> None:
+        """Record that another node confirmed that a suspect crashes instances.
+
+        :param fingerprint: fingerprint of a request, or key of a part.
+        :param tried: whether a trial since then crashed an instance.
+        """
+        if fingerprint.startswith(PART_PREFIX):
+            name = fingerprint.removeprefix(PART_PREFIX)
+            self.parts.note_confirmed(name, tried)
+            self._causes = None
+            return
         suspect = self._suspects.get(fingerprint)
         if suspect is not None:
             suspect.confirmed = True
 
-    def clear_request(self, clearance: Clearance) -> bool:
+    def clear(self, clearance: Clearance) -> bool:
+        """Clear a request or a part of earlier crashes; return whether it was news."""
+        name = clearance.fingerprint
+        if not name.startswith(PART_PREFIX):
+            return self._clear_request(clearance)
+        name = name.removeprefix(PART_PREFIX)
+        if clearance.scope is None:
+            is_news = self.parts.clear(name, clearance.at)
+        else:
+            is_news = self.parts.note_success(name, clearance.scope, clearance.at)
+        if is_news:
+            self._causes = None
+        return is_news
+
+    def _clear_request(self, clearance: Clearance) -> bool:
         """Clear a request of all earlier crashes; return whether it was suspected."""
         cleared_at = self._cleared_at.get(clearance.fingerprint, float('-inf'))
         suspect = self._suspects.get(clearance.fingerprint)
@@ -228,8 +319,11 @@
                 if self.still_runs(crash):
                     del suspect.crashes[key]
                     self._instance_crashes.pop(key, None)
+                    self.parts.drop_crashes(key)
             if not suspect.crashes or now - suspect.newest_at > suspect.keep_s:
                 del self._suspects[suspect.fingerprint]
+        self.parts.sweep()
+        self._causes = None
         start = now - REFUSE_S
         self._cleared_at = {
             name: at for name, at in self._cleared_at.items() if at >= start
@@ -268,10 +362,24 @@
         It is 0 if the request need not wait.
         """
         suspect = self._suspects.get(fingerprint)
-        if suspect is None or len(suspect.crashes) < CRASHES_TO_CONFIRM_ALONE:
+        if suspect is None or self._count_crashes(suspect) < CRASHES_TO_CONFIRM_ALONE:
             return 0.0
         return max(0.0, suspect.newest_at + RETRY_PAUSE_S - self.clock())
 
+    def list_keys(self) -> set[str]:
+        """Return the keys of all suspected requests and parts."""
+        return {item.key for item in self._list_all()}
+
+    def _list_all(self) -> list[Suspect | SuspectPart]:
+        return [*self.list_suspects(), *self.parts.list_suspects()]
+
+    def list_crashes(self) -> list[Crash]:
+        """Return all crashes that count against requests or parts."""
+        found = (
+            crash for suspect in self._list_all() for crash in suspect.list_crashes()
+        )
+        return list(dict.fromkeys(found))
+
     def list_refused(self) -> list[Suspect]:
         """Return the suspects whose requests are refused now."""
         return [
@@ -280,9 +388,64 @@
             if self.find_refused_s(item.fingerprint) > 0
         ]
 
+    # -- parts of prompts -------------------------------------------------------------
+
+    def find_crashing_part(
+        self, traits: Traits, software: Collection[str] = ()
+    ) -> SuspectPart | None:
+        """Return the part of a request that crashes instances, or ``None``.
+
+        :param software: software versions of the instances that it may be sent to.
+        """
+        if not len(self.parts):
+            return None
+        causes = self.list_causes()
+        for name in traits.parts:
+            companions = causes.get(name)
+            if companions is None or not companions <= set(traits.parts):
+                continue
+            part = self.parts.find(name)
+            if part is not None and self.parts.concerns(part, traits, software):
+                return part
+        return None
+
+    def find_part_refused_s(self, part: SuspectPart) -> float:
+        """Return the seconds for which requests with a part are still refused.
+
+        Then one is tried at a time.
+        """
+        return max(0.0, part.newest_at + part.refuse_s - self.clock())
+
+    def list_causes(self) -> dict[str, frozenset[str]]:
+        """Return the parts that crash instances, each with its companions."""
+        if self._causes is None:
+            self._causes = self.parts.conclude(self._instance_crashes)
+        return self._causes
+
+    def list_refused_parts(self) -> list[SuspectPart]:
+        """Return the parts whose requests are refused now."""
+        return [
+            item
+            for item in map(self.parts.find, self.list_causes())
+            if item is not None and self.find_part_refused_s(item) > 0
+        ]
+
+    def _list_crashes_of_parts(self) -> set[tuple[str, int]]:
+        """Return the crashes that parts of prompts explain."""
+        if not len(self.parts):
+            return set()
+        found = map(self.parts.find, self.list_causes())
+        return {key for item in found if item is not None for key in item.crashes}
+
+    # -- requests ---------------------------------------------------------------------
+
+    def _count_crashes(self, suspect: Suspect) -> int:
+        """Return the number of a suspect's crashes that no part explains."""
+        return len(suspect.crashes.keys() - self._list_crashes_of_parts())
+
     def _is_confirmed(self, suspect: Suspect) -> bool:
         """Whether a request is confirmed to crash instances; this is then kept."""
-        count = len(suspect.crashes)
+        count = self._count_crashes(suspect)
         if count < CRASHES_TO_CONFIRM_ALONE:
             suspect.confirmed = False
         elif suspect.confirmed:
@@ -297,13 +460,18 @@
     def _list_unexplained_crashes(self, suspect: Suspect) -> Iterator[tuple[str, int]]:
         """Yield recent crashes on which neither the suspect nor a confirmed one ran."""
         start = self.clock() - CRASH_RELEVANT_S
+        explained = self._list_crashes_of_parts() - suspect.crashes.keys()
         confirmed = [
             item
             for item in self._suspects.values()
             if item is suspect or (item.confirmed and not item.by_chance)
         ]
         for key, at in self._instance_crashes.items():
-            if at >= start and not any(key in item.crashes for item in confirmed):
+            if (
+                at >= start
+                and key not in explained
+                and not any(key in item.crashes for item in confirmed)
+            ):
                 yield key
 
     def _explains_half_of_crashes(self, suspect: Suspect) -> bool:
--- a/coursepitch/events.py
+++ b/coursepitch/events.py
@@ -553,10 +553,19 @@
     'of it when they start.',
     ('fingerprint', 'crashes', 'outcome'),
 )
+PART_FOUND = Event(
+    622,
+    'part.found',
+    'Requests with a part of their prompts are refused, as instances end when they '
+    'begin to run them: the parts without which they are not, the ended instances, and '
+    'the customers that sent the requests.',
+    ('part', 'companions', 'ended', 'customers'),
+)
 SUSPECT_CLEARED = Event(
     614,
     'suspect.cleared',
-    'A request is no longer suspected: it was answered, or an operator cleared it.',
+    'A request, or a part of prompts, is no longer suspected: it was answered, or an '
+    'operator cleared it.',
     ('fingerprint', 'why'),
 )
 REQUEST_RETRIED = Event(
--- a/coursepitch/fleet/control.py
+++ b/coursepitch/fleet/control.py
@@ -24,7 +24,7 @@
     from coursepitch.http.client import ConnectOutcome, Response
     from coursepitch.platform.headers import ResponseMetadata
 
-__all__ = ['InstanceControl', 'Probe']
+__all__ = ['InstanceControl', 'Probe', 'ProcessState']
 
 #: Timeout in seconds for the response to an order.
 ORDER_TIMEOUT_S = 0.4
@@ -92,6 +92,17 @@
         return self in (Probe.ANSWERS, Probe.REPLACED, Probe.INDIRECT)
 
 
+class ProcessState(enum.Enum):
+    """What is proven of an instance's process.
+
+    :cvar RUNS: it answered a request.
+    """
+
+    RUNS = 'runs'
+    ENDED = 'ended'
+    UNKNOWN = 'unknown'
+
+
 class InstanceControl:
     """Sends orders to instances, and requests their reports.
 
@@ -265,9 +276,13 @@
         return self._paths is not None and self._paths.is_isolated()
 
     async def has_ended(self, instance: FleetInstance) -> bool:
-        """Whether an instance's process is gone.
+        """Whether an instance's process is proven to be gone."""
+        return await self.find_state(instance) is ProcessState.ENDED
+
+    async def find_state(self, instance: FleetInstance) -> ProcessState:
+        """Return what is proven of an instance's process.
 
-        This is proven if its address belongs to another instance, or refuses
+        Its end is proven if its address belongs to another instance, or refuses
         connections of this node and of a peer, both of which reach others, or if its
         entry is gone and it refuses those of this node.  The word of a peer is enough
         for a node that is cut off.  A timeout proves nothing: a network partition or a
@@ -275,24 +290,30 @@
         one, so a request whose connection breaks is repeated.
         """
         with anyio.move_on_after(CONFIRM_TIMEOUT_S):
-            return await self._confirm_end(instance, self._clock())
-        return False
+            return await self._confirm_state(instance, self._clock())
+        return ProcessState.UNKNOWN
 
-    async def _confirm_end(self, instance: FleetInstance, began_at: float) -> bool:
+    async def _confirm_state(
+        self, instance: FleetInstance, began_at: float
+    ) -> ProcessState:
         """Check an instance until it is known whether its process is gone."""
         while True:
             if self._paths is not None and self._paths.is_cut_off:
                 found = await self._request_until_clear(instance, self._peer_pool)
-                return found in (Probe.REFUSED, Probe.REPLACED)
+                return _conclude_state(found)
             found = await self._request_until_clear(instance)
             if found is not Probe.REFUSED or self._paths is None:
-                return found in (Probe.REFUSED, Probe.REPLACED)
+                return _conclude_state(found)
             if not self._paths.is_listed(instance.name):
-                return True
+                return ProcessState.ENDED
             if await self._paths.check(began_at, instance.name):
                 found = await self._probe_through_peer(instance)
+                if found is Probe.ANSWERS:
+                    return ProcessState.RUNS
+                if found is Probe.REPLACED:
+                    return ProcessState.UNKNOWN
                 if found is not Probe.NO_PATH or not self._paths.has_peers():
-                    return not found.answers
+                    return ProcessState.ENDED
             if self._paths.is_cut_off:
                 continue
             # All instances of the service may have ended, and new ones are starting.
@@ -348,3 +369,12 @@
             return Probe.SILENT
         self._pass_marks(instance.name, instance.born, answer)
         return Probe.REPLACED if answer.status == 421 else Probe.ANSWERS
+
+
+def _conclude_state(found: Probe) -> ProcessState:
+    """Return what an answer, or a refusal that needs no confirmation, proves."""
+    if found is Probe.ANSWERS:
+        return ProcessState.RUNS
+    if found in (Probe.REFUSED, Probe.REPLACED):
+        return ProcessState.ENDED
+    return ProcessState.UNKNOWN
--- a/coursepitch/fleet/messages.py
+++ b/coursepitch/fleet/messages.py
@@ -12,6 +12,7 @@
 
 import cbor2
 
+from coursepitch.crashes.parts import Scope
 from coursepitch.crashes.suspects import Clearance, Crash
 from coursepitch.errors import CodecError
 from coursepitch.fleet.limit_messages import (
@@ -479,10 +480,13 @@
             item.at,
             item.seen_by,
             item.software,
+            item.workload,
+            item.parts,
+            item.sound_parts,
         ]
         for item in told.crashes
     ]
-    acquittals = [[item.fingerprint, item.at] for item in told.acquittals]
+    acquittals = [[item.fingerprint, item.at, item.scope] for item in told.acquittals]
     return [told.node, told.sent_at, crashes, acquittals]
 
 
@@ -492,12 +496,19 @@
         read_text(node),
         float(sent_at),
         tuple(_decode_crash(row) for row in crashes),
-        tuple(Clearance(read_text(name), float(at)) for name, at in acquittals),
+        tuple(map(_decode_acquittal, acquittals)),
     )
 
 
+def _decode_acquittal(row: Any) -> Clearance:
+    name, at, scope = row
+    found = None if scope is None else Scope(*map(read_text, scope))
+    return Clearance(read_text(name), float(at), found)
+
+
 def _decode_crash(row: Any) -> Crash:
-    fingerprint, customer, instance, born, at, seen_by, software = row
+    fingerprint, customer, instance, born, at, seen_by, software = row[:7]
+    workload, parts, sound_parts = row[7:]
     return Crash(
         read_text(fingerprint),
         read_text(customer),
@@ -506,6 +517,9 @@
         float(at),
         read_text(seen_by),
         read_text(software),
+        read_text(workload),
+        tuple(map(read_text, parts)),
+        tuple((read_text(name), float(at)) for name, at in sound_parts),
     )
 
 
--- a/coursepitch/gateway/attempts.py
+++ b/coursepitch/gateway/attempts.py
@@ -254,6 +254,10 @@
     if withheld is not None:
         pool.discard(connection)
         return Attempt(Result.NOT_RUN, withheld.value, withheld=True)
+    if components.crash_detector.is_refused(job):
+        pool.discard(connection)
+        reason = 'instances end while running this request'
+        return Attempt(Result.NOT_RUN, reason, withheld=True)
     trial = components.gate.backoffs.begin_trial(instance.name)
     attempt = Attempt(Result.UNKNOWN, 'cancelled')
     try:
@@ -281,7 +285,7 @@
     )
     incoming = job.incoming
     headers = build_target_headers(incoming.headers, fields)
-    job.note_sent(instance.name, components.clock())
+    job.note_sent(instance.name, components.clock(), instance.software)
     try:
         with anyio.fail_after(plan.headers_timeout_s):
             answer = await components.pool.exchange(
--- a/coursepitch/gateway/calls.py
+++ b/coursepitch/gateway/calls.py
@@ -68,6 +68,9 @@
             instance = await self._wait_for_instance(job, tried)
             if instance is None:
                 return self._give_up(job)
+            # The request may have waited since it was admitted.
+            if self._components.crash_detector.is_refused(job):
+                return self._give_up(job)
             if job.sent:
                 retry = await obtain_retry(self._components, job)
                 if retry is Retry.LATER:
@@ -102,7 +105,7 @@
             status = 504 if late else 502
             return Refusal(status, job.last_reason, problem=explain_crashes(job))
         job.last_reason = job.last_reason or 'no instance is there'
-        return refuse_unexecuted(
+        return self._components.suspicion.find_known_refusal(job) or refuse_unexecuted(
             self._components, job, self._list_names, MIN_RETRY_AFTER_S
         )
 
--- a/coursepitch/gateway/components.py
+++ b/coursepitch/gateway/components.py
@@ -16,6 +16,7 @@
     from coursepitch.gateway.load_tracker import LoadTracker
     from coursepitch.gateway.router import Router
     from coursepitch.gateway.send_gate import SendGate
+    from coursepitch.gateway.suspicion import SuspicionGate
     from coursepitch.http.client import ConnectionPool
 
 __all__ = ['GatewayComponents']
@@ -31,6 +32,7 @@
     budget: RetryBudget
     pool: ConnectionPool
     crash_detector: CrashDetector
+    suspicion: SuspicionGate
     notices: InstanceNotices
     gate: SendGate
     admission: Admission
--- a/coursepitch/gateway/crash_detector.py
+++ b/coursepitch/gateway/crash_detector.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 import anyio
 
 from coursepitch import events, log
 from coursepitch.crashes.suspects import REPORT_DELAY_S, Crash
+from coursepitch.fleet.control import ProcessState
 from coursepitch.gateway.job import MAX_CRASHES
 
 if TYPE_CHECKING:
@@ -25,6 +27,10 @@
 #: three heartbeats of about 1.2 s.
 ENDED_CACHE_S = 5.0
 
+#: Seconds between two events of a run after which the parts of its prompt did not crash
+#: the instance: a part that does so crashes it as the response begins.
+PROVEN_S = 1.0
+
 
 class CrashDetector:
     """Check whether an instance ended, once for all requests interrupted there.
@@ -47,7 +53,7 @@
         self._control = control
         self._reporter = reporter
         self._clock = clock
-        self._cached_results: dict[tuple[str, int], tuple[float, bool]] = {}
+        self._cached_results: dict[tuple[str, int], tuple[float, ProcessState]] = {}
         self._pending: dict[tuple[str, int], anyio.Event] = {}
 
     async def check_crash(self, job: Job) -> None:
@@ -58,40 +64,53 @@
             return
         if not session.pause_detector.has_run_since(job.last_sent_at):
             return
-        customer = job.customer.name if job.customer else ''
+        traits = job.traits
         job.crashes += 1
         log.emit(
             events.INSTANCE_CRASHED,
             instance=instance.name,
             born=instance.born,
             request=job.fields.request,
-            fingerprint=job.fingerprint,
-            customer=customer,
-            parts=list(job.fields.prompt_parts),
+            fingerprint=traits.fingerprint,
+            customer=traits.customer,
+            parts=list(traits.parts),
             wrote_s=round(job.wrote_s, 3),
         )
-        self._reporter.note_crash(
-            Crash(
-                job.fingerprint,
-                customer,
-                instance.name,
-                instance.born,
-                self._clock(),
-                self._node_name,
-                instance.software,
-            )
-        )
+        self._reporter.note_crash(self._build_crash(job, instance))
         if job.last_event_at is None or job.last_event_at < job.last_sent_at:
             # A request without events from this run is the likely cause of the crash.
             # It waits for concurrent reports of other nodes: when four nodes retried at
             # once, eight instances crashed before any node had another's report.
             await anyio.sleep(REPORT_DELAY_S)
 
+    def _build_crash(self, job: Job, instance: FleetInstance) -> Crash:
+        """Return the crash; only a run that had just begun counts against its parts."""
+        traits, software = job.traits, instance.software
+        if job.wrote_s >= PROVEN_S:
+            self._reporter.note_sound(traits, software)
+            traits = replace(traits, parts=())
+        return Crash(
+            traits.fingerprint,
+            traits.customer,
+            instance.name,
+            instance.born,
+            self._clock(),
+            self._node_name,
+            software,
+            traits.workload,
+            traits.parts,
+            self._reporter.list_sound_parts(traits, software),
+        )
+
     async def has_crashed(self, instance: FleetInstance) -> bool:
         """Whether an instance ended that was listed and not leaving."""
+        return await self.find_state(instance) is ProcessState.ENDED
+
+    async def find_state(self, instance: FleetInstance) -> ProcessState:
+        """Return what is proven of an instance that was listed and not leaving."""
         if not self._session.view.accepts_requests(instance.name):
-            return False
-        return await self._check_ended(instance)
+            return ProcessState.UNKNOWN
+        return await self._check_state(instance)
 
     def forbids_retry(self, job: Job) -> bool:
         """Whether a request that crashed instances may not be retried here.
@@ -100,37 +119,44 @@
         """
         if job.crashes >= MAX_CRASHES:
             return True
+        return job.crashes > 0 and self.is_refused(job)
+
+    def is_refused(self, job: Job) -> bool:
+        """Whether a request is known to crash instances that it may be sent to."""
+        if not self._reporter.has_suspects():
+            return False
         software = self._session.view.list_software(job.service.name)
-        return job.crashes > 0 and self._reporter.is_refused(job.fingerprint, software)
+        return self._reporter.is_refused(job.traits, software)
 
-    async def _check_ended(self, instance: FleetInstance) -> bool:
+    async def _check_state(self, instance: FleetInstance) -> ProcessState:
         key = (instance.name, instance.born)
         asked_at, waited = self._clock(), False
         while (pending := self._pending.get(key)) is not None:
             waited = True
             await pending.wait()
         self._drop_expired()
-        began_at, ended = self._cached_results.get(key, (float('-inf'), False))
+        unknown = (float('-inf'), ProcessState.UNKNOWN)
+        began_at, state = self._cached_results.get(key, unknown)
         # A live instance may still end, so only checks that began since tell of it.
-        if ended or (waited and began_at >= asked_at):
-            return ended
+        if state is ProcessState.ENDED or (waited and began_at >= asked_at):
+            return state
         done = self._pending[key] = anyio.Event()
         began_at = self._clock()
         try:
-            ended = await self._has_ended(instance)
+            state = await self._find_state(instance)
         finally:
             del self._pending[key]
             done.set()
-        self._cached_results[key] = (began_at, ended)
-        if ended:
+        self._cached_results[key] = (began_at, state)
+        if state is ProcessState.ENDED:
             self._reporter.note_ended(instance.name)
-        return ended
+        return state
 
-    async def _has_ended(self, instance: FleetInstance) -> bool:
+    async def _find_state(self, instance: FleetInstance) -> ProcessState:
         present = self._session.view.instances.get(instance.name)
         if present is not None and present.is_restart_of(instance):
-            return True
-        return await self._control.has_ended(instance)
+            return ProcessState.ENDED
+        return await self._control.find_state(instance)
 
     def _drop_expired(self) -> None:
         start = self._clock() - ENDED_CACHE_S
--- a/coursepitch/gateway/job.py
+++ b/coursepitch/gateway/job.py
@@ -7,6 +7,7 @@
 from functools import cached_property
 from typing import TYPE_CHECKING
 
+from coursepitch.crashes.suspects import Traits
 from coursepitch.gateway.fingerprint import build_fingerprint
 
 if TYPE_CHECKING:
@@ -68,6 +69,7 @@
     :param retry_after_s: Retry-After in seconds if the request is refused now; 0 if
         not known.
     :param sent: instances that the request was sent to, in order.
+    :param software: version of the software of the latest one; empty if unknown.
     :param may_have_run: instances that executed it, or may have.
     :param permit: permit for the next send, where the instance limits its rate.
     :param interrupted_by: instance that interrupted the latest attempt, if any.
@@ -80,6 +82,7 @@
     :param last_event_at: monotonic time at which the latest event was forwarded.
     :param pause_s: longest pause in seconds between two events.
     :param framing: how the latest response is framed; ``None`` before the first.
+    :param survived: whether the instance provably outlived the latest response.
     """
 
     incoming: IncomingRequest
@@ -95,6 +98,7 @@
     work: float = 1.0
     retry_after_s: float = 0.0
     sent: list[str] = field(default_factory=list)
+    software: str = ''
     may_have_run: set[str] = field(default_factory=set)
     permit: Permit | None = None
     interrupted_by: FleetInstance | None = None
@@ -109,15 +113,19 @@
     pause_s: float = 0.0
     status: int = 0
     framing: Framing | None = None
+    survived: bool = False
 
-    def note_sent(self, instance: str, now: float) -> None:
+    def note_sent(self, instance: str, now: float, software: str = '') -> None:
         """Record a send to an instance.
 
         :param now: present monotonic time in seconds.
+        :param software: version of the instance's software.
         """
         self.sent.append(instance)
+        self.software = software
         self.last_sent_at = now
         self.run_began_at = None
+        self.survived = False
         if self.first_sent_at is None:
             self.first_sent_at = now
 
@@ -147,6 +155,16 @@
         customer = self.customer.name if self.customer else ''
         return build_fingerprint(self.incoming, self.fields.host, customer)
 
+    @cached_property
+    def traits(self) -> Traits:
+        """What the request may share with others under which instances crash."""
+        return Traits(
+            self.fingerprint,
+            self.customer.name if self.customer else '',
+            f'{self.service.name}/{self.fields.model}',
+            self.fields.prompt_parts,
+        )
+
     @property
     def arrived_at(self) -> float:
         """Monotonic time at which the request was completely read."""
--- a/coursepitch/gateway/problems.py
+++ b/coursepitch/gateway/problems.py
@@ -20,6 +20,7 @@
     :param instances_ended: instances that ended while executing it, now or earlier.
     :param fingerprint: fingerprint under which operators find the request in logs.
     :param retry_after_s: seconds after which a retry is accepted; 0 to omit them.
+    :param part: part of the prompt that is the reason; empty if there is none.
     """
 
     title: str
@@ -28,6 +29,7 @@
     instances_ended: int
     fingerprint: str
     retry_after_s: float = 0.0
+    part: str = ''
 
 
 def render_problem(problem: Problem, status: int) -> bytes:
@@ -40,6 +42,8 @@
         'instances_ended': problem.instances_ended,
         'fingerprint': problem.fingerprint,
     }
+    if problem.part:
+        data['part'] = problem.part
     if problem.retry_after_s:
         data['retry_after_s'] = round(problem.retry_after_s, 1)
     return orjson.dumps(data)
--- a/coursepitch/gateway/response_ends.py
+++ b/coursepitch/gateway/response_ends.py
@@ -12,6 +12,7 @@
 
 from coursepitch import events, log
 from coursepitch.config.routes import RouteKind
+from coursepitch.fleet.control import ProcessState
 from coursepitch.http.client import ExchangeError, Framing
 from coursepitch.http.event_splitter import EVENT_STREAM_TYPE, EventSplitter
 from coursepitch.http.messages import find_header
@@ -77,13 +78,18 @@
 ) -> None:
     """Check that an instance did not crash with a response that has ended.
 
-    The kernel closes the connections of a crashed process as the process does after a
-    whole response.
+    Records whether that is proven.  The kernel closes the connections of a crashed
+    process as the process does after a whole response.
 
     :raises BrokenOffError: it did, and the end of the connection is all that tells the
         end of the response.
     """
-    if answer.framing is Framing.CONNECTION and await detector.has_crashed(instance):
+    job.survived = answer.framing is not Framing.CONNECTION
+    if job.survived:
+        return
+    state = await detector.find_state(instance)
+    job.survived = state is ProcessState.RUNS
+    if state is ProcessState.ENDED:
         reason = 'the instance ended with its response'
         _log_broken_off(job, answer, instance, reason, 0)
         raise BrokenOffError(reason)
--- a/coursepitch/gateway/streams.py
+++ b/coursepitch/gateway/streams.py
@@ -100,6 +100,9 @@
             group = await self._wait_for_group(job, tried)
             if group is None:
                 return self._give_up(job)
+            # The request may have waited since it was admitted.
+            if self._components.crash_detector.is_refused(job):
+                return self._give_up(job)
             if job.sent:
                 retry = await obtain_retry(self._components, job)
                 if retry is Retry.LATER:
@@ -143,7 +146,7 @@
         job.last_reason = (
             job.last_reason or 'the deadline passed or the configuration is unconfirmed'
         )
-        return refuse_unexecuted(
+        return self._components.suspicion.find_known_refusal(job) or refuse_unexecuted(
             self._components, job, self._list_heads, MIN_RETRY_AFTER_S
         )
 
--- a/coursepitch/gateway/suspicion.py
+++ b/coursepitch/gateway/suspicion.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING
 
 from coursepitch import events, log
+from coursepitch.crashes.parts import SuspectPart
 from coursepitch.gateway.job import Ending, Refusal
 from coursepitch.gateway.problems import Problem
 
@@ -31,6 +32,9 @@
 #: node: the median duration of a stream.
 DUPLICATE_RETRY_AFTER_S = 0.5
 
+#: Retry-After in seconds of a request with a part that only the leader tries.
+TRIAL_RETRY_AFTER_S = 1.0
+
 PROBLEM_TITLE = 'Instances end while they run this request'
 
 
@@ -79,27 +83,60 @@
     @contextlib.contextmanager
     def track(self, job: Job) -> Iterator[None]:
         """Count a request as running, and clear its suspicion if it succeeds."""
-        name = job.fingerprint
-        self._running[name] += 1
+        names = [job.fingerprint, *self._list_suspected_parts(job)]
+        self._running.update(names)
         try:
             yield
-            if job.ending is Ending.ANSWERED and job.status < 500:
-                self._reporter.note_answered(name)
+            if job.ending is Ending.ANSWERED and job.status < 500 and job.survived:
+                self._reporter.note_answered(job.fingerprint)
+                if job.status < 300:
+                    self._reporter.note_sound(job.traits, job.software)
         finally:
-            self._running[name] -= 1
-            if not self._running[name]:
-                del self._running[name]
+            self._running.subtract(names)
+            for name in names:
+                if not self._running[name]:
+                    del self._running[name]
+
+    def _list_suspected_parts(self, job: Job) -> list[str]:
+        """Return the keys of the parts of a request that are suspected."""
+        found = map(self._suspects.parts.find, job.fields.prompt_parts)
+        return [item.key for item in found if item is not None]
 
     def find_refusal(self, job: Job) -> Refusal | None:
         """Return the refusal of a suspected request, or ``None`` if it may run."""
-        suspect = self._suspects.find(job.fingerprint)
-        if suspect is None:
+        if not len(self._suspects):
             return None
+        return self.find_known_refusal(job) or self._find_pause(job)
+
+    def find_known_refusal(self, job: Job) -> Refusal | None:
+        """Return the refusal of a request that is known to crash instances, if it is.
+
+        One with a part that was refused for long is tried by the leader, which only
+        runs one at a time.
+        """
         software = self._view.list_software(job.service.name)
+        suspect = self._suspects.find(job.fingerprint)
         refused_s = self._suspects.find_refused_s(job.fingerprint, software)
-        if refused_s > 0:
+        if suspect is not None and refused_s > 0:
             self._record_suspicion(job, suspect, True, refused_s)
-            return self._refuse(job, suspect, refused_s)
+            return self._refuse(suspect, refused_s)
+        part = self._suspects.find_crashing_part(job.traits, software)
+        if part is None:
+            return None
+        refused_s = self._suspects.find_part_refused_s(part)
+        if not refused_s and self._reporter.is_leader():
+            if part.key not in self._running:
+                return None
+            refused_s = DUPLICATE_RETRY_AFTER_S
+        refused_s = refused_s or TRIAL_RETRY_AFTER_S
+        self._record_suspicion(job, part, True, refused_s)
+        return self._refuse(part, refused_s)
+
+    def _find_pause(self, job: Job) -> Refusal | None:
+        """Return the refusal of a request that other nodes run just now, if it is."""
+        suspect = self._suspects.find(job.fingerprint)
+        if suspect is None:
+            return None
         pause_s = self._suspects.find_pause_s(job.fingerprint)
         if job.fingerprint in self._running:
             pause_s = max(pause_s, DUPLICATE_RETRY_AFTER_S)
@@ -111,35 +148,43 @@
             503, 'instances recently ended while running this request', pause_s
         )
 
-    def _refuse(self, job: Job, suspect: Suspect, refused_s: float) -> Refusal:
+    def _refuse(self, suspect: Suspect | SuspectPart, refused_s: float) -> Refusal:
         ended = len(suspect.crashes)
+        part = suspect.name if isinstance(suspect, SuspectPart) else ''
+        what = f'requests with part {part} of their prompts' if part else 'it'
         detail = (
-            f'{_format_count(ended).capitalize()} ended while running it, so it was '
-            'not run this time.  It is tried again when that is long enough ago, when '
-            'all instances run other software, or when an operator has lifted the '
+            f'{_format_count(ended).capitalize()} ended while running {what}, so it '
+            'was not run this time.  It is tried again when that is long enough ago, '
+            'when all instances run other software, or when an operator has lifted the '
             'refusal.'
         )
         problem = Problem(
-            PROBLEM_TITLE, detail, 'not-run', ended, job.fingerprint, refused_s
+            PROBLEM_TITLE, detail, 'not-run', ended, suspect.key, refused_s, part
         )
         reason = 'instances end while running this request'
         return Refusal(REFUSED_STATUS, reason, refused_s, problem)
 
     def _record_suspicion(
-        self, job: Job, suspect: Suspect, known: bool, retry_after_s: float
+        self,
+        job: Job,
+        suspect: Suspect | SuspectPart,
+        known: bool,
+        retry_after_s: float,
     ) -> None:
         outcome = 'refused' if known else 'paused'
         self._metrics.suspects.inc({'outcome': outcome})
         log.emit(
             events.REQUEST_SUSPECTED,
             request=job.fields.request,
-            fingerprint=job.fingerprint,
-            customer=suspect.customer,
+            fingerprint=suspect.key,
+            customer=job.traits.customer,
             known=known,
-            ended=[
-                f'{item.instance}/{item.born} seen by {item.seen_by}'
-                for item in suspect.crashes.values()
-            ],
+            ended=sorted(
+                {
+                    f'{item.instance}/{item.born} seen by {item.seen_by}'
+                    for item in suspect.list_crashes()
+                }
+            ),
             age=round(self._clock() - suspect.newest_at, 3),
             again_s=round(retry_after_s, 2),
         )
--- a/coursepitch/gateway_application.py
+++ b/coursepitch/gateway_application.py
@@ -200,6 +200,9 @@
         self._was_ready: bool | None = None
 
     def _build_gateway(self) -> Gateway:
+        suspicion = SuspicionGate(
+            self.suspects, self.reporter, self.session.view, self.metrics, self.clock
+        )
         components = GatewayComponents(
             self.session,
             self.router,
@@ -207,6 +210,7 @@
             self.budget,
             self.pool,
             self._build_crash_detector(),
+            suspicion,
             self.notices,
             self.gate,
             self.admission,
@@ -216,9 +220,6 @@
         self.session.loans.lend = partial(lend_retry, components)
         streams = StreamServer(components, self.watchdog)
         calls = CallServer(components)
-        suspicion = SuspicionGate(
-            self.suspects, self.reporter, self.session.view, self.metrics, self.clock
-        )
         return Gateway(components, streams, calls, suspicion, self.metrics)
 
     def _build_notices(self) -> InstanceNotices:
--- a/tests/gateway/test_evacuations.py
+++ b/tests/gateway/test_evacuations.py
@@ -31,6 +31,8 @@
 from coursepitch.metrics import Metrics
 from coursepitch.platform.kv import Entry
 from tests.fleet.builders import (
+    NO_CRASHES,
+    NO_SUSPICION,
     SERVICE,
     SOUND_PATHS,
     build_instance,
@@ -167,6 +169,8 @@
             pool=pool,
             gate=self.gate,
             paths=SOUND_PATHS,
+            crash_detector=NO_CRASHES,
+            suspicion=NO_SUSPICION,
             clock=self.clock,
         )
         job = SimpleNamespace(
@@ -210,6 +214,8 @@
             gate=self.gate,
             admission=admission,
             paths=SOUND_PATHS,
+            crash_detector=NO_CRASHES,
+            suspicion=NO_SUSPICION,
             clock=self.clock,
         )
 
--- a/tests/gateway/test_truthful.py
+++ b/tests/gateway/test_truthful.py
@@ -13,7 +13,7 @@
 from coursepitch.gateway.request_handler import Gateway
 from coursepitch.gateway.streams import StreamServer
 from coursepitch.http.client import Framing
-from tests.fleet.builders import build_instance, build_service, build_view
+from tests.fleet.builders import NO_SUSPICION, build_instance, build_service, build_view
 
 #: Statuses that guarantee that a request was not executed.
 GUARANTEE_STATUSES = {408, 421, 429, 503}
@@ -49,6 +49,7 @@
             budget=None,
             gate=SimpleNamespace(are_closed=lambda names: False),
             clock=lambda: 100.0,
+            suspicion=NO_SUSPICION,
         )
 
     def check(self, refusal, job):
