Reset connections unread at a node that gets more than it can process

Callers of a node that got most new connections waited with all others of it until they gave up, while its peers were idle. Cause: nothing bounds what a node reads by what it can process; admission looks at instances only. Connections were also accepted one after the other, in several passes through the event loop each, so that under load they waited in the kernel's backlog.

Change: all connections that wait are taken in one pass, and a guard accepts a share of them that falls with the delay of requests in the event loop. The others are reset unread and meet other nodes. Not below 20 connections a second, nor while peers have as many requests in flight.

--- a/coursepitch/events.py
+++ b/coursepitch/events.py
@@ -561,6 +561,14 @@
     'the customers that sent the requests.',
     ('part', 'companions', 'ended', 'customers'),
 )
+CONNECTIONS_REFUSED = Event(
+    623,
+    'connections.refused',
+    'Connections of clients were reset unread in the last second or longer, as '
+    'requests wait too long at this node: the share that is accepted, and the delay of '
+    'a request by other work of the node.',
+    ('refused', 'share', 'delay_s'),
+)
 SUSPECT_CLEARED = Event(
     614,
     'suspect.cleared',
--- a/coursepitch/fleet/peers.py
+++ b/coursepitch/fleet/peers.py
@@ -171,6 +171,12 @@
         counts = self._received_sum.counts if self._received_sum else self._counts
         return counts.get(instance, 0)
 
+    def find_mean_in_flight(self) -> float:
+        """Return the mean of the other nodes' requests in flight; infinite for none."""
+        counts = self._received_sum.counts if self._received_sum else self._counts
+        nodes = self.count_others()
+        return sum(counts.values()) / nodes if nodes else float('inf')
+
     def read_work(self, own: dict[str, float]) -> dict[str, float]:
         """Return the incoming work of all nodes by model.
 
--- a/coursepitch/gateway_application.py
+++ b/coursepitch/gateway_application.py
@@ -32,6 +32,7 @@
 from coursepitch.gateway.components import GatewayComponents
 from coursepitch.gateway.crash_detector import CrashDetector
 from coursepitch.gateway.load_tracker import LoadTracker
+from coursepitch.gateway.overload import OverloadGuard
 from coursepitch.gateway.request_handler import Gateway
 from coursepitch.gateway.router import Router
 from coursepitch.gateway.send_gate import SendGate
@@ -188,11 +189,13 @@
         self._apply_promises(promises)
         self.gateway = self._build_gateway()
         self._started_at = clock()
+        self.overload = OverloadGuard(clock, self.metrics, self._has_idle_peers)
         self.front = HttpServer(
             self.gateway.handle,
             self._find_connection_rules,
             clock,
             self.session.is_fading,
+            self.overload.accepts,
         )
         self.ready_server = HttpServer(self._serve_readiness, ConnectionRules, clock)
         self.metrics_server = HttpServer(self._serve_metrics, ConnectionRules, clock)
@@ -267,6 +270,10 @@
     def _count_notice(self, kind: str) -> None:
         self.metrics.instance_notices.inc({'kind': kind})
 
+    def _has_idle_peers(self) -> bool:
+        """Whether other nodes have fewer requests in flight than this one."""
+        return self.session.book.find_mean_in_flight() < self.front.busy_count
+
     def _note_restart(self, instance: str) -> None:
         self.load_tracker.note_restart(instance)
         self.session.limits.note_restart(instance)
@@ -392,6 +399,7 @@
             group.start_soon(self._clean_up)
             group.start_soon(self.admission.run)
             group.start_soon(self.paths.run)
+            group.start_soon(self.overload.run)
             group.start_soon(self.links.run, sockets['peers'])
             group.start_soon(self.ready_server.run, sockets['ready'])
             group.start_soon(self.metrics_server.run, sockets['metrics'])
--- a/coursepitch/http/server.py
+++ b/coursepitch/http/server.py
@@ -8,10 +8,13 @@
 from __future__ import annotations
 
 import asyncio
+import socket
+import struct
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 import anyio
+import anyio.lowlevel
 import h11
 
 from coursepitch import events, log
@@ -21,9 +24,10 @@
 from coursepitch.http.stream import ByteStream
 
 if TYPE_CHECKING:
-    import socket
     from collections.abc import Awaitable, Callable
 
+    from anyio.abc import TaskGroup
+
     from coursepitch.http.messages import Headers
 
 __all__ = ['ConnectionRules', 'HttpServer', 'ResponseWriter']
@@ -32,6 +36,9 @@
 #: have changed with the configuration.
 IDLE_CHECK_S = 1.0
 
+#: Connections that are accepted in one pass through the event loop.
+MAX_ACCEPTED = 64
+
 #: Timeout in seconds for the final write to a connection.
 FINAL_WRITE_TIMEOUT_S = 1.0
 
@@ -323,6 +330,12 @@
             await self.write(data)
 
 
+def _reset(sock: socket.socket) -> None:
+    """Close a connection with a reset, which tells that nothing of it was read."""
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0))
+    sock.close()
+
+
 @dataclass(eq=False)
 class HttpServer:
     """Server that handles each connection in a separate task.
@@ -330,6 +343,8 @@
     :param handle: request handler; writes the response.
     :param read_rules: returns the limits currently in force.
     :param is_draining: returns whether clients should send further requests elsewhere.
+    :param accepts: returns whether to accept one more connection; one that is not is
+        reset unread.
     :param stopping: whether the server finishes its requests and closes connections.
     :param closing_idle: whether idle connections are closed.
     """
@@ -338,6 +353,7 @@
     read_rules: Callable[[], ConnectionRules]
     clock: Clock = boottime
     is_draining: Callable[[], bool] = lambda: False
+    accepts: Callable[[], bool] = lambda: True
     stopping: bool = False
     closing_idle: bool = False
     connections: set[ServerConnection] = field(default_factory=set)
@@ -358,12 +374,36 @@
             async with anyio.create_task_group() as group:
                 while True:
                     accepted, _ = await loop.sock_accept(sock)
-                    _, stream = await loop.connect_accepted_socket(ByteStream, accepted)
-                    group.start_soon(self._serve, stream)
+                    self._take(accepted, group)
+                    self._take_waiting(sock, group)
+                    # Accepting does not wait while there are connections.
+                    await anyio.lowlevel.checkpoint()
         finally:
             loop.remove_reader(sock)
             sock.close()
 
+    def _take_waiting(self, sock: socket.socket, group: TaskGroup) -> None:
+        """Take the connections that wait, so that none is old when it is taken."""
+        for _ in range(MAX_ACCEPTED):
+            try:
+                accepted, _ = sock.accept()
+            except (BlockingIOError, InterruptedError, ConnectionAbortedError):
+                return
+            accepted.setblocking(False)
+            self._take(accepted, group)
+
+    def _take(self, accepted: socket.socket, group: TaskGroup) -> None:
+        """Serve a connection, or reset it."""
+        if self.accepts():
+            group.start_soon(self._serve_socket, accepted)
+        else:
+            _reset(accepted)
+
+    async def _serve_socket(self, accepted: socket.socket) -> None:
+        loop = asyncio.get_running_loop()
+        _, stream = await loop.connect_accepted_socket(ByteStream, accepted)
+        await self._serve(stream)
+
     async def _serve(self, stream: ByteStream) -> None:
         rules = self.read_rules()
         parser = h11.Connection(h11.SERVER, rules.head_bytes)
--- a/coursepitch/metrics.py
+++ b/coursepitch/metrics.py
@@ -121,6 +121,10 @@
             'tunnels_total',
             'Attempts to connect to instances through peers by outcome.',
         )
+        self.refused_connections = counter(
+            'refused_connections_total',
+            'Connections of clients that were reset unread, as requests wait too long.',
+        )
         self.kv_calls = counter(
             'key_value_calls_total', 'Calls to the key-value service by operation.'
         )
--- a/tests/http/test_exchange.py
+++ b/tests/http/test_exchange.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+import asyncio
+import socket
 import unittest
 
 import anyio
+import anyio.lowlevel
 
 from coursepitch.http import (
     ConnectionPool,
@@ -203,6 +206,48 @@
         data = self.run_test(echo, run)
         self.assertLess(data.index(b'/1 '), data.index(b'/2 abc'))
 
+    def test_connection_that_is_not_accepted_is_reset_unread(self):
+        handled = []
+
+        async def handle(request, reply):
+            handled.append(request.target)
+            await reply.send_whole(200, (), b'')
+
+        async def run(server, stream):
+            await stream.send(b'GET /1 HTTP/1.1\r\nHost: x\r\n\r\n')
+            await stream.receive()
+            server.accepts = lambda: False
+            address = stream.extra(anyio.abc.SocketAttribute.remote_address)
+            with self.assertRaises((OSError, anyio.BrokenResourceError)):
+                async with await anyio.connect_tcp(*address) as refused:
+                    await refused.send(b'GET /2 HTTP/1.1\r\nHost: x\r\n\r\n')
+                    await refused.receive()
+            # Open connections go on.
+            await stream.send(b'GET /3 HTTP/1.1\r\nHost: x\r\n\r\n')
+            return await stream.receive()
+
+        self.assertIn(b' 200 ', self.run_test(handle, run))
+        self.assertEqual(handled, [b'/1', b'/3'])
+
+    # Guards against connections that wait to be accepted one after the other.
+    def test_connections_that_wait_are_accepted_together(self):
+        async def run(server, stream):
+            address = stream.extra(anyio.abc.SocketAttribute.remote_address)
+            loop = asyncio.get_running_loop()
+            clients = [socket.socket() for _ in range(20)]
+            for client in clients:
+                client.connect(address)
+            await loop.run_in_executor(None, lambda: None)
+            # One after the other, each would take several passes.
+            for _ in range(len(clients) // 2):
+                await anyio.lowlevel.checkpoint()
+            count = len(server.connections)
+            for client in clients:
+                client.close()
+            return count
+
+        self.assertGreaterEqual(self.run_test(echo, run), 20)
+
     def test_body_above_the_limit_is_413(self):
         async def run(server, stream):
             await stream.send(
