End instances by a part of prompts in the soak

Clients of the soak send prompts with parts; for 4 to 9 s at a time a part ends each instance that begins to answer with it, at the head or after one or two events. The new checker counts arrivals of such calls from 3 s after the fifth end on.

--- a/soak/checkers.py
+++ b/soak/checkers.py
@@ -32,6 +32,8 @@
     :param contact_s: seconds after trouble within which nodes act on what is new.
     :param under_way_s: seconds for which requests may be on their way.
     :param most_in_backoff: requests of a node to an instance in a backoff after that.
+    :param counted_ends: ended instances from which arrivals with a part are counted.
+    :param late_arrivals: such arrivals from ``contact_s`` after the last of these.
     :param cut_off_share: how often calls at nodes without paths to the instances are
         served, as a part of how often those at the others are.
     :param cut_off_failures: failed calls at such nodes in a cut beyond one in
@@ -46,6 +48,8 @@
     contact_s: float = 3.0
     under_way_s: float = 0.5
     most_in_backoff: int = 2
+    counted_ends: int = 5
+    late_arrivals: int = 3
     cut_off_share: float = 2 / 3
     cut_off_failures: int = 10
     calls_per_failure: int = 50
@@ -335,6 +339,46 @@
     return Verdict('cut off', looked_at, tuple(findings))
 
 
+def check_crashing_parts(history: History, bounds: Bounds) -> Verdict:
+    """Calls with a part that ended instances reach next to no further ones.
+
+    Arrivals of nodes that were in trouble shortly before are left out, and those that
+    may have been held up on a path.
+    """
+    calls = history.map_calls()
+    parts = {call.part for call in history.calls if call.part}
+    looked_at = 0
+    findings = []
+    for part in sorted(parts):
+        ends = [
+            end.at
+            for end in history.ends
+            if end.call in calls and calls[end.call].part == part
+        ]
+        looked_at += bool(ends)
+        if len(ends) < bounds.counted_ends:
+            continue
+        known_at = ends[bounds.counted_ends - 1] + bounds.contact_s
+        late = [
+            run
+            for run in history.runs
+            if run.arrived_at > known_at
+            and run.call in calls
+            and calls[run.call].part == part
+            and not history.may_be_held_up(run, calls[run.call])
+            and not any(
+                history.was_disturbed(
+                    node, run.arrived_at - bounds.contact_s, run.arrived_at
+                )
+                for node in ('', calls[run.call].node)
+            )
+        ]
+        if len(late) > bounds.late_arrivals:
+            text = f'{len(late)} calls reached instances, {len(ends)} ended'
+            findings.append(Finding(part, late[0].arrived_at, text))
+    return Verdict('crashing parts', looked_at, tuple(findings))
+
+
 def _count_whole(calls: Sequence[Call]) -> int:
     return sum(call.ending is Ending.WHOLE for call in calls)
 
@@ -351,6 +395,7 @@
     check_keys,
     check_second_sends,
     check_cut_off,
+    check_crashing_parts,
 )
 
 
--- a/soak/clients.py
+++ b/soak/clients.py
@@ -29,6 +29,11 @@
     ('POST', '/once/x', 'api', False),
 )
 
+#: Share of the streams with the part that ends instances, while there is one, and parts
+#: that all prompts have.
+PART_SHARE = 0.15
+SHARED_PARTS = ('aa01', 'aa02')
+
 #: Longest time in seconds for which a client stays away when told to come back later.
 MOST_AWAY_S = 2.0
 
@@ -75,6 +80,8 @@
 
     :param events: events of a whole stream.
     :param find_node: returns the name and the URL of a node by a number from 0 to 1.
+    :param find_part: returns the part of prompts that ends instances now; empty for
+        none.
     """
 
     def __init__(
@@ -84,13 +91,16 @@
         key: str,
         events: int,
         find_node: Callable[[float], tuple[str, str]],
+        find_part: Callable[[], str],
     ) -> None:
         self.calls: list[Call] = []
         self._name = name
         self._key = key
         self._events = events
         self._find_node = find_node
+        self._find_part = find_part
         self._chance = random.Random(seed)
+        self._chance_of_parts = random.Random(f'{seed}/parts')
         self._ended = threading.Event()
         self._http = httpx.Client(timeout=PATIENCE_S, trust_env=False)
         self._thread = threading.Thread(target=self._run, daemon=True)
@@ -115,11 +125,13 @@
         method, path, service, repeatable = self._chance.choice(REQUESTS)
         node, url = self._find_node(self._chance.random())
         request = f'{self._name}-{len(self.calls)}'
+        streamed = service == 'pool'
+        part = self._draw_part() if streamed else ''
+        headers = self._build_headers(request, part)
         sent_at = time.monotonic()
         is_old = self._chance.random() < OLD_SHARE
         send = self._send_as_old_client if is_old else self._send
-        answer = send(method, url, path, request)
-        streamed = service == 'pool'
+        answer = send(method, url, path, headers)
         self.calls.append(
             Call(
                 request,
@@ -134,27 +146,39 @@
                 self._events if streamed else 0,
                 node,
                 not streamed and not answer.body.endswith(request),
+                part,
             )
         )
         return answer.away_s
 
-    def _build_headers(self, request: str) -> dict[str, str]:
+    def _draw_part(self) -> str:
+        part = self._find_part()
+        return part if self._chance_of_parts.random() < PART_SHARE else ''
+
+    def _build_headers(self, request: str, part: str) -> dict[str, str]:
+        own = f'{self._chance_of_parts.getrandbits(32):08x}'
+        parts = [*SHARED_PARTS, *([part] if part else []), own]
         return {
             'Host': 'a.example',
             'X-Request-Id': request,
             'X-Deadline-Ms': '8000',
             'X-Model': 'm',
             'X-Token-Usage': '100,20',
+            'X-Prompt-Prefix': ','.join(f'{name}:20' for name in parts),
             'Authorization': f'Bearer {self._key}',
         }
 
-    def _send(self, method: str, url: str, path: str, request: str) -> _Answer:
+    def _send(
+        self, method: str, url: str, path: str, headers: dict[str, str]
+    ) -> _Answer:
         """Send a request on a connection that is kept."""
-        headers = self._build_headers(request)
         answered_for, body = '', ''
         ending = Ending.UNKNOWN
         try:
-            with self._http.stream(method, url + path, headers=headers) as reply:
+            content = _build_body(method, headers)
+            with self._http.stream(
+                method, url + path, headers=headers, content=content
+            ) as reply:
                 refusal = _read_refusal(reply.status_code, reply.headers)
                 if refusal is not None:
                     return refusal
@@ -169,7 +193,7 @@
         return _Answer(ending, answered_for, body)
 
     def _send_as_old_client(
-        self, method: str, url: str, path: str, request: str
+        self, method: str, url: str, path: str, headers: dict[str, str]
     ) -> _Answer:
         """Send a request of HTTP/1.0 on a connection of its own."""
         parsed = httpx.URL(url)
@@ -177,7 +201,8 @@
         answered_for, body = '', b''
         ending = Ending.UNKNOWN
         try:
-            connection.request(method, path, headers=self._build_headers(request))
+            content = _build_body(method, headers)
+            connection.request(method, path, content, headers)
             reply = connection.getresponse()
             refusal = _read_refusal(reply.status, reply.headers)
             if refusal is not None:
@@ -197,6 +222,11 @@
         return _Answer(ending, answered_for, body.decode())
 
 
+def _build_body(method: str, headers: Mapping[str, str]) -> bytes | None:
+    """Return a body that no other request has, as prompts differ."""
+    return headers['X-Request-Id'].encode() if method == 'POST' else None
+
+
 def _read_refusal(status: int, headers: Mapping[str, str]) -> _Answer | None:
     """Return what an answer other than 200 tells, or ``None`` for 200."""
     if status in PROMISING:
--- a/soak/driver.py
+++ b/soak/driver.py
@@ -9,7 +9,7 @@
 from typing import TYPE_CHECKING
 
 from soak.clients import Client
-from soak.history import Call, Cut, Disturbed, History, Left, Run
+from soak.history import Call, Cut, Disturbed, Ended, History, Left, Run
 from soak.plan import FaultKind, draw_plan
 from tests.whole.platform_base import KEY, PlatformCase
 
@@ -35,6 +35,7 @@
     """Store, instances and nodes as processes."""
 
     events = 5
+    engines = 13
     own_paths = True
 
 
@@ -53,6 +54,7 @@
         self._cuts: list[Cut] = []
         self._away: set[str] = set()
         self._without_paths: set[str] = set()
+        self._part = ''
         self._lock = threading.Lock()
         self._tasks: list[threading.Thread] = []
         self._pause = threading.Event()
@@ -70,7 +72,12 @@
     def _run(self) -> History:
         clients = [
             Client(
-                f'{name}c{number}', f'{self._seed}/{name}/{number}', KEY, 5, self._find
+                f'{name}c{number}',
+                f'{self._seed}/{name}/{number}',
+                KEY,
+                5,
+                self._find,
+                lambda: self._part,
             )
             for name in self._names
             for number in range(CLIENTS)
@@ -114,8 +121,18 @@
             tuple(self._left),
             disturbed=tuple(self._disturbed),
             cuts=tuple(self._cuts),
+            ends=self._list_ends(),
         )
 
+    def _list_ends(self) -> tuple[Ended, ...]:
+        """Return the instances that ended as they began to answer, in order."""
+        ends = [
+            Ended(name, item['crashed_by'], item['crashed_at'])
+            for name, item in _System.stats('pool').items()
+            if item['crashed_by']
+        ]
+        return tuple(sorted(ends, key=lambda end: end.at))
+
     def _find(self, choice: float) -> tuple[str, str]:
         """Return the name and the URL of a node."""
         name = self._names[int(choice * len(self._names))]
@@ -136,6 +153,7 @@
             FaultKind.CRASH: self._leave,
             FaultKind.PATHS: self._cut_paths,
             FaultKind.BREAK: self._break_off,
+            FaultKind.PART: self._end_by_part,
         }
         task = threading.Thread(target=kinds[fault.kind], args=(fault,))
         task.start()
@@ -250,6 +268,15 @@
         self._pause.wait(fault.length_s)
         _System.control(fault.service, '/fault', mode='none', instances=chosen)
 
+    def _end_by_part(self, fault: Fault) -> None:
+        """Let a part of prompts end each instance that begins to answer with it."""
+        part = f'bad{int(fault.at * 1000):05}'
+        events = int(fault.choice * 3)
+        _System.control('pool', '/crash_on', part=part, events=events)
+        self._part = part
+        self._pause.wait(fault.length_s)
+        self._part = ''
+
     def _leave(self, fault: Fault) -> None:
         """Let an instance end: announced in answers, in the store, or not at all."""
         name = self._take(self._list_present(fault.service), fault.choice)
--- a/soak/history.py
+++ b/soak/history.py
@@ -14,6 +14,7 @@
     'Call',
     'Cut',
     'Disturbed',
+    'Ended',
     'Ending',
     'History',
     'Left',
@@ -41,6 +42,7 @@
     :param events: numbers of the events that came, in their order.
     :param expected: events that the whole answer has.
     :param short: whether the body lacks its end, where that is known.
+    :param part: part of its prompt that ends instances; empty for none.
     :param node: node that it was sent to.
     """
 
@@ -56,6 +58,7 @@
     expected: int = 0
     node: str = ''
     short: bool = False
+    part: str = ''
 
 
 @dataclass(frozen=True, slots=True)
@@ -84,6 +87,15 @@
     acknowledged_at: float
 
 
+@dataclass(frozen=True, slots=True)
+class Ended:
+    """An instance that ended as it began to answer a call."""
+
+    instance: str
+    call: str
+    at: float
+
+
 @dataclass(frozen=True, slots=True)
 class Acknowledged:
     """A configuration that the store acknowledged.
@@ -127,6 +139,7 @@
     configurations: tuple[Acknowledged, ...] = field(default=())
     disturbed: tuple[Disturbed, ...] = ()
     cuts: tuple[Cut, ...] = ()
+    ends: tuple[Ended, ...] = ()
 
     def map_calls(self) -> dict[str, Call]:
         """Return the calls by their ids."""
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -21,6 +21,10 @@
 CUT_S = (1.0, 8.0)
 CUT_MODES = ('hang', 'reset', 'refuse')
 
+#: Seconds for which a part of prompts ends instances, and from its end to the next one.
+PART_S = (4.0, 9.0)
+PART_GAP_S = (2.0, 9.0)
+
 #: Where instances break streams off.  Between two events only a reset tells it.
 PLACES = ('inside', 'line', 'first', 'between')
 
@@ -41,6 +45,7 @@
     CRASH = 'crash'
     PATHS = 'paths'
     BREAK = 'break'
+    PART = 'part'
 
 
 #: How often each kind is drawn.
@@ -107,4 +112,23 @@
             )
         )
         at += chance.uniform(*GAP_S)
+    faults += _draw_parts(seed, seconds)
+    return sorted(faults, key=lambda fault: fault.at)
+
+
+def _draw_parts(seed: int, seconds: float) -> list[Fault]:
+    """Return the times in which a part of prompts ends instances, one after the other.
+
+    They are drawn apart, so that a seed draws the same other faults as without them.
+    """
+    chance = random.Random(f'{seed}/parts')
+    faults = []
+    at = chance.uniform(*PART_GAP_S)
+    while at < seconds:
+        length_s = chance.uniform(*PART_S)
+        fault = Fault(
+            at, FaultKind.PART, length_s, 'pool', chance.random(), 0.0, 0.0, '', ''
+        )
+        faults.append(fault)
+        at += length_s + chance.uniform(*PART_GAP_S)
     return faults
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -96,6 +96,7 @@
     scope: anyio.CancelScope = field(default_factory=anyio.CancelScope)
     crashed: bool = False
     crashed_at: float | None = None
+    crashed_by: str = ''
     limit: str | None = None
     visits: list[dict[str, Any]] = field(default_factory=list)
     backoff: str | None = None
@@ -390,6 +391,7 @@
         """Let the instance end if this run is one that ends it."""
         if run['ends'] and self.crashes_left > 0:
             self.crashes_left -= 1
+            instance.crashed_by = run['request']
             self.crash(instance)
             await anyio.sleep_forever()
 
@@ -474,6 +476,7 @@
                 'orders': item.orders,
                 'crashed': item.crashed,
                 'crashed_at': item.crashed_at,
+                'crashed_by': item.crashed_by,
                 'arrivals': [visit['at'] for visit in item.visits],
                 'visits': item.visits,
             }
--- a/tests/soak/test_checkers.py
+++ b/tests/soak/test_checkers.py
@@ -10,6 +10,7 @@
     Bounds,
     check_all,
     check_backoffs,
+    check_crashing_parts,
     check_cut_off,
     check_events,
     check_keys,
@@ -20,7 +21,7 @@
     check_second_sends,
     check_told_leaving,
 )
-from soak.history import Acknowledged, Cut, Disturbed, Ending, History, Left
+from soak.history import Acknowledged, Cut, Disturbed, Ended, Ending, History, Left
 from tests.soak.builders import build_call, build_run
 
 BOUNDS = Bounds()
@@ -44,6 +45,29 @@
         self.assert_fires(check_own_answers, History((wrong,)), 'c')
         self.assert_proves(check_own_answers, History((build_call(),)))
 
+    def test_part_that_ends_instances_and_is_sent_on(self):
+        def build(late, **fields):
+            calls = tuple(
+                build_call(f'c{number}', 10.0 + number, part='bad', node='n')
+                for number in range(5 + late)
+            )
+            runs = tuple(
+                build_run(call.id, f'i{number}', call.sent_at)
+                for number, call in enumerate(calls)
+            )
+            ends = tuple(
+                Ended(f'i{number}', f'c{number}', 8.0 + number / 10)
+                for number in range(5)
+            )
+            return History(calls, runs, ends=ends, **fields)
+
+        self.assert_fires(check_crashing_parts, build(4), 'bad')
+        in_trouble = (Disturbed('n', 9.0, 30.0),)
+        self.assert_proves(check_crashing_parts, build(4, disturbed=in_trouble))
+        self.assert_proves(check_crashing_parts, build(0))
+        few = build(4)
+        self.assert_proves(check_crashing_parts, replace(few, ends=few.ends[:4]))
+
     def test_events_missing_doubled_or_left_out_at_the_end(self):
         for events in ((1, 3), (1, 1, 2, 3), (2, 1, 3), (1, 2)):
             wrong = build_call(events=events)
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -9,7 +9,14 @@
 from soak.plan import draw_plan
 
 #: Promises that a run of this length puts to the test.
-PUT_TO_THE_TEST = {'own answers', 'events', 'runs once', 'refusals', 'backoffs'}
+PUT_TO_THE_TEST = {
+    'own answers',
+    'events',
+    'runs once',
+    'refusals',
+    'backoffs',
+    'crashing parts',
+}
 
 
 class PlanTest(unittest.TestCase):
