Test that the OpenAI side remembers what ends engines

The same cause elsewhere: requests of the OpenAI interface that share a system prompt, which ends each engine that begins to run one. Nothing there remembers a crash, of a request or of a part of its prompt, so each request ends three engines.

--- a/standins/engine.py
+++ b/standins/engine.py
@@ -10,6 +10,7 @@
 import collections
 import hashlib
 import json
+import os
 import secrets
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
@@ -207,6 +208,9 @@
         work = Work(prompt, int(body.get('max_tokens', 16)), resume)
         engine.works[name] = work
         engine.ran[name] += 1
+        crash_on = engine.fault.get('crash_on')
+        if crash_on and crash_on in prompt:
+            os._exit(1)
         remember_prefix(prompt)
         work.done = resume >= work.limit
         engine.group.start_soon(engine.generate, name, work)
