Take an entry of the store for no new crash of a part

Callers of a part that was refused by mistake would have been refused for two minutes in place of 3 s, or again after their requests had succeeded. Cause: a node that reads an entry late, or once more, counted its crashes as of that moment, so they passed for a failed trial, and outweighed successes. Found by reading the change; two tests fail without it. Crashes of an entry count only if the node knows none of that instance and no success of late.

--- a/coursepitch/crashes/parts.py
+++ b/coursepitch/crashes/parts.py
@@ -147,12 +147,18 @@
         return any(added)
 
     def _note_part(self, name: str, crash: Crash) -> bool:
+        """Record a crash against a part, unless it is refuted or known."""
         cleared_at = self._cleared_at.get(name, float('-inf'))
-        if crash.at <= max(
-            cleared_at, self._sound_at.get((name, crash.scope), cleared_at)
-        ):
+        sound_at = self._sound_at.get((name, crash.scope), float('-inf'))
+        if crash.at <= max(cleared_at, sound_at):
             return False
-        suspect = self._suspects.setdefault(name, SuspectPart(name))
+        known = self._suspects.get(name)
+        if not crash.fingerprint:
+            # An entry of the store does not tell when the instance crashed.
+            is_known = known is not None and crash.incarnation in known.crashes
+            if is_known or self.is_sound(name, crash.scope, crash.at):
+                return False
+        suspect = known or self._suspects.setdefault(name, SuspectPart(name))
         requests = suspect.crashes.setdefault(crash.incarnation, {})
         if crash.fingerprint in requests:
             return False
--- a/tests/crashes/test_parts.py
+++ b/tests/crashes/test_parts.py
@@ -190,6 +190,29 @@
         self.crash_series('a', count=4)
         self.assertAlmostEqual(self.find_refused_s(), TRIAL_S - 0.1)
 
+    def apply_stored(self, *instances):
+        """Record crashes as an entry of the store tells them."""
+        for name in instances:
+            self.table.note_crash(
+                Crash('', 'acme', name, 1, self.now, 'n1', 'v1', WORKLOAD, ('a',))
+            )
+        self.table.note_confirmed(PART_PREFIX + 'a')
+
+    # Guards against entries of the store that pass for new crashes when they are read.
+    def test_entry_of_the_store_that_is_read_late_is_no_trial(self):
+        self.crash_series('a')
+        self.find_refused_s()
+        self.now += TRIAL_S
+        self.apply_stored('i1', 'i2', 'i3')
+        self.assertEqual(self.find_refused_s(), 0.0)
+
+    def test_entry_of_the_store_does_not_outweigh_a_success(self):
+        self.crash_series('a')
+        self.succeed('a')
+        self.now += 1.0
+        self.apply_stored('i1', 'i2', 'i3')
+        self.assertIsNone(self.find('a'))
+
     def test_part_that_nobody_sends_is_forgotten(self):
         self.crash_series('a')
         self.find_refused_s()
