Refuse a part no longer once successes leave too few of its crashes

A part that was refused by mistake stayed so with one or two crashes left, until each customer's own requests had succeeded. The test fails without it.

--- a/coursepitch/crashes/causes.py
+++ b/coursepitch/crashes/causes.py
@@ -94,10 +94,9 @@
     for item in candidates:
         rest = len(item.crashes.keys() - explained)
         share = _find_explained_share(item, crashed_at, explained)
-        if item.confirmed:
-            if rest < min(MIN_CRASHES, len(item.crashes)):
-                continue
-        elif rest < item.min_crashes or share < MIN_EXPLAINED_SHARE:
+        if rest < (MIN_CRASHES if item.confirmed else item.min_crashes):
+            continue
+        if not item.confirmed and share < MIN_EXPLAINED_SHARE:
             continue
         causes[item.name] = _find_companions(item, candidates)
         explained |= item.crashes.keys()
--- a/tests/crashes/test_parts.py
+++ b/tests/crashes/test_parts.py
@@ -156,6 +156,13 @@
         self.assertIsNone(self.find('a'))
         self.assertEqual(len(self.table), 0)
 
+    def test_part_with_few_crashes_left_is_refused_no_longer(self):
+        self.crash_series('a', count=2)
+        self.crash_series('a', count=2, customer='other')
+        self.assertEqual(self.find('a'), 'a')
+        self.succeed('a')
+        self.assertIsNone(self.find('a', customer='other'))
+
     def test_operator_lifts_a_refusal_for_all(self):
         self.crash_series('a')
         old = self.table.list_crashes()
