Drop crashes of parts too where the instance still runs

An instance that refused connections for a while counts as crashed until its entry outlives that. Its crash was then dropped for requests that were still suspected, and with them for parts, but not for parts whose requests had been cleared. The test fails without it.

--- a/coursepitch/crashes/suspects.py
+++ b/coursepitch/crashes/suspects.py
@@ -314,12 +314,10 @@
     def sweep(self) -> None:
         """Drop expired state, and crashes of instances that still run."""
         now = self.clock()
+        for crash in self.list_crashes():
+            if self.still_runs(crash):
+                self._drop_crashes(crash.incarnation)
         for suspect in list(self._suspects.values()):
-            for key, crash in list(suspect.crashes.items()):
-                if self.still_runs(crash):
-                    del suspect.crashes[key]
-                    self._instance_crashes.pop(key, None)
-                    self.parts.drop_crashes(key)
             if not suspect.crashes or now - suspect.newest_at > suspect.keep_s:
                 del self._suspects[suspect.fingerprint]
         self.parts.sweep()
@@ -333,6 +331,13 @@
             key: at for key, at in self._instance_crashes.items() if at >= start
         }
 
+    def _drop_crashes(self, incarnation: tuple[str, int]) -> None:
+        """Forget the crash of an instance that still runs."""
+        self._instance_crashes.pop(incarnation, None)
+        self.parts.drop_crashes(incarnation)
+        for suspect in self._suspects.values():
+            suspect.crashes.pop(incarnation, None)
+
     # -- conclusions ------------------------------------------------------------------
 
     def find(self, fingerprint: str) -> Suspect | None:
--- a/tests/crashes/test_parts.py
+++ b/tests/crashes/test_parts.py
@@ -156,6 +156,15 @@
         self.assertIsNone(self.find('a'))
         self.assertEqual(len(self.table), 0)
 
+    # Guards against crashes that count for parts though the instance did not end.
+    def test_crash_of_an_instance_that_still_runs_is_dropped_for_its_parts_alone(self):
+        self.crash_series('a')
+        for number in range(MIN_CRASHES):
+            self.table.clear(Clearance(f'r{number}', self.now))
+        self.table.still_runs = lambda crash: True
+        self.table.sweep()
+        self.assertIsNone(self.find('a'))
+
     def test_part_with_few_crashes_left_is_refused_no_longer(self):
         self.crash_series('a', count=2)
         self.crash_series('a', count=2, customer='other')
