Test that late reports of crashes count for nothing after a success

A mutant that counted them passed, as a part that succeeded of late needs more crashes than the test reported.

--- a/tests/crashes/test_parts.py
+++ b/tests/crashes/test_parts.py
@@ -4,7 +4,7 @@
 
 import unittest
 
-from coursepitch.crashes.causes import MIN_CRASHES
+from coursepitch.crashes.causes import MIN_CRASHES, MIN_CRASHES_IF_SOUND
 from coursepitch.crashes.parts import (
     MAX_CRASHES_KEPT,
     MAX_PARTS,
@@ -95,10 +95,11 @@
     def test_late_report_of_a_crash_before_a_success_counts_for_nothing(self):
         self.crash_series('a', count=1)
         before = self.now
-        self.now += 1.0
+        self.now += 2.0
         self.succeed('a')
         after, self.now = self.now, before
-        self.crash_series('a', count=MIN_CRASHES)
+        self.crash_series('a', count=2 * MIN_CRASHES_IF_SOUND)
+        self.assertLess(self.now, after)
         self.now = after
         self.assertIsNone(self.find('a'))
 
