Remember on the OpenAI side what crashes engines

Callers: a request with a system prompt that ends each engine ended three, and so did the next one, at any node.

Change: the tables of coursepitch.crashes, with evidence of their own: an attempt that broke off, and an address that refuses connections while other engines answer. Parts are digests of the messages before the last and of the tools. Nodes tell each other in a record, at once. Refused with 5001, not run; the holder of the cluster's duty tries one request at a time.

--- a/coursepitch/application.py
+++ b/coursepitch/application.py
@@ -16,7 +16,7 @@
 from coursepitch.config.resources import Key, Node
 from coursepitch.control.chart import load_chart
 from coursepitch.control.cluster import ClusterController, PeerReader
-from coursepitch.control.duties import DutyManager
+from coursepitch.control.duties import CLUSTER_DUTY, DutyManager
 from coursepitch.control.fleet import (
     InstanceListReader,
     list_live_nodes,
@@ -41,6 +41,7 @@
 from coursepitch.platform.kv import KeyValue
 from coursepitch.serving.admission import Admission
 from coursepitch.serving.caller_api import CallerApi
+from coursepitch.serving.crash_memory import CrashMemory
 from coursepitch.serving.dispatch import Dispatcher
 from coursepitch.serving.gate import Gate
 from coursepitch.serving.idempotency import RequestRecords
@@ -186,6 +187,14 @@
             self.clock,
         )
         self.dispatcher.is_cut_off = lambda: self.reach.is_cut_off
+        self.crashes = CrashMemory(
+            self.me,
+            self.hub,
+            self.reach.confirm,
+            lambda: CLUSTER_DUTY in self.duties.held,
+            self.clock,
+        )
+        self.dispatcher.crashes = self.crashes
         self.services = ServiceCaller(settings.routing, self.clock)
         self.records = RequestRecords(
             self.kv, entry.record_ttl_s, entry.record_body_limit, self.clock
@@ -448,6 +457,7 @@
             take_duties,
             self.fleet.run,
             self.reach.run,
+            self.crashes.run,
             self.observers.run,
             self.cluster.run,
             wake_waiting,
--- a/coursepitch/events.py
+++ b/coursepitch/events.py
@@ -569,6 +569,27 @@
     'a request by other work of the node.',
     ('refused', 'share', 'delay_s'),
 )
+ENGINE_CRASHED = Event(
+    624,
+    'engine.crashed',
+    'An engine ended unexpectedly while it ran a request: the fingerprint, which is '
+    'the same when callers resend the request, and digests of the parts of its prompt.',
+    (
+        'engine',
+        'replica',
+        'request',
+        'fingerprint',
+        'customer',
+        'parts',
+    ),
+)
+ENGINE_REQUEST_REFUSED = Event(
+    625,
+    'engine.request_refused',
+    'A request was refused, as engines end when they begin to run it, or others with a '
+    'part of its prompt.',
+    ('request', 'fingerprint', 'customer'),
+)
 SUSPECT_CLEARED = Event(
     614,
     'suspect.cleared',
--- a/coursepitch/peers/hub.py
+++ b/coursepitch/peers/hub.py
@@ -54,7 +54,7 @@
 EARLY_PUBLISH_S = 0.1
 
 #: Kinds of records that are forwarded at once when their body changes.
-_URGENT_KINDS = frozenset({'node', 'domain', 'fleet'})
+_URGENT_KINDS = frozenset({'node', 'domain', 'fleet', 'crash'})
 
 #: Seconds for which a peer counts as absent after a link to it failed or broke.
 UNREACHABLE_S = 10.0
--- a/coursepitch/peers/records.py
+++ b/coursepitch/peers/records.py
@@ -5,11 +5,14 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+from coursepitch.crashes.parts import Scope
+from coursepitch.crashes.suspects import Clearance, Crash
 from coursepitch.errors import CodecError
 
 __all__ = [
     'Body',
     'ContactBody',
+    'CrashBody',
     'DemandBody',
     'DomainBody',
     'FleetBody',
@@ -125,7 +128,21 @@
     leaving: tuple[str, ...]
 
 
-Body = NodeBody | ContactBody | DemandBody | LoadBody | DomainBody | FleetBody
+@dataclass(frozen=True, slots=True)
+class CrashBody:
+    """Crashes of engines that a node saw, and successes of what they made suspect.
+
+    :param told_at: monotonic time of the node, to which the other times relate.
+    """
+
+    crashes: tuple[Crash, ...]
+    successes: tuple[Clearance, ...]
+    told_at: float
+
+
+Body = (
+    NodeBody | ContactBody | DemandBody | LoadBody | DomainBody | FleetBody | CrashBody
+)
 
 
 def pack_body(body: Body) -> list[Any]:
@@ -141,10 +158,33 @@
         return [body.claims_revision, list(body.running)]
     if isinstance(body, FleetBody):
         return [list(body.domains), list(body.leaving)]
+    if isinstance(body, CrashBody):
+        return _pack_crashes(body)
     replicas = [_pack_replica(replica) for replica in body.replicas]
     return [body.epoch, body.claims_revision, replicas]
 
 
+def _pack_crashes(body: CrashBody) -> list[Any]:
+    crashes = [
+        [
+            item.fingerprint,
+            item.customer,
+            item.instance,
+            item.at,
+            item.seen_by,
+            item.workload,
+            list(item.parts),
+            [list(pair) for pair in item.sound_parts],
+        ]
+        for item in body.crashes
+    ]
+    successes = [
+        [item.fingerprint, item.at, list(item.scope) if item.scope else []]
+        for item in body.successes
+    ]
+    return [crashes, successes, body.told_at]
+
+
 def _pack_replica(seen: ObservedReplica) -> list[Any]:
     members = [
         [item.instance, item.address, item.good, item.answers] for item in seen.members
@@ -181,6 +221,13 @@
         if kind == 'fleet':
             domains, leaving = data
             return FleetBody(_check_texts(domains), _check_texts(leaving))
+        if kind == 'crash':
+            crashes, successes, told_at = data
+            return CrashBody(
+                tuple(_unpack_crash(item) for item in _check_list(crashes)),
+                tuple(_unpack_success(item) for item in _check_list(successes)),
+                float(told_at),
+            )
         if kind == 'domain':
             epoch, revision, replicas = data
             return DomainBody(
@@ -213,6 +260,30 @@
     return DemandBody({_check_text(name): float(rate) for name, rate in rates.items()})
 
 
+def _unpack_crash(data: Any) -> Crash:
+    fingerprint, customer, instance, at, seen_by, workload, parts, sound = data
+    return Crash(
+        _check_text(fingerprint),
+        _check_text(customer),
+        _check_text(instance),
+        0,
+        float(at),
+        _check_text(seen_by),
+        '',
+        _check_text(workload),
+        _check_texts(parts),
+        tuple((_check_text(name), float(since)) for name, since in _check_list(sound)),
+    )
+
+
+def _unpack_success(data: Any) -> Clearance:
+    fingerprint, at, scope = data
+    names = _check_texts(scope)
+    return Clearance(
+        _check_text(fingerprint), float(at), Scope(*names) if names else None
+    )
+
+
 def _unpack_replica(data: Any) -> ObservedReplica:
     name, group, state, model, version, adapters, zone, members = data
     return ObservedReplica(
--- a/coursepitch/serving/dispatch.py
+++ b/coursepitch/serving/dispatch.py
@@ -33,6 +33,7 @@
     from coursepitch.config.settings import RoutingSettings
     from coursepitch.metrics import Metrics
     from coursepitch.serving.admission import Admission
+    from coursepitch.serving.crash_memory import CrashMemory
     from coursepitch.serving.model_request import ModelRequest
     from coursepitch.serving.replica_selector import ReplicaSelector
     from coursepitch.serving.routing import Choice
@@ -76,6 +77,8 @@
         self._single_use_clients = TargetClients(timeout, reuse=False)
         #: Whether this node reaches no engine.
         self.is_cut_off: Callable[[], bool] = lambda: False
+        #: What is known of requests that crash engines; ``None`` for nothing.
+        self.crashes: CrashMemory | None = None
 
     async def close(self) -> None:
         """Close all connections."""
@@ -102,8 +105,10 @@
     async def admit(self, model_request: ModelRequest) -> Run:
         """Wait for a slot.
 
-        :raises RefusedError: no slot is available in time, or no engine is reached.
+        :raises RefusedError: no slot is available in time, no engine is reached, or the
+            request is known to crash engines.
         """
+        self._check_crashes(model_request)
         if self.is_cut_off():
             detail = '(no path to the engines)'
             raise RefusedError(
@@ -133,11 +138,30 @@
             return len(self._selector.list_servable_replicas(model_request.groups))
 
         slot = await self._admission.acquire(queued, choose, count)
+        try:
+            # It may have waited for seconds.
+            self._check_crashes(model_request)
+        except RefusedError:
+            self._admission.release(slot, completed=False)
+            raise
+        if self.crashes is not None:
+            self.crashes.begin_trial(model_request)
         self._budget.deposit()
         return Run(model_request, slot)
 
+    def _check_crashes(self, model_request: ModelRequest) -> None:
+        """Refuse a request that is known to crash engines.
+
+        :raises RefusedError: it is.
+        """
+        problem = self.crashes and self.crashes.find_problem(model_request)
+        if problem:
+            raise RefusedError(problem)
+
     async def finish(self, run: Run) -> None:
         """Release the slot and cancel the attempt if it still runs."""
+        if self.crashes is not None:
+            self.crashes.end_trial(run.model_request)
         attempt = run.current_attempt
         if attempt is not None and not run.finished:
             await self._cancel(attempt)
@@ -210,6 +234,7 @@
             run.reopened,
         )
         run.may_have_run |= state.outcome is not outcomes.Outcome.NOT_RUN
+        await self._note_attempt(run, attempt)
         step = decide_next(state, self._budget.allows_retry())
         if attempt.status in _NON_RETRYABLE_STATUSES:
             step = NextStep.FAIL
@@ -234,6 +259,21 @@
             )
         return step
 
+    async def _note_attempt(self, run: Run, attempt: Attempt) -> None:
+        """Remember a crash of the engine, or a success.
+
+        :raises RefusedError: the request is known to crash engines now.
+        """
+        if self.crashes is None:
+            return
+        await self.crashes.note_attempt(run, attempt)
+        if attempt.result is AttemptResult.WHOLE:
+            return
+        problem = self.crashes.find_problem(run.model_request)
+        if problem is not None:
+            failure = self._describe_failure(run, attempt)
+            raise RefusedError(failure if run.may_have_run else problem)
+
     async def _wait_for_replica(self, run: Run) -> Choice | None:
         """Return a replica for a retry, preferably one that was not tried yet.
 
@@ -306,6 +346,7 @@
                     if event.event_id is None and run.finish_sent:
                         continue
                     run.finish_sent = event.event_id is None
+                    attempt.note_chunk(self._clock())
                     if event.event_id is not None:
                         run.chunk_texts.append(read_text(chunk))
                         run.reopened = False
@@ -402,6 +443,7 @@
             answer = await self._fetch_once(run, attempt)
             if answer is not None:
                 run.finished = True
+                await self._note_attempt(run, attempt)
                 return answer
             if attempt.result is AttemptResult.CUT:
                 # Only streamed answers can be resumed.
--- a/coursepitch/serving/outcomes.py
+++ b/coursepitch/serving/outcomes.py
@@ -127,6 +127,13 @@
     'The target returned the answer to another request.',
 )
 STREAM_CUT = _refusal(5022, 'stream_cut', 502, _UNKNOWN, 'The answer ended early.')
+ENDS_ENGINES = _refusal(
+    5001,
+    'ends_engines',
+    500,
+    _NOT_RUN,
+    'Engines end when they begin to run such requests.',
+)
 DEADLINE = _refusal(
     5040,
     'deadline',
--- a/coursepitch/serving/runs.py
+++ b/coursepitch/serving/runs.py
@@ -28,6 +28,8 @@
     :param name: identifier of the attempt, sent as X-Request-Id.
     :param chunks_before: number of chunks that the caller had when the attempt began.
     :param status: HTTP status of a refused attempt, else 0.
+    :param first_chunk_at: monotonic time of its first chunk; ``None`` before it.
+    :param wrote_s: seconds between its first and its latest chunk.
     """
 
     name: str
@@ -36,6 +38,14 @@
     chunks_before: int = 0
     result: AttemptResult = AttemptResult.NOTHING_SENT
     status: int = 0
+    first_chunk_at: float | None = None
+    wrote_s: float = 0.0
+
+    def note_chunk(self, now: float) -> None:
+        """Record that a chunk arrived at a monotonic time."""
+        if self.first_chunk_at is None:
+            self.first_chunk_at = now
+        self.wrote_s = now - self.first_chunk_at
 
 
 @dataclass(eq=False)
