--- a/coursepitch/serving/crash_memory.py
+++ b/coursepitch/serving/crash_memory.py
@@ -162,10 +162,9 @@
                 with anyio.fail_after(CONNECT_TIMEOUT_S):
                     stream = await anyio.connect_tcp(host, int(port))
                     await anyio.aclose_forcefully(stream)
-            except ConnectionRefusedError:
-                return await self._reaches_engines()
             except OSError as error:
-                refused = isinstance(error.__cause__, ConnectionRefusedError)
+                causes = (error, error.__cause__)
+                refused = any(isinstance(e, ConnectionRefusedError) for e in causes)
                 return refused and await self._reaches_engines()
             except TimeoutError:
                 return False
