Refuse a tried request that finds no group as any other

The leader's trial of a part looked at itself as a second one, and was answered with 500 for its part, where no group was open; it gets 503 now. All other requests that are refused for want of room no longer list the instances while nothing is suspected. Found by reading the change; the test fails without it.

--- a/coursepitch/gateway/calls.py
+++ b/coursepitch/gateway/calls.py
@@ -105,7 +105,7 @@
             status = 504 if late else 502
             return Refusal(status, job.last_reason, problem=explain_crashes(job))
         job.last_reason = job.last_reason or 'no instance is there'
-        return self._components.suspicion.find_known_refusal(job) or refuse_unexecuted(
+        return self._components.suspicion.find_late_refusal(job) or refuse_unexecuted(
             self._components, job, self._list_names, MIN_RETRY_AFTER_S
         )
 
--- a/coursepitch/gateway/streams.py
+++ b/coursepitch/gateway/streams.py
@@ -146,7 +146,7 @@
         job.last_reason = (
             job.last_reason or 'the deadline passed or the configuration is unconfirmed'
         )
-        return self._components.suspicion.find_known_refusal(job) or refuse_unexecuted(
+        return self._components.suspicion.find_late_refusal(job) or refuse_unexecuted(
             self._components, job, self._list_heads, MIN_RETRY_AFTER_S
         )
 
--- a/coursepitch/gateway/suspicion.py
+++ b/coursepitch/gateway/suspicion.py
@@ -132,6 +132,15 @@
         self._record_suspicion(job, part, True, refused_s)
         return self._refuse(part, refused_s)
 
+    def find_late_refusal(self, job: Job) -> Refusal | None:
+        """Return the refusal of a request that was found out while it waited."""
+        if not len(self._suspects):
+            return None
+        software = self._view.list_software(job.service.name)
+        if not self._reporter.is_refused(job.traits, software):
+            return None
+        return self.find_known_refusal(job)
+
     def _find_pause(self, job: Job) -> Refusal | None:
         """Return the refusal of a request that other nodes run just now, if it is."""
         suspect = self._suspects.find(job.fingerprint)
--- a/tests/fleet/builders.py
+++ b/tests/fleet/builders.py
@@ -18,7 +18,7 @@
 
 #: A node that knows of no crash of an instance.
 NO_CRASHES = SimpleNamespace(is_refused=lambda job: False)
-NO_SUSPICION = SimpleNamespace(find_known_refusal=lambda job: None)
+NO_SUSPICION = SimpleNamespace(find_late_refusal=lambda job: None)
 
 LARGE = ModelProfile('large', 3, 0.6, 1.0, 16.0, 1.6)
 SMALL = ModelProfile('small', 2, 0.4, 0.6, 12.0, 1.1)
--- a/tests/gateway/test_suspicion.py
+++ b/tests/gateway/test_suspicion.py
@@ -488,8 +488,21 @@
         job = build_job(b'another', parts=('a', 'bad'))
         self.run_whole('a')
         self.assertFalse(self.crash_detector.is_refused(job))
+        self.assertIsNone(self.gate.find_late_refusal(job))
         self.crash('a', 'b', 'c')
         self.assertTrue(self.crash_detector.is_refused(job))
+        self.assertEqual(self.gate.find_late_refusal(job).status, 500)
+
+    # Guards against a request that is tried, finds no group and is told to stay away.
+    def test_request_that_is_tried_is_not_refused_for_its_part(self):
+        self.run_whole('a')
+        self.crash('a', 'b', 'c')
+        self.find_refusal('a', 'bad')
+        self.now += TRIAL_S
+        self.reporter.is_leader = lambda: True
+        job = build_job(b'another', parts=('a', 'bad'))
+        with self.gate.track(job):
+            self.assertIsNone(self.gate.find_late_refusal(job))
 
 
 if __name__ == '__main__':
