Ask an instance that resets connections for longer whether it ends

Callers got streams without length as complete whose instance had ended between two events. Cause: a process that exits closes its connections one by one; a node that asks it whether it lives is reset meanwhile, and after four tries in 80 ms it took that for no end.

Evidence: the new test, whose instance resets connections for 0.25 s as it ends: three of eight events, as a complete stream, in three of three runs before. Now asked for half a second, only while connections are reset: passes.

--- a/coursepitch/fleet/control.py
+++ b/coursepitch/fleet/control.py
@@ -42,9 +42,10 @@
 WITNESS_TIMEOUT_S = 0.2
 
 #: Number of requests to an instance whose process may be exiting, and seconds between
-#: them.  The operating system closes a process's sockets within some milliseconds.
-ENDING_TRIES = 4
-ENDING_PAUSE_S = 0.02
+#: them.  A process with many connections, or on a busy machine, closes them one by one
+#: for some tenths of a second; clients abandon a stream that stalls for two seconds.
+ENDING_TRIES = 20
+ENDING_PAUSE_S = 0.025
 
 #: Seconds until it counts as unknown whether an instance that refuses connections has
 #: ended, and seconds between two checks, while no other of its service is reached.
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -18,7 +18,8 @@
 ``POST /crash_on`` names a body, or a ``part`` of prompts that is not the last: each
 instance that begins to run a request with it ends at once, or after the head of its
 answer and ``events`` events or parts, and an empty one takes its place; ``times``
-bounds how often.
+bounds how often.  For ``lingers_s`` it still ends connections as they come up, as a
+process that takes a while to exit.
 ``POST /limit`` names a limit that instances tell in all their answers to requests from
 then on; null for none.
 ``POST /backoff`` names the seconds for which instances want no requests, told in the
@@ -94,6 +95,7 @@
     runs: list[dict[str, Any]] = field(default_factory=list)
     orders: list[dict[str, Any]] = field(default_factory=list)
     scope: anyio.CancelScope = field(default_factory=anyio.CancelScope)
+    connections: set[anyio.CancelScope] = field(default_factory=set)
     crashed: bool = False
     crashed_at: float | None = None
     crashed_by: str = ''
@@ -139,6 +141,7 @@
         #: Events or parts of an answer after which an instance ends; ``None`` for none.
         self.crash_events: int | None = None
         self.crashes_left = 0
+        self.lingers_s = 0.0
         #: Modes of the paths of nodes, for instances that are yet to start.
         self.cuts: dict[str, str] = {}
         self.instances = {
@@ -173,11 +176,16 @@
         """End an instance with all its connections, as a killed process."""
         instance.crashed = True
         instance.crashed_at = time.monotonic()
-        instance.scope.cancel()
+        for connection in list(instance.connections):
+            connection.cancel()
+        if not self.lingers_s:
+            instance.scope.cancel()
         self.tasks.start_soon(self._replace, instance)
 
     async def _replace(self, instance: Instance) -> None:
         """Let the entry of a crashed instance lapse and an empty one start."""
+        await anyio.sleep(self.lingers_s)
+        instance.scope.cancel()
         await anyio.sleep(LAPSE_S)
         await self.remove(instance)
         item = Instance(
@@ -271,7 +279,18 @@
     # -- connections -----------------------------------------------------------------
 
     async def serve(self, instance: Instance, stream: Any) -> None:
-        """Serve one connection of an instance."""
+        """Serve one connection of an instance, until either ends."""
+        if instance.crashed:
+            await anyio.aclose_forcefully(stream)
+            return
+        with anyio.CancelScope() as scope:
+            instance.connections.add(scope)
+            try:
+                await self._serve(instance, stream)
+            finally:
+                instance.connections.discard(scope)
+
+    async def _serve(self, instance: Instance, stream: Any) -> None:
         parser = h11.Connection(h11.SERVER)
         try:
             while await self._serve_one(instance, stream, parser):
@@ -488,6 +507,7 @@
         host.crash_part = data.get('part', '')
         host.crash_events = data.get('events')
         host.crashes_left = data.get('times', 1_000_000)
+        host.lingers_s = data.get('lingers_s', 0.0)
         return {}
     names = data.get('instances') or list(host.instances)
     if target == '/cut' and not data.get('instances'):
--- a/tests/whole/test_broken_off.py
+++ b/tests/whole/test_broken_off.py
@@ -253,6 +253,15 @@
         self.assertEqual(found, (WHOLE, True))
         self.assertEqual(len(self.find_runs('ends-one')), 2)
 
+    # Guards against processes that take a while to exit, which pass for live ones.
+    def test_stream_without_length_whose_instance_ends_slowly_goes_on(self):
+        self.wait_for(self.find_heads, 'two groups are open')
+        self.wait_for(lambda: self.serves('n1'), 'the node knows of them')
+        self.end_instances('pool', 'ends slowly', events=3, times=1, lingers_s=0.25)
+        found = self.read_stream('/stream/x', 'ends-slowly', content='ends slowly')
+        self.assertEqual(found, (WHOLE, True))
+        self.assertEqual(len(self.find_runs('ends-slowly')), 2)
+
     # Guards against the same on a route whose streams cannot go on elsewhere.
     def test_stream_without_length_whose_instance_ends_never_looks_complete(self):
         self.wait_for(self.find_heads, 'two groups are open')
