--- a/tests/whole/test_crashing_parts.py
+++ b/tests/whole/test_crashing_parts.py
@@ -31,8 +31,10 @@
 #: Sound requests from which users compare.
 MIN_SOUND = 20
 
-#: Seconds of a play; requests a second that end instances, and that are sound.
+#: Seconds of a play, and the most; requests a second that end instances, and that are
+#: sound.
 PLAY_S = 14.0
+MAX_PLAY_S = 40.0
 BAD_RATE = 5.0
 SOUND_RATE = 12.0
 
@@ -76,6 +78,7 @@
         self.random = random.Random(self.plays)
         self.sent = []
         self.count = 0
+        self.until = 0.0
         self.known_ends = {name for name, _ in self.list_ends()}
 
     # -- what is sent ----------------------------------------------------------------
@@ -108,10 +111,9 @@
             return
         sent.status, sent.whole = reply.status_code, reply.status_code == 200
 
-    async def send_steadily(self, client, tasks, sound, rate, seconds):
+    async def send_steadily(self, client, tasks, sound, rate):
         """Send requests at a rate, whatever becomes of them."""
-        until = anyio.current_time() + seconds
-        while anyio.current_time() < until:
+        while anyio.current_time() < self.until:
             tasks.start_soon(self.send_one, client, sound)
             await anyio.sleep(self.random.expovariate(rate))
 
@@ -121,21 +123,29 @@
             httpx.AsyncClient(timeout=15, trust_env=False, limits=limits) as client,
             anyio.create_task_group() as tasks,
         ):
+            began = anyio.current_time()
+            self.until = began + warm_s + seconds
             if sound_rate:
-                tasks.start_soon(
-                    self.send_steadily,
-                    client,
-                    tasks,
-                    True,
-                    sound_rate,
-                    warm_s + seconds,
-                )
+                tasks.start_soon(self.send_steadily, client, tasks, True, sound_rate)
             await anyio.sleep(warm_s)
             if bad_rate:
-                tasks.start_soon(
-                    self.send_steadily, client, tasks, False, bad_rate, seconds
-                )
+                tasks.start_soon(self.send_steadily, client, tasks, False, bad_rate)
             await self.meddle()
+            if sound_rate:
+                await self.extend(began + MAX_PLAY_S)
+
+    async def extend(self, latest):
+        """Go on until enough sound requests were sent after the last counted end.
+
+        The leader tries a refused part when a request with it meets this node, and the
+        instance that ends then counts as the others.
+        """
+        while anyio.current_time() < self.until:
+            ends = self.list_own_ends()[:COUNTED_ENDS]
+            if ends:
+                enough = ends[-1] + 2 * CONTACT_S + 2 * MIN_SOUND / SOUND_RATE
+                self.until = min(latest, max(self.until, enough))
+            await anyio.sleep(0.5)
 
     async def meddle(self):
         """Do what a test does while requests come."""
