Carry connections for nodes that stop as planned

Callers of a node that stops as planned, and that lost its paths meanwhile, got streams without length as complete whose instance had ended. Cause: it gives up its entry first, and peers carry nothing for a node that is not listed, so neither its questions about the instance nor its connections.

Now peers know a node for 60 s after its entry went; links and duties go by entries as before.

--- a/coursepitch/fleet/tunnels.py
+++ b/coursepitch/fleet/tunnels.py
@@ -207,7 +207,7 @@
 class TunnelServer:
     """Connects peers to instances.
 
-    :param list_nodes: returns the places of all listed nodes by name.
+    :param list_nodes: returns the places of all nodes that may open tunnels, by name.
     :param connect: connects directly to a listed instance; raises TunnelError.
     """
 
--- a/coursepitch/fleet/view.py
+++ b/coursepitch/fleet/view.py
@@ -66,6 +66,10 @@
 #: left, and entries of live instances are usually back within 0.8 s of its return.
 DEFAULT_LAPSED_SERVE_S = 1.4
 
+#: Seconds for which a node that gave up its entry may still finish requests; a planned
+#: stop takes less.
+DEPARTED_S = 60.0
+
 #: Maximum number of keys whose damaged entries are logged: a faulty writer may create
 #: any number of keys.
 MAX_LOGGED_DAMAGED_KEYS = 64
@@ -144,6 +148,7 @@
     version: int = 0
     _lapsed_since: dict[str, float] = field(default_factory=dict)
     _lapsed_nodes: set[str] = field(default_factory=set)
+    _departed_nodes: dict[str, tuple[NodeLocation, float]] = field(default_factory=dict)
     _excluded: set[str] = field(default_factory=set)
     _damaged_names: set[str] = field(default_factory=set)
     _evacuation_revisions: dict[str, int] = field(default_factory=dict)
@@ -436,9 +441,28 @@
         if name in self.nodes and self._may_have_lapsed():
             self._lapsed_nodes.add(name)
             return
-        self.nodes.pop(name, None)
+        self._drop_node(name)
         self._lapsed_nodes.discard(name)
 
+    def _drop_node(self, name: str) -> None:
+        place = self.nodes.pop(name, None)
+        if place is not None:
+            self._departed_nodes[name] = (place, self.clock())
+
+    def list_nodes_and_departed(self) -> dict[str, NodeLocation]:
+        """Return the listed nodes, and those that may still finish their requests.
+
+        A node that stops as planned gives up its entry first.
+        """
+        start = self.clock() - DEPARTED_S
+        self._departed_nodes = {
+            name: (place, at)
+            for name, (place, at) in self._departed_nodes.items()
+            if at >= start
+        }
+        departed = {name: place for name, (place, _) in self._departed_nodes.items()}
+        return {**departed, **self.nodes}
+
     def _may_have_lapsed(self) -> bool:
         """Whether an entry that is missing now may have expired in an outage.
 
@@ -542,7 +566,7 @@
         self.leaving.forget_old(self.instances)
         if not self._may_have_lapsed():
             for node in self._lapsed_nodes:
-                self.nodes.pop(node, None)
+                self._drop_node(node)
             self._lapsed_nodes.clear()
             for name in list(self._lapsed_since):
                 self._remove_instance(name)
--- a/coursepitch/gateway_application.py
+++ b/coursepitch/gateway_application.py
@@ -128,7 +128,9 @@
         self.pool = ConnectionPool(
             clock, note_attempt=self._count_connection, connect=self.paths.connect
         )
-        self.tunnel_server = TunnelServer(self._list_nodes, self.paths.connect_for_peer)
+        self.tunnel_server = TunnelServer(
+            self.session.view.list_nodes_and_departed, self.paths.connect_for_peer
+        )
         self.links = PeerLinks(
             node.name,
             node.availability_zone,
--- a/tests/fleet/test_view.py
+++ b/tests/fleet/test_view.py
@@ -11,6 +11,7 @@
 from coursepitch.fleet.claims import GroupClaim
 from coursepitch.fleet.view import (
     CLAIM_PREFIX,
+    DEPARTED_S,
     LAPSE_HOLD_S,
     LOST_PREFIX,
     NODE_PREFIX,
@@ -133,6 +134,13 @@
         self.view.sweep()
         self.assertEqual(set(self.view.nodes), {'n1'})
 
+    def test_node_that_left_may_finish_its_requests_for_a_while(self):
+        self.view.apply_entry(Entry(NODE_PREFIX + 'n1', 'address', 5))
+        self.view.apply_entry(Entry(NODE_PREFIX + 'n1', deleted_at=6))
+        self.assertEqual(set(self.view.list_nodes_and_departed()), {'n1'})
+        self.now += DEPARTED_S + 1.0
+        self.assertEqual(self.view.list_nodes_and_departed(), {})
+
     def test_deleted_node_is_removed_at_once_without_an_outage(self):
         self.view.apply_entry(Entry(NODE_PREFIX + 'n1', 'address', 5))
         self.view.apply_entry(Entry(NODE_PREFIX + 'n1', deleted_at=6))
--- a/tests/whole/test_broken_off.py
+++ b/tests/whole/test_broken_off.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import signal
 import socket
+import threading
 
 import httpx
 
@@ -282,6 +284,42 @@
                     self.assertTrue(reply.text.endswith(request), reply.text)
 
 
+class StoppingNodeTest(BrokenOffCase):
+    """A node that stops as planned, and loses its paths meanwhile."""
+
+    nodes = ('n1', 'n2', 'n3')
+    engines = 9
+    own_paths = True
+    #: Two seconds of a stream.
+    events = 100
+
+    def find_serving(self, request):
+        """Return the instance that runs a request, or ``None``."""
+        for name, item in self.stats('pool').items():
+            if any(run['request'] == request for run in item['runs']):
+                return name
+        return None
+
+    # Guards against ends of instances that peers do not tell a node which stops.
+    def test_stream_without_length_whose_instance_ends_never_looks_complete(self):
+        self.wait_for(self.find_heads, 'two groups are open')
+        self.control('pool', '/fault', mode='none', framing='connection')
+        node = self.running['n1']
+
+        def stop_and_end():
+            node.process.send_signal(signal.SIGTERM)
+            self.wait_for(lambda: node.read_events('node.draining'), 'n1 stops')
+            # Longer than it takes until its entry is gone and all know.
+            threading.Event().wait(0.6)
+            self.cut(['n1'], 'refuse')
+            serving = self.find_serving('ends-as-n1-stops')
+            self.control('pool', '/crash', instances=[serving])
+
+        found, whole = self.read_stream('/single/x', 'ends-as-n1-stops', stop_and_end)
+        self.assertLess(len(found), self.events)
+        self.assertFalse(whole)
+
+
 class CarriedStreamTest(BrokenOffCase):
     """The same for streams that reach their node through a peer."""
 
