Grant trials of refused parts at any node

Callers with a sound part that was refused by mistake waited until one of their requests met the leader: of N nodes about N were refused.

--- a/coursepitch/crashes/suspects.py
+++ b/coursepitch/crashes/suspects.py
@@ -421,6 +421,15 @@
         """
         return max(0.0, part.newest_at + part.refuse_s - self.clock())
 
+    def is_trial_due(self, name: str) -> bool:
+        """Whether a part was refused for long enough for a request to be tried.
+
+        :param name: name of the part.
+        """
+        part = self.parts.find(name)
+        known = part is not None and name in self.list_causes()
+        return known and part is not None and not self.find_part_refused_s(part)
+
     def list_causes(self) -> dict[str, frozenset[str]]:
         """Return the parts that crash instances, each with its companions."""
         if self._causes is None:
--- a/coursepitch/fleet/messages.py
+++ b/coursepitch/fleet/messages.py
@@ -14,6 +14,7 @@
 
 from coursepitch.crashes.parts import Scope
 from coursepitch.crashes.suspects import Clearance, Crash
+from coursepitch.crashes.trials import TrialReply, TrialRequest
 from coursepitch.errors import CodecError
 from coursepitch.fleet.limit_messages import (
     LimitReport,
@@ -47,6 +48,8 @@
     'SendRequest',
     'TableReply',
     'TableRequest',
+    'TrialReply',
+    'TrialRequest',
     'decode_message',
     'encode_heartbeat',
     'encode_message',
@@ -78,6 +81,8 @@
 _NOTICE_REPORT = 10
 _RETRY_REQUEST = 11
 _RETRY_REPLY = 12
+_TRIAL_REQUEST = 13
+_TRIAL_REPLY = 14
 
 
 @dataclass(frozen=True, slots=True)
@@ -227,6 +232,8 @@
     | SendRequest
     | TableRequest
     | TableReply
+    | TrialReply
+    | TrialRequest
 )
 
 
@@ -342,6 +349,12 @@
         case RetryReply():
             parts = [message.number, message.granted]
             return _pack([_RETRY_REPLY, message.node, *parts])
+        case TrialRequest():
+            parts = [message.number, message.part]
+            return _pack([_TRIAL_REQUEST, message.node, *parts])
+        case TrialReply():
+            parts = [message.number, message.granted]
+            return _pack([_TRIAL_REPLY, message.node, *parts])
 
 
 def decode_message(data: bytes) -> Message:
@@ -384,6 +397,12 @@
         if kind == _RETRY_REPLY:
             _, number, granted = parts
             return RetryReply(node, int(number), bool(granted))
+        if kind == _TRIAL_REQUEST:
+            _, number, part = parts
+            return TrialRequest(node, int(number), read_text(part))
+        if kind == _TRIAL_REPLY:
+            _, number, granted = parts
+            return TrialReply(node, int(number), bool(granted))
     except (
         cbor2.CBORDecodeError,
         zlib.error,
--- a/coursepitch/fleet/session.py
+++ b/coursepitch/fleet/session.py
@@ -35,6 +35,8 @@
     SendRequest,
     TableReply,
     TableRequest,
+    TrialReply,
+    TrialRequest,
 )
 from coursepitch.fleet.pause_detector import PauseDetector
 from coursepitch.fleet.peers import PeerRegistry
@@ -190,6 +192,9 @@
         )
         #: Handles crash reports.
         self.take_crashes: Callable[[CrashReport], None] = lambda report: None
+        #: Handle requests for trials, and the leader's answers.
+        self.answer_trial: Callable[[TrialRequest], None] = lambda request: None
+        self.take_trial: Callable[[TrialReply], None] = lambda answer: None
         #: Handles peers' notices of instances that leave or request a backoff.
         self.take_notices: Callable[[NoticeReport], None] = lambda report: None
         #: Sends the next heartbeat immediately.
@@ -257,6 +262,12 @@
         """Whether the node is the leader, by its local estimate of its lease."""
         return self.leases.is_leader()
 
+    def find_leader(self) -> str:
+        """Return the name of the leader; empty if this node knows of none."""
+        if self.is_leader():
+            return self._name
+        return self.view.leader if self.view.leader != self._name else ''
+
     def _read_term(self) -> int:
         """Return the revision that identifies this node's term; 0 if not leader."""
         return self.view.leader_revision if self.is_leader() else 0
@@ -501,6 +512,10 @@
                 self.loans.answer(message)
             case RetryReply():
                 self.loans.take_answer(message)
+            case TrialRequest():
+                self.answer_trial(message)
+            case TrialReply():
+                self.take_trial(message)
             case TableReply():
                 self.view.apply_configuration(message.entry)
                 self.wake()
--- a/coursepitch/gateway/request_handler.py
+++ b/coursepitch/gateway/request_handler.py
@@ -162,7 +162,7 @@
     async def _serve(self, job: Job) -> None:
         """Serve a request up to its deadline, and send the refusal if it fails."""
         self._budget.note_request(job.service.name)
-        refusal = self._suspicion.find_refusal(job)
+        refusal = await self._suspicion.admit(job)
         if refusal is None:
             with self._suspicion.track(job):
                 refusal = await self._run(job)
--- a/coursepitch/gateway/suspicion.py
+++ b/coursepitch/gateway/suspicion.py
@@ -18,6 +18,7 @@
     from coursepitch.clock import Clock
     from coursepitch.crashes.reports import CrashReporter
     from coursepitch.crashes.suspects import Suspect, SuspectTable
+    from coursepitch.crashes.trials import PartTrials
     from coursepitch.fleet.view import FleetView
     from coursepitch.gateway.job import Job
     from coursepitch.metrics import Metrics
@@ -32,7 +33,7 @@
 #: node: the median duration of a stream.
 DUPLICATE_RETRY_AFTER_S = 0.5
 
-#: Retry-After in seconds of a request with a part that only the leader tries.
+#: Retry-After in seconds of a request with a part while another one is tried.
 TRIAL_RETRY_AFTER_S = 1.0
 
 PROBLEM_TITLE = 'Instances end while they run this request'
@@ -67,6 +68,7 @@
         self,
         suspects: SuspectTable,
         reporter: CrashReporter,
+        trials: PartTrials,
         view: FleetView,
         metrics: Metrics,
         clock: Clock,
@@ -74,6 +76,7 @@
     ) -> None:
         self._suspects = suspects
         self._reporter = reporter
+        self._trials = trials
         self._view = view
         self._metrics = metrics
         self._clock = clock
@@ -83,24 +86,37 @@
     @contextlib.contextmanager
     def track(self, job: Job) -> Iterator[None]:
         """Count a request as running, and clear its suspicion if it succeeds."""
-        names = [job.fingerprint, *self._list_suspected_parts(job)]
-        self._running.update(names)
+        name = job.fingerprint
+        self._running[name] += 1
         try:
             yield
             if job.ending is Ending.ANSWERED and job.status < 500 and job.survived:
-                self._reporter.note_answered(job.fingerprint)
+                self._reporter.note_answered(name)
                 if job.status < 300:
                     self._reporter.note_sound(job.traits, job.software)
         finally:
-            self._running.subtract(names)
-            for name in names:
-                if not self._running[name]:
-                    del self._running[name]
+            self._running[name] -= 1
+            if not self._running[name]:
+                del self._running[name]
 
-    def _list_suspected_parts(self, job: Job) -> list[str]:
-        """Return the keys of the parts of a request that are suspected."""
-        found = map(self._suspects.parts.find, job.fields.prompt_parts)
-        return [item.key for item in found if item is not None]
+    async def admit(self, job: Job) -> Refusal | None:
+        """Return the refusal of a suspected request, or ``None`` if it may run.
+
+        One with a part that was refused for long may be tried.
+        """
+        if not len(self._suspects):
+            return None
+        return None if await self._obtain_trial(job) else self.find_refusal(job)
+
+    async def _obtain_trial(self, job: Job) -> bool:
+        """Whether a request is tried, as the part that crashes instances is due."""
+        software = self._view.list_software(job.service.name)
+        if self._suspects.find_refused_s(job.fingerprint, software) > 0:
+            return False
+        part = self._suspects.find_crashing_part(job.traits, software)
+        if part is None or self._suspects.find_part_refused_s(part) > 0:
+            return False
+        return await self._trials.obtain(part.name)
 
     def find_refusal(self, job: Job) -> Refusal | None:
         """Return the refusal of a suspected request, or ``None`` if it may run."""
@@ -109,11 +125,7 @@
         return self.find_known_refusal(job) or self._find_pause(job)
 
     def find_known_refusal(self, job: Job) -> Refusal | None:
-        """Return the refusal of a request that is known to crash instances, if it is.
-
-        One with a part that was refused for long is tried by the leader, which only
-        runs one at a time.
-        """
+        """Return the refusal of a request that is known to crash instances."""
         software = self._view.list_software(job.service.name)
         suspect = self._suspects.find(job.fingerprint)
         refused_s = self._suspects.find_refused_s(job.fingerprint, software)
@@ -123,12 +135,7 @@
         part = self._suspects.find_crashing_part(job.traits, software)
         if part is None:
             return None
-        refused_s = self._suspects.find_part_refused_s(part)
-        if not refused_s and self._reporter.is_leader():
-            if part.key not in self._running:
-                return None
-            refused_s = DUPLICATE_RETRY_AFTER_S
-        refused_s = refused_s or TRIAL_RETRY_AFTER_S
+        refused_s = self._suspects.find_part_refused_s(part) or TRIAL_RETRY_AFTER_S
         self._record_suspicion(job, part, True, refused_s)
         return self._refuse(part, refused_s)
 
--- a/coursepitch/gateway_application.py
+++ b/coursepitch/gateway_application.py
@@ -14,6 +14,7 @@
 from coursepitch.config.gateway import list_changed_options, load_gateway_settings
 from coursepitch.crashes.reports import CrashReporter, LiveInstances
 from coursepitch.crashes.suspects import SuspectTable
+from coursepitch.crashes.trials import PartTrials
 from coursepitch.errors import FindingsError
 from coursepitch.fleet.backoffs import InstanceBackoffs
 from coursepitch.fleet.control import InstanceControl
@@ -161,6 +162,9 @@
         self.reporter = CrashReporter(
             node.name, self.suspects, self.kv, self.session.view, clock
         )
+        self.trials = PartTrials(
+            node.name, self.session.find_leader, self.suspects.is_trial_due, clock
+        )
         self._wire_reports()
         self.load_tracker = LoadTracker(clock, self.session.book.count)
         self.notices.avoid = self.load_tracker.avoid
@@ -206,7 +210,12 @@
 
     def _build_gateway(self) -> Gateway:
         suspicion = SuspicionGate(
-            self.suspects, self.reporter, self.session.view, self.metrics, self.clock
+            self.suspects,
+            self.reporter,
+            self.trials,
+            self.session.view,
+            self.metrics,
+            self.clock,
         )
         components = GatewayComponents(
             self.session,
@@ -296,6 +305,9 @@
         reporter.is_leader = session.is_leader
         reporter.report_lost = session.losses.report
         session.take_crashes = reporter.take
+        self.trials.tell = self.links.send
+        session.answer_trial = self.trials.answer
+        session.take_trial = self.trials.take_answer
         session.view.on_refused = reporter.apply_stored
         self.links.greet = self._synchronize_peer
 
