Let a node that is cut off ask its peers for longer whether an instance has ended

Callers of a node without paths got a stream without length as complete whose instance had ended. Cause: such a node asked one peer once, and no answer left it unknown, which counts as the regular end. It asks now until a peer tells, for the two seconds in which other nodes ask; without peers it does not wait. The new test fails without it.

--- a/coursepitch/fleet/control.py
+++ b/coursepitch/fleet/control.py
@@ -48,7 +48,8 @@
 ENDING_PAUSE_S = 0.025
 
 #: Seconds until it counts as unknown whether an instance that refuses connections has
-#: ended, and seconds between two checks, while no other of its service is reached.
+#: ended, and seconds between two checks, while no other of its service is reached, or
+#: while no peer tells a node that is cut off.
 CONFIRM_TIMEOUT_S = 2.0
 CONFIRM_PAUSE_S = 0.05
 
@@ -301,7 +302,12 @@
         while True:
             if self._paths is not None and self._paths.is_cut_off:
                 found = await self._request_until_clear(instance, self._peer_pool)
-                return _conclude_state(found)
+                state = _conclude_state(found)
+                if state is not ProcessState.UNKNOWN or not self._paths.has_peers():
+                    return state
+                # Another peer may have a path, or get one soon.
+                await anyio.sleep(CONFIRM_PAUSE_S)
+                continue
             found = await self._request_until_clear(instance)
             if found is not Probe.REFUSED or self._paths is None:
                 return _conclude_state(found)
--- a/tests/fleet/test_control.py
+++ b/tests/fleet/test_control.py
@@ -5,9 +5,11 @@
 import contextlib
 import unittest
 from types import SimpleNamespace
+from unittest import mock
 
 import anyio
 
+from coursepitch.fleet import control
 from coursepitch.fleet.control import (
     ENDING_TRIES,
     MAX_CONCURRENT_ORDERS,
@@ -195,6 +197,8 @@
 
         async def answer(instance, pool=None):
             found = indirect if pool is control._peer_pool else direct
+            if isinstance(found, list):
+                found = found.pop(0)
             if found is None:
                 await anyio.sleep_forever()
             return found
@@ -231,9 +235,17 @@
                     self.has_ended(direct, indirect, False, is_cut_off=True)
                 )
             for indirect in (Probe.ANSWERS, Probe.SILENT, Probe.BROKEN):
-                self.assertFalse(
-                    self.has_ended(direct, indirect, False, is_cut_off=True)
-                )
+                with mock.patch.object(control, 'CONFIRM_TIMEOUT_S', 0.1):
+                    self.assertFalse(
+                        self.has_ended(direct, indirect, False, is_cut_off=True)
+                    )
+
+    # Guards against ends that are missed, as the first peer that is asked has no path.
+    def test_node_that_is_cut_off_asks_until_a_peer_tells(self):
+        for last, ended in ((Probe.REFUSED, True), (Probe.ANSWERS, False)):
+            asked = [Probe.SILENT, Probe.SILENT, last]
+            found = self.has_ended(Probe.SILENT, asked, False, is_cut_off=True)
+            self.assertEqual((found, asked), (ended, []))
 
     # Guards against one node's lost path that is told to all as a lost instance.
     def test_instance_that_answers_a_peer_is_not_lost(self):
