Log why a run is suspected of having failed, and of which runs a stream is resumed

What operators saw: a stream that was broken off told "no response from the group, or none to this request" for a silent member, a report of another node, an overdue run and a lost path alike; request.resumed (604) had no reason, and a run abandoned before its first event left no line.

Change: run.stalled (626) tells why, how long the run was silent, the runs so far and those that the route allows, and the time to the deadline; 604 tells the instance and the reason. No logic changes.

--- a/coursepitch/events.py
+++ b/coursepitch/events.py
@@ -590,6 +590,23 @@
     'part of its prompt.',
     ('request', 'fingerprint', 'customer'),
 )
+RUN_STALLED = Event(
+    626,
+    'run.stalled',
+    'A run of a request makes no progress and may have failed: why, for how long it '
+    'has been silent, whether the response has begun, the runs of the request and '
+    'those that its route allows, and the seconds to its deadline.',
+    (
+        'request',
+        'instance',
+        'reason',
+        'silent_s',
+        'begun',
+        'runs',
+        'allowed',
+        'left_s',
+    ),
+)
 SUSPECT_CLEARED = Event(
     614,
     'suspect.cleared',
@@ -601,7 +618,11 @@
     603, 'request.retried', 'A request is retried.', ('request', 'reason')
 )
 REQUEST_RESUMED = Event(
-    604, 'request.resumed', 'An interrupted stream was resumed.', ('request', 'offset')
+    604,
+    'request.resumed',
+    'An interrupted stream is to be resumed: its offset, the instance of the run that '
+    'was interrupted, and why.',
+    ('request', 'offset', 'instance', 'reason'),
 )
 CLIENT_DISCONNECTED = Event(
     605,
--- a/coursepitch/gateway/streams.py
+++ b/coursepitch/gateway/streams.py
@@ -21,6 +21,7 @@
 from coursepitch.gateway.job import Ending, Refusal
 from coursepitch.gateway.response_ends import check_events, check_sender
 from coursepitch.gateway.suspicion import explain_crashes
+from coursepitch.gateway.watchdog import Stall
 from coursepitch.gateway.work import estimate_tokens, find_max_in_flight
 from coursepitch.http.client import ExchangeError
 from coursepitch.http.event_splitter import EventSplitter
@@ -306,7 +307,7 @@
             priority=job.priority,
         )
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self._cancel_when_unresponsive, group, stalled, tasks)
+            tasks.start_soon(self._cancel_when_unresponsive, job, group, stalled, tasks)
             tasks.start_soon(self._cancel_when_overdue, job, group, stalled, tasks)
             attempt = await send_attempt(self._components, job, head, plan)
             if attempt.answer is not None:
@@ -328,10 +329,16 @@
         return answers[0]
 
     async def _cancel_when_unresponsive(
-        self, group: OpenGroup, stalled: anyio.Event, tasks: anyio.abc.TaskGroup
+        self,
+        job: Job,
+        group: OpenGroup,
+        stalled: anyio.Event,
+        tasks: anyio.abc.TaskGroup,
     ) -> None:
         """Cancel an attempt when a member of its group stops responding."""
-        await self._watchdog.wait_until_unresponsive(group, self._components.clock())
+        sent_at = self._components.clock()
+        stall = await self._watchdog.wait_until_unresponsive(group, sent_at)
+        self._log_stall(job, group, stall, sent_at)
         stalled.set()
         tasks.cancel_scope.cancel()
 
@@ -350,6 +357,7 @@
         while not self._may_reroute(job, group, sent_at):
             await anyio.sleep(OVERDUE_CHECK_INTERVAL_S)
         self._log_overdue(job, group)
+        self._log_stall(job, group, Stall.OVERDUE, sent_at)
         stalled.set()
         tasks.cancel_scope.cancel()
 
@@ -382,6 +390,26 @@
             begun=job.reply.started,
         )
 
+    def _log_stall(
+        self, job: Job, group: OpenGroup, stall: Stall, since: float
+    ) -> None:
+        """Log that a run is suspected of having failed.
+
+        :param since: monotonic time at which it last progressed.
+        """
+        now = self._components.clock()
+        log.emit(
+            events.RUN_STALLED,
+            request=job.fields.request,
+            instance=group.head.name,
+            reason=stall.value,
+            silent_s=round(now - since, 3),
+            begun=job.reply.started,
+            runs=len(job.may_have_run | {group.head.name}),
+            allowed=job.route.attempts if job.route.repeatable else 1,
+            left_s=round(job.deadline_at - now, 3),
+        )
+
     async def _forward(
         self,
         job: Job,
@@ -483,10 +511,13 @@
                     continue
                 self._watchdog.note_activity(head)
                 return data
-            if not await self._watchdog.check_members(group, since):
+            stall = await self._watchdog.find_stall(group, since)
+            if stall is not None:
+                self._log_stall(job, group, stall, began)
                 raise StalledError('a member of the group does not answer')
             if self._is_overdue(job, began) and self._may_reroute(job, group, began):
                 self._log_overdue(job, group)
+                self._log_stall(job, group, Stall.OVERDUE, began)
                 raise StalledError('the stream stalled')
             since = self._components.clock()
 
@@ -505,4 +536,6 @@
             events.REQUEST_RESUMED,
             request=job.fields.request,
             offset=splitter.last_event.decode('latin-1'),
+            instance=group.head.name,
+            reason=reason,
         )
--- a/coursepitch/gateway/watchdog.py
+++ b/coursepitch/gateway/watchdog.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import enum
 from typing import TYPE_CHECKING
 
 import anyio
@@ -24,7 +25,7 @@
     from coursepitch.fleet.session import FleetSession
     from coursepitch.fleet.view import OpenGroup
 
-__all__ = ['Watchdog']
+__all__ = ['Stall', 'Watchdog']
 
 #: Seconds for which the result of probing a group is cached.  The loss of a member
 #: that has just responded may go unnoticed for as long; a shorter time multiplies the
@@ -39,6 +40,21 @@
 GROUP_AVOIDANCE_S = 4.0
 
 
+class Stall(enum.Enum):
+    """Why a run that makes no progress is suspected of having failed.
+
+    :cvar SILENT: a member of its group does not answer this node.
+    :cvar REPORTED: a member of its group is known to be lost.
+    :cvar CUT_OFF: this node lost its paths to the instances.
+    :cvar OVERDUE: all members of its group answer.
+    """
+
+    SILENT = 'a member of the group is silent'
+    REPORTED = 'a member of the group is reported lost'
+    CUT_OFF = 'the node lost its paths'
+    OVERDUE = 'overdue'
+
+
 class Watchdog:
     """Probe the members of groups, with one probe per group at a time.
 
@@ -90,7 +106,7 @@
         lost = self._session.view.lost
         return any(lost.has(item.name) for item in group.members)
 
-    async def wait_until_unresponsive(self, group: OpenGroup, since: float) -> None:
+    async def wait_until_unresponsive(self, group: OpenGroup, since: float) -> Stall:
         """Wait until a member of a group is found unresponsive by any node.
 
         :param since: monotonic time at which the waiting request last progressed.
@@ -101,9 +117,24 @@
             if left_s > 0:
                 await self._session.wait_changed(left_s)
                 continue
-            if not await self.check_members(group, since):
-                return
+            stall = await self.find_stall(group, since)
+            if stall is not None:
+                return stall
             since = self._clock()
+        return Stall.REPORTED
+
+    async def find_stall(
+        self, group: OpenGroup, since: float = float('inf')
+    ) -> Stall | None:
+        """Return why a stream of a group may be stalled, or ``None``.
+
+        :param since: monotonic time at which the stream last progressed.
+        """
+        if self._is_lost(group):
+            return Stall.REPORTED
+        if self._was_cut_off_after(since):
+            return Stall.CUT_OFF
+        return None if await self._check_members(group) else Stall.SILENT
 
     async def check_members(
         self, group: OpenGroup, since: float = float('inf')
@@ -113,8 +144,10 @@
         :param since: monotonic time at which the stream that waits last progressed.
         :return: ``False`` as well if the connection of the stream is lost.
         """
-        if self._is_lost(group) or self._was_cut_off_after(since):
-            return False
+        return await self.find_stall(group, since) is None
+
+    async def _check_members(self, group: OpenGroup) -> bool:
+        """Probe the members of a group unless they were probed recently."""
         key = (group.claim.name, group.claim.epoch)
         while (pending := self._pending.get(key)) is not None:
             await pending.wait()
--- a/coursepitch/serving/dispatch.py
+++ b/coursepitch/serving/dispatch.py
@@ -256,6 +256,8 @@
                 events.REQUEST_RESUMED,
                 request=run.model_request.request_id,
                 offset=len(run.chunk_texts),
+                instance=attempt.replica,
+                reason=attempt.result.value,
             )
         return step
 
