Test that streams outlast a silence of their instances

What callers saw: streams at sound instances that stood still for a second were broken off, and requests sent meanwhile got 502 or 503, with seconds left to their deadlines.

The stand-in lets instances stand still for some seconds and go on where they were; until now its instances fell silent for good, so no test or soak had one that comes back.

--- a/standins/replica.py
+++ b/standins/replica.py
@@ -27,6 +27,8 @@
 say in all answers that they leave, while their entries do not; ``POST /crash`` ends
 instances, and empty ones take their places.  ``POST /cold`` writes to the entries of
 instances for how many milliseconds they stay cold, and does not count down.
+``POST /pause`` lets instances stand still for ``for_s`` seconds: they accept
+connections and take requests, and send nothing until they go on where they were.
 ``POST /cut`` cuts the paths of ``nodes`` to instances, see :mod:`standins.paths`:
 each node named with ``--nodes`` has a path of its own to each instance.
 """
@@ -104,8 +106,14 @@
     backoff: str | None = None
     leaving: bool = False
     cold_left_ms: int = 0
+    paused_until: float = 0.0
     paths: dict[str, Path] = field(default_factory=dict)
 
+    async def wait_resumed(self) -> None:
+        """Wait while the instance stands still."""
+        while (left_s := self.paused_until - time.monotonic()) > 0:
+            await anyio.sleep(left_s)
+
     def entry(self) -> dict[str, Any]:
         """Return what stands in the store."""
         data: dict[str, Any] = {
@@ -306,6 +314,7 @@
             return False
         if instance.fault['mode'] == 'dark':
             await anyio.sleep_forever()
+        await instance.wait_resumed()
         headers = {key.decode(): value.decode() for key, value in request.headers}
         expected = headers.get('x-expect-replica')
         if expected and expected != instance.name:
@@ -391,6 +400,7 @@
         for number, part in enumerate((answer[:3], answer[3:])):
             if self.crash_events == number:
                 await self._end_with(instance, run)
+            await instance.wait_resumed()
             if mode == 'half' and number:
                 if writer.framing == 'connection' or instance.fault.get('reset'):
                     writer.reset()
@@ -438,6 +448,7 @@
         told = {**mark, 'Content-Type': 'text/event-stream'}
         await writer.start(told, sum(map(len, events.values())))
         for number, event in events.items():
+            await instance.wait_resumed()
             fault = instance.fault
             if self.crash_events == number - first:
                 await self._end_with(instance, run)
@@ -461,6 +472,7 @@
                 run['left'] = True
                 raise
             await anyio.sleep(PAUSE_S)
+        await instance.wait_resumed()
         return await writer.end()
 
     def _build_event(self, number: int) -> bytes:
@@ -520,6 +532,8 @@
                 instance.paths[node].cut(data['mode'])
         elif target == '/fault':
             instance.fault = data
+        elif target == '/pause':
+            instance.paused_until = time.monotonic() + data['for_s']
         elif target == '/limit':
             instance.limit = data['limit']
         elif target == '/backoff':
