Keep a run that is silent while another one is tried

What callers saw: streams at sound instances that stood still for a second were broken off, and requests sent meanwhile got 502, seconds before their deadlines.

Cause: silence was taken as proof of failure. A run was abandoned, its connection closed, as soon as a member of its group missed two probes, a peer reported one as lost, or the stream was overdue. Only then was it asked whether another run may take its place, and the attempts of the route, the retry budget, the queue or the choice of a group denied that. A run that was never sent counted as one as well.

Change: a request owns a set of runs, of which at most one delivers. A run that is suspected is kept; another one is begun once all are suspected, as far as route, budget and groups allow, and is asked for again where they do not. The first to give an event goes on, and the others are ended then. A run ends by proof of its failure, by the progress of another, or with its request. Runs that were cancelled before they were sent do not count. Heads of responses go out with the first event, as only that decides between two runs.

Tests: test_priority and test_truthful call the methods that took the place of _attempt and _forward_error, and assert what they did.

--- a/coursepitch/events.py
+++ b/coursepitch/events.py
@@ -465,13 +465,6 @@
         'heard',
     ),
 )
-REQUEST_OVERDUE = Event(
-    610,
-    'request.overdue',
-    'A request makes no progress at a group that responds to probes, and is sent to'
-    ' another group.',
-    ('request', 'instance', 'load', 'begun'),
-)
 RETRY_REQUESTED = Event(
     611,
     'request.again',
@@ -594,19 +587,27 @@
     626,
     'run.stalled',
     'A run of a request makes no progress and may have failed: why, for how long it '
-    'has been silent, whether the response has begun, the runs of the request and '
-    'those that its route allows, and the seconds to its deadline.',
+    'has been silent, whether the response has begun, the load of the instance, the '
+    'runs of the request and those that its route allows, and the seconds to its '
+    'deadline.  It goes on, and another may be tried beside it.',
     (
         'request',
         'instance',
         'reason',
         'silent_s',
         'begun',
+        'load',
         'runs',
         'allowed',
         'left_s',
     ),
 )
+RUN_DROPPED = Event(
+    627,
+    'run.dropped',
+    'A run of a request was ended, as another one made progress before it.',
+    ('request', 'instance', 'suspected'),
+)
 SUSPECT_CLEARED = Event(
     614,
     'suspect.cleared',
@@ -620,8 +621,8 @@
 REQUEST_RESUMED = Event(
     604,
     'request.resumed',
-    'An interrupted stream is to be resumed: its offset, the instance of the run that '
-    'was interrupted, and why.',
+    'A stream goes on at another run than before, if it can: its offset, the instance '
+    'of the run that ended, and why it ended.',
     ('request', 'offset', 'instance', 'reason'),
 )
 CLIENT_DISCONNECTED = Event(
--- a/coursepitch/gateway/attempts.py
+++ b/coursepitch/gateway/attempts.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import enum
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING
 
 import anyio
@@ -23,9 +23,11 @@
 
     from coursepitch.config.routes import Service
     from coursepitch.fleet.instances import FleetInstance
+    from coursepitch.fleet.send_permits import Permit
     from coursepitch.gateway.components import GatewayComponents
     from coursepitch.gateway.job import Job
     from coursepitch.http.client import Connection, Response
+    from coursepitch.http.messages import Headers
 
 __all__ = [
     'NOT_EXECUTED_STATUSES',
@@ -74,6 +76,8 @@
     :param withheld: whether the request was not sent because the instance accepts none
         at present.
     :param path_lost: whether it was not sent because this node is cut off.
+    :param interrupted: whether the instance broke the exchange off.
+    :param sent_at: monotonic time of the send; ``None`` if it was not sent.
     """
 
     result: Result
@@ -83,6 +87,8 @@
     misplaced: bool = False
     withheld: bool = False
     path_lost: bool = False
+    interrupted: bool = False
+    sent_at: float | None = None
 
     @property
     def blames_instance(self) -> bool:
@@ -121,12 +127,14 @@
     :param last_event: id of the last event that the client received; empty if none.
     :param new_connection: whether to open a new connection rather than reuse one.
     :param priority: priority at the instance; ``None`` for the default.
+    :param permit: permit for the send, where the instance limits its rate.
     """
 
     headers_timeout_s: float
     last_event: bytes = b''
     new_connection: bool = False
     priority: int | None = None
+    permit: Permit | None = None
 
 
 def take_retry(components: GatewayComponents, job: Job) -> bool:
@@ -208,7 +216,6 @@
 ) -> Attempt:
     """Send a request to an instance and wait for the response headers."""
     sent_at = components.clock()
-    job.interrupted_by = None
     attempt = await _send(components, job, instance, plan)
     if attempt.result is not Result.NOT_RUN:
         job.may_have_run.add(instance.name)
@@ -241,7 +248,6 @@
         lost = components.paths.is_cut_off
         return Attempt(Result.NOT_RUN, str(error), path_lost=lost)
     left_s = job.deadline_at - components.clock()
-    permit, job.permit = job.permit, None
     # Connecting takes up to a second, in which the instance may have left or the
     # process may have been suspended, so the conditions are checked again.
     if left_s <= 0 or not components.session.is_fresh():
@@ -250,7 +256,7 @@
             Result.NOT_RUN, 'the deadline passed or the configuration is unconfirmed'
         )
     # Every send passes this check, so no instance gets a request that bypasses it.
-    withheld = components.gate.withhold(instance.name, permit)
+    withheld = components.gate.withhold(instance.name, plan.permit)
     if withheld is not None:
         pool.discard(connection)
         return Attempt(Result.NOT_RUN, withheld.value, withheld=True)
@@ -283,17 +289,33 @@
         plan.last_event,
         plan.priority,
     )
+    headers = build_target_headers(job.incoming.headers, fields)
+    sent_at = components.clock()
+    job.note_sent(instance.name, sent_at, instance.software)
+    try:
+        attempt = await _receive(components, job, instance, plan, connection, headers)
+    except BaseException:
+        job.may_have_run.add(instance.name)
+        raise
+    return replace(attempt, sent_at=sent_at)
+
+
+async def _receive(
+    components: GatewayComponents,
+    job: Job,
+    instance: FleetInstance,
+    plan: SendPlan,
+    connection: Connection,
+    headers: Headers,
+) -> Attempt:
     incoming = job.incoming
-    headers = build_target_headers(incoming.headers, fields)
-    job.note_sent(instance.name, components.clock(), instance.software)
     try:
         with anyio.fail_after(plan.headers_timeout_s):
             answer = await components.pool.exchange(
                 connection, incoming.method, incoming.target, headers, incoming.body
             )
     except ExchangeError as error:
-        job.interrupted_by = instance
-        return Attempt(Result.UNKNOWN, str(error))
+        return Attempt(Result.UNKNOWN, str(error), interrupted=True)
     except TimeoutError:
         return Attempt(Result.UNKNOWN, 'no answer in time')
     marks = read_response_metadata(answer.status, answer.headers)
--- a/coursepitch/gateway/calls.py
+++ b/coursepitch/gateway/calls.py
@@ -207,8 +207,10 @@
             headers_timeout_s,
             new_connection=not job.route.repeatable,
             priority=job.priority,
+            permit=job.permit,
         )
         attempt = await send_attempt(self._components, job, instance, plan)
+        job.interrupted_by = instance if attempt.interrupted else None
         if attempt.answer is None:
             if attempt.blames_instance:
                 self._components.load_tracker.note_failure(instance.name)
--- a/coursepitch/gateway/crash_detector.py
+++ b/coursepitch/gateway/crash_detector.py
@@ -58,11 +58,12 @@
 
     async def check_crash(self, job: Job) -> None:
         """Record a crash if the instance that interrupted a request has ended."""
-        instance = job.interrupted_by
-        session = self._session
+        # Another run of the request may go on meanwhile.
+        instance, sent_at, wrote_s = job.interrupted_by, job.last_sent_at, job.wrote_s
+        has_events = job.last_event_at is not None and job.last_event_at >= sent_at
         if instance is None or not await self.has_crashed(instance):
             return
-        if not session.pause_detector.has_run_since(job.last_sent_at):
+        if not self._session.pause_detector.has_run_since(sent_at):
             return
         traits = job.traits
         job.crashes += 1
@@ -74,19 +75,22 @@
             fingerprint=traits.fingerprint,
             customer=traits.customer,
             parts=list(traits.parts),
-            wrote_s=round(job.wrote_s, 3),
+            wrote_s=round(wrote_s, 3),
         )
-        self._reporter.note_crash(self._build_crash(job, instance))
-        if job.last_event_at is None or job.last_event_at < job.last_sent_at:
+        self._reporter.note_crash(self._build_crash(job, instance, wrote_s))
+        if not has_events:
             # A request without events from this run is the likely cause of the crash.
             # It waits for concurrent reports of other nodes: when four nodes retried at
             # once, eight instances crashed before any node had another's report.
             await anyio.sleep(REPORT_DELAY_S)
 
-    def _build_crash(self, job: Job, instance: FleetInstance) -> Crash:
-        """Return the crash; only a run that had just begun counts against its parts."""
+    def _build_crash(self, job: Job, instance: FleetInstance, wrote_s: float) -> Crash:
+        """Return the crash; only a run that had just begun counts against its parts.
+
+        :param wrote_s: seconds between the first and the last event of the run.
+        """
         traits, software = job.traits, instance.software
-        if job.wrote_s >= PROVEN_S:
+        if wrote_s >= PROVEN_S:
             self._reporter.note_sound(traits, software)
             traits = replace(traits, parts=())
         return Crash(
--- a/coursepitch/gateway/job.py
+++ b/coursepitch/gateway/job.py
@@ -15,6 +15,7 @@
     from coursepitch.fleet.instances import FleetInstance
     from coursepitch.fleet.send_permits import Permit
     from coursepitch.gateway.problems import Problem
+    from coursepitch.gateway.runs import Run
     from coursepitch.http.client import Framing
     from coursepitch.http.messages import IncomingRequest
     from coursepitch.http.server import ResponseWriter
@@ -129,6 +130,15 @@
         if self.first_sent_at is None:
             self.first_sent_at = now
 
+    def switch_run(self, run: Run) -> None:
+        """Take the response from another run than the one sent last."""
+        self.software = run.group.head.software
+        self.run_began_at = run.began_at
+        if run.sent_at is not None:
+            self.last_sent_at = run.sent_at
+        if run.response is not None:
+            self.framing = run.response.framing
+
     def note_event(self, now: float) -> None:
         """Record that events are forwarded to the client.
 
--- /dev/null
+++ b/coursepitch/gateway/runs.py
@@ -0,0 +1,213 @@
+"""Runs of a request: each is one send, and at most one of them delivers the response.
+
+A silent instance may have failed or may be about to go on, and silence does not tell
+which.  So a run that is suspected of having failed is kept while another is tried, and
+the first one to make progress delivers the response.  A run ends when its failure is
+proven, when another one makes progress, or with its request; never by silence.
+"""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+import anyio
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from anyio.abc import TaskGroup
+    from anyio.streams.memory import (
+        MemoryObjectReceiveStream,
+        MemoryObjectSendStream,
+    )
+
+    from coursepitch.fleet.send_permits import Permit
+    from coursepitch.fleet.view import OpenGroup
+    from coursepitch.http.client import Response
+    from coursepitch.http.event_splitter import EventSplitter
+
+__all__ = ['Run', 'RunRace', 'RunSet']
+
+
+@dataclass(eq=False)
+class Run:
+    """One send of a request to a group, and its response.
+
+    :param splitter: splits the response into events; its last event at the beginning
+        is the one after which the run starts.
+    :param permit: permit for the send, where the instance limits its rate.
+    :param tokens: estimated tokens of the request in the group's key-value cache.
+    :param sent_at: monotonic time of the send; ``None`` before it.
+    :param began_at: monotonic time at which its first event was forwarded.
+    :param response: ``None`` before its head has arrived.
+    :param events: complete events that are yet to be forwarded.
+    :param body: body of an error response.
+    :param complete: whether the response has ended regularly.
+    :param suspected: whether the run may have failed, as it makes no progress.
+    :param ended: whether what it held was released.
+    """
+
+    group: OpenGroup
+    splitter: EventSplitter
+    permit: Permit | None = None
+    tokens: int = 0
+    sent_at: float | None = None
+    began_at: float | None = None
+    response: Response | None = None
+    events: bytes = b''
+    body: bytes | None = None
+    complete: bool = False
+    suspected: bool = False
+    ended: bool = False
+
+    @property
+    def head(self) -> str:
+        """Name of the instance that the request is sent to."""
+        return self.group.head.name
+
+    def take_events(self) -> bytes:
+        """Return the events that are yet to be forwarded, once."""
+        events, self.events = self.events, b''
+        return events
+
+
+class RunSet:
+    """Runs of one request that may still deliver its response.
+
+    :param last_event: id of the last event that the client has; empty for none.
+    """
+
+    def __init__(self, last_event: bytes = b'') -> None:
+        self.last_event = last_event
+        self.live: list[Run] = []
+
+    @property
+    def heads(self) -> frozenset[str]:
+        """Names of the instances of the runs."""
+        return frozenset(run.head for run in self.live)
+
+    def add(self, run: Run) -> None:
+        """Add a run."""
+        self.live.append(run)
+
+    def remove(self, run: Run) -> None:
+        """Remove a run that has ended."""
+        self.live.remove(run)
+
+    def choose(self, run: Run) -> tuple[Run, ...]:
+        """Let a run deliver the response; return the others, which are removed."""
+        others = tuple(other for other in self.live if other is not run)
+        self.live = [run]
+        run.suspected = False
+        return others
+
+    def needs_another(self) -> bool:
+        """Whether there are runs and all of them are suspected."""
+        return bool(self.live) and all(run.suspected for run in self.live)
+
+
+@dataclass(frozen=True, slots=True)
+class _Suspected:
+    run: Run
+
+
+@dataclass(frozen=True, slots=True)
+class _Advanced:
+    run: Run
+
+
+@dataclass(frozen=True, slots=True)
+class _Failed:
+    run: Run
+
+
+@dataclass(frozen=True, slots=True)
+class _Found:
+    run: Run
+
+
+_Message = _Suspected | _Advanced | _Failed | _Found
+
+
+class RunRace:
+    """Wait until a run makes progress; try another one while all are suspected.
+
+    :param advance: sends a request unless it has been sent, and reads on to the next
+        event; returns whether there is one, or the regular end.
+    :param watch: returns once a run is suspected.
+    :param find_other: returns another run once there is a group to try.
+    """
+
+    def __init__(
+        self,
+        runs: RunSet,
+        advance: Callable[[Run], Awaitable[bool]],
+        watch: Callable[[Run], Awaitable[None]],
+        find_other: Callable[[], Awaitable[Run]],
+    ) -> None:
+        self._runs = runs
+        self._advance = advance
+        self._watch = watch
+        self._find_other = find_other
+        self._finding = False
+
+    async def wait(self) -> Run | None:
+        """Return the first run that makes progress, or ``None`` if all have failed."""
+        outbox, inbox = anyio.create_memory_object_stream[_Message](math.inf)
+        with outbox, inbox:
+            async with anyio.create_task_group() as tasks:
+                for run in self._runs.live:
+                    self._start(run, tasks, outbox)
+                winner = await self._settle(tasks, outbox, inbox)
+                tasks.cancel_scope.cancel()
+        return winner
+
+    def _start(
+        self, run: Run, tasks: TaskGroup, outbox: MemoryObjectSendStream[_Message]
+    ) -> None:
+        tasks.start_soon(self._report_progress, run, outbox)
+        if not run.suspected:
+            tasks.start_soon(self._report_suspicion, run, outbox)
+
+    async def _settle(
+        self,
+        tasks: TaskGroup,
+        outbox: MemoryObjectSendStream[_Message],
+        inbox: MemoryObjectReceiveStream[_Message],
+    ) -> Run | None:
+        while True:
+            if self._runs.needs_another() and not self._finding:
+                self._finding = True
+                tasks.start_soon(self._report_other, outbox)
+            match await inbox.receive():
+                case _Advanced(run):
+                    return run
+                case _Suspected(run):
+                    run.suspected = True
+                case _Found(run):
+                    self._finding = False
+                    self._start(run, tasks, outbox)
+                case _Failed(run):
+                    self._runs.remove(run)
+            if not self._runs.live:
+                return None
+
+    async def _report_progress(
+        self, run: Run, outbox: MemoryObjectSendStream[_Message]
+    ) -> None:
+        advanced = await self._advance(run)
+        outbox.send_nowait(_Advanced(run) if advanced else _Failed(run))
+
+    async def _report_suspicion(
+        self, run: Run, outbox: MemoryObjectSendStream[_Message]
+    ) -> None:
+        await self._watch(run)
+        outbox.send_nowait(_Suspected(run))
+
+    async def _report_other(self, outbox: MemoryObjectSendStream[_Message]) -> None:
+        run = await self._find_other()
+        # Counted at once, so that it is ended with the others whatever happens.
+        self._runs.add(run)
+        outbox.send_nowait(_Found(run))
--- a/coursepitch/gateway/streams.py
+++ b/coursepitch/gateway/streams.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import enum
 from typing import TYPE_CHECKING
 
 import anyio
@@ -20,6 +21,7 @@
 )
 from coursepitch.gateway.job import Ending, Refusal
 from coursepitch.gateway.response_ends import check_events, check_sender
+from coursepitch.gateway.runs import Run, RunRace, RunSet
 from coursepitch.gateway.suspicion import explain_crashes
 from coursepitch.gateway.watchdog import Stall
 from coursepitch.gateway.work import estimate_tokens, find_max_in_flight
@@ -54,9 +56,16 @@
 #: Shortest Retry-After in seconds: the usual time in which a group forms again.
 MIN_RETRY_AFTER_S = 0.7
 
-#: Interval in seconds of checks whether an overdue attempt may be abandoned.
+#: Interval in seconds of checks whether an overdue run may be tried elsewhere.
 OVERDUE_CHECK_INTERVAL_S = 0.1
 
+#: Seconds until another run is tried again for a stalled request, which route, retry
+#: budget or groups have not allowed.
+FIND_INTERVAL_S = 0.1
+
+#: Timeout in seconds for the rest of an error response that is not forwarded.
+DROPPED_BODY_TIMEOUT_S = 1.0
+
 #: Requests in flight per slot up to which a group accepts a resumed stream.
 RESUMED_REQUESTS_PER_SLOT = 3
 
@@ -79,8 +88,16 @@
 }
 
 
-class StalledError(ExchangeError):
-    """The stream stalled although its connection is open."""
+class Progress(enum.Enum):
+    """How the delivery of a response came to a halt.
+
+    :cvar WHOLE: the client has the whole response.
+    :cvar STALLED: the run may have failed.
+    """
+
+    WHOLE = 'whole'
+    STALLED = 'stalled'
+    FAILED = 'failed'
 
 
 class StreamServer:
@@ -93,8 +110,15 @@
 
     async def serve(self, job: Job) -> Refusal | None:
         """Serve a request; return the refusal to send if no response has started."""
-        splitter = EventSplitter(job.fields.last_event)
+        runs = RunSet(job.fields.last_event)
         tried: set[str] = set()
+        try:
+            return await self._serve(job, runs, tried)
+        finally:
+            for run in runs.live:
+                self._end_run(job, run)
+
+    async def _serve(self, job: Job, runs: RunSet, tried: set[str]) -> Refusal | None:
         while True:
             if not job.reply.started and is_isolated(self._components, job):
                 return self._give_up(job)
@@ -110,28 +134,150 @@
                     continue
                 if retry is Retry.DENIED:
                     return self._give_up(job)
-            if await self._run_once(job, group, splitter):
+            runs.add(self._begin_run(job, group, runs.last_event))
+            if await self._serve_runs(job, runs, tried):
                 return None
-            await self._components.crash_detector.check_crash(job)
             if self._components.crash_detector.forbids_retry(job):
                 return self._give_up(job)
-            tried.add(group.head.name)
             if job.reply.started or job.may_have_run:
                 if not job.route.repeatable or not self._may_run_again(job):
                     return self._give_up(job)
             elif len(job.sent) >= MAX_SENDS:
                 return self._give_up(job)
 
-    def _may_run_again(self, job: Job) -> bool:
+    async def _serve_runs(self, job: Job, runs: RunSet, tried: set[str]) -> bool:
+        """Forward what the runs of a request deliver until they have ended.
+
+        :return: whether the client got a whole response.
+        """
+
+        async def advance(run: Run) -> bool:
+            if await self._advance(job, runs, run):
+                return True
+            tried.add(run.head)
+            self._end_run(job, run)
+            return False
+
+        async def watch(run: Run) -> None:
+            await self._wait_until_stalled(job, run, runs)
+
+        async def find_other() -> Run:
+            return await self._find_other(job, runs, tried)
+
+        while True:
+            run = await RunRace(runs, advance, watch, find_other).wait()
+            if run is None:
+                return False
+            for other in runs.choose(run):
+                tried.add(other.head)
+                self._drop_run(job, other)
+            job.switch_run(run)
+            progress = await self._deliver(job, runs, run)
+            if progress is Progress.WHOLE:
+                return True
+            if progress is Progress.FAILED:
+                tried.add(run.head)
+                runs.remove(run)
+                self._end_run(job, run)
+                return False
+
+    # -- runs -------------------------------------------------------------------------
+
+    def _begin_run(self, job: Job, group: OpenGroup, last_event: bytes) -> Run:
+        """Return a new run at a group, which counts as in flight from now on."""
+        head = group.head
+        permit, job.permit = job.permit, None
+        engine = job.service.engine
+        tokens = estimate_tokens(engine, job.fields) if engine else 0
+        session = self._components.session
+        table = session.view.table
+        log.emit(
+            events.REQUEST_SENT,
+            request=job.fields.request,
+            instance=head.name,
+            group=f'{group.claim.name}/{group.claim.epoch}',
+            load=self._components.load_tracker.count_in_flight(head.name),
+            choices=len(session.view.list_open(job.service.name, job.fields.model)),
+            attempt=len(job.sent) + 1,
+            last_event=last_event.decode('latin-1'),
+            table=table.version if table else 0,
+            age=round(session.confirmation_age_s, 3),
+            heard=session.view.received_revision,
+        )
+        self._components.load_tracker.begin(head.name)
+        self._tokens.begin(head.name, tokens)
+        return Run(group, EventSplitter(last_event), permit, tokens)
+
+    def _end_run(self, job: Job, run: Run) -> None:
+        """Release what a run holds, once."""
+        if run.ended:
+            return
+        run.ended = True
+        if run.response is not None:
+            run.response.release()
+        self._components.load_tracker.end(run.head)
+        self._tokens.end(run.head, run.tokens)
+        completed = run.complete and job.ending is Ending.ANSWERED
+        self._components.admission.note_end(job, completed=completed)
+
+    def _drop_run(self, job: Job, run: Run) -> None:
+        """End a run because another one delivers the response."""
+        if run.suspected and not self._components.paths.is_cut_off:
+            self._components.load_tracker.note_failure(run.head)
+        log.emit(
+            events.RUN_DROPPED,
+            request=job.fields.request,
+            instance=run.head,
+            suspected=run.suspected,
+        )
+        if run.began_at is not None:
+            self._log_resumed(job, run, 'another run made progress first')
+        self._end_run(job, run)
+
+    def _log_resumed(self, job: Job, run: Run, reason: str) -> None:
+        """Log that a stream goes on at another run than before."""
+        log.emit(
+            events.REQUEST_RESUMED,
+            request=job.fields.request,
+            offset=run.splitter.last_event.decode('latin-1'),
+            instance=run.head,
+            reason=reason,
+        )
+
+    async def _find_other(self, job: Job, runs: RunSet, tried: set[str]) -> Run:
+        """Return another run once route, budget and groups allow one."""
+        session = self._components.session
+        while True:
+            if self._may_add_run(job, runs):
+                group = await self._wait_for_group(job, tried | runs.heads, runs.heads)
+                if (
+                    group is not None
+                    and not self._components.crash_detector.is_refused(job)
+                    and await obtain_retry(self._components, job) is Retry.TAKEN
+                ):
+                    return self._begin_run(job, group, runs.last_event)
+            await session.wait_changed(FIND_INTERVAL_S)
+
+    def _may_add_run(self, job: Job, runs: RunSet) -> bool:
+        """Whether another run may begin beside the live ones."""
+        return (
+            job.route.repeatable
+            and self._may_run_again(job, runs.heads)
+            and not self._components.crash_detector.forbids_retry(job)
+        )
+
+    def _may_run_again(self, job: Job, live: Collection[str] = ()) -> bool:
         """Whether the route allows another run.
 
         Runs count unless their instance has gone.  A run whose group lost a member
         counts too, as its head is still alive: without counting such runs, 13 streams
         in a day ran on three instances instead of the two allowed (a head that answered
         with errors, then a group that lost a member).
+
+        :param live: instances of the runs that have not ended.
         """
         present = self._components.session.view.instances
-        standing = sum(name in present for name in job.may_have_run)
+        standing = sum(name in present for name in job.may_have_run.union(live))
         return standing < job.route.attempts and len(job.sent) < MAX_SENDS
 
     def _give_up(self, job: Job) -> Refusal | None:
@@ -151,24 +297,29 @@
             self._components, job, self._list_heads, MIN_RETRY_AFTER_S
         )
 
-    async def _wait_for_group(self, job: Job, tried: set[str]) -> OpenGroup | None:
-        """Return a group to send to, or ``None`` if waiting for one is futile."""
+    async def _wait_for_group(
+        self, job: Job, tried: set[str], live: frozenset[str] = frozenset()
+    ) -> OpenGroup | None:
+        """Return a group to send to, or ``None`` if waiting for one is futile.
+
+        :param live: heads at which the request has a run, which get no other one.
+        """
         now = self._components.clock()
-        if job.reply.started:
+        if job.reply.started or live:
             until = now + RESUME_WAIT_S
         elif job.is_client_retry:
             until = now + CLIENT_RETRY_WAIT_S
         else:
             until = job.arrived_at + job.route.objective_s * WAIT_OBJECTIVE_SHARE
         until = min(until, job.deadline_at)
-        max_in_flight = self._find_max_in_flight(job)
+        max_in_flight = self._find_max_in_flight(job, live)
 
         def find(
             select: Callable[[Job, Collection[str], int], OpenGroup | None],
         ) -> tuple[str, OpenGroup] | None:
             group = select(job, tried, max_in_flight)
             if group is None and job.reply.started:
-                group = select(job, (), max_in_flight)
+                group = select(job, live, max_in_flight)
             return None if group is None else (group.head.name, group)
 
         terms = Terms(
@@ -176,7 +327,8 @@
             lambda: self._list_heads(job),
             MIN_RETRY_AFTER_S,
             # A stream that has begun may return to groups that it tried.
-            (max_in_flight, frozenset(() if job.reply.started else tried)),
+            (max_in_flight, frozenset(live if job.reply.started else tried)),
+            refuse_late=not live,
         )
         while True:
             found = await self._components.admission.acquire(
@@ -243,157 +395,213 @@
             return 'all groups are full or were tried'
         return 'no group is open'
 
-    def _find_max_in_flight(self, job: Job) -> int:
-        """Return the requests in flight at which a group counts as full."""
+    def _find_max_in_flight(self, job: Job, live: Collection[str]) -> int:
+        """Return the requests in flight at which a group counts as full.
+
+        :param live: heads at which the request has a run.
+        """
         engine = job.service.engine
         model = engine.find_model(job.fields.model) if engine else None
         if engine is None or model is None:
             return 0
-        if job.reply.started or job.may_have_run:
+        if job.reply.started or job.may_have_run or live:
             return engine.slots * RESUMED_REQUESTS_PER_SLOT
         return find_max_in_flight(engine, model, job.route.objective_s)
 
-    async def _run_once(
-        self, job: Job, group: OpenGroup, splitter: EventSplitter
-    ) -> bool:
-        """Send a request to a group; return whether the client got a whole response."""
-        head = group.head
-        table = self._components.session.view.table
-        choices = self._components.session.view.list_open(
-            job.service.name, job.fields.model
-        )
-        log.emit(
-            events.REQUEST_SENT,
-            request=job.fields.request,
-            instance=head.name,
-            group=f'{group.claim.name}/{group.claim.epoch}',
-            load=self._components.load_tracker.count_in_flight(head.name),
-            choices=len(choices),
-            attempt=len(job.sent) + 1,
-            last_event=splitter.last_event.decode('latin-1'),
-            table=table.version if table else 0,
-            age=round(self._components.session.confirmation_age_s, 3),
-            heard=self._components.session.view.received_revision,
-        )
-        engine = job.service.engine
-        tokens = estimate_tokens(engine, job.fields) if engine else 0
-        self._components.load_tracker.begin(head.name)
-        self._tokens.begin(head.name, tokens)
+    # -- progress of a run ------------------------------------------------------------
+
+    async def _advance(self, job: Job, runs: RunSet, run: Run) -> bool:
+        """Send a request unless it was sent, and read on to the next event or the end.
+
+        :return: ``False`` if the run has failed.
+        """
+        if run.response is None and not await self._send(job, run):
+            return False
+        response = run.response
+        if response is None:
+            return False
+        if response.status != 200:
+            return await self._read_error(job, runs, run, response)
         try:
-            attempt = await self._attempt(job, group, splitter)
-            if attempt is None:
-                return False
-            try:
-                return await self._forward(job, group, attempt, splitter)
-            finally:
-                attempt.release()
-        finally:
-            self._components.load_tracker.end(head.name)
-            self._tokens.end(head.name, tokens)
-            completed = job.ending is Ending.ANSWERED
-            self._components.admission.note_end(job, completed=completed)
-
-    async def _attempt(
-        self, job: Job, group: OpenGroup, splitter: EventSplitter
-    ) -> Response | None:
-        """Send a request to the head of a group; return the response to forward."""
-        head = group.head
-        sent_at = self._components.clock()
-        stalled = anyio.Event()
-        answers: list[Response] = []
+            while not run.events and not run.complete:
+                data = await response.read_chunk()
+                await self._take(job, run, data)
+        except ExchangeError as error:
+            await self._note_interruption(job, run, str(error))
+            return False
+        return True
+
+    async def _send(self, job: Job, run: Run) -> bool:
+        """Send a request to the head of a group; return whether it responds."""
+        head = run.group.head
+        began_at = self._components.clock()
         plan = SendPlan(
-            headers_timeout_s=max(0.001, job.deadline_at - self._components.clock()),
-            last_event=splitter.last_event,
+            headers_timeout_s=max(0.001, job.deadline_at - began_at),
+            last_event=run.splitter.last_event,
             priority=job.priority,
+            permit=run.permit,
         )
+        attempt = await send_attempt(self._components, job, head, plan)
+        run.sent_at = attempt.sent_at
+        if attempt.answer is not None:
+            run.response = attempt.answer
+            self._components.load_tracker.note_response_start(head.name, began_at)
+            return True
+        if attempt.misplaced:
+            self._components.load_tracker.note_outdated(head)
+        if attempt.blames_instance:
+            self._components.load_tracker.note_failure(head.name)
+        if attempt.interrupted:
+            await self._check_crash(job, run)
+        return False
+
+    async def _take(self, job: Job, run: Run, data: bytes | None) -> None:
+        """Take the next bytes of a response, or its end.
+
+        :raises ExchangeError: it broke off.
+        """
+        self._watchdog.note_activity(run.head)
+        if data is not None:
+            run.events = run.splitter.feed(data)
+            return
+        response = run.response
+        if response is None:
+            return
+        check_events(job, response, run.group.head, run.splitter)
+        detector = self._components.crash_detector
+        await check_sender(detector, job, response, run.group.head)
+        run.events = run.splitter.flush()
+        run.complete = True
+
+    async def _deliver(self, job: Job, runs: RunSet, run: Run) -> Progress:
+        """Forward the response of a run until it ends or is stalled."""
+        response = run.response
+        if response is None:
+            return Progress.FAILED
+        if response.status != 200:
+            await self._forward_error(job, response, run.body or b'')
+            return Progress.WHOLE
+        if not job.reply.started:
+            job.status = response.status
+            headers = forward_response_headers(response.headers)
+            await job.reply.start(response.status, headers)
+        try:
+            while True:
+                whole = run.take_events()
+                if whole:
+                    runs.last_event = run.splitter.last_event
+                    if not run.complete:
+                        job.note_event(self._components.clock())
+                        run.began_at = job.run_began_at
+                    await job.reply.send(whole)
+                if run.complete:
+                    break
+                if not await self._read_in_time(job, runs, run, response):
+                    return Progress.STALLED
+        except ExchangeError as error:
+            await self._note_interruption(job, run, str(error))
+            return Progress.FAILED
+        await job.reply.end()
+        job.ending = Ending.ANSWERED
+        self._components.load_tracker.note_success(run.head)
+        if len(job.sent) == 1 and job.first_event_at is not None:
+            first_s = job.first_event_at - job.last_sent_at
+            self._watchdog.reply_times.note(job.fields.model, first_s, job.pause_s)
+        return Progress.WHOLE
+
+    async def _read_in_time(
+        self, job: Job, runs: RunSet, run: Run, response: Response
+    ) -> bool:
+        """Read the next bytes of a response; return ``False`` if it is stalled.
+
+        A run that nothing can replace is never stalled.
+
+        :raises ExchangeError: it broke off.
+        """
+        began = since = self._components.clock()
+        times, model = self._watchdog.reply_times, job.fields.model
+        while True:
+            left_s = self._watchdog.find_quiet_left_s(
+                run.head, since, times.find_quiet_limit_s(model)
+            )
+            if left_s > 0:
+                try:
+                    data = await response.read_chunk(left_s)
+                except TimeoutError:
+                    continue
+                run.suspected = False
+                await self._take(job, run, data)
+                return True
+            stall = await self._watchdog.find_stall(run.group, since)
+            if (
+                stall is None
+                and self._is_overdue(job, began)
+                and self._may_reroute(job, run, began)
+            ):
+                stall = Stall.OVERDUE
+            if stall is not None:
+                if not run.suspected:
+                    self._log_stall(job, run, stall, began)
+                run.suspected = True
+                if self._may_add_run(job, runs):
+                    return False
+            since = self._components.clock()
+
+    async def _wait_until_stalled(self, job: Job, run: Run, runs: RunSet) -> None:
+        """Wait until a run that has not begun to deliver is stalled."""
+        began = self._components.clock()
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self._cancel_when_unresponsive, job, group, stalled, tasks)
-            tasks.start_soon(self._cancel_when_overdue, job, group, stalled, tasks)
-            attempt = await send_attempt(self._components, job, head, plan)
-            if attempt.answer is not None:
-                answers.append(attempt.answer)
-                self._components.load_tracker.note_response_start(head.name, sent_at)
-            tasks.cancel_scope.cancel()
-        if stalled.is_set() and not answers:
-            job.may_have_run.add(head.name)
-            job.last_reason = 'no response from the group, or none to this request'
-            if not self._components.paths.is_cut_off:
-                self._components.load_tracker.note_failure(head.name)
-            return None
-        if not answers:
-            if attempt.misplaced:
-                self._components.load_tracker.note_outdated(head)
-            if attempt.blames_instance:
-                self._components.load_tracker.note_failure(head.name)
-            return None
-        return answers[0]
 
-    async def _cancel_when_unresponsive(
-        self,
-        job: Job,
-        group: OpenGroup,
-        stalled: anyio.Event,
-        tasks: anyio.abc.TaskGroup,
-    ) -> None:
-        """Cancel an attempt when a member of its group stops responding."""
-        sent_at = self._components.clock()
-        stall = await self._watchdog.wait_until_unresponsive(group, sent_at)
-        self._log_stall(job, group, stall, sent_at)
-        stalled.set()
-        tasks.cancel_scope.cancel()
-
-    async def _cancel_when_overdue(
+            async def wait_until_unresponsive() -> None:
+                stall = await self._watchdog.wait_until_unresponsive(run.group, began)
+                self._log_stall(job, run, stall, began)
+                tasks.cancel_scope.cancel()
+
+            async def wait_until_overdue() -> None:
+                times = self._watchdog.reply_times
+                await anyio.sleep(times.find_overdue_limit_s(job.fields.model))
+                while not self._may_reroute(job, run, began, runs.heads):
+                    await anyio.sleep(OVERDUE_CHECK_INTERVAL_S)
+                self._log_stall(job, run, Stall.OVERDUE, began)
+                tasks.cancel_scope.cancel()
+
+            tasks.start_soon(wait_until_unresponsive)
+            tasks.start_soon(wait_until_overdue)
+
+    def _is_overdue(self, job: Job, began: float) -> bool:
+        """Whether a stream has stalled long enough to be resumed at another group."""
+        limit_s = self._watchdog.reply_times.find_overdue_limit_s(job.fields.model)
+        return self._components.clock() - began >= limit_s
+
+    def _may_reroute(
         self,
         job: Job,
-        group: OpenGroup,
-        stalled: anyio.Event,
-        tasks: anyio.abc.TaskGroup,
-    ) -> None:
-        """Cancel an attempt whose response is overdue if another group can serve it."""
-        sent_at = self._components.clock()
-        await anyio.sleep(
-            self._watchdog.reply_times.find_overdue_limit_s(job.fields.model)
-        )
-        while not self._may_reroute(job, group, sent_at):
-            await anyio.sleep(OVERDUE_CHECK_INTERVAL_S)
-        self._log_overdue(job, group)
-        self._log_stall(job, group, Stall.OVERDUE, sent_at)
-        stalled.set()
-        tasks.cancel_scope.cancel()
-
-    def _may_reroute(self, job: Job, group: OpenGroup, sent_at: float) -> bool:
+        run: Run,
+        sent_at: float,
+        live: frozenset[str] = frozenset(),
+    ) -> bool:
         """Whether a request that is stalled at a group may be sent to another.
 
         A request that may still be queued at its group stays there.
+
+        :param live: heads at which the request has a run.
         """
         engine = job.service.engine
-        head = group.head.name
-        runs = job.may_have_run | {head}
+        heads = job.may_have_run | live | {run.head}
         if engine is None or not job.route.repeatable:
             return False
-        if len(runs) >= job.route.attempts or len(job.sent) >= MAX_SENDS:
+        if len(heads) >= job.route.attempts or len(job.sent) >= MAX_SENDS:
             return False
         tracker = self._components.load_tracker
-        if tracker.count_in_flight(head) > engine.slots and not tracker.was_overtaken(
-            head, sent_at
-        ):
+        if tracker.count_in_flight(
+            run.head
+        ) > engine.slots and not tracker.was_overtaken(run.head, sent_at):
             return False
-        tried = {head, *job.sent}
+        tried = {*heads, *job.sent}
         return self._choose_group(job, tried, engine.slots) is not None
 
-    def _log_overdue(self, job: Job, group: OpenGroup) -> None:
-        log.emit(
-            events.REQUEST_OVERDUE,
-            request=job.fields.request,
-            instance=group.head.name,
-            load=self._components.load_tracker.count_in_flight(group.head.name),
-            begun=job.reply.started,
-        )
-
-    def _log_stall(
-        self, job: Job, group: OpenGroup, stall: Stall, since: float
-    ) -> None:
-        """Log that a run is suspected of having failed.
+    def _log_stall(self, job: Job, run: Run, stall: Stall, since: float) -> None:
+        """Log that a run may have failed.
 
         :param since: monotonic time at which it last progressed.
         """
@@ -401,141 +609,71 @@
         log.emit(
             events.RUN_STALLED,
             request=job.fields.request,
-            instance=group.head.name,
+            instance=run.head,
             reason=stall.value,
             silent_s=round(now - since, 3),
             begun=job.reply.started,
-            runs=len(job.may_have_run | {group.head.name}),
+            load=self._components.load_tracker.count_in_flight(run.head),
+            runs=len(job.may_have_run | {run.head}),
             allowed=job.route.attempts if job.route.repeatable else 1,
             left_s=round(job.deadline_at - now, 3),
         )
 
-    async def _forward(
-        self,
-        job: Job,
-        group: OpenGroup,
-        answer: Response,
-        splitter: EventSplitter,
-    ) -> bool:
-        """Forward a response; return whether it is complete."""
-        if answer.status != 200:
-            return await self._forward_error(job, group, answer)
-        if not job.reply.started:
-            job.status = answer.status
-            await job.reply.start(
-                answer.status, forward_response_headers(answer.headers)
-            )
-        splitter.start_run()
-        try:
-            while True:
-                data = await self._read_chunk(job, group, answer)
-                if data is None:
-                    break
-                whole = splitter.feed(data)
-                if whole:
-                    job.note_event(self._components.clock())
-                    await job.reply.send(whole)
-            check_events(job, answer, group.head, splitter)
-            await check_sender(self._components.crash_detector, job, answer, group.head)
-        except ExchangeError as error:
-            if not isinstance(error, StalledError):
-                job.interrupted_by = group.head
-            self._record_interruption(job, group, splitter, str(error))
-            return False
-        rest = splitter.flush()
-        if rest:
-            await job.reply.send(rest)
-        await job.reply.end()
-        job.ending = Ending.ANSWERED
-        self._components.load_tracker.note_success(group.head.name)
-        if len(job.sent) == 1 and job.first_event_at is not None:
-            first_s = job.first_event_at - job.last_sent_at
-            self._watchdog.reply_times.note(job.fields.model, first_s, job.pause_s)
-        return True
+    # -- failures of a run ------------------------------------------------------------
 
-    async def _forward_error(
-        self, job: Job, group: OpenGroup, answer: Response
+    async def _read_error(
+        self, job: Job, runs: RunSet, run: Run, response: Response
     ) -> bool:
-        """Forward an error response unless the request can be retried."""
-        self._components.load_tracker.note_failure(group.head.name)
-        body = await self._read_error_body(job, group, answer)
+        """Read an error response; return whether it is to be forwarded."""
+        self._components.load_tracker.note_failure(run.head)
         may_retry = (
-            job.route.repeatable and self._may_run_again(job) and answer.status >= 500
+            job.route.repeatable and self._may_run_again(job) and response.status >= 500
         )
         # The status claims that the request was not executed, which is unknown.
-        claims_not_executed = answer.status in NOT_EXECUTED_STATUSES
-        if body is None or job.reply.started or may_retry or claims_not_executed:
-            job.last_reason = f'answered with {answer.status}'
+        claims_not_executed = response.status in NOT_EXECUTED_STATUSES
+        is_dropped = (
+            job.reply.started or may_retry or claims_not_executed or len(runs.live) > 1
+        )
+        run.body = await self._read_error_body(job, run, response, is_dropped)
+        if run.body is None or is_dropped:
+            job.last_reason = f'answered with {response.status}'
             return False
-        job.status, job.ending = answer.status, Ending.ANSWERED
-        headers = forward_response_headers(answer.headers)
-        await job.reply.send_whole(answer.status, headers, body)
         return True
 
     async def _read_error_body(
-        self, job: Job, group: OpenGroup, answer: Response
+        self, job: Job, run: Run, response: Response, is_dropped: bool
     ) -> bytes | None:
-        """Return the body of an error response, or ``None`` if it is incomplete."""
+        """Return the body of an error response, or ``None`` if it is incomplete.
+
+        :param is_dropped: whether it is only read so that its connection can be reused.
+        """
         try:
-            with anyio.fail_after(1.0):
-                body = await answer.read_whole(MAX_ERROR_BYTES)
+            with anyio.fail_after(DROPPED_BODY_TIMEOUT_S if is_dropped else None):
+                body = await response.read_whole(MAX_ERROR_BYTES)
                 detector = self._components.crash_detector
-                await check_sender(detector, job, answer, group.head)
+                await check_sender(detector, job, response, run.group.head)
                 return body
         except TimeoutError:
             return None
         except ExchangeError:
-            job.interrupted_by = group.head
+            await self._check_crash(job, run)
             return None
 
-    async def _read_chunk(
-        self, job: Job, group: OpenGroup, answer: Response
-    ) -> bytes | None:
-        """Return the next bytes of a stream, or ``None`` at its end.
-
-        :raises ExchangeError: the connection was lost.
-        :raises StalledError: a member of the group does not respond, or only this
-            stream is stalled and can be resumed at another group.
-        """
-        began = since = self._components.clock()
-        head = group.head.name
-        times, model = self._watchdog.reply_times, job.fields.model
-        while True:
-            left_s = self._watchdog.find_quiet_left_s(
-                head, since, times.find_quiet_limit_s(model)
-            )
-            if left_s > 0:
-                try:
-                    data = await answer.read_chunk(left_s)
-                except TimeoutError:
-                    continue
-                self._watchdog.note_activity(head)
-                return data
-            stall = await self._watchdog.find_stall(group, since)
-            if stall is not None:
-                self._log_stall(job, group, stall, began)
-                raise StalledError('a member of the group does not answer')
-            if self._is_overdue(job, began) and self._may_reroute(job, group, began):
-                self._log_overdue(job, group)
-                self._log_stall(job, group, Stall.OVERDUE, began)
-                raise StalledError('the stream stalled')
-            since = self._components.clock()
+    async def _forward_error(self, job: Job, response: Response, body: bytes) -> None:
+        job.status, job.ending = response.status, Ending.ANSWERED
+        headers = forward_response_headers(response.headers)
+        await job.reply.send_whole(response.status, headers, body)
 
-    def _is_overdue(self, job: Job, began: float) -> bool:
-        """Whether a stream has stalled long enough to be resumed at another group."""
-        limit_s = self._watchdog.reply_times.find_overdue_limit_s(job.fields.model)
-        return self._components.clock() - began >= limit_s
+    async def _check_crash(self, job: Job, run: Run) -> None:
+        """Record a crash if the instance that interrupted a run has ended."""
+        job.switch_run(run)
+        job.interrupted_by = run.group.head
+        await self._components.crash_detector.check_crash(job)
 
-    def _record_interruption(
-        self, job: Job, group: OpenGroup, splitter: EventSplitter, reason: str
-    ) -> None:
+    async def _note_interruption(self, job: Job, run: Run, reason: str) -> None:
+        """Record that the connection of a run was lost."""
         job.last_reason = reason
         if not self._components.paths.is_cut_off:
-            self._components.load_tracker.note_failure(group.head.name)
-        log.emit(
-            events.REQUEST_RESUMED,
-            request=job.fields.request,
-            offset=splitter.last_event.decode('latin-1'),
-            instance=group.head.name,
-            reason=reason,
-        )
+            self._components.load_tracker.note_failure(run.head)
+        self._log_resumed(job, run, reason)
+        await self._check_crash(job, run)
--- a/tests/gateway/test_priority.py
+++ b/tests/gateway/test_priority.py
@@ -11,6 +11,8 @@
 from coursepitch.config.routes import RoutedCustomer, hash_key
 from coursepitch.gateway.attempts import Attempt, Result
 from coursepitch.gateway.request_handler import Gateway
+from coursepitch.gateway.runs import Run
+from coursepitch.http.event_splitter import EventSplitter
 from coursepitch.platform.headers import RequestFields
 from tests.config.test_routes import build_route
 from tests.fleet.builders import build_service, build_table
@@ -31,11 +33,6 @@
     return gateway._resolve(table, request, None, fields)
 
 
-async def wait_for_cancellation(*arguments):
-    """Stand in for the checks that run beside an attempt."""
-    await anyio.sleep_forever()
-
-
 class ResolveTest(unittest.TestCase):
     """A request has the urgency of its customer, or else of its route."""
 
@@ -81,10 +78,8 @@
                 anyio.run(node.calls._attempt, job, instance, False)
             else:
                 (group,) = node.view.list_open('pool', 'small')
-                for name in ('_cancel_when_unresponsive', '_cancel_when_overdue'):
-                    setattr(node.streams, name, wait_for_cancellation)
-                splitter = SimpleNamespace(last_event=b'')
-                anyio.run(node.streams._attempt, job, group, splitter)
+                run = Run(group, EventSplitter())
+                anyio.run(node.streams._send, job, run)
         return plans[0].priority
 
     def test_stream(self):
--- a/tests/gateway/test_truthful.py
+++ b/tests/gateway/test_truthful.py
@@ -11,8 +11,10 @@
 
 from coursepitch.gateway.calls import CallServer
 from coursepitch.gateway.request_handler import Gateway
+from coursepitch.gateway.runs import Run, RunSet
 from coursepitch.gateway.streams import StreamServer
 from coursepitch.http.client import Framing
+from coursepitch.http.event_splitter import EventSplitter
 from tests.fleet.builders import NO_SUSPICION, build_instance, build_service, build_view
 
 #: Statuses that guarantee that a request was not executed.
@@ -90,7 +92,14 @@
         )
         group = SimpleNamespace(head=build_instance('a'))
         server = StreamServer(components, None)
-        anyio.run(server._forward_error, job, group, answer)
+        run, runs = Run(group, EventSplitter(), response=answer), RunSet()
+        runs.add(run)
+
+        async def forward():
+            if await server._read_error(job, runs, run, answer):
+                await server._deliver(job, runs, run)
+
+        anyio.run(forward)
         self.assertEqual(sent, [] if status in GUARANTEE_STATUSES else [status])
 
 
--- a/tests/gateway/waiting_node.py
+++ b/tests/gateway/waiting_node.py
@@ -133,7 +133,7 @@
             clock=self.clock,
         )
         self.streams = StreamServer(components, watchdog)
-        self.streams._find_max_in_flight = lambda job: bound
+        self.streams._find_max_in_flight = lambda job, live: bound
         self.calls = CallServer(components)
         self.got = []
         self.denied = []
