Use suspected groups where all groups of a model are suspected

What callers saw: while all instances stood still for a second, and for seconds after a shorter silence, requests were refused with 503 at once, although instances went on.

If all are silent, silence does not tell failed ones from others, and nothing was left to choose.

Change: suspicion of a group decides only while there is another one. A group is no longer avoided once its head sends data, or once all members that were silent are told to have answered. Another run beside a silent one still goes to a group that is not suspected, or is not begun.

Tests: the call that test_request_gets_the_group_without_waiting expects has the new argument.

--- a/coursepitch/fleet/lost.py
+++ b/coursepitch/fleet/lost.py
@@ -47,6 +47,10 @@
     _reported_until: dict[str, float] = field(default_factory=dict)
     _answered_at: dict[str, float] = field(default_factory=dict)
 
+    def has_answered_since(self, name: str, since: float) -> bool:
+        """Whether an instance is known to have answered after a monotonic time."""
+        return self._answered_at.get(name, float('-inf')) > since
+
     def has(self, name: str) -> bool:
         """Whether an instance is known to be lost."""
         return (
@@ -86,7 +90,7 @@
         old = [name for name, until in self._reported_until.items() if until <= now]
         for name in old:
             del self._reported_until[name]
-        start = now - IGNORE_REPORTS_S
+        start = now - REPORT_VALID_S
         for name in [name for name, at in self._answered_at.items() if at < start]:
             del self._answered_at[name]
         return bool(old)
--- a/coursepitch/fleet/view.py
+++ b/coursepitch/fleet/view.py
@@ -158,6 +158,10 @@
     _zone_examples_version: int = -1
     _open_by_model: dict[tuple[str, str], list[OpenGroup]] = field(default_factory=dict)
     _open_by_model_version: int = -1
+    _suspected_by_model: dict[tuple[str, str], list[OpenGroup]] = field(
+        default_factory=dict
+    )
+    _suspected_by_model_version: int = -1
     _open_groups: dict[GroupClaim, OpenGroup] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
@@ -663,6 +667,15 @@
             self._open_by_model = self._find_open_groups()
         return self._open_by_model.get((service, model), [])
 
+    def list_suspected(self, service: str, model: str) -> list[OpenGroup]:
+        """Return the groups of a model that are open but for members reported lost."""
+        if self.lost.is_empty():
+            return []
+        if self._suspected_by_model_version != self.version:
+            self._suspected_by_model_version = self.version
+            self._suspected_by_model = self._find_suspected_groups()
+        return self._suspected_by_model.get((service, model), [])
+
     def _find_open_groups(self) -> dict[tuple[str, str], list[OpenGroup]]:
         found: dict[tuple[str, str], list[OpenGroup]] = {}
         for claim in self.all_claims():
@@ -674,6 +687,16 @@
         }
         return found
 
+    def _find_suspected_groups(self) -> dict[tuple[str, str], list[OpenGroup]]:
+        found: dict[tuple[str, str], list[OpenGroup]] = {}
+        for claim in self.all_claims():
+            if self.find_open(claim) is not None:
+                continue
+            group = self._evaluate_group(claim, with_lost=True)
+            if group is not None:
+                found.setdefault((claim.service, claim.model), []).append(group)
+        return found
+
     def find_open(self, claim: GroupClaim) -> OpenGroup | None:
         """Return a claimed group if it may receive requests."""
         known = self._open_groups.get(claim)
@@ -697,12 +720,14 @@
             for item in group.members
         )
 
-    def _evaluate_group(self, claim: GroupClaim) -> OpenGroup | None:
+    def _evaluate_group(
+        self, claim: GroupClaim, *, with_lost: bool = False
+    ) -> OpenGroup | None:
         members = [self.instances.get(name) for name in claim.members]
         present = [item for item in members if item is not None]
         if len(present) < len(members):
             return None
-        if any(self.lost.has(item.name) for item in present):
+        if not with_lost and any(self.lost.has(item.name) for item in present):
             return None
         if not all(self.accepts_requests(item.name) for item in present):
             return None
--- a/coursepitch/gateway/router.py
+++ b/coursepitch/gateway/router.py
@@ -96,19 +96,42 @@
             return EVACUATION_COST
         return 0.0 if instance.availability_zone == self._zone else cost
 
+    def list_groups(
+        self, service: Service, model: str, *, with_suspected: bool = True
+    ) -> list[OpenGroup]:
+        """Return the open groups of a model whose members are not suspected.
+
+        If all are suspected, silence does not tell the failed ones from the others.
+
+        :param with_suspected: whether to return all groups then.
+        """
+        found = self._view.list_open(service.name, model)
+        trusted = [group for group in found if not self._watchdog.is_avoided(group)]
+        if trusted or not with_suspected:
+            return trusted
+        return [*found, *self._view.list_suspected(service.name, model)]
+
     def choose_group(
-        self, service: Service, model: str, tried: Collection[str], max_in_flight: int
+        self,
+        service: Service,
+        model: str,
+        tried: Collection[str],
+        max_in_flight: int,
+        *,
+        with_suspected: bool = True,
     ) -> OpenGroup | None:
         """Return the open group of a model with the least load, or ``None``.
 
         :param tried: heads that the request has already been sent to.
         :param max_in_flight: requests in flight at which a group counts as full.
+        :param with_suspected: whether a group may be chosen that is suspected of having
+            lost a member, if all are.
         """
         groups = []
         counts = []
-        for group in self._view.list_open(service.name, model):
+        for group in self.list_groups(service, model, with_suspected=with_suspected):
             head = group.head.name
-            if head in tried or self._watchdog.is_avoided(group):
+            if head in tried:
                 continue
             if self._load_tracker.is_outdated(group.head) or self._is_closed(head):
                 continue
--- a/coursepitch/gateway/streams.py
+++ b/coursepitch/gateway/streams.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+from functools import partial
 from typing import TYPE_CHECKING
 
 import anyio
@@ -315,11 +316,14 @@
         max_in_flight = self._find_max_in_flight(job, live)
 
         def find(
-            select: Callable[[Job, Collection[str], int], OpenGroup | None],
+            select: Callable[..., OpenGroup | None],
         ) -> tuple[str, OpenGroup] | None:
-            group = select(job, tried, max_in_flight)
+            # Another run beside a silent one is of no use at a group that may be
+            # silent as well.
+            choose = partial(select, job, with_suspected=not live)
+            group = choose(tried, max_in_flight)
             if group is None and job.reply.started:
-                group = select(job, live, max_in_flight)
+                group = choose(live, max_in_flight)
             return None if group is None else (group.head.name, group)
 
         terms = Terms(
@@ -345,12 +349,19 @@
                 return found
 
     def _choose_group_with_room(
-        self, job: Job, tried: Collection[str], max_in_flight: int
+        self,
+        job: Job,
+        tried: Collection[str],
+        max_in_flight: int,
+        *,
+        with_suspected: bool,
     ) -> OpenGroup | None:
         """Return a group whose slots and key-value cache have room, or ``None``."""
         excluded = tried
         for _ in range(MAX_EXAMINED_GROUPS):
-            group = self._choose_group(job, excluded, max_in_flight)
+            group = self._choose_group(
+                job, excluded, max_in_flight, with_suspected=with_suspected
+            )
             if group is None or self._has_token_room(job, group.head.name):
                 return group
             excluded = {*excluded, group.head.name}
@@ -367,11 +378,20 @@
         return self._tokens.has_room(head, tokens, peer_tokens, engine.kv_tokens)
 
     def _choose_group(
-        self, job: Job, tried: Collection[str], max_in_flight: int
+        self,
+        job: Job,
+        tried: Collection[str],
+        max_in_flight: int,
+        *,
+        with_suspected: bool,
     ) -> OpenGroup | None:
         """Return the group to send a request to, or ``None`` if none has room."""
         return self._components.router.choose_group(
-            job.service, job.fields.model, tried, max_in_flight
+            job.service,
+            job.fields.model,
+            tried,
+            max_in_flight,
+            with_suspected=with_suspected,
         )
 
     def _note_denied(self, job: Job, denied: Denied) -> None:
@@ -382,7 +402,8 @@
 
     def _list_heads(self, job: Job) -> list[str]:
         view = self._components.session.view
-        groups = view.list_open(job.service.name, job.fields.model)
+        key = (job.service.name, job.fields.model)
+        groups = view.list_open(*key) or view.list_suspected(*key)
         names = [group.head.name for group in groups]
         return view.drop_evacuated(job.service.name, names)
 
@@ -598,7 +619,8 @@
         ) > engine.slots and not tracker.was_overtaken(run.head, sent_at):
             return False
         tried = {*heads, *job.sent}
-        return self._choose_group(job, tried, engine.slots) is not None
+        group = self._choose_group(job, tried, engine.slots, with_suspected=False)
+        return group is not None
 
     def _log_stall(self, job: Job, run: Run, stall: Stall, since: float) -> None:
         """Log that a run may have failed.
--- a/coursepitch/gateway/watchdog.py
+++ b/coursepitch/gateway/watchdog.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import enum
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 import anyio
@@ -55,6 +56,18 @@
     OVERDUE = 'overdue'
 
 
+@dataclass(frozen=True, slots=True)
+class _Avoidance:
+    """A group that is avoided.
+
+    :param members: names of the members that did not respond.
+    """
+
+    since: float
+    until: float
+    members: tuple[str, ...]
+
+
 class Watchdog:
     """Probe the members of groups, with one probe per group at a time.
 
@@ -75,7 +88,7 @@
         self._clock = clock
         self._cached_results: dict[tuple[str, int], tuple[float, bool]] = {}
         self._pending: dict[tuple[str, int], anyio.Event] = {}
-        self._avoided: dict[tuple[str, int], float] = {}
+        self._avoided: dict[tuple[str, int], _Avoidance] = {}
         self._last_activity: dict[str, float] = {}
         #: Called with a head that this node does not reach directly.
         self.on_unreached: Callable[[FleetInstance], None] = lambda instance: None
@@ -83,9 +96,24 @@
         self.reply_times = ReplyTimes()
 
     def is_avoided(self, group: OpenGroup) -> bool:
-        """Whether a member of the group recently failed to respond."""
+        """Whether a member of the group recently failed to respond.
+
+        It counts as responding again once the head sends data or a node tells so.
+        """
         key = (group.claim.name, group.claim.epoch)
-        return self._avoided.get(key, float('-inf')) > self._clock()
+        found = self._avoided.get(key)
+        if found is None:
+            return False
+        now, head = self._clock(), group.head.name
+        lost = self._session.view.lost
+        if (
+            found.until <= now
+            or self._last_activity.get(head, float('-inf')) > found.since
+            or all(lost.has_answered_since(name, found.since) for name in found.members)
+        ):
+            del self._avoided[key]
+            return False
+        return True
 
     def note_activity(self, head: str) -> None:
         """Record that a head sent data on any stream of this node."""
@@ -188,7 +216,8 @@
         )
         if lost:
             key = (group.claim.name, group.claim.epoch)
-            self._avoided[key] = self._clock() + GROUP_AVOIDANCE_S
+            now = self._clock()
+            self._avoided[key] = _Avoidance(now, now + GROUP_AVOIDANCE_S, tuple(lost))
             with anyio.move_on_after(1.0):
                 for name in lost:
                     await self._session.losses.report(name)
--- a/tests/gateway/test_admission.py
+++ b/tests/gateway/test_admission.py
@@ -40,7 +40,9 @@
         choose = mock.Mock(wraps=node.router.choose_group)
         node.router.choose_group = choose
         self.check_sent_at_once(node, node.build_job(), before=1)
-        choose.assert_called_once_with(node.engine_service, 'small', set(), 2)
+        choose.assert_called_once_with(
+            node.engine_service, 'small', set(), 2, with_suspected=True
+        )
         self.assertEqual(node.load_tracker.count_in_flight('h1'), 1)
 
     def test_request_gets_the_plain_instance_without_waiting(self):
--- a/tests/whole/test_silent_instances.py
+++ b/tests/whole/test_silent_instances.py
@@ -4,6 +4,7 @@
 
 import threading
 from concurrent.futures import ThreadPoolExecutor
+from contextlib import contextmanager
 
 import httpx
 
@@ -155,15 +156,64 @@
 
 
 class SentStreamTest(SilentInstancesCase):
-    """Requests that are sent while all instances are silent."""
+    """Requests that are sent while all instances are silent, or shortly after."""
 
     def check(self, path):
         self.pause([], 1.2)
         self.assert_all_whole(self.read_streams(path, 'sent' + path, lambda: None))
 
+    @contextmanager
+    def suspect_all(self, seconds, name):
+        """Let all instances fall silent; enter once both nodes suspect all groups."""
+        requests = [
+            f'{name}-{node}-{number}' for node in self.nodes for number in '123'
+        ]
+        with ThreadPoolExecutor(len(requests)) as pool:
+            begun = threading.Semaphore(0)
+            for request in requests:
+                node = request.split('-')[1]
+                pool.submit(self.read_stream, node, '/single/x', request, begun)
+            for _ in requests:
+                begun.acquire()
+            heads = set(self.find_heads())
+            self.pause([], seconds)
+            for node in self.nodes:
+                self.wait_for(
+                    lambda node=node: heads <= self.find_suspected(node, requests),
+                    f'{node} suspects {heads}',
+                )
+            yield
+
+    def find_suspected(self, node, requests):
+        """Return the heads of which a node suspects a run of these requests."""
+        return {
+            event['instance']
+            for event in self.running[node].read_events('run.stalled')
+            if event['request'] in requests
+        }
+
     # Guards against refusals because of a silence that tells of no instance.
     def test_stream_sent_during_a_silence_is_served(self):
         self.check('/stream/z')
 
     def test_stream_that_must_not_be_resumed_and_is_sent_during_it_is_served(self):
         self.check('/single/z')
+
+    def check_while_suspected(self, path):
+        with self.suspect_all(1.5, 'suspect' + path[1:7]):
+            found = self.read_streams(path, 'meanwhile' + path, lambda: None)
+        self.assert_all_whole(found)
+
+    # Guards against refusals while nodes suspect all groups of a model.
+    def test_stream_sent_while_all_groups_are_suspected_is_served(self):
+        self.check_while_suspected('/stream/s')
+
+    def test_stream_that_must_not_be_resumed_is_served_while_all_are_suspected(self):
+        self.check_while_suspected('/single/s')
+
+    # Guards against groups that are avoided for seconds after a short silence.
+    def test_stream_sent_after_a_short_silence_is_served(self):
+        with self.suspect_all(0.5, 'short'):
+            # The streams of both nodes go on before this ends.
+            pass
+        self.assert_all_whole(self.read_streams('/single/t', 'after', lambda: None))
