Count forwarded errors as completed, and trust a group whose members answer a probe

What callers saw: nothing measured; found by reading the changes to streams.

Cause: an error response that was forwarded no longer counted towards the completion rate of the queue, as its run is not complete. A group that was avoided stayed so although a later probe of this node was answered by all members.

--- a/coursepitch/gateway/streams.py
+++ b/coursepitch/gateway/streams.py
@@ -218,7 +218,7 @@
             run.response.release()
         self._components.load_tracker.end(run.head)
         self._tokens.end(run.head, run.tokens)
-        completed = run.complete and job.ending is Ending.ANSWERED
+        completed = job.ending is Ending.ANSWERED
         self._components.admission.note_end(job, completed=completed)
 
     def _drop_run(self, job: Job, run: Run) -> None:
@@ -481,8 +481,8 @@
 
         :raises ExchangeError: it broke off.
         """
-        self._watchdog.note_activity(run.head)
         if data is not None:
+            self._watchdog.note_activity(run.head)
             run.events = run.splitter.feed(data)
             return
         response = run.response
@@ -491,6 +491,7 @@
         check_events(job, response, run.group.head, run.splitter)
         detector = self._components.crash_detector
         await check_sender(detector, job, response, run.group.head)
+        self._watchdog.note_activity(run.head)
         run.events = run.splitter.flush()
         run.complete = True
 
--- a/coursepitch/gateway/watchdog.py
+++ b/coursepitch/gateway/watchdog.py
@@ -188,6 +188,8 @@
         finally:
             del self._pending[key]
             done.set()
+        if all_respond:
+            self._avoided.pop(key, None)
         self._cached_results[key] = (self._clock(), all_respond)
         return all_respond
 
--- a/tests/gateway/test_decisions.py
+++ b/tests/gateway/test_decisions.py
@@ -416,6 +416,45 @@
 
         self.assertEqual(anyio.run(run), [True, True])
 
+    def check_trusted_again(self, recover):
+        """Check that a group is avoided until something shows that it responds."""
+        control = FakeControl(silent=('b',))
+        control.go.set()
+        self.session.view.lost.clock = lambda: self.now
+
+        async def run():
+            watchdog = self.build(control)
+            await watchdog.check_members(self.group)
+            avoided = watchdog.is_avoided(self.group)
+            self.now += 1.0
+            avoided &= watchdog.is_avoided(self.group)
+            await recover(watchdog, control)
+            return avoided, watchdog.is_avoided(self.group)
+
+        self.assertEqual(anyio.run(run), (True, False))
+
+    # Guards against groups that are avoided for seconds after a short silence.
+    def test_group_whose_head_sends_data_is_trusted_again(self):
+        async def recover(watchdog, control):
+            watchdog.note_activity('a')
+
+        self.check_trusted_again(recover)
+
+    def test_group_whose_silent_members_are_told_to_answer_is_trusted_again(self):
+        async def recover(watchdog, control):
+            self.session.view.lost.note_answering('a')
+            self.assertTrue(watchdog.is_avoided(self.group))
+            self.session.view.lost.note_answering('b')
+
+        self.check_trusted_again(recover)
+
+    def test_group_whose_members_answer_a_probe_is_trusted_again(self):
+        async def recover(watchdog, control):
+            control.silent = ()
+            self.assertTrue(await watchdog.check_members(self.group))
+
+        self.check_trusted_again(recover)
+
     def test_head_with_other_active_streams_is_not_probed(self):
         watchdog = self.build(FakeControl())
         self.now = 20.0
--- a/tests/gateway/waiting_node.py
+++ b/tests/gateway/waiting_node.py
@@ -42,6 +42,7 @@
         self.view = view
         self.fresh = True
         self.share = 0.0
+        self.confirmation_age_s = 0.0
         self.changed = None
 
     def is_fresh(self):
