Play schedules of the runs of a request in virtual time

A simulation drives the server, watchdog, admission, router and load tracker of a node against scripted instances, with an event loop whose clock jumps to the next timer. It checks that events arrive once and in order, that each send goes on after the last event of the client, that no live run is ended without the progress of another, the deadline or the client, how many instances run a request, that each further run takes one retry, that a refusal that promises so is given only if nothing ran, and that nothing is left held.

--- /dev/null
+++ b/tests/gateway/test_run_schedules.py
@@ -0,0 +1,103 @@
+"""Promises that hold however the events of several runs of a request are ordered."""
+
+from __future__ import annotations
+
+import itertools
+import math
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from tests.gateway.simulated_runs import (
+    LAST_EVENT,
+    Case,
+    Fate,
+    Script,
+    Seen,
+    Simulation,
+)
+
+#: Times of changes: before the head, between head and first event, between events, and
+#: around the limits from which a run is suspected or overdue.
+TIMES = st.sampled_from(
+    [0.0, 0.03, 0.07, 0.105, 0.2, 0.35, 0.46, 0.7, 0.72, 0.9, 1.02, 1.3, 2.0]
+)
+
+#: Lengths of silences, from unnoticed ones to one for good.
+SILENCES = st.sampled_from([0.1, 0.3, 0.45, 0.7, 1.0, 1.2, 1.5, 2.5, math.inf])
+
+SILENT_SCRIPTS = st.builds(
+    Script,
+    fate=st.sampled_from(
+        [Fate.SERVES, Fate.SERVES, Fate.SERVES, Fate.BREAKS_OFF, Fate.ENDS_INSIDE]
+    ),
+    after=st.integers(0, LAST_EVENT),
+    silent_at=TIMES,
+    silent_s=SILENCES,
+    seen=st.sampled_from([Seen.PROBED, *Seen]),
+    gone_at=st.just(math.inf) | st.just(math.inf) | TIMES,
+    connect_s=st.sampled_from([0.0, 0.0, 0.03, 0.6]),
+)
+
+SCRIPTS = SILENT_SCRIPTS | st.builds(
+    Script,
+    fate=st.sampled_from([*Fate, Fate.SERVES, Fate.SERVES]),
+    after=st.integers(0, LAST_EVENT),
+    silent_at=st.just(math.inf) | TIMES,
+    silent_s=SILENCES,
+    seen=st.sampled_from([Seen.PROBED, *Seen]),
+    gone_at=st.just(math.inf) | st.just(math.inf) | TIMES,
+    connect_s=st.sampled_from([0.0, 0.0, 0.03, 0.6]),
+    full_until=st.sampled_from([0.0, 0.0, 0.0, 0.1, 1.0, 9.0]),
+)
+
+CASES = st.builds(
+    lambda first, others, **fields: Case((first, *others), **fields),
+    SILENT_SCRIPTS | SCRIPTS,
+    st.lists(SCRIPTS, max_size=3),
+    attempts=st.sampled_from([2, 3]),
+    resumable=st.sampled_from([True, True, True, False]),
+    last_event=st.sampled_from([0, 0, 2]),
+    timeout_s=st.sampled_from([6.0, 6.0, 1.0]),
+    leaves_at=st.just(math.inf) | st.just(math.inf) | TIMES,
+    grants=st.sampled_from([9, 9, 9, 1, 0]),
+    granted_at=st.just(0.0) | TIMES,
+    settled_at=st.just(0.0) | TIMES,
+    check_s=st.sampled_from([0.0, 0.05]),
+)
+
+
+class ScheduleTest(unittest.TestCase):
+    """No order of events breaks a promise to the client or leaves something held."""
+
+    def check(self, case):
+        simulation = Simulation(case).play()
+        self.assertEqual(simulation.faults, [], case)
+        return simulation
+
+    @settings(max_examples=500)
+    @given(CASES)
+    def test_drawn_schedules(self, case):
+        self.check(case)
+
+    def test_all_orders_of_two_and_three_runs(self):
+        kinds = (
+            Script(),
+            Script(silent_at=0.0, silent_s=0.9),
+            Script(silent_at=0.2, silent_s=1.2),
+            Script(silent_at=0.2, silent_s=math.inf),
+            Script(silent_at=0.05, silent_s=1.3, seen=Seen.OVERDUE),
+            Script(silent_at=0.2, silent_s=1.0, seen=Seen.REPORTED),
+            Script(silent_at=0.2, silent_s=2.0, gone_at=1.1),
+            Script(Fate.BREAKS_OFF, after=2),
+            Script(Fate.FAILS),
+            Script(Fate.REJECTS),
+        )
+        for attempts, resumable in ((2, True), (3, True), (2, False)):
+            for scripts in itertools.product(kinds, repeat=2 if attempts == 2 else 3):
+                self.check(Case(scripts, attempts, resumable))
+
+
+if __name__ == '__main__':
+    unittest.main()
