Ask for another run only while the retry budget has room

What callers saw: nothing at once. While a request was stalled and its retry denied, the node took a permit of a group every 0.1 s that no send used, so that other requests lost the rate limit of its instance; it also logged a denial (611) and asked peers to lend a retry as often.

Cause: the search for another run took group and permit before it asked the budget, and began again after each denial.

Change: after a denial the search goes on only once the budget has room. A denied request does not ask peers again, as it did every 0.1 s.

--- a/coursepitch/gateway/budget.py
+++ b/coursepitch/gateway/budget.py
@@ -61,6 +61,14 @@
         window = self._windows.setdefault(service, _Window())
         window.first_sends.append(self.clock())
 
+    def has_room(self, service: str, share: LimitFractions) -> bool:
+        """Whether a retry could be taken now.
+
+        :param share: this node's share of the budget.
+        """
+        window = self._read_window(service)
+        return len(window.retries) + 1 <= self._find_bound(window, share) + self.offset
+
     def take(self, service: str, share: LimitFractions, request: str = '') -> bool:
         """Take one retry; return ``False`` if the budget is used up.
 
@@ -69,7 +77,7 @@
         """
         window = self._read_window(service)
         bound = self._find_bound(window, share)
-        granted = len(window.retries) + 1 <= bound + self.offset
+        granted = self.has_room(service, share)
         log.emit(
             events.RETRY_REQUESTED,
             request=request,
--- a/coursepitch/gateway/streams.py
+++ b/coursepitch/gateway/streams.py
@@ -247,16 +247,22 @@
 
     async def _find_other(self, job: Job, runs: RunSet, tried: set[str]) -> Run:
         """Return another run once route, budget and groups allow one."""
-        session = self._components.session
+        session, budget = self._components.session, self._components.budget
+        denied = False
         while True:
-            if self._may_add_run(job, runs):
+            # Asking takes a permit for the group and may ask peers to lend a retry, so
+            # it is not repeated while the budget has no room.
+            if self._may_add_run(job, runs) and (
+                not denied or budget.has_room(job.service.name, session.find_share())
+            ):
                 group = await self._wait_for_group(job, tried | runs.heads, runs.heads)
-                if (
-                    group is not None
-                    and not self._components.crash_detector.is_refused(job)
-                    and await obtain_retry(self._components, job) is Retry.TAKEN
+                if group is not None and not self._components.crash_detector.is_refused(
+                    job
                 ):
-                    return self._begin_run(job, group, runs.last_event)
+                    retry = await obtain_retry(self._components, job)
+                    if retry is Retry.TAKEN:
+                        return self._begin_run(job, group, runs.last_event)
+                    denied = retry is Retry.DENIED
             await session.wait_changed(FIND_INTERVAL_S)
 
     def _may_add_run(self, job: Job, runs: RunSet) -> bool:
--- a/tests/gateway/simulated_runs.py
+++ b/tests/gateway/simulated_runs.py
@@ -10,6 +10,7 @@
 import asyncio
 import enum
 import math
+import random
 from dataclasses import dataclass, field
 from types import SimpleNamespace
 
@@ -147,6 +148,7 @@
     :param granted_at: when the budget has them.
     :param settled_at: when the node's share of the budget takes effect.
     :param check_s: seconds that the check for a crash takes.
+    :param seed: seed of the choice between equally loaded groups.
     """
 
     scripts: tuple[Script, ...]
@@ -159,6 +161,7 @@
     granted_at: float = 0.0
     settled_at: float = 0.0
     check_s: float = 0.0
+    seed: int = 0
 
 
 class VirtualTimeLoop(asyncio.SelectorEventLoop):
@@ -352,14 +355,18 @@
 
     def __init__(self, simulation, case):
         self._simulation, self._case = simulation, case
-        self.granted = self.unused = 0
+        self.granted = self.denied = self.unused = 0
 
-    def take(self, service, part, request):
+    def has_room(self, service, part):
         case = self._case
-        granted = self.granted < case.grants and (
+        return self.granted < case.grants and (
             self._simulation.now >= START + case.granted_at
         )
+
+    def take(self, service, part, request):
+        granted = self.has_room(service, part)
         self.granted += granted
+        self.denied += not granted
         self.unused += granted
         return granted
 
@@ -367,6 +374,16 @@
         """Count a first send."""
 
 
+class CountedPermits(OpenPermits):
+    """Permits that are always granted, and counted."""
+
+    taken = 0
+
+    async def take(self, instance):
+        self.taken += 1
+        return await super().take(instance)
+
+
 class CheckedLoadTracker(LoadTracker):
     """A load tracker that tells if more requests end than began."""
 
@@ -444,7 +461,13 @@
 
     def play(self):
         """Serve the request in virtual time; return this simulation."""
-        anyio.run(self._play, backend_options={'loop_factory': VirtualTimeLoop})
+        state = random.getstate()
+        # The router draws one of several groups with equal loads.
+        random.seed(self.case.seed)
+        try:
+            anyio.run(self._play, backend_options={'loop_factory': VirtualTimeLoop})
+        finally:
+            random.setstate(state)
         return self
 
     def _build(self):
@@ -475,7 +498,8 @@
         session = self.session = SimulatedSession(view, self, START + case.settled_at)
         tracker = self.tracker = CheckedLoadTracker(clock, self._count_peers)
         tracker.on_fault = self.note_fault
-        gate = SendGate(view, InstanceBackoffs(clock), OpenPermits(clock))
+        self.permits = CountedPermits(clock)
+        gate = SendGate(view, InstanceBackoffs(clock), self.permits)
         metrics = Metrics()
         self.admission = Admission(session, gate, tracker, metrics, clock, lambda: 0.5)
         watchdog = Watchdog(session, SimpleNamespace(probe=self._probe), clock)
--- a/tests/gateway/test_run_schedules.py
+++ b/tests/gateway/test_run_schedules.py
@@ -65,6 +65,7 @@
     granted_at=st.just(0.0) | TIMES,
     settled_at=st.just(0.0) | TIMES,
     check_s=st.sampled_from([0.0, 0.05]),
+    seed=st.integers(0, 3),
 )
 
 
@@ -98,6 +99,24 @@
             for scripts in itertools.product(kinds, repeat=2 if attempts == 2 else 3):
                 self.check(Case(scripts, attempts, resumable))
 
+    # Guards against permits of rate-limited instances that are used up by no run.
+    def test_stalled_request_without_a_retry_asks_once(self):
+        scripts = (Script(silent_at=0.2, silent_s=3.0), Script())
+        simulation = self.check(Case(scripts, grants=0))
+        self.assertTrue(simulation.reply.whole)
+        self.assertEqual(simulation.budget.denied, 1)
+        self.assertEqual(simulation.permits.taken, 2)
+
+    # Guards against a request that is stalled for good once a retry was denied.
+    def test_other_run_begins_once_the_budget_has_a_retry(self):
+        scripts = (Script(silent_at=0.2, silent_s=math.inf), Script())
+        simulation = self.check(Case(scripts, granted_at=1.5))
+        self.assertTrue(simulation.reply.whole)
+        self.assertEqual(simulation.budget.granted, 1)
+        self.assertLess(
+            simulation.sends[1].began_at - simulation.sends[0].began_at, 1.7
+        )
+
 
 if __name__ == '__main__':
     unittest.main()
