Keep a call that is overdue while another instance is tried

What callers saw: a call at sound plain instances that stood still got 502 or 504 with seconds left to its deadline, although the first instance would have answered.

Cause: the same as for streams. A send that might be repeated was abandoned after twice the latency objective, and only then a repetition was asked for. Retry budget, the most sends of a request, or an instance that was silent for longer denied it.

Ruled out: calls that must not be repeated.

Change: calls own a set of runs as streams do, and the first whole response wins. An overdue run is kept, and another one is begun once route, budget and instances allow it. Runs and retries are counted as before. A retry is granted before an instance is acquired, so that a denied one costs no permit to send. Classes of runs.py are generic over the run; nothing changes for streams.

A response with status 500 or more is forwarded if the request may not be sent again. Until now a request that had used all its sends, with runs left by the route, got 502.

Tests: test_priority calls the method that took the place of _attempt, and asserts what it did.

--- a/coursepitch/gateway/calls.py
+++ b/coursepitch/gateway/calls.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 import anyio
@@ -20,13 +21,16 @@
 )
 from coursepitch.gateway.job import Ending, Refusal
 from coursepitch.gateway.response_ends import check_body
+from coursepitch.gateway.runs import RunRace, RunSet
 from coursepitch.gateway.suspicion import explain_crashes
+from coursepitch.gateway.watchdog import Stall
 from coursepitch.http.client import ExchangeError
 from coursepitch.platform.headers import forward_response_headers
 from coursepitch.scheduling.capacity import find_plain_bound
 
 if TYPE_CHECKING:
     from coursepitch.fleet.instances import FleetInstance
+    from coursepitch.fleet.send_permits import Permit
     from coursepitch.gateway.components import GatewayComponents
     from coursepitch.gateway.job import Job
     from coursepitch.http.client import Response
@@ -42,8 +46,13 @@
 #: Seconds for which a client's retry after a refusal waits for an instance.
 CLIENT_RETRY_WAIT_S = 1.0
 
-#: Timeout of an attempt that may be retried, as a multiple of the latency objective.
-ATTEMPT_TIMEOUT_FACTOR = 2.0
+#: Time after which a run without a response is overdue, so that another one is tried
+#: beside it, as a multiple of the latency objective.
+OVERDUE_FACTOR = 2.0
+
+#: Seconds until another run is tried again for an overdue request, which route, retry
+#: budget or instances have not allowed.  Each denied retry is logged.
+FIND_INTERVAL_S = 0.25
 
 #: Shortest Retry-After in seconds: an instance that rejects requests because it is
 #: full accepts some again once requests in flight have finished.
@@ -53,6 +62,32 @@
 MAX_SENDS = 3
 
 
+@dataclass(eq=False)
+class CallRun:
+    """One send of a request to an instance, and its response.
+
+    :param permit: permit for the send, where the instance limits its rate.
+    :param sent_at: monotonic time of the send; ``None`` before it.
+    :param response: ``None`` before its head has arrived.
+    :param body: whole body of the response.
+    :param suspected: whether the run is overdue.
+    :param ended: whether what it held was released.
+    """
+
+    instance: FleetInstance
+    permit: Permit | None = None
+    sent_at: float | None = None
+    response: Response | None = None
+    body: bytes = b''
+    suspected: bool = False
+    ended: bool = False
+
+    @property
+    def head(self) -> str:
+        """Name of the instance that the request is sent to."""
+        return self.instance.name
+
+
 class CallServer:
     """Serve routes whose service has no groups."""
 
@@ -61,6 +96,14 @@
 
     async def serve(self, job: Job) -> Refusal | None:
         """Serve a request; return the refusal to send if there is no response."""
+        runs: RunSet[CallRun] = RunSet()
+        try:
+            return await self._serve(job, runs)
+        finally:
+            for run in runs.live:
+                self._end_run(job, run)
+
+    async def _serve(self, job: Job, runs: RunSet[CallRun]) -> Refusal | None:
         tried: set[str] = set()
         while True:
             if is_isolated(self._components, job):
@@ -77,20 +120,55 @@
                     continue
                 if retry is Retry.DENIED:
                     return self._give_up(job)
-            tried.add(instance.name)
-            may_retry = self._may_retry_after_next(job)
-            if await self._run_once(job, instance, may_retry):
+            runs.add(self._begin_run(job, instance, tried))
+            if await self._serve_runs(job, runs, tried):
                 return None
-            await self._components.crash_detector.check_crash(job)
             if self._components.crash_detector.forbids_retry(
                 job
             ) or not self._may_send_again(job):
                 return self._give_up(job)
 
-    def _may_retry_after_next(self, job: Job) -> bool:
-        """Whether a retry would still be allowed after the next attempt."""
-        runs = len(job.may_have_run) + 1
-        return job.route.repeatable and runs < job.route.attempts
+    async def _serve_runs(
+        self, job: Job, runs: RunSet[CallRun], tried: set[str]
+    ) -> bool:
+        """Forward the first whole response; return ``False`` if all runs failed."""
+
+        async def advance(run: CallRun) -> bool:
+            if await self._advance(job, runs, run):
+                return True
+            self._end_run(job, run)
+            return False
+
+        async def watch(run: CallRun) -> None:
+            await self._wait_until_overdue(job, run, runs)
+
+        async def find_other() -> CallRun:
+            return await self._find_other(job, runs, tried)
+
+        run = await RunRace(runs, advance, watch, find_other).wait()
+        if run is None:
+            return False
+        for other in runs.choose(run):
+            log.emit(
+                events.RUN_DROPPED,
+                request=job.fields.request,
+                instance=other.head,
+                suspected=other.suspected,
+            )
+            self._end_run(job, other)
+        await self._forward(job, run)
+        return True
+
+    def _may_add_run(self, job: Job, runs: RunSet[CallRun]) -> bool:
+        """Whether the route allows another run beside the live ones."""
+        started = job.may_have_run | runs.heads
+        return (
+            job.route.repeatable
+            and len(started) < job.route.attempts
+            and len(job.sent) < MAX_SENDS
+            and self._components.clock() < job.deadline_at
+            and not self._components.crash_detector.forbids_retry(job)
+        )
 
     def _may_send_again(self, job: Job) -> bool:
         if len(job.sent) >= MAX_SENDS or self._components.clock() >= job.deadline_at:
@@ -166,100 +244,163 @@
             why = self._components.gate.explain_closed(names)
             job.last_reason = job.last_reason or why
 
-    async def _run_once(
-        self, job: Job, instance: FleetInstance, may_retry: bool
-    ) -> bool:
-        """Send a request to an instance; return whether the client got a response."""
-        table = self._components.session.view.table
+    # -- runs -------------------------------------------------------------------------
+
+    def _begin_run(self, job: Job, instance: FleetInstance, tried: set[str]) -> CallRun:
+        """Return a new run at an instance, which counts as in flight from now on."""
+        tried.add(instance.name)
+        permit, job.permit = job.permit, None
+        session = self._components.session
+        table = session.view.table
         log.emit(
             events.REQUEST_SENT,
             request=job.fields.request,
             instance=instance.name,
             group='',
             load=self._components.load_tracker.count_in_flight(instance.name),
-            choices=len(self._components.session.view.list_serving(job.service.name)),
+            choices=len(session.view.list_serving(job.service.name)),
             attempt=len(job.sent) + 1,
             last_event='',
             table=table.version if table else 0,
-            age=round(self._components.session.confirmation_age_s, 3),
-            heard=self._components.session.view.received_revision,
+            age=round(session.confirmation_age_s, 3),
+            heard=session.view.received_revision,
         )
         self._components.load_tracker.begin(instance.name)
-        try:
-            return await self._attempt(job, instance, may_retry)
-        finally:
-            self._components.load_tracker.end(instance.name)
-            completed = job.ending is Ending.ANSWERED
-            self._components.admission.note_end(job, completed=completed)
+        return CallRun(instance, permit)
 
-    async def _attempt(
-        self, job: Job, instance: FleetInstance, may_retry: bool
-    ) -> bool:
-        headers_timeout_s = max(0.001, job.deadline_at - self._components.clock())
-        if may_retry:
-            headers_timeout_s = min(
-                headers_timeout_s, job.route.objective_s * ATTEMPT_TIMEOUT_FACTOR
-            )
-        sent_at = self._components.clock()
-        # A reset of a reused connection does not tell whether the request was
-        # executed, so a request that must not be repeated gets a new connection.
+    def _end_run(self, job: Job, run: CallRun) -> None:
+        """Release what a run holds, once."""
+        if run.ended:
+            return
+        run.ended = True
+        if run.response is not None:
+            run.response.release()
+        self._components.load_tracker.end(run.head)
+        completed = job.ending is Ending.ANSWERED
+        self._components.admission.note_end(job, completed=completed)
+
+    async def _wait_until_overdue(
+        self, job: Job, run: CallRun, runs: RunSet[CallRun]
+    ) -> None:
+        """Wait until a run without a response is overdue."""
+        began = self._components.clock()
+        await anyio.sleep(job.route.objective_s * OVERDUE_FACTOR)
+        if run.response is not None:
+            # Instances may take longer to send a body than to begin it.
+            await anyio.sleep_forever()
+        now = self._components.clock()
+        log.emit(
+            events.RUN_STALLED,
+            request=job.fields.request,
+            instance=run.head,
+            reason=Stall.OVERDUE.value,
+            silent_s=round(now - began, 3),
+            begun=False,
+            load=self._components.load_tracker.count_in_flight(run.head),
+            runs=len(job.may_have_run | runs.heads),
+            allowed=job.route.attempts if job.route.repeatable else 1,
+            left_s=round(job.deadline_at - now, 3),
+        )
+        if self._may_add_run(job, runs):
+            # Other requests prefer instances that answer.
+            self._components.load_tracker.note_failure(run.head)
+
+    async def _find_other(
+        self, job: Job, runs: RunSet[CallRun], tried: set[str]
+    ) -> CallRun:
+        """Return another run once route, budget and instances allow one."""
+        components = self._components
+        granted = False
+        while True:
+            # A retry is granted before an instance is acquired, as a permit for a send
+            # is lost if the send is denied afterwards.
+            if (
+                self._may_add_run(job, runs)
+                and not components.paths.is_isolated()
+                and not components.crash_detector.is_refused(job)
+                and components.router.choose_instance(job.service, tried) is not None
+            ):
+                if not granted:
+                    retry = await obtain_retry(components, job)
+                    granted = retry is Retry.TAKEN
+                if granted:
+                    instance = await self._wait_for_instance(job, tried)
+                    if instance is not None and self._may_add_run(job, runs):
+                        return self._begin_run(job, instance, tried)
+            await anyio.sleep(FIND_INTERVAL_S)
+
+    # -- progress of a run ------------------------------------------------------------
+
+    async def _advance(self, job: Job, runs: RunSet[CallRun], run: CallRun) -> bool:
+        """Send a request and read the response; return whether to forward it."""
         plan = SendPlan(
-            headers_timeout_s,
+            max(0.001, job.deadline_at - self._components.clock()),
+            # A reset of a reused connection does not tell whether the request was
+            # executed, so a request that must not be repeated gets a new connection.
             new_connection=not job.route.repeatable,
             priority=job.priority,
-            permit=job.permit,
+            permit=run.permit,
         )
-        attempt = await send_attempt(self._components, job, instance, plan)
-        job.interrupted_by = instance if attempt.interrupted else None
+        attempt = await send_attempt(self._components, job, run.instance, plan)
+        run.sent_at = attempt.sent_at
         if attempt.answer is None:
-            if attempt.blames_instance:
-                self._components.load_tracker.note_failure(instance.name)
+            # An overdue run has counted as a failure, and its instance may have
+            # answered other requests since.
+            if attempt.blames_instance and (attempt.interrupted or not run.suspected):
+                self._components.load_tracker.note_failure(run.head)
+            if attempt.interrupted:
+                await self._check_crash(job, run)
             return False
-        try:
-            return await self._forward(
-                job, instance, attempt.answer, sent_at, may_retry
-            )
-        finally:
-            attempt.answer.release()
-
-    async def _forward(
-        self,
-        job: Job,
-        instance: FleetInstance,
-        answer: Response,
-        sent_at: float,
-        may_retry: bool,
+        run.response = attempt.answer
+        return await self._read_whole(job, runs, run, attempt.answer)
+
+    async def _read_whole(
+        self, job: Job, runs: RunSet[CallRun], run: CallRun, answer: Response
     ) -> bool:
-        """Read a whole response and forward it; return whether it was forwarded."""
-        left_s = max(0.001, job.deadline_at - self._components.clock())
+        """Read a whole response; return whether it is to be forwarded."""
+        components = self._components
+        left_s = max(0.001, job.deadline_at - components.clock())
         try:
             with anyio.fail_after(left_s):
-                body = await answer.read_whole(MAX_RESPONSE_BYTES)
-                detector = self._components.crash_detector
-                await check_body(detector, job, answer, instance, body)
+                run.body = await answer.read_whole(MAX_RESPONSE_BYTES)
+                detector = components.crash_detector
+                await check_body(detector, job, answer, run.instance, run.body)
         except (ExchangeError, TimeoutError) as error:
-            if isinstance(error, ExchangeError):
-                job.interrupted_by = instance
             job.last_reason = str(error) or 'the answer did not end in time'
-            self._components.load_tracker.note_failure(instance.name)
+            components.load_tracker.note_failure(run.head)
+            if isinstance(error, ExchangeError):
+                await self._check_crash(job, run)
             return False
         failed = answer.status >= 500
-        took_s = self._components.clock() - sent_at
         if failed:
-            self._components.load_tracker.note_failure(instance.name)
-        else:
+            components.load_tracker.note_failure(run.head)
+        elif run.sent_at is not None:
+            took_s = components.clock() - run.sent_at
             expected_s = max(0.05, job.route.objective_s / 4)
-            self._components.load_tracker.note_success(
-                instance.name, took_s / expected_s
-            )
-        if failed and may_retry and self._components.clock() < job.deadline_at:
-            job.last_reason = f'answered with {answer.status}'
-            return False
-        if answer.status in NOT_EXECUTED_STATUSES:
-            # The status claims that the request was not executed, which is unknown.
+            components.load_tracker.note_success(run.head, took_s / expected_s)
+        # The status may claim that the request was not executed, which is unknown.
+        if answer.status in NOT_EXECUTED_STATUSES or (
+            failed and self._may_add_run(job, runs)
+        ):
             job.last_reason = f'answered with {answer.status}'
             return False
-        job.status, job.ending = answer.status, Ending.ANSWERED
-        headers = forward_response_headers(answer.headers)
-        await job.reply.send_whole(answer.status, headers, body)
         return True
+
+    async def _forward(self, job: Job, run: CallRun) -> None:
+        """Forward a response that has been read whole."""
+        response = run.response
+        if response is None:
+            return
+        job.software, job.framing = run.instance.software, response.framing
+        if run.sent_at is not None:
+            job.last_sent_at = run.sent_at
+        job.status, job.ending = response.status, Ending.ANSWERED
+        headers = forward_response_headers(response.headers)
+        await job.reply.send_whole(response.status, headers, run.body)
+
+    async def _check_crash(self, job: Job, run: CallRun) -> None:
+        """Record a crash if the instance that interrupted a run has ended."""
+        job.interrupted_by, job.software = run.instance, run.instance.software
+        if run.sent_at is not None:
+            job.last_sent_at = run.sent_at
+        await self._components.crash_detector.check_crash(job)
--- a/coursepitch/gateway/runs.py
+++ b/coursepitch/gateway/runs.py
@@ -10,7 +10,7 @@
 
 import math
 from dataclasses import dataclass
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Generic, Protocol, TypeVar
 
 import anyio
 
@@ -28,7 +28,23 @@
     from coursepitch.http.client import Response
     from coursepitch.http.event_splitter import EventSplitter
 
-__all__ = ['Run', 'RunRace', 'RunSet']
+__all__ = ['Run', 'RunRace', 'RunSet', 'Runnable']
+
+
+class Runnable(Protocol):
+    """One send of a request, to a group or to a plain instance.
+
+    :ivar suspected: whether it may have failed, as it makes no progress.
+    """
+
+    suspected: bool
+
+    @property
+    def head(self) -> str:
+        """Name of the instance that the request is sent to."""
+
+
+R = TypeVar('R', bound=Runnable)
 
 
 @dataclass(eq=False)
@@ -73,7 +89,7 @@
         return events
 
 
-class RunSet:
+class RunSet(Generic[R]):
     """Runs of one request that may still deliver its response.
 
     :param last_event: id of the last event that the client has; empty for none.
@@ -81,22 +97,22 @@
 
     def __init__(self, last_event: bytes = b'') -> None:
         self.last_event = last_event
-        self.live: list[Run] = []
+        self.live: list[R] = []
 
     @property
     def heads(self) -> frozenset[str]:
         """Names of the instances of the runs."""
         return frozenset(run.head for run in self.live)
 
-    def add(self, run: Run) -> None:
+    def add(self, run: R) -> None:
         """Add a run."""
         self.live.append(run)
 
-    def remove(self, run: Run) -> None:
+    def remove(self, run: R) -> None:
         """Remove a run that has ended."""
         self.live.remove(run)
 
-    def choose(self, run: Run) -> tuple[Run, ...]:
+    def choose(self, run: R) -> tuple[R, ...]:
         """Let a run deliver the response; return the others, which are removed."""
         others = tuple(other for other in self.live if other is not run)
         self.live = [run]
@@ -109,29 +125,29 @@
 
 
 @dataclass(frozen=True, slots=True)
-class _Suspected:
-    run: Run
+class _Suspected(Generic[R]):
+    run: R
 
 
 @dataclass(frozen=True, slots=True)
-class _Advanced:
-    run: Run
+class _Advanced(Generic[R]):
+    run: R
 
 
 @dataclass(frozen=True, slots=True)
-class _Failed:
-    run: Run
+class _Failed(Generic[R]):
+    run: R
 
 
 @dataclass(frozen=True, slots=True)
-class _Found:
-    run: Run
+class _Found(Generic[R]):
+    run: R
 
 
-_Message = _Suspected | _Advanced | _Failed | _Found
+_Message = _Suspected[R] | _Advanced[R] | _Failed[R] | _Found[R]
 
 
-class RunRace:
+class RunRace(Generic[R]):
     """Wait until a run makes progress; try another one while all are suspected.
 
     :param advance: sends a request unless it has been sent, and reads on to the next
@@ -142,10 +158,10 @@
 
     def __init__(
         self,
-        runs: RunSet,
-        advance: Callable[[Run], Awaitable[bool]],
-        watch: Callable[[Run], Awaitable[None]],
-        find_other: Callable[[], Awaitable[Run]],
+        runs: RunSet[R],
+        advance: Callable[[R], Awaitable[bool]],
+        watch: Callable[[R], Awaitable[None]],
+        find_other: Callable[[], Awaitable[R]],
     ) -> None:
         self._runs = runs
         self._advance = advance
@@ -153,9 +169,9 @@
         self._find_other = find_other
         self._finding = False
 
-    async def wait(self) -> Run | None:
+    async def wait(self) -> R | None:
         """Return the first run that makes progress, or ``None`` if all have failed."""
-        outbox, inbox = anyio.create_memory_object_stream[_Message](math.inf)
+        outbox, inbox = anyio.create_memory_object_stream[_Message[R]](math.inf)
         with outbox, inbox:
             async with anyio.create_task_group() as tasks:
                 for run in self._runs.live:
@@ -165,7 +181,7 @@
         return winner
 
     def _start(
-        self, run: Run, tasks: TaskGroup, outbox: MemoryObjectSendStream[_Message]
+        self, run: R, tasks: TaskGroup, outbox: MemoryObjectSendStream[_Message[R]]
     ) -> None:
         tasks.start_soon(self._report_progress, run, outbox)
         if not run.suspected:
@@ -174,9 +190,9 @@
     async def _settle(
         self,
         tasks: TaskGroup,
-        outbox: MemoryObjectSendStream[_Message],
-        inbox: MemoryObjectReceiveStream[_Message],
-    ) -> Run | None:
+        outbox: MemoryObjectSendStream[_Message[R]],
+        inbox: MemoryObjectReceiveStream[_Message[R]],
+    ) -> R | None:
         while True:
             if self._runs.needs_another() and not self._finding:
                 self._finding = True
@@ -195,18 +211,18 @@
                 return None
 
     async def _report_progress(
-        self, run: Run, outbox: MemoryObjectSendStream[_Message]
+        self, run: R, outbox: MemoryObjectSendStream[_Message[R]]
     ) -> None:
         advanced = await self._advance(run)
         outbox.send_nowait(_Advanced(run) if advanced else _Failed(run))
 
     async def _report_suspicion(
-        self, run: Run, outbox: MemoryObjectSendStream[_Message]
+        self, run: R, outbox: MemoryObjectSendStream[_Message[R]]
     ) -> None:
         await self._watch(run)
         outbox.send_nowait(_Suspected(run))
 
-    async def _report_other(self, outbox: MemoryObjectSendStream[_Message]) -> None:
+    async def _report_other(self, outbox: MemoryObjectSendStream[_Message[R]]) -> None:
         run = await self._find_other()
         # Counted at once, so that it is ended with the others whatever happens.
         self._runs.add(run)
--- a/coursepitch/gateway/streams.py
+++ b/coursepitch/gateway/streams.py
@@ -111,7 +111,7 @@
 
     async def serve(self, job: Job) -> Refusal | None:
         """Serve a request; return the refusal to send if no response has started."""
-        runs = RunSet(job.fields.last_event)
+        runs: RunSet[Run] = RunSet(job.fields.last_event)
         tried: set[str] = set()
         try:
             return await self._serve(job, runs, tried)
@@ -119,7 +119,9 @@
             for run in runs.live:
                 self._end_run(job, run)
 
-    async def _serve(self, job: Job, runs: RunSet, tried: set[str]) -> Refusal | None:
+    async def _serve(
+        self, job: Job, runs: RunSet[Run], tried: set[str]
+    ) -> Refusal | None:
         while True:
             if not job.reply.started and is_isolated(self._components, job):
                 return self._give_up(job)
@@ -146,7 +148,7 @@
             elif len(job.sent) >= MAX_SENDS:
                 return self._give_up(job)
 
-    async def _serve_runs(self, job: Job, runs: RunSet, tried: set[str]) -> bool:
+    async def _serve_runs(self, job: Job, runs: RunSet[Run], tried: set[str]) -> bool:
         """Forward what the runs of a request deliver until they have ended.
 
         :return: whether the client got a whole response.
@@ -245,7 +247,7 @@
             reason=reason,
         )
 
-    async def _find_other(self, job: Job, runs: RunSet, tried: set[str]) -> Run:
+    async def _find_other(self, job: Job, runs: RunSet[Run], tried: set[str]) -> Run:
         """Return another run once route, budget and groups allow one."""
         session, budget = self._components.session, self._components.budget
         denied = False
@@ -265,7 +267,7 @@
                     denied = retry is Retry.DENIED
             await session.wait_changed(FIND_INTERVAL_S)
 
-    def _may_add_run(self, job: Job, runs: RunSet) -> bool:
+    def _may_add_run(self, job: Job, runs: RunSet[Run]) -> bool:
         """Whether another run may begin beside the live ones."""
         return (
             job.route.repeatable
@@ -437,7 +439,7 @@
 
     # -- progress of a run ------------------------------------------------------------
 
-    async def _advance(self, job: Job, runs: RunSet, run: Run) -> bool:
+    async def _advance(self, job: Job, runs: RunSet[Run], run: Run) -> bool:
         """Send a request unless it was sent, and read on to the next event or the end.
 
         :return: ``False`` if the run has failed.
@@ -501,7 +503,7 @@
         run.events = run.splitter.flush()
         run.complete = True
 
-    async def _deliver(self, job: Job, runs: RunSet, run: Run) -> Progress:
+    async def _deliver(self, job: Job, runs: RunSet[Run], run: Run) -> Progress:
         """Forward the response of a run until it ends or is stalled."""
         response = run.response
         if response is None:
@@ -538,7 +540,7 @@
         return Progress.WHOLE
 
     async def _read_in_time(
-        self, job: Job, runs: RunSet, run: Run, response: Response
+        self, job: Job, runs: RunSet[Run], run: Run, response: Response
     ) -> bool:
         """Read the next bytes of a response; return ``False`` if it is stalled.
 
@@ -575,7 +577,7 @@
                     return False
             since = self._components.clock()
 
-    async def _wait_until_stalled(self, job: Job, run: Run, runs: RunSet) -> None:
+    async def _wait_until_stalled(self, job: Job, run: Run, runs: RunSet[Run]) -> None:
         """Wait until a run that has not begun to deliver is stalled."""
         began = self._components.clock()
         async with anyio.create_task_group() as tasks:
@@ -651,7 +653,7 @@
     # -- failures of a run ------------------------------------------------------------
 
     async def _read_error(
-        self, job: Job, runs: RunSet, run: Run, response: Response
+        self, job: Job, runs: RunSet[Run], run: Run, response: Response
     ) -> bool:
         """Read an error response; return whether it is to be forwarded."""
         self._components.load_tracker.note_failure(run.head)
--- a/tests/gateway/test_priority.py
+++ b/tests/gateway/test_priority.py
@@ -10,8 +10,9 @@
 
 from coursepitch.config.routes import RoutedCustomer, hash_key
 from coursepitch.gateway.attempts import Attempt, Result
+from coursepitch.gateway.calls import CallRun
 from coursepitch.gateway.request_handler import Gateway
-from coursepitch.gateway.runs import Run
+from coursepitch.gateway.runs import Run, RunSet
 from coursepitch.http.event_splitter import EventSplitter
 from coursepitch.platform.headers import RequestFields
 from tests.config.test_routes import build_route
@@ -74,8 +75,8 @@
         place = 'calls' if plain else 'streams'
         with mock.patch(f'coursepitch.gateway.{place}.send_attempt', send_attempt):
             if plain:
-                instance = node.view.instances['p0']
-                anyio.run(node.calls._attempt, job, instance, False)
+                run = CallRun(node.view.instances['p0'])
+                anyio.run(node.calls._advance, job, RunSet(), run)
             else:
                 (group,) = node.view.list_open('pool', 'small')
                 run = Run(group, EventSplitter())
