Drop an error of a call's second run while the first one is kept

Cause: a status of 500 or more ended a request that may not be sent again, also while its first run, which was overdue, could still bring a success. Streams drop such errors.

Evidence: test_error_beside_a_kept_run_is_not_forwarded failed and passes; test_error_is_forwarded_if_no_other_run_is_left passed before and after.

--- a/coursepitch/gateway/calls.py
+++ b/coursepitch/gateway/calls.py
@@ -380,7 +380,7 @@
             components.load_tracker.note_success(run.head, took_s / expected_s)
         # The status may claim that the request was not executed, which is unknown.
         if answer.status in NOT_EXECUTED_STATUSES or (
-            failed and self._may_add_run(job, runs)
+            failed and (len(runs.live) > 1 or self._may_add_run(job, runs))
         ):
             job.last_reason = f'answered with {answer.status}'
             return False
--- a/tests/gateway/test_stream_runs.py
+++ b/tests/gateway/test_stream_runs.py
@@ -1,13 +1,17 @@
-"""What a run of a stream holds, and what its end tells the queue."""
+"""What a run holds, what its end tells the queue, and answers beside a kept run."""
 
 from __future__ import annotations
 
 import unittest
+from types import SimpleNamespace
 from unittest import mock
 
 import anyio
 
+from coursepitch.gateway.calls import CallRun
 from coursepitch.gateway.job import Ending
+from coursepitch.gateway.runs import RunSet
+from coursepitch.http.client import Framing
 from tests.gateway.waiting_node import WaitingNode
 
 
@@ -54,5 +58,36 @@
                 self.assertIs(node.load_tracker.is_avoided('h0'), suspected)
 
 
+class ErrorBesideKeptRunTest(unittest.TestCase):
+    """An error of the second run while the first one, which was silent, is kept."""
+
+    def is_forwarded(self, *live):
+        """Whether a status 500 of ``p1`` is forwarded beside runs at instances."""
+
+        async def read_whole(limit):
+            return b''
+
+        node = WaitingNode()
+        job = node.build_job(plain=True, may_have_run={'p0', 'p1'}, sent=['p0', 'p1'])
+        job.route = SimpleNamespace(repeatable=True, attempts=2)
+        answer = SimpleNamespace(
+            status=500, headers=(), framing=Framing.LENGTH, read_whole=read_whole
+        )
+        runs = RunSet()
+        for name in live:
+            runs.add(CallRun(node.view.instances[name]))
+        run = CallRun(node.view.instances['p1'], response=answer)
+        runs.add(run)
+        node.calls._components.crash_detector = None
+        return anyio.run(node.calls._read_whole, job, runs, run, answer)
+
+    def test_error_is_forwarded_if_no_other_run_is_left(self):
+        self.assertTrue(self.is_forwarded())
+
+    # Guards against an error that ends a request whose first run may still succeed.
+    def test_error_beside_a_kept_run_is_not_forwarded(self):
+        self.assertFalse(self.is_forwarded('p0'))
+
+
 if __name__ == '__main__':
     unittest.main()
