Begin no other run while it is examined whether a run crashed its instance

What callers saw: nothing measured; found in the log of a soak: a run whose connection was reset was told as stalled 0.6 s before its instance was found to have crashed.

Cause: the watch of a run went on while it was examined why its connection was lost, which takes up to two seconds. A crashed instance is silent, so the run was suspected and another one could begin before the crash, and those that other nodes report, were known: a request that crashes instances could end the next one.

Evidence: the two new tests failed (a search was begun at once) and pass.

Change: no other run is begun or sought while the connection of one is examined; a retry that was granted meanwhile is kept for it.

--- a/coursepitch/gateway/calls.py
+++ b/coursepitch/gateway/calls.py
@@ -71,6 +71,8 @@
     :param response: ``None`` before its head has arrived.
     :param body: whole body of the response.
     :param suspected: whether the run is overdue.
+    :param interrupted: whether its connection was lost, and it is being examined
+        whether the instance crashed.
     :param ended: whether what it held was released.
     """
 
@@ -80,6 +82,7 @@
     response: Response | None = None
     body: bytes = b''
     suspected: bool = False
+    interrupted: bool = False
     ended: bool = False
 
     @property
@@ -167,6 +170,7 @@
             and len(started) < job.route.attempts
             and len(job.sent) < MAX_SENDS
             and self._components.clock() < job.deadline_at
+            and not runs.is_examining()
             and not self._components.crash_detector.forbids_retry(job)
         )
 
@@ -400,6 +404,7 @@
 
     async def _check_crash(self, job: Job, run: CallRun) -> None:
         """Record a crash if the instance that interrupted a run has ended."""
+        run.interrupted = True
         job.interrupted_by, job.software = run.instance, run.instance.software
         if run.sent_at is not None:
             job.last_sent_at = run.sent_at
--- a/coursepitch/gateway/runs.py
+++ b/coursepitch/gateway/runs.py
@@ -35,9 +35,12 @@
     """One send of a request, to a group or to a plain instance.
 
     :ivar suspected: whether it may have failed, as it makes no progress.
+    :ivar interrupted: whether its connection was lost, and it is being examined whether
+        the instance crashed.
     """
 
     suspected: bool
+    interrupted: bool
 
     @property
     def head(self) -> str:
@@ -62,6 +65,8 @@
     :param body: body of an error response.
     :param complete: whether the response has ended regularly.
     :param suspected: whether the run may have failed, as it makes no progress.
+    :param interrupted: whether its connection was lost, and it is being examined
+        whether the instance crashed.
     :param ended: whether what it held was released.
     """
 
@@ -76,6 +81,7 @@
     body: bytes | None = None
     complete: bool = False
     suspected: bool = False
+    interrupted: bool = False
     ended: bool = False
 
     @property
@@ -120,8 +126,19 @@
         return others
 
     def needs_another(self) -> bool:
-        """Whether there are runs and all of them are suspected."""
-        return bool(self.live) and all(run.suspected for run in self.live)
+        """Whether there are runs, all are suspected, and none is being examined."""
+        return (
+            bool(self.live)
+            and all(run.suspected for run in self.live)
+            and not self.is_examining()
+        )
+
+    def is_examining(self) -> bool:
+        """Whether it is being examined why the connection of a run was lost.
+
+        The request may have crashed the instance, and another run the next one.
+        """
+        return any(run.interrupted for run in self.live)
 
 
 @dataclass(frozen=True, slots=True)
--- a/coursepitch/gateway/streams.py
+++ b/coursepitch/gateway/streams.py
@@ -250,7 +250,7 @@
     async def _find_other(self, job: Job, runs: RunSet[Run], tried: set[str]) -> Run:
         """Return another run once route, budget and groups allow one."""
         session, budget = self._components.session, self._components.budget
-        denied = False
+        granted = denied = False
         while True:
             # Asking takes a permit for the group and may ask peers to lend a retry, so
             # it is not repeated while the budget has no room.
@@ -258,21 +258,23 @@
                 not denied or budget.has_room(job.service.name, session.find_share())
             ):
                 group = await self._wait_for_group(job, tried | runs.heads, runs.heads)
-                if group is not None and not self._components.crash_detector.is_refused(
-                    job
-                ):
-                    retry = await obtain_retry(self._components, job)
-                    if retry is Retry.TAKEN:
+                if group is not None and self._may_add_run(job, runs):
+                    if not granted:
+                        retry = await obtain_retry(self._components, job)
+                        granted, denied = retry is Retry.TAKEN, retry is Retry.DENIED
+                    if granted and self._may_add_run(job, runs):
                         return self._begin_run(job, group, runs.last_event)
-                    denied = retry is Retry.DENIED
             await session.wait_changed(FIND_INTERVAL_S)
 
     def _may_add_run(self, job: Job, runs: RunSet[Run]) -> bool:
         """Whether another run may begin beside the live ones."""
+        detector = self._components.crash_detector
         return (
             job.route.repeatable
             and self._may_run_again(job, runs.heads)
-            and not self._components.crash_detector.forbids_retry(job)
+            and not runs.is_examining()
+            and not detector.forbids_retry(job)
+            and not detector.is_refused(job)
         )
 
     def _may_run_again(self, job: Job, live: Collection[str] = ()) -> bool:
@@ -697,6 +699,7 @@
 
     async def _check_crash(self, job: Job, run: Run) -> None:
         """Record a crash if the instance that interrupted a run has ended."""
+        run.interrupted = True
         job.switch_run(run)
         job.interrupted_by = run.group.head
         await self._components.crash_detector.check_crash(job)
--- a/tests/gateway/test_runs.py
+++ b/tests/gateway/test_runs.py
@@ -35,6 +35,14 @@
         second.suspected = True
         self.assertTrue(runs.needs_another())
 
+    # Guards against a request that crashes a second instance before a crash is known.
+    def test_no_other_run_is_needed_while_a_lost_connection_is_examined(self):
+        runs, (first, second) = build_runs('a', 'b')
+        first.suspected = second.suspected = first.interrupted = True
+        self.assertFalse(runs.needs_another())
+        runs.remove(first)
+        self.assertTrue(runs.needs_another())
+
     # Guards against another run beside none: the request is then served anew.
     def test_no_other_run_is_needed_without_runs(self):
         runs, (first,) = build_runs('a')
@@ -172,6 +180,19 @@
 
         self.play(race, scenario)
 
+    def test_no_run_is_sought_until_the_cause_of_an_interruption_is_known(self):
+        race = Race('a', 'b')
+
+        async def scenario():
+            race.found[0].interrupted = True
+            for run in race.found:
+                await race.suspect(run)
+            self.assertEqual(race.sought, 0)
+            await race.end(race.found[0], False)
+            self.assertEqual(race.sought, 1)
+
+        self.play(race, scenario)
+
     # Guards against a race that gives up while a silent run is left.
     def test_race_goes_on_while_a_suspected_run_is_left(self):
         race = Race('a', 'b')
