Keep groups while all instances of their service are silent

What operators saw: as all instances of a service stood still for 3.2 s, the leader dissolved all groups of the service, and there was none when the instances went on.

Cause: a serving group was ended once one of its members had been silent for 2.3 s, even while no instance answered, so that nothing told failed instances from sound ones.

The four new unit tests failed on the code before as well.

Ruled out: the node's own paths.

Change: long silence ends a group only while another instance in a group answers. Once the first one answers, the others have 2.3 s again. A member whose entry is removed still ends its group, so a failure of all is bounded by the lapse of the entries.

--- a/coursepitch/fleet/groups.py
+++ b/coursepitch/fleet/groups.py
@@ -46,7 +46,9 @@
 MEMBER_LOSS_GRACE_S = 1.5
 
 #: Seconds for which a serving group with a silent member is kept: a sound instance may
-#: fall silent for a second or so.  Requests avoid the group meanwhile.
+#: fall silent for a second or so.  Requests avoid the group meanwhile.  While all
+#: instances in groups are silent, and as long again, it is kept until the entry of the
+#: member is removed.
 SILENCE_GRACE_S = 2.3
 
 #: Seconds beyond twice the load time after which a group that has not formed is
@@ -109,6 +111,7 @@
 
     unresponsive: set[str] = field(default_factory=set)
     silent_since: dict[str, float] = field(default_factory=dict)
+    _all_silent_at: dict[str, float] = field(default_factory=dict)
     _isolated_at: float = float('-inf')
     _records: dict[tuple[str, int], _GroupRecord] = field(default_factory=dict)
     _unopened: set[tuple[str, int]] = field(default_factory=set)
@@ -125,6 +128,7 @@
         """Drop all state when the node becomes leader."""
         self.unresponsive.clear()
         self.silent_since.clear()
+        self._all_silent_at.clear()
         self._records.clear()
         self._unopened.clear()
         self._ended_groups.clear()
@@ -367,7 +371,7 @@
         for name in claim.members:
             instance = view.instances.get(name)
             if name in self.unresponsive:
-                if serving and self._may_answer_again(name, now):
+                if serving and self._may_answer_again(name, claim, view, now):
                     continue
                 return f'{name} does not answer'
             if instance is None:
@@ -396,10 +400,35 @@
             return 'the group did not form in time'
         return ''
 
-    def _may_answer_again(self, name: str, now: float) -> bool:
-        """Whether an instance has been silent only for a short time."""
+    def _may_answer_again(
+        self, name: str, claim: GroupClaim, view: FleetView, now: float
+    ) -> bool:
+        """Whether an instance is silent, and not known to have failed.
+
+        Silence only tells failed instances from others while others answer, and those
+        that go on together do not answer at the same moment.
+        """
         since = self.silent_since.get(name)
-        return since is not None and now - since < SILENCE_GRACE_S
+        if since is None:
+            return False
+        if now - since < SILENCE_GRACE_S:
+            return True
+        if name not in view.instances or view.is_lapsed(name):
+            return False
+        all_since = self._all_silent_at.get(claim.service, float('-inf'))
+        if now - all_since >= SILENCE_GRACE_S:
+            if not self._are_all_silent(claim.service, view):
+                return False
+            self._all_silent_at[claim.service] = now
+        return True
+
+    def _are_all_silent(self, service: str, view: FleetView) -> bool:
+        """Whether all instances of a service that are in groups are silent."""
+        return all(
+            item.name in self.silent_since
+            for item in view.instances.values()
+            if item.service == service and item.membership is not None
+        )
 
     def _may_finish(
         self,
--- a/tests/fleet/test_finishing.py
+++ b/tests/fleet/test_finishing.py
@@ -97,6 +97,36 @@
         self.controller.note_unresponsive('head', 100.2, silent=False)
         self.assertEqual(len(self.decide(100.3).retired), 1)
 
+    def silence_all(self):
+        """Let all members be silent from 100.1 on."""
+        for name in self.states:
+            self.controller.note_unresponsive(name, 100.1, silent=True)
+
+    # Guards against groups being ended because all instances are silent.
+    def test_group_is_kept_while_all_instances_are_silent(self):
+        self.silence_all()
+        for seconds in (0.2, SILENCE_GRACE_S + 0.2, 3 * SILENCE_GRACE_S):
+            self.assertEqual(self.decide(100.0 + seconds).retired, ())
+
+    # Guards against groups being ended as the first of all silent instances goes on.
+    def test_members_may_go_on_shortly_after_another_one(self):
+        self.silence_all()
+        self.assertEqual(self.decide(100.2 + SILENCE_GRACE_S).retired, ())
+        self.controller.note_responsive('head')
+        self.assertEqual(self.decide(100.3 + SILENCE_GRACE_S).retired, ())
+
+    def test_member_that_does_not_go_on_with_another_one_ends_its_group(self):
+        self.silence_all()
+        self.decide(100.2 + SILENCE_GRACE_S)
+        self.controller.note_responsive('head')
+        self.assertEqual(len(self.decide(100.3 + 2 * SILENCE_GRACE_S).retired), 1)
+
+    def test_group_is_retired_if_all_are_silent_and_the_entry_of_one_is_removed(self):
+        self.silence_all()
+        self.decide(100.2 + SILENCE_GRACE_S)
+        del self.states['a']
+        self.assertEqual(len(self.decide(100.3 + SILENCE_GRACE_S).retired), 1)
+
     def test_group_that_does_not_serve_does_not_wait_for_a_silent_member(self):
         self.states['head'] = 'ready'
         self.controller.note_unresponsive('a', 100.1, silent=True)
