Keep an attempt at a silent engine while another one is tried

What callers saw: requests at engines that stood still got 502, or a stream an error event, long before their deadlines, although their runs would have gone on. An answer that is not streamed got 502, or was run again, after 10 s even at an engine that did not stand still, as its head comes with its last token.

Cause: silence was taken as proof of failure. An attempt was abandoned after first_byte_timeout_s or gap_timeout_s, its connection closed, and only then was it asked whether another one may take its place; attempts, the retry budget, the choice of a replica, or a request that is not repeatable denied that. The time-out of the HTTP client was gap_timeout_s for heads as well, so first_byte_timeout_s of 30 s never applied. An attempt that was abandoned for another one was not cancelled.

Change: the attempts of a request race, as runs do in the gateway. An attempt that is silent for as long as the settings state is kept; the stream of its run is read on another connection as before, and another replica is tried once all are silent, as far as attempts, budget and replicas allow. The first to give a part delivers, the others are cancelled. Only proof, the deadline, the client or the progress of another ends an attempt.

--- a/coursepitch/config/settings.py
+++ b/coursepitch/config/settings.py
@@ -206,10 +206,17 @@
         1.0, 'Seconds for which a failed replica is not chosen.', low=0
     )
     first_byte_timeout_s: float = option(
-        30.0, 'Longest wait in seconds for the head of an answer.', low=0.1
+        30.0,
+        'Silence in seconds before the head of an answer after which another replica '
+        'is tried.  The silent one is kept until one of them answers.',
+        low=0.1,
     )
     gap_timeout_s: float = option(
-        10.0, 'Longest gap in seconds within a streamed answer.', low=0.1
+        10.0,
+        'Silence in seconds within an answer after which it is read on another '
+        'connection, and after as long again on another replica.  The silent one is '
+        'kept until one of them goes on.',
+        low=0.1,
     )
 
 
--- a/coursepitch/serving/dispatch.py
+++ b/coursepitch/serving/dispatch.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from contextlib import aclosing
+import dataclasses
 from typing import TYPE_CHECKING, Any
 
 import anyio
@@ -23,6 +23,7 @@
 )
 from coursepitch.serving.clients import TargetClients
 from coursepitch.serving.outcomes import Problem, Refusal, RefusedError
+from coursepitch.serving.race import AttemptRace, Reading, SilenceLimits
 from coursepitch.serving.runs import Attempt, Run, drain_body, read_text
 from coursepitch.serving.sse import DONE_DATA, EventParser
 
@@ -72,9 +73,15 @@
         self._metrics = metrics
         self._clock = clock
         self._budget = RetryBudget(settings.retry_ratio, settings.retry_burst)
-        timeout = httpx.Timeout(settings.gap_timeout_s, connect=1.0, pool=1.0)
+        self._silence_limits = SilenceLimits(
+            settings.first_byte_timeout_s, settings.gap_timeout_s
+        )
+        # Silence of an engine ends no attempt, see :mod:`coursepitch.serving.race`.
+        timeout = httpx.Timeout(None, connect=1.0, pool=1.0)
         self._clients = TargetClients(timeout, reuse=True)
         self._single_use_clients = TargetClients(timeout, reuse=False)
+        #: Attempts that are yet to be cancelled, as others delivered their answers.
+        self._dropped: list[Attempt] = []
         #: Whether this node reaches no engine.
         self.is_cut_off: Callable[[], bool] = lambda: False
         #: What is known of requests that crash engines; ``None`` for nothing.
@@ -86,13 +93,19 @@
         await self._single_use_clients.close()
 
     async def run_slot_assignment(self, pause_s: float) -> None:
-        """Assign slots to queued requests periodically, as health reports change."""
-        while True:
-            await anyio.sleep(pause_s)
-            self._assign_slots()
-            await self._clients.trim()
-            await self._single_use_clients.trim()
-            self._metrics.queued.set({}, self._admission.queued)
+        """Assign slots to queued requests periodically, as health reports change.
+
+        Dropped attempts are cancelled as well.
+        """
+        async with anyio.create_task_group() as tasks:
+            while True:
+                await anyio.sleep(pause_s)
+                while self._dropped:
+                    tasks.start_soon(self._cancel, self._dropped.pop())
+                self._assign_slots()
+                await self._clients.trim()
+                await self._single_use_clients.trim()
+                self._metrics.queued.set({}, self._admission.queued)
 
     def _assign_slots(self) -> None:
         for queue_name in self._admission.list_queued_groups():
@@ -183,16 +196,154 @@
 
         :raises RefusedError: no attempt returned the complete answer.
         """
-        step = NextStep.RETRY
+        try:
+            self._begin_reading(run, NextStep.RETRY)
+            while (chunk := await self._read_next(run)) is not None:
+                yield chunk
+            run.finished = True
+        finally:
+            await self._drop_readings(run)
+
+    async def _read_next(self, run: Run) -> dict[str, Any] | None:
+        """Return the next part of an answer, or ``None`` after the last one.
+
+        :raises RefusedError: all attempts have failed.
+        """
+
+        def suspect(reading: Reading) -> Reading | None:
+            return self._suspect_reading(run, reading)
+
+        async def fail(reading: Reading) -> Reading | None:
+            return await self._note_failed_reading(run, reading)
+
+        async def find_other() -> Reading:
+            return await self._find_other_reading(run)
+
         while True:
-            attempt = self._begin_attempt(run, step)
-            async with aclosing(self._read_chunks(run, attempt, step)) as chunks:
-                async for chunk in chunks:
-                    yield chunk
-            step = await self._prepare_next_step(run, attempt)
-            if step is NextStep.FINISH:
-                run.finished = True
-                return
+            race = AttemptRace(
+                run.readings,
+                self._silence_limits,
+                suspect,
+                fail,
+                find_other,
+                self._clock,
+            )
+            reading, part = await race.wait()
+            if part is not None or reading.attempt.is_whole:
+                await self._drop_readings(run, kept=reading)
+                if part is None:
+                    await self._prepare_next_step(run, reading.attempt)
+                return part
+            await self._drop_readings(run)
+            run.current_attempt = reading.attempt
+            self._settle_result(run, reading.attempt)
+            step = await self._prepare_next_step(run, reading.attempt)
+            self._begin_reading(run, step)
+
+    def _begin_reading(self, run: Run, step: NextStep) -> Reading:
+        """Begin an attempt, or reopen the current one, and read its answer."""
+        attempt = self._begin_attempt(run, step)
+        reading = self._build_reading(run, attempt, step)
+        run.readings.append(reading)
+        return reading
+
+    def _build_reading(self, run: Run, attempt: Attempt, step: NextStep) -> Reading:
+        read = self._read_chunks if run.streamed else self._read_answer
+        return Reading(attempt, run.slot.choice, step, read(run, attempt, step))
+
+    async def _drop_readings(self, run: Run, kept: Reading | None = None) -> None:
+        """Close the connections of attempts, and cancel those that may still run.
+
+        :param kept: reading that delivers the answer.
+        """
+        dropped = [item for item in run.readings if item is not kept]
+        run.readings = [] if kept is None else [kept]
+        if kept is not None:
+            kept.suspected = False
+            run.current_attempt = kept.attempt
+            if run.slot.choice is not kept.choice:
+                self._admission.move(run.slot, kept.choice)
+        current = run.current_attempt
+        with anyio.CancelScope(shield=True):
+            for item in dropped:
+                await item.close()
+                if current is None or item.attempt.name != current.name:
+                    self._dropped.append(item.attempt)
+
+    def _suspect_reading(self, run: Run, reading: Reading) -> Reading | None:
+        """Note a silent attempt; return its reopened stream, if it may be reopened."""
+        attempt = reading.attempt
+        self._selector.record_failure(attempt.replica)
+        now = self._clock()
+        log.emit(
+            events.RUN_STALLED,
+            request=run.model_request.request_id,
+            instance=attempt.replica,
+            reason='silent',
+            silent_s=round(now - reading.since, 3),
+            begun=bool(run.chunk_texts),
+            load=self._admission.in_flight_by_replica.get(attempt.replica, 0),
+            runs=run.attempts,
+            allowed=self._settings.attempts if run.model_request.repeatable else 1,
+            left_s=round(run.model_request.deadline_at - now, 3),
+        )
+        if not run.streamed or run.reopened or attempt.head_at is None:
+            return None
+        return self._reopen(run, reading)
+
+    def _reopen(self, run: Run, reading: Reading) -> Reading:
+        """Return another reading of the same attempt."""
+        run.reopened = True
+        attempt = dataclasses.replace(reading.attempt, head_at=None)
+        opened = self._build_reading(run, attempt, NextStep.REOPEN)
+        opened.choice = reading.choice
+        return opened
+
+    async def _note_failed_reading(self, run: Run, reading: Reading) -> Reading | None:
+        """Note an attempt that failed beside others; return its reopened stream."""
+        attempt = reading.attempt
+        self._settle_result(run, attempt)
+        self._metrics.attempts.inc({'seen': attempt.result.name.lower()})
+        self._selector.record_failure(attempt.replica)
+        state = self._describe_state(run, attempt)
+        run.may_have_run |= state.outcome is not outcomes.Outcome.NOT_RUN
+        if self.crashes is not None:
+            await self.crashes.note_attempt(run, attempt)
+        if attempt.result is AttemptResult.CUT and not run.reopened:
+            return self._reopen(run, reading)
+        return None
+
+    def _settle_result(self, run: Run, attempt: Attempt) -> None:
+        if attempt.result is AttemptResult.CUT and not run.streamed:
+            # Only streamed answers can be resumed.
+            attempt.result = AttemptResult.NO_HEAD
+
+    async def _find_other_reading(self, run: Run) -> Reading:
+        """Wait until another attempt may be made, and begin it."""
+        while True:
+            choice = self._choose_other(run)
+            if choice is not None:
+                break
+            await anyio.sleep(_REPLICA_POLL_S)
+        self._budget.withdraw()
+        self._admission.move(run.slot, choice)
+        log.emit(
+            events.REQUEST_RETRIED,
+            request=run.model_request.request_id,
+            reason='all attempts are silent',
+        )
+        run.may_have_run = True
+        step = NextStep.CONTINUE if run.chunk_texts else NextStep.RETRY
+        return self._build_reading(run, self._begin_attempt(run, step), step)
+
+    def _choose_other(self, run: Run) -> Choice | None:
+        """Return a replica to try beside the silent ones, if that is allowed."""
+        if not run.model_request.repeatable or not self._budget.allows_retry():
+            return None
+        if run.attempts >= self._settings.attempts:
+            return None
+        silent = frozenset(item.attempt.replica for item in run.readings)
+        return self._choose_untried(run, silent)
 
     def _begin_attempt(self, run: Run, step: NextStep) -> Attempt:
         """Return the attempt to make: a new one, or the current one to reopen."""
@@ -225,14 +376,7 @@
             and attempt.status not in _NON_RETRYABLE_STATUSES
         ):
             self._selector.record_failure(attempt.replica)
-        state = RetryState(
-            attempt.result,
-            run.model_request.repeatable,
-            run.attempts,
-            self._settings.attempts,
-            len(run.chunk_texts),
-            run.reopened,
-        )
+        state = self._describe_state(run, attempt)
         run.may_have_run |= state.outcome is not outcomes.Outcome.NOT_RUN
         await self._note_attempt(run, attempt)
         step = decide_next(state, self._budget.allows_retry())
@@ -261,6 +405,16 @@
             )
         return step
 
+    def _describe_state(self, run: Run, attempt: Attempt) -> RetryState:
+        return RetryState(
+            attempt.result,
+            run.model_request.repeatable,
+            run.attempts,
+            self._settings.attempts,
+            len(run.chunk_texts),
+            run.reopened,
+        )
+
     async def _note_attempt(self, run: Run, attempt: Attempt) -> None:
         """Remember a crash of the engine, or a success.
 
@@ -285,19 +439,27 @@
         model_request = run.model_request
         wait_until = min(self._clock() + self._queue_wait_s, model_request.deadline_at)
         while True:
-            for excluded in (frozenset(run.tried_replicas), frozenset[str]()):
-                choice = self._selector.choose(
-                    model_request.groups,
-                    model_request.prefix_hash,
-                    self._admission.in_flight_by_replica,
-                    excluded,
-                )
-                if choice is not None:
-                    return choice
+            choice = self._choose_untried(run, frozenset())
+            if choice is not None:
+                return choice
             if self._clock() >= wait_until:
                 return None
             await anyio.sleep(_REPLICA_POLL_S)
 
+    def _choose_untried(self, run: Run, excluded: frozenset[str]) -> Choice | None:
+        """Return a replica that was not tried, else any that is not excluded."""
+        model_request = run.model_request
+        for names in (excluded | run.tried_replicas, excluded):
+            choice = self._selector.choose(
+                model_request.groups,
+                model_request.prefix_hash,
+                self._admission.in_flight_by_replica,
+                names,
+            )
+            if choice is not None:
+                return choice
+        return None
+
     def _describe_failure(self, run: Run, attempt: Attempt) -> Problem:
         refusal = self._choose_refusal(run, attempt)
         detail = f'Target status {attempt.status}.' if attempt.status else ''
@@ -347,16 +509,17 @@
                         continue
                     if event.event_id is None and run.finish_sent:
                         continue
-                    run.finish_sent = event.event_id is None
                     attempt.note_chunk(self._clock())
-                    if event.event_id is not None:
-                        run.chunk_texts.append(read_text(chunk))
-                        run.reopened = False
                     if first and step is not NextStep.REOPEN:
                         waited = self._clock() - started
                         self._selector.record_first_chunk(attempt.replica, waited)
                     first = False
                     yield chunk
+                    # Resumed only if this attempt's chunk is the one that was sent.
+                    run.finish_sent = event.event_id is None
+                    if event.event_id is not None:
+                        run.chunk_texts.append(read_text(chunk))
+                        run.reopened = False
         except (httpx.HTTPError, httpx.InvalidURL) as error:
             if reply is None:
                 attempt.result = classify_error(error)
@@ -389,12 +552,8 @@
         clients = self._clients if repeatable else self._single_use_clients
         client = clients.get(attempt.address)
         request = self._build_request(client, run, attempt, step)
-        try:
-            with anyio.fail_after(self._settings.first_byte_timeout_s):
-                reply = await client.send(request, stream=True)
-        except TimeoutError:
-            attempt.result = AttemptResult.NO_HEAD
-            return None
+        reply = await client.send(request, stream=True)
+        attempt.head_at = self._clock()
         attempt.result = AttemptResult.CUT
         if reply.status_code == 200:
             if reply.headers.get('x-request-id') == attempt.name:
@@ -440,17 +599,25 @@
 
         :raises RefusedError: no attempt returned the answer.
         """
-        while True:
-            attempt = self._begin_attempt(run, NextStep.RETRY)
-            answer = await self._fetch_once(run, attempt)
-            if answer is not None:
-                run.finished = True
-                await self._note_attempt(run, attempt)
-                return answer
-            if attempt.result is AttemptResult.CUT:
-                # Only streamed answers can be resumed.
-                attempt.result = AttemptResult.NO_HEAD
-            await self._prepare_next_step(run, attempt)
+        run.streamed = False
+        try:
+            self._begin_reading(run, NextStep.RETRY)
+            answer = await self._read_next(run)
+            assert answer is not None, 'an answer that is not streamed is one part'
+            run.finished = True
+            if run.current_attempt is not None:
+                await self._note_attempt(run, run.current_attempt)
+            return answer
+        finally:
+            await self._drop_readings(run)
+
+    async def _read_answer(
+        self, run: Run, attempt: Attempt, step: NextStep
+    ) -> AsyncGenerator[dict[str, Any], None]:
+        """Yield the whole answer of one attempt and record its result."""
+        answer = await self._fetch_once(run, attempt)
+        if answer is not None:
+            yield answer
 
     async def _fetch_once(self, run: Run, attempt: Attempt) -> dict[str, Any] | None:
         started = self._clock()
--- a/coursepitch/serving/runs.py
+++ b/coursepitch/serving/runs.py
@@ -14,6 +14,7 @@
 
     from coursepitch.serving.admission import Slot
     from coursepitch.serving.model_request import ModelRequest
+    from coursepitch.serving.race import Reading
 
 __all__ = ['Attempt', 'Run', 'drain_body', 'read_text']
 
@@ -28,6 +29,7 @@
     :param name: identifier of the attempt, sent as X-Request-Id.
     :param chunks_before: number of chunks that the caller had when the attempt began.
     :param status: HTTP status of a refused attempt, else 0.
+    :param head_at: monotonic time at which its head arrived; ``None`` before it.
     :param first_chunk_at: monotonic time of its first chunk; ``None`` before it.
     :param wrote_s: seconds between its first and its latest chunk.
     """
@@ -38,9 +40,15 @@
     chunks_before: int = 0
     result: AttemptResult = AttemptResult.NOTHING_SENT
     status: int = 0
+    head_at: float | None = None
     first_chunk_at: float | None = None
     wrote_s: float = 0.0
 
+    @property
+    def is_whole(self) -> bool:
+        """Whether its answer came whole."""
+        return self.result is AttemptResult.WHOLE
+
     def note_chunk(self, now: float) -> None:
         """Record that a chunk arrived at a monotonic time."""
         if self.first_chunk_at is None:
@@ -60,6 +68,8 @@
     :param finish_sent: whether the caller has the chunk with the finish reason, which
         follows the last token and has no event id.
     :param may_have_run: whether any attempt may have run.
+    :param streamed: whether the answer is streamed.
+    :param readings: connections on which the answer may still arrive.
     """
 
     model_request: ModelRequest
@@ -72,6 +82,8 @@
     finished: bool = False
     finish_sent: bool = False
     may_have_run: bool = False
+    streamed: bool = True
+    readings: list[Reading] = field(default_factory=list)
 
 
 async def drain_body(pieces: AsyncIterator[bytes]) -> None:
