Keep calls of plain services that are silent

What callers saw: a call of a plain service that was silent for first_byte_timeout_s, before its head or within its body, got 502 or a broken answer before its deadline, although it could not be sent to another address and its run would have gone on.

Cause: the time-out of the HTTP client took silence as proof of failure.

Change: a silent call is left only if it may be sent to another address, as far as attempts and the limit of the address allow; else only its deadline ends it. The silent call is still let go when the other is sent, not kept beside it as attempts at engines are.

--- a/coursepitch/serving/services.py
+++ b/coursepitch/serving/services.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 import anyio
@@ -85,9 +86,9 @@
         self._in_flight: dict[str, int] = {}
         self._failed_at: dict[str, float] = {}
         limits = httpx.Limits(max_connections=None, max_keepalive_connections=0)
+        # A silent service may go on, so only deadlines end the wait for it.
         self._client = httpx.AsyncClient(
-            timeout=httpx.Timeout(settings.first_byte_timeout_s, connect=1.0),
-            limits=limits,
+            timeout=httpx.Timeout(None, connect=1.0, pool=1.0), limits=limits
         )
 
     async def close(self) -> None:
@@ -143,8 +144,12 @@
             self._adjust_in_flight(address, 1)
             try:
                 outgoing = self._build_request(request, context, address, body)
-                reply = await self._client.send(outgoing, stream=True)
-            except httpx.HTTPError as error:
+                silence_s = math.inf
+                if self._may_leave(service, options, tried, body):
+                    silence_s = self._settings.first_byte_timeout_s
+                with anyio.fail_after(silence_s):
+                    reply = await self._client.send(outgoing, stream=True)
+            except (httpx.HTTPError, TimeoutError) as error:
                 self._adjust_in_flight(address, -1)
                 self._failed_at[address] = self._clock()
                 result = classify_error(error)
@@ -155,6 +160,24 @@
             else:
                 return reply, address
 
+    def _may_leave(
+        self,
+        service: Service,
+        options: RequestOptions,
+        tried: list[str],
+        body: bytes | AsyncIterator[bytes],
+    ) -> bool:
+        """Return whether another address may be tried if this one is silent."""
+        if not options.repeatable or not isinstance(body, bytes):
+            return False
+        if len(tried) >= self._settings.attempts:
+            return False
+        return any(
+            self._in_flight.get(item, 0) < service.in_flight
+            for item in service.addresses
+            if item not in tried
+        )
+
     def _check_retry(
         self,
         context: RequestContext,
