Test that a stopped engine is not taken for a crashed one

The crash memory is sound here: only a refused connection, while other engines answer, proves that an engine ended.

--- a/tests/serving/test_crash_memory.py
+++ b/tests/serving/test_crash_memory.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import socket
 import unittest
 from types import SimpleNamespace
 
@@ -153,6 +154,23 @@
         self.assertEqual(len(build_traits(request).parts), 2)
         self.assertEqual(build_traits(request).workload, 'm')
 
+    # Guards against a stopped engine, whose connections wait, taken for a crashed one.
+    def test_engine_that_accepts_no_connection_in_time_has_not_crashed(self):
+        with socket.socket() as listener, socket.socket() as waiting:
+            listener.bind(('127.0.0.1', 0))
+            listener.listen(0)
+            waiting.connect(listener.getsockname())
+            with socket.socket() as late:
+                late.settimeout(0.1)
+                self.assertRaises(TimeoutError, late.connect, listener.getsockname())
+            host, port = listener.getsockname()
+            for number in range(3):
+                attempt = Attempt('a', f'{host}:{port}', f'r{number}')
+                attempt.result = AttemptResult.CUT
+                run = SimpleNamespace(model_request=self.build_request())
+                anyio.run(self.nodes[0].note_attempt, run, attempt)
+        self.assertEqual(self.list_refusing(), [False, False])
+
 
 if __name__ == '__main__':
     unittest.main()
