Replace a silent replica only after the time that is set for it

What operators saw: a replica whose members stood still for about three seconds was released and another one loaded, although the members went on a second later.

Cause: three checks in a row that failed in any way counted as a lost member, so a time-out proved as much as a refused connection. The bound, three times check_timeout_s, stood in no setting.

Change: a check that times out counts as silence, and a member is lost once such checks in a row add up to silence_limit_s (5 s). Refused connections and wrong answers count as before. A pause of the node itself counts as one check at most. The replica gets no requests while a member is silent, as before.

--- a/coursepitch/config/settings.py
+++ b/coursepitch/config/settings.py
@@ -143,6 +143,13 @@
     evidence_limit_s: float = option(
         4.0, 'Age in seconds at which serving evidence no longer counts.', low=0.5
     )
+    silence_limit_s: float = option(
+        5.0,
+        'Seconds of checks in a row that time out, after which an instance counts as '
+        'lost and its replica is replaced.  One that refuses connections is lost '
+        'after three checks.',
+        low=0.5,
+    )
     load_timeout_s: float = option(
         120.0, 'Longest time in seconds in which a replica loads.', low=1
     )
--- a/coursepitch/control/domain.py
+++ b/coursepitch/control/domain.py
@@ -23,6 +23,7 @@
     LifecycleLimits,
     Order,
     Step,
+    add_check,
     decide_step,
     passes_check,
 )
@@ -118,6 +119,7 @@
             settings.load_timeout_s,
             settings.evidence_limit_s + 1.0,
             settings.drain_timeout_s,
+            settings.silence_limit_s,
         )
 
     async def run(self) -> None:
@@ -223,11 +225,12 @@
 
     async def _check_member(self, member: Member) -> None:
         check = await self._engines.check(member.address)
-        if not check.answered:
-            before = self._checks.get(member.instance)
-            failures = before.failures if before else 0
-            check = dataclasses.replace(check, failures=failures + 1)
-        self._checks[member.instance] = check
+        if check.silent_s:
+            # The time until the next check counts as well.
+            silent_s = max(check.silent_s, self._settings.check_interval_s)
+            check = dataclasses.replace(check, silent_s=silent_s)
+        before = self._checks.get(member.instance)
+        self._checks[member.instance] = add_check(before, check)
 
     def _describe_domain(self) -> DomainBody:
         replicas = tuple(self._describe_replica(rep) for rep in self._claims.replicas)
--- a/coursepitch/control/lifecycle.py
+++ b/coursepitch/control/lifecycle.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import Enum
 from typing import TYPE_CHECKING
 
@@ -17,6 +17,7 @@
     'LifecycleLimits',
     'Order',
     'Step',
+    'add_check',
     'decide_step',
     'passes_check',
 ]
@@ -34,7 +35,8 @@
     """Result of the last health check of an instance.
 
     :param answered: whether the instance answered in time.
-    :param failures: number of consecutive checks without an answer.
+    :param failures: number of consecutive checks that were refused or answered wrongly.
+    :param silent_s: seconds waited in consecutive checks that timed out.
     :param claim: name of the claim that the instance reports.
     :param epoch: epoch that the instance reports.
     :param running: requests in progress.
@@ -49,6 +51,7 @@
     adapters: tuple[str, ...] = ()
     epoch: int = 0
     running: int = 0
+    silent_s: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -59,6 +62,7 @@
     :param min_drain_s: minimum seconds for draining; requests may still arrive
         until all nodes know that the replica drains.
     :param max_drain_s: maximum seconds for draining.
+    :param max_silent_s: seconds of silence after which an instance counts as lost.
     :param max_failures: consecutive failed checks after which an instance counts as
         lost.
     """
@@ -66,6 +70,7 @@
     max_load_s: float
     min_drain_s: float
     max_drain_s: float
+    max_silent_s: float = 5.0
     max_failures: int = 3
 
 
@@ -82,6 +87,17 @@
     members: tuple[str, ...] = ()
 
 
+def add_check(before: HealthCheck | None, check: HealthCheck) -> HealthCheck:
+    """Return a check with the failures and the silence of those before it."""
+    if check.answered or before is None:
+        return check
+    return replace(
+        check,
+        failures=before.failures + check.failures,
+        silent_s=before.silent_s + check.silent_s,
+    )
+
+
 def passes_check(replica: Replica, check: HealthCheck | None) -> bool:
     """Return whether an instance serves exactly what the replica specifies."""
     return (
@@ -153,13 +169,25 @@
         check = checks.get(name)
         if check is None:
             continue
-        if not check.answered and check.failures >= limits.max_failures:
+        if _is_given_up(check, limits):
             return True
         if check.state == 'failed' and check.claim == replica.name:
             return True
     return False
 
 
+def _is_given_up(check: HealthCheck, limits: LifecycleLimits) -> bool:
+    """Return whether an instance counts as lost.
+
+    Silence proves no failure, so it counts only after the time that is set for it.
+    """
+    if check.answered:
+        return False
+    return (
+        check.failures >= limits.max_failures or check.silent_s >= limits.max_silent_s
+    )
+
+
 def _list_not_loading(
     replica: Replica, checks: Mapping[str, HealthCheck], names: tuple[str, ...]
 ) -> tuple[str, ...]:
@@ -198,16 +226,15 @@
 ) -> Step:
     """Release members until none reports the claim.
 
-    A member that does not answer is no longer waited for after ``limits.max_failures``
-    checks.  If it comes back with the claim still loaded, it gets no requests,
-    because the claim no longer exists.
+    A member that counts as lost is no longer waited for.  If it comes back with the
+    claim still loaded, it gets no requests, because the claim no longer exists.
     """
     holding = []
     waiting = False
     for name in names:
         check = checks.get(name)
         if check is None or not check.answered:
-            waiting = waiting or check is None or check.failures < limits.max_failures
+            waiting = waiting or check is None or not _is_given_up(check, limits)
         elif check.claim == replica.name:
             holding.append(name)
     if holding:
--- a/coursepitch/targets/engine.py
+++ b/coursepitch/targets/engine.py
@@ -22,6 +22,7 @@
     """
 
     def __init__(self, timeout_s: float) -> None:
+        self._timeout_s = timeout_s
         limits = httpx.Limits(max_connections=None, max_keepalive_connections=256)
         self._client = httpx.AsyncClient(timeout=timeout_s, limits=limits)
 
@@ -32,12 +33,16 @@
     async def check(self, address: str) -> HealthCheck:
         """Return the state of an instance.
 
-        An instance that does not answer in time or correctly counts as failed.
+        An instance that refuses connections or does not answer correctly counts as
+        failed, and one that does not answer in time as silent.
         """
         try:
             reply = await self._client.get(f'http://{address}/health')
             reply.raise_for_status()
             return _parse_check(reply.json())
+        except httpx.TimeoutException:
+            # A pause of this node in the check is no silence of the instance.
+            return HealthCheck(answered=False, silent_s=self._timeout_s)
         except (httpx.HTTPError, httpx.InvalidURL, KeyError, TypeError, ValueError):
             return HealthCheck(answered=False, failures=1)
 
--- /dev/null
+++ b/tests/whole/test_silent_engines.py
@@ -0,0 +1,85 @@
+"""Engines that stand still for some seconds and go on."""
+
+from __future__ import annotations
+
+import time
+
+from coursepitch.control.duties import domain_duty
+from coursepitch.peers.topology import pick_first
+from tests.whole.base import PATIENT
+from tests.whole.calls import call_stream, expect_tokens, in_background
+from tests.whole.replica_base import ReplicaCase
+
+TOKENS = 60
+
+
+class SilentEnginesTest(ReplicaCase):
+    """Limits of silence that are shorter than the longest silence."""
+
+    settings = {
+        **PATIENT,
+        'routing': {'first_byte_timeout_s': '2', 'gap_timeout_s': '2'},
+    }
+    engine = {'token_s': 0.02}
+
+    def stand_still(self, names, seconds):
+        for name in names:
+            self.harness.set_fault(name, still_s=seconds)
+
+    def list_all(self):
+        return [item['id'] for item in self.harness.instances]
+
+    def start_streams(self, **headers):
+        """Return streams under way, some of which are not repeatable."""
+        calls = []
+        for number in range(6):
+            own = {'Idempotency-Key': f'{time.monotonic()}'} if number % 2 else {}
+            body = self.body(f'note {number}', max_tokens=TOKENS)
+            calls.append(
+                in_background(
+                    lambda body=body, own=own, node=f'n{number % 3 + 1}': call_stream(
+                        self.harness, node, body, None, **own
+                    )
+                )
+            )
+        return calls
+
+    def assert_whole(self, calls):
+        for number, call in enumerate(calls):
+            answer = call.result(90)
+            self.assertTrue(answer.whole, answer)
+            self.assertEqual(answer.text, expect_tokens(f'note {number}', TOKENS))
+
+    def test_streams_outlast_a_silence_of_all_engines(self):
+        for seconds in (0.5, 1.2, 2.3, 3.0):
+            with self.subTest(seconds=seconds):
+                self.setUp()
+                calls = self.start_streams()
+                time.sleep(0.5)
+                self.stand_still(self.list_all(), seconds)
+                self.assert_whole(calls)
+
+    def test_streams_outlast_a_silence_of_one_replica(self):
+        for seconds in (0.5, 1.2, 2.3, 3.0):
+            with self.subTest(seconds=seconds):
+                self.setUp()
+                calls = self.start_streams()
+                time.sleep(0.5)
+                replica = next(iter(self.serving().values()))
+                self.stand_still(replica['instances'], seconds)
+                self.assert_whole(calls)
+
+    # Guards against the replacement of a replica whose members go on.
+    def test_replica_that_was_silent_for_less_than_the_limit_stays(self):
+        names = set(self.serving())
+        replica = next(iter(self.serving().values()))
+        duty = domain_duty(replica['domain'])
+        holder = pick_first(duty, self.nodes)
+        self.harness.wait_for(
+            lambda: self.duties().get(f'c/duty/{duty}') == holder,
+            'the duty is at its node for good',
+        )
+        self.stand_still(replica['instances'], 4.2)
+        self.wait_out(replica['name'])
+        self.setUp()
+        self.assertEqual(set(self.serving()), names)
