Let instances stand still in the soak, and check that calls outlast it

What callers saw: requests whose instances only stood still for a second were broken off or got 502. The soak had no instance that stands still and goes on, and no promise that such a request gets its whole answer, so it found none of it.

Change: two kinds of faults, drawn from a random source of their own: some instances of a service stand still by the stand-in's control port, or the process of all its instances is stopped and continued by signals. They come in series, overlap with the other faults, and go on for ten seconds after these. The promise "silences": a call that meets a silence and is not concerned by another fault at its node, its paths or its instances is answered whole, unless silences take up its time. Refusals are a promise of their own, with a tenth of the calls as the bound. Streams have ten events instead of five, some may not be resumed, connections are kept until their node closes them, and the numbers of instances and clients are options.

Arrivals are recorded when an instance goes on. So a request that waited at a silent instance counts as held up, as one on a path that was cut does, and does not count as sent in a backoff. Cuts tell when all paths were cut and when the first one was restored, as a stopped process delays both.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -6,7 +6,7 @@
 import sys
 
 from soak.checkers import Bounds, check_all
-from soak.driver import SoakRun
+from soak.driver import CLIENTS, ENGINES, SoakRun
 
 __all__ = ['main']
 
@@ -20,10 +20,15 @@
     parser.add_argument('--seed', type=int, required=True, help='decides all faults')
     parser.add_argument('--minutes', type=float, default=1.0)
     parser.add_argument('--nodes', type=int, default=4)
+    parser.add_argument(
+        '--instances', type=int, default=ENGINES, help='number that serve streams'
+    )
+    parser.add_argument('--clients', type=int, default=CLIENTS, help='number by node')
     options = parser.parse_args()
-    if options.nodes < 1 or options.minutes <= 0:
-        parser.error('--nodes and --minutes have to be above 0')
-    history = SoakRun(options.seed, options.minutes * MINUTE_S, options.nodes).run()
+    counts = (options.nodes, options.instances, options.clients)
+    if min(counts) < 1 or options.minutes <= 0:
+        parser.error('all numbers have to be above 0')
+    history = SoakRun(options.seed, options.minutes * MINUTE_S, *counts).run()
     verdicts = check_all(history, Bounds())
     for verdict in verdicts:
         state = 'broken' if verdict.findings else 'kept'
--- a/soak/checkers.py
+++ b/soak/checkers.py
@@ -38,6 +38,10 @@
         served, as a part of how often those at the others are.
     :param cut_off_failures: failed calls at such nodes in a cut beyond one in
         ``calls_per_failure``.
+    :param answer_s: seconds that an answer takes beside silences of instances.
+    :param silent_refused_share: share of the calls to a service, while instances of it
+        stand still, that may be refused.
+    :param silent_refusals: refusals beyond this share.
     """
 
     drain_s: float = 2.0
@@ -53,6 +57,9 @@
     cut_off_share: float = 2 / 3
     cut_off_failures: int = 10
     calls_per_failure: int = 50
+    answer_s: float = 2.0
+    silent_refused_share: float = 0.1
+    silent_refusals: int = 5
 
 
 @dataclass(frozen=True, slots=True)
@@ -176,7 +183,11 @@
             if last <= first or history.was_disturbed(node, asked.arrived_at, last):
                 continue
             looked_at += 1
-            count = sum(first < run.arrived_at < last for run in runs)
+            count = sum(
+                first < run.arrived_at < last
+                and not history.may_have_met_silence(run, calls[run.call])
+                for run in runs
+            )
             if count > bounds.most_in_backoff:
                 text = f'{count} requests of {node} in a backoff of {asked.backoff_s} s'
                 findings.append(Finding(instance, asked.arrived_at, text))
@@ -301,7 +312,7 @@
     findings = []
     total_cuts = history.list_total_cuts()
     for cut in history.cuts:
-        since = cut.since + bounds.contact_s
+        since = max(cut.since, cut.in_force_at) + bounds.contact_s
         if history.was_disturbed('', cut.since, cut.until):
             continue
         groups: dict[bool, list[Call]] = {True: [], False: []}
@@ -379,6 +390,130 @@
     return Verdict('crashing parts', looked_at, tuple(findings))
 
 
+def check_silences(history: History, bounds: Bounds) -> Verdict:
+    """Calls whose instances only stand still are answered whole, or refused.
+
+    Left out are calls whose deadline the silences leave no time for, and those that
+    another fault concerns: at their node, on its paths or at their instances.
+    """
+    looked_at = 0
+    findings = []
+    instances = _group_instances(history)
+    for call in _list_silent_calls(history, bounds, instances):
+        ran_at = instances[call.id]
+        silent = {
+            name
+            for silence in history.list_silences(call)
+            for name in ran_at & silence.instances
+        }
+        if call.ending is Ending.NOT_RUN:
+            continue
+        is_whole = call.ending is Ending.WHOLE
+        looked_at += bool(silent) or not is_whole
+        if not is_whole:
+            text = (
+                f'{call.ending.value}, status {call.status}, after '
+                f'{call.ended_at - call.sent_at:.3f} s at {call.node}, ran at '
+                f'{sorted(ran_at)}, silent {sorted(silent)}'
+            )
+            findings.append(Finding(call.id, call.ended_at, text))
+    return Verdict('silences', looked_at, tuple(findings))
+
+
+def check_silence_refusals(history: History, bounds: Bounds) -> Verdict:
+    """Few calls are refused because instances stand still, or did shortly before.
+
+    Left out are calls that :func:`check_silences` leaves out, those of times in which
+    the store was in trouble or instances ended, and those near a backoff.
+    """
+    instances = _group_instances(history)
+    backoffs: dict[str, list[tuple[float, float]]] = defaultdict(list)
+    for run in history.runs:
+        if run.backoff_s:
+            until = run.arrived_at + run.backoff_s + bounds.contact_s
+            backoffs[run.service].append((run.arrived_at, until))
+    counted: dict[str, list[Call]] = defaultdict(list)
+    silent_calls = _list_silent_calls(history, bounds, instances, bounds.contact_s)
+    for call in silent_calls:
+        since = call.sent_at - bounds.contact_s
+        if history.was_disturbed('', since, call.ended_at):
+            continue
+        if any(
+            begun <= call.ended_at and since <= until
+            for begun, until in backoffs[call.service]
+        ):
+            continue
+        if _has_lost_instance(history, call, since):
+            continue
+        counted[call.service].append(call)
+    findings = []
+    for service, calls in sorted(counted.items()):
+        refused = [call for call in calls if call.ending is Ending.NOT_RUN]
+        most = bounds.silent_refused_share * len(calls) + bounds.silent_refusals
+        if len(refused) > most:
+            text = f'{len(refused)} of {len(calls)} calls refused, {most:.0f} allowed'
+            findings.append(Finding(service, refused[0].ended_at, text))
+    looked_at = sum(map(len, counted.values()))
+    return Verdict('silence refusals', looked_at, tuple(findings))
+
+
+def _group_instances(history: History) -> dict[str, set[str]]:
+    """Return the instances at which each call arrived."""
+    instances: dict[str, set[str]] = defaultdict(set)
+    for run in history.runs:
+        instances[run.call].add(run.instance)
+    return instances
+
+
+def _list_silent_calls(
+    history: History,
+    bounds: Bounds,
+    instances: dict[str, set[str]],
+    after_s: float = 0.0,
+) -> list[Call]:
+    """Return the calls that only a silence of instances concerns.
+
+    :param after_s: seconds after a silence in which calls count as well.
+    """
+    return [
+        call
+        for call in history.calls
+        if history.list_silences(call, after_s)
+        and history.measure_silence(call) + bounds.answer_s <= call.deadline_s
+        and not _is_disturbed(history, call, instances[call.id], bounds)
+    ]
+
+
+def _is_disturbed(
+    history: History, call: Call, instances: set[str], bounds: Bounds
+) -> bool:
+    """Whether a fault other than a silence concerns a call."""
+    since = call.sent_at - bounds.contact_s
+    return (
+        bool(call.part)
+        or history.was_disturbed(call.node, since, call.ended_at)
+        or any(
+            call.node in cut.nodes and cut.since <= call.ended_at and since <= cut.until
+            for cut in history.cuts
+        )
+        or any(
+            instances & item.instances
+            and item.since <= call.ended_at
+            and call.sent_at <= item.until
+            for item in history.broken
+        )
+        or _has_lost_instance(history, call, call.sent_at - bounds.under_way_s)
+    )
+
+
+def _has_lost_instance(history: History, call: Call, since: float) -> bool:
+    """Whether an instance of a call's service ended from a time to the call's end."""
+    return any(
+        item.service == call.service and since <= item.at <= call.ended_at
+        for item in history.gone
+    )
+
+
 def _count_whole(calls: Sequence[Call]) -> int:
     return sum(call.ending is Ending.WHOLE for call in calls)
 
@@ -396,6 +531,8 @@
     check_second_sends,
     check_cut_off,
     check_crashing_parts,
+    check_silences,
+    check_silence_refusals,
 )
 
 
--- a/soak/clients.py
+++ b/soak/clients.py
@@ -25,6 +25,7 @@
 REQUESTS = (
     ('POST', '/stream/x', 'pool', True),
     ('POST', '/stream/x', 'pool', True),
+    ('POST', '/single/x', 'pool', False),
     ('GET', '/again/x', 'api', True),
     ('POST', '/once/x', 'api', False),
 )
@@ -43,6 +44,9 @@
 #: Share of the requests that are of HTTP/1.0.
 OLD_SHARE = 0.25
 
+#: Seconds that a request may take.
+DEADLINE_S = 8.0
+
 #: Seconds for which a client waits for an answer.
 PATIENCE_S = 10
 
@@ -55,12 +59,14 @@
     """What came of one request.
 
     :param away_s: seconds for which to stay away.
+    :param status: its status; 0 without one.
     """
 
     ending: Ending
     answered_for: str = ''
     body: str = ''
     away_s: float = 0.0
+    status: int = 0
 
     def list_events(self) -> tuple[int, ...]:
         """Return the ids of the events that came."""
@@ -102,7 +108,9 @@
         self._chance = random.Random(seed)
         self._chance_of_parts = random.Random(f'{seed}/parts')
         self._ended = threading.Event()
-        self._http = httpx.Client(timeout=PATIENCE_S, trust_env=False)
+        # Connections are kept until their node closes them.
+        limits = httpx.Limits(keepalive_expiry=None)
+        self._http = httpx.Client(timeout=PATIENCE_S, trust_env=False, limits=limits)
         self._thread = threading.Thread(target=self._run, daemon=True)
 
     def start(self) -> None:
@@ -147,6 +155,8 @@
                 node,
                 not streamed and not answer.body.endswith(request),
                 part,
+                answer.status,
+                DEADLINE_S,
             )
         )
         return answer.away_s
@@ -161,7 +171,7 @@
         return {
             'Host': 'a.example',
             'X-Request-Id': request,
-            'X-Deadline-Ms': '8000',
+            'X-Deadline-Ms': f'{DEADLINE_S * 1000:.0f}',
             'X-Model': 'm',
             'X-Token-Usage': '100,20',
             'X-Prompt-Prefix': ','.join(f'{name}:20' for name in parts),
@@ -172,7 +182,7 @@
         self, method: str, url: str, path: str, headers: dict[str, str]
     ) -> _Answer:
         """Send a request on a connection that is kept."""
-        answered_for, body = '', ''
+        answered_for, body, status = '', '', 0
         ending = Ending.UNKNOWN
         try:
             content = _build_body(method, headers)
@@ -182,7 +192,7 @@
                 refusal = _read_refusal(reply.status_code, reply.headers)
                 if refusal is not None:
                     return refusal
-                ending = Ending.CUT
+                ending, status = Ending.CUT, reply.status_code
                 answered_for = reply.headers.get('x-request-id', '')
                 for part in reply.iter_text():
                     body += part
@@ -190,7 +200,7 @@
         except httpx.HTTPError:
             # What is known of it, its ending says.
             pass
-        return _Answer(ending, answered_for, body)
+        return _Answer(ending, answered_for, body, status=status)
 
     def _send_as_old_client(
         self, method: str, url: str, path: str, headers: dict[str, str]
@@ -198,7 +208,7 @@
         """Send a request of HTTP/1.0 on a connection of its own."""
         parsed = httpx.URL(url)
         connection = _OldConnection(parsed.host, parsed.port, timeout=PATIENCE_S)
-        answered_for, body = '', b''
+        answered_for, body, status = '', b'', 0
         ending = Ending.UNKNOWN
         try:
             content = _build_body(method, headers)
@@ -207,7 +217,7 @@
             refusal = _read_refusal(reply.status, reply.headers)
             if refusal is not None:
                 return refusal
-            ending = Ending.CUT
+            ending, status = Ending.CUT, reply.status
             answered_for = reply.headers.get('x-request-id', '')
             while part := reply.read1():
                 body += part
@@ -219,7 +229,7 @@
             pass
         finally:
             connection.close()
-        return _Answer(ending, answered_for, body.decode())
+        return _Answer(ending, answered_for, body.decode(), status=status)
 
 
 def _build_body(method: str, headers: Mapping[str, str]) -> bytes | None:
@@ -231,5 +241,6 @@
     """Return what an answer other than 200 tells, or ``None`` for 200."""
     if status in PROMISING:
         away_s = float(headers.get('retry-after') or 0)
-        return _Answer(Ending.NOT_RUN, away_s=min(MOST_AWAY_S, away_s))
-    return None if status == 200 else _Answer(Ending.UNKNOWN)
+        away_s = min(MOST_AWAY_S, away_s)
+        return _Answer(Ending.NOT_RUN, away_s=away_s, status=status)
+    return None if status == 200 else _Answer(Ending.UNKNOWN, status=status)
--- a/soak/driver.py
+++ b/soak/driver.py
@@ -9,18 +9,35 @@
 from typing import TYPE_CHECKING
 
 from soak.clients import Client
-from soak.history import Call, Cut, Disturbed, Ended, History, Left, Run
+from soak.history import (
+    Broken,
+    Call,
+    Cut,
+    Disturbed,
+    Ended,
+    Gone,
+    History,
+    Left,
+    Run,
+    Silence,
+)
 from soak.plan import FaultKind, draw_plan
-from tests.whole.platform_base import KEY, PlatformCase
+from tests.whole.platform_base import KEY, PlatformCase, build_configuration
 
 if TYPE_CHECKING:
     from soak.plan import Fault
 
-__all__ = ['SoakRun']
+__all__ = ['CLIENTS', 'ENGINES', 'SoakRun']
 
 #: Clients of a run, by node.
 CLIENTS = 2
 
+#: Events of a stream.
+EVENTS = 10
+
+#: Instances of a run that serve streams.
+ENGINES = 13
+
 #: Seconds until a process that was killed or stopped is started again.
 START_AFTER_S = 0.5
 
@@ -34,24 +51,43 @@
 class _System(PlatformCase):
     """Store, instances and nodes as processes."""
 
-    events = 5
-    engines = 13
+    events = EVENTS
     own_paths = True
 
+    @classmethod
+    def configure(cls, **fields: object) -> None:
+        """Write a configuration with a route of streams that may not be resumed."""
+        routes = build_configuration()['routes']
+        single = {'name': 'single', 'path_prefix': '/single/', 'resumable': False}
+        super().configure(routes=[*routes, {**routes[0], **single}], **fields)
+
 
 class SoakRun:
     """A run of some seconds under faults that a seed decides.
 
     :param count: number of nodes.
+    :param engines: number of instances that serve streams.
+    :param clients: number of clients, by node.
     """
 
-    def __init__(self, seed: int, seconds: float, count: int) -> None:
+    def __init__(
+        self,
+        seed: int,
+        seconds: float,
+        count: int,
+        engines: int = ENGINES,
+        clients: int = CLIENTS,
+    ) -> None:
         self._seed = seed
+        self._engines = engines
+        self._clients = clients
         self._seconds = seconds
         self._names = tuple(f'n{number}' for number in range(1, count + 1))
         self._disturbed: list[Disturbed] = []
         self._left: list[Left] = []
         self._cuts: list[Cut] = []
+        self._broken: list[Broken] = []
+        self._silences: list[Silence] = []
         self._away: set[str] = set()
         self._without_paths: set[str] = set()
         self._part = ''
@@ -63,6 +99,7 @@
         """Run it and return what was recorded."""
         _System.nodes = self._names
         _System.seed = self._seed
+        _System.engines = self._engines
         _System.setUpClass()
         try:
             return self._run()
@@ -75,12 +112,12 @@
                 f'{name}c{number}',
                 f'{self._seed}/{name}/{number}',
                 KEY,
-                5,
+                EVENTS,
                 self._find,
                 lambda: self._part,
             )
             for name in self._names
-            for number in range(CLIENTS)
+            for number in range(self._clients)
         ]
         began_at = time.monotonic()
         for client in clients:
@@ -122,6 +159,9 @@
             disturbed=tuple(self._disturbed),
             cuts=tuple(self._cuts),
             ends=self._list_ends(),
+            gone=self._list_gone(),
+            broken=tuple(self._broken),
+            silences=tuple(self._silences),
         )
 
     def _list_ends(self) -> tuple[Ended, ...]:
@@ -133,6 +173,15 @@
         ]
         return tuple(sorted(ends, key=lambda end: end.at))
 
+    def _list_gone(self) -> tuple[Gone, ...]:
+        """Return all instances that ended."""
+        return tuple(
+            Gone(name, service, item['crashed_at'])
+            for service in ('pool', 'api')
+            for name, item in _System.stats(service).items()
+            if item['crashed']
+        )
+
     def _find(self, choice: float) -> tuple[str, str]:
         """Return the name and the URL of a node."""
         name = self._names[int(choice * len(self._names))]
@@ -154,6 +203,8 @@
             FaultKind.PATHS: self._cut_paths,
             FaultKind.BREAK: self._break_off,
             FaultKind.PART: self._end_by_part,
+            FaultKind.PAUSE: self._stand_still,
+            FaultKind.SUSPEND: self._suspend,
         }
         task = threading.Thread(target=kinds[fault.kind], args=(fault,))
         task.start()
@@ -222,10 +273,13 @@
             return
         since = time.monotonic()
         _System.cut(chosen, fault.mode)
+        in_force_at = time.monotonic()
         self._pause.wait(fault.length_s)
-        until = time.monotonic()
+        lifted_at = time.monotonic()
         _System.cut(chosen, 'none')
-        self._cuts.append(Cut(frozenset(chosen), since, until))
+        until = time.monotonic()
+        cut = Cut(frozenset(chosen), since, until, in_force_at, lifted_at)
+        self._cuts.append(cut)
         with self._lock:
             self._without_paths.difference_update(chosen)
 
@@ -244,12 +298,16 @@
         stats = _System.stats(service)
         return sorted(name for name, item in stats.items() if not item['crashed'])
 
-    def _backoff(self, fault: Fault) -> None:
-        """Let some of a service's instances turn requests away and ask for backoffs."""
+    def _choose(self, fault: Fault) -> list[str]:
+        """Return the instances of a service that a fault concerns."""
         present = self._list_present(fault.service)
         count = max(1, round(fault.share * len(present)))
         start = int(fault.choice * len(present))
-        chosen = (present + present)[start : start + count]
+        return (present + present)[start : start + count]
+
+    def _backoff(self, fault: Fault) -> None:
+        """Let some of a service's instances turn requests away and ask for backoffs."""
+        chosen = self._choose(fault)
         backoff = str(fault.backoff_s)
         _System.control(fault.service, '/backoff', instances=chosen, backoff=backoff)
         self._pause.wait(fault.length_s)
@@ -257,16 +315,42 @@
 
     def _break_off(self, fault: Fault) -> None:
         """Let some of a service's instances break off all their answers."""
-        present = self._list_present(fault.service)
-        count = max(1, round(fault.share * len(present)))
-        start = int(fault.choice * len(present))
-        chosen = (present + present)[start : start + count]
+        chosen = self._choose(fault)
+        since = time.monotonic()
         broken = {'place': fault.place, 'reset': fault.place == 'between'}
         _System.control(
             fault.service, '/fault', mode='half', instances=chosen, **broken
         )
         self._pause.wait(fault.length_s)
         _System.control(fault.service, '/fault', mode='none', instances=chosen)
+        self._broken.append(Broken(frozenset(chosen), since, time.monotonic()))
+
+    def _stand_still(self, fault: Fault) -> None:
+        """Let some of a service's instances stand still and go on."""
+        chosen = self._choose(fault)
+        since = time.monotonic()
+        length_s = fault.length_s
+        _System.control(fault.service, '/pause', instances=chosen, for_s=length_s)
+        self._pause.wait(length_s)
+        self._note_silence(fault, chosen, since)
+
+    def _suspend(self, fault: Fault) -> None:
+        """Stop the process of all instances of a service by a signal; let it go on."""
+        name = self._take([f'process of {fault.service}'], 0.0)
+        if not name:
+            return
+        present = self._list_present(fault.service)
+        since = time.monotonic()
+        process = _System.processes[fault.service]
+        process.send(signal.SIGSTOP)
+        self._pause.wait(fault.length_s)
+        process.send(signal.SIGCONT)
+        self._note_silence(fault, present, since)
+        self._give_back(name)
+
+    def _note_silence(self, fault: Fault, names: list[str], since: float) -> None:
+        silence = Silence(fault.service, frozenset(names), since, time.monotonic())
+        self._silences.append(silence)
 
     def _end_by_part(self, fault: Fault) -> None:
         """Let a part of prompts end each instance that begins to answer with it."""
--- a/soak/history.py
+++ b/soak/history.py
@@ -7,18 +7,22 @@
 
 import enum
 import itertools
+import math
 from dataclasses import dataclass, field
 
 __all__ = [
     'Acknowledged',
+    'Broken',
     'Call',
     'Cut',
     'Disturbed',
     'Ended',
     'Ending',
+    'Gone',
     'History',
     'Left',
     'Run',
+    'Silence',
 ]
 
 
@@ -44,6 +48,8 @@
     :param short: whether the body lacks its end, where that is known.
     :param part: part of its prompt that ends instances; empty for none.
     :param node: node that it was sent to.
+    :param status: status of its answer; 0 without one.
+    :param deadline_s: seconds for which its caller lets it run.
     """
 
     id: str
@@ -59,6 +65,8 @@
     node: str = ''
     short: bool = False
     part: str = ''
+    status: int = 0
+    deadline_s: float = 8.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -96,6 +104,34 @@
     at: float
 
 
+@dataclass(frozen=True, slots=True)
+class Gone:
+    """An instance that ended, for whatever reason."""
+
+    instance: str
+    service: str
+    at: float
+
+
+@dataclass(frozen=True, slots=True)
+class Broken:
+    """Instances that broke off their answers."""
+
+    instances: frozenset[str]
+    since: float
+    until: float
+
+
+@dataclass(frozen=True, slots=True)
+class Silence:
+    """Instances of a service that stood still and then went on."""
+
+    service: str
+    instances: frozenset[str]
+    since: float
+    until: float
+
+
 @dataclass(frozen=True, slots=True)
 class Acknowledged:
     """A configuration that the store acknowledged.
@@ -122,11 +158,17 @@
 
 @dataclass(frozen=True, slots=True)
 class Cut:
-    """Nodes that had no path of their own to any instance."""
+    """Nodes that had no path of their own to any instance.
+
+    :param in_force_at: when all of them had lost it, if that took a while.
+    :param lifted_at: when the first of them may have got it back, if that took a while.
+    """
 
     nodes: frozenset[str]
     since: float
     until: float
+    in_force_at: float = 0.0
+    lifted_at: float = math.inf
 
 
 @dataclass(frozen=True, slots=True)
@@ -140,6 +182,9 @@
     disturbed: tuple[Disturbed, ...] = ()
     cuts: tuple[Cut, ...] = ()
     ends: tuple[Ended, ...] = ()
+    gone: tuple[Gone, ...] = ()
+    broken: tuple[Broken, ...] = ()
+    silences: tuple[Silence, ...] = ()
 
     def map_calls(self) -> dict[str, Call]:
         """Return the calls by their ids."""
@@ -169,9 +214,48 @@
         return found
 
     def may_be_held_up(self, run: Run, call: Call) -> bool:
-        """Whether a cut of paths ended between a call and a run of it.
+        """Whether a call may have waited before a run of it.
+
+        The request may have stood still on a path, of the call's node or of a peer, or
+        at the instance, so that the node had given it up before the instance answered
+        it.
+        """
+        return self.may_have_met_silence(run, call) or any(
+            call.sent_at < cut.until and min(cut.until, cut.lifted_at) <= run.arrived_at
+            for cut in self.cuts
+        )
+
+    def may_have_met_silence(self, run: Run, call: Call) -> bool:
+        """Whether the instance of a run stood still between the call and the run.
+
+        Arrivals are noted when the instance goes on.
+        """
+        return any(
+            run.instance in silence.instances
+            and call.sent_at < silence.until
+            and silence.since <= run.arrived_at
+            for silence in self.silences
+        )
+
+    def list_silences(self, call: Call, after_s: float = 0.0) -> list[Silence]:
+        """Return the times in which instances of a call's service stood still.
 
-        The request may have stood still on a path, of the call's node or of a peer, so
-        that the node had given it up before the instance answered it.
+        :param after_s: seconds before a call for which they count as well.
         """
-        return any(call.sent_at < cut.until <= run.arrived_at for cut in self.cuts)
+        return [
+            silence
+            for silence in self.silences
+            if silence.service == call.service
+            and silence.since <= call.ended_at
+            and call.sent_at <= silence.until + after_s
+        ]
+
+    def measure_silence(self, call: Call) -> float:
+        """Return the seconds of a call's time in which instances stood still."""
+        until = call.sent_at + call.deadline_s
+        silent_s, counted_until = 0.0, call.sent_at
+        for silence in sorted(self.list_silences(call), key=lambda item: item.since):
+            start = max(silence.since, counted_until)
+            counted_until = max(counted_until, min(silence.until, until))
+            silent_s += max(0.0, counted_until - start)
+        return silent_s
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -31,6 +31,20 @@
 #: Seconds from an instance's word that it leaves until it ends.
 LEAVING_S = (2.5, 4.0)
 
+#: Seconds for which instances stand still, and from the start of one such time to that
+#: of the next one: they overlap.
+SILENCE_S = (0.3, 2.5)
+SILENCE_GAP_S = (0.3, 5.0)
+
+#: Seconds after all other faults in which instances still stand still at times.
+CALM_S = 10.0
+
+#: Share of the instances that stand still; more than 1 stands for all.
+SILENT_SHARE = (0.0, 1.5)
+
+#: How often instances stand still because their process is stopped by a signal.
+SUSPEND_SHARE = 0.3
+
 
 class FaultKind(enum.Enum):
     """What happens."""
@@ -46,6 +60,8 @@
     PATHS = 'paths'
     BREAK = 'break'
     PART = 'part'
+    PAUSE = 'pause'
+    SUSPEND = 'suspend'
 
 
 #: How often each kind is drawn.
@@ -113,6 +129,7 @@
         )
         at += chance.uniform(*GAP_S)
     faults += _draw_parts(seed, seconds)
+    faults += _draw_silences(seed, seconds + CALM_S)
     return sorted(faults, key=lambda fault: fault.at)
 
 
@@ -132,3 +149,29 @@
         faults.append(fault)
         at += length_s + chance.uniform(*PART_GAP_S)
     return faults
+
+
+def _draw_silences(seed: int, seconds: float) -> list[Fault]:
+    """Return the times in which instances stand still and then go on.
+
+    They are drawn apart, so that a seed draws the same other faults as without them.
+    """
+    chance = random.Random(f'{seed}/silences')
+    faults = []
+    at = chance.uniform(*SILENCE_GAP_S)
+    while at < seconds:
+        suspended = chance.random() < SUSPEND_SHARE
+        fault = Fault(
+            at,
+            FaultKind.SUSPEND if suspended else FaultKind.PAUSE,
+            chance.uniform(*SILENCE_S),
+            chance.choice(('pool', 'api')),
+            chance.random(),
+            min(1.0, chance.uniform(*SILENT_SHARE)),
+            0.0,
+            '',
+            '',
+        )
+        faults.append(fault)
+        at += chance.uniform(*SILENCE_GAP_S)
+    return faults
--- a/tests/soak/builders.py
+++ b/tests/soak/builders.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from soak.history import Call, Ending, Run
+from soak.history import Call, Ending, History, Run, Silence
 
 
 def build_call(name='c', sent_at=10.0, ending=Ending.WHOLE, **fields):
@@ -21,3 +21,13 @@
 def build_run(call='c', instance='i', arrived_at=10.1, **fields):
     """Return the arrival of a call at an instance."""
     return Run(call, instance, fields.pop('service', 'pool'), arrived_at, **fields)
+
+
+def build_silent_history(call, instance='i', silent='i', **fields):
+    """Return the history of a call at an instance, while one stands still for a second.
+
+    :param silent: instance that stands still.
+    """
+    run = build_run(call.id, instance, call.sent_at + 0.1, service=call.service)
+    silence = Silence(call.service, frozenset({silent}), 10.2, 11.2)
+    return History((call,), **{'runs': (run,), 'silences': (silence,), **fields})
--- a/tests/soak/test_checkers.py
+++ b/tests/soak/test_checkers.py
@@ -19,10 +19,23 @@
     check_refusals,
     check_runs_once,
     check_second_sends,
+    check_silence_refusals,
+    check_silences,
     check_told_leaving,
 )
-from soak.history import Acknowledged, Cut, Disturbed, Ended, Ending, History, Left
-from tests.soak.builders import build_call, build_run
+from soak.history import (
+    Acknowledged,
+    Broken,
+    Cut,
+    Disturbed,
+    Ended,
+    Ending,
+    Gone,
+    History,
+    Left,
+    Silence,
+)
+from tests.soak.builders import build_call, build_run, build_silent_history
 
 BOUNDS = Bounds()
 
@@ -239,6 +252,145 @@
         self.assert_fires(check_second_sends, build(most + 1), 'pool')
         self.assert_proves(check_second_sends, build(most - 1))
 
+    def assert_looks_at_nothing(self, checker, history):
+        verdict = checker(history, BOUNDS)
+        self.assertEqual((verdict.looked_at, verdict.findings), (0, ()))
+
+    # Guards against calls that end without an answer as their instances stand still.
+    def test_call_that_ends_because_its_instance_stands_still(self):
+        kinds = (
+            {},
+            {'repeatable': False},
+            {'service': 'api', 'expected': 0},
+            {'service': 'api', 'expected': 0, 'repeatable': False},
+        )
+        for fields in kinds:
+            for ending, status in ((Ending.CUT, 200), (Ending.UNKNOWN, 502)):
+                with self.subTest(ending=ending, **fields):
+                    call = build_call(ending=ending, status=status, **fields)
+                    history = build_silent_history(call)
+                    self.assert_fires(check_silences, history, 'c')
+            whole = build_silent_history(build_call(**fields))
+            self.assert_proves(check_silences, whole)
+
+    def test_call_that_ends_in_a_silence_without_having_run(self):
+        call = build_call(ending=Ending.UNKNOWN, status=502)
+        self.assert_fires(check_silences, build_silent_history(call, runs=()), 'c')
+
+    def test_call_that_outlasts_its_deadline_after_a_short_silence(self):
+        call = build_call(ending=Ending.UNKNOWN, status=504, ended_at=18.0)
+        self.assert_fires(check_silences, build_silent_history(call), 'c')
+
+    # Guards against a promise that counts as proved by calls that met no silence.
+    def test_call_that_met_no_silence_proves_nothing(self):
+        call = build_call()
+        elsewhere = build_silent_history(call, silent='j')
+        self.assert_looks_at_nothing(check_silences, elsewhere)
+        before = build_silent_history(build_call(sent_at=9.0, ended_at=10.1))
+        self.assert_looks_at_nothing(check_silences, before)
+        other = replace(before, silences=(Silence('api', frozenset('i'), 9.0, 9.9),))
+        self.assert_looks_at_nothing(check_silences, other)
+
+    # Guards against failures that another fault explains.
+    def test_call_in_a_silence_beside_another_fault_proves_nothing(self):
+        beside = (
+            {'disturbed': (Disturbed('n', 8.0, 9.0),)},
+            {'cuts': (Cut(frozenset('n'), 8.0, 9.0),)},
+            {'gone': (Gone('j', 'pool', 10.5),)},
+            {'broken': (Broken(frozenset('i'), 9.0, 10.5),)},
+        )
+        for ending in (Ending.CUT, Ending.WHOLE):
+            call = build_call(ending=ending, node='n')
+            for fields in beside:
+                with self.subTest(ending=ending, fault=list(fields)):
+                    history = build_silent_history(call, **fields)
+                    self.assert_looks_at_nothing(check_silences, history)
+            ends_instances = build_silent_history(replace(call, part='bad'))
+            self.assert_looks_at_nothing(check_silences, ends_instances)
+
+    def test_call_in_a_silence_beside_a_fault_of_others_fires(self):
+        beside = (
+            {'disturbed': (Disturbed('m', 10.0, 11.0), Disturbed('', 10.0, 11.0))},
+            {'cuts': (Cut(frozenset('m'), 10.0, 11.0),)},
+            {'gone': (Gone('j', 'api', 10.5),)},
+            {'broken': (Broken(frozenset('j'), 9.0, 10.5),)},
+        )
+        for fields in beside:
+            with self.subTest(fault=list(fields)):
+                call = build_call(ending=Ending.CUT, node='n')
+                history = build_silent_history(call, **fields)
+                self.assert_fires(check_silences, history, 'c')
+
+    def test_call_whose_deadline_passes_in_silences_proves_nothing(self):
+        call = build_call(ending=Ending.UNKNOWN, status=504, ended_at=18.0)
+        times = ((10.2, 12.5), (12.0, 14.5), (14.6, 17.0))
+        silences = tuple(Silence('pool', frozenset('i'), *time) for time in times)
+        history = build_silent_history(call, silences=silences)
+        self.assert_looks_at_nothing(check_silences, history)
+        history = build_silent_history(call, silences=silences[:2])
+        self.assert_fires(check_silences, history, 'c')
+
+    def build_refusals(self, refused, sent_at=10.5, **fields):
+        """Return a history of a hundred calls near a silence, some of them refused."""
+        calls = tuple(
+            build_call(
+                f'c{number}',
+                sent_at,
+                Ending.NOT_RUN if number < refused else Ending.WHOLE,
+                node='n',
+            )
+            for number in range(100)
+        )
+        silences = (Silence('pool', frozenset('i'), 10.2, 11.2),)
+        return History(calls, silences=silences, **fields)
+
+    # Guards against refusals because of silences that tell of no instance.
+    def test_many_calls_refused_in_a_silence_or_shortly_after(self):
+        most = int(100 * BOUNDS.silent_refused_share) + BOUNDS.silent_refusals
+        for sent_at in (10.5, 13.0):
+            many = self.build_refusals(most + 1, sent_at)
+            self.assert_fires(check_silence_refusals, many, 'pool')
+            few = self.build_refusals(most, sent_at)
+            self.assert_proves(check_silence_refusals, few)
+        late = self.build_refusals(most + 1, 11.3 + BOUNDS.contact_s)
+        self.assert_looks_at_nothing(check_silence_refusals, late)
+
+    def test_refusals_in_a_silence_beside_another_fault_prove_nothing(self):
+        asked = build_run('c0', executed=False, backoff_s=3.0)
+        beside = (
+            {'runs': (asked,)},
+            {'disturbed': (Disturbed('n', 8.0, 9.0),)},
+            {'disturbed': (Disturbed('', 8.0, 9.0),)},
+            {'cuts': (Cut(frozenset('n'), 8.0, 9.0),)},
+            {'gone': (Gone('j', 'pool', 8.0),)},
+        )
+        for fields in beside:
+            with self.subTest(fault=list(fields)):
+                history = self.build_refusals(100, **fields)
+                self.assert_looks_at_nothing(check_silence_refusals, history)
+
+    # Guards against arrivals that count as late as they are noted after a silence.
+    def test_arrival_that_a_silence_held_up_may_be_late(self):
+        left = (Left('i', 10.0),)
+        call, run = build_call(sent_at=10.1, node='n'), build_run(arrived_at=12.6)
+        for instance in 'ij':
+            silence = Silence('pool', frozenset(instance), 10.2, 12.6)
+            history = History((call,), (run,), left, silences=(silence,))
+            if instance == 'j':
+                self.assert_fires(check_leaving, history, 'c')
+            else:
+                self.assertEqual(check_leaving(history, BOUNDS).findings, ())
+
+    def test_arrivals_in_a_backoff_that_a_silence_held_up(self):
+        times = (10.0, 10.2, 10.3, 10.4)
+        calls = tuple(build_call(f'c{n}', at, node='n1') for n, at in enumerate(times))
+        asked = build_run('c0', arrived_at=10.0, executed=False, backoff_s=3.0)
+        later = [build_run(call.id, arrived_at=12.0) for call in calls[1:]]
+        history = History(calls, (asked, *later))
+        self.assert_fires(check_backoffs, history, 'i')
+        silences = (Silence('pool', frozenset('i'), 10.1, 11.9),)
+        self.assert_proves(check_backoffs, replace(history, silences=silences))
+
     def test_checker_that_saw_nothing_proves_nothing(self):
         verdicts = check_all(History(), BOUNDS)
         self.assertEqual(len(verdicts), len(CHECKERS))
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
+import itertools
 import unittest
 
 from soak.checkers import Bounds, check_all
 from soak.driver import SoakRun
-from soak.plan import draw_plan
+from soak.plan import FaultKind, draw_plan
 
 #: Promises that a run of this length puts to the test.
 PUT_TO_THE_TEST = {
@@ -16,9 +17,27 @@
     'refusals',
     'backoffs',
     'crashing parts',
+    'silences',
 }
 
 
+SILENCES = {FaultKind.PAUSE, FaultKind.SUSPEND}
+
+FAULTS_OF_SEED_7 = [
+    (1.012, 'stop', 2.708),
+    (1.395, 'backoff', 0.558),
+    (3.082, 'drain', 2.593),
+    (4.304, 'leave', 3.356),
+    (5.809, 'kill', 0.521),
+    (6.905, 'store', 0.965),
+    (7.838, 'break', 0.737),
+    (8.739, 'part', 5.214),
+    (10.255, 'freeze', 2.365),
+    (10.706, 'freeze', 1.299),
+    (11.632, 'backoff', 2.774),
+]
+
+
 class PlanTest(unittest.TestCase):
     """The seed decides all faults."""
 
@@ -26,6 +45,25 @@
         self.assertEqual(draw_plan(7, 60.0), draw_plan(7, 60.0))
         self.assertNotEqual(draw_plan(7, 60.0), draw_plan(8, 60.0))
 
+    # Guards against draws of silences that change the other faults of earlier seeds.
+    def test_silences_leave_the_other_faults_of_a_seed_as_they_were(self):
+        others = [
+            (round(fault.at, 3), fault.kind.value, round(fault.length_s, 3))
+            for fault in draw_plan(7, 12.0)
+            if fault.kind not in SILENCES
+        ]
+        self.assertEqual(others, FAULTS_OF_SEED_7)
+
+    def test_silences_come_in_series_and_beside_other_faults(self):
+        plan = draw_plan(7, 60.0)
+        silences = [fault for fault in plan if fault.kind in SILENCES]
+        self.assertEqual({fault.kind for fault in silences}, SILENCES)
+        self.assertEqual({fault.service for fault in silences}, {'pool', 'api'})
+        pairs = itertools.pairwise(silences)
+        self.assertTrue(any(b.at < a.at + a.length_s for a, b in pairs))
+        last_other = max(fault.at for fault in plan if fault.kind not in SILENCES)
+        self.assertGreater(silences[-1].at, last_other)
+
 
 class SoakTest(unittest.TestCase):
     """What users are promised holds while nodes and instances come and go."""
