--- a/tests/soak/test_checkers.py
+++ b/tests/soak/test_checkers.py
@@ -137,6 +137,17 @@
             findings = check_cut_off(beside, BOUNDS).findings
             self.assertEqual([item.subject for item in findings], subjects)
 
+    # Guards against cuts that are taken for longer than they last, or for shorter.
+    def test_cut_that_takes_a_while_to_come_and_to_go(self):
+        cut = Cut(frozenset({'n1'}), 10.0, 20.0, in_force_at=13.0)
+        late = replace(self.build_cut(Ending.NOT_RUN), cuts=(cut,))
+        self.assertEqual(check_cut_off(late, BOUNDS).looked_at, 0)
+        call, run = build_call(sent_at=10.1, node='n'), build_run(arrived_at=12.6)
+        left = (Left('i', 10.0),)
+        cut = Cut(frozenset({'n'}), 9.0, 13.0, lifted_at=12.5)
+        history = History((call,), (run,), left, cuts=(cut,))
+        self.assertEqual(check_leaving(history, BOUNDS).findings, ())
+
     def test_second_run_of_what_runs_once(self):
         call = build_call(repeatable=False)
         runs = (build_run(), build_run(instance='j', arrived_at=10.5))
@@ -275,7 +286,13 @@
 
     def test_call_that_ends_in_a_silence_without_having_run(self):
         call = build_call(ending=Ending.UNKNOWN, status=502)
-        self.assert_fires(check_silences, build_silent_history(call, runs=()), 'c')
+        history = build_silent_history(call, runs=())
+        self.assert_fires(check_silences, history, 'c')
+        self.assertEqual(check_silences(history, BOUNDS).looked_at, 1)
+
+    def test_call_refused_in_a_silence_is_no_broken_answer(self):
+        call = build_call(ending=Ending.NOT_RUN, status=503)
+        self.assert_looks_at_nothing(check_silences, build_silent_history(call))
 
     def test_call_that_outlasts_its_deadline_after_a_short_silence(self):
         call = build_call(ending=Ending.UNKNOWN, status=504, ended_at=18.0)
@@ -327,8 +344,9 @@
         silences = tuple(Silence('pool', frozenset('i'), *time) for time in times)
         history = build_silent_history(call, silences=silences)
         self.assert_looks_at_nothing(check_silences, history)
-        history = build_silent_history(call, silences=silences[:2])
-        self.assert_fires(check_silences, history, 'c')
+        for fewer in (silences[:2], silences[:1] * 4):
+            history = build_silent_history(call, silences=fewer)
+            self.assert_fires(check_silences, history, 'c')
 
     def build_refusals(self, refused, sent_at=10.5, **fields):
         """Return a history of a hundred calls near a silence, some of them refused."""
