Let the stand-in's instance leave a group while it joins

Cause: the group to load for was read again after the entry was published. An order to leave that came meanwhile had removed it, and the check whether the group is still the same compared nothing with nothing.

Not a fault of the product.

--- a/standins/replica.py
+++ b/standins/replica.py
@@ -258,15 +258,17 @@
             return 200 if instance.members == order['members'] else 412
         instance.seen_epoch = order['epoch']
         instance.members = order['members']
-        instance.group = {
+        group = {
             'name': order['group'],
             'epoch': order['epoch'],
             'rank': order['members'].index(instance.name),
             'state': 'joining',
         }
+        instance.group = group
         instance.model = ''
         await self.publish(instance)
-        self.tasks.start_soon(self._load, instance, instance.group, order['model'])
+        # The instance may have left the group in the meantime, which ends the load.
+        self.tasks.start_soon(self._load, instance, group, order['model'])
         return 202
 
     async def _load(
