Check that an error beside a silent run is not forwarded, and the head of another run

Mutants that forwarded the error of another run beside a live one, or began the other run at the same head, passed the schedules. The simulation now counts only events and ends as progress, tells of two runs at one head at a time, and has instances that vanish without a reset.

--- a/tests/gateway/simulated_runs.py
+++ b/tests/gateway/simulated_runs.py
@@ -112,6 +112,8 @@
     :param silent_at: when it falls silent.
     :param silent_s: for how long; infinite for good.
     :param gone_at: when its process ends and its entry disappears.
+    :param resets: whether its connections are reset then, as those of a process are
+        and those of a machine without power are not.
     :param connect_s: seconds that a connection takes.
     :param full_until: until when its group accepts no request.
     """
@@ -122,6 +124,7 @@
     silent_s: float = 0.0
     seen: Seen = Seen.PROBED
     gone_at: float = math.inf
+    resets: bool = True
     connect_s: float = 0.0
     full_until: float = 0.0
 
@@ -213,7 +216,10 @@
         return self.script.fate is not Fate.REJECTS
 
     def find_due(self, work_s):
-        return min(self.script.find_due(self.began_at, work_s), self.script.gone_at)
+        due = self.script.find_due(self.began_at, work_s)
+        if due < self.script.gone_at:
+            return due
+        return self.script.gone_at if self.script.resets else math.inf
 
     async def reach(self, work_s):
         """Wait until the instance has done some work on the request."""
@@ -238,7 +244,7 @@
         if isinstance(data, Exception):
             self.failed = True
             raise data
-        if whole:
+        if whole and self.status == 200:
             self.advanced_at = self.simulation.now
         self.complete = data is None
         return data
@@ -612,9 +618,12 @@
 
     async def _probe(self, instance):
         script = self.scripts.get(instance.name)
-        if script is not None and self.now >= script.gone_at:
+        if script is None:
+            return Probe.ANSWERS
+        if self.now >= script.gone_at and script.resets:
             return Probe.REFUSED
-        if script and script.seen is Seen.PROBED and script.is_silent(self.now):
+        is_silent = script.seen is Seen.PROBED and script.is_silent(self.now)
+        if is_silent or self.now >= script.gone_at:
             await anyio.sleep(SILENT_PROBE_S)
             return Probe.SILENT
         await anyio.sleep(PROBE_S)
@@ -659,6 +668,8 @@
                 f'{name} goes on after {last_event}, the client has '
                 f'{self.reply.last_event}'
             )
+        if any(item.name == name and not item.over for item in self.sends):
+            self.note_fault(f'two runs at {name} at a time')
         self.sends.append(send)
         ran = {item.name for item in self.sends if item.executes}
         if len(ran & self.view.instances.keys()) > self.case.attempts:
@@ -726,6 +737,7 @@
         script.silent_s,
         script.seen,
         START + script.gone_at,
+        script.resets,
         script.connect_s,
         START + script.full_until,
     )
--- a/tests/gateway/test_run_schedules.py
+++ b/tests/gateway/test_run_schedules.py
@@ -37,6 +37,7 @@
     silent_s=SILENCES,
     seen=st.sampled_from([Seen.PROBED, *Seen]),
     gone_at=st.just(math.inf) | st.just(math.inf) | TIMES,
+    resets=st.booleans(),
     connect_s=st.sampled_from([0.0, 0.0, 0.03, 0.6]),
 )
 
@@ -48,6 +49,7 @@
     silent_s=SILENCES,
     seen=st.sampled_from([Seen.PROBED, *Seen]),
     gone_at=st.just(math.inf) | st.just(math.inf) | TIMES,
+    resets=st.booleans(),
     connect_s=st.sampled_from([0.0, 0.0, 0.03, 0.6]),
     full_until=st.sampled_from([0.0, 0.0, 0.0, 0.1, 1.0, 9.0]),
 )
@@ -91,6 +93,7 @@
             Script(silent_at=0.05, silent_s=1.3, seen=Seen.OVERDUE),
             Script(silent_at=0.2, silent_s=1.0, seen=Seen.REPORTED),
             Script(silent_at=0.2, silent_s=2.0, gone_at=1.1),
+            Script(gone_at=0.2, resets=False),
             Script(Fate.BREAKS_OFF, after=2),
             Script(Fate.FAILS),
             Script(Fate.REJECTS),
@@ -99,6 +102,20 @@
             for scripts in itertools.product(kinds, repeat=2 if attempts == 2 else 3):
                 self.check(Case(scripts, attempts, resumable))
 
+    # Guards against an error that is forwarded although a silent run would go on.
+    def test_error_of_another_run_does_not_end_a_silent_one(self):
+        scripts = (Script(silent_at=0.07, silent_s=1.2), Script(Fate.FAILS))
+        simulation = self.check(Case(scripts))
+        self.assertTrue(simulation.reply.whole)
+        self.assertEqual([send.name for send in simulation.sends], ['h0', 'h1'])
+
+    # Guards against a second run at the instance that holds the first.
+    def test_overdue_run_is_tried_at_another_head(self):
+        silent = Script(silent_at=0.07, silent_s=1.5, seen=Seen.OVERDUE)
+        simulation = self.check(Case((silent, Script())))
+        self.assertTrue(simulation.reply.whole)
+        self.assertEqual([send.name for send in simulation.sends], ['h0', 'h1'])
+
     # Guards against permits of rate-limited instances that are used up by no run.
     def test_stalled_request_without_a_retry_asks_once(self):
         scripts = (Script(silent_at=0.2, silent_s=3.0), Script())
