Test when a silent run is tried elsewhere, and where

New tests: a run that is silent for good is left within the limits of silence and probe; an instance that vanished does not count to the limit of the route; no other run begins at a suspected group; a silence inside an event doubles nothing.

Tests only; all pass.

--- a/tests/gateway/test_run_schedules.py
+++ b/tests/gateway/test_run_schedules.py
@@ -9,8 +9,11 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from coursepitch.gateway.reply_times import MAX_FIRST_QUIET_S, MAX_QUIET_S
 from tests.gateway.simulated_runs import (
     LAST_EVENT,
+    SILENT_PROBE_S,
+    STEP_S,
     Case,
     Fate,
     Script,
@@ -102,6 +105,40 @@
             for scripts in itertools.product(kinds, repeat=2 if attempts == 2 else 3):
                 self.check(Case(scripts, attempts, resumable))
 
+    # Guards against streams that wait for an instance that has failed in silence.
+    def test_run_that_is_silent_for_good_is_tried_elsewhere_soon(self):
+        limits = {0.03: MAX_FIRST_QUIET_S, 0.2: MAX_QUIET_S}
+        for silent_at, limit_s in limits.items():
+            silent = Script(silent_at=silent_at, silent_s=math.inf)
+            simulation = self.check(Case((silent, Script())))
+            self.assertTrue(simulation.reply.whole)
+            first, second = simulation.sends
+            took_s = second.began_at - first.began_at - silent_at
+            self.assertLess(took_s, limit_s + SILENT_PROBE_S + STEP_S)
+
+    # Guards against an instance that has gone and still counts to the limit.
+    def test_run_at_an_instance_that_vanished_does_not_count(self):
+        vanished = Script(gone_at=0.2, resets=False)
+        breaking = Script(Fate.BREAKS_OFF, after=0)
+        simulation = self.check(Case((vanished, breaking, Script(full_until=1.0))))
+        self.assertTrue(simulation.reply.whole)
+        names = {send.name for send in simulation.sends}
+        self.assertEqual(names, {'h0', 'h1', 'h2'})
+
+    # Guards against a run that is spent on a group which may be silent as well.
+    def test_no_other_run_begins_at_a_suspected_group(self):
+        silent = Script(silent_at=0.2, silent_s=1.2)
+        reported = Script(silent_at=0.1, silent_s=3.0, seen=Seen.REPORTED)
+        simulation = self.check(Case((silent, reported)))
+        self.assertTrue(simulation.reply.whole)
+        self.assertEqual([send.name for send in simulation.sends], ['h0'])
+
+    # Guards against a part of an event that is joined with the next run's.
+    def test_silence_inside_an_event_doubles_nothing(self):
+        silent = Script(silent_at=0.165, silent_s=1.2)
+        for scripts in ((silent, Script()), (silent, Script(full_until=9.0))):
+            self.assertTrue(self.check(Case(scripts)).reply.whole)
+
     # Guards against an error that is forwarded although a silent run would go on.
     def test_error_of_another_run_does_not_end_a_silent_one(self):
         scripts = (Script(silent_at=0.07, silent_s=1.2), Script(Fate.FAILS))
