Do not take a pause of the own process for silence of an instance

What operators would see: a node that stood still while it probed an instance reported it to all nodes as lost as it went on, though the instance had answered in time.

Cause: as for checks of paths, the time-outs of the requests passed while the process did not run.

Ruled out: pauses before the second request of a probe is under way.

Change: a request for a report whose time-out passes more than 0.1 s late is made once more.

--- a/coursepitch/fleet/control.py
+++ b/coursepitch/fleet/control.py
@@ -10,6 +10,7 @@
 
 from coursepitch import events, log
 from coursepitch.fleet.orders import OrderKind, OrderResult
+from coursepitch.fleet.pause_detector import has_passed_late
 from coursepitch.http.client import ConnectionPool, ExchangeError, NoConnectionError
 from coursepitch.platform.fleet import ORDER_TARGET, REPORT_TARGET, encode_order
 from coursepitch.platform.headers import build_instance_headers, read_response_metadata
@@ -343,12 +344,23 @@
     async def _request_report(
         self, instance: FleetInstance, pool: ConnectionPool | None = None
     ) -> Probe:
-        """Request an instance's report once.
+        """Request an instance's report once, and again if this process did not run.
 
         :param pool: opens the connection; a direct one by default.
         """
         pool = self._direct_pool if pool is None else pool
         timeout_s = PROBE_TIMEOUT_S if pool is self._direct_pool else WITNESS_TIMEOUT_S
+        began_at = self._clock()
+        found = await self._request_report_within(instance, pool, timeout_s)
+        if found is Probe.SILENT and has_passed_late(
+            timeout_s, self._clock() - began_at
+        ):
+            found = await self._request_report_within(instance, pool, timeout_s)
+        return found
+
+    async def _request_report_within(
+        self, instance: FleetInstance, pool: ConnectionPool, timeout_s: float
+    ) -> Probe:
         headers = build_instance_headers(instance.address, instance.name)
         try:
             with anyio.fail_after(timeout_s):
--- a/tests/fleet/test_control.py
+++ b/tests/fleet/test_control.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import time
 import unittest
 from types import SimpleNamespace
 from unittest import mock
@@ -14,6 +15,8 @@
     ENDING_TRIES,
     MAX_CONCURRENT_ORDERS,
     MAX_CONCURRENT_STAGINGS,
+    PROBE_STAGGER_S,
+    PROBE_TRIES,
     InstanceControl,
     Probe,
 )
@@ -337,6 +340,45 @@
         anyio.run(run)
 
 
+class PausedNodeTest(unittest.TestCase):
+    """Probes during which the node's own process stands still."""
+
+    def probe(self, pause_s):
+        """Return what is found of an instance that answers after a moment."""
+
+        async def serve(stream):
+            async with stream:
+                await stream.receive()
+                await anyio.sleep(0.1)
+                with contextlib.suppress(anyio.BrokenResourceError):
+                    await stream.send(b'HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n')
+
+        async def stand_still():
+            # All requests of the probe are under way then.
+            await anyio.sleep(PROBE_STAGGER_S * (PROBE_TRIES - 1) + 0.02)
+            time.sleep(pause_s)
+
+        async def run():
+            listener = await anyio.create_tcp_listener(local_host='127.0.0.1')
+            port = listener.extra(anyio.abc.SocketAttribute.local_port)
+            control = InstanceControl(time.monotonic)
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(listener.serve, serve)
+                tasks.start_soon(stand_still)
+                instance = build_instance('a', address=f'127.0.0.1:{port}')
+                found = await control.probe(instance)
+                tasks.cancel_scope.cancel()
+            return found
+
+        return anyio.run(run)
+
+    # Guards against a node that stood still reporting sound instances as lost.
+    def test_pause_of_the_node_is_not_silence_of_the_instance(self):
+        for pause_s in (0.3, 1.2):
+            with self.subTest(pause_s):
+                self.assertIs(self.probe(pause_s), Probe.ANSWERS)
+
+
 class EndTest(unittest.TestCase):
     """Whether an instance's process is gone.
 
