Test that streams outlast a silence of some instances

What callers saw: streams at sound instances that stood still were broken off, or requests sent meanwhile refused, while some of the groups answered.

The tests let three of five heads stand still, a member that is no head, and three heads of which one ends meanwhile: then only streams at that one which may not be resumed may break.

--- /dev/null
+++ b/tests/whole/test_silences.py
@@ -0,0 +1,103 @@
+"""Silences of some instances, of several lengths, and beside other events."""
+
+from __future__ import annotations
+
+import signal
+import threading
+import time
+
+from tests.whole.silence_base import SilentInstancesCase
+
+#: Seconds for which instances stand still unless a test says otherwise.
+SILENCE_S = 1.1
+
+#: Streams that may be resumed, and streams that may not.
+PATHS = ('/stream/x', '/single/x')
+
+
+def pause_for(seconds):
+    """Wait for some seconds."""
+    threading.Event().wait(seconds)
+
+
+class SilencesCase(SilentInstancesCase):
+    """Streams of both kinds that are under way as something happens."""
+
+    #: Long enough to be under way when the second of two events happens.
+    events = 60
+
+    def check(self, on_begun, paths=PATHS):
+        """Check that streams that have begun when something happens are whole."""
+        for path in paths:
+            with self.subTest(path=path):
+                self.wait_served()
+                self.assert_all_whole(self.read(path, on_begun))
+
+    def read(self, path, on_begun):
+        """Return what clients got whose streams had begun when something happened."""
+        name = f'{self.id().rpartition(".")[2]}-{path[1:7]}-{time.monotonic():.3f}'
+        return self.read_streams(path, name, on_begun)
+
+    def stop(self, process, seconds):
+        """Let a process stand still."""
+        process.send_signal(signal.SIGSTOP)
+        try:
+            pause_for(seconds)
+        finally:
+            process.send_signal(signal.SIGCONT)
+
+
+class SilentShareTest(SilencesCase):
+    """Some of the instances of five groups fall silent."""
+
+    engines = 11
+    groups = 5
+
+    def choose_heads(self):
+        """Return three of the five heads."""
+        return self.find_heads()[:3]
+
+    def find_other_member(self):
+        """Return a member of an open group that is not its head."""
+        return next(
+            name
+            for name, item in self.stats('pool').items()
+            if item['group'] and item['group']['rank'] > 0
+        )
+
+    # Guards against streams that end as the heads of most groups are silent.
+    def test_streams_outlast_a_silence_of_most_heads(self):
+        self.check(lambda: self.pause(self.choose_heads(), SILENCE_S))
+
+    # Guards against requests refused or lost that are sent while most heads are silent.
+    def test_streams_sent_while_most_heads_are_silent_are_whole(self):
+        for path in PATHS:
+            with self.subTest(path=path):
+                self.wait_served()
+                self.pause(self.choose_heads(), SILENCE_S)
+                self.assert_all_whole(self.read(path, lambda: None))
+
+    # Guards against streams that end as a member that runs no request is silent.
+    def test_streams_outlast_a_silence_of_a_member_that_is_no_head(self):
+        self.check(lambda: self.pause([self.find_other_member()], SILENCE_S))
+
+    # Guards against the loss of streams at silent instances beside one that has ended.
+    def test_only_streams_of_the_instance_that_ended_break(self):
+        for path in PATHS:
+            with self.subTest(path=path):
+                self.wait_served()
+                heads = self.choose_heads()
+
+                def end_one(heads=heads):
+                    self.pause(heads, SILENCE_S)
+                    self.control('pool', '/crash', instances=heads[:1])
+
+                found = self.read(path, end_one)
+                allowed = set()
+                if path.startswith('/single/'):
+                    allowed = {
+                        run['request'] for run in self.stats('pool')[heads[0]]['runs']
+                    }
+                self.assert_all_whole(
+                    {name: got for name, got in found.items() if name not in allowed}
+                )
