Test streams beside silences of several lengths, in a row and before the first event

What callers saw: a silence of 0.4 s led to more refusals than one of 1.2 s, as groups were avoided for seconds after it.

All instances stand still for 0.3, 0.5, 1.0 and 2.5 s, twice in a row, and between the head of a response and its first event; for the last, the stand-in's mode late_events lets an instance stand still after the head of its next stream.

--- a/standins/replica.py
+++ b/standins/replica.py
@@ -9,6 +9,8 @@
 the ``first`` event or ``between`` two; other answers break off in their middle, with a
 reset where only the end of the connection tells their end or ``reset`` is set),
 ``surplus`` (a second answer follows), ``shed`` (rejected), ``error`` (status 500),
+``late_events`` (the instance stands still for ``for_s`` after the head of its next
+stream),
 ``late_orders`` (no answer, carried out after ``delay_s``) and ``stale`` (a request id
 of another).
 Plain instances answer with events below ``/events/``.
@@ -449,6 +451,9 @@
         writer = AnswerWriter(stream, parser, self._choose_framing(instance))
         told = {**mark, 'Content-Type': 'text/event-stream'}
         await writer.start(told, sum(map(len, events.values())))
+        if instance.fault['mode'] == 'late_events':
+            instance.paused_until = time.monotonic() + instance.fault['for_s']
+            instance.fault = {'mode': 'none'}
         for number, event in events.items():
             await instance.wait_resumed()
             fault = instance.fault
--- a/tests/whole/test_silences.py
+++ b/tests/whole/test_silences.py
@@ -11,6 +11,10 @@
 #: Seconds for which instances stand still unless a test says otherwise.
 SILENCE_S = 1.1
 
+#: Seconds of silences, shorter and longer than the time after which nodes avoid or
+#: retire a group.
+LENGTHS_S = (0.3, 0.5, 1.0, 2.5)
+
 #: Streams that may be resumed, and streams that may not.
 PATHS = ('/stream/x', '/single/x')
 
@@ -101,3 +105,44 @@
                 self.assert_all_whole(
                     {name: got for name, got in found.items() if name not in allowed}
                 )
+
+
+class SilenceLengthTest(SilencesCase):
+    """All instances fall silent, for several lengths of time."""
+
+    def check_length(self, seconds):
+        self.check(lambda: self.pause([], seconds))
+
+    # Guards against streams that end in a silence of a certain length only.
+    def test_streams_outlast_silences_of_all_lengths(self):
+        for seconds in LENGTHS_S:
+            with self.subTest(seconds=seconds):
+                self.check_length(seconds)
+
+    # Guards against refusals in the seconds after a silence of a certain length.
+    def test_streams_sent_after_silences_of_all_lengths_are_whole(self):
+        for seconds in LENGTHS_S:
+            with self.subTest(seconds=seconds):
+                self.wait_served()
+                self.read('/stream/x', lambda seconds=seconds: self.pause([], seconds))
+                for path in PATHS:
+                    self.assert_all_whole(self.read(path, lambda: None))
+
+    # Guards against an attempt that is spent on the first of two silences.
+    def test_streams_outlast_two_silences_in_a_row(self):
+        def pause_twice():
+            for _ in range(2):
+                self.pause([], SILENCE_S)
+                pause_for(SILENCE_S + 0.3)
+
+        self.check(pause_twice)
+
+    # Guards against a run that is ended between the head of its response and its first
+    # event.
+    def test_streams_begin_after_a_silence_between_head_and_first_event(self):
+        for path in PATHS:
+            with self.subTest(path=path):
+                self.wait_served()
+                self.control('pool', '/fault', mode='late_events', for_s=SILENCE_S)
+                self.addCleanup(self.control, 'pool', '/fault', mode='none')
+                self.assert_all_whole(self.read(path, lambda: None))
