Test that streams outlast a silence beside other events

What callers saw: streams were broken off as instances fell silent shortly after a change of the configuration.

All instances stand still 0.6 s after a change of the configuration (the idle timeout), beside SIGHUP of all nodes, beside SIGTERM of a node that holds streams, and beside an outage of the store.

--- a/tests/whole/test_silences.py
+++ b/tests/whole/test_silences.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+import itertools
 import signal
 import threading
 import time
 
+from tests.whole.platform_base import build_configuration
 from tests.whole.silence_base import SilentInstancesCase
 
 #: Seconds for which instances stand still unless a test says otherwise.
@@ -15,9 +17,14 @@
 #: retire a group.
 LENGTHS_S = (0.3, 0.5, 1.0, 2.5)
 
+#: Seconds between a change of the configuration and the silence after it.
+AFTER_CHANGE_S = 0.6
+
 #: Streams that may be resumed, and streams that may not.
 PATHS = ('/stream/x', '/single/x')
 
+VERSIONS = itertools.count(2)
+
 
 def pause_for(seconds):
     """Wait for some seconds."""
@@ -146,3 +153,61 @@
                 self.control('pool', '/fault', mode='late_events', for_s=SILENCE_S)
                 self.addCleanup(self.control, 'pool', '/fault', mode='none')
                 self.assert_all_whole(self.read(path, lambda: None))
+
+
+class SilenceBesideTest(SilencesCase):
+    """All instances fall silent while something else happens."""
+
+    def change_configuration(self, **fields):
+        """Write a configuration with the next version."""
+        self.configure(version=next(VERSIONS), **fields)
+
+    # Guards against streams that end as instances are silent after a change.
+    def test_streams_outlast_a_silence_after_a_change_of_the_configuration(self):
+        limits = build_configuration()['limits']
+
+        def change():
+            self.change_configuration(limits={**limits, 'idle_timeout_ms': 14_000})
+            pause_for(AFTER_CHANGE_S)
+            self.pause([], SILENCE_S)
+
+        self.check(change)
+
+    # Guards against streams that end as their node reads its settings again.
+    def test_streams_outlast_a_silence_beside_sighup(self):
+        def reload():
+            self.pause([], SILENCE_S)
+            for node in self.nodes:
+                self.running[node].process.send_signal(signal.SIGHUP)
+
+        self.check(reload)
+
+    # Guards against streams of a stopping node that end as instances are silent.
+    def test_streams_outlast_a_silence_beside_the_planned_stop_of_their_node(self):
+        for path in PATHS:
+            with self.subTest(path=path):
+                self.wait_served()
+                found = self.read(path, lambda: self.stop_beside_silence('n1'))
+                code = self.running['n1'].process.wait()
+                self.running['n1'].start_again()
+                self.wait_for(self.running['n1'].has_started_again, 'n1 listens')
+                self.assert_all_whole(found)
+                self.assertEqual(code, 0)
+
+    def stop_beside_silence(self, node):
+        self.pause([], SILENCE_S)
+        self.running[node].process.send_signal(signal.SIGTERM)
+
+    # Guards against streams that end as neither instances nor the store answer.
+    def test_streams_outlast_a_silence_beside_an_outage_of_the_store(self):
+        def fail():
+            self.set_store_fault(mode='down')
+            self.pause([], SILENCE_S)
+
+        self.addCleanup(self.set_store_fault, mode='none')
+        for path in PATHS:
+            with self.subTest(path=path):
+                self.wait_served()
+                found = self.read(path, fail)
+                self.set_store_fault(mode='none')
+                self.assert_all_whole(found)
