Test that streams outlast a stopped process of instances or of their node

The process of all instances is stopped by SIGSTOP for 1.1 s, and a node that holds streams for 1.0 s.

--- a/tests/whole/test_silences.py
+++ b/tests/whole/test_silences.py
@@ -20,6 +20,9 @@
 #: Seconds between a change of the configuration and the silence after it.
 AFTER_CHANGE_S = 0.6
 
+#: Seconds for which a node or a peer stands still.
+STOPPED_S = 1.0
+
 #: Streams that may be resumed, and streams that may not.
 PATHS = ('/stream/x', '/single/x')
 
@@ -211,3 +214,17 @@
                 found = self.read(path, fail)
                 self.set_store_fault(mode='none')
                 self.assert_all_whole(found)
+
+
+class StoppedProcessTest(SilencesCase):
+    """A whole process stands still, of the instances or of a node."""
+
+    # Guards against streams that end as the process of all instances stands still.
+    def test_streams_outlast_a_stop_of_the_process_of_all_instances(self):
+        process = self.processes['pool'].process
+        self.check(lambda: self.stop(process, SILENCE_S))
+
+    # Guards against streams that end as their node stands still.
+    def test_streams_outlast_a_standstill_of_their_node(self):
+        process = self.running['n1'].process
+        self.check(lambda: self.stop(process, STOPPED_S))
