Test that streams through a peer outlast a silence of instances and of the peer

A node without paths sends its streams through its peer. All instances stand still for a second, or the peer is stopped by SIGSTOP for a second.

--- a/tests/whole/test_silences.py
+++ b/tests/whole/test_silences.py
@@ -228,3 +228,38 @@
     def test_streams_outlast_a_standstill_of_their_node(self):
         process = self.running['n1'].process
         self.check(lambda: self.stop(process, STOPPED_S))
+
+
+class TunnelledStreamTest(SilencesCase):
+    """Streams that a peer carries, as their node has lost its paths."""
+
+    own_paths = True
+
+    def setUp(self):
+        """Cut the paths of a node, and wait until its peer carries its streams."""
+        super().setUp()
+        self.wait_for(lambda: not self.is_cut_off('n1'), 'the node has paths')
+        self.addCleanup(self.cut, self.nodes, 'none')
+        self.cut(['n1'], 'hang')
+        self.wait_for(
+            lambda: self.serves('n1') and self.is_cut_off('n1'),
+            'the node knows that it is cut off',
+        )
+
+    def is_cut_off(self, node):
+        """Whether a node sends through its peers."""
+        found = [
+            event['message_type']
+            for event in self.running[node].read_events()
+            if event.get('message_type') in ('paths.lost', 'paths.recovered')
+        ]
+        return found[-1:] == ['paths.lost']
+
+    # Guards against tunnels that are closed as an instance is silent.
+    def test_streams_through_a_peer_outlast_a_silence_of_all_instances(self):
+        self.check(lambda: self.pause([], STOPPED_S))
+
+    # Guards against tunnels that are given up as the peer stands still.
+    def test_streams_through_a_peer_outlast_a_standstill_of_the_peer(self):
+        peer = self.running['n2'].process
+        self.check(lambda: self.stop(peer, STOPPED_S))
