Failing: test requests that are sent while all engines are silent

What callers see: once no engine answers a node's checks, requests get 503 not_ready (no path to the engines) or no_replica at once, although the engines go on before the longest wait in the queue is over.

Not fixed: a silent engine and a lost one look the same in what observers publish, and a node takes the silence of four engines for a cut path.

--- a/tests/whole/test_silent_engines.py
+++ b/tests/whole/test_silent_engines.py
@@ -83,3 +83,20 @@
         self.wait_out(replica['name'])
         self.setUp()
         self.assertEqual(set(self.serving()), names)
+
+    # Guards against requests that are refused at once as all engines are silent.
+    def test_requests_sent_while_all_engines_are_silent_are_answered(self):
+        self.stand_still(self.list_all(), 3.0)
+        calls = []
+        for number in range(26):
+            time.sleep(0.1)
+            node = f'n{number % 3 + 1}'
+            body = self.body('sent in a silence', max_tokens=2)
+            calls.append(
+                in_background(
+                    lambda node=node, body=body: call_stream(self.harness, node, body)
+                )
+            )
+        answers = [call.result(90) for call in calls]
+        refused = [item.error for item in answers if not item.whole]
+        self.assertEqual(refused, [])
