--- a/tests/whole/test_silent_instances.py
+++ b/tests/whole/test_silent_instances.py
@@ -8,6 +8,9 @@
 
 from tests.whole.silence_base import SilentInstancesCase
 
+#: Streams that are opened at most until each node has one at each head.
+MAX_STREAMS = 24
+
 
 class BegunStreamTest(SilentInstancesCase):
     """Streams that have begun when their instances fall silent."""
@@ -59,30 +62,31 @@
     @contextmanager
     def suspect_all(self, seconds, name):
         """Let all instances fall silent; enter once both nodes suspect all groups."""
-        requests = [
-            f'{name}-{node}-{number}' for node in self.nodes for number in '123'
-        ]
-        with ThreadPoolExecutor(len(requests)) as pool:
+        requests, heads = [], set(self.find_heads())
+        with ThreadPoolExecutor(MAX_STREAMS) as pool:
             begun = threading.Semaphore(0)
-            for request in requests:
-                node = request.split('-')[1]
-                pool.submit(self.read_stream, node, '/single/x', request, begun)
-            for _ in requests:
-                begun.acquire()
-            heads = set(self.find_heads())
+            for node in self.nodes:
+                while not heads <= self.find_heads_of_node(node, requests):
+                    self.assertLess(len(requests), MAX_STREAMS, 'a head gets nothing')
+                    request = f'{name}-{node}-{len(requests)}'
+                    requests.append(request)
+                    pool.submit(self.read_stream, node, '/single/x', request, begun)
+                    begun.acquire()
             self.pause([], seconds)
             for node in self.nodes:
                 self.wait_for(
-                    lambda node=node: heads <= self.find_suspected(node, requests),
+                    lambda node=node: (
+                        heads <= self.find_heads_of_node(node, requests, 'run.stalled')
+                    ),
                     f'{node} suspects {heads}',
                 )
             yield
 
-    def find_suspected(self, node, requests):
-        """Return the heads of which a node suspects a run of these requests."""
+    def find_heads_of_node(self, node, requests, event='request.sent'):
+        """Return the heads that a node names in an event of these requests."""
         return {
             event['instance']
-            for event in self.running[node].read_events('run.stalled')
+            for event in self.running[node].read_events(event)
             if event['request'] in requests
         }
 
