Race on for a run that was found just as the last one failed

What callers saw: nothing measured; found in the review of the runs of a request.

Cause: if the search for another run woke in the step of the event loop in which the last run was taken out, the race ended without a winner and left the run that was found in the set, unread. The next run of the request did not count it, so two runs could be at one head, or at one instance more than the route allows.

Evidence: the new test failed for one of five orders of the two events, and passes.

Change: a race without a winner goes on while runs are left.

--- a/coursepitch/gateway/runs.py
+++ b/coursepitch/gateway/runs.py
@@ -188,6 +188,14 @@
 
     async def wait(self) -> R | None:
         """Return the first run that makes progress, or ``None`` if all have failed."""
+        winner = await self._wait_once()
+        # Another run may have been found just as the last one failed.
+        while winner is None and self._runs.live:
+            winner = await self._wait_once()
+        return winner
+
+    async def _wait_once(self) -> R | None:
+        self._finding = False
         outbox, inbox = anyio.create_memory_object_stream[_Message[R]](math.inf)
         with outbox, inbox:
             async with anyio.create_task_group() as tasks:
--- a/tests/gateway/test_runs.py
+++ b/tests/gateway/test_runs.py
@@ -259,6 +259,31 @@
         in_set = other in race.runs.live
         self.assertNotEqual(in_set, race.others.qsize() > 0)
 
+    # Guards against a run that goes on uncounted beside the next one of its request.
+    def test_run_found_as_the_last_one_fails_is_read(self):
+        found = []
+        for steps in range(5):
+            with self.subTest(steps=steps):
+                race, other = Race('a'), build_run('b')
+
+                async def scenario(race=race, other=other, steps=steps):
+                    await race.suspect(race.found[0])
+                    race._find(race.advanced, race.found[0]).set_result(False)
+                    for _ in range(steps):
+                        await asyncio.sleep(0)
+                    race.others.put_nowait(other)
+                    # Futures that are done count as blocked until they are delivered.
+                    for _ in range(20):
+                        await asyncio.sleep(0)
+                    found.append(other in race.runs.live)
+                    if other in race.runs.live:
+                        self.assertTrue(race.is_read(other))
+                        await race.end(other, True)
+
+                winner = self.play(race, scenario)
+                self.assertIs(winner, other if found[-1] else None)
+        self.assertEqual(set(found), {True, False})
+
     def test_run_suspected_before_the_race_is_sought_another_at_once(self):
         race = Race('a')
         race.found[0].suspected = True
