End a failed run before its instance is examined, and once

What callers saw: nothing measured; found in the review of the runs of a request.

Evidence: test_run_holds_nothing_while_its_instance_is_examined and test_run_that_has_failed_is_not_dropped failed and pass.

--- a/coursepitch/gateway/calls.py
+++ b/coursepitch/gateway/calls.py
@@ -152,6 +152,8 @@
         if run is None:
             return False
         for other in runs.choose(run):
+            if other.ended:
+                continue
             log.emit(
                 events.RUN_DROPPED,
                 request=job.fields.request,
@@ -405,6 +407,7 @@
     async def _check_crash(self, job: Job, run: CallRun) -> None:
         """Record a crash if the instance that interrupted a run has ended."""
         run.interrupted = True
+        self._end_run(job, run)
         job.interrupted_by, job.software = run.instance, run.instance.software
         if run.sent_at is not None:
             job.last_sent_at = run.sent_at
--- a/coursepitch/gateway/streams.py
+++ b/coursepitch/gateway/streams.py
@@ -225,6 +225,8 @@
 
     def _drop_run(self, job: Job, run: Run) -> None:
         """End a run because another one delivers the response."""
+        if run.ended:
+            return
         if run.suspected and not self._components.paths.is_cut_off:
             self._components.load_tracker.note_failure(run.head)
         log.emit(
@@ -700,6 +702,7 @@
     async def _check_crash(self, job: Job, run: Run) -> None:
         """Record a crash if the instance that interrupted a run has ended."""
         run.interrupted = True
+        self._end_run(job, run)
         job.switch_run(run)
         job.interrupted_by = run.group.head
         await self._components.crash_detector.check_crash(job)
--- a/tests/gateway/test_stream_runs.py
+++ b/tests/gateway/test_stream_runs.py
@@ -42,6 +42,17 @@
 class DroppedRunTest(unittest.TestCase):
     """A run that is ended because another one made progress."""
 
+    # Guards against a failed run that is logged and counted as a failure once more.
+    def test_run_that_has_failed_is_not_dropped(self):
+        node = WaitingNode()
+        (group,) = node.view.list_open('pool', 'small')
+        job = node.build_job()
+        run = node.streams._begin_run(job, group, b'')
+        run.suspected = True
+        node.streams._end_run(job, run)
+        node.streams._drop_run(job, run)
+        self.assertFalse(node.load_tracker.is_avoided('h0'))
+
     def test_silent_instance_is_avoided_and_another_is_not(self):
         for suspected in (True, False):
             with self.subTest(suspected=suspected):
@@ -58,6 +69,27 @@
                 self.assertIs(node.load_tracker.is_avoided('h0'), suspected)
 
 
+class InterruptedRunTest(unittest.TestCase):
+    """A run whose connection was lost."""
+
+    # Guards against slots that are held during the check for a crash.
+    def test_run_holds_nothing_while_its_instance_is_examined(self):
+        node = WaitingNode()
+        (group,) = node.view.list_open('pool', 'small')
+        job = node.build_job(switch_run=lambda run: None)
+        run = node.streams._begin_run(job, group, b'')
+        in_flight = []
+
+        async def check_crash(job):
+            in_flight.append(node.load_tracker.count_in_flight('h0'))
+
+        node.streams._components.crash_detector = SimpleNamespace(
+            check_crash=check_crash
+        )
+        anyio.run(node.streams._check_crash, job, run)
+        self.assertEqual(in_flight, [0])
+
+
 class ErrorBesideKeptRunTest(unittest.TestCase):
     """An error of the second run while the first one, which was silent, is kept."""
 
