--- a/tests/whole/test_silences.py
+++ b/tests/whole/test_silences.py
@@ -6,6 +6,7 @@
 import signal
 import threading
 import time
+from concurrent.futures import ThreadPoolExecutor
 
 from tests.whole.platform_base import build_configuration
 from tests.whole.silence_base import SilentInstancesCase
@@ -23,6 +24,9 @@
 #: Seconds for which a node or a peer stands still.
 STOPPED_S = 1.0
 
+#: Clients that send plain calls to each node.
+CALLERS = 6
+
 #: Streams that may be resumed, and streams that may not.
 PATHS = ('/stream/x', '/single/x')
 
@@ -263,3 +267,45 @@
     def test_streams_through_a_peer_outlast_a_standstill_of_the_peer(self):
         peer = self.running['n2'].process
         self.check(lambda: self.stop(peer, STOPPED_S))
+
+
+class PlainCallTest(SilentInstancesCase):
+    """Plain calls to instances that are silent."""
+
+    def check(self, instances, method, path):
+        self.wait_served()
+        self.control('api', '/pause', instances=instances, for_s=SILENCE_S)
+        name = f'{self.id().rpartition(".")[2]}-{len(instances)}'
+        requests = {
+            f'{name}-{node}-{number}': node
+            for node in self.nodes
+            for number in range(CALLERS)
+        }
+        with ThreadPoolExecutor(len(requests)) as pool:
+            futures = {
+                request: pool.submit(self.send, node, method, path, request)
+                for request, node in requests.items()
+            }
+        statuses = {
+            request: future.result().status_code for request, future in futures.items()
+        }
+        self.assertEqual(statuses, dict.fromkeys(requests, 200))
+        return requests
+
+    def find_some(self):
+        """Return two of the three plain instances."""
+        return list(self.stats('api'))[:2]
+
+    # Guards against calls that fail as instances are silent.
+    def test_repeatable_calls_outlast_a_silence(self):
+        for instances in ([], self.find_some()):
+            with self.subTest(instances=len(instances)):
+                self.check(instances, 'GET', '/again/x')
+
+    # Guards against calls that run twice, or fail, as instances are silent.
+    def test_calls_that_must_not_be_repeated_run_once_after_a_silence(self):
+        for instances in ([], self.find_some()):
+            with self.subTest(instances=len(instances)):
+                requests = self.check(instances, 'POST', f'/once/{len(instances)}')
+                runs = {request: len(self.find_runs(request)) for request in requests}
+                self.assertEqual(runs, dict.fromkeys(requests, 1))
