Test error responses whose bodies come late

The stand-in's mode error has a delay_s between the head of a response with status 500 and its body. An error of all instances is forwarded whole after 1.5 s, and a stream that may be resumed is served elsewhere if one head answers so.

--- a/standins/exchange.py
+++ b/standins/exchange.py
@@ -5,6 +5,7 @@
 import contextlib
 import socket
 import struct
+from http import HTTPStatus
 from typing import Any
 
 import anyio
@@ -66,20 +67,23 @@
         self._parser = parser
         self.framing = framing
 
-    async def start(self, headers: dict[str, str], length: int) -> None:
-        """Send the head of an answer with status 200.
+    async def start(
+        self, headers: dict[str, str], length: int, status: int = 200
+    ) -> None:
+        """Send the head of an answer.
 
         :param length: bytes of the whole body.
         """
         if self.framing == 'connection':
             lines = ''.join(f'{key}: {value}\r\n' for key, value in headers.items())
-            await self._stream.send(f'HTTP/1.1 200 OK\r\n{lines}\r\n'.encode())
+            head = f'HTTP/1.1 {status} {HTTPStatus(status).phrase}\r\n{lines}\r\n'
+            await self._stream.send(head.encode())
             return
         fields = list(headers.items())
         if self.framing == 'length':
             fields.append(('Content-Length', str(length)))
-        head = h11.Response(status_code=200, headers=fields)
-        await self._stream.send(self._parser.send(head))
+        response = h11.Response(status_code=status, headers=fields)
+        await self._stream.send(self._parser.send(response))
 
     async def send(self, data: bytes) -> None:
         """Send a part of the body."""
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -8,9 +8,9 @@
 breaks off at ``place``: ``inside`` an event, before its last ``line`` break, before
 the ``first`` event or ``between`` two; other answers break off in their middle, with a
 reset where only the end of the connection tells their end or ``reset`` is set),
-``surplus`` (a second answer follows), ``shed`` (rejected), ``error`` (status 500),
-``late_events`` (the instance stands still for ``for_s`` after the head of its next
-stream),
+``surplus`` (a second answer follows), ``shed`` (rejected), ``error`` (status 500, whose
+body follows ``delay_s`` after its head), ``late_events`` (the instance stands still for
+``for_s`` after the head of its next stream),
 ``late_orders`` (no answer, carried out after ``delay_s``) and ``stale`` (a request id
 of another).
 Plain instances answer with events below ``/events/``.
@@ -390,8 +390,7 @@
         if mode == 'stale':
             mark['X-Request-Id'] = 'another'
         if mode == 'error':
-            await send_whole(stream, parser, 500, mark, b'no')
-            return True
+            return await self._send_error(instance, stream, parser, mark)
         if instance.engine or run['target'].startswith('/events/'):
             return await self._stream(instance, stream, parser, mark, run, headers)
         answer = f'{instance.name} {run["request"]}'.encode()
@@ -412,6 +411,16 @@
             await writer.send(part)
         return await writer.end()
 
+    async def _send_error(
+        self, instance: Instance, stream: Any, parser: Any, mark: dict[str, str]
+    ) -> bool:
+        body = b'no'
+        writer = AnswerWriter(stream, parser, 'length')
+        await writer.start(mark, len(body), status=500)
+        await anyio.sleep(instance.fault.get('delay_s', 0.0))
+        await writer.send(body)
+        return await writer.end()
+
     def _ends_instances(self, headers: dict[str, str], body: bytes) -> bool:
         parts = headers.get('x-prompt-prefix', '').split(',')[:-1]
         if self.crash_part and self.crash_part in [
--- a/tests/whole/test_silences.py
+++ b/tests/whole/test_silences.py
@@ -24,6 +24,9 @@
 #: Seconds for which a node or a peer stands still.
 STOPPED_S = 1.0
 
+#: Seconds after its head at which the body of an error response follows.
+LATE_BODY_S = 1.5
+
 #: Clients that send plain calls to each node.
 CALLERS = 6
 
@@ -309,3 +312,31 @@
                 requests = self.check(instances, 'POST', f'/once/{len(instances)}')
                 runs = {request: len(self.find_runs(request)) for request in requests}
                 self.assertEqual(runs, dict.fromkeys(requests, 1))
+
+
+class LateErrorTest(SilentInstancesCase):
+    """The body of an error response comes late."""
+
+    def setUp(self):
+        """Begin without a fault."""
+        self.addCleanup(self.control, 'pool', '/fault', mode='none')
+        super().setUp()
+
+    def fail(self, instances):
+        """Let instances answer with errors whose bodies come late; none named: all."""
+        fault = {'mode': 'error', 'delay_s': LATE_BODY_S}
+        self.control('pool', '/fault', instances=instances, **fault)
+
+    # Guards against error responses that are dropped as their bodies come late.
+    def test_error_with_a_late_body_is_forwarded(self):
+        self.fail([])
+        for path in PATHS:
+            with self.subTest(path=path):
+                request = f'late-error-{path[1:7]}'
+                reply = self.send('n1', 'POST', path, request)
+                self.assertEqual((reply.status_code, reply.text), (500, 'no'))
+
+    # Guards against streams that are not tried elsewhere after a late error body.
+    def test_stream_is_served_elsewhere_after_an_error_with_a_late_body(self):
+        self.fail(self.find_heads()[:1])
+        self.assert_all_whole(self.read_streams('/stream/e', 'elsewhere', lambda: None))
