--- a/standins/replica.py
+++ b/standins/replica.py
@@ -519,6 +519,7 @@
         return {
             name: {
                 **item.entry(),
+                'members': item.members,
                 'runs': item.runs,
                 'orders': item.orders,
                 'crashed': item.crashed,
--- a/tests/whole/test_silences.py
+++ b/tests/whole/test_silences.py
@@ -27,6 +27,10 @@
 #: Seconds after its head at which the body of an error response follows.
 LATE_BODY_S = 1.5
 
+#: Longest pause in seconds of a stream whose instance has died: clients abandon a
+#: stream that stalls for two seconds or more.
+RESUMED_WITHIN_S = 2.0
+
 #: Clients that send plain calls to each node.
 CALLERS = 6
 
@@ -340,3 +344,58 @@
     def test_stream_is_served_elsewhere_after_an_error_with_a_late_body(self):
         self.fail(self.find_heads()[:1])
         self.assert_all_whole(self.read_streams('/stream/e', 'elsewhere', lambda: None))
+
+
+class DeadMemberTest(SilencesCase):
+    """A member of a group dies in silence."""
+
+    engines = 7
+    groups = 3
+
+    def setUp(self):
+        """Begin without a fault."""
+        self.addCleanup(self.control, 'pool', '/fault', mode='none')
+        super().setUp()
+
+    # Guards against streams that wait for an instance that has died.
+    def test_streams_go_on_elsewhere_in_time_after_a_head_has_died(self):
+        def kill():
+            self.fail('dark', self.find_heads()[0])
+
+        self.assert_resumed_in_time(kill)
+
+    # Guards against streams that wait for a head whose group has lost a member.
+    def test_streams_go_on_elsewhere_in_time_after_a_member_has_died(self):
+        def kill():
+            head = self.find_heads()[0]
+            members = self.stats('pool')[head]['members']
+            self.fail('still', head)
+            self.fail('dark', members[1])
+
+        self.assert_resumed_in_time(kill)
+
+    def fail(self, mode, instance):
+        """Let an instance go wrong until the test ends."""
+        self.control('pool', '/fault', mode=mode, instances=[instance])
+
+    def assert_resumed_in_time(self, kill):
+        """Check that streams are whole, without a pause that clients do not bear."""
+        parts = {}
+        self.on_part = lambda request: parts.setdefault(request, []).append(
+            time.monotonic()
+        )
+        began = {node: len(self.running[node].read_events()) for node in self.nodes}
+        self.assert_all_whole(self.read('/stream/x', kill))
+        resumed = [
+            event
+            for node in self.nodes
+            for event in self.running[node].read_events()[began[node] :]
+            if event.get('message_type') == 'request.resumed'
+        ]
+        self.assertTrue(resumed)
+        longest_s = max(
+            after - before
+            for times in parts.values()
+            for before, after in itertools.pairwise(times)
+        )
+        self.assertLess(longest_s, RESUMED_WITHIN_S)
