Rename methods of tests on silences that replaced TestCase.fail

An assertion that failed called them with its message, and ended the stand-in with it: the test still failed, but told a refused connection instead of what was wrong.

--- a/tests/whole/test_silences.py
+++ b/tests/whole/test_silences.py
@@ -326,14 +326,14 @@
         self.addCleanup(self.control, 'pool', '/fault', mode='none')
         super().setUp()
 
-    def fail(self, instances):
+    def set_fault(self, instances):
         """Let instances answer with errors whose bodies come late; none named: all."""
         fault = {'mode': 'error', 'delay_s': LATE_BODY_S}
         self.control('pool', '/fault', instances=instances, **fault)
 
     # Guards against error responses that are dropped as their bodies come late.
     def test_error_with_a_late_body_is_forwarded(self):
-        self.fail([])
+        self.set_fault([])
         for path in PATHS:
             with self.subTest(path=path):
                 request = f'late-error-{path[1:7]}'
@@ -342,7 +342,7 @@
 
     # Guards against streams that are not tried elsewhere after a late error body.
     def test_stream_is_served_elsewhere_after_an_error_with_a_late_body(self):
-        self.fail(self.find_heads()[:1])
+        self.set_fault(self.find_heads()[:1])
         self.assert_all_whole(self.read_streams('/stream/e', 'elsewhere', lambda: None))
 
 
@@ -360,7 +360,7 @@
     # Guards against streams that wait for an instance that has died.
     def test_streams_go_on_elsewhere_in_time_after_a_head_has_died(self):
         def kill():
-            self.fail('dark', self.find_heads()[0])
+            self.set_fault('dark', self.find_heads()[0])
 
         self.assert_resumed_in_time(kill)
 
@@ -369,12 +369,12 @@
         def kill():
             head = self.find_heads()[0]
             members = self.stats('pool')[head]['members']
-            self.fail('still', head)
-            self.fail('dark', members[1])
+            self.set_fault('still', head)
+            self.set_fault('dark', members[1])
 
         self.assert_resumed_in_time(kill)
 
-    def fail(self, mode, instance):
+    def set_fault(self, mode, instance):
         """Let an instance go wrong until the test ends."""
         self.control('pool', '/fault', mode=mode, instances=[instance])
 
