Do not take a pause of the own process for a stalled run

What callers saw: no answer was lost. A node that was stopped for a second and went on told all its streams as overdue at once and began a second run of each, six retries for nothing, 15 ms before the events that had come meanwhile were read.

Cause: the time-outs of silence passed while the process did not run.

Change: a time-out that passes more than 0.1 s late begins anew, for streams, for requests that have not begun, and for plain calls.

--- a/coursepitch/fleet/pause_detector.py
+++ b/coursepitch/fleet/pause_detector.py
@@ -5,10 +5,12 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+import anyio
+
 if TYPE_CHECKING:
     from coursepitch.clock import Clock
 
-__all__ = ['PauseDetector', 'has_passed_late']
+__all__ = ['PauseDetector', 'has_passed_late', 'sleep_running']
 
 #: Seconds between two ticks that count as a pause.  Ticks come every 0.25 s, and a
 #: node that missed three of them is late in processing all its messages.
@@ -53,3 +55,12 @@
     :param took_s: seconds from the beginning until the timeout was processed.
     """
     return took_s > timeout_s + MAX_TIMEOUT_DELAY_S
+
+
+async def sleep_running(clock: Clock, seconds: float) -> None:
+    """Sleep until this process has run for some seconds without a pause."""
+    while True:
+        began_at = clock()
+        await anyio.sleep(seconds)
+        if not has_passed_late(seconds, clock() - began_at):
+            return
--- a/coursepitch/gateway/calls.py
+++ b/coursepitch/gateway/calls.py
@@ -8,6 +8,7 @@
 import anyio
 
 from coursepitch import events, log
+from coursepitch.fleet.pause_detector import sleep_running
 from coursepitch.gateway.admission import Denied, Terms
 from coursepitch.gateway.attempts import (
     NOT_EXECUTED_STATUSES,
@@ -290,7 +291,8 @@
     ) -> None:
         """Wait until a run without a response is overdue."""
         began = self._components.clock()
-        await anyio.sleep(job.route.objective_s * OVERDUE_FACTOR)
+        overdue_s = job.route.objective_s * OVERDUE_FACTOR
+        await sleep_running(self._components.clock, overdue_s)
         if run.response is not None:
             # Instances may take longer to send a body than to begin it.
             await anyio.sleep_forever()
--- a/coursepitch/gateway/streams.py
+++ b/coursepitch/gateway/streams.py
@@ -9,6 +9,7 @@
 import anyio
 
 from coursepitch import events, log
+from coursepitch.fleet.pause_detector import has_passed_late, sleep_running
 from coursepitch.gateway.admission import Denial, Denied, Terms
 from coursepitch.gateway.attempts import (
     NOT_EXECUTED_STATUSES,
@@ -559,9 +560,13 @@
                 run.head, since, times.find_quiet_limit_s(model)
             )
             if left_s > 0:
+                asked_at = self._components.clock()
                 try:
                     data = await response.read_chunk(left_s)
                 except TimeoutError:
+                    now = self._components.clock()
+                    if has_passed_late(left_s, now - asked_at):
+                        began = since = now
                     continue
                 run.suspected = False
                 await self._take(job, run, data)
@@ -593,7 +598,9 @@
 
             async def wait_until_overdue() -> None:
                 times = self._watchdog.reply_times
-                await anyio.sleep(times.find_overdue_limit_s(job.fields.model))
+                await sleep_running(
+                    self._components.clock, times.find_overdue_limit_s(job.fields.model)
+                )
                 while not self._may_reroute(job, run, began, runs.heads):
                     await anyio.sleep(OVERDUE_CHECK_INTERVAL_S)
                 self._log_stall(job, run, Stall.OVERDUE, began)
--- a/coursepitch/gateway/watchdog.py
+++ b/coursepitch/gateway/watchdog.py
@@ -15,6 +15,7 @@
 
 from coursepitch import events, log
 from coursepitch.fleet.control import Probe
+from coursepitch.fleet.pause_detector import has_passed_late
 from coursepitch.gateway.reply_times import ReplyTimes
 
 if TYPE_CHECKING:
@@ -143,7 +144,11 @@
             quiet_limit_s = self.reply_times.find_first_quiet_limit_s(group.claim.model)
             left_s = self.find_quiet_left_s(group.head.name, since, quiet_limit_s)
             if left_s > 0:
+                asked_at = self._clock()
                 await self._session.wait_changed(left_s)
+                now = self._clock()
+                if has_passed_late(left_s, now - asked_at):
+                    since = now
                 continue
             stall = await self.find_stall(group, since)
             if stall is not None:
