--- a/coursepitch/gateway/router.py
+++ b/coursepitch/gateway/router.py
@@ -96,20 +96,28 @@
             return EVACUATION_COST
         return 0.0 if instance.availability_zone == self._zone else cost
 
-    def list_groups(
-        self, service: Service, model: str, *, with_suspected: bool = True
+    def _list_untried(
+        self,
+        service: Service,
+        model: str,
+        tried: Collection[str],
+        *,
+        with_suspected: bool,
+        has_failed: bool,
     ) -> list[OpenGroup]:
         """Return the open groups of a model whose members are not suspected.
 
         If all are suspected, silence does not tell the failed ones from the others.
 
-        :param with_suspected: whether to return all groups then.
+        :param tried: heads whose groups are left out.
         """
         found = self._view.list_open(service.name, model)
         trusted = [group for group in found if not self._watchdog.is_avoided(group)]
-        if trusted or not with_suspected:
-            return trusted
-        return [*found, *self._view.list_suspected(service.name, model)]
+        untried = [group for group in trusted if group.head.name not in tried]
+        if untried or not with_suspected or (trusted and not has_failed):
+            return untried
+        suspected = self._view.list_suspected(service.name, model)
+        return [group for group in [*found, *suspected] if group.head.name not in tried]
 
     def choose_group(
         self,
@@ -119,6 +127,7 @@
         max_in_flight: int,
         *,
         with_suspected: bool = True,
+        has_failed: bool = False,
     ) -> OpenGroup | None:
         """Return the open group of a model with the least load, or ``None``.
 
@@ -126,13 +135,19 @@
         :param max_in_flight: requests in flight at which a group counts as full.
         :param with_suspected: whether a group may be chosen that is suspected of having
             lost a member, if all are.
+        :param has_failed: whether the request has failed where it was tried, so that a
+            suspected group may be chosen if all others were tried.
         """
         groups = []
         counts = []
-        for group in self.list_groups(service, model, with_suspected=with_suspected):
+        for group in self._list_untried(
+            service,
+            model,
+            tried,
+            with_suspected=with_suspected,
+            has_failed=has_failed,
+        ):
             head = group.head.name
-            if head in tried:
-                continue
             if self._load_tracker.is_outdated(group.head) or self._is_closed(head):
                 continue
             count = self._load_tracker.count_in_flight(head)
--- a/coursepitch/gateway/streams.py
+++ b/coursepitch/gateway/streams.py
@@ -263,8 +263,11 @@
                 group = await self._wait_for_group(job, tried | runs.heads, runs.heads)
                 if group is not None and self._may_add_run(job, runs):
                     if not granted:
+                        reason = job.last_reason
                         retry = await obtain_retry(self._components, job)
                         granted, denied = retry is Retry.TAKEN, retry is Retry.DENIED
+                        # The request goes on, so a denial is not why it ends.
+                        job.last_reason = reason
                     if granted and self._may_add_run(job, runs):
                         return self._begin_run(job, group, runs.last_event)
             await session.wait_changed(FIND_INTERVAL_S)
@@ -327,6 +330,8 @@
             until = job.arrived_at + job.route.objective_s * WAIT_OBJECTIVE_SHARE
         until = min(until, job.deadline_at)
         max_in_flight = self._find_max_in_flight(job, live)
+        # A stream that has begun may return to groups that it tried.
+        may_return = job.reply.started and not live
 
         def find(
             select: Callable[..., OpenGroup | None],
@@ -335,16 +340,15 @@
             # silent as well.
             choose = partial(select, job, with_suspected=not live)
             group = choose(tried, max_in_flight)
-            if group is None and job.reply.started:
-                group = choose(live, max_in_flight)
+            if group is None and may_return:
+                group = choose((), max_in_flight)
             return None if group is None else (group.head.name, group)
 
         terms = Terms(
             until,
             lambda: self._list_heads(job),
             MIN_RETRY_AFTER_S,
-            # A stream that has begun may return to groups that it tried.
-            (max_in_flight, frozenset(live if job.reply.started else tried)),
+            (max_in_flight, frozenset(() if may_return else tried), bool(live)),
             refuse_late=not live,
         )
         while True:
@@ -405,6 +409,7 @@
             tried,
             max_in_flight,
             with_suspected=with_suspected,
+            has_failed=job.reply.started or bool(job.may_have_run),
         )
 
     def _note_denied(self, job: Job, denied: Denied) -> None:
--- a/tests/gateway/test_admission.py
+++ b/tests/gateway/test_admission.py
@@ -41,7 +41,12 @@
         node.router.choose_group = choose
         self.check_sent_at_once(node, node.build_job(), before=1)
         choose.assert_called_once_with(
-            node.engine_service, 'small', set(), 2, with_suspected=True
+            node.engine_service,
+            'small',
+            set(),
+            2,
+            with_suspected=True,
+            has_failed=False,
         )
         self.assertEqual(node.load_tracker.count_in_flight('h1'), 1)
 
--- a/tests/gateway/test_stream_runs.py
+++ b/tests/gateway/test_stream_runs.py
@@ -12,7 +12,7 @@
 from coursepitch.gateway.job import Ending
 from coursepitch.gateway.runs import RunSet
 from coursepitch.http.client import Framing
-from tests.gateway.waiting_node import WaitingNode
+from tests.gateway.waiting_node import WaitingNode, run, settle
 
 
 class EndedRunTest(unittest.TestCase):
@@ -69,6 +69,67 @@
                 self.assertIs(node.load_tracker.is_avoided('h0'), suspected)
 
 
+class OtherGroupTest(unittest.TestCase):
+    """The group of a run beside one that is kept."""
+
+    def ask(self, node, job, tried, live=frozenset()):
+        return anyio.run(node.streams._wait_for_group, job, set(tried), live)
+
+    def build_begun_job(self, node):
+        job = node.build_job(deadline_at=node.now + 0.05)
+        job.reply.started = True
+        return job
+
+    # Guards against retries that are spent in a row at a head that refuses connections.
+    def test_head_that_failed_is_not_tried_again_beside_a_kept_run(self):
+        node = WaitingNode(groups=2)
+        job = self.build_begun_job(node)
+        self.assertIsNone(self.ask(node, job, {'h0', 'h1'}, frozenset({'h0'})))
+
+    def test_begun_stream_without_runs_returns_to_heads_that_it_tried(self):
+        node = WaitingNode(groups=2)
+        self.assertIsNotNone(self.ask(node, self.build_begun_job(node), {'h0', 'h1'}))
+
+    # Guards against requests that wait behind one that must not use suspected groups.
+    def test_request_without_runs_does_not_wait_behind_one_with_a_kept_run(self):
+        async def scenario(tasks):
+            node = WaitingNode(groups=2)
+            for group in node.view.list_open('pool', 'small'):
+                node.view.lost.note_report(group.head.name)
+            node.view.version += 1
+            first, second = (
+                node.build_job('r1', may_have_run={'x'}),
+                node.build_job('r2'),
+            )
+            second.may_have_run = {'x'}
+            wait = node.streams._wait_for_group
+            tasks.start_soon(wait, first, {'h0'}, frozenset({'h0'}))
+            await settle()
+            with anyio.fail_after(1.0):
+                group = await wait(second, {'h0'})
+            self.assertEqual(group.head.name, 'h1')
+
+        run(scenario)
+
+    # Guards against an error although a silent group that was not tried is left.
+    def test_suspected_group_is_tried_after_the_trusted_one_failed(self):
+        node = WaitingNode(groups=2)
+        node.view.lost.note_report('h1')
+        node.view.version += 1
+        service = node.engine_service
+        for tried, has_failed, head in (
+            ((), True, 'h0'),
+            (('h0',), True, 'h1'),
+            # A request that was only rejected may come back.
+            (('h0',), False, None),
+        ):
+            with self.subTest(tried=tried, has_failed=has_failed):
+                group = node.router.choose_group(
+                    service, 'small', tried, 99, has_failed=has_failed
+                )
+                self.assertEqual(group and group.head.name, head)
+
+
 class InterruptedRunTest(unittest.TestCase):
     """A run whose connection was lost."""
 
