Finish the check for a crash after its request went on

What callers saw: nothing measured; found by the model and in the review of the runs of a request.

Cause: the check whether an instance crashed was cancelled with its run when another run made progress, or with its request when the client left. A crash could go unnoticed, so that a request that crashes instances was found later.

Evidence: the new test failed (the detector had no task of its own) and passes; the eight of tests.whole.test_crashes pass, one run.

Change: a check that is cancelled is finished by a task of the detector. What it records is taken from the run as the check began.

--- a/coursepitch/gateway/crash_detector.py
+++ b/coursepitch/gateway/crash_detector.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from dataclasses import replace
+import collections
+from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING
 
 import anyio
@@ -32,6 +33,26 @@
 PROVEN_S = 1.0
 
 
+#: Number of checks to finish later that are kept; the oldest are dropped beyond it.
+MAX_UNFINISHED = 1_000
+
+
+@dataclass(frozen=True, slots=True)
+class _Interruption:
+    """Run of a request that an instance interrupted.
+
+    :param sent_at: monotonic time of the send.
+    :param wrote_s: seconds between the first and the last event of the run.
+    :param has_events: whether any event of the run was forwarded.
+    """
+
+    job: Job
+    instance: FleetInstance
+    sent_at: float
+    wrote_s: float
+    has_events: bool
+
+
 class CrashDetector:
     """Check whether an instance ended, once for all requests interrupted there.
 
@@ -55,16 +76,48 @@
         self._clock = clock
         self._cached_results: dict[tuple[str, int], tuple[float, ProcessState]] = {}
         self._pending: dict[tuple[str, int], anyio.Event] = {}
+        self._unfinished: collections.deque[_Interruption] = collections.deque(
+            maxlen=MAX_UNFINISHED
+        )
+        self._has_unfinished = anyio.Event()
+
+    async def run(self) -> None:
+        """Finish checks that were cancelled with their runs, until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            while True:
+                await self._has_unfinished.wait()
+                self._has_unfinished = anyio.Event()
+                while self._unfinished:
+                    found = self._unfinished.popleft()
+                    tasks.start_soon(self._record_crash, found)
 
     async def check_crash(self, job: Job) -> None:
         """Record a crash if the instance that interrupted a request has ended."""
-        # Another run of the request may go on meanwhile.
-        instance, sent_at, wrote_s = job.interrupted_by, job.last_sent_at, job.wrote_s
-        has_events = job.last_event_at is not None and job.last_event_at >= sent_at
-        if instance is None or not await self.has_crashed(instance):
-            return
-        if not self._session.pause_detector.has_run_since(sent_at):
+        instance, sent_at = job.interrupted_by, job.last_sent_at
+        if instance is None:
             return
+        has_events = job.last_event_at is not None and job.last_event_at >= sent_at
+        found = _Interruption(job, instance, sent_at, job.wrote_s, has_events)
+        try:
+            has_crashed = await self._record_crash(found)
+        except anyio.get_cancelled_exc_class():
+            # Another run of the request made progress, or its client left.
+            self._unfinished.append(found)
+            self._has_unfinished.set()
+            raise
+        if has_crashed and not has_events:
+            # A request without events from this run is the likely cause of the crash.
+            # It waits for concurrent reports of other nodes: when four nodes retried at
+            # once, eight instances crashed before any node had another's report.
+            await anyio.sleep(REPORT_DELAY_S)
+
+    async def _record_crash(self, found: _Interruption) -> bool:
+        """Record a crash if an instance has ended; return whether it did."""
+        job, instance = found.job, found.instance
+        if not await self.has_crashed(instance):
+            return False
+        if not self._session.pause_detector.has_run_since(found.sent_at):
+            return False
         traits = job.traits
         job.crashes += 1
         log.emit(
@@ -75,14 +128,10 @@
             fingerprint=traits.fingerprint,
             customer=traits.customer,
             parts=list(traits.parts),
-            wrote_s=round(wrote_s, 3),
+            wrote_s=round(found.wrote_s, 3),
         )
-        self._reporter.note_crash(self._build_crash(job, instance, wrote_s))
-        if not has_events:
-            # A request without events from this run is the likely cause of the crash.
-            # It waits for concurrent reports of other nodes: when four nodes retried at
-            # once, eight instances crashed before any node had another's report.
-            await anyio.sleep(REPORT_DELAY_S)
+        self._reporter.note_crash(self._build_crash(job, instance, found.wrote_s))
+        return True
 
     def _build_crash(self, job: Job, instance: FleetInstance, wrote_s: float) -> Crash:
         """Return the crash; only a run that had just begun counts against its parts.
--- a/coursepitch/gateway_application.py
+++ b/coursepitch/gateway_application.py
@@ -193,6 +193,9 @@
         )
         self.session.share.first_start = node.bootstrap
         self._apply_promises(promises)
+        self.crash_detector = CrashDetector(
+            node.name, self.session, self.control, self.reporter, clock
+        )
         self.gateway = self._build_gateway()
         self._started_at = clock()
         self.overload = OverloadGuard(clock, self.metrics, self._has_idle_peers)
@@ -223,7 +226,7 @@
             self.load_tracker,
             self.budget,
             self.pool,
-            self._build_crash_detector(),
+            self.crash_detector,
             suspicion,
             self.notices,
             self.gate,
@@ -291,12 +294,6 @@
         self.session.cold.note_restart(instance)
         self.backoffs.note_restart(instance)
 
-    def _build_crash_detector(self) -> CrashDetector:
-        name = self.settings.node.name
-        return CrashDetector(
-            name, self.session, self.control, self.reporter, self.clock
-        )
-
     def _wire_reports(self) -> None:
         """Connect the crash reporter with peer links, session and view."""
         reporter, session = self.reporter, self.session
@@ -409,6 +406,7 @@
             group.start_soon(self._output.run)
             group.start_soon(self.session.run)
             group.start_soon(self.reporter.run)
+            group.start_soon(self.crash_detector.run)
             group.start_soon(self._keep_groups)
             group.start_soon(self._clean_up)
             group.start_soon(self.admission.run)
--- a/tests/gateway/test_suspicion.py
+++ b/tests/gateway/test_suspicion.py
@@ -293,6 +293,31 @@
         self.interrupt(job, 'a')
         self.assertEqual(self.count_crashes(job), 0)
 
+    # Guards against crashes that go unnoticed because another run makes progress first.
+    def test_check_is_finished_after_its_request_went_on(self):
+        job = build_job()
+        job.note_sent('a', self.now)
+        job.interrupted_by = self.view.instances['a']
+
+        async def run():
+            self.instances.held = anyio.Event()
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self.crash_detector.run)
+                async with anyio.create_task_group() as race:
+                    race.start_soon(self.crash_detector.check_crash, job)
+                    await anyio.wait_all_tasks_blocked()
+                    race.cancel_scope.cancel()
+                # The request has another run now.
+                job.note_sent('b', self.now)
+                job.interrupted_by = None
+                self.instances.held.set()
+                await anyio.wait_all_tasks_blocked()
+                tasks.cancel_scope.cancel()
+
+        anyio.run(run)
+        (crash,) = self.table.find(job.fingerprint).list_crashes()
+        self.assertEqual(crash.instance, 'a')
+
     def test_attempt_without_interruption_is_no_crash(self):
         # State after a rejection, a refused connection, a timeout or an error response.
         job = build_job()
