Let late timeouts count if all timeouts of a node pass late

What callers would see: requests at a silent instance wait for their deadline on an overloaded node, whose event loop takes more than 0.1 s a turn, as no second run is begun.

Cause: a timeout that passes more than 0.1 s late is taken for one of a process that was paused, and the wait begins anew. On a node that is always late it begins anew for ever: the group is never probed and a call is never overdue.

Found by reading, not seen in a run of the product.

Change: only the first late timeout in a row does not hold (TimeoutFilter). A process that was paused once processes one timeout of each wait late.

--- a/coursepitch/fleet/pause_detector.py
+++ b/coursepitch/fleet/pause_detector.py
@@ -10,7 +10,7 @@
 if TYPE_CHECKING:
     from coursepitch.clock import Clock
 
-__all__ = ['PauseDetector', 'has_passed_late', 'sleep_running']
+__all__ = ['PauseDetector', 'TimeoutFilter', 'has_passed_late', 'sleep_running']
 
 #: Seconds between two ticks that count as a pause.  Ticks come every 0.25 s, and a
 #: node that missed three of them is late in processing all its messages.
@@ -57,10 +57,32 @@
     return took_s > timeout_s + MAX_TIMEOUT_DELAY_S
 
 
+class TimeoutFilter:
+    """Tell which timeouts of one wait hold: not the first that passes late.
+
+    A pause makes one timeout late.  An overloaded process is late time after time, and
+    would otherwise never find anything silent.
+    """
+
+    def __init__(self) -> None:
+        self._was_late = False
+
+    def holds(self, timeout_s: float, took_s: float) -> bool:
+        """Whether a timeout tells that nothing arrived while this process ran.
+
+        :param took_s: seconds from the beginning until the timeout was processed.
+        """
+        late = has_passed_late(timeout_s, took_s)
+        holds = self._was_late or not late
+        self._was_late = late
+        return holds
+
+
 async def sleep_running(clock: Clock, seconds: float) -> None:
     """Sleep until this process has run for some seconds without a pause."""
+    timeouts = TimeoutFilter()
     while True:
         began_at = clock()
         await anyio.sleep(seconds)
-        if not has_passed_late(seconds, clock() - began_at):
+        if timeouts.holds(seconds, clock() - began_at):
             return
--- a/coursepitch/gateway/streams.py
+++ b/coursepitch/gateway/streams.py
@@ -9,7 +9,7 @@
 import anyio
 
 from coursepitch import events, log
-from coursepitch.fleet.pause_detector import has_passed_late, sleep_running
+from coursepitch.fleet.pause_detector import TimeoutFilter, sleep_running
 from coursepitch.gateway.admission import Denial, Denied, Terms
 from coursepitch.gateway.attempts import (
     NOT_EXECUTED_STATUSES,
@@ -560,6 +560,7 @@
         """
         began = since = self._components.clock()
         times, model = self._watchdog.reply_times, job.fields.model
+        timeouts = TimeoutFilter()
         while True:
             left_s = self._watchdog.find_quiet_left_s(
                 run.head, since, times.find_quiet_limit_s(model)
@@ -570,7 +571,7 @@
                     data = await response.read_chunk(left_s)
                 except TimeoutError:
                     now = self._components.clock()
-                    if has_passed_late(left_s, now - asked_at):
+                    if not timeouts.holds(left_s, now - asked_at):
                         began = since = now
                     continue
                 run.suspected = False
--- a/coursepitch/gateway/watchdog.py
+++ b/coursepitch/gateway/watchdog.py
@@ -15,7 +15,7 @@
 
 from coursepitch import events, log
 from coursepitch.fleet.control import Probe
-from coursepitch.fleet.pause_detector import has_passed_late
+from coursepitch.fleet.pause_detector import TimeoutFilter
 from coursepitch.gateway.reply_times import ReplyTimes
 
 if TYPE_CHECKING:
@@ -140,6 +140,7 @@
 
         :param since: monotonic time at which the waiting request last progressed.
         """
+        timeouts = TimeoutFilter()
         while not self._is_lost(group):
             quiet_limit_s = self.reply_times.find_first_quiet_limit_s(group.claim.model)
             left_s = self.find_quiet_left_s(group.head.name, since, quiet_limit_s)
@@ -147,7 +148,8 @@
                 asked_at = self._clock()
                 await self._session.wait_changed(left_s)
                 now = self._clock()
-                if has_passed_late(left_s, now - asked_at):
+                timed_out = now - asked_at >= left_s
+                if timed_out and not timeouts.holds(left_s, now - asked_at):
                     since = now
                 continue
             stall = await self.find_stall(group, since)
--- a/tests/gateway/test_decisions.py
+++ b/tests/gateway/test_decisions.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import unittest
 from dataclasses import replace
 from types import SimpleNamespace
@@ -20,7 +21,7 @@
 from coursepitch.gateway.request_handler import Gateway
 from coursepitch.gateway.router import Router, find_zone_cost
 from coursepitch.gateway.streams import StreamServer
-from coursepitch.gateway.watchdog import Watchdog
+from coursepitch.gateway.watchdog import Stall, Watchdog
 from coursepitch.gateway.work import estimate_work, find_max_in_flight
 from coursepitch.http.event_splitter import MAX_EVENT_BYTES, EventSplitter
 from coursepitch.http.server import ResponseWriter
@@ -380,6 +381,26 @@
         self.assertFalse(anyio.run(run))
         self.assertEqual(control.asked, [])
 
+    # Guards against an overloaded node that never probes a silent group.
+    def test_group_is_probed_though_all_waits_end_late(self):
+        control = FakeControl(silent=('a',))
+        waits = itertools.count()
+
+        async def wait_changed(limit_s):
+            # Every other wait ends at a change.
+            self.now += 0.0 if next(waits) % 2 else limit_s + 0.2
+            await anyio.sleep(0)
+
+        async def run():
+            control.go.set()
+            self.session.wait_changed = wait_changed
+            with anyio.fail_after(5.0):
+                return await self.build(control).wait_until_unresponsive(
+                    self.group, self.now
+                )
+
+        self.assertIs(anyio.run(run), Stall.SILENT)
+
     def test_timeout_is_longer_before_the_response_starts(self):
         watchdog = self.build(FakeControl())
         since = self.now
