Log ends of responses that nothing proves to be whole

A response without length or chunks counts as whole unless its instance is proven to have ended. The log did not tell on which ends nothing was known, nor whether the instance was listed when the check began and when it ended.

Hypotheses for streams that look complete though their instance ended: 1. Neither the node nor a peer has a path while the check lasts, and the check counts as if the instance lived. 2. The node reads the end only once the entry is gone (it stood still, or its path did), and an instance without an entry counts as one that left. 3. The node or a peer holds a proof of the end (crash report, newer birth, its own finding), and the check does not look at it once the entry is gone.

--- a/coursepitch/events.py
+++ b/coursepitch/events.py
@@ -500,6 +500,14 @@
     'shows that it is not whole, and the bytes after the last complete event.',
     ('request', 'instance', 'framing', 'reason', 'rest'),
 )
+RESPONSE_END_UNPROVEN = Event(
+    628,
+    'response.end_unproven',
+    'A response ended with its connection, and nothing proves that its instance still '
+    'runs or has ended: what is known of the instance, whether it was listed and not '
+    'leaving when the check began and when it ended, and the seconds that it took.',
+    ('request', 'instance', 'state', 'listed', 'still_listed', 'took_s'),
+)
 REQUEST_SUSPECTED = Event(
     612,
     'request.suspected',
--- a/coursepitch/gateway/crash_detector.py
+++ b/coursepitch/gateway/crash_detector.py
@@ -73,7 +73,7 @@
         self._session = session
         self._control = control
         self._reporter = reporter
-        self._clock = clock
+        self.clock = clock
         self._cached_results: dict[tuple[str, int], tuple[float, ProcessState]] = {}
         self._pending: dict[tuple[str, int], anyio.Event] = {}
         self._unfinished: collections.deque[_Interruption] = collections.deque(
@@ -147,7 +147,7 @@
             traits.customer,
             instance.name,
             instance.born,
-            self._clock(),
+            self.clock(),
             self._node_name,
             software,
             traits.workload,
@@ -155,13 +155,17 @@
             self._reporter.list_sound_parts(traits, software),
         )
 
+    def is_listed(self, instance: FleetInstance) -> bool:
+        """Whether an instance is listed and not known to be leaving."""
+        return self._session.view.accepts_requests(instance.name)
+
     async def has_crashed(self, instance: FleetInstance) -> bool:
         """Whether an instance ended that was listed and not leaving."""
         return await self.find_state(instance) is ProcessState.ENDED
 
     async def find_state(self, instance: FleetInstance) -> ProcessState:
         """Return what is proven of an instance that was listed and not leaving."""
-        if not self._session.view.accepts_requests(instance.name):
+        if not self.is_listed(instance):
             return ProcessState.UNKNOWN
         return await self._check_state(instance)
 
@@ -183,7 +187,7 @@
 
     async def _check_state(self, instance: FleetInstance) -> ProcessState:
         key = (instance.name, instance.born)
-        asked_at, waited = self._clock(), False
+        asked_at, waited = self.clock(), False
         while (pending := self._pending.get(key)) is not None:
             waited = True
             await pending.wait()
@@ -194,7 +198,7 @@
         if state is ProcessState.ENDED or (waited and began_at >= asked_at):
             return state
         done = self._pending[key] = anyio.Event()
-        began_at = self._clock()
+        began_at = self.clock()
         try:
             state = await self._find_state(instance)
         finally:
@@ -212,6 +216,6 @@
         return await self._control.find_state(instance)
 
     def _drop_expired(self) -> None:
-        start = self._clock() - ENDED_CACHE_S
+        start = self.clock() - ENDED_CACHE_S
         for key in [key for key, (at, _) in self._cached_results.items() if at < start]:
             del self._cached_results[key]
--- a/coursepitch/gateway/response_ends.py
+++ b/coursepitch/gateway/response_ends.py
@@ -87,8 +87,19 @@
     job.survived = answer.framing is not Framing.CONNECTION
     if job.survived:
         return
+    listed, began_at = detector.is_listed(instance), detector.clock()
     state = await detector.find_state(instance)
     job.survived = state is ProcessState.RUNS
+    if state is ProcessState.UNKNOWN:
+        log.emit(
+            events.RESPONSE_END_UNPROVEN,
+            request=job.fields.request,
+            instance=instance.name,
+            state=state.value,
+            listed=listed,
+            still_listed=detector.is_listed(instance),
+            took_s=round(detector.clock() - began_at, 3),
+        )
     if state is ProcessState.ENDED:
         reason = 'the instance ended with its response'
         _log_broken_off(job, answer, instance, reason, 0)
--- a/tests/gateway/test_response_ends.py
+++ b/tests/gateway/test_response_ends.py
@@ -22,6 +22,12 @@
         self.state = ProcessState.ENDED if crashed else state
         self.asked = 0
 
+    def clock(self):
+        return 0.0
+
+    def is_listed(self, instance):
+        return True
+
     async def find_state(self, instance):
         self.asked += 1
         return self.state
