Break off responses of instances that nobody could ask

What callers saw: a stream that ends with its connection, without length or chunks, came as complete after a few of its events though its instance had been killed, while the nodes had no paths for new connections.

Cause: the check of such an end asks whether the instance's process is gone. That neither the node nor a peer had a path, that a refusal stayed unconfirmed as no peer had one, and that peers listed the instance no longer all counted as an instance that does not answer, and the response counted as whole.

Change: ProcessState.UNREACHED tells that nobody could find out, and breaks the response off. A peer's word counts as silence of the instance only if the peer reaches others of its service. An instance that is silent while others are reached, and one that is leaving, still leave the response whole. Where all nodes are without paths, whole responses of this framing look broken off too: a caller can ask again, and cannot tell a part from the whole.

--- a/coursepitch/fleet/control.py
+++ b/coursepitch/fleet/control.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+from dataclasses import dataclass
 from functools import partial
 from typing import TYPE_CHECKING
 
@@ -11,6 +12,7 @@
 from coursepitch import events, log
 from coursepitch.fleet.orders import OrderKind, OrderResult
 from coursepitch.fleet.pause_detector import has_passed_late
+from coursepitch.fleet.tunnels import TunnelError
 from coursepitch.http.client import ConnectionPool, ExchangeError, NoConnectionError
 from coursepitch.platform.fleet import ORDER_TARGET, REPORT_TARGET, encode_order
 from coursepitch.platform.headers import build_instance_headers, read_response_metadata
@@ -78,7 +80,8 @@
     """Result of a report request to an instance.
 
     :cvar INDIRECT: it answers a peer, and not this node.
-    :cvar NO_PATH: this node reaches no instance, so its result tells nothing.
+    :cvar NO_PATH: this node reaches no instance, or the peers that it asked could not
+        tell, so the result tells nothing.
     """
 
     ANSWERS = 'answers'
@@ -99,13 +102,36 @@
     """What is proven of an instance's process.
 
     :cvar RUNS: it answered a request.
+    :cvar UNREACHED: nobody could find out, as neither this node nor a peer has a path,
+        or as it refuses connections and nobody could confirm that.
+    :cvar UNKNOWN: it does not answer, although others are reached.
     """
 
     RUNS = 'runs'
     ENDED = 'ended'
+    UNREACHED = 'unreached'
     UNKNOWN = 'unknown'
 
 
+@dataclass(eq=False)
+class _StateCheck:
+    """A check whether an instance's process is gone.
+
+    :param began_at: monotonic time at which it began.
+    :param latest: result of the latest request to the instance.
+    """
+
+    instance: FleetInstance
+    began_at: float
+    latest: Probe = Probe.NO_PATH
+
+    def explain_unknown(self) -> ProcessState:
+        """Return the state of an instance of which nothing is proven in time."""
+        if self.latest in (Probe.NO_PATH, Probe.REFUSED):
+            return ProcessState.UNREACHED
+        return ProcessState.UNKNOWN
+
+
 class InstanceControl:
     """Sends orders to instances, and requests their reports.
 
@@ -292,29 +318,33 @@
         paused machine looks the same.  An exiting process closes its connections one by
         one, so a request whose connection breaks is repeated.
         """
+        check = _StateCheck(instance, self._clock())
         with anyio.move_on_after(CONFIRM_TIMEOUT_S):
-            return await self._confirm_state(instance, self._clock())
-        return ProcessState.UNKNOWN
+            return await self._confirm_state(check)
+        return check.explain_unknown()
 
-    async def _confirm_state(
-        self, instance: FleetInstance, began_at: float
-    ) -> ProcessState:
+    async def _confirm_state(self, check: _StateCheck) -> ProcessState:
         """Check an instance until it is known whether its process is gone."""
+        instance = check.instance
         while True:
             if self._paths is not None and self._paths.is_cut_off:
-                found = await self._request_until_clear(instance, self._peer_pool)
-                state = _conclude_state(found)
-                if state is not ProcessState.UNKNOWN or not self._paths.has_peers():
+                check.latest = await self._request_until_clear(
+                    instance, self._peer_pool
+                )
+                state = _conclude_state(check.latest)
+                if state is not ProcessState.UNKNOWN:
                     return state
+                if not self._paths.has_peers():
+                    return check.explain_unknown()
                 # Another peer may have a path, or get one soon.
                 await anyio.sleep(CONFIRM_PAUSE_S)
                 continue
-            found = await self._request_until_clear(instance)
-            if found is not Probe.REFUSED or self._paths is None:
-                return _conclude_state(found)
+            check.latest = await self._request_until_clear(instance)
+            if check.latest is not Probe.REFUSED or self._paths is None:
+                return _conclude_state(check.latest)
             if not self._paths.is_listed(instance.name):
                 return ProcessState.ENDED
-            if await self._paths.check(began_at, instance.name):
+            if await self._paths.check(check.began_at, instance.name):
                 found = await self._probe_through_peer(instance)
                 if found is Probe.ANSWERS:
                     return ProcessState.RUNS
@@ -352,7 +382,7 @@
         timeout_s = PROBE_TIMEOUT_S if pool is self._direct_pool else WITNESS_TIMEOUT_S
         began_at = self._clock()
         found = await self._request_report_within(instance, pool, timeout_s)
-        if found is Probe.SILENT and has_passed_late(
+        if found in (Probe.SILENT, Probe.NO_PATH) and has_passed_late(
             timeout_s, self._clock() - began_at
         ):
             found = await self._request_report_within(instance, pool, timeout_s)
@@ -362,11 +392,13 @@
         self, instance: FleetInstance, pool: ConnectionPool, timeout_s: float
     ) -> Probe:
         headers = build_instance_headers(instance.address, instance.name)
+        connected = False
         try:
             with anyio.fail_after(timeout_s):
                 connection = await pool.acquire(
                     instance.address, instance=instance.name, fresh=True
                 )
+                connected = True
                 answer = await pool.exchange(
                     connection, b'GET', REPORT_TARGET, headers, b''
                 )
@@ -381,15 +413,23 @@
         except NoConnectionError as error:
             if error.lost:
                 return Probe.BROKEN
-            return Probe.REFUSED if error.refused else Probe.SILENT
+            if error.refused:
+                return Probe.REFUSED
+            return Probe.NO_PATH if _lacks_path(error.__cause__) else Probe.SILENT
         except ExchangeError:
             return Probe.BROKEN
         except TimeoutError:
-            return Probe.SILENT
+            is_direct = pool is self._direct_pool
+            return Probe.SILENT if is_direct or connected else Probe.NO_PATH
         self._pass_marks(instance.name, instance.born, answer)
         return Probe.REPLACED if answer.status == 421 else Probe.ANSWERS
 
 
+def _lacks_path(cause: BaseException | None) -> bool:
+    """Whether a connection failed as no peer could tell about the instance."""
+    return isinstance(cause, TunnelError) and not cause.outcome.concerns_instance
+
+
 def _conclude_state(found: Probe) -> ProcessState:
     """Return what an answer, or a refusal that needs no confirmation, proves."""
     if found is Probe.ANSWERS:
--- a/coursepitch/gateway/response_ends.py
+++ b/coursepitch/gateway/response_ends.py
@@ -26,6 +26,15 @@
 __all__ = ['BrokenOffError', 'check_body', 'check_events', 'check_sender']
 
 
+#: Why a response that ends with its connection is not whole, by what is known of the
+#: instance.  A response that may lack its end is worse for its caller than one that is
+#: broken off, which can be requested again.
+_BROKEN_OFF_REASONS = {
+    ProcessState.ENDED: 'the instance ended with its response',
+    ProcessState.UNREACHED: 'nobody could ask whether the instance runs',
+}
+
+
 class BrokenOffError(ExchangeError):
     """An instance ended a response before its end."""
 
@@ -81,8 +90,8 @@
     Records whether that is proven.  The kernel closes the connections of a crashed
     process as the process does after a whole response.
 
-    :raises BrokenOffError: it did, and the end of the connection is all that tells the
-        end of the response.
+    :raises BrokenOffError: it did, or nobody could find out, and the end of the
+        connection is all that tells the end of the response.
     """
     job.survived = answer.framing is not Framing.CONNECTION
     if job.survived:
@@ -90,7 +99,7 @@
     listed, began_at = detector.is_listed(instance), detector.clock()
     state = await detector.find_state(instance)
     job.survived = state is ProcessState.RUNS
-    if state is ProcessState.UNKNOWN:
+    if state not in (ProcessState.RUNS, ProcessState.ENDED):
         log.emit(
             events.RESPONSE_END_UNPROVEN,
             request=job.fields.request,
@@ -100,8 +109,8 @@
             still_listed=detector.is_listed(instance),
             took_s=round(detector.clock() - began_at, 3),
         )
-    if state is ProcessState.ENDED:
-        reason = 'the instance ended with its response'
+    reason = _BROKEN_OFF_REASONS.get(state)
+    if reason is not None:
         _log_broken_off(job, answer, instance, reason, 0)
         raise BrokenOffError(reason)
 
--- a/tests/fleet/test_control.py
+++ b/tests/fleet/test_control.py
@@ -19,8 +19,10 @@
     PROBE_TRIES,
     InstanceControl,
     Probe,
+    ProcessState,
 )
 from coursepitch.fleet.orders import Order, OrderKind, OrderResult
+from coursepitch.fleet.tunnels import TunnelError, TunnelOutcome
 from coursepitch.http.client import connect_directly
 from tests.fleet.builders import build_instance
 
@@ -243,6 +245,38 @@
                         self.has_ended(direct, indirect, False, is_cut_off=True)
                     )
 
+    def find_state(self, *results, **options):
+        with mock.patch.object(control, 'CONFIRM_TIMEOUT_S', 0.1):
+            built = self.build(*results, **options)
+            return anyio.run(built.find_state, build_instance('a'))
+
+    # Guards against instances that pass for live ones while nobody could ask them.
+    def test_state_is_unreached_if_neither_the_node_nor_a_peer_can_ask(self):
+        for has_peers in (True, False):
+            for indirect, expected in (
+                (Probe.NO_PATH, ProcessState.UNREACHED),
+                (Probe.SILENT, ProcessState.UNKNOWN),
+            ):
+                with self.subTest(has_peers=has_peers, indirect=indirect):
+                    found = self.find_state(
+                        None, indirect, False, is_cut_off=True, has_peers=has_peers
+                    )
+                    self.assertIs(found, expected)
+
+    def test_state_of_a_silent_instance_is_unknown(self):
+        found = self.find_state(Probe.SILENT, None, True)
+        self.assertIs(found, ProcessState.UNKNOWN)
+
+    # Guards against refusals that nobody could confirm and that count as no finding.
+    def test_state_is_unreached_if_a_refusal_stays_unconfirmed(self):
+        for indirect, reaches_others in (
+            (Probe.REFUSED, False),
+            (Probe.SILENT, True),
+        ):
+            with self.subTest(indirect=indirect):
+                found = self.find_state(Probe.REFUSED, indirect, reaches_others)
+                self.assertIs(found, ProcessState.UNREACHED)
+
     # Guards against ends that are missed, as the first peer that is asked has no path.
     def test_node_that_is_cut_off_asks_until_a_peer_tells(self):
         for last, ended in ((Probe.REFUSED, True), (Probe.ANSWERS, False)):
@@ -340,6 +374,45 @@
         anyio.run(run)
 
 
+class TunnelOutcomeTest(unittest.TestCase):
+    """What a report request through peers tells if no tunnel comes up."""
+
+    def ask(self, connect):
+        """Return the state that a node without paths finds."""
+        paths = SimpleNamespace(
+            is_cut_off=True,
+            has_peers=lambda: True,
+            connect=connect,
+            connect_directly=connect,
+            connect_through_peer=connect,
+        )
+        built = InstanceControl(time.monotonic, paths=paths)
+        with mock.patch.object(control, 'CONFIRM_TIMEOUT_S', 0.3):
+            return anyio.run(built.find_state, build_instance('a'))
+
+    # Guards against peers that cannot tell and whose word counts as an instance's
+    # silence: they may have no path themselves, or list the instance no longer.
+    def test_only_a_peer_that_reaches_others_tells_of_silence(self):
+        for outcome in TunnelOutcome:
+            if outcome is TunnelOutcome.REFUSED:
+                continue
+
+            async def connect(address, instance, outcome=outcome):
+                raise TunnelError(outcome)
+
+            with self.subTest(outcome):
+                silent = outcome is TunnelOutcome.SILENT
+                expected = ProcessState.UNKNOWN if silent else ProcessState.UNREACHED
+                self.assertIs(self.ask(connect), expected)
+
+    # Guards against peers that are late, as they have no path, and count as silence.
+    def test_late_peer_tells_nothing(self):
+        async def connect(address, instance):
+            await anyio.sleep_forever()
+
+        self.assertIs(self.ask(connect), ProcessState.UNREACHED)
+
+
 class PausedNodeTest(unittest.TestCase):
     """Probes during which the node's own process stands still."""
 
--- a/tests/gateway/test_response_ends.py
+++ b/tests/gateway/test_response_ends.py
@@ -120,6 +120,13 @@
             unproved = framing is Framing.CONNECTION
             self.assertEqual((found, detector.asked), (unproved, int(unproved)))
 
+    # Guards against streams that look complete though nobody could ask their instance.
+    def test_end_of_a_connection_without_any_path_to_its_instance_breaks_off(self):
+        for framing in Framing:
+            detector = FakeDetector(state=ProcessState.UNREACHED)
+            found = self.is_broken_off(EVENT, framing, detector=detector)
+            self.assertEqual(found, framing is Framing.CONNECTION)
+
     def test_response_of_an_instance_that_lives_is_whole(self):
         for kind in RouteKind:
             self.assertFalse(self.is_broken_off(EVENT, kind=kind))
