Use the proofs of an instance's end that a node holds

Cause: an instance without an entry, or leaving, was never looked at, and one that nobody could ask counted as unknown, although this node may have found its end shortly before, a crash report of any node may name it, or a later birth may stand under its name.

Evidence: unit tests, which failed before: UNKNOWN (without an entry, or with a later incarnation that is draining) or UNREACHED in place of ENDED.

Change: the crash detector first looks at its own finding and at a later birth, then asks the instance if it is listed, and takes a crash report of that instance and birth if the instance does not answer. An answer of the instance itself refutes a report. A later birth is no longer reported as a lost instance, as the name belongs to the new one.

--- a/coursepitch/crashes/reports.py
+++ b/coursepitch/crashes/reports.py
@@ -26,6 +26,7 @@
     from coursepitch.clock import Clock
     from coursepitch.crashes.refused import RefusedRequest
     from coursepitch.crashes.suspects import Crash, Suspect, SuspectTable, Traits
+    from coursepitch.fleet.instances import FleetInstance
     from coursepitch.fleet.messages import Message
     from coursepitch.fleet.view import FleetView
     from coursepitch.platform.kv import KeyValue
@@ -137,6 +138,10 @@
         part = self._suspects.find_crashing_part(traits, software)
         return part is not None and self._suspects.find_part_refused_s(part) > 0
 
+    def knows_crash(self, instance: FleetInstance) -> bool:
+        """Whether any node reported that an incarnation of an instance crashed."""
+        return self._suspects.has_crashed((instance.name, instance.born))
+
     def note_ended(self, instance: str) -> None:
         """Schedule a report to all nodes that an instance's process has ended."""
         self._ended_instances.append(instance)
--- a/coursepitch/crashes/suspects.py
+++ b/coursepitch/crashes/suspects.py
@@ -340,6 +340,13 @@
 
     # -- conclusions ------------------------------------------------------------------
 
+    def has_crashed(self, incarnation: tuple[str, int]) -> bool:
+        """Whether an incarnation is known to have crashed in recent minutes.
+
+        :param incarnation: name and start of an instance, as in a crash.
+        """
+        return incarnation in self._instance_crashes
+
     def find(self, fingerprint: str) -> Suspect | None:
         """Return the suspect with a fingerprint, or ``None``."""
         return self._suspects.get(fingerprint)
--- a/coursepitch/gateway/crash_detector.py
+++ b/coursepitch/gateway/crash_detector.py
@@ -32,7 +32,6 @@
 #: the instance: a part that does so crashes it as the response begins.
 PROVEN_S = 1.0
 
-
 #: Number of checks to finish later that are kept; the oldest are dropped beyond it.
 MAX_UNFINISHED = 1_000
 
@@ -53,12 +52,24 @@
     has_events: bool
 
 
+@dataclass(frozen=True, slots=True)
+class _Finding:
+    """Result of a check of an instance.
+
+    :param began_at: monotonic time at which the check began.
+    """
+
+    state: ProcessState
+    began_at: float
+
+
 class CrashDetector:
     """Check whether an instance ended, once for all requests interrupted there.
 
-    Only an instance that was listed and not leaving can have crashed.  One that said
-    that it leaves, or whose entry has been deleted, ended on purpose.  A node that was
-    suspended since the send reports no crash, as its view of the instances is stale.
+    Without a proof, only an instance that is listed and not leaving can have crashed:
+    one that said that it leaves, or whose entry has been deleted, may have ended on
+    purpose.  A node that was suspended since the send reports no crash, as its view of
+    the instances is stale.
     """
 
     def __init__(
@@ -74,7 +85,7 @@
         self._control = control
         self._reporter = reporter
         self.clock = clock
-        self._cached_results: dict[tuple[str, int], tuple[float, ProcessState]] = {}
+        self._findings: dict[tuple[str, int], _Finding] = {}
         self._pending: dict[tuple[str, int], anyio.Event] = {}
         self._unfinished: collections.deque[_Interruption] = collections.deque(
             maxlen=MAX_UNFINISHED
@@ -160,14 +171,34 @@
         return self._session.view.accepts_requests(instance.name)
 
     async def has_crashed(self, instance: FleetInstance) -> bool:
-        """Whether an instance ended that was listed and not leaving."""
+        """Whether an instance is proven to have ended without leaving before."""
         return await self.find_state(instance) is ProcessState.ENDED
 
     async def find_state(self, instance: FleetInstance) -> ProcessState:
-        """Return what is proven of an instance that was listed and not leaving."""
-        if not self.is_listed(instance):
-            return ProcessState.UNKNOWN
-        return await self._check_state(instance)
+        """Return what is proven of an instance.
+
+        One that is leaving, or no longer listed, is not asked, so only a proof that
+        this node holds tells of its end.
+        """
+        if self._has_found_end(instance):
+            return ProcessState.ENDED
+        state = ProcessState.UNKNOWN
+        if self.is_listed(instance):
+            state = await self._check_state(instance)
+            if state in (ProcessState.RUNS, ProcessState.ENDED):
+                return state
+        if self._reporter.knows_crash(instance):
+            return ProcessState.ENDED
+        return state
+
+    def _has_found_end(self, instance: FleetInstance) -> bool:
+        """Whether this node found that an instance ended, or lists a later birth."""
+        present = self._session.view.instances.get(instance.name)
+        if present is not None and present.is_restart_of(instance):
+            return True
+        self._drop_expired()
+        found = self._findings.get((instance.name, instance.born))
+        return found is not None and found.state is ProcessState.ENDED
 
     def forbids_retry(self, job: Job) -> bool:
         """Whether a request that crashed instances may not be retried here.
@@ -191,31 +222,37 @@
         while (pending := self._pending.get(key)) is not None:
             waited = True
             await pending.wait()
-        self._drop_expired()
-        unknown = (float('-inf'), ProcessState.UNKNOWN)
-        began_at, state = self._cached_results.get(key, unknown)
-        # A live instance may still end, so only checks that began since tell of it.
-        if state is ProcessState.ENDED or (waited and began_at >= asked_at):
-            return state
+        found = self._findings.get(key)
+        if found is not None and self._is_valid(found, asked_at, waited):
+            return found.state
         done = self._pending[key] = anyio.Event()
         began_at = self.clock()
         try:
-            state = await self._find_state(instance)
+            state = await self._control.find_state(instance)
         finally:
             del self._pending[key]
             done.set()
-        self._cached_results[key] = (began_at, state)
         if state is ProcessState.ENDED:
             self._reporter.note_ended(instance.name)
+        elif self._has_found_end(instance):
+            state = ProcessState.ENDED
+        self._findings[key] = _Finding(state, began_at)
         return state
 
-    async def _find_state(self, instance: FleetInstance) -> ProcessState:
-        present = self._session.view.instances.get(instance.name)
-        if present is not None and present.is_restart_of(instance):
-            return ProcessState.ENDED
-        return await self._control.find_state(instance)
+    def _is_valid(self, found: _Finding, asked_at: float, waited: bool) -> bool:
+        """Whether a finding answers a question that was asked at a monotonic time.
+
+        A live instance may still end, so only checks that began since tell of it.
+
+        :param waited: whether the check was under way then.
+        """
+        if found.state is ProcessState.ENDED:
+            return True
+        return waited and found.began_at >= asked_at
 
     def _drop_expired(self) -> None:
         start = self.clock() - ENDED_CACHE_S
-        for key in [key for key, (at, _) in self._cached_results.items() if at < start]:
-            del self._cached_results[key]
+        for key in [
+            key for key, found in self._findings.items() if found.began_at < start
+        ]:
+            del self._findings[key]
--- a/tests/gateway/test_suspicion.py
+++ b/tests/gateway/test_suspicion.py
@@ -85,6 +85,7 @@
 
     def __init__(self, ended=()):
         self.ended = set(ended)
+        self.unreached = set()
         self.asked = []
         #: Set once queries are answered, if they are held back.
         self.held = None
@@ -94,6 +95,8 @@
         if self.held is not None:
             await self.held.wait()
         await anyio.lowlevel.checkpoint()
+        if instance.name in self.unreached:
+            return ProcessState.UNREACHED
         ended = instance.name in self.ended
         return ProcessState.ENDED if ended else ProcessState.RUNS
 
@@ -362,6 +365,55 @@
         self.assertEqual(self.count_crashes(job), 1)
 
 
+class HeldProofTest(CrashCase):
+    """Proofs of an instance's end that the node holds when a response there ends."""
+
+    def find_state(self, born=1):
+        instance = build_instance('a', born=born)
+        return anyio.run(self.crash_detector.find_state, instance)
+
+    def report_crash(self):
+        crash = Crash('f', 'acme', 'a', 1, self.now, 'n2')
+        self.reporter.take(CrashReport('n2', self.now, (crash,)))
+
+    # Guards against streams that look complete although a peer has told that their
+    # instance crashed, as its entry is gone.
+    def test_reported_crash_is_a_proof_once_the_entry_is_gone(self):
+        del self.view.instances['a']
+        self.assertIs(self.find_state(), ProcessState.UNKNOWN)
+        self.report_crash()
+        self.assertIs(self.find_state(), ProcessState.ENDED)
+        self.assertIs(self.find_state(born=2), ProcessState.UNKNOWN)
+
+    # Guards against a proof that is not looked at as nobody can be asked.
+    def test_reported_crash_is_a_proof_if_nobody_can_be_asked(self):
+        self.instances.unreached.add('a')
+        self.assertIs(self.find_state(), ProcessState.UNREACHED)
+        self.report_crash()
+        self.assertIs(self.find_state(), ProcessState.ENDED)
+
+    def test_answer_of_the_instance_refutes_a_reported_crash(self):
+        self.instances.ended.clear()
+        self.report_crash()
+        self.assertIs(self.find_state(), ProcessState.RUNS)
+
+    # Guards against a node that forgets its own finding once the entry is gone.
+    def test_own_finding_is_a_proof_once_the_entry_is_gone(self):
+        self.assertIs(self.find_state(), ProcessState.ENDED)
+        del self.view.instances['a']
+        self.assertIs(self.find_state(), ProcessState.ENDED)
+        self.assertEqual(self.instances.asked, ['a'])
+
+    # Guards against a newer incarnation that tells nothing, as it is leaving itself.
+    def test_newer_birth_is_a_proof_whether_or_not_that_incarnation_leaves(self):
+        for draining in (False, True):
+            with self.subTest(draining=draining):
+                newer = build_instance('a', born=2, draining=draining)
+                self.view.instances['a'] = newer
+                self.assertIs(self.find_state(), ProcessState.ENDED)
+        self.assertEqual(self.instances.asked, [])
+
+
 class AdmissionTest(CrashCase):
     """Admission of suspected requests."""
 
