Don't repeat a check of an instance that reached nobody

What callers saw: a broken stream whose instance nobody could ask ended only after two checks of 2 s each: the one of its end, and the one for a crash.

Evidence: a unit test, which failed before (asked twice in place of once).

Change: a finding that nobody could be asked holds for 0.5 s.

--- a/coursepitch/gateway/crash_detector.py
+++ b/coursepitch/gateway/crash_detector.py
@@ -32,6 +32,10 @@
 #: the instance: a part that does so crashes it as the response begins.
 PROVEN_S = 1.0
 
+#: Seconds for which a check that reached nobody is not repeated: a run whose response
+#: is broken off for it is examined for a crash right after.
+UNREACHED_CACHE_S = 0.5
+
 #: Number of checks to finish later that are kept; the oldest are dropped beyond it.
 MAX_UNFINISHED = 1_000
 
@@ -57,10 +61,12 @@
     """Result of a check of an instance.
 
     :param began_at: monotonic time at which the check began.
+    :param ended_at: monotonic time at which it ended.
     """
 
     state: ProcessState
     began_at: float
+    ended_at: float
 
 
 class CrashDetector:
@@ -236,7 +242,7 @@
             self._reporter.note_ended(instance.name)
         elif self._has_found_end(instance):
             state = ProcessState.ENDED
-        self._findings[key] = _Finding(state, began_at)
+        self._findings[key] = _Finding(state, began_at, self.clock())
         return state
 
     def _is_valid(self, found: _Finding, asked_at: float, waited: bool) -> bool:
@@ -248,6 +254,8 @@
         """
         if found.state is ProcessState.ENDED:
             return True
+        if found.state is ProcessState.UNREACHED:
+            return self.clock() - found.ended_at < UNREACHED_CACHE_S
         return waited and found.began_at >= asked_at
 
     def _drop_expired(self) -> None:
--- a/tests/gateway/test_suspicion.py
+++ b/tests/gateway/test_suspicion.py
@@ -21,7 +21,11 @@
 from coursepitch.fleet.control import InstanceControl, ProcessState
 from coursepitch.fleet.messages import CrashReport
 from coursepitch.fleet.pause_detector import PAUSE_THRESHOLD_S, PauseDetector
-from coursepitch.gateway.crash_detector import PROVEN_S, CrashDetector
+from coursepitch.gateway.crash_detector import (
+    PROVEN_S,
+    UNREACHED_CACHE_S,
+    CrashDetector,
+)
 from coursepitch.gateway.fingerprint import build_fingerprint
 from coursepitch.gateway.job import Ending, Job
 from coursepitch.gateway.problems import render_problem
@@ -413,6 +417,16 @@
                 self.assertIs(self.find_state(), ProcessState.ENDED)
         self.assertEqual(self.instances.asked, [])
 
+    # Guards against callers that wait for a second check just like the first one.
+    def test_check_that_reached_nobody_is_not_repeated_at_once(self):
+        self.instances.unreached.add('a')
+        for _ in range(2):
+            self.assertIs(self.find_state(), ProcessState.UNREACHED)
+        self.assertEqual(self.instances.asked, ['a'])
+        self.instances.unreached.clear()
+        self.now += UNREACHED_CACHE_S
+        self.assertIs(self.find_state(), ProcessState.ENDED)
+
 
 class AdmissionTest(CrashCase):
     """Admission of suspected requests."""
