Refuse requests to models only on proof that the own path is cut

What callers saw: while all engines stood still for 3 s, requests that arrived were refused at once with 503 not_ready, on all nodes.

Cause: a node took a round of checks that no engine answered for a cut path, whether peers reached engines or not. Class: an act on a suspicion that can't be proved.

Change: a node that no engine answers is silent: it publishes no observations, and its requests wait. It is cut off only if all engines refuse it, or once an engine has answered a check of a peer that was begun after its own silence, and a check that waited after that goes unanswered. Peers tell when that check was begun as the time of their node record, so the record does not grow; a node that has checked nothing yet says so. Checks that time out late, as this process did not run, are repeated. Several engines are checked once one has not answered for 0.25 s, so a cut is found no later than before.

--- a/coursepitch/application.py
+++ b/coursepitch/application.py
@@ -19,11 +19,12 @@
 from coursepitch.control.duties import CLUSTER_DUTY, DutyManager
 from coursepitch.control.fleet import (
     InstanceListReader,
+    find_peer_reached_at,
     list_live_nodes,
     list_nodes_with_paths,
 )
 from coursepitch.control.observers import DomainObservers
-from coursepitch.control.reach import EngineReach
+from coursepitch.control.reach import EngineReach, Finding
 from coursepitch.control.registrar import Registrar
 from coursepitch.control.session import Session
 from coursepitch.listeners import listen
@@ -111,7 +112,11 @@
     def _build_control(self) -> None:
         settings = self.settings
         self.reach = EngineReach(
-            self._answers, self._list_answering_engines, self.clock
+            self._check_engine,
+            settings.targets.check_timeout_s,
+            self._list_answering_engines,
+            lambda: find_peer_reached_at(self.hub, self.me),
+            self.clock,
         )
         self.duties = DutyManager(
             self.me,
@@ -235,8 +240,11 @@
                 domains.update(item.body.domains)
         return tuple(sorted(domains))
 
-    async def _answers(self, address: str) -> bool:
-        return (await self.engines.check(address)).answered
+    async def _check_engine(self, address: str) -> Finding:
+        check = await self.engines.check(address)
+        if check.answered:
+            return Finding.ANSWERED
+        return Finding.FAILED if check.failures else Finding.SILENT
 
     def _list_answering_engines(self) -> list[str]:
         """Return the addresses of the engines that answer, as observed by any node."""
@@ -291,15 +299,19 @@
         reason = self.gate.explain_not_ready()
         self._note_ready(reason, view.configuration.revision)
         revision = view.configuration.revision
+        is_silent = self.reach.is_silent
         body = NodeBody(
             self.incarnation,
             revision,
             not reason,
             self.gate.draining,
-            self.reach.is_cut_off,
+            is_silent,
+            not is_silent and not self.reach.has_reached(),
         )
         pace = compute_node_interval(len(view.registered_nodes()))
-        self.hub.publish_if_due('node', self.me, body, now, pace)
+        # Peers compare this time with the beginning of their own silence.
+        made_at = self.reach.reached_at if body.reaches else now
+        self.hub.publish_if_due('node', self.me, body, made_at, pace)
         self._tell_contact(revision)
         if view.contact_at is not None:
             self.metrics.service_contact_age.set({}, now - view.contact_at)
--- a/coursepitch/control/fleet.py
+++ b/coursepitch/control/fleet.py
@@ -18,7 +18,12 @@
     from coursepitch.peers.hub import PeerHub
     from coursepitch.platform.instances import Instance, InstanceList
 
-__all__ = ['InstanceListReader', 'list_live_nodes', 'list_nodes_with_paths']
+__all__ = [
+    'InstanceListReader',
+    'find_peer_reached_at',
+    'list_live_nodes',
+    'list_nodes_with_paths',
+]
 
 #: Seconds between two reads of the list.
 READ_INTERVAL_S = 0.5
@@ -45,6 +50,20 @@
     return [name for name in list_live_nodes(hub, now) if name not in cut_off]
 
 
+def find_peer_reached_at(hub: PeerHub, me: str) -> float:
+    """Return a time at or before the newest check by a peer that an engine answered.
+
+    :return: monotonic time; minus infinity if no peer told of one.
+    """
+    times = [
+        item.made_at
+        for item in hub.records('node')
+        if item.key.origin != me and isinstance(item.body, NodeBody)
+        if item.body.reaches
+    ]
+    return max(times, default=float('-inf'))
+
+
 class InstanceListReader:
     """Reads the instance list and keeps this node's latest copy.
 
--- a/coursepitch/control/observers.py
+++ b/coursepitch/control/observers.py
@@ -8,7 +8,7 @@
 
 from coursepitch.control.domain import DomainController
 from coursepitch.control.duties import domain_duty, get_holder, should_observe
-from coursepitch.control.fleet import list_nodes_with_paths
+from coursepitch.control.fleet import list_live_nodes, list_nodes_with_paths
 from coursepitch.peers.records import DomainBody
 from coursepitch.peers.topology import compute_domain_interval
 
@@ -85,7 +85,8 @@
             for item in self._hub.records('domain')
             if item.key.subject == domain and item.key.origin != self._me
         }
-        live = list_nodes_with_paths(self._hub, now)
+        # While engines answer no node, the holder of the duty goes on alone.
+        live = list_nodes_with_paths(self._hub, now) or list_live_nodes(self._hub, now)
         observing = domain in self._cancel_scopes
         interval_s = compute_domain_interval(len(view.registered_nodes()))
         return should_observe(
--- a/coursepitch/events.py
+++ b/coursepitch/events.py
@@ -135,9 +135,15 @@
 ENGINES_LOST = Event(
     537,
     'engines.lost',
-    'The node reaches no engine: it observes no domain and refuses requests to models.',
+    'The node reaches no engine, as all refuse it or some answer a peer: it observes '
+    'no domain and refuses requests to models.',
 )
 ENGINES_REACHED = Event(538, 'engines.reached', 'The node reaches engines again.')
+ENGINES_SILENT = Event(
+    545,
+    'engines.silent',
+    'No engine answers the node: it concludes nothing about any, and requests wait.',
+)
 REPLICA_CLAIMED = Event(
     502,
     'replica.claimed',
--- a/coursepitch/peers/records.py
+++ b/coursepitch/peers/records.py
@@ -36,7 +36,8 @@
     """Status of a node.
 
     :param in_force: revision of the configuration in force at the node.
-    :param cut_off: whether it reaches no engine.
+    :param cut_off: whether no engine answers it.
+    :param unchecked: whether no check has told lately if engines answer it.
     """
 
     incarnation: str
@@ -44,6 +45,12 @@
     ready: bool
     draining: bool
     cut_off: bool = False
+    unchecked: bool = False
+
+    @property
+    def reaches(self) -> bool:
+        """Whether an engine answered a check begun when the record was made."""
+        return not self.cut_off and not self.unchecked
 
 
 @dataclass(frozen=True, slots=True)
@@ -149,7 +156,8 @@
     """Convert a body to plain data for encoding."""
     if isinstance(body, NodeBody):
         row = [body.incarnation, body.in_force, body.ready, body.draining]
-        return [*row, True] if body.cut_off else row
+        # Nodes of an older version read ``False`` as not cut off.
+        return row if body.reaches else [*row, body.cut_off]
     if isinstance(body, ContactBody):
         return [body.in_force]
     if isinstance(body, DemandBody):
@@ -250,6 +258,7 @@
         ready is True,
         draining is True,
         cut_off == [True],
+        cut_off == [False],
     )
 
 
--- a/tests/peers/test_table.py
+++ b/tests/peers/test_table.py
@@ -147,6 +147,12 @@
             body = NodeBody('i', 7, True, False, cut_off)
             self.assertEqual(unpack_body('node', pack_body(body)), body)
 
+    # Guards against a node that has checked nothing yet and counts as one with paths.
+    def test_node_tells_whether_it_has_checked_engines(self):
+        body = NodeBody('i', 7, True, False, unchecked=True)
+        self.assertEqual(unpack_body('node', pack_body(body)), body)
+        self.assertFalse(body.reaches)
+
     def test_sound_node_is_told_as_before(self):
         self.assertEqual(
             pack_body(NodeBody('i', 7, True, False)), ['i', 7, True, False]
