Let requests wait for replicas that only silence speaks against

What callers saw: later in a silence of all engines, 503 no_replica at once.

Cause: a silent attempt took its replica out of service until a later report on it, and a report counts for 4 s; both left no capacity, which a request was refused for at once. Silence is no proof that a replica will not serve.

Change: replicas are chosen as before, so nothing is sent to a silent one or on an old report where it was not before, and none serves while a member is missing. But requests are refused at once only if no replica is expected to serve again: replicas with a silent attempt, or with an old report while no engine answers this node, are. Those with a failed call are not. Queued requests are refused at once when the node turns out to be cut off.

--- a/coursepitch/serving/admission.py
+++ b/coursepitch/serving/admission.py
@@ -57,6 +57,7 @@
     request: QueuedRequest
     ready: anyio.Event = field(default_factory=anyio.Event)
     choice: Choice | None = None
+    problem: Problem | None = None
 
 
 class Admission:
@@ -100,9 +101,10 @@
         A request also waits while others wait for the same group.
 
         :param choose: returns a replica below its limit, or ``None``.
-        :param capacity: returns the number of replicas that can serve the group.
-        :raises RefusedError: no replica serves the group, the queue is full, or
-            the wait would be or was too long.
+        :param capacity: returns the number of replicas that can serve the group, or may
+            serve it again.
+        :raises RefusedError: no replica serves the group, the queue is full, the wait
+            would be or was too long, or waiting was proven to be in vain.
         """
         queue = self._find_queue(request.group)
         now = self._clock()
@@ -139,7 +141,7 @@
             if request in self._entries:
                 self._remove(entry)
         if entry.choice is None:
-            raise RefusedError(self._build_overloaded(request))
+            raise RefusedError(entry.problem or self._build_overloaded(request))
         return self._build_slot(request, entry.choice)
 
     def _find_queue(self, group: str) -> WaitingQueue:
@@ -229,6 +231,16 @@
         for request in queue.expire(now):
             self._entries.pop(request).ready.set()
 
+    def refuse_queued(self, build_problem: Callable[[str], Problem]) -> None:
+        """Refuse all queued requests.
+
+        :param build_problem: returns the refusal of a request by its identifier.
+        """
+        for entry in tuple(self._entries.values()):
+            self._remove(entry)
+            entry.problem = build_problem(entry.request.request_id)
+            entry.ready.set()
+
     def list_queued_groups(self) -> set[str]:
         """Return the groups that have queued requests."""
         return {entry.request.group for entry in self._entries.values()}
--- a/coursepitch/serving/dispatch.py
+++ b/coursepitch/serving/dispatch.py
@@ -102,12 +102,15 @@
                 await anyio.sleep(pause_s)
                 while self._dropped:
                     tasks.start_soon(self._cancel, self._dropped.pop())
-                self._assign_slots()
+                self.assign_slots()
                 await self._clients.trim()
                 await self._single_use_clients.trim()
                 self._metrics.queued.set({}, self._admission.queued)
 
-    def _assign_slots(self) -> None:
+    def assign_slots(self) -> None:
+        """Assign slots to queued requests; refuse them if the node is cut off."""
+        if self.is_cut_off():
+            self._admission.refuse_queued(_build_cut_off)
         for queue_name in self._admission.list_queued_groups():
             self._admission.assign_slots(queue_name, self._choose_for_queued)
 
@@ -123,10 +126,7 @@
         """
         self._check_crashes(model_request)
         if self.is_cut_off():
-            detail = '(no path to the engines)'
-            raise RefusedError(
-                Problem(outcomes.NOT_READY, model_request.request_id, detail, 1.0)
-            )
+            raise RefusedError(_build_cut_off(model_request.request_id))
         expires_at = min(
             model_request.arrived_at + self._queue_wait_s, model_request.deadline_at
         )
@@ -148,7 +148,7 @@
             )
 
         def count() -> int:
-            return len(self._selector.list_servable_replicas(model_request.groups))
+            return self._selector.count_expected(model_request.groups)
 
         slot = await self._admission.acquire(queued, choose, count)
         try:
@@ -179,7 +179,7 @@
         if attempt is not None and not run.finished:
             await self._cancel(attempt)
         self._admission.release(run.slot, completed=run.finished)
-        self._assign_slots()
+        self.assign_slots()
 
     async def _cancel(self, attempt: Attempt) -> None:
         url = f'http://{attempt.address}/v1/streams/{attempt.name}'
@@ -273,7 +273,7 @@
     def _suspect_reading(self, run: Run, reading: Reading) -> Reading | None:
         """Note a silent attempt; return its reopened stream, if it may be reopened."""
         attempt = reading.attempt
-        self._selector.record_failure(attempt.replica)
+        self._selector.record_silence(attempt.replica)
         now = self._clock()
         log.emit(
             events.RUN_STALLED,
@@ -304,7 +304,7 @@
         attempt = reading.attempt
         self._settle_result(run, attempt)
         self._metrics.attempts.inc({'seen': attempt.result.name.lower()})
-        self._selector.record_failure(attempt.replica)
+        self._record_failure(attempt)
         state = self._describe_state(run, attempt)
         run.may_have_run |= state.outcome is not outcomes.Outcome.NOT_RUN
         if self.crashes is not None:
@@ -313,6 +313,12 @@
             return self._reopen(run, reading)
         return None
 
+    def _record_failure(self, attempt: Attempt) -> None:
+        if attempt.timed_out:
+            self._selector.record_silence(attempt.replica)
+        else:
+            self._selector.record_failure(attempt.replica)
+
     def _settle_result(self, run: Run, attempt: Attempt) -> None:
         if attempt.result is AttemptResult.CUT and not run.streamed:
             # Only streamed answers can be resumed.
@@ -375,7 +381,7 @@
             attempt.result is not AttemptResult.WHOLE
             and attempt.status not in _NON_RETRYABLE_STATUSES
         ):
-            self._selector.record_failure(attempt.replica)
+            self._record_failure(attempt)
         state = self._describe_state(run, attempt)
         run.may_have_run |= state.outcome is not outcomes.Outcome.NOT_RUN
         await self._note_attempt(run, attempt)
@@ -523,6 +529,7 @@
         except (httpx.HTTPError, httpx.InvalidURL) as error:
             if reply is None:
                 attempt.result = classify_error(error)
+                attempt.timed_out = isinstance(error, httpx.TimeoutException)
         except (CodecError, KeyError, TypeError, ValueError):
             attempt.result = AttemptResult.CUT
         finally:
@@ -632,6 +639,7 @@
         except (httpx.HTTPError, httpx.InvalidURL) as error:
             if attempt.result is not AttemptResult.CUT:
                 attempt.result = classify_error(error)
+                attempt.timed_out = isinstance(error, httpx.TimeoutException)
             return None
         except (KeyError, TypeError, ValueError):
             attempt.result = AttemptResult.CUT
@@ -639,3 +647,9 @@
         attempt.result = AttemptResult.WHOLE
         self._selector.record_first_chunk(attempt.replica, self._clock() - started)
         return answer
+
+
+def _build_cut_off(request_id: str) -> Problem:
+    """Return the refusal of a node that has no path to the engines."""
+    detail = '(no path to the engines)'
+    return Problem(outcomes.NOT_READY, request_id, detail, 1.0)
--- a/coursepitch/serving/replica_selector.py
+++ b/coursepitch/serving/replica_selector.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 from coursepitch.serving.routing import Choice, choose_replica
@@ -13,7 +14,7 @@
 from coursepitch.serving.slowness import SlownessMeter
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
+    from collections.abc import Callable, Mapping
 
     from coursepitch.clock import Clock
     from coursepitch.config.settings import RoutingSettings
@@ -46,9 +47,14 @@
         self._evidence_limit_s = evidence_limit_s
         self._clock = clock
         self._failed_at: dict[str, float] = {}
+        self._silent_at: dict[str, float] = {}
         self._slowness = SlownessMeter()
         self._cached_groups: dict[str, list[ServableReplica]] = {}
         self._cached_at = 0.0
+        self._cached_expected: dict[str, list[ServableReplica]] = {}
+        self._expected_at = float('-inf')
+        #: Whether no engine answers this node.
+        self.is_silent: Callable[[], bool] = lambda: False
 
     def list_servable_replicas(self, groups: tuple[str, ...]) -> list[ServableReplica]:
         """Return the replicas of the given groups that can serve now."""
@@ -60,8 +66,32 @@
             for item in self._list_by_group(now).get(group, ())
             if now - item.reported_at <= self._evidence_limit_s
             if not is_excluded_after_failure(item, self._failed_at, now, hold_s)
+            if not is_excluded_after_failure(item, self._silent_at, now, hold_s)
         ]
 
+    def count_expected(self, groups: tuple[str, ...]) -> int:
+        """Return the number of replicas that can serve or may serve again.
+
+        These include replicas that only silence speaks against.
+        """
+        now = self._clock()
+        hold_s = self._weights.failure_hold_s
+        return sum(
+            not is_excluded_after_failure(item, self._failed_at, now, hold_s)
+            for group in groups
+            for item in self._list_expected_by_group(now).get(group, ())
+        )
+
+    def _list_expected_by_group(self, now: float) -> dict[str, list[ServableReplica]]:
+        """Return the replicas whose end is not proven by group, cached as above."""
+        if now - self._expected_at < CACHE_S:
+            return self._cached_expected
+        # While no engine answers, no node can report that one does.
+        limit_s = math.inf if self.is_silent() else self._evidence_limit_s
+        self._cached_expected = self._read_by_group(now, limit_s)
+        self._expected_at = now
+        return self._cached_expected
+
     def _list_by_group(self, now: float) -> dict[str, list[ServableReplica]]:
         """Return all replicas by group, cached for a short time.
 
@@ -70,18 +100,24 @@
         """
         if self._cached_groups and now - self._cached_at < CACHE_S:
             return self._cached_groups
+        self._cached_groups = self._read_by_group(now, self._evidence_limit_s)
+        self._cached_at = now
+        return self._cached_groups
+
+    def _read_by_group(
+        self, now: float, limit_s: float
+    ) -> dict[str, list[ServableReplica]]:
         found = list_servable_replicas(
             self._hub.records('domain'),
             self._hub.records('load'),
             self._hub.records('fleet'),
             now,
-            self._evidence_limit_s,
+            limit_s,
         )
-        self._cached_groups = {}
+        by_group: dict[str, list[ServableReplica]] = {}
         for item in found:
-            self._cached_groups.setdefault(item.group, []).append(item)
-        self._cached_at = now
-        return self._cached_groups
+            by_group.setdefault(item.group, []).append(item)
+        return by_group
 
     def choose(
         self,
@@ -108,10 +144,19 @@
 
     def record_failure(self, replica: str) -> None:
         """Record a failed call, which invalidates earlier health reports."""
+        self._failed_at = self._add_time(self._failed_at, replica)
+
+    def record_silence(self, replica: str) -> None:
+        """Record a silent call: others are chosen until a later report on the replica.
+
+        It may go on, so requests wait for it where no other replica serves.
+        """
+        self._silent_at = self._add_time(self._silent_at, replica)
+
+    def _add_time(self, times: Mapping[str, float], replica: str) -> dict[str, float]:
         now = self._clock()
-        self._failed_at[replica] = now
-        oldest = now - 60
-        self._failed_at = {n: t for n, t in self._failed_at.items() if t > oldest}
+        kept = {name: at for name, at in times.items() if at > now - 60}
+        return {**kept, replica: now}
 
     def record_first_chunk(self, replica: str, seconds: float) -> None:
         """Record a time to the first chunk."""
--- a/coursepitch/serving/runs.py
+++ b/coursepitch/serving/runs.py
@@ -32,6 +32,7 @@
     :param head_at: monotonic time at which its head arrived; ``None`` before it.
     :param first_chunk_at: monotonic time of its first chunk; ``None`` before it.
     :param wrote_s: seconds between its first and its latest chunk.
+    :param timed_out: whether it failed as its connection was not up in time.
     """
 
     name: str
@@ -43,6 +44,7 @@
     head_at: float | None = None
     first_chunk_at: float | None = None
     wrote_s: float = 0.0
+    timed_out: bool = False
 
     @property
     def is_whole(self) -> bool:
--- a/tests/serving/engines.py
+++ b/tests/serving/engines.py
@@ -168,6 +168,7 @@
     selector = SimpleNamespace(
         choose=choose,
         record_failure=lambda replica: None,
+        record_silence=lambda replica: None,
         record_first_chunk=lambda replica, waited_s: None,
     )
     admission = SimpleNamespace(
--- a/tests/whole/test_silent_engines.py
+++ b/tests/whole/test_silent_engines.py
@@ -100,3 +100,24 @@
         answers = [call.result(90) for call in calls]
         refused = [item.error for item in answers if not item.whole]
         self.assertEqual(refused, [])
+
+    # Guards against requests that are refused once their replicas had silent attempts,
+    # and once the last reports on them are old.
+    def test_requests_sent_late_in_a_silence_of_all_engines_are_answered(self):
+        streams = self.start_streams()
+        time.sleep(0.5)
+        self.stand_still(self.list_all(), 6.0)
+        calls = []
+        for number in range(26):
+            time.sleep(0.2)
+            node = f'n{number % 3 + 1}'
+            body = self.body('sent in a silence', max_tokens=2)
+            calls.append(
+                in_background(
+                    lambda node=node, body=body: call_stream(self.harness, node, body)
+                )
+            )
+        answers = [call.result(90) for call in calls]
+        refused = [item.error for item in answers if not item.whole]
+        self.assertEqual(refused, [])
+        self.assert_whole(streams)
