Keep no silence of members that no node could check

What callers saw: nothing yet; found by reading. After a silence of all engines that is longer than silence_limit_s, the first engine to answer made the checks count, and each of the others had been silent for the whole time: a replica is moved to "lost" and released, which can't be undone, if one of its members goes on a moment after the others.

Evidence: test_silence_in_which_no_engine_answers_counts_for_no_member_later failed on ("11.0 not less than or equal to 1.0") and passes.

Change: a round of checks that is no evidence leaves the checks before it in force.

--- a/coursepitch/control/domain.py
+++ b/coursepitch/control/domain.py
@@ -148,8 +148,11 @@
     async def _run_round(self) -> None:
         may_act = self._may_act() and await self._acquire_epoch()
         asked_at = self._clock()
+        before = self._checks
         await self._check_members()
         if not await self._is_evidence():
+            # What this node may have failed to see counts for no member later.
+            self._checks = before
             return
         self._publish(
             self._domain, self._describe_domain(), self._describe_load(), asked_at
