Let requests wait for replicas whose last report is old

What callers saw: requests that reached a node while it stood still for 5.5 s were refused with 503 no_replica once it went on, though all engines were sound.

Cause: the node had read no reports meanwhile, and took their age for proof that no replica serves. The exception for the silence of all engines left this case out.

Change: a request is refused at once only if no report, of whatever age, tells of a replica that is expected to serve. Replicas are chosen by fresh reports alone, as before.

--- a/coursepitch/application.py
+++ b/coursepitch/application.py
@@ -183,7 +183,6 @@
             settings.targets.evidence_limit_s,
             self.clock,
         )
-        selector.is_silent = lambda: self.reach.is_silent
         self.dispatcher = Dispatcher(
             selector,
             self.admission,
--- a/coursepitch/serving/replica_selector.py
+++ b/coursepitch/serving/replica_selector.py
@@ -14,7 +14,7 @@
 from coursepitch.serving.slowness import SlownessMeter
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Mapping
+    from collections.abc import Mapping
 
     from coursepitch.clock import Clock
     from coursepitch.config.settings import RoutingSettings
@@ -53,8 +53,6 @@
         self._cached_at = 0.0
         self._cached_expected: dict[str, list[ServableReplica]] = {}
         self._expected_at = float('-inf')
-        #: Whether no engine answers this node.
-        self.is_silent: Callable[[], bool] = lambda: False
 
     def list_servable_replicas(self, groups: tuple[str, ...]) -> list[ServableReplica]:
         """Return the replicas of the given groups that can serve now."""
@@ -72,7 +70,8 @@
     def count_expected(self, groups: tuple[str, ...]) -> int:
         """Return the number of replicas that can serve or may serve again.
 
-        These include replicas that only silence speaks against.
+        These include replicas that only silence speaks against, or the age of the last
+        report, which the table of records bounds.
         """
         now = self._clock()
         hold_s = self._weights.failure_hold_s
@@ -86,9 +85,9 @@
         """Return the replicas whose end is not proven by group, cached as above."""
         if now - self._expected_at < CACHE_S:
             return self._cached_expected
-        # While no engine answers, no node can report that one does.
-        limit_s = math.inf if self.is_silent() else self._evidence_limit_s
-        self._cached_expected = self._read_by_group(now, limit_s)
+        # A report is old if no engine answers, or if this node stood still; either way
+        # a new one is to be expected.
+        self._cached_expected = self._read_by_group(now, math.inf)
         self._expected_at = now
         return self._cached_expected
 
--- a/tests/whole/test_silent_engines.py
+++ b/tests/whole/test_silent_engines.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import signal
 import time
 
+from coursepitch.config.settings import TargetSettings
 from coursepitch.control.duties import domain_duty
 from coursepitch.peers.topology import pick_first
 from tests.whole.base import PATIENT
@@ -121,3 +123,23 @@
         refused = [item.error for item in answers if not item.whole]
         self.assertEqual(refused, [])
         self.assert_whole(streams)
+
+
+class PausedNodeTest(ReplicaCase):
+    """A node that stands still for longer than a report on replicas counts."""
+
+    settings = PATIENT
+
+    # Guards against requests that are refused as the node has read no reports.
+    def test_requests_sent_while_their_node_stands_still_are_answered(self):
+        self.send('n1', signal.SIGSTOP)
+        self.addCleanup(self.send, 'n1', signal.SIGCONT)
+        body = self.body('sent in a pause', max_tokens=2)
+        calls = [
+            in_background(lambda: call_stream(self.harness, 'n1', body))
+            for _ in range(6)
+        ]
+        time.sleep(TargetSettings().evidence_limit_s + 1.5)
+        self.send('n1', signal.SIGCONT)
+        answers = [call.result(90) for call in calls]
+        self.assertEqual([item.error for item in answers if not item.whole], [])
