Keep a call at a silent address while another one is tried

What callers saw: a repeatable call of a plain service of the OpenAI side whose address was silent for first_byte_timeout_s was let go, and lost if the next address failed or was silent for good, although the first one went on.

Cause: as for plain calls of the gateway: silence ended an attempt before another one had answered. The outcome was judged by the last attempt alone.

Change: the runs of a call race as in gateway.runs, which is used as it is. An answer with 5xx is held while another address may still give a better one, and forwarded if none does. Losers are ended once another run delivers. run.stalled (626) and run.dropped (627) tell of them.

--- a/coursepitch/serving/services.py
+++ b/coursepitch/serving/services.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
-import math
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 import anyio
 import httpx
 
+from coursepitch import events, log
+from coursepitch.fleet.pause_detector import sleep_running
+from coursepitch.gateway.runs import RunRace, RunSet
 from coursepitch.http.event_splitter import EVENT_STREAM_TYPE, EventSplitter
 from coursepitch.serving import outcomes
 from coursepitch.serving.attempts import (
@@ -37,6 +40,9 @@
 #: Timeout in seconds of the check whether a service still listens.
 CHECK_TIMEOUT_S = 0.5
 
+#: Seconds between two searches for an address to try beside the silent ones.
+FIND_INTERVAL_S = 0.1
+
 #: Headers that are not forwarded: those that apply to a single connection
 #: (RFC 9110, section 7.6.1) and those that this node sets itself.
 _NOT_FORWARDED = frozenset(
@@ -77,6 +83,58 @@
     return '/' + rest.decode('ascii', 'replace')
 
 
+@dataclass(eq=False)
+class ServiceRun:
+    """One send of a call to an address of a service, and its answer.
+
+    :param began_at: monotonic time at which it was begun.
+    :param reply: ``None`` before the head of the answer has arrived.
+    :param suspected: whether it may have failed, as it is silent.
+    :param interrupted: never set, as crashes of plain services are not examined.
+    :param ended: whether what it held was released.
+    """
+
+    address: str
+    began_at: float
+    reply: httpx.Response | None = None
+    suspected: bool = False
+    interrupted: bool = False
+    ended: bool = False
+
+    @property
+    def head(self) -> str:
+        """Address that the call is sent to."""
+        return self.address
+
+
+@dataclass(eq=False)
+class _Call:
+    """State of a call over all its runs.
+
+    :param tried: addresses to which it was sent.
+    :param held: run whose answer is an error, forwarded if no other run succeeds.
+    :param result: what its failed runs prove together.
+    :param error: error of reading the body of the call.
+    """
+
+    request: Request
+    request_id: str
+    service: Service
+    options: RequestOptions
+    body: bytes | AsyncIterator[bytes]
+    deadline_at: float
+    runs: RunSet[ServiceRun] = field(default_factory=RunSet)
+    tried: list[str] = field(default_factory=list)
+    held: ServiceRun | None = None
+    result: AttemptResult = AttemptResult.NOTHING_SENT
+    error: Exception | None = None
+
+    def note_failure(self, result: AttemptResult) -> None:
+        """Record a failed run; one that may have run is not undone by a later one."""
+        if result is not AttemptResult.NOTHING_SENT:
+            self.result = result
+
+
 class ServiceCaller:
     """Forwards calls to plain services and balances them over their addresses."""
 
@@ -137,72 +195,161 @@
         options: RequestOptions,
         body: bytes | AsyncIterator[bytes],
     ) -> tuple[httpx.Response, str]:
-        tried: list[str] = []
-        while True:
-            address = self._choose(service, tried, context.request_id)
-            tried.append(address)
-            self._adjust_in_flight(address, 1)
-            try:
-                outgoing = self._build_request(request, context, address, body)
-                silence_s = math.inf
-                if self._may_leave(service, options, tried, body):
-                    silence_s = self._settings.first_byte_timeout_s
-                with anyio.fail_after(silence_s):
-                    reply = await self._client.send(outgoing, stream=True)
-            except (httpx.HTTPError, TimeoutError) as error:
-                self._adjust_in_flight(address, -1)
-                self._failed_at[address] = self._clock()
-                result = classify_error(error)
-                self._check_retry(context, options, result, tried, body)
-            except BaseException:
-                self._adjust_in_flight(address, -1)
-                raise
-            else:
-                return reply, address
-
-    def _may_leave(
-        self,
-        service: Service,
-        options: RequestOptions,
-        tried: list[str],
-        body: bytes | AsyncIterator[bytes],
-    ) -> bool:
-        """Return whether another address may be tried if this one is silent."""
-        if not options.repeatable or not isinstance(body, bytes):
-            return False
-        if len(tried) >= self._settings.attempts:
-            return False
+        """Return the answer that is to be forwarded, and its address.
+
+        An address that is silent is kept while another one is tried, as described in
+        :mod:`coursepitch.gateway.runs`.
+        """
+        deadline_at = self._clock() + options.deadline_s
+        request_id = context.request_id
+        call = _Call(request, request_id, service, options, body, deadline_at)
+        try:
+            while True:
+                call.runs.add(self._open_run(call))
+                run = await self._race(call).wait()
+                if run is None:
+                    run = call.held
+                if run is not None and run.reply is not None:
+                    await self._end_runs(call, kept=run)
+                    return run.reply, run.address
+                self._check_retry(call)
+        except BaseException:
+            await self._end_runs(call)
+            raise
+
+    def _race(self, call: _Call) -> RunRace[ServiceRun]:
+        async def advance(run: ServiceRun) -> bool:
+            return await self._advance(call, run)
+
+        async def watch(run: ServiceRun) -> None:
+            await sleep_running(self._clock, self._settings.first_byte_timeout_s)
+            self._note_silent(call, run)
+
+        async def find_other() -> ServiceRun:
+            if not self._allows_another(call):
+                await anyio.sleep_forever()
+            while not self._has_untried(call):
+                await anyio.sleep(FIND_INTERVAL_S)
+            return self._open_run(call)
+
+        return RunRace(call.runs, advance, watch, find_other)
+
+    def _open_run(self, call: _Call) -> ServiceRun:
+        """Return a new run, which counts as in flight at its address from now on.
+
+        :raises RefusedError: no address is left to try.
+        """
+        address = self._choose(call.service, call.tried, call.request_id)
+        call.tried.append(address)
+        self._adjust_in_flight(address, 1)
+        return ServiceRun(address, self._clock())
+
+    async def _advance(self, call: _Call, run: ServiceRun) -> bool:
+        """Send a call and read the head of its answer; return whether to forward it."""
+        try:
+            outgoing = self._build_request(call.request, call, run.address)
+            run.reply = await self._client.send(outgoing, stream=True)
+        except httpx.HTTPError as error:
+            self._failed_at[run.address] = self._clock()
+            call.note_failure(classify_error(error))
+        except Exception as error:
+            # The body of the call could not be read; raised outside of the race.
+            call.error = error
+        else:
+            # Another address that is only silent may still give a better answer.
+            if run.reply.status_code < 500 or len(call.runs.live) == 1:
+                return True
+            if call.held is None:
+                call.held = run
+                return False
+        await self._end_run(run)
+        return False
+
+    def _note_silent(self, call: _Call, run: ServiceRun) -> None:
+        now = self._clock()
+        log.emit(
+            events.RUN_STALLED,
+            request=call.request_id,
+            instance=run.address,
+            reason='silent',
+            silent_s=round(now - run.began_at, 3),
+            begun=False,
+            load=self._in_flight.get(run.address, 0),
+            runs=len(call.tried),
+            allowed=self._settings.attempts if call.options.repeatable else 1,
+            left_s=round(call.deadline_at - now, 3),
+        )
+        if self._allows_another(call):
+            # Calls that are not repeatable may take long at a sound address.
+            self._failed_at[run.address] = now
+
+    async def _end_runs(self, call: _Call, kept: ServiceRun | None = None) -> None:
+        """End all runs but the one whose answer is forwarded."""
+        runs = [*call.runs.live, *([call.held] if call.held else [])]
+        call.runs.live, call.held = [], None
+        with anyio.CancelScope(shield=True):
+            for run in runs:
+                if run is kept:
+                    continue
+                if kept is not None:
+                    log.emit(
+                        events.RUN_DROPPED,
+                        request=call.request_id,
+                        instance=run.address,
+                        suspected=run.suspected,
+                    )
+                await self._end_run(run)
+
+    async def _end_run(self, run: ServiceRun) -> None:
+        """Release what a run holds, once."""
+        if run.ended:
+            return
+        run.ended = True
+        self._adjust_in_flight(run.address, -1)
+        if run.reply is not None:
+            await run.reply.aclose()
+
+    def _allows_another(self, call: _Call) -> bool:
+        """Return whether another address may be tried beside the silent ones."""
+        return (
+            call.options.repeatable
+            and isinstance(call.body, bytes)
+            and len(call.tried) < self._settings.attempts
+        )
+
+    def _has_untried(self, call: _Call) -> bool:
+        """Return whether an address is left to try that is not at its limit."""
+        service = call.service
         return any(
             self._in_flight.get(item, 0) < service.in_flight
             for item in service.addresses
-            if item not in tried
+            if item not in call.tried
         )
 
-    def _check_retry(
-        self,
-        context: RequestContext,
-        options: RequestOptions,
-        result: AttemptResult,
-        tried: list[str],
-        body: bytes | AsyncIterator[bytes],
-    ) -> None:
-        """Return if another attempt is allowed.
+    def _check_retry(self, call: _Call) -> None:
+        """Return if another attempt is allowed after all have failed.
 
         :raises RefusedError: it is not.
         """
+        if call.error is not None:
+            raise call.error
         # A streamed body cannot be sent again once a part of it was sent.
-        can_resend = isinstance(body, bytes) or result is AttemptResult.NOTHING_SENT
+        can_resend = (
+            isinstance(call.body, bytes) or call.result is AttemptResult.NOTHING_SENT
+        )
         state = RetryState(
-            result,
-            options.repeatable and can_resend,
-            len(tried),
+            call.result,
+            call.options.repeatable and can_resend,
+            len(call.tried),
             self._settings.attempts,
         )
-        if decide_next(state, has_budget=True) is NextStep.RETRY:
-            return
         unknown = state.outcome is Outcome.UNKNOWN
+        if decide_next(state, has_budget=True) is NextStep.RETRY and (
+            self._has_untried(call) or not unknown
+        ):
+            return
         refusal = outcomes.TARGET_FAILED if unknown else outcomes.TARGET_REFUSED
-        raise RefusedError(Problem(refusal, context.request_id, '', 1.0))
+        raise RefusedError(Problem(refusal, call.request_id, '', 1.0))
 
     def _choose(self, service: Service, tried: list[str], request_id: str) -> str:
         """Return the address with the fewest requests from this node.
@@ -232,11 +379,7 @@
         self._in_flight[address] = self._in_flight.get(address, 0) + count
 
     def _build_request(
-        self,
-        request: Request,
-        context: RequestContext,
-        address: str,
-        body: bytes | AsyncIterator[bytes],
+        self, request: Request, call: _Call, address: str
     ) -> httpx.Request:
         path = read_raw_path(request)
         query = f'?{request.url.query}' if request.url.query else ''
@@ -246,10 +389,10 @@
             for name, value in request.headers.items()
             if name not in dropped
         ]
-        headers.append(('x-request-id', context.request_id))
+        headers.append(('x-request-id', call.request_id))
         length = request.headers.get('content-length')
-        content: bytes | AsyncIterator[bytes] | None = body
-        if not isinstance(body, bytes):
+        content: bytes | AsyncIterator[bytes] | None = call.body
+        if not isinstance(call.body, bytes):
             chunked = 'transfer-encoding' in request.headers
             if length is not None:
                 headers.append(('content-length', length))
--- a/tests/serving/engines.py
+++ b/tests/serving/engines.py
@@ -23,6 +23,7 @@
 __all__ = [
     'Engine',
     'answer_whole',
+    'break_off',
     'build_run',
     'list_texts',
     'listen',
@@ -111,6 +112,15 @@
     return run
 
 
+def break_off(*, before_s=0.0):
+    """Return a script that closes the connection without an answer."""
+
+    async def run(stream, name, start):
+        await anyio.sleep(before_s)
+
+    return run
+
+
 def stand_still():
     """Return a script that never answers."""
 
