Send nothing to groups with a member that is proven gone

While all groups of a model were suspected, callers' requests also went to groups with a member whose process is proven to be gone, and waited there until their deadline.

Cause: the report of a loss does not tell silence from proof, and the choice among suspected groups takes all of them.

Change: a probe that is refused or answered by another instance, and the check for a crash, report the loss with its proof. Nodes pass the proof on with the report; it ends with the report or an answer of the instance. Suspected groups with a proof are not chosen; if all have one, requests wait and are refused as if no group were open.

--- a/coursepitch/fleet/control.py
+++ b/coursepitch/fleet/control.py
@@ -97,6 +97,11 @@
         """Whether the instance, or another one at its address, answered."""
         return self in (Probe.ANSWERS, Probe.REPLACED, Probe.INDIRECT)
 
+    @property
+    def proves_end(self) -> bool:
+        """Whether the process of the instance is gone, rather than silent."""
+        return self in (Probe.REFUSED, Probe.REPLACED)
+
 
 class ProcessState(enum.Enum):
     """What is proven of an instance's process.
@@ -434,6 +439,6 @@
     """Return what an answer, or a refusal that needs no confirmation, proves."""
     if found is Probe.ANSWERS:
         return ProcessState.RUNS
-    if found in (Probe.REFUSED, Probe.REPLACED):
+    if found.proves_end:
         return ProcessState.ENDED
     return ProcessState.UNKNOWN
--- a/coursepitch/fleet/lost.py
+++ b/coursepitch/fleet/lost.py
@@ -39,6 +39,9 @@
 class LostInstances:
     """Instances that this node knows to be lost.
 
+    Silence does not tell whether an instance has failed, so the proof that its process
+    is gone is kept besides.
+
     :param stored: names of the instances that the store records as lost.
     """
 
@@ -46,6 +49,7 @@
     stored: set[str] = field(default_factory=set)
     _reported_until: dict[str, float] = field(default_factory=dict)
     _answered_at: dict[str, float] = field(default_factory=dict)
+    _ended: set[str] = field(default_factory=set)
 
     def has_answered_since(self, name: str, since: float) -> bool:
         """Whether an instance is known to have answered after a monotonic time."""
@@ -58,6 +62,10 @@
             or self._reported_until.get(name, float('-inf')) > self.clock()
         )
 
+    def has_ended(self, name: str) -> bool:
+        """Whether an instance is lost and its process is proven to be gone."""
+        return name in self._ended and self.has(name)
+
     def is_empty(self) -> bool:
         """Whether no instance is recorded or reported as lost."""
         return not self.stored and not self._reported_until
@@ -70,18 +78,27 @@
         """Record that the store lists an instance as lost."""
         self.stored.add(name)
 
-    def note_report(self, name: str) -> bool:
-        """Record a report that an instance is lost; return whether it is new."""
+    def note_report(self, name: str, *, ended: bool = False) -> bool:
+        """Record a report that an instance is lost; return whether it is new.
+
+        :param ended: whether its process is proven to be gone.
+        """
         now = self.clock()
         answered = now - self._answered_at.get(name, float('-inf')) < IGNORE_REPORTS_S
-        if answered or self.has(name):
+        if answered or (self.has(name) and (not ended or self.has_ended(name))):
             return False
         self._reported_until[name] = now + REPORT_VALID_S
+        if ended:
+            self._ended.add(name)
+        else:
+            # The proof belonged to a report that has expired.
+            self._ended.discard(name)
         return True
 
     def note_answering(self, name: str) -> bool:
         """Record that an instance answers; return whether it was reported as lost."""
         self._answered_at[name] = self.clock()
+        self._ended.discard(name)
         return self._reported_until.pop(name, None) is not None
 
     def forget_old(self) -> bool:
@@ -90,6 +107,7 @@
         old = [name for name, until in self._reported_until.items() if until <= now]
         for name in old:
             del self._reported_until[name]
+        self._ended = {name for name in self._ended if self.has(name)}
         start = now - REPORT_VALID_S
         for name in [name for name, at in self._answered_at.items() if at < start]:
             del self._answered_at[name]
@@ -121,11 +139,16 @@
         #: Whether peers rely on this node to forward messages.
         self.is_watching: Callable[[], bool] = lambda: False
 
-    async def report(self, instance: str) -> None:
-        """Tell all nodes that an instance does not answer."""
-        if self._view.note_reported_lost(instance):
+    async def report(self, instance: str, *, ended: bool = False) -> None:
+        """Tell all nodes that an instance does not answer.
+
+        :param ended: whether its process is proven to be gone.
+        """
+        if self._view.note_reported_lost(instance, ended=ended):
             self._wake()
-            self.tell(LostReport(self._me, (instance,)), '')
+            lost = (instance,)
+            told = LostReport(self._me, lost, ended=lost if ended else ())
+            self.tell(told, '')
         if instance in self._view.lost.stored or instance in self._writing:
             return
         self._writing.add(instance)
@@ -150,7 +173,11 @@
 
     def take(self, told: LostReport) -> None:
         """Process a peer's report; forward what is new if peers rely on this node."""
-        lost = tuple(name for name in told.lost if self._view.note_reported_lost(name))
+        lost = tuple(
+            name
+            for name in told.lost
+            if self._view.note_reported_lost(name, ended=name in told.ended)
+        )
         answering = tuple(
             name for name in told.answering if self._view.note_answering(name)
         )
@@ -158,4 +185,5 @@
             return
         self._wake()
         if self.is_watching():
-            self.tell(LostReport(self._me, lost, answering), '')
+            ended = tuple(name for name in lost if name in told.ended)
+            self.tell(LostReport(self._me, lost, answering, ended), '')
--- a/coursepitch/fleet/messages.py
+++ b/coursepitch/fleet/messages.py
@@ -194,11 +194,15 @@
 
 @dataclass(frozen=True, slots=True)
 class LostReport:
-    """Instances that stopped responding, and those that respond again."""
+    """Instances that stopped responding, and those that respond again.
+
+    :param ended: those among the lost ones whose process is proven to be gone.
+    """
 
     node: str
     lost: tuple[str, ...] = ()
     answering: tuple[str, ...] = ()
+    ended: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -329,6 +333,8 @@
             return _pack([_CRASH_REPORT, *_encode_crashes(message)])
         case LostReport():
             rows = [list(message.lost), list(message.answering)]
+            if message.ended:
+                rows.append(list(message.ended))
             return _pack([_LOST_REPORT, message.node, *rows])
         case NoticeReport():
             rows = [list(message.leaving), list(message.backoffs)]
@@ -380,8 +386,7 @@
         if kind == _CRASH_REPORT:
             return _decode_crashes(parts)
         if kind == _LOST_REPORT:
-            lost, answering = (tuple(map(read_text, row)) for row in parts[1:])
-            return LostReport(node, lost, answering)
+            return _decode_lost(node, *parts[1:])
         if kind == _NOTICE_REPORT:
             return _decode_notices(node, *parts[1:])
         if kind == _LIMIT_REPORT:
@@ -436,6 +441,11 @@
     return SendRequest(node, int(number), limit, (read_text(name), float(left_s)))
 
 
+def _decode_lost(node: str, lost: Any, answering: Any, ended: Any = ()) -> LostReport:
+    rows = (tuple(map(read_text, row)) for row in (lost, answering, ended))
+    return LostReport(node, *rows)
+
+
 def _decode_notices(
     node: str, leaving: Any, backoffs: Any, cold: Any = ()
 ) -> NoticeReport:
--- a/coursepitch/fleet/view.py
+++ b/coursepitch/fleet/view.py
@@ -273,9 +273,12 @@
         self.note_answering(name)
         self.version += 1
 
-    def note_reported_lost(self, name: str) -> bool:
-        """Record a peer's report of a lost instance; ``False`` if nothing changes."""
-        news = name in self.instances and self.lost.note_report(name)
+    def note_reported_lost(self, name: str, *, ended: bool = False) -> bool:
+        """Record a peer's report of a lost instance; ``False`` if nothing changes.
+
+        :param ended: whether its process is proven to be gone.
+        """
+        news = name in self.instances and self.lost.note_report(name, ended=ended)
         self.version += news
         return news
 
@@ -668,7 +671,10 @@
         return self._open_by_model.get((service, model), [])
 
     def list_suspected(self, service: str, model: str) -> list[OpenGroup]:
-        """Return the groups of a model that are open but for members reported lost."""
+        """Return the groups of a model that are open but for members reported lost.
+
+        Groups with a member whose process is proven to be gone are left out.
+        """
         if self.lost.is_empty():
             return []
         if self._suspected_by_model_version != self.version:
@@ -692,6 +698,8 @@
         for claim in self.all_claims():
             if self.find_open(claim) is not None:
                 continue
+            if any(self.lost.has_ended(name) for name in claim.members):
+                continue
             group = self._evaluate_group(claim, with_lost=True)
             if group is not None:
                 found.setdefault((claim.service, claim.model), []).append(group)
--- a/coursepitch/gateway/router.py
+++ b/coursepitch/gateway/router.py
@@ -107,7 +107,8 @@
     ) -> list[OpenGroup]:
         """Return the open groups of a model whose members are not suspected.
 
-        If all are suspected, silence does not tell the failed ones from the others.
+        If all are suspected, silence does not tell the failed ones from the others,
+        and only those with a member that is proven gone are left out.
 
         :param tried: heads whose groups are left out.
         """
@@ -117,7 +118,12 @@
         if untried or not with_suspected or (trusted and not has_failed):
             return untried
         suspected = self._view.list_suspected(service.name, model)
-        return [group for group in [*found, *suspected] if group.head.name not in tried]
+        return [
+            group
+            for group in [*found, *suspected]
+            if group.head.name not in tried
+            and not self._watchdog.has_ended_member(group)
+        ]
 
     def choose_group(
         self,
--- a/coursepitch/gateway/watchdog.py
+++ b/coursepitch/gateway/watchdog.py
@@ -62,11 +62,13 @@
     """A group that is avoided.
 
     :param members: names of the members that did not respond.
+    :param ended: whether the process of one of them is proven to be gone.
     """
 
     since: float
     until: float
     members: tuple[str, ...]
+    ended: bool
 
 
 class Watchdog:
@@ -116,6 +118,15 @@
             return False
         return True
 
+    def has_ended_member(self, group: OpenGroup) -> bool:
+        """Whether the process of a member is proven to be gone."""
+        lost = self._session.view.lost
+        if any(lost.has_ended(item.name) for item in group.members):
+            return True
+        # Reports are ignored for a moment after the instance has answered.
+        key = (group.claim.name, group.claim.epoch)
+        return self.is_avoided(group) and self._avoided[key].ended
+
     def note_activity(self, head: str) -> None:
         """Record that a head sent data on any stream of this node."""
         self._last_activity[head] = self._clock()
@@ -226,10 +237,13 @@
         if lost:
             key = (group.claim.name, group.claim.epoch)
             now = self._clock()
-            self._avoided[key] = _Avoidance(now, now + GROUP_AVOIDANCE_S, tuple(lost))
+            ended = {name for name in lost if found[name].proves_end}
+            self._avoided[key] = _Avoidance(
+                now, now + GROUP_AVOIDANCE_S, tuple(lost), bool(ended)
+            )
             with anyio.move_on_after(1.0):
                 for name in lost:
-                    await self._session.losses.report(name)
+                    await self._session.losses.report(name, ended=name in ended)
         if group.head.name in unreached:
             self.on_unreached(group.head)
         return not lost and group.head.name not in unreached
--- a/coursepitch/gateway_application.py
+++ b/coursepitch/gateway_application.py
@@ -300,7 +300,7 @@
         reporter.send = self.links.send
         reporter.is_watching = session.is_watching
         reporter.is_leader = session.is_leader
-        reporter.report_lost = session.losses.report
+        reporter.report_lost = partial(session.losses.report, ended=True)
         session.take_crashes = reporter.take
         self.trials.tell = self.links.send
         session.answer_trial = self.trials.answer
--- a/tests/fleet/test_lost.py
+++ b/tests/fleet/test_lost.py
@@ -12,6 +12,7 @@
 from __future__ import annotations
 
 import unittest
+from functools import partial
 
 import anyio
 
@@ -48,8 +49,8 @@
     def wake(self):
         self.woken += 1
 
-    def report(self, instance):
-        anyio.run(self.reporter.report, instance)
+    def report(self, instance, *, ended=False):
+        anyio.run(partial(self.reporter.report, instance, ended=ended))
 
     def clear(self, instance):
         anyio.run(self.reporter.clear, instance)
@@ -83,6 +84,37 @@
         self.assertEqual(self.view.lost.list_all(), set())
         self.assertGreater(self.view.version, version)
 
+    # Guards against a proof that is dropped as the instance was silent before.
+    def test_proof_is_told_after_a_report_of_silence(self):
+        self.node.report('i1')
+        self.assertFalse(self.view.lost.has_ended('i1'))
+        for _ in range(2):
+            self.node.report('i1', ended=True)
+        self.assertTrue(self.view.lost.has_ended('i1'))
+        told = LostReport('n1', ('i1',), ended=('i1',))
+        self.assertEqual(self.node.told, [LostReport('n1', ('i1',)), told])
+
+    def test_proof_of_a_peer_is_forwarded_and_expires_with_its_report(self):
+        self.node.reporter.is_watching = lambda: True
+        told = LostReport('n2', ('i1', 'i2'), ended=('i1',))
+        self.node.reporter.take(told)
+        self.assertEqual(
+            self.node.told, [LostReport('n1', ('i1', 'i2'), ended=('i1',))]
+        )
+        self.assertTrue(self.view.lost.has_ended('i1'))
+        self.assertFalse(self.view.lost.has_ended('i2'))
+        self.now += REPORT_VALID_S
+        self.view.sweep()
+        self.assertFalse(self.view.lost.has_ended('i1'))
+        self.node.reporter.take(LostReport('n2', ('i1',)))
+        self.assertFalse(self.view.lost.has_ended('i1'))
+
+    def test_answer_ends_a_proof(self):
+        self.node.report('i1', ended=True)
+        self.view.apply_entry(Entry('coursepitch/lost/i1', 'n2', 11))
+        self.node.reporter.take(LostReport('n3', answering=('i1',)))
+        self.assertFalse(self.view.lost.has_ended('i1'))
+
     def test_record_in_the_store_applies_until_it_is_deleted(self):
         self.view.apply_entry(Entry('coursepitch/lost/i1', 'n2', 11))
         self.now += 10 * REPORT_VALID_S
--- a/tests/gateway/simulated_runs.py
+++ b/tests/gateway/simulated_runs.py
@@ -429,8 +429,8 @@
         await anyio.sleep(0.02)
         return False
 
-    async def _report(self, name):
-        if self.view.note_reported_lost(name):
+    async def _report(self, name, *, ended=False):
+        if self.view.note_reported_lost(name, ended=ended):
             self.wake()
         await anyio.sleep(0)
 
--- a/tests/gateway/test_decisions.py
+++ b/tests/gateway/test_decisions.py
@@ -277,7 +277,7 @@
         self.wake = anyio.Event()
         self.losses = SimpleNamespace(report=self.report)
 
-    async def report(self, name):
+    async def report(self, name, *, ended=False):
         self.reported.append(name)
 
     async def wait_changed(self, limit_s):
