Wait for a silent run whose group answers again

As all instances went on after a silence, requests that had not begun, or whose second run had been denied before, began it at the group that was first known to answer, just before their own instance went on. Each took a retry of the budget.

Cause: a run stays suspected until it makes progress, and the suspicion of its group is not looked at again when another run becomes possible.

Evidence: in the model of runs, with the other group known to answer 15 ms after the instance of the first run went on, requests were sent to ['h0', 'h1'] in place of ['h0'], for a run that had begun and for one that had not.

Change: before a second run begins later than 0.3 s after the suspicion, the members of the suspected groups are probed, for 0.06 s at most. While all members of one answer, its run is waited for, up to the time after which a run counts as overdue.

Ruled out: waiting for the whole probe.

--- a/coursepitch/gateway/runs.py
+++ b/coursepitch/gateway/runs.py
@@ -25,6 +25,7 @@
 
     from coursepitch.fleet.send_permits import Permit
     from coursepitch.fleet.view import OpenGroup
+    from coursepitch.gateway.watchdog import Stall
     from coursepitch.http.client import Response
     from coursepitch.http.event_splitter import EventSplitter
 
@@ -68,6 +69,10 @@
     :param interrupted: whether its connection was lost, and it is being examined
         whether the instance crashed.
     :param ended: whether what it held was released.
+    :param stall: why it was last suspected; ``None`` if it was never.
+    :param stalled_at: monotonic time since which it is suspected.
+    :param answering_since: monotonic time since which its group is known to answer
+        again, and it makes no progress nevertheless; ``None`` if it does not answer.
     """
 
     group: OpenGroup
@@ -83,6 +88,9 @@
     suspected: bool = False
     interrupted: bool = False
     ended: bool = False
+    stall: Stall | None = None
+    stalled_at: float = 0.0
+    answering_since: float | None = None
 
     @property
     def head(self) -> str:
--- a/coursepitch/gateway/streams.py
+++ b/coursepitch/gateway/streams.py
@@ -25,7 +25,7 @@
 from coursepitch.gateway.response_ends import check_events, check_sender
 from coursepitch.gateway.runs import Run, RunRace, RunSet
 from coursepitch.gateway.suspicion import explain_crashes
-from coursepitch.gateway.watchdog import Stall
+from coursepitch.gateway.watchdog import RECHECK_S, Stall
 from coursepitch.gateway.work import estimate_tokens, find_max_in_flight
 from coursepitch.http.client import ExchangeError
 from coursepitch.http.event_splitter import EventSplitter
@@ -257,11 +257,24 @@
         while True:
             # Asking takes a permit for the group and may ask peers to lend a retry, so
             # it is not repeated while the budget has no room.
-            if self._may_add_run(job, runs) and (
-                not denied or budget.has_room(job.service.name, session.find_share())
+            if (
+                self._may_add_run(job, runs)
+                and (
+                    not denied
+                    or budget.has_room(job.service.name, session.find_share())
+                )
+                and not (
+                    # The groups are only checked anew once there is one to try.
+                    any(run.answering_since is not None for run in runs.live)
+                    and await self._may_go_on(job, runs)
+                )
             ):
                 group = await self._wait_for_group(job, tried | runs.heads, runs.heads)
-                if group is not None and self._may_add_run(job, runs):
+                if (
+                    group is not None
+                    and not await self._may_go_on(job, runs)
+                    and self._may_add_run(job, runs)
+                ):
                     if not granted:
                         reason = job.last_reason
                         retry = await obtain_retry(self._components, job)
@@ -272,6 +285,28 @@
                         return self._begin_run(job, group, runs.last_event)
             await session.wait_changed(FIND_INTERVAL_S)
 
+    async def _may_go_on(self, job: Job, runs: RunSet[Run]) -> bool:
+        """Whether a run is likely to go on, as its silent group answers again.
+
+        It is overdue if it makes no progress for long after that.
+        """
+        clock, times = self._components.clock, self._watchdog.reply_times
+        limit_s = times.find_overdue_limit_s(job.fields.model)
+        for run in tuple(runs.live):
+            if (
+                run.stall not in (Stall.SILENT, Stall.REPORTED)
+                or clock() - run.stalled_at < RECHECK_S
+            ):
+                continue
+            if not await self._watchdog.answers_again(run.group):
+                run.answering_since = None
+                continue
+            if run.answering_since is None:
+                run.answering_since = clock()
+            if clock() - run.answering_since < limit_s:
+                return True
+        return False
+
     def _may_add_run(self, job: Job, runs: RunSet[Run]) -> bool:
         """Whether another run may begin beside the live ones."""
         detector = self._components.crash_detector
@@ -654,6 +689,7 @@
         :param since: monotonic time at which it last progressed.
         """
         now = self._components.clock()
+        run.stall, run.stalled_at, run.answering_since = stall, now, None
         log.emit(
             events.RUN_STALLED,
             request=job.fields.request,
--- a/coursepitch/gateway/watchdog.py
+++ b/coursepitch/gateway/watchdog.py
@@ -27,13 +27,19 @@
     from coursepitch.fleet.session import FleetSession
     from coursepitch.fleet.view import OpenGroup
 
-__all__ = ['Stall', 'Watchdog']
+__all__ = ['RECHECK_S', 'Stall', 'Watchdog']
 
 #: Seconds for which the result of probing a group is cached.  The loss of a member
 #: that has just responded may go unnoticed for as long; a shorter time multiplies the
 #: probes, each of which has its own connection, when responses are lost.
 PROBE_CACHE_S = 0.8
 
+#: Seconds for which a group counts as silent without another probe when a second run
+#: of a request is about to begin, and seconds for which that run waits for the probe.
+#: Live instances respond within a few milliseconds.
+RECHECK_S = 0.3
+RECHECK_TIMEOUT_S = 0.06
+
 #: Seconds for which a single stream may stall while others of the same head progress.
 SINGLE_STREAM_STALL_S = 1.5
 
@@ -192,13 +198,26 @@
         """
         return await self.find_stall(group, since) is None
 
-    async def _check_members(self, group: OpenGroup) -> bool:
+    async def answers_again(self, group: OpenGroup) -> bool:
+        """Whether all members of a suspected group respond to this node at once.
+
+        What other nodes report of them does not count.
+        """
+        answers = False
+        if not self.has_ended_member(group):
+            with anyio.move_on_after(RECHECK_TIMEOUT_S):
+                answers = await self._check_members(group, RECHECK_S)
+        return answers
+
+    async def _check_members(
+        self, group: OpenGroup, cached_for_s: float = PROBE_CACHE_S
+    ) -> bool:
         """Probe the members of a group unless they were probed recently."""
         key = (group.claim.name, group.claim.epoch)
         while (pending := self._pending.get(key)) is not None:
             await pending.wait()
         asked_at, all_respond = self._cached_results.get(key, (float('-inf'), True))
-        if self._clock() - asked_at < PROBE_CACHE_S:
+        if self._clock() - asked_at < cached_for_s:
             return all_respond
         done = self._pending[key] = anyio.Event()
         try:
--- a/tests/gateway/test_run_schedules.py
+++ b/tests/gateway/test_run_schedules.py
@@ -9,8 +9,14 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from coursepitch.gateway.reply_times import MAX_FIRST_QUIET_S, MAX_QUIET_S
+from coursepitch.gateway.reply_times import (
+    MAX_FIRST_QUIET_S,
+    MAX_OVERDUE_S,
+    MAX_QUIET_S,
+)
+from coursepitch.gateway.watchdog import RECHECK_TIMEOUT_S
 from tests.gateway.simulated_runs import (
+    CLEAR_S,
     LAST_EVENT,
     SILENT_PROBE_S,
     STEP_S,
@@ -74,6 +80,12 @@
 )
 
 
+def build_known_again(silent_at, known_at):
+    """Return an instance that other nodes report, and tell to answer at a time."""
+    silent_s = known_at - silent_at - CLEAR_S
+    return Script(silent_at=silent_at, silent_s=silent_s, seen=Seen.REPORTED)
+
+
 class ScheduleTest(unittest.TestCase):
     """No order of events breaks a promise to the client or leaves something held."""
 
@@ -153,6 +165,39 @@
         self.assertTrue(simulation.reply.whole)
         self.assertEqual([send.name for send in simulation.sends], ['h0', 'h1'])
 
+    # Guards against a retry that is spent just as all groups answer again.
+    def test_no_other_run_begins_once_the_group_of_a_silent_run_answers(self):
+        for silent_at in (0.03, 0.2):
+            with self.subTest(silent_at=silent_at):
+                silent = Script(silent_at=silent_at, silent_s=1.0)
+                # Known to answer just after the first, and before its next event.
+                known_at = silent_at + 1.0 + STEP_S / 4
+                simulation = self.check(
+                    Case((silent, build_known_again(silent_at, known_at)))
+                )
+                self.assertTrue(simulation.reply.whole)
+                self.assertEqual([send.name for send in simulation.sends], ['h0'])
+                self.assertEqual(simulation.budget.granted, 0)
+
+    # Guards against streams that wait for a run that was lost in a silence, at a group
+    # that answers again.
+    def test_run_that_does_not_go_on_with_its_group_is_tried_elsewhere(self):
+        lost = Script(silent_at=0.2, silent_s=math.inf, seen=Seen.REPORTED)
+        simulation = self.check(Case((lost, build_known_again(0.2, 1.2))))
+        self.assertTrue(simulation.reply.whole)
+        first, second = simulation.sends
+        took_s = second.began_at - first.began_at
+        self.assertLess(took_s, 1.2 + MAX_OVERDUE_S + 2 * STEP_S)
+
+    # Guards against streams that wait for a check of a group that is silent for good.
+    def test_other_run_begins_soon_where_the_group_is_silent_still(self):
+        silent = Script(silent_at=0.2, silent_s=math.inf)
+        simulation = self.check(Case((silent, build_known_again(0.2, 1.2))))
+        self.assertTrue(simulation.reply.whole)
+        first, second = simulation.sends
+        took_s = second.began_at - first.began_at
+        self.assertLess(took_s, 1.2 + RECHECK_TIMEOUT_S + STEP_S)
+
     # Guards against permits of rate-limited instances that are used up by no run.
     def test_stalled_request_without_a_retry_asks_once(self):
         scripts = (Script(silent_at=0.2, silent_s=3.0), Script())
