Read a stream while its group is probed and reported

Callers got events of a begun stream up to 1.3 s late if they came while the node probed the group of its head or wrote its report of a silent member to the store. Second runs were late by the same write.

Cause: the probe and the report ran inline between two reads of the stream.

Evidence: with a probe that does not return, a stream whose next event is there read nothing within 1 s; with a result of the probe and an event at once, the stream counted as stalled. With a report that hangs, the result of a probe came after 1.001 s.

Change: the stream is read while its group is probed, and what comes first counts. The watchdog reports lost members in a task of its own.

After: the result of the probe with a report that hangs comes after 0.001 s. Two tests of reports run that task now, and check the same reports.

--- a/coursepitch/gateway/streams.py
+++ b/coursepitch/gateway/streams.py
@@ -612,7 +612,11 @@
                 run.suspected = False
                 await self._take(job, run, data)
                 return True
-            stall = await self._watchdog.find_stall(run.group, since)
+            stall, chunks = await self._check_and_read(run, response, since)
+            if chunks:
+                run.suspected = False
+                await self._take(job, run, chunks[0])
+                return True
             if (
                 stall is None
                 and self._is_overdue(job, began)
@@ -627,6 +631,36 @@
                     return False
             since = self._components.clock()
 
+    async def _check_and_read(
+        self, run: Run, response: Response, since: float
+    ) -> tuple[Stall | None, list[bytes | None]]:
+        """Find out why a run may be stalled, or read on if its response does.
+
+        :param since: monotonic time at which it last progressed.
+        :return: why it may be stalled, and the next bytes, ``None`` for the end, if
+            they came first.
+        :raises ExchangeError: the response broke off.
+        """
+        stall: Stall | None = None
+        failure: ExchangeError | None = None
+        chunks: list[bytes | None] = []
+        async with anyio.create_task_group() as tasks:
+
+            async def check() -> None:
+                nonlocal stall
+                stall = await self._watchdog.find_stall(run.group, since)
+                tasks.cancel_scope.cancel()
+
+            tasks.start_soon(check)
+            try:
+                chunks.append(await response.read_chunk())
+            except ExchangeError as error:
+                failure = error
+            tasks.cancel_scope.cancel()
+        if failure is not None:
+            raise failure
+        return stall, chunks
+
     async def _wait_until_stalled(self, job: Job, run: Run, runs: RunSet[Run]) -> None:
         """Wait until a run that has not begun to deliver is stalled."""
         began = self._components.clock()
--- a/coursepitch/gateway/watchdog.py
+++ b/coursepitch/gateway/watchdog.py
@@ -9,6 +9,7 @@
 
 import enum
 from dataclasses import dataclass
+from functools import partial
 from typing import TYPE_CHECKING
 
 import anyio
@@ -99,11 +100,27 @@
         self._pending: dict[tuple[str, int], anyio.Event] = {}
         self._avoided: dict[tuple[str, int], _Avoidance] = {}
         self._last_activity: dict[str, float] = {}
+        self._unreported: dict[str, bool] = {}
+        self._report_due = anyio.Event()
         #: Called with a head that this node does not reach directly.
         self.on_unreached: Callable[[FleetInstance], None] = lambda instance: None
         #: Response times of models, for the timeouts.
         self.reply_times = ReplyTimes()
 
+    async def run(self) -> None:
+        """Report lost members until cancelled.
+
+        A report waits for the store, which stalled runs must not.
+        """
+        async with anyio.create_task_group() as tasks:
+            while True:
+                await self._report_due.wait()
+                self._report_due = anyio.Event()
+                due, self._unreported = self._unreported, {}
+                for name, ended in due.items():
+                    report = partial(self._session.losses.report, name, ended=ended)
+                    tasks.start_soon(report)
+
     def is_avoided(self, group: OpenGroup) -> bool:
         """Whether a member of the group recently failed to respond.
 
@@ -260,9 +277,8 @@
             self._avoided[key] = _Avoidance(
                 now, now + GROUP_AVOIDANCE_S, tuple(lost), bool(ended)
             )
-            with anyio.move_on_after(1.0):
-                for name in lost:
-                    await self._session.losses.report(name, ended=name in ended)
+            self._unreported.update({name: name in ended for name in lost})
+            self._report_due.set()
         if group.head.name in unreached:
             self.on_unreached(group.head)
         return not lost and group.head.name not in unreached
--- a/coursepitch/gateway_application.py
+++ b/coursepitch/gateway_application.py
@@ -407,6 +407,7 @@
             group.start_soon(self.session.run)
             group.start_soon(self.reporter.run)
             group.start_soon(self.crash_detector.run)
+            group.start_soon(self.watchdog.run)
             group.start_soon(self._keep_groups)
             group.start_soon(self._clean_up)
             group.start_soon(self.admission.run)
--- a/tests/gateway/simulated_runs.py
+++ b/tests/gateway/simulated_runs.py
@@ -508,7 +508,9 @@
         gate = SendGate(view, InstanceBackoffs(clock), self.permits)
         metrics = Metrics()
         self.admission = Admission(session, gate, tracker, metrics, clock, lambda: 0.5)
-        watchdog = Watchdog(session, SimpleNamespace(probe=self._probe), clock)
+        watchdog = self.watchdog = Watchdog(
+            session, SimpleNamespace(probe=self._probe), clock
+        )
         router = Router(view, tracker, watchdog, 'a', is_closed=gate.is_closed)
         self.pool = SimulatedPool(self)
         self.budget = SimulatedBudget(self, case)
@@ -566,6 +568,7 @@
         self._build()
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self.admission.run)
+            tasks.start_soon(self.watchdog.run)
             for name, script in self.scripts.items():
                 tasks.start_soon(self._change_view, name, script)
             scope = anyio.CancelScope()
--- a/tests/gateway/test_decisions.py
+++ b/tests/gateway/test_decisions.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import itertools
 import unittest
 from dataclasses import replace
@@ -36,6 +37,9 @@
     build_view,
 )
 
+#: Turns of the event loop in which all tasks that can go on have done so.
+TURNS = 20
+
 EVENTS = b''.join(b'id: %d\ndata: x\n\n' % number for number in range(1, 9))
 
 
@@ -284,6 +288,17 @@
         await self.wake.wait()
 
 
+@contextlib.asynccontextmanager
+async def reporting(watchdog):
+    """Let a watchdog report what it found in the meantime."""
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(watchdog.run)
+        yield
+        for _ in range(TURNS):
+            await anyio.sleep(0)
+        tasks.cancel_scope.cancel()
+
+
 class WatchdogTest(unittest.TestCase):
     """Probes of the members of a stalled group."""
 
@@ -307,7 +322,7 @@
             async def check():
                 found.append(await watchdog.check_members(self.group))
 
-            async with anyio.create_task_group() as tasks:
+            async with reporting(watchdog), anyio.create_task_group() as tasks:
                 for _ in range(5):
                     tasks.start_soon(check)
                 await anyio.wait_all_tasks_blocked()
@@ -320,6 +335,26 @@
         self.assertEqual(sorted(control.asked), ['a', 'b'])
         self.assertEqual(self.session.reported, ['b'])
 
+    # Guards against second runs that begin late as the store does not answer.
+    def test_probe_does_not_wait_for_its_report(self):
+        control = FakeControl(silent=('b',))
+        control.go.set()
+
+        async def report(name, *, ended=False):
+            self.session.reported.append(name)
+            await anyio.sleep_forever()
+
+        self.session.losses.report = report
+
+        async def run():
+            watchdog = self.build(control)
+            async with reporting(watchdog):
+                with anyio.fail_after(1.0):
+                    self.assertFalse(await watchdog.check_members(self.group))
+
+        anyio.run(run)
+        self.assertEqual(self.session.reported, ['b'])
+
     # Guards against a node's lost paths that are told to all as lost instances.
     def test_member_without_a_path_ends_the_wait_and_is_not_reported(self):
         for found in (Probe.INDIRECT, Probe.NO_PATH):
@@ -332,7 +367,8 @@
                     control.go.set()
                     watchdog = self.build(control)
                     watchdog.on_unreached = unreached.append
-                    all_respond = await watchdog.check_members(self.group)
+                    async with reporting(watchdog):
+                        all_respond = await watchdog.check_members(self.group)
                     return all_respond, watchdog.is_avoided(self.group)
 
                 self.assertEqual(anyio.run(run), (False, False))
--- a/tests/gateway/test_proven_losses.py
+++ b/tests/gateway/test_proven_losses.py
@@ -8,7 +8,7 @@
 
 from coursepitch.fleet.control import Probe
 from coursepitch.gateway.streams import WAIT_OBJECTIVE_SHARE
-from tests.gateway.test_decisions import FakeControl
+from tests.gateway.test_decisions import FakeControl, reporting
 from tests.gateway.waiting_node import OBJECTIVE_S, WaitingNode, run, settle
 
 
@@ -88,7 +88,8 @@
             node.session.losses = type('Losses', (), {'report': staticmethod(report)})
             watchdog = node.streams._watchdog
             watchdog._control = control
-            await watchdog.check_members(group)
+            async with reporting(watchdog):
+                await watchdog.check_members(group)
             return watchdog.has_ended_member(group)
 
         return reported, anyio.run(main)
--- a/tests/gateway/test_stream_runs.py
+++ b/tests/gateway/test_stream_runs.py
@@ -11,7 +11,8 @@
 from coursepitch.gateway.calls import CallRun
 from coursepitch.gateway.job import Ending
 from coursepitch.gateway.runs import RunSet
-from coursepitch.http.client import Framing
+from coursepitch.gateway.watchdog import Stall
+from coursepitch.http.client import ExchangeError, Framing
 from tests.gateway.waiting_node import WaitingNode, run, settle
 
 
@@ -69,6 +70,71 @@
                 self.assertIs(node.load_tracker.is_avoided('h0'), suspected)
 
 
+class ProbedStreamTest(unittest.TestCase):
+    """A stream whose group is probed, as its head was silent."""
+
+    def read(self, read_chunk, find_stall):
+        """Return what reading on gives, and the events that were read."""
+        node = WaitingNode()
+        (group,) = node.view.list_open('pool', 'small')
+        job = node.build_job()
+        runs = RunSet()
+        run = node.streams._begin_run(job, group, b'')
+        runs.add(run)
+        watchdog = node.streams._watchdog
+        watchdog.find_quiet_left_s = lambda head, since, limit_s: 0.0
+        watchdog.find_stall = find_stall
+        node.streams._may_add_run = lambda job, runs: True
+        node.streams._log_stall = lambda job, run, stall, since: None
+        response = SimpleNamespace(read_chunk=read_chunk)
+
+        async def main():
+            with anyio.fail_after(1.0):
+                return await node.streams._read_in_time(job, runs, run, response)
+
+        return anyio.run(main), run.events
+
+    async def wait(self, *args):
+        await anyio.sleep_forever()
+
+    # Guards against events that are read only after the probe and its report.
+    def test_events_are_read_while_the_group_is_probed(self):
+        event = b'id: 1\ndata: x\n\n'
+
+        async def read_chunk(timeout_s=None):
+            await anyio.sleep(0)
+            return event
+
+        self.assertEqual(self.read(read_chunk, self.wait), (True, event))
+
+    def test_stream_is_stalled_once_the_probe_tells_so(self):
+        async def find_stall(group, since):
+            await anyio.sleep(0)
+            return Stall.SILENT
+
+        self.assertEqual(self.read(self.wait, find_stall), (False, b''))
+
+    # Guards against a broken connection that ends the request without another run.
+    def test_connection_that_breaks_during_a_probe_is_told_as_such(self):
+        async def read_chunk(timeout_s=None):
+            raise ExchangeError('reset')
+
+        with self.assertRaises(ExchangeError):
+            self.read(read_chunk, self.wait)
+
+    # Guards against a second run beside one that has just gone on.
+    def test_events_that_come_with_the_result_of_the_probe_count(self):
+        event = b'id: 1\ndata: x\n\n'
+
+        async def read_chunk(timeout_s=None):
+            return event
+
+        async def find_stall(group, since):
+            return Stall.SILENT
+
+        self.assertEqual(self.read(read_chunk, find_stall), (True, event))
+
+
 class OtherGroupTest(unittest.TestCase):
     """The group of a run beside one that is kept."""
 
