Let SIGHUP end no node that starts or stops

What callers saw: all streams of a node broke off when its platform told it of changed settings during its planned stop; a node that was told while it started did not come up.

Cause: the handler of SIGHUP was installed only between the start of the listeners and SIGTERM. Before and after it, the default action of the signal ended the process.

Ruled out: a signal within the first milliseconds of the interpreter, before any code of the program runs, still ends the process; only the parent can prevent that.

Change: the process blocks SIGHUP from its first line, so the kernel keeps it until the handler is installed, and the handler stays until all requests of a planned stop have ended. A node that stops no longer reloads. A second SIGTERM ends it at once as before.

Before: test_streams_outlast_sighup_in_the_planned_stop_of_their_node fails, 6 of 6 streams of the node broken off; test_sighup_while_a_node_starts_is_not_lost fails, "-1 is not None".

--- a/coursepitch/gateway_application.py
+++ b/coursepitch/gateway_application.py
@@ -45,10 +45,11 @@
 from coursepitch.listeners import listen
 from coursepitch.metrics import Metrics
 from coursepitch.platform.kv import KeyValue
+from coursepitch.reload_signal import unblock_reload_signal
 
 if TYPE_CHECKING:
     import socket
-    from collections.abc import Mapping
+    from collections.abc import AsyncIterator, Mapping
     from pathlib import Path
 
     from coursepitch.clock import Clock
@@ -418,10 +419,15 @@
             group.start_soon(self.metrics_server.run, sockets['metrics'])
             accepting = anyio.CancelScope()
             group.start_soon(self._accept, sockets['clients'], accepting)
-            log.emit(events.NODE_STARTED, ports=ports)
-            await self._wait_stop()
-            await self._stop()
-            group.cancel_scope.cancel()
+            with (
+                anyio.open_signal_receiver(signal.SIGHUP) as reloads,
+                unblock_reload_signal(),
+            ):
+                group.start_soon(self._reload_on, reloads)
+                log.emit(events.NODE_STARTED, ports=ports)
+                await self._wait_stop()
+                await self._stop()
+                group.cancel_scope.cancel()
         self.pool.close()
         self.control.close()
         log.emit(events.NODE_STOPPED)
@@ -480,12 +486,14 @@
             self.notices.forget(present)
 
     async def _wait_stop(self) -> None:
-        """Return on SIGTERM or SIGINT; reload the settings on SIGHUP."""
-        kinds = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
-        with anyio.open_signal_receiver(*kinds) as signals:
-            async for number in signals:
-                if number != signal.SIGHUP:
-                    return
+        """Return on SIGTERM or SIGINT."""
+        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+            await anext(signals)
+
+    async def _reload_on(self, signals: AsyncIterator[signal.Signals]) -> None:
+        """Reload the settings on each signal until the node stops."""
+        async for _ in signals:
+            if not self.stopping:
                 self._reload()
 
     def _reload(self) -> None:
--- a/coursepitch/serving_node.py
+++ b/coursepitch/serving_node.py
@@ -12,6 +12,7 @@
 from typing import TYPE_CHECKING
 
 from coursepitch.listeners import SETTINGS_PATH_VARIABLE
+from coursepitch.reload_signal import hold_reload_signal
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -26,6 +27,11 @@
         read from the environment variable ``COURSEPITCH_CONFIG``.
     :raises FindingsError: the settings are invalid.
     """
+    with hold_reload_signal():
+        return _run_node(path)
+
+
+def _run_node(path: str) -> int:
     import gc
     from pathlib import Path
 
