Read the first run of a request without a race

Callers saw requests refused or late on a busy node: a stream of two events took more processor time of its node than before requests had sets of runs.

Cause: each request paid for a second run. Its only run had a task of its own, a task that waited for its watch, and a stream of messages between them and the task that serves the request.

Change: the task that waits reads the first run. Its watch is the one task beside it, and a search and further runs are added to the same task group once they are needed. The first run that advances sets the winner and ends the others, so no messages are needed for that order.

The new test of the number of tasks failed before: 4 tasks, not 3. The tests of what happens just after a run has advanced pass on both; they fail if one of the checks for the end of the race is taken out. The one on two runs that advance at once now asks for the first of them.

--- a/coursepitch/gateway/runs.py
+++ b/coursepitch/gateway/runs.py
@@ -8,7 +8,6 @@
 
 from __future__ import annotations
 
-import math
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Generic, Protocol, TypeVar
 
@@ -18,10 +17,6 @@
     from collections.abc import Awaitable, Callable
 
     from anyio.abc import TaskGroup
-    from anyio.streams.memory import (
-        MemoryObjectReceiveStream,
-        MemoryObjectSendStream,
-    )
 
     from coursepitch.fleet.send_permits import Permit
     from coursepitch.fleet.view import OpenGroup
@@ -149,32 +144,12 @@
         return any(run.interrupted for run in self.live)
 
 
-@dataclass(frozen=True, slots=True)
-class _Suspected(Generic[R]):
-    run: R
-
-
-@dataclass(frozen=True, slots=True)
-class _Advanced(Generic[R]):
-    run: R
-
-
-@dataclass(frozen=True, slots=True)
-class _Failed(Generic[R]):
-    run: R
-
-
-@dataclass(frozen=True, slots=True)
-class _Found(Generic[R]):
-    run: R
-
-
-_Message = _Suspected[R] | _Advanced[R] | _Failed[R] | _Found[R]
-
-
 class RunRace(Generic[R]):
     """Wait until a run makes progress; try another one while all are suspected.
 
+    Most requests have a single run, which makes progress before it is suspected.  So
+    the first run is read by the task that waits, and the only other task watches it.
+
     :param advance: sends a request unless it has been sent, and reads on to the next
         event; returns whether there is one, or the regular end.
     :param watch: returns once a run is suspected.
@@ -193,6 +168,7 @@
         self._watch = watch
         self._find_other = find_other
         self._finding = False
+        self._winner: R | None = None
 
     async def wait(self) -> R | None:
         """Return the first run that makes progress, or ``None`` if all have failed."""
@@ -203,60 +179,57 @@
         return winner
 
     async def _wait_once(self) -> R | None:
-        self._finding = False
-        outbox, inbox = anyio.create_memory_object_stream[_Message[R]](math.inf)
-        with outbox, inbox:
-            async with anyio.create_task_group() as tasks:
-                for run in self._runs.live:
-                    self._start(run, tasks, outbox)
-                winner = await self._settle(tasks, outbox, inbox)
-                tasks.cancel_scope.cancel()
-        return winner
-
-    def _start(
-        self, run: R, tasks: TaskGroup, outbox: MemoryObjectSendStream[_Message[R]]
-    ) -> None:
-        tasks.start_soon(self._report_progress, run, outbox)
+        self._finding, self._winner = False, None
+        first, *others = self._runs.live
+        async with anyio.create_task_group() as tasks:
+            self._start_watch(first, tasks)
+            for run in others:
+                self._start(run, tasks)
+            self._find_if_needed(tasks)
+            await self._read(first, tasks)
+        return self._winner
+
+    def _start(self, run: R, tasks: TaskGroup) -> None:
+        tasks.start_soon(self._read, run, tasks)
+        self._start_watch(run, tasks)
+
+    def _start_watch(self, run: R, tasks: TaskGroup) -> None:
         if not run.suspected:
-            tasks.start_soon(self._report_suspicion, run, outbox)
+            tasks.start_soon(self._suspect, run, tasks)
 
-    async def _settle(
-        self,
-        tasks: TaskGroup,
-        outbox: MemoryObjectSendStream[_Message[R]],
-        inbox: MemoryObjectReceiveStream[_Message[R]],
-    ) -> R | None:
-        while True:
-            if self._runs.needs_another() and not self._finding:
-                self._finding = True
-                tasks.start_soon(self._report_other, outbox)
-            match await inbox.receive():
-                case _Advanced(run):
-                    return run
-                case _Suspected(run):
-                    run.suspected = True
-                case _Found(run):
-                    self._finding = False
-                    self._start(run, tasks, outbox)
-                case _Failed(run):
-                    self._runs.remove(run)
-            if not self._runs.live:
-                return None
-
-    async def _report_progress(
-        self, run: R, outbox: MemoryObjectSendStream[_Message[R]]
-    ) -> None:
-        advanced = await self._advance(run)
-        outbox.send_nowait(_Advanced(run) if advanced else _Failed(run))
+    def _find_if_needed(self, tasks: TaskGroup) -> None:
+        if self._runs.needs_another() and not self._finding:
+            self._finding = True
+            tasks.start_soon(self._add_other, tasks)
 
-    async def _report_suspicion(
-        self, run: R, outbox: MemoryObjectSendStream[_Message[R]]
-    ) -> None:
+    async def _read(self, run: R, tasks: TaskGroup) -> None:
+        """Read a run until it makes progress or has failed."""
+        advanced = await self._advance(run)
+        if tasks.cancel_scope.cancel_called:
+            # Another run made progress just before.
+            return
+        if advanced:
+            self._winner = run
+            tasks.cancel_scope.cancel()
+            return
+        self._runs.remove(run)
+        if self._runs.live:
+            self._find_if_needed(tasks)
+        else:
+            tasks.cancel_scope.cancel()
+
+    async def _suspect(self, run: R, tasks: TaskGroup) -> None:
+        """Watch a run until it is suspected."""
         await self._watch(run)
-        outbox.send_nowait(_Suspected(run))
+        if not tasks.cancel_scope.cancel_called:
+            run.suspected = True
+            self._find_if_needed(tasks)
 
-    async def _report_other(self, outbox: MemoryObjectSendStream[_Message[R]]) -> None:
+    async def _add_other(self, tasks: TaskGroup) -> None:
+        """Find another run and read it."""
         run = await self._find_other()
         # Counted at once, so that it is ended with the others whatever happens.
         self._runs.add(run)
-        outbox.send_nowait(_Found(run))
+        self._finding = False
+        if not tasks.cancel_scope.cancel_called:
+            self._start(run, tasks)
--- a/tests/gateway/test_runs.py
+++ b/tests/gateway/test_runs.py
@@ -56,6 +56,12 @@
         self.assertEqual(run.take_events(), b'')
 
 
+async def let_tasks_run():
+    """Let tasks run whose futures are done: they count as blocked until then."""
+    for _ in range(20):
+        await asyncio.sleep(0)
+
+
 class Race:
     """A race whose runs advance, fail and are suspected when the test says so."""
 
@@ -133,17 +139,32 @@
 
         self.assertIs(self.play(race, scenario), race.found[1])
 
-    # Guards against two runs that deliver: the first message alone decides.
-    def test_two_runs_that_advance_at_once_give_one_winner(self):
-        race = Race('a', 'b')
+    # Guards against tasks for a second run that each request pays for.
+    def test_single_run_is_read_by_the_task_that_waits_and_watched_by_one_more(self):
+        race = Race('a')
 
         async def scenario():
-            for run in race.found:
-                race._find(race.advanced, run).set_result(True)
-            await anyio.wait_all_tasks_blocked()
+            names = [task.name for task in anyio.get_running_tasks()]
+            # That of the scenario, the one that waits, and the one that watches.
+            self.assertEqual(len(names), 3, names)
+            self.assertTrue(race.is_read(race.found[0]))
+            self.assertIn(race.found[0], race.silent)
 
-        self.assertIn(self.play(race, scenario), race.found)
-        self.assertEqual(race.runs.live, race.found)
+        self.play(race, scenario)
+
+    # Guards against two runs that deliver: the first to advance alone decides.
+    def test_two_runs_that_advance_at_once_give_one_winner(self):
+        for order in ((0, 1), (1, 0)):
+            with self.subTest(order=order):
+                race = Race('a', 'b')
+
+                async def scenario(race=race, order=order):
+                    for index in order:
+                        race._find(race.advanced, race.found[index]).set_result(True)
+                    await let_tasks_run()
+
+                self.assertIs(self.play(race, scenario), race.found[order[0]])
+                self.assertEqual(race.runs.live, race.found)
 
     # Guards against streams that end although a silent instance would go on.
     def test_suspected_run_is_kept_and_may_still_deliver(self):
@@ -272,9 +293,7 @@
                     for _ in range(steps):
                         await asyncio.sleep(0)
                     race.others.put_nowait(other)
-                    # Futures that are done count as blocked until they are delivered.
-                    for _ in range(20):
-                        await asyncio.sleep(0)
+                    await let_tasks_run()
                     found.append(other in race.runs.live)
                     if other in race.runs.live:
                         self.assertTrue(race.is_read(other))
@@ -284,6 +303,33 @@
                 self.assertIs(winner, other if found[-1] else None)
         self.assertEqual(set(found), {True, False})
 
+    # Guards against a request that is sent although another run delivers.
+    def test_run_found_just_after_another_one_advanced_is_not_read(self):
+        race, other = Race('a'), build_run('b')
+
+        async def scenario():
+            await race.suspect(race.found[0])
+            race._find(race.advanced, race.found[0]).set_result(True)
+            race.others.put_nowait(other)
+            await let_tasks_run()
+
+        self.assertIs(self.play(race, scenario), race.found[0])
+        self.assertEqual(race.runs.live, [race.found[0], other])
+        self.assertNotIn(other, race.advanced)
+
+    # Guards against an instance that counts as failed although its run only lost.
+    def test_run_suspected_just_after_another_one_advanced_is_not_suspected(self):
+        race = Race('a', 'b')
+        first, second = race.found
+
+        async def scenario():
+            race._find(race.advanced, first).set_result(True)
+            race._find(race.silent, second).set_result(None)
+            await let_tasks_run()
+
+        self.assertIs(self.play(race, scenario), first)
+        self.assertFalse(second.suspected)
+
     def test_run_suspected_before_the_race_is_sought_another_at_once(self):
         race = Race('a')
         race.found[0].suspected = True
