Break off silent responses whose instance does not answer

What callers saw (trial): a part of a stream as complete, where its instance drained, stood still in the stream and was killed.

Cause: an instance that is leaving is not asked when a response ends with its connection, as it may end after its last one, and one that does not answer counts as alive. That no bytes had come for long before the end was not looked at.

Change: a run keeps when its bytes arrived. If the response was silent for 0.8 s before its end, or such a silence ended within 0.8 s of it, an instance that is leaving is asked as well, and unless it answers the response is broken off, and goes on elsewhere where the route allows it. Without a silence an instance that leaves still leaves its responses whole.

Not covered: plain calls, whose bytes are not timed, and a silence before the first bytes.

--- a/coursepitch/events.py
+++ b/coursepitch/events.py
@@ -511,8 +511,9 @@
     'response.end_unproven',
     'A response ended with its connection, and nothing proves that its instance still '
     'runs or has ended: what is known of the instance, whether it was listed and not '
-    'leaving when the check began and when it ended, and the seconds that it took.',
-    ('request', 'instance', 'state', 'listed', 'still_listed', 'took_s'),
+    'leaving when the check began and when it ended, whether bytes came without a '
+    'silence shortly before, and the seconds of the check.',
+    ('request', 'instance', 'state', 'listed', 'still_listed', 'steady', 'took_s'),
 )
 REQUEST_SUSPECTED = Event(
     612,
--- a/coursepitch/gateway/crash_detector.py
+++ b/coursepitch/gateway/crash_detector.py
@@ -197,6 +197,15 @@
             return ProcessState.ENDED
         return state
 
+    async def find_state_of_silent(self, instance: FleetInstance) -> ProcessState:
+        """Return the state of an instance of which nothing is proven; ask if it leaves.
+
+        Its end alone is no crash, so it is not recorded.
+        """
+        if self.is_listed(instance):
+            return ProcessState.UNKNOWN
+        return await self._control.find_state(instance)
+
     def _has_found_end(self, instance: FleetInstance) -> bool:
         """Whether this node found that an instance ended, or lists a later birth."""
         present = self._session.view.instances.get(instance.name)
--- a/coursepitch/gateway/response_ends.py
+++ b/coursepitch/gateway/response_ends.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from coursepitch import events, log
@@ -23,7 +24,12 @@
     from coursepitch.gateway.job import Job
     from coursepitch.http.client import Response
 
-__all__ = ['BrokenOffError', 'check_body', 'check_events', 'check_sender']
+__all__ = ['Arrivals', 'BrokenOffError', 'check_body', 'check_events', 'check_sender']
+
+#: Seconds without bytes after which the end of a response may be that of its instance.
+#: An end that is read only once the entry of an ended instance is gone has been held up
+#: for longer: entries last for three heartbeats.
+SILENCE_S = 0.8
 
 
 #: Why a response that ends with its connection is not whole, by what is known of the
@@ -41,6 +47,33 @@
     category = 'broken off'
 
 
+@dataclass(eq=False)
+class Arrivals:
+    """Times at which the bytes of a response arrived, from the first on.
+
+    :param latest_at: monotonic time of the latest; ``None`` before the first.
+    :param resumed_at: monotonic time at which bytes last came after a silence.
+    """
+
+    latest_at: float | None = None
+    resumed_at: float = float('-inf')
+
+    def note(self, now: float) -> None:
+        """Record that bytes arrived at a monotonic time."""
+        if self.latest_at is not None and now - self.latest_at >= SILENCE_S:
+            self.resumed_at = now
+        self.latest_at = now
+
+    def are_steady(self, now: float) -> bool:
+        """Whether a response that ends now was not silent shortly before.
+
+        Bytes that were held up arrive at once, together with the end.
+        """
+        if self.latest_at is not None and now - self.latest_at >= SILENCE_S:
+            return False
+        return now - self.resumed_at >= SILENCE_S
+
+
 def _has_events(job: Job, answer: Response) -> bool:
     """Whether the body of a response consists of events.
 
@@ -83,21 +116,32 @@
 
 
 async def check_sender(
-    detector: CrashDetector, job: Job, answer: Response, instance: FleetInstance
+    detector: CrashDetector,
+    job: Job,
+    answer: Response,
+    instance: FleetInstance,
+    *,
+    steady: bool = True,
 ) -> None:
     """Check that an instance did not crash with a response that has ended.
 
     Records whether that is proven.  The kernel closes the connections of a crashed
-    process as the process does after a whole response.
-
-    :raises BrokenOffError: it did, or nobody could find out, and the end of the
-        connection is all that tells the end of the response.
+    process as the process does after a whole response.  An instance that is leaving
+    may end after its last response, so it is only asked about one that was silent
+    before.
+
+    :param steady: whether the response was not silent shortly before its end.
+    :raises BrokenOffError: it did, or nobody could find out, or nothing tells that a
+        response which was silent is whole; and the end of the connection is all that
+        tells its end.
     """
     job.survived = answer.framing is not Framing.CONNECTION
     if job.survived:
         return
     listed, began_at = detector.is_listed(instance), detector.clock()
     state = await detector.find_state(instance)
+    if state is ProcessState.UNKNOWN and not steady:
+        state = await detector.find_state_of_silent(instance)
     job.survived = state is ProcessState.RUNS
     if state not in (ProcessState.RUNS, ProcessState.ENDED):
         log.emit(
@@ -107,9 +151,12 @@
             state=state.value,
             listed=listed,
             still_listed=detector.is_listed(instance),
+            steady=steady,
             took_s=round(detector.clock() - began_at, 3),
         )
     reason = _BROKEN_OFF_REASONS.get(state)
+    if reason is None and not job.survived and not steady:
+        reason = 'the response was silent, and its instance does not answer'
     if reason is not None:
         _log_broken_off(job, answer, instance, reason, 0)
         raise BrokenOffError(reason)
--- a/coursepitch/gateway/runs.py
+++ b/coursepitch/gateway/runs.py
@@ -8,11 +8,13 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Generic, Protocol, TypeVar
 
 import anyio
 
+from coursepitch.gateway.response_ends import Arrivals
+
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
@@ -58,6 +60,7 @@
     :param began_at: monotonic time at which its first event was forwarded.
     :param response: ``None`` before its head has arrived.
     :param events: complete events that are yet to be forwarded.
+    :param arrivals: when the bytes of the response arrived.
     :param body: body of an error response.
     :param complete: whether the response has ended regularly.
     :param suspected: whether the run may have failed, as it makes no progress.
@@ -78,6 +81,7 @@
     began_at: float | None = None
     response: Response | None = None
     events: bytes = b''
+    arrivals: Arrivals = field(default_factory=Arrivals)
     body: bytes | None = None
     complete: bool = False
     suspected: bool = False
--- a/coursepitch/gateway/streams.py
+++ b/coursepitch/gateway/streams.py
@@ -534,8 +534,10 @@
 
         :raises ExchangeError: it broke off.
         """
+        now = self._components.clock()
         if data is not None:
             self._watchdog.note_activity(run.head)
+            run.arrivals.note(now)
             run.events = run.splitter.feed(data)
             return
         response = run.response
@@ -543,7 +545,8 @@
             return
         check_events(job, response, run.group.head, run.splitter)
         detector = self._components.crash_detector
-        await check_sender(detector, job, response, run.group.head)
+        steady = run.arrivals.are_steady(now)
+        await check_sender(detector, job, response, run.group.head, steady=steady)
         self._watchdog.note_activity(run.head)
         run.events = run.splitter.flush()
         run.complete = True
--- a/tests/gateway/test_response_ends.py
+++ b/tests/gateway/test_response_ends.py
@@ -9,7 +9,13 @@
 
 from coursepitch.config.routes import RouteKind
 from coursepitch.fleet.control import ProcessState
-from coursepitch.gateway.response_ends import BrokenOffError, check_body
+from coursepitch.gateway.response_ends import (
+    SILENCE_S,
+    Arrivals,
+    BrokenOffError,
+    check_body,
+    check_sender,
+)
 from coursepitch.http.client import Framing
 
 EVENT = b'id: 1\ndata: x\n\n'
@@ -18,8 +24,11 @@
 class FakeDetector:
     """Knows what is proven of the instance; counts the questions."""
 
-    def __init__(self, crashed=False, state=ProcessState.RUNS):
+    def __init__(
+        self, crashed=False, state=ProcessState.RUNS, silent=ProcessState.UNKNOWN
+    ):
         self.state = ProcessState.ENDED if crashed else state
+        self.silent = silent
         self.asked = 0
 
     def clock(self):
@@ -32,6 +41,9 @@
         self.asked += 1
         return self.state
 
+    async def find_state_of_silent(self, instance):
+        return self.silent
+
 
 class ResponseEndTest(unittest.TestCase):
     """Responses as they are read, to their end."""
@@ -127,6 +139,73 @@
             found = self.is_broken_off(EVENT, framing, detector=detector)
             self.assertEqual(found, framing is Framing.CONNECTION)
 
+    def is_silent_end_broken_off(self, *, steady, **states):
+        """Whether a response ends broken off that was silent shortly before, or not."""
+        answer = SimpleNamespace(status=200, headers=(), framing=Framing.CONNECTION)
+        self.job = SimpleNamespace(fields=SimpleNamespace(request='r'))
+        instance, detector = SimpleNamespace(name='i'), FakeDetector(**states)
+
+        async def check():
+            await check_sender(detector, self.job, answer, instance, steady=steady)
+
+        try:
+            anyio.run(check)
+        except BrokenOffError:
+            return True
+        return False
+
+    # Guards against parts of streams that look complete as nothing is known of their
+    # instance, although they had been silent.
+    def test_silent_response_is_whole_only_if_its_instance_answers(self):
+        for found, broken_off in (
+            (ProcessState.RUNS, False),
+            (ProcessState.UNKNOWN, True),
+            (ProcessState.ENDED, True),
+            (ProcessState.UNREACHED, True),
+        ):
+            with self.subTest(found):
+                states = {'state': ProcessState.UNKNOWN, 'silent': found}
+                self.assertEqual(
+                    self.is_silent_end_broken_off(steady=False, **states), broken_off
+                )
+                self.assertEqual(self.job.survived, found is ProcessState.RUNS)
+                self.assertFalse(self.is_silent_end_broken_off(steady=True, **states))
+
+    # Guards against whole streams that look broken off as they paused.
+    def test_silent_response_of_an_instance_that_lives_is_whole(self):
+        found = self.is_silent_end_broken_off(steady=False, state=ProcessState.RUNS)
+        self.assertFalse(found)
+
     def test_response_of_an_instance_that_lives_is_whole(self):
         for kind in RouteKind:
             self.assertFalse(self.is_broken_off(EVENT, kind=kind))
+
+
+class ArrivalsTest(unittest.TestCase):
+    """Whether a response was silent shortly before its end."""
+
+    def are_steady(self, *times, end):
+        arrivals = Arrivals()
+        for at in times:
+            arrivals.note(at)
+        return arrivals.are_steady(end)
+
+    def test_bytes_without_a_silence_are_steady(self):
+        self.assertTrue(self.are_steady(1.0, 1.5, 2.0, end=2.5))
+
+    def test_silence_before_the_end_is_not_steady(self):
+        self.assertFalse(self.are_steady(1.0, 1.5, end=1.51 + SILENCE_S))
+
+    # Guards against bytes that were held up and arrive together with the end.
+    def test_silence_that_has_just_ended_is_not_steady(self):
+        resumed_at = 1.01 + SILENCE_S
+        for after_s, steady in ((0, False), (0.5, False), (0.99, False), (1.01, True)):
+            with self.subTest(after_s):
+                end = resumed_at + after_s * SILENCE_S
+                times = (1.0, resumed_at, (resumed_at + end) / 2, end)
+                self.assertEqual(self.are_steady(*times, end=end), steady)
+
+    # Guards against long prompts that count as silences.
+    def test_time_before_the_first_bytes_does_not_count(self):
+        self.assertTrue(self.are_steady(100.0, 100.1, end=100.2))
+        self.assertTrue(self.are_steady(end=100.0))
--- a/tests/whole/test_broken_off.py
+++ b/tests/whole/test_broken_off.py
@@ -284,6 +284,90 @@
                     self.assertTrue(reply.text.endswith(request), reply.text)
 
 
+class LeavingInstanceTest(BrokenOffCase):
+    """Instances that leave: some serve their streams to the end, some are killed."""
+
+    nodes = ('n1',)
+    engines = 9
+    #: Two seconds of a stream.
+    events = 100
+
+    def read_of_leaving(self, path, request, leave, end):
+        """Return what a client got of a stream whose instance leaves.
+
+        :param leave: lets an instance leave; called once a part has arrived.
+        :param end: called after that, with the name of the instance.
+        """
+        self.wait_for(self.find_heads, 'two groups are open')
+        self.wait_for(lambda: self.serves('n1'), 'the node knows of them')
+        self.control('pool', '/fault', mode='none', framing='connection')
+        self.addCleanup(self.control, 'pool', '/fault', mode='none')
+
+        def act():
+            (head,) = self.find_serving(request)
+            leave(head)
+            self.wait_for(
+                lambda: self.is_leaving(head), 'the node knows that it leaves'
+            )
+            end(head)
+
+        return self.read_stream(path, request, act)
+
+    def find_serving(self, request):
+        """Return the instances that run a request."""
+        return [
+            name
+            for name, item in self.stats('pool').items()
+            if any(run['request'] == request for run in item['runs'])
+        ]
+
+    def is_leaving(self, head):
+        """Whether the node has heard that an instance drains or is no longer listed."""
+        log = self.running['n1'].read_events
+        return any(item['instance'] == head for item in log('instance.gone')) or any(
+            item['instance'] == head and item['draining']
+            for item in log('instance.changed')
+        )
+
+    def drain(self, head):
+        self.control('pool', '/drain', instances=[head])
+
+    def vanish(self, head):
+        self.control('pool', '/vanish', instances=[head])
+
+    def stand_still_and_end(self, head):
+        """Let an instance stand still in its stream, and kill it."""
+        self.control('pool', '/pause', instances=[head], for_s=60)
+        # Longer than any pause of a sound stream.
+        threading.Event().wait(1.2)
+        self.control('pool', '/crash', instances=[head])
+
+    # Guards against whole streams that look broken off as their instance leaves.
+    def test_stream_that_a_leaving_instance_serves_to_its_end_is_whole(self):
+        whole = list(range(1, self.events + 1))
+        for leave in (self.drain, self.vanish):
+            with self.subTest(leave=leave.__name__):
+                request = f'served-{leave.__name__}'
+                found = self.read_of_leaving(
+                    '/single/x', request, leave, lambda head: None
+                )
+                self.assertEqual(found, (whole, True))
+                self.assertEqual(len(self.find_runs(request)), 1)
+
+    # Guards against parts of streams that look complete as their instance was leaving.
+    def test_stream_of_a_leaving_instance_that_is_killed_never_looks_complete(self):
+        for leave in (self.drain, self.vanish):
+            with self.subTest(leave=leave.__name__):
+                ids, complete = self.read_of_leaving(
+                    '/single/x',
+                    f'killed-{leave.__name__}',
+                    leave,
+                    self.stand_still_and_end,
+                )
+                self.assertLess(len(ids), self.events)
+                self.assertFalse(complete)
+
+
 class StoppingNodeTest(BrokenOffCase):
     """A node that stops as planned, and loses its paths meanwhile."""
 
