--- a/tests/whole/test_stream_end_of_gone_instance.py
+++ b/tests/whole/test_stream_end_of_gone_instance.py
@@ -1,7 +1,8 @@
-"""Streams whose instance ended while its node had no path to any instance."""
+"""Streams whose instance ended unseen: without a path, or as their node stood still."""
 
 from __future__ import annotations
 
+import signal
 from concurrent.futures import ThreadPoolExecutor
 
 import httpx
@@ -14,7 +15,7 @@
 CALLS = 6
 
 
-class StreamEndOfGoneInstanceTest(PlatformCase):
+class UnseenEndCase(PlatformCase):
     """The end of the connection is all that tells the end of these streams."""
 
     events = EVENTS
@@ -27,13 +28,40 @@
         single = {'name': 'single', 'path_prefix': '/single/', 'resumable': False}
         super().configure(routes=[*routes, {**routes[0], **single}], **fields)
 
-    def end_instance(self, request):
-        """End the instance of a request once no node has a path for new connections."""
-        heads = [
+    def find_serving(self, request):
+        """Return the instances that run a request."""
+        return [
             name
             for name, item in self.stats('pool').items()
             if request in [run['request'] for run in item['runs']]
         ]
+
+    def read_stream(self, request, on_data):
+        """Return the number of events that a client got, and whether all came whole.
+
+        :param on_data: called once a part of the body has arrived.
+        """
+        self.control('pool', '/fault', mode='none', framing='connection')
+        url = self.running['n1'].url + '/single/x'
+        headers = build_headers(request)
+        text = ''
+        try:
+            with self.client.stream('POST', url, headers=headers) as reply:
+                for part in reply.iter_text():
+                    if not text:
+                        on_data()
+                    text += part
+        except httpx.RemoteProtocolError:
+            return text.count('\n\n'), False
+        return text.count('\n\n'), True
+
+
+class StreamEndOfGoneInstanceTest(UnseenEndCase):
+    """The instance is killed while no node has a path for new connections."""
+
+    def end_instance(self, request):
+        """End the instance of a request once no node has a path for new connections."""
+        heads = self.find_serving(request)
         self.cut(self.nodes, 'refuse')
         self.addCleanup(self.cut, self.nodes, 'none')
 
@@ -48,18 +76,42 @@
 
     # Guards against streams that look complete although their instance ended in them.
     def test_stream_is_not_complete_if_its_instance_ended_and_is_gone(self):
-        self.control('pool', '/fault', mode='none', framing='connection')
-        request, text, whole = 'ended-in-cut', '', False
-        url = self.running['n1'].url + '/single/x'
-        headers = build_headers(request)
-        try:
-            with self.client.stream('POST', url, headers=headers) as reply:
-                for part in reply.iter_text():
-                    if not text:
-                        self.end_instance(request)
-                    text += part
-            whole = True
-        except httpx.RemoteProtocolError:
-            pass
-        count = text.count('\n\n')
+        request = 'ended-in-cut'
+        count, whole = self.read_stream(request, lambda: self.end_instance(request))
         self.assertFalse(whole and count < EVENTS, f'{count} of {EVENTS} events')
+
+
+class NodeStoodStillTest(UnseenEndCase):
+    """The instance is killed, and its entry goes, while its node stands still."""
+
+    engines = 9
+
+    def end_instance(self, request):
+        """End the instance of a request while its node stands still."""
+        process, other = self.running['n1'].process, self.running['n2']
+        heads = self.find_serving(request)
+
+        def is_gone():
+            gone = {item['instance'] for item in other.read_events('instance.gone')}
+            return gone.issuperset(heads)
+
+        process.send_signal(signal.SIGSTOP)
+        try:
+            self.control('pool', '/crash', instances=heads)
+            self.wait_for(is_gone, 'the entry is gone')
+        finally:
+            process.send_signal(signal.SIGCONT)
+
+    # Guards against streams that look complete as their end is read only once the
+    # entry of their instance is gone.
+    def test_stream_is_not_complete_if_its_instance_ended_and_is_gone(self):
+        for number in range(3):
+            with self.subTest(number=number):
+                self.wait_for(self.find_heads, 'a group is open')
+                self.wait_for(lambda: self.serves('n1'), 'n1 serves')
+                request = f'ended-in-pause-{number}'
+                count, whole = self.read_stream(
+                    request, lambda request=request: self.end_instance(request)
+                )
+                found = f'{count} of {EVENTS} events'
+                self.assertFalse(whole and count < EVENTS, found)
