Don't take an instance that peers no longer list for a lost path

Cause: a peer that lists an instance no longer counted as one that cannot open tunnels. Each check of an instance whose entry had gone, and each request that was on its way there, made a node that is cut off believe that its peers have no path either, until its next tunnel.

Change: unlisted tells nothing about a peer's paths. A peer that is cut off itself says so first, whatever it lists. That a peer does not list the node which asks has a code of its own (4403, unadmitted), as it does fail for every instance; older nodes take that code for no answer.

--- a/coursepitch/fleet/paths.py
+++ b/coursepitch/fleet/paths.py
@@ -179,11 +179,11 @@
         :raises TunnelError: it failed; the outcome only concerns the instance if this
             node reaches others.
         """
+        if self.is_cut_off:
+            raise TunnelError(TunnelOutcome.NO_PATH)
         found = self._view.instances.get(instance)
         if found is None:
             raise TunnelError(TunnelOutcome.UNLISTED)
-        if self.is_cut_off:
-            raise TunnelError(TunnelOutcome.NO_PATH)
         began_at = self._clock()
         for _ in range(PEER_TRIES):
             try:
--- a/coursepitch/fleet/tunnels.py
+++ b/coursepitch/fleet/tunnels.py
@@ -60,7 +60,9 @@
 class TunnelOutcome(enum.Enum):
     """Why a tunnel could not be opened; the values are close codes.
 
-    :cvar UNLISTED: the peer does not list the instance, or this node.
+    :cvar UNLISTED: the peer does not list the instance, which tells nothing about the
+        peer's paths.
+    :cvar UNADMITTED: the peer does not list this node.
     :cvar REFUSED: the peer reaches other instances, and this one refuses connections.
     :cvar NO_PATH: the peer cannot reach instances either.
     :cvar SILENT: the peer reaches other instances, and this one does not answer.
@@ -69,6 +71,7 @@
     """
 
     UNLISTED = 4404
+    UNADMITTED = 4403
     REFUSED = 4502
     NO_PATH = 4503
     SILENT = 4504
@@ -111,7 +114,7 @@
         self._paused_until: dict[str, float] = {}
         self._trusted_peer = ''
         #: Time at which a tunnel was last opened, and at which all peers that were
-        #: asked last failed to open one.
+        #: asked last failed to open one, for whatever instance.
         self.opened_at = float('-inf')
         self.failed_at = float('-inf')
         #: Outcome at the last peer that was asked then; a node without peers is no
@@ -127,7 +130,7 @@
             that were asked could connect.
         """
         asked: set[str] = set()
-        outcome = TunnelOutcome.NO_PEER
+        outcome, may_have_path = TunnelOutcome.NO_PEER, False
         while len(asked) < MAX_PEERS and (peer := self._choose_peer(asked)):
             asked.add(peer)
             try:
@@ -138,14 +141,16 @@
                     self._note_path(peer)
                     raise
                 outcome = error.outcome
+                may_have_path |= outcome is TunnelOutcome.UNLISTED
                 self._note_failure(peer, outcome)
                 continue
             self.count('opened')
             self._note_path(peer)
             return stream
-        self.failed_at = self._clock()
-        if asked:
-            self.failure = outcome
+        if not may_have_path:
+            self.failed_at = self._clock()
+            if asked:
+                self.failure = outcome
         raise TunnelError(outcome)
 
     def has_peers(self) -> bool:
@@ -166,7 +171,9 @@
 
     def _note_failure(self, peer: str, outcome: TunnelOutcome) -> None:
         """Pause a peer that could not open a tunnel."""
-        if outcome is not TunnelOutcome.UNLISTED:
+        if outcome is TunnelOutcome.UNLISTED:
+            return
+        if outcome is not TunnelOutcome.UNADMITTED:
             self._paused_until[peer] = self._clock() + PEER_PAUSE_S
         if outcome is not TunnelOutcome.NO_PEER and peer == self._trusted_peer:
             self._trusted_peer = ''
@@ -270,4 +277,4 @@
             raise TunnelError(TunnelOutcome.BUSY)
         place = self.list_nodes().get(node)
         if place is None or place.address.rpartition(':')[0] != host:
-            raise TunnelError(TunnelOutcome.UNLISTED)
+            raise TunnelError(TunnelOutcome.UNADMITTED)
--- a/tests/fleet/test_paths.py
+++ b/tests/fleet/test_paths.py
@@ -287,6 +287,11 @@
                 self.assertIs(self.find_outcome(), TunnelOutcome.NO_PATH)
                 self.assertIs(self.find_outcome(), TunnelOutcome.NO_PATH)
 
+    # Guards against a node without paths that passes for one which has some.
+    def test_node_that_is_cut_off_says_so_whatever_it_lists(self):
+        self.paths.is_cut_off = True
+        self.assertIs(self.find_outcome('gone'), TunnelOutcome.NO_PATH)
+
     # Guards against accusations by a node that is separated from one service.
     def test_node_that_reaches_another_service_only_accuses_no_instance(self):
         self.view.instances['d'] = build_instance('d', service='api', address='d:1')
