Let requests wait for replicas whose members are only silent

What callers saw: while all engines of one group stood still and those of another one answered, requests for the first group were refused at once.

Cause: the observer told of a member that did not answer in time as of one that had failed, so no replica was expected to serve again.

Change: the observer tells of a member that served its claim at its last answer, and has only been silent since, as silent. Such a replica gets no requests, as before; they wait for it, up to their limit in the queue, until it answers or counts as lost after silence_limit_s. Nodes of an older version read a silent member as one that does not answer.

--- a/coursepitch/control/domain.py
+++ b/coursepitch/control/domain.py
@@ -25,6 +25,7 @@
     Step,
     add_check,
     decide_step,
+    is_only_silent,
     passes_check,
 )
 from coursepitch.errors import CodecError, TargetError
@@ -77,6 +78,16 @@
     return Claims(domain, body.epoch, replicas)
 
 
+def _list_served(body: DomainBody) -> dict[str, str]:
+    """Return the replicas that instances serve by instance, as another node saw it."""
+    return {
+        member.instance: replica.name
+        for replica in body.replicas
+        for member in replica.members
+        if member.good or member.silent
+    }
+
+
 class DomainController:
     """Observes a fabric domain and advances its replicas while holding its duty."""
 
@@ -107,6 +118,8 @@
         self._claims = rebuild_claims(domain, known) if known else Claims(domain)
         self._revision = known.claims_revision if known else 0
         self._checks: dict[str, HealthCheck] = {}
+        #: Name of the replica that each instance served at its last answer.
+        self._served = _list_served(known) if known else {}
         self._state_since: dict[tuple[str, str], float] = {}
         self._missing_members: set[str] = set()
         self._replica_moved = False
@@ -216,6 +229,7 @@
         members = [item for rep in self._claims.replicas for item in rep.members]
         names = {member.instance for member in members}
         self._checks = {n: c for n, c in self._checks.items() if n in names}
+        self._served = {n: r for n, r in self._served.items() if n in names}
         async with anyio.create_task_group() as group:
             for member in members:
                 group.start_soon(self._check_member, member)
@@ -245,8 +259,9 @@
             check = self._checks.get(member.instance)
             good = passes_check(replica, check)
             answers = check is not None and check.answered
+            silent = self._note_served(replica, member.instance, check, good)
             members.append(
-                ObservedMember(member.instance, member.address, good, answers)
+                ObservedMember(member.instance, member.address, good, answers, silent)
             )
             self._log_missing_member(replica, member.instance, good)
         return ObservedReplica(
@@ -260,6 +275,18 @@
             tuple(members),
         )
 
+    def _note_served(
+        self, replica: Replica, instance: str, check: HealthCheck | None, good: bool
+    ) -> bool:
+        """Note if a member serves; return whether only silence speaks against it."""
+        if is_only_silent(check):
+            return self._served.get(instance) == replica.name
+        if good:
+            self._served[instance] = replica.name
+        else:
+            self._served.pop(instance, None)
+        return False
+
     def _describe_load(self) -> LoadBody:
         firsts = [rep.members[0].instance for rep in self._claims.replicas]
         checks = [self._checks.get(name) for name in firsts]
--- a/coursepitch/control/lifecycle.py
+++ b/coursepitch/control/lifecycle.py
@@ -19,6 +19,7 @@
     'Step',
     'add_check',
     'decide_step',
+    'is_only_silent',
     'passes_check',
 ]
 
@@ -111,6 +112,11 @@
     )
 
 
+def is_only_silent(check: HealthCheck | None) -> bool:
+    """Return whether an instance did not answer in time, and nothing else is known."""
+    return check is not None and not check.answered and not check.failures
+
+
 def decide_step(
     chart: Chart,
     replica: Replica,
--- a/coursepitch/peers/records.py
+++ b/coursepitch/peers/records.py
@@ -88,12 +88,15 @@
 
     :param good: whether it serves exactly what its claim says.
     :param answers: whether it responded; if so, the instance can be reused.
+    :param silent: whether it did not respond in time, and nothing else speaks against
+        it.
     """
 
     instance: str
     address: str
     good: bool
     answers: bool
+    silent: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -114,6 +117,13 @@
         """Whether every member passed its check."""
         return bool(self.members) and all(member.good for member in self.members)
 
+    @property
+    def expected(self) -> bool:
+        """Whether every member passed its check or is only silent."""
+        return bool(self.members) and all(
+            member.good or member.silent for member in self.members
+        )
+
 
 @dataclass(frozen=True, slots=True)
 class DomainBody:
@@ -194,8 +204,10 @@
 
 
 def _pack_replica(seen: ObservedReplica) -> list[Any]:
+    # Nodes of an older version read ``None`` as a member that does not answer.
     members = [
-        [item.instance, item.address, item.good, item.answers] for item in seen.members
+        [item.instance, item.address, item.good, None if item.silent else item.answers]
+        for item in seen.members
     ]
     return [
         seen.name,
@@ -310,7 +322,11 @@
 def _unpack_member(data: Any) -> ObservedMember:
     instance, address, good, answers = data
     return ObservedMember(
-        _check_text(instance), _check_text(address), good is True, answers is True
+        _check_text(instance),
+        _check_text(address),
+        good is True,
+        answers is True,
+        answers is None,
     )
 
 
--- a/coursepitch/serving/replica_selector.py
+++ b/coursepitch/serving/replica_selector.py
@@ -87,7 +87,7 @@
             return self._cached_expected
         # A report is old if no engine answers, or if this node stood still; either way
         # a new one is to be expected.
-        self._cached_expected = self._read_by_group(now, math.inf)
+        self._cached_expected = self._read_by_group(now, math.inf, with_silent=True)
         self._expected_at = now
         return self._cached_expected
 
@@ -104,7 +104,7 @@
         return self._cached_groups
 
     def _read_by_group(
-        self, now: float, limit_s: float
+        self, now: float, limit_s: float, *, with_silent: bool = False
     ) -> dict[str, list[ServableReplica]]:
         found = list_servable_replicas(
             self._hub.records('domain'),
@@ -112,6 +112,7 @@
             self._hub.records('fleet'),
             now,
             limit_s,
+            with_silent=with_silent,
         )
         by_group: dict[str, list[ServableReplica]] = {}
         for item in found:
--- a/coursepitch/serving/servable.py
+++ b/coursepitch/serving/servable.py
@@ -44,11 +44,15 @@
     fleets: Iterable[Record],
     now: float,
     limit_s: float,
+    *,
+    with_silent: bool = False,
 ) -> tuple[ServableReplica, ...]:
     """Return the replicas that can serve.
 
     A health report counts only up to an age of ``limit_s`` seconds, and only if
     it is based on the newest claims known for its domain.
+
+    :param with_silent: whether to return also those whose members are only silent.
     """
     leaving = _list_leaving(fleets, now)
     running = _index_loads(loads)
@@ -59,7 +63,8 @@
             continue
         counts = running.get((record.key.subject, body.claims_revision), ())
         for index, replica in enumerate(body.replicas):
-            if replica.state != 'serving' or not replica.whole:
+            fit = replica.expected if with_silent else replica.whole
+            if replica.state != 'serving' or not fit:
                 continue
             if any(member.instance in leaving for member in replica.members):
                 continue
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -55,11 +55,14 @@
     return HealthCheck(True, 0, state, claim, **values)
 
 
-def build_seen(name: str, good: bool = True, **fields: Any) -> ObservedReplica:
+def build_seen(
+    name: str, good: bool = True, silent: bool = False, **fields: Any
+) -> ObservedReplica:
     """Return evidence of a replica of two members."""
+    answers = good and not silent
     members = (
         ObservedMember(f'{name}-0', '10.0.0.1:1', True, True),
-        ObservedMember(f'{name}-1', '10.0.0.1:2', good, good),
+        ObservedMember(f'{name}-1', '10.0.0.1:2', answers, answers, silent),
     )
     values = {'group': 'g', 'state': 'serving', 'model': 'm', 'version': '1', **fields}
     return ObservedReplica(
--- a/tests/control/test_observations.py
+++ b/tests/control/test_observations.py
@@ -22,6 +22,7 @@
 
     def setUp(self):
         self.answering = {'10.0.0.1:1', '10.0.0.1:2'}
+        self.answers = build_check('r')
         self.otherwise = HealthCheck(answered=False, silent_s=TIMEOUT_S)
         self.reaches = False
         self.published = []
@@ -40,7 +41,7 @@
         )
 
     async def check(self, address):
-        return build_check('r') if address in self.answering else self.otherwise
+        return self.answers if address in self.answering else self.otherwise
 
     async def confirm(self):
         return self.reaches
@@ -71,6 +72,37 @@
             self.answering = {'10.0.0.1:1', '10.0.0.1:2'}
             self.run_rounds()
 
+    def list_silent(self):
+        """Return the members that only silence speaks against, as published last."""
+        members = self.published[-1].replicas[0].members
+        return [item.instance for item in members if item.silent]
+
+    def test_sound_member_that_falls_silent_is_told_as_silent(self):
+        self.answering = {'10.0.0.1:1'}
+        self.run_rounds()
+        self.assertEqual(self.list_silent(), ['r-1'])
+        self.assertFalse(self.published[-1].replicas[0].whole)
+        self.answering = {'10.0.0.1:1', '10.0.0.1:2'}
+        self.run_rounds()
+        self.assertEqual(self.list_silent(), [])
+        self.assertTrue(self.published[-1].replicas[0].whole)
+
+    # Guards against requests that wait for an engine which is known to have ended.
+    def test_member_that_failed_is_not_silent(self):
+        silent = self.otherwise
+        self.answering = {'10.0.0.1:1'}
+        for otherwise in (HealthCheck(False, failures=1), silent):
+            self.otherwise = otherwise
+            self.run_rounds()
+            self.assertEqual(self.list_silent(), [])
+
+    def test_member_that_served_something_else_is_not_silent(self):
+        self.answers = build_check('another')
+        self.run_rounds()
+        self.answering = {'10.0.0.1:1'}
+        self.run_rounds()
+        self.assertEqual(self.list_silent(), [])
+
     def test_silence_counts_while_other_engines_answer(self):
         self.answering = {'10.0.0.1:1'}
         self.run_rounds(3)
--- a/tests/peers/test_table.py
+++ b/tests/peers/test_table.py
@@ -19,6 +19,7 @@
 )
 from coursepitch.peers.records import (
     ContactBody,
+    DomainBody,
     FleetBody,
     NodeBody,
     pack_body,
@@ -33,6 +34,7 @@
     WireRecord,
 )
 from coursepitch.peers.topology import choose_peers
+from tests.builders import build_seen
 
 NAMES = ('a', 'b', 'c')
 NAME = st.sampled_from(NAMES)
@@ -163,6 +165,18 @@
             unpack_body('node', ['i', 7, True, False, True, True])
 
 
+class DomainRecordTest(unittest.TestCase):
+    """Observations, also by nodes of a version that does not tell of silence."""
+
+    def test_silent_member_is_told_and_counts_as_one_that_does_not_answer(self):
+        for silent in (False, True):
+            body = DomainBody(1, 1, (build_seen('r', good=False, silent=silent),))
+            packed = pack_body(body)
+            self.assertEqual(unpack_body('domain', packed), body)
+            good, answers = packed[2][0][-1][1][2:]
+            self.assertEqual((good is True, answers is True), (False, False))
+
+
 class MessageTest(unittest.TestCase):
     """The codec decodes its own output and rejects any other input."""
 
--- a/tests/serving/test_replica_selector.py
+++ b/tests/serving/test_replica_selector.py
@@ -86,6 +86,13 @@
         self.selector._hub.records = self.read
         self.assertEqual(self.count(), (0, 0))
 
+    # Guards against requests that are refused at once as all their replicas are silent.
+    def test_replica_with_a_silent_member_may_serve_again(self):
+        self.report(silent=True)
+        self.assertEqual(self.count(), (0, 1))
+        self.report(silent=True, state='releasing')
+        self.assertEqual(self.count(), (0, 0))
+
     def test_replica_that_is_not_whole_does_not_count(self):
         self.report(good=False)
         self.assertEqual(self.count(), (0, 0))
--- a/tests/whole/test_silent_engines.py
+++ b/tests/whole/test_silent_engines.py
@@ -125,6 +125,49 @@
         self.assert_whole(streams)
 
 
+class SilentGroupTest(ReplicaCase):
+    """Silence of all engines of a group while those of another one answer."""
+
+    settings = PATIENT
+
+    # Guards against requests that are refused at once as their replicas are silent.
+    def test_requests_sent_while_all_engines_of_their_group_are_silent_are_answered(
+        self,
+    ):
+        self.harness.apply(
+            'n1',
+            'group',
+            'other',
+            model='other',
+            version='1',
+            replicas=1,
+            instances=1,
+            customers=['dar'],
+        )
+        for node in self.nodes:
+            self.harness.wait_for(
+                lambda node=node: any(
+                    item['serving'] for item in self.harness.replicas(node, 'other')
+                ),
+                f'{node} sees the other group serve',
+            )
+        for replica in self.serving().values():
+            for name in replica['instances']:
+                self.harness.set_fault(name, still_s=4.0)
+        calls = []
+        for number in range(30):
+            time.sleep(0.1)
+            node = f'n{number % 3 + 1}'
+            body = self.body('sent in a silence', max_tokens=2)
+            calls.append(
+                in_background(
+                    lambda node=node, body=body: call_stream(self.harness, node, body)
+                )
+            )
+        answers = [call.result(90) for call in calls]
+        self.assertEqual([item.error for item in answers if not item.whole], [])
+
+
 class PausedNodeTest(ReplicaCase):
     """A node that stands still for longer than a report on replicas counts."""
 
