Test that a full queue of silent engines is told as overloaded

The failure kept no message, so its cause can't be proved any more.

The test is not about a slow store, so it takes the settings that the others of that kind take (PATIENT).

--- a/tests/whole/test_edges.py
+++ b/tests/whole/test_edges.py
@@ -17,7 +17,7 @@
 import trustme
 
 from standins.harness import CALLER_KEY, OPERATOR_KEY, Harness
-from tests.whole.base import GROUP, SystemCase, hash_key
+from tests.whole.base import GROUP, PATIENT, SystemCase, hash_key
 from tests.whole.calls import in_background
 
 
@@ -139,6 +139,7 @@
     replicas = 1
     engine = {'token_s': 0.005}
     settings = {
+        **PATIENT,
         'entry': {'queue_limit': '4', 'queue_wait_s': '20'},
         'routing': {'replica_limit': '2'},
     }
@@ -166,7 +167,8 @@
         self.assertGreaterEqual(codes.count(200), 3)
         self.assertEqual(set(codes), {200, 429})
 
-    def test_full_queue_gives_up_at_once_and_says_when_to_come_back(self) -> None:
+    def fill_queue(self) -> None:
+        """Send more requests than the queue holds; check how the others are refused."""
         body = self.body('fill', max_tokens=60)
         calls = [
             in_background(lambda: self.harness.call('n1', body)) for _ in range(20)
@@ -176,10 +178,26 @@
         self.assertEqual(set(codes), {200, 503})
         for reply in replies:
             if reply.status_code == 503:
-                self.assertEqual(reply.json()['error']['code'], 'overloaded')
+                error = reply.json()['error']
+                self.assertEqual(error['code'], 'overloaded', error)
                 self.assertEqual(reply.headers['coursepitch-outcome'], 'not-run')
                 self.assertIn('retry-after', reply.headers)
 
+    def test_full_queue_gives_up_at_once_and_says_when_to_come_back(self) -> None:
+        self.fill_queue()
+
+    # Guards against engines that stand still and are taken for a cut path.
+    def test_full_queue_gives_up_at_once_while_all_engines_are_silent(self) -> None:
+        log = self.harness.folder / 'n1.log'
+        known = log.read_text().count('"engines.silent"')
+        for item in self.harness.instances:
+            self.harness.set_fault(item['id'], still_s=6.0)
+        self.harness.wait_for(
+            lambda: log.read_text().count('"engines.silent"') > known,
+            'no engine answers the node',
+        )
+        self.fill_queue()
+
 
 class TlsTest(unittest.TestCase):
     """TLS for callers and operators."""
