Do not take a pause of the own process for a silence of engines

What callers saw: no answer was lost. A node of the OpenAI side that stood still for longer than a limit of silence and went on took each engine for silent, began second attempts, and put all replicas out of service until the next reports.

Evidence: test_limit_that_passes_late_begins_anew failed in 3 of 3 runs without the change (the other engine got the request) and passes in 5 of 5. The other 12 tests of test_silent_engines pass, one run.

--- a/coursepitch/serving/race.py
+++ b/coursepitch/serving/race.py
@@ -12,6 +12,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
+from coursepitch.fleet.pause_detector import has_passed_late
 from coursepitch.serving.attempts import NextStep
 
 if TYPE_CHECKING:
@@ -156,6 +157,10 @@
         if self._finding is not None:
             tasks.add(self._finding)
         await asyncio.wait(tasks, timeout=wait_s, return_when=asyncio.FIRST_COMPLETED)
+        if wait_s is not None and has_passed_late(wait_s, self._clock() - now):
+            # What arrived while this process stood still is yet to be read.
+            for item in self._readings:
+                item.since = self._clock()
 
     async def _begin_other(self) -> Reading:
         return await self._find_other()
--- a/tests/serving/test_silent_engines.py
+++ b/tests/serving/test_silent_engines.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 import unittest
 
 import anyio
@@ -97,6 +98,24 @@
         self.assertEqual(read_stream(first, second), EXPECTED)
 
 
+class StandstillTest(unittest.TestCase):
+    """A node that stands still while engines answer."""
+
+    # Guards against a stop of the own process that is taken for a silence of engines.
+    def test_limit_that_passes_late_begins_anew(self):
+        limit_s = LIMITS['first_byte_timeout_s']
+        answer = stream_tokens(before_s=0.1 * limit_s)
+
+        async def answer_after_standstill(stream, name, start):
+            # Nothing runs in this loop meanwhile, so the limit passes late.
+            time.sleep(2 * limit_s)
+            await answer(stream, name, start)
+
+        first, second = Engine(answer_after_standstill), Engine(stream_tokens())
+        self.assertEqual(read_stream(first, second), EXPECTED)
+        self.assertEqual((len(first.seen), second.seen), (1, []))
+
+
 class SilentAnswerTest(unittest.TestCase):
     """Answers that are not streamed come after any silence."""
 
