Keep a group avoided while a member other than its head is silent

Callers' requests went to groups with a silent member as soon as the node read data of the head, although the head was not the one that did not answer.

Cause: any data of the head ended the avoidance of its group. A group with a dead member moves nothing, but what its head sent before may be read later, as a stream is read no faster than its client takes it. That this happened to a caller is not shown; the effect of the rule is shown by a test only.

Evidence: in the new test the group counted as trusted at each of six looks while its other member was silent.

Change: each silent member has to show that it answers, the head by its data, any by the word of another node. Data of the head lets the node probe an avoided group, at most once in 0.3 s, so it is trusted again as soon as all members answer.

Replaced: test_group_whose_head_sends_data_is_trusted_again let data of the head clear the silence of the other member, which is this fault. It tests a silent head now, and test_group_whose_head_sends_data_is_probed_and_trusted_again the same promise for the other member, with a member that answers.

--- a/coursepitch/gateway/watchdog.py
+++ b/coursepitch/gateway/watchdog.py
@@ -36,8 +36,8 @@
 PROBE_CACHE_S = 0.8
 
 #: Seconds for which a group counts as silent without another probe when a second run
-#: of a request is about to begin, and seconds for which that run waits for the probe.
-#: Live instances respond within a few milliseconds.
+#: of a request is about to begin, or when its head sends data, and seconds for which a
+#: second run waits for the probe.  Live instances respond within a few milliseconds.
 RECHECK_S = 0.3
 RECHECK_TIMEOUT_S = 0.06
 
@@ -68,10 +68,13 @@
 class _Avoidance:
     """A group that is avoided.
 
+    :param since: monotonic time at which it was last probed.
+    :param until: monotonic time until which it is avoided.
     :param members: names of the members that did not respond.
     :param ended: whether the process of one of them is proven to be gone.
     """
 
+    group: OpenGroup
     since: float
     until: float
     members: tuple[str, ...]
@@ -100,42 +103,48 @@
         self._pending: dict[tuple[str, int], anyio.Event] = {}
         self._avoided: dict[tuple[str, int], _Avoidance] = {}
         self._last_activity: dict[str, float] = {}
+        #: Avoided groups to probe once their heads send data.
+        self._unsure: dict[str, _Avoidance] = {}
+        self._to_probe: list[OpenGroup] = []
         self._unreported: dict[str, bool] = {}
-        self._report_due = anyio.Event()
+        self._has_work = anyio.Event()
         #: Called with a head that this node does not reach directly.
         self.on_unreached: Callable[[FleetInstance], None] = lambda instance: None
         #: Response times of models, for the timeouts.
         self.reply_times = ReplyTimes()
 
     async def run(self) -> None:
-        """Report lost members until cancelled.
+        """Report lost members, and probe avoided groups, until cancelled.
 
         A report waits for the store, which stalled runs must not.
         """
         async with anyio.create_task_group() as tasks:
             while True:
-                await self._report_due.wait()
-                self._report_due = anyio.Event()
+                await self._has_work.wait()
+                self._has_work = anyio.Event()
                 due, self._unreported = self._unreported, {}
                 for name, ended in due.items():
                     report = partial(self._session.losses.report, name, ended=ended)
                     tasks.start_soon(report)
+                groups, self._to_probe = self._to_probe, []
+                for group in groups:
+                    tasks.start_soon(self._check_members, group, 0.0)
 
     def is_avoided(self, group: OpenGroup) -> bool:
         """Whether a member of the group recently failed to respond.
 
-        It counts as responding again once the head sends data or a node tells so.
+        It counts as responding again once it sends data or a node tells so.  What the
+        head sends tells nothing of another member, as it may have been sent before.
         """
         key = (group.claim.name, group.claim.epoch)
         found = self._avoided.get(key)
         if found is None:
             return False
-        now, head = self._clock(), group.head.name
-        lost = self._session.view.lost
-        if (
-            found.until <= now
-            or self._last_activity.get(head, float('-inf')) > found.since
-            or all(lost.has_answered_since(name, found.since) for name in found.members)
+        lost, active_at = self._session.view.lost, self._last_activity
+        if found.until <= self._clock() or all(
+            lost.has_answered_since(name, found.since)
+            or active_at.get(name, float('-inf')) > found.since
+            for name in found.members
         ):
             del self._avoided[key]
             return False
@@ -151,8 +160,17 @@
         return self.is_avoided(group) and self._avoided[key].ended
 
     def note_activity(self, head: str) -> None:
-        """Record that a head sent data on any stream of this node."""
-        self._last_activity[head] = self._clock()
+        """Record that a head sent data on any stream of this node.
+
+        The group is probed if it is avoided because of another member.
+        """
+        now = self._last_activity[head] = self._clock()
+        found = self._unsure.get(head)
+        if found is not None and now - found.since >= RECHECK_S:
+            del self._unsure[head]
+            if self._avoided.get((found.group.claim.name, found.group.claim.epoch)):
+                self._to_probe.append(found.group)
+                self._has_work.set()
 
     def find_quiet_left_s(self, head: str, since: float, quiet_limit_s: float) -> float:
         """Return the seconds left before the group of a silent head is probed.
@@ -301,11 +319,14 @@
             key = (group.claim.name, group.claim.epoch)
             now = self._clock()
             ended = {name for name in lost if found[name].proves_end}
-            self._avoided[key] = _Avoidance(
-                now, now + GROUP_AVOIDANCE_S, tuple(lost), bool(ended)
+            avoidance = _Avoidance(
+                group, now, now + GROUP_AVOIDANCE_S, tuple(lost), bool(ended)
             )
+            self._avoided[key] = avoidance
+            if lost != [group.head.name]:
+                self._unsure[group.head.name] = avoidance
             self._unreported.update({name: name in ended for name in lost})
-            self._report_due.set()
+            self._has_work.set()
         if group.head.name in unreached:
             self.on_unreached(group.head)
         return not lost and group.head.name not in unreached
