Forward final answers and the last error of an instance

Callers whose request was declined with a 4xx by a second run waited for the silent first run, and those whose runs all ended in errors, or at the deadline, got 502 or 504 of the node although an instance had answered.

Cause: every error response of a run was dropped while another run was left, and a dropped one was forgotten.

Evidence: in the model of runs the status forwarded was None in place of 400 (a 400 beside a silent run), and None in place of 500 (a 500 beside a silent run whose connection then broke).

Change: an answer below 500 is forwarded at once unless events were forwarded. A silent run may still succeed, so a 5xx does not end it; the latest one is kept and forwarded in place of 502 or 504. Statuses that deny a run are not, nor is an error where the node tells of instances that ended. Plain calls keep their latest 5xx as well.

--- a/coursepitch/gateway/calls.py
+++ b/coursepitch/gateway/calls.py
@@ -20,7 +20,7 @@
     send_attempt,
     take_permit,
 )
-from coursepitch.gateway.job import Ending, Refusal
+from coursepitch.gateway.job import Ending, ErrorResponse, Refusal
 from coursepitch.gateway.response_ends import check_body
 from coursepitch.gateway.runs import RunRace, RunSet
 from coursepitch.gateway.suspicion import explain_crashes
@@ -387,10 +387,14 @@
             expected_s = max(0.05, job.route.objective_s / 4)
             components.load_tracker.note_success(run.head, took_s / expected_s)
         # The status may claim that the request was not executed, which is unknown.
-        if answer.status in NOT_EXECUTED_STATUSES or (
+        claims_not_executed = answer.status in NOT_EXECUTED_STATUSES
+        if claims_not_executed or (
             failed and (len(runs.live) > 1 or self._may_add_run(job, runs))
         ):
             job.last_reason = f'answered with {answer.status}'
+            if not claims_not_executed:
+                headers = forward_response_headers(answer.headers)
+                job.error = ErrorResponse(answer.status, headers, run.body)
             return False
         return True
 
--- a/coursepitch/gateway/job.py
+++ b/coursepitch/gateway/job.py
@@ -17,11 +17,11 @@
     from coursepitch.gateway.problems import Problem
     from coursepitch.gateway.runs import Run
     from coursepitch.http.client import Framing
-    from coursepitch.http.messages import IncomingRequest
+    from coursepitch.http.messages import Headers, IncomingRequest
     from coursepitch.http.server import ResponseWriter
     from coursepitch.platform.headers import RequestFields
 
-__all__ = ['MAX_CRASHES', 'Ending', 'Job', 'Refusal']
+__all__ = ['MAX_CRASHES', 'Ending', 'ErrorResponse', 'Job', 'Refusal']
 
 #: Crashes of instances after which a node stops retrying a request and answers with an
 #: error, so that a third instance crashes only if a client sends the request again.
@@ -58,6 +58,20 @@
     problem: Problem | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class ErrorResponse:
+    """An error response of an instance that was not forwarded.
+
+    Another run may still give a better one.
+
+    :param headers: those to forward.
+    """
+
+    status: int
+    headers: Headers
+    body: bytes
+
+
 @dataclass(eq=False)
 class Job:
     """State of one request.
@@ -84,6 +98,8 @@
     :param pause_s: longest pause in seconds between two events.
     :param framing: how the latest response is framed; ``None`` before the first.
     :param survived: whether the instance provably outlived the latest response.
+    :param error: latest error response of an instance, to forward if no run succeeds;
+        ``None`` if there is none, or its status denies a run.
     """
 
     incoming: IncomingRequest
@@ -115,6 +131,7 @@
     status: int = 0
     framing: Framing | None = None
     survived: bool = False
+    error: ErrorResponse | None = None
 
     def note_sent(self, instance: str, now: float, software: str = '') -> None:
         """Record a send to an instance.
--- a/coursepitch/gateway/request_handler.py
+++ b/coursepitch/gateway/request_handler.py
@@ -35,6 +35,9 @@
 MAX_STARTUP_WAIT_S = 0.75
 STARTUP_WAIT_SHARE = 0.25
 
+#: Statuses of the node that leave open whether the request was executed.
+UNKNOWN_STATUSES = frozenset({502, 504})
+
 
 class Gateway:
     """Handle client requests from admission to the final log entry."""
@@ -168,7 +171,7 @@
                 refusal = await self._run(job)
         if refusal is not None:
             job.status = refusal.status
-            unknown = refusal.status in (502, 504)
+            unknown = refusal.status in UNKNOWN_STATUSES
             job.ending = Ending.UNKNOWN if unknown else Ending.NOT_RUN
             job.last_reason = refusal.reason
             await self._refuse(job.reply, job.fields, refusal)
@@ -183,7 +186,23 @@
                 refusal = await self._streams.serve(job)
             else:
                 refusal = await self._calls.serve(job)
-        return self._end_at_deadline(job) if scope.cancelled_caught else refusal
+        if scope.cancelled_caught:
+            refusal = self._end_at_deadline(job)
+        return await self._prefer_error(job, refusal)
+
+    async def _prefer_error(self, job: Job, refusal: Refusal | None) -> Refusal | None:
+        """Forward an instance's error in place of one of the node; return the other.
+
+        What the node knows of instances that ended meanwhile is told instead.
+        """
+        error = job.error
+        if refusal is None or error is None or refusal.problem is not None:
+            return refusal
+        if refusal.status not in UNKNOWN_STATUSES:
+            return refusal
+        job.status, job.ending = error.status, Ending.ANSWERED
+        await job.reply.send_whole(error.status, error.headers, error.body)
+        return None
 
     def _record_work(self, job: Job) -> None:
         engine = job.service.engine
--- a/coursepitch/gateway/streams.py
+++ b/coursepitch/gateway/streams.py
@@ -21,7 +21,7 @@
     send_attempt,
     take_permit,
 )
-from coursepitch.gateway.job import Ending, Refusal
+from coursepitch.gateway.job import Ending, ErrorResponse, Refusal
 from coursepitch.gateway.response_ends import check_events, check_sender
 from coursepitch.gateway.runs import Run, RunRace, RunSet
 from coursepitch.gateway.suspicion import explain_crashes
@@ -753,12 +753,17 @@
         )
         # The status claims that the request was not executed, which is unknown.
         claims_not_executed = response.status in NOT_EXECUTED_STATUSES
+        # The other runs may succeed, and would give the same final answer.
+        may_succeed = len(runs.live) > 1 and response.status >= 500
         is_dropped = (
-            job.reply.started or may_retry or claims_not_executed or len(runs.live) > 1
+            job.reply.started or may_retry or claims_not_executed or may_succeed
         )
         run.body = await self._read_error_body(job, run, response, is_dropped)
         if run.body is None or is_dropped:
             job.last_reason = f'answered with {response.status}'
+            if run.body is not None and not claims_not_executed:
+                headers = forward_response_headers(response.headers)
+                job.error = ErrorResponse(response.status, headers, run.body)
             return False
         return True
 
--- a/tests/gateway/simulated_runs.py
+++ b/tests/gateway/simulated_runs.py
@@ -68,6 +68,10 @@
 #: Statuses that guarantee that a request was not executed.
 GUARANTEE_STATUSES = frozenset({408, 421, 429, 503})
 
+#: Statuses of errors of an instance, and of its final answers to a request.
+FAILED_STATUS = 500
+DECLINED_STATUS = 400
+
 REQUEST = 'r'
 
 
@@ -77,6 +81,7 @@
     :cvar REFUSES: no process listens at its address.
     :cvar REJECTS: it tells that it did not run the request.
     :cvar FAILS: it answers with an error.
+    :cvar DECLINES: it answers that the request is at fault.
     :cvar CLAIMS: it answers with a status that guarantees what it does not tell.
     :cvar BREAKS_OFF: the connection is reset after some events.
     :cvar ENDS_INSIDE: the response ends regularly inside an event.
@@ -86,6 +91,7 @@
     REFUSES = 'refuses'
     REJECTS = 'rejects'
     FAILS = 'fails'
+    DECLINES = 'declines'
     CLAIMS = 'claims'
     BREAKS_OFF = 'breaks off'
     ENDS_INSIDE = 'ends inside an event'
@@ -252,7 +258,11 @@
         if isinstance(data, Exception):
             self.failed = True
             raise data
-        if whole and self.status == 200:
+        # A final answer ends other runs only while it can be forwarded.
+        if whole and (
+            self.status == 200
+            or (self.status == DECLINED_STATUS and not self.simulation.reply.started)
+        ):
             self.advanced_at = self.simulation.now
         self.complete = data is None
         return data
@@ -274,7 +284,7 @@
 
 def build_parts(script, last_event):
     """Return the parts of the response to a request that resumes after an event."""
-    if script.fate in (Fate.REJECTS, Fate.FAILS, Fate.CLAIMS):
+    if script.fate in (Fate.REJECTS, Fate.FAILS, Fate.DECLINES, Fate.CLAIMS):
         return [(HEAD_S, b'error', False), (HEAD_S + PART_S, None, True)]
     parts, work_s = [], HEAD_S
     for number in range(last_event + 1, LAST_EVENT + 1):
@@ -330,6 +340,7 @@
         self._simulation = simulation
         self.last_event = last_event
         self.started = self.written = self.whole = self.aborted = False
+        self.status = None
 
     def _check_open(self):
         if self.written or self.aborted:
@@ -359,6 +370,7 @@
     async def send_whole(self, status, headers, body):
         self._check_open()
         self.started = self.written = True
+        self.status = status
 
     def abort(self):
         self._check_open()
@@ -470,6 +482,7 @@
     refusal: object = None
     tasks_before: frozenset[int] = frozenset()
     most_tasks: int = 0
+    ended_s: float = math.nan
 
     @property
     def now(self):
@@ -598,6 +611,7 @@
             self.tasks_before = before
             with scope:
                 self.refusal = await self.gateway._run(self.job)
+            self.ended_s = self.now - START
             after = {task.id for task in anyio.get_running_tasks()}
             tasks.cancel_scope.cancel()
         self._check_end(len(after - before))
@@ -676,7 +690,12 @@
         """Return a send to an instance, which is checked against the route."""
         script = self.scripts[name]
         last_event = int(headers.get(b'Last-Event-Id', b'0'))
-        status = {Fate.REJECTS: 503, Fate.FAILS: 500, Fate.CLAIMS: 429}
+        status = {
+            Fate.REJECTS: 503,
+            Fate.FAILS: FAILED_STATUS,
+            Fate.DECLINES: DECLINED_STATUS,
+            Fate.CLAIMS: 429,
+        }
         marks = [(b'x-request-id', REQUEST.encode())]
         if script.fate is Fate.REJECTS:
             marks.append((b'x-not-executed', b'1'))
@@ -747,7 +766,7 @@
         self._check_answer(ran)
 
     def _check_answer(self, ran):
-        status = getattr(self.refusal, 'status', None)
+        status = getattr(self.refusal, 'status', self.reply.status)
         if status in GUARANTEE_STATUSES and ran:
             self.note_fault(f'{status} although it ran on {sorted(ran)}')
         answers = (self.reply.written, self.reply.aborted, self.refusal is not None)
--- a/tests/gateway/test_run_schedules.py
+++ b/tests/gateway/test_run_schedules.py
@@ -17,6 +17,8 @@
 from coursepitch.gateway.watchdog import RECHECK_TIMEOUT_S
 from tests.gateway.simulated_runs import (
     CLEAR_S,
+    DECLINED_STATUS,
+    FAILED_STATUS,
     LAST_EVENT,
     SILENT_PROBE_S,
     STEP_S,
@@ -176,6 +178,42 @@
         self.assertTrue(simulation.reply.whole)
         self.assertEqual([send.name for send in simulation.sends], ['h0', 'h1'])
 
+    # Guards against a final answer that is dropped to wait for a silent run.
+    def test_final_answer_of_another_run_is_forwarded_at_once(self):
+        for silent_at in (0.03, 0.07):
+            with self.subTest(silent_at=silent_at):
+                silent = Script(silent_at=silent_at, silent_s=2.0)
+                simulation = self.check(Case((silent, Script(Fate.DECLINES))))
+                self.assertEqual(simulation.reply.status, DECLINED_STATUS)
+                self.assertIsNone(simulation.refusal)
+                self.assertLess(simulation.ended_s, 1.0)
+
+    # Guards against a stream that is cut off by an answer that cannot be forwarded.
+    def test_final_answer_of_another_run_does_not_end_a_stream_that_has_begun(self):
+        silent = Script(silent_at=0.2, silent_s=1.2)
+        simulation = self.check(Case((silent, Script(Fate.DECLINES))))
+        self.assertTrue(simulation.reply.whole)
+
+    # Guards against an error of the node in place of the one that an instance gave.
+    def test_error_of_an_instance_is_forwarded_if_all_runs_fail(self):
+        breaking = Script(Fate.BREAKS_OFF, after=0, silent_at=0.03, silent_s=1.2)
+        lasting = Script(silent_at=0.03, silent_s=math.inf)
+        failing = Script(Fate.FAILS)
+        for scripts in (
+            (breaking, failing),
+            (failing, Script(Fate.BREAKS_OFF, after=0)),
+            # No run of the first ends before the deadline.
+            (lasting, failing),
+        ):
+            simulation = self.check(Case(scripts))
+            self.assertEqual(simulation.reply.status, FAILED_STATUS, scripts)
+
+    # Guards against a status that denies a run that may have taken place.
+    def test_status_that_claims_no_run_is_not_forwarded_if_all_runs_fail(self):
+        breaking = Script(Fate.BREAKS_OFF, after=0, silent_at=0.03, silent_s=1.2)
+        simulation = self.check(Case((breaking, Script(Fate.CLAIMS))))
+        self.assertEqual(simulation.refusal.status, 502)
+
     # Guards against a second run at the instance that holds the first.
     def test_overdue_run_is_tried_at_another_head(self):
         silent = Script(silent_at=0.07, silent_s=1.5, seen=Seen.OVERDUE)
--- a/tests/gateway/test_stream_runs.py
+++ b/tests/gateway/test_stream_runs.py
@@ -220,17 +220,19 @@
 class ErrorBesideKeptRunTest(unittest.TestCase):
     """An error of the second run while the first one, which was silent, is kept."""
 
-    def is_forwarded(self, *live):
-        """Whether a status 500 of ``p1`` is forwarded beside runs at instances."""
+    def is_forwarded(self, *live, status=500):
+        """Whether an error of ``p1`` is forwarded beside runs at instances."""
 
         async def read_whole(limit):
             return b''
 
         node = WaitingNode()
-        job = node.build_job(plain=True, may_have_run={'p0', 'p1'}, sent=['p0', 'p1'])
+        job = self.job = node.build_job(
+            plain=True, may_have_run={'p0', 'p1'}, sent=['p0', 'p1'], error=None
+        )
         job.route = SimpleNamespace(repeatable=True, attempts=2)
         answer = SimpleNamespace(
-            status=500, headers=(), framing=Framing.LENGTH, read_whole=read_whole
+            status=status, headers=(), framing=Framing.LENGTH, read_whole=read_whole
         )
         runs = RunSet()
         for name in live:
@@ -247,6 +249,20 @@
     def test_error_beside_a_kept_run_is_not_forwarded(self):
         self.assertFalse(self.is_forwarded('p0'))
 
+    # Guards against an error of the node in place of the one that an instance gave.
+    def test_error_beside_a_kept_run_is_kept_as_well(self):
+        self.is_forwarded('p0')
+        self.assertEqual(self.job.error.status, 500)
+
+    # Guards against a status that denies a run that may have taken place.
+    def test_status_that_claims_no_run_is_not_kept(self):
+        self.assertFalse(self.is_forwarded('p0', status=503))
+        self.assertIsNone(self.job.error)
+
+    # Guards against a final answer that is dropped to wait for a silent run.
+    def test_final_answer_beside_a_kept_run_is_forwarded(self):
+        self.assertTrue(self.is_forwarded('p0', status=400))
+
 
 if __name__ == '__main__':
     unittest.main()
