Keep a silent group for longer while requests are at its head

Callers of streams that must not be resumed lost them if their instance stood still for longer than 2.3 s and went on.

Cause: the leader ends the group of a silent member after 2.3 s and orders the others to leave, so the head has no group to go on with. It does not look at the requests there.

The stand-in let streams flow on after their group had ended, which hid this (the same test passed); its new fault "grouped" cuts them as the platform does.

Change: while nodes tell of requests at the head, the group of a silent member is kept for up to 5 s, after which engines cut streams that stand still, or until the entry of the member is gone. A member that refuses connections ends its group at once as before.

--- a/coursepitch/fleet/groups.py
+++ b/coursepitch/fleet/groups.py
@@ -21,7 +21,7 @@
 from coursepitch.fleet.placer import Placer, ServiceSnapshot, is_warming_up
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Mapping
+    from collections.abc import Callable, Iterable, Mapping
 
     from coursepitch.config.routes import EngineProfile, Service
     from coursepitch.fleet.claims import GroupClaim
@@ -51,6 +51,10 @@
 #: member is removed.
 SILENCE_GRACE_S = 2.3
 
+#: Seconds for which such a group is kept while requests are at its head, as these may
+#: have no other run.  Engines cut the streams of a group that stands still after 5 s.
+SILENT_REQUESTS_GRACE_S = 5.0
+
 #: Seconds beyond twice the load time after which a group that has not formed is
 #: retired.
 FORM_TIMEOUT_MARGIN_S = 8.0
@@ -107,10 +111,12 @@
     :param unresponsive: instances that do not answer the leader.
     :param silent_since: monotonic times since when those among them are silent whose
         connections are not refused.
+    :param count_in_flight: returns the requests of all nodes that are at a head.
     """
 
     unresponsive: set[str] = field(default_factory=set)
     silent_since: dict[str, float] = field(default_factory=dict)
+    count_in_flight: Callable[[str], int] = lambda head: 0
     _all_silent_at: dict[str, float] = field(default_factory=dict)
     _isolated_at: float = float('-inf')
     _records: dict[tuple[str, int], _GroupRecord] = field(default_factory=dict)
@@ -415,6 +421,9 @@
             return True
         if name not in view.instances or view.is_lapsed(name):
             return False
+        has_requests = self.count_in_flight(claim.head) > 0
+        if has_requests and now - since < SILENT_REQUESTS_GRACE_S:
+            return True
         all_since = self._all_silent_at.get(claim.service, float('-inf'))
         if now - all_since >= SILENCE_GRACE_S:
             if not self._are_all_silent(claim.service, view):
--- a/coursepitch/fleet/keeper.py
+++ b/coursepitch/fleet/keeper.py
@@ -76,6 +76,7 @@
     :param read_work: returns the arriving work by model, in instance-seconds per
         second.
     :param started_at: monotonic time at which the node started.
+    :param count_in_flight: returns the requests of all nodes that are at a head.
     """
 
     def __init__(
@@ -88,10 +89,11 @@
         has_served: Callable[[], bool],
         read_work: Callable[[], Mapping[str, float]],
         started_at: float,
+        count_in_flight: Callable[[str], int] = lambda head: 0,
     ) -> None:
         self._session = session
         self._control = control
-        self._controller = GroupController()
+        self._controller = GroupController(count_in_flight=count_in_flight)
         self._clock = clock
         self._bootstrap = bootstrap
         self._has_served = has_served
--- a/coursepitch/gateway_application.py
+++ b/coursepitch/gateway_application.py
@@ -466,6 +466,7 @@
             has_served=lambda: self.gateway.has_served,
             read_work=self._read_work,
             started_at=self._started_at,
+            count_in_flight=self.load_tracker.count_in_flight,
         )
         await keeper.run()
 
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -11,8 +11,9 @@
 ``surplus`` (a second answer follows), ``shed`` (rejected), ``error`` (status 500, whose
 body follows ``delay_s`` after its head), ``late_events`` (the instance stands still for
 ``for_s`` after the head of its next stream),
-``late_orders`` (no answer, carried out after ``delay_s``) and ``stale`` (a request id
-of another).
+``late_orders`` (no answer, carried out after ``delay_s``), ``grouped`` (streams are cut
+once their head has left its group, and some seconds after another member has) and
+``stale`` (a request id of another).
 Plain instances answer with events below ``/events/``.
 Beside the mode, ``framing`` says what tells the end of answers with status 200:
 their ``length``, ``chunks``, or the end of their ``connection``; by default any of
@@ -66,6 +67,9 @@
 #: Seconds after a crash until the entry has lapsed and an empty instance starts.
 LAPSE_S = 1.0
 
+#: Seconds for which a stream whose group lacks a member stands still before it is cut.
+STALL_S = 5.0
+
 #: Ports that are tried until one is free at the hosts of all nodes.
 BIND_TRIES = 20
 
@@ -453,7 +457,7 @@
         headers: dict[str, str],
     ) -> bool:
         first = int(headers.get('last-event-id') or 0) + 1
-        last = self.options.events
+        last, group = self.options.events, instance.group
         events = {
             number: self._build_event(number) for number in range(first, last + 1)
         }
@@ -470,6 +474,12 @@
                 await self._end_with(instance, run)
             if fault['mode'] == 'dark':
                 await anyio.sleep_forever()
+            if fault['mode'] == 'grouped' and not self._has_members(instance, group):
+                # It is cut at once if the head itself has left.
+                if instance.group is group:
+                    await anyio.sleep(STALL_S)
+                writer.reset()
+                return False
             if fault['mode'] == 'still' and number == last // 2:
                 await wait_left(stream, run)
                 return False
@@ -491,6 +501,19 @@
         await instance.wait_resumed()
         return await writer.end()
 
+    def _has_members(self, head: Instance, group: dict[str, Any] | None) -> bool:
+        """Whether a head and all its members are in the group of a stream."""
+        if group is None or head.group is not group:
+            return False
+        key = (group['name'], group['epoch'])
+        members = [self.instances.get(name) for name in head.members]
+        return all(
+            item is not None
+            and item.group is not None
+            and (item.group['name'], item.group['epoch']) == key
+            for item in members
+        )
+
     def _build_event(self, number: int) -> bytes:
         text = f'id: {number}\ndata: token {number}'
         return f'{text.ljust(self.options.event_bytes - 2)}\n\n'.encode()
--- a/tests/fleet/test_finishing.py
+++ b/tests/fleet/test_finishing.py
@@ -17,6 +17,7 @@
 from coursepitch.fleet.groups import (
     MEMBER_LOSS_GRACE_S,
     SILENCE_GRACE_S,
+    SILENT_REQUESTS_GRACE_S,
     GroupController,
 )
 from coursepitch.fleet.orders import OrderKind
@@ -29,7 +30,10 @@
     """An open group of three instances."""
 
     def setUp(self):
-        self.controller = GroupController()
+        self.in_flight = {}
+        self.controller = GroupController(
+            count_in_flight=lambda name: self.in_flight.get(name, 0)
+        )
         self.states = {'head': 'open', 'a': 'ready', 'b': 'ready'}
         self.lost = set()
         self.decide(100.0)
@@ -97,6 +101,41 @@
         self.controller.note_unresponsive('head', 100.2, silent=False)
         self.assertEqual(len(self.decide(100.3).retired), 1)
 
+    # Guards against streams that are cut as the group of a silent instance is ended.
+    def test_group_of_a_silent_member_is_kept_while_requests_are_at_its_head(self):
+        for member in ('head', 'a'):
+            with self.subTest(member=member):
+                self.setUp()
+                self.controller.note_unresponsive(member, 100.1, silent=True)
+                self.in_flight['head'] = 1
+                self.assertEqual(self.decide(100.2 + SILENCE_GRACE_S).retired, ())
+                self.in_flight['head'] = 0
+                self.assertEqual(len(self.decide(100.3 + SILENCE_GRACE_S).retired), 1)
+
+    def test_requests_elsewhere_do_not_keep_the_group_of_a_silent_member(self):
+        self.controller.note_unresponsive('a', 100.1, silent=True)
+        self.in_flight.update({'a': 1, 'other': 1})
+        self.assertEqual(len(self.decide(100.2 + SILENCE_GRACE_S).retired), 1)
+
+    # Guards against a group that is kept for requests that go on arriving.
+    def test_group_with_requests_is_retired_after_the_longer_grace_period(self):
+        self.controller.note_unresponsive('a', 100.1, silent=True)
+        self.in_flight['head'] = 1
+        self.assertEqual(self.decide(100.0 + SILENT_REQUESTS_GRACE_S).retired, ())
+        self.assertEqual(len(self.decide(100.2 + SILENT_REQUESTS_GRACE_S).retired), 1)
+
+    def test_group_with_requests_is_retired_once_a_silent_member_is_not_listed(self):
+        self.controller.note_unresponsive('a', 100.1, silent=True)
+        self.in_flight['head'] = 1
+        self.decide(100.2 + SILENCE_GRACE_S)
+        del self.states['a']
+        self.assertEqual(len(self.decide(100.3 + SILENCE_GRACE_S).retired), 1)
+
+    def test_requests_do_not_keep_a_group_whose_member_refuses_connections(self):
+        self.in_flight['head'] = 1
+        self.controller.note_unresponsive('a', 100.1, silent=False)
+        self.assertEqual(len(self.decide(100.2).retired), 1)
+
     def silence_all(self):
         """Let all members be silent from 100.1 on."""
         for name in self.states:
