Change the configuration and settings of nodes in the soak

The users saw faults while the configuration changed; the soak changed none, and sent no SIGHUP.

Operators now change the time-outs and idle times of the configuration and add and remove routes, and change settings of nodes and send SIGHUP, once or up to three times in a row. One change in seven is invalid and is put right after 0.2 to 1.5 s.

New promises:

* routes: nodes in touch serve or deny a call as a configuration says that may be in force 2 s after the store acknowledged it (config_ms, RULES.md, rule CONFIG), and no node denies a call that all configurations allow.
Clients call added and removed routes.
* versions: each version is in force on all nodes in touch within these 2 s, on all nodes in the end, and none goes back to an older one.
* damaged: nodes name what is wrong with an invalid configuration.
* settings: a node that gets SIGHUP takes valid options and refuses invalid ones by name.
No document states a bound for this, so only that it happens is checked.
* exits: processes of nodes end only when they are ended, with the exit code for it.

Calls that the configuration denies have an ending of their own. They stay out of what is served at nodes that are cut off, of the silences and of the budget of second sends, which they would make larger. A silence is held against the time-out of the route if that is shorter than the deadline of the call. Clients use no connection that rested for over four fifths of the shortest idle time (PROTOCOL.md).

Each check has tests on histories that break it.

--- a/soak/checkers.py
+++ b/soak/checkers.py
@@ -7,10 +7,17 @@
 
 import bisect
 from collections import Counter, defaultdict
-from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from soak.change_checkers import (
+    check_damaged,
+    check_exits,
+    check_routes,
+    check_settings,
+    check_versions,
+)
 from soak.history import Ending
+from soak.verdicts import Bounds, Finding, Verdict
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
@@ -20,74 +27,6 @@
 __all__ = ['CHECKERS', 'Bounds', 'Finding', 'Verdict', 'check_all']
 
 
-@dataclass(frozen=True, slots=True)
-class Bounds:
-    """What users allow.
-
-    :param drain_s: seconds after which an instance that left gets nothing.
-    :param revoke_s: seconds after which a key that was taken away runs nothing.
-    :param retry_ratio: second sends allowed, as a part of the calls in a window.
-    :param retry_extra: second sends allowed beside these.
-    :param retry_window_s: length of the window in seconds.
-    :param contact_s: seconds after trouble within which nodes act on what is new.
-    :param under_way_s: seconds for which requests may be on their way.
-    :param most_in_backoff: requests of a node to an instance in a backoff after that.
-    :param counted_ends: ended instances from which arrivals with a part are counted.
-    :param late_arrivals: such arrivals from ``contact_s`` after the last of these.
-    :param cut_off_share: how often calls at nodes without paths to the instances are
-        served, as a part of how often those at the others are.
-    :param cut_off_failures: failed calls at such nodes in a cut beyond one in
-        ``calls_per_failure``.
-    :param answer_s: seconds that an answer takes beside silences of instances.
-    :param silent_refused_share: share of the calls to a service, while instances of it
-        stand still, that may be refused.
-    :param silent_refusals: refusals beyond this share.
-    """
-
-    drain_s: float = 2.0
-    revoke_s: float = 5.0
-    retry_ratio: float = 0.2
-    retry_extra: int = 100
-    retry_window_s: float = 10.0
-    contact_s: float = 3.0
-    under_way_s: float = 0.5
-    most_in_backoff: int = 2
-    counted_ends: int = 5
-    late_arrivals: int = 3
-    cut_off_share: float = 2 / 3
-    cut_off_failures: int = 10
-    calls_per_failure: int = 50
-    answer_s: float = 2.0
-    silent_refused_share: float = 0.1
-    silent_refusals: int = 5
-
-
-@dataclass(frozen=True, slots=True)
-class Finding:
-    """A broken promise: which call, instance or service, when, and how."""
-
-    subject: str
-    at: float
-    what: str
-
-
-@dataclass(frozen=True, slots=True)
-class Verdict:
-    """What one checker found.
-
-    :param looked_at: records that could have broken the promise.
-    """
-
-    checker: str
-    looked_at: int
-    findings: tuple[Finding, ...]
-
-    @property
-    def proved(self) -> bool:
-        """Whether the promise was put to the test and kept."""
-        return self.looked_at > 0 and not self.findings
-
-
 def check_own_answers(history: History, bounds: Bounds) -> Verdict:
     """Each caller gets the answer to its own request."""
     answered = [call for call in history.calls if call.answered_for]
@@ -270,7 +209,11 @@
     findings = []
     for service, again in sorted(_list_second_sends(history).items()):
         looked_at += len(again)
-        sent = sorted(c.sent_at for c in history.calls if c.service == service)
+        sent = sorted(
+            call.sent_at
+            for call in history.calls
+            if call.service == service and call.ending is not Ending.DENIED
+        )
         for place, start in enumerate(again):
             end = start + bounds.retry_window_s
             count = bisect.bisect_left(again, end) - place
@@ -317,6 +260,8 @@
             continue
         groups: dict[bool, list[Call]] = {True: [], False: []}
         for call in history.calls:
+            if call.ending is Ending.DENIED:
+                continue
             if not since <= call.sent_at or not call.ended_at <= cut.until:
                 continue
             if history.was_disturbed(call.node, cut.since, call.ended_at):
@@ -393,8 +338,9 @@
 def check_silences(history: History, bounds: Bounds) -> Verdict:
     """Calls whose instances only stand still are answered whole, or refused.
 
-    Left out are calls whose deadline the silences leave no time for, and those that
-    another fault concerns: at their node, on its paths or at their instances.
+    Left out are calls whose limit the silences leave no time for, those that another
+    fault concerns, at their node, on its paths or at their instances, and those that
+    the configuration denies, see :func:`check_routes`.
     """
     looked_at = 0
     findings = []
@@ -478,12 +424,19 @@
     return [
         call
         for call in history.calls
-        if history.list_silences(call, after_s)
-        and history.measure_silence(call) + bounds.answer_s <= call.deadline_s
+        if call.ending is not Ending.DENIED
+        and history.list_silences(call, after_s)
+        and _has_time(history, call, bounds)
         and not _is_disturbed(history, call, instances[call.id], bounds)
     ]
 
 
+def _has_time(history: History, call: Call, bounds: Bounds) -> bool:
+    """Whether silences leave a call the time that an answer takes."""
+    limit_s = history.find_limit_s(call, bounds.config_s + bounds.contact_s)
+    return history.measure_silence(call, limit_s) + bounds.answer_s <= limit_s
+
+
 def _is_disturbed(
     history: History, call: Call, instances: set[str], bounds: Bounds
 ) -> bool:
@@ -533,6 +486,11 @@
     check_crashing_parts,
     check_silences,
     check_silence_refusals,
+    check_routes,
+    check_versions,
+    check_damaged,
+    check_settings,
+    check_exits,
 )
 
 
--- a/soak/clients.py
+++ b/soak/clients.py
@@ -14,6 +14,7 @@
 
 import httpx
 
+from soak.changes import CHANGED_ROUTES, IDLE_TIMES_S
 from soak.history import Call, Ending
 
 if TYPE_CHECKING:
@@ -30,6 +31,9 @@
     ('POST', '/once/x', 'api', False),
 )
 
+#: How often a client sends a further request on a route that changes add and remove.
+CHANGED_SHARE = 0.3
+
 #: Share of the streams with the part that ends instances, while there is one, and parts
 #: that all prompts have.
 PART_SHARE = 0.15
@@ -53,6 +57,9 @@
 #: Statuses that promise that a request did not run.
 PROMISING = frozenset({408, 421, 429, 503})
 
+#: Statuses that deny a request by the configuration.
+DENYING = frozenset({401, 403, 404})
+
 
 @dataclass(frozen=True, slots=True)
 class _Answer:
@@ -107,9 +114,11 @@
         self._find_part = find_part
         self._chance = random.Random(seed)
         self._chance_of_parts = random.Random(f'{seed}/parts')
+        self._chance_of_routes = random.Random(f'{seed}/routes')
         self._ended = threading.Event()
-        # Connections are kept until their node closes them.
-        limits = httpx.Limits(keepalive_expiry=None)
+        # Connections are kept until their node closes them, or until a client that
+        # keeps to the shortest idle time of the configurations uses them no more.
+        limits = httpx.Limits(keepalive_expiry=0.8 * min(IDLE_TIMES_S))
         self._http = httpx.Client(timeout=PATIENCE_S, trust_env=False, limits=limits)
         self._thread = threading.Thread(target=self._run, daemon=True)
 
@@ -126,18 +135,35 @@
     def _run(self) -> None:
         while not self._ended.is_set():
             away_s = self._call()
+            if self._chance_of_routes.random() < CHANGED_SHARE:
+                self._call_changed_route()
             self._ended.wait(away_s + self._chance.uniform(0.0, PAUSE_S))
 
     def _call(self) -> float:
         """Send one request; return the seconds for which to stay away."""
-        method, path, service, repeatable = self._chance.choice(REQUESTS)
-        node, url = self._find_node(self._chance.random())
+        return self._ask(*self._chance.choice(REQUESTS), self._chance)
+
+    def _call_changed_route(self) -> None:
+        """Send one request on a route that the configuration may have."""
+        route = self._chance_of_routes.choice(CHANGED_ROUTES)
+        self._ask('GET', f'/{route}/x', 'api', True, self._chance_of_routes, route)
+
+    def _ask(
+        self,
+        method: str,
+        path: str,
+        service: str,
+        repeatable: bool,
+        chance: random.Random,
+        route: str = '',
+    ) -> float:
+        node, url = self._find_node(chance.random())
         request = f'{self._name}-{len(self.calls)}'
         streamed = service == 'pool'
         part = self._draw_part() if streamed else ''
         headers = self._build_headers(request, part)
         sent_at = time.monotonic()
-        is_old = self._chance.random() < OLD_SHARE
+        is_old = chance.random() < OLD_SHARE
         send = self._send_as_old_client if is_old else self._send
         answer = send(method, url, path, headers)
         self.calls.append(
@@ -157,6 +183,7 @@
                 part,
                 answer.status,
                 DEADLINE_S,
+                route,
             )
         )
         return answer.away_s
@@ -243,4 +270,6 @@
         away_s = float(headers.get('retry-after') or 0)
         away_s = min(MOST_AWAY_S, away_s)
         return _Answer(Ending.NOT_RUN, away_s=away_s, status=status)
+    if status in DENYING:
+        return _Answer(Ending.DENIED, status=status)
     return None if status == 200 else _Answer(Ending.UNKNOWN, status=status)
--- a/soak/driver.py
+++ b/soak/driver.py
@@ -2,30 +2,50 @@
 
 from __future__ import annotations
 
+import json
 import signal
 import subprocess
 import threading
 import time
-from typing import TYPE_CHECKING
-
+from dataclasses import replace
+from pathlib import Path
+from typing import TYPE_CHECKING, Any
+
+from soak.changes import (
+    Operation,
+    build_value,
+    change_operation,
+    choose_option,
+    damage_value,
+    write_option,
+)
 from soak.clients import Client
 from soak.history import (
+    Acknowledged,
     Broken,
     Call,
     Cut,
+    Damaged,
     Disturbed,
     Ended,
+    Exit,
     Gone,
     History,
+    InForce,
     Left,
+    Refused,
+    Reload,
     Run,
+    SettingsRead,
     Silence,
+    Started,
 )
 from soak.plan import FaultKind, draw_plan
-from tests.whole.platform_base import KEY, PlatformCase, build_configuration
+from tests.whole.platform_base import KEY, OTHER_KEY, PlatformCase
 
 if TYPE_CHECKING:
     from soak.plan import Fault
+    from tests.whole.platform_base import Node
 
 __all__ = ['CLIENTS', 'ENGINES', 'SoakRun']
 
@@ -44,10 +64,34 @@
 #: Seconds that a stopped process has to end by itself.
 STOP_S = 9.0
 
+#: Starts of a node whose process ends before it listens.
+MOST_STARTS = 5
+
+#: Seconds for a node to read its settings after SIGHUP.  No document states a bound;
+#: nodes stand still for less.
+READ_WITHIN_S = 15.0
+
+#: Seconds between two looks at the log of a node that is to read its settings.
+READ_CHECK_S = 0.05
+
+#: Most signals SIGHUP in a row.
+MOST_SIGNALS = 3
+
 #: Seconds for which a run goes on after its last fault.
 SETTLE_S = 4.0
 
 
+def is_ended_by(pid: int, number: signal.Signals) -> bool:
+    """Whether a signal has its default action in a process."""
+    try:
+        lines = Path(f'/proc/{pid}/status').read_text().splitlines()
+    except OSError:
+        return True
+    masks = dict(line.split(':\t') for line in lines if line.startswith('Sig'))
+    kinds = ('SigBlk', 'SigIgn', 'SigCgt')
+    return not any(int(masks[kind], 16) >> (number - 1) & 1 for kind in kinds)
+
+
 class _System(PlatformCase):
     """Store, instances and nodes as processes."""
 
@@ -56,10 +100,16 @@
 
     @classmethod
     def configure(cls, **fields: object) -> None:
-        """Write a configuration with a route of streams that may not be resumed."""
-        routes = build_configuration()['routes']
-        single = {'name': 'single', 'path_prefix': '/single/', 'resumable': False}
-        super().configure(routes=[*routes, {**routes[0], **single}], **fields)
+        """Write the first configuration."""
+        cls.put(json.dumps(build_value(Operation())))
+
+    @classmethod
+    def put(cls, text: str) -> int:
+        """Write a configuration as the operators do, and return its revision."""
+        url = f'http://127.0.0.1:{cls.store}/operator'
+        reply = cls.client.post(url, json={'key': 'op/config', 'value': text})
+        reply.raise_for_status()
+        return int(reply.json()['revision'])
 
 
 class SoakRun:
@@ -91,7 +141,16 @@
         self._away: set[str] = set()
         self._without_paths: set[str] = set()
         self._part = ''
+        self._operation = Operation()
+        self._configurations: list[Acknowledged] = []
+        self._damaged: list[Damaged] = []
+        self._reloads: list[Reload] = []
+        self._exits: list[Exit] = []
+        self._starting: set[str] = set()
+        self._clock_offset_s = time.time() - time.monotonic()
         self._lock = threading.Lock()
+        self._operators = threading.Lock()
+        self._settings = {name: threading.Lock() for name in self._names}
         self._tasks: list[threading.Thread] = []
         self._pause = threading.Event()
 
@@ -120,6 +179,7 @@
             for number in range(self._clients)
         ]
         began_at = time.monotonic()
+        self._note_acknowledged(began_at)
         for client in clients:
             client.start()
         for fault in draw_plan(self._seed, self._seconds):
@@ -134,6 +194,8 @@
             (call for client in clients for call in client.calls),
             key=lambda call: call.sent_at,
         )
+        for node in _System.running.values():
+            self._note_if_ended(node)
         return self._collect(calls)
 
     def _collect(self, calls: list[Call]) -> History:
@@ -156,14 +218,61 @@
             tuple(calls),
             tuple(runs),
             tuple(self._left),
+            tuple(self._configurations),
             disturbed=tuple(self._disturbed),
             cuts=tuple(self._cuts),
             ends=self._list_ends(),
             gone=self._list_gone(),
             broken=tuple(self._broken),
             silences=tuple(self._silences),
+            nodes=self._names,
+            damaged=tuple(self._damaged),
+            reloads=tuple(self._reloads),
+            exits=tuple(self._exits),
+            **self._collect_events(),
         )
 
+    def _collect_events(self) -> dict[str, Any]:
+        """Return what nodes logged of changes and starts, as fields of a history."""
+        fields: dict[str, list[Any]] = {
+            'in_force': [],
+            'refused': [],
+            'settings_read': [],
+            'started': [],
+        }
+        for name, node in _System.running.items():
+            for event in node.read_events():
+                kind = event.get('message_type')
+                if kind == 'node.started':
+                    fields['started'].append(Started(name, self._find_time(event)))
+                elif kind == 'config.table_in_force':
+                    in_force = InForce(name, event['version'], self._find_time(event))
+                    fields['in_force'].append(in_force)
+                elif kind == 'config.damaged':
+                    fields['refused'].append(
+                        Refused(
+                            name,
+                            event['revision'],
+                            event['reason'],
+                            self._find_time(event),
+                        )
+                    )
+                elif kind == 'node.settings_read':
+                    outcome = event['outcome']
+                    fields['settings_read'].append(
+                        SettingsRead(
+                            name,
+                            self._find_time(event),
+                            '' if outcome == 'good' else outcome,
+                            frozenset(event['taken']),
+                        )
+                    )
+        return {name: tuple(items) for name, items in fields.items()}
+
+    def _find_time(self, event: dict[str, Any]) -> float:
+        """Return the time of a logged event by the driver's clock."""
+        return float(event['timestamp']) - self._clock_offset_s
+
     def _list_ends(self) -> tuple[Ended, ...]:
         """Return the instances that ended as they began to answer, in order."""
         ends = [
@@ -205,6 +314,10 @@
             FaultKind.PART: self._end_by_part,
             FaultKind.PAUSE: self._stand_still,
             FaultKind.SUSPEND: self._suspend,
+            FaultKind.CHANGE: self._change,
+            FaultKind.RELOAD: self._reload,
+            FaultKind.INVALID_CHANGE: self._damage,
+            FaultKind.INVALID_RELOAD: self._reload,
         }
         task = threading.Thread(target=kinds[fault.kind], args=(fault,))
         task.start()
@@ -235,18 +348,47 @@
             return
         since = time.monotonic()
         node = _System.running[name]
-        killed = fault.kind is FaultKind.KILL
+        if not self._note_if_ended(node):
+            self._end_process(node, killed=fault.kind is FaultKind.KILL)
+        self._pause.wait(START_AFTER_S)
+        self._start_again(node)
+        self._note(name, since)
+        self._give_back(name)
+
+    def _end_process(self, node: Node, *, killed: bool) -> None:
+        since = time.monotonic()
         node.process.send_signal(signal.SIGKILL if killed else signal.SIGTERM)
         try:
             node.process.wait(STOP_S)
         except subprocess.TimeoutExpired:
             node.process.kill()
-            node.process.wait()
-        self._pause.wait(START_AFTER_S)
-        node.start_again()
-        _System.wait_for(node.has_started_again, f'{name} listens')
-        self._note(name, since)
-        self._give_back(name)
+        code = node.process.wait()
+        expected = -signal.SIGKILL if killed else 0
+        self._exits.append(Exit(node.name, since, time.monotonic(), code, expected))
+
+    def _note_if_ended(self, node: Node) -> bool:
+        """Note that a node's process has ended by itself, if it has."""
+        code = node.process.poll()
+        if code is None:
+            return False
+        now = time.monotonic()
+        self._exits.append(Exit(node.name, now, now, code, None))
+        return True
+
+    def _start_again(self, node: Node) -> None:
+        """Start a node's process, again if it ends before it listens."""
+        for _ in range(MOST_STARTS):
+            with self._settings[node.name]:
+                self._starting.add(node.name)
+                node.starts = len(node.read_events('node.started'))
+                node.start_again()
+            _System.wait_for(
+                lambda: node.has_started_again() or node.process.poll() is not None,
+                f'{node.name} listens',
+            )
+            self._starting.discard(node.name)
+            if not self._note_if_ended(node):
+                return
 
     def _freeze(self, fault: Fault) -> None:
         """Let a node's process stand still for a while."""
@@ -325,6 +467,103 @@
         _System.control(fault.service, '/fault', mode='none', instances=chosen)
         self._broken.append(Broken(frozenset(chosen), since, time.monotonic()))
 
+    def _note_acknowledged(self, sent_at: float) -> None:
+        operation = self._operation
+        change = Acknowledged(
+            operation.version,
+            time.monotonic(),
+            frozenset({KEY, OTHER_KEY}),
+            sent_at,
+            operation.routes,
+            operation.timeout_s,
+        )
+        self._configurations.append(change)
+
+    def _write(self, operation: Operation) -> None:
+        self._operation = operation
+        sent_at = time.monotonic()
+        _System.put(json.dumps(build_value(operation)))
+        self._note_acknowledged(sent_at)
+
+    def _change(self, fault: Fault) -> None:
+        """Write a configuration with the next version."""
+        with self._operators:
+            choice = fault.choice
+            self._write(change_operation(self._operation, fault.mode, choice))
+
+    def _damage(self, fault: Fault) -> None:
+        """Write an invalid configuration, and after a while a valid one."""
+        with self._operators:
+            value = build_value(self._operation)
+            text, error = damage_value(value, fault.choice)
+            since = time.monotonic()
+            revision = _System.put(text)
+            self._pause.wait(fault.length_s)
+            version = self._operation.version + 1
+            self._write(replace(self._operation, version=version))
+            self._damaged.append(Damaged(revision, error, since, time.monotonic()))
+
+    def _reload(self, fault: Fault) -> None:
+        """Change an option of a node's settings and send SIGHUP, once or in a row.
+
+        An invalid value goes once the node has read it, before it may start again.
+        """
+        node = _System.running[self._names[int(fault.choice * len(self._names))]]
+        path = node.output.with_suffix('.ini')
+        valid = fault.kind is FaultKind.RELOAD
+        with self._settings[node.name]:
+            if not valid and node.name in self._starting:
+                return
+            section, name, value = choose_option(path, fault.share, valid=valid)
+            process = node.process
+            # An interpreter that has not begun to run the program ends by the signal.
+            starting = node.name in self._starting
+            if starting and not self._wait_handled(process):
+                return
+            logged = node.output.stat().st_size
+            at = time.monotonic()
+            before = write_option(path, section, name, value)
+            for _ in range(1 + int(fault.share * MOST_SIGNALS)):
+                process.send_signal(signal.SIGHUP)
+            if process.poll() is None:
+                option = f'{section}.{name}'
+                self._wait_read(node, process, logged, option if valid else '')
+                until = time.monotonic()
+                self._reloads.append(Reload(node.name, at, option, until, valid))
+            if not valid:
+                path.write_text(before)
+                process.send_signal(signal.SIGHUP)
+
+    def _wait_handled(self, process: subprocess.Popen[bytes]) -> bool:
+        """Wait until SIGHUP does not end a process; ``False`` if it ends before."""
+        while process.poll() is None:
+            if not is_ended_by(process.pid, signal.SIGHUP):
+                return True
+            self._pause.wait(READ_CHECK_S)
+        return False
+
+    def _wait_read(
+        self, node: Node, process: subprocess.Popen[bytes], logged: int, option: str
+    ) -> None:
+        """Wait until a node has read its settings, or its process has ended.
+
+        :param logged: bytes of its log before.
+        :param option: what it has to take; empty if it has to refuse them.
+        """
+        until = time.monotonic() + READ_WITHIN_S
+        while time.monotonic() < until and process.poll() is None:
+            with node.output.open('rb') as file:
+                file.seek(logged)
+                lines = file.read().splitlines(keepends=True)
+            for line in lines:
+                if b'node.settings_read' not in line or not line.endswith(b'\n'):
+                    continue
+                event = json.loads(line)
+                refused = event['outcome'] != 'good'
+                if option in event['taken'] or (refused and not option):
+                    return
+            self._pause.wait(READ_CHECK_S)
+
     def _stand_still(self, fault: Fault) -> None:
         """Let some of a service's instances stand still and go on."""
         chosen = self._choose(fault)
--- a/soak/history.py
+++ b/soak/history.py
@@ -15,14 +15,21 @@
     'Broken',
     'Call',
     'Cut',
+    'Damaged',
     'Disturbed',
     'Ended',
     'Ending',
+    'Exit',
     'Gone',
     'History',
+    'InForce',
     'Left',
+    'Refused',
+    'Reload',
     'Run',
+    'SettingsRead',
     'Silence',
+    'Started',
 ]
 
 
@@ -31,6 +38,7 @@
 
     WHOLE = 'whole'
     NOT_RUN = 'not run'
+    DENIED = 'denied'
     UNKNOWN = 'unknown'
     CUT = 'cut'
 
@@ -50,6 +58,8 @@
     :param node: node that it was sent to.
     :param status: status of its answer; 0 without one.
     :param deadline_s: seconds for which its caller lets it run.
+    :param route: the route that it needs, if changes add and remove it; empty if all
+        configurations have it.
     """
 
     id: str
@@ -67,6 +77,7 @@
     part: str = ''
     status: int = 0
     deadline_s: float = 8.0
+    route: str = ''
 
 
 @dataclass(frozen=True, slots=True)
@@ -137,11 +148,103 @@
     """A configuration that the store acknowledged.
 
     :param keys: keys that it holds.
+    :param sent_at: when the operator wrote it.
+    :param routes: routes that it has of those that changes add and remove.
+    :param timeout_s: time-out of its routes in seconds.
     """
 
     version: int
     acknowledged_at: float
     keys: frozenset[str] = frozenset()
+    sent_at: float = 0.0
+    routes: frozenset[str] = frozenset()
+    timeout_s: float = math.inf
+
+
+@dataclass(frozen=True, slots=True)
+class InForce:
+    """A version of the configuration that a node put in force."""
+
+    node: str
+    version: int
+    at: float
+
+
+@dataclass(frozen=True, slots=True)
+class Refused:
+    """A configuration that a node refused, by its revision in the store."""
+
+    node: str
+    revision: int
+    reason: str
+    at: float
+
+
+@dataclass(frozen=True, slots=True)
+class Damaged:
+    """An invalid configuration that lay in the store for a time.
+
+    :param error: what is wrong with it, as a node has to name it.
+    """
+
+    revision: int
+    error: str
+    since: float
+    until: float
+
+
+@dataclass(frozen=True, slots=True)
+class Reload:
+    """Changed settings of a node whose process got SIGHUP.
+
+    :param option: the changed option: its section, a dot and its name.
+    :param until: when the node had read them, or its process had ended.
+    :param valid: whether a node may take them.
+    """
+
+    node: str
+    at: float
+    option: str
+    until: float = math.inf
+    valid: bool = True
+
+
+@dataclass(frozen=True, slots=True)
+class SettingsRead:
+    """A node read its settings again.
+
+    :param error: why it refused them; empty if it did not.
+    :param taken: options that took effect.
+    """
+
+    node: str
+    at: float
+    error: str = ''
+    taken: frozenset[str] = frozenset()
+
+
+@dataclass(frozen=True, slots=True)
+class Started:
+    """A process of a node that began to listen."""
+
+    node: str
+    at: float
+
+
+@dataclass(frozen=True, slots=True)
+class Exit:
+    """A process of a node that ended.
+
+    :param since: when the driver began to end it.
+    :param code: its exit code; the negative number of the signal that ended it.
+    :param expected: the exit code after what the driver did; ``None`` after nothing.
+    """
+
+    node: str
+    since: float
+    at: float
+    code: int
+    expected: int | None
 
 
 @dataclass(frozen=True, slots=True)
@@ -185,6 +288,14 @@
     gone: tuple[Gone, ...] = ()
     broken: tuple[Broken, ...] = ()
     silences: tuple[Silence, ...] = ()
+    nodes: tuple[str, ...] = ()
+    in_force: tuple[InForce, ...] = ()
+    damaged: tuple[Damaged, ...] = ()
+    refused: tuple[Refused, ...] = ()
+    reloads: tuple[Reload, ...] = ()
+    settings_read: tuple[SettingsRead, ...] = ()
+    started: tuple[Started, ...] = ()
+    exits: tuple[Exit, ...] = ()
 
     def map_calls(self) -> dict[str, Call]:
         """Return the calls by their ids."""
@@ -197,6 +308,19 @@
             for item in self.disturbed
         )
 
+    def list_versions(self, since: float, until: float) -> list[Acknowledged]:
+        """Return the configurations that may have been in force in a time.
+
+        :param since: the newest that was acknowledged until then is the oldest of them.
+        """
+        known = [item for item in self.configurations if item.acknowledged_at <= since]
+        later = [
+            item
+            for item in self.configurations
+            if item.acknowledged_at > since and item.sent_at <= until
+        ]
+        return known[-1:] + later
+
     def list_total_cuts(self) -> list[tuple[float, float]]:
         """Return the times in which no node that calls went to had a path."""
         nodes = {call.node for call in self.calls}
@@ -250,9 +374,20 @@
             and call.sent_at <= silence.until + after_s
         ]
 
-    def measure_silence(self, call: Call) -> float:
-        """Return the seconds of a call's time in which instances stood still."""
-        until = call.sent_at + call.deadline_s
+    def find_limit_s(self, call: Call, late_s: float) -> float:
+        """Return the seconds that a call has by its caller and by its route.
+
+        :param late_s: seconds for which nodes may go on with an older time-out.
+        """
+        versions = self.list_versions(call.sent_at - late_s, call.sent_at)
+        return min([call.deadline_s, *(item.timeout_s for item in versions)])
+
+    def measure_silence(self, call: Call, limit_s: float) -> float:
+        """Return the seconds of a call's time in which instances stood still.
+
+        :param limit_s: seconds that the call has.
+        """
+        until = call.sent_at + limit_s
         silent_s, counted_until = 0.0, call.sent_at
         for silence in sorted(self.list_silences(call), key=lambda item: item.since):
             start = max(silence.since, counted_until)
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -45,6 +45,22 @@
 #: How often instances stand still because their process is stopped by a signal.
 SUSPEND_SHARE = 0.3
 
+#: Seconds between two changes by operators, at least and at most: they come in series
+#: and beside all other faults.
+CHANGE_GAP_S = (0.1, 2.5)
+
+#: Seconds for which an invalid change stays.  A node refuses requests once nobody has
+#: confirmed its configuration for most of ``revoke_s``, and none is confirmed while the
+#: store holds an invalid one.
+INVALID_S = (0.2, 1.5)
+
+#: How often a change is one of the configuration, and how often it is invalid.
+CONFIGURATION_SHARE = 0.6
+INVALID_SHARE = 0.15
+
+#: What changes of the configuration concern.
+CHANGES = ('timeout', 'route', 'route', 'idle')
+
 
 class FaultKind(enum.Enum):
     """What happens."""
@@ -62,6 +78,10 @@
     PART = 'part'
     PAUSE = 'pause'
     SUSPEND = 'suspend'
+    CHANGE = 'change'
+    RELOAD = 'reload'
+    INVALID_CHANGE = 'invalid change'
+    INVALID_RELOAD = 'invalid reload'
 
 
 #: How often each kind is drawn.
@@ -87,7 +107,7 @@
     :param choice: from 0 to 1; chooses a node, or instances.
     :param share: part of the instances that it concerns, from 0 to 1.
     :param backoff_s: seconds of the backoffs that instances ask for.
-    :param mode: how nodes lose their paths.
+    :param mode: how nodes lose their paths, or what a change concerns.
     :param place: where instances break streams off.
     """
 
@@ -130,6 +150,7 @@
         at += chance.uniform(*GAP_S)
     faults += _draw_parts(seed, seconds)
     faults += _draw_silences(seed, seconds + CALM_S)
+    faults += _draw_changes(seed, seconds + CALM_S)
     return sorted(faults, key=lambda fault: fault.at)
 
 
@@ -175,3 +196,33 @@
         faults.append(fault)
         at += chance.uniform(*SILENCE_GAP_S)
     return faults
+
+
+def _draw_changes(seed: int, seconds: float) -> list[Fault]:
+    """Return the changes of the configuration and of nodes' settings by operators.
+
+    They are drawn apart, so that a seed draws the same other faults as without them.
+    """
+    chance = random.Random(f'{seed}/changes')
+    faults = []
+    at = chance.uniform(*CHANGE_GAP_S)
+    while at < seconds:
+        configuration = chance.random() < CONFIGURATION_SHARE
+        valid = chance.random() >= INVALID_SHARE
+        kind = FaultKind.CHANGE if configuration else FaultKind.RELOAD
+        if not valid:
+            kind = FaultKind(f'invalid {kind.value}')
+        fault = Fault(
+            at,
+            kind,
+            chance.uniform(*INVALID_S),
+            '',
+            chance.random(),
+            chance.random(),
+            0.0,
+            chance.choice(CHANGES) if configuration else '',
+            '',
+        )
+        faults.append(fault)
+        at += chance.uniform(*CHANGE_GAP_S)
+    return faults
--- a/tests/soak/builders.py
+++ b/tests/soak/builders.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from soak.history import Call, Ending, History, Run, Silence
+from soak.history import Acknowledged, Call, Ending, History, Run, Silence
 
 
 def build_call(name='c', sent_at=10.0, ending=Ending.WHOLE, **fields):
@@ -31,3 +31,20 @@
     run = build_run(call.id, instance, call.sent_at + 0.1, service=call.service)
     silence = Silence(call.service, frozenset({silent}), 10.2, 11.2)
     return History((call,), **{'runs': (run,), 'silences': (silence,), **fields})
+
+
+def build_versions(*versions):
+    """Return configurations with and without the route ``r``, a second to write each.
+
+    :param versions: of each, when the store acknowledged it, and whether it has the
+        route.
+    """
+    return tuple(
+        Acknowledged(
+            number,
+            at,
+            sent_at=at - 1.0,
+            routes=frozenset({'r'} if has_route else ()),
+        )
+        for number, (at, has_route) in enumerate(versions, 1)
+    )
--- a/tests/soak/test_checkers.py
+++ b/tests/soak/test_checkers.py
@@ -116,6 +116,8 @@
         for ending in (Ending.NOT_RUN, Ending.UNKNOWN, Ending.CUT):
             self.assert_fires(check_cut_off, self.build_cut(ending), 'n1')
         self.assert_proves(check_cut_off, self.build_cut(Ending.WHOLE))
+        denied = self.build_cut(Ending.DENIED)
+        self.assertEqual(check_cut_off(denied, BOUNDS).looked_at, 0)
 
     def test_cut_beside_another_fault_proves_nothing(self):
         for node in ('n1', ''):
@@ -262,6 +264,14 @@
 
         self.assert_fires(check_second_sends, build(most + 1), 'pool')
         self.assert_proves(check_second_sends, build(most - 1))
+        # Calls that the configuration denies bring no second sends.
+        denied = tuple(
+            build_call(f'd{n}', n * 0.01, Ending.DENIED, status=404)
+            for n in range(1000)
+        )
+        many = build(most + 1)
+        history = replace(many, calls=(*many.calls, *denied))
+        self.assert_fires(check_second_sends, history, 'pool')
 
     def assert_looks_at_nothing(self, checker, history):
         verdict = checker(history, BOUNDS)
@@ -348,6 +358,29 @@
             history = build_silent_history(call, silences=fewer)
             self.assert_fires(check_silences, history, 'c')
 
+    # Guards against calls that count although the time-out of their route left no time.
+    def test_call_whose_route_has_a_shorter_time_out_than_its_deadline(self):
+        call = build_call(ending=Ending.UNKNOWN, status=504, ended_at=13.0)
+        versions = (
+            Acknowledged(1, 0.0, timeout_s=12.0),
+            Acknowledged(2, 5.5, sent_at=5.4, timeout_s=2.5),
+            Acknowledged(3, 7.0, sent_at=6.9, timeout_s=12.0),
+        )
+        history = build_silent_history(call, configurations=versions)
+        self.assert_looks_at_nothing(check_silences, history)
+        for fewer in (versions[:1], versions[::2]):
+            history = build_silent_history(call, configurations=fewer)
+            self.assert_fires(check_silences, history, 'c')
+        # In force at no node for long before the call.
+        earlier = (versions[0], replace(versions[1], acknowledged_at=1.0), versions[2])
+        earlier = (*earlier[:2], replace(versions[2], acknowledged_at=4.5))
+        history = build_silent_history(call, configurations=earlier)
+        self.assert_fires(check_silences, history, 'c')
+
+    def test_call_that_the_configuration_denies_is_no_broken_answer(self):
+        call = build_call(ending=Ending.DENIED, status=404)
+        self.assert_looks_at_nothing(check_silences, build_silent_history(call))
+
     def build_refusals(self, refused, sent_at=10.5, **fields):
         """Return a history of a hundred calls near a silence, some of them refused."""
         calls = tuple(
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -18,11 +18,22 @@
     'backoffs',
     'crashing parts',
     'silences',
+    'routes',
+    'versions',
+    'settings',
+    'exits',
 }
 
 
 SILENCES = {FaultKind.PAUSE, FaultKind.SUSPEND}
 
+CHANGES = {
+    FaultKind.CHANGE,
+    FaultKind.RELOAD,
+    FaultKind.INVALID_CHANGE,
+    FaultKind.INVALID_RELOAD,
+}
+
 FAULTS_OF_SEED_7 = [
     (1.012, 'stop', 2.708),
     (1.395, 'backoff', 0.558),
@@ -45,12 +56,13 @@
         self.assertEqual(draw_plan(7, 60.0), draw_plan(7, 60.0))
         self.assertNotEqual(draw_plan(7, 60.0), draw_plan(8, 60.0))
 
-    # Guards against draws of silences that change the other faults of earlier seeds.
-    def test_silences_leave_the_other_faults_of_a_seed_as_they_were(self):
+    # Guards against draws of silences or changes that change the other faults of a
+    # seed.
+    def test_silences_and_changes_leave_the_other_faults_of_a_seed_as_they_were(self):
         others = [
             (round(fault.at, 3), fault.kind.value, round(fault.length_s, 3))
             for fault in draw_plan(7, 12.0)
-            if fault.kind not in SILENCES
+            if fault.kind not in SILENCES | CHANGES
         ]
         self.assertEqual(others, FAULTS_OF_SEED_7)
 
@@ -61,8 +73,24 @@
         self.assertEqual({fault.service for fault in silences}, {'pool', 'api'})
         pairs = itertools.pairwise(silences)
         self.assertTrue(any(b.at < a.at + a.length_s for a, b in pairs))
-        last_other = max(fault.at for fault in plan if fault.kind not in SILENCES)
-        self.assertGreater(silences[-1].at, last_other)
+        others = [fault for fault in plan if fault.kind not in SILENCES | CHANGES]
+        self.assertGreater(silences[-1].at, max(fault.at for fault in others))
+
+    def test_changes_of_all_kinds_come_in_series_and_beside_all_other_faults(self):
+        plan = [fault for seed in range(10) for fault in draw_plan(seed, 36.0)]
+        changes = [fault for fault in plan if fault.kind in CHANGES]
+        self.assertEqual({fault.kind for fault in changes}, CHANGES)
+        concerned = {fault.mode for fault in changes if fault.kind is FaultKind.CHANGE}
+        self.assertEqual(concerned, {'timeout', 'route', 'idle'})
+        beside = {
+            fault.kind
+            for seed in range(10)
+            for fault in draw_plan(seed, 36.0)
+            for change in draw_plan(seed, 36.0)
+            if change.kind in CHANGES
+            if fault.at <= change.at <= fault.at + fault.length_s
+        }
+        self.assertEqual(beside, set(FaultKind))
 
 
 class SoakTest(unittest.TestCase):
