Send no order that waited for longer than its node leads

What callers saw: nothing that was recorded; found by reading how duties act when their node stands still.

Cause: the leader checks its lease as it decides on an order, and at most 16 orders are sent at a time. An order that waits for its turn, or whose process is stopped by a signal meanwhile, was sent although the lease had lapsed and another node led.

Evidence: with 16 orders under way, a 17th is sent after the node has lost the lead.

Ruled out: claims and loads are written on condition of the leader's key, so an old leader writes none. Instances refuse orders of an older epoch with 412, and a join of the same group, epoch and members changes nothing at the stand-in, so no group is known to have been harmed. Orders to load weights name neither group nor epoch.

Change: whether the node leads is checked again when an order's turn comes. A member whose order was dropped is not probed, as it was not asked.

Before: QueuedOrderTest fails, the order of i16 is sent; after it passes, as the other tests of the file do.

--- a/coursepitch/fleet/keeper.py
+++ b/coursepitch/fleet/keeper.py
@@ -10,7 +10,7 @@
 from coursepitch.fleet.claims import encode_claims, encode_loads
 from coursepitch.fleet.control import Probe
 from coursepitch.fleet.groups import GroupController
-from coursepitch.fleet.orders import OrderKind
+from coursepitch.fleet.orders import OrderKind, OrderResult
 from coursepitch.fleet.view import LEADER_KEY, LOAD_PREFIX, claim_key
 from coursepitch.platform.kv import (
     Condition,
@@ -63,6 +63,9 @@
 #: condition one more, and the platform accepts 32.
 DOMAINS_PER_TRANSACTION = 15
 
+#: Results after which an instance may be gone.
+_UNANSWERED = (OrderResult.UNREACHED, OrderResult.UNKNOWN)
+
 
 def _is_always_due() -> bool:
     return True
@@ -241,12 +244,15 @@
             return
         self._pending_orders.add(key)
         try:
-            result = await self._control.send(order, is_due)
+            # An order may wait for its turn for longer than the node leads.
+            result = await self._control.send(
+                order, lambda: is_due() and self._session.is_leader()
+            )
         finally:
             self._pending_orders.discard(key)
         self._controller.note_result(order, result, self._clock())
         self._session.wake()
-        if order.kind is OrderKind.JOIN and not result.definite:
+        if order.kind is OrderKind.JOIN and result in _UNANSWERED:
             # The instance may be gone though its entry still exists, and the group
             # should not wait until the entry lapses.
             await self._probe_if_due(order.instance)
--- a/tests/fleet/test_keeper.py
+++ b/tests/fleet/test_keeper.py
@@ -8,7 +8,7 @@
 
 import anyio
 
-from coursepitch.fleet.control import Probe
+from coursepitch.fleet.control import MAX_CONCURRENT_ORDERS, InstanceControl, Probe
 from coursepitch.fleet.groups import Decision
 from coursepitch.fleet.keeper import FAST_LOADS_S, PAUSE_FACTOR, LeaderTask
 from coursepitch.fleet.orders import Order, OrderKind, OrderResult
@@ -92,6 +92,58 @@
         self.assertEqual(control.asked, [])
 
 
+class QueuedOrderTest(unittest.TestCase):
+    """Orders that wait for their turn while the node loses the lead."""
+
+    # Guards against an old leader that sends orders after another node has taken over.
+    def test_order_whose_node_is_no_longer_leader_is_not_sent(self):
+        names = [f'i{number}' for number in range(MAX_CONCURRENT_ORDERS + 1)]
+        self.leading, sent, probed = True, [], []
+
+        async def run():
+            released = anyio.Event()
+
+            class Control(InstanceControl):
+                async def _send(self, order):
+                    sent.append(order.instance)
+                    await released.wait()
+                    return OrderResult.TAKEN
+
+                async def probe(self, instance):
+                    probed.append(instance.name)
+                    return Probe.ANSWERS
+
+            session = SimpleNamespace(
+                view=build_view([build_instance(name) for name in names]),
+                is_leader=lambda: self.leading,
+                wake=lambda: None,
+                losses=None,
+            )
+            keeper = LeaderTask(
+                session,
+                Control(lambda: 100.0),
+                lambda: 100.0,
+                bootstrap=False,
+                has_served=lambda: True,
+                read_work=dict,
+                started_at=0.0,
+            )
+            async with anyio.create_task_group() as tasks:
+                for name in names:
+                    order = Order(
+                        OrderKind.JOIN, name, '127.0.0.1:1', 'g5', 5, 'm', (name,)
+                    )
+                    tasks.start_soon(keeper._send, order)
+                await anyio.wait_all_tasks_blocked()
+                self.assertEqual(sent, names[:-1])
+                self.leading = False
+                released.set()
+
+        anyio.run(run)
+        self.assertEqual(sent, names[:-1])
+        self.assertEqual(probed, [])
+
+
 class IsolatedLeaderTest(unittest.TestCase):
     """A leader tells its controller whether it reaches any instance."""
 
