Count the readings of the clock of a call that stands still

The test lets the clock jump at its fifth reading, just before the limit of silence. The jump follows the sixth reading now; the limit is 1 s in place of 0.2, so that a busy machine has 0.8 s to read an answer that comes 0.2 s after it. The check is the same.

--- a/tests/serving/test_silent_services.py
+++ b/tests/serving/test_silent_services.py
@@ -44,17 +44,19 @@
     refusing=0,
     clock=anyio.current_time,
     counts=None,
+    limit_s=LIMIT_S,
 ):
     """Return the body of an answer of a service at some addresses.
 
     :param refusing: number of further addresses that refuse connections.
     :param counts: filled with the requests in flight by address before the answer is
         forwarded.
+    :param limit_s: limit of silence.
     """
 
     async def run():
         settings = RoutingSettings(
-            first_byte_timeout_s=LIMIT_S, gap_timeout_s=LIMIT_S, attempts=attempts
+            first_byte_timeout_s=limit_s, gap_timeout_s=limit_s, attempts=attempts
         )
         caller = ServiceCaller(settings, clock)
         request = SimpleNamespace(
@@ -132,14 +134,16 @@
 
     # Guards against a stop of the own process that is taken for a silence.
     def test_limit_of_silence_that_passes_late_begins_anew(self):
-        server, other = Engine(answer_whole(before_s=1.5 * LIMIT_S)), Engine(refuse())
-        # Readings for the deadline, the address, the run, and before the limit.
-        late = [0.0] * 4
+        limit_s = 1.0
+        server, other = Engine(answer_whole(before_s=1.2 * limit_s)), Engine(refuse())
+        # Readings for the deadline, the address, the run, and two before the limit.
+        late = [0.0] * 5
 
         def read_clock():
-            return anyio.current_time() + (late.pop() if late else LIMIT_S)
+            return anyio.current_time() + (late.pop() if late else limit_s)
 
-        self.assertIn(b'r1', call(server, other, repeatable=True, clock=read_clock))
+        found = call(server, other, repeatable=True, clock=read_clock, limit_s=limit_s)
+        self.assertIn(b'r1', found)
         self.assertEqual(other.seen, [])
 
     def test_no_address_counts_a_call_that_has_ended(self):
