Let late timeouts of attempts count if all pass late

What callers would see: an answer of a silent engine is waited for until the deadline on an overloaded node of the OpenAI side, as no other attempt is made.

Cause: as on the gateway, a limit that passes late begins anew, and on a node that is always late for ever.

Found by reading, not seen in a run of the product.

Change: the race lets only the first late timeout in a row pass. TimeoutFilter takes no note of waits that end before their timeout, so the watchdog need not.

--- a/coursepitch/fleet/pause_detector.py
+++ b/coursepitch/fleet/pause_detector.py
@@ -70,8 +70,12 @@
     def holds(self, timeout_s: float, took_s: float) -> bool:
         """Whether a timeout tells that nothing arrived while this process ran.
 
+        A wait that ended before its timeout tells nothing of the process.
+
         :param took_s: seconds from the beginning until the timeout was processed.
         """
+        if took_s < timeout_s:
+            return True
         late = has_passed_late(timeout_s, took_s)
         holds = self._was_late or not late
         self._was_late = late
--- a/coursepitch/gateway/watchdog.py
+++ b/coursepitch/gateway/watchdog.py
@@ -232,10 +232,7 @@
         asked_at = self._clock()
         await self._session.wait_changed(limit_s)
         now = self._clock()
-        timed_out = now - asked_at >= limit_s
-        if timed_out and not timeouts.holds(limit_s, now - asked_at):
-            return now
-        return since
+        return since if timeouts.holds(limit_s, now - asked_at) else now
 
     async def find_stall(
         self, group: OpenGroup, since: float = float('inf')
--- a/coursepitch/serving/race.py
+++ b/coursepitch/serving/race.py
@@ -12,7 +12,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
-from coursepitch.fleet.pause_detector import has_passed_late
+from coursepitch.fleet.pause_detector import TimeoutFilter
 from coursepitch.serving.attempts import NextStep
 
 if TYPE_CHECKING:
@@ -111,6 +111,7 @@
         self._fail = fail
         self._find_other = find_other
         self._clock = clock
+        self._timeouts = TimeoutFilter()
         self._finding: asyncio.Task[Reading] | None = None
 
     async def wait(self) -> tuple[Reading, dict[str, Any] | None]:
@@ -157,7 +158,7 @@
         if self._finding is not None:
             tasks.add(self._finding)
         await asyncio.wait(tasks, timeout=wait_s, return_when=asyncio.FIRST_COMPLETED)
-        if wait_s is not None and has_passed_late(wait_s, self._clock() - now):
+        if wait_s is not None and not self._timeouts.holds(wait_s, self._clock() - now):
             # What arrived while this process stood still is yet to be read.
             for item in self._readings:
                 item.since = self._clock()
--- a/tests/fleet/test_pause_detector.py
+++ b/tests/fleet/test_pause_detector.py
@@ -37,6 +37,9 @@
     def test_late_timeouts_in_a_row_hold(self):
         self.check((LATE_S, False), (LATE_S, True), (LATE_S, True))
 
+    def test_wait_that_ended_before_changes_nothing(self):
+        self.check((LATE_S, False), (TIMEOUT_S / 2, True), (LATE_S, True))
+
 
 class SleepRunningTest(unittest.TestCase):
     """A pause of the process does not count, as what arrived in it was not read."""
