Break off silent answers of plain services whose instance does not answer

What callers saw (trial): status 200 with 1 of 100 events of an answer that is read whole, where its instance drained, stood still and was killed.

Cause: as of streams, the end of a connection at an instance that is leaving counted as that of a whole answer, whatever came before it.

Change: the bytes of answers that are read whole are timed as those of streams are; the answer is sent again where the route allows it, else it is 502. Fakes of responses in tests take the argument of read_whole.

--- a/coursepitch/gateway/calls.py
+++ b/coursepitch/gateway/calls.py
@@ -21,7 +21,7 @@
     take_permit,
 )
 from coursepitch.gateway.job import Ending, ErrorResponse, Refusal
-from coursepitch.gateway.response_ends import check_body
+from coursepitch.gateway.response_ends import Arrivals, check_body
 from coursepitch.gateway.runs import RunRace, RunSet
 from coursepitch.gateway.suspicion import explain_crashes
 from coursepitch.gateway.watchdog import Stall
@@ -368,11 +368,22 @@
         """Read a whole response; return whether it is to be forwarded."""
         components = self._components
         left_s = max(0.001, job.deadline_at - components.clock())
+        arrivals = Arrivals()
+
+        def note() -> None:
+            arrivals.note(components.clock())
+
         try:
             with anyio.fail_after(left_s):
-                run.body = await answer.read_whole(MAX_RESPONSE_BYTES)
-                detector = components.crash_detector
-                await check_body(detector, job, answer, run.instance, run.body)
+                run.body = await answer.read_whole(MAX_RESPONSE_BYTES, note)
+                await check_body(
+                    components.crash_detector,
+                    job,
+                    answer,
+                    run.instance,
+                    run.body,
+                    steady=arrivals.are_steady(components.clock()),
+                )
         except (ExchangeError, TimeoutError) as error:
             job.last_reason = str(error) or 'the answer did not end in time'
             components.load_tracker.note_failure(run.head)
--- a/coursepitch/gateway/response_ends.py
+++ b/coursepitch/gateway/response_ends.py
@@ -168,16 +168,19 @@
     answer: Response,
     instance: FleetInstance,
     body: bytes,
+    *,
+    steady: bool = True,
 ) -> None:
     """Check a response that has been read whole, as a stream that has ended.
 
+    :param steady: whether the response was not silent shortly before its end.
     :raises BrokenOffError: it broke off.
     """
     if _has_events(job, answer):
         splitter = EventSplitter()
         splitter.feed(body)
         check_events(job, answer, instance, splitter)
-    await check_sender(detector, job, answer, instance)
+    await check_sender(detector, job, answer, instance, steady=steady)
 
 
 def _log_broken_off(
--- a/coursepitch/http/client.py
+++ b/coursepitch/http/client.py
@@ -261,14 +261,18 @@
             return None
         raise ExchangeError(f'unexpected {type(event).__name__} in a response body')
 
-    async def read_whole(self, limit: int) -> bytes:
+    async def read_whole(
+        self, limit: int, note: Callable[[], None] = lambda: None
+    ) -> bytes:
         """Return the whole body.
 
+        :param note: called each time bytes of it have arrived.
         :raises ExchangeError: it is malformed, truncated or above ``limit`` bytes.
         """
         parts: list[bytes] = []
         size = 0
         while (part := await self.read_chunk()) is not None:
+            note()
             size += len(part)
             if size > limit:
                 raise ExchangeError(f'response body larger than {limit} bytes')
--- a/tests/gateway/simulated_runs.py
+++ b/tests/gateway/simulated_runs.py
@@ -267,7 +267,7 @@
         self.complete = data is None
         return data
 
-    async def read_whole(self, limit):
+    async def read_whole(self, limit, note=None):
         body = b''
         while (data := await self.read_chunk()) is not None:
             body += data
--- a/tests/gateway/test_send_gate.py
+++ b/tests/gateway/test_send_gate.py
@@ -168,7 +168,7 @@
         for key, value in headers.items():
             lines.append((key.replace('_', '-').encode(), value.encode()))
 
-        async def read_whole(limit):
+        async def read_whole(limit, note=None):
             return b''
 
         answer = SimpleNamespace(
--- a/tests/gateway/test_stream_runs.py
+++ b/tests/gateway/test_stream_runs.py
@@ -223,7 +223,7 @@
     def is_forwarded(self, *live, status=500):
         """Whether an error of ``p1`` is forwarded beside runs at instances."""
 
-        async def read_whole(limit):
+        async def read_whole(limit, note=None):
             return b''
 
         node = WaitingNode()
--- a/tests/gateway/test_truthful.py
+++ b/tests/gateway/test_truthful.py
@@ -72,7 +72,7 @@
 
     @given(status=st.sampled_from(sorted({400, 500, 502} | GUARANTEE_STATUSES)))
     def test_status_with_guarantee_is_not_forwarded(self, status):
-        async def read_whole(limit):
+        async def read_whole(limit, note=None):
             return b''
 
         sent = []
--- a/tests/whole/test_broken_off.py
+++ b/tests/whole/test_broken_off.py
@@ -5,6 +5,7 @@
 import signal
 import socket
 import threading
+from concurrent.futures import ThreadPoolExecutor
 
 import httpx
 
@@ -368,6 +369,44 @@
                 self.assertFalse(complete)
 
 
+class LeavingPlainInstanceTest(BrokenOffCase):
+    """The same for answers of a service without groups, which are read whole."""
+
+    nodes = ('n1',)
+    #: Two seconds of a stream.
+    events = 100
+
+    # Guards against parts of answers that look whole as their instance was leaving.
+    def test_answer_of_a_leaving_instance_that_is_killed_is_never_cut_short(self):
+        self.control('api', '/fault', mode='none', framing='connection')
+        request = 'killed-plain'
+        with ThreadPoolExecutor() as pool:
+            call = pool.submit(self.send, 'n1', 'POST', '/events/x', request)
+            self.wait_for(lambda: self.find_runs(request), 'an instance runs it')
+            (name,) = [
+                name
+                for name, item in self.stats('api').items()
+                if any(run['request'] == request for run in item['runs'])
+            ]
+            self.control('api', '/pause', instances=[name], for_s=60)
+            self.control('api', '/drain', instances=[name])
+            log = self.running['n1'].read_events
+            self.wait_for(
+                lambda: any(
+                    item['instance'] == name and item['draining']
+                    for item in log('instance.changed')
+                ),
+                'the node knows that it leaves',
+            )
+            # Longer than any pause of a sound answer.
+            threading.Event().wait(1.2)
+            self.control('api', '/crash', instances=[name])
+            reply = call.result()
+        whole = list(range(1, self.events + 1))
+        self.assertEqual((reply.status_code, read_ids(reply.text)), (200, whole))
+        self.assertEqual(len(self.find_runs(request)), 2)
+
+
 class StoppingNodeTest(BrokenOffCase):
     """A node that stops as planned, and loses its paths meanwhile."""
 
