--- a/coursepitch/gateway/response_ends.py
+++ b/coursepitch/gateway/response_ends.py
@@ -31,7 +31,6 @@
 #: for longer: entries last for three heartbeats.
 SILENCE_S = 0.8
 
-
 #: Why a response that ends with its connection is not whole, by what is known of the
 #: instance.  A response that may lack its end is worse for its caller than one that is
 #: broken off, which can be requested again.
