Test silent instances behind a tunnel, and whom a silent response blames

Two mutants that the tests had not found: a silent instance behind a tunnel that came up counted as one that nobody could ask, and a listed instance was asked twice. Both tests fail on their mutant.

--- a/tests/fleet/test_control.py
+++ b/tests/fleet/test_control.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import socket
 import time
 import unittest
 from types import SimpleNamespace
@@ -405,6 +406,16 @@
                 expected = ProcessState.UNKNOWN if silent else ProcessState.UNREACHED
                 self.assertIs(self.ask(connect), expected)
 
+    # Guards against a tunnel's timeout that hides an instance which is only paused.
+    def test_instance_that_does_not_answer_through_a_tunnel_is_silent(self):
+        with socket.create_server(('127.0.0.1', 0)) as server:
+            address = f'127.0.0.1:{server.getsockname()[1]}'
+
+            async def connect(asked, instance):
+                return await connect_directly(address, instance)
+
+            self.assertIs(self.ask(connect), ProcessState.UNKNOWN)
+
     # Guards against peers that are late, as they have no path, and count as silence.
     def test_late_peer_tells_nothing(self):
         async def connect(address, instance):
--- a/tests/gateway/test_suspicion.py
+++ b/tests/gateway/test_suspicion.py
@@ -417,6 +417,29 @@
                 self.assertIs(self.find_state(), ProcessState.ENDED)
         self.assertEqual(self.instances.asked, [])
 
+    def find_state_of_silent(self):
+        instance = build_instance('a', born=1)
+        return anyio.run(self.crash_detector.find_state_of_silent, instance)
+
+    # Guards against parts of responses that look whole as a leaving instance is not
+    # asked, and against blaming a request for the end of one that was leaving.
+    def test_leaving_instance_is_asked_about_a_silent_response_and_not_blamed(self):
+        for leaves in ('draining', 'unlisted'):
+            with self.subTest(leaves):
+                self.view.instances['a'] = build_instance('a', born=1, draining=True)
+                if leaves == 'unlisted':
+                    del self.view.instances['a']
+                self.instances.ended = {'a'}
+                self.assertIs(self.find_state_of_silent(), ProcessState.ENDED)
+                self.assertIs(self.find_state(), ProcessState.UNKNOWN)
+                self.instances.ended.clear()
+                self.assertIs(self.find_state_of_silent(), ProcessState.RUNS)
+
+    # Guards against callers that wait for a second question to a silent instance.
+    def test_listed_instance_is_not_asked_twice_about_a_silent_response(self):
+        self.assertIs(self.find_state_of_silent(), ProcessState.UNKNOWN)
+        self.assertEqual(self.instances.asked, [])
+
     # Guards against callers that wait for a second check just like the first one.
     def test_check_that_reached_nobody_is_not_repeated_at_once(self):
         self.instances.unreached.add('a')
