Take no standstill of a relay for silence of an instance

What callers saw: nothing that was recorded; found by reading how relays act when their node stands still.

Cause: a node that connects to an instance on behalf of a peer waits 0.25 s. If the node stood still meanwhile, the time-out passed late and the instance was called silent, which the peer takes for a finding about the instance and does not ask another node. Checks of paths and reports of instances are repeated after a late time-out; this one was not.

Evidence: a test whose process stands still for 0.5 s as it connects gets "silent" for an instance that connects in 0.04 s. Only standstills of 0.25 to 0.6 s act so: after 0.6 s the peer has given the relay up and asks the next one.

Ruled out: nothing was sent to the instance then, so no request is lost or runs twice.

Change: the connection is tried once more if its time-out passed late.

--- a/coursepitch/fleet/paths.py
+++ b/coursepitch/fleet/paths.py
@@ -187,8 +187,7 @@
         began_at = self._clock()
         for _ in range(PEER_TRIES):
             try:
-                with anyio.fail_after(PEER_CONNECT_TIMEOUT_S):
-                    return await self.connect_directly(found.address, instance)
+                return await self._connect_in_time(found.address, instance)
             except ConnectionRefusedError as error:
                 if await self.check(began_at, instance):
                     raise TunnelError(TunnelOutcome.REFUSED) from error
@@ -202,6 +201,18 @@
             await anyio.sleep(PEER_PAUSE_S)
         raise TunnelError(TunnelOutcome.NO_PATH)
 
+    async def _connect_in_time(self, address: str, instance: str) -> ByteStream:
+        """Connect directly, and again if this process did not run meanwhile."""
+        began_at = self._clock()
+        try:
+            with anyio.fail_after(PEER_CONNECT_TIMEOUT_S):
+                return await self.connect_directly(address, instance)
+        except TimeoutError:
+            if not has_passed_late(PEER_CONNECT_TIMEOUT_S, self._clock() - began_at):
+                raise
+        with anyio.fail_after(PEER_CONNECT_TIMEOUT_S):
+            return await self.connect_directly(address, instance)
+
     def was_cut_off_after(self, since: float) -> bool:
         """Whether the node is cut off, and was found to be so after a point in time.
 
--- a/tests/fleet/test_paths.py
+++ b/tests/fleet/test_paths.py
@@ -10,7 +10,11 @@
 import anyio
 
 from coursepitch.fleet import paths as module
-from coursepitch.fleet.paths import CHECK_TIMEOUT_S, InstancePaths
+from coursepitch.fleet.paths import (
+    CHECK_TIMEOUT_S,
+    PEER_CONNECT_TIMEOUT_S,
+    InstancePaths,
+)
 from coursepitch.fleet.tunnels import TunnelError, TunnelOutcome
 from tests.fleet.builders import build_instance, build_view
 
@@ -272,6 +276,22 @@
     def test_other_addresses_are_not_connected(self):
         self.assertIs(self.find_outcome('127.0.0.1:22'), TunnelOutcome.UNLISTED)
 
+    # Guards against a node that stood still and calls a sound instance silent.
+    def test_instance_that_answered_while_the_node_stood_still_is_connected(self):
+        self.faults = {'a': 'slow'}
+
+        async def stand_still():
+            await anyio.sleep(0.01)
+            time.sleep(2 * PEER_CONNECT_TIMEOUT_S)
+
+        async def run():
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(stand_still)
+                return await self.paths.connect_for_peer('a')
+
+        self.assertEqual(anyio.run(run).way, 'direct')
+        self.assertEqual(self.connected, ['a', 'a'])
+
     def test_sound_node_tells_what_it_found(self):
         self.faults = {'a': 'refuse'}
         self.assertIs(self.find_outcome(), TunnelOutcome.REFUSED)
