Leave invalid configurations long enough that nodes have to name them

A node that silently takes an invalid configuration broke the promise "routes" and not "damaged": invalid ones stayed for 1.5 s at most, and nodes need to know of a change only after 2 s. They stay for up to 2.4 s now, so that one in six stays longer. With revoke_s at 4.6 a node serves for 3.9 s without a confirmation, which it asks for every 0.8 s.

--- a/soak/plan.py
+++ b/soak/plan.py
@@ -52,7 +52,7 @@
 #: Seconds for which an invalid change stays.  A node refuses requests once nobody has
 #: confirmed its configuration for most of ``revoke_s``, and none is confirmed while the
 #: store holds an invalid one.
-INVALID_S = (0.2, 1.5)
+INVALID_S = (0.2, 2.4)
 
 #: How often a change is one of the configuration, and how often it is invalid.
 CONFIGURATION_SHARE = 0.6
