--- a/tests/control/test_reach.py
+++ b/tests/control/test_reach.py
@@ -3,12 +3,16 @@
 from __future__ import annotations
 
 import unittest
+from types import SimpleNamespace
 from unittest import mock
 
 import anyio
 
 from coursepitch.control import reach as module
+from coursepitch.control.fleet import find_peer_reached_at
 from coursepitch.control.reach import EngineReach, Finding
+from coursepitch.peers.records import NodeBody
+from coursepitch.peers.table import Record, RecordKey
 
 TIMEOUT_S = 1.0
 
@@ -206,5 +210,26 @@
         self.assertEqual(self.read_state(), (False, False))
 
 
+class PeerRecordTest(unittest.TestCase):
+    """The newest check that an engine answered, as peers tell it."""
+
+    def find(self, *bodies):
+        """Return the time found in the records of nodes n0, n1 and so on."""
+        records = [
+            Record(RecordKey('node', name, name), 1, 1, 1, 100.0 + number, body)
+            for number, body in enumerate(bodies)
+            for name in [f'n{number}']
+        ]
+        return find_peer_reached_at(SimpleNamespace(records=lambda kind: records), 'n1')
+
+    def test_only_peers_that_reach_engines_tell_of_them(self):
+        sound = NodeBody('i', 1, True, False)
+        silent = NodeBody('i', 1, True, False, cut_off=True)
+        unchecked = NodeBody('i', 1, True, False, unchecked=True)
+        self.assertEqual(self.find(sound, sound, silent, unchecked), 100.0)
+        self.assertEqual(self.find(sound, sound, sound, unchecked), 102.0)
+        self.assertEqual(self.find(silent, sound, unchecked), float('-inf'))
+
+
 if __name__ == '__main__':
     unittest.main()
