Do not wait for a share of retries that has taken effect

A request failed with an error of the node if the node's share of the retry budget took effect while its peers were asked to lend a retry.

Cause: the time that is left is taken after the peers were asked, and may be negative then, which the wait does not accept.

Change: the wait is zero then, and the request asks again.

--- a/coursepitch/gateway/attempts.py
+++ b/coursepitch/gateway/attempts.py
@@ -163,7 +163,8 @@
         return Retry.TAKEN
     if settled_at > min(now + MAX_SHARE_WAIT_S, job.deadline_at - MIN_TIME_LEFT_S):
         return Retry.DENIED
-    await anyio.sleep(settled_at - components.clock())
+    # It may have taken effect while the peers were asked.
+    await anyio.sleep(max(0.0, settled_at - components.clock()))
     return Retry.LATER
 
 
--- a/tests/gateway/test_retry_loans.py
+++ b/tests/gateway/test_retry_loans.py
@@ -9,6 +9,7 @@
 import random
 import time
 import unittest
+from types import SimpleNamespace
 
 import anyio
 from hypothesis import settings, strategies
@@ -130,6 +131,30 @@
         self.assertLess(took_s, 0.5 * FIRST_START_LAG_S)
 
 
+class LateLoanTest(unittest.TestCase):
+    """The share of a node takes effect while it asks its peers for a retry."""
+
+    # Guards against an error that ends the request in place of another choice.
+    def test_request_asks_again_at_once(self):
+        now = [100.0]
+
+        async def borrow(service, request):
+            now[0] += 0.02
+            return False
+
+        session = SimpleNamespace(
+            share=SimpleNamespace(find_settled_at=lambda: 100.01),
+            loans=SimpleNamespace(borrow=borrow),
+            find_share=lambda: None,
+        )
+        budget = SimpleNamespace(take=lambda service, part, request: False)
+        components = SimpleNamespace(
+            session=session, budget=budget, clock=lambda: now[0]
+        )
+        job = build_job(deadline_at=108.0)
+        self.assertIs(anyio.run(obtain_retry, components, job), Retry.LATER)
+
+
 class RetryLoansTest(unittest.TestCase):
     """Requests of one node for retries of its peers."""
 
