--- a/tests/whole/test_silent_engines.py
+++ b/tests/whole/test_silent_engines.py
@@ -15,6 +15,22 @@
 TOKENS = 60
 
 
+def send_calls(case, count, interval_s):
+    """Send calls to all nodes in turn; return the errors of those that failed."""
+    calls = []
+    for number in range(count):
+        time.sleep(interval_s)
+        node = f'n{number % 3 + 1}'
+        body = case.body('sent in a silence', max_tokens=2)
+        calls.append(
+            in_background(
+                lambda node=node, body=body: call_stream(case.harness, node, body)
+            )
+        )
+    answers = [call.result(90) for call in calls]
+    return [item.error for item in answers if not item.whole]
+
+
 class SilentEnginesTest(ReplicaCase):
     """Limits of silence that are shorter than the longest silence."""
 
@@ -89,18 +105,7 @@
     # Guards against requests that are refused at once as all engines are silent.
     def test_requests_sent_while_all_engines_are_silent_are_answered(self):
         self.stand_still(self.list_all(), 3.0)
-        calls = []
-        for number in range(26):
-            time.sleep(0.1)
-            node = f'n{number % 3 + 1}'
-            body = self.body('sent in a silence', max_tokens=2)
-            calls.append(
-                in_background(
-                    lambda node=node, body=body: call_stream(self.harness, node, body)
-                )
-            )
-        answers = [call.result(90) for call in calls]
-        refused = [item.error for item in answers if not item.whole]
+        refused = send_calls(self, 26, 0.1)
         self.assertEqual(refused, [])
 
     # Guards against requests that are refused once their replicas had silent attempts,
@@ -109,18 +114,7 @@
         streams = self.start_streams()
         time.sleep(0.5)
         self.stand_still(self.list_all(), 6.0)
-        calls = []
-        for number in range(26):
-            time.sleep(0.2)
-            node = f'n{number % 3 + 1}'
-            body = self.body('sent in a silence', max_tokens=2)
-            calls.append(
-                in_background(
-                    lambda node=node, body=body: call_stream(self.harness, node, body)
-                )
-            )
-        answers = [call.result(90) for call in calls]
-        refused = [item.error for item in answers if not item.whole]
+        refused = send_calls(self, 26, 0.2)
         self.assertEqual(refused, [])
         self.assert_whole(streams)
 
@@ -154,18 +148,8 @@
         for replica in self.serving().values():
             for name in replica['instances']:
                 self.harness.set_fault(name, still_s=4.0)
-        calls = []
-        for number in range(30):
-            time.sleep(0.1)
-            node = f'n{number % 3 + 1}'
-            body = self.body('sent in a silence', max_tokens=2)
-            calls.append(
-                in_background(
-                    lambda node=node, body=body: call_stream(self.harness, node, body)
-                )
-            )
-        answers = [call.result(90) for call in calls]
-        self.assertEqual([item.error for item in answers if not item.whole], [])
+        refused = send_calls(self, 30, 0.1)
+        self.assertEqual(refused, [])
 
 
 class PausedNodeTest(ReplicaCase):
