Take only instances reached after a refusal for a proof of the own path

What callers saw: nothing that was recorded; as a cut began that resets the connections of most nodes to a service, an instance was found crashed that was sound (instance.crashed), and the requests that it ran are then suspected by all nodes.

Cause: a refusal counts as the end of an instance if this node and a peer reach others of its service, and a connection that had come up since the check began was taken for that. As a cut begins, such a connection may be older than the refusal.

The new tests failed: has_ended was True, a probe's result REFUSED, and a node told a peer REFUSED in place of NO_PATH.

Change: the check of others begins after the refusal, at the node and at the peer that confirms it, and for the probes of a stalled group, whose refusals nodes tell each other as a proof.

--- a/coursepitch/fleet/control.py
+++ b/coursepitch/fleet/control.py
@@ -122,12 +122,10 @@
 class _StateCheck:
     """A check whether an instance's process is gone.
 
-    :param began_at: monotonic time at which it began.
     :param latest: result of the latest request to the instance.
     """
 
     instance: FleetInstance
-    began_at: float
     latest: Probe = Probe.NO_PATH
 
     def explain_unknown(self) -> ProcessState:
@@ -274,8 +272,12 @@
             return Probe.INDIRECT
         if not reaches_others:
             return Probe.NO_PATH
-        if direct is Probe.REFUSED and indirect is not Probe.REFUSED:
-            return Probe.REFUSED if not paths.has_peers() else Probe.SILENT
+        if direct is Probe.REFUSED:
+            if indirect is not Probe.REFUSED and paths.has_peers():
+                return Probe.SILENT
+            # What was reached before the refusal may be cut off since.
+            if not await paths.check(self._clock(), instance.name):
+                return Probe.NO_PATH
         return direct
 
     async def _probe_through_peer(self, instance: FleetInstance) -> Probe:
@@ -317,13 +319,13 @@
         """Return what is proven of an instance's process.
 
         Its end is proven if its address belongs to another instance, or refuses
-        connections of this node and of a peer, both of which reach others, or if its
-        entry is gone and it refuses those of this node.  The word of a peer is enough
-        for a node that is cut off.  A timeout proves nothing: a network partition or a
-        paused machine looks the same.  An exiting process closes its connections one by
-        one, so a request whose connection breaks is repeated.
+        connections of this node and of a peer, both of which reach others after that,
+        or if its entry is gone and it refuses those of this node.  The word of a peer
+        is enough for a node that is cut off.  A timeout proves nothing: a network
+        partition or a paused machine looks the same.  An exiting process closes its
+        connections one by one, so a request whose connection breaks is repeated.
         """
-        check = _StateCheck(instance, self._clock())
+        check = _StateCheck(instance)
         with anyio.move_on_after(CONFIRM_TIMEOUT_S):
             return await self._confirm_state(check)
         return check.explain_unknown()
@@ -349,7 +351,8 @@
                 return _conclude_state(check.latest)
             if not self._paths.is_listed(instance.name):
                 return ProcessState.ENDED
-            if await self._paths.check(check.began_at, instance.name):
+            # What was reached before the refusal may be cut off since.
+            if await self._paths.check(self._clock(), instance.name):
                 found = await self._probe_through_peer(instance)
                 if found is Probe.ANSWERS:
                     return ProcessState.RUNS
--- a/coursepitch/fleet/paths.py
+++ b/coursepitch/fleet/paths.py
@@ -189,7 +189,8 @@
             try:
                 return await self._connect_in_time(found.address, instance)
             except ConnectionRefusedError as error:
-                if await self.check(began_at, instance):
+                # What was reached before the refusal may be cut off since.
+                if await self.check(self._clock(), instance):
                     raise TunnelError(TunnelOutcome.REFUSED) from error
             except OSError as error:
                 if await self.check(began_at, instance):
--- a/tests/fleet/test_control.py
+++ b/tests/fleet/test_control.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import math
 import socket
 import time
 import unittest
@@ -184,11 +185,16 @@
         is_cut_off=False,
         has_peers=True,
         is_listed=True,
+        reached_at=math.inf,
     ):
-        """Return a control whose probes have these results."""
+        """Return a control whose probes have these results.
+
+        :param reached_at: number of requests after which others were reached last.
+        """
+        requests = 0
 
         async def check(since, suspect):
-            return reaches_others
+            return reaches_others and reached_at >= since
 
         paths = SimpleNamespace(
             is_cut_off=is_cut_off,
@@ -199,9 +205,11 @@
             connect_directly=None,
             connect_through_peer=None,
         )
-        control = InstanceControl(lambda: 0.0, paths=paths)
+        control = InstanceControl(lambda: float(requests), paths=paths)
 
         async def answer(instance, pool=None):
+            nonlocal requests
+            requests += 1
             found = indirect if pool is control._peer_pool else direct
             if isinstance(found, list):
                 found = found.pop(0)
@@ -319,6 +327,17 @@
         gone = self.has_ended(Probe.REFUSED, Probe.SILENT, False, is_listed=False)
         self.assertTrue(gone)
 
+    # Guards against nodes that confirm refusals to each other as a cut begins.
+    def test_others_reached_before_a_refusal_are_no_proof(self):
+        results = (Probe.REFUSED, Probe.REFUSED, True)
+        for reached_at, ended in ((0, False), (math.inf, True)):
+            with self.subTest(reached_at=reached_at):
+                with mock.patch.object(control, 'CONFIRM_TIMEOUT_S', 0.1):
+                    found = self.has_ended(*results, reached_at=reached_at)
+                self.assertIs(found, ended)
+                found = self.probe(*results, reached_at=reached_at)
+                self.assertIs(found, Probe.REFUSED if ended else Probe.NO_PATH)
+
     # Guards against a request that ends all instances of a service at once, so that no
     # end is ever proved, and that ends those which take their places.
     def test_end_is_proved_once_another_instance_is_reached(self):
--- a/tests/fleet/test_paths.py
+++ b/tests/fleet/test_paths.py
@@ -292,6 +292,17 @@
         self.assertEqual(anyio.run(run).way, 'direct')
         self.assertEqual(self.connected, ['a', 'a'])
 
+    # Guards against nodes that confirm refusals to each other as a cut begins.
+    def test_instance_reached_before_the_refusal_is_no_proof(self):
+        async def connect(address, instance):
+            if instance == 'a' and not self.connected:
+                await self.paths.connect_directly('b:1', 'b')
+                self.cut('refuse')
+            return await self.connect_directly(address, instance)
+
+        with mock.patch.object(module, 'connect_directly', connect):
+            self.assertIs(self.find_outcome(), TunnelOutcome.NO_PATH)
+
     def test_sound_node_tells_what_it_found(self):
         self.faults = {'a': 'refuse'}
         self.assertIs(self.find_outcome(), TunnelOutcome.REFUSED)
