Never leave a node's settings half written in the soak

The invalid value of an option was taken back by a plain write; a node that reads its settings for an earlier signal might have read a part of the file.

--- a/soak/changes.py
+++ b/soak/changes.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import configparser
+import io
 import json
 from dataclasses import dataclass, field, replace
 from typing import TYPE_CHECKING, Any
@@ -21,6 +22,7 @@
     'choose_option',
     'damage_value',
     'write_option',
+    'write_settings',
 ]
 
 #: Routes that changes of the configuration add and remove.
@@ -145,18 +147,21 @@
 
 
 def write_option(settings: Path, section: str, name: str, value: str) -> str:
-    """Write an option to a node's settings file, which is never seen half written.
-
-    Return the text of the file before.
-    """
+    """Write an option to a node's settings file; return the text of the file before."""
     before = settings.read_text()
     parser = _read(settings)
     parser.set(section, name, value)
+    text = io.StringIO()
+    parser.write(text)
+    write_settings(settings, text.getvalue())
+    return before
+
+
+def write_settings(settings: Path, text: str) -> None:
+    """Write a node's settings file, which is never seen half written."""
     other = settings.with_suffix('.new')
-    with other.open('w') as file:
-        parser.write(file)
+    other.write_text(text)
     other.replace(settings)
-    return before
 
 
 def _read(settings: Path) -> configparser.ConfigParser:
--- a/soak/driver.py
+++ b/soak/driver.py
@@ -18,6 +18,7 @@
     choose_option,
     damage_value,
     write_option,
+    write_settings,
 )
 from soak.clients import Client
 from soak.history import (
@@ -506,7 +507,8 @@
     def _reload(self, fault: Fault) -> None:
         """Change an option of a node's settings and send SIGHUP, once or in a row.
 
-        An invalid value goes once the node has read it, before it may start again.
+        An invalid value is taken back once the node has read it, before it may start
+        again.
         """
         node = _System.running[self._names[int(fault.choice * len(self._names))]]
         path = node.output.with_suffix('.ini')
@@ -531,7 +533,7 @@
                 until = time.monotonic()
                 self._reloads.append(Reload(node.name, at, option, until, valid))
             if not valid:
-                path.write_text(before)
+                write_settings(path, before)
                 process.send_signal(signal.SIGHUP)
 
     def _wait_handled(self, process: subprocess.Popen[bytes]) -> bool:
