Ask an instance that refused again once others were reached

What callers saw: nothing that was recorded; as before, sound instances were found crashed by nodes whose connections are reset.

Cause: of a refusal and others that are reached after it, the first may be of a cut and the second come after its end.

The new tests failed: has_ended was True though the instance answered at once, and a node told a peer of a refusal of an instance that it reaches.

Change: after others were reached, the instance is asked once more, by this node and by the peer, and only a second refusal counts.

--- a/coursepitch/fleet/control.py
+++ b/coursepitch/fleet/control.py
@@ -275,9 +275,10 @@
         if direct is Probe.REFUSED:
             if indirect is not Probe.REFUSED and paths.has_peers():
                 return Probe.SILENT
-            # What was reached before the refusal may be cut off since.
+            # As for the end of a process, see below.
             if not await paths.check(self._clock(), instance.name):
                 return Probe.NO_PATH
+            return await self._request_report(instance)
         return direct
 
     async def _probe_through_peer(self, instance: FleetInstance) -> Probe:
@@ -319,7 +320,7 @@
         """Return what is proven of an instance's process.
 
         Its end is proven if its address belongs to another instance, or refuses
-        connections of this node and of a peer, both of which reach others after that,
+        connections of this node and of a peer before and after both reached others,
         or if its entry is gone and it refuses those of this node.  The word of a peer
         is enough for a node that is cut off.  A timeout proves nothing: a network
         partition or a paused machine looks the same.  An exiting process closes its
@@ -351,8 +352,12 @@
                 return _conclude_state(check.latest)
             if not self._paths.is_listed(instance.name):
                 return ProcessState.ENDED
-            # What was reached before the refusal may be cut off since.
+            # What was reached before the refusal may be cut off since, and a cut that
+            # refused it may end before others are reached.
             if await self._paths.check(self._clock(), instance.name):
+                check.latest = await self._request_until_clear(instance)
+                if check.latest is not Probe.REFUSED:
+                    return _conclude_state(check.latest)
                 found = await self._probe_through_peer(instance)
                 if found is Probe.ANSWERS:
                     return ProcessState.RUNS
--- a/coursepitch/fleet/paths.py
+++ b/coursepitch/fleet/paths.py
@@ -185,13 +185,18 @@
         if found is None:
             raise TunnelError(TunnelOutcome.UNLISTED)
         began_at = self._clock()
+        has_reached_others = False
         for _ in range(PEER_TRIES):
             try:
                 return await self._connect_in_time(found.address, instance)
             except ConnectionRefusedError as error:
-                # What was reached before the refusal may be cut off since.
-                if await self.check(self._clock(), instance):
+                if has_reached_others:
                     raise TunnelError(TunnelOutcome.REFUSED) from error
+                # What was reached before the refusal may be cut off since, and a cut
+                # that refused it may end before others are reached.
+                has_reached_others = await self.check(self._clock(), instance)
+                if has_reached_others:
+                    continue
             except OSError as error:
                 if await self.check(began_at, instance):
                     raise TunnelError(TunnelOutcome.SILENT) from error
--- a/tests/fleet/test_control.py
+++ b/tests/fleet/test_control.py
@@ -338,6 +338,15 @@
                 found = self.probe(*results, reached_at=reached_at)
                 self.assertIs(found, Probe.REFUSED if ended else Probe.NO_PATH)
 
+    # Guards against nodes that confirm refusals to each other as a cut ends.
+    def test_refusal_that_is_not_repeated_after_others_were_reached_is_no_proof(self):
+        for direct in (Probe.ANSWERS, Probe.SILENT):
+            with self.subTest(direct=direct):
+                results = ([Probe.REFUSED, direct], Probe.REFUSED, True)
+                self.assertFalse(self.has_ended(*results))
+                results = ([Probe.REFUSED, Probe.REFUSED, direct], Probe.REFUSED, True)
+                self.assertIs(self.probe(*results), direct)
+
     # Guards against a request that ends all instances of a service at once, so that no
     # end is ever proved, and that ends those which take their places.
     def test_end_is_proved_once_another_instance_is_reached(self):
--- a/tests/fleet/test_paths.py
+++ b/tests/fleet/test_paths.py
@@ -303,6 +303,18 @@
         with mock.patch.object(module, 'connect_directly', connect):
             self.assertIs(self.find_outcome(), TunnelOutcome.NO_PATH)
 
+    # Guards against nodes that confirm refusals to each other as a cut ends.
+    def test_instance_that_is_reached_after_others_is_connected(self):
+        async def connect(address, instance):
+            if instance != 'a':
+                self.faults = {}
+            return await self.connect_directly(address, instance)
+
+        self.faults = {'a': 'refuse'}
+        with mock.patch.object(module, 'connect_directly', connect):
+            stream = anyio.run(self.paths.connect_for_peer, 'a')
+        self.assertEqual(stream.way, 'direct')
+
     def test_sound_node_tells_what_it_found(self):
         self.faults = {'a': 'refuse'}
         self.assertIs(self.find_outcome(), TunnelOutcome.REFUSED)
