Let bodies of plain services end, and forward an error that is in hand

What callers of the OpenAI side saw: a call whose service is lost without a reset after the head of its answer hung without limit, and held its place at the address; a call whose one address was silent and whose other had answered 500 got 504 at its deadline.

Cause: as silence ends no attempt, reads had no time-out, and the deadline covers the head alone; the answer in hand was dropped as the deadline cancelled the race.

Evidence: found by a review.

Change: a read may last as long as the whole call; the deadline ends the race alone, and the answer in hand is forwarded.

--- a/coursepitch/serving/services.py
+++ b/coursepitch/serving/services.py
@@ -144,10 +144,7 @@
         self._in_flight: dict[str, int] = {}
         self._failed_at: dict[str, float] = {}
         limits = httpx.Limits(max_connections=None, max_keepalive_connections=0)
-        # A silent service may go on, so only deadlines end the wait for it.
-        self._client = httpx.AsyncClient(
-            timeout=httpx.Timeout(None, connect=1.0, pool=1.0), limits=limits
-        )
+        self._client = httpx.AsyncClient(limits=limits)
 
     async def close(self) -> None:
         """Close all connections."""
@@ -172,10 +169,9 @@
         """
         address = ''
         try:
-            with anyio.fail_after(options.deadline_s):
-                reply, address = await self._attempt(
-                    request, context, service, options, body
-                )
+            reply, address = await self._attempt(
+                request, context, service, options, body
+            )
         except BaseException as error:
             if isinstance(error, RefusedError):
                 context.outcome = error.problem.refusal.outcome
@@ -199,24 +195,35 @@
 
         An address that is silent is kept while another one is tried, as described in
         :mod:`coursepitch.gateway.runs`.
+
+        :raises TimeoutError: the deadline has passed without an answer.
         """
         deadline_at = self._clock() + options.deadline_s
         request_id = context.request_id
         call = _Call(request, request_id, service, options, body, deadline_at)
         try:
-            while True:
-                call.runs.add(self._open_run(call))
-                run = await self._race(call).wait()
-                if run is None:
-                    run = call.held
-                if run is not None and run.reply is not None:
-                    await self._end_runs(call, kept=run)
-                    return run.reply, run.address
-                self._check_retry(call)
+            run = None
+            with anyio.move_on_after(options.deadline_s):
+                run = await self._find_answer(call)
+            # An error that is in hand says more than that the deadline has passed.
+            run = run or call.held
+            if run is None or run.reply is None:
+                raise TimeoutError
+            await self._end_runs(call, kept=run)
+            return run.reply, run.address
         except BaseException:
             await self._end_runs(call)
             raise
 
+    async def _find_answer(self, call: _Call) -> ServiceRun:
+        """Return the run whose answer is to be forwarded."""
+        while True:
+            call.runs.add(self._open_run(call))
+            run = await self._race(call).wait() or call.held
+            if run is not None:
+                return run
+            self._check_retry(call)
+
     def _race(self, call: _Call) -> RunRace[ServiceRun]:
         async def advance(run: ServiceRun) -> bool:
             return await self._advance(call, run)
@@ -403,6 +410,10 @@
             f'http://{address}{path}{query}',
             headers=headers,
             content=content,
+            # A silent service may go on, but nobody waits longer for a whole answer.
+            timeout=httpx.Timeout(
+                None, connect=1.0, pool=1.0, read=call.options.deadline_s
+            ),
         )
 
     def _build_answer(
