Let a proven end tell nothing of a later process of the same name

What callers would see: groups with an instance that has restarted under its name get no requests while all others are suspected, until the leader clears it.

Change: a refusal is no proof once another birth is listed, a proof goes with its entry, and the word that clears one is passed on.

Open, and listed: reports carry no birth, so one that is 2 s late still counts, and the watchdog keeps what it knows of groups that are gone.

--- a/coursepitch/fleet/lost.py
+++ b/coursepitch/fleet/lost.py
@@ -98,8 +98,14 @@
     def note_answering(self, name: str) -> bool:
         """Record that an instance answers; return whether it was reported as lost."""
         self._answered_at[name] = self.clock()
+        had_proof = self.forget_proof(name)
+        return self._reported_until.pop(name, None) is not None or had_proof
+
+    def forget_proof(self, name: str) -> bool:
+        """Forget that the process of an instance is gone; return whether it was."""
+        had_proof = self.has_ended(name)
         self._ended.discard(name)
-        return self._reported_until.pop(name, None) is not None
+        return had_proof
 
     def forget_old(self) -> bool:
         """Drop expired reports; return whether there were any."""
--- a/coursepitch/fleet/view.py
+++ b/coursepitch/fleet/view.py
@@ -558,6 +558,8 @@
         now = self.clock()
         held_s = round(now - self._lapsed_since.pop(name, now), 3)
         self._excluded.discard(name)
+        # Another process may be listed under this name later.
+        self.lost.forget_proof(name)
         if self.instances.pop(name, None) is not None:
             self.version += 1
             log.emit(events.INSTANCE_GONE, instance=name, held_s=held_s)
--- a/coursepitch/gateway/watchdog.py
+++ b/coursepitch/gateway/watchdog.py
@@ -292,6 +292,11 @@
         self._cached_results[key] = (self._clock(), all_respond)
         return all_respond
 
+    def _was_restarted(self, instance: FleetInstance) -> bool:
+        """Whether another process is listed under the name of an instance."""
+        listed = self._session.view.instances.get(instance.name)
+        return listed is not None and listed.born != instance.born
+
     async def _probe_members(self, group: OpenGroup) -> bool:
         found: dict[str, Probe] = {}
 
@@ -318,7 +323,13 @@
         if lost:
             key = (group.claim.name, group.claim.epoch)
             now = self._clock()
-            ended = {name for name in lost if found[name].proves_end}
+            ended = {
+                item.name
+                for item in group.members
+                if item.name in lost
+                and found[item.name].proves_end
+                and not self._was_restarted(item)
+            }
             avoidance = _Avoidance(
                 group, now, now + GROUP_AVOIDANCE_S, tuple(lost), bool(ended)
             )
