Tell a request that a replica declined though another one is silent

What callers of the OpenAI side saw: the refusal of a bad request (400) by the second replica was held back while the first one was silent, up to the deadline; it was sent to that replica twice, and the replica counted as failed.

Cause: the race takes each answer without parts for a failed attempt, while others are left.

Change: an answer that any other replica would give as well, before any chunk, ends the race, and such a status is no failure of its replica.

--- a/coursepitch/serving/dispatch.py
+++ b/coursepitch/serving/dispatch.py
@@ -24,7 +24,13 @@
 from coursepitch.serving.clients import TargetClients
 from coursepitch.serving.outcomes import Problem, Refusal, RefusedError
 from coursepitch.serving.race import AttemptRace, Reading, SilenceLimits
-from coursepitch.serving.runs import Attempt, Run, drain_body, read_text
+from coursepitch.serving.runs import (
+    NON_RETRYABLE_STATUSES,
+    Attempt,
+    Run,
+    drain_body,
+    read_text,
+)
 from coursepitch.serving.sse import DONE_DATA, EventParser
 
 if TYPE_CHECKING:
@@ -47,9 +53,6 @@
 #: Seconds between two searches for a replica to retry on.
 _REPLICA_POLL_S = 0.1
 
-#: HTTP statuses that any other replica would return as well.
-_NON_RETRYABLE_STATUSES = frozenset({400, 404, 413, 422})
-
 
 class Dispatcher:
     """Sends requests to replicas and relays their answers.
@@ -304,7 +307,8 @@
         attempt = reading.attempt
         self._settle_result(run, attempt)
         self._metrics.attempts.inc({'seen': attempt.result.name.lower()})
-        self._record_failure(attempt)
+        if attempt.status not in NON_RETRYABLE_STATUSES:
+            self._record_failure(attempt)
         state = self._describe_state(run, attempt)
         run.may_have_run |= state.outcome is not outcomes.Outcome.NOT_RUN
         if self.crashes is not None:
@@ -379,14 +383,14 @@
         self._metrics.attempts.inc({'seen': attempt.result.name.lower()})
         if (
             attempt.result is not AttemptResult.WHOLE
-            and attempt.status not in _NON_RETRYABLE_STATUSES
+            and attempt.status not in NON_RETRYABLE_STATUSES
         ):
             self._record_failure(attempt)
         state = self._describe_state(run, attempt)
         run.may_have_run |= state.outcome is not outcomes.Outcome.NOT_RUN
         await self._note_attempt(run, attempt)
         step = decide_next(state, self._budget.allows_retry())
-        if attempt.status in _NON_RETRYABLE_STATUSES:
+        if attempt.status in NON_RETRYABLE_STATUSES:
             step = NextStep.FAIL
         if step in (NextStep.RETRY, NextStep.CONTINUE):
             choice = await self._wait_for_replica(run)
@@ -477,7 +481,7 @@
 
         Its outcome is "not run" only if no attempt can have run.
         """
-        if attempt.status in _NON_RETRYABLE_STATUSES and not run.may_have_run:
+        if attempt.status in NON_RETRYABLE_STATUSES and not run.may_have_run:
             return outcomes.BAD_REQUEST
         if attempt.result is AttemptResult.WRONG:
             return outcomes.WRONG_ANSWER
--- a/coursepitch/serving/race.py
+++ b/coursepitch/serving/race.py
@@ -117,7 +117,8 @@
     async def wait(self) -> tuple[Reading, dict[str, Any] | None]:
         """Return the first reading that has a part, and the part.
 
-        The part is ``None`` where the reading has ended, whole or as the last one.
+        The part is ``None`` where the reading has ended: whole, as the last one, or
+        with an answer that no other one would better.
         """
         try:
             while True:
@@ -129,7 +130,8 @@
                     part = reading.take_part()
                     if part is not None or reading.attempt.is_whole:
                         return reading, part
-                    if len(self._readings) == 1 and not self._has_found():
+                    is_last = len(self._readings) == 1 and not self._has_found()
+                    if is_last or reading.attempt.is_declined:
                         return reading, None
                     self._readings.remove(reading)
                     self._add(await self._fail(reading))
--- a/coursepitch/serving/runs.py
+++ b/coursepitch/serving/runs.py
@@ -16,7 +16,10 @@
     from coursepitch.serving.model_request import ModelRequest
     from coursepitch.serving.race import Reading
 
-__all__ = ['Attempt', 'Run', 'drain_body', 'read_text']
+__all__ = ['NON_RETRYABLE_STATUSES', 'Attempt', 'Run', 'drain_body', 'read_text']
+
+#: HTTP statuses that any other replica would return as well.
+NON_RETRYABLE_STATUSES = frozenset({400, 404, 413, 422})
 
 #: Longest wait in seconds for the end of a body after ``[DONE]``.
 BODY_END_TIMEOUT_S = 0.05
@@ -51,6 +54,11 @@
         """Whether its answer came whole."""
         return self.result is AttemptResult.WHOLE
 
+    @property
+    def is_declined(self) -> bool:
+        """Whether the request was declined before any chunk, as others would do."""
+        return self.status in NON_RETRYABLE_STATUSES and not self.chunks_before
+
     def note_chunk(self, now: float) -> None:
         """Record that a chunk arrived at a monotonic time."""
         if self.first_chunk_at is None:
--- a/tests/serving/test_race.py
+++ b/tests/serving/test_race.py
@@ -32,7 +32,7 @@
 
 def build_reading(parts):
     """Return the reading of an attempt without a head."""
-    attempt = SimpleNamespace(head_at=None, is_whole=False)
+    attempt = SimpleNamespace(head_at=None, is_whole=False, is_declined=False)
     return Reading(attempt, None, NextStep.RETRY, parts)
 
 
