Ask for a retry of an overdue call once while the budget has no room

What callers saw: nothing; for each overdue call that the budget denies another run, the node asked its peers to lend a retry four times a second.

Cause: the search for another run repeats the question at each look, as streams once did.

Evidence: found by a review: 20 questions to the budget and to the peers in 5 s, and the reason of a call that goes on was that of the denied retry; three tests failed.

Change: the question is asked again once the budget has room; the reason stays.

After: these tests pass, and those of decisions, stream runs and attempts.

--- a/coursepitch/gateway/calls.py
+++ b/coursepitch/gateway/calls.py
@@ -329,19 +329,28 @@
     ) -> CallRun:
         """Return another run once route, budget and instances allow one."""
         components = self._components
-        granted = False
+        session, budget = components.session, components.budget
+        granted = denied = False
         while True:
             # A retry is granted before an instance is acquired, as a permit for a send
-            # is lost if the send is denied afterwards.
+            # is lost if the send is denied afterwards.  Asking may ask peers to lend
+            # one, so it is not repeated while the budget has no room.
             if (
                 self._may_add_run(job, runs)
+                and (
+                    not denied
+                    or budget.has_room(job.service.name, session.find_share())
+                )
                 and not components.paths.is_isolated()
                 and not components.crash_detector.is_refused(job)
                 and components.router.choose_instance(job.service, tried) is not None
             ):
                 if not granted:
+                    reason = job.last_reason
                     retry = await obtain_retry(components, job)
-                    granted = retry is Retry.TAKEN
+                    granted, denied = retry is Retry.TAKEN, retry is Retry.DENIED
+                    # The call goes on, so a denial is not why it ends.
+                    job.last_reason = reason
                 if granted:
                     instance = await self._wait_for_instance(job, tried)
                     if instance is not None and self._may_add_run(job, runs):
