--- a/tests/soak/test_changes.py
+++ b/tests/soak/test_changes.py
@@ -118,8 +118,10 @@
             'signal.signal(signal.SIGHUP, print)': False,
             'signal.signal(signal.SIGUSR1, print)': True,
         }
+        # Processes inherit signals that are ignored, as under nohup.
+        begin = 'import signal, sys; signal.signal(signal.SIGHUP, signal.SIG_DFL)'
         for way, ended in ways.items():
-            code = f'import signal, sys; {way}; print(flush=True); sys.stdin.read()'
+            code = f'{begin}; {way}; print(flush=True); sys.stdin.read()'
             with subprocess.Popen(
                 [sys.executable, '-c', code],
                 stdin=subprocess.PIPE,
