--- a/tests/fleet/test_state_checks.py
+++ b/tests/fleet/test_state_checks.py
@@ -12,6 +12,7 @@
 from coursepitch.fleet import control
 from coursepitch.fleet.control import InstanceControl, Probe, ProcessState
 from tests.fleet.builders import build_instance
+from tests.gateway.simulated_runs import VirtualTimeLoop
 
 LIMIT_S = 0.2
 
@@ -46,6 +47,23 @@
         with mock.patch.object(control, 'CONFIRM_TIMEOUT_S', LIMIT_S):
             self.assertIs(anyio.run(main), ProcessState.RUNS)
 
+    # Guards against checks that take twice as long while nobody can be asked.
+    def test_check_whose_limit_passes_in_time_is_not_made_again(self):
+        asked = []
+
+        async def ask(instance, pool, timeout_s):
+            asked.append(instance.name)
+            await anyio.sleep_forever()
+
+        async def main():
+            found = InstanceControl(anyio.current_time)
+            found._request_report_within = ask
+            return await found.find_state(build_instance('i1'))
+
+        state = anyio.run(main, backend_options={'loop_factory': VirtualTimeLoop})
+        self.assertIs(state, ProcessState.UNREACHED)
+        self.assertEqual(asked, ['i1'])
+
 
 if __name__ == '__main__':
     unittest.main()
--- a/tests/serving/test_answers_in_hand.py
+++ b/tests/serving/test_answers_in_hand.py
@@ -14,11 +14,14 @@
 from coursepitch.serving.outcomes import RefusedError
 from coursepitch.serving.services import ServiceCaller
 from tests.serving.engines import (
+    TOKENS,
     Engine,
     build_run,
+    list_texts,
     listen,
     open_dispatcher,
     stand_still,
+    stream_tokens,
 )
 
 LIMIT_S = 0.1
@@ -86,7 +89,7 @@
 class FinalAnswerTest(unittest.TestCase):
     """Answers that no other replica would better, beside a silent replica."""
 
-    def ask(self, *engines, streamed=True):
+    def ask(self, *engines, streamed=True, within_s=DEADLINE_S):
         """Return the refusal, the failures that were recorded, and the duration."""
         failed = []
 
@@ -97,11 +100,11 @@
                 run = build_run(engines[0])
                 began_at = anyio.current_time()
                 found = None
-                with anyio.move_on_after(DEADLINE_S):
+                with anyio.move_on_after(within_s):
                     try:
                         if streamed:
-                            async for _ in dispatcher.stream(run):
-                                pass
+                            chunks = [chunk async for chunk in dispatcher.stream(run)]
+                            self.texts = list_texts(chunks)
                         else:
                             await dispatcher.fetch(run)
                     except RefusedError as error:
@@ -131,6 +134,14 @@
         _, failed, _ = self.ask(Engine(stand_still()), other)
         self.assertEqual(failed, [])
 
+    # Guards against streams that end as another replica declines the rest of them.
+    def test_begun_stream_goes_on_though_another_replica_declines_the_rest(self):
+        silent = Engine(stream_tokens(after=2, silent_s=4 * LIMIT_S))
+        other = Engine(answer_status('400 Bad Request'))
+        found, failed, _ = self.ask(silent, other, within_s=10.0)
+        self.assertEqual((found, failed), (None, []))
+        self.assertEqual(self.texts, [f't{place}' for place in range(TOKENS)])
+
     def test_bad_request_alone_is_no_failure_of_its_replica(self):
         other = Engine(answer_status('400 Bad Request'))
         found, failed, _ = self.ask(other)
