Log delays of the event loop and bytes that bring a stream nothing

Callers of one deployment reported a whole request that got neither an answer nor a refusal beside a change of the configuration.

The log could not tell an instance that is silent from one whose bytes bring no event, nor a node whose event loop is held up from one that is idle. run.stalled (626) now has the bytes received since the last event, and node.delayed (109) tells once a second that the steps of a request take more than the delay at which connections are refused, also while no connection comes.

--- a/coursepitch/events.py
+++ b/coursepitch/events.py
@@ -55,6 +55,13 @@
     ('outcome', 'taken', 'waiting'),
 )
 
+NODE_DELAYED = Event(
+    109,
+    'node.delayed',
+    'Requests wait for this process: the seconds that the steps of one request take, '
+    'and the new connections since the measurement before.',
+    ('delay_s', 'offered'),
+)
 INTERNAL_ERROR = Event(
     108,
     'node.fault',
@@ -602,14 +609,16 @@
     626,
     'run.stalled',
     'A run of a request makes no progress and may have failed: why, for how long it '
-    'has been silent, whether the response has begun, the load of the instance, the '
-    'runs of the request and those that its route allows, and the seconds to its '
-    'deadline.  It goes on, and another may be tried beside it.',
+    'has brought nothing towards its response, the bytes that came meanwhile, whether '
+    'the response has begun, the load of the instance, the runs of the request and '
+    'those that its route allows, and the seconds to its deadline.  It goes on, and '
+    'another may be tried beside it.',
     (
         'request',
         'instance',
         'reason',
         'silent_s',
+        'received',
         'begun',
         'load',
         'runs',
--- a/coursepitch/gateway/calls.py
+++ b/coursepitch/gateway/calls.py
@@ -314,6 +314,7 @@
             instance=run.head,
             reason=Stall.OVERDUE.value,
             silent_s=round(now - began, 3),
+            received=0,
             begun=False,
             load=self._components.load_tracker.count_in_flight(run.head),
             runs=len(job.may_have_run | runs.heads),
--- a/coursepitch/gateway/overload.py
+++ b/coursepitch/gateway/overload.py
@@ -75,6 +75,7 @@
         self._refused = 0
         self._accepted_at = float('-inf')
         self._logged_at = float('-inf')
+        self._delay_logged_at = float('-inf')
 
     def accepts(self) -> bool:
         """Whether to accept a connection that came in."""
@@ -115,6 +116,7 @@
         :param interval_s: seconds since the measurement before.
         """
         offered, self._offered = self._offered, 0
+        self._log_delay(delay_s, offered)
         is_busy = offered > MIN_RATE * interval_s
         if delay_s > MAX_DELAY_S and is_busy and self._has_idle_peers():
             factor = max(MIN_DECREASE, MAX_DELAY_S / delay_s)
@@ -123,6 +125,13 @@
             self.share = min(1.0, self.share + INCREASE)
         self._log(delay_s, offered)
 
+    def _log_delay(self, delay_s: float, offered: int) -> None:
+        """Log a delay that makes requests late, once a second at most."""
+        now = self._clock()
+        if delay_s > MAX_DELAY_S and now >= self._delay_logged_at + 1.0:
+            self._delay_logged_at = now
+            log.emit(events.NODE_DELAYED, delay_s=round(delay_s, 4), offered=offered)
+
     def _log(self, delay_s: float, offered: int) -> None:
         """Log what was refused, once a second at most."""
         now = self._clock()
--- a/coursepitch/gateway/runs.py
+++ b/coursepitch/gateway/runs.py
@@ -62,6 +62,7 @@
     :param response: ``None`` before its head has arrived.
     :param events: complete events that are yet to be forwarded.
     :param arrivals: when the bytes of the response arrived.
+    :param received: bytes of the response since the last events that it gave.
     :param body: body of an error response.
     :param complete: whether the response has ended regularly.
     :param suspected: whether the run may have failed, as it makes no progress.
@@ -84,6 +85,7 @@
     response: Response | None = None
     events: bytes = b''
     arrivals: Arrivals = field(default_factory=Arrivals)
+    received: int = 0
     body: bytes | None = None
     complete: bool = False
     suspected: bool = False
--- a/coursepitch/gateway/streams.py
+++ b/coursepitch/gateway/streams.py
@@ -547,6 +547,7 @@
             self._watchdog.note_activity(run.head)
             run.arrivals.note(now)
             run.events = run.splitter.feed(data)
+            run.received = 0 if run.events else run.received + len(data)
             return
         response = run.response
         if response is None:
@@ -741,6 +742,7 @@
             instance=run.head,
             reason=stall.value,
             silent_s=round(now - since, 3),
+            received=run.received,
             begun=job.reply.started,
             load=self._components.load_tracker.count_in_flight(run.head),
             runs=len(job.may_have_run | {run.head}),
--- a/tests/gateway/test_overload.py
+++ b/tests/gateway/test_overload.py
@@ -4,9 +4,11 @@
 
 import random
 import unittest
+from unittest import mock
 
 import anyio
 
+from coursepitch import events
 from coursepitch.gateway.overload import (
     CHECK_INTERVAL_S,
     LOW_DELAY_S,
@@ -18,6 +20,8 @@
 )
 from coursepitch.metrics import Metrics
 
+EVENT = events.NODE_DELAYED
+
 
 class OverloadCase(unittest.TestCase):
     """A guard with a simulated clock."""
@@ -45,6 +49,23 @@
             self.offer(rate, 4 * MAX_DELAY_S)
 
 
+class DelayLogTest(OverloadCase):
+    """The log tells that requests wait for the process."""
+
+    def test_delay_is_logged_once_a_second_whatever_connections_come(self):
+        with mock.patch('coursepitch.log.emit') as emit:
+            for _ in range(15):
+                self.offer(2 * MIN_RATE, 2 * MAX_DELAY_S)
+        logged = [call for call in emit.call_args_list if call.args[0] is EVENT]
+        self.assertEqual(len(logged), 2)
+        self.assertEqual(logged[0].kwargs['delay_s'], 2 * MAX_DELAY_S)
+
+    def test_short_delay_is_not_logged(self):
+        with mock.patch('coursepitch.log.emit') as emit:
+            self.offer(2 * MIN_RATE, MAX_DELAY_S)
+        emit.assert_not_called()
+
+
 class ShareTest(OverloadCase):
     """The share of connections that is accepted."""
 
