--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -1,11 +1,14 @@
 """Run all tests; the last line is ``N passed, N failed``.
 
+With ``--jobs N``, the modules run in processes of their own, N at a time.
+
 A test named in KNOWN-RED.txt, see :mod:`tests.known_red`, may fail: its entries are
 printed, and the verdict passes over it.
 """
 
 from __future__ import annotations
 
+import argparse
 import sys
 import unittest
 from pathlib import Path
@@ -18,6 +21,7 @@
     find_unknown_tests,
     read_known_red,
 )
+from tests.parallel import order_modules, run_modules
 
 ROOT = Path(__file__).resolve().parent.parent
 KNOWN_RED = ROOT / 'KNOWN-RED.txt'
@@ -78,7 +82,11 @@
         'ci', derandomize=True, deadline=None, database=None, max_examples=60
     )
     hypothesis.settings.load_profile('ci')
-    names = sys.argv[1:]
+    parser = argparse.ArgumentParser(prog='python -m tests')
+    parser.add_argument('--jobs', type=int, default=1, help='modules at a time')
+    parser.add_argument('names', nargs='*', help='modules, classes or tests')
+    options = parser.parse_args()
+    names = options.names
     loader = unittest.defaultTestLoader
     if names:
         suite = loader.loadTestsFromNames(names)
@@ -88,6 +96,8 @@
     unknown = [] if names else find_unknown_tests(known, list_names(suite))
     if unknown:
         sys.exit(f'KNOWN-RED.txt: no such test: {", ".join(unknown)}')
+    if options.jobs > 1:
+        return run_in_processes(suite, options.jobs, known if not names else ())
     runner = unittest.TextTestRunner(
         stream=sys.stdout, verbosity=2, resultclass=CountingResult
     )
@@ -104,5 +114,28 @@
     return 1 if failed or not result.testsRun else 0
 
 
+def run_in_processes(
+    suite: unittest.TestSuite, jobs: int, known: tuple[KnownRed, ...]
+) -> int:
+    """Run the modules of a suite, some at a time, and return the exit code.
+
+    :param known: entries to be named if their tests did not fail.
+    """
+    passed = failed = 0
+    red: set[str] = set()
+    for result in run_modules(order_modules(list_names(suite)), jobs):
+        print(f'{result.module}\n{result.output}', flush=True)
+        passed += result.passed
+        failed += result.failed
+        red |= result.known_red
+    for entry in known:
+        if entry.test in red:
+            print(f'known red: {entry}')
+        else:
+            print(f'listed as known red, but did not fail: {entry.test}')
+    print(f'{passed} passed, {failed} failed')
+    return 1 if failed or not passed else 0
+
+
 if __name__ == '__main__':
     sys.exit(main())
--- /dev/null
+++ b/tests/test_parallel.py
@@ -0,0 +1,47 @@
+"""Runs of test modules beside each other count as one run."""
+
+from __future__ import annotations
+
+import unittest
+
+from tests.parallel import ModuleResult, order_modules, read_result, run_modules
+
+
+class ReadResultTest(unittest.TestCase):
+    """What the output of a module's run tells."""
+
+    def test_verdict_is_the_last_line_of_its_form(self):
+        result = read_result('m', 0, 'x\n1 passed, 1 failed\n7 passed, 0 failed\n')
+        self.assertEqual((result.passed, result.failed), (7, 0))
+
+    def test_run_without_a_verdict_has_failed(self):
+        self.assertEqual(read_result('m', -9, 'Segmentation fault').failed, 1)
+
+    def test_run_that_ends_with_an_error_has_failed(self):
+        self.assertEqual(read_result('m', 1, '0 passed, 0 failed\n').failed, 1)
+
+    def test_known_failures_are_named(self):
+        output = 'known red: tests.a.B.test_c | python -m tests | seen | 17\n'
+        result = read_result('m', 0, f'{output}3 passed, 0 failed\n')
+        self.assertEqual(result.known_red, {'tests.a.B.test_c'})
+
+
+class RunModulesTest(unittest.TestCase):
+    """Each module runs once."""
+
+    def test_each_module_is_named_once_and_long_ones_first(self):
+        names = [
+            'tests.gateway.test_a.A.test_one',
+            'tests.gateway.test_a.B.test_two',
+            'tests.whole.test_z.Z.test_three',
+        ]
+        expected = ['tests.whole.test_z', 'tests.gateway.test_a']
+        self.assertEqual(order_modules(names), expected)
+
+    def test_all_results_are_given(self):
+        def run(module):
+            return ModuleResult(module, 1, 0, frozenset(), '')
+
+        modules = [f'tests.test_{number}' for number in range(9)]
+        results = run_modules(modules, 3, run)
+        self.assertEqual({item.module for item in results}, set(modules))
