Bound the calls of engines' control interface as a whole

A sick engine that sent bytes without end kept a check or a command for ever: the time limit of httpx holds for one read, and bodies were read without a bound. The domain's observer waits for all checks of a round, so one such engine held it. On the event loop, a flood of chunks of four bytes was parsed 64 KiB in one turn.

All exchanges now go through a transport that passes on whole heads only, drops interim responses, and hands the parser at most 128 lines in a turn; connections that always have that many share one turn each 5 ms. A check has one time limit and a largest report; a command ends with its head, as its body tells nothing.

Ruled out: limits by read, which a byte each 20 ms renews.

--- a/coursepitch/targets/engine.py
+++ b/coursepitch/targets/engine.py
@@ -5,26 +5,33 @@
 from typing import TYPE_CHECKING, Any
 
 import httpx
+import orjson
 
 from coursepitch.control.lifecycle import HealthCheck
 from coursepitch.errors import TargetError
+from coursepitch.util.bounded_http import BoundedTransport, open_reply, read_whole
 
 if TYPE_CHECKING:
     from coursepitch.control.claims import Replica
 
 __all__ = ['EngineControl']
 
+#: Largest report of an engine in bytes; most of it are the names of adapters.
+MAX_REPORT_BYTES = 262_144
+
 
 class EngineControl:
     """Checks the health of engine instances and sends them commands over HTTP.
 
-    :param timeout_s: timeout of a call in seconds.
+    :param timeout_s: time limit of a call as a whole in seconds.
     """
 
     def __init__(self, timeout_s: float) -> None:
         self._timeout_s = timeout_s
         limits = httpx.Limits(max_connections=None, max_keepalive_connections=256)
-        self._client = httpx.AsyncClient(timeout=timeout_s, limits=limits)
+        self._client = httpx.AsyncClient(
+            transport=BoundedTransport(limits), timeout=timeout_s, trust_env=False
+        )
 
     async def close(self) -> None:
         """Close all connections."""
@@ -37,9 +44,11 @@
         failed, and one that does not answer in time as silent.
         """
         try:
-            reply = await self._client.get(f'http://{address}/health')
-            reply.raise_for_status()
-            return _parse_check(reply.json())
+            request = self._client.build_request('GET', f'http://{address}/health')
+            async with open_reply(self._client, request, self._timeout_s) as reply:
+                reply.raise_for_status()
+                report = await read_whole(reply, MAX_REPORT_BYTES)
+            return _parse_check(orjson.loads(report))
         except httpx.TimeoutException:
             # A pause of this node in the check is no silence of the instance.
             return HealthCheck(answered=False, silent_s=self._timeout_s)
@@ -76,11 +85,14 @@
     ) -> None:
         try:
             url = f'http://{address}/control/{name}'
-            reply = await self._client.post(url, json=command)
+            request = self._client.build_request('POST', url, json=command)
+            async with open_reply(self._client, request, self._timeout_s) as reply:
+                # The body tells nothing.
+                status = reply.status_code
         except (httpx.HTTPError, httpx.InvalidURL) as error:
             raise TargetError(f'{name}: {type(error).__name__}') from error
-        if reply.status_code != 200:
-            raise TargetError(f'{name}: status {reply.status_code}')
+        if status != 200:
+            raise TargetError(f'{name}: status {status}')
 
 
 def _parse_check(data: dict[str, Any]) -> HealthCheck:
--- /dev/null
+++ b/coursepitch/util/bounded_http.py
@@ -0,0 +1,279 @@
+"""HTTP clients whose exchanges are bounded as a whole.
+
+The time limits of httpx hold for one read, so a target that sends bytes without end
+would keep its caller for ever, and its parser handles small chunks and interim
+responses one by one within one turn of the event loop.  All clients of targets use the
+transport of this module, which bounds heads and the work of a turn, and read bodies by
+its functions, which bound their bytes.
+"""
+
+from __future__ import annotations
+
+import re
+from contextlib import asynccontextmanager
+from contextvars import ContextVar
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Any
+
+import anyio
+import httpcore
+import httpx
+
+if TYPE_CHECKING:
+    import ssl
+    from collections.abc import AsyncIterator, Iterable
+
+__all__ = ['BoundedTransport', 'Exchange', 'count_received', 'open_reply', 'read_whole']
+
+#: Largest head of a response in bytes, with the interim responses before it.
+MAX_HEAD_BYTES = 65_536
+
+#: Largest number of lines of a head.  Each takes the parser some microseconds within
+#: one turn of the event loop.
+MAX_HEAD_LINES = 512
+
+#: Largest number of interim responses before a response.
+MAX_INTERIM_RESPONSES = 16
+
+#: Largest number of lines that are parsed in one turn of the event loop.  A chunk has
+#: two, and takes about 20 microseconds.
+MAX_TURN_LINES = 128
+
+#: Seconds between two turns that parse as many lines, of all connections together, so
+#: that connections that always have such data take a part of the loop's time only.
+TURN_PAUSE_S = 0.005
+
+#: Bytes on the wire for each byte of a body in chunks of one byte.
+MAX_FRAMING_FACTOR = 6
+
+#: Beginning of all responses that are understood.
+_VERSION = b'HTTP/1.'
+
+#: Matches the end of a head.  Line feeds alone are accepted, as the parser does.
+_HEAD_END = re.compile(rb'\n\r?\n')
+
+#: Matches the beginning of an interim response; 101 is a final one.
+_INTERIM = re.compile(rb'HTTP/1\.\d 1(?!01)\d\d')
+
+
+@dataclass(eq=False)
+class Exchange:
+    """Counts what arrives in an exchange; given in the extensions of its request.
+
+    :ivar received: bytes on the wire so far, with all heads and framing.
+    """
+
+    received: int = 0
+
+
+_EXCHANGE: ContextVar[Exchange] = ContextVar('exchange')
+
+
+class BoundedTransport(httpx.AsyncHTTPTransport):
+    """Transport that bounds heads of responses and the work in a turn of the loop.
+
+    :param pacer: shared by transports, so that they share a part of the loop's time.
+    """
+
+    def __init__(self, limits: httpx.Limits, pacer: Pacer | None = None) -> None:
+        super().__init__(verify=False, trust_env=False, limits=limits)
+        # httpx has no option for the network backend of its pool.
+        self._pool = httpcore.AsyncConnectionPool(
+            max_connections=limits.max_connections,
+            max_keepalive_connections=limits.max_keepalive_connections,
+            keepalive_expiry=limits.keepalive_expiry,
+            network_backend=_BoundedBackend(pacer or Pacer()),
+        )
+
+    async def handle_async_request(self, request: httpx.Request) -> httpx.Response:
+        """Send a request and return the response once its head is whole."""
+        exchange = request.extensions.setdefault('exchange', Exchange())
+        token = _EXCHANGE.set(exchange)
+        try:
+            reply = await super().handle_async_request(request)
+        finally:
+            _EXCHANGE.reset(token)
+        reply.extensions['exchange'] = exchange
+        return reply
+
+
+class Pacer:
+    """Lets connections with many lines to parse go on one after the other."""
+
+    def __init__(self) -> None:
+        self._lock = anyio.Lock()
+
+    async def wait(self) -> None:
+        """Wait until the next such connection may go on."""
+        async with self._lock:
+            await anyio.sleep(TURN_PAUSE_S)
+
+
+class _BoundedBackend(httpcore.AsyncNetworkBackend):
+    """Opens connections whose reads are bounded."""
+
+    def __init__(self, pacer: Pacer) -> None:
+        self._backend = httpcore.AnyIOBackend()
+        self._pacer = pacer
+
+    async def connect_tcp(
+        self,
+        host: str,
+        port: int,
+        timeout: float | None = None,
+        local_address: str | None = None,
+        socket_options: Iterable[httpcore.SOCKET_OPTION] | None = None,
+    ) -> httpcore.AsyncNetworkStream:
+        stream = await self._backend.connect_tcp(
+            host, port, timeout, local_address, socket_options
+        )
+        return _BoundedStream(stream, self._pacer)
+
+    async def sleep(self, seconds: float) -> None:
+        await self._backend.sleep(seconds)
+
+
+class _BoundedStream(httpcore.AsyncNetworkStream):
+    """Connection that passes on whole heads, and a limited number of lines at a time.
+
+    :param stream: the connection as httpcore opened it.
+    """
+
+    def __init__(self, stream: httpcore.AsyncNetworkStream, pacer: Pacer) -> None:
+        self._stream = stream
+        self._pacer = pacer
+        self._exchange = Exchange()
+        self._in_head = True
+        self._must_pause = False
+        self._data = b''
+        self._start = 0
+
+    async def write(self, buffer: bytes, timeout: float | None = None) -> None:
+        # A write belongs to the next exchange: requests are sent before reads.
+        self._exchange = _EXCHANGE.get(self._exchange)
+        self._in_head = True
+        await self._stream.write(buffer, timeout)
+
+    async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
+        if self._must_pause:
+            await self._pacer.wait()
+        if self._in_head:
+            self._data = await self._read_head(max_bytes, timeout)
+            self._start = 0
+            self._in_head = False
+        elif self._start == len(self._data):
+            self._data = await self._receive(max_bytes, timeout)
+            self._start = 0
+        start = self._start
+        self._start = self._find_end(start, start + max_bytes)
+        return self._data[start : self._start]
+
+    def _find_end(self, start: int, limit: int) -> int:
+        """Return the end of the bytes to be parsed in one turn."""
+        end = start
+        for _ in range(MAX_TURN_LINES):
+            end = self._data.find(b'\n', end, limit) + 1
+            if not end:
+                self._must_pause = False
+                return min(limit, len(self._data))
+        self._must_pause = True
+        return end
+
+    async def _read_head(self, max_bytes: int, timeout: float | None) -> bytes:
+        """Return the head of a response and what follows it, without interim ones.
+
+        :raises httpcore.RemoteProtocolError: no valid head can come any more.
+        """
+        buffer = bytearray(self._data[self._start :])
+        size, interim, searched = 0, 0, 0
+        while True:
+            if not _VERSION.startswith(buffer[: len(_VERSION)]):
+                raise httpcore.RemoteProtocolError('bytes that are no status line')
+            end = _HEAD_END.search(buffer, searched)
+            head_size = end.end() if end else len(buffer)
+            lines = buffer.count(b'\n', 0, head_size)
+            if size + head_size > MAX_HEAD_BYTES or lines > MAX_HEAD_LINES:
+                raise httpcore.RemoteProtocolError('head of a response is too large')
+            if end is None:
+                searched = max(0, len(buffer) - 2)
+                data = await self._receive(max_bytes, timeout)
+                if not data:
+                    # The parser tells what is missing.
+                    return bytes(buffer)
+                buffer += data
+                continue
+            if not _INTERIM.match(buffer):
+                return bytes(buffer)
+            size += head_size
+            interim += 1
+            if interim > MAX_INTERIM_RESPONSES:
+                raise httpcore.RemoteProtocolError('too many interim responses')
+            del buffer[:head_size]
+            searched = 0
+
+    async def _receive(self, max_bytes: int, timeout: float | None) -> bytes:
+        data = await self._stream.read(max_bytes, timeout)
+        self._exchange.received += len(data)
+        return data
+
+    async def aclose(self) -> None:
+        await self._stream.aclose()
+
+    async def start_tls(
+        self,
+        ssl_context: ssl.SSLContext,
+        server_hostname: str | None = None,
+        timeout: float | None = None,
+    ) -> httpcore.AsyncNetworkStream:
+        stream = await self._stream.start_tls(ssl_context, server_hostname, timeout)
+        return _BoundedStream(stream, self._pacer)
+
+    def get_extra_info(self, info: str) -> Any:
+        if info == 'is_readable' and self._start < len(self._data):
+            # Bytes after a whole response: the connection cannot be used again.
+            return True
+        return self._stream.get_extra_info(info)
+
+
+def count_received(reply: httpx.Response) -> int:
+    """Return the bytes on the wire of an exchange so far."""
+    exchange: Exchange = reply.extensions['exchange']
+    return exchange.received
+
+
+async def read_whole(reply: httpx.Response, limit: int) -> bytes:
+    """Return the body of a response, decoded as its headers tell.
+
+    :param limit: largest size in bytes.
+    :raises httpx.RemoteProtocolError: the body is larger than the limit.
+    """
+    body = bytearray()
+    wire_limit = MAX_HEAD_BYTES + MAX_FRAMING_FACTOR * limit
+    async for piece in reply.aiter_bytes():
+        body += piece
+        if len(body) > limit or count_received(reply) > wire_limit:
+            raise httpx.RemoteProtocolError(f'body of more than {limit} bytes')
+    return bytes(body)
+
+
+@asynccontextmanager
+async def open_reply(
+    client: httpx.AsyncClient, request: httpx.Request, timeout_s: float
+) -> AsyncIterator[httpx.Response]:
+    """Send a request; yield the response, and close it if it was not read to its end.
+
+    :param timeout_s: time limit in seconds of the exchange as a whole.
+    :raises httpx.ReadTimeout: the time limit has passed.
+    """
+    reply: httpx.Response | None = None
+    try:
+        with anyio.fail_after(timeout_s):
+            try:
+                reply = await client.send(request, stream=True)
+                yield reply
+            finally:
+                if reply is not None:
+                    with anyio.CancelScope(shield=True):
+                        await reply.aclose()
+    except TimeoutError as error:
+        raise httpx.ReadTimeout(f'no answer within {timeout_s:g} s') from error
--- /dev/null
+++ b/tests/targets/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the clients of targets."""
