Bound what comes between two events of an engine's stream

Comments, blank lines and fields without data were never counted: each blank line began the count of an event anew. An engine that sent them without end was read until the deadline, at the cost of the event loop.

The parser counts bytes and lines since the last event that has data, and refuses more than the largest event has. The bound on lines is there as the work for a line hardly depends on its length. A line that arrives in small pieces is no longer searched from its beginning with each piece.

Comments beside events are accepted as before.

--- a/coursepitch/serving/sse.py
+++ b/coursepitch/serving/sse.py
@@ -14,9 +14,14 @@
 #: Data of the event that ends a stream in the OpenAI API.
 DONE_DATA = '[DONE]'
 
-#: Largest size of an event in bytes.
+#: Largest size of an event in bytes, with the comments and blank lines before it.
 MAX_EVENT_BYTES = 262_144
 
+#: Largest number of lines of an event, with the comments and blank lines before it.
+#: Events of the OpenAI API have a few lines, and each line takes time of the event
+#: loop, however short it is.
+MAX_EVENT_LINES = 4_096
+
 
 @dataclass(frozen=True, slots=True)
 class StreamEvent:
@@ -34,9 +39,12 @@
 
     def __init__(self) -> None:
         self._buffer = bytearray()
+        self._searched = 0
         self._data: list[str] = []
         self._event_id: int | None = None
+        #: Bytes and lines since the last event.
         self._size = 0
+        self._lines = 0
 
     def feed(self, piece: bytes) -> list[StreamEvent]:
         """Parse a piece of the stream and return the events it completes.
@@ -47,11 +55,17 @@
         self._buffer += piece
         events = []
         while True:
-            end = self._buffer.find(b'\n')
+            end = self._buffer.find(b'\n', self._searched)
             if end < 0:
+                self._searched = len(self._buffer)
                 break
             line = bytes(self._buffer[:end]).rstrip(b'\r')
             del self._buffer[: end + 1]
+            self._searched = 0
+            self._size += end + 1
+            self._lines += 1
+            if self._size > MAX_EVENT_BYTES or self._lines > MAX_EVENT_LINES:
+                raise CodecError('event too large')
             event = self._parse_line(line)
             if event is not None:
                 events.append(event)
@@ -62,9 +76,6 @@
     def _parse_line(self, line: bytes) -> StreamEvent | None:
         if not line:
             return self._finish_event()
-        self._size += len(line)
-        if self._size > MAX_EVENT_BYTES:
-            raise CodecError('event too large')
         try:
             name, _, value = line.decode('utf-8').partition(':')
         except UnicodeDecodeError as error:
@@ -81,8 +92,10 @@
     def _finish_event(self) -> StreamEvent | None:
         data, self._data = self._data, []
         event_id, self._event_id = self._event_id, None
-        self._size = 0
-        return StreamEvent('\n'.join(data), event_id) if data else None
+        if not data:
+            return None
+        self._size = self._lines = 0
+        return StreamEvent('\n'.join(data), event_id)
 
 
 def encode_event(data: bytes) -> bytes:
