Bound attempts at engines as a whole

An engine that sent bytes without end kept requests until their deadline, and longer: the cancellation of an attempt, which its caller waits for, had a limit by read, so a request whose engine answered that with interim responses or a slow head never gave its slot back. Whole answers were collected without a bound.

All calls of the dispatcher use the bounded transport. A stream that brings no chunk in 2 MiB on the wire, and an answer of more than 16 MiB, have failed; a cancellation has one time limit. Only a chunk is progress, as before: an attempt without one is suspected and another starts beside it, and run.stalled tells the bytes received.

--- a/coursepitch/serving/clients.py
+++ b/coursepitch/serving/clients.py
@@ -8,6 +8,8 @@
 
 import httpx
 
+from coursepitch.util.bounded_http import BoundedTransport, Pacer
+
 __all__ = ['TargetClients']
 
 #: Largest number of clients kept; the least recently used are closed first.
@@ -20,10 +22,12 @@
     :param reuse: whether connections are reused.  A reset on a reused idle
         connection leaves the outcome of a request unknown, so each request that
         is not repeatable gets a new connection.
+    :param pacer: limits the work of connections that always have data.
     """
 
-    def __init__(self, timeout: httpx.Timeout, *, reuse: bool) -> None:
+    def __init__(self, timeout: httpx.Timeout, pacer: Pacer, *, reuse: bool) -> None:
         self._timeout = timeout
+        self._pacer = pacer
         self._limits = httpx.Limits(
             max_connections=None, max_keepalive_connections=64 if reuse else 0
         )
@@ -33,9 +37,8 @@
         """Return the client for an address."""
         client = self._clients.pop(address, None)
         if client is None:
-            transport = httpx.AsyncHTTPTransport(verify=False, limits=self._limits)
             client = httpx.AsyncClient(
-                transport=transport,
+                transport=BoundedTransport(self._limits, self._pacer),
                 timeout=self._timeout,
                 trust_env=False,
                 headers={'accept-encoding': 'identity'},
--- a/coursepitch/serving/dispatch.py
+++ b/coursepitch/serving/dispatch.py
@@ -28,10 +28,10 @@
     NON_RETRYABLE_STATUSES,
     Attempt,
     Run,
-    drain_body,
     read_text,
 )
-from coursepitch.serving.sse import DONE_DATA, EventParser
+from coursepitch.serving.sse import DONE_DATA, MAX_EVENT_BYTES, EventParser
+from coursepitch.util.bounded_http import Pacer, drain_body, open_reply, read_whole
 
 if TYPE_CHECKING:
     from collections.abc import AsyncGenerator, Callable
@@ -50,6 +50,16 @@
 #: HTTP statuses with which an engine states that it did not run a request.
 _NOT_RUN_STATUSES = frozenset({400, 404, 409, 413, 422, 429, 503})
 
+#: Largest number of bytes on the wire that bring a stream no chunk: an event of the
+#: largest size in HTTP chunks of one byte has six times its size.
+MAX_IDLE_BYTES = 8 * MAX_EVENT_BYTES
+
+#: Largest answer in bytes that is not streamed.
+MAX_ANSWER_BYTES = 16_777_216
+
+#: Time limit in seconds of the cancellation of an attempt.
+CANCEL_TIMEOUT_S = 1.0
+
 #: Seconds between two searches for a replica to retry on.
 _REPLICA_POLL_S = 0.1
 
@@ -81,8 +91,9 @@
         )
         # Silence of an engine ends no attempt, see :mod:`coursepitch.serving.race`.
         timeout = httpx.Timeout(None, connect=1.0, pool=1.0)
-        self._clients = TargetClients(timeout, reuse=True)
-        self._single_use_clients = TargetClients(timeout, reuse=False)
+        pacer = Pacer()
+        self._clients = TargetClients(timeout, pacer, reuse=True)
+        self._single_use_clients = TargetClients(timeout, pacer, reuse=False)
         #: Attempts that are yet to be cancelled, as others delivered their answers.
         self._dropped: list[Attempt] = []
         #: Whether this node reaches no engine.
@@ -186,9 +197,12 @@
 
     async def _cancel(self, attempt: Attempt) -> None:
         url = f'http://{attempt.address}/v1/streams/{attempt.name}'
+        client = self._clients.get(attempt.address)
+        request = client.build_request('DELETE', url)
         with anyio.CancelScope(shield=True):
             try:
-                await self._clients.get(attempt.address).delete(url, timeout=1.0)
+                async with open_reply(client, request, CANCEL_TIMEOUT_S) as reply:
+                    await drain_body(reply.aiter_raw())
             except httpx.HTTPError:
                 return
 
@@ -284,6 +298,7 @@
             instance=attempt.replica,
             reason='silent',
             silent_s=round(now - reading.since, 3),
+            received=attempt.received,
             begun=bool(run.chunk_texts),
             load=self._admission.in_flight_by_replica.get(attempt.replica, 0),
             runs=run.attempts,
@@ -530,6 +545,8 @@
                     if event.event_id is not None:
                         run.chunk_texts.append(read_text(chunk))
                         run.reopened = False
+                if attempt.received > MAX_IDLE_BYTES:
+                    raise CodecError('too many bytes without a chunk')
         except (httpx.HTTPError, httpx.InvalidURL) as error:
             if reply is None:
                 attempt.result = classify_error(error)
@@ -582,11 +599,14 @@
     ) -> httpx.Request:
         model_request = run.model_request
         base_url = f'http://{attempt.address}'
+        extensions = {'exchange': attempt.begin_exchange()}
         if step is NextStep.REOPEN:
             chat = int('messages' in model_request.body)
             url = f'{base_url}/v1/streams/{attempt.name}?chat={chat}'
             headers = {'last-event-id': str(len(run.chunk_texts) - 1)}
-            return client.build_request('GET', url, headers=headers)
+            return client.build_request(
+                'GET', url, headers=headers, extensions=extensions
+            )
         body = dict(model_request.body)
         if step is NextStep.CONTINUE:
             body['resume_tokens'] = len(run.chunk_texts)
@@ -600,7 +620,11 @@
             'priority': f'u={model_request.urgency}',
         }
         return client.build_request(
-            'POST', base_url + model_request.path, json=body, headers=headers
+            'POST',
+            base_url + model_request.path,
+            json=body,
+            headers=headers,
+            extensions=extensions,
         )
 
     # -- answers that are not streamed -----------------------------------------
@@ -632,11 +656,13 @@
 
     async def _fetch_once(self, run: Run, attempt: Attempt) -> dict[str, Any] | None:
         started = self._clock()
+        reply: httpx.Response | None = None
         try:
             reply = await self._send_request(run, attempt, NextStep.RETRY)
             if reply is None:
                 return None
-            answer: dict[str, Any] = orjson.loads(await reply.aread())
+            body = await read_whole(reply, MAX_ANSWER_BYTES)
+            answer: dict[str, Any] = orjson.loads(body)
             if answer['id'] != attempt.name:
                 attempt.result = AttemptResult.WRONG
                 return None
@@ -648,6 +674,10 @@
         except (KeyError, TypeError, ValueError):
             attempt.result = AttemptResult.CUT
             return None
+        finally:
+            if reply is not None:
+                with anyio.CancelScope(shield=True):
+                    await reply.aclose()
         attempt.result = AttemptResult.WHOLE
         self._selector.record_first_chunk(attempt.replica, self._clock() - started)
         return answer
--- a/coursepitch/serving/runs.py
+++ b/coursepitch/serving/runs.py
@@ -5,25 +5,19 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any
 
-import anyio
-
 from coursepitch.serving.attempts import AttemptResult
+from coursepitch.util.bounded_http import Exchange
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
-
     from coursepitch.serving.admission import Slot
     from coursepitch.serving.model_request import ModelRequest
     from coursepitch.serving.race import Reading
 
-__all__ = ['NON_RETRYABLE_STATUSES', 'Attempt', 'Run', 'drain_body', 'read_text']
+__all__ = ['NON_RETRYABLE_STATUSES', 'Attempt', 'Run', 'read_text']
 
 #: HTTP statuses that any other replica would return as well.
 NON_RETRYABLE_STATUSES = frozenset({400, 404, 413, 422})
 
-#: Longest wait in seconds for the end of a body after ``[DONE]``.
-BODY_END_TIMEOUT_S = 0.05
-
 
 @dataclass(eq=False)
 class Attempt:
@@ -36,6 +30,8 @@
     :param first_chunk_at: monotonic time of its first chunk; ``None`` before it.
     :param wrote_s: seconds between its first and its latest chunk.
     :param timed_out: whether it failed as its connection was not up in time.
+    :param exchange: counts the bytes of the connection that it is read from.
+    :param received_before: bytes of the exchange when its latest chunk arrived.
     """
 
     name: str
@@ -48,6 +44,18 @@
     first_chunk_at: float | None = None
     wrote_s: float = 0.0
     timed_out: bool = False
+    exchange: Exchange = field(default_factory=Exchange)
+    received_before: int = 0
+
+    @property
+    def received(self) -> int:
+        """Bytes on the wire since they last brought a chunk."""
+        return self.exchange.received - self.received_before
+
+    def begin_exchange(self) -> Exchange:
+        """Return what counts the bytes of a new connection."""
+        self.exchange, self.received_before = Exchange(), 0
+        return self.exchange
 
     @property
     def is_whole(self) -> bool:
@@ -64,6 +72,7 @@
         if self.first_chunk_at is None:
             self.first_chunk_at = now
         self.wrote_s = now - self.first_chunk_at
+        self.received_before = self.exchange.received
 
 
 @dataclass(eq=False)
@@ -96,17 +105,6 @@
     readings: list[Reading] = field(default_factory=list)
 
 
-async def drain_body(pieces: AsyncIterator[bytes]) -> None:
-    """Read a body to its end, so that its connection can be reused.
-
-    The body should end right after ``[DONE]``.  The wait is bounded, so that a
-    target that does not end it cannot delay the caller.
-    """
-    with anyio.move_on_after(BODY_END_TIMEOUT_S):
-        async for _ in pieces:
-            pass
-
-
 def read_text(chunk: dict[str, Any]) -> str:
     """Return the text of a chunk of a chat or text completion."""
     choice = chunk['choices'][0]
--- a/coursepitch/targets/engine.py
+++ b/coursepitch/targets/engine.py
@@ -9,7 +9,12 @@
 
 from coursepitch.control.lifecycle import HealthCheck
 from coursepitch.errors import TargetError
-from coursepitch.util.bounded_http import BoundedTransport, open_reply, read_whole
+from coursepitch.util.bounded_http import (
+    BoundedTransport,
+    drain_body,
+    open_reply,
+    read_whole,
+)
 
 if TYPE_CHECKING:
     from coursepitch.control.claims import Replica
@@ -87,8 +92,8 @@
             url = f'http://{address}/control/{name}'
             request = self._client.build_request('POST', url, json=command)
             async with open_reply(self._client, request, self._timeout_s) as reply:
-                # The body tells nothing.
                 status = reply.status_code
+                await drain_body(reply.aiter_raw())
         except (httpx.HTTPError, httpx.InvalidURL) as error:
             raise TargetError(f'{name}: {type(error).__name__}') from error
         if status != 200:
--- a/coursepitch/util/bounded_http.py
+++ b/coursepitch/util/bounded_http.py
@@ -23,7 +23,15 @@
     import ssl
     from collections.abc import AsyncIterator, Iterable
 
-__all__ = ['BoundedTransport', 'Exchange', 'count_received', 'open_reply', 'read_whole']
+__all__ = [
+    'BoundedTransport',
+    'Exchange',
+    'Pacer',
+    'count_received',
+    'drain_body',
+    'open_reply',
+    'read_whole',
+]
 
 #: Largest head of a response in bytes, with the interim responses before it.
 MAX_HEAD_BYTES = 65_536
@@ -46,6 +54,12 @@
 #: Bytes on the wire for each byte of a body in chunks of one byte.
 MAX_FRAMING_FACTOR = 6
 
+#: Longest wait in seconds for the end of a body whose rest tells nothing.
+BODY_END_TIMEOUT_S = 0.05
+
+#: Largest rest of a body in bytes that is read so that its connection can be reused.
+MAX_REST_BYTES = 4_096
+
 #: Beginning of all responses that are understood.
 _VERSION = b'HTTP/1.'
 
@@ -256,6 +270,23 @@
     return bytes(body)
 
 
+async def drain_body(pieces: AsyncIterator[bytes]) -> None:
+    """Read the rest of a body that tells nothing, so that its connection is reused.
+
+    Time and bytes are bounded, so that a target that does not end it cannot delay the
+    caller; its connection is closed with the response.
+    """
+    size = 0
+    try:
+        with anyio.move_on_after(BODY_END_TIMEOUT_S):
+            async for piece in pieces:
+                size += len(piece)
+                if size > MAX_REST_BYTES:
+                    return
+    except httpx.HTTPError:
+        return
+
+
 @asynccontextmanager
 async def open_reply(
     client: httpx.AsyncClient, request: httpx.Request, timeout_s: float
--- a/tests/serving/floods.py
+++ b/tests/serving/floods.py
@@ -92,7 +92,8 @@
         name, _, value = line.partition(b': ')
         if name.lower() == b'x-request-id':
             return value
-    return b''
+    # The stream of a run is reopened by a name in its path.
+    return data.split(b' ')[1].rpartition(b'/')[2].partition(b'?')[0]
 
 
 def list_floods(
