Answer the requests that are under way as the time of a stop is over

What callers saw: a request whose instance is silent while its node stops as planned got a closed connection at the end of the stop, neither an answer nor a refusal; so did one that waited for an instance.

Cause: the node ends its tasks once the time is over, and a request that is cancelled writes nothing. Class of fault: a task that ends takes the connections of others along.

The requests are now ended just before: refused as not run (503) if they were not sent, answered 502 if they were, and responses that have begun are broken off as before. One that comes meanwhile is refused.

--- a/coursepitch/gateway/request_handler.py
+++ b/coursepitch/gateway/request_handler.py
@@ -60,6 +60,8 @@
         self._metrics = metrics
         self.has_served = False
         self._usual_patience_s: dict[str, float] = {}
+        self._under_way: set[anyio.CancelScope] = set()
+        self._end_reason = ''
         self.work = WorkMeter(components.clock)
 
     async def handle(self, request: IncomingRequest, reply: ResponseWriter) -> None:
@@ -179,19 +181,30 @@
     async def _run(self, job: Job) -> Refusal | None:
         """Forward a request up to its deadline; return the refusal to send, if any."""
         refusal: Refusal | None = None
-        left_s = job.deadline_at - self._clock()
+        scope = anyio.move_on_after(job.deadline_at - self._clock())
+        self._under_way.add(scope)
+        if self._end_reason:
+            scope.cancel()
         try:
-            with anyio.move_on_after(left_s) as scope:
+            with scope:
                 refusal = await self._forward(job)
             if scope.cancelled_caught:
-                refusal = self._end_at_deadline(job)
+                refusal = self._end_unfinished(job)
         except Exception as error:
             log.emit(
                 events.INTERNAL_ERROR, place='request', **log.describe_error(error)
             )
-            refusal = self._end_after_error(job)
+            refusal = self._end_early(job, 'an internal error of the node')
+        finally:
+            self._under_way.discard(scope)
         return await self._prefer_error(job, refusal)
 
+    def end_requests(self, reason: str) -> None:
+        """Refuse all requests under way, and break off responses that have begun."""
+        self._end_reason = reason
+        for scope in self._under_way:
+            scope.cancel()
+
     async def _forward(self, job: Job) -> Refusal | None:
         """Forward a request; return the refusal to send, if any."""
         if job.service.engine is not None and job.fields.model:
@@ -233,11 +246,17 @@
             503, job.last_reason or 'no target was available before the deadline'
         )
 
-    def _end_after_error(self, job: Job) -> Refusal | None:
+    def _end_unfinished(self, job: Job) -> Refusal | None:
+        """End a request at its deadline, or before it as the node stops."""
+        if self._end_reason and self._clock() < job.deadline_at:
+            return self._end_early(job, self._end_reason)
+        return self._end_at_deadline(job)
+
+    def _end_early(self, job: Job, reason: str) -> Refusal | None:
         """Break off a response that has begun, or return the refusal to send."""
         if job.reply.started:
             return self._end_at_deadline(job)
-        return Refusal(502 if job.sent else 503, 'an internal error of the node')
+        return Refusal(502 if job.sent else 503, reason)
 
     async def _refuse(
         self, reply: ResponseWriter, fields: RequestFields, refusal: Refusal
--- a/coursepitch/gateway_application.py
+++ b/coursepitch/gateway_application.py
@@ -81,6 +81,9 @@
 #: Seconds before the end of the grace period by which a stop is complete.
 STOP_MARGIN_S = 0.4
 
+#: Seconds for which a stop waits until the requests that it ends are answered.
+FINAL_ANSWERS_S = 0.2
+
 #: Longest time in seconds until a node that may become the leader prepares for it.
 #: Becoming the leader wakes it up at once.
 LEADER_CHECK_INTERVAL_S = 1.0
@@ -564,4 +567,8 @@
                 if waited >= STOP_ACCEPT_S + 1.2 and not busy:
                     break
             await anyio.sleep(0.05)
+        self.gateway.end_requests('the node stops')
+        with anyio.move_on_after(FINAL_ANSWERS_S):
+            while self.front.busy_count:
+                await anyio.sleep(0.01)
         self._output.flush()
