--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -114,6 +114,12 @@
     return 1 if failed or not result.testsRun else 0
 
 
+def read_size(module: str) -> int:
+    """Return the size in bytes of a module's source."""
+    path = ROOT.joinpath(*module.split('.')).with_suffix('.py')
+    return path.stat().st_size if path.exists() else 0
+
+
 def run_in_processes(
     suite: unittest.TestSuite, jobs: int, known: tuple[KnownRed, ...]
 ) -> int:
@@ -123,7 +129,8 @@
     """
     passed = failed = 0
     red: set[str] = set()
-    for result in run_modules(order_modules(list_names(suite)), jobs):
+    modules = order_modules(list_names(suite), read_size)
+    for result in run_modules(modules, jobs):
         print(f'{result.module}\n{result.output}', flush=True)
         passed += result.passed
         failed += result.failed
--- a/tests/parallel.py
+++ b/tests/parallel.py
@@ -42,10 +42,18 @@
     output: str
 
 
-def order_modules(names: Iterable[str]) -> list[str]:
-    """Return the modules of tests by their names, the long ones first."""
-    modules = sorted({name.rsplit('.', 2)[0] for name in names})
-    return sorted(modules, key=lambda module: not module.startswith(_LONG))
+def order_modules(
+    names: Iterable[str], read_size: Callable[[str], int] = lambda module: 0
+) -> list[str]:
+    """Return the modules of tests by their names, probably long ones first.
+
+    :param read_size: returns the size of a module's source.
+    """
+
+    def rank(module: str) -> tuple[bool, int]:
+        return (not module.startswith(_LONG), -read_size(module))
+
+    return sorted(sorted({name.rsplit('.', 2)[0] for name in names}), key=rank)
 
 
 def read_result(module: str, code: int, output: str) -> ModuleResult:
--- a/tests/test_parallel.py
+++ b/tests/test_parallel.py
@@ -38,6 +38,12 @@
         expected = ['tests.whole.test_z', 'tests.gateway.test_a']
         self.assertEqual(order_modules(names), expected)
 
+    def test_larger_modules_come_before_smaller_ones(self):
+        sizes = {'tests.test_a': 3, 'tests.test_b': 7}
+        names = [f'{module}.A.test_one' for module in sizes]
+        found = order_modules(names, sizes.__getitem__)
+        self.assertEqual(found, ['tests.test_b', 'tests.test_a'])
+
     def test_all_results_are_given(self):
         def run(module):
             return ModuleResult(module, 1, 0, frozenset(), '')
