Forget what no longer counts of groups that were probed

What callers saw: nothing. A node kept four records for each group that ever fell silent, for as long as it ran: 200 of 200 groups that were gone in the test, which was listed as known red.

The results of probes, avoided groups and the activity of heads are now dropped at the next probe once they are too old to count.

--- a/coursepitch/gateway/watchdog.py
+++ b/coursepitch/gateway/watchdog.py
@@ -289,9 +289,30 @@
             done.set()
         if all_respond:
             self._avoided.pop(key, None)
+        self._forget_old()
         self._cached_results[key] = (self._clock(), all_respond)
         return all_respond
 
+    def _forget_old(self) -> None:
+        """Drop what no longer counts, which may be of groups that are gone."""
+        now = self._clock()
+        self._cached_results = {
+            key: item
+            for key, item in self._cached_results.items()
+            if now - item[0] < PROBE_CACHE_S
+        }
+        self._avoided = {
+            key: item for key, item in self._avoided.items() if item.until > now
+        }
+        self._unsure = {
+            name: item for name, item in self._unsure.items() if item.until > now
+        }
+        self._last_activity = {
+            name: at
+            for name, at in self._last_activity.items()
+            if now - at < GROUP_AVOIDANCE_S
+        }
+
     def _was_restarted(self, instance: FleetInstance) -> bool:
         """Whether another process is listed under the name of an instance."""
         listed = self._session.view.instances.get(instance.name)
