Withdraw the watches of runs before their task group ends

What callers saw: nothing; a task was left over for one turn of the event loop, which the test listed as known red shows.

Cause: a task group that ends and has no task left gives way once more, in which a watch that is due was started in it; it does not wait for a task that comes so late. Watches are now withdrawn before it ends. The test passes and its entry is taken out.

--- a/coursepitch/gateway/runs.py
+++ b/coursepitch/gateway/runs.py
@@ -206,13 +206,23 @@
                 for run in others:
                     self._start(run, tasks)
                 self._find_if_needed(tasks)
-                await self._read(first, tasks)
+                try:
+                    await self._read(first, tasks)
+                except BaseException:
+                    self._withdraw_watches()
+                    raise
+                if tasks.cancel_scope.cancel_called:
+                    self._withdraw_watches()
         finally:
-            for withdraw in self._withdrawals:
-                withdraw()
-            self._withdrawals.clear()
+            self._withdraw_watches()
         return self._winner
 
+    def _withdraw_watches(self) -> None:
+        """Let no further watch start; a task group that ends does not wait for it."""
+        for withdraw in self._withdrawals:
+            withdraw()
+        self._withdrawals.clear()
+
     def _start(self, run: R, tasks: TaskGroup) -> None:
         tasks.start_soon(self._read, run, tasks)
         self._start_watch(run, tasks)
