--- a/Makefile
+++ b/Makefile
@@ -2,6 +2,8 @@
 PYTHON ?= python3
 VENV ?= .venv
 BIN = $(VENV)/bin
+# Modules of tests that run at a time; they mostly wait.
+JOBS ?= 4
 
 .PHONY: demo serve test docs bench soak clean
 
@@ -17,7 +19,7 @@
 	$(BIN)/python -m demo.session --stay
 
 test: $(VENV)/installed
-	$(BIN)/python -m tests
+	$(BIN)/python -m tests --jobs $(JOBS)
 
 docs: $(VENV)/installed
 	$(BIN)/python -m docs.generate --check
--- a/tests/parallel.py
+++ b/tests/parallel.py
@@ -23,6 +23,9 @@
 #: Matches a line that names a known fault that was seen.
 _KNOWN_RED = re.compile(r'^known red: (\S+) ', re.MULTILINE)
 
+#: Matches the module in the name of a test; names of classes may have several parts.
+_MODULE = re.compile(r'((?:\w+\.)*?test_\w+)\.')
+
 #: Packages whose modules take longest; they begin first.
 _LONG = ('tests.soak.', 'tests.whole.')
 
@@ -53,7 +56,8 @@
     def rank(module: str) -> tuple[bool, int]:
         return (not module.startswith(_LONG), -read_size(module))
 
-    return sorted(sorted({name.rsplit('.', 2)[0] for name in names}), key=rank)
+    found = (_MODULE.match(name) for name in names)
+    return sorted(sorted({item[1] for item in found if item}), key=rank)
 
 
 def read_result(module: str, code: int, output: str) -> ModuleResult:
--- a/tests/test_parallel.py
+++ b/tests/test_parallel.py
@@ -34,6 +34,7 @@
             'tests.gateway.test_a.A.test_one',
             'tests.gateway.test_a.B.test_two',
             'tests.whole.test_z.Z.test_three',
+            'tests.whole.test_z.Machine.TestCase.runTest',
         ]
         expected = ['tests.whole.test_z', 'tests.gateway.test_a']
         self.assertEqual(order_modules(names), expected)
