Bound the heads, the framing and the turns of responses of instances

What callers saw: one instance that sends without end, chunks of four bytes or interim responses, let its node serve next to nothing: requests at sound instances waited for their turns of the event loop, and some got neither an answer nor a refusal before their deadline.

Cause: the work for one connection in one turn of the event loop had no bound. Bytes were read 64 KiB a turn, and what they held was parsed one by one within it: 16,000 chunks, each of which copied the rest, or 3,400 interim responses. Class of fault: a limit that counts reads and waits, and neither work nor bytes, does not bind a sender that never pauses.

Ruled out: header lines and chunk extensions, which the parser bounds.

Change: a head counts with the interim responses before it, of which 16 are allowed, and bytes that can't begin a status line fail at once. Framing may exceed the content of a chunked body by 16 KiB. Chunks are decoded in order without copies, and after so many, as after so many events of the parser, other tasks run. Streams whose bytes are always there share a quarter of the event loop's time, however many there are.

--- a/coursepitch/http/client.py
+++ b/coursepitch/http/client.py
@@ -42,6 +42,20 @@
 #: Maximum size of a response head in bytes; larger heads are protocol errors.
 MAX_RESPONSE_HEAD_BYTES = 65_536
 
+#: Largest number of interim responses (RFC 9110, section 15.2) before a response.
+MAX_INTERIM_RESPONSES = 16
+
+#: Bytes by which the framing of a chunked body may exceed its content.  Framing takes
+#: at least five bytes for each chunk, so this allows some thousand chunks of one byte.
+MAX_EXTRA_FRAMING_BYTES = 16_384
+
+#: Chunks, and events of the parser, that are processed in one turn of the event loop.
+MAX_CHUNKS_PER_TURN = 128
+MAX_EVENTS_PER_TURN = 32
+
+#: How each response begins.
+_HEAD_START = b'HTTP/1.'
+
 #: Maximum size in bytes of a body that is written together with the head.  Larger
 #: bodies are written while the response is read, as a target may respond before it
 #: has read the whole body.
@@ -129,6 +143,7 @@
     :param used: whether an earlier exchange used it.
     :param decodes_chunks: whether chunks are decoded without the parser; the parser is
         then at the start of a chunk and has no unread bytes.
+    :param _extra_bytes: bytes by which the framing of the body exceeds its content.
     """
 
     address: str
@@ -139,6 +154,10 @@
     decodes_chunks: bool = False
     _unparsed: bytes = b''
     _head_tail: bytes = b''
+    _head_start: bytes = b''
+    _head_bytes: int = 0
+    _extra_bytes: int = 0
+    _turn_events: int = 0
 
     def has_no_pending_input(self) -> bool:
         """Whether neither data nor the end of the stream is pending."""
@@ -154,32 +173,83 @@
         :raises TimeoutError: the deadline passed.
         """
         while True:
+            if self._turn_events >= MAX_EVENTS_PER_TURN:
+                self._turn_events = 0
+                await self.stream.finish_turn(deadline)
             try:
                 event = self.parser.next_event()
+                self._turn_events += 1
                 if event is not h11.NEED_DATA:
+                    if isinstance(event, h11.Data):
+                        self._extra_bytes -= 2 * len(event.data)
                     return event  # type: ignore[return-value]
-                data = self._unparsed or await self._receive(deadline)
-                self._unparsed = b''
-                if self.parser.their_state is h11.SEND_RESPONSE:
-                    if not data:
-                        raise ExchangeError('connection closed without a response')
-                    data = self._split_head(data)
-                self.parser.receive_data(data)
+                await self._feed_parser(deadline)
             except h11.RemoteProtocolError as error:
                 raise ExchangeError(f'invalid response: {error}') from error
 
+    async def _feed_parser(self, deadline: float | None) -> None:
+        """Give the parser the next bytes.
+
+        :raises ExchangeError: the connection failed, or no response can follow.
+        :raises TimeoutError: the deadline passed.
+        """
+        # The parser keeps no content now.
+        self._check_framing()
+        data = self._unparsed
+        if not data:
+            data = await self._receive(deadline)
+            self._turn_events = 0
+        self._unparsed = b''
+        if self.parser.their_state is h11.SEND_RESPONSE:
+            if not data:
+                raise ExchangeError('connection closed without a response')
+            data = self._split_head(data)
+        else:
+            self._extra_bytes += len(data)
+        self.parser.receive_data(data)
+
+    def start_exchange(self) -> None:
+        """Begin to count the bytes of a response."""
+        self._head_tail = self._head_start = b''
+        self._head_bytes = self._extra_bytes = 0
+
+    def _check_framing(self) -> None:
+        """Check what frames the content that was read.
+
+        :raises ExchangeError: it is more than a body needs.
+        """
+        if self._extra_bytes > MAX_EXTRA_FRAMING_BYTES:
+            raise ExchangeError('invalid response: more framing than content')
+
     def _split_head(self, data: bytes) -> bytes:
         """Return the part of received bytes up to the end of a head; keep the rest."""
+        if len(self._head_start) < len(_HEAD_START):
+            self._head_start = (self._head_start + data)[: len(_HEAD_START)]
+            if not _HEAD_START.startswith(self._head_start):
+                raise ExchangeError('invalid response: no status line')
         before = len(self._head_tail)
         found = _HEAD_END.search(self._head_tail + data)
         if found is None:
             self._head_tail = (self._head_tail + data)[-2:]
+            self._note_head(len(data))
             return data
-        self._head_tail = b''
+        self._head_tail = self._head_start = b''
         end = found.end() - before
+        self._note_head(end)
         self._unparsed = data[end:]
         return data[:end]
 
+    def _note_head(self, size: int) -> None:
+        """Count bytes of a head, with those of the interim responses before it.
+
+        :raises ExchangeError: they are too many.
+        """
+        self._head_bytes += size
+        if self._head_bytes > MAX_RESPONSE_HEAD_BYTES:
+            raise ExchangeError(
+                f'response head larger than {MAX_RESPONSE_HEAD_BYTES} bytes'
+            )
+
     async def _receive(self, deadline: float | None) -> bytes:
         """Return received bytes, or none at the end of the stream."""
         try:
@@ -189,25 +259,38 @@
         except (anyio.BrokenResourceError, anyio.ClosedResourceError) as error:
             raise ExchangeError('connection reset') from error
 
-    async def read_simple_chunk(self, deadline: float | None) -> bytes | None:
-        """Return the content of the next chunk, or ``None`` if the parser must read it.
+    async def read_simple_chunks(self, deadline: float | None) -> bytes | None:
+        """Return the content of the next chunks, or ``None`` if the parser must read.
 
         Chunks that are incomplete, empty, malformed or have extensions are read by the
         parser, and so are all chunks after them.
 
-        :raises ExchangeError: the connection failed.
+        :raises ExchangeError: the connection failed, or there is too much framing.
         :raises TimeoutError: the deadline passed.
         """
         data = self._unparsed
-        if not data:
+        if data:
+            await self.stream.finish_turn(deadline)
+        else:
             data = self._unparsed = await self._receive(deadline)
-        size = _CHUNK_SIZE.match(data)
-        if size is not None:
+        parts: list[bytes] = []
+        at = 0
+        while len(parts) < MAX_CHUNKS_PER_TURN:
+            size = _CHUNK_SIZE.match(data, at)
+            if size is None:
+                break
             start = size.end()
             end = start + int(size[1], 16)
-            if end > start and data[end : end + 2] == b'\r\n':
-                self._unparsed = data[end + 2 :]
-                return data[start:end]
+            if end == start or data[end : end + 2] != b'\r\n':
+                break
+            parts.append(data[start:end])
+            at = end + 2
+        if parts:
+            self._unparsed = data[at:]
+            content = b''.join(parts) if len(parts) > 1 else parts[0]
+            self._extra_bytes += at - 2 * len(content)
+            self._check_framing()
+            return content
         self.decodes_chunks = False
         if not data:
             self.parser.receive_data(b'')
@@ -250,7 +333,7 @@
         if timeout_s is not None:
             deadline = connection.stream.find_deadline(timeout_s)
         if connection.decodes_chunks:
-            data = await connection.read_simple_chunk(deadline)
+            data = await connection.read_simple_chunks(deadline)
             if data is not None:
                 return data
         event = await connection.read_event(deadline)
@@ -480,6 +563,7 @@
         body: bytes,
     ) -> Response:
         parser = connection.parser
+        connection.start_exchange()
         lines = list(headers)
         if body or method not in (b'GET', b'HEAD', b'DELETE', b'OPTIONS'):
             lines.append((b'Content-Length', b'%d' % len(body)))
@@ -515,9 +599,13 @@
         return response[0]
 
     async def _read_head(self, connection: Connection, method: bytes) -> Response:
+        interim = 0
         while True:
             event = await connection.read_event()
             if isinstance(event, h11.InformationalResponse):
+                interim += 1
+                if interim > MAX_INTERIM_RESPONSES:
+                    raise ExchangeError('too many interim responses')
                 continue
             if not isinstance(event, h11.Response):
                 raise ExchangeError(
--- a/coursepitch/http/stream.py
+++ b/coursepitch/http/stream.py
@@ -13,6 +13,7 @@
 import select
 import socket
 import struct
+import weakref
 from typing import TYPE_CHECKING
 
 import anyio
@@ -20,7 +21,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-__all__ = ['ByteStream', 'connect']
+__all__ = ['ByteStream', 'ReadPacer', 'connect']
 
 #: Maximum number of bytes that one call of :meth:`ByteStream.receive` returns.
 READ_BYTES = 65_536
@@ -28,6 +29,42 @@
 #: Number of unread bytes at which reading from the socket pauses.
 MAX_UNREAD_BYTES = 262_144
 
+#: Bytes, and turns of the event loop, that a stream takes without having to wait for
+#: the other side before it counts as busy.  Most responses are over by then.
+BUSY_BYTES = 262_144
+BUSY_TURNS = 4
+
+#: Smallest ratio of the time to the work of all busy streams together: the rest is for
+#: streams that wait for their bytes, whatever the number of busy ones.
+PACE_FACTOR = 4.0
+
+#: Largest work in seconds that one turn of a busy stream counts as.  What took longer
+#: includes turns of other tasks.
+MAX_TURN_S = 0.01
+
+#: Shortest delay in seconds of a busy stream; what is due is added up until then.
+MIN_DELAY_S = 0.004
+
+
+class ReadPacer:
+    """Share a part of the event loop's time between all busy streams."""
+
+    def __init__(self) -> None:
+        self._free_at = float('-inf')
+
+    def reserve(self, now: float, work_s: float) -> float:
+        """Return the seconds until a busy stream may go on after some work.
+
+        :param work_s: seconds of its latest turn.
+        """
+        self._free_at = max(now, self._free_at) + work_s * PACE_FACTOR
+        return self._free_at - now
+
+
+_pacers: weakref.WeakKeyDictionary[asyncio.AbstractEventLoop, ReadPacer] = (
+    weakref.WeakKeyDictionary()
+)
+
 
 class ByteStream(asyncio.Protocol):
     """A connected TCP socket; at most one task reads, and at most one writes.
@@ -54,6 +91,10 @@
         self._writing_paused = False
         self._deadline: float | None = None
         self._timer: asyncio.TimerHandle | None = None
+        self._unwaited_bytes = 0
+        self._unwaited_turns = 0
+        self._turn_began_at = 0.0
+        self._work_due_s = 0.0
 
     # -- callbacks of the transport ---------------------------------------------------
 
@@ -155,9 +196,11 @@
         :raises anyio.ClosedResourceError: this side has closed the stream.
         """
         if self._received or self._ended:
-            # A peer that always has data ready must not keep other tasks from running.
-            await asyncio.sleep(0)
+            await self.give_way(deadline)
         else:
+            if self._unwaited_bytes or self._unwaited_turns:
+                self._unwaited_bytes = self._unwaited_turns = 0
+                self._work_due_s = self._turn_began_at = 0.0
             await self._wait_readable(deadline)
         if not self._received:
             if self._closed:
@@ -172,11 +215,45 @@
             self._received.appendleft(data[READ_BYTES:])
             data = data[:READ_BYTES]
         self._unread_bytes -= len(data)
+        self._unwaited_bytes += len(data)
         if self._reading_paused and self._unread_bytes < MAX_UNREAD_BYTES:
             self._reading_paused = False
             self._transport.resume_reading()
         return data
 
+    @property
+    def is_busy(self) -> bool:
+        """Whether much has been read without having to wait for the other side."""
+        return self._unwaited_bytes >= BUSY_BYTES or self._unwaited_turns >= BUSY_TURNS
+
+    async def give_way(self, deadline: float | None = None) -> None:
+        """Let other tasks run, as the next bytes can be processed without waiting.
+
+        :param deadline: time of the event loop until which to wait at most.
+        """
+        if not self.is_busy:
+            await asyncio.sleep(0)
+            return
+        now = self._loop.time()
+        if self._turn_began_at:
+            self._work_due_s += min(now - self._turn_began_at, MAX_TURN_S)
+        delay_s = 0.0
+        if self._work_due_s * PACE_FACTOR >= MIN_DELAY_S:
+            pacer = _pacers.get(self._loop)
+            if pacer is None:
+                pacer = _pacers[self._loop] = ReadPacer()
+            delay_s = pacer.reserve(now, self._work_due_s)
+            self._work_due_s = 0.0
+        if deadline is not None:
+            delay_s = max(0.0, min(delay_s, deadline - now))
+        await asyncio.sleep(delay_s)
+        self._turn_began_at = self._loop.time()
+
+    async def finish_turn(self, deadline: float | None = None) -> None:
+        """Give way within bytes that were received before, as they hold much work."""
+        self._unwaited_turns += 1
+        await self.give_way(deadline)
+
     async def _wait_readable(self, deadline: float | None) -> None:
         """Wait for bytes, for the end of the stream, or until the deadline."""
         self._reader = self._loop.create_future()
