Answer requests of the OpenAI side that a planned stop ends

What callers saw: a request under way as the drain limit of its node is over, or as a second signal comes, got a closed connection, neither an answer nor a refusal.

Requests whose responses have not begun are now refused as not run if nothing was sent, and answered 502 with an unknown outcome otherwise.

--- a/coursepitch/application.py
+++ b/coursepitch/application.py
@@ -391,6 +391,7 @@
                     cut = await self._drain(signals)
                 for request in cut:
                     log.emit(events.REQUEST_ABORTED, request=request)
+                self.gate.end_requests()
                 await registrar.leave()
                 stop.request(CUT_ANSWERS_OUT_S if cut else ANSWERS_OUT_S)
                 servers.cancel_scope.deadline = (
--- a/coursepitch/serving/caller_api.py
+++ b/coursepitch/serving/caller_api.py
@@ -172,8 +172,9 @@
                     context = RequestContext(
                         request_id, identity, started_at=self._clock()
                     )
-                    self._gate.begin_request(request_id)
-                    return await handle(request, context)
+                    with self._gate.begin_request(request_id):
+                        return await handle(request, context)
+                    problem = _describe_end(context)
                 except RefusedError as error:
                     problem = error.problem
                 except RequestTooLargeError as error:
@@ -541,6 +542,14 @@
 }
 
 
+def _describe_end(context: RequestContext) -> Problem:
+    """Return the refusal of a request that is ended as the node stops."""
+    refusal = outcomes.TARGET_FAILED
+    if context.outcome is Outcome.NOT_RUN:
+        refusal = outcomes.NOT_READY
+    return Problem(refusal, context.request_id, '(stopping)', 1.0)
+
+
 def _find_refusal(errors: BaseExceptionGroup[Any]) -> RefusedError | None:
     """Return the refusal from a group of errors that holds nothing else."""
     found = errors.subgroup(RefusedError)
--- a/coursepitch/serving/gate.py
+++ b/coursepitch/serving/gate.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING
 
+import anyio
+
 from coursepitch.control.acceptance import is_confirmed
 from coursepitch.peers.records import DemandBody
 from coursepitch.serving import outcomes
@@ -54,7 +56,7 @@
         self._directory = build_directory(session.view.value.configuration)
         self._limiter = RateLimiter()
         self._demand = DemandMeter()
-        self._open_requests: dict[str, float] = {}
+        self._open_requests: dict[str, anyio.CancelScope] = {}
         self.rejects_all = False
         self.draining = False
         #: Returns why other nodes serve better; empty if they do not.
@@ -85,8 +87,8 @@
         """Identifiers of the requests in flight."""
         return tuple(self._open_requests)
 
-    def begin_request(self, request_id: str) -> None:
-        """Register a request as in flight.
+    def begin_request(self, request_id: str) -> anyio.CancelScope:
+        """Register a request as in flight; return the scope to handle it in.
 
         :raises RefusedError: the node does not accept requests now.
         """
@@ -94,8 +96,14 @@
         if reason:
             problem = Problem(outcomes.NOT_READY, request_id, f'({reason})', 1.0)
             raise RefusedError(problem)
-        self._open_requests[request_id] = self._clock()
+        scope = self._open_requests[request_id] = anyio.CancelScope()
         self._metrics.in_flight.set({}, len(self._open_requests))
+        return scope
+
+    def end_requests(self) -> None:
+        """End the handling of all requests in flight whose responses have not begun."""
+        for scope in self._open_requests.values():
+            scope.cancel()
 
     def end_request(self, request_id: str) -> None:
         """Remove a request from those in flight."""
