--- a/tests/test_application.py
+++ b/tests/test_application.py
@@ -26,6 +26,7 @@
         self.settings = SimpleNamespace(
             node=listening, entry=listening, admin=listening, peers=listening
         )
+        self.gate = SimpleNamespace(end_requests=lambda: None)
         self.closed = False
         self.used_closed = False
 
