Bound what frames the body of a request

What callers saw: a client that sends chunks of one byte, each with an extension of some kilobytes, is read for hours, until the content alone reaches the limit of bodies.

Cause: only the content of a body counted; the parser bounds one line of a chunk, not their sum.

Evidence: a new test that sends 8 MB of such chunks for 2 kB of content was not refused before, and is refused with 400 now. Heads, trailers, one endless extension and an endless body were refused before, and stay so by the same test.

Change: a body may take 16 bytes of framing for each byte of content, beyond two heads.

--- a/coursepitch/http/server.py
+++ b/coursepitch/http/server.py
@@ -36,6 +36,10 @@
 #: have changed with the configuration.
 IDLE_CHECK_S = 1.0
 
+#: Maximum number of bytes that frame a body, for each byte of its content, beyond two
+#: heads.  A chunk of one byte takes five, and a short extension as many again.
+MAX_FRAMING_RATIO = 16
+
 #: Connections that are accepted in one pass through the event loop.
 MAX_ACCEPTED = 64
 
@@ -237,6 +241,7 @@
         parts: list[bytes] = []
         digest = start_digest()
         size = 0
+        received = 0
         started_at: float | None = None
         while True:
             try:
@@ -245,6 +250,7 @@
                 status = 431 if error.error_status_hint == 431 else 400
                 raise _RequestProblemError(status, str(error)) from error
             if event is h11.NEED_DATA:
+                self._check_framing(received, size)
                 if self.parser.they_are_waiting_for_100_continue:
                     interim = h11.InformationalResponse(status_code=100, headers=[])
                     await self.write(self.parser.send(interim))
@@ -253,6 +259,7 @@
                 data = await self._receive(head, started_at)
                 if data is None:
                     return None
+                received += len(data)
                 if started_at is None and data:
                     started_at = self.server.clock()
                 try:
@@ -279,6 +286,17 @@
             else:
                 return None
 
+    def _check_framing(self, received: int, size: int) -> None:
+        """Check the size of what frames a request's body.
+
+        :param received: bytes of the request that were received.
+        :param size: size of its content in bytes.
+        :raises _RequestProblemError: it is too large for the content.
+        """
+        allowed = 2 * self.server.read_rules().head_bytes + MAX_FRAMING_RATIO * size
+        if received - size > allowed:
+            raise _RequestProblemError(400, 'framing of the request body too large')
+
     async def _receive(
         self, head: h11.Request | None, started_at: float | None
     ) -> bytes | None:
--- /dev/null
+++ b/tests/http/test_endless_requests.py
@@ -0,0 +1,118 @@
+"""Requests whose bytes never end, at the HTTP server."""
+
+from __future__ import annotations
+
+import unittest
+
+import anyio
+import anyio.lowlevel
+import h11
+
+from coursepitch.http import ConnectionRules, HttpServer
+from coursepitch.http.server import ServerConnection
+from tests.http.test_framing import build_stream
+
+RULES = ConnectionRules(body_bytes=100_000)
+
+#: Bytes that a client sends at most.
+MAX_SENT_BYTES = 8_000_000
+
+#: Rounds of the event loop in which the server reads what has arrived.
+MAX_ROUNDS = 20_000
+
+CHUNKED = b'POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n'
+
+#: Bytes that are sent over and over after a beginning, and the status that ends them.
+ENDLESS = {
+    'request line': (b'GET /', b'a' * 4096, b'431'),
+    'header lines': (b'GET / HTTP/1.1\r\n', b'A: b\r\n' * 512, b'431'),
+    'header value': (b'GET / HTTP/1.1\r\nA: ', b'a' * 4096, b'431'),
+    'line breaks': (b'', b'\r\n' * 2048, b'400'),
+    'noise': (b'\x16\x03', b'\x00' * 4096, b'400'),
+    'chunk extension': (CHUNKED + b'1;', b'a' * 4096, b'431'),
+    'chunk extensions': (CHUNKED, (b'1;' + b'a' * 4000 + b'\r\nx\r\n') * 4, b'400'),
+    'trailers': (CHUNKED + b'1\r\nx\r\n0\r\n', b'A: b\r\n' * 512, b'431'),
+    'body': (CHUNKED, b'1000\r\n' + b'x' * 4096 + b'\r\n', b'413'),
+}
+
+
+class Client:
+    """A client without a socket, of a server that answers with the size of bodies."""
+
+    def __init__(self, **options):
+        self.now = 0.0
+        self.server = HttpServer(self.answer, lambda: RULES, self.read_clock, **options)
+        self.stream, self.transport = build_stream()
+        parser = h11.Connection(h11.SERVER, RULES.head_bytes)
+        self.connection = ServerConnection(self.server, self.stream, parser)
+        self.answered = 0
+        self.rounds = 0
+
+    def read_clock(self):
+        return self.now
+
+    async def answer(self, request, reply):
+        self.answered += 1
+        await reply.send_whole(200, (), b'%d' % len(request.body))
+
+    @property
+    def received(self):
+        """Bytes that the client received."""
+        return b''.join(call.args[0] for call in self.transport.write.call_args_list)
+
+    @property
+    def closed(self):
+        """Whether the server closed the connection."""
+        return self.transport.abort.called
+
+    async def send(self, data):
+        """Send bytes, and wait until the server waits for more or has closed."""
+        self.stream.data_received(data)
+        for _ in range(MAX_ROUNDS):
+            if self.closed or (not self.stream._received and self.stream._reader):
+                return
+            self.rounds += 1
+            await anyio.lowlevel.checkpoint()
+        raise AssertionError('the server does not read')
+
+
+def run_with_client(scenario, **options):
+    """Run a scenario with a client; return the client."""
+
+    async def run():
+        client = Client(**options)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(client.connection.run)
+            await anyio.lowlevel.checkpoint()
+            await scenario(client)
+            tasks.cancel_scope.cancel()
+        return client
+
+    return anyio.run(run)
+
+
+class EndlessRequestTest(unittest.TestCase):
+    """A request is bounded in bytes as a whole."""
+
+    # Guards against connections that are read for as long as the client sends.
+    def test_request_that_never_ends_is_refused(self):
+        for kind, (beginning, part, status) in ENDLESS.items():
+
+            async def send(client, beginning=beginning, part=part):
+                await client.send(beginning + part)
+                for _ in range(MAX_SENT_BYTES // len(part)):
+                    if client.closed:
+                        break
+                    await client.send(part)
+                self.assertTrue(client.closed)
+
+            with self.subTest(kind):
+                client = run_with_client(send)
+                self.assertIn(b'HTTP/1.1 %b' % status, client.received)
+
+    def test_body_in_chunks_of_one_byte_is_taken(self):
+        async def send(client):
+            await client.send(CHUNKED + b'1;a=b\r\nx\r\n' * 5000)
+            await client.send(b'1\r\nx\r\n' * 5000 + b'0\r\n\r\n')
+
+        self.assertIn(b'\r\n\r\n10000', run_with_client(send).received)
