Collect the body of a request in one buffer

What callers saw: a client that sends its body in chunks of two bytes takes many times the memory of the body from the node, up to some 100 MB within the limit of bodies, so a few such clients reach the limit of the process.

Cause: each chunk was kept as an object of its own.

Evidence: a new test sends 32,000 bytes so; the peak of traced memory was 720,775 bytes before and is 59,363 now.

Change: the parts are appended to one buffer.

--- a/coursepitch/http/server.py
+++ b/coursepitch/http/server.py
@@ -238,7 +238,7 @@
         """
         self.idle_since = self.server.clock()
         head: h11.Request | None = None
-        parts: list[bytes] = []
+        body = bytearray()
         digest = start_digest()
         size = 0
         received = 0
@@ -272,14 +272,14 @@
                 size += len(event.data)
                 if size > self.server.read_rules().body_bytes:
                     raise _RequestProblemError(413, 'request body too large')
-                parts.append(bytes(event.data))
+                body += event.data
                 digest.update(event.data)
             elif isinstance(event, h11.EndOfMessage) and head is not None:
                 return IncomingRequest(
                     bytes(head.method),
                     bytes(head.target),
                     tuple(head.headers.raw_items()),
-                    b''.join(parts),
+                    bytes(body),
                     self.server.clock(),
                     digest.digest(),
                 )
--- a/tests/http/test_endless_requests.py
+++ b/tests/http/test_endless_requests.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import tracemalloc
 import unittest
 
 import anyio
@@ -116,3 +117,18 @@
             await client.send(b'1\r\nx\r\n' * 5000 + b'0\r\n\r\n')
 
         self.assertIn(b'\r\n\r\n10000', run_with_client(send).received)
+
+    # Guards against memory of many times what a client sends.
+    def test_memory_of_a_body_in_small_chunks_is_bounded(self):
+        async def send(client):
+            await client.send(CHUNKED)
+            tracemalloc.start()
+            for _ in range(16):
+                await client.send(b'2\r\nxy\r\n' * 1000)
+
+        try:
+            run_with_client(send)
+            peak = tracemalloc.get_traced_memory()[1]
+        finally:
+            tracemalloc.stop()
+        self.assertLess(peak, 8 * 32_000)
