Read chunked bodies in turns of two milliseconds

What callers saw: requests on other connections waited while a client's body came in tiny chunks: each 64 KiB that were read took a turn of the event loop of their own, with one step of the parser for each chunk.

Cause: the event loop was left once per read, not once per amount of work.

Ruled out: a sleep of zero seconds alone. The turns would be short, and the connection would still have all of the loop's time that others leave.

Change: a connection that worked for 2 ms rests for 6 ms. Whole reads of large chunks take less than that, so usual uploads do not rest.

--- a/coursepitch/http/server.py
+++ b/coursepitch/http/server.py
@@ -22,6 +22,7 @@
 from coursepitch.errors import CoursepitchError
 from coursepitch.http.messages import IncomingRequest, find_header, start_digest
 from coursepitch.http.stream import ByteStream
+from coursepitch.http.turns import TurnLimiter
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -243,6 +244,7 @@
         size = 0
         received = 0
         started_at: float | None = None
+        turn = TurnLimiter()
         while True:
             try:
                 event = self.parser.next_event()
@@ -259,6 +261,7 @@
                 data = await self._receive(head, started_at)
                 if data is None:
                     return None
+                turn.begin()
                 received += len(data)
                 if started_at is None and data:
                     started_at = self.server.clock()
@@ -274,6 +277,7 @@
                     raise _RequestProblemError(413, 'request body too large')
                 body += event.data
                 digest.update(event.data)
+                await turn.give_way()
             elif isinstance(event, h11.EndOfMessage) and head is not None:
                 return IncomingRequest(
                     bytes(head.method),
