Answer requests that were sent ahead in a turn each

What callers saw: a client that sends thousands of requests at once, and whose responses need no wait (refusals), took the event loop until all of them were answered.

Cause: neither reading a request from the buffer, nor a handler that refuses, nor a write that the kernel takes at once leaves the event loop.

Evidence: a new test sends 1,000 requests in one piece; they were all answered in one round of the loop before, and take a round each now.

--- a/coursepitch/http/server.py
+++ b/coursepitch/http/server.py
@@ -197,6 +197,9 @@
                 await self._handle_request(request)
                 if self.broken or not self._start_next():
                     return
+                if self.parser.trailing_data[0]:
+                    # A request that was sent ahead may be answered without any wait.
+                    await asyncio.sleep(0)
         except _RequestProblemError as problem:
             await self._send_error(problem)
         finally:
--- a/tests/http/test_endless_requests.py
+++ b/tests/http/test_endless_requests.py
@@ -145,3 +145,12 @@
             await client.send(b'1\r\nx\r\n' * 10_000)
 
         self.assertGreater(run_with_client(send).rounds, 10)
+
+    # Guards against sound requests that wait while thousands of others are answered.
+    def test_pipelined_requests_are_answered_in_one_round_each(self):
+        async def send(client):
+            await client.send(b'GET / HTTP/1.1\r\nHost: x\r\n\r\n' * 1000)
+
+        client = run_with_client(send)
+        self.assertEqual(client.answered, 1000)
+        self.assertGreaterEqual(client.rounds, 1000)
