Limit the time of a request's body as a whole

What callers saw: a client that sends a byte of its body now and then holds its connection, and what the node keeps for it, for as long as it likes.

Cause: the only limit, the timeout of a head and that of an idle connection, was by read, so each byte began it anew.

Evidence: a new test sends a byte a second of a body of 90,000 bytes; after 100 s it was still read, and is refused with 408 after 18 s now.

Ruled out: a fixed time for all bodies, which would refuse slow uploads whose clients still wait.

Change: a body has to arrive before the deadline of its request, and within the time that the largest body takes at 64 kbit/s. Without a deadline it has the former limit once, and a second more for each 8 KiB that arrived. The limit by read stays beside it.

--- a/coursepitch/gateway_application.py
+++ b/coursepitch/gateway_application.py
@@ -45,6 +45,7 @@
 from coursepitch.http.server import ConnectionRules, HttpServer
 from coursepitch.listeners import listen
 from coursepitch.metrics import Metrics
+from coursepitch.platform.headers import read_client_timeout_s
 from coursepitch.platform.kv import KeyValue
 from coursepitch.reload_signal import unblock_reload_signal
 
@@ -211,6 +212,7 @@
             clock,
             self.session.is_fading,
             self.overload.accepts,
+            read_client_timeout_s,
         )
         self.ready_server = HttpServer(self._serve_readiness, ConnectionRules, clock)
         self.metrics_server = HttpServer(self._serve_metrics, ConnectionRules, clock)
--- a/coursepitch/http/server.py
+++ b/coursepitch/http/server.py
@@ -37,6 +37,10 @@
 #: have changed with the configuration.
 IDLE_CHECK_S = 1.0
 
+#: Rate in bytes per second at which a body that comes without a deadline has to arrive:
+#: 64 kbit/s, the slowest access that clients are expected to have.
+MIN_BODY_BYTES_PER_S = 8_192
+
 #: Maximum number of bytes that frame a body, for each byte of its content, beyond two
 #: heads.  A chunk of one byte takes five, and a short extension as many again.
 MAX_FRAMING_RATIO = 16
@@ -63,6 +67,18 @@
     head_timeout_s: float = 3.0
     idle_timeout_s: float = 15.0
 
+    @property
+    def pause_timeout_s(self) -> float:
+        """Maximum time in seconds between two parts of a body."""
+        return self.head_timeout_s + self.idle_timeout_s
+
+    def find_body_timeout_s(self, size: int) -> float:
+        """Return the time from the first byte of a request that is due to a body.
+
+        :param size: size in bytes of what has arrived of the body.
+        """
+        return self.pause_timeout_s + size / MIN_BODY_BYTES_PER_S
+
 
 class _RequestProblemError(CoursepitchError):
     """A request is malformed, too large or too slow.
@@ -261,7 +277,7 @@
                     await self.write(self.parser.send(interim))
                 if head is None and started_at is None and self.parser.trailing_data[0]:
                     started_at = self.server.clock()
-                data = await self._receive(head, started_at)
+                data = await self._receive(head, started_at, size)
                 if data is None:
                     return None
                 turn.begin()
@@ -305,17 +321,25 @@
             raise _RequestProblemError(400, 'framing of the request body too large')
 
     async def _receive(
-        self, head: h11.Request | None, started_at: float | None
+        self, head: h11.Request | None, started_at: float | None, size: int
     ) -> bytes | None:
         """Return bytes, or ``None`` if the connection was closed or idle too long.
 
+        :param started_at: time of the first byte of the request, if known.
+        :param size: size in bytes of what has arrived of the body.
         :raises _RequestProblemError: a head or body did not arrive in time.
         """
         while True:
             rules = self.server.read_rules()
             now = self.server.clock()
             if head is not None:
-                timeout_s = rules.head_timeout_s + rules.idle_timeout_s
+                began_at = self.idle_since if started_at is None else started_at
+                until = began_at + self._find_body_timeout_s(head, rules, size)
+                timeout_s = min(rules.pause_timeout_s, until - now)
+                if timeout_s <= 0:
+                    raise _RequestProblemError(
+                        408, 'timed out reading the request body'
+                    )
             elif started_at is not None:
                 timeout_s = started_at + rules.head_timeout_s - now
                 if timeout_s <= 0:
@@ -341,6 +365,21 @@
             ):
                 return None
 
+    def _find_body_timeout_s(
+        self, head: h11.Request, rules: ConnectionRules, size: int
+    ) -> float:
+        """Return the time from the first byte of a request to the last of its body.
+
+        Within its deadline, a body may be as slow as the largest one is allowed to be.
+
+        :param size: size in bytes of what has arrived of the body.
+        """
+        headers = tuple(head.headers.raw_items())
+        deadline_s = self.server.find_client_timeout_s(headers)
+        if deadline_s is None:
+            return rules.find_body_timeout_s(size)
+        return min(deadline_s, rules.find_body_timeout_s(rules.body_bytes))
+
     async def _send_error(self, problem: _RequestProblemError) -> None:
         if self.parser.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return
@@ -370,6 +409,8 @@
     :param is_draining: returns whether clients should send further requests elsewhere.
     :param accepts: returns whether to accept one more connection; one that is not is
         reset unread.
+    :param find_client_timeout_s: returns the seconds that a client waits for the
+        response to a request with these headers, or ``None`` if it gives none.
     :param stopping: whether the server finishes its requests and closes connections.
     :param closing_idle: whether idle connections are closed.
     """
@@ -379,6 +420,7 @@
     clock: Clock = boottime
     is_draining: Callable[[], bool] = lambda: False
     accepts: Callable[[], bool] = lambda: True
+    find_client_timeout_s: Callable[[Headers], float | None] = lambda headers: None
     stopping: bool = False
     closing_idle: bool = False
     connections: set[ServerConnection] = field(default_factory=set)
--- a/coursepitch/platform/headers.py
+++ b/coursepitch/platform/headers.py
@@ -18,6 +18,7 @@
     'build_instance_headers',
     'build_target_headers',
     'forward_response_headers',
+    'read_client_timeout_s',
     'read_request_fields',
     'read_response_metadata',
 ]
@@ -148,11 +149,10 @@
     """Read the header fields of a client's request; ignore malformed numbers."""
     found = {name.lower(): value for name, value in request.headers}
     prompt, _, response = found.get(b'x-token-usage', b'').partition(b',')
-    patience = _parse_number(found.get(b'x-deadline-ms', b''), -1)
     return RequestFields(
         request=found.get(b'x-request-id', b'').decode('latin-1'),
         host=found.get(b'host', b'').decode('latin-1'),
-        client_timeout_s=patience / 1000 if patience >= 0 else None,
+        client_timeout_s=_parse_timeout_s(found.get(b'x-deadline-ms')),
         key=_parse_bearer_key(found.get(b'authorization', b'')),
         model=found.get(b'x-model', b'').decode('latin-1'),
         prompt_tokens=int(_parse_number(prompt, 0)),
@@ -163,6 +163,16 @@
     )
 
 
+def read_client_timeout_s(headers: Headers) -> float | None:
+    """Return the seconds that a client waits for a response, or ``None``."""
+    return _parse_timeout_s(find_header(headers, b'x-deadline-ms'))
+
+
+def _parse_timeout_s(value: bytes | None) -> float | None:
+    timeout_ms = _parse_number(value or b'', -1)
+    return timeout_ms / 1000 if timeout_ms >= 0 else None
+
+
 def _parse_prompt_parts(value: bytes) -> tuple[str, ...]:
     """Return the ids of the parts of a prompt; malformed parts are left out."""
     found = map(_PROMPT_PART.fullmatch, map(bytes.strip, value.split(b',')))
--- a/tests/http/test_endless_requests.py
+++ b/tests/http/test_endless_requests.py
@@ -10,7 +10,7 @@
 import h11
 
 from coursepitch.http import ConnectionRules, HttpServer
-from coursepitch.http.server import ServerConnection
+from coursepitch.http.server import MIN_BODY_BYTES_PER_S, ServerConnection
 from tests.http.test_framing import build_stream
 
 RULES = ConnectionRules(body_bytes=100_000)
@@ -154,3 +154,56 @@
         client = run_with_client(send)
         self.assertEqual(client.answered, 1000)
         self.assertGreaterEqual(client.rounds, 1000)
+
+
+class SlowBodyTest(unittest.TestCase):
+    """A body is bounded in time as a whole."""
+
+    def send_slowly(self, step_s, until_s, **options):
+        """Return the client that sent a byte of a body every ``step_s`` seconds."""
+
+        async def send(client):
+            head = b'POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 90000\r\n\r\n'
+            await client.send(head)
+            while client.now < until_s and not client.closed:
+                client.now += step_s
+                await client.send(b'x')
+
+        return run_with_client(send, **options)
+
+    # Guards against connections that a client holds for as long as it sends a byte.
+    def test_body_of_a_byte_now_and_then_is_refused(self):
+        client = self.send_slowly(1.0, 100.0)
+        self.assertIn(b'HTTP/1.1 408', client.received)
+        self.assertTrue(client.closed)
+        self.assertGreater(client.now, RULES.head_timeout_s + RULES.idle_timeout_s)
+        self.assertLess(client.now, 20.0)
+
+    # Guards against the same by a client that names a deadline.
+    def test_body_is_refused_at_the_deadline_of_its_request(self):
+        client = self.send_slowly(1.0, 100.0, find_client_timeout_s=lambda headers: 5.0)
+        self.assertIn(b'HTTP/1.1 408', client.received)
+        self.assertLessEqual(client.now, 6.0)
+
+    # Guards against slow uploads that are refused although their client still waits.
+    def test_slow_body_is_read_until_the_deadline_of_its_request(self):
+        client = self.send_slowly(1.0, 27.0, find_client_timeout_s=lambda headers: 28.0)
+        self.assertEqual(client.received, b'')
+
+    def test_body_at_a_low_rate_is_read_without_a_deadline(self):
+        async def send(client):
+            size = 5 * MIN_BODY_BYTES_PER_S
+            await client.send(CHUNKED)
+            for _ in range(5):
+                client.now += 4.0
+                await client.send(b'%x\r\n%b\r\n' % (size // 5, b'x' * (size // 5)))
+            await client.send(b'0\r\n\r\n')
+
+        self.assertIn(b'HTTP/1.1 200', run_with_client(send).received)
+
+    # Guards against connections that are held by a deadline that never comes.
+    def test_deadline_without_end_is_limited(self):
+        client = self.send_slowly(
+            1.0, 100.0, find_client_timeout_s=lambda headers: float('inf')
+        )
+        self.assertIn(b'HTTP/1.1 408', client.received)
