Pace the reading of tiny chunks with that of responses

The streams share a pacer of busy connections by now, so the limiter of the server's own goes: a connection gives way after 64 parts of a body, and all busy connections together take a quarter of the event loop's time, however many they are.

--- a/coursepitch/http/server.py
+++ b/coursepitch/http/server.py
@@ -22,7 +22,6 @@
 from coursepitch.errors import CoursepitchError
 from coursepitch.http.messages import IncomingRequest, find_header, start_digest
 from coursepitch.http.stream import ByteStream
-from coursepitch.http.turns import TurnLimiter
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -45,6 +44,10 @@
 #: heads.  A chunk of one byte takes five, and a short extension as many again.
 MAX_FRAMING_RATIO = 16
 
+#: Parts of a body that are read in one turn of the event loop.  The time of a turn is
+#: far below that of a request even if all of them hold a byte.
+MAX_TURN_EVENTS = 64
+
 #: Connections that are accepted in one pass through the event loop.
 MAX_ACCEPTED = 64
 
@@ -263,7 +266,7 @@
         size = 0
         received = 0
         started_at: float | None = None
-        turn = TurnLimiter()
+        events = 0
         while True:
             try:
                 event = self.parser.next_event()
@@ -280,7 +283,7 @@
                 data = await self._receive(head, started_at, size)
                 if data is None:
                     return None
-                turn.begin()
+                events = 0
                 received += len(data)
                 if started_at is None and data:
                     started_at = self.server.clock()
@@ -296,7 +299,9 @@
                     raise _RequestProblemError(413, 'request body too large')
                 body += event.data
                 digest.update(event.data)
-                await turn.give_way()
+                events += 1
+                if events % MAX_TURN_EVENTS == 0:
+                    await self.stream.finish_turn()
             elif isinstance(event, h11.EndOfMessage) and head is not None:
                 return IncomingRequest(
                     bytes(head.method),
