Read heads on kept connections by the limit in force

What callers saw: after a change of the configuration that allows larger heads, such a request on a connection opened before was refused with 431.

Cause: the parser of a connection got the limit as it was opened; all other limits are read anew. Class of fault: a setting that a connection keeps from its beginning. The test failed before (1 of 2 requests was answered). The parser is now replaced before a request if the limit has changed and nothing of the request was read.

--- a/coursepitch/http/server.py
+++ b/coursepitch/http/server.py
@@ -185,6 +185,7 @@
 class ServerConnection:
     """One connection from a client.
 
+    :param head_limit: maximum size in bytes of a request head.
     :param broken: whether the connection must be aborted instead of closed.
     :param idle_since: time at which the connection became idle.
     :param busy: whether a request is being handled.
@@ -193,6 +194,7 @@
     server: HttpServer
     stream: ByteStream
     parser: h11.Connection
+    head_limit: int = 0
     broken: bool = False
     idle_since: float = 0.0
     busy: bool = False
@@ -284,6 +286,8 @@
                 if data is None:
                     return None
                 events = 0
+                if not received and head is None:
+                    self._follow_head_limit()
                 received += len(data)
                 if started_at is None and data:
                     started_at = self.server.clock()
@@ -314,6 +318,13 @@
             else:
                 return None
 
+    def _follow_head_limit(self) -> None:
+        """Read the next request by the limit in force, if none of it was read yet."""
+        limit = self.server.read_rules().head_bytes
+        if limit == self.head_limit or self.parser.trailing_data[0]:
+            return
+        self.parser, self.head_limit = h11.Connection(h11.SERVER, limit), limit
+
     def _check_framing(self, received: int, size: int) -> None:
         """Check the size of what frames a request's body.
 
@@ -479,7 +490,7 @@
     async def _serve(self, stream: ByteStream) -> None:
         rules = self.read_rules()
         parser = h11.Connection(h11.SERVER, rules.head_bytes)
-        connection = ServerConnection(self, stream, parser)
+        connection = ServerConnection(self, stream, parser, rules.head_bytes)
         self.connections.add(connection)
         try:
             await connection.run()
--- a/tests/http/test_endless_requests.py
+++ b/tests/http/test_endless_requests.py
@@ -4,6 +4,7 @@
 
 import tracemalloc
 import unittest
+from dataclasses import replace
 
 import anyio
 import anyio.lowlevel
@@ -92,6 +93,22 @@
     return anyio.run(run)
 
 
+class HeadLimitTest(unittest.TestCase):
+    """Connections that are kept follow the configuration."""
+
+    def test_larger_head_is_read_once_the_configuration_allows_it(self):
+        async def send(client):
+            await client.send(b'GET / HTTP/1.1\r\nHost: x\r\n\r\n')
+            rules = replace(RULES, head_bytes=4 * RULES.head_bytes)
+            client.server.read_rules = lambda: rules
+            await client.send(b'GET / HTTP/1.1\r\nHost: x\r\n')
+            for _ in range(2):
+                await client.send(b'A: %b\r\n' % (b'x' * RULES.head_bytes))
+            await client.send(b'\r\n')
+
+        self.assertEqual(run_with_client(send).answered, 2)
+
+
 class EndlessRequestTest(unittest.TestCase):
     """A request is bounded in bytes as a whole."""
 
