Bound the frames that a peer's link or tunnel parses in one turn

Callers of a node got neither answer nor refusal in time while one peer sent control frames, or fragments of a message, without end: all frames of a read of up to 256 KiB were parsed within one turn of the event loop, and each ping was answered. A link that had been given up was read on for 10 s, the library's closing handshake.

Evidence: one such peer on loopback for 4 s made turns of up to 1,333 ms (pings), 557 ms (pongs, the median turn 382 ms), 241 ms (empty fragments) and 116 ms (empty messages), and was not disconnected meanwhile. The tests fail on the base: "20000 not less than or equal to 400" frames in one turn for pings and pongs, 10001 for fragments; the link of a message above the limit lasted 10 s more than its proof. Ruled out: a single huge frame, refused by its length at once.

--- a/coursepitch/fleet/links.py
+++ b/coursepitch/fleet/links.py
@@ -185,12 +185,16 @@
         # Imported late: it takes 0.1 s, which would delay the first clients.
         from websockets.asyncio.server import serve
 
+        from coursepitch.util.peer_connections import PeerServerConnection
+
         server = serve(
             self._accept,
             sock=sock,
             compression=None,
             max_size=MAX_MESSAGE_BYTES,
             ping_interval=None,
+            close_timeout=LINK_TIMEOUT_S,
+            create_connection=PeerServerConnection,
         )
         async with server, anyio.create_task_group() as group:
             group.start_soon(self._send_relay_heartbeats)
@@ -267,12 +271,15 @@
         from websockets.asyncio.client import connect
         from websockets.exceptions import WebSocketException
 
+        from coursepitch.util.peer_connections import PeerClientConnection
+
         options: dict[str, Any] = {
             'compression': None,
             'open_timeout': LINK_TIMEOUT_S,
             'close_timeout': LINK_TIMEOUT_S,
             'max_size': MAX_MESSAGE_BYTES,
             'ping_interval': None,
+            'create_connection': PeerClientConnection,
         }
         reason = 'no longer wanted'
         with link.scope:
@@ -323,6 +330,9 @@
 
             group.start_soon(run, self._receive)
             group.start_soon(run, self._send_queued)
+        if link.ended or reasons:
+            # A faulty peer need not let a handshake end.
+            connection.transport.abort()
         return link.ended or (reasons[0] if reasons else 'closed')
 
     async def _receive(self, connection: Connection, link: _Link) -> None:
--- a/coursepitch/fleet/tunnel_streams.py
+++ b/coursepitch/fleet/tunnel_streams.py
@@ -15,6 +15,7 @@
 
 from coursepitch.fleet.tunnels import TUNNEL_PATH, TunnelError, TunnelOutcome
 from coursepitch.http.stream import ByteStream
+from coursepitch.util.peer_connections import PeerClientConnection
 
 if TYPE_CHECKING:
     from websockets.asyncio.client import ClientConnection
@@ -137,6 +138,7 @@
                 ping_interval=None,
                 max_queue=QUEUED_MESSAGES,
                 write_limit=WRITE_LIMIT_BYTES,
+                create_connection=PeerClientConnection,
             )
             if await connection.recv() != CONNECTED:
                 raise TunnelError(TunnelOutcome.NO_PEER)
--- /dev/null
+++ b/tests/fleet/test_endless_peers.py
@@ -0,0 +1,114 @@
+"""Peers that send bytes without end on their links and tunnels."""
+
+from __future__ import annotations
+
+import contextlib
+import time
+import unittest
+from unittest import mock
+
+import anyio
+import anyio.lowlevel
+from websockets.frames import Frame
+
+from coursepitch.fleet.links import MAX_MESSAGE_BYTES
+from coursepitch.listeners import listen
+from tests.fleet.peer_frames import (
+    BINARY,
+    CONTINUATION,
+    PING,
+    PONG,
+    build_frame,
+    build_request,
+)
+from tests.fleet.test_links import Node
+
+#: Timeout in seconds for any expected condition.
+WAIT_S = 20.0
+
+#: Frames that may be parsed in one turn of the event loop.
+MAX_FRAMES = 400
+
+
+@contextlib.asynccontextmanager
+async def counting_frames():
+    """Yield a list with the frames that were parsed in each pass of the event loop."""
+    counts = [0]
+    parse = Frame.parse.__func__
+
+    def count_frame(cls, *arguments, **options):
+        counts[-1] += 1
+        return parse(cls, *arguments, **options)
+
+    async def count_passes():
+        while True:
+            await anyio.lowlevel.checkpoint()
+            counts.append(0)
+
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(count_passes)
+        with mock.patch.object(Frame, 'parse', classmethod(count_frame)):
+            yield counts
+        tasks.cancel_scope.cancel()
+
+
+class EndlessLinkTest(unittest.TestCase):
+    """A peer that sends without end holds neither the event loop nor its link."""
+
+    def flood(self, frames, first=b''):
+        """Send frames until the node closes; return the most that it parsed in a turn.
+
+        :param first: bytes before them.
+        """
+
+        async def run():
+            sock = listen('127.0.0.1', 0)
+            node = Node('n1', {}, 'n1')
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(node.links.run, sock)
+                port = sock.getsockname()[1]
+                stream = await anyio.connect_tcp('127.0.0.1', port)
+                await stream.send(build_request())
+                await stream.receive()
+                began_at = time.monotonic()
+                self.sent_bytes = 0
+                with anyio.fail_after(WAIT_S):
+                    async with counting_frames() as counts:
+                        with contextlib.suppress(anyio.BrokenResourceError):
+                            await stream.send(first)
+                            while True:
+                                await stream.send(frames)
+                                self.sent_bytes += len(frames)
+                    while node.links._accepted:
+                        await anyio.lowlevel.checkpoint()
+                self.took_s = time.monotonic() - began_at
+                await anyio.aclose_forcefully(stream)
+                tasks.cancel_scope.cancel()
+            return max(counts)
+
+        return anyio.run(run)
+
+    # Guards against a node that does nothing else but answer pings.
+    def test_control_frames_leave_the_event_loop_to_others(self):
+        for opcode in (PING, PONG):
+            with self.subTest(opcode=opcode):
+                most = self.flood(build_frame(opcode) * 10_000)
+                self.assertLessEqual(most, MAX_FRAMES)
+                self.assertLess(self.took_s, 5.0)
+
+    def test_fragments_without_end_leave_the_event_loop_to_others(self):
+        first = build_frame(BINARY, final=False)
+        frames = build_frame(CONTINUATION, final=False) * 10_000
+        self.assertLessEqual(self.flood(frames, first), MAX_FRAMES)
+
+    # Guards against bytes that are read until a closing handshake times out.
+    def test_message_above_the_limit_ends_the_link_soon(self):
+        first = build_frame(BINARY, b'x', final=False)
+        frames = build_frame(CONTINUATION, b'x' * 125, final=False) * 1_000
+        self.flood(frames, first)
+        self.assertLess(self.sent_bytes, 8 * MAX_MESSAGE_BYTES)
+        self.assertLess(self.took_s, 5.0)
+
+
+if __name__ == '__main__':
+    unittest.main()
