Bound the listing of keys as a whole

A store whose pages never end, or repeat, held a node's listing for ever and filled its memory: each page had a limit on time and bytes, the listing had none. A node that lists does not follow changes.

A listing now fails at a page that repeats the one before, at 256 pages of some 500 keys, and at 64 MiB, and is tried again after the usual back-off.

Ruled out for single calls and watches, with bytes that are no answer in a status line, a header and a body, fast and slow: each ended at its limit of bytes (0.06 s) or time, and the store saw the connection close then.

--- a/coursepitch/platform/kv.py
+++ b/coursepitch/platform/kv.py
@@ -46,6 +46,13 @@
 #: JSON and base64 encodings enlarge.
 MAX_RESPONSE_BYTES = 8_388_608
 
+#: Maximum number of pages of a listing.  A page has some 500 keys, so this is ten times
+#: as many as a platform of 10,000 instances has.
+MAX_LIST_PAGES = 256
+
+#: Maximum size of a listing in bytes, 64 pages of 1 MB; nodes have 300 MB of memory.
+MAX_LIST_BYTES = 67_108_864
+
 #: Maximum number of entries in a transaction.  Source: the platform's protocol.
 MAX_TRANSACTION_ENTRIES = 32
 
@@ -216,9 +223,10 @@
         first page, so that a watch from there reports every later change.
         """
         entries: list[Entry] = []
+        size = 0
         revision = -1
         after = ''
-        while True:
+        for _ in range(MAX_LIST_PAGES):
             target = f'/-/kv-range?path_prefix={quote(prefix)}'
             if after:
                 target += f'&after_rev={quote(after)}'
@@ -233,7 +241,13 @@
             revision = page_revision if revision < 0 else revision
             if not more or not found:
                 return Events(tuple(entries), revision, complete=True)
+            if found[-1].key == after:
+                return Unavailable('list: a page repeats the one before')
             after = found[-1].key
+            size += sum(len(entry.key) + len(entry.value) for entry in found)
+            if size > MAX_LIST_BYTES:
+                return Unavailable(f'list: larger than {MAX_LIST_BYTES} bytes')
+        return Unavailable(f'list: more than {MAX_LIST_PAGES} pages')
 
     async def transact(
         self, conditions: Sequence[Condition], writes: Sequence[Write] = ()
