Refuse a body whose length is above the limit before it is read

A client that announced a body above the limit had its 413 only after 4 MiB of it had arrived, or a 408 if it sent slowly, although its head had proved the refusal.

The test fails on the commit before: "b' 413 ' not found in b''" after 5 s without a byte of the body. The length in the head is now compared with the limit; bodies in chunks, which announce none, are counted as before.

--- a/coursepitch/http/server.py
+++ b/coursepitch/http/server.py
@@ -297,6 +297,9 @@
                     return None
             elif isinstance(event, h11.Request):
                 head = event
+                declared = find_header(tuple(head.headers), b'content-length')
+                if declared and int(declared) > self.server.read_rules().body_bytes:
+                    raise _RequestProblemError(413, 'request body too large')
             elif isinstance(event, h11.Data):
                 size += len(event.data)
                 if size > self.server.read_rules().body_bytes:
--- a/tests/http/test_exchange.py
+++ b/tests/http/test_exchange.py
@@ -409,6 +409,19 @@
 
         self.assertEqual(self.run_test(echo, run), b'')
 
+    # Guards against a body that is read up to the limit although its length is above.
+    def test_length_above_the_limit_is_413_before_the_body(self):
+        async def run(server, stream):
+            await stream.send(
+                b'POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\n'
+            )
+            with anyio.move_on_after(5.0):
+                return await read_all(stream)
+            return b''
+
+        data = self.run_test(echo, run, ConnectionRules(body_bytes=8))
+        self.assertIn(b' 413 ', data)
+
     def test_failing_handler_closes_only_its_connection(self):
         async def fail(request, reply):
             if request.target == b'/bad':
