--- a/coursepitch/http/server.py
+++ b/coursepitch/http/server.py
@@ -36,6 +36,18 @@
 #: have changed with the configuration.
 IDLE_CHECK_S = 1.0
 
+#: Rate in bytes per second at which a body that comes without a deadline has to arrive:
+#: 64 kbit/s, the slowest access that clients are expected to have.
+MIN_BODY_BYTES_PER_S = 8_192
+
+#: Maximum number of bytes that frame a body, for each byte of its content, beyond two
+#: heads.  A chunk of one byte takes five, and a short extension as many again.
+MAX_FRAMING_RATIO = 16
+
+#: Parts of a body that are read in one turn of the event loop.  The time of a turn is
+#: far below that of a request even if all of them hold a byte.
+MAX_TURN_EVENTS = 64
+
 #: Connections that are accepted in one pass through the event loop.
 MAX_ACCEPTED = 64
 
@@ -58,6 +70,18 @@
     head_timeout_s: float = 3.0
     idle_timeout_s: float = 15.0
 
+    @property
+    def pause_timeout_s(self) -> float:
+        """Maximum time in seconds between two parts of a body."""
+        return self.head_timeout_s + self.idle_timeout_s
+
+    def find_body_timeout_s(self, size: int) -> float:
+        """Return the time from the first byte of a request that is due to a body.
+
+        :param size: size in bytes of what has arrived of the body.
+        """
+        return self.pause_timeout_s + size / MIN_BODY_BYTES_PER_S
+
 
 class _RequestProblemError(CoursepitchError):
     """A request is malformed, too large or too slow.
@@ -161,6 +185,7 @@
 class ServerConnection:
     """One connection from a client.
 
+    :param head_limit: maximum size in bytes of a request head.
     :param broken: whether the connection must be aborted instead of closed.
     :param idle_since: time at which the connection became idle.
     :param busy: whether a request is being handled.
@@ -169,6 +194,7 @@
     server: HttpServer
     stream: ByteStream
     parser: h11.Connection
+    head_limit: int = 0
     broken: bool = False
     idle_since: float = 0.0
     busy: bool = False
@@ -192,6 +218,9 @@
                 await self._handle_request(request)
                 if self.broken or not self._start_next():
                     return
+                if self.parser.trailing_data[0]:
+                    # A request that was sent ahead may be answered without any wait.
+                    await asyncio.sleep(0)
         except _RequestProblemError as problem:
             await self._send_error(problem)
         finally:
@@ -234,10 +263,12 @@
         """
         self.idle_since = self.server.clock()
         head: h11.Request | None = None
-        parts: list[bytes] = []
+        body = bytearray()
         digest = start_digest()
         size = 0
+        received = 0
         started_at: float | None = None
+        events = 0
         while True:
             try:
                 event = self.parser.next_event()
@@ -245,14 +276,19 @@
                 status = 431 if error.error_status_hint == 431 else 400
                 raise _RequestProblemError(status, str(error)) from error
             if event is h11.NEED_DATA:
+                self._check_framing(received, size)
                 if self.parser.they_are_waiting_for_100_continue:
                     interim = h11.InformationalResponse(status_code=100, headers=[])
                     await self.write(self.parser.send(interim))
                 if head is None and started_at is None and self.parser.trailing_data[0]:
                     started_at = self.server.clock()
-                data = await self._receive(head, started_at)
+                data = await self._receive(head, started_at, size)
                 if data is None:
                     return None
+                events = 0
+                if not received and head is None:
+                    self._follow_head_limit()
+                received += len(data)
                 if started_at is None and data:
                     started_at = self.server.clock()
                 try:
@@ -261,36 +297,68 @@
                     return None
             elif isinstance(event, h11.Request):
                 head = event
+                declared = find_header(tuple(head.headers), b'content-length')
+                if declared and int(declared) > self.server.read_rules().body_bytes:
+                    raise _RequestProblemError(413, 'request body too large')
             elif isinstance(event, h11.Data):
                 size += len(event.data)
                 if size > self.server.read_rules().body_bytes:
                     raise _RequestProblemError(413, 'request body too large')
-                parts.append(bytes(event.data))
+                body += event.data
                 digest.update(event.data)
+                events += 1
+                if events % MAX_TURN_EVENTS == 0:
+                    await self.stream.finish_turn()
             elif isinstance(event, h11.EndOfMessage) and head is not None:
                 return IncomingRequest(
                     bytes(head.method),
                     bytes(head.target),
                     tuple(head.headers.raw_items()),
-                    b''.join(parts),
+                    bytes(body),
                     self.server.clock(),
                     digest.digest(),
                 )
             else:
                 return None
 
+    def _follow_head_limit(self) -> None:
+        """Read the next request by the limit in force, if none of it was read yet."""
+        limit = self.server.read_rules().head_bytes
+        if limit == self.head_limit or self.parser.trailing_data[0]:
+            return
+        self.parser, self.head_limit = h11.Connection(h11.SERVER, limit), limit
+
+    def _check_framing(self, received: int, size: int) -> None:
+        """Check the size of what frames a request's body.
+
+        :param received: bytes of the request that were received.
+        :param size: size of its content in bytes.
+        :raises _RequestProblemError: it is too large for the content.
+        """
+        allowed = 2 * self.server.read_rules().head_bytes + MAX_FRAMING_RATIO * size
+        if received - size > allowed:
+            raise _RequestProblemError(400, 'framing of the request body too large')
+
     async def _receive(
-        self, head: h11.Request | None, started_at: float | None
+        self, head: h11.Request | None, started_at: float | None, size: int
     ) -> bytes | None:
         """Return bytes, or ``None`` if the connection was closed or idle too long.
 
+        :param started_at: time of the first byte of the request, if known.
+        :param size: size in bytes of what has arrived of the body.
         :raises _RequestProblemError: a head or body did not arrive in time.
         """
         while True:
             rules = self.server.read_rules()
             now = self.server.clock()
             if head is not None:
-                timeout_s = rules.head_timeout_s + rules.idle_timeout_s
+                began_at = self.idle_since if started_at is None else started_at
+                until = began_at + self._find_body_timeout_s(head, rules, size)
+                timeout_s = min(rules.pause_timeout_s, until - now)
+                if timeout_s <= 0:
+                    raise _RequestProblemError(
+                        408, 'timed out reading the request body'
+                    )
             elif started_at is not None:
                 timeout_s = started_at + rules.head_timeout_s - now
                 if timeout_s <= 0:
@@ -316,6 +384,21 @@
             ):
                 return None
 
+    def _find_body_timeout_s(
+        self, head: h11.Request, rules: ConnectionRules, size: int
+    ) -> float:
+        """Return the time from the first byte of a request to the last of its body.
+
+        Within its deadline, a body may be as slow as the largest one is allowed to be.
+
+        :param size: size in bytes of what has arrived of the body.
+        """
+        headers = tuple(head.headers.raw_items())
+        deadline_s = self.server.find_client_timeout_s(headers)
+        if deadline_s is None:
+            return rules.find_body_timeout_s(size)
+        return min(deadline_s, rules.find_body_timeout_s(rules.body_bytes))
+
     async def _send_error(self, problem: _RequestProblemError) -> None:
         if self.parser.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return
@@ -345,6 +428,8 @@
     :param is_draining: returns whether clients should send further requests elsewhere.
     :param accepts: returns whether to accept one more connection; one that is not is
         reset unread.
+    :param find_client_timeout_s: returns the seconds that a client waits for the
+        response to a request with these headers, or ``None`` if it gives none.
     :param stopping: whether the server finishes its requests and closes connections.
     :param closing_idle: whether idle connections are closed.
     """
@@ -354,6 +439,7 @@
     clock: Clock = boottime
     is_draining: Callable[[], bool] = lambda: False
     accepts: Callable[[], bool] = lambda: True
+    find_client_timeout_s: Callable[[Headers], float | None] = lambda headers: None
     stopping: bool = False
     closing_idle: bool = False
     connections: set[ServerConnection] = field(default_factory=set)
@@ -407,7 +493,7 @@
     async def _serve(self, stream: ByteStream) -> None:
         rules = self.read_rules()
         parser = h11.Connection(h11.SERVER, rules.head_bytes)
-        connection = ServerConnection(self, stream, parser)
+        connection = ServerConnection(self, stream, parser, rules.head_bytes)
         self.connections.add(connection)
         try:
             await connection.run()
