End a tunnel whose peer sends messages that mean nothing

A peer that sent messages without bytes, or texts that mean nothing, on a tunnel that waits in the pool made its queue grow with each one, as only bytes count towards the limit at which reading pauses; the tunnel stayed open for as long as the peer liked.

The tests fail on the commit before: the tunnel is open after 5 s of such messages ("TimeoutError"). The tunnel now ends with a reset at the first of them. No node sends any: a read from an instance is never empty, and only two texts exist.

Ruled out, with a test that passes before and after: an instance that sends without end through a tunnel stops while the near node does not read, with less than 32 MB sent, and sees its connection close within 0.5 s after the near node gave up.

--- a/coursepitch/fleet/tunnel_streams.py
+++ b/coursepitch/fleet/tunnel_streams.py
@@ -70,10 +70,13 @@
         try:
             while True:
                 data = await self._connection.recv()
-                if isinstance(data, bytes):
-                    stream.data_received(data)
-                elif data == STOPPING:
+                if data == STOPPING:
                     stream.reusable = False
+                elif data and isinstance(data, bytes):
+                    stream.data_received(data)
+                else:
+                    # No node sends this, and it could go on for ever.
+                    self._connection.transport.abort()
                 await self._readable.wait()
         except ConnectionClosed as error:
             if error.rcvd is not None and error.rcvd.code == ENDED_CODE:
--- a/tests/fleet/test_endless_peers.py
+++ b/tests/fleet/test_endless_peers.py
@@ -9,9 +9,12 @@
 
 import anyio
 import anyio.lowlevel
+from websockets.asyncio.server import serve
+from websockets.exceptions import ConnectionClosed
 from websockets.frames import Frame
 
 from coursepitch.fleet.links import MAX_MESSAGE_BYTES
+from coursepitch.fleet.tunnel_streams import CONNECTED, connect_through_peer
 from coursepitch.listeners import listen
 from tests.fleet.peer_frames import (
     BINARY,
@@ -22,6 +25,7 @@
     build_request,
 )
 from tests.fleet.test_links import Node
+from tests.fleet.test_tunnels import TunnelCase
 
 #: Timeout in seconds for any expected condition.
 WAIT_S = 20.0
@@ -110,5 +114,83 @@
         self.assertLess(self.took_s, 5.0)
 
 
+class EndlessTunnelTest(TunnelCase):
+    """Tunnels carry floods no further, and end when the node that reads gives up."""
+
+    def play_noise(self, message):
+        """Let a peer send a message over and over on a tunnel that is not in use."""
+
+        async def serve_noise(connection):
+            await connection.send(CONNECTED)
+            with contextlib.suppress(ConnectionClosed):
+                while True:
+                    await connection.send(message)
+                    await anyio.lowlevel.checkpoint()
+            self.left += 1
+
+        async def run():
+            peer = listen('127.0.0.1', 0)
+            port = peer.getsockname()[1]
+            async with serve(serve_noise, sock=peer, compression=None, close_timeout=1):
+                stream = await connect_through_peer(f'127.0.0.1:{port}', 'i', 'me', 5.0)
+                with anyio.fail_after(5.0):
+                    while not self.left:
+                        await anyio.sleep(0.01)
+                with self.assertRaises(anyio.BrokenResourceError):
+                    await stream.receive()
+                stream.close()
+
+        anyio.run(run)
+
+    # Guards against an idle tunnel whose queue grows with each message without bytes.
+    def test_empty_messages_end_the_tunnel(self):
+        self.play_noise(b'')
+
+    # Guards against a tunnel that is held by messages which mean nothing.
+    def test_unknown_messages_end_the_tunnel(self):
+        self.play_noise('unknown')
+
+    def flood(self, give_up):
+        """Let the instance send without end to a node that does not read.
+
+        :param give_up: called with the node's connection once the flood has stopped.
+        """
+        sent = [0]
+
+        async def serve_instance(stream):
+            async with stream:
+                await stream.receive()
+                try:
+                    while True:
+                        await stream.send(b'x' * 65_536)
+                        sent[0] += 65_536
+                except anyio.BrokenResourceError:
+                    self.left += 1
+
+        self.serve_instance = serve_instance
+
+        async def scenario():
+            pool = self.build_pool()
+            connection = await pool.acquire('a:1', instance='i')
+            await connection.stream.send(b'GET /x HTTP/1.1\r\nHost: h\r\n\r\n')
+            before = -1
+            while sent[0] != before:
+                before = sent[0]
+                await anyio.sleep(0.3)
+            give_up(pool, connection)
+            began_at = time.monotonic()
+            await self.wait_for(lambda: self.left)
+            self.assertLess(time.monotonic() - began_at, 0.5)
+            self.assertEqual(self.server.count_open(), 0)
+
+        self.play(scenario)
+        return sent[0]
+
+    # Guards against a far node that reads what the near one does not take.
+    def test_flood_of_an_instance_stops_while_the_near_node_does_not_read(self):
+        sent = self.flood(lambda pool, connection: pool.discard(connection))
+        self.assertLess(sent, 32_000_000)
+
+
 if __name__ == '__main__':
     unittest.main()
