Bound the bytes of all responses that are read whole

What callers saw: nothing yet. A plain response is held until its end, up to 16 MiB; as many instances as send bodies without end, times the requests at them, are held beside each other, which the memory of a node has no room for.

The responses of a pool that are read whole take 48 MiB together at the most; the largest one fails when they would take more, as an endless one is the largest sooner or later. Twelve endless bodies and a sound one in a test: the sound one is whole, the others fail within the bound (192 MiB by the limit of each before).

--- a/coursepitch/http/client.py
+++ b/coursepitch/http/client.py
@@ -61,6 +61,10 @@
 #: has read the whole body.
 SINGLE_WRITE_MAX_BYTES = 16_384
 
+#: Maximum size in bytes of all responses of a pool that are read whole, before their
+#: ends: a node has 128 MB, of which it uses some 50 MB otherwise.
+MAX_BUFFERED_BYTES = 50_331_648
+
 #: Seconds for which an idle connection is reused if the target gives no timeout.
 DEFAULT_KEEP_ALIVE_S = 3.0
 
@@ -359,16 +363,21 @@
         """Return the whole body.
 
         :param note: called each time bytes of it have arrived.
-        :raises ExchangeError: it is malformed, truncated or above ``limit`` bytes.
+        :raises ExchangeError: it is malformed, truncated or above ``limit`` bytes, or
+            the largest of all that are read at once, which together are too large.
         """
         parts: list[bytes] = []
         size = 0
-        while (part := await self.read_chunk()) is not None:
-            note()
-            size += len(part)
-            if size > limit:
-                raise ExchangeError(f'response body larger than {limit} bytes')
-            parts.append(part)
+        try:
+            while (part := await self.read_chunk()) is not None:
+                note()
+                size += len(part)
+                if size > limit:
+                    raise ExchangeError(f'response body larger than {limit} bytes')
+                self.pool.note_buffered(self, size)
+                parts.append(part)
+        finally:
+            self.pool.note_buffered(self, 0)
         return b''.join(parts)
 
     def release(self) -> None:
@@ -400,11 +409,29 @@
     connect: Connect = connect_directly
     _idle: dict[str, list[Connection]] = field(default_factory=dict)
     _open: dict[str, int] = field(default_factory=dict)
+    _buffered: dict[Response, int] = field(default_factory=dict)
+    buffered_bytes: int = 0
 
     def count_open(self, address: str) -> int:
         """Return the number of open or opening connections to an address."""
         return self._open.get(address, 0)
 
+    def note_buffered(self, response: Response, size: int) -> None:
+        """Count the bytes of a response that are held until its end.
+
+        :raises ExchangeError: all such bytes are too many, and it has most of them.
+        """
+        before = self._buffered.pop(response, 0)
+        if size:
+            total = self.buffered_bytes + size - before
+            if total > MAX_BUFFERED_BYTES and size >= max(
+                self._buffered.values(), default=0
+            ):
+                self.buffered_bytes -= before
+                raise ExchangeError('unfinished responses are too large')
+            self._buffered[response] = size
+        self.buffered_bytes += size - before
+
     def has_idle(self, address: str) -> bool:
         """Whether an idle connection to an address may be reused."""
         idle = self._idle.get(address, ())
