Bound the frames that a link of the record table parses in one turn

The links of the record table had the fault of the fleet's links: all frames of a read were parsed within one turn of the event loop, and each ping was answered, so that callers waited while one peer sent control frames without end.

The test fails on the base: "20000 not less than or equal to 400" frames in one turn. The hub now opens and accepts connections that read a bounded number of frames in a turn, and that end when a peer sends nothing but control frames.

--- a/coursepitch/peers/hub.py
+++ b/coursepitch/peers/hub.py
@@ -34,6 +34,10 @@
 from coursepitch.peers.slots import SlotTable
 from coursepitch.peers.table import KnownState, MergeResult, Record, RecordKey, Table
 from coursepitch.peers.topology import choose_links
+from coursepitch.util.peer_connections import (
+    PeerClientConnection,
+    PeerServerConnection,
+)
 
 if TYPE_CHECKING:
     import socket
@@ -224,6 +228,7 @@
                         ping_timeout=5,
                         close_timeout=1,
                         proxy=None,
+                        create_connection=PeerClientConnection,
                     ) as socket:
                         self._failed_at.pop(name, None)
                         await self._run_link(socket)
@@ -254,6 +259,7 @@
             ping_interval=5,
             ping_timeout=5,
             close_timeout=1,
+            create_connection=PeerServerConnection,
         ) as server:
             await server.serve_forever()
 
--- /dev/null
+++ b/tests/peers/test_endless_links.py
@@ -0,0 +1,68 @@
+"""Peers that send bytes without end on links of the record table."""
+
+from __future__ import annotations
+
+import contextlib
+import time
+import unittest
+from functools import partial
+
+import anyio
+
+from coursepitch.config.settings import PeerSettings, PlatformSettings
+from coursepitch.control.session import Session
+from coursepitch.listeners import listen
+from coursepitch.metrics import Metrics
+from coursepitch.peers.hub import PeerHub
+from tests.fleet.peer_frames import PING, PONG, build_frame, build_request
+from tests.fleet.test_endless_peers import MAX_FRAMES, counting_frames
+
+#: Timeout in seconds for any expected condition.
+WAIT_S = 20.0
+
+
+class EndlessLinkTest(unittest.TestCase):
+    """A peer holds neither the event loop nor a link."""
+
+    def play(self, send):
+        """Connect as a peer; return the most frames that the hub parsed in a turn.
+
+        :param send: sends on the peer's connection until the hub closes it.
+        """
+
+        async def run():
+            sock = listen('127.0.0.1', 0)
+            platform = PlatformSettings(key_value_url='-', instance_list_url='-')
+            session = Session('b', None, platform, time.monotonic)
+            settings = PeerSettings(key='k')
+            hub = PeerHub('b', 1, session, settings, Metrics(), time.monotonic)
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(hub._listen, sock)
+                port = sock.getsockname()[1]
+                stream = await anyio.connect_tcp('127.0.0.1', port)
+                await stream.send(build_request('/peer', ['Authorization: Bearer k']))
+                await stream.receive()
+                with anyio.fail_after(WAIT_S):
+                    async with counting_frames() as counts:
+                        await send(stream)
+                await anyio.aclose_forcefully(stream)
+                tasks.cancel_scope.cancel()
+            return max(counts)
+
+        return anyio.run(run)
+
+    # Guards against a hub that does nothing else but answer pings.
+    def test_control_frames_leave_the_event_loop_to_others(self):
+        async def send(data, stream):
+            with contextlib.suppress(anyio.BrokenResourceError):
+                while True:
+                    await stream.send(data)
+
+        for opcode in (PING, PONG):
+            with self.subTest(opcode=opcode):
+                most = self.play(partial(send, build_frame(opcode) * 10_000))
+                self.assertLessEqual(most, MAX_FRAMES)
+
+
+if __name__ == '__main__':
+    unittest.main()
