Disconnect a peer that sends no greeting in time

A peer with the key that answered pings and never greeted kept its connection and a task for as long as it liked; the wait for its greeting had no limit.

The test fails on the commit before: the link is up after 20 s ("TimeoutError"). The greeting now has the 2 s that opening a connection has.

--- a/coursepitch/peers/hub.py
+++ b/coursepitch/peers/hub.py
@@ -54,6 +54,9 @@
 #: Minimum interval in seconds between two digests on a link.
 MIN_DIGEST_INTERVAL_S = 0.05
 
+#: Timeout in seconds for a peer's greeting, as for opening its connection.
+GREETING_TIMEOUT_S = 2.0
+
 #: Seconds by which a periodic record may be published before it is due.
 EARLY_PUBLISH_S = 0.1
 
@@ -271,7 +274,10 @@
         reason = 'closed'
         try:
             await self._send(link, Hello(VERSION, self._node_name))
-            hello = await self._receive(link)
+            with anyio.move_on_after(GREETING_TIMEOUT_S) as limit:
+                hello = await self._receive(link)
+            if limit.cancelled_caught:
+                raise PeerError('no greeting in time')
             if not isinstance(hello, Hello) or hello.name == self._node_name:
                 raise PeerError('expected a greeting from another node')
             link.peer = hello.name
--- a/tests/peers/test_endless_links.py
+++ b/tests/peers/test_endless_links.py
@@ -13,6 +13,7 @@
 from coursepitch.control.session import Session
 from coursepitch.listeners import listen
 from coursepitch.metrics import Metrics
+from coursepitch.peers import hub as module
 from coursepitch.peers.hub import PeerHub
 from tests.fleet.peer_frames import PING, PONG, build_frame, build_request
 from tests.fleet.test_endless_peers import MAX_FRAMES, counting_frames
@@ -63,6 +64,22 @@
                 most = self.play(partial(send, build_frame(opcode) * 10_000))
                 self.assertLessEqual(most, MAX_FRAMES)
 
+    # Guards against a link that is held without a greeting.
+    def test_peer_without_a_greeting_is_disconnected(self):
+        began_at = time.monotonic()
+
+        async def send(stream):
+            with contextlib.suppress(anyio.EndOfStream, anyio.BrokenResourceError):
+                while True:
+                    data = await stream.receive()
+                    # Answers the hub's own pings, so that it counts as alive.
+                    if data[0] == 0x80 | PING:
+                        await stream.send(build_frame(PONG, data[2:]))
+
+        self.play(send)
+        limit_s = module.GREETING_TIMEOUT_S + 3.0
+        self.assertLess(time.monotonic() - began_at, limit_s)
+
 
 if __name__ == '__main__':
     unittest.main()
