Let stand-ins send bytes that are no answer, without end

What was sent and when the close was seen stands in their statistics. A caller that does not read stops the bytes by the socket's backpressure; other members of an engine's replica get sound answers.

--- a/standins/common.py
+++ b/standins/common.py
@@ -3,20 +3,65 @@
 from __future__ import annotations
 
 import argparse
+import contextvars
 import json
 import signal
 import socket
 from typing import TYPE_CHECKING, Any
 
 import anyio
+import hypercorn.asyncio.run
 from hypercorn.asyncio import serve
+from hypercorn.asyncio.tcp_server import TCPServer
 from hypercorn.config import Config
 from starlette.responses import JSONResponse
 
 if TYPE_CHECKING:
+    import asyncio
+
     from starlette.requests import Request
 
-__all__ = ['answer', 'build_parser', 'read_json', 'run']
+__all__ = ['CONNECTION', 'Connection', 'answer', 'build_parser', 'read_json', 'run']
+
+
+#: Seconds between two looks at whether the other side has closed.
+CLOSE_CHECK_S = 0.01
+
+
+class Connection:
+    """A connection to which an application writes past the server's HTTP."""
+
+    def __init__(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self._reader = reader
+        self._writer = writer
+
+    async def send(self, data: bytes) -> None:
+        """Send bytes; wait while the other side reads none."""
+        self._writer.write(data)
+        await self._writer.drain()
+
+    async def wait_closed(self) -> None:
+        """Wait until the other side closes."""
+        while not self._has_closed():
+            await anyio.sleep(CLOSE_CHECK_S)
+
+    def _has_closed(self) -> bool:
+        ended = self._reader.at_eof() or self._reader.exception() is not None
+        return ended or self._writer.is_closing()
+
+
+#: Connection of the request that is served.
+CONNECTION: contextvars.ContextVar[Connection] = contextvars.ContextVar('connection')
+
+
+class _Server(TCPServer):
+    """Server of one connection that lets applications find it."""
+
+    async def run(self) -> None:
+        CONNECTION.set(Connection(self.reader, self.writer))
+        await super().run()
 
 
 def build_parser(description: str) -> argparse.ArgumentParser:
@@ -61,4 +106,5 @@
             async for _ in signals:
                 return
 
+    hypercorn.asyncio.run.TCPServer = _Server  # type: ignore
     await serve(app, config, shutdown_trigger=wait_for_signal)
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -3,6 +3,11 @@
 The instance of rank 0 answers requests; it ends every answer when another
 member of its replica does not answer.  Tokens are a function of the prompt and
 their place alone, so that a resumed answer can be checked token by token.
+
+With the fault ``{"mode": "endless", "kind": KIND, "pace": PACE}``, bytes that are no
+answer come until the caller closes, see :mod:`standins.endless`, in answer to requests,
+or to what comes to one of the path prefixes in ``at``; the kind ``report`` concerns
+checks.  Other members of the replica get sound answers.
 """
 
 from __future__ import annotations
@@ -22,7 +27,8 @@
 from starlette.responses import Response, StreamingResponse
 from starlette.routing import Route
 
-from standins.common import answer, build_parser, read_json, run
+from standins.common import CONNECTION, answer, build_parser, read_json, run
+from standins.endless import build_endless, send_endless
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -35,6 +41,10 @@
 #: Header of requests between members of a replica.
 MEMBER_HEADER = 'x-member'
 
+#: Path prefixes of requests, and of checks, whose answers have no end.
+REQUEST_PATHS = ('/v1/',)
+CHECK_PATHS = ('/health',)
+
 
 def make_token(prompt: str, place: int) -> str:
     """Return the token at a place of the answer to a prompt."""
@@ -76,6 +86,7 @@
         self.prefixes: collections.OrderedDict[str, None] = collections.OrderedDict()
         self.prefix_hits = 0
         self.fault: dict[str, Any] = {}
+        self.floods: list[dict[str, Any]] = []
         self.group: Any = None
         self.still_until = 0.0
         self.client = httpx.AsyncClient(timeout=1.0, headers={MEMBER_HEADER: '1'})
@@ -304,6 +315,7 @@
                 'ran': engine.ran,
                 'cancelled': engine.cancelled,
                 'prefix_hits': engine.prefix_hits,
+                'floods': engine.floods,
             }
         )
 
@@ -331,6 +343,47 @@
     )
 
 
+def send_without_end(engine: Engine, app: Any) -> Any:
+    """Return an application that answers without end while the fault is set."""
+
+    async def serve(scope: Any, receive: Any, send: Any) -> None:
+        fault = engine.fault
+        if scope['type'] != 'http' or not _concerns(fault, scope):
+            await app(scope, receive, send)
+            return
+        names = {key.decode(): value.decode() for key, value in scope['headers']}
+        record = {
+            'request': names.get('x-request-id', ''),
+            'target': scope['path'],
+            'kind': fault['kind'],
+            'pace': fault['pace'],
+        }
+        if fault['kind'] == 'after_answer':
+            await app(scope, receive, send)
+        else:
+            while (await receive()).get('more_body'):
+                pass
+        engine.floods.append(record)
+        connection = CONNECTION.get()
+        endless = build_endless(fault['kind'], {'X-Request-Id': record['request']})
+        await send_endless(
+            connection.send, connection.wait_closed, endless, fault['pace'], record
+        )
+
+    return serve
+
+
+def _concerns(fault: dict[str, Any], scope: Any) -> bool:
+    """Whether a fault without end concerns a request."""
+    if fault.get('mode') != 'endless':
+        return False
+    if MEMBER_HEADER in [key.decode() for key, _ in scope['headers']]:
+        return False
+    usual = CHECK_PATHS if fault['kind'] == 'report' else REQUEST_PATHS
+    path: str = scope['path']
+    return path.startswith(tuple(fault.get('at', usual)))
+
+
 EVENT_STREAM = 'text/event-stream'
 
 
@@ -415,7 +468,8 @@
     parser.add_argument('--slots', type=int, default=8)
     parser.add_argument('--cache', type=int, default=16)
     options = parser.parse_args()
-    run(build_app(Engine(options)), options.port)
+    engine = Engine(options)
+    run(send_without_end(engine, build_app(engine)), options.port)
 
 
 if __name__ == '__main__':
--- a/standins/exchange.py
+++ b/standins/exchange.py
@@ -18,6 +18,7 @@
     'read_request',
     'reset_on_close',
     'send_whole',
+    'wait_closed',
     'wait_left',
 ]
 
@@ -110,6 +111,13 @@
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0))
 
 
+async def wait_closed(stream: Any) -> None:
+    """Wait until the other side closes, whatever else it sends."""
+    with contextlib.suppress(anyio.EndOfStream, anyio.BrokenResourceError):
+        while True:
+            await stream.receive()
+
+
 async def wait_left(stream: Any, run: dict[str, Any]) -> None:
     """Wait until the other side closes."""
     try:
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -13,7 +13,9 @@
 ``for_s`` after the head of its next stream),
 ``late_orders`` (no answer, carried out after ``delay_s``), ``grouped`` (streams are cut
 once their head has left its group, and some seconds after another member has) and
-``stale`` (a request id of another).
+``stale`` (a request id of another) and ``endless`` (bytes of a ``kind`` come at a
+``pace`` until the caller closes, see :mod:`standins.endless`; answers to all requests
+but orders and, unless the kind is ``report``, reports).
 Plain instances answer with events below ``/events/``.
 Beside the mode, ``framing`` says what tells the end of answers with status 200:
 their ``length``, ``chunks``, or the end of their ``connection``; by default any of
@@ -51,11 +53,13 @@
 import h11
 import httpx
 
+from standins.endless import build_endless, send_endless
 from standins.exchange import (
     FRAMINGS,
     AnswerWriter,
     read_request,
     send_whole,
+    wait_closed,
     wait_left,
 )
 from standins.network import INSTANCE_HOST, find_host
@@ -82,7 +86,8 @@
     """One instance; ``runs`` holds what it began to run.
 
     ``visits`` holds all requests, with readings of the machine's steady clock and what
-    the instance told in answer.
+    the instance told in answer.  ``floods`` holds the answers without end, each with
+    the bytes ``sent`` and when its caller closed; what ran is in ``runs`` too.
     """
 
     service: str
@@ -109,6 +114,7 @@
     crashed_by: str = ''
     limit: str | None = None
     visits: list[dict[str, Any]] = field(default_factory=list)
+    floods: list[dict[str, Any]] = field(default_factory=list)
     backoff: str | None = None
     leaving: bool = False
     cold_left_ms: int = 0
@@ -330,6 +336,10 @@
             return True
         target = request.target.decode()
         if target == '/-/report':
+            if instance.fault.get('kind') == 'report':
+                record = {'target': target}
+                await self._flood(instance, instance.fault, stream, {}, record)
+                return False
             report = {**instance.entry(), 'queued': 0, 'active': 0, 'pace': 1.0}
             await send_whole(stream, parser, 200, {}, json.dumps(report).encode())
             return True
@@ -374,6 +384,10 @@
             status = 503 if mode == 'shed' else 421
             await send_whole(stream, parser, status, {**mark, 'X-Not-Executed': '1'})
             return True
+        if mode == 'endless' and instance.fault['kind'] == 'rejection_body':
+            record = {'request': mark['X-Request-Id']}
+            await self._flood(instance, instance.fault, stream, mark, record)
+            return False
         run = {
             'request': mark['X-Request-Id'],
             'target': request.target.decode(),
@@ -395,6 +409,43 @@
             mark['X-Request-Id'] = 'another'
         if mode == 'error':
             return await self._send_error(instance, stream, parser, mark)
+        fault = instance.fault
+        kind = fault['kind'] if mode == 'endless' else None
+        if kind not in (None, 'after_answer', 'report'):
+            await self._flood(instance, fault, stream, mark, run)
+            return False
+        whole = await self._send_answer(instance, stream, parser, mark, run)
+        if kind == 'after_answer':
+            await self._flood(instance, fault, stream, mark, run)
+            return False
+        return whole
+
+    async def _flood(
+        self,
+        instance: Instance,
+        fault: dict[str, Any],
+        stream: Any,
+        mark: dict[str, str],
+        record: dict[str, Any],
+    ) -> None:
+        """Send bytes that are no answer until the caller closes."""
+        record |= {'kind': fault['kind'], 'pace': fault['pace']}
+        instance.floods.append(record)
+        endless = build_endless(fault['kind'], mark)
+        await send_endless(
+            stream.send, lambda: wait_closed(stream), endless, fault['pace'], record
+        )
+
+    async def _send_answer(
+        self,
+        instance: Instance,
+        stream: Any,
+        parser: Any,
+        mark: dict[str, str],
+        run: dict[str, Any],
+    ) -> bool:
+        """Send the answer that a run has; return whether the connection goes on."""
+        mode, headers = instance.fault['mode'], run['headers']
         if instance.engine or run['target'].startswith('/events/'):
             return await self._stream(instance, stream, parser, mark, run, headers)
         answer = f'{instance.name} {run["request"]}'.encode()
@@ -443,6 +494,9 @@
 
     def _choose_framing(self, instance: Instance) -> str:
         """Return what tells the end of the next answer."""
+        if instance.fault.get('kind') == 'after_answer':
+            # The end of the connection would not tell where the answer ends.
+            return 'length'
         drawn = self.chance.choice(FRAMINGS)
         framing: str = instance.fault.get('framing', drawn)
         return framing
@@ -550,6 +604,7 @@
                 'crashed_by': item.crashed_by,
                 'arrivals': [visit['at'] for visit in item.visits],
                 'visits': item.visits,
+                'floods': item.floods,
             }
             for name, item in host.instances.items()
         }
