Refuse queued requests once no replica is expected to serve them

A request that waited in a queue went on waiting after its last replica was proven to be gone, up to the longest wait of the queue, while new requests for the same group were refused at once. Whether a replica is expected was asked on arrival only.

It is now asked for each queue as slots are assigned, and the requests of a queue without one get the refusal that new requests get. Replicas that only silence speaks against count as expected, as before, so silence refuses nothing.

--- a/coursepitch/serving/admission.py
+++ b/coursepitch/serving/admission.py
@@ -19,7 +19,7 @@
     from coursepitch.clock import Clock
     from coursepitch.serving.routing import Choice
 
-__all__ = ['Admission', 'QueuedRequest', 'Slot']
+__all__ = ['Admission', 'QueuedRequest', 'Slot', 'build_no_replica']
 
 #: Shortest Retry-After in seconds, without jitter.
 LEAST_RETRY_AFTER_S = 1.0
@@ -117,9 +117,7 @@
             return self._allocate(request, choice)
         if not capacity():
             queue.remove(request)
-            raise RefusedError(
-                Problem(outcomes.NO_REPLICA, request.request_id, '', 2.0)
-            )
+            raise RefusedError(build_no_replica(request.request_id))
         return await self._wait(queue, request)
 
     async def _wait(self, queue: WaitingQueue, request: QueuedRequest) -> Slot:
@@ -231,12 +229,17 @@
         for request in queue.expire(now):
             self._entries.pop(request).ready.set()
 
-    def refuse_queued(self, build_problem: Callable[[str], Problem]) -> None:
-        """Refuse all queued requests.
+    def refuse_queued(
+        self, build_problem: Callable[[str], Problem], group: str | None = None
+    ) -> None:
+        """Refuse queued requests.
 
         :param build_problem: returns the refusal of a request by its identifier.
+        :param group: group whose requests are refused; ``None`` for all.
         """
         for entry in tuple(self._entries.values()):
+            if group not in (None, entry.request.group):
+                continue
             self._remove(entry)
             entry.problem = build_problem(entry.request.request_id)
             entry.ready.set()
@@ -246,6 +249,11 @@
         return {entry.request.group for entry in self._entries.values()}
 
 
+def build_no_replica(request_id: str) -> Problem:
+    """Return the refusal of a request that no replica is expected to serve."""
+    return Problem(outcomes.NO_REPLICA, request_id, '', 2.0)
+
+
 def _find_eviction_key(queue: WaitingQueue) -> tuple[tuple[bool, int], float]:
     """Return the sort key of a queue's least wanted request, the largest goes first."""
     request = queue.find_least_wanted()
--- a/coursepitch/serving/dispatch.py
+++ b/coursepitch/serving/dispatch.py
@@ -12,7 +12,7 @@
 from coursepitch import events, log
 from coursepitch.errors import CodecError
 from coursepitch.serving import outcomes
-from coursepitch.serving.admission import QueuedRequest
+from coursepitch.serving.admission import QueuedRequest, build_no_replica
 from coursepitch.serving.attempts import (
     AttemptResult,
     NextStep,
@@ -122,10 +122,16 @@
                 self._metrics.queued.set({}, self._admission.queued)
 
     def assign_slots(self) -> None:
-        """Assign slots to queued requests; refuse them if the node is cut off."""
+        """Assign slots to queued requests.
+
+        They are refused as new ones are: if the node is cut off, or no replica is
+        expected to serve their group.
+        """
         if self.is_cut_off():
             self._admission.refuse_queued(_build_cut_off)
         for queue_name in self._admission.list_queued_groups():
+            if not self._selector.count_expected(tuple(queue_name.split(','))):
+                self._admission.refuse_queued(build_no_replica, queue_name)
             self._admission.assign_slots(queue_name, self._choose_for_queued)
 
     def _choose_for_queued(self, queued: QueuedRequest) -> Choice | None:
