Count a node as cut off only if all engines that it knows refuse it

The refusals of four engines made a node cut off, which refuses all queued requests, though others that it had not asked were sound: engines that end together refuse as a cut path does.

Refusals count since an engine last answered, and an engine that is silent in a later check refuses no more. An engine that answered a peer proves a cut as before.

--- a/coursepitch/control/reach.py
+++ b/coursepitch/control/reach.py
@@ -2,7 +2,7 @@
 
 Engines that are silent and a path that is cut look the same from one node.  So a node
 that no engine answers concludes nothing about any, and counts as cut off only if all
-refuse it, or once an engine has answered another node meanwhile.
+that it knows refuse it, or once an engine has answered another node meanwhile.
 """
 
 from __future__ import annotations
@@ -29,7 +29,7 @@
 #: Seconds after which several engines are checked, as one has not answered yet.
 FIRST_WAIT_S = 0.25
 
-#: Number of engines that are checked before the node counts as silent or cut off.
+#: Number of engines that are checked at a time, before the node counts as silent.
 CHECKED_ENGINES = 4
 
 #: Seconds for which an engine that answered some node is checked.
@@ -67,7 +67,7 @@
         check by a peer was begun that an engine answered; minus infinity for none.
     :ivar is_silent: whether no engine answers this node.
     :ivar is_cut_off: whether none answers and it is proven that none can be reached:
-        all refuse, or some answer a peer.
+        all known ones refuse, or some answer a peer.
     :ivar reached_at: monotonic time at which the newest check was begun that an engine
         answered.
     """
@@ -89,6 +89,10 @@
         self._confirming: anyio.Event | None = None
         self._round_began_at: float | None = None
         self._silent_since = float('inf')
+        #: When engines were last checked, and which of them refused that, since an
+        #: engine last answered.
+        self._asked_at: dict[str, float] = {}
+        self._refusing: set[str] = set()
         self.is_silent = False
         self.is_cut_off = False
         self.reached_at = float('-inf')
@@ -142,38 +146,53 @@
         return reached
 
     def _choose_engines(self) -> list[str]:
-        """Return some known engines, first those that answer as far as is known."""
+        """Return some known engines, first those that answer as far as is known.
+
+        While none answers this node, those come first that were checked least recently.
+        """
         known = self._list_known()
         random.shuffle(known)
-        known.sort(key=self._answered_at.__getitem__, reverse=True)
+        never = float('-inf')
+        known.sort(
+            key=lambda item: (self._asked_at.get(item, never), -self._answered_at[item])
+        )
         return known[:CHECKED_ENGINES]
 
     async def _check_round(self, chosen: list[str]) -> bool:
         """Check engines, once more if this process did not run meanwhile."""
-        findings: set[Finding] = set()
         contradicted = False
+        findings: dict[str, Finding] = {}
         for _ in range(2):
             began_at = self._round_began_at = self._clock()
             contradicted = self._is_contradicted()
             findings = await self._check_all(chosen)
-            if Finding.ANSWERED in findings:
+            if Finding.ANSWERED in findings.values():
                 self._note_reached(began_at)
                 return True
             if not has_passed_late(self._timeout_s, self._clock() - began_at):
                 break
         self._note_silent(began_at)
-        if contradicted or findings == {Finding.FAILED}:
+        self._note_refusals(findings, began_at)
+        if contradicted or self._refusing.issuperset(self._list_known()):
             self._note_cut_off()
         return False
 
-    async def _check_all(self, chosen: list[str]) -> set[Finding]:
+    def _note_refusals(self, findings: dict[str, Finding], asked_at: float) -> None:
+        for address, finding in findings.items():
+            self._asked_at[address] = asked_at
+            if finding is Finding.FAILED:
+                self._refusing.add(address)
+            else:
+                self._refusing.discard(address)
+
+    async def _check_all(self, chosen: list[str]) -> dict[str, Finding]:
         """Return the results of checks; the first answer ends the others."""
-        findings = set()
+        findings: dict[str, Finding] = {}
         async with anyio.create_task_group() as tasks:
 
             async def check(address: str) -> None:
                 finding = await self._check(address)
-                findings.add(finding)
+                findings[address] = finding
                 if finding is Finding.ANSWERED:
                     tasks.cancel_scope.cancel()
 
@@ -214,6 +233,8 @@
 
     def _note_reached(self, began_at: float) -> None:
         self.reached_at = max(self.reached_at, began_at)
+        self._asked_at.clear()
+        self._refusing.clear()
         was_silent, self.is_silent, self.is_cut_off = self.is_silent, False, False
         if was_silent:
             log.emit(events.ENGINES_REACHED)
--- a/tests/control/test_partial_refusals.py
+++ b/tests/control/test_partial_refusals.py
@@ -31,6 +31,42 @@
         self.assertEqual(set(self.asked) & set(self.others), set())
         self.assertFalse(self.reach.is_cut_off)
 
+    # Guards against a node that asks the engines that refuse it again and again.
+    def test_engines_that_were_not_asked_are_asked_next(self):
+        self.confirm()
+        self.now += 1.0
+        self.assertTrue(self.confirm())
+        self.assertEqual(self.read_state(), (False, False))
+
+    def test_node_that_all_known_engines_refuse_is_cut_off(self):
+        self.answering = set()
+        states = []
+        for _ in range(2):
+            self.confirm()
+            self.now += 1.0
+            states.append(self.reach.is_cut_off)
+        self.assertEqual(states, [False, True])
+
+    # Guards against refusals that are counted though the engine is only silent now.
+    def test_engine_that_is_silent_after_a_refusal_refuses_no_more(self):
+        self.answering = set()
+        self.observed = self.refusing
+        self.confirm()
+        self.assertTrue(self.reach.is_cut_off)
+        self.reach.is_cut_off = False
+        self.otherwise = Finding.SILENT
+        self.confirm()
+        self.assertFalse(self.reach.is_cut_off)
+
+    def test_refusals_before_an_answer_prove_nothing(self):
+        self.confirm()
+        self.now += 1.0
+        self.confirm()
+        self.answering = set()
+        self.now += 1.0
+        self.confirm()
+        self.assertEqual(self.read_state(), (True, False))
+
 
 if __name__ == '__main__':
     unittest.main()
