Give on whole events of a stream only, and bound what comes without one

Callers got up to 268 MB of a single event that never ended, and, once its instance had closed, the events of another run after it in the same response. Line breaks and other bytes without any event were passed on without end as well.

The splitter returned the beginning of an event above one megabyte, and returned each block up to an empty line whether it held an event or not.

Now an event is returned whole or not at all, nothing is returned before the first event of a run, and a run whose bytes bring no event within MAX_EVENT_BYTES fails, so that the request goes elsewhere or is answered at that moment. Events that end in carriage returns are returned with their last byte; they were held until the response ended. The buffer is searched from where the last search ended.

--- a/coursepitch/http/event_splitter.py
+++ b/coursepitch/http/event_splitter.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import re
-from dataclasses import dataclass
+from dataclasses import dataclass, field
+
+from coursepitch.http.client import ExchangeError
 
 __all__ = ['EVENT_STREAM_TYPE', 'EventSplitter']
 
@@ -11,85 +13,117 @@
 EVENT_STREAM_TYPE = 'text/event-stream'
 
 #: Matches the id field of an event.  Source: HTML standard, section 9.2.6.
-_ID_FIELD = re.compile(rb'(?:^|[\r\n])id: ?([^\r\n]*)')
+_ID_FIELD = re.compile(rb'(?<![^\r\n])id: ?([^\r\n]*)')
+
+#: Matches a field that receivers do not ignore.  Source: HTML standard, section 9.2.6.
+_KNOWN_FIELD = re.compile(rb'(?<![^\r\n])(?:data|event|id|retry)[:\r\n]')
 
 #: Matches the end of an event: two line ends.  A carriage return is one by itself,
 #: unless a line feed follows.
 _EVENT_END = re.compile(rb'(?:\r\n|\r(?!\n)|\n){2}')
 
 #: Matches a line that is neither empty nor a comment.
-_FIELD_LINE = re.compile(rb'(?:^|[\r\n])[^:\r\n]')
+_FIELD_LINE = re.compile(rb'(?<![^\r\n])[^:\r\n]')
 
-#: Largest event in bytes that is buffered until it is complete.
+#: Largest event in bytes, and most bytes without a whole event.  Source: what is
+#: received of an event is buffered until it is whole, once for each stream.
 MAX_EVENT_BYTES = 1_048_576
 
 
 @dataclass(eq=False)
 class EventSplitter:
-    """Split a byte stream into complete events, and buffer an incomplete one.
+    """Split a byte stream into whole events, and buffer an incomplete one.
+
+    An event is a block of lines with a known field, up to an empty line.  Comments,
+    empty lines and unknown fields are none; they are returned after the first event
+    only, as a stream without events may turn out to be no stream of events.
 
-    :param last_event: id of the last complete event.
-    :param count: number of complete events of the present run; comments are none.
-    :param _split_event: whether the beginning of an incomplete event was returned.
+    :param last_event: id of the last whole event.
+    :param count: times that whole events of the present run were returned.
     """
 
     last_event: bytes = b''
     count: int = 0
-    _partial: bytes = b''
-    _split_event: bool = False
+    _partial: bytearray = field(default_factory=bytearray)
+    #: Bytes of ``_partial`` up to which there is no event, and no end of one.
+    _without_event: int = 0
+    _without_end: int = 0
+    _since_event: int = 0
 
     def feed(self, data: bytes) -> bytes:
-        """Add received bytes; return the events that are complete now."""
-        if self._partial:
-            data = self._partial + data
-        if data.endswith((b'\n\n', b'\r\n\r\n')):
-            # Targets usually send complete events.
-            whole, self._partial = data, b''
-        else:
-            end = max(_find_end(data, b'\n\n'), _find_end(data, b'\r\n\r\n'))
-            whole, self._partial = data[:end], data[end:]
-        if whole:
-            ids = _ID_FIELD.findall(whole)
-            if ids:
-                self.last_event = ids[-1]
-            has_fields = self._split_event or _FIELD_LINE.search(whole) is not None
-            self.count += max(len(ids), has_fields)
-            self._split_event = False
-        if len(self._partial) > MAX_EVENT_BYTES:
-            whole, self._partial = whole + self._partial, b''
-            self._split_event = True
-        return whole
+        """Add received bytes; return whole events, and comments between them.
+
+        The work for each byte does not depend on the bytes that are buffered.
+
+        :raises ExchangeError: more than :data:`MAX_EVENT_BYTES` came without a whole
+            event.
+        """
+        partial = self._partial
+        partial += data
+        self._since_event += len(data)
+        end = _find_end(partial, self._without_end)
+        # An end of two to four bytes may have begun.
+        self._without_end = max(end, len(partial) - 3)
+        if end and _KNOWN_FIELD.search(partial, self._without_event, end):
+            self.count += 1
+            self._since_event = len(partial) - end
+        elif self._since_event > MAX_EVENT_BYTES:
+            raise ExchangeError(f'no event within {MAX_EVENT_BYTES} bytes')
+        self._without_event = max(end, self._without_event)
+        return self._remove(end) if self.count else b''
+
+    def _remove(self, end: int) -> bytes:
+        """Return the buffered bytes up to a position, and buffer them no longer."""
+        if not end:
+            return b''
+        removed = bytes(self._partial[:end])
+        del self._partial[:end]
+        self._without_event = max(0, self._without_event - end)
+        self._without_end = max(0, self._without_end - end)
+        ids = _ID_FIELD.findall(removed)
+        if ids:
+            self.last_event = ids[-1]
+        return removed
 
     @property
     def buffered(self) -> int:
-        """Number of bytes after the last complete event."""
+        """Number of bytes that are yet to be returned."""
         return len(self._partial)
 
     def is_inside_event(self) -> bool:
         """Whether an event has begun and is not complete; comments are no events."""
         rest = _EVENT_END.split(self._partial)[-1]
-        return self._split_event or _FIELD_LINE.search(rest) is not None
+        return _FIELD_LINE.search(rest) is not None
 
     def has_events(self) -> bool:
         """Whether an event of the present run has begun."""
-        return (
-            self.count > 0
-            or self._split_event
-            or _FIELD_LINE.search(self._partial) is not None
-        )
+        return self.count > 0 or _FIELD_LINE.search(self._partial) is not None
 
     def flush(self) -> bytes:
-        """Return the bytes after the last complete event, once the stream has ended."""
-        rest, self._partial = self._partial, b''
-        return rest
+        """Return the bytes that are buffered, once the stream has ended regularly."""
+        return self._remove(len(self._partial))
 
     def start_run(self) -> None:
-        """Start over after the last complete event, as another run begins."""
-        self._partial = b''
-        self._split_event = False
+        """Start over after the last whole event, as another run begins."""
+        self._partial.clear()
+        self._without_event = self._without_end = self._since_event = 0
         self.count = 0
 
 
-def _find_end(data: bytes, delimiter: bytes) -> int:
-    found = data.rfind(delimiter)
-    return found + len(delimiter) if found >= 0 else 0
+def _find_end(data: bytearray, start: int) -> int:
+    """Return the end of the last empty line, or 0 if there is none.
+
+    A carriage return at the end of the data after a line feed is left for later, as
+    its own line feed may follow.
+
+    :param start: position before which no end begins.
+    """
+    end = data.rfind(b'\n\n', start) + 2
+    # Both may be followed by a line feed that belongs to the same line end.
+    for found in (
+        data.rfind(b'\n\r', start, len(data) - 1),
+        data.rfind(b'\r\r', start),
+    ):
+        if found >= 0:
+            end = max(end, found + 2 + (data[found + 2 : found + 3] == b'\n'))
+    return end if end > 1 else 0
