Count whole events only as progress of a stream

Streams that may be resumed were broken off at their deadline although other groups were idle, as an instance sent comments, empty lines or a few bytes at a time. Any bytes lifted the suspicion of a run and began its time without progress anew, and bytes without an event reached the client as the start of a response.

With 64 KiB each millisecond a request that may not be repeated is answered 502 within a second, at the bound of bytes without an event.

The time without progress counts from the last whole event, without what the client takes to receive it and without pauses of the node. A run that sends bytes only is overdue as a silent one is, a probe no longer ends with the next bytes, and the node prefers other heads unless the head may queue the request. Bytes still show that the head runs.

A response of another media type on a stream's route is buffered whole up to the bound of plain calls and forwarded at its regular end. It used to be forwarded up to each empty line, also behind the events of another run.

--- a/coursepitch/gateway/response_ends.py
+++ b/coursepitch/gateway/response_ends.py
@@ -24,7 +24,14 @@
     from coursepitch.gateway.job import Job
     from coursepitch.http.client import Response
 
-__all__ = ['Arrivals', 'BrokenOffError', 'check_body', 'check_events', 'check_sender']
+__all__ = [
+    'Arrivals',
+    'BrokenOffError',
+    'check_body',
+    'check_events',
+    'check_sender',
+    'has_events',
+]
 
 #: Seconds without bytes after which the end of a response may be that of its instance.
 #: An end that is read only once the entry of an ended instance is gone has been held up
@@ -73,7 +80,7 @@
         return now - self.resumed_at >= SILENCE_S
 
 
-def _has_events(job: Job, answer: Response) -> bool:
+def has_events(job: Job, answer: Response) -> bool:
     """Whether the body of a response consists of events.
 
     On a streaming route it does, unless the response names another media type.
@@ -98,7 +105,7 @@
 
     :raises BrokenOffError: it did.
     """
-    if not _has_events(job, answer):
+    if not has_events(job, answer):
         return
     if splitter.is_inside_event():
         reason = 'the stream ended inside an event'
@@ -175,7 +182,7 @@
     :param steady: whether the response was not silent shortly before its end.
     :raises BrokenOffError: it broke off.
     """
-    if _has_events(job, answer):
+    if has_events(job, answer):
         splitter = EventSplitter()
         splitter.feed(body)
         check_events(job, answer, instance, splitter)
--- a/coursepitch/gateway/runs.py
+++ b/coursepitch/gateway/runs.py
@@ -4,6 +4,9 @@
 which.  So a run that is suspected of having failed is kept while another is tried, and
 the first one to make progress delivers the response.  A run ends when its failure is
 proven, when another one makes progress, or with its request; never by silence.
+
+Progress is a whole event or the regular end of a response.  Other bytes, such as
+comments or parts of an event, may come without end and show no more than silence does.
 """
 
 from __future__ import annotations
@@ -60,10 +63,14 @@
     :param sent_at: monotonic time of the send; ``None`` before it.
     :param began_at: monotonic time at which its first event was forwarded.
     :param response: ``None`` before its head has arrived.
-    :param events: complete events that are yet to be forwarded.
+    :param events: whole events, and comments, that are yet to be forwarded.
+    :param has_progressed: whether there is an event among them, or the response has
+        ended regularly.
     :param arrivals: when the bytes of the response arrived.
-    :param received: bytes of the response since the last events that it gave.
+    :param received: bytes of the response since the last event that it gave.
     :param body: body of an error response.
+    :param parts: what has arrived of a body that is forwarded at its regular end;
+        ``None`` for a stream of events.
     :param complete: whether the response has ended regularly.
     :param suspected: whether the run may have failed, as it makes no progress.
     :param interrupted: whether its connection was lost, and it is being examined
@@ -74,6 +81,9 @@
     :param answering_since: monotonic time since which its group is known to answer
         again, and it makes no progress nevertheless; ``None`` if it does not answer.
     :param waits_since: monotonic time from which it counts as waiting for progress.
+    :param progressed_at: monotonic time at which it last progressed as it delivers the
+        response, or at which the node last went on after a pause.
+    :param checked_at: monotonic time at which its group was last probed for it.
     """
 
     group: OpenGroup
@@ -84,9 +94,11 @@
     began_at: float | None = None
     response: Response | None = None
     events: bytes = b''
+    has_progressed: bool = False
     arrivals: Arrivals = field(default_factory=Arrivals)
     received: int = 0
     body: bytes | None = None
+    parts: list[bytes] | None = None
     complete: bool = False
     suspected: bool = False
     interrupted: bool = False
@@ -95,6 +107,8 @@
     stalled_at: float = 0.0
     answering_since: float | None = None
     waits_since: float = 0.0
+    progressed_at: float = 0.0
+    checked_at: float = float('-inf')
 
     @property
     def head(self) -> str:
@@ -103,7 +117,7 @@
 
     def take_events(self) -> bytes:
         """Return the events that are yet to be forwarded, once."""
-        events, self.events = self.events, b''
+        events, self.events, self.has_progressed = self.events, b'', False
         return events
 
 
--- a/coursepitch/gateway/streams.py
+++ b/coursepitch/gateway/streams.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import enum
 from functools import partial
 from typing import TYPE_CHECKING
@@ -22,7 +23,7 @@
     take_permit,
 )
 from coursepitch.gateway.job import Ending, ErrorResponse, Refusal
-from coursepitch.gateway.response_ends import check_events, check_sender
+from coursepitch.gateway.response_ends import check_events, check_sender, has_events
 from coursepitch.gateway.runs import Run, RunRace, RunSet
 from coursepitch.gateway.suspicion import explain_crashes
 from coursepitch.gateway.watchdog import RECHECK_S, Stall
@@ -77,6 +78,10 @@
 #: Largest body in bytes of an error response.
 MAX_ERROR_BYTES = 1_048_576
 
+#: Largest body in bytes that is not a stream of events, as for plain calls: it is
+#: buffered whole before it is forwarded.
+MAX_BODY_BYTES = 16_777_216
+
 #: Most sends of one request, including rejected ones, whatever the route allows.
 MAX_SENDS = 5
 
@@ -505,7 +510,9 @@
         if response.status != 200:
             return await self._read_error(job, runs, run, response)
         try:
-            while not run.events and not run.complete:
+            if job.reply.started and run.parts is not None:
+                raise ExchangeError('a stream cannot go on with another media type')
+            while not run.has_progressed:
                 data = await response.read_chunk()
                 await self._take(job, run, data)
         except ExchangeError as error:
@@ -527,6 +534,7 @@
         run.sent_at = attempt.sent_at
         if attempt.answer is not None:
             run.response = attempt.answer
+            run.parts = None if has_events(job, attempt.answer) else []
             self._components.load_tracker.note_response_start(head.name, began_at)
             return True
         if attempt.misplaced:
@@ -540,14 +548,26 @@
     async def _take(self, job: Job, run: Run, data: bytes | None) -> None:
         """Take the next bytes of a response, or its end.
 
-        :raises ExchangeError: it broke off.
+        Bytes show that the instance runs; only a whole event or the end is progress.
+
+        :raises ExchangeError: it broke off, or can become no response.
         """
         now = self._components.clock()
         if data is not None:
             self._watchdog.note_activity(run.head)
             run.arrivals.note(now)
-            run.events = run.splitter.feed(data)
-            run.received = 0 if run.events else run.received + len(data)
+            run.received += len(data)
+            if run.parts is not None:
+                if run.received > MAX_BODY_BYTES:
+                    raise ExchangeError(
+                        f'response body larger than {MAX_BODY_BYTES} bytes'
+                    )
+                run.parts.append(data)
+                return
+            events_before = run.splitter.count
+            run.events += run.splitter.feed(data)
+            if run.splitter.count > events_before:
+                run.has_progressed, run.received = True, 0
             return
         response = run.response
         if response is None:
@@ -557,8 +577,8 @@
         steady = run.arrivals.are_steady(now)
         await check_sender(detector, job, response, run.group.head, steady=steady)
         self._watchdog.note_activity(run.head)
-        run.events = run.splitter.flush()
-        run.complete = True
+        run.events += run.splitter.flush() + b''.join(run.parts or ())
+        run.has_progressed = run.complete = True
 
     async def _deliver(self, job: Job, runs: RunSet[Run], run: Run) -> Progress:
         """Forward the response of a run until it ends or is stalled."""
@@ -572,15 +592,22 @@
             job.status = response.status
             headers = forward_response_headers(response.headers)
             await job.reply.start(response.status, headers)
+        clock = self._components.clock
+        run.progressed_at = clock()
         try:
             while True:
-                whole = run.take_events()
+                has_progressed, whole = run.has_progressed, run.take_events()
                 if whole:
                     runs.last_event = run.splitter.last_event
-                    if not run.complete:
-                        job.note_event(self._components.clock())
+                    began_at = clock()
+                    if has_progressed and not run.complete:
+                        job.note_event(began_at)
                         run.began_at = job.run_began_at
                     await job.reply.send(whole)
+                    # A client that takes its time is not for the run to answer for.
+                    run.progressed_at += clock() - began_at
+                if has_progressed:
+                    run.progressed_at = clock()
                 if run.complete:
                     break
                 if not await self._read_in_time(job, runs, run, response):
@@ -599,63 +626,73 @@
     async def _read_in_time(
         self, job: Job, runs: RunSet[Run], run: Run, response: Response
     ) -> bool:
-        """Read the next bytes of a response; return ``False`` if it is stalled.
+        """Read a response until there is something to forward.
 
         A run that nothing can replace is never stalled.
 
+        :return: ``False`` if it is stalled.
         :raises ExchangeError: it broke off.
         """
-        began = since = self._components.clock()
+        clock = self._components.clock
+        since = max(run.progressed_at, run.checked_at)
         times, model = self._watchdog.reply_times, job.fields.model
         timeouts = TimeoutFilter()
+        is_noted = run.suspected
         while True:
-            left_s = self._watchdog.find_quiet_left_s(
-                run.head, since, times.find_quiet_limit_s(model)
-            )
+            quiet_limit_s = times.find_quiet_limit_s(model)
+            left_s = self._watchdog.find_quiet_left_s(run.head, since, quiet_limit_s)
+            if run.received and left_s > 0:
+                # Its own bytes are no reason to wait longer than for a silent run.
+                overdue_at = run.progressed_at + times.find_overdue_limit_s(model)
+                check_at = max(overdue_at, since + quiet_limit_s)
+                left_s = min(left_s, max(0.0, check_at - clock()))
             if left_s > 0:
-                asked_at = self._components.clock()
-                try:
-                    data = await response.read_chunk(left_s)
-                except TimeoutError:
-                    now = self._components.clock()
-                    if not timeouts.holds(left_s, now - asked_at):
-                        began = since = now
-                    continue
-                run.suspected = False
-                await self._take(job, run, data)
-                return True
-            stall, chunks = await self._check_and_read(run, response, since)
-            if chunks:
+                asked_at = clock()
+                chunks: list[bytes | None] = []
+                with contextlib.suppress(TimeoutError):
+                    chunks.append(await response.read_chunk(left_s))
+                now = clock()
+                if not timeouts.holds(left_s, now - asked_at):
+                    run.progressed_at = since = now
+                if chunks:
+                    await self._take(job, run, chunks[0])
+                if run.has_progressed:
+                    run.suspected = False
+                if run.events or run.has_progressed:
+                    return True
+                continue
+            stall = await self._check_and_read(job, run, response, since)
+            if run.has_progressed:
                 run.suspected = False
-                await self._take(job, run, chunks[0])
                 return True
-            if (
-                stall is None
-                and self._is_overdue(job, began)
-                and self._may_reroute(job, run, began)
-            ):
-                stall = Stall.OVERDUE
+            if stall is None and self._is_overdue(job, run.progressed_at):
+                if not is_noted:
+                    self._note_unproductive(job, run)
+                    is_noted = True
+                if self._may_reroute(job, run, run.progressed_at):
+                    stall = Stall.OVERDUE
             if stall is not None:
                 if not run.suspected:
-                    self._log_stall(job, run, stall, began)
+                    self._log_stall(job, run, stall, run.progressed_at)
                 run.suspected = True
                 if self._may_add_run(job, runs):
                     return False
-            since = self._components.clock()
+            since = run.checked_at = clock()
+            if run.events:
+                return True
 
     async def _check_and_read(
-        self, run: Run, response: Response, since: float
-    ) -> tuple[Stall | None, list[bytes | None]]:
-        """Find out why a run may be stalled, or read on if its response does.
+        self, job: Job, run: Run, response: Response, since: float
+    ) -> Stall | None:
+        """Find out why a run may be stalled, or read on if its response progresses.
 
         :param since: monotonic time at which it last progressed.
-        :return: why it may be stalled, and the next bytes, ``None`` for the end, if
-            they came first.
+        :return: why it may be stalled, if it has not progressed.
         :raises ExchangeError: the response broke off.
         """
         stall: Stall | None = None
         failure: ExchangeError | None = None
-        chunks: list[bytes | None] = []
+        has_ended = False
         async with anyio.create_task_group() as tasks:
 
             async def check() -> None:
@@ -665,13 +702,20 @@
 
             tasks.start_soon(check)
             try:
-                chunks.append(await response.read_chunk())
+                while not (run.has_progressed or has_ended):
+                    data = await response.read_chunk()
+                    if data is None:
+                        has_ended = True
+                    else:
+                        await self._take(job, run, data)
             except ExchangeError as error:
                 failure = error
             tasks.cancel_scope.cancel()
         if failure is not None:
             raise failure
-        return stall, chunks
+        if has_ended:
+            await self._take(job, run, None)
+        return stall
 
     async def _wait_until_stalled(self, job: Job, run: Run, runs: RunSet[Run]) -> None:
         """Wait until a run that has not begun to deliver is stalled."""
@@ -688,6 +732,7 @@
                 times = self._watchdog.reply_times
                 limit_s = times.find_overdue_limit_s(job.fields.model)
                 await sleep_running(self._components.clock, limit_s, since)
+                self._note_unproductive(job, run)
                 while not self._may_reroute(job, run, began, runs.heads):
                     await anyio.sleep(OVERDUE_CHECK_INTERVAL_S)
                 self._log_stall(job, run, Stall.OVERDUE, began)
@@ -701,6 +746,16 @@
         limit_s = self._watchdog.reply_times.find_overdue_limit_s(job.fields.model)
         return self._components.clock() - began >= limit_s
 
+    def _note_unproductive(self, job: Job, run: Run) -> None:
+        """Let other requests avoid a head that sends bytes without any event.
+
+        A head whose engine has no free slot may send comments while the request waits.
+        """
+        engine = job.service.engine
+        in_flight = self._components.load_tracker.count_in_flight(run.head)
+        if run.received and engine is not None and in_flight <= engine.slots:
+            self._components.load_tracker.note_failure(run.head)
+
     def _may_reroute(
         self,
         job: Job,
--- /dev/null
+++ b/tests/gateway/test_endless_streams.py
@@ -0,0 +1,201 @@
+"""Streams whose instances send bytes that are no answer, without end."""
+
+from __future__ import annotations
+
+import itertools
+import math
+import re
+import unittest
+from dataclasses import replace
+
+from coursepitch.http.event_splitter import MAX_EVENT_BYTES
+from tests.gateway.simulated_runs import (
+    HEAD_S,
+    LAST_EVENT,
+    Case,
+    Script,
+    Seen,
+    Simulation,
+    build_parts,
+)
+
+#: Seconds between two pieces of bytes, and bytes of a piece.
+PACES = {'slow': (0.05, 10), 'fast': (0.001, 65_536)}
+
+#: Bytes that come to no event, each after what begins it.
+KINDS = {
+    'comments': (b'', b': ping\n\n'),
+    'line breaks': (b'', b'\n'),
+    'one byte': (b'', b'x'),
+    'event': (b'id: 1\ndata: ', b'x'),
+}
+
+#: By when a request that may run elsewhere has ended, in seconds.
+SERVED_S = 2.5
+
+#: An instance whose endless bytes are the only thing wrong with it.
+SOUND = Script(seen=Seen.OVERDUE)
+
+
+def flood(kind, pace, after, head):
+    """Yield the parts of a response without end.
+
+    :param after: whole events before it.
+    :param head: bytes of an answer that begins it.
+    """
+    work_s = HEAD_S
+    for part in build_parts(SOUND, 0)[: 2 * after]:
+        work_s = part[0]
+        yield part
+    begin, unit = KINDS[kind]
+    step_s, size = PACES[pace]
+    yield work_s + step_s, begin + head, False
+    for number in itertools.count(2):
+        yield work_s + number * step_s, (unit * size)[:size], False
+
+
+class Endless(list):
+    """Parts of a response that are made as they are read."""
+
+    def __init__(self, parts):
+        super().__init__([next(parts)])
+        self._parts = parts
+        self.bytes_read = 0
+
+    def pop(self, index=-1):
+        part = super().pop(index)
+        self.bytes_read += len(part[1])
+        self.append(next(self._parts))
+        return part
+
+
+class EndlessSimulation(Simulation):
+    """A simulation in which the first instance sends bytes without end.
+
+    Comments and empty lines between two events may reach the client.
+    """
+
+    kind, pace, after = 'comments', 'slow', 0
+    media_type = None
+
+    def _build(self):
+        super()._build()
+        check = self.reply.send
+
+        async def send(data):
+            events = re.sub(rb'(?m)^:.*\n|^\n', b'', data)
+            if events:
+                await check(events.replace(b'x\n', b'x\n\n'))
+            elif not self.reply.last_event:
+                self.note_fault(f'got {data[:20]} before the first event')
+
+        self.reply.send = send
+
+    def begin_send(self, name, headers):
+        send = super().begin_send(name, headers)
+        if name == 'h0':
+            # The simulated work passes in any case.
+            send.script = replace(send.script, silent_at=math.inf)
+            send.parts = Endless(flood(self.kind, self.pace, self.after, b''))
+            self.flooded = send
+            if self.media_type is not None:
+                send.headers += ((b'content-type', self.media_type),)
+        return send
+
+    def end_send(self, send):
+        if send is self.flooded:
+            send.failed = True
+        super().end_send(send)
+
+
+class EndlessStreamTest(unittest.TestCase):
+    """Bytes that bring no event are no progress."""
+
+    def play(self, *scripts, kind='comments', pace='slow', after=0, **options):
+        case = Case((SOUND, *scripts), **options)
+        simulation = EndlessSimulation(case)
+        simulation.kind, simulation.pace = kind, pace
+        simulation.after = after
+        simulation.play()
+        self.assertEqual(simulation.faults, [])
+        return simulation
+
+    # Guards against streams that end at their deadline while other groups are idle.
+    def test_stream_that_may_be_resumed_goes_on_elsewhere(self):
+        for kind, pace, after in itertools.product(KINDS, PACES, (0, 2)):
+            if kind == 'event' and after:
+                continue
+            with self.subTest(kind=kind, pace=pace, after=after):
+                found = self.play(SOUND, kind=kind, pace=pace, after=after)
+                self.assertTrue(found.reply.whole)
+                self.assertEqual(found.reply.last_event, LAST_EVENT)
+                self.assertLess(found.ended_s, SERVED_S)
+
+    # Guards against requests that are answered at their deadline although what came
+    # can become no answer.
+    def test_stream_that_may_not_be_repeated_ends_with_the_proof(self):
+        for kind in KINDS:
+            with self.subTest(kind=kind):
+                found = self.play(SOUND, kind=kind, pace='fast', resumable=False)
+                self.assertEqual(found.refusal.status, 502)
+                self.assertLess(found.ended_s, 1.0)
+                read = found.flooded.parts.bytes_read
+                self.assertLess(read, MAX_EVENT_BYTES + 2 * 65_536)
+
+    # Guards against instances that get as many requests as before.
+    def test_instance_is_avoided(self):
+        for pace, resumable in itertools.product(PACES, (False, True)):
+            with self.subTest(pace=pace, resumable=resumable):
+                found = self.play(SOUND, pace=pace, resumable=resumable)
+                self.assertTrue(found.tracker._record('h0').failures)
+
+
+class OtherMediaTypeTest(unittest.TestCase):
+    """A body of another media type on a stream's route."""
+
+    def play(self, parts, **options):
+        simulation = EndlessSimulation(Case((SOUND,), **options))
+        simulation.media_type = b'application/json'
+        simulation.parts = parts
+        begin_send = simulation.begin_send
+
+        def begin(name, headers):
+            send = begin_send(name, headers)
+            send.parts = parts
+            return send
+
+        simulation.begin_send = begin
+        sent = simulation.sent = []
+
+        build = simulation._build
+
+        def build_with_reply():
+            build()
+
+            async def note(data):
+                sent.append((simulation.now, data))
+
+            async def end():
+                simulation.reply.whole = simulation.reply.written = True
+
+            simulation.reply.send, simulation.reply.end = note, end
+
+        simulation._build = build_with_reply
+        return simulation.play()
+
+    # Guards against bytes that reach a client before it is known that they are whole.
+    def test_body_is_forwarded_at_its_end(self):
+        parts = [(0.1, b'{}\n\n', False), (0.3, b'{}', False), (0.5, None, True)]
+        found = self.play(parts)
+        self.assertEqual([data for _, data in found.sent], [b'{}\n\n{}'])
+        self.assertTrue(found.reply.whole)
+
+    def test_body_without_end_is_refused(self):
+        parts = Endless(flood('one byte', 'fast', 0, b''))
+        found = self.play(parts, resumable=False)
+        self.assertEqual((found.sent, found.refusal.status), ([], 502))
+        self.assertLess(found.ended_s, 2.0)
+
+
+if __name__ == '__main__':
+    unittest.main()
