Answer errors of instances whose body does not end within a second

A request that may not be repeated got 504 at its deadline, 6 s in the test, where an instance sent the head of an error and then nothing, or bytes without end: only the body of an error that was to be dropped had a time limit.

The body of every error on a stream's route now has a whole limit of one second, beside its bound of bytes. If no other run may go on, the request is answered 502 then, after 1.0 s in the test, and its reason names the status.

--- a/coursepitch/gateway/streams.py
+++ b/coursepitch/gateway/streams.py
@@ -66,8 +66,9 @@
 #: budget or groups have not allowed.
 FIND_INTERVAL_S = 0.1
 
-#: Timeout in seconds for the rest of an error response that is not forwarded.
-DROPPED_BODY_TIMEOUT_S = 1.0
+#: Timeout in seconds for the body of an error response.  Source: instances send it with
+#: its head, and a client can do more with an early error than with a late one.
+ERROR_BODY_TIMEOUT_S = 1.0
 
 #: Requests in flight per slot up to which a group accepts a resumed stream.
 RESUMED_REQUESTS_PER_SLOT = 3
@@ -822,7 +823,7 @@
         is_dropped = (
             job.reply.started or may_retry or claims_not_executed or may_succeed
         )
-        run.body = await self._read_error_body(job, run, response, is_dropped)
+        run.body = await self._read_error_body(job, run, response)
         if run.body is None or is_dropped:
             job.last_reason = f'answered with {response.status}'
             if run.body is not None and not claims_not_executed:
@@ -832,14 +833,11 @@
         return True
 
     async def _read_error_body(
-        self, job: Job, run: Run, response: Response, is_dropped: bool
+        self, job: Job, run: Run, response: Response
     ) -> bytes | None:
-        """Return the body of an error response, or ``None`` if it is incomplete.
-
-        :param is_dropped: whether it is only read so that its connection can be reused.
-        """
+        """Return the body of an error response, or ``None`` if it is incomplete."""
         try:
-            with anyio.fail_after(DROPPED_BODY_TIMEOUT_S if is_dropped else None):
+            with anyio.fail_after(ERROR_BODY_TIMEOUT_S):
                 body = await response.read_whole(MAX_ERROR_BYTES)
                 detector = self._components.crash_detector
                 await check_sender(detector, job, response, run.group.head)
--- a/tests/gateway/test_endless_streams.py
+++ b/tests/gateway/test_endless_streams.py
@@ -10,9 +10,11 @@
 
 from coursepitch.http.event_splitter import MAX_EVENT_BYTES
 from tests.gateway.simulated_runs import (
+    FAILED_STATUS,
     HEAD_S,
     LAST_EVENT,
     Case,
+    Fate,
     Script,
     Seen,
     Simulation,
@@ -197,5 +199,27 @@
         self.assertLess(found.ended_s, 2.0)
 
 
+class EndlessErrorTest(unittest.TestCase):
+    """Errors whose body does not end."""
+
+    def play(self, *scripts, **options):
+        simulation = EndlessSimulation(
+            Case((Script(fate=Fate.FAILS), *scripts), **options)
+        )
+        return simulation.play()
+
+    # Guards against errors that are kept until the deadline.
+    def test_error_that_may_not_be_repeated_is_answered_soon(self):
+        found = self.play(SOUND, resumable=False)
+        self.assertEqual(found.refusal.status, 502)
+        self.assertIn(str(FAILED_STATUS), found.refusal.reason)
+        self.assertLess(found.ended_s, 1.5)
+
+    def test_error_that_may_be_repeated_goes_elsewhere(self):
+        found = self.play(SOUND)
+        self.assertTrue(found.reply.whole)
+        self.assertLess(found.ended_s, SERVED_S)
+
+
 if __name__ == '__main__':
     unittest.main()
