Let paths of the stand-in outlast connections that are reset early

A run of the soak ended with the stand-in of instances: a node that gives up resets its connection, and one that was reset before it was accepted ended the path's task and with it the process. The test failed before ("the socket must be connected").

--- a/standins/paths.py
+++ b/standins/paths.py
@@ -158,7 +158,12 @@
             except OSError:
                 # The client closed the connection before it was accepted.
                 continue
-            raw = await anyio.abc.SocketStream.from_socket(accepted)
+            try:
+                raw = await anyio.abc.SocketStream.from_socket(accepted)
+            except ValueError:
+                # The client reset the connection before it was accepted.
+                accepted.close()
+                continue
             stream = PathStream(raw, self)
             self._streams.add(stream)
             tasks.start_soon(self._serve, stream)
