Let instances send bytes without end in the soak

Instances send bytes that are no answer, of all kinds of the stand-in, fast and slow, beside all other faults; the faults that a seed drew before are the same. The promise "floods": calls that met sound instances only are answered whole or refused, and all calls end by their limit.

--- a/soak/checkers.py
+++ b/soak/checkers.py
@@ -403,6 +403,42 @@
     return Verdict('silence refusals', looked_at, tuple(findings))
 
 
+def check_floods(history: History, bounds: Bounds) -> Verdict:
+    """Bytes without end at some instances concern nobody else, and hold no call.
+
+    Calls that met sound instances only are answered whole, or refused, and all calls
+    end by their limit.  Left out are those that another fault concerns, and, of the
+    former, those beside a silence of instances.
+    """
+    looked_at = 0
+    findings = []
+    instances = _group_instances(history)
+    for call in history.calls:
+        floods = history.list_floods(call)
+        if not floods or call.ending is Ending.DENIED:
+            continue
+        ran_at = instances[call.id]
+        flooded = frozenset().union(*(flood.instances for flood in floods))
+        if _is_disturbed(history, call, ran_at - flooded, bounds):
+            continue
+        looked_at += 1
+        limit_s = history.find_limit_s(call, bounds.config_s + bounds.contact_s)
+        took_s = call.ended_at - call.sent_at
+        is_sound = not (ran_at & flooded or history.list_silences(call))
+        if took_s > limit_s + bounds.late_s:
+            what = 'went on after its limit'
+        elif is_sound and call.ending not in (Ending.WHOLE, Ending.NOT_RUN):
+            what = 'met sound instances only'
+        else:
+            continue
+        text = (
+            f'{what}: {call.ending.value}, status {call.status}, after {took_s:.3f} s '
+            f'at {call.node}, ran at {sorted(ran_at)}'
+        )
+        findings.append(Finding(call.id, call.ended_at, text))
+    return Verdict('floods', looked_at, tuple(findings))
+
+
 def _group_instances(history: History) -> dict[str, set[str]]:
     """Return the instances at which each call arrived."""
     instances: dict[str, set[str]] = defaultdict(set)
@@ -486,6 +522,7 @@
     check_crashing_parts,
     check_silences,
     check_silence_refusals,
+    check_floods,
     check_routes,
     check_versions,
     check_damaged,
--- a/soak/driver.py
+++ b/soak/driver.py
@@ -30,6 +30,7 @@
     Disturbed,
     Ended,
     Exit,
+    Flood,
     Gone,
     History,
     InForce,
@@ -138,6 +139,7 @@
         self._left: list[Left] = []
         self._cuts: list[Cut] = []
         self._broken: list[Broken] = []
+        self._floods: list[Flood] = []
         self._silences: list[Silence] = []
         self._away: set[str] = set()
         self._without_paths: set[str] = set()
@@ -225,6 +227,7 @@
             ends=self._list_ends(),
             gone=self._list_gone(),
             broken=tuple(self._broken),
+            floods=tuple(self._floods),
             silences=tuple(self._silences),
             nodes=self._names,
             damaged=tuple(self._damaged),
@@ -315,6 +318,7 @@
             FaultKind.PART: self._end_by_part,
             FaultKind.PAUSE: self._stand_still,
             FaultKind.SUSPEND: self._suspend,
+            FaultKind.FLOOD: self._flood,
             FaultKind.CHANGE: self._change,
             FaultKind.RELOAD: self._reload,
             FaultKind.INVALID_CHANGE: self._damage,
@@ -468,6 +472,23 @@
         _System.control(fault.service, '/fault', mode='none', instances=chosen)
         self._broken.append(Broken(frozenset(chosen), since, time.monotonic()))
 
+    def _flood(self, fault: Fault) -> None:
+        """Let some of a service's instances send bytes that are no answer."""
+        chosen = self._choose(fault)
+        since = time.monotonic()
+        _System.control(
+            fault.service,
+            '/fault',
+            mode='endless',
+            kind=fault.place,
+            pace=fault.mode,
+            instances=chosen,
+        )
+        self._pause.wait(fault.length_s)
+        _System.control(fault.service, '/fault', mode='none', instances=chosen)
+        flood = Flood(fault.service, frozenset(chosen), since, time.monotonic())
+        self._floods.append(flood)
+
     def _note_acknowledged(self, sent_at: float) -> None:
         operation = self._operation
         change = Acknowledged(
--- a/soak/history.py
+++ b/soak/history.py
@@ -20,6 +20,7 @@
     'Ended',
     'Ending',
     'Exit',
+    'Flood',
     'Gone',
     'History',
     'InForce',
@@ -133,6 +134,16 @@
     until: float
 
 
+@dataclass(frozen=True, slots=True)
+class Flood:
+    """Instances of a service that sent bytes that are no answer, without end."""
+
+    service: str
+    instances: frozenset[str]
+    since: float
+    until: float
+
+
 @dataclass(frozen=True, slots=True)
 class Silence:
     """Instances of a service that stood still and then went on."""
@@ -287,6 +298,7 @@
     ends: tuple[Ended, ...] = ()
     gone: tuple[Gone, ...] = ()
     broken: tuple[Broken, ...] = ()
+    floods: tuple[Flood, ...] = ()
     silences: tuple[Silence, ...] = ()
     nodes: tuple[str, ...] = ()
     in_force: tuple[InForce, ...] = ()
@@ -374,6 +386,14 @@
             and call.sent_at <= silence.until + after_s
         ]
 
+    def list_floods(self, call: Call) -> list[Flood]:
+        """Return the times in which instances of any service sent without end."""
+        return [
+            flood
+            for flood in self.floods
+            if flood.since <= call.ended_at and call.sent_at <= flood.until
+        ]
+
     def find_limit_s(self, call: Call, late_s: float) -> float:
         """Return the seconds that a call has by its caller and by its route.
 
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -6,6 +6,8 @@
 import random
 from dataclasses import dataclass
 
+from standins.endless import KINDS, PACES
+
 __all__ = ['Fault', 'FaultKind', 'draw_plan']
 
 #: Seconds between two faults, at least and at most: they overlap.
@@ -42,6 +44,14 @@
 #: Share of the instances that stand still; more than 1 stands for all.
 SILENT_SHARE = (0.0, 1.5)
 
+#: Seconds for which instances send bytes that are no answer, without end, and from the
+#: start of one such time to that of the next one: they overlap.
+FLOOD_S = (0.5, 4.0)
+FLOOD_GAP_S = (0.5, 7.0)
+
+#: Share of the instances that send such bytes.
+FLOODING_SHARE = (0.05, 0.5)
+
 #: How often instances stand still because their process is stopped by a signal.
 SUSPEND_SHARE = 0.3
 
@@ -78,6 +88,7 @@
     PART = 'part'
     PAUSE = 'pause'
     SUSPEND = 'suspend'
+    FLOOD = 'flood'
     CHANGE = 'change'
     RELOAD = 'reload'
     INVALID_CHANGE = 'invalid change'
@@ -107,8 +118,9 @@
     :param choice: from 0 to 1; chooses a node, or instances.
     :param share: part of the instances that it concerns, from 0 to 1.
     :param backoff_s: seconds of the backoffs that instances ask for.
-    :param mode: how nodes lose their paths, or what a change concerns.
-    :param place: where instances break streams off.
+    :param mode: how nodes lose their paths, what a change concerns, or how fast
+        instances send bytes without end.
+    :param place: where instances break streams off, or what has no end.
     """
 
     at: float
@@ -150,6 +162,7 @@
         at += chance.uniform(*GAP_S)
     faults += _draw_parts(seed, seconds)
     faults += _draw_silences(seed, seconds + CALM_S)
+    faults += _draw_floods(seed, seconds)
     faults += _draw_changes(seed, seconds + CALM_S)
     return sorted(faults, key=lambda fault: fault.at)
 
@@ -198,6 +211,31 @@
     return faults
 
 
+def _draw_floods(seed: int, seconds: float) -> list[Fault]:
+    """Return the times in which instances send bytes that are no answer, without end.
+
+    They are drawn apart, so that a seed draws the same other faults as without them.
+    """
+    chance = random.Random(f'{seed}/floods')
+    faults = []
+    at = chance.uniform(*FLOOD_GAP_S)
+    while at < seconds:
+        fault = Fault(
+            at,
+            FaultKind.FLOOD,
+            chance.uniform(*FLOOD_S),
+            chance.choice(('pool', 'api')),
+            chance.random(),
+            chance.uniform(*FLOODING_SHARE),
+            0.0,
+            chance.choice(PACES),
+            chance.choice(KINDS),
+        )
+        faults.append(fault)
+        at += chance.uniform(*FLOOD_GAP_S)
+    return faults
+
+
 def _draw_changes(seed: int, seconds: float) -> list[Fault]:
     """Return the changes of the configuration and of nodes' settings by operators.
 
--- a/soak/verdicts.py
+++ b/soak/verdicts.py
@@ -31,6 +31,7 @@
     :param silent_refusals: refusals beyond this share.
     :param config_s: seconds after the store's acknowledgement of a configuration after
         which nodes in touch act on it.
+    :param late_s: seconds after its limit by which a call beside floods has ended.
     """
 
     drain_s: float = 2.0
@@ -50,6 +51,7 @@
     silent_refused_share: float = 0.1
     silent_refusals: int = 5
     config_s: float = 2.0
+    late_s: float = 1.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -8,6 +8,7 @@
 from soak.checkers import Bounds, check_all
 from soak.driver import SoakRun
 from soak.plan import FaultKind, draw_plan
+from standins.endless import KINDS, PACES
 
 #: Promises that a run of this length puts to the test.
 PUT_TO_THE_TEST = {
@@ -18,6 +19,7 @@
     'backoffs',
     'crashing parts',
     'silences',
+    'floods',
     'routes',
     'versions',
     'settings',
@@ -27,6 +29,8 @@
 
 SILENCES = {FaultKind.PAUSE, FaultKind.SUSPEND}
 
+FLOODS = {FaultKind.FLOOD}
+
 CHANGES = {
     FaultKind.CHANGE,
     FaultKind.RELOAD,
@@ -56,13 +60,12 @@
         self.assertEqual(draw_plan(7, 60.0), draw_plan(7, 60.0))
         self.assertNotEqual(draw_plan(7, 60.0), draw_plan(8, 60.0))
 
-    # Guards against draws of silences or changes that change the other faults of a
-    # seed.
+    # Guards against draws of silences, floods or changes that change the other faults.
     def test_silences_and_changes_leave_the_other_faults_of_a_seed_as_they_were(self):
         others = [
             (round(fault.at, 3), fault.kind.value, round(fault.length_s, 3))
             for fault in draw_plan(7, 12.0)
-            if fault.kind not in SILENCES | CHANGES
+            if fault.kind not in SILENCES | CHANGES | FLOODS
         ]
         self.assertEqual(others, FAULTS_OF_SEED_7)
 
@@ -76,6 +79,13 @@
         others = [fault for fault in plan if fault.kind not in SILENCES | CHANGES]
         self.assertGreater(silences[-1].at, max(fault.at for fault in others))
 
+    def test_floods_of_all_kinds_and_paces_are_drawn(self):
+        plan = [fault for seed in range(40) for fault in draw_plan(seed, 36.0)]
+        floods = [fault for fault in plan if fault.kind is FaultKind.FLOOD]
+        drawn = {(fault.place, fault.mode) for fault in floods}
+        self.assertEqual(drawn, set(itertools.product(KINDS, PACES)))
+        self.assertEqual({fault.service for fault in floods}, {'pool', 'api'})
+
     def test_changes_of_all_kinds_come_in_series_and_beside_all_other_faults(self):
         plan = [fault for seed in range(10) for fault in draw_plan(seed, 36.0)]
         changes = [fault for fault in plan if fault.kind in CHANGES]
