Try plain calls elsewhere whose body does not end in time

A call that may be repeated waited for its deadline, 6 s in the test, and got 504 although another instance was idle, as the first one had sent the head of its response and then nothing, or a few bytes at a time. A run with a head was never overdue. An error whose body did not end was kept until the deadline as well.

A response that has begun is now overdue as long after its head as a head is after the send, and another run is tried beside it if the route allows one; the first whole response is forwarded. In virtual time with an objective of 0.4 s the call is answered after 1.19 s where ten bytes come each 50 ms. Bodies of errors have the limits that they have on streams, a second and a megabyte, and then the call goes elsewhere or is answered 502 with the status in its reason. The node prefers other instances as soon as a body is overdue.

The simulated response ignored the bound that it is given; it keeps it as the real one does.

--- a/coursepitch/gateway/attempts.py
+++ b/coursepitch/gateway/attempts.py
@@ -30,6 +30,9 @@
     from coursepitch.http.messages import Headers
 
 __all__ = [
+    'ERROR_BODY_TIMEOUT_S',
+    'MAX_BODY_BYTES',
+    'MAX_ERROR_BYTES',
     'NOT_EXECUTED_STATUSES',
     'Attempt',
     'Result',
@@ -115,6 +118,16 @@
 #: Statuses that guarantee to a client that its request was not executed.
 NOT_EXECUTED_STATUSES = frozenset({408, 421, 429, 503})
 
+#: Largest body in bytes that is buffered whole before it is forwarded.
+MAX_BODY_BYTES = 16_777_216
+
+#: Largest body in bytes of an error response.
+MAX_ERROR_BYTES = 1_048_576
+
+#: Timeout in seconds for the body of an error response.  Source: instances send it with
+#: its head, and a client can do more with an early error than with a late one.
+ERROR_BODY_TIMEOUT_S = 1.0
+
 #: Largest body in bytes of a rejection that is read and discarded.
 MAX_REJECTION_BYTES = 65_536
 
--- a/coursepitch/gateway/calls.py
+++ b/coursepitch/gateway/calls.py
@@ -11,6 +11,9 @@
 from coursepitch.fleet.pause_detector import has_passed_late, sleep_running
 from coursepitch.gateway.admission import Denied, Terms
 from coursepitch.gateway.attempts import (
+    ERROR_BODY_TIMEOUT_S,
+    MAX_BODY_BYTES,
+    MAX_ERROR_BYTES,
     NOT_EXECUTED_STATUSES,
     Retry,
     SendPlan,
@@ -40,9 +43,6 @@
 
 __all__ = ['CallServer']
 
-#: Largest response body in bytes, which is buffered whole before it is forwarded.
-MAX_RESPONSE_BYTES = 16_777_216
-
 #: Share of the latency objective for which a request waits for an instance.
 WAIT_OBJECTIVE_SHARE = 0.2
 
@@ -50,7 +50,8 @@
 CLIENT_RETRY_WAIT_S = 1.0
 
 #: Time after which a run without a response is overdue, so that another one is tried
-#: beside it, as a multiple of the latency objective.
+#: beside it, as a multiple of the latency objective.  A response that has begun has as
+#: long from then on, as instances may take longer to send a body than to begin it.
 OVERDUE_FACTOR = 2.0
 
 #: Seconds until another run is tried again for an overdue request, which route, retry
@@ -72,6 +73,7 @@
     :param permit: permit for the send, where the instance limits its rate.
     :param sent_at: monotonic time of the send; ``None`` before it.
     :param response: ``None`` before its head has arrived.
+    :param begun_at: monotonic time at which its head arrived; ``None`` before it.
     :param body: whole body of the response.
     :param suspected: whether the run is overdue.
     :param interrupted: whether its connection was lost, and it is being examined
@@ -84,6 +86,7 @@
     permit: Permit | None = None
     sent_at: float | None = None
     response: Response | None = None
+    begun_at: float | None = None
     body: bytes = b''
     suspected: bool = False
     interrupted: bool = False
@@ -298,15 +301,15 @@
     async def _wait_until_overdue(
         self, job: Job, run: CallRun, runs: RunSet[CallRun]
     ) -> None:
-        """Wait until a run without a response is overdue."""
+        """Wait until a run without a whole response is overdue."""
         began, asked_at = run.waits_since, self._components.clock()
         overdue_s = job.route.objective_s * OVERDUE_FACTOR
         has_paused = has_passed_late(overdue_s, asked_at - began)
         since = asked_at if has_paused else began
         await sleep_running(self._components.clock, overdue_s, since)
-        if run.response is not None:
-            # Instances may take longer to send a body than to begin it.
-            await anyio.sleep_forever()
+        if run.begun_at is not None:
+            began = run.begun_at
+            await sleep_running(self._components.clock, overdue_s, began)
         now = self._components.clock()
         log.emit(
             events.RUN_STALLED,
@@ -321,7 +324,7 @@
             allowed=job.route.attempts if job.route.repeatable else 1,
             left_s=round(job.deadline_at - now, 3),
         )
-        if self._may_add_run(job, runs):
+        if run.begun_at is not None or self._may_add_run(job, runs):
             # Other requests prefer instances that answer.
             self._components.load_tracker.note_failure(run.head)
 
@@ -380,7 +383,7 @@
             if attempt.interrupted:
                 await self._check_crash(job, run)
             return False
-        run.response = attempt.answer
+        run.response, run.begun_at = attempt.answer, self._components.clock()
         return await self._read_whole(job, runs, run, attempt.answer)
 
     async def _read_whole(
@@ -389,6 +392,9 @@
         """Read a whole response; return whether it is to be forwarded."""
         components = self._components
         left_s = max(0.001, job.deadline_at - components.clock())
+        limit, is_error = MAX_BODY_BYTES, answer.status >= 400
+        if is_error:
+            limit, left_s = MAX_ERROR_BYTES, min(left_s, ERROR_BODY_TIMEOUT_S)
         arrivals = Arrivals()
 
         def note() -> None:
@@ -396,7 +402,7 @@
 
         try:
             with anyio.fail_after(left_s):
-                run.body = await answer.read_whole(MAX_RESPONSE_BYTES, note)
+                run.body = await answer.read_whole(limit, note)
                 await check_body(
                     components.crash_detector,
                     job,
@@ -407,6 +413,8 @@
                 )
         except (ExchangeError, TimeoutError) as error:
             job.last_reason = str(error) or 'the answer did not end in time'
+            if is_error:
+                job.last_reason = f'answered with {answer.status}: {job.last_reason}'
             components.load_tracker.note_failure(run.head)
             if isinstance(error, ExchangeError):
                 await self._check_crash(job, run)
--- a/coursepitch/gateway/streams.py
+++ b/coursepitch/gateway/streams.py
@@ -13,6 +13,9 @@
 from coursepitch.fleet.pause_detector import TimeoutFilter, sleep_running
 from coursepitch.gateway.admission import Denial, Denied, Terms
 from coursepitch.gateway.attempts import (
+    ERROR_BODY_TIMEOUT_S,
+    MAX_BODY_BYTES,
+    MAX_ERROR_BYTES,
     NOT_EXECUTED_STATUSES,
     Retry,
     SendPlan,
@@ -66,23 +69,12 @@
 #: budget or groups have not allowed.
 FIND_INTERVAL_S = 0.1
 
-#: Timeout in seconds for the body of an error response.  Source: instances send it with
-#: its head, and a client can do more with an early error than with a late one.
-ERROR_BODY_TIMEOUT_S = 1.0
-
 #: Requests in flight per slot up to which a group accepts a resumed stream.
 RESUMED_REQUESTS_PER_SLOT = 3
 
 #: Groups that are examined for room in their key-value caches for one request.
 MAX_EXAMINED_GROUPS = 4
 
-#: Largest body in bytes of an error response.
-MAX_ERROR_BYTES = 1_048_576
-
-#: Largest body in bytes that is not a stream of events, as for plain calls: it is
-#: buffered whole before it is forwarded.
-MAX_BODY_BYTES = 16_777_216
-
 #: Most sends of one request, including rejected ones, whatever the route allows.
 MAX_SENDS = 5
 
--- a/tests/gateway/simulated_runs.py
+++ b/tests/gateway/simulated_runs.py
@@ -268,11 +268,16 @@
         self.complete = data is None
         return data
 
-    async def read_whole(self, limit, note=None):
-        body = b''
+    async def read_whole(self, limit, note=lambda: None):
+        parts, size = [], 0
         while (data := await self.read_chunk()) is not None:
-            body += data
-        return body
+            note()
+            size += len(data)
+            if size > limit:
+                self.failed = True
+                raise ExchangeError(f'response body larger than {limit} bytes')
+            parts.append(data)
+        return b''.join(parts)
 
     @property
     def is_live(self):
