Move streams that have begun from full instances that send no event

A stream that may be resumed was broken off at its deadline, or answered 504, although another group was idle: its head had more requests than slots and sent bytes without a whole event.

Cause: a run whose head is full counts as queued there, unless a later request has a response, whatever has come of its own response. A head that sends a part of an event, or has sent events, runs the request.

A run that has an event, or a part of one, and bytes since is no longer taken for a queued one. Silent runs are treated as before.

Before: test_stream_that_has_begun_at_a_full_instance_goes_on_elsewhere fails for a part of an event, comments and one byte (no whole response); after: it passes. Comments alone before the first event may come from a queue, so such a run still counts as queued.

--- a/coursepitch/gateway/streams.py
+++ b/coursepitch/gateway/streams.py
@@ -758,7 +758,8 @@
     ) -> bool:
         """Whether a request that is stalled at a group may be sent to another.
 
-        A request that may still be queued at its group stays there.
+        A request that may still be queued at its group stays there.  One that has an
+        event, or a part of one, and more bytes since is not.
 
         :param live: heads at which the request has a run.
         """
@@ -769,9 +770,12 @@
         if len(heads) >= job.route.attempts or len(job.sent) >= MAX_SENDS:
             return False
         tracker = self._components.load_tracker
-        if tracker.count_in_flight(
-            run.head
-        ) > engine.slots and not tracker.was_overtaken(run.head, sent_at):
+        has_begun = run.received > 0 and run.splitter.has_events()
+        if (
+            not has_begun
+            and tracker.count_in_flight(run.head) > engine.slots
+            and not tracker.was_overtaken(run.head, sent_at)
+        ):
             return False
         tried = {*heads, *job.sent}
         group = self._choose_group(job, tried, engine.slots, with_suspected=False)
--- a/tests/gateway/test_endless_streams.py
+++ b/tests/gateway/test_endless_streams.py
@@ -11,6 +11,7 @@
 from coursepitch.http.event_splitter import MAX_EVENT_BYTES
 from tests.gateway.simulated_runs import (
     FAILED_STATUS,
+    FULL,
     HEAD_S,
     LAST_EVENT,
     Case,
@@ -110,12 +111,27 @@
         super().end_send(send)
 
 
+class BusySimulation(EndlessSimulation):
+    """A simulation in which other nodes fill the first instance after its request."""
+
+    def _count_peers(self, name):
+        return FULL if name == 'h0' and self.sends else 0
+
+
 class EndlessStreamTest(unittest.TestCase):
     """Bytes that bring no event are no progress."""
 
-    def play(self, *scripts, kind='comments', pace='slow', after=0, **options):
+    def play(
+        self,
+        *scripts,
+        kind='comments',
+        pace='slow',
+        after=0,
+        simulate=EndlessSimulation,
+        **options,
+    ):
         case = Case((SOUND, *scripts), **options)
-        simulation = EndlessSimulation(case)
+        simulation = simulate(case)
         simulation.kind, simulation.pace = kind, pace
         simulation.after = after
         simulation.play()
@@ -133,6 +149,16 @@
                 self.assertEqual(found.reply.last_event, LAST_EVENT)
                 self.assertLess(found.ended_s, SERVED_S)
 
+    # Guards against requests that stay at a full instance as if they were queued there.
+    def test_stream_that_has_begun_at_a_full_instance_goes_on_elsewhere(self):
+        for kind, after in (('event', 0), ('comments', 2), ('one byte', 2)):
+            with self.subTest(kind=kind, after=after):
+                found = self.play(
+                    SOUND, kind=kind, after=after, simulate=BusySimulation
+                )
+                self.assertTrue(found.reply.whole)
+                self.assertLess(found.ended_s, SERVED_S)
+
     # Guards against requests that are answered at their deadline although what came
     # can become no answer.
     def test_stream_that_may_not_be_repeated_ends_with_the_proof(self):
