Refuse events above the bound that end within the bytes that exceed it

An event above MAX_EVENT_BYTES was given whole if its end was in the same read as the bytes that exceeded the bound, so the bound held up to one read only, and not at all for a body that is checked in one piece.

Cause: the bound was checked only if the bytes brought no event.

Once the bound may be exceeded, each event is measured from the end of the one before it, and what follows the last one too.

Before: test_event_above_the_bound_is_refused_however_it_arrives fails for reads of 65,536 bytes, of 300,000 bytes and for the whole body ("ExchangeError not raised"); after: it passes.

--- a/coursepitch/http/event_splitter.py
+++ b/coursepitch/http/event_splitter.py
@@ -56,22 +56,38 @@
         The work for each byte does not depend on the bytes that are buffered.
 
         :raises ExchangeError: more than :data:`MAX_EVENT_BYTES` came without a whole
-            event.
+            event, or up to its end.
         """
         partial = self._partial
         partial += data
         self._since_event += len(data)
         end = _find_end(partial, self._without_end)
+        if self._since_event > MAX_EVENT_BYTES:
+            self._check_sizes(end)
         # An end of two to four bytes may have begun.
         self._without_end = max(end, len(partial) - 3)
         if end and _KNOWN_FIELD.search(partial, self._without_event, end):
             self.count += 1
             self._since_event = len(partial) - end
-        elif self._since_event > MAX_EVENT_BYTES:
-            raise ExchangeError(f'no event within {MAX_EVENT_BYTES} bytes')
         self._without_event = max(end, self._without_event)
         return self._remove(end) if self.count else b''
 
+    def _check_sizes(self, end: int) -> None:
+        """Check the size of each event up to a position, and of what follows.
+
+        :raises ExchangeError: one is above the bound.
+        """
+        partial = self._partial
+        # What was returned since the last event counts as well.
+        event_at = len(partial) - self._since_event
+        for found in _EVENT_END.finditer(partial, self._without_end, end):
+            if found.end() - event_at > MAX_EVENT_BYTES:
+                break
+            if _KNOWN_FIELD.search(partial, max(0, event_at), found.end()):
+                event_at = found.end()
+        if len(partial) - event_at > MAX_EVENT_BYTES:
+            raise ExchangeError(f'no event within {MAX_EVENT_BYTES} bytes')
+
     def _remove(self, end: int) -> bytes:
         """Return the buffered bytes up to a position, and buffer them no longer."""
         if not end:
--- a/tests/http/test_event_splitter.py
+++ b/tests/http/test_event_splitter.py
@@ -111,6 +111,23 @@
         out, _ = self.feed_until_refused(splitter, pieces)
         self.assertEqual((given, out), (build_event(1), b''))
 
+    # Guards against events above the bound that end within the bytes that exceed it.
+    def test_event_above_the_bound_is_refused_however_it_arrives(self):
+        event = build_event(1)
+        body = event + b'data: ' + b'x' * MAX_EVENT_BYTES + b'\n\n' + event
+        for size in (65_536, 300_000, len(body)):
+            with self.subTest(size), self.assertRaises(ExchangeError):
+                splitter = EventSplitter()
+                for start in range(0, len(body), size):
+                    splitter.feed(body[start : start + size])
+
+    # Guards against long streams that are refused as one event.
+    def test_many_events_above_the_bound_are_given(self):
+        event = build_event(1)
+        body = event * (2 * MAX_EVENT_BYTES // len(event))
+        for first in (b'', b': ping\n'):
+            self.assertEqual(EventSplitter().feed(first + body), first + body)
+
     def test_event_up_to_the_bound_is_given(self):
         splitter = EventSplitter()
         event = b'data: ' + b'x' * (MAX_EVENT_BYTES - 8) + b'\n\n'
