Name the incarnation in reports of ended instances

A node that stood still and then told of an ended instance made all nodes leave out the later incarnation under the same name, up to 4 s, although it was sound: the report named the instance alone. Requests to its group were refused or went elsewhere.

Reports now carry the start time of each ended incarnation, and count as proof only for the one that is listed. One of another incarnation counts as silence, as a peer may know a later one that this node has not read of yet.

--- a/coursepitch/fleet/lost.py
+++ b/coursepitch/fleet/lost.py
@@ -153,8 +153,7 @@
         if self._view.note_reported_lost(instance, ended=ended):
             self._wake()
             lost = (instance,)
-            told = LostReport(self._me, lost, ended=lost if ended else ())
-            self.tell(told, '')
+            self._tell_lost(lost, ended=lost if ended else ())
         if instance in self._view.lost.stored or instance in self._writing:
             return
         self._writing.add(instance)
@@ -179,10 +178,11 @@
 
     def take(self, told: LostReport) -> None:
         """Process a peer's report; forward what is new if peers rely on this node."""
+        ended = self._find_ended(told)
         lost = tuple(
             name
             for name in told.lost
-            if self._view.note_reported_lost(name, ended=name in told.ended)
+            if self._view.note_reported_lost(name, ended=name in ended)
         )
         answering = tuple(
             name for name in told.answering if self._view.note_answering(name)
@@ -191,5 +191,29 @@
             return
         self._wake()
         if self.is_watching():
-            ended = tuple(name for name in lost if name in told.ended)
-            self.tell(LostReport(self._me, lost, answering, ended), '')
+            self._tell_lost(
+                lost, answering, tuple(name for name in lost if name in ended)
+            )
+
+    def _find_ended(self, told: LostReport) -> set[str]:
+        """Return the instances whose end a report proves.
+
+        The report may concern an earlier incarnation than the one that is listed.
+        """
+        births = dict(told.births)
+        return {name for name in told.ended if births.get(name, 0) == self._born(name)}
+
+    def _born(self, name: str) -> int:
+        """Return the start time of an instance's incarnation; 0 if it is unknown."""
+        found = self._view.instances.get(name)
+        return 0 if found is None else found.born
+
+    def _tell_lost(
+        self,
+        lost: tuple[str, ...],
+        answering: tuple[str, ...] = (),
+        ended: tuple[str, ...] = (),
+    ) -> None:
+        """Tell all nodes of lost instances, and of the incarnations that ended."""
+        births = tuple((name, born) for name in ended if (born := self._born(name)))
+        self.tell(LostReport(self._me, lost, answering, ended, births), '')
--- a/coursepitch/fleet/messages.py
+++ b/coursepitch/fleet/messages.py
@@ -197,12 +197,15 @@
     """Instances that stopped responding, and those that respond again.
 
     :param ended: those among the lost ones whose process is proven to be gone.
+    :param births: names of the ended ones with the start times of the incarnations, in
+        Unix milliseconds; those without a known one are left out.
     """
 
     node: str
     lost: tuple[str, ...] = ()
     answering: tuple[str, ...] = ()
     ended: tuple[str, ...] = ()
+    births: tuple[tuple[str, int], ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -332,10 +335,12 @@
         case CrashReport():
             return _pack([_CRASH_REPORT, *_encode_crashes(message)])
         case LostReport():
-            rows = [list(message.lost), list(message.answering)]
+            parts = [list(message.lost), list(message.answering)]
             if message.ended:
-                rows.append(list(message.ended))
-            return _pack([_LOST_REPORT, message.node, *rows])
+                parts.append(list(message.ended))
+            if message.births:
+                parts.append([list(item) for item in message.births])
+            return _pack([_LOST_REPORT, message.node, *parts])
         case NoticeReport():
             rows = [list(message.leaving), list(message.backoffs)]
             if message.cold:
@@ -441,9 +446,16 @@
     return SendRequest(node, int(number), limit, (read_text(name), float(left_s)))
 
 
-def _decode_lost(node: str, lost: Any, answering: Any, ended: Any = ()) -> LostReport:
-    rows = (tuple(map(read_text, row)) for row in (lost, answering, ended))
-    return LostReport(node, *rows)
+def _decode_lost(
+    node: str, lost: Any, answering: Any, ended: Any = (), births: Any = ()
+) -> LostReport:
+    return LostReport(
+        node,
+        tuple(map(read_text, lost)),
+        tuple(map(read_text, answering)),
+        tuple(map(read_text, ended)),
+        tuple((read_text(name), int(born)) for name, born in births),
+    )
 
 
 def _decode_notices(
--- a/tests/fleet/test_peers.py
+++ b/tests/fleet/test_peers.py
@@ -63,6 +63,7 @@
             Heartbeat('n1', 7),
             LostReport('n1', ('i1', 'i2'), ('i3',)),
             LostReport('n1', ('i1', 'i2'), ('i3',), ('i2',)),
+            LostReport('n1', ('i1', 'i2'), ('i3',), ('i2',), (('i2', 1_700_000),)),
             Heartbeat('n1', 7, store_uptime_s=4.5),
             Heartbeat('n1', 7, others=OtherLoads(3, {'i': 2}, {'m': 0.5})),
             Changes('n1', 3, 5, (Entry('a', 'x', 4), Entry('b', deleted_at=5))),
--- a/tests/gateway/test_restarted_members.py
+++ b/tests/gateway/test_restarted_members.py
@@ -80,6 +80,14 @@
         self.losses.take(LostReport('n2', ('m0',), (), ('m0',)))
         self.assertFalse(self.view.lost.has_ended('m0'))
 
+    # Guards against proofs that no longer count at other nodes.
+    def test_report_of_the_listed_incarnation_proves_its_end(self):
+        self.losses.is_watching = lambda: True
+        self.losses.take(LostReport('n2', ('m0',), (), ('m0',), (('m0', 2000),)))
+        self.assertTrue(self.view.lost.has_ended('m0'))
+        (told,) = self.told
+        self.assertEqual(told.births, (('m0', 2000),))
+
     # Guards against a proof that outlasts the entry of the instance.
     def test_proof_ends_with_the_entry_of_the_instance(self):
         for stored, later_s in ((False, 1.5), (True, 1.5), (True, 10.0)):
