Count a refused write as refused although its body does not end

A write that the store refused with 429 or 503, in an answer whose body had no end, counted as one that may have been done: after 8 MiB of the body, or at the limit of the call. Its writer then read the key back, or waited out the lease.

The test fails on the base: "True is not false" where the body comes fast, and no result after 3 s ("TimeoutError") where it comes slowly. The status alone now decides. Up to 64 KiB and 0.1 s of the body are read, so that the connection can be used again after a sound refusal; otherwise it is closed.

--- a/coursepitch/platform/kv.py
+++ b/coursepitch/platform/kv.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import base64
+import contextlib
 import math
 from dataclasses import dataclass
 from functools import partial
@@ -23,7 +24,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
 
-    from coursepitch.http.client import Connection
+    from coursepitch.http.client import Connection, Response
     from coursepitch.metrics import Metrics
 
 __all__ = [
@@ -46,6 +47,14 @@
 #: JSON and base64 encodings enlarge.
 MAX_RESPONSE_BYTES = 8_388_608
 
+#: Statuses that tell that a call took no effect; their bodies tell nothing more.
+_REFUSALS = (429, 503)
+
+#: Size in bytes, and time in seconds, up to which the body of a refusal is read so that
+#: its connection can be used again.
+MAX_REFUSAL_BYTES = 65_536
+REFUSAL_TIMEOUT_S = 0.1
+
 #: Maximum number of pages of a listing.  A page has some 500 keys, so this is ten times
 #: as many as a platform of 10,000 instances has.
 MAX_LIST_PAGES = 256
@@ -394,13 +403,14 @@
         http_response = await self._pool.exchange(
             connection, method.encode(), target.encode(), headers, content
         )
+        status = http_response.status
         try:
+            if status in _REFUSALS:
+                await _skip_body(http_response)
+                return Unavailable(f'{operation}: status {status}')
             text = await http_response.read_whole(MAX_RESPONSE_BYTES)
         finally:
             http_response.release()
-        status = http_response.status
-        if status in (429, 503):
-            return Unavailable(f'{operation}: status {status}')
         if status not in (200, 404, 410, 412):
             return Unavailable(f'{operation}: status {status}', write)
         try:
@@ -411,6 +421,15 @@
             return status, {}
 
 
+async def _skip_body(response: Response) -> None:
+    """Read the body of a response, unless it is long or late."""
+    with (
+        contextlib.suppress(ExchangeError),
+        anyio.move_on_after(REFUSAL_TIMEOUT_S),
+    ):
+        await response.read_whole(MAX_REFUSAL_BYTES)
+
+
 def _encode_write(item: Write) -> dict[str, object]:
     value = base64.b64encode((item.value or '').encode()).decode()
     return {'tls_key': item.key, 'value': value, 'lease': int(item.lease or 0)}
--- a/tests/platform/test_kv.py
+++ b/tests/platform/test_kv.py
@@ -139,6 +139,45 @@
         self.assertIsInstance(result, Events)
         self.assertEqual((len(result.entries), count), (100, 100))
 
+    # Guards against a refused write that counts as done, as the body does not end.
+    def test_refusal_counts_although_its_body_does_not_end(self):
+        for status in (b'429', b'503'):
+            for pace_s in (0.0, 0.02):
+                with self.subTest(status=status, pace_s=pace_s):
+                    self.check_refusal(status, pace_s)
+
+    def check_refusal(self, status, pace_s):
+        left = anyio.Event()
+
+        async def serve(stream):
+            async with stream:
+                await stream.receive()
+                length = b'Content-Length: 999999999'
+                await stream.send(b'HTTP/1.1 %b No\r\n%b\r\n\r\n' % (status, length))
+                try:
+                    while True:
+                        await stream.send(b'x' * (10 if pace_s else 65_536))
+                        await anyio.sleep(pace_s)
+                except anyio.BrokenResourceError:
+                    left.set()
+
+        async def run():
+            local = {'local_host': '127.0.0.1', 'local_port': 0}
+            listener = await anyio.create_tcp_listener(**local)
+            port = listener.extra(anyio.abc.SocketAttribute.local_port)
+            kv = KeyValue(f'127.0.0.1:{port}', 5.0, 1_000.0, Metrics())
+            async with listener, anyio.create_task_group() as tasks:
+                tasks.start_soon(listener.serve, serve)
+                with anyio.fail_after(3.0):
+                    found = await kv.transact([Condition('k', 7)], [Write('k', 'v')])
+                    await left.wait()
+                tasks.cancel_scope.cancel()
+            return found
+
+        found = anyio.run(run)
+        self.assertIsInstance(found, Unavailable)
+        self.assertFalse(found.maybe_applied)
+
     # Guards against a watch that is held by bytes which are no answer, or for good.
     def test_watch_ends_in_time_and_the_next_one_succeeds(self):
         whole = b'HTTP/1.1 200 OK\r\n\r\n' + EVENTS
