Fail answers that cannot become a JSON object as soon as that is proven

An answer or a report of blank lines, or of small chunks of blanks, could not be told from a slow one until its bound on bytes, and the pauses between turns of the parser keep such a body from reaching that: a request that may not be repeated waited for its deadline, and an engine that sent no report counted as silent.

What engines answer is a JSON object, so its first byte that is not blank proves a body wrong, and so does 1 KiB of blanks.

--- a/coursepitch/serving/dispatch.py
+++ b/coursepitch/serving/dispatch.py
@@ -31,7 +31,7 @@
     read_text,
 )
 from coursepitch.serving.sse import DONE_DATA, MAX_EVENT_BYTES, EventParser
-from coursepitch.util.bounded_http import Pacer, drain_body, open_reply, read_whole
+from coursepitch.util.bounded_http import Pacer, drain_body, open_reply, read_object
 
 if TYPE_CHECKING:
     from collections.abc import AsyncGenerator, Callable
@@ -667,8 +667,7 @@
             reply = await self._send_request(run, attempt, NextStep.RETRY)
             if reply is None:
                 return None
-            body = await read_whole(reply, MAX_ANSWER_BYTES)
-            answer: dict[str, Any] = orjson.loads(body)
+            answer = await read_object(reply, MAX_ANSWER_BYTES)
             if answer['id'] != attempt.name:
                 attempt.result = AttemptResult.WRONG
                 return None
--- a/coursepitch/targets/engine.py
+++ b/coursepitch/targets/engine.py
@@ -5,7 +5,6 @@
 from typing import TYPE_CHECKING, Any
 
 import httpx
-import orjson
 
 from coursepitch.control.lifecycle import HealthCheck
 from coursepitch.errors import TargetError
@@ -13,7 +12,7 @@
     BoundedTransport,
     drain_body,
     open_reply,
-    read_whole,
+    read_object,
 )
 
 if TYPE_CHECKING:
@@ -52,8 +51,8 @@
             request = self._client.build_request('GET', f'http://{address}/health')
             async with open_reply(self._client, request, self._timeout_s) as reply:
                 reply.raise_for_status()
-                report = await read_whole(reply, MAX_REPORT_BYTES)
-            return _parse_check(orjson.loads(report))
+                report = await read_object(reply, MAX_REPORT_BYTES)
+            return _parse_check(report)
         except httpx.TimeoutException:
             # A pause of this node in the check is no silence of the instance.
             return HealthCheck(answered=False, silent_s=self._timeout_s)
--- a/coursepitch/util/bounded_http.py
+++ b/coursepitch/util/bounded_http.py
@@ -18,10 +18,11 @@
 import anyio
 import httpcore
 import httpx
+import orjson
 
 if TYPE_CHECKING:
     import ssl
-    from collections.abc import AsyncIterator, Iterable
+    from collections.abc import AsyncGenerator, AsyncIterator, Iterable
 
 __all__ = [
     'BoundedTransport',
@@ -30,6 +31,7 @@
     'count_received',
     'drain_body',
     'open_reply',
+    'read_object',
     'read_whole',
 ]
 
@@ -60,6 +62,9 @@
 #: Largest rest of a body in bytes that is read so that its connection can be reused.
 MAX_REST_BYTES = 4_096
 
+#: Largest number of blank bytes before a JSON object.
+MAX_BLANK_BYTES = 1_024
+
 #: Beginning of all responses that are understood.
 _VERSION = b'HTTP/1.'
 
@@ -262,12 +267,46 @@
     :raises httpx.RemoteProtocolError: the body is larger than the limit.
     """
     body = bytearray()
+    async for piece in _read_bounded(reply, limit):
+        body += piece
+    return bytes(body)
+
+
+async def read_object(reply: httpx.Response, limit: int) -> dict[str, Any]:
+    """Return the JSON object that is the body of a response.
+
+    :param limit: largest size of the body in bytes.
+    :raises httpx.RemoteProtocolError: the body is no JSON object, or is too large.
+    """
+    body = bytearray()
+    begun = False
+    async for piece in _read_bounded(reply, limit):
+        body += piece
+        if not begun:
+            text = body.lstrip()
+            begun = text.startswith(b'{')
+            if not begun and (text or len(body) > MAX_BLANK_BYTES):
+                raise httpx.RemoteProtocolError('body that is no JSON object')
+    try:
+        found = orjson.loads(body)
+    except ValueError as error:
+        raise httpx.RemoteProtocolError('body that is no JSON object') from error
+    if not isinstance(found, dict):
+        raise httpx.RemoteProtocolError('body that is no JSON object')
+    return found
+
+
+async def _read_bounded(
+    reply: httpx.Response, limit: int
+) -> AsyncGenerator[bytes, None]:
+    """Yield the pieces of a body of at most ``limit`` bytes."""
+    size = 0
     wire_limit = MAX_HEAD_BYTES + MAX_FRAMING_FACTOR * limit
     async for piece in reply.aiter_bytes():
-        body += piece
-        if len(body) > limit or count_received(reply) > wire_limit:
+        size += len(piece)
+        if size > limit or count_received(reply) > wire_limit:
             raise httpx.RemoteProtocolError(f'body of more than {limit} bytes')
-    return bytes(body)
+        yield piece
 
 
 async def drain_body(pieces: AsyncIterator[bytes]) -> None:
--- a/tests/serving/test_endless_engines.py
+++ b/tests/serving/test_endless_engines.py
@@ -151,7 +151,7 @@
 
     # Guards against answers that are collected without a bound.
     def test_answer_that_may_not_be_repeated_ends_with_the_proof(self):
-        for kind in (*HEADS, 'one_byte', 'chunk_extension'):
+        for kind in (*HEADS, 'one_byte', 'line_breaks', 'chunks', 'chunk_extension'):
             with self.subTest(kind):
                 flood = Flood(*(HEADS | BODIES)[kind])
                 found = ask(flood, streamed=False, repeatable=False)
--- a/tests/targets/test_endless_engines.py
+++ b/tests/targets/test_endless_engines.py
@@ -55,7 +55,7 @@
 
     # Guards against engines that are proven to fail and count as silent.
     def test_engine_that_sends_more_than_a_report_has_failed(self):
-        for kind in (*HEADS, 'one_byte'):
+        for kind in (*HEADS, 'one_byte', 'line_breaks', 'chunks'):
             with self.subTest(kind):
                 flood = Flood(*(HEADS | BODIES)[kind])
                 check, _, _ = run_call(flood, EngineControl.check)
