Pace the reads of streams that always have data ready

Callers saw: sound requests at a node got neither answer nor refusal in time while one instance sent without end. Cause: a read that found data ready gave up one turn of the event loop and no time, so a stream that always has data took all of it.

Reads are paced after 16 successive ones that found data ready, or got it within a millisecond, or filled a whole read. All such streams of an event loop share a quarter of its time. Sending ends a succession, so that dialogues are not paced.

--- a/coursepitch/http/client.py
+++ b/coursepitch/http/client.py
@@ -480,6 +480,7 @@
         body: bytes,
     ) -> Response:
         parser = connection.parser
+        connection.stream.restart_pacing()
         lines = list(headers)
         if body or method not in (b'GET', b'HEAD', b'DELETE', b'OPTIONS'):
             lines.append((b'Content-Length', b'%d' % len(body)))
--- a/coursepitch/http/stream.py
+++ b/coursepitch/http/stream.py
@@ -4,6 +4,9 @@
 through the event loop once more for each write, and need a cancel scope with a timer
 for each timeout.  These streams keep reading into a bounded buffer, and one timer
 serves all deadlines of a stream.  They raise the exceptions of anyio.
+
+Streams that always have data ready share a part of the event loop's time, so that
+their number does not delay other tasks.
 """
 
 from __future__ import annotations
@@ -13,6 +16,7 @@
 import select
 import socket
 import struct
+import weakref
 from typing import TYPE_CHECKING
 
 import anyio
@@ -20,7 +24,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-__all__ = ['ByteStream', 'connect']
+__all__ = ['ByteStream', 'Pacer', 'connect']
 
 #: Maximum number of bytes that one call of :meth:`ByteStream.receive` returns.
 READ_BYTES = 65_536
@@ -28,6 +32,81 @@
 #: Number of unread bytes at which reading from the socket pauses.
 MAX_UNREAD_BYTES = 262_144
 
+#: Seconds within which bytes arrive that were sent before the reader waited for them.
+READY_WAIT_S = 0.001
+
+#: Number of successive reads that find data ready after which reads are paced: a
+#: response of a megabyte that arrives at once is read without pacing.
+UNPACED_READS = 16
+
+#: Seconds of the event loop's time for each second of work on paced reads, which leaves
+#: three quarters of it to other tasks.
+PACED_TIME_FACTOR = 4.0
+
+#: Maximum seconds of work on one read.  Reads are bounded by :data:`READ_BYTES`, so a
+#: reader that takes longer has waited, for example for a slow client.
+MAX_READ_WORK_S = 0.005
+
+
+class Pacer:
+    """Lets reads begin one after the other, at intervals that follow their work."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        self._loop = loop
+        self._waiting: collections.deque[tuple[asyncio.Future[None], float]]
+        self._waiting = collections.deque()
+        self._free_at = 0.0
+        self._timer: asyncio.TimerHandle | None = None
+
+    async def wait(self, work_s: float, deadline: float | None) -> None:
+        """Wait until a read may begin, or until the deadline.
+
+        :param work_s: seconds of work on the previous read of the same stream.
+        """
+        turn = self._loop.create_future()
+        self._waiting.append((turn, work_s))
+        timer = None
+        if deadline is not None:
+            timer = self._loop.call_at(deadline, self._end_wait, turn, work_s)
+        if self._timer is None:
+            # Not at once, as a future that is done would not let other tasks run.
+            self._timer = self._loop.call_at(self._free_at, self._begin_next)
+        try:
+            await turn
+        finally:
+            if timer is not None:
+                timer.cancel()
+
+    def _begin_next(self) -> None:
+        """Let the first waiting read begin."""
+        self._timer = None
+        while self._waiting:
+            turn, work_s = self._waiting.popleft()
+            if not turn.done():
+                self._end_wait(turn, work_s)
+                break
+        if self._waiting:
+            self._timer = self._loop.call_at(self._free_at, self._begin_next)
+
+    def _end_wait(self, turn: asyncio.Future[None], work_s: float) -> None:
+        """Let a read begin, and the next one once its share of time has passed."""
+        if not turn.done():
+            turn.set_result(None)
+            start = max(self._free_at, self._loop.time())
+            self._free_at = start + PACED_TIME_FACTOR * work_s
+
+
+_pacers: weakref.WeakKeyDictionary[asyncio.AbstractEventLoop, Pacer]
+_pacers = weakref.WeakKeyDictionary()
+
+
+def _find_pacer(loop: asyncio.AbstractEventLoop) -> Pacer:
+    """Return the pacer of an event loop."""
+    pacer = _pacers.get(loop)
+    if pacer is None:
+        pacer = _pacers[loop] = Pacer(loop)
+    return pacer
+
 
 class ByteStream(asyncio.Protocol):
     """A connected TCP socket; at most one task reads, and at most one writes.
@@ -54,6 +133,8 @@
         self._writing_paused = False
         self._deadline: float | None = None
         self._timer: asyncio.TimerHandle | None = None
+        self._ready_reads = 0
+        self._read_at = 0.0
 
     # -- callbacks of the transport ---------------------------------------------------
 
@@ -147,6 +228,8 @@
     async def receive(self, deadline: float | None = None) -> bytes:
         """Return the next bytes; cancellation and a timeout lose none.
 
+        A read that finds data ready lets other tasks run first; see :meth:`pace`.
+
         :param deadline: time of the event loop until which to wait.
 
         :raises TimeoutError: none arrived in time.
@@ -155,10 +238,9 @@
         :raises anyio.ClosedResourceError: this side has closed the stream.
         """
         if self._received or self._ended:
-            # A peer that always has data ready must not keep other tasks from running.
-            await asyncio.sleep(0)
+            await self.pace(deadline)
         else:
-            await self._wait_readable(deadline)
+            await self._wait_unready(deadline)
         if not self._received:
             if self._closed:
                 raise anyio.ClosedResourceError
@@ -167,16 +249,73 @@
             if self._ended:
                 raise anyio.EndOfStream
             raise TimeoutError
-        data = self._received.popleft()
-        if len(data) > READ_BYTES:
-            self._received.appendleft(data[READ_BYTES:])
-            data = data[:READ_BYTES]
+        data = self._take_received()
         self._unread_bytes -= len(data)
         if self._reading_paused and self._unread_bytes < MAX_UNREAD_BYTES:
             self._reading_paused = False
             self._transport.resume_reading()
         return data
 
+    def _take_received(self) -> bytes:
+        """Return the first unread bytes."""
+        if self._ready_reads >= UNPACED_READS and len(self._received) > 1:
+            # Small pieces that arrived while the read was paced take one read.
+            data = b''.join(self._received)
+            self._received.clear()
+        else:
+            data = self._received.popleft()
+        if len(data) > READ_BYTES:
+            self._received.appendleft(data[READ_BYTES:])
+            data = data[:READ_BYTES]
+        return data
+
+    async def pace(self, deadline: float | None = None) -> None:
+        """Let other tasks run before work on data that is ready.
+
+        After :data:`UNPACED_READS` successive calls, the stream shares a part of the
+        event loop's time with all others of which that is true.
+
+        :param deadline: time of the event loop until which to wait at most.
+        """
+        if self._ready_reads < UNPACED_READS:
+            await asyncio.sleep(0)
+            self._count_ready_read()
+        else:
+            await self._wait_turn(self._loop.time(), deadline)
+
+    async def _wait_unready(self, deadline: float | None) -> None:
+        """Wait for bytes that have not arrived; count them if they come at once."""
+        began = self._loop.time()
+        await self._wait_readable(deadline)
+        if (
+            self._unread_bytes < READ_BYTES
+            and self._loop.time() - began >= READY_WAIT_S
+        ):
+            self._ready_reads = 0
+        elif self._ready_reads < UNPACED_READS:
+            self._count_ready_read()
+        else:
+            await self._wait_turn(began, deadline)
+
+    async def _wait_turn(self, worked_until: float, deadline: float | None) -> None:
+        """Wait until the pacer lets the next read begin.
+
+        :param worked_until: time of the event loop at which the work on the previous
+            read was over.
+        """
+        work_s = min(worked_until - self._read_at, MAX_READ_WORK_S)
+        await _find_pacer(self._loop).wait(work_s, deadline)
+        self._read_at = self._loop.time()
+
+    def _count_ready_read(self) -> None:
+        self._ready_reads += 1
+        if self._ready_reads >= UNPACED_READS:
+            self._read_at = self._loop.time()
+
+    def restart_pacing(self) -> None:
+        """Pace none of the next reads, as the other side responds to what was sent."""
+        self._ready_reads = 0
+
     async def _wait_readable(self, deadline: float | None) -> None:
         """Wait for bytes, for the end of the stream, or until the deadline."""
         self._reader = self._loop.create_future()
@@ -222,6 +361,7 @@
         :raises anyio.BrokenResourceError: the connection was reset.
         :raises anyio.ClosedResourceError: this side has closed the stream.
         """
+        self.restart_pacing()
         if self._writing_paused:
             await self._wait_written()
         self._check_writable()
