Reset connections whose response is given up

Callers saw: an instance that only writes went on after its caller had left. Cause: a connection without unread bytes was closed by the end of its data, which such an instance does not read. It is reset now unless its last response is complete.

Evidence: the test of a response that is given up fails on (the target reads the end of the stream); with unread bytes the kernel has reset it before, too.

--- a/coursepitch/http/client.py
+++ b/coursepitch/http/client.py
@@ -71,6 +71,9 @@
 _BODILESS_STATUSES = frozenset({204, 304})
 _BODILESS_METHODS = frozenset({b'HEAD', b'CONNECT'})
 
+#: States of the parser in which a response has not ended regularly.
+_OUTSTANDING_STATES = frozenset({h11.SEND_RESPONSE, h11.SEND_BODY, h11.ERROR})
+
 
 class ConnectOutcome(enum.Enum):
     """Outcome of an attempt to open a connection."""
@@ -214,7 +217,13 @@
         return None
 
     def close(self) -> None:
-        """Abort the connection without waiting for bytes in flight."""
+        """Abort the connection without waiting for bytes in flight.
+
+        It ends with a reset if a response is outstanding, so that an instance that does
+        not read notices it too.
+        """
+        if self.parser.their_state in _OUTSTANDING_STATES:
+            self.stream.set_reset_on_close(True)
         self.stream.close()
 
 
