Bound heads of responses with their interim responses

Callers saw: 504 at the deadline, and a node at a whole core, while an instance sent interim responses without end. Cause: each interim response began a head of its own, so neither their number nor their bytes had a bound; a first line that is no status line was proved wrong by its end only; and the parser tries a line that has a byte it does not accept from each of its spaces, in one turn of the event loop.

All heads of an exchange count together, in bytes, lines and interim responses. The first 13 bytes tell whether there is a status line, and a byte that the parser accepts nowhere in a head fails the exchange at once.

--- a/coursepitch/http/client.py
+++ b/coursepitch/http/client.py
@@ -39,9 +39,18 @@
     'Response',
 ]
 
-#: Maximum size of a response head in bytes; larger heads are protocol errors.
+#: Maximum size in bytes of a response head together with the interim responses before
+#: it; larger heads are protocol errors.
 MAX_RESPONSE_HEAD_BYTES = 65_536
 
+#: Maximum number of lines of a response head together with the interim responses
+#: before it.  The parser takes some microseconds for each, all in one turn.
+MAX_HEAD_LINES = 1_000
+
+#: Maximum number of interim responses before a response.  RFC 9110, section 15.2, names
+#: no maximum; a request has use for at most one of each defined status (100 to 103).
+MAX_INTERIM_RESPONSES = 16
+
 #: Maximum size in bytes of a body that is written together with the head.  Larger
 #: bodies are written while the response is read, as a target may respond before it
 #: has read the whole body.
@@ -63,6 +72,15 @@
 #: Matches the end of a response head as h11 finds it.
 _HEAD_END = re.compile(rb'\n\r?\n')
 
+#: Matches the start of a status line as the parser accepts it; the part of a line that
+#: has not arrived is taken from the example.
+_STATUS_LINE_START = re.compile(rb'HTTP/[0-9]\.[0-9] [0-9]{3}[ \r\n]')
+_STATUS_LINE_EXAMPLE = b'HTTP/1.1 200 '
+
+#: Matches bytes that the parser accepts nowhere in a head.  It would try
+#: to match such a line from each of its spaces.
+_FORBIDDEN = re.compile(rb'[\x00\x0b\x0c]|\r[^\n]')
+
 #: Matches the size line of a chunk without extensions (RFC 9112, section 7.1).
 _CHUNK_SIZE = re.compile(rb'([0-9A-Fa-f]{1,20})\r\n')
 
@@ -142,6 +160,9 @@
     decodes_chunks: bool = False
     _unparsed: bytes = b''
     _head_tail: bytes = b''
+    _head_start: bytes = b''
+    _head_bytes: int = 0
+    _head_lines: int = 0
 
     def has_no_pending_input(self) -> bool:
         """Whether neither data nor the end of the stream is pending."""
@@ -166,22 +187,55 @@
                 if self.parser.their_state is h11.SEND_RESPONSE:
                     if not data:
                         raise ExchangeError('connection closed without a response')
+                    self._check_status_line(data)
                     data = self._split_head(data)
                 self.parser.receive_data(data)
             except h11.RemoteProtocolError as error:
                 raise ExchangeError(f'invalid response: {error}') from error
 
+    def start_exchange(self) -> None:
+        """Start to count the bytes and the successive reads of a response."""
+        self.stream.restart_pacing()
+        self._head_bytes = self._head_lines = 0
+        self._head_tail = self._head_start = b''
+
+    def _check_status_line(self, data: bytes) -> None:
+        """Check the first bytes of a head.
+
+        :raises ExchangeError: they are not the start of a status line.
+        """
+        size = len(_STATUS_LINE_EXAMPLE)
+        if len(self._head_start) == size:
+            return
+        self._head_start = start = (self._head_start + data[:size])[:size]
+        if not _STATUS_LINE_START.match(start + _STATUS_LINE_EXAMPLE[len(start) :]):
+            raise ExchangeError('invalid response: no status line')
+
     def _split_head(self, data: bytes) -> bytes:
-        """Return the part of received bytes up to the end of a head; keep the rest."""
-        before = len(self._head_tail)
-        found = _HEAD_END.search(self._head_tail + data)
+        """Return received bytes up to the end of a head; keep the rest.
+
+        :raises ExchangeError: the bytes cannot become the head of a response.
+        """
+        tail = self._head_tail
+        known = tail + data
+        found = _HEAD_END.search(known)
+        end = len(known) if found is None else found.end()
+        if _FORBIDDEN.search(known, 0, end):
+            raise ExchangeError('invalid response: forbidden byte in a head')
+        self._head_bytes += end - len(tail)
+        self._head_lines += known.count(b'\n', len(tail), end)
+        if self._head_bytes > MAX_RESPONSE_HEAD_BYTES:
+            raise ExchangeError(
+                f'response head larger than {MAX_RESPONSE_HEAD_BYTES} bytes'
+            )
+        if self._head_lines > MAX_HEAD_LINES:
+            raise ExchangeError(f'response head of more than {MAX_HEAD_LINES} lines')
         if found is None:
-            self._head_tail = (self._head_tail + data)[-2:]
+            self._head_tail = known[-2:]
             return data
-        self._head_tail = b''
-        end = found.end() - before
-        self._unparsed = data[end:]
-        return data[:end]
+        self._head_tail = self._head_start = b''
+        self._unparsed = known[end:]
+        return known[len(tail) : end]
 
     async def _receive(self, deadline: float | None) -> bytes:
         """Return received bytes, or none at the end of the stream."""
@@ -489,7 +543,7 @@
         body: bytes,
     ) -> Response:
         parser = connection.parser
-        connection.stream.restart_pacing()
+        connection.start_exchange()
         lines = list(headers)
         if body or method not in (b'GET', b'HEAD', b'DELETE', b'OPTIONS'):
             lines.append((b'Content-Length', b'%d' % len(body)))
@@ -525,9 +579,15 @@
         return response[0]
 
     async def _read_head(self, connection: Connection, method: bytes) -> Response:
+        interim_responses = 0
         while True:
             event = await connection.read_event()
             if isinstance(event, h11.InformationalResponse):
+                interim_responses += 1
+                if interim_responses > MAX_INTERIM_RESPONSES:
+                    raise ExchangeError(
+                        f'more than {MAX_INTERIM_RESPONSES} interim responses'
+                    )
                 continue
             if not isinstance(event, h11.Response):
                 raise ExchangeError(
