Decode the chunks that have arrived together, and bound their framing

Callers saw: a node at a whole core, and 22 calls in place of 1,250, while an instance sent chunks of four bytes without end. Cause: each chunk copied the rest of the buffer and was a part of its own, and a chunk that was cut by a read left all others to the parser; neither framing nor trailers had a bound as a whole.

All chunks that have arrived are one part, up to 256 of them; then the stream is paced. The decoder also reads chunks that are cut, or have extensions, and leaves only the last chunk to the parser. Framing that exceeds the content by 64 KiB is an error.

--- a/coursepitch/http/client.py
+++ b/coursepitch/http/client.py
@@ -18,6 +18,7 @@
 
 from coursepitch.clock import Clock, boottime
 from coursepitch.errors import CoursepitchError
+from coursepitch.http.chunks import ChunkDecoder, ChunkError
 from coursepitch.http.messages import find_header
 from coursepitch.http.stream import connect
 
@@ -43,8 +44,8 @@
 #: it; larger heads are protocol errors.
 MAX_RESPONSE_HEAD_BYTES = 65_536
 
-#: Maximum number of lines of a response head together with the interim responses
-#: before it.  The parser takes some microseconds for each, all in one turn.
+#: Maximum number of lines of trailers, or of a response head together with the interim
+#: responses before it.  The parser takes some microseconds for each, all in one turn.
 MAX_HEAD_LINES = 1_000
 
 #: Maximum number of interim responses before a response.  RFC 9110, section 15.2, names
@@ -77,12 +78,12 @@
 _STATUS_LINE_START = re.compile(rb'HTTP/[0-9]\.[0-9] [0-9]{3}[ \r\n]')
 _STATUS_LINE_EXAMPLE = b'HTTP/1.1 200 '
 
-#: Matches bytes that the parser accepts nowhere in a head.  It would try
+#: Matches bytes that the parser accepts nowhere in a head or in trailers.  It would try
 #: to match such a line from each of its spaces.
 _FORBIDDEN = re.compile(rb'[\x00\x0b\x0c]|\r[^\n]')
 
-#: Matches the size line of a chunk without extensions (RFC 9112, section 7.1).
-_CHUNK_SIZE = re.compile(rb'([0-9A-Fa-f]{1,20})\r\n')
+#: Last chunk of a body without extensions (RFC 9112, section 7.1).
+_LAST_CHUNK = b'0\r\n'
 
 #: Statuses and methods whose responses have no body, whatever their headers say.
 #: Source: RFC 9112, section 6.3.
@@ -142,13 +143,13 @@
 class Connection:
     """An open connection to an address.
 
-    The bytes of the head and of the body are kept apart, so that a chunked body can be
-    decoded without the parser as long as it arrives in complete chunks without
-    extensions.  Everything else, including the end of the body, is left to the parser.
+    The bytes of the head and of the body are kept apart, so that the chunks of a body
+    can be decoded without the parser, which takes one step for each.  The last chunk
+    and the trailers are left to the parser.
 
     :param reusable_until: time of the pool's clock until which it may be reused.
     :param used: whether an earlier exchange used it.
-    :param decodes_chunks: whether chunks are decoded without the parser; the parser is
+    :param chunks: decodes the chunks of the body, if the parser need not; the parser is
         then at the start of a chunk and has no unread bytes.
     """
 
@@ -157,12 +158,13 @@
     parser: h11.Connection
     reusable_until: float = 0.0
     used: bool = False
-    decodes_chunks: bool = False
+    chunks: ChunkDecoder | None = None
     _unparsed: bytes = b''
     _head_tail: bytes = b''
     _head_start: bytes = b''
     _head_bytes: int = 0
     _head_lines: int = 0
+    _in_trailers: bool = False
 
     def has_no_pending_input(self) -> bool:
         """Whether neither data nor the end of the stream is pending."""
@@ -189,6 +191,8 @@
                         raise ExchangeError('connection closed without a response')
                     self._check_status_line(data)
                     data = self._split_head(data)
+                elif self._in_trailers and data:
+                    data = self._split_head(data)
                 self.parser.receive_data(data)
             except h11.RemoteProtocolError as error:
                 raise ExchangeError(f'invalid response: {error}') from error
@@ -198,6 +202,7 @@
         self.stream.restart_pacing()
         self._head_bytes = self._head_lines = 0
         self._head_tail = self._head_start = b''
+        self._in_trailers = False
 
     def _check_status_line(self, data: bytes) -> None:
         """Check the first bytes of a head.
@@ -212,7 +217,7 @@
             raise ExchangeError('invalid response: no status line')
 
     def _split_head(self, data: bytes) -> bytes:
-        """Return received bytes up to the end of a head; keep the rest.
+        """Return received bytes up to the end of a head or of trailers; keep the rest.
 
         :raises ExchangeError: the bytes cannot become the head of a response.
         """
@@ -246,28 +251,34 @@
         except (anyio.BrokenResourceError, anyio.ClosedResourceError) as error:
             raise ExchangeError('connection reset') from error
 
-    async def read_simple_chunk(self, deadline: float | None) -> bytes | None:
-        """Return the content of the next chunk, or ``None`` if the parser must read it.
+    async def read_chunks(self, deadline: float | None) -> bytes | None:
+        """Return the content of received chunks, or ``None`` before the last chunk.
 
-        Chunks that are incomplete, empty, malformed or have extensions are read by the
-        parser, and so are all chunks after them.
+        All chunks that have arrived are decoded, up to a bound on the work of a call.
 
-        :raises ExchangeError: the connection failed.
+        :raises ExchangeError: the connection failed or the body is malformed.
         :raises TimeoutError: the deadline passed.
         """
-        data = self._unparsed
-        if not data:
-            data = self._unparsed = await self._receive(deadline)
-        size = _CHUNK_SIZE.match(data)
-        if size is not None:
-            start = size.end()
-            end = start + int(size[1], 16)
-            if end > start and data[end : end + 2] == b'\r\n':
-                self._unparsed = data[end + 2 :]
-                return data[start:end]
-        self.decodes_chunks = False
-        if not data:
-            self.parser.receive_data(b'')
+        decoder = self.chunks
+        while decoder is not None and not decoder.ended:
+            if decoder.has_more:
+                await self.stream.pace(deadline)
+            elif decoder.started or not self._unparsed:
+                data = await self._receive(deadline)
+                if not data:
+                    raise ExchangeError('connection closed within a chunked body')
+                self._unparsed += data
+            try:
+                content, self._unparsed = decoder.decode(self._unparsed)
+            except ChunkError as error:
+                raise ExchangeError(f'invalid response: {error}') from error
+            if decoder.ended:
+                self._unparsed = _LAST_CHUNK + self._unparsed
+                self._head_bytes = self._head_lines = 0
+                self._in_trailers = True
+            if content:
+                return content
+        self.chunks = None
         return None
 
     def close(self) -> None:
@@ -312,8 +323,8 @@
         deadline = None
         if timeout_s is not None:
             deadline = connection.stream.find_deadline(timeout_s)
-        if connection.decodes_chunks:
-            data = await connection.read_simple_chunk(deadline)
+        if connection.chunks is not None:
+            data = await connection.read_chunks(deadline)
             if data is not None:
                 return data
         event = await connection.read_event(deadline)
@@ -595,9 +606,9 @@
                 )
             headers = tuple(event.headers.raw_items())
             framing = _find_framing(method, event.status_code, headers)
-            connection.decodes_chunks = (
-                framing is Framing.CHUNKS and not connection.parser.trailing_data[0]
-            )
+            connection.chunks = None
+            if framing is Framing.CHUNKS and not connection.parser.trailing_data[0]:
+                connection.chunks = ChunkDecoder()
             return Response(event.status_code, headers, connection, self, framing)
 
 
--- a/coursepitch/http/stream.py
+++ b/coursepitch/http/stream.py
@@ -36,8 +36,8 @@
 READY_WAIT_S = 0.001
 
 #: Number of successive reads that find data ready after which reads are paced: a
-#: response of a megabyte that arrives at once is read without pacing.
-UNPACED_READS = 16
+#: response of two megabytes that arrives at once is read without pacing.
+UNPACED_READS = 32
 
 #: Seconds of the event loop's time for each second of work on paced reads, which leaves
 #: three quarters of it to other tasks.
--- a/tests/http/test_endless_responses.py
+++ b/tests/http/test_endless_responses.py
@@ -5,8 +5,10 @@
 import unittest
 
 import anyio
+from hypothesis import given
+from hypothesis import strategies as st
 
-from coursepitch.http import ExchangeError
+from coursepitch.http import ConnectionPool, ExchangeError
 from coursepitch.http.client import (
     MAX_HEAD_LINES,
     MAX_INTERIM_RESPONSES,
@@ -15,11 +17,38 @@
 from coursepitch.http.stream import MAX_UNREAD_BYTES, READ_BYTES
 from tests.http.floods import (
     CHUNKED_HEAD,
+    FLOOD_BYTES,
+    HEADERS,
     INTERIM,
     Flood,
     ask,
+    build_connection,
+    read_body,
+)
+from tests.http.test_framing import (
+    PIECES,
+    build_stream,
+    read_with_client,
+    read_with_parser,
+)
+
+#: What a response may consist of, valid or not, in any order.
+ANY_PIECES = (
+    *PIECES,
+    CHUNKED_HEAD,
+    INTERIM,
+    b'HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello',
+    b'HTTP/1.0 200 OK\n\n',
+    b'HTTP/1.1 200 \x0b\r\n\r\n',
+    b'HTTP/1.1 200 OK\r\nA: \r\r\n\r\n',
+    b'HTTP/1.1 200 OK\r\nA:\t b \r\n c\r\n\r\n',
+    b'0;last\r\nA: b\r\n\r\n',
+    b'0\r\nA:\0\r\n\r\n',
+    b'1;\nx\r\nx\r\n',
+    b'1 \t\r\nx\r\n',
+    b'1 ;x\r\nx\r\n',
+    b'1;\r\r\nx\r\n',
 )
-from tests.http.test_framing import build_stream
 
 #: Bytes that a flood of heads can send: what a stream buffers, and two reads of it.
 MAX_SENT_BYTES = MAX_UNREAD_BYTES + 2 * READ_BYTES
@@ -132,3 +161,146 @@
             with self.subTest(byte=byte):
                 anyio.run(run, [start + byte])
                 anyio.run(run, [start, byte[:1], byte[1:] + b'x'])
+
+
+class BodyTest(unittest.TestCase):
+    """Chunks are decoded together, and framing without content is an error."""
+
+    def expect_error(self, repeated):
+        """Return the number of bytes that a flood of chunks sent until it failed."""
+
+        async def run():
+            flood = Flood(CHUNKED_HEAD, repeated)
+            with self.assertRaises(ExchangeError):
+                await read_body(flood.stream)
+            return flood.sent
+
+        return anyio.run(run)
+
+    # Guards against one part, with all work that it brings, for each chunk.
+    def test_chunks_that_arrive_together_are_one_part(self):
+        async def run():
+            stream, _ = build_stream()
+            stream.data_received(CHUNKED_HEAD + b'4\r\nabcd\r\n' * 100 + b'0\r\n\r\n')
+            return await read_body(stream)
+
+        self.assertEqual(anyio.run(run), [b'abcd' * 100])
+
+    # Guards against small chunks that take a turn of the event loop for all of a read.
+    def test_part_has_a_bounded_number_of_chunks(self):
+        async def run():
+            stream, _ = build_stream()
+            stream.data_received(CHUNKED_HEAD + b'1\r\nx\r\n' * 2_000 + b'0\r\n\r\n')
+            return [len(part) for part in await read_body(stream)]
+
+        parts = anyio.run(run)
+        self.assertEqual(sum(parts), 2_000)
+        self.assertLessEqual(max(parts), 1_000)
+
+    # Guards against framing that goes on without end beside hardly any content.
+    def test_framing_without_content_fails_the_exchange(self):
+        for repeated in (
+            b'1\r\nx\r\n',
+            b'4\r\nxxxx\r\n',
+            b'0000000000000000001\r\nx\r\n',
+            b'1;' + b'x' * 1_000 + b'\r\nx\r\n',
+            b'5;',
+            b'5;\r',
+            b'0\r\n' + b'x: y\r\n' * 10_000,
+        ):
+            with self.subTest(repeated=repeated[:10]):
+                self.assertLess(self.expect_error(repeated), FLOOD_BYTES)
+
+    def test_content_before_the_framing_allows_no_more_of_it(self):
+        async def run():
+            stream, _ = build_stream()
+            large = b'20000\r\n' + b'x' * 0x20000 + b'\r\n'
+            stream.data_received(CHUNKED_HEAD + large + b'1\r\nx\r\n' * 30_000)
+            stream.eof_received()
+            with self.assertRaisesRegex(ExchangeError, 'framing'):
+                await read_body(stream)
+
+        anyio.run(run)
+
+    def test_short_chunks_of_an_ordinary_body_are_read(self):
+        async def run():
+            stream, _ = build_stream()
+            stream.data_received(CHUNKED_HEAD + b'1\r\nx\r\n' * 5_000 + b'0\r\n\r\n')
+            return b''.join(await read_body(stream))
+
+        self.assertEqual(anyio.run(run), b'x' * 5_000)
+
+    # Guards against leaving such a line to the parser, which takes quadratic time.
+    def test_white_space_of_an_extension_takes_linear_time(self):
+        async def run():
+            stream, _ = build_stream()
+            stream.data_received(CHUNKED_HEAD + b'1;' + b' ' * 60_000 + b'\n\r\nx\r\n')
+            with self.assertRaisesRegex(ExchangeError, 'malformed size'):
+                await read_body(stream)
+
+        anyio.run(run)
+
+    # Guards against the same for trailers, and for their number.
+    def test_trailers_are_bounded_as_heads_are(self):
+        async def run(trailers):
+            stream, _ = build_stream()
+            stream.data_received(CHUNKED_HEAD + b'0\r\n' + trailers)
+            with anyio.fail_after(5), self.assertRaises(ExchangeError):
+                await read_body(stream)
+
+        for trailers in (
+            b'a: ' + b' ' * 60_000 + b'\0\r\n\r\n',
+            b'a:\r\n' * MAX_HEAD_LINES + b'\r\n',
+            b'a: ' + b'x' * MAX_RESPONSE_HEAD_BYTES + b'\r\n\r\n',
+        ):
+            with self.subTest(trailers=trailers[:10]):
+                anyio.run(run, trailers)
+
+    def test_trailers_after_a_long_head_are_read(self):
+        async def run():
+            stream, _ = build_stream()
+            filler = b'a: ' + b'x' * 60_000 + b'\r\n'
+            head = CHUNKED_HEAD[:-2] + filler + b'\r\n'
+            stream.data_received(head + b'1\r\nx\r\n0\r\n' + filler + b'\r\n')
+            return await read_body(stream)
+
+        self.assertEqual(anyio.run(run), [b'x'])
+
+
+class AnyBytesTest(unittest.TestCase):
+    """Any bytes in any parts are read as by the parser, with bounded memory."""
+
+    @given(
+        st.lists(st.one_of(st.sampled_from(ANY_PIECES), st.binary(max_size=8))),
+        st.lists(st.integers(0, 200), max_size=8),
+    )
+    def test_any_split_of_any_response_is_read_as_by_the_parser(self, pieces, cuts):
+        data = b''.join(pieces)
+        places = [0, *sorted({min(cut, len(data)) for cut in cuts}), len(data)]
+        parts = [data[a:b] for a, b in zip(places, places[1:], strict=False) if a < b]
+        found = anyio.run(read_with_client, parts)
+        self.assertEqual(found, read_with_parser(parts))
+
+    @given(
+        st.sampled_from((b'', CHUNKED_HEAD, CHUNKED_HEAD + b'0\r\n')),
+        st.one_of(st.sampled_from(ANY_PIECES), st.binary(min_size=1, max_size=40)),
+        st.sampled_from((1_000, READ_BYTES)),
+    )
+    def test_memory_is_bounded_for_any_bytes_without_end(self, start, unit, size):
+        async def run():
+            flood = Flood(start, unit, size)
+            flood.limit = 500_000
+            connection = build_connection(flood.stream)
+            pool = ConnectionPool()
+            kept = 0
+            try:
+                response = await pool.exchange(connection, b'GET', b'/', HEADERS, b'')
+                while await response.read_chunk() is not None:
+                    kept = max(kept, len(connection._unparsed))
+                    kept = max(kept, flood.stream._unread_bytes)
+            except ExchangeError:
+                return kept
+            return kept
+
+        kept = anyio.run(run)
+        self.assertLess(kept, MAX_SENT_BYTES)
