--- a/coursepitch/application.py
+++ b/coursepitch/application.py
@@ -200,7 +200,9 @@
             self.clock,
         )
         self.dispatcher.crashes = self.crashes
-        self.services = ServiceCaller(settings.routing, self.clock)
+        self.services = ServiceCaller(
+            settings.routing, self.clock, entry.record_body_limit
+        )
         self.records = RequestRecords(
             self.kv, entry.record_ttl_s, entry.record_body_limit, self.clock
         )
@@ -391,6 +393,7 @@
                     cut = await self._drain(signals)
                 for request in cut:
                     log.emit(events.REQUEST_ABORTED, request=request)
+                self.gate.end_requests()
                 await registrar.leave()
                 stop.request(CUT_ANSWERS_OUT_S if cut else ANSWERS_OUT_S)
                 servers.cancel_scope.deadline = (
--- a/coursepitch/fleet/tunnel_streams.py
+++ b/coursepitch/fleet/tunnel_streams.py
@@ -15,6 +15,7 @@
 
 from coursepitch.fleet.tunnels import TUNNEL_PATH, TunnelError, TunnelOutcome
 from coursepitch.http.stream import ByteStream
+from coursepitch.util.peer_connections import PeerClientConnection
 
 if TYPE_CHECKING:
     from websockets.asyncio.client import ClientConnection
@@ -69,10 +70,13 @@
         try:
             while True:
                 data = await self._connection.recv()
-                if isinstance(data, bytes):
-                    stream.data_received(data)
-                elif data == STOPPING:
+                if data == STOPPING:
                     stream.reusable = False
+                elif data and isinstance(data, bytes):
+                    stream.data_received(data)
+                else:
+                    # No node sends this, and it could go on for ever.
+                    self._connection.transport.abort()
                 await self._readable.wait()
         except ConnectionClosed as error:
             if error.rcvd is not None and error.rcvd.code == ENDED_CODE:
@@ -137,6 +141,7 @@
                 ping_interval=None,
                 max_queue=QUEUED_MESSAGES,
                 write_limit=WRITE_LIMIT_BYTES,
+                create_connection=PeerClientConnection,
             )
             if await connection.recv() != CONNECTED:
                 raise TunnelError(TunnelOutcome.NO_PEER)
--- a/coursepitch/http/client.py
+++ b/coursepitch/http/client.py
@@ -18,7 +18,6 @@
 
 from coursepitch.clock import Clock, boottime
 from coursepitch.errors import CoursepitchError
-from coursepitch.http.chunks import ChunkDecoder, ChunkError
 from coursepitch.http.messages import find_header
 from coursepitch.http.stream import connect
 
@@ -40,23 +39,32 @@
     'Response',
 ]
 
-#: Maximum size in bytes of a response head together with the interim responses before
-#: it; larger heads are protocol errors.
+#: Maximum size of a response head in bytes; larger heads are protocol errors.
 MAX_RESPONSE_HEAD_BYTES = 65_536
 
-#: Maximum number of lines of trailers, or of a response head together with the interim
-#: responses before it.  The parser takes some microseconds for each, all in one turn.
-MAX_HEAD_LINES = 1_000
-
-#: Maximum number of interim responses before a response.  RFC 9110, section 15.2, names
-#: no maximum; a request has use for at most one of each defined status (100 to 103).
+#: Largest number of interim responses (RFC 9110, section 15.2) before a response.
 MAX_INTERIM_RESPONSES = 16
 
+#: Bytes by which the framing of a chunked body may exceed its content.  Framing takes
+#: at least five bytes for each chunk, so this allows some thousand chunks of one byte.
+MAX_EXTRA_FRAMING_BYTES = 16_384
+
+#: Chunks, and events of the parser, that are processed in one turn of the event loop.
+MAX_CHUNKS_PER_TURN = 128
+MAX_EVENTS_PER_TURN = 32
+
+#: How each response begins.
+_HEAD_START = b'HTTP/1.'
+
 #: Maximum size in bytes of a body that is written together with the head.  Larger
 #: bodies are written while the response is read, as a target may respond before it
 #: has read the whole body.
 SINGLE_WRITE_MAX_BYTES = 16_384
 
+#: Maximum size in bytes of all responses of a pool that are read whole, before their
+#: ends: a node has 128 MB, of which it uses some 50 MB otherwise.
+MAX_BUFFERED_BYTES = 50_331_648
+
 #: Seconds for which an idle connection is reused if the target gives no timeout.
 DEFAULT_KEEP_ALIVE_S = 3.0
 
@@ -73,17 +81,8 @@
 #: Matches the end of a response head as h11 finds it.
 _HEAD_END = re.compile(rb'\n\r?\n')
 
-#: Matches the start of a status line as the parser accepts it; the part of a line that
-#: has not arrived is taken from the example.
-_STATUS_LINE_START = re.compile(rb'HTTP/[0-9]\.[0-9] [0-9]{3}[ \r\n]')
-_STATUS_LINE_EXAMPLE = b'HTTP/1.1 200 '
-
-#: Matches bytes that the parser accepts nowhere in a head or in trailers.  It would try
-#: to match such a line from each of its spaces.
-_FORBIDDEN = re.compile(rb'[\x00\x0b\x0c]|\r[^\n]')
-
-#: Last chunk of a body without extensions (RFC 9112, section 7.1).
-_LAST_CHUNK = b'0\r\n'
+#: Matches the size line of a chunk without extensions (RFC 9112, section 7.1).
+_CHUNK_SIZE = re.compile(rb'([0-9A-Fa-f]{1,20})\r\n')
 
 #: Statuses and methods whose responses have no body, whatever their headers say.
 #: Source: RFC 9112, section 6.3.
@@ -143,14 +142,15 @@
 class Connection:
     """An open connection to an address.
 
-    The bytes of the head and of the body are kept apart, so that the chunks of a body
-    can be decoded without the parser, which takes one step for each.  The last chunk
-    and the trailers are left to the parser.
+    The bytes of the head and of the body are kept apart, so that a chunked body can be
+    decoded without the parser as long as it arrives in complete chunks without
+    extensions.  Everything else, including the end of the body, is left to the parser.
 
     :param reusable_until: time of the pool's clock until which it may be reused.
     :param used: whether an earlier exchange used it.
-    :param chunks: decodes the chunks of the body, if the parser need not; the parser is
+    :param decodes_chunks: whether chunks are decoded without the parser; the parser is
         then at the start of a chunk and has no unread bytes.
+    :param _extra_bytes: bytes by which the framing of the body exceeds its content.
     """
 
     address: str
@@ -158,13 +158,13 @@
     parser: h11.Connection
     reusable_until: float = 0.0
     used: bool = False
-    chunks: ChunkDecoder | None = None
+    decodes_chunks: bool = False
     _unparsed: bytes = b''
     _head_tail: bytes = b''
     _head_start: bytes = b''
     _head_bytes: int = 0
-    _head_lines: int = 0
-    _in_trailers: bool = False
+    _extra_bytes: int = 0
+    _turn_events: int = 0
 
     def has_no_pending_input(self) -> bool:
         """Whether neither data nor the end of the stream is pending."""
@@ -180,67 +180,82 @@
         :raises TimeoutError: the deadline passed.
         """
         while True:
+            if self._turn_events >= MAX_EVENTS_PER_TURN:
+                self._turn_events = 0
+                await self.stream.finish_turn(deadline)
             try:
                 event = self.parser.next_event()
+                self._turn_events += 1
                 if event is not h11.NEED_DATA:
+                    if isinstance(event, h11.Data):
+                        self._extra_bytes -= 2 * len(event.data)
                     return event  # type: ignore[return-value]
-                data = self._unparsed or await self._receive(deadline)
-                self._unparsed = b''
-                if self.parser.their_state is h11.SEND_RESPONSE:
-                    if not data:
-                        raise ExchangeError('connection closed without a response')
-                    self._check_status_line(data)
-                    data = self._split_head(data)
-                elif self._in_trailers and data:
-                    data = self._split_head(data)
-                self.parser.receive_data(data)
+                await self._feed_parser(deadline)
             except h11.RemoteProtocolError as error:
                 raise ExchangeError(f'invalid response: {error}') from error
 
+    async def _feed_parser(self, deadline: float | None) -> None:
+        """Give the parser the next bytes.
+
+        :raises ExchangeError: the connection failed, or no response can follow.
+        :raises TimeoutError: the deadline passed.
+        """
+        # The parser keeps no content now.
+        self._check_framing()
+        data = self._unparsed
+        if not data:
+            data = await self._receive(deadline)
+            self._turn_events = 0
+        self._unparsed = b''
+        if self.parser.their_state is h11.SEND_RESPONSE:
+            if not data:
+                raise ExchangeError('connection closed without a response')
+            data = self._split_head(data)
+        else:
+            self._extra_bytes += len(data)
+        self.parser.receive_data(data)
+
     def start_exchange(self) -> None:
-        """Start to count the bytes and the successive reads of a response."""
-        self.stream.restart_pacing()
-        self._head_bytes = self._head_lines = 0
+        """Begin to count the bytes of a response."""
         self._head_tail = self._head_start = b''
-        self._in_trailers = False
+        self._head_bytes = self._extra_bytes = 0
 
-    def _check_status_line(self, data: bytes) -> None:
-        """Check the first bytes of a head.
+    def _check_framing(self) -> None:
+        """Check what frames the content that was read.
 
-        :raises ExchangeError: they are not the start of a status line.
+        :raises ExchangeError: it is more than a body needs.
         """
-        size = len(_STATUS_LINE_EXAMPLE)
-        if len(self._head_start) == size:
-            return
-        self._head_start = start = (self._head_start + data[:size])[:size]
-        if not _STATUS_LINE_START.match(start + _STATUS_LINE_EXAMPLE[len(start) :]):
-            raise ExchangeError('invalid response: no status line')
+        if self._extra_bytes > MAX_EXTRA_FRAMING_BYTES:
+            raise ExchangeError('invalid response: more framing than content')
 
     def _split_head(self, data: bytes) -> bytes:
-        """Return received bytes up to the end of a head or of trailers; keep the rest.
+        """Return the part of received bytes up to the end of a head; keep the rest."""
+        if len(self._head_start) < len(_HEAD_START):
+            self._head_start = (self._head_start + data)[: len(_HEAD_START)]
+            if not _HEAD_START.startswith(self._head_start):
+                raise ExchangeError('invalid response: no status line')
+        before = len(self._head_tail)
+        found = _HEAD_END.search(self._head_tail + data)
+        if found is None:
+            self._head_tail = (self._head_tail + data)[-2:]
+            self._note_head(len(data))
+            return data
+        self._head_tail = self._head_start = b''
+        end = found.end() - before
+        self._note_head(end)
+        self._unparsed = data[end:]
+        return data[:end]
+
+    def _note_head(self, size: int) -> None:
+        """Count bytes of a head, with those of the interim responses before it.
 
-        :raises ExchangeError: the bytes cannot become the head of a response.
+        :raises ExchangeError: they are too many.
         """
-        tail = self._head_tail
-        known = tail + data
-        found = _HEAD_END.search(known)
-        end = len(known) if found is None else found.end()
-        if _FORBIDDEN.search(known, 0, end):
-            raise ExchangeError('invalid response: forbidden byte in a head')
-        self._head_bytes += end - len(tail)
-        self._head_lines += known.count(b'\n', len(tail), end)
+        self._head_bytes += size
         if self._head_bytes > MAX_RESPONSE_HEAD_BYTES:
             raise ExchangeError(
                 f'response head larger than {MAX_RESPONSE_HEAD_BYTES} bytes'
             )
-        if self._head_lines > MAX_HEAD_LINES:
-            raise ExchangeError(f'response head of more than {MAX_HEAD_LINES} lines')
-        if found is None:
-            self._head_tail = known[-2:]
-            return data
-        self._head_tail = self._head_start = b''
-        self._unparsed = known[end:]
-        return known[len(tail) : end]
 
     async def _receive(self, deadline: float | None) -> bytes:
         """Return received bytes, or none at the end of the stream."""
@@ -251,34 +266,41 @@
         except (anyio.BrokenResourceError, anyio.ClosedResourceError) as error:
             raise ExchangeError('connection reset') from error
 
-    async def read_chunks(self, deadline: float | None) -> bytes | None:
-        """Return the content of received chunks, or ``None`` before the last chunk.
+    async def read_simple_chunks(self, deadline: float | None) -> bytes | None:
+        """Return the content of the next chunks, or ``None`` if the parser must read.
 
-        All chunks that have arrived are decoded, up to a bound on the work of a call.
+        Chunks that are incomplete, empty, malformed or have extensions are read by the
+        parser, and so are all chunks after them.
 
-        :raises ExchangeError: the connection failed or the body is malformed.
+        :raises ExchangeError: the connection failed, or there is too much framing.
         :raises TimeoutError: the deadline passed.
         """
-        decoder = self.chunks
-        while decoder is not None and not decoder.ended:
-            if decoder.has_more:
-                await self.stream.pace(deadline)
-            elif decoder.started or not self._unparsed:
-                data = await self._receive(deadline)
-                if not data:
-                    raise ExchangeError('connection closed within a chunked body')
-                self._unparsed += data
-            try:
-                content, self._unparsed = decoder.decode(self._unparsed)
-            except ChunkError as error:
-                raise ExchangeError(f'invalid response: {error}') from error
-            if decoder.ended:
-                self._unparsed = _LAST_CHUNK + self._unparsed
-                self._head_bytes = self._head_lines = 0
-                self._in_trailers = True
-            if content:
-                return content
-        self.chunks = None
+        data = self._unparsed
+        if data:
+            await self.stream.finish_turn(deadline)
+        else:
+            data = self._unparsed = await self._receive(deadline)
+        parts: list[bytes] = []
+        at = 0
+        while len(parts) < MAX_CHUNKS_PER_TURN:
+            size = _CHUNK_SIZE.match(data, at)
+            if size is None:
+                break
+            start = size.end()
+            end = start + int(size[1], 16)
+            if end == start or data[end : end + 2] != b'\r\n':
+                break
+            parts.append(data[start:end])
+            at = end + 2
+        if parts:
+            self._unparsed = data[at:]
+            content = b''.join(parts) if len(parts) > 1 else parts[0]
+            self._extra_bytes += at - 2 * len(content)
+            self._check_framing()
+            return content
+        self.decodes_chunks = False
+        if not data:
+            self.parser.receive_data(b'')
         return None
 
     def close(self) -> None:
@@ -323,8 +345,8 @@
         deadline = None
         if timeout_s is not None:
             deadline = connection.stream.find_deadline(timeout_s)
-        if connection.chunks is not None:
-            data = await connection.read_chunks(deadline)
+        if connection.decodes_chunks:
+            data = await connection.read_simple_chunks(deadline)
             if data is not None:
                 return data
         event = await connection.read_event(deadline)
@@ -341,16 +363,21 @@
         """Return the whole body.
 
         :param note: called each time bytes of it have arrived.
-        :raises ExchangeError: it is malformed, truncated or above ``limit`` bytes.
+        :raises ExchangeError: it is malformed, truncated or above ``limit`` bytes, or
+            the largest of all that are read at once, which together are too large.
         """
         parts: list[bytes] = []
         size = 0
-        while (part := await self.read_chunk()) is not None:
-            note()
-            size += len(part)
-            if size > limit:
-                raise ExchangeError(f'response body larger than {limit} bytes')
-            parts.append(part)
+        try:
+            while (part := await self.read_chunk()) is not None:
+                note()
+                size += len(part)
+                if size > limit:
+                    raise ExchangeError(f'response body larger than {limit} bytes')
+                self.pool.note_buffered(self, size)
+                parts.append(part)
+        finally:
+            self.pool.note_buffered(self, 0)
         return b''.join(parts)
 
     def release(self) -> None:
@@ -382,11 +409,29 @@
     connect: Connect = connect_directly
     _idle: dict[str, list[Connection]] = field(default_factory=dict)
     _open: dict[str, int] = field(default_factory=dict)
+    _buffered: dict[Response, int] = field(default_factory=dict)
+    buffered_bytes: int = 0
 
     def count_open(self, address: str) -> int:
         """Return the number of open or opening connections to an address."""
         return self._open.get(address, 0)
 
+    def note_buffered(self, response: Response, size: int) -> None:
+        """Count the bytes of a response that are held until its end.
+
+        :raises ExchangeError: all such bytes are too many, and it has most of them.
+        """
+        before = self._buffered.pop(response, 0)
+        if size:
+            total = self.buffered_bytes + size - before
+            if total > MAX_BUFFERED_BYTES and size >= max(
+                self._buffered.values(), default=0
+            ):
+                self.buffered_bytes -= before
+                raise ExchangeError('unfinished responses are too large')
+            self._buffered[response] = size
+        self.buffered_bytes += size - before
+
     def has_idle(self, address: str) -> bool:
         """Whether an idle connection to an address may be reused."""
         idle = self._idle.get(address, ())
@@ -590,15 +635,13 @@
         return response[0]
 
     async def _read_head(self, connection: Connection, method: bytes) -> Response:
-        interim_responses = 0
+        interim = 0
         while True:
             event = await connection.read_event()
             if isinstance(event, h11.InformationalResponse):
-                interim_responses += 1
-                if interim_responses > MAX_INTERIM_RESPONSES:
-                    raise ExchangeError(
-                        f'more than {MAX_INTERIM_RESPONSES} interim responses'
-                    )
+                interim += 1
+                if interim > MAX_INTERIM_RESPONSES:
+                    raise ExchangeError('too many interim responses')
                 continue
             if not isinstance(event, h11.Response):
                 raise ExchangeError(
@@ -606,9 +649,9 @@
                 )
             headers = tuple(event.headers.raw_items())
             framing = _find_framing(method, event.status_code, headers)
-            connection.chunks = None
-            if framing is Framing.CHUNKS and not connection.parser.trailing_data[0]:
-                connection.chunks = ChunkDecoder()
+            connection.decodes_chunks = (
+                framing is Framing.CHUNKS and not connection.parser.trailing_data[0]
+            )
             return Response(event.status_code, headers, connection, self, framing)
 
 
--- a/tests/http/test_given_up_connections.py
+++ b/tests/http/test_given_up_connections.py
@@ -9,11 +9,13 @@
 
 from coursepitch.http import ConnectionPool
 from coursepitch.listeners import listen
-from tests.http.floods import CHUNKED_HEAD, HEADERS
+from tests.http.test_exchange import HEADERS
 
 if TYPE_CHECKING:
     import socket
 
+CHUNKED_HEAD = b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
+
 
 class GivenUpConnectionTest(unittest.TestCase):
     """Connections end with a reset, unless their last response is complete."""
