Keep lines from the parser that take it quadratic time

Callers saw: nothing of a node, for as long as a few bytes of one instance kept its event loop. Cause: the parser's expressions for header lines, trailers and size lines of chunks try a line that they do not accept from each of its spaces.

Bytes that the parser accepts nowhere in a head or in trailers fail the exchange before it reads them. Size lines with extensions, and chunks that are cut, are decoded without the parser, as others were.

--- a/coursepitch/http/client.py
+++ b/coursepitch/http/client.py
@@ -18,6 +18,12 @@
 
 from coursepitch.clock import Clock, boottime
 from coursepitch.errors import CoursepitchError
+from coursepitch.http.chunks import (
+    MAX_CHUNKS_PER_TURN,
+    MAX_EXTRA_FRAMING_BYTES,
+    ChunkDecoder,
+    ChunkError,
+)
 from coursepitch.http.messages import find_header
 from coursepitch.http.stream import connect
 
@@ -45,17 +51,19 @@
 #: Largest number of interim responses (RFC 9110, section 15.2) before a response.
 MAX_INTERIM_RESPONSES = 16
 
-#: Bytes by which the framing of a chunked body may exceed its content.  Framing takes
-#: at least five bytes for each chunk, so this allows some thousand chunks of one byte.
-MAX_EXTRA_FRAMING_BYTES = 16_384
-
-#: Chunks, and events of the parser, that are processed in one turn of the event loop.
-MAX_CHUNKS_PER_TURN = 128
+#: Events of the parser that are processed in one turn of the event loop.
 MAX_EVENTS_PER_TURN = 32
 
 #: How each response begins.
 _HEAD_START = b'HTTP/1.'
 
+#: Matches bytes that the parser accepts nowhere in a head or in trailers.  It would try
+#: to match such a line from each of its spaces.
+_FORBIDDEN = re.compile(rb'[\x00\x0b\x0c]|\r[^\n]')
+
+#: Last chunk of a body without extensions (RFC 9112, section 7.1).
+_LAST_CHUNK = b'0\r\n'
+
 #: Maximum size in bytes of a body that is written together with the head.  Larger
 #: bodies are written while the response is read, as a target may respond before it
 #: has read the whole body.
@@ -142,9 +150,9 @@
 class Connection:
     """An open connection to an address.
 
-    The bytes of the head and of the body are kept apart, so that a chunked body can be
-    decoded without the parser as long as it arrives in complete chunks without
-    extensions.  Everything else, including the end of the body, is left to the parser.
+    The bytes of the head and of the body are kept apart, so that the chunks of a body
+    can be decoded without the parser, which takes one step for each.  The last chunk
+    and the trailers are left to the parser.
 
     :param reusable_until: time of the pool's clock until which it may be reused.
     :param used: whether an earlier exchange used it.
@@ -163,6 +171,8 @@
     _head_tail: bytes = b''
     _head_start: bytes = b''
     _head_bytes: int = 0
+    _in_trailers: bool = False
+    _chunks: ChunkDecoder | None = None
     _extra_bytes: int = 0
     _turn_events: int = 0
 
@@ -210,8 +220,11 @@
         if self.parser.their_state is h11.SEND_RESPONSE:
             if not data:
                 raise ExchangeError('connection closed without a response')
+            self._check_status_line(data)
             data = self._split_head(data)
         else:
+            if self._in_trailers and data:
+                data = self._split_head(data)
             self._extra_bytes += len(data)
         self.parser.receive_data(data)
 
@@ -219,6 +232,8 @@
         """Begin to count the bytes of a response."""
         self._head_tail = self._head_start = b''
         self._head_bytes = self._extra_bytes = 0
+        self._in_trailers = False
+        self._chunks = None
 
     def _check_framing(self) -> None:
         """Check what frames the content that was read.
@@ -228,34 +243,40 @@
         if self._extra_bytes > MAX_EXTRA_FRAMING_BYTES:
             raise ExchangeError('invalid response: more framing than content')
 
-    def _split_head(self, data: bytes) -> bytes:
-        """Return the part of received bytes up to the end of a head; keep the rest."""
-        if len(self._head_start) < len(_HEAD_START):
-            self._head_start = (self._head_start + data)[: len(_HEAD_START)]
-            if not _HEAD_START.startswith(self._head_start):
-                raise ExchangeError('invalid response: no status line')
-        before = len(self._head_tail)
-        found = _HEAD_END.search(self._head_tail + data)
-        if found is None:
-            self._head_tail = (self._head_tail + data)[-2:]
-            self._note_head(len(data))
-            return data
-        self._head_tail = self._head_start = b''
-        end = found.end() - before
-        self._note_head(end)
-        self._unparsed = data[end:]
-        return data[:end]
+    def _check_status_line(self, data: bytes) -> None:
+        """Check the first bytes of a head.
 
-    def _note_head(self, size: int) -> None:
-        """Count bytes of a head, with those of the interim responses before it.
+        :raises ExchangeError: they are not the start of a status line.
+        """
+        size = len(_HEAD_START)
+        if len(self._head_start) == size:
+            return
+        self._head_start = (self._head_start + data[:size])[:size]
+        if not _HEAD_START.startswith(self._head_start):
+            raise ExchangeError('invalid response: no status line')
 
-        :raises ExchangeError: they are too many.
+    def _split_head(self, data: bytes) -> bytes:
+        """Return received bytes up to the end of a head or of trailers; keep the rest.
+
+        :raises ExchangeError: the bytes cannot become a head, or trailers.
         """
-        self._head_bytes += size
+        tail = self._head_tail
+        known = tail + data
+        found = _HEAD_END.search(known)
+        end = len(known) if found is None else found.end()
+        if _FORBIDDEN.search(known, 0, end):
+            raise ExchangeError('invalid response: forbidden byte in a head')
+        self._head_bytes += end - len(tail)
         if self._head_bytes > MAX_RESPONSE_HEAD_BYTES:
             raise ExchangeError(
                 f'response head larger than {MAX_RESPONSE_HEAD_BYTES} bytes'
             )
+        if found is None:
+            self._head_tail = known[-2:]
+            return data
+        self._head_tail = self._head_start = b''
+        self._unparsed = known[end:]
+        return known[len(tail) : end]
 
     async def _receive(self, deadline: float | None) -> bytes:
         """Return received bytes, or none at the end of the stream."""
@@ -269,12 +290,14 @@
     async def read_simple_chunks(self, deadline: float | None) -> bytes | None:
         """Return the content of the next chunks, or ``None`` if the parser must read.
 
-        Chunks that are incomplete, empty, malformed or have extensions are read by the
-        parser, and so are all chunks after them.
+        From the first chunk on that is incomplete, malformed or has extensions, a
+        decoder reads them; the parser reads the last chunk.
 
-        :raises ExchangeError: the connection failed, or there is too much framing.
+        :raises ExchangeError: the connection failed, or the body is malformed.
         :raises TimeoutError: the deadline passed.
         """
+        if self._chunks is not None:
+            return await self._decode_chunks(self._chunks, deadline)
         data = self._unparsed
         if data:
             await self.stream.finish_turn(deadline)
@@ -298,9 +321,34 @@
             self._extra_bytes += at - 2 * len(content)
             self._check_framing()
             return content
-        self.decodes_chunks = False
         if not data:
-            self.parser.receive_data(b'')
+            raise ExchangeError('connection closed within a chunked body')
+        self._chunks = ChunkDecoder(self._extra_bytes)
+        return await self._decode_chunks(self._chunks, deadline)
+
+    async def _decode_chunks(
+        self, decoder: ChunkDecoder, deadline: float | None
+    ) -> bytes | None:
+        """Return the content of the next chunks, or ``None`` before the last chunk."""
+        while not decoder.ended:
+            if decoder.has_more:
+                await self.stream.finish_turn(deadline)
+            elif decoder.started:
+                data = await self._receive(deadline)
+                if not data:
+                    raise ExchangeError('connection closed within a chunked body')
+                self._unparsed += data
+            try:
+                content, self._unparsed = decoder.decode(self._unparsed)
+            except ChunkError as error:
+                raise ExchangeError(f'invalid response: {error}') from error
+            if decoder.ended:
+                self._unparsed = _LAST_CHUNK + self._unparsed
+                self._head_bytes = self._extra_bytes = 0
+                self._in_trailers = True
+            if content:
+                return content
+        self.decodes_chunks = False
         return None
 
     def close(self) -> None:
