Bound the number of lines of a head and of trailers

Callers saw: late responses beside heads of many lines. Cause: the parser reads all lines of a head in one turn of the event loop, and only their bytes were bounded.

--- a/coursepitch/http/client.py
+++ b/coursepitch/http/client.py
@@ -51,6 +51,10 @@
 #: Largest number of interim responses (RFC 9110, section 15.2) before a response.
 MAX_INTERIM_RESPONSES = 16
 
+#: Maximum number of lines of trailers, or of a response head together with the interim
+#: responses before it.  The parser takes some microseconds for each, all in one turn.
+MAX_HEAD_LINES = 1_000
+
 #: Events of the parser that are processed in one turn of the event loop.
 MAX_EVENTS_PER_TURN = 32
 
@@ -171,6 +175,7 @@
     _head_tail: bytes = b''
     _head_start: bytes = b''
     _head_bytes: int = 0
+    _head_lines: int = 0
     _in_trailers: bool = False
     _chunks: ChunkDecoder | None = None
     _extra_bytes: int = 0
@@ -231,7 +236,7 @@
     def start_exchange(self) -> None:
         """Begin to count the bytes of a response."""
         self._head_tail = self._head_start = b''
-        self._head_bytes = self._extra_bytes = 0
+        self._head_bytes = self._head_lines = self._extra_bytes = 0
         self._in_trailers = False
         self._chunks = None
 
@@ -267,10 +272,13 @@
         if _FORBIDDEN.search(known, 0, end):
             raise ExchangeError('invalid response: forbidden byte in a head')
         self._head_bytes += end - len(tail)
+        self._head_lines += known.count(b'\n', len(tail), end)
         if self._head_bytes > MAX_RESPONSE_HEAD_BYTES:
             raise ExchangeError(
                 f'response head larger than {MAX_RESPONSE_HEAD_BYTES} bytes'
             )
+        if self._head_lines > MAX_HEAD_LINES:
+            raise ExchangeError(f'response head of more than {MAX_HEAD_LINES} lines')
         if found is None:
             self._head_tail = known[-2:]
             return data
@@ -344,7 +352,7 @@
                 raise ExchangeError(f'invalid response: {error}') from error
             if decoder.ended:
                 self._unparsed = _LAST_CHUNK + self._unparsed
-                self._head_bytes = self._extra_bytes = 0
+                self._head_bytes = self._head_lines = self._extra_bytes = 0
                 self._in_trailers = True
             if content:
                 return content
--- a/tests/http/test_response_bounds.py
+++ b/tests/http/test_response_bounds.py
@@ -10,6 +10,7 @@
 
 from coursepitch.http import ConnectionPool, ExchangeError
 from coursepitch.http.client import (
+    MAX_HEAD_LINES,
     MAX_INTERIM_RESPONSES,
     MAX_RESPONSE_HEAD_BYTES,
 )
@@ -133,6 +134,19 @@
                 sent = self.expect_error(start, repeated)
                 self.assertLessEqual(sent, MAX_SENT_BYTES)
 
+    # Guards against heads whose lines take the parser a long turn of the event loop.
+    def test_number_of_lines_of_a_head_is_bounded(self):
+        async def run(lines):
+            stream, _ = build_stream()
+            head = b'HTTP/1.1 200 OK\r\n' + b'a:\r\n' * (lines - 2) + b'\r\n'
+            stream.data_received(head[:1_000])
+            stream.data_received(head[1_000:])
+            return (await ask(stream)).status
+
+        self.assertEqual(anyio.run(run, MAX_HEAD_LINES), 200)
+        with self.assertRaises(ExchangeError):
+            anyio.run(run, MAX_HEAD_LINES + 1)
+
     # Guards against a parser that takes quadratic time for white space in a head.
     def test_forbidden_byte_fails_the_exchange_before_the_head_ends(self):
         async def run(parts):
@@ -225,6 +239,7 @@
 
         for trailers in (
             b'a: ' + b' ' * 60_000 + b'\0\r\n\r\n',
+            b'a:\r\n' * MAX_HEAD_LINES + b'\r\n',
             b'a: ' + b'x' * MAX_RESPONSE_HEAD_BYTES + b'\r\n\r\n',
         ):
             with self.subTest(trailers=trailers[:10]):
