Check the whole start of a status line

Callers saw: 504 at the deadline, as the first seven bytes of a head were those of a status line and the next were not. Cause: only these seven were checked before the end of the head. The version and the status are checked now, too.

--- a/coursepitch/http/client.py
+++ b/coursepitch/http/client.py
@@ -58,8 +58,10 @@
 #: Events of the parser that are processed in one turn of the event loop.
 MAX_EVENTS_PER_TURN = 32
 
-#: How each response begins.
-_HEAD_START = b'HTTP/1.'
+#: Matches the start of a status line as the parser accepts it; the part of a line that
+#: has not arrived is taken from the example.
+_STATUS_LINE_START = re.compile(rb'HTTP/1\.[0-9] [0-9]{3}[ \r\n]')
+_STATUS_LINE_EXAMPLE = b'HTTP/1.1 200 '
 
 #: Matches bytes that the parser accepts nowhere in a head or in trailers.  It would try
 #: to match such a line from each of its spaces.
@@ -253,11 +255,11 @@
 
         :raises ExchangeError: they are not the start of a status line.
         """
-        size = len(_HEAD_START)
+        size = len(_STATUS_LINE_EXAMPLE)
         if len(self._head_start) == size:
             return
-        self._head_start = (self._head_start + data[:size])[:size]
-        if not _HEAD_START.startswith(self._head_start):
+        self._head_start = start = (self._head_start + data[:size])[:size]
+        if not _STATUS_LINE_START.match(start + _STATUS_LINE_EXAMPLE[len(start) :]):
             raise ExchangeError('invalid response: no status line')
 
     def _split_head(self, data: bytes) -> bytes:
--- a/tests/http/test_response_bounds.py
+++ b/tests/http/test_response_bounds.py
@@ -108,7 +108,7 @@
             with anyio.fail_after(5), self.assertRaises(ExchangeError):
                 await ask(stream)
 
-        for start in (b'x', b'\r', b'HTTP/11'):
+        for start in (b'x', b'\r', b'HTTP/1.1 20x', b'HTTP/1.1 2000', b'HTTP/11'):
             with self.subTest(start=start):
                 anyio.run(run, start)
 
