Count framing without credit for earlier content

Callers saw: small chunks without end after a large one. Cause: the framing was compared with all content of a body, so a large chunk allowed as much framing after it.

Evidence: the test of framing after 128 KiB of content fails on.

--- a/coursepitch/http/client.py
+++ b/coursepitch/http/client.py
@@ -247,6 +247,9 @@
 
         :raises ExchangeError: it is more than a body needs.
         """
+        if self._extra_bytes < 0:
+            # Content that precedes the framing allows no more of it.
+            self._extra_bytes = 0
         if self._extra_bytes > MAX_EXTRA_FRAMING_BYTES:
             raise ExchangeError('invalid response: more framing than content')
 
--- a/tests/http/test_response_bounds.py
+++ b/tests/http/test_response_bounds.py
@@ -211,6 +211,17 @@
             with self.subTest(repeated=repeated[:10]):
                 self.assertLess(self.expect_error(repeated), FLOOD_BYTES)
 
+    def test_content_before_the_framing_allows_no_more_of_it(self):
+        async def run():
+            stream, _ = build_stream()
+            large = b'20000\r\n' + b'x' * 0x20000 + b'\r\n'
+            stream.data_received(CHUNKED_HEAD + large + b'1\r\nx\r\n' * 30_000)
+            stream.eof_received()
+            with self.assertRaisesRegex(ExchangeError, 'framing'):
+                await read_body(stream)
+
+        anyio.run(run)
+
     def test_short_chunks_of_an_ordinary_body_are_read(self):
         async def run():
             stream, _ = build_stream()
