--- /dev/null
+++ b/tests/http/test_paced_reads.py
@@ -0,0 +1,143 @@
+"""Tests that streams that always have data ready share a part of the loop's time."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+import anyio
+
+from coursepitch.http.stream import MAX_TURN_S, PACE_FACTOR, READ_BYTES
+from tests.gateway.simulated_runs import VirtualTimeLoop
+from tests.http.floods import Flood
+from tests.http.test_framing import build_stream
+
+#: Seconds of simulated work on one read.
+WORK_S = 0.002
+
+
+def run_virtually(run):
+    """Run a test on an event loop with a virtual clock; return its result."""
+    with asyncio.Runner(loop_factory=VirtualTimeLoop) as runner:
+        return runner.run(run())
+
+
+class SharedTimeTest(unittest.TestCase):
+    """Floods leave most of the time of the event loop to other tasks."""
+
+    def measure_share(self, count, read=None):
+        """Return the part of a second that is spent on a number of floods."""
+
+        async def run():
+            loop = asyncio.get_running_loop()
+            worked = [0.0]
+
+            async def drain():
+                flood = Flood(b'', b'x')
+                flood.limit = None
+                while True:
+                    await (read(flood.stream) if read else flood.stream.receive())
+                    loop.pause(WORK_S)
+                    worked[0] += WORK_S
+
+            async with anyio.create_task_group() as tasks:
+                for _ in range(count):
+                    tasks.start_soon(drain)
+                # The reads before the pacing are no part of the share.
+                await anyio.sleep(10 * WORK_S * count)
+                began, before = loop.time(), worked[0]
+                await anyio.sleep(5.0)
+                share = (worked[0] - before) / (loop.time() - began)
+                tasks.cancel_scope.cancel()
+            return share
+
+        return run_virtually(run)
+
+    # Guards against a node whose requests wait as instances send without end.
+    def test_any_number_of_floods_shares_a_part_of_the_time(self):
+        for count in (1, 10, 100):
+            with self.subTest(count=count):
+                share = self.measure_share(count)
+                self.assertLess(share, 1.2 / PACE_FACTOR)
+                self.assertGreater(share, 0.8 / PACE_FACTOR)
+
+    # Guards against work without a receive, as on many small chunks of one read.
+    def test_work_on_bytes_that_were_read_before_is_paced_too(self):
+        share = self.measure_share(10, lambda stream: stream.finish_turn())
+        self.assertLess(share, 1.2 / PACE_FACTOR)
+
+    def test_each_flood_gets_its_turn(self):
+        async def run():
+            loop = asyncio.get_running_loop()
+            reads = [0] * 5
+
+            async def drain(place):
+                flood = Flood(b'', b'x')
+                flood.limit = None
+                while True:
+                    await flood.stream.receive()
+                    loop.pause(WORK_S)
+                    reads[place] += 1
+
+            async with anyio.create_task_group() as tasks:
+                for place in range(len(reads)):
+                    tasks.start_soon(drain, place)
+                await anyio.sleep(5.0)
+                tasks.cancel_scope.cancel()
+            return reads
+
+        reads = run_virtually(run)
+        self.assertLessEqual(max(reads) - min(reads), 2)
+
+
+class PacedReadTest(unittest.TestCase):
+    """Only streams that have much data ready are delayed."""
+
+    # Guards against sound streams that wait for bytes of others.
+    def test_small_parts_that_arrive_one_by_one_are_not_delayed(self):
+        async def run():
+            loop = asyncio.get_running_loop()
+            stream, _ = build_stream()
+            waited = []
+            for _ in range(1_000):
+                loop.pause(WORK_S)
+                stream_due = loop.time() + WORK_S
+                loop.call_later(WORK_S, stream.data_received, b'x' * 1_000)
+                await stream.receive()
+                waited.append(loop.time() - stream_due)
+            return max(waited)
+
+        self.assertLess(run_virtually(run), WORK_S)
+
+    # Guards against a reader that is delayed for the time in which its client read.
+    def test_time_that_a_reader_waited_elsewhere_is_not_all_work(self):
+        async def run():
+            loop = asyncio.get_running_loop()
+            flood = Flood(b'', b'x')
+            flood.limit = None
+            waited = []
+            for _ in range(40):
+                await asyncio.sleep(1.0)
+                began = loop.time()
+                await flood.stream.receive()
+                waited.append(loop.time() - began)
+            return max(waited)
+
+        self.assertLessEqual(run_virtually(run), 1.1 * PACE_FACTOR * MAX_TURN_S)
+
+    def test_delayed_read_ends_at_its_deadline_with_its_bytes(self):
+        async def run():
+            loop = asyncio.get_running_loop()
+            flood = Flood(b'', b'x')
+            flood.limit = None
+            for _ in range(40):
+                loop.pause(MAX_TURN_S)
+                await flood.stream.receive()
+            loop.pause(MAX_TURN_S)
+            began = loop.time()
+            data = await flood.stream.receive(began + 0.001)
+            return len(data), loop.time() - began
+
+        size, waited = run_virtually(run)
+        self.assertEqual(size, READ_BYTES)
+        self.assertLess(waited, 0.002)
