Search each block of a stream once as it reaches the bound of an event

Cause: the check of the sizes of events, made once a stream reaches 1 MiB without an event, searched for a field from the last event on at the end of each empty block. The test failed before.

--- a/coursepitch/http/event_splitter.py
+++ b/coursepitch/http/event_splitter.py
@@ -80,11 +80,13 @@
         partial = self._partial
         # What was returned since the last event counts as well.
         event_at = len(partial) - self._since_event
+        block_at = max(0, event_at, self._without_event)
         for found in _EVENT_END.finditer(partial, self._without_end, end):
             if found.end() - event_at > MAX_EVENT_BYTES:
                 break
-            if _KNOWN_FIELD.search(partial, max(0, event_at), found.end()):
+            if _KNOWN_FIELD.search(partial, block_at, found.end()):
                 event_at = found.end()
+            block_at = found.end()
         if len(partial) - event_at > MAX_EVENT_BYTES:
             raise ExchangeError(f'no event within {MAX_EVENT_BYTES} bytes')
 
--- a/tests/http/test_event_splitter.py
+++ b/tests/http/test_event_splitter.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import itertools
+import time
 import unittest
 
 from hypothesis import given
@@ -73,6 +74,23 @@
             self.assertEqual((splitter.last_event, splitter.count), (b'1', 1))
 
 
+class ProofTest(unittest.TestCase):
+    """The proof that no event comes takes little time."""
+
+    # Guards against a node that stands for a minute as one stream reaches the bound.
+    def test_many_small_blocks_are_found_to_be_too_many_at_once(self):
+        for block in (b'\n', b'\r', b': ping\n\n', b'x\n\n'):
+            with self.subTest(block):
+                splitter = EventSplitter()
+                splitter.feed(build_event(1))
+                piece = block * (PIECE_BYTES // len(block))
+                began_at = time.process_time()
+                with self.assertRaises(ExchangeError):
+                    for _ in range(2 * MAX_EVENT_BYTES // PIECE_BYTES):
+                        splitter.feed(piece)
+                self.assertLess(time.process_time() - began_at, 2.0)
+
+
 class BoundTest(unittest.TestCase):
     """Bytes that bring no event are accepted up to a bound."""
 
