Fail runs whose group is known to have an ended member

A stream that may not be repeated waited for its deadline, 6 s in the test, although a node had proven after 0.5 s that its only instance had ended. The machine had lost power, so nothing reset the connection. The error of a second run was held back as long, since the first one might have gone on.

While all runs of a request are suspected, one whose group has a member that is proven to have ended now fails after one second with neither bytes nor a pause of the node, in which all that the group had sent arrives. A run that sends bytes, or that this node does not suspect itself, goes on as before.

--- a/coursepitch/gateway/runs.py
+++ b/coursepitch/gateway/runs.py
@@ -84,6 +84,9 @@
     :param progressed_at: monotonic time at which it last progressed as it delivers the
         response, or at which the node last went on after a pause.
     :param checked_at: monotonic time at which its group was last probed for it.
+    :param proven_at: monotonic time since which a member of its group is known to have
+        ended; ``None`` if none is.
+    :param scope: cancelled if the run is to fail; ``None`` while it is not read.
     """
 
     group: OpenGroup
@@ -109,6 +112,8 @@
     waits_since: float = 0.0
     progressed_at: float = 0.0
     checked_at: float = float('-inf')
+    proven_at: float | None = None
+    scope: anyio.CancelScope | None = None
 
     @property
     def head(self) -> str:
--- a/coursepitch/gateway/streams.py
+++ b/coursepitch/gateway/streams.py
@@ -10,7 +10,11 @@
 import anyio
 
 from coursepitch import events, log
-from coursepitch.fleet.pause_detector import TimeoutFilter, sleep_running
+from coursepitch.fleet.pause_detector import (
+    TimeoutFilter,
+    has_passed_late,
+    sleep_running,
+)
 from coursepitch.gateway.admission import Denial, Denied, Terms
 from coursepitch.gateway.attempts import (
     ERROR_BODY_TIMEOUT_S,
@@ -69,6 +73,10 @@
 #: budget or groups have not allowed.
 FIND_INTERVAL_S = 0.1
 
+#: Seconds without bytes after which a run fails whose group is known to have an ended
+#: member: what the group had sent before has arrived by then.
+PROVEN_END_S = 1.0
+
 #: Requests in flight per slot up to which a group accepts a resumed stream.
 RESUMED_REQUESTS_PER_SLOT = 3
 
@@ -154,8 +162,11 @@
         """
 
         async def advance(run: Run) -> bool:
-            if await self._advance(job, runs, run):
-                return True
+            with anyio.CancelScope() as run.scope:
+                if await self._advance(job, runs, run):
+                    return True
+            if run.scope.cancelled_caught:
+                await self._note_interruption(job, run, 'the instance has ended')
             tried.add(run.head)
             self._end_run(job, run)
             return False
@@ -260,7 +271,9 @@
         """Return another run once route, budget and groups allow one."""
         session, budget = self._components.session, self._components.budget
         granted = denied = False
+        looked_at = self._components.clock()
         while True:
+            looked_at = self._fail_ended(job, runs, looked_at)
             # Asking takes a permit for the group and may ask peers to lend a retry, so
             # it is not repeated while the budget has no room.
             if (
@@ -291,6 +304,30 @@
                         return self._begin_run(job, group, runs.last_event)
             await session.wait_changed(FIND_INTERVAL_S)
 
+    def _fail_ended(self, job: Job, runs: RunSet[Run], looked_at: float) -> float:
+        """Fail the suspected runs whose groups are known to have an ended member.
+
+        :param looked_at: monotonic time of the last look.
+        :return: the time of this look.
+        """
+        now = self._components.clock()
+        for run in runs.live:
+            if run.interrupted or run.head not in job.sent:
+                continue
+            if not self._watchdog.has_ended_member(run.group):
+                run.proven_at = None
+            elif run.proven_at is None or has_passed_late(
+                FIND_INTERVAL_S, now - looked_at
+            ):
+                # Bytes that arrived in a pause of this process are yet to be read.
+                run.proven_at = now
+            else:
+                heard_at = run.arrivals.latest_at or run.proven_at
+                quiet_s = now - max(run.proven_at, heard_at)
+                if quiet_s >= PROVEN_END_S and run.scope is not None:
+                    run.scope.cancel()
+        return now
+
     async def _may_go_on(self, job: Job, runs: RunSet[Run]) -> bool:
         """Whether a run is likely to go on, as its silent group answers again.
 
--- a/tests/gateway/test_proven_ends_of_runs.py
+++ b/tests/gateway/test_proven_ends_of_runs.py
@@ -29,6 +29,9 @@
         if name == 'h0':
             await self._wait_until(START + PROVEN_S)
             await self.session.losses.report(name, ended=True)
+            for send in self.sends:
+                # The gateway knows now that it delivers no more.
+                send.failed = send.failed or send.name == name
         else:
             await super()._change_view(name, script)
 
