Forward errors whose body is late by a silence of their instance

Bodies of errors that are forwarded have two seconds. One that is dropped as another run may go on keeps one second.

--- a/coursepitch/gateway/attempts.py
+++ b/coursepitch/gateway/attempts.py
@@ -30,6 +30,7 @@
     from coursepitch.http.messages import Headers
 
 __all__ = [
+    'DROPPED_BODY_TIMEOUT_S',
     'ERROR_BODY_TIMEOUT_S',
     'MAX_BODY_BYTES',
     'MAX_ERROR_BYTES',
@@ -124,9 +125,11 @@
 #: Largest body in bytes of an error response.
 MAX_ERROR_BYTES = 1_048_576
 
-#: Timeout in seconds for the body of an error response.  Source: instances send it with
-#: its head, and a client can do more with an early error than with a late one.
-ERROR_BODY_TIMEOUT_S = 1.0
+#: Timeouts in seconds for the body of an error response that is forwarded, and of one
+#: that is not if another run may go on.  Source: a sound instance may be silent for a
+#: second or so and go on.
+ERROR_BODY_TIMEOUT_S = 2.0
+DROPPED_BODY_TIMEOUT_S = 1.0
 
 #: Largest body in bytes of a rejection that is read and discarded.
 MAX_REJECTION_BYTES = 65_536
--- a/coursepitch/gateway/calls.py
+++ b/coursepitch/gateway/calls.py
@@ -11,6 +11,7 @@
 from coursepitch.fleet.pause_detector import has_passed_late, sleep_running
 from coursepitch.gateway.admission import Denied, Terms
 from coursepitch.gateway.attempts import (
+    DROPPED_BODY_TIMEOUT_S,
     ERROR_BODY_TIMEOUT_S,
     MAX_BODY_BYTES,
     MAX_ERROR_BYTES,
@@ -394,7 +395,9 @@
         left_s = max(0.001, job.deadline_at - components.clock())
         limit, is_error = MAX_BODY_BYTES, answer.status >= 400
         if is_error:
-            limit, left_s = MAX_ERROR_BYTES, min(left_s, ERROR_BODY_TIMEOUT_S)
+            is_dropped = answer.status >= 500 and self._may_add_run(job, runs)
+            limit_s = DROPPED_BODY_TIMEOUT_S if is_dropped else ERROR_BODY_TIMEOUT_S
+            limit, left_s = MAX_ERROR_BYTES, min(left_s, limit_s)
         arrivals = Arrivals()
 
         def note() -> None:
--- a/coursepitch/gateway/streams.py
+++ b/coursepitch/gateway/streams.py
@@ -17,6 +17,7 @@
 )
 from coursepitch.gateway.admission import Denial, Denied, Terms
 from coursepitch.gateway.attempts import (
+    DROPPED_BODY_TIMEOUT_S,
     ERROR_BODY_TIMEOUT_S,
     MAX_BODY_BYTES,
     MAX_ERROR_BYTES,
@@ -856,7 +857,7 @@
         is_dropped = (
             job.reply.started or may_retry or claims_not_executed or may_succeed
         )
-        run.body = await self._read_error_body(job, run, response)
+        run.body = await self._read_error_body(job, run, response, is_dropped)
         if run.body is None or is_dropped:
             job.last_reason = f'answered with {response.status}'
             if run.body is not None and not claims_not_executed:
@@ -866,11 +867,12 @@
         return True
 
     async def _read_error_body(
-        self, job: Job, run: Run, response: Response
+        self, job: Job, run: Run, response: Response, is_dropped: bool
     ) -> bytes | None:
         """Return the body of an error response, or ``None`` if it is incomplete."""
+        limit_s = DROPPED_BODY_TIMEOUT_S if is_dropped else ERROR_BODY_TIMEOUT_S
         try:
-            with anyio.fail_after(ERROR_BODY_TIMEOUT_S):
+            with anyio.fail_after(limit_s):
                 body = await response.read_whole(MAX_ERROR_BYTES)
                 detector = self._components.crash_detector
                 await check_sender(detector, job, response, run.group.head)
