--- a/coursepitch/gateway/streams.py
+++ b/coursepitch/gateway/streams.py
@@ -10,9 +10,14 @@
 import anyio
 
 from coursepitch import events, log
-from coursepitch.fleet.pause_detector import TimeoutFilter, sleep_running
+from coursepitch.fleet.pause_detector import (
+    TimeoutFilter,
+    has_passed_late,
+    sleep_running,
+)
 from coursepitch.gateway.admission import Denial, Denied, Terms
 from coursepitch.gateway.attempts import (
+    DROPPED_BODY_TIMEOUT_S,
     ERROR_BODY_TIMEOUT_S,
     MAX_BODY_BYTES,
     MAX_ERROR_BYTES,
@@ -69,6 +74,10 @@
 #: budget or groups have not allowed.
 FIND_INTERVAL_S = 0.1
 
+#: Seconds without bytes after which a run fails whose group is known to have an ended
+#: member: what the group had sent before has arrived by then.
+PROVEN_END_S = 1.0
+
 #: Requests in flight per slot up to which a group accepts a resumed stream.
 RESUMED_REQUESTS_PER_SLOT = 3
 
@@ -154,8 +163,11 @@
         """
 
         async def advance(run: Run) -> bool:
-            if await self._advance(job, runs, run):
-                return True
+            with anyio.CancelScope() as run.scope:
+                if await self._advance(job, runs, run):
+                    return True
+            if run.scope.cancelled_caught:
+                await self._note_interruption(job, run, 'the instance has ended')
             tried.add(run.head)
             self._end_run(job, run)
             return False
@@ -260,7 +272,9 @@
         """Return another run once route, budget and groups allow one."""
         session, budget = self._components.session, self._components.budget
         granted = denied = False
+        looked_at = self._components.clock()
         while True:
+            looked_at = self._fail_ended(job, runs, looked_at)
             # Asking takes a permit for the group and may ask peers to lend a retry, so
             # it is not repeated while the budget has no room.
             if (
@@ -291,6 +305,30 @@
                         return self._begin_run(job, group, runs.last_event)
             await session.wait_changed(FIND_INTERVAL_S)
 
+    def _fail_ended(self, job: Job, runs: RunSet[Run], looked_at: float) -> float:
+        """Fail the suspected runs whose groups are known to have an ended member.
+
+        :param looked_at: monotonic time of the last look.
+        :return: the time of this look.
+        """
+        now = self._components.clock()
+        for run in runs.live:
+            if run.interrupted or run.head not in job.sent:
+                continue
+            if not self._watchdog.has_ended_member(run.group):
+                run.proven_at = None
+            elif run.proven_at is None or has_passed_late(
+                FIND_INTERVAL_S, now - looked_at
+            ):
+                # Bytes that arrived in a pause of this process are yet to be read.
+                run.proven_at = now
+            else:
+                heard_at = run.arrivals.latest_at or run.proven_at
+                quiet_s = now - max(run.proven_at, heard_at)
+                if quiet_s >= PROVEN_END_S and run.scope is not None:
+                    run.scope.cancel()
+        return now
+
     async def _may_go_on(self, job: Job, runs: RunSet[Run]) -> bool:
         """Whether a run is likely to go on, as its silent group answers again.
 
@@ -819,7 +857,7 @@
         is_dropped = (
             job.reply.started or may_retry or claims_not_executed or may_succeed
         )
-        run.body = await self._read_error_body(job, run, response)
+        run.body = await self._read_error_body(job, run, response, is_dropped)
         if run.body is None or is_dropped:
             job.last_reason = f'answered with {response.status}'
             if run.body is not None and not claims_not_executed:
@@ -829,11 +867,12 @@
         return True
 
     async def _read_error_body(
-        self, job: Job, run: Run, response: Response
+        self, job: Job, run: Run, response: Response, is_dropped: bool
     ) -> bytes | None:
         """Return the body of an error response, or ``None`` if it is incomplete."""
+        limit_s = DROPPED_BODY_TIMEOUT_S if is_dropped else ERROR_BODY_TIMEOUT_S
         try:
-            with anyio.fail_after(ERROR_BODY_TIMEOUT_S):
+            with anyio.fail_after(limit_s):
                 body = await response.read_whole(MAX_ERROR_BYTES)
                 detector = self._components.crash_detector
                 await check_sender(detector, job, response, run.group.head)
