End a tunnel of a peer that sends empty messages

What callers saw: a peer that sends messages without bytes on its tunnel held it, its connection to an instance and a share of the event loop for as long as it liked; a node keeps 256 tunnels.

Cause: an empty message counts as one that is no control frame, and writes nothing to the instance. The other direction ends with the first of them already.

Evidence: a new test; the tunnel was still open after 20 s, and ends at once now, with the connection to the instance. The harness of the tests of tunnels uses the connections of nodes now.

--- a/coursepitch/fleet/tunnel_streams.py
+++ b/coursepitch/fleet/tunnel_streams.py
@@ -194,6 +194,10 @@
             try:
                 while True:
                     data = await connection.recv(decode=False)
+                    if not data:
+                        # No node sends this, and it could go on for ever.
+                        connection.transport.abort()
+                        continue
                     await stream.send(data)
             except ConnectionClosed as error:
                 closed.append(error)
--- a/tests/fleet/test_endless_peers.py
+++ b/tests/fleet/test_endless_peers.py
@@ -9,12 +9,18 @@
 
 import anyio
 import anyio.lowlevel
+from websockets.asyncio.client import connect
 from websockets.asyncio.server import serve
 from websockets.exceptions import ConnectionClosed
 from websockets.frames import Frame
 
 from coursepitch.fleet.links import MAX_MESSAGE_BYTES
-from coursepitch.fleet.tunnel_streams import CONNECTED, connect_through_peer
+from coursepitch.fleet.tunnel_streams import (
+    CONNECTED,
+    NODE_HEADER,
+    connect_through_peer,
+)
+from coursepitch.fleet.tunnels import TUNNEL_PATH
 from coursepitch.listeners import listen
 from tests.fleet.peer_frames import (
     BINARY,
@@ -146,6 +152,22 @@
     def test_empty_messages_end_the_tunnel(self):
         self.play_noise(b'')
 
+    # Guards against a peer that holds one of a node's tunnels, and an instance.
+    def test_empty_messages_end_the_tunnel_of_a_peer(self):
+        async def scenario():
+            url = f'ws://{self.nodes["peer"].address}{TUNNEL_PATH}i'
+            headers = {NODE_HEADER: 'me'}
+            async with connect(url, additional_headers=headers, proxy=None) as tunnel:
+                self.assertEqual(await tunnel.recv(), CONNECTED)
+                with self.assertRaises(ConnectionClosed):
+                    while True:
+                        await tunnel.send(b'')
+                        await anyio.lowlevel.checkpoint()
+            await self.wait_for(lambda: self.left)
+            self.assertEqual(self.server.count_open(), 0)
+
+        self.play(scenario)
+
     # Guards against a tunnel that is held by messages which mean nothing.
     def test_unknown_messages_end_the_tunnel(self):
         self.play_noise('unknown')
--- a/tests/fleet/test_tunnels.py
+++ b/tests/fleet/test_tunnels.py
@@ -23,6 +23,7 @@
 )
 from coursepitch.http.client import ConnectionPool, ExchangeError, connect_directly
 from coursepitch.listeners import listen
+from coursepitch.util.peer_connections import PeerServerConnection
 
 #: Timeout in seconds for any expected condition.
 WAIT_S = 20.0
@@ -60,7 +61,12 @@
             listener = await anyio.abc.SocketListener.from_socket(instance)
             with anyio.fail_after(WAIT_S):
                 async with (
-                    serve(self.server.serve, sock=peer, compression=None),
+                    serve(
+                        self.server.serve,
+                        sock=peer,
+                        create_connection=PeerServerConnection,
+                        compression=None,
+                    ),
                     anyio.create_task_group() as tasks,
                 ):
                     tasks.start_soon(listener.serve, self.serve_instance)
