Limit the time of a whole message on links of the record table

What callers saw: a node counted a link as up for as long as its peer answered pings, although it sent no message or never ended one; the records of the nodes behind it grew old, and no other link was opened.

Cause: beyond the greeting, only pings told whether a link is sound.

Change: a whole message has to arrive within ten seconds and the interval of digests, as long as pings take to find an ended peer.

--- a/coursepitch/peers/hub.py
+++ b/coursepitch/peers/hub.py
@@ -57,6 +57,10 @@
 #: Timeout in seconds for a peer's greeting, as for opening its connection.
 GREETING_TIMEOUT_S = 2.0
 
+#: Seconds beyond the interval of digests within which a peer has to send a whole
+#: message.  Pings tell as late that a peer has ended.
+MESSAGE_TIMEOUT_S = 10.0
+
 #: Seconds by which a periodic record may be published before it is due.
 EARLY_PUBLISH_S = 0.1
 
@@ -303,7 +307,9 @@
         await link.socket.send(data)
 
     async def _receive(self, link: Link) -> Message:
-        data = await link.socket.recv()
+        # Pings that are answered tell nothing about the peer's messages.
+        with anyio.fail_after(MESSAGE_TIMEOUT_S + self._settings.interval_s):
+            data = await link.socket.recv()
         self._metrics.peer_bytes.add({'direction': 'in'}, len(data))
         return decode_message(data)
 
--- a/tests/peers/test_endless_links.py
+++ b/tests/peers/test_endless_links.py
@@ -6,8 +6,11 @@
 import time
 import unittest
 from functools import partial
+from unittest import mock
 
 import anyio
+from websockets.asyncio.client import connect
+from websockets.exceptions import ConnectionClosed
 
 from coursepitch.config.settings import PeerSettings, PlatformSettings
 from coursepitch.control.session import Session
@@ -15,6 +18,7 @@
 from coursepitch.metrics import Metrics
 from coursepitch.peers import hub as module
 from coursepitch.peers.hub import PeerHub
+from coursepitch.peers.messages import VERSION, Hello, encode_message
 from tests.fleet.peer_frames import PING, PONG, build_frame, build_request
 from tests.fleet.test_endless_peers import MAX_FRAMES, counting_frames
 
@@ -80,6 +84,36 @@
         limit_s = module.GREETING_TIMEOUT_S + 3.0
         self.assertLess(time.monotonic() - began_at, limit_s)
 
+    # Guards against a link that counts as up although its peer only answers pings.
+    def test_link_without_messages_ends(self):
+        with mock.patch.object(module, 'MESSAGE_TIMEOUT_S', 0.2, create=True):
+            anyio.run(self.wait_for_end)
+
+    async def wait_for_end(self):
+        """Greet a hub, and begin a message that never ends, until the link ends."""
+        sock = listen('127.0.0.1', 0)
+        url = f'ws://127.0.0.1:{sock.getsockname()[1]}/peer'
+        headers = {'Authorization': 'Bearer k'}
+        platform = PlatformSettings(key_value_url='-', instance_list_url='-')
+        session = Session('b', None, platform, time.monotonic)
+        settings = PeerSettings(key='k')
+        hub = PeerHub('b', 1, session, settings, Metrics(), time.monotonic)
+
+        async def begin_message():
+            yield b'a'
+            await anyio.sleep_forever()
+
+        with anyio.fail_after(WAIT_S):
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(hub._listen, sock)
+                async with connect(url, additional_headers=headers, proxy=None) as peer:
+                    await peer.send(encode_message(Hello(VERSION, 'a')))
+                    tasks.start_soon(peer.send, begin_message())
+                    with self.assertRaises(ConnectionClosed):
+                        while True:
+                            await peer.recv()
+                    tasks.cancel_scope.cancel()
+
 
 if __name__ == '__main__':
     unittest.main()
