Pace bodies by the time of their pieces, not by their lines

Callers saw: answers of sound services and engines in short lines were held up, as the transport waited 5 ms after each 128 lines of any body: 4 MiB in lines of two bytes did not come within 20 s. Eight bodies that always had 64 KiB ready took each turn of the event loop all the same.

Cause: lines stand for the chunks that the parser handles one by one, but in most bodies they are content.

Change: a body waits once its pieces have taken 2.5 ms of work without a wait between them, which holds for small chunks and large pieces.

--- a/coursepitch/serving/sse.py
+++ b/coursepitch/serving/sse.py
@@ -49,8 +49,8 @@
     def feed(self, piece: bytes) -> list[StreamEvent]:
         """Parse a piece of the stream and return the events it completes.
 
-        :raises CodecError: an event is too large, is not UTF-8 or has an id that
-            is not a number of at most 12 digits.
+        :raises CodecError: an event, or what comes between two events, is too large, an
+            event is not UTF-8, or has an id that is not a number of at most 12 digits.
         """
         self._buffer += piece
         events = []
--- a/coursepitch/util/bounded_http.py
+++ b/coursepitch/util/bounded_http.py
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 import re
+import time
 from contextlib import asynccontextmanager
 from contextvars import ContextVar
 from dataclasses import dataclass
@@ -45,14 +46,19 @@
 #: Largest number of interim responses before a response.
 MAX_INTERIM_RESPONSES = 16
 
-#: Largest number of lines that are parsed in one turn of the event loop.  A chunk has
-#: two, and takes about 20 microseconds.
-MAX_TURN_LINES = 128
-
-#: Seconds between two turns that parse as many lines, of all connections together, so
-#: that connections that always have such data take a part of the loop's time only.
+#: Seconds between two turns of bodies that always have data ready, of all connections
+#: together, so that they take a part of the loop's time only.
 TURN_PAUSE_S = 0.005
 
+#: Seconds of work on a body that always has data ready, after which it waits as well,
+#: and the longest time that counts as work on one piece; the rest is taken for a wait
+#: of its reader.
+MAX_TURN_S = 0.0025
+MAX_PIECE_S = 0.001
+
+#: Share of its time for which a body may be worked on without a wait.
+WORK_SHARE = 0.5
+
 #: Bytes on the wire for each byte of a body in chunks of one byte.
 MAX_FRAMING_FACTOR = 6
 
@@ -96,12 +102,13 @@
 
     def __init__(self, limits: httpx.Limits, pacer: Pacer | None = None) -> None:
         super().__init__(verify=False, trust_env=False, limits=limits)
+        self._pacer = pacer or Pacer()
         # httpx has no option for the network backend of its pool.
         self._pool = httpcore.AsyncConnectionPool(
             max_connections=limits.max_connections,
             max_keepalive_connections=limits.max_keepalive_connections,
             keepalive_expiry=limits.keepalive_expiry,
-            network_backend=_BoundedBackend(pacer or Pacer()),
+            network_backend=_BoundedBackend(),
         )
 
     async def handle_async_request(self, request: httpx.Request) -> httpx.Response:
@@ -113,11 +120,13 @@
         finally:
             _EXCHANGE.reset(token)
         reply.extensions['exchange'] = exchange
+        assert isinstance(reply.stream, httpx.AsyncByteStream)
+        reply.stream = _BoundedBody(reply.stream, self._pacer)
         return reply
 
 
 class Pacer:
-    """Lets connections with many lines to parse go on one after the other."""
+    """Lets connections that always have data ready go on one after the other."""
 
     def __init__(self) -> None:
         self._lock = anyio.Lock()
@@ -128,12 +137,37 @@
             await anyio.sleep(TURN_PAUSE_S)
 
 
+class _BoundedBody(httpx.AsyncByteStream):
+    """Body of a response, whose work in a turn is bounded.
+
+    :param stream: the body as httpx reads it.
+    """
+
+    def __init__(self, stream: httpx.AsyncByteStream, pacer: Pacer) -> None:
+        self._stream = stream
+        self._pacer = pacer
+
+    async def __aiter__(self) -> AsyncIterator[bytes]:
+        worked_s, since = 0.0, time.monotonic()
+        async for piece in self._stream:
+            yield piece
+            elapsed_s = time.monotonic() - since
+            since += elapsed_s
+            worked_s += min(elapsed_s, MAX_PIECE_S) - WORK_SHARE * elapsed_s
+            worked_s = max(0.0, worked_s)
+            if worked_s > WORK_SHARE * MAX_TURN_S:
+                await self._pacer.wait()
+                worked_s, since = 0.0, time.monotonic()
+
+    async def aclose(self) -> None:
+        await self._stream.aclose()
+
+
 class _BoundedBackend(httpcore.AsyncNetworkBackend):
     """Opens connections whose reads are bounded."""
 
-    def __init__(self, pacer: Pacer) -> None:
+    def __init__(self) -> None:
         self._backend = httpcore.AnyIOBackend()
-        self._pacer = pacer
 
     async def connect_tcp(
         self,
@@ -146,24 +180,22 @@
         stream = await self._backend.connect_tcp(
             host, port, timeout, local_address, socket_options
         )
-        return _BoundedStream(stream, self._pacer)
+        return _BoundedStream(stream)
 
     async def sleep(self, seconds: float) -> None:
         await self._backend.sleep(seconds)
 
 
 class _BoundedStream(httpcore.AsyncNetworkStream):
-    """Connection that passes on whole heads, and a limited number of lines at a time.
+    """Connection that passes on whole heads, without interim responses.
 
     :param stream: the connection as httpcore opened it.
     """
 
-    def __init__(self, stream: httpcore.AsyncNetworkStream, pacer: Pacer) -> None:
+    def __init__(self, stream: httpcore.AsyncNetworkStream) -> None:
         self._stream = stream
-        self._pacer = pacer
         self._exchange = Exchange()
         self._in_head = True
-        self._must_pause = False
         self._data = b''
         self._start = 0
 
@@ -174,30 +206,16 @@
         await self._stream.write(buffer, timeout)
 
     async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
-        if self._must_pause:
-            await self._pacer.wait()
         if self._in_head:
             self._data = await self._read_head(max_bytes, timeout)
             self._start = 0
             self._in_head = False
         elif self._start == len(self._data):
-            self._data = await self._receive(max_bytes, timeout)
-            self._start = 0
+            return await self._receive(max_bytes, timeout)
         start = self._start
-        self._start = self._find_end(start, start + max_bytes)
+        self._start = min(start + max_bytes, len(self._data))
         return self._data[start : self._start]
 
-    def _find_end(self, start: int, limit: int) -> int:
-        """Return the end of the bytes to be parsed in one turn."""
-        end = start
-        for _ in range(MAX_TURN_LINES):
-            end = self._data.find(b'\n', end, limit) + 1
-            if not end:
-                self._must_pause = False
-                return min(limit, len(self._data))
-        self._must_pause = True
-        return end
-
     async def _read_head(self, max_bytes: int, timeout: float | None) -> bytes:
         """Return the head of a response and what follows it, without interim ones.
 
@@ -245,7 +263,7 @@
         timeout: float | None = None,
     ) -> httpcore.AsyncNetworkStream:
         stream = await self._stream.start_tls(ssl_context, server_hostname, timeout)
-        return _BoundedStream(stream, self._pacer)
+        return _BoundedStream(stream)
 
     def get_extra_info(self, info: str) -> Any:
         if info == 'is_readable' and self._start < len(self._data):
--- /dev/null
+++ b/tests/util/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of shared helpers."""
