Reset the connection of a response that is given up

Engines and services saw: the connection of a response that was given up was closed as one that is not needed any more, so a target that has nothing to send just then learned nothing.

Change: a connection whose response was not read to its end is closed with a reset.

--- a/coursepitch/util/bounded_http.py
+++ b/coursepitch/util/bounded_http.py
@@ -10,8 +10,10 @@
 from __future__ import annotations
 
 import re
+import socket
+import struct
 import time
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
 from contextvars import ContextVar
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
@@ -62,6 +64,9 @@
 #: Bytes on the wire for each byte of a body in chunks of one byte.
 MAX_FRAMING_FACTOR = 6
 
+#: Sends a reset when a socket is closed (SO_LINGER with a time of 0).
+_RESET_ON_CLOSE = struct.pack('ii', 1, 0)
+
 #: Longest wait in seconds for the end of a body whose rest tells nothing.
 BODY_END_TIMEOUT_S = 0.05
 
@@ -86,9 +91,11 @@
     """Counts what arrives in an exchange; given in the extensions of its request.
 
     :ivar received: bytes on the wire so far, with all heads and framing.
+    :ivar is_whole: whether the response was read to its end.
     """
 
     received: int = 0
+    is_whole: bool = False
 
 
 _EXCHANGE: ContextVar[Exchange] = ContextVar('exchange')
@@ -121,7 +128,7 @@
             _EXCHANGE.reset(token)
         reply.extensions['exchange'] = exchange
         assert isinstance(reply.stream, httpx.AsyncByteStream)
-        reply.stream = _BoundedBody(reply.stream, self._pacer)
+        reply.stream = _BoundedBody(reply.stream, exchange, self._pacer)
         return reply
 
 
@@ -143,8 +150,11 @@
     :param stream: the body as httpx reads it.
     """
 
-    def __init__(self, stream: httpx.AsyncByteStream, pacer: Pacer) -> None:
+    def __init__(
+        self, stream: httpx.AsyncByteStream, exchange: Exchange, pacer: Pacer
+    ) -> None:
         self._stream = stream
+        self._exchange = exchange
         self._pacer = pacer
 
     async def __aiter__(self) -> AsyncIterator[bytes]:
@@ -158,6 +168,7 @@
             if worked_s > WORK_SHARE * MAX_TURN_S:
                 await self._pacer.wait()
                 worked_s, since = 0.0, time.monotonic()
+        self._exchange.is_whole = True
 
     async def aclose(self) -> None:
         await self._stream.aclose()
@@ -254,6 +265,12 @@
         return data
 
     async def aclose(self) -> None:
+        if not self._exchange.is_whole:
+            # The target is told at once that nothing more is read.
+            raw = self._stream.get_extra_info('socket')
+            # The socket of a connection that the target has reset is closed already.
+            with suppress(OSError):
+                raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
         await self._stream.aclose()
 
     async def start_tls(
--- a/tests/util/test_bounded_http.py
+++ b/tests/util/test_bounded_http.py
@@ -3,10 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import socket
+import struct
 import unittest
 from types import SimpleNamespace
 
 import anyio
+import anyio.abc
 import httpx
 
 from coursepitch.util.bounded_http import (
@@ -27,6 +30,13 @@
 
 SOUND_BYTES = 4_194_304
 
+#: States of a connection that was reset, and one that the other side has closed.
+TCP_CLOSE = 7
+TCP_CLOSE_WAIT = 8
+
+#: Seconds within which a reset must have arrived.
+RESET_S = 1.0
+
 
 def run_client(script, use):
     """Return the result of ``use(client, url)`` beside a server with a script."""
@@ -119,6 +129,56 @@
         run_client(EndlessScript('interim', SLOW), self.fail)
 
 
+class CloseTest(unittest.TestCase):
+    """What a server sees as its response is given up."""
+
+    def find_state(self, body):
+        """Return the state of a connection once its client has closed it."""
+        states = []
+
+        async def answer(stream, name, start):
+            raw = stream.extra(anyio.abc.SocketAttribute.raw_socket)
+            await stream.send(b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n' + body)
+            with anyio.move_on_after(RESET_S):
+                while not states or states[-1] != TCP_CLOSE:
+                    await anyio.sleep(0.01)
+                    info = raw.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)
+                    states.append(info[0])
+            states.append('seen')
+
+        async def give_up(client, url):
+            async with client.stream('GET', url) as reply:
+                async for _ in reply.aiter_raw():
+                    if len(body) < 2:
+                        break
+            await client.aclose()
+            while 'seen' not in states:
+                await anyio.sleep(0.01)
+
+        run_client(answer, give_up)
+        return states[-2]
+
+    # Guards against servers that learn with their next byte only that nobody reads.
+    def test_connection_of_a_partial_response_is_reset(self):
+        self.assertEqual(self.find_state(b'x'), TCP_CLOSE)
+
+    def test_connection_of_a_whole_response_is_closed_regularly(self):
+        self.assertEqual(self.find_state(b'xx'), TCP_CLOSE_WAIT)
+
+    # Guards against errors of a closed socket in place of that of the response.
+    def test_response_that_its_server_resets_fails_as_such(self):
+        async def reset(stream, name, start):
+            raw = stream.extra(anyio.abc.SocketAttribute.raw_socket)
+            raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0))
+            await stream.send(b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nx')
+
+        async def fail(client, url):
+            with self.assertRaises(httpx.HTTPError):
+                await fetch(client, url)
+
+        run_client(reset, fail)
+
+
 class SoundAnswerTest(unittest.TestCase):
     """Sound answers are not changed by the bounds."""
 
