Fail streams whose engine sends a chunk again

Callers saw: a stream that may not be repeated waited for its deadline while its engine sent the same chunk over and over.

Cause: chunks that the caller has were dropped without a bound, as an engine may send them again after a stream is reopened.

Change: on one connection the numbers of chunks must grow, and at most 16 chunks may have none. Others prove that the engine has failed.

Evidence: test_chunks_that_come_again_prove_the_failure_of_a_stream did not end within 5 s before and passes. The other tests of the module passed before as well.

--- a/coursepitch/serving/dispatch.py
+++ b/coursepitch/serving/dispatch.py
@@ -63,6 +63,10 @@
 #: Seconds between two searches for a replica to retry on.
 _REPLICA_POLL_S = 0.1
 
+#: Largest number of chunks without a number on one connection.  The OpenAI API has two,
+#: with the finish reason and with the usage; others are ignored.
+_MAX_UNNUMBERED_CHUNKS = 16
+
 
 class Dispatcher:
     """Sends requests to replicas and relays their answers.
@@ -524,7 +528,7 @@
             reply = await self._send_request(run, attempt, step)
             if reply is None:
                 return
-            parser = EventParser()
+            parser, order = EventParser(), _ChunkOrder()
             pieces = reply.aiter_raw()
             async for piece in pieces:
                 for event in parser.feed(piece):
@@ -536,6 +540,7 @@
                     if chunk['id'] != attempt.name:
                         attempt.result = AttemptResult.WRONG
                         return
+                    order.check(event.event_id)
                     if not self._is_next_chunk(run, event.event_id):
                         continue
                     if event.event_id is None and run.finish_sent:
@@ -688,6 +693,31 @@
         return answer
 
 
+@dataclasses.dataclass(eq=False)
+class _ChunkOrder:
+    """Order of the chunks that come on one connection.
+
+    Chunks that the caller has may come again, but none twice on a connection.
+    """
+
+    last_id: int = -1
+    unnumbered: int = 0
+
+    def check(self, event_id: int | None) -> None:
+        """Note the chunk of an event.
+
+        :raises CodecError: no sound engine sends it after the chunks before it.
+        """
+        if event_id is None:
+            self.unnumbered += 1
+            if self.unnumbered > _MAX_UNNUMBERED_CHUNKS:
+                raise CodecError('too many chunks without a number')
+            return
+        if event_id <= self.last_id:
+            raise CodecError('a chunk came again')
+        self.last_id = event_id
+
+
 def _build_cut_off(request_id: str) -> Problem:
     """Return the refusal of a node that has no path to the engines."""
     detail = '(no path to the engines)'
