Bound the framing of streams as they are read

Callers saw: an answer that may not be repeated waited for its deadline while its engine sent chunks of one byte with an extension of 1,000 bytes each.

Cause: bytes on the wire were compared with the limit of the whole body only, 16 MiB with six bytes of framing for each.

Change: framing beyond 256 KiB and six bytes for each byte of content that has come ends a response at once, streams and bodies of services as well.

Evidence: the case "extensions" of test_answer_that_may_not_be_repeated_ends_with_the_proof did not end within 5 s before and passes.

--- a/coursepitch/util/bounded_http.py
+++ b/coursepitch/util/bounded_http.py
@@ -64,6 +64,10 @@
 #: Bytes on the wire for each byte of a body in chunks of one byte.
 MAX_FRAMING_FACTOR = 6
 
+#: Bytes on the wire beyond that: a head, a read that is not parsed yet, and what is
+#: buffered of a chunk's head or of trailers.
+MAX_FRAMING_BYTES = 262_144
+
 #: Sends a reset when a socket is closed (SO_LINGER with a time of 0).
 _RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 
@@ -145,7 +149,7 @@
 
 
 class _BoundedBody(httpx.AsyncByteStream):
-    """Body of a response, whose work in a turn is bounded.
+    """Body of a response, whose framing and work on it are bounded.
 
     :param stream: the body as httpx reads it.
     """
@@ -158,8 +162,12 @@
         self._pacer = pacer
 
     async def __aiter__(self) -> AsyncIterator[bytes]:
-        worked_s, since = 0.0, time.monotonic()
+        content, worked_s, since = 0, 0.0, time.monotonic()
         async for piece in self._stream:
+            content += len(piece)
+            framing = self._exchange.received - content
+            if framing > MAX_FRAMING_BYTES + MAX_FRAMING_FACTOR * content:
+                raise httpx.RemoteProtocolError('too much framing for the content')
             yield piece
             elapsed_s = time.monotonic() - since
             since += elapsed_s
--- a/tests/serving/test_endless_attempts.py
+++ b/tests/serving/test_endless_attempts.py
@@ -132,7 +132,7 @@
 
     # Guards against an answer without end that is held in memory.
     def test_answer_that_may_not_be_repeated_ends_with_the_proof(self):
-        for kind in (*HEAD_KINDS, 'body', 'extension'):
+        for kind in (*HEAD_KINDS, 'body', 'extension', 'extensions'):
             with self.subTest(kind):
                 found = read(
                     EndlessScript(kind, FAST),
