Ask all engines without a pause while they refuse

Callers saw: requests waited in the queue of a node that all engines refuse, the longer the more engines there are, as four were asked each half second.

Change: rounds of refusals follow without a pause while engines are left that may refuse as well.

Evidence: the cut of 40 engines that refuse was not proven within 1.5 s before (test_rounds_of_refusals_follow_without_a_pause) and is now.

--- a/coursepitch/control/reach.py
+++ b/coursepitch/control/reach.py
@@ -93,6 +93,8 @@
         #: engine last answered.
         self._asked_at: dict[str, float] = {}
         self._refusing: set[str] = set()
+        #: Whether the latest round was refused, and others are left that may refuse.
+        self._may_prove_more = False
         self.is_silent = False
         self.is_cut_off = False
         self.reached_at = float('-inf')
@@ -113,7 +115,7 @@
                     await self.confirm()
                     # Checks that are refused end at once.
                     left_s = CHECK_INTERVAL_S - (self._clock() - began_at)
-                    await anyio.sleep(max(0.0, left_s))
+                    await anyio.sleep(0.0 if self._may_prove_more else max(0.0, left_s))
 
     async def _check_one(self) -> None:
         known = self._list_known()
@@ -184,6 +186,9 @@
                 self._refusing.add(address)
             else:
                 self._refusing.discard(address)
+        self._may_prove_more = self._refusing.issuperset(findings) and not (
+            self._refusing.issuperset(self._list_known())
+        )
 
     async def _check_all(self, chosen: list[str]) -> dict[str, Finding]:
         """Return the results of checks; the first answer ends the others."""
--- a/tests/control/test_partial_refusals.py
+++ b/tests/control/test_partial_refusals.py
@@ -5,10 +5,15 @@
 import unittest
 from unittest import mock
 
+import anyio
+
 from coursepitch.control import reach as module
-from coursepitch.control.reach import CHECKED_ENGINES, Finding
+from coursepitch.control.reach import CHECK_INTERVAL_S, CHECKED_ENGINES, Finding
 from tests.control.test_reach import ReachCase
 
+#: Seconds within which ten rounds of refusals prove a cut: one pause, and no more.
+PROVEN_S = 3 * CHECK_INTERVAL_S
+
 
 class PartialRefusalTest(ReachCase):
     """Refusals of some engines do not prove that none can be reached."""
@@ -67,6 +72,23 @@
         self.confirm()
         self.assertEqual(self.read_state(), (True, False))
 
+    # Guards against a cut that is proven the later the more engines there are.
+    def test_rounds_of_refusals_follow_without_a_pause(self):
+        self.answering = set()
+        self.observed = [f'r{number}' for number in range(10 * CHECKED_ENGINES)]
+
+        async def main():
+            with anyio.move_on_after(PROVEN_S):
+                async with anyio.create_task_group() as tasks:
+                    tasks.start_soon(self.reach.run)
+                    while not self.reach.is_cut_off:
+                        await anyio.sleep(0.01)
+                    tasks.cancel_scope.cancel()
+
+        anyio.run(main)
+        self.assertTrue(self.reach.is_cut_off)
+        self.assertEqual(set(self.asked), set(self.observed))
+
 
 if __name__ == '__main__':
     unittest.main()
