--- a/coursepitch/util/bounded_http.py
+++ b/coursepitch/util/bounded_http.py
@@ -10,7 +10,10 @@
 from __future__ import annotations
 
 import re
-from contextlib import asynccontextmanager
+import socket
+import struct
+import time
+from contextlib import asynccontextmanager, suppress
 from contextvars import ContextVar
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
@@ -45,17 +48,29 @@
 #: Largest number of interim responses before a response.
 MAX_INTERIM_RESPONSES = 16
 
-#: Largest number of lines that are parsed in one turn of the event loop.  A chunk has
-#: two, and takes about 20 microseconds.
-MAX_TURN_LINES = 128
-
-#: Seconds between two turns that parse as many lines, of all connections together, so
-#: that connections that always have such data take a part of the loop's time only.
+#: Seconds between two turns of bodies that always have data ready, of all connections
+#: together, so that they take a part of the loop's time only.
 TURN_PAUSE_S = 0.005
 
+#: Seconds of work on a body that always has data ready, after which it waits as well,
+#: and the longest time that counts as work on one piece; the rest is taken for a wait
+#: of its reader.
+MAX_TURN_S = 0.0025
+MAX_PIECE_S = 0.001
+
+#: Share of its time for which a body may be worked on without a wait.
+WORK_SHARE = 0.5
+
 #: Bytes on the wire for each byte of a body in chunks of one byte.
 MAX_FRAMING_FACTOR = 6
 
+#: Bytes on the wire beyond that: a head, a read that is not parsed yet, and what is
+#: buffered of a chunk's head or of trailers.
+MAX_FRAMING_BYTES = 262_144
+
+#: Sends a reset when a socket is closed (SO_LINGER with a time of 0).
+_RESET_ON_CLOSE = struct.pack('ii', 1, 0)
+
 #: Longest wait in seconds for the end of a body whose rest tells nothing.
 BODY_END_TIMEOUT_S = 0.05
 
@@ -80,9 +95,11 @@
     """Counts what arrives in an exchange; given in the extensions of its request.
 
     :ivar received: bytes on the wire so far, with all heads and framing.
+    :ivar is_whole: whether the response was read to its end.
     """
 
     received: int = 0
+    is_whole: bool = False
 
 
 _EXCHANGE: ContextVar[Exchange] = ContextVar('exchange')
@@ -96,12 +113,13 @@
 
     def __init__(self, limits: httpx.Limits, pacer: Pacer | None = None) -> None:
         super().__init__(verify=False, trust_env=False, limits=limits)
+        self._pacer = pacer or Pacer()
         # httpx has no option for the network backend of its pool.
         self._pool = httpcore.AsyncConnectionPool(
             max_connections=limits.max_connections,
             max_keepalive_connections=limits.max_keepalive_connections,
             keepalive_expiry=limits.keepalive_expiry,
-            network_backend=_BoundedBackend(pacer or Pacer()),
+            network_backend=_BoundedBackend(),
         )
 
     async def handle_async_request(self, request: httpx.Request) -> httpx.Response:
@@ -113,11 +131,13 @@
         finally:
             _EXCHANGE.reset(token)
         reply.extensions['exchange'] = exchange
+        assert isinstance(reply.stream, httpx.AsyncByteStream)
+        reply.stream = _BoundedBody(reply.stream, exchange, self._pacer)
         return reply
 
 
 class Pacer:
-    """Lets connections with many lines to parse go on one after the other."""
+    """Lets connections that always have data ready go on one after the other."""
 
     def __init__(self) -> None:
         self._lock = anyio.Lock()
@@ -128,12 +148,45 @@
             await anyio.sleep(TURN_PAUSE_S)
 
 
+class _BoundedBody(httpx.AsyncByteStream):
+    """Body of a response, whose framing and work on it are bounded.
+
+    :param stream: the body as httpx reads it.
+    """
+
+    def __init__(
+        self, stream: httpx.AsyncByteStream, exchange: Exchange, pacer: Pacer
+    ) -> None:
+        self._stream = stream
+        self._exchange = exchange
+        self._pacer = pacer
+
+    async def __aiter__(self) -> AsyncIterator[bytes]:
+        content, worked_s, since = 0, 0.0, time.monotonic()
+        async for piece in self._stream:
+            content += len(piece)
+            framing = self._exchange.received - content
+            if framing > MAX_FRAMING_BYTES + MAX_FRAMING_FACTOR * content:
+                raise httpx.RemoteProtocolError('too much framing for the content')
+            yield piece
+            elapsed_s = time.monotonic() - since
+            since += elapsed_s
+            worked_s += min(elapsed_s, MAX_PIECE_S) - WORK_SHARE * elapsed_s
+            worked_s = max(0.0, worked_s)
+            if worked_s > WORK_SHARE * MAX_TURN_S:
+                await self._pacer.wait()
+                worked_s, since = 0.0, time.monotonic()
+        self._exchange.is_whole = True
+
+    async def aclose(self) -> None:
+        await self._stream.aclose()
+
+
 class _BoundedBackend(httpcore.AsyncNetworkBackend):
     """Opens connections whose reads are bounded."""
 
-    def __init__(self, pacer: Pacer) -> None:
+    def __init__(self) -> None:
         self._backend = httpcore.AnyIOBackend()
-        self._pacer = pacer
 
     async def connect_tcp(
         self,
@@ -146,24 +199,22 @@
         stream = await self._backend.connect_tcp(
             host, port, timeout, local_address, socket_options
         )
-        return _BoundedStream(stream, self._pacer)
+        return _BoundedStream(stream)
 
     async def sleep(self, seconds: float) -> None:
         await self._backend.sleep(seconds)
 
 
 class _BoundedStream(httpcore.AsyncNetworkStream):
-    """Connection that passes on whole heads, and a limited number of lines at a time.
+    """Connection that passes on whole heads, without interim responses.
 
     :param stream: the connection as httpcore opened it.
     """
 
-    def __init__(self, stream: httpcore.AsyncNetworkStream, pacer: Pacer) -> None:
+    def __init__(self, stream: httpcore.AsyncNetworkStream) -> None:
         self._stream = stream
-        self._pacer = pacer
         self._exchange = Exchange()
         self._in_head = True
-        self._must_pause = False
         self._data = b''
         self._start = 0
 
@@ -174,30 +225,16 @@
         await self._stream.write(buffer, timeout)
 
     async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
-        if self._must_pause:
-            await self._pacer.wait()
         if self._in_head:
             self._data = await self._read_head(max_bytes, timeout)
             self._start = 0
             self._in_head = False
         elif self._start == len(self._data):
-            self._data = await self._receive(max_bytes, timeout)
-            self._start = 0
+            return await self._receive(max_bytes, timeout)
         start = self._start
-        self._start = self._find_end(start, start + max_bytes)
+        self._start = min(start + max_bytes, len(self._data))
         return self._data[start : self._start]
 
-    def _find_end(self, start: int, limit: int) -> int:
-        """Return the end of the bytes to be parsed in one turn."""
-        end = start
-        for _ in range(MAX_TURN_LINES):
-            end = self._data.find(b'\n', end, limit) + 1
-            if not end:
-                self._must_pause = False
-                return min(limit, len(self._data))
-        self._must_pause = True
-        return end
-
     async def _read_head(self, max_bytes: int, timeout: float | None) -> bytes:
         """Return the head of a response and what follows it, without interim ones.
 
@@ -236,6 +273,12 @@
         return data
 
     async def aclose(self) -> None:
+        if not self._exchange.is_whole:
+            # The target is told at once that nothing more is read.
+            raw = self._stream.get_extra_info('socket')
+            # The socket of a connection that the target has reset is closed already.
+            with suppress(OSError):
+                raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
         await self._stream.aclose()
 
     async def start_tls(
@@ -245,7 +288,7 @@
         timeout: float | None = None,
     ) -> httpcore.AsyncNetworkStream:
         stream = await self._stream.start_tls(ssl_context, server_hostname, timeout)
-        return _BoundedStream(stream, self._pacer)
+        return _BoundedStream(stream)
 
     def get_extra_info(self, info: str) -> Any:
         if info == 'is_readable' and self._start < len(self._data):
