Refuse request heads with forbidden bytes before they are parsed

What callers saw: one request whose header value is a line of spaces with a NUL held its node for seconds, and all other requests with it.

It is the same cause as at responses of instances, where it is bounded.

Bytes that the parser accepts nowhere in a head are now looked for first, also in requests that were sent ahead. Trailers of chunked requests are not covered.

--- a/coursepitch/http/client.py
+++ b/coursepitch/http/client.py
@@ -24,7 +24,7 @@
     ChunkDecoder,
     ChunkError,
 )
-from coursepitch.http.messages import find_header
+from coursepitch.http.messages import FORBIDDEN_IN_HEAD, HEAD_END, find_header
 from coursepitch.http.stream import connect
 
 if TYPE_CHECKING:
@@ -63,10 +63,6 @@
 _STATUS_LINE_START = re.compile(rb'HTTP/1\.[0-9] [0-9]{3}[ \r\n]')
 _STATUS_LINE_EXAMPLE = b'HTTP/1.1 200 '
 
-#: Matches bytes that the parser accepts nowhere in a head or in trailers.  It would try
-#: to match such a line from each of its spaces.
-_FORBIDDEN = re.compile(rb'[\x00\x0b\x0c]|\r[^\n]')
-
 #: Last chunk of a body without extensions (RFC 9112, section 7.1).
 _LAST_CHUNK = b'0\r\n'
 
@@ -92,9 +88,6 @@
 #: power sends no reset.
 USER_TIMEOUT_MS = 8_000
 
-#: Matches the end of a response head as h11 finds it.
-_HEAD_END = re.compile(rb'\n\r?\n')
-
 #: Matches the size line of a chunk without extensions (RFC 9112, section 7.1).
 _CHUNK_SIZE = re.compile(rb'([0-9A-Fa-f]{1,20})\r\n')
 
@@ -272,9 +265,9 @@
         """
         tail = self._head_tail
         known = tail + data
-        found = _HEAD_END.search(known)
+        found = HEAD_END.search(known)
         end = len(known) if found is None else found.end()
-        if _FORBIDDEN.search(known, 0, end):
+        if FORBIDDEN_IN_HEAD.search(known, 0, end):
             raise ExchangeError('invalid response: forbidden byte in a head')
         self._head_bytes += end - len(tail)
         self._head_lines += known.count(b'\n', len(tail), end)
--- a/coursepitch/http/messages.py
+++ b/coursepitch/http/messages.py
@@ -3,9 +3,12 @@
 from __future__ import annotations
 
 import hashlib
+import re
 from dataclasses import dataclass
 
 __all__ = [
+    'FORBIDDEN_IN_HEAD',
+    'HEAD_END',
     'HOP_HEADERS',
     'Headers',
     'IncomingRequest',
@@ -19,6 +22,13 @@
 #: between nodes stay short.
 DIGEST_BYTES = 16
 
+#: Matches the end of a head as the parser finds it.
+HEAD_END = re.compile(rb'\n\r?\n')
+
+#: Matches bytes that the parser accepts nowhere in a head or in trailers.  It would try
+#: to match such a line from each of its spaces.
+FORBIDDEN_IN_HEAD = re.compile(rb'[\x00\x0b\x0c]|\r[^\n]')
+
 #: Header names and values in their original order and case.
 Headers = tuple[tuple[bytes, bytes], ...]
 
--- a/coursepitch/http/server.py
+++ b/coursepitch/http/server.py
@@ -20,7 +20,13 @@
 from coursepitch import events, log
 from coursepitch.clock import Clock, boottime
 from coursepitch.errors import CoursepitchError
-from coursepitch.http.messages import IncomingRequest, find_header, start_digest
+from coursepitch.http.messages import (
+    FORBIDDEN_IN_HEAD,
+    HEAD_END,
+    IncomingRequest,
+    find_header,
+    start_digest,
+)
 from coursepitch.http.stream import ByteStream
 
 if TYPE_CHECKING:
@@ -269,6 +275,7 @@
         received = 0
         started_at: float | None = None
         events = 0
+        tail = self._check_head(self.parser.trailing_data[0])
         while True:
             try:
                 event = self.parser.next_event()
@@ -288,6 +295,8 @@
                 events = 0
                 if not received and head is None:
                     self._follow_head_limit()
+                if head is None:
+                    tail = self._check_head(tail + data)
                 received += len(data)
                 if started_at is None and data:
                     started_at = self.server.clock()
@@ -321,6 +330,17 @@
             else:
                 return None
 
+    def _check_head(self, data: bytes) -> bytes:
+        """Check a part of a request's head; return its last bytes.
+
+        :raises _RequestProblemError: no head has such a part.
+        """
+        found = HEAD_END.search(data)
+        end = len(data) if found is None else found.end()
+        if FORBIDDEN_IN_HEAD.search(data, 0, end):
+            raise _RequestProblemError(400, 'forbidden byte in the request head')
+        return data[-2:]
+
     def _follow_head_limit(self) -> None:
         """Read the next request by the limit in force, if none of it was read yet."""
         limit = self.server.read_rules().head_bytes
--- a/tests/http/test_endless_requests.py
+++ b/tests/http/test_endless_requests.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 import tracemalloc
 import unittest
 from dataclasses import replace
@@ -109,6 +110,33 @@
         self.assertEqual(run_with_client(send).answered, 2)
 
 
+class ForbiddenByteTest(unittest.TestCase):
+    """Heads that no parser accepts are refused in little time."""
+
+    # Guards against seconds in one turn, as the parser tries a line from each space.
+    def test_line_of_spaces_with_a_forbidden_byte_is_refused_at_once(self):
+        line = b'A:' + b' ' * (RULES.head_bytes - 100) + b'\x00b\r\n'
+        first = b'GET / HTTP/1.1\r\nHost: x\r\n'
+        sound = first + b'\r\n'
+        for parts in (
+            (first + line + b'\r\n',),
+            (first, line, b'\r\n'),
+            (sound + first + line + b'\r\n',),
+            (sound, first + line + b'\r\n'),
+        ):
+
+            async def send(client, parts=parts):
+                for part in parts:
+                    if not client.closed:
+                        await client.send(part)
+
+            with self.subTest(len(parts)):
+                began_at = time.process_time()
+                client = run_with_client(send)
+                self.assertLess(time.process_time() - began_at, 0.5)
+                self.assertIn(b' 400 ', client.received)
+
+
 class EndlessRequestTest(unittest.TestCase):
     """A request is bounded in bytes as a whole."""
 
