Count processor time as the work of a busy stream, and not its waits

Cause: the time between two reads of a stream counted as its work, and was charged to the pacer that all busy streams share. The processor time of the thread is counted now. A test of such a reader takes 0.3 s; tests in virtual time give the pacer their own clock.

--- a/coursepitch/http/stream.py
+++ b/coursepitch/http/stream.py
@@ -13,6 +13,7 @@
 import select
 import socket
 import struct
+import time
 import weakref
 from typing import TYPE_CHECKING
 
@@ -39,7 +40,7 @@
 PACE_FACTOR = 4.0
 
 #: Largest work in seconds that one turn of a busy stream counts as.  What took longer
-#: includes turns of other tasks.
+#: includes turns of other tasks.  Waits, such as for a slow client, are no work.
 MAX_TURN_S = 0.01
 
 #: Shortest delay in seconds of a busy stream; what is due is added up until then.
@@ -47,9 +48,13 @@
 
 
 class ReadPacer:
-    """Share a part of the event loop's time between all busy streams."""
+    """Share a part of the event loop's time between all busy streams.
 
-    def __init__(self) -> None:
+    :param work_clock: returns the processor time of this thread in seconds.
+    """
+
+    def __init__(self, work_clock: Callable[[], float] = time.thread_time) -> None:
+        self.work_clock = work_clock
         self._free_at = float('-inf')
 
     def reserve(self, now: float, work_s: float) -> float:
@@ -66,6 +71,13 @@
 )
 
 
+def _find_pacer(loop: asyncio.AbstractEventLoop) -> ReadPacer:
+    pacer = _pacers.get(loop)
+    if pacer is None:
+        pacer = _pacers[loop] = ReadPacer()
+    return pacer
+
+
 class ByteStream(asyncio.Protocol):
     """A connected TCP socket; at most one task reads, and at most one writes.
 
@@ -93,7 +105,7 @@
         self._timer: asyncio.TimerHandle | None = None
         self._unwaited_bytes = 0
         self._unwaited_turns = 0
-        self._turn_began_at = 0.0
+        self._turn_began_at: float | None = None
         self._work_due_s = 0.0
 
     # -- callbacks of the transport ---------------------------------------------------
@@ -200,7 +212,7 @@
         else:
             if self._unwaited_bytes or self._unwaited_turns:
                 self._unwaited_bytes = self._unwaited_turns = 0
-                self._work_due_s = self._turn_began_at = 0.0
+                self._work_due_s, self._turn_began_at = 0.0, None
             await self._wait_readable(deadline)
         if not self._received:
             if self._closed:
@@ -234,20 +246,18 @@
         if not self.is_busy:
             await asyncio.sleep(0)
             return
-        now = self._loop.time()
-        if self._turn_began_at:
-            self._work_due_s += min(now - self._turn_began_at, MAX_TURN_S)
-        delay_s = 0.0
+        pacer = _find_pacer(self._loop)
+        if self._turn_began_at is not None:
+            work_s = pacer.work_clock() - self._turn_began_at
+            self._work_due_s += min(work_s, MAX_TURN_S)
+        now, delay_s = self._loop.time(), 0.0
         if self._work_due_s * PACE_FACTOR >= MIN_DELAY_S:
-            pacer = _pacers.get(self._loop)
-            if pacer is None:
-                pacer = _pacers[self._loop] = ReadPacer()
             delay_s = pacer.reserve(now, self._work_due_s)
             self._work_due_s = 0.0
         if deadline is not None:
             delay_s = max(0.0, min(delay_s, deadline - now))
         await asyncio.sleep(delay_s)
-        self._turn_began_at = self._loop.time()
+        self._turn_began_at = pacer.work_clock()
 
     async def finish_turn(self, deadline: float | None = None) -> None:
         """Give way within bytes that were received before, as they hold much work."""
--- a/tests/http/test_paced_reads.py
+++ b/tests/http/test_paced_reads.py
@@ -7,7 +7,8 @@
 
 import anyio
 
-from coursepitch.http.stream import MAX_TURN_S, PACE_FACTOR, READ_BYTES
+from coursepitch.http import stream as stream_module
+from coursepitch.http.stream import MAX_TURN_S, PACE_FACTOR, READ_BYTES, ReadPacer
 from tests.gateway.simulated_runs import VirtualTimeLoop
 from tests.http.floods import Flood
 from tests.http.test_framing import build_stream
@@ -19,9 +20,28 @@
 def run_virtually(run):
     """Run a test on an event loop with a virtual clock; return its result."""
     with asyncio.Runner(loop_factory=VirtualTimeLoop) as runner:
+        loop = runner.get_loop()
+        stream_module._pacers[loop] = ReadPacer(loop.time)
         return runner.run(run())
 
 
+class WaitTest(unittest.TestCase):
+    """Waits of a reader are no work on its stream."""
+
+    # Guards against a response that is held up as its client reads slowly.
+    def test_reader_that_waits_for_its_client_is_not_delayed(self):
+        async def run():
+            flood = Flood(b'', b'x')
+            flood.limit = None
+            began_at = anyio.current_time()
+            for _ in range(60):
+                await flood.stream.receive()
+                await anyio.sleep(0.005)
+            return anyio.current_time() - began_at
+
+        self.assertLess(anyio.run(run), 0.75)
+
+
 class SharedTimeTest(unittest.TestCase):
     """Floods leave most of the time of the event loop to other tasks."""
 
