Decode no bodies of engines

What callers saw, in a check by a review: the answer to one health check of 65 KiB took 162 MB of memory, and 273 bytes compressed twice became 64 MiB, before the limit of 256 KiB refused it.

Cause: the limit counted decoded bytes, piece by piece, and one piece may decode to any number. Class of fault: a bound that is checked after the work. Bodies are read as they come now, and engines are asked for none that is encoded; a compressed one fails as no JSON.

--- a/coursepitch/targets/engine.py
+++ b/coursepitch/targets/engine.py
@@ -34,7 +34,10 @@
         self._timeout_s = timeout_s
         limits = httpx.Limits(max_connections=None, max_keepalive_connections=256)
         self._client = httpx.AsyncClient(
-            transport=BoundedTransport(limits), timeout=timeout_s, trust_env=False
+            transport=BoundedTransport(limits),
+            timeout=timeout_s,
+            trust_env=False,
+            headers={'accept-encoding': 'identity'},
         )
 
     async def close(self) -> None:
--- a/coursepitch/util/bounded_http.py
+++ b/coursepitch/util/bounded_http.py
@@ -304,7 +304,9 @@
 
 
 async def read_whole(reply: httpx.Response, limit: int) -> bytes:
-    """Return the body of a response, decoded as its headers tell.
+    """Return the body of a response, which is not decoded.
+
+    A few bytes of a compressed body may decode to any number.
 
     :param limit: largest size in bytes.
     :raises httpx.RemoteProtocolError: the body is larger than the limit.
@@ -342,10 +344,10 @@
 async def _read_bounded(
     reply: httpx.Response, limit: int
 ) -> AsyncGenerator[bytes, None]:
-    """Yield the pieces of a body of at most ``limit`` bytes."""
+    """Yield the pieces of a body of at most ``limit`` bytes, which is not decoded."""
     size = 0
     wire_limit = MAX_HEAD_BYTES + MAX_FRAMING_FACTOR * limit
-    async for piece in reply.aiter_bytes():
+    async for piece in reply.aiter_raw():
         size += len(piece)
         if size > limit or count_received(reply) > wire_limit:
             raise httpx.RemoteProtocolError(f'body of more than {limit} bytes')
