--- a/tests/http/test_endless_requests.py
+++ b/tests/http/test_endless_requests.py
@@ -137,6 +137,27 @@
                 self.assertIn(b' 400 ', client.received)
 
 
+class QuadraticLineTest(unittest.TestCase):
+    """Lines of chunked bodies that no parser accepts are refused in little time."""
+
+    # Guards against seconds in one turn, as the parser tries a line from each space.
+    def test_chunk_extension_of_spaces_is_refused_at_once(self):
+        async def send(client):
+            await client.send(CHUNKED + b'1;' + b' ' * 30_000 + b'\nx\r\n')
+
+        began_at = time.process_time()
+        run_with_client(send)
+        self.assertLess(time.process_time() - began_at, 0.5)
+
+    def test_trailer_of_spaces_with_a_forbidden_byte_is_refused_at_once(self):
+        async def send(client):
+            await client.send(CHUNKED + b'0\r\nA: ' + b' ' * 16_000 + b'\x00\r\n\r\n')
+
+        began_at = time.process_time()
+        run_with_client(send)
+        self.assertLess(time.process_time() - began_at, 0.5)
+
+
 class EndlessRequestTest(unittest.TestCase):
     """A request is bounded in bytes as a whole."""
 
--- a/tests/parallel.py
+++ b/tests/parallel.py
@@ -15,7 +15,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable, Iterator
 
-__all__ = ['ModuleResult', 'order_modules', 'run_module', 'run_modules']
+__all__ = ['ALONE', 'ModuleResult', 'order_modules', 'run_module', 'run_modules']
 
 #: Matches the last line of a run.
 _VERDICT = re.compile(r'^(\d+) passed, (\d+) failed$', re.MULTILINE)
@@ -26,6 +26,9 @@
 #: Matches the module in the name of a test; names of classes may have several parts.
 _MODULE = re.compile(r'((?:\w+\.)*?test_\w+)\.')
 
+#: Modules that measure times against what users expect, and run by themselves.
+ALONE = frozenset({'tests.whole.test_endless_bytes'})
+
 #: Packages whose modules take longest; they begin first.
 _LONG = ('tests.soak.', 'tests.whole.')
 
@@ -89,8 +92,15 @@
     jobs: int,
     run: Callable[[str], ModuleResult] = run_module,
 ) -> Iterator[ModuleResult]:
-    """Yield the result of each module as it ends, with some running at a time."""
+    """Yield the result of each module as it ends, with some running at a time.
+
+    Those of :data:`ALONE` follow one after the other.
+    """
+    names = list(modules)
     with concurrent.futures.ThreadPoolExecutor(jobs) as pool:
-        waiting = [pool.submit(run, module) for module in modules]
+        waiting = [pool.submit(run, name) for name in names if name not in ALONE]
         for done in concurrent.futures.as_completed(waiting):
             yield done.result()
+    for name in names:
+        if name in ALONE:
+            yield run(name)
--- a/tests/test_parallel.py
+++ b/tests/test_parallel.py
@@ -4,7 +4,7 @@
 
 import unittest
 
-from tests.parallel import ModuleResult, order_modules, read_result, run_modules
+from tests.parallel import ALONE, ModuleResult, order_modules, read_result, run_modules
 
 
 class ReadResultTest(unittest.TestCase):
@@ -39,6 +39,21 @@
         expected = ['tests.whole.test_z', 'tests.gateway.test_a']
         self.assertEqual(order_modules(names), expected)
 
+    def test_modules_that_measure_times_run_last_and_alone(self):
+        running, beside = set(), set()
+
+        def run(module):
+            running.add(module)
+            if module in ALONE:
+                beside.update(running - {module})
+            running.discard(module)
+            return ModuleResult(module, 1, 0, frozenset(), '')
+
+        modules = [*ALONE, *(f'tests.test_{number}' for number in range(9))]
+        results = [item.module for item in run_modules(modules, 3, run)]
+        self.assertEqual(set(results[-len(ALONE) :]), ALONE)
+        self.assertEqual(beside, set())
+
     def test_larger_modules_come_before_smaller_ones(self):
         sizes = {'tests.test_a': 3, 'tests.test_b': 7}
         names = [f'{module}.A.test_one' for module in sizes]
