--- a/coursepitch/clock.py
+++ b/coursepitch/clock.py
@@ -5,7 +5,7 @@
 import time
 from collections.abc import Callable
 
-__all__ = ['Clock', 'boottime']
+__all__ = ['Clock', 'boottime', 'processor_time']
 
 #: Returns monotonic time in seconds; its origin is arbitrary.
 Clock = Callable[[], float]
@@ -19,3 +19,8 @@
     have already expired for other processes.
     """
     return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+def processor_time() -> float:
+    """Return the processor time of this thread in seconds, which excludes waits."""
+    return time.thread_time()
--- a/coursepitch/http/stream.py
+++ b/coursepitch/http/stream.py
@@ -13,12 +13,13 @@
 import select
 import socket
 import struct
-import time
 import weakref
 from typing import TYPE_CHECKING
 
 import anyio
 
+from coursepitch.clock import Clock, processor_time
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -53,7 +54,7 @@
     :param work_clock: returns the processor time of this thread in seconds.
     """
 
-    def __init__(self, work_clock: Callable[[], float] = time.thread_time) -> None:
+    def __init__(self, work_clock: Clock = processor_time) -> None:
         self.work_clock = work_clock
         self._free_at = float('-inf')
 
--- a/coursepitch/util/bounded_http.py
+++ b/coursepitch/util/bounded_http.py
@@ -12,7 +12,6 @@
 import re
 import socket
 import struct
-import time
 from contextlib import asynccontextmanager, suppress
 from contextvars import ContextVar
 from dataclasses import dataclass
@@ -23,6 +22,8 @@
 import httpx
 import orjson
 
+from coursepitch.clock import boottime
+
 if TYPE_CHECKING:
     import ssl
     from collections.abc import AsyncGenerator, AsyncIterator, Iterable
@@ -162,20 +163,20 @@
         self._pacer = pacer
 
     async def __aiter__(self) -> AsyncIterator[bytes]:
-        content, worked_s, since = 0, 0.0, time.monotonic()
+        content, worked_s, since = 0, 0.0, boottime()
         async for piece in self._stream:
             content += len(piece)
             framing = self._exchange.received - content
             if framing > MAX_FRAMING_BYTES + MAX_FRAMING_FACTOR * content:
                 raise httpx.RemoteProtocolError('too much framing for the content')
             yield piece
-            elapsed_s = time.monotonic() - since
+            elapsed_s = boottime() - since
             since += elapsed_s
             worked_s += min(elapsed_s, MAX_PIECE_S) - WORK_SHARE * elapsed_s
             worked_s = max(0.0, worked_s)
             if worked_s > WORK_SHARE * MAX_TURN_S:
                 await self._pacer.wait()
-                worked_s, since = 0.0, time.monotonic()
+                worked_s, since = 0.0, boottime()
         self._exchange.is_whole = True
 
     async def aclose(self) -> None:
--- a/tests/util/test_bounded_http.py
+++ b/tests/util/test_bounded_http.py
@@ -106,7 +106,7 @@
 class ProofTest(unittest.TestCase):
     """Bytes that cannot become an answer fail a call before its limit."""
 
-    async def fail(self, client, url):
+    async def read_failure(self, client, url):
         with self.assertRaises(httpx.RemoteProtocolError):
             await fetch(client, url)
 
@@ -114,19 +114,19 @@
     def test_endless_head_fails_at_once(self):
         for kind in HEAD_KINDS:
             with self.subTest(kind):
-                run_client(EndlessScript(kind, FAST), self.fail)
+                run_client(EndlessScript(kind, FAST), self.read_failure)
 
     def test_slow_bytes_that_are_no_status_line_fail_at_once(self):
-        run_client(EndlessScript('status_line', SLOW), self.fail)
+        run_client(EndlessScript('status_line', SLOW), self.read_failure)
 
     # Guards against endless framing around little content.
     def test_framing_without_content_fails(self):
         for kind in ('extension', 'extensions'):
             with self.subTest(kind):
-                run_client(EndlessScript(kind, FAST), self.fail)
+                run_client(EndlessScript(kind, FAST), self.read_failure)
 
     def test_too_many_slow_interim_responses_fail(self):
-        run_client(EndlessScript('interim', SLOW), self.fail)
+        run_client(EndlessScript('interim', SLOW), self.read_failure)
 
 
 class CloseTest(unittest.TestCase):
