--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -21,7 +21,7 @@
     find_unknown_tests,
     read_known_red,
 )
-from tests.parallel import order_modules, run_modules
+from tests.parallel import list_failures, order_modules, run_modules
 
 ROOT = Path(__file__).resolve().parent.parent
 KNOWN_RED = ROOT / 'KNOWN-RED.txt'
@@ -129,9 +129,11 @@
     """
     passed = failed = 0
     red: set[str] = set()
+    results = []
     modules = order_modules(list_names(suite), read_size)
     for result in run_modules(modules, jobs):
         print(f'{result.module}\n{result.output}', flush=True)
+        results.append(result)
         passed += result.passed
         failed += result.failed
         red |= result.known_red
@@ -140,6 +142,8 @@
             print(f'known red: {entry}')
         else:
             print(f'listed as known red, but did not fail: {entry.test}')
+    for report in list_failures(results):
+        print(report)
     print(f'{passed} passed, {failed} failed')
     return 1 if failed or not passed else 0
 
--- a/tests/parallel.py
+++ b/tests/parallel.py
@@ -15,7 +15,14 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable, Iterator
 
-__all__ = ['ALONE', 'ModuleResult', 'order_modules', 'run_module', 'run_modules']
+__all__ = [
+    'ALONE',
+    'ModuleResult',
+    'list_failures',
+    'order_modules',
+    'run_module',
+    'run_modules',
+]
 
 #: Matches the last line of a run.
 _VERDICT = re.compile(r'^(\d+) passed, (\d+) failed$', re.MULTILINE)
@@ -26,6 +33,17 @@
 #: Matches the module in the name of a test; names of classes may have several parts.
 _MODULE = re.compile(r'((?:\w+\.)*?test_\w+)\.')
 
+#: Matches the report of a failed test: its name, and the lines up to the next rule.
+_FAILURE = re.compile(
+    r'^(?:FAIL|ERROR): (.+)\n-{70}\n((?:(?![=-]{70}).*\n)*)', re.MULTILINE
+)
+
+#: Matches a test's full name in the first line of its report.
+_TEST = re.compile(r'\((tests\.[\w.]+)\)')
+
+#: Lines of a failure that are repeated at the end of a run.
+_MAX_REPEATED_LINES = 8
+
 #: Modules that measure times against what users expect, and run by themselves.
 ALONE = frozenset({'tests.whole.test_endless_bytes'})
 
@@ -74,6 +92,26 @@
     )
 
 
+def list_failures(results: Iterable[ModuleResult]) -> list[str]:
+    """Return the name and the last lines of each failure that is not a known one.
+
+    A module that ended without a verdict is named with its last lines.
+    """
+    found = []
+    for result in results:
+        if not result.failed:
+            continue
+        reports = [
+            (name, report)
+            for name, report in _FAILURE.findall(result.output)
+            if not any(test in result.known_red for test in _TEST.findall(name))
+        ]
+        for name, report in reports or [(result.module, result.output)]:
+            lines = report.strip().splitlines()[-_MAX_REPEATED_LINES:]
+            found.append('\n'.join([f'failed: {name}', *lines]))
+    return found
+
+
 def run_module(module: str) -> ModuleResult:
     """Run the tests of a module in a process of their own."""
     done = subprocess.run(
--- a/tests/test_parallel.py
+++ b/tests/test_parallel.py
@@ -4,7 +4,38 @@
 
 import unittest
 
-from tests.parallel import ALONE, ModuleResult, order_modules, read_result, run_modules
+from tests.parallel import (
+    ALONE,
+    ModuleResult,
+    list_failures,
+    order_modules,
+    read_result,
+    run_modules,
+)
+
+RULE, LINE = '=' * 70, '-' * 70
+
+#: Output of a module of which a listed test and another one failed.
+OUTPUT = f"""\
+test_b (tests.test_a.A.test_b) ... FAIL
+
+{RULE}
+FAIL: test_b (tests.test_a.A.test_b)
+{LINE}
+Traceback (most recent call last):
+AssertionError: 3 not less than 2
+
+{RULE}
+ERROR: test_c (tests.test_a.A.test_c) (kind='body')
+{LINE}
+ValueError: c
+
+{LINE}
+Ran 2 tests in 1.000s
+
+known red: tests.test_a.A.test_b | python -m tests | seen | 17
+0 passed, 1 failed
+"""
 
 
 class ReadResultTest(unittest.TestCase):
@@ -26,6 +57,25 @@
         self.assertEqual(result.known_red, {'tests.a.B.test_c'})
 
 
+class FailuresTest(unittest.TestCase):
+    """The end of a run tells what failed."""
+
+    def test_failures_that_are_not_listed_are_named(self):
+        found = list_failures([read_result('tests.test_a', 1, OUTPUT)])
+        name = "test_c (tests.test_a.A.test_c) (kind='body')"
+        self.assertEqual(found, [f'failed: {name}\nValueError: c'])
+
+    def test_listed_failure_is_not_named(self):
+        output = OUTPUT.replace('A.test_c', 'A.test_b').replace(
+            '0 passed, 1', '1 passed, 0'
+        )
+        self.assertEqual(list_failures([read_result('tests.test_a', 0, output)]), [])
+
+    def test_module_without_a_report_is_named(self):
+        found = list_failures([read_result('tests.test_a', -9, 'test_b ... Killed')])
+        self.assertEqual(found, ['failed: tests.test_a\ntest_b ... Killed'])
+
+
 class RunModulesTest(unittest.TestCase):
     """Each module runs once."""
 
