Pass no lines to the parser that it needs seconds for

What callers saw: one engine or plain service held its node for seconds with one response, and all requests at the node waited meanwhile.

Cause: the expressions of the parser (h11) are quadratic in runs of blanks of a line that they do not match. The transport bounded the size of heads, and checked neither their bytes nor chunk extensions and trailers.

Ruled out: a limit on the size of a line, as 16,000 bytes are a sound size of a field; http.chunks.ChunkDecoder, as it refuses sound bodies of more than some thousand chunks of one byte, which these clients accept, and as util does not import http.

Change: heads with bytes that the parser accepts in no field are refused once they are whole. Chunked bodies are decoded before the parser gets them, 128 chunks in a read, and encoded anew without their extensions. Trailers are bounded and checked as heads are, and the parser gets them whole.

--- a/coursepitch/util/bounded_http.py
+++ b/coursepitch/util/bounded_http.py
@@ -46,6 +46,25 @@
 #: one turn of the event loop.
 MAX_HEAD_LINES = 512
 
+#: Matches bytes that the parser accepts nowhere in a head or in trailers.  It would try
+#: to match such a line from each of its blanks.
+_FORBIDDEN_IN_FIELDS = re.compile(rb'[\x00\x0b\x0c]|\r[^\n]')
+
+#: Matches the field of a head that tells that the body comes in chunks; the parser
+#: accepts no other transfer coding.
+_TRANSFER_ENCODING = re.compile(rb'(?i)\ntransfer-encoding:')
+
+#: Matches the size line of a chunk with extensions, or with blanks at its end.
+_SIZE_LINE = re.compile(rb'([0-9A-Fa-f]{1,20})(?:;[^\r\n]*|[ \t]*)\r\n')
+
+#: Largest size line of a chunk in bytes.  Extensions tell clients nothing.
+MAX_SIZE_LINE_BYTES = 16_384
+
+#: Chunks that are decoded in one read.
+MAX_CHUNKS_PER_READ = 128
+
+_LINE_END = b'\r\n'
+
 #: Largest number of interim responses before a response.
 MAX_INTERIM_RESPONSES = 16
 
@@ -209,6 +228,9 @@
 class _BoundedStream(httpcore.AsyncNetworkStream):
     """Connection that passes on whole heads, without interim responses.
 
+    Chunks of bodies are passed on without their extensions, and trailers as a whole, so
+    that the parser gets no line that takes it long.
+
     :param stream: the connection as httpcore opened it.
     """
 
@@ -216,6 +238,7 @@
         self._stream = stream
         self._exchange = Exchange()
         self._in_head = True
+        self._decoder: _ChunkDecoder | None = None
         self._data = b''
         self._start = 0
 
@@ -227,17 +250,44 @@
 
     async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
         if self._in_head:
-            self._data = await self._read_head(max_bytes, timeout)
-            self._start = 0
+            self._data, size = await self._read_head(max_bytes, timeout)
             self._in_head = False
-        elif self._start == len(self._data):
+            chunked = _TRANSFER_ENCODING.search(self._data, 0, size) is not None
+            self._decoder = _ChunkDecoder() if chunked else None
+            self._start = size if chunked else min(max_bytes, len(self._data))
+            return self._data[: self._start]
+        if self._decoder is not None:
+            return await self._read_chunks(self._decoder, max_bytes, timeout)
+        if self._start == len(self._data):
             return await self._receive(max_bytes, timeout)
         start = self._start
         self._start = min(start + max_bytes, len(self._data))
         return self._data[start : self._start]
 
-    async def _read_head(self, max_bytes: int, timeout: float | None) -> bytes:
-        """Return the head of a response and what follows it, without interim ones.
+    async def _read_chunks(
+        self, decoder: _ChunkDecoder, max_bytes: int, timeout: float | None
+    ) -> bytes:
+        """Return parts of a chunked body, encoded anew.
+
+        :raises httpcore.RemoteProtocolError: the body is malformed.
+        """
+        while not decoder.ended:
+            found, self._start = decoder.decode(self._data, self._start)
+            if found:
+                return found
+            data = await self._receive(max_bytes, timeout)
+            if not data:
+                # The parser tells what is missing.
+                return b''
+            self._data = self._data[self._start :] + data
+            self._start = 0
+        # The parser asks for nothing after the end of a body.
+        raise httpcore.RemoteProtocolError('read after the end of a body')
+
+    async def _read_head(
+        self, max_bytes: int, timeout: float | None
+    ) -> tuple[bytes, int]:
+        """Return a head with what follows it, without interim ones, and its size.
 
         :raises httpcore.RemoteProtocolError: no valid head can come any more.
         """
@@ -256,11 +306,13 @@
                 data = await self._receive(max_bytes, timeout)
                 if not data:
                     # The parser tells what is missing.
-                    return bytes(buffer)
+                    return bytes(buffer), len(buffer)
                 buffer += data
                 continue
             if not _INTERIM.match(buffer):
-                return bytes(buffer)
+                if _FORBIDDEN_IN_FIELDS.search(buffer, 0, head_size):
+                    raise httpcore.RemoteProtocolError('forbidden bytes in a head')
+                return bytes(buffer), head_size
             size += head_size
             interim += 1
             if interim > MAX_INTERIM_RESPONSES:
@@ -298,6 +350,110 @@
         return self._stream.get_extra_info(info)
 
 
+class _ChunkDecoder:
+    """Decodes a chunked body (RFC 9112, section 7.1) and encodes it anew.
+
+    :ivar ended: whether the end of the body has been decoded.
+    """
+
+    def __init__(self) -> None:
+        self.ended = False
+        self._left_bytes = 0
+        self._in_footer = False
+        self._in_trailers = False
+
+    def decode(self, data: bytes, start: int) -> tuple[bytes, int]:
+        """Return whole and partial chunks as one, or the end of the body.
+
+        Both are followed by the position of what is yet to be decoded, or may be
+        decoded with the bytes that arrive next.
+
+        :raises httpcore.RemoteProtocolError: what is next is malformed.
+        """
+        content, place = self._decode_chunks(data, start)
+        if content:
+            return b'%x\r\n%b\r\n' % (len(content), content), place
+        if not self._in_trailers:
+            return b'', place
+        end = _find_trailers_end(data, place)
+        if end < 0:
+            return b'', place
+        self.ended = True
+        return b'0\r\n' + data[place:end], end
+
+    def _decode_chunks(self, data: bytes, start: int) -> tuple[bytes, int]:
+        """Return the content of chunks, and the position of what follows."""
+        parts: list[bytes] = []
+        for _ in range(MAX_CHUNKS_PER_READ):
+            try:
+                place = self._decode_chunk(data, start, parts)
+            except httpcore.RemoteProtocolError:
+                if not parts:
+                    raise
+                # Raised again by the next call.
+                break
+            if place == start:
+                break
+            start = place
+        return b''.join(parts), start
+
+    def _decode_chunk(self, data: bytes, place: int, parts: list[bytes]) -> int:
+        """Decode up to the end of a chunk's content; return the position after it."""
+        if self._in_trailers:
+            return place
+        if self._in_footer:
+            footer = data[place : place + len(_LINE_END)]
+            if not _LINE_END.startswith(footer):
+                raise httpcore.RemoteProtocolError('malformed end of a chunk')
+            if footer != _LINE_END:
+                return place
+            place += len(_LINE_END)
+            self._in_footer = False
+        if not self._left_bytes:
+            size, place = _find_size(data, place)
+            if size is None:
+                return place
+            self._left_bytes = size
+            self._in_trailers = not size
+        content = data[place : place + self._left_bytes]
+        if content:
+            parts.append(content)
+            self._left_bytes -= len(content)
+            self._in_footer = not self._left_bytes
+        return place + len(content)
+
+
+def _find_size(data: bytes, place: int) -> tuple[int | None, int]:
+    """Return the size in a size line, ``None`` until it is whole, and where it ends.
+
+    :raises httpcore.RemoteProtocolError: the line is malformed or too large.
+    """
+    found = _SIZE_LINE.match(data, place, place + MAX_SIZE_LINE_BYTES)
+    if found is not None:
+        return int(found[1], 16), found.end()
+    end = data.find(b'\n', place, place + MAX_SIZE_LINE_BYTES)
+    if end >= 0 or len(data) - place >= MAX_SIZE_LINE_BYTES:
+        raise httpcore.RemoteProtocolError('malformed size of a chunk')
+    return None, place
+
+
+def _find_trailers_end(data: bytes, place: int) -> int:
+    """Return the end of trailers with their empty line, or -1 until they are whole.
+
+    :raises httpcore.RemoteProtocolError: they are malformed or too large.
+    """
+    if data.startswith(_LINE_END, place):
+        return place + len(_LINE_END)
+    found = _HEAD_END.search(data, place, place + MAX_HEAD_BYTES)
+    end = found.end() if found else len(data)
+    lines = data.count(b'\n', place, end)
+    if end - place > MAX_HEAD_BYTES or lines > MAX_HEAD_LINES:
+        raise httpcore.RemoteProtocolError('trailers are too large')
+    if _FORBIDDEN_IN_FIELDS.search(data, place, end):
+        raise httpcore.RemoteProtocolError('forbidden bytes in trailers')
+    return end if found else -1
+
+
 def count_received(reply: httpx.Response) -> int:
     """Return the bytes on the wire of an exchange so far."""
     exchange: Exchange = reply.extensions['exchange']
--- /dev/null
+++ b/tests/util/test_bounded_http_lines.py
@@ -0,0 +1,156 @@
+"""Lines of responses that the parser needs seconds for, and chunks at any splits."""
+
+from __future__ import annotations
+
+import time
+import unittest
+
+import anyio
+import httpx
+
+from coursepitch.util.bounded_http import BoundedTransport, open_reply, read_whole
+from tests.serving.engines import Engine, listen
+
+#: Time limit in seconds by which any exchange has ended.
+LONG_S = 20.0
+
+#: Most processor time in seconds of an exchange whose lines are refused: a part of the
+#: 0.1 s that bounds a turn of the event loop beside endless bytes.
+MAX_WORK_S = 0.1
+
+LIMIT = 1_048_576
+OK = b'HTTP/1.1 200 OK\r\n'
+CHUNKED = OK + b'Transfer-Encoding: chunked\r\n\r\n'
+
+#: Blanks from each of which the parser tries to match the rest of a line.
+BLANKS = b' ' * 16_000
+
+
+def fetch(*parts, pause_s=0.0):
+    """Return the body of a response, or its error, and the processor time in seconds.
+
+    :param parts: what the server sends, one after the other, before it closes.
+    """
+
+    async def send(stream, name, start):
+        for part in parts:
+            await stream.send(part)
+            await anyio.sleep(pause_s)
+
+    async def main():
+        server = Engine(send)
+        client = httpx.AsyncClient(transport=BoundedTransport(httpx.Limits()))
+        async with anyio.create_task_group() as tasks:
+            await listen((server,), tasks)
+            url = f'http://127.0.0.1:{server.port}/v1/streams/'
+            request = client.build_request('GET', url)
+            began_at = time.thread_time()
+            try:
+                async with open_reply(client, request, LONG_S) as reply:
+                    found = await read_whole(reply, LIMIT)
+            except httpx.HTTPError as error:
+                found = type(error)
+            worked_s = time.thread_time() - began_at
+            tasks.cancel_scope.cancel()
+        await client.aclose()
+        return found, worked_s
+
+    return anyio.run(main)
+
+
+class QuadraticLineTest(unittest.TestCase):
+    """Lines that the parser accepts nowhere are refused in little time."""
+
+    def check_refused(self, *parts):
+        found, worked_s = fetch(*parts)
+        self.assertEqual(found, httpx.RemoteProtocolError)
+        self.assertLess(worked_s, MAX_WORK_S)
+
+    # Guards against seconds of one turn of the event loop for one line.
+    def test_heads_with_forbidden_bytes_are_refused_at_once(self):
+        for byte in (b'\x00', b'\x0b', b'\x0c', b'\rx'):
+            with self.subTest(byte):
+                line = b'A: ' + BLANKS + byte
+                self.check_refused(OK + line + b'\r\n\r\n')
+                self.check_refused(OK + b'A: b\r\n ' + line + b'\r\n\r\n')
+
+    def test_extensions_of_blanks_are_refused_at_once(self):
+        for end in (b'\nx\r\n', b'\rx\r\n', BLANKS + b'\nx\r\n'):
+            with self.subTest(end[-4:]):
+                self.check_refused(CHUNKED + b'1;' + BLANKS, end)
+
+    def test_trailers_with_forbidden_bytes_are_refused_at_once(self):
+        for byte in (b'\x00', b'\x0b', b'\x0c', b'\rx'):
+            with self.subTest(byte):
+                line = b'A: ' + BLANKS + byte
+                self.check_refused(CHUNKED + b'0\r\n' + line + b'\r\n\r\n')
+
+    # Guards against a decoder that takes the framing of one body for another's.
+    def test_folded_framing_is_recognized(self):
+        head = OK + b'TRANSFER-encoding:\r\n chunked\r\n\r\n'
+        self.check_refused(head + b'1;' + BLANKS + b'\nx\r\n')
+
+
+class ChunkTest(unittest.TestCase):
+    """Chunks are decoded as they were sent, and nothing else is accepted."""
+
+    def test_body_is_whole_however_it_is_split(self):
+        text = (
+            b'2\r\nab\r\n'
+            b'3;name="value" \r\n\r\n0\r\n'
+            b'0000A\t\r\n0123456789\r\n'
+            b'00;last\r\nA: b\r\nC: d\r\n\r\n'
+        )
+        for place in range(1, len(text)):
+            with self.subTest(place):
+                parts = (CHUNKED + text[:place], text[place:])
+                self.assertEqual(fetch(*parts, pause_s=0.01)[0], b'ab\r\n00123456789')
+
+    def test_part_of_a_chunk_is_returned_before_the_rest_arrives(self):
+        async def send(stream, name, start):
+            await stream.send(CHUNKED + b'10\r\nfirst')
+            await anyio.sleep_forever()
+
+        async def main():
+            server = Engine(send)
+            client = httpx.AsyncClient(transport=BoundedTransport(httpx.Limits()))
+            async with anyio.create_task_group() as tasks:
+                await listen((server,), tasks)
+                url = f'http://127.0.0.1:{server.port}/v1/streams/'
+                with anyio.fail_after(LONG_S):
+                    async with client.stream('GET', url) as reply:
+                        found = await anext(reply.aiter_raw())
+                tasks.cancel_scope.cancel()
+            await client.aclose()
+            return found
+
+        self.assertEqual(anyio.run(main), b'first')
+
+    def test_malformed_chunks_are_refused(self):
+        malformed = {
+            'size': b'x\r\nab\r\n0\r\n\r\n',
+            'sign': b'+1\r\na\r\n0\r\n\r\n',
+            'long_size': b'0' * 21 + b'1\r\na\r\n0\r\n\r\n',
+            'line_feed': b'1\na\r\n0\r\n\r\n',
+            'end': b'1\r\nabc\r\n0\r\n\r\n',
+            'late_end': b'1\r\na\r\n1\r\nabc\r\n0\r\n\r\n',
+            'trailer': b'1\r\na\r\n0\r\nno field\r\n\r\n',
+            'truncated': b'2\r\na',
+            'without_end': b'1\r\na\r\n',
+            'without_trailers': b'1\r\na\r\n0\r\n',
+            'line': b'1;' + b'x' * 100_000,
+            'trailers': b'0\r\nA: ' + b'x' * 100_000,
+            'trailer_lines': b'0\r\n' + b'A: b\r\n' * 1_000 + b'\r\n',
+        }
+        for kind, body in malformed.items():
+            with self.subTest(kind):
+                self.assertEqual(fetch(CHUNKED + body)[0], httpx.RemoteProtocolError)
+
+    # Guards against bodies that are decoded though their responses have none.
+    def test_response_without_body_may_name_chunks(self):
+        head = CHUNKED.replace(b'200 OK', b'204 No Content')
+        self.assertEqual(fetch(head)[0], b'')
+
+
+if __name__ == '__main__':
+    unittest.main()
