Deliver slow bodies of plain services, and comments before an event

What callers saw: a body of a sound plain service was cut if it brought neither an event nor 64 KiB within the deadline of its call, such as a log with a line now and then, or a stream whose comments show between two events that it is open. A client got no head and no comment before the first event.

The deadline ends the wait for a first part only, and late answers are to be delivered; bytes that a client gets at once it can judge itself.

Evidence: four tests failed before, in one run: a body of ten bytes in twice the deadline, comments between two events (two forms), comments before the first event, and bodies without end that are to end with their client, which were cut instead.

Ruled out: a bound on bodies without length, as nothing tells a download from bytes without end, and no memory grows with them; comments before the first event as progress, as the deadline is for an answer.

Change: what may be forwarded is progress: any byte of a body that is no stream of events, and of a stream, after its first event, events and comments. The first event has to come within the deadline as before, 1 MiB without one ends the stream, and a silence as long as the deadline cuts any body. Comments between events are forwarded as they come; line ends wait for a comment or an event, so a stream of them alone brings nothing to a client.

Tests that changed: test_slow_body_without_end_is_cut took three bodies that are no streams of events for bytes that bring nothing. These are checked to be forwarded past the deadline, to end with their client, and to hold no place then; all other kinds are checked as before. The stream of comments had to be held back whole: its comments, and nothing else, may pass now, up to 1 MiB, and it is cut as before. The test of splits expected comments with the first event; it checks now for two splits in place of one, and at each part, that no part of an event is forwarded.

--- a/coursepitch/serving/services.py
+++ b/coursepitch/serving/services.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
@@ -49,9 +50,9 @@
 #: Seconds between two searches for an address to try beside the silent ones.
 FIND_INTERVAL_S = 0.1
 
-#: Bytes of a body that is no stream of events that count as progress: a body must bring
-#: as many within the deadline of its call, or end.
-PROGRESS_BYTES = 65_536
+#: Matches comments and empty lines of a stream of events, and the start of a comment.
+#: Source: HTML standard, section 9.2.6.
+_COMMENTS = re.compile(rb'(?:[\r\n]++|:[^\r\n]*+)*+')
 
 #: Headers that are not forwarded: those that apply to a single connection
 #: (RFC 9110, section 7.6.1) and those that this node sets itself.
@@ -507,11 +508,11 @@
 class AnswerBody:
     """Body of an answer, read within bounds on what brings its caller nothing.
 
-    Of a stream of events only whole events are returned, and nothing before the first
-    one.  Of other bodies any bytes are.
+    Of a stream of events only whole events and comments are returned.  Of other bodies
+    any bytes are.
 
-    :param limit_s: longest wait in seconds for progress: an event, or
-        :data:`PROGRESS_BYTES` of a body that is no stream of events.
+    :param limit_s: longest wait in seconds for the first event of a stream of events,
+        and after it, or of other bodies, for bytes that are returned.
     :ivar forwarded: number of bytes that were returned.
     """
 
@@ -524,9 +525,11 @@
         self._limit_s = limit_s
         self._left_s = limit_s
         self._clock = clock
-        #: Bytes since the latest progress.
+        #: Bytes since the latest event.
         self._idle = 0
-        self._held = b''
+        self._in_comment = False
+        #: Line ends that are yet to be followed by a comment or an event.
+        self._line_ends = b''
         self._ended = False
         self.forwarded = 0
 
@@ -557,22 +560,58 @@
             self._left_s = max(0.0, self._left_s - (self._clock() - began_at))
 
     def _add(self, piece: bytes) -> bytes:
-        self._idle += len(piece)
+        """Return what may be forwarded once a piece has arrived."""
         if self._splitter is None:
-            if self._idle >= PROGRESS_BYTES:
-                self._left_s, self._idle = self._limit_s, 0
-            return piece
-        count = self._splitter.count
+            found, begun = piece, True
+        else:
+            found = self._split(self._splitter, piece)
+            begun = self._splitter.count > 0
+        if found and begun:
+            self._left_s = self._limit_s
+        return found
+
+    def _split(self, splitter: EventSplitter, piece: bytes) -> bytes:
+        """Return the whole events and comments that a piece completes."""
+        self._idle += len(piece)
+        comments = b''
+        if not splitter.buffered:
+            comments, piece = self._take_comments(piece)
+        count = splitter.count
         try:
-            whole = self._held + self._splitter.feed(piece)
+            whole = splitter.feed(piece) if piece else b''
         except ExchangeError as error:
             raise Cutoff('the stream of the service brings no event') from error
-        if self._splitter.count > count:
-            self._left_s, self._idle = self._limit_s, self._splitter.buffered
+        if splitter.count > count:
+            self._idle = splitter.buffered
+            if not splitter.is_inside_event():
+                whole += self._take_comments(splitter.flush())[0]
         elif self._idle > MAX_EVENT_BYTES:
             raise Cutoff('the stream of the service brings no event')
-        self._held = b'' if self._splitter.count else whole
-        return whole if self._splitter.count else b''
+        return comments + whole
+
+    def _take_comments(self, piece: bytes) -> tuple[bytes, bytes]:
+        """Return the comments at the start of a piece between two events, and the rest.
+
+        A part of a comment is returned as well, as receivers ignore it.  Line ends
+        alone are not: a stream of nothing else may be no stream of events.
+        """
+        marked = b':' * self._in_comment + piece
+        found = _COMMENTS.match(marked)
+        assert found is not None, 'an empty string matches as well'
+        size = found.end() - self._in_comment
+        comments = piece[:size].rstrip(b'\r\n')
+        line_ends, rest = piece[len(comments) : size], piece[size:]
+        if comments:
+            comments, self._line_ends = self._line_ends + comments, b''
+        if comments or self._in_comment:
+            self._in_comment = not line_ends
+            # The first line end is that of the last comment.
+            end = 1 + line_ends.startswith(b'\r\n')
+            comments, line_ends = comments + line_ends[:end], line_ends[end:]
+        self._line_ends += line_ends
+        if rest:
+            rest, self._line_ends = self._line_ends + rest, b''
+        return comments, rest
 
     def _end(self) -> bytes:
         """Return the bytes after the last event: comments and blank lines."""
@@ -580,7 +619,7 @@
             return b''
         if self._splitter.is_inside_event():
             raise Cutoff('the stream of the service ended inside an event')
-        return self._held + self._splitter.flush()
+        return self._line_ends + self._splitter.flush()
 
 
 def _ends_with_connection(reply: httpx.Response) -> bool:
