Bound the turn in which an answer is parsed, and all answers together

What callers saw: one whole answer of an engine held its node for seconds as it was parsed, and all requests at the node waited meanwhile. Answers of 16 MiB each had no bound all together, where a node has 128 MB.

Cause: an answer of up to 16 MiB is parsed in one turn of the event loop. The time goes into its values, each of which is an object of the interpreter.

Ruled out: a worker thread, as the parser holds the lock of the interpreter until it is done; a limit of 1 MiB, as it would refuse long texts, and answers with 20 alternatives for each of 800 tokens.

Change: read_object counts the values of objects above 1 MiB as they come, outside of strings and 64 KiB in a turn, and refuses more than fit into 1 MiB. BodyBuffers bounds what a dispatcher holds of unfinished answers to 48 MiB, as ConnectionPool.note_buffered does for the gateway; the largest fails first.

--- a/coursepitch/serving/dispatch.py
+++ b/coursepitch/serving/dispatch.py
@@ -31,7 +31,13 @@
     read_text,
 )
 from coursepitch.serving.sse import DONE_DATA, MAX_EVENT_BYTES, EventParser
-from coursepitch.util.bounded_http import Pacer, drain_body, open_reply, read_object
+from coursepitch.util.bounded_http import (
+    BodyBuffers,
+    Pacer,
+    drain_body,
+    open_reply,
+    read_object,
+)
 
 if TYPE_CHECKING:
     from collections.abc import AsyncGenerator, Callable
@@ -98,6 +104,7 @@
         pacer = Pacer()
         self._clients = TargetClients(timeout, pacer, reuse=True)
         self._single_use_clients = TargetClients(timeout, pacer, reuse=False)
+        self._buffers = BodyBuffers()
         #: Attempts that are yet to be cancelled, as others delivered their answers.
         self._dropped: list[Attempt] = []
         #: Whether this node reaches no engine.
@@ -672,7 +679,7 @@
             reply = await self._send_request(run, attempt, NextStep.RETRY)
             if reply is None:
                 return None
-            answer = await read_object(reply, MAX_ANSWER_BYTES)
+            answer = await read_object(reply, MAX_ANSWER_BYTES, self._buffers)
             if answer['id'] != attempt.name:
                 attempt.result = AttemptResult.WRONG
                 return None
--- a/coursepitch/util/bounded_http.py
+++ b/coursepitch/util/bounded_http.py
@@ -29,6 +29,7 @@
     from collections.abc import AsyncGenerator, AsyncIterator, Iterable
 
 __all__ = [
+    'BodyBuffers',
     'BoundedTransport',
     'Exchange',
     'Pacer',
@@ -100,6 +101,25 @@
 #: Largest number of blank bytes before a JSON object.
 MAX_BLANK_BYTES = 1_024
 
+#: Largest size in bytes of all bodies that are read whole, before their ends: a node
+#: has 128 MB, of which it uses some 50 MB otherwise.
+MAX_BUFFERED_BYTES = 50_331_648
+
+#: Largest JSON object in bytes whose values are not counted.  An object is parsed in
+#: one turn of the event loop, whose time its values take, and hardly its text.
+MAX_UNCOUNTED_BYTES = 1_048_576
+
+#: Largest number of values of an object: what fits into one that is not counted, as a
+#: value and what separates it from the next one take three bytes.
+MAX_VALUES = MAX_UNCOUNTED_BYTES // 3
+
+#: Bytes of an object whose values are counted in one turn of the event loop.
+COUNTED_BYTES_PER_TURN = 65_536
+
+#: Matches a string of a JSON text, or the start of one: the closing quote is a group,
+#: and so is a backslash at the end of the bytes.
+_STRING = re.compile(rb'"(?:[^"\\]++|\\.)*+(?:(")|(\\?)\Z)', re.DOTALL)
+
 #: Beginning of all responses that are understood.
 _VERSION = b'HTTP/1.'
 
@@ -474,21 +494,89 @@
     return bytes(body)
 
 
-async def read_object(reply: httpx.Response, limit: int) -> dict[str, Any]:
+class BodyBuffers:
+    """Sizes of the bodies that are being read whole, which are bounded together.
+
+    :ivar total_bytes: size of all of them.
+    """
+
+    def __init__(self) -> None:
+        self._sizes: dict[httpx.Response, int] = {}
+        self.total_bytes = 0
+
+    def note(self, reply: httpx.Response, size: int) -> None:
+        """Note the size in bytes of what is held of a body; 0 once it is read.
+
+        :raises httpx.RemoteProtocolError: all bodies are too large, and it is the
+            largest one.
+        """
+        before = self._sizes.pop(reply, 0)
+        self.total_bytes += size - before
+        if not size:
+            return
+        largest = max(self._sizes.values(), default=0)
+        if self.total_bytes > MAX_BUFFERED_BYTES and size >= largest:
+            self.total_bytes -= size
+            raise httpx.RemoteProtocolError('unfinished bodies are too large')
+        self._sizes[reply] = size
+
+
+class _ValueCounter:
+    """Counts the values of a JSON text that comes in pieces.
+
+    :ivar count: arrays, objects and separators so far, outside of strings.
+    """
+
+    def __init__(self) -> None:
+        self.count = 0
+        self._in_string = False
+        self._escaped = False
+
+    def add(self, piece: bytes) -> None:
+        """Count the values of the next piece, which must not be empty."""
+        text = b'"' * self._in_string + piece[self._escaped :]
+        last: re.Match[bytes] | None = None
+
+        def drop(found: re.Match[bytes]) -> bytes:
+            nonlocal last
+            last = found
+            return b''
+
+        outside = _STRING.sub(drop, text)
+        self._in_string = last is not None and last[1] is None
+        self._escaped = last is not None and bool(last[2])
+        self.count += sum(map(outside.count, (b'[', b'{', b',')))
+
+
+async def read_object(
+    reply: httpx.Response, limit: int, buffers: BodyBuffers | None = None
+) -> dict[str, Any]:
     """Return the JSON object that is the body of a response.
 
     :param limit: largest size of the body in bytes.
+    :param buffers: bounds the body together with others.
     :raises httpx.RemoteProtocolError: the body is no JSON object, or is too large.
     """
-    body = bytearray()
-    begun = False
-    async for piece in _read_bounded(reply, limit):
-        body += piece
-        if not begun:
-            text = body.lstrip()
-            begun = text.startswith(b'{')
-            if not begun and (text or len(body) > MAX_BLANK_BYTES):
-                raise httpx.RemoteProtocolError('body that is no JSON object')
+    buffers = buffers or BodyBuffers()
+    body, begun = bytearray(), False
+    values, counted = _ValueCounter(), 0
+    try:
+        async for piece in _read_bounded(reply, limit):
+            body += piece
+            buffers.note(reply, len(body))
+            if not begun:
+                text = body.lstrip()
+                begun = text.startswith(b'{')
+                if not begun and (text or len(body) > MAX_BLANK_BYTES):
+                    raise httpx.RemoteProtocolError('body that is no JSON object')
+            while len(body) > MAX_UNCOUNTED_BYTES and counted < len(body):
+                values.add(bytes(body[counted : counted + COUNTED_BYTES_PER_TURN]))
+                counted = min(len(body), counted + COUNTED_BYTES_PER_TURN)
+                if values.count > MAX_VALUES:
+                    raise httpx.RemoteProtocolError('object of too many values')
+                await anyio.sleep(0)
+    finally:
+        buffers.note(reply, 0)
     try:
         found = orjson.loads(body)
     except ValueError as error:
--- a/tests/serving/test_endless_engines.py
+++ b/tests/serving/test_endless_engines.py
@@ -11,6 +11,7 @@
 from coursepitch import events, log
 from coursepitch.serving import dispatch
 from coursepitch.serving.outcomes import RefusedError
+from coursepitch.util import bounded_http
 from tests.serving.engines import (
     TOKENS,
     Engine,
@@ -166,6 +167,27 @@
                 found = ask(flood, streamed=False, repeatable=False)
                 self.assertEqual(found, (502, True))
 
+    # Guards against answers whose bounds hold for each alone.
+    def test_answers_that_are_read_whole_share_a_bound(self):
+        async def send_answer(stream, name, start):
+            await stream.send(HEAD.replace(b'REQUEST-ID', name.encode()))
+            await stream.send(b'{"id":"%b","choices":[{' % name.encode())
+            await stream.send(b'"text":"%b"}]}' % (b't' * 60_000))
+
+        async def main(held_bytes):
+            engine = Engine(send_answer)
+            async with open_dispatcher(engine, **LIMITS) as dispatcher:
+                dispatcher._buffers.note(object(), held_bytes)
+                run = build_run(engine, repeatable=False)
+                try:
+                    return len(list_texts([await dispatcher.fetch(run)])[0])
+                except RefusedError as error:
+                    return error.problem.refusal.status
+
+        with mock.patch.object(bounded_http, 'MAX_BUFFERED_BYTES', 100_000):
+            self.assertEqual(anyio.run(main, 30_000), 60_000)
+            self.assertEqual(anyio.run(main, 50_000), 502)
+
 
 if __name__ == '__main__':
     unittest.main()
--- /dev/null
+++ b/tests/util/test_bounded_http_objects.py
@@ -0,0 +1,141 @@
+"""Work and memory that JSON objects take which are read whole."""
+
+from __future__ import annotations
+
+import unittest
+
+import anyio
+import httpx
+import orjson
+
+from coursepitch.util import bounded_http
+from coursepitch.util.bounded_http import (
+    MAX_BUFFERED_BYTES,
+    MAX_UNCOUNTED_BYTES,
+    MAX_VALUES,
+    BodyBuffers,
+    Exchange,
+    read_object,
+)
+
+#: Largest size in bytes of one object.
+LIMIT = 16_777_216
+
+PART = b' ' * 65_536
+
+
+class Body(httpx.AsyncByteStream):
+    """Body that comes in given parts."""
+
+    def __init__(self, parts, wait=None):
+        self._parts = parts
+        self._wait = wait
+
+    async def __aiter__(self):
+        for part in self._parts:
+            yield part
+            if self._wait is not None:
+                await self._wait()
+
+
+def build_reply(parts, wait=None):
+    """Return a response with a body of some parts."""
+    return httpx.Response(
+        200, stream=Body(parts, wait), extensions={'exchange': Exchange()}
+    )
+
+
+def read(body, size=65_536):
+    """Return the object that a body is, in parts of some bytes, or its error."""
+    parts = [body[place : place + size] for place in range(0, len(body), size)]
+
+    async def main():
+        try:
+            return await read_object(build_reply(parts), LIMIT)
+        except httpx.RemoteProtocolError as error:
+            return str(error)
+
+    return anyio.run(main)
+
+
+class ValueTest(unittest.TestCase):
+    """An object takes as much work as one of the size that is not counted."""
+
+    # Guards against seconds in which an object is parsed in one turn of the loop.
+    def test_large_objects_of_small_values_are_refused(self):
+        for value in (b'[]', b'{}', b'0', b'""', b'{"a":[]}', b'"\\""'):
+            with self.subTest(value):
+                count = LIMIT // (len(value) + 1) - 10
+                body = b'{"a":[%b]}' % b','.join([value] * count)
+                self.assertEqual(read(body), 'object of too many values')
+
+    def test_object_of_the_size_that_is_not_counted_is_accepted(self):
+        count = MAX_VALUES - 10
+        body = b'{"a":[%b]}' % b','.join([b'[]'] * count)
+        self.assertLessEqual(len(body), MAX_UNCOUNTED_BYTES)
+        self.assertEqual(len(read(body)['a']), count)
+
+    # Guards against sound texts that are refused for what is written in them.
+    def test_large_texts_are_accepted(self):
+        for text in ('[],{},', '"', '\\', '\n', 'ä, "[" \\" ', 'x'):
+            with self.subTest(text):
+                found = {'text': text * (2_000_000 // len(text)), 'usage': [1, 2]}
+                self.assertEqual(read(orjson.dumps(found)), found)
+
+    def test_values_are_counted_however_they_are_split(self):
+        body = orjson.dumps({'a': ['\\"[', 'b,{', [1, {}]], '\\\\': '\\'})
+        count = read_count([body])
+        self.assertEqual(count, 8)
+        for place in range(1, len(body)):
+            for later in range(place + 1, len(body)):
+                with self.subTest((place, later)):
+                    parts = [body[:place], body[place:later], body[later:]]
+                    self.assertEqual(read_count(parts), count)
+
+
+def read_count(parts):
+    """Return the number of values that are counted in the parts of a text."""
+    counter = bounded_http._ValueCounter()
+    for part in parts:
+        counter.add(part)
+    return counter.count
+
+
+class BufferTest(unittest.TestCase):
+    """Endless bodies fail before a node runs out of memory, and sound ones do not."""
+
+    def test_largest_bodies_fail_once_all_together_are_too_large(self):
+        buffers, ends, peaks = BodyBuffers(), {}, []
+        sound_may_end = anyio.Event()
+
+        async def note():
+            peaks.append(buffers.total_bytes)
+            await anyio.sleep(0)
+
+        async def fetch(name, reply):
+            try:
+                ends[name] = await read_object(reply, LIMIT, buffers)
+            except httpx.RemoteProtocolError as error:
+                ends[name] = str(error)
+            if len(ends) == 12:
+                sound_may_end.set()
+
+        async def main():
+            async with anyio.create_task_group() as tasks:
+                sound = build_reply([b'{', b'}'], sound_may_end.wait)
+                tasks.start_soon(fetch, 'sound', sound)
+                for number in range(12):
+                    parts = [b'{' + PART] + [PART] * (LIMIT // len(PART))
+                    tasks.start_soon(fetch, number, build_reply(parts, note))
+
+        anyio.run(main)
+        self.assertEqual(ends.pop('sound'), {})
+        self.assertEqual(len(ends), 12)
+        self.assertIn('unfinished bodies are too large', ends.values())
+        self.assertLessEqual(max(peaks), MAX_BUFFERED_BYTES)
+        self.assertGreater(max(peaks), MAX_BUFFERED_BYTES // 2)
+        self.assertEqual(buffers.total_bytes, 0)
+
+
+if __name__ == '__main__':
+    unittest.main()
