Parse the events of an engine as they are asked for

What callers saw: each read of 64 KiB of small events from an engine held its node for some 40 ms, also where the first of them was refused at once.

Cause: all events of a read were parsed before the first was looked at, and chunks that a caller has already were dropped within one turn of the loop.

Ruled out: reads of fewer bytes, as sound events of up to 256 KiB would take many turns.

Change: EventParser.parse, in place of feed, yields events as they are asked for, and a chunk that is dropped ends the turn, as one that is passed on does. Tests that called feed ask for all events; what they check is unchanged.

--- a/coursepitch/serving/dispatch.py
+++ b/coursepitch/serving/dispatch.py
@@ -538,7 +538,7 @@
             parser, order = EventParser(), _ChunkOrder()
             pieces = reply.aiter_raw()
             async for piece in pieces:
-                for event in parser.feed(piece):
+                for event in parser.parse(piece):
                     if event.data == DONE_DATA:
                         attempt.result = AttemptResult.WHOLE
                         await drain_body(pieces)
@@ -549,6 +549,8 @@
                         return
                     order.check(event.event_id)
                     if not self._is_next_chunk(run, event.event_id):
+                        # Others take turns, as the reader does for a chunk it gets.
+                        await anyio.sleep(0)
                         continue
                     if event.event_id is None and run.finish_sent:
                         continue
--- a/coursepitch/serving/sse.py
+++ b/coursepitch/serving/sse.py
@@ -6,9 +6,13 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from typing import TYPE_CHECKING
 
 from coursepitch.errors import CodecError
 
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
 __all__ = ['DONE_DATA', 'EventParser', 'StreamEvent', 'encode_event']
 
 #: Data of the event that ends a stream in the OpenAI API.
@@ -46,14 +50,16 @@
         self._size = 0
         self._lines = 0
 
-    def feed(self, piece: bytes) -> list[StreamEvent]:
-        """Parse a piece of the stream and return the events it completes.
+    def parse(self, piece: bytes) -> Iterator[StreamEvent]:
+        """Yield the events that a piece of the stream completes, one by one.
+
+        Each is parsed as it is asked for, so that one that its reader refuses ends the
+        work on the piece.  All have to be asked for before the next piece is parsed.
 
         :raises CodecError: an event, or what comes between two events, is too large, an
             event is not UTF-8, or has an id that is not a number of at most 12 digits.
         """
         self._buffer += piece
-        events = []
         while True:
             end = self._buffer.find(b'\n', self._searched)
             if end < 0:
@@ -68,10 +74,9 @@
                 raise CodecError('event too large')
             event = self._parse_line(line)
             if event is not None:
-                events.append(event)
+                yield event
         if len(self._buffer) + self._size > MAX_EVENT_BYTES:
             raise CodecError('event too large')
-        return events
 
     def _parse_line(self, line: bytes) -> StreamEvent | None:
         if not line:
--- a/tests/serving/test_decisions.py
+++ b/tests/serving/test_decisions.py
@@ -264,14 +264,14 @@
         raw = b''.join(encode_event(text.encode()) for text in texts)
         parser, found, position = EventParser(), [], 0
         for cut in [*cuts, len(raw) + 1]:
-            found += parser.feed(raw[position : position + cut])
+            found += list(parser.parse(raw[position : position + cut]))
             position += cut
         self.assertEqual([event.data for event in found], texts)
 
     @given(st.binary(max_size=300))
     def test_any_bytes_are_events_or_a_codec_error(self, raw) -> None:
         try:
-            EventParser().feed(raw)
+            list(EventParser().parse(raw))
         except CodecError:
             return
 
@@ -279,9 +279,9 @@
         parser = EventParser()
         with self.assertRaises(CodecError):
             for _ in range(100):
-                parser.feed(b'data: ' + b'x' * 10_000)
+                list(parser.parse(b'data: ' + b'x' * 10_000))
         with self.assertRaises(CodecError):
-            EventParser().feed(b'id: 99999999999999\n')
+            list(EventParser().parse(b'id: 99999999999999\n'))
 
     @given(st.binary(max_size=200) | st.text(max_size=80).map(str.encode))
     def test_any_body_is_valid_or_a_request_error(self, raw) -> None:
--- a/tests/serving/test_endless_engines.py
+++ b/tests/serving/test_endless_engines.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import asyncio
 import unittest
 from contextlib import suppress
+from types import SimpleNamespace
 from unittest import mock
 
 import anyio
@@ -101,6 +103,42 @@
             found = ask(Flood(HEAD, unit), repeatable=False)
         self.assertEqual(found, (502, True))
 
+    # Guards against chunks in one turn of the loop that are dropped one by one.
+    def test_chunks_that_come_again_take_a_turn_each(self):
+        count = 1_000
+        seen = SimpleNamespace(chunks=0, most=0)
+        is_next_chunk = dispatch.Dispatcher._is_next_chunk
+
+        def note_chunk(self, run, event_id):
+            seen.chunks += 1
+            seen.most = max(seen.most, seen.chunks)
+            return is_next_chunk(self, run, event_id)
+
+        def note_turn():
+            seen.chunks = 0
+            seen.turn = asyncio.get_running_loop().call_soon(note_turn)
+
+        async def send_again(stream, name, start):
+            head = HEAD.replace(b'REQUEST-ID', name.encode())
+            data = b'data: {"id":"%b","choices":[{"text":"t"}]}\n\n' % name.encode()
+            chunks = [b'id: %d\n%b' % (place, data) for place in range(count + 1)]
+            await stream.send(head + b''.join(chunks) + b'data: [DONE]\n\n')
+
+        async def main():
+            note_turn()
+            engine = Engine(send_again)
+            async with open_dispatcher(engine, **LIMITS) as dispatcher:
+                run = build_run(engine)
+                run.chunk_texts = ['t'] * count
+                found = list_texts([chunk async for chunk in dispatcher.stream(run)])
+                await dispatcher.finish(run)
+            seen.turn.cancel()
+            return found
+
+        with mock.patch.object(dispatch.Dispatcher, '_is_next_chunk', note_chunk):
+            self.assertEqual(anyio.run(main), ['t'])
+        self.assertLess(seen.most, 10)
+
     def test_surplus_after_a_whole_stream_ends_its_connection(self):
         for pace in (FAST, SLOW):
             with self.subTest(pace):
--- a/tests/serving/test_endless_events.py
+++ b/tests/serving/test_endless_events.py
@@ -18,15 +18,23 @@
                 with self.subTest((unit, size)), self.assertRaises(CodecError):
                     parser = EventParser()
                     for _ in range(MAX_EVENT_BYTES // len(unit * size) + 2):
-                        parser.feed(unit * size)
+                        list(parser.parse(unit * size))
 
     def test_comments_beside_events_are_accepted(self):
         parser = EventParser()
         comments = b': x\n\n' * (MAX_EVENT_LINES // 2 - 2)
         for place in range(5):
-            found = parser.feed(comments + b'id: %d\ndata: x\n\n' % place)
+            found = list(parser.parse(comments + b'id: %d\ndata: x\n\n' % place))
             self.assertEqual([event.event_id for event in found], [place])
 
+    # Guards against events that are parsed though the one before them is refused.
+    def test_events_are_parsed_as_they_are_asked_for(self):
+        parser = EventParser()
+        events = parser.parse(b'data: x\n\n' + b'\n' * (MAX_EVENT_LINES + 1))
+        self.assertEqual(next(events).data, 'x')
+        with self.assertRaises(CodecError):
+            next(events)
+
 
 if __name__ == '__main__':
     unittest.main()
