Tell start times of ended instances in a form that older nodes accept

What callers saw: nothing yet. While nodes are replaced by those of a new version, each report of an ended instance broke the links to all nodes of the version before, for 3 s, just as they are needed.

Other later fields are left out where they are empty; this one seldom is.

Ruled out: a message of another kind, which the version before refuses too; no start times until all nodes are new, as links tell no versions.

Change: a start time follows the name in the row of ended instances, after a line break. Rows of their own, as nodes since send them, are read.

--- a/coursepitch/fleet/messages.py
+++ b/coursepitch/fleet/messages.py
@@ -337,9 +337,7 @@
         case LostReport():
             parts = [list(message.lost), list(message.answering)]
             if message.ended:
-                parts.append(list(message.ended))
-            if message.births:
-                parts.append([list(item) for item in message.births])
+                parts.append(_encode_ended(message))
             return _pack([_LOST_REPORT, message.node, *parts])
         case NoticeReport():
             rows = [list(message.leaving), list(message.backoffs)]
@@ -446,15 +444,30 @@
     return SendRequest(node, int(number), limit, (read_text(name), float(left_s)))
 
 
+def _encode_ended(message: LostReport) -> list[str]:
+    """Return the names of ended instances, with a start time after a line break.
+
+    Nodes that know no start times take such a name for another instance.  The one that
+    is meant is silent for them, as it is among the lost ones by its name alone.
+    """
+    births = dict(message.births)
+    return [
+        f'{name}\n{births[name]}' if name in births else name for name in message.ended
+    ]
+
+
 def _decode_lost(
     node: str, lost: Any, answering: Any, ended: Any = (), births: Any = ()
 ) -> LostReport:
+    """Return a report; some nodes tell the start times in a row of their own."""
+    names = [read_text(row).partition('\n') for row in ended]
+    rows = [*births, *((name, born) for name, _, born in names if born)]
     return LostReport(
         node,
         tuple(map(read_text, lost)),
         tuple(map(read_text, answering)),
-        tuple(map(read_text, ended)),
-        tuple((read_text(name), int(born)) for name, born in births),
+        tuple(name for name, _, _ in names),
+        tuple((read_text(name), int(born)) for name, born in rows),
     )
 
 
--- a/tests/fleet/test_peers.py
+++ b/tests/fleet/test_peers.py
@@ -8,6 +8,7 @@
 from dataclasses import replace
 
 import anyio
+import cbor2
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -80,6 +81,23 @@
         ):
             self.assertEqual(decode_message(encode_message(message)), message)
 
+    # Guards against links that break while nodes of two versions run.
+    def test_reports_of_ended_instances_are_names_for_nodes_without_start_times(self):
+        told = LostReport('n1', ('i1', 'i2'), ('i3',), ('i1', 'i2'), (('i2', 17),))
+        _, node, *rows = cbor2.loads(encode_message(told)[1:])
+        # Nodes without start times accept three rows of names.
+        self.assertEqual(rows[:2], [['i1', 'i2'], ['i3']])
+        self.assertEqual((node, len(rows)), ('n1', 3))
+        self.assertTrue(all(isinstance(name, str) for name in rows[2]))
+        self.assertEqual(rows[2][0], 'i1')
+        self.assertNotIn('i2', rows[2])
+
+    def test_start_times_in_a_row_of_their_own_are_read(self):
+        told = LostReport('n1', ('i2',), (), ('i2',), (('i2', 17),))
+        head = cbor2.loads(encode_message(told)[1:])[:4]
+        data = b'\x00' + cbor2.dumps([*head, ['i2'], [['i2', 17]]])
+        self.assertEqual(decode_message(data), told)
+
     @given(st.binary(max_size=60))
     def test_damaged_message_is_rejected(self, data):
         try:
