Take no bytes after a response for the response to the next request

What callers saw: an engine that sent bytes after a whole response could give them as the response to the next request on that connection.

Cause: the connection passed on what it read, also beyond the end of a body, and the parser keeps it for the next response. Only what the connection itself still held stopped the connection from being used again.

Ruled out: new connections for each command, as the same holds for streams.

Change: heads are passed on alone, and then as many bytes as their length names; what follows stays with the connection, which is closed for it.

--- a/coursepitch/util/bounded_http.py
+++ b/coursepitch/util/bounded_http.py
@@ -55,6 +55,9 @@
 #: accepts no other transfer coding.
 _TRANSFER_ENCODING = re.compile(rb'(?i)\ntransfer-encoding:')
 
+#: Matches the length of the body in a head; another one is refused by the parser.
+_CONTENT_LENGTH = re.compile(rb'(?i)\ncontent-length:[ \t]*([0-9]{1,20})')
+
 #: Matches the size line of a chunk with extensions, or with blanks at its end.
 _SIZE_LINE = re.compile(rb'([0-9A-Fa-f]{1,20})(?:;[^\r\n]*|[ \t]*)\r\n')
 
@@ -249,7 +252,8 @@
     """Connection that passes on whole heads, without interim responses.
 
     Chunks of bodies are passed on without their extensions, and trailers as a whole, so
-    that the parser gets no line that takes it long.
+    that the parser gets no line that takes it long.  What follows a response is not
+    passed on: the parser would take it for the response to the next request.
 
     :param stream: the connection as httpcore opened it.
     """
@@ -259,6 +263,8 @@
         self._exchange = Exchange()
         self._in_head = True
         self._decoder: _ChunkDecoder | None = None
+        #: Bytes of the body that are yet to be passed on; ``None`` without a length.
+        self._left_bytes: int | None = None
         self._data = b''
         self._start = 0
 
@@ -270,19 +276,32 @@
 
     async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
         if self._in_head:
-            self._data, size = await self._read_head(max_bytes, timeout)
+            self._data, self._start = await self._read_head(max_bytes, timeout)
             self._in_head = False
-            chunked = _TRANSFER_ENCODING.search(self._data, 0, size) is not None
+            head = self._data[: self._start]
+            chunked = _TRANSFER_ENCODING.search(head) is not None
             self._decoder = _ChunkDecoder() if chunked else None
-            self._start = size if chunked else min(max_bytes, len(self._data))
-            return self._data[: self._start]
+            length = _CONTENT_LENGTH.search(head)
+            self._left_bytes = int(length[1]) if length else None
+            return head
         if self._decoder is not None:
             return await self._read_chunks(self._decoder, max_bytes, timeout)
         if self._start == len(self._data):
-            return await self._receive(max_bytes, timeout)
-        start = self._start
-        self._start = min(start + max_bytes, len(self._data))
-        return self._data[start : self._start]
+            self._data = await self._receive(max_bytes, timeout)
+            self._start = 0
+        size = min(max_bytes, len(self._data) - self._start)
+        if self._left_bytes is not None:
+            size = min(size, self._left_bytes)
+            self._left_bytes -= size
+        found = self._data[self._start : self._start + size]
+        self._drop(self._start + size)
+        return found
+
+    def _drop(self, end: int) -> None:
+        """Note up to where data was passed on; keep none if that is all."""
+        if end == len(self._data):
+            self._data, end = b'', 0
+        self._start = end
 
     async def _read_chunks(
         self, decoder: _ChunkDecoder, max_bytes: int, timeout: float | None
@@ -292,7 +311,8 @@
         :raises httpcore.RemoteProtocolError: the body is malformed.
         """
         while not decoder.ended:
-            found, self._start = decoder.decode(self._data, self._start)
+            found, end = decoder.decode(self._data, self._start)
+            self._drop(end)
             if found:
                 return found
             data = await self._receive(max_bytes, timeout)
--- a/tests/util/test_bounded_http_lines.py
+++ b/tests/util/test_bounded_http_lines.py
@@ -4,8 +4,10 @@
 
 import time
 import unittest
+from contextlib import suppress
 
 import anyio
+import anyio.abc
 import httpx
 
 from coursepitch.util.bounded_http import BoundedTransport, open_reply, read_whole
@@ -152,5 +154,54 @@
         self.assertEqual(fetch(head)[0], b'')
 
 
+class SurplusTest(unittest.TestCase):
+    """Bytes after a response are no response to the next request."""
+
+    def fetch_twice(self, response):
+        """Return the statuses of two requests, and the number of connections."""
+        served = []
+
+        async def serve(stream):
+            served.append(stream)
+            async with stream:
+                with suppress(anyio.EndOfStream, anyio.BrokenResourceError):
+                    while await stream.receive():
+                        await stream.send(response)
+
+        async def main():
+            client = httpx.AsyncClient(transport=BoundedTransport(httpx.Limits()))
+            listener = await anyio.create_tcp_listener(local_host='127.0.0.1')
+            port = listener.extra(anyio.abc.SocketAttribute.local_port)
+            found = []
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(listener.serve, serve)
+                for _ in range(2):
+                    request = client.build_request('GET', f'http://127.0.0.1:{port}/')
+                    async with open_reply(client, request, LONG_S) as reply:
+                        await read_whole(reply, LIMIT)
+                    found.append(reply.status_code)
+                await client.aclose()
+                tasks.cancel_scope.cancel()
+            return found, len(served)
+
+        return anyio.run(main)
+
+    # Guards against responses of one request that are taken for those of the next.
+    def test_connection_with_a_surplus_is_not_used_again(self):
+        surplus = b'HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n'
+        responses = {
+            'length': OK + b'Content-Length: 2\r\n\r\nok',
+            'empty': OK + b'Content-Length: 0\r\n\r\n',
+            'chunks': CHUNKED + b'2\r\nok\r\n0\r\n\r\n',
+            'no_body': b'HTTP/1.1 204 No Content\r\n\r\n',
+        }
+        for kind, response in responses.items():
+            with self.subTest(kind):
+                status = 204 if kind == 'no_body' else 200
+                found = self.fetch_twice(response + surplus)
+                self.assertEqual(found, ([status] * 2, 2))
+                self.assertEqual(self.fetch_twice(response), ([status] * 2, 1))
+
+
 if __name__ == '__main__':
     unittest.main()
