--- a/coursepitch/util/bounded_http.py
+++ b/coursepitch/util/bounded_http.py
@@ -29,6 +29,7 @@
     from collections.abc import AsyncGenerator, AsyncIterator, Iterable
 
 __all__ = [
+    'BodyBuffers',
     'BoundedTransport',
     'Exchange',
     'Pacer',
@@ -46,6 +47,28 @@
 #: one turn of the event loop.
 MAX_HEAD_LINES = 512
 
+#: Matches bytes that the parser accepts nowhere in a head or in trailers.  It would try
+#: to match such a line from each of its blanks.
+_FORBIDDEN_IN_FIELDS = re.compile(rb'[\x00\x0b\x0c]|\r[^\n]')
+
+#: Matches the field of a head that tells that the body comes in chunks; the parser
+#: accepts no other transfer coding.
+_TRANSFER_ENCODING = re.compile(rb'(?i)\ntransfer-encoding:')
+
+#: Matches the length of the body in a head; another one is refused by the parser.
+_CONTENT_LENGTH = re.compile(rb'(?i)\ncontent-length:[ \t]*([0-9]{1,20})')
+
+#: Matches the size line of a chunk with extensions, or with blanks at its end.
+_SIZE_LINE = re.compile(rb'([0-9A-Fa-f]{1,20})(?:;[^\r\n]*|[ \t]*)\r\n')
+
+#: Largest size line of a chunk in bytes.  Extensions tell clients nothing.
+MAX_SIZE_LINE_BYTES = 16_384
+
+#: Chunks that are decoded in one read.
+MAX_CHUNKS_PER_READ = 128
+
+_LINE_END = b'\r\n'
+
 #: Largest number of interim responses before a response.
 MAX_INTERIM_RESPONSES = 16
 
@@ -81,6 +104,25 @@
 #: Largest number of blank bytes before a JSON object.
 MAX_BLANK_BYTES = 1_024
 
+#: Largest size in bytes of all bodies that are read whole, before their ends: a node
+#: has 128 MB, of which it uses some 50 MB otherwise.
+MAX_BUFFERED_BYTES = 50_331_648
+
+#: Largest JSON object in bytes whose values are not counted.  An object is parsed in
+#: one turn of the event loop, whose time its values take, and hardly its text.
+MAX_UNCOUNTED_BYTES = 1_048_576
+
+#: Largest number of values of an object: what fits into one that is not counted, as a
+#: value and what separates it from the next one take three bytes.
+MAX_VALUES = MAX_UNCOUNTED_BYTES // 3
+
+#: Bytes of an object whose values are counted in one turn of the event loop.
+COUNTED_BYTES_PER_TURN = 65_536
+
+#: Matches a string of a JSON text, or the start of one: the closing quote is a group,
+#: and so is a backslash at the end of the bytes.
+_STRING = re.compile(rb'"(?:[^"\\]++|\\.)*+(?:(")|(\\?)\Z)', re.DOTALL)
+
 #: Beginning of all responses that are understood.
 _VERSION = b'HTTP/1.'
 
@@ -209,6 +251,10 @@
 class _BoundedStream(httpcore.AsyncNetworkStream):
     """Connection that passes on whole heads, without interim responses.
 
+    Chunks of bodies are passed on without their extensions, and trailers as a whole, so
+    that the parser gets no line that takes it long.  What follows a response is not
+    passed on: the parser would take it for the response to the next request.
+
     :param stream: the connection as httpcore opened it.
     """
 
@@ -216,6 +262,9 @@
         self._stream = stream
         self._exchange = Exchange()
         self._in_head = True
+        self._decoder: _ChunkDecoder | None = None
+        #: Bytes of the body that are yet to be passed on; ``None`` without a length.
+        self._left_bytes: int | None = None
         self._data = b''
         self._start = 0
 
@@ -227,17 +276,58 @@
 
     async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
         if self._in_head:
-            self._data = await self._read_head(max_bytes, timeout)
-            self._start = 0
+            self._data, self._start = await self._read_head(max_bytes, timeout)
             self._in_head = False
-        elif self._start == len(self._data):
-            return await self._receive(max_bytes, timeout)
-        start = self._start
-        self._start = min(start + max_bytes, len(self._data))
-        return self._data[start : self._start]
+            head = self._data[: self._start]
+            chunked = _TRANSFER_ENCODING.search(head) is not None
+            self._decoder = _ChunkDecoder() if chunked else None
+            length = _CONTENT_LENGTH.search(head)
+            self._left_bytes = int(length[1]) if length else None
+            return head
+        if self._decoder is not None:
+            return await self._read_chunks(self._decoder, max_bytes, timeout)
+        if self._start == len(self._data):
+            self._data = await self._receive(max_bytes, timeout)
+            self._start = 0
+        size = min(max_bytes, len(self._data) - self._start)
+        if self._left_bytes is not None:
+            size = min(size, self._left_bytes)
+            self._left_bytes -= size
+        found = self._data[self._start : self._start + size]
+        self._drop(self._start + size)
+        return found
+
+    def _drop(self, end: int) -> None:
+        """Note up to where data was passed on; keep none if that is all."""
+        if end == len(self._data):
+            self._data, end = b'', 0
+        self._start = end
+
+    async def _read_chunks(
+        self, decoder: _ChunkDecoder, max_bytes: int, timeout: float | None
+    ) -> bytes:
+        """Return parts of a chunked body, encoded anew.
+
+        :raises httpcore.RemoteProtocolError: the body is malformed.
+        """
+        while not decoder.ended:
+            found, end = decoder.decode(self._data, self._start)
+            self._drop(end)
+            if found:
+                return found
+            data = await self._receive(max_bytes, timeout)
+            if not data:
+                # The parser tells what is missing.
+                return b''
+            self._data = self._data[self._start :] + data
+            self._start = 0
+        # The parser asks for nothing after the end of a body.
+        raise httpcore.RemoteProtocolError('read after the end of a body')
 
-    async def _read_head(self, max_bytes: int, timeout: float | None) -> bytes:
-        """Return the head of a response and what follows it, without interim ones.
+    async def _read_head(
+        self, max_bytes: int, timeout: float | None
+    ) -> tuple[bytes, int]:
+        """Return a head with what follows it, without interim ones, and its size.
 
         :raises httpcore.RemoteProtocolError: no valid head can come any more.
         """
@@ -256,11 +346,13 @@
                 data = await self._receive(max_bytes, timeout)
                 if not data:
                     # The parser tells what is missing.
-                    return bytes(buffer)
+                    return bytes(buffer), len(buffer)
                 buffer += data
                 continue
             if not _INTERIM.match(buffer):
-                return bytes(buffer)
+                if _FORBIDDEN_IN_FIELDS.search(buffer, 0, head_size):
+                    raise httpcore.RemoteProtocolError('forbidden bytes in a head')
+                return bytes(buffer), head_size
             size += head_size
             interim += 1
             if interim > MAX_INTERIM_RESPONSES:
@@ -298,6 +390,110 @@
         return self._stream.get_extra_info(info)
 
 
+class _ChunkDecoder:
+    """Decodes a chunked body (RFC 9112, section 7.1) and encodes it anew.
+
+    :ivar ended: whether the end of the body has been decoded.
+    """
+
+    def __init__(self) -> None:
+        self.ended = False
+        self._left_bytes = 0
+        self._in_footer = False
+        self._in_trailers = False
+
+    def decode(self, data: bytes, start: int) -> tuple[bytes, int]:
+        """Return whole and partial chunks as one, or the end of the body.
+
+        Both are followed by the position of what is yet to be decoded, or may be
+        decoded with the bytes that arrive next.
+
+        :raises httpcore.RemoteProtocolError: what is next is malformed.
+        """
+        content, place = self._decode_chunks(data, start)
+        if content:
+            return b'%x\r\n%b\r\n' % (len(content), content), place
+        if not self._in_trailers:
+            return b'', place
+        end = _find_trailers_end(data, place)
+        if end < 0:
+            return b'', place
+        self.ended = True
+        return b'0\r\n' + data[place:end], end
+
+    def _decode_chunks(self, data: bytes, start: int) -> tuple[bytes, int]:
+        """Return the content of chunks, and the position of what follows."""
+        parts: list[bytes] = []
+        for _ in range(MAX_CHUNKS_PER_READ):
+            try:
+                place = self._decode_chunk(data, start, parts)
+            except httpcore.RemoteProtocolError:
+                if not parts:
+                    raise
+                # Raised again by the next call.
+                break
+            if place == start:
+                break
+            start = place
+        return b''.join(parts), start
+
+    def _decode_chunk(self, data: bytes, place: int, parts: list[bytes]) -> int:
+        """Decode up to the end of a chunk's content; return the position after it."""
+        if self._in_trailers:
+            return place
+        if self._in_footer:
+            footer = data[place : place + len(_LINE_END)]
+            if not _LINE_END.startswith(footer):
+                raise httpcore.RemoteProtocolError('malformed end of a chunk')
+            if footer != _LINE_END:
+                return place
+            place += len(_LINE_END)
+            self._in_footer = False
+        if not self._left_bytes:
+            size, place = _find_size(data, place)
+            if size is None:
+                return place
+            self._left_bytes = size
+            self._in_trailers = not size
+        content = data[place : place + self._left_bytes]
+        if content:
+            parts.append(content)
+            self._left_bytes -= len(content)
+            self._in_footer = not self._left_bytes
+        return place + len(content)
+
+
+def _find_size(data: bytes, place: int) -> tuple[int | None, int]:
+    """Return the size in a size line, ``None`` until it is whole, and where it ends.
+
+    :raises httpcore.RemoteProtocolError: the line is malformed or too large.
+    """
+    found = _SIZE_LINE.match(data, place, place + MAX_SIZE_LINE_BYTES)
+    if found is not None:
+        return int(found[1], 16), found.end()
+    end = data.find(b'\n', place, place + MAX_SIZE_LINE_BYTES)
+    if end >= 0 or len(data) - place >= MAX_SIZE_LINE_BYTES:
+        raise httpcore.RemoteProtocolError('malformed size of a chunk')
+    return None, place
+
+
+def _find_trailers_end(data: bytes, place: int) -> int:
+    """Return the end of trailers with their empty line, or -1 until they are whole.
+
+    :raises httpcore.RemoteProtocolError: they are malformed or too large.
+    """
+    if data.startswith(_LINE_END, place):
+        return place + len(_LINE_END)
+    found = _HEAD_END.search(data, place, place + MAX_HEAD_BYTES)
+    end = found.end() if found else len(data)
+    lines = data.count(b'\n', place, end)
+    if end - place > MAX_HEAD_BYTES or lines > MAX_HEAD_LINES:
+        raise httpcore.RemoteProtocolError('trailers are too large')
+    if _FORBIDDEN_IN_FIELDS.search(data, place, end):
+        raise httpcore.RemoteProtocolError('forbidden bytes in trailers')
+    return end if found else -1
+
+
 def count_received(reply: httpx.Response) -> int:
     """Return the bytes on the wire of an exchange so far."""
     exchange: Exchange = reply.extensions['exchange']
@@ -318,21 +514,89 @@
     return bytes(body)
 
 
-async def read_object(reply: httpx.Response, limit: int) -> dict[str, Any]:
+class BodyBuffers:
+    """Sizes of the bodies that are being read whole, which are bounded together.
+
+    :ivar total_bytes: size of all of them.
+    """
+
+    def __init__(self) -> None:
+        self._sizes: dict[httpx.Response, int] = {}
+        self.total_bytes = 0
+
+    def note(self, reply: httpx.Response, size: int) -> None:
+        """Note the size in bytes of what is held of a body; 0 once it is read.
+
+        :raises httpx.RemoteProtocolError: all bodies are too large, and it is the
+            largest one.
+        """
+        before = self._sizes.pop(reply, 0)
+        self.total_bytes += size - before
+        if not size:
+            return
+        largest = max(self._sizes.values(), default=0)
+        if self.total_bytes > MAX_BUFFERED_BYTES and size >= largest:
+            self.total_bytes -= size
+            raise httpx.RemoteProtocolError('unfinished bodies are too large')
+        self._sizes[reply] = size
+
+
+class _ValueCounter:
+    """Counts the values of a JSON text that comes in pieces.
+
+    :ivar count: arrays, objects and separators so far, outside of strings.
+    """
+
+    def __init__(self) -> None:
+        self.count = 0
+        self._in_string = False
+        self._escaped = False
+
+    def add(self, piece: bytes) -> None:
+        """Count the values of the next piece, which must not be empty."""
+        text = b'"' * self._in_string + piece[self._escaped :]
+        last: re.Match[bytes] | None = None
+
+        def drop(found: re.Match[bytes]) -> bytes:
+            nonlocal last
+            last = found
+            return b''
+
+        outside = _STRING.sub(drop, text)
+        self._in_string = last is not None and last[1] is None
+        self._escaped = last is not None and bool(last[2])
+        self.count += sum(map(outside.count, (b'[', b'{', b',')))
+
+
+async def read_object(
+    reply: httpx.Response, limit: int, buffers: BodyBuffers | None = None
+) -> dict[str, Any]:
     """Return the JSON object that is the body of a response.
 
     :param limit: largest size of the body in bytes.
+    :param buffers: bounds the body together with others.
     :raises httpx.RemoteProtocolError: the body is no JSON object, or is too large.
     """
-    body = bytearray()
-    begun = False
-    async for piece in _read_bounded(reply, limit):
-        body += piece
-        if not begun:
-            text = body.lstrip()
-            begun = text.startswith(b'{')
-            if not begun and (text or len(body) > MAX_BLANK_BYTES):
-                raise httpx.RemoteProtocolError('body that is no JSON object')
+    buffers = buffers or BodyBuffers()
+    body, begun = bytearray(), False
+    values, counted = _ValueCounter(), 0
+    try:
+        async for piece in _read_bounded(reply, limit):
+            body += piece
+            buffers.note(reply, len(body))
+            if not begun:
+                text = body.lstrip()
+                begun = text.startswith(b'{')
+                if not begun and (text or len(body) > MAX_BLANK_BYTES):
+                    raise httpx.RemoteProtocolError('body that is no JSON object')
+            while len(body) > MAX_UNCOUNTED_BYTES and counted < len(body):
+                values.add(bytes(body[counted : counted + COUNTED_BYTES_PER_TURN]))
+                counted = min(len(body), counted + COUNTED_BYTES_PER_TURN)
+                if values.count > MAX_VALUES:
+                    raise httpx.RemoteProtocolError('object of too many values')
+                await anyio.sleep(0)
+    finally:
+        buffers.note(reply, 0)
     try:
         found = orjson.loads(body)
     except ValueError as error:
