Accept whole responses of plain calls with large events

A plain call whose instance answered with an event of more than 1 MiB failed: the check of the whole body for its last event raised ExchangeError, "no event within 1048576 bytes".

The bound is for what a stream buffers until an event is whole.

test_whole_body_with_a_large_event_is_not_broken_off failed before with that error, for routes of both kinds and any framing. A body that ends inside such an event is still broken off.

--- a/coursepitch/gateway/response_ends.py
+++ b/coursepitch/gateway/response_ends.py
@@ -183,7 +183,8 @@
     :raises BrokenOffError: it broke off.
     """
     if has_events(job, answer):
-        splitter = EventSplitter()
+        # The body is bounded, so its events need no bound of their own.
+        splitter = EventSplitter(max_event_bytes=len(body))
         splitter.feed(body)
         check_events(job, answer, instance, splitter)
     await check_sender(detector, job, answer, instance, steady=steady)
--- a/coursepitch/http/event_splitter.py
+++ b/coursepitch/http/event_splitter.py
@@ -29,8 +29,8 @@
 #: Matches a line that is neither empty nor a comment.
 _FIELD_LINE = re.compile(rb'(?<![^\r\n])[^:\r\n]')
 
-#: Largest event in bytes, and most bytes without a whole event.  Source: what is
-#: received of an event is buffered until it is whole, once for each stream.
+#: Largest event of a stream in bytes, and most bytes without a whole event.  Source:
+#: what is received of an event is buffered until it is whole, once for each stream.
 MAX_EVENT_BYTES = 1_048_576
 
 
@@ -44,10 +44,12 @@
 
     :param last_event: id of the last whole event.
     :param count: times that whole events of the present run were returned.
+    :param max_event_bytes: largest event, and most bytes without a whole event.
     """
 
     last_event: bytes = b''
     count: int = 0
+    max_event_bytes: int = MAX_EVENT_BYTES
     _partial: bytearray = field(default_factory=bytearray)
     #: Bytes of ``_partial`` up to which there is no event, and no end of one.
     _without_event: int = 0
@@ -61,14 +63,14 @@
 
         The work for each byte does not depend on the bytes that are buffered.
 
-        :raises ExchangeError: more than :data:`MAX_EVENT_BYTES` came without a whole
-            event, or up to its end.
+        :raises ExchangeError: more than ``max_event_bytes`` came without a whole event,
+            or up to its end.
         """
         partial = self._partial
         partial += data
         self._since_event += len(data)
         end = _find_end(partial, self._without_end)
-        if self._since_event > MAX_EVENT_BYTES:
+        if self._since_event > self.max_event_bytes:
             self._check_sizes(end)
         # An end of two to four bytes may have begun.
         self._without_end = max(end, len(partial) - 3)
@@ -88,13 +90,13 @@
         event_at = len(partial) - self._since_event
         block_at = max(0, event_at, self._without_event)
         for found in _EVENT_END.finditer(partial, self._without_end, end):
-            if found.end() - event_at > MAX_EVENT_BYTES:
+            if found.end() - event_at > self.max_event_bytes:
                 break
             if _has_known_field(partial, block_at, found.end()):
                 event_at = found.end()
             block_at = found.end()
-        if len(partial) - event_at > MAX_EVENT_BYTES:
-            raise ExchangeError(f'no event within {MAX_EVENT_BYTES} bytes')
+        if len(partial) - event_at > self.max_event_bytes:
+            raise ExchangeError(f'no event within {self.max_event_bytes} bytes')
 
     def _remove(self, end: int) -> bytes:
         """Return the buffered bytes up to a position, and buffer them no longer."""
--- a/tests/gateway/test_response_ends.py
+++ b/tests/gateway/test_response_ends.py
@@ -17,7 +17,9 @@
     check_sender,
 )
 from coursepitch.http.client import Framing
+from coursepitch.http.event_splitter import MAX_EVENT_BYTES
 
+EVENT_STREAM = b'text/event-stream'
 EVENT = b'id: 1\ndata: x\n\n'
 
 
@@ -48,18 +50,17 @@
 class ResponseEndTest(unittest.TestCase):
     """Responses as they are read, to their end."""
 
-    def is_broken_off(
+    def build_exchange(
         self,
-        body,
-        framing=Framing.CONNECTION,
+        framing,
         *,
         media_type=None,
         kind=RouteKind.STREAM,
         status=200,
         last_event=b'',
         runs=1,
-        detector=None,
     ):
+        """Return a job and its response."""
         headers = () if media_type is None else ((b'Content-Type', media_type),)
         answer = SimpleNamespace(status=status, headers=headers, framing=framing)
         job = SimpleNamespace(
@@ -67,6 +68,17 @@
             fields=SimpleNamespace(request='r', last_event=last_event),
             sent=['i'] * runs,
         )
+        return job, answer
+
+    def is_broken_off(
+        self,
+        body,
+        framing=Framing.CONNECTION,
+        *,
+        detector=None,
+        **options,
+    ):
+        job, answer = self.build_exchange(framing, **options)
         instance = SimpleNamespace(name='i')
         self.job = job
         detector = detector or FakeDetector()
@@ -106,6 +118,21 @@
     def test_stream_whose_lines_end_with_carriage_returns_has_events(self):
         self.assertFalse(self.is_broken_off(b'id: 1\rdata: x\r\r'))
 
+    # Guards against whole responses of plain calls that are refused for their size.
+    def test_whole_body_with_a_large_event_is_not_broken_off(self):
+        event = b'data: ' + b'x' * (MAX_EVENT_BYTES + 1) + b'\n\n'
+        for kind in RouteKind:
+            for framing in Framing:
+                found = self.is_broken_off(
+                    EVENT + event,
+                    framing,
+                    kind=kind,
+                    media_type=EVENT_STREAM,
+                )
+                self.assertFalse(found)
+            self.assertTrue(self.is_broken_off(event[:-1], media_type=EVENT_STREAM))
+        self.assertFalse(self.is_broken_off(b': ping\n\n' * 200_000, Framing.CHUNKS))
+
     def test_client_that_resumes_may_have_had_the_last_event(self):
         self.assertFalse(self.is_broken_off(b'', last_event=b'8'))
 
