Count bodies on stream routes for the memory of a node

A body of another media type on a stream route is kept until its regular end, up to 16 MiB for each stream. It did not count for the 48 MiB that a node keeps of responses that are read whole, so several such streams could take more memory than a node has.

The bytes of its parts are now counted in the pool as those of plain calls are, until they are joined or the run ends; the parts are dropped then, which were kept beside the joined body until the client had it.

test_body_counts_for_the_memory_of_all_responses failed before: a body that exceeds the bound by 64 KiB was accepted.

--- a/coursepitch/gateway/streams.py
+++ b/coursepitch/gateway/streams.py
@@ -237,11 +237,19 @@
         run.ended = True
         if run.response is not None:
             run.response.release()
+        if run.parts is not None:
+            self._drop_parts(run)
         self._components.load_tracker.end(run.head)
         self._tokens.end(run.head, run.tokens)
         completed = job.ending is Ending.ANSWERED
         self._components.admission.note_end(job, completed=completed)
 
+    def _drop_parts(self, run: Run) -> None:
+        """Keep the parts of a body no longer, and no longer count them."""
+        run.parts = []
+        if run.response is not None:
+            run.response.pool.note_buffered(run.response, 0)
+
     def _drop_run(self, job: Job, run: Run) -> None:
         """End a run because another one delivers the response."""
         if run.ended:
@@ -594,6 +602,8 @@
                         f'response body larger than {MAX_BODY_BYTES} bytes'
                     )
                 run.parts.append(data)
+                if run.response is not None:
+                    run.response.pool.note_buffered(run.response, run.received)
                 return
             events_before = run.splitter.count
             run.events += run.splitter.feed(data)
@@ -608,7 +618,10 @@
         steady = run.arrivals.are_steady(now)
         await check_sender(detector, job, response, run.group.head, steady=steady)
         self._watchdog.note_activity(run.head)
-        run.events += run.splitter.flush() + b''.join(run.parts or ())
+        run.events += run.splitter.flush()
+        if run.parts is not None:
+            run.events += b''.join(run.parts)
+            self._drop_parts(run)
         run.has_progressed = run.complete = True
 
     async def _deliver(self, job: Job, runs: RunSet[Run], run: Run) -> Progress:
--- a/tests/gateway/simulated_runs.py
+++ b/tests/gateway/simulated_runs.py
@@ -30,7 +30,12 @@
 from coursepitch.gateway.send_gate import SendGate
 from coursepitch.gateway.streams import MAX_SENDS, StreamServer
 from coursepitch.gateway.watchdog import Watchdog
-from coursepitch.http.client import ExchangeError, Framing, NoConnectionError
+from coursepitch.http.client import (
+    ConnectionPool,
+    ExchangeError,
+    Framing,
+    NoConnectionError,
+)
 from coursepitch.metrics import Metrics
 from coursepitch.platform.headers import RequestFields
 from tests.fleet.builders import (
@@ -279,6 +284,10 @@
             parts.append(data)
         return b''.join(parts)
 
+    @property
+    def pool(self):
+        return self.simulation.pool
+
     @property
     def is_live(self):
         """Whether it may still deliver, as far as the gateway can know."""
@@ -312,6 +321,8 @@
     def __init__(self, simulation):
         self._simulation = simulation
         self.open = 0
+        self.buffers = ConnectionPool()
+        self.note_buffered = self.buffers.note_buffered
 
     async def acquire(self, address, *, instance, fresh, limit):
         script = self._simulation.scripts[instance]
@@ -762,6 +773,8 @@
             self.note_fault(f'still counted: {tokens}')
         if self.pool.open:
             self.note_fault(f'{self.pool.open} connections are left')
+        if self.pool.buffers.buffered_bytes:
+            self.note_fault(f'{self.pool.buffers.buffered_bytes} bytes are left')
         if not all(run.ended for run in self.begun):
             self.note_fault('a run has not ended')
         if self.budget.unused:
--- a/tests/gateway/test_endless_streams.py
+++ b/tests/gateway/test_endless_streams.py
@@ -8,6 +8,7 @@
 import unittest
 from dataclasses import replace
 
+from coursepitch.http.client import MAX_BUFFERED_BYTES
 from coursepitch.http.event_splitter import MAX_EVENT_BYTES
 from tests.gateway.simulated_runs import (
     FAILED_STATUS,
@@ -36,6 +37,9 @@
 #: By when a request that may run elsewhere has ended, in seconds.
 SERVED_S = 2.5
 
+#: Bytes of a part of a body.
+PART_BYTES = 65_536
+
 #: An instance whose endless bytes are the only thing wrong with it.
 SOUND = Script(seen=Seen.OVERDUE)
 
@@ -181,7 +185,7 @@
 class OtherMediaTypeTest(unittest.TestCase):
     """A body of another media type on a stream's route."""
 
-    def play(self, parts, **options):
+    def play(self, parts, buffered=0, **options):
         simulation = EndlessSimulation(Case((SOUND,), **options))
         simulation.media_type = b'application/json'
         simulation.parts = parts
@@ -199,6 +203,8 @@
 
         def build_with_reply():
             build()
+            for place in range(0, buffered, PART_BYTES):
+                simulation.pool.note_buffered(place, PART_BYTES)
 
             async def note(data):
                 sent.append((simulation.now, data))
@@ -224,6 +230,18 @@
         self.assertEqual((found.sent, found.refusal.status), ([], 502))
         self.assertLess(found.ended_s, 2.0)
 
+    # Guards against a node that runs out of memory by bodies of several streams.
+    def test_body_counts_for_the_memory_of_all_responses(self):
+        body = [(0.1 + 0.1 * number, b'x' * PART_BYTES, False) for number in range(4)]
+        others = MAX_BUFFERED_BYTES - 3 * PART_BYTES
+        for buffered, status in ((others, 502), (others - 2 * PART_BYTES, None)):
+            with self.subTest(buffered=buffered):
+                parts = [*body, (0.9, None, True)]
+                found = self.play(parts, buffered=buffered, resumable=False)
+                self.assertEqual(getattr(found.refusal, 'status', None), status)
+                self.assertEqual(found.reply.whole, status is None)
+                self.assertEqual(found.pool.buffers.buffered_bytes, buffered)
+
 
 class EndlessErrorTest(unittest.TestCase):
     """Errors whose body does not end."""
