Let the end of a tunnel wait for a slow reader again

A response through a peer was cut with "connection reset" if its instance ended the connection while a part of the response waited in the peer, and the reader took more than a second to make room, as its client was slow.

Links and tunnels share a listener. Since its closing handshakes time out after 1 s, for links whose peers do not end them; until then it was the 10 s of the library. A tunnel tells the regular end of the instance by its close code, so that close waits behind the rest of the response, and at the timeout the library drops both.

Tunnels have a timeout of 10 s of their own once the instance has ended. Links keep theirs. What a peer may send meanwhile is bounded as before (2 MiB).

Ruled out by trials: bodies that the buffers of the kernel hold (1 to 5 MB) arrive whole with either timeout.

--- a/coursepitch/fleet/tunnel_streams.py
+++ b/coursepitch/fleet/tunnel_streams.py
@@ -45,6 +45,11 @@
 ENDED_CODE = 4001
 RESET_CODE = 4000
 
+#: Seconds for which the rest of a response may wait in this node's buffer once the
+#: instance has ended, as the reader of the peer may be slow.  The timeout of links,
+#: which is shorter, would cut it.
+CLOSE_TIMEOUT_S = 10.0
+
 #: Messages and bytes of a tunnel that are buffered before reading or writing pauses.
 QUEUED_MESSAGES = 4
 WRITE_LIMIT_BYTES = 65_536
@@ -220,4 +225,5 @@
         tasks.cancel_scope.cancel()
     if closed:
         raise closed[0]
+    connection.close_timeout = CLOSE_TIMEOUT_S
     await connection.close(code)
--- a/tests/fleet/test_tunnels.py
+++ b/tests/fleet/test_tunnels.py
@@ -34,6 +34,9 @@
 class TunnelCase(unittest.TestCase):
     """A node, a peer, and an instance that answers with given bytes."""
 
+    #: Seconds for which the peer's listener waits for closing handshakes.
+    close_timeout_s = 1.0
+
     def setUp(self):
         self.received = bytearray()
         self.left = 0
@@ -66,6 +69,7 @@
                         sock=peer,
                         create_connection=PeerServerConnection,
                         compression=None,
+                        close_timeout=self.close_timeout_s,
                     ),
                     anyio.create_task_group() as tasks,
                 ):
