Close links whose peer echoes no digest

A hub keeps the time of each digest until the peer echoes it. A peer that sends messages and echoes none let these times grow for as long as the link lasted, 20 each second at most.

A link is closed at 400 digests without an echo, twice as many as are sent within the limit that ends a link whose peer is silent. An echo comes with the next digest of a peer that reads.

test_link_whose_digests_are_not_echoed_ends failed before: the link was up after 100 digests, for a bound that the test sets to 20.

--- a/coursepitch/peers/hub.py
+++ b/coursepitch/peers/hub.py
@@ -61,6 +61,10 @@
 #: message.  Pings tell as late that a peer has ended.
 MESSAGE_TIMEOUT_S = 10.0
 
+#: Digests without an echo at which a link is closed.  Source: twice as many as are sent
+#: at most before :data:`MESSAGE_TIMEOUT_S` ends a link whose peer is silent.
+MAX_UNECHOED_DIGESTS = int(2 * MESSAGE_TIMEOUT_S / MIN_DIGEST_INTERVAL_S)
+
 #: Seconds by which a periodic record may be published before it is due.
 EARLY_PUBLISH_S = 0.1
 
@@ -322,6 +326,8 @@
                 await link.wake.wait()
 
     async def _send_digest(self, link: Link) -> None:
+        if len(link.sent_at) >= MAX_UNECHOED_DIGESTS:
+            raise PeerError('digests are not echoed')
         now = self._clock()
         link.number += 1
         link.sent_at[link.number] = now
--- a/tests/peers/test_endless_links.py
+++ b/tests/peers/test_endless_links.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import itertools
 import time
 import unittest
 from functools import partial
@@ -18,7 +19,7 @@
 from coursepitch.metrics import Metrics
 from coursepitch.peers import hub as module
 from coursepitch.peers.hub import PeerHub
-from coursepitch.peers.messages import VERSION, Hello, encode_message
+from coursepitch.peers.messages import VERSION, Digest, Hello, encode_message
 from tests.fleet.peer_frames import PING, PONG, build_frame, build_request
 from tests.fleet.test_endless_peers import MAX_FRAMES, counting_frames
 
@@ -114,6 +115,37 @@
                             await peer.recv()
                     tasks.cancel_scope.cancel()
 
+    # Guards against times of digests that are kept without end.
+    def test_link_whose_digests_are_not_echoed_ends(self):
+        with (
+            mock.patch.object(module, 'MAX_UNECHOED_DIGESTS', 20, create=True),
+            mock.patch.object(module, 'MIN_DIGEST_INTERVAL_S', 0.001),
+        ):
+            anyio.run(self.send_digests)
+
+    async def send_digests(self):
+        """Greet a hub, and send digests that echo none, until the link ends."""
+        sock = listen('127.0.0.1', 0)
+        url = f'ws://127.0.0.1:{sock.getsockname()[1]}/peer'
+        headers = {'Authorization': 'Bearer k'}
+        platform = PlatformSettings(key_value_url='-', instance_list_url='-')
+        session = Session('b', None, platform, time.monotonic)
+        settings = PeerSettings(key='k', interval_s=0.001)
+        hub = PeerHub('b', 1, session, settings, Metrics(), time.monotonic)
+        received = 0
+        with anyio.fail_after(WAIT_S):
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(hub._listen, sock)
+                async with connect(url, additional_headers=headers, proxy=None) as peer:
+                    await peer.send(encode_message(Hello(VERSION, 'a')))
+                    with contextlib.suppress(ConnectionClosed):
+                        for number in itertools.count(1):
+                            await peer.recv()
+                            received += 1
+                            self.assertLess(received, 100)
+                            await peer.send(encode_message(Digest(number, 0, 0)))
+                    tasks.cancel_scope.cancel()
+
 
 if __name__ == '__main__':
     unittest.main()
