Leave calls at flooded instances out of the promise about silences

The soak's promise "silences" was broken by calls that failed for another fault: an instance that both stood still and sent bytes without end. Floods came into the soak after that checker, and it did not know them.

Calls that ran at such an instance in that time count no more, as those at instances that break answers off. The checker still counts them where the bytes come beside whole answers: after one, or in reports alone.

The two tests of faults beside a silence failed before (2 failures).

--- a/soak/checkers.py
+++ b/soak/checkers.py
@@ -491,6 +491,11 @@
             and call.sent_at <= item.until
             for item in history.broken
         )
+        or any(
+            instances & item.instances
+            for item in history.list_floods(call)
+            if not item.spares_answers
+        )
         or _has_lost_instance(history, call, call.sent_at - bounds.under_way_s)
     )
 
--- a/soak/driver.py
+++ b/soak/driver.py
@@ -79,6 +79,9 @@
 #: Most signals SIGHUP in a row.
 MOST_SIGNALS = 3
 
+#: Kinds of bytes without end beside which answers are whole.
+SPARING_FLOODS = frozenset({'after_answer', 'report'})
+
 #: Seconds for which a run goes on after its last fault.
 SETTLE_S = 4.0
 
@@ -486,7 +489,13 @@
         )
         self._pause.wait(fault.length_s)
         _System.control(fault.service, '/fault', mode='none', instances=chosen)
-        flood = Flood(fault.service, frozenset(chosen), since, time.monotonic())
+        flood = Flood(
+            fault.service,
+            frozenset(chosen),
+            since,
+            time.monotonic(),
+            fault.place in SPARING_FLOODS,
+        )
         self._floods.append(flood)
 
     def _note_acknowledged(self, sent_at: float) -> None:
--- a/soak/history.py
+++ b/soak/history.py
@@ -136,12 +136,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Flood:
-    """Instances of a service that sent bytes that are no answer, without end."""
+    """Instances of a service that sent bytes that are no answer, without end.
+
+    :param spares_answers: whether their answers were whole nevertheless.
+    """
 
     service: str
     instances: frozenset[str]
     since: float
     until: float
+    spares_answers: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/soak/test_checkers.py
+++ b/tests/soak/test_checkers.py
@@ -30,6 +30,7 @@
     Disturbed,
     Ended,
     Ending,
+    Flood,
     Gone,
     History,
     Left,
@@ -325,6 +326,7 @@
             {'cuts': (Cut(frozenset('n'), 8.0, 9.0),)},
             {'gone': (Gone('j', 'pool', 10.5),)},
             {'broken': (Broken(frozenset('i'), 9.0, 10.5),)},
+            {'floods': (Flood('pool', frozenset('i'), 9.0, 10.5),)},
         )
         for ending in (Ending.CUT, Ending.WHOLE):
             call = build_call(ending=ending, node='n')
@@ -341,6 +343,9 @@
             {'cuts': (Cut(frozenset('m'), 10.0, 11.0),)},
             {'gone': (Gone('j', 'api', 10.5),)},
             {'broken': (Broken(frozenset('j'), 9.0, 10.5),)},
+            {'floods': (Flood('pool', frozenset('j'), 9.0, 10.5),)},
+            {'floods': (Flood('pool', frozenset('i'), 9.0, 9.9),)},
+            {'floods': (Flood('pool', frozenset('i'), 9.0, 10.5, True),)},
         )
         for fields in beside:
             with self.subTest(fault=list(fields)):
