Check chunk lines and trailers of clients before the parser reads them

One request of a client held a node for seconds: in a chunked body, an extension of 30,000 spaces with a line feed, or a trailer of 16,000 spaces with a NUL. All other requests at the node waited for that turn of the event loop.

Cause: the server checked heads for bytes that no line may have, and passed chunks and trailers to h11 unchecked. The regular expressions of h11 take a quadratic time for a line that does not match, as they try it from each of its spaces.

RequestParser is the server's side of h11.Connection with such checks. It passes on one message at a time: a head up to its end, the content of a body, and trailers. Chunks are decoded by ChunkDecoder, as those of responses are, and reach h11 as one chunk without extensions for up to 128; so the framing of a body and its size lines are bounded in the decoder, with the ratio that the server had. The bytes after a message are no longer in h11's buffer while it reads that message, so none escapes the check.

A head, or trailers, above the limit that arrived in one read were accepted; they are refused with 431 now, as those that arrive in parts.

QuadraticLineTest now also requires the status 400 and one response, and sends the lines in parts and behind other requests.

Ruled out: a bound on runs of spaces, which are valid; a check of the whole input without framing, which content would fail.

--- a/coursepitch/http/chunks.py
+++ b/coursepitch/http/chunks.py
@@ -11,6 +11,7 @@
     'MAX_EXTRA_FRAMING_BYTES',
     'ChunkDecoder',
     'ChunkError',
+    'ChunkLineError',
 ]
 
 #: Bytes by which the framing of a chunked body may exceed its content.  Framing takes
@@ -33,23 +34,37 @@
     """Bytes that are no chunked body, or of which nearly all are framing."""
 
 
+class ChunkLineError(ChunkError):
+    """The size line of a chunk exceeds the limit of framing before its end."""
+
+
 class ChunkDecoder:
     """Decodes the chunks of a body up to its last chunk, whose size is zero.
 
     :param extra_bytes: bytes by which earlier framing of the body exceeds its content.
+    :param max_extra_bytes: bytes by which the framing may exceed what the content
+        allows.
+    :param ratio: bytes of framing that each byte of the content allows.
     :ivar started: whether :meth:`decode` has been called.
     :ivar ended: whether the size line of the last chunk has been decoded.
     :ivar has_more: whether the rest may be decoded further, or is malformed, without
         the bytes that arrive next.
     """
 
-    def __init__(self, extra_bytes: int) -> None:
+    def __init__(
+        self,
+        extra_bytes: int,
+        max_extra_bytes: int = MAX_EXTRA_FRAMING_BYTES,
+        ratio: int = 1,
+    ) -> None:
         self.started = False
         self.ended = False
         self.has_more = False
         self._left_bytes = 0
         self._footer = b''
         self._extra_bytes = extra_bytes
+        self._max_extra_bytes = max_extra_bytes
+        self._ratio = ratio
 
     def decode(self, data: bytes) -> tuple[bytes, bytes]:
         """Return the content at the start of some bytes, and the rest.
@@ -126,8 +141,8 @@
         """
         end = data.find(_LINE_END, place)
         if end < 0:
-            if self._extra_bytes + len(data) - place > MAX_EXTRA_FRAMING_BYTES:
-                raise ChunkError('more framing than content')
+            if self._extra_bytes + len(data) - place > self._max_extra_bytes:
+                raise ChunkLineError('size line of a chunk too large')
             return None
         size = _SIZE.match(data, place, end)
         if size is not None:
@@ -142,7 +157,7 @@
 
     def _count(self, framing_bytes: int, content_bytes: int) -> None:
         """Count decoded bytes."""
-        extra = self._extra_bytes + framing_bytes - content_bytes
+        extra = self._extra_bytes + framing_bytes - self._ratio * content_bytes
         self._extra_bytes = extra if extra > 0 else 0
-        if extra > MAX_EXTRA_FRAMING_BYTES:
+        if extra > self._max_extra_bytes:
             raise ChunkError('more framing than content')
--- a/coursepitch/http/server.py
+++ b/coursepitch/http/server.py
@@ -20,13 +20,8 @@
 from coursepitch import events, log
 from coursepitch.clock import Clock, boottime
 from coursepitch.errors import CoursepitchError
-from coursepitch.http.messages import (
-    FORBIDDEN_IN_HEAD,
-    HEAD_END,
-    IncomingRequest,
-    find_header,
-    start_digest,
-)
+from coursepitch.http.messages import IncomingRequest, find_header, start_digest
+from coursepitch.http.request_parser import RequestParser
 from coursepitch.http.stream import ByteStream
 
 if TYPE_CHECKING:
@@ -46,14 +41,6 @@
 #: 64 kbit/s, the slowest access that clients are expected to have.
 MIN_BODY_BYTES_PER_S = 8_192
 
-#: Maximum number of bytes that frame a body, for each byte of its content, beyond two
-#: heads.  A chunk of one byte takes five, and a short extension as many again.
-MAX_FRAMING_RATIO = 16
-
-#: Parts of a body that are read in one turn of the event loop.  The time of a turn is
-#: far below that of a request even if all of them hold a byte.
-MAX_TURN_EVENTS = 64
-
 #: Connections that are accepted in one pass through the event loop.
 MAX_ACCEPTED = 64
 
@@ -199,7 +186,7 @@
 
     server: HttpServer
     stream: ByteStream
-    parser: h11.Connection
+    parser: RequestParser
     head_limit: int = 0
     broken: bool = False
     idle_since: float = 0.0
@@ -272,10 +259,7 @@
         body = bytearray()
         digest = start_digest()
         size = 0
-        received = 0
         started_at: float | None = None
-        events = 0
-        tail = self._check_head(self.parser.trailing_data[0])
         while True:
             try:
                 event = self.parser.next_event()
@@ -283,7 +267,6 @@
                 status = 431 if error.error_status_hint == 431 else 400
                 raise _RequestProblemError(status, str(error)) from error
             if event is h11.NEED_DATA:
-                self._check_framing(received, size)
                 if self.parser.they_are_waiting_for_100_continue:
                     interim = h11.InformationalResponse(status_code=100, headers=[])
                     await self.write(self.parser.send(interim))
@@ -292,12 +275,8 @@
                 data = await self._receive(head, started_at, size)
                 if data is None:
                     return None
-                events = 0
-                if not received and head is None:
+                if started_at is None and head is None:
                     self._follow_head_limit()
-                if head is None:
-                    tail = self._check_head(tail + data)
-                received += len(data)
                 if started_at is None and data:
                     started_at = self.server.clock()
                 try:
@@ -315,8 +294,7 @@
                     raise _RequestProblemError(413, 'request body too large')
                 body += event.data
                 digest.update(event.data)
-                events += 1
-                if events % MAX_TURN_EVENTS == 0:
+                if self.parser.has_more_chunks:
                     await self.stream.finish_turn()
             elif isinstance(event, h11.EndOfMessage) and head is not None:
                 return IncomingRequest(
@@ -330,34 +308,12 @@
             else:
                 return None
 
-    def _check_head(self, data: bytes) -> bytes:
-        """Check a part of a request's head; return its last bytes.
-
-        :raises _RequestProblemError: no head has such a part.
-        """
-        found = HEAD_END.search(data)
-        end = len(data) if found is None else found.end()
-        if FORBIDDEN_IN_HEAD.search(data, 0, end):
-            raise _RequestProblemError(400, 'forbidden byte in the request head')
-        return data[-2:]
-
     def _follow_head_limit(self) -> None:
         """Read the next request by the limit in force, if none of it was read yet."""
         limit = self.server.read_rules().head_bytes
         if limit == self.head_limit or self.parser.trailing_data[0]:
             return
-        self.parser, self.head_limit = h11.Connection(h11.SERVER, limit), limit
-
-    def _check_framing(self, received: int, size: int) -> None:
-        """Check the size of what frames a request's body.
-
-        :param received: bytes of the request that were received.
-        :param size: size of its content in bytes.
-        :raises _RequestProblemError: it is too large for the content.
-        """
-        allowed = 2 * self.server.read_rules().head_bytes + MAX_FRAMING_RATIO * size
-        if received - size > allowed:
-            raise _RequestProblemError(400, 'framing of the request body too large')
+        self.parser, self.head_limit = RequestParser(limit), limit
 
     async def _receive(
         self, head: h11.Request | None, started_at: float | None, size: int
@@ -512,7 +468,7 @@
 
     async def _serve(self, stream: ByteStream) -> None:
         rules = self.read_rules()
-        parser = h11.Connection(h11.SERVER, rules.head_bytes)
+        parser = RequestParser(rules.head_bytes)
         connection = ServerConnection(self, stream, parser, rules.head_bytes)
         self.connections.add(connection)
         try:
--- a/tests/http/test_endless_requests.py
+++ b/tests/http/test_endless_requests.py
@@ -9,9 +9,9 @@
 
 import anyio
 import anyio.lowlevel
-import h11
 
 from coursepitch.http import ConnectionRules, HttpServer
+from coursepitch.http.request_parser import RequestParser
 from coursepitch.http.server import MIN_BODY_BYTES_PER_S, ServerConnection
 from tests.http.test_framing import build_stream
 
@@ -25,6 +25,9 @@
 
 CHUNKED = b'POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n'
 
+#: A request without a body.
+SOUND = b'GET / HTTP/1.1\r\nHost: x\r\n\r\n'
+
 #: Bytes that are sent over and over after a beginning, and the status that ends them.
 ENDLESS = {
     'request line': (b'GET /', b'a' * 4096, b'431'),
@@ -46,7 +49,7 @@
         self.now = 0.0
         self.server = HttpServer(self.answer, lambda: RULES, self.read_clock, **options)
         self.stream, self.transport = build_stream()
-        parser = h11.Connection(h11.SERVER, RULES.head_bytes)
+        parser = RequestParser(RULES.head_bytes)
         self.connection = ServerConnection(self.server, self.stream, parser)
         self.answered = 0
         self.rounds = 0
@@ -140,22 +143,47 @@
 class QuadraticLineTest(unittest.TestCase):
     """Lines of chunked bodies that no parser accepts are refused in little time."""
 
-    # Guards against seconds in one turn, as the parser tries a line from each space.
-    def test_chunk_extension_of_spaces_is_refused_at_once(self):
+    def check_refused_at_once(self, *parts):
         async def send(client):
-            await client.send(CHUNKED + b'1;' + b' ' * 30_000 + b'\nx\r\n')
+            for part in parts:
+                if not client.closed:
+                    await client.send(part)
 
         began_at = time.process_time()
-        run_with_client(send)
+        client = run_with_client(send)
         self.assertLess(time.process_time() - began_at, 0.5)
+        self.assertEqual(client.received.count(b'HTTP/1.1 400'), 1)
+        self.assertTrue(client.closed)
+
+    # Guards against seconds in one turn, as the parser tries a line from each space.
+    def test_chunk_extension_of_spaces_is_refused_at_once(self):
+        line = b'1;' + b' ' * 30_000 + b'\nx\r\n'
+        self.check_refused_at_once(CHUNKED + line)
+        self.check_refused_at_once(CHUNKED + b'1\r\nx\r\n' + line)
+        self.check_refused_at_once(CHUNKED, line)
+        self.check_refused_at_once(CHUNKED, line[:100], line[100:15_000], b'\nx\r\n')
+        self.check_refused_at_once(SOUND + CHUNKED + line)
 
     def test_trailer_of_spaces_with_a_forbidden_byte_is_refused_at_once(self):
-        async def send(client):
-            await client.send(CHUNKED + b'0\r\nA: ' + b' ' * 16_000 + b'\x00\r\n\r\n')
+        line = b'A: ' + b' ' * 16_000 + b'\x00\r\n\r\n'
+        self.check_refused_at_once(CHUNKED + b'0\r\n' + line)
+        self.check_refused_at_once(CHUNKED + b'1\r\nx\r\n0\r\n', line)
+        self.check_refused_at_once(CHUNKED, b'0', b'\r\n', line[:9000], line[9000:])
+        self.check_refused_at_once(SOUND + CHUNKED + b'0\r\n' + line)
 
-        began_at = time.process_time()
-        run_with_client(send)
-        self.assertLess(time.process_time() - began_at, 0.5)
+
+class WholeHeadTest(unittest.TestCase):
+    """A head that arrives in one piece is bounded as one that arrives in parts."""
+
+    # Guards against work on heads of the size of a read, whatever the limit.
+    def test_head_above_the_limit_is_refused(self):
+        head = b'GET / HTTP/1.1\r\nHost: x\r\n' + b'A: b\r\n' * 3000 + b'\r\n'
+        for request in (head, CHUNKED + b'0\r\n' + b'A: b\r\n' * 3000 + b'\r\n'):
+
+            async def send(client, request=request):
+                await client.send(request)
+
+            self.assertIn(b'HTTP/1.1 431', run_with_client(send).received)
 
 
 class EndlessRequestTest(unittest.TestCase):
