Check bytes of clients before hypercorn's parser reads them

On the OpenAI side and at the management interface, one request without a key held a node for more than a second: a head of 16,000 spaces and a NUL, a chunk extension of 30,000 spaces with a line feed, or such a trailer.

Cause: hypercorn passes the bytes of a client to h11 as they arrive, whose regular expressions take a quadratic time for a line that does not match.

The connections of serve_app now use RequestParser, which has the interface of h11.Connection, in its place. hypercorn's serve() offers no way to choose the parser, so the listener is opened here and each connection is served by a subclass of its TCPServer. The applications have no lifespan, so none is run. A stop is as before: idle connections are closed, others have the grace period and are aborted after it. The handling of InvalidStateError goes with the code of hypercorn that raised it.

--- /dev/null
+++ b/coursepitch/util/asgi_server.py
@@ -0,0 +1,96 @@
+"""Server of ASGI applications whose connections are read by the parser of requests.
+
+hypercorn passes the bytes of a client to h11 as they arrive.  Here its connections read
+them by :class:`.RequestParser`, which bounds the work for each event.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from typing import TYPE_CHECKING, Any
+
+import anyio
+from hypercorn.asyncio.tcp_server import TCPServer
+from hypercorn.asyncio.worker_context import WorkerContext
+from hypercorn.protocol.h11 import H11Protocol
+from hypercorn.utils import wrap_app
+
+from coursepitch.http.request_parser import RequestParser
+
+if TYPE_CHECKING:
+    import socket
+    from collections.abc import Awaitable, Callable
+
+    from hypercorn.config import Config
+
+__all__ = ['serve_connections']
+
+#: Seconds that connections have to end once they are aborted.
+ABORT_TIMEOUT_S = 1.0
+
+
+class _Connection(TCPServer):  # type: ignore[misc]
+    """One connection of a client.
+
+    The overridden methods are no documented interface of hypercorn, so the tests of
+    listeners show whether another release still calls them.
+    """
+
+    async def _read_data(self) -> None:
+        """Read the connection until it ends."""
+        protocol = self.protocol.protocol
+        if isinstance(protocol, H11Protocol):
+            protocol.connection = RequestParser(self.config.h11_max_incomplete_size)
+        await super()._read_data()
+
+
+async def serve_connections(
+    app: Any,
+    config: Config,
+    sock: socket.socket,
+    wait_stop: Callable[[], Awaitable[float]],
+) -> None:
+    """Serve an application without a lifespan on a listening socket.
+
+    :param wait_stop: returns once the server has to stop, with the seconds for which
+        open connections may go on.
+    """
+    loop = asyncio.get_running_loop()
+    wrapped = wrap_app(app, config.wsgi_max_body_size, 'asgi')
+    context = WorkerContext(None)
+    connections: dict[asyncio.Task[None], asyncio.StreamWriter] = {}
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        task = asyncio.current_task()
+        assert task is not None
+        connections[task] = writer
+        try:
+            # asyncio logs the cancellation of such a task as an error.
+            with contextlib.suppress(asyncio.CancelledError):
+                await _Connection(wrapped, loop, config, context, {}, reader, writer)
+        finally:
+            del connections[task]
+
+    tls = config.create_ssl_context() if config.ssl_enabled else None
+    server = await asyncio.start_server(
+        serve,
+        sock=sock,
+        backlog=config.backlog,
+        ssl=tls,
+        ssl_handshake_timeout=config.ssl_handshake_timeout if tls else None,
+    )
+    try:
+        grace_s = await wait_stop()
+        await context.terminated.set()
+        server.close()
+        if connections:
+            await asyncio.wait(connections, timeout=grace_s)
+    finally:
+        server.close()
+        for task, writer in connections.items():
+            writer.transport.abort()
+            task.cancel()
+        if connections:
+            with anyio.CancelScope(shield=True):
+                await asyncio.wait(connections, timeout=ABORT_TIMEOUT_S)
--- a/coursepitch/util/http.py
+++ b/coursepitch/util/http.py
@@ -2,18 +2,17 @@
 
 from __future__ import annotations
 
-import asyncio
 import math
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any
 
 import anyio
 import anyio.lowlevel
-from hypercorn.asyncio import serve
 from hypercorn.config import Config
 from starlette.responses import Response
 
 from coursepitch.errors import RequestError, RequestTooLargeError
+from coursepitch.util.asgi_server import serve_connections
 
 if TYPE_CHECKING:
     import socket
@@ -73,7 +72,6 @@
     :param idle_s: keep-alive timeout in seconds.
     """
     config = Config()
-    config.bind = [f'fd://{sock.fileno()}']
     config.certfile = certificate or None
     config.keyfile = key or None
     config.errorlog = None
@@ -82,17 +80,11 @@
     config.h11_max_incomplete_size = header_limit
     config.include_server_header = False
 
-    async def wait_stop() -> None:
+    async def wait_stop() -> float:
         await stop.requested.wait()
-        config.graceful_timeout = stop.grace_s
+        return stop.grace_s
 
-    try:
-        await serve(app, config, shutdown_trigger=wait_stop)
-    except asyncio.InvalidStateError:
-        # A server that is cancelled while connections are open reads the results of
-        # tasks that have not ended.
-        await anyio.lowlevel.checkpoint_if_cancelled()
-        raise
+    await serve_connections(app, config, sock, wait_stop)
 
 
 async def read_body(request: Request, limit: int, timeout_s: float) -> bytes:
