End connections of clients that read nothing once they are closed

A client that did not read its response, and sent bytes behind its request, kept its connection and the tasks of its connection until the node stopped, although the response was given up.

Cause, in two parts: a transport that is closed is only ended once its client has read what was written, and hypercorn waits for that; and its reader waits for the end of the request before it reads the next one, which never comes after a response that was aborted.

A connection that is closed is now aborted after eight seconds, in which a client at 64 kbit/s reads the 64 KiB above which writes wait, and its reader is cancelled.

Evidence: the test of a client that reads nothing, whose server stops with a grace of 30 s, exceeded its limit of 5 s before; it fails with either half of the change taken out, and passes with both. The test of the handler of a malformed request passed before as well; it guards the cancelled reader.

Ruled out: closing the transport without a wait, which would cut responses that slow clients still read.

--- a/coursepitch/util/asgi_server.py
+++ b/coursepitch/util/asgi_server.py
@@ -17,6 +17,7 @@
 from hypercorn.utils import wrap_app
 
 from coursepitch.http.request_parser import RequestParser
+from coursepitch.http.server import MIN_BODY_BYTES_PER_S
 
 if TYPE_CHECKING:
     import socket
@@ -26,6 +27,11 @@
 
 __all__ = ['serve_connections']
 
+#: Seconds after which a connection that is being closed is aborted, although its client
+#: has not read all that was written: those that a slow client needs for 64 KiB, above
+#: which writes wait.
+UNREAD_CLOSE_TIMEOUT_S = 65_536 / MIN_BODY_BYTES_PER_S
+
 #: Seconds that connections have to end once they are aborted.
 ABORT_TIMEOUT_S = 1.0
 
@@ -37,12 +43,37 @@
     listeners show whether another release still calls them.
     """
 
+    def __init__(self, *arguments: Any) -> None:
+        super().__init__(*arguments)
+        self._reading = anyio.CancelScope()
+
     async def _read_data(self) -> None:
         """Read the connection until it ends."""
         protocol = self.protocol.protocol
         if isinstance(protocol, H11Protocol):
             protocol.connection = RequestParser(self.config.h11_max_incomplete_size)
-        await super()._read_data()
+        with self._reading:
+            await super()._read_data()
+
+    async def _close(self) -> None:
+        """Close the connection; abort it if the client does not read."""
+        timer = self._abort_later()
+        try:
+            await super()._close()
+        finally:
+            timer.cancel()
+            # It may wait until a request that was sent ahead can be handled.
+            self._reading.cancel()
+
+    async def _initiate_server_close(self) -> None:
+        """Close an idle connection; abort it if the client does not read."""
+        self._abort_later()
+        await super()._initiate_server_close()
+
+    def _abort_later(self) -> asyncio.TimerHandle:
+        abort = self.writer.transport.abort
+        loop = asyncio.get_running_loop()
+        return loop.call_later(UNREAD_CLOSE_TIMEOUT_S, abort)
 
 
 async def serve_connections(
--- a/tests/util/test_http_listeners.py
+++ b/tests/util/test_http_listeners.py
@@ -6,8 +6,10 @@
 import ssl
 import time
 import unittest
+from unittest import mock
 
 import anyio
+import anyio.lowlevel
 import trustme
 from starlette.applications import Starlette
 from starlette.responses import Response
@@ -15,13 +17,23 @@
 
 from coursepitch.errors import RequestError, RequestTooLargeError
 from coursepitch.listeners import listen
-from coursepitch.util.http import ServerStop, read_body, serve_app
+from coursepitch.util.http import (
+    ServerStop,
+    StreamedResponse,
+    TrackedResponse,
+    read_body,
+    run_until_disconnect,
+    serve_app,
+)
 
 #: Limits in seconds of the server under test, and what a busy machine may add.
 IDLE_S = 0.5
 BODY_S = 30.0
 SLACK_S = 5.0
 
+#: Seconds for which a server that stops waits for its connections.
+STOP_S = 30.0
+
 #: Largest processor time in seconds for a connection.
 WORK_S = 0.5
 
@@ -74,7 +86,7 @@
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(serve)
         yield lambda **tls: anyio.connect_tcp('127.0.0.1', port, **tls)
-        stop.request(1.0)
+        stop.request(STOP_S)
 
 
 async def read_until_closed(stream):
@@ -200,5 +212,47 @@
         self.assertEqual(anyio.run(send).count(b'HTTP/1.1 '), 1)
 
 
+class UnreadConnectionTest(unittest.TestCase):
+    """A connection that the server closes does not wait for its client."""
+
+    # Guards against handlers that run on after the connection of their request.
+    def test_handler_of_a_malformed_request_ends(self):
+        async def answer(request):
+            await run_until_disconnect(request.receive, anyio.sleep_forever)
+            return Response()
+
+        async def send():
+            with anyio.fail_after(SLACK_S):
+                async with open_server(answer) as connect, await connect() as stream:
+                    await send_parts(stream, (CHUNKED, b'z\r\n'))
+                    return await read_until_closed(stream)
+
+        self.assertIn(b'HTTP/1.1 400', anyio.run(send))
+
+    # Guards against connections that stay open until their client reads.
+    @mock.patch('coursepitch.util.asgi_server.UNREAD_CLOSE_TIMEOUT_S', 0.1)
+    def test_connection_of_a_client_that_does_not_read_is_ended(self):
+        async def produce():
+            while True:
+                yield b'x' * 65_536
+
+        async def answer(request):
+            response = StreamedResponse(
+                produce(), 200, {}, anyio.lowlevel.checkpoint, 0.2
+            )
+            return TrackedResponse(response, lambda: None, lambda: None, 0.2)
+
+        async def leave_unread():
+            with anyio.fail_after(SLACK_S):
+                async with open_server(answer) as connect, await connect() as stream:
+                    await stream.send(SOUND)
+                    with self.assertRaises(anyio.BrokenResourceError):
+                        while True:
+                            await stream.send(b'x' * 65_536)
+                # Here the server has stopped, which waits for its connections.
+
+        anyio.run(leave_unread)
+
+
 if __name__ == '__main__':
     unittest.main()
