Disconnect clients that do not read a stream without a deadline

A client that stopped to read the response of a plain service on the OpenAI side kept the request, its place at the instance and its memory for as long as it left its connection open.

Cause: TrackedResponse limits the time of whole responses, and left that of streams to their deadline; streams of plain services have none, and the last event that follows a deadline is outside of it.

Now the head, each part of a stream without a deadline, and the last part have the limit of a whole response, the idle timeout of the settings, and the time that a client at 64 kbit/s needs for the size of the part. Parts before a deadline are bounded by it, as before.

Evidence: the tests of UnreadStreamTest exceeded their limit of 5 s before, and pass; without the limit of the last part, the time for the size, or the event that tells of it, one fails each.

Ruled out: a limit on the whole stream, which would cut sound streams of a long service; one limit for parts of any size, which would cut slow clients that read a part of a megabyte.

--- a/coursepitch/util/http.py
+++ b/coursepitch/util/http.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import math
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any
@@ -12,11 +13,12 @@
 from starlette.responses import Response
 
 from coursepitch.errors import RequestError, RequestTooLargeError
+from coursepitch.http.server import MIN_BODY_BYTES_PER_S
 from coursepitch.util.asgi_server import serve_connections
 
 if TYPE_CHECKING:
     import socket
-    from collections.abc import AsyncIterator, Awaitable, Callable, Mapping
+    from collections.abc import AsyncIterator, Awaitable, Callable, Iterator, Mapping
 
     from starlette.requests import Request
 
@@ -173,6 +175,11 @@
             item for item in self.raw_headers if item[0] != b'content-length'
         ]
 
+    @property
+    def has_deadline(self) -> bool:
+        """Whether a timeout ends the body."""
+        return self._timeout_s < math.inf
+
     def _tells_its_end(self) -> bool:
         """Whether its length or its last event tells a client the end of the body."""
         return self._has_last_event or b'content-length' in dict(self.raw_headers)
@@ -258,8 +265,9 @@
     :param end: called once, after the last byte was written or the client was
         disconnected.
     :param note_unread: called if the client is disconnected as it does not read.
-    :param timeout_s: seconds after which a client that does not read a whole response
-        is disconnected; a :class:`StreamedResponse` has a deadline of its own.
+    :param timeout_s: seconds after which a client that does not read a whole response,
+        or a part of a :class:`StreamedResponse` that its own timeout does not cover,
+        is disconnected; for a part, the time that a slow client needs is added.
     """
 
     def __init__(
@@ -272,16 +280,38 @@
         self._response = response
         self._end = end
         self._note_unread = note_unread
-        streamed = isinstance(response, StreamedResponse)
-        self._timeout_s = math.inf if streamed else timeout_s
+        self._timeout_s = timeout_s
 
     async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
         """Send the response."""
+        response = self._response
+        has_deadline = isinstance(response, StreamedResponse) and response.has_deadline
+
+        async def send_part(message: dict[str, Any]) -> None:
+            timeout_s = math.inf
+            if not (has_deadline and message.get('more_body', False)):
+                size = len(message.get('body', b''))
+                timeout_s = self._timeout_s + size / MIN_BODY_BYTES_PER_S
+            with self._limit(timeout_s):
+                await send(message)
+
         try:
-            with anyio.move_on_after(self._timeout_s) as sending:
-                await self._response(scope, receive, send)
-            if sending.cancelled_caught:
-                self._note_unread()
-                raise Cutoff('the client does not read its response')
+            if isinstance(response, StreamedResponse):
+                await response(scope, receive, send_part)
+            else:
+                with self._limit(self._timeout_s):
+                    await response(scope, receive, send)
         finally:
             self._end()
+
+    @contextlib.contextmanager
+    def _limit(self, timeout_s: float) -> Iterator[None]:
+        """Limit the time in which a client reads.
+
+        :raises Cutoff: the client has not read in time.
+        """
+        with anyio.move_on_after(timeout_s) as sending:
+            yield
+        if sending.cancelled_caught:
+            self._note_unread()
+            raise Cutoff('the client does not read its response')
--- a/tests/util/test_http_listeners.py
+++ b/tests/util/test_http_listeners.py
@@ -212,6 +212,59 @@
         self.assertEqual(anyio.run(send).count(b'HTTP/1.1 '), 1)
 
 
+class UnreadStreamTest(unittest.TestCase):
+    """A client that does not read a stream is disconnected."""
+
+    def stall(self, part, at, *deadline):
+        """Return the seconds until a stream ends whose client reads up to a message.
+
+        :param at: number of the first message that is not read.
+        """
+        ended, unread, sent = [], [], []
+
+        async def produce():
+            while True:
+                yield part
+
+        async def wait_for_client():
+            return await anyio.sleep_forever()
+
+        async def send(message):
+            sent.append(message)
+            if len(sent) > at:
+                await anyio.sleep_forever()
+            await anyio.lowlevel.checkpoint()
+
+        async def play():
+            finish = anyio.lowlevel.checkpoint
+            stream = StreamedResponse(produce(), 200, {}, finish, *deadline)
+            response = TrackedResponse(
+                stream, lambda: ended.append(True), lambda: unread.append(True), 0.2
+            )
+            began_at = time.monotonic()
+            with anyio.fail_after(SLACK_S), self.assertRaises(Exception) as caught:
+                await response({'http_version': '1.1'}, wait_for_client, send)
+            self.assertNotIsInstance(caught.exception, TimeoutError)
+            return time.monotonic() - began_at
+
+        elapsed_s = anyio.run(play)
+        self.assertEqual((ended, unread), ([True], [True]))
+        return elapsed_s
+
+    # Guards against streams that a client holds for ever without a deadline.
+    def test_stream_without_a_deadline_ends(self):
+        for at in (0, 1, 5):
+            with self.subTest(at):
+                self.assertGreaterEqual(self.stall(b'x', at), 0.2)
+
+    def test_large_part_may_take_the_time_of_a_slow_client(self):
+        self.assertGreaterEqual(self.stall(b'x' * 8192, 1), 1.2)
+
+    # Guards against a last event after the deadline that is never read.
+    def test_last_part_of_a_stream_with_a_deadline_ends(self):
+        self.stall(b'x', 2, 0.1, lambda: b'x')
+
+
 class UnreadConnectionTest(unittest.TestCase):
     """A connection that the server closes does not wait for its client."""
 
