Take the longest time-out that may be in force for a call beside floods

The promise about silences needs the shortest, as it asks whether a call had time; a promise that calls end by their limit needs the longest.

Change: the promise about floods takes the longest of them. It is as strict where one time-out may be in force, and the deadline of the caller bounds it in any case; the new test failed before, and checks both.

--- a/soak/checkers.py
+++ b/soak/checkers.py
@@ -422,7 +422,7 @@
         if _is_disturbed(history, call, ran_at - flooded, bounds):
             continue
         looked_at += 1
-        limit_s = history.find_limit_s(call, bounds.config_s + bounds.contact_s)
+        limit_s = history.find_latest_limit_s(call, bounds.config_s + bounds.contact_s)
         took_s = call.ended_at - call.sent_at
         is_sound = not (ran_at & flooded or history.list_silences(call))
         if took_s > limit_s + bounds.late_s:
--- a/soak/history.py
+++ b/soak/history.py
@@ -399,12 +399,24 @@
         ]
 
     def find_limit_s(self, call: Call, late_s: float) -> float:
-        """Return the seconds that a call has by its caller and by its route.
+        """Return the least seconds that a call has by its caller and by its route.
 
         :param late_s: seconds for which nodes may go on with an older time-out.
         """
+        return min([call.deadline_s, *self._list_timeouts_s(call, late_s)])
+
+    def find_latest_limit_s(self, call: Call, late_s: float) -> float:
+        """Return the most seconds that a call has by its caller and by its route.
+
+        :param late_s: seconds for which nodes may go on with an older time-out.
+        """
+        timeouts_s = self._list_timeouts_s(call, late_s)
+        return min(call.deadline_s, max(timeouts_s, default=math.inf))
+
+    def _list_timeouts_s(self, call: Call, late_s: float) -> list[float]:
+        """Return the time-outs of routes that may have been in force for a call."""
         versions = self.list_versions(call.sent_at - late_s, call.sent_at)
-        return min([call.deadline_s, *(item.timeout_s for item in versions)])
+        return [item.timeout_s for item in versions]
 
     def measure_silence(self, call: Call, limit_s: float) -> float:
         """Return the seconds of a call's time in which instances stood still.
--- a/tests/soak/test_flood_checker.py
+++ b/tests/soak/test_flood_checker.py
@@ -6,7 +6,16 @@
 from dataclasses import replace
 
 from soak.checkers import Bounds, check_floods
-from soak.history import Cut, Disturbed, Ending, Flood, Gone, History, Silence
+from soak.history import (
+    Acknowledged,
+    Cut,
+    Disturbed,
+    Ending,
+    Flood,
+    Gone,
+    History,
+    Silence,
+)
 from tests.soak.builders import build_call, build_run
 
 FLOOD = Flood('pool', frozenset('f'), 9.0, 12.0)
@@ -41,6 +50,19 @@
         in_time = replace(late, ended_at=18.5)
         self.assertTrue(self.check(in_time, 'f').proved)
 
+    # Guards against calls that count by a time-out that is no longer in force for them.
+    def test_limit_is_the_longest_that_may_be_in_force(self):
+        call = build_call(ending=Ending.UNKNOWN, ended_at=17.5)
+        shorter = Acknowledged(1, 0.0, timeout_s=5.0)
+        longer = Acknowledged(2, 6.9, sent_at=6.8, timeout_s=12.0)
+        verdict = self.check(call, 'f', configurations=(shorter, longer))
+        self.assertTrue(verdict.proved)
+        verdict = self.check(call, 'f', configurations=(shorter,))
+        self.assertEqual(len(verdict.findings), 1)
+        for late in (replace(call, ended_at=19.5), replace(call, ended_at=25.0)):
+            verdict = self.check(late, 'f', configurations=(shorter, longer))
+            self.assertEqual(len(verdict.findings), 1)
+
     def test_call_at_the_flooding_instance_may_fail(self):
         for ending in (Ending.CUT, Ending.UNKNOWN):
             self.assertTrue(self.check(build_call(ending=ending), 'f', 'i').proved)
