Ask a silent instance again whether the response it ended is whole

Callers got a stream cut, status 200, after all of its events had been forwarded, because its instance stood still.

Cause: a response whose end is told by its connection alone is whole if its instance runs. If it had been silent shortly before, the instance was asked once, within 0.13 s, and a missing answer broke the response off ("the response was silent, and its instance does not answer"). A sound instance that stands still twice within a second or so, or is busy after a time in which it was stopped, does not answer then. Silence was taken for a failure, against the rule that a run never ends by silence.

The report of a lost member beside the cut is how a silent run is suspected; it ended no run.

Now such an instance is asked until it answers, refuses, or two seconds have passed, at which clients abandon a stream. So it is with one that leaves, and with responses that are read whole, which take the same check.

test_silent_instance_is_asked_until_it_goes_on failed before (all 4 cases). The test that a listed instance is not asked twice demanded the fault; two tests take its place: the questions end in time, and an instance that answers is asked once.

--- a/coursepitch/gateway/crash_detector.py
+++ b/coursepitch/gateway/crash_detector.py
@@ -36,6 +36,12 @@
 #: is broken off for it is examined for a crash right after.
 UNREACHED_CACHE_S = 0.5
 
+#: Seconds for which an instance that does not answer is asked again about a response
+#: that was silent, and seconds between two questions.  A sound instance may stand still
+#: for a second or so, and clients abandon a stream that stalls for two seconds.
+SILENT_TIMEOUT_S = 2.0
+SILENT_PAUSE_S = 0.05
+
 #: Number of checks to finish later that are kept; the oldest are dropped beyond it.
 MAX_UNFINISHED = 1_000
 
@@ -198,13 +204,21 @@
         return state
 
     async def find_state_of_silent(self, instance: FleetInstance) -> ProcessState:
-        """Return the state of an instance of which nothing is proven; ask if it leaves.
+        """Return the state of an instance of which nothing is proven.
 
-        Its end alone is no crash, so it is not recorded.
+        It is asked until it answers, as a sound one that stands still goes on soon.
+        One that leaves is asked as well.  Its end alone is no crash, so it is not
+        recorded.
         """
-        if self.is_listed(instance):
-            return ProcessState.UNKNOWN
-        return await self._control.find_state(instance)
+        until = self.clock() + SILENT_TIMEOUT_S
+        while True:
+            if self.is_listed(instance):
+                state = await self.find_state(instance)
+            else:
+                state = await self._control.find_state(instance)
+            if state is not ProcessState.UNKNOWN or self.clock() >= until:
+                return state
+            await anyio.sleep(SILENT_PAUSE_S)
 
     def _has_found_end(self, instance: FleetInstance) -> bool:
         """Whether this node found that an instance ended, or lists a later birth."""
