Serve HTTP/1.1 alone at the listeners of applications

A client without a key that spoke HTTP/2 held a node's event loop: pings, settings or frames of an unknown type without end gave turns of 0.17 to 0.65 s and a whole core (2 s each on one connection, trials), and nothing but the end of the client ended it.

Cause: hypercorn offers HTTP/2 by TLS, by a request to upgrade and by its preface. Its parser handles all frames of a read in one turn, without a bound on those that make no request, and none of the checks of requests see them. No page of the product offers HTTP/2.

Connections now keep to HTTP/1.1: TLS offers nothing else, a request to upgrade is answered as any other, and the preface is refused as a request to an unknown path. Clients that negotiate the version, as those that offer h2 by TLS do, use HTTP/1.1.

Evidence: the three tests of ProtocolTest failed before (no end of the connection in 5 s; status 101 in place of 200; h2 in place of http/1.1) and pass. The same floods end at once with a closed connection.

Ruled out: bounds on frames in front of the parser, which would have to decode HTTP/2 a second time.

--- a/coursepitch/util/asgi_server.py
+++ b/coursepitch/util/asgi_server.py
@@ -1,7 +1,9 @@
 """Server of ASGI applications whose connections are read by the parser of requests.
 
 hypercorn passes the bytes of a client to h11 as they arrive.  Here its connections read
-them by :class:`.RequestParser`, which bounds the work for each event.
+them by :class:`.RequestParser`, which bounds the work for each event.  The methods that
+are overridden for this are no documented interface of hypercorn, so the tests of
+listeners show whether another release still calls them.
 """
 
 from __future__ import annotations
@@ -36,22 +38,43 @@
 ABORT_TIMEOUT_S = 1.0
 
 
-class _Connection(TCPServer):  # type: ignore[misc]
-    """One connection of a client.
+class _Protocol(H11Protocol):  # type: ignore[misc]
+    """HTTP/1.1 with the parser of requests, whatever protocol a client asks for.
 
-    The overridden methods are no documented interface of hypercorn, so the tests of
-    listeners show whether another release still calls them.
+    The parser of HTTP/2 has no bound on frames that make no request, such as pings.
     """
 
+    def __init__(self, *arguments: Any) -> None:
+        super().__init__(*arguments)
+        self.connection = RequestParser(self.config.h11_max_incomplete_size)
+
+    async def _check_protocol(self, event: Any) -> None:
+        """Keep to HTTP/1.1 after a request to change to HTTP/2."""
+
+
+class _Connection(TCPServer):  # type: ignore[misc]
+    """One connection of a client."""
+
+    protocol: Any
+
     def __init__(self, *arguments: Any) -> None:
         super().__init__(*arguments)
         self._reading = anyio.CancelScope()
 
     async def _read_data(self) -> None:
         """Read the connection until it ends."""
-        protocol = self.protocol.protocol
-        if isinstance(protocol, H11Protocol):
-            protocol.connection = RequestParser(self.config.h11_max_incomplete_size)
+        default = self.protocol
+        self.protocol = _Protocol(
+            default.app,
+            default.config,
+            default.context,
+            default.task_group,
+            default.state,
+            default.ssl,
+            default.client,
+            default.server,
+            default.send,
+        )
         with self._reading:
             await super()._read_data()
 
--- a/coursepitch/util/http.py
+++ b/coursepitch/util/http.py
@@ -63,7 +63,7 @@
     header_limit: int = 16_384,
     idle_s: float = 30.0,
 ) -> None:
-    """Serve an application on a socket until ``stop`` is requested.
+    """Serve an application by HTTP/1.1 on a socket until ``stop`` is requested.
 
     The caller must finish the requests in flight before that; the grace period only
     covers what the operating system has not accepted yet.
@@ -79,6 +79,7 @@
     config.errorlog = None
     config.accesslog = None
     config.keep_alive_timeout = idle_s
+    config.alpn_protocols = ['http/1.1']
     config.h11_max_incomplete_size = header_limit
     config.include_server_header = False
 
--- a/tests/util/test_http_listeners.py
+++ b/tests/util/test_http_listeners.py
@@ -11,6 +11,7 @@
 import anyio
 import anyio.lowlevel
 import trustme
+from anyio.streams.tls import TLSAttribute
 from starlette.applications import Starlette
 from starlette.responses import Response
 from starlette.routing import Route
@@ -89,6 +90,20 @@
         stop.request(STOP_S)
 
 
+@contextlib.contextmanager
+def make_certificate():
+    """Yield the TLS context of a client, and the paths of a certificate and its key."""
+    authority = trustme.CA()
+    certificate = authority.issue_cert('localhost')
+    tls = ssl.create_default_context()
+    authority.configure_trust(tls)
+    with (
+        certificate.cert_chain_pems[0].tempfile() as chain,
+        certificate.private_key_pem.tempfile() as key,
+    ):
+        yield tls, (chain, key)
+
+
 async def read_until_closed(stream):
     """Return what a connection receives until the server closes it."""
     received = b''
@@ -128,12 +143,7 @@
                 return await read_until_closed(stream)
 
     def test_line_of_spaces_is_refused_with_tls(self):
-        authority = trustme.CA()
-        certificate = authority.issue_cert('localhost')
-        tls = ssl.create_default_context()
-        authority.configure_trust(tls)
-
-        async def send(paths):
+        async def send(tls, paths):
             async with open_server(certificate=paths[0], key=paths[1]) as connect:
                 stream = await connect(
                     ssl_context=tls,
@@ -144,12 +154,9 @@
                     await stream.send(POST + HEADER)
                     return await read_until_closed(stream)
 
-        with (
-            certificate.cert_chain_pems[0].tempfile() as chain,
-            certificate.private_key_pem.tempfile() as key,
-        ):
+        with make_certificate() as (tls, paths):
             began_at = time.process_time()
-            received = anyio.run(send, (chain, key))
+            received = anyio.run(send, tls, paths)
             self.assertLess(time.process_time() - began_at, WORK_S)
         self.assertIn(b'HTTP/1.1 400', received)
 
@@ -265,6 +272,41 @@
         self.stall(b'x', 2, 0.1, lambda: b'x')
 
 
+class ProtocolTest(unittest.TestCase):
+    """Clients are served by HTTP/1.1, whatever they ask for."""
+
+    async def send(self, *parts):
+        with anyio.fail_after(SLACK_S):
+            async with open_server() as connect, await connect() as stream:
+                await send_parts(stream, parts)
+                return await read_until_closed(stream)
+
+    # Guards against a parser without bounds: turns of 0.2 s by pings, without a key.
+    def test_preface_of_another_version_is_refused(self):
+        ping = b'\x00\x00\x08\x06' + b'\x00' * 13
+        received = anyio.run(self.send, b'PRI * HTTP/2.0\r\n\r\n', b'SM\r\n\r\n', ping)
+        self.assertRegex(received, rb'^HTTP/1\.1 4')
+        self.assertNotIn(b' 101 ', received)
+
+    def test_request_to_change_the_protocol_is_answered(self):
+        upgrade = b'Connection: Upgrade, HTTP2-Settings\r\nUpgrade: h2c\r\n'
+        upgrade += b'HTTP2-Settings: AAMAAABkAAQCAAAAAAIAAAAA\r\n\r\n'
+        received = anyio.run(self.send, SOUND[:-2] + upgrade)
+        self.assertRegex(received, rb'^HTTP/1\.1 200')
+
+    def test_tls_offers_no_other_version(self):
+        with make_certificate() as (tls, paths):
+            tls.set_alpn_protocols(['h2', 'http/1.1'])
+
+            async def connect_once():
+                async with open_server(certificate=paths[0], key=paths[1]) as connect:
+                    stream = await connect(ssl_context=tls, tls_hostname='localhost')
+                    async with stream:
+                        return stream.extra(TLSAttribute.alpn_protocol)
+
+            self.assertEqual(anyio.run(connect_once), 'http/1.1')
+
+
 class UnreadConnectionTest(unittest.TestCase):
     """A connection that the server closes does not wait for its client."""
 
