Forward compressed event streams of plain services

What callers saw: a stream of events that a plain service compresses was cut, and nothing of it reached the client.

Cause: since only whole events of a stream are forwarded, and the bytes of a compressed one have none.

Evidence: found by reading the code beside the slow bodies; the test got no byte and a cut stream before, and gets the body whole now, one run each.

Ruled out: decoding, as a few bytes may decode to any number.

Change: the body of a stream with a content coding is forwarded as one that is no stream of events.

--- a/coursepitch/serving/services.py
+++ b/coursepitch/serving/services.py
@@ -489,7 +489,10 @@
         :param limit_s: longest wait in seconds for the service to make progress.
         """
         length = int(reply.headers.get('content-length', -1))
-        body = AnswerBody(reply, context.content_type, limit_s, self._clock)
+        # Bytes that are compressed tell nothing of the events in them.
+        encoded = 'content-encoding' in reply.headers
+        content_type = '' if encoded else context.content_type
+        body = AnswerBody(reply, content_type, limit_s, self._clock)
         while (whole := await body.read()) is not None:
             if context.claim is not None:
                 if len(context.answer) <= self._kept_bytes:
--- a/tests/serving/test_endless_services.py
+++ b/tests/serving/test_endless_services.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import gzip
 import re
 import unittest
 from contextlib import asynccontextmanager
@@ -95,7 +96,7 @@
     )
 
 
-def call(*servers, repeatable=False, deadline_s=DEADLINE_S, claim=None):
+def call(*servers, repeatable=False, deadline_s=DEADLINE_S, claim=None, headers=None):
     """Return what a client gets of an answer: its body, how it ended, and the context.
 
     A call ends as ``whole``, ``cut`` or ``late``, or with the status of a refusal.
@@ -323,6 +324,19 @@
             [b': be', b'gin\n', b'', b'\n: go on\r\n', b'data: x\n\n', b''],
         )
 
+    # Guards against compressed streams that are cut as their bytes are no events.
+    def test_compressed_stream_is_forwarded_as_it_comes(self):
+        data = gzip.compress(b'data: x\n\n')
+        head = EVENT_STREAM.replace(b'X-Request-Id', b'Content-Encoding: gzip\r\nX')
+
+        async def send_stream(stream, name, start):
+            await stream.send(head + data[:20])
+            await anyio.sleep(0.4 * DEADLINE_S)
+            await stream.send(data[20:])
+
+        body, ended, _ = call(Engine(send_stream))
+        self.assertEqual((body, ended), (data, 'whole'))
+
     def test_large_body_is_whole(self):
         for line in (b'x' * 1_000, b'x' * 79 + b'\n'):
             with self.subTest(line[-1:]):
