Ask plain services for no compression that a caller does not name

What callers saw: a client that names no content coding could get a body compressed with gzip or deflate from a plain service.

Cause: the HTTP client adds the codings that it could decode itself to calls without the header, and bodies are forwarded undecoded.

Change: calls of plain services ask for identity unless the caller names more.

--- a/coursepitch/serving/services.py
+++ b/coursepitch/serving/services.py
@@ -165,7 +165,9 @@
         self._failed_at: dict[str, float] = {}
         limits = httpx.Limits(max_connections=None, max_keepalive_connections=0)
         self._client = httpx.AsyncClient(
-            transport=BoundedTransport(limits), trust_env=False
+            transport=BoundedTransport(limits),
+            trust_env=False,
+            headers={'accept-encoding': 'identity'},
         )
 
     async def close(self) -> None:
--- a/tests/serving/floods.py
+++ b/tests/serving/floods.py
@@ -43,6 +43,7 @@
     :param first: bytes that are sent once.
     :param unit: bytes that are sent over and over.
     :param pace: bytes of a send and seconds between two sends.
+    :ivar head: head of the latest request.
     :ivar requests: number of requests that were read.
     :ivar sent: number of bytes that were sent.
     :ivar left: set once a caller has closed.
@@ -52,6 +53,7 @@
     unit: bytes
     pace: tuple[int, float] = FAST
     port: int = 0
+    head: bytes = b''
     requests: int = 0
     sent: int = 0
     left: anyio.Event = field(default_factory=anyio.Event)
@@ -76,6 +78,7 @@
                 data = b''
                 while b'\r\n\r\n' not in data:
                     data += await stream.receive()
+                self.head = data
                 self.requests += 1
                 name = _find_request_id(data)
                 await stream.send(self.first.replace(b'REQUEST-ID', name))
--- a/tests/serving/test_endless_services.py
+++ b/tests/serving/test_endless_services.py
@@ -58,7 +58,9 @@
         tasks.cancel_scope.cancel()
 
 
-async def send_call(caller, servers, *, repeatable, deadline_s, context, record):
+async def send_call(
+    caller, servers, *, repeatable, deadline_s, context, record, headers=None
+):
     """Return the answer to a call, whose body is yet to be read."""
 
     async def finish(context):
@@ -67,7 +69,7 @@
     return await caller.call(
         SimpleNamespace(
             method='POST',
-            headers={},
+            headers=headers or {},
             scope={'raw_path': b'/services/stamp/approve'},
             url=SimpleNamespace(query=''),
         ),
@@ -124,6 +126,7 @@
                         deadline_s=deadline_s,
                         context=context,
                         record=record,
+                        headers=headers,
                     )
                 except RefusedError as error:
                     return error.problem.refusal.status
@@ -337,6 +340,14 @@
         body, ended, _ = call(Engine(send_stream))
         self.assertEqual((body, ended), (data, 'whole'))
 
+    # Guards against clients that get a compressed body without having asked for it.
+    def test_no_compression_is_asked_for_that_a_caller_does_not_name(self):
+        for headers, asked in (({}, b'identity'), ({'accept-encoding': 'br'}, b'br')):
+            with self.subTest(asked):
+                flood = Flood(*BODIES['one_byte'])
+                call(flood, headers=headers)
+                self.assertIn(b'accept-encoding: %b\r\n' % asked, flood.head.lower())
+
     def test_large_body_is_whole(self):
         for line in (b'x' * 1_000, b'x' * 79 + b'\n'):
             with self.subTest(line[-1:]):
