--- a/tests/serving/test_endless_services.py
+++ b/tests/serving/test_endless_services.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import gzip
 import re
 import unittest
 from contextlib import asynccontextmanager
@@ -57,7 +58,9 @@
         tasks.cancel_scope.cancel()
 
 
-async def send_call(caller, servers, *, repeatable, deadline_s, context, record):
+async def send_call(
+    caller, servers, *, repeatable, deadline_s, context, record, headers=None
+):
     """Return the answer to a call, whose body is yet to be read."""
 
     async def finish(context):
@@ -66,7 +69,7 @@
     return await caller.call(
         SimpleNamespace(
             method='POST',
-            headers={},
+            headers=headers or {},
             scope={'raw_path': b'/services/stamp/approve'},
             url=SimpleNamespace(query=''),
         ),
@@ -95,7 +98,7 @@
     )
 
 
-def call(*servers, repeatable=False, deadline_s=DEADLINE_S, claim=None):
+def call(*servers, repeatable=False, deadline_s=DEADLINE_S, claim=None, headers=None):
     """Return what a client gets of an answer: its body, how it ended, and the context.
 
     A call ends as ``whole``, ``cut`` or ``late``, or with the status of a refusal.
@@ -123,6 +126,7 @@
                         deadline_s=deadline_s,
                         context=context,
                         record=record,
+                        headers=headers,
                     )
                 except RefusedError as error:
                     return error.problem.refusal.status
@@ -323,6 +327,27 @@
             [b': be', b'gin\n', b'', b'\n: go on\r\n', b'data: x\n\n', b''],
         )
 
+    # Guards against compressed streams that are cut as their bytes are no events.
+    def test_compressed_stream_is_forwarded_as_it_comes(self):
+        data = gzip.compress(b'data: x\n\n')
+        head = EVENT_STREAM.replace(b'X-Request-Id', b'Content-Encoding: gzip\r\nX')
+
+        async def send_stream(stream, name, start):
+            await stream.send(head + data[:20])
+            await anyio.sleep(0.4 * DEADLINE_S)
+            await stream.send(data[20:])
+
+        body, ended, _ = call(Engine(send_stream))
+        self.assertEqual((body, ended), (data, 'whole'))
+
+    # Guards against clients that get a compressed body without having asked for it.
+    def test_no_compression_is_asked_for_that_a_caller_does_not_name(self):
+        for headers, asked in (({}, b'identity'), ({'accept-encoding': 'br'}, b'br')):
+            with self.subTest(asked):
+                flood = Flood(*BODIES['one_byte'])
+                call(flood, headers=headers)
+                self.assertIn(b'accept-encoding: %b\r\n' % asked, flood.head.lower())
+
     def test_large_body_is_whole(self):
         for line in (b'x' * 1_000, b'x' * 79 + b'\n'):
             with self.subTest(line[-1:]):
