End streams with the proof that their group lost a member

A stream that may not be resumed stayed open until its deadline (6.0 s in the test) in three cases, although a member of its group was proven to have ended at 0.5 s: the first event had come and nothing more did; the head went on to send comments, line breaks or a part of an event; the same before the first event.

Ends that are proven were only looked for while no event had come, and each byte began the second anew that a run must be quiet for. A run that delivers was found stalled and nothing could replace it, so it was read on.

A run that delivers looks for the proof as well, each 0.1 s once there is one. Bytes put its end off by a second, as before, but by no more than two seconds after the proof in all: what the group had sent before is in buffers on the way, and a group without all its members makes no events. An event begins both anew, and the time in which a client takes what it gets does not count.

Streams that may be resumed went on elsewhere in time before, and do.

--- a/coursepitch/gateway/runs.py
+++ b/coursepitch/gateway/runs.py
@@ -30,7 +30,15 @@
     from coursepitch.http.client import Response
     from coursepitch.http.event_splitter import EventSplitter
 
-__all__ = ['Run', 'RunRace', 'RunSet', 'Runnable']
+__all__ = ['EndProof', 'Run', 'RunRace', 'RunSet', 'Runnable']
+
+#: Seconds without bytes after which a run fails whose instance, or a member of its
+#: group, is known to have ended: what had been sent before has arrived by then.
+PROVEN_END_S = 1.0
+
+#: Seconds without progress after which it fails although bytes arrive, as what the
+#: buffers on the way hold takes a while to read.
+PROVEN_REST_S = 2.0
 
 
 class Runnable(Protocol):
@@ -52,6 +60,40 @@
 R = TypeVar('R', bound=Runnable)
 
 
+@dataclass(eq=False)
+class EndProof:
+    """What is known of the end of a run's instance, or of a member of its group.
+
+    :param proven_at: monotonic time since which its end is known, without progress of
+        the run; ``None`` if it is not.
+    """
+
+    proven_at: float | None = None
+
+    def note(self, now: float, *, ended: bool, has_paused: bool) -> None:
+        """Record whether the end is known at a monotonic time.
+
+        :param has_paused: whether this process has paused since the last time, so that
+            bytes may have arrived that are yet to be read.
+        """
+        if not ended:
+            self.proven_at = None
+        elif self.proven_at is None or has_paused:
+            self.proven_at = now
+
+    def postpone(self, seconds: float) -> None:
+        """Let some seconds not count, in which the run was not read."""
+        if self.proven_at is not None:
+            self.proven_at += seconds
+
+    def is_final(self, now: float, arrivals: Arrivals) -> bool:
+        """Whether a run that has not progressed since can do so no more."""
+        if self.proven_at is None:
+            return False
+        heard_at = max(self.proven_at, arrivals.latest_at or self.proven_at)
+        return now - heard_at >= PROVEN_END_S or now - self.proven_at >= PROVEN_REST_S
+
+
 @dataclass(eq=False)
 class Run:
     """One send of a request to a group, and its response.
@@ -84,8 +126,7 @@
     :param progressed_at: monotonic time at which it last progressed as it delivers the
         response, or at which the node last went on after a pause.
     :param checked_at: monotonic time at which its group was last probed for it.
-    :param proven_at: monotonic time since which a member of its group is known to have
-        ended; ``None`` if none is.
+    :param proof: whether a member of its group is known to have ended.
     :param scope: cancelled if the run is to fail; ``None`` while it is not read.
     """
 
@@ -112,7 +153,7 @@
     waits_since: float = 0.0
     progressed_at: float = 0.0
     checked_at: float = float('-inf')
-    proven_at: float | None = None
+    proof: EndProof = field(default_factory=EndProof)
     scope: anyio.CancelScope | None = None
 
     @property
--- a/coursepitch/gateway/streams.py
+++ b/coursepitch/gateway/streams.py
@@ -74,10 +74,6 @@
 #: budget or groups have not allowed.
 FIND_INTERVAL_S = 0.1
 
-#: Seconds without bytes after which a run fails whose group is known to have an ended
-#: member: what the group had sent before has arrived by then.
-PROVEN_END_S = 1.0
-
 #: Requests in flight per slot up to which a group accepts a resumed stream.
 RESUMED_REQUESTS_PER_SLOT = 3
 
@@ -324,21 +320,15 @@
         :return: the time of this look.
         """
         now = self._components.clock()
+        has_paused = has_passed_late(FIND_INTERVAL_S, now - looked_at)
         for run in runs.live:
             if run.interrupted or run.head not in job.sent:
                 continue
-            if not self._watchdog.has_ended_member(run.group):
-                run.proven_at = None
-            elif run.proven_at is None or has_passed_late(
-                FIND_INTERVAL_S, now - looked_at
-            ):
-                # Bytes that arrived in a pause of this process are yet to be read.
-                run.proven_at = now
-            else:
-                heard_at = run.arrivals.latest_at or run.proven_at
-                quiet_s = now - max(run.proven_at, heard_at)
-                if quiet_s >= PROVEN_END_S and run.scope is not None:
-                    run.scope.cancel()
+            ended = self._watchdog.has_ended_member(run.group)
+            run.proof.note(now, ended=ended, has_paused=has_paused)
+            # Bytes that arrived in a pause of this process are yet to be read.
+            if run.proof.is_final(now, run.arrivals) and run.scope is not None:
+                run.scope.cancel()
         return now
 
     async def _may_go_on(self, job: Job, runs: RunSet[Run]) -> bool:
@@ -662,8 +652,10 @@
                     await job.reply.send(whole)
                     # A client that takes its time is not for the run to answer for.
                     run.progressed_at += clock() - began_at
+                    run.proof.postpone(clock() - began_at)
                 if has_progressed:
                     run.progressed_at = clock()
+                    run.proof.proven_at = None
                 if run.complete:
                     break
                 if not await self._read_in_time(job, runs, run, response):
@@ -687,14 +679,20 @@
         A run that nothing can replace is never stalled.
 
         :return: ``False`` if it is stalled.
-        :raises ExchangeError: it broke off.
+        :raises ExchangeError: it broke off, or its group can't go on.
         """
         clock = self._components.clock
         since = max(run.progressed_at, run.checked_at)
         times, model = self._watchdog.reply_times, job.fields.model
         timeouts = TimeoutFilter()
         is_noted = run.suspected
+        has_paused = False
         while True:
+            ended = self._watchdog.has_ended_member(run.group)
+            run.proof.note(clock(), ended=ended, has_paused=has_paused)
+            if run.proof.is_final(clock(), run.arrivals):
+                raise ExchangeError('the instance has ended')
+            has_paused = False
             quiet_limit_s = times.find_quiet_limit_s(model)
             left_s = self._watchdog.find_quiet_left_s(run.head, since, quiet_limit_s)
             if run.received and left_s > 0:
@@ -703,6 +701,8 @@
                 check_at = max(overdue_at, since + quiet_limit_s)
                 left_s = min(left_s, max(0.0, check_at - clock()))
             if left_s > 0:
+                if ended:
+                    left_s = min(left_s, FIND_INTERVAL_S)
                 asked_at = clock()
                 chunks: list[bytes | None] = []
                 with contextlib.suppress(TimeoutError):
@@ -710,6 +710,7 @@
                 now = clock()
                 if not timeouts.holds(left_s, now - asked_at):
                     run.progressed_at = since = now
+                    has_paused = True
                 if chunks:
                     await self._take(job, run, chunks[0])
                 if run.has_progressed:
--- a/tests/gateway/test_proven_ends_of_runs.py
+++ b/tests/gateway/test_proven_ends_of_runs.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import itertools
 import math
 import unittest
+from dataclasses import replace
 
 from tests.gateway.simulated_runs import (
     FAILED_STATUS,
@@ -13,11 +15,18 @@
     Script,
     Simulation,
 )
+from tests.gateway.test_endless_streams import (
+    KINDS,
+    EndlessSimulation,
+)
 
 #: When the proof is known, and by when the request must have ended, in seconds.
 PROVEN_S = 0.5
 ENDED_S = 3.0
 
+#: When a stream that has begun falls silent, in seconds.
+BEGUN_S = 0.2
+
 #: An instance whose machine loses power.
 GONE = Script(silent_at=0.1, silent_s=math.inf, resets=False)
 
@@ -62,5 +71,60 @@
         self.assertLess(found.ended_s, ENDED_S)
 
 
+class TrickleSimulation(ProvenSimulation, EndlessSimulation):
+    """A simulation in which bytes without an event arrive from the first instance."""
+
+
+class TrickleTest(unittest.TestCase):
+    """A stream whose instance has ended, and whose bytes bring nothing."""
+
+    def play(self, kind, after, **options):
+        simulation = TrickleSimulation(Case((GONE, Script()), **options))
+        simulation.kind, simulation.after = kind, after
+        simulation.play()
+        self.assertEqual(simulation.faults, [])
+        self.assertLess(simulation.ended_s, ENDED_S)
+        return simulation
+
+    # Guards against bytes without an event that keep a run until the deadline.
+    def test_stream_that_may_not_be_repeated_ends_with_the_proof(self):
+        for kind in KINDS:
+            with self.subTest(kind=kind):
+                found = self.play(kind, 0, resumable=False)
+                self.assertEqual(found.refusal.status, 502)
+
+    def test_stream_that_has_begun_and_may_not_be_resumed_is_broken_off(self):
+        for kind in KINDS:
+            with self.subTest(kind=kind):
+                found = self.play(kind, 1, resumable=False)
+                self.assertTrue(found.reply.aborted)
+                self.assertEqual(found.reply.last_event, 1)
+
+    def test_stream_that_may_be_resumed_goes_on_elsewhere(self):
+        for kind, after in itertools.product(KINDS, (0, 1)):
+            with self.subTest(kind=kind, after=after):
+                self.assertTrue(self.play(kind, after).reply.whole)
+
+
+class BegunStreamTest(unittest.TestCase):
+    """A stream that has begun, and whose instance is proven to have ended."""
+
+    def play(self, **options):
+        script = replace(GONE, silent_at=BEGUN_S)
+        simulation = ProvenSimulation(Case((script, Script()), **options)).play()
+        self.assertEqual(simulation.faults, [])
+        self.assertLess(simulation.ended_s, ENDED_S)
+        return simulation
+
+    # Guards against clients that wait for the deadline of a stream that can't go on.
+    def test_stream_that_may_not_be_resumed_is_broken_off_with_the_proof(self):
+        found = self.play(resumable=False)
+        self.assertTrue(found.reply.aborted)
+        self.assertGreater(found.reply.last_event, 0)
+
+    def test_stream_that_may_be_resumed_goes_on_elsewhere(self):
+        self.assertTrue(self.play().reply.whole)
+
+
 if __name__ == '__main__':
     unittest.main()
