End plain calls with the proof that their instance has ended

A plain call that may not be repeated was answered 504 at its deadline (6.0 s in the test) although its instance was proven to have ended at 0.5 s, by a node whose requests it refused, and its own connection stayed open: silent, as after a loss of power, or with a body that came byte by byte.

Plain calls did not look for the proof. They do as streams do: the run is suspected once its instance is known to have ended, at once instead of after twice the objective, and fails after a second without bytes, or two seconds in all. The call goes elsewhere if it may be repeated, and is answered 502 otherwise. The event run.stalled has the reason of a report then.

test_call_that_may_not_be_repeated_ends_with_the_proof failed before in both cases, 6.0 s for a bound of 3.0 s. The doubles of test_overdue_calls got real runs and a list of lost instances, as the search looks at both.

--- a/coursepitch/gateway/calls.py
+++ b/coursepitch/gateway/calls.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
+from functools import partial
 from typing import TYPE_CHECKING
 
 import anyio
@@ -26,7 +27,7 @@
 )
 from coursepitch.gateway.job import Ending, ErrorResponse, Refusal
 from coursepitch.gateway.response_ends import Arrivals, check_body
-from coursepitch.gateway.runs import RunRace, RunSet
+from coursepitch.gateway.runs import EndProof, RunRace, RunSet
 from coursepitch.gateway.suspicion import explain_crashes
 from coursepitch.gateway.watchdog import Stall
 from coursepitch.http.client import ExchangeError
@@ -81,6 +82,9 @@
         whether the instance crashed.
     :param ended: whether what it held was released.
     :param waits_since: monotonic time from which it counts as waiting for a response.
+    :param arrivals: when the bytes of the body arrived.
+    :param proof: whether the instance is known to have ended.
+    :param scope: cancelled if the run is to fail; ``None`` while it is not read.
     """
 
     instance: FleetInstance
@@ -93,6 +97,9 @@
     interrupted: bool = False
     ended: bool = False
     waits_since: float = 0.0
+    arrivals: Arrivals = field(default_factory=Arrivals)
+    proof: EndProof = field(default_factory=EndProof)
+    scope: anyio.CancelScope | None = None
 
     @property
     def head(self) -> str:
@@ -146,8 +153,13 @@
         """Forward the first whole response; return ``False`` if all runs failed."""
 
         async def advance(run: CallRun) -> bool:
-            if await self._advance(job, runs, run):
-                return True
+            with anyio.CancelScope() as run.scope:
+                if await self._advance(job, runs, run):
+                    return True
+            if run.scope.cancelled_caught:
+                job.last_reason = 'the instance has ended'
+                self._components.load_tracker.note_failure(run.head)
+                await self._check_crash(job, run)
             self._end_run(job, run)
             return False
 
@@ -160,7 +172,9 @@
         def defer(run: CallRun, start: Callable[[], object]) -> Callable[[], None]:
             run.waits_since = self._components.clock()
             overdue_s = job.route.objective_s * OVERDUE_FACTOR
-            return self._components.late_starts.add(overdue_s, start)
+            return self._components.late_starts.add(
+                overdue_s, start, partial(self._has_ended, run)
+            )
 
         run = await RunRace(runs, advance, watch, find_other, defer).wait()
         if run is None:
@@ -302,7 +316,32 @@
     async def _wait_until_overdue(
         self, job: Job, run: CallRun, runs: RunSet[CallRun]
     ) -> None:
-        """Wait until a run without a whole response is overdue."""
+        """Wait until a run without a whole response is overdue, or can't go on."""
+        began, stall = run.waits_since, Stall.OVERDUE
+        async with anyio.create_task_group() as tasks:
+
+            async def wait_until_late() -> None:
+                nonlocal began
+                began = await self._wait_until_late(job, run)
+                tasks.cancel_scope.cancel()
+
+            async def wait_until_ended() -> None:
+                nonlocal stall
+                while not self._has_ended(run):
+                    await self._components.session.wait_changed(FIND_INTERVAL_S)
+                stall = Stall.REPORTED
+                tasks.cancel_scope.cancel()
+
+            tasks.start_soon(wait_until_ended)
+            tasks.start_soon(wait_until_late)
+        self._note_stall(job, run, runs, stall, began)
+
+    def _has_ended(self, run: CallRun) -> bool:
+        """Whether the instance of a run is proven to have ended."""
+        return self._components.session.view.lost.has_ended(run.head)
+
+    async def _wait_until_late(self, job: Job, run: CallRun) -> float:
+        """Wait until a run is overdue; return since when it made no progress."""
         began, asked_at = run.waits_since, self._components.clock()
         overdue_s = job.route.objective_s * OVERDUE_FACTOR
         has_paused = has_passed_late(overdue_s, asked_at - began)
@@ -311,12 +350,26 @@
         if run.begun_at is not None:
             began = run.begun_at
             await sleep_running(self._components.clock, overdue_s, began)
+        return began
+
+    def _note_stall(
+        self,
+        job: Job,
+        run: CallRun,
+        runs: RunSet[CallRun],
+        stall: Stall,
+        began: float,
+    ) -> None:
+        """Log that a run may have failed, and avoid its instance.
+
+        :param began: monotonic time since which it made no progress.
+        """
         now = self._components.clock()
         log.emit(
             events.RUN_STALLED,
             request=job.fields.request,
             instance=run.head,
-            reason=Stall.OVERDUE.value,
+            reason=stall.value,
             silent_s=round(now - began, 3),
             received=0,
             begun=False,
@@ -336,7 +389,9 @@
         components = self._components
         session, budget = components.session, components.budget
         granted = denied = False
+        looked_at = components.clock()
         while True:
+            looked_at = self._fail_ended(job, runs, looked_at)
             # A retry is granted before an instance is acquired, as a permit for a send
             # is lost if the send is denied afterwards.  Asking may ask peers to lend
             # one, so it is not repeated while the budget has no room.
@@ -362,6 +417,23 @@
                         return self._begin_run(job, instance, tried)
             await anyio.sleep(FIND_INTERVAL_S)
 
+    def _fail_ended(self, job: Job, runs: RunSet[CallRun], looked_at: float) -> float:
+        """Fail the suspected runs whose instances are known to have ended.
+
+        :param looked_at: monotonic time of the last look.
+        :return: the time of this look.
+        """
+        now = self._components.clock()
+        has_paused = has_passed_late(FIND_INTERVAL_S, now - looked_at)
+        for run in runs.live:
+            if run.interrupted or run.head not in job.sent:
+                continue
+            ended = self._has_ended(run)
+            run.proof.note(now, ended=ended, has_paused=has_paused)
+            if run.proof.is_final(now, run.arrivals) and run.scope is not None:
+                run.scope.cancel()
+        return now
+
     # -- progress of a run ------------------------------------------------------------
 
     async def _advance(self, job: Job, runs: RunSet[CallRun], run: CallRun) -> bool:
@@ -398,7 +470,7 @@
             is_dropped = answer.status >= 500 and self._may_add_run(job, runs)
             limit_s = DROPPED_BODY_TIMEOUT_S if is_dropped else ERROR_BODY_TIMEOUT_S
             limit, left_s = MAX_ERROR_BYTES, min(left_s, limit_s)
-        arrivals = Arrivals()
+        arrivals = run.arrivals
 
         def note() -> None:
             arrivals.note(components.clock())
--- a/tests/gateway/test_overdue_calls.py
+++ b/tests/gateway/test_overdue_calls.py
@@ -7,7 +7,8 @@
 
 import anyio
 
-from coursepitch.gateway.calls import CallServer
+from coursepitch.fleet.lost import LostInstances
+from coursepitch.gateway.calls import CallRun, CallServer
 from coursepitch.gateway.runs import RunSet
 from tests.fleet.builders import SOUND_PATHS, build_instance
 from tests.gateway.simulated_runs import VirtualTimeLoop
@@ -59,13 +60,14 @@
                     take=take, has_room=lambda service, share: False
                 ),
                 session=SimpleNamespace(
+                    view=SimpleNamespace(lost=LostInstances(clock)),
                     find_share=lambda: None,
                     share=SimpleNamespace(find_settled_at=lambda: settled_at),
                     loans=SimpleNamespace(borrow=borrow),
                 ),
             )
             runs = RunSet()
-            runs.add(SimpleNamespace(head='p0', suspected=True, interrupted=False))
+            runs.add(CallRun(SimpleNamespace(name='p0'), suspected=True))
             with anyio.move_on_after(SEARCHED_S):
                 await CallServer(components)._find_other(job, runs, {'p0'})
 
--- a/tests/gateway/test_proven_ends_of_runs.py
+++ b/tests/gateway/test_proven_ends_of_runs.py
@@ -7,6 +7,7 @@
 import unittest
 from dataclasses import replace
 
+from tests.gateway.simulated_calls import CallSimulation
 from tests.gateway.simulated_runs import (
     FAILED_STATUS,
     START,
@@ -17,7 +18,9 @@
 )
 from tests.gateway.test_endless_streams import (
     KINDS,
+    Endless,
     EndlessSimulation,
+    flood,
 )
 
 #: When the proof is known, and by when the request must have ended, in seconds.
@@ -126,5 +129,51 @@
         self.assertTrue(self.play().reply.whole)
 
 
+class ProvenCallSimulation(ProvenSimulation, CallSimulation):
+    """A call whose instance is proven to have ended; its body comes slowly, if any."""
+
+    trickles = False
+
+    async def _change_view(self, name, script):
+        if name == 'p0':
+            await self._wait_until(START + PROVEN_S)
+            await self.session.losses.report(name, ended=True)
+            for send in self.sends:
+                send.failed = send.failed or send.name == name
+        else:
+            await CallSimulation._change_view(self, name, script)
+
+    def begin_send(self, name, headers):
+        send = super().begin_send(name, headers)
+        if name == 'p0' and self.trickles:
+            send.script = replace(send.script, silent_at=math.inf)
+            send.parts = Endless(flood('one byte', 'slow', 0, b''))
+        return send
+
+
+class ProvenCallTest(unittest.TestCase):
+    """A plain call whose instance is proven to have ended."""
+
+    def play(self, trickles, **options):
+        simulation = ProvenCallSimulation(Case((GONE, Script()), **options))
+        simulation.trickles = trickles
+        simulation.play()
+        self.assertEqual(simulation.faults, [])
+        self.assertLess(simulation.ended_s, ENDED_S)
+        return simulation
+
+    # Guards against calls that wait for their deadline although nothing can answer.
+    def test_call_that_may_not_be_repeated_ends_with_the_proof(self):
+        for trickles in (False, True):
+            with self.subTest(trickles=trickles):
+                found = self.play(trickles, resumable=False)
+                self.assertEqual(found.refusal.status, 502)
+
+    def test_call_that_may_be_repeated_goes_on_elsewhere(self):
+        for trickles in (False, True):
+            with self.subTest(trickles=trickles):
+                self.assertEqual(self.play(trickles).reply.status, 200)
+
+
 if __name__ == '__main__':
     unittest.main()
