--- a/tests/http/test_paced_reads.py
+++ b/tests/http/test_paced_reads.py
@@ -129,6 +129,42 @@
 
         self.assertLess(run_virtually(run), WORK_S)
 
+    def measure_waits(self, count, size, turns):
+        """Return the longest delay of a stream that waits for each group of parts.
+
+        :param count: number of parts that arrive together.
+        :param turns: number of turns that a group takes beyond its reads.
+        """
+
+        async def run():
+            loop = asyncio.get_running_loop()
+            stream, _ = build_stream()
+            delays = [0.0]
+
+            def arrive():
+                for _ in range(count):
+                    stream.data_received(b'x' * size)
+
+            for _ in range(50):
+                loop.call_later(WORK_S, arrive)
+                await stream.receive()
+                steps = [stream.receive] * (count - 1) + [stream.finish_turn] * turns
+                for step in steps:
+                    loop.pause(WORK_S)
+                    began = loop.time()
+                    await step()
+                    delays.append(loop.time() - began)
+            return max(delays)
+
+        return run_virtually(run)
+
+    # Guards against sound streams that are paced for what they brought before a wait.
+    def test_stream_that_waits_for_each_group_of_parts_is_not_delayed(self):
+        self.assertLess(self.measure_waits(4, 10_000, 0), WORK_S)
+
+    def test_stream_that_waits_after_each_of_its_turns_is_not_delayed(self):
+        self.assertLess(self.measure_waits(1, 100, 3), WORK_S)
+
     # Guards against a reader that is delayed for the time in which its client read.
     def test_time_that_a_reader_waited_elsewhere_is_not_all_work(self):
         async def run():
