Know in the soak which instances calls were sent to

The soak's promise "floods" was broken by a call that was sent to a flooding instance: "met sound instances only: unknown, status 502, ... ran at []".

As it went on, its answer to a stream came whole and its connection was kept; 16 ms later the node sent the next call on it, and 55 ms after that the bytes that followed the earlier answer came in place of a head ("no status line"). The instance never read the call, so its records have no arrival, and the second send was denied by the budget. A node cannot know that more bytes come, and a call whose connection had such bytes may have run, so its 502 is allowed: the call met the instance that floods.

A call that was sent to none, or to sound ones alone, still breaks the promise. Both new tests failed before.

--- a/soak/checkers.py
+++ b/soak/checkers.py
@@ -21,6 +21,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
+    from collections.abc import Set as AbstractSet
 
     from soak.history import Call, History, Run
 
@@ -412,7 +413,7 @@
     """
     looked_at = 0
     findings = []
-    instances = _group_instances(history)
+    instances, sent_to = _group_instances(history), _group_sent(history)
     for call in history.calls:
         floods = history.list_floods(call)
         if not floods or call.ending is Ending.DENIED:
@@ -424,7 +425,8 @@
         looked_at += 1
         limit_s = history.find_limit_s(call, bounds.config_s + bounds.contact_s)
         took_s = call.ended_at - call.sent_at
-        is_sound = not (ran_at & flooded or history.list_silences(call))
+        met = ran_at | sent_to[call.id]
+        is_sound = not (met & flooded or history.list_silences(call))
         if took_s > limit_s + bounds.late_s:
             what = 'went on after its limit'
         elif is_sound and call.ending not in (Ending.WHOLE, Ending.NOT_RUN):
@@ -447,6 +449,18 @@
     return instances
 
 
+def _group_sent(history: History) -> dict[str, set[str]]:
+    """Return the instances to which nodes sent each call.
+
+    What an instance sent on a connection before may come in place of the answer to a
+    call that it never read.
+    """
+    instances: dict[str, set[str]] = defaultdict(set)
+    for item in history.sent:
+        instances[item.call].add(item.instance)
+    return instances
+
+
 def _list_silent_calls(
     history: History,
     bounds: Bounds,
@@ -457,13 +471,16 @@
 
     :param after_s: seconds after a silence in which calls count as well.
     """
+    sent_to = _group_sent(history)
     return [
         call
         for call in history.calls
         if call.ending is not Ending.DENIED
         and history.list_silences(call, after_s)
         and _has_time(history, call, bounds)
-        and not _is_disturbed(history, call, instances[call.id], bounds)
+        and not _is_disturbed(
+            history, call, instances[call.id], bounds, sent_to[call.id]
+        )
     ]
 
 
@@ -474,9 +491,17 @@
 
 
 def _is_disturbed(
-    history: History, call: Call, instances: set[str], bounds: Bounds
+    history: History,
+    call: Call,
+    instances: set[str],
+    bounds: Bounds,
+    sent_to: AbstractSet[str] = frozenset(),
 ) -> bool:
-    """Whether a fault other than a silence concerns a call."""
+    """Whether a fault other than a silence concerns a call.
+
+    :param instances: those at which it arrived.
+    :param sent_to: those to which nodes sent it.
+    """
     since = call.sent_at - bounds.contact_s
     return (
         bool(call.part)
@@ -492,7 +517,7 @@
             for item in history.broken
         )
         or any(
-            instances & item.instances
+            (instances | sent_to) & item.instances
             for item in history.list_floods(call)
             if not item.spares_answers
         )
--- a/soak/driver.py
+++ b/soak/driver.py
@@ -38,6 +38,7 @@
     Refused,
     Reload,
     Run,
+    Sent,
     SettingsRead,
     Silence,
     Started,
@@ -240,8 +241,9 @@
         )
 
     def _collect_events(self) -> dict[str, Any]:
-        """Return what nodes logged of changes and starts, as fields of a history."""
+        """Return what nodes logged, as fields of a history."""
         fields: dict[str, list[Any]] = {
+            'sent': [],
             'in_force': [],
             'refused': [],
             'settings_read': [],
@@ -250,7 +252,10 @@
         for name, node in _System.running.items():
             for event in node.read_events():
                 kind = event.get('message_type')
-                if kind == 'node.started':
+                if kind == 'request.sent':
+                    sent = Sent(event['request'], event['instance'])
+                    fields['sent'].append(sent)
+                elif kind == 'node.started':
                     fields['started'].append(Started(name, self._find_time(event)))
                 elif kind == 'config.table_in_force':
                     in_force = InForce(name, event['version'], self._find_time(event))
--- a/soak/history.py
+++ b/soak/history.py
@@ -99,6 +99,14 @@
     told_leaving: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class Sent:
+    """A call that a node sent to an instance, at which it may not have arrived."""
+
+    call: str
+    instance: str
+
+
 @dataclass(frozen=True, slots=True)
 class Left:
     """An instance whose leaving the store acknowledged."""
@@ -312,6 +320,7 @@
     settings_read: tuple[SettingsRead, ...] = ()
     started: tuple[Started, ...] = ()
     exits: tuple[Exit, ...] = ()
+    sent: tuple[Sent, ...] = ()
 
     def map_calls(self) -> dict[str, Call]:
         """Return the calls by their ids."""
--- a/tests/soak/test_checkers.py
+++ b/tests/soak/test_checkers.py
@@ -34,6 +34,7 @@
     Gone,
     History,
     Left,
+    Sent,
     Silence,
 )
 from tests.soak.builders import build_call, build_run, build_silent_history
@@ -337,6 +338,16 @@
             ends_instances = build_silent_history(replace(call, part='bad'))
             self.assert_looks_at_nothing(check_silences, ends_instances)
 
+    def test_call_sent_to_a_flooding_instance_in_a_silence_proves_nothing(self):
+        call = build_call(ending=Ending.CUT)
+        floods = (Flood('pool', frozenset('f'), 9.0, 10.5),)
+        for sent in ((Sent('c', 'f'),), (Sent('c', 'i'),)):
+            history = build_silent_history(call, floods=floods, sent=sent)
+            if sent[0].instance == 'f':
+                self.assert_looks_at_nothing(check_silences, history)
+            else:
+                self.assert_fires(check_silences, history, 'c')
+
     def test_call_in_a_silence_beside_a_fault_of_others_fires(self):
         beside = (
             {'disturbed': (Disturbed('m', 10.0, 11.0), Disturbed('', 10.0, 11.0))},
--- a/tests/soak/test_flood_checker.py
+++ b/tests/soak/test_flood_checker.py
@@ -6,7 +6,16 @@
 from dataclasses import replace
 
 from soak.checkers import Bounds, check_floods
-from soak.history import Cut, Disturbed, Ending, Flood, Gone, History, Silence
+from soak.history import (
+    Cut,
+    Disturbed,
+    Ending,
+    Flood,
+    Gone,
+    History,
+    Sent,
+    Silence,
+)
 from tests.soak.builders import build_call, build_run
 
 FLOOD = Flood('pool', frozenset('f'), 9.0, 12.0)
@@ -45,6 +54,14 @@
         for ending in (Ending.CUT, Ending.UNKNOWN):
             self.assertTrue(self.check(build_call(ending=ending), 'f', 'i').proved)
 
+    # Guards against calls that count as never sent on although bytes on the connection
+    # of a flooding instance came in place of their answer.
+    def test_call_that_was_sent_to_the_flooding_instance_may_fail(self):
+        call = build_call(ending=Ending.UNKNOWN)
+        self.assertTrue(self.check(call, sent=(Sent('c', 'f'),)).proved)
+        for sent in ((), (Sent('c', 'i'),), (Sent('d', 'f'),)):
+            self.assertEqual(len(self.check(call, sent=sent).findings), 1)
+
     def test_call_beside_another_fault_proves_nothing(self):
         beside = (
             {'disturbed': (Disturbed('n', 8.0, 9.0),)},
