Signal nodes in overlapping series in the soak

Changes of the configuration and SIGHUP already came in series beside all other faults.

Each run now also has series of two to four such signals, up to a second apart, drawn apart from the other faults, so that a seed draws the same others as before.

--- a/soak/plan.py
+++ b/soak/plan.py
@@ -8,7 +8,7 @@
 
 from standins.endless import KINDS, PACES
 
-__all__ = ['Fault', 'FaultKind', 'draw_plan']
+__all__ = ['SERIES', 'Fault', 'FaultKind', 'draw_plan']
 
 #: Seconds between two faults, at least and at most: they overlap.
 GAP_S = (0.3, 2.5)
@@ -52,6 +52,12 @@
 #: Share of the instances that send such bytes.
 FLOODING_SHARE = (0.05, 0.5)
 
+#: Signals to nodes in one series, seconds between two of them, and seconds from the
+#: start of one series to that of the next one.
+SIGNALS = (2, 4)
+SIGNAL_GAP_S = (0.05, 1.0)
+SERIES_GAP_S = (4.0, 14.0)
+
 #: How often instances stand still because their process is stopped by a signal.
 SUSPEND_SHARE = 0.3
 
@@ -72,6 +78,10 @@
 CHANGES = ('timeout', 'route', 'route', 'idle')
 
 
+#: Mode of signals to nodes that come in a series.
+SERIES = 'series'
+
+
 class FaultKind(enum.Enum):
     """What happens."""
 
@@ -95,6 +105,9 @@
     INVALID_RELOAD = 'invalid reload'
 
 
+#: Signals to nodes in a series: processes that end start again.
+SIGNAL_KINDS = (FaultKind.KILL, FaultKind.STOP, FaultKind.FREEZE)
+
 #: How often each kind is drawn.
 WEIGHTS = {
     FaultKind.KILL: 2,
@@ -118,8 +131,8 @@
     :param choice: from 0 to 1; chooses a node, or instances.
     :param share: part of the instances that it concerns, from 0 to 1.
     :param backoff_s: seconds of the backoffs that instances ask for.
-    :param mode: how nodes lose their paths, what a change concerns, or how fast
-        instances send bytes without end.
+    :param mode: how nodes lose their paths, what a change concerns, how fast instances
+        send bytes without end, or :data:`SERIES` for a signal that is one of a series.
     :param place: where instances break streams off, or what has no end.
     """
 
@@ -164,6 +177,7 @@
     faults += _draw_silences(seed, seconds + CALM_S)
     faults += _draw_floods(seed, seconds)
     faults += _draw_changes(seed, seconds + CALM_S)
+    faults += _draw_signals(seed, seconds)
     return sorted(faults, key=lambda fault: fault.at)
 
 
@@ -264,3 +278,31 @@
         faults.append(fault)
         at += chance.uniform(*CHANGE_GAP_S)
     return faults
+
+
+def _draw_signals(seed: int, seconds: float) -> list[Fault]:
+    """Return series of signals to nodes, whose effects overlap.
+
+    They are drawn apart, so that a seed draws the same other faults as without them.
+    """
+    chance = random.Random(f'{seed}/signals')
+    faults = []
+    start = chance.uniform(*SERIES_GAP_S)
+    while start < seconds:
+        at = start
+        for _ in range(chance.randint(*SIGNALS)):
+            fault = Fault(
+                at,
+                chance.choice(SIGNAL_KINDS),
+                chance.uniform(*LENGTH_S),
+                '',
+                chance.random(),
+                0.0,
+                0.0,
+                SERIES,
+                '',
+            )
+            faults.append(fault)
+            at += chance.uniform(*SIGNAL_GAP_S)
+        start += chance.uniform(*SERIES_GAP_S)
+    return faults
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -7,7 +7,7 @@
 
 from soak.checkers import Bounds, check_all
 from soak.driver import SoakRun
-from soak.plan import FaultKind, draw_plan
+from soak.plan import SERIES, FaultKind, draw_plan
 from standins.endless import KINDS, PACES
 
 #: Promises that a run of this length puts to the test.
@@ -60,12 +60,13 @@
         self.assertEqual(draw_plan(7, 60.0), draw_plan(7, 60.0))
         self.assertNotEqual(draw_plan(7, 60.0), draw_plan(8, 60.0))
 
-    # Guards against draws of silences, floods or changes that change the other faults.
+    # Guards against draws of silences, floods, changes or series that change the other
+    # faults.
     def test_silences_and_changes_leave_the_other_faults_of_a_seed_as_they_were(self):
         others = [
             (round(fault.at, 3), fault.kind.value, round(fault.length_s, 3))
             for fault in draw_plan(7, 12.0)
-            if fault.kind not in SILENCES | CHANGES | FLOODS
+            if fault.kind not in SILENCES | CHANGES | FLOODS and fault.mode != SERIES
         ]
         self.assertEqual(others, FAULTS_OF_SEED_7)
 
@@ -86,6 +87,31 @@
         self.assertEqual(drawn, set(itertools.product(KINDS, PACES)))
         self.assertEqual({fault.service for fault in floods}, {'pool', 'api'})
 
+    # Guards against nodes that are signalled one at a time, each once the one before is
+    # back.
+    def test_signals_to_nodes_come_in_series_that_overlap_all_other_faults(self):
+        kinds, beside, longest = set(), set(), 0
+        for seed in range(1001, 1051):
+            plan = draw_plan(seed, 36.0)
+            signals = [fault for fault in plan if fault.mode == SERIES]
+            kinds.update(fault.kind for fault in signals)
+            beside.update(
+                fault.kind
+                for fault in plan
+                for signal in signals
+                if fault.at <= signal.at <= fault.at + fault.length_s
+                if fault is not signal
+            )
+            row = 1
+            for before, after in itertools.pairwise(signals):
+                row = row + 1 if after.at - before.at <= 1.0 else 1
+                longest = max(longest, row)
+            with self.subTest(seed=seed):
+                self.assertGreaterEqual(len(signals), 2)
+        self.assertEqual(kinds, {FaultKind.KILL, FaultKind.STOP, FaultKind.FREEZE})
+        self.assertEqual(beside, set(FaultKind))
+        self.assertGreaterEqual(longest, 3)
+
     def test_changes_of_all_kinds_come_in_series_and_beside_all_other_faults(self):
         plan = [fault for seed in range(10) for fault in draw_plan(seed, 36.0)]
         changes = [fault for fault in plan if fault.kind in CHANGES]
