--- a/tests/soak/test_flood_checker.py
+++ b/tests/soak/test_flood_checker.py
@@ -14,6 +14,7 @@
     Flood,
     Gone,
     History,
+    Sent,
     Silence,
 )
 from tests.soak.builders import build_call, build_run
@@ -67,6 +68,14 @@
         for ending in (Ending.CUT, Ending.UNKNOWN):
             self.assertTrue(self.check(build_call(ending=ending), 'f', 'i').proved)
 
+    # Guards against calls that count as never sent on although bytes on the connection
+    # of a flooding instance came in place of their answer.
+    def test_call_that_was_sent_to_the_flooding_instance_may_fail(self):
+        call = build_call(ending=Ending.UNKNOWN)
+        self.assertTrue(self.check(call, sent=(Sent('c', 'f'),)).proved)
+        for sent in ((), (Sent('c', 'i'),), (Sent('d', 'f'),)):
+            self.assertEqual(len(self.check(call, sent=sent).findings), 1)
+
     def test_call_beside_another_fault_proves_nothing(self):
         beside = (
             {'disturbed': (Disturbed('n', 8.0, 9.0),)},
