Ask several peers whether an instance that refuses connections has ended

What callers saw: nothing that was recorded; as a cut that resets the connections of most nodes begins or ends, sound instances are found crashed (instance.crashed), and all nodes suspect the requests that they ran.

Cause: the end of a process counted as proven if this node and one peer were refused before and after they reached others of its service. A cut refuses some instances before others, and may concern some alone. Each node that it concerns then reaches others all the time, so that two of them confirm each other's refusals however often they repeat them; the one peer was drawn at random. A node that is cut off took the word of one such peer too, and so did the probe that lets a leader end a group at once.

What can tell: the listener of a process that ended refuses all nodes, and a cut path those that it concerns. So one peer that connects refutes all refusals, and the more peers are asked, the likelier one of them is not concerned.

Change: up to four peers, of as many zones as there are, are asked at the same time; one answer shows that the instance runs, one connection that it has not been proven to have ended, and only refusals alone prove the end. A peer that is late is asked once more, as it may be the one that the cut does not concern, and one that failed lately comes last, and is still asked.

Ruled out: a pause between two refusals (a cut of some instances lasts for seconds, and crashes are found later), and a word of all nodes (300 of them). test_control lets peers refuse twice where a node that is cut off finds an end, as it asks witnesses after the first refusal.

What remains: if all of the four are concerned as well, an end is found that is none. A check takes 0.2 to 0.4 s longer while a peer that is asked stands still.

--- a/coursepitch/fleet/control.py
+++ b/coursepitch/fleet/control.py
@@ -25,6 +25,7 @@
     from coursepitch.fleet.orders import Order
     from coursepitch.fleet.paths import InstancePaths
     from coursepitch.http.client import ConnectOutcome, Response
+    from coursepitch.http.stream import ByteStream
     from coursepitch.platform.headers import ResponseMetadata
 
 __all__ = ['InstanceControl', 'Probe', 'ProcessState']
@@ -151,17 +152,17 @@
     ) -> None:
         self._clock = clock
         self._paths = paths
-        build_pool = partial(
+        self._build_pool = partial(
             ConnectionPool,
             clock,
             connect_timeout_s=ORDER_TIMEOUT_S,
             note_attempt=note_attempt,
         )
-        self._pool = self._direct_pool = build_pool()
+        self._pool = self._direct_pool = self._build_pool()
         if paths is not None:
-            self._pool = build_pool(connect=paths.connect)
-            self._direct_pool = build_pool(connect=paths.connect_directly)
-            self._peer_pool = build_pool(connect=paths.connect_through_peer)
+            self._pool = self._build_pool(connect=paths.connect)
+            self._direct_pool = self._build_pool(connect=paths.connect_directly)
+            self._peer_pool = self._build_pool(connect=paths.connect_through_peer)
         self._order_limiter = anyio.CapacityLimiter(MAX_CONCURRENT_ORDERS)
         self._staging_limiter = anyio.CapacityLimiter(MAX_CONCURRENT_STAGINGS)
         #: Called with an instance's name, its start time and the metadata of a
@@ -278,7 +279,13 @@
             # As for the end of a process, see below.
             if not await paths.check(self._clock(), instance.name):
                 return Probe.NO_PATH
-            return await self._request_report(instance)
+            direct = await self._request_report(instance)
+            if direct is Probe.REFUSED and paths.has_peers():
+                indirect = await self._ask_witnesses(instance)
+                if indirect.answers:
+                    return Probe.INDIRECT
+                if indirect is not Probe.REFUSED:
+                    return Probe.SILENT
         return direct
 
     async def _probe_through_peer(self, instance: FleetInstance) -> Probe:
@@ -288,6 +295,47 @@
             return found
         return Probe.NO_PATH
 
+    async def _ask_witnesses(self, instance: FleetInstance) -> Probe:
+        """Request the report of an instance that refuses connections through peers.
+
+        A cut of the paths of several nodes may refuse this instance and not yet, or no
+        longer, the others of its service, so that each of these nodes would confirm
+        what another one found.  So several peers are asked, and one that connects
+        refutes all refusals.
+        """
+        paths = self._paths
+        assert paths is not None
+        found: set[Probe] = set()
+        async with anyio.create_task_group() as tasks:
+
+            async def ask(peer: str) -> None:
+                connected = False
+
+                async def connect(address: str, name: str) -> ByteStream:
+                    nonlocal connected
+                    stream = await paths.connect_through(peer, address, name)
+                    connected = True
+                    return stream
+
+                pool = self._build_pool(connect=connect)
+                for _ in range(PROBE_TRIES):
+                    answer = await self._request_report(instance, pool)
+                    if answer is not Probe.NO_PATH:
+                        break
+                if answer.answers or answer is Probe.REFUSED or connected:
+                    found.add(answer)
+                if answer.answers:
+                    tasks.cancel_scope.cancel()
+
+            for peer in paths.choose_witnesses():
+                tasks.start_soon(ask, peer)
+        for answer in (Probe.ANSWERS, Probe.REPLACED):
+            if answer in found:
+                return answer
+        if found == {Probe.REFUSED}:
+            return Probe.REFUSED
+        return Probe.SILENT if found else Probe.NO_PATH
+
     async def _probe_directly(self, instance: FleetInstance) -> Probe:
         """Request an instance's report, a second time before the first times out."""
         found: list[Probe] = []
@@ -320,9 +368,10 @@
         """Return what is proven of an instance's process.
 
         Its end is proven if its address belongs to another instance, or refuses
-        connections of this node and of a peer before and after both reached others,
-        or if its entry is gone and it refuses those of this node.  The word of a peer
-        is enough for a node that is cut off.  A timeout proves nothing: a network
+        connections of this node and of several peers before and after all of them
+        reached others, and none of the peers connects, or if its entry is gone and it
+        refuses those of this node.  The word of these peers is enough for a node that
+        is cut off.  A timeout proves nothing: a network
         partition or a paused machine looks the same.  An exiting process closes its
         connections one by one, so a request whose connection breaks is repeated.
         """
@@ -343,6 +392,8 @@
                 check.latest = await self._request_until_clear(
                     instance, self._peer_pool
                 )
+                if check.latest is Probe.REFUSED:
+                    check.latest = await self._ask_witnesses(instance)
                 state = _conclude_state(check.latest)
                 if state is not ProcessState.UNKNOWN:
                     return state
@@ -362,12 +413,14 @@
                 check.latest = await self._request_until_clear(instance)
                 if check.latest is not Probe.REFUSED:
                     return _conclude_state(check.latest)
-                found = await self._probe_through_peer(instance)
+                if not self._paths.has_peers():
+                    return ProcessState.ENDED
+                found = await self._ask_witnesses(instance)
                 if found is Probe.ANSWERS:
                     return ProcessState.RUNS
                 if found is Probe.REPLACED:
                     return ProcessState.UNKNOWN
-                if found is not Probe.NO_PATH or not self._paths.has_peers():
+                if found is Probe.REFUSED:
                     return ProcessState.ENDED
             if self._paths.is_cut_off:
                 continue
--- a/coursepitch/fleet/paths.py
+++ b/coursepitch/fleet/paths.py
@@ -20,7 +20,7 @@
 from coursepitch.http.client import connect_directly
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterator
 
     from coursepitch.clock import Clock
     from coursepitch.fleet.instances import FleetInstance
@@ -166,12 +166,23 @@
         :raises ConnectionRefusedError: a peer that reaches others was refused.
         :raises OSError: it could not be established.
         """
-        try:
+        with _raise_refusals():
             return await self._tunnels.open(instance)
-        except TunnelError as error:
-            if error.outcome is TunnelOutcome.REFUSED:
-                raise ConnectionRefusedError(str(error)) from error
-            raise
+
+    async def connect_through(
+        self, peer: str, address: str, instance: str
+    ) -> ByteStream:
+        """Return a connection to an instance through a peer that is named.
+
+        :raises ConnectionRefusedError: the peer reaches others and was refused.
+        :raises OSError: it could not be established.
+        """
+        with _raise_refusals():
+            return await self._tunnels.open_at(peer, instance)
+
+    def choose_witnesses(self) -> list[str]:
+        """Return the peers that are asked whether an instance has ended."""
+        return self._tunnels.choose_witnesses()
 
     async def connect_for_peer(self, instance: str) -> ByteStream:
         """Return a direct connection to a listed instance, on behalf of a peer.
@@ -414,6 +425,17 @@
         stream.close()
 
 
+@contextlib.contextmanager
+def _raise_refusals() -> Iterator[None]:
+    """Raise the refusal that a peer met as that of a direct connection."""
+    try:
+        yield
+    except TunnelError as error:
+        if error.outcome is TunnelOutcome.REFUSED:
+            raise ConnectionRefusedError(str(error)) from error
+        raise
+
+
 def _choose_error(direct: OSError, indirect: OSError) -> OSError:
     """Return what to raise after a direct connection and the peers have failed.
 
--- a/coursepitch/fleet/tunnels.py
+++ b/coursepitch/fleet/tunnels.py
@@ -41,7 +41,7 @@
 #: Timeout in seconds for opening a tunnel, including the connection to the instance.
 OPEN_TIMEOUT_S = 0.6
 
-#: Peers that are asked for one tunnel.
+#: Peers that are asked for one tunnel, or whether one instance has ended.
 MAX_PEERS = 4
 
 #: Seconds for which a peer that could not open a tunnel is asked again only if
@@ -134,25 +134,56 @@
         while len(asked) < MAX_PEERS and (peer := self._choose_peer(asked)):
             asked.add(peer)
             try:
-                stream = await self._open_at(peer, instance)
+                return await self.open_at(peer, instance)
             except TunnelError as error:
-                self.count(error.outcome.name.lower())
                 if error.outcome.concerns_instance:
-                    self._note_path(peer)
                     raise
                 outcome = error.outcome
                 may_have_path |= outcome is TunnelOutcome.UNLISTED
-                self._note_failure(peer, outcome)
-                continue
-            self.count('opened')
-            self._note_path(peer)
-            return stream
         if not may_have_path:
             self.failed_at = self._clock()
             if asked:
                 self.failure = outcome
         raise TunnelError(outcome)
 
+    async def open_at(self, peer: str, instance: str) -> ByteStream:
+        """Return a connection to an instance through a peer.
+
+        :raises TunnelError: the peer did not connect.
+        """
+        try:
+            stream = await self._open_at(peer, instance)
+        except TunnelError as error:
+            self.count(error.outcome.name.lower())
+            if error.outcome.concerns_instance:
+                self._note_path(peer)
+            else:
+                self._note_failure(peer, error.outcome)
+            raise
+        self.count('opened')
+        self._note_path(peer)
+        return stream
+
+    def choose_witnesses(self) -> list[str]:
+        """Return random peers that are asked about one instance, of many zones.
+
+        The nodes that a cut of paths concerns are often those of one zone.  Paused
+        ones come last, and are not left out: they may have a path again.
+        """
+        nodes = self._list_nodes()
+        names = [name for name in nodes if name != self._me]
+        random.shuffle(names)
+        available = self._list_available()
+        names.sort(key=lambda name: name not in available)
+        zones: set[str] = set()
+        first: list[str] = []
+        others: list[str] = []
+        for name in names:
+            zone = nodes[name].availability_zone
+            (others if zone in zones else first).append(name)
+            zones.add(zone)
+        return (first + others)[:MAX_PEERS]
+
     def has_peers(self) -> bool:
         """Whether other nodes are listed."""
         return any(name != self._me for name in self._list_nodes())
@@ -184,27 +215,33 @@
         With the nearest one, the only node of a zone that reaches instances would have
         to carry the traffic of the whole zone.
         """
-        now = self._clock()
         nodes = self._list_nodes()
-        self._paused_until = {
-            name: until for name, until in self._paused_until.items() if until > now
-        }
-        names = [
-            name
-            for name in nodes
-            if name != self._me and name not in asked and name not in self._paused_until
-        ]
+        names = [name for name in self._list_available() if name not in asked]
         if not names and self.trusts_peer() and self._trusted_peer not in asked:
             return self._trusted_peer
         two = random.sample(names, min(2, len(names)))
         near = [name for name in two if nodes[name].availability_zone == self._zone]
         return next(iter(near or two), '')
 
+    def _list_available(self) -> list[str]:
+        """Return the peers that are not paused."""
+        now = self._clock()
+        self._paused_until = {
+            name: until for name, until in self._paused_until.items() if until > now
+        }
+        return [
+            name
+            for name in self._list_nodes()
+            if name != self._me and name not in self._paused_until
+        ]
+
     async def _open_at(self, peer: str, instance: str) -> ByteStream:
         # Imported late: it would delay the first clients.
         from coursepitch.fleet.tunnel_streams import connect_through_peer
 
-        place = self._list_nodes()[peer]
+        place = self._list_nodes().get(peer)
+        if place is None:
+            raise TunnelError(TunnelOutcome.NO_PEER)
         return await connect_through_peer(
             place.address, instance, self._me, OPEN_TIMEOUT_S
         )
--- a/tests/fleet/test_control.py
+++ b/tests/fleet/test_control.py
@@ -204,13 +204,14 @@
             connect=None,
             connect_directly=None,
             connect_through_peer=None,
+            choose_witnesses=lambda: ['b'],
         )
         control = InstanceControl(lambda: float(requests), paths=paths)
 
         async def answer(instance, pool=None):
             nonlocal requests
             requests += 1
-            found = indirect if pool is control._peer_pool else direct
+            found = direct if pool in (None, control._direct_pool) else indirect
             if isinstance(found, list):
                 found = found.pop(0)
             if found is None:
@@ -288,8 +289,12 @@
 
     # Guards against ends that are missed, as the first peer that is asked has no path.
     def test_node_that_is_cut_off_asks_until_a_peer_tells(self):
-        for last, ended in ((Probe.REFUSED, True), (Probe.ANSWERS, False)):
-            asked = [Probe.SILENT, Probe.SILENT, last]
+        for last, ended in (
+            ([Probe.REFUSED, Probe.REFUSED], True),
+            ([Probe.REFUSED, Probe.ANSWERS], False),
+            ([Probe.ANSWERS], False),
+        ):
+            asked = [Probe.SILENT, Probe.SILENT, *last]
             found = self.has_ended(Probe.SILENT, asked, False, is_cut_off=True)
             self.assertEqual((found, asked), (ended, []))
 
--- a/tests/fleet/test_tunnels.py
+++ b/tests/fleet/test_tunnels.py
@@ -382,6 +382,41 @@
             anyio.run(client.open, 'i')
         self.assertEqual(client._open_at.await_count, 1)
 
+    def build_failed(self, zones, failed):
+        """Return the client of the node ``me`` after a peer failed.
+
+        :param zones: zone of each node by name.
+        """
+        nodes = {
+            name: NodeLocation('127.0.0.1:1', zone) for name, zone in zones.items()
+        }
+        client = TunnelClient('me', 'a', lambda: nodes, lambda: 100.0)
+
+        async def open_at(peer, instance):
+            raise TunnelError(TunnelOutcome.NO_PEER)
+
+        client._open_at = open_at
+        with self.assertRaises(TunnelError):
+            anyio.run(client.open_at, failed, 'i')
+        return client
+
+    # Guards against ends that are confirmed by the nodes of one zone alone, or that
+    # nobody confirms, as peers that failed are asked.
+    def test_witnesses_are_peers_of_all_zones_that_did_not_fail(self):
+        zones = {**dict.fromkeys(('me', *'bcde'), 'a'), 'f': 'b', 'g': 'c'}
+        client = self.build_failed(zones, 'b')
+        for _ in range(50):
+            found = client.choose_witnesses()
+            self.assertEqual(len(set(found)), module.MAX_PEERS)
+            self.assertLessEqual({'f', 'g'}, set(found))
+            self.assertLessEqual(set(found), set('cdefg'))
+
+    # Guards against a peer that was late once, and whose word is missed.
+    def test_peer_that_failed_is_a_witness_where_few_are_left(self):
+        zones = dict.fromkeys(('me', 'b', 'c'), 'a')
+        client = self.build_failed(zones, 'b')
+        self.assertEqual(client.choose_witnesses(), ['c', 'b'])
+
     # Guards against one node of a zone that carries the traffic of the whole zone.
     def test_traffic_is_spread_beyond_the_own_zone(self):
         counts = dict.fromkeys(('b', 'c', 'd', 'e'), 0)
--- a/tests/whole/test_partitions.py
+++ b/tests/whole/test_partitions.py
@@ -270,6 +270,23 @@
         self.assertEqual(self.list_new_events('instance.crashed'), [])
         self.assertEqual(self.list_new_events('group.retired'), [])
 
+    # Guards against nodes that reach some instances of a service, and confirm to each
+    # other that those which refuse all of them have ended.
+    def test_resets_of_some_instances_at_most_nodes_are_no_crashes(self):
+        cut_off = self.list_followers()
+        pause = threading.Event()
+        with self.send_requests():
+            for number in range(SHORT_CUTS):
+                pause.wait(BEFORE_S)
+                for service in ('pool', 'api'):
+                    names = sorted(self.stats(service))[number % 2 :: 2]
+                    cut = {'nodes': cut_off, 'instances': names}
+                    self.control(service, '/cut', mode='reset', **cut)
+                pause.wait(SHORT_CUT_S)
+                self.cut(cut_off, 'none')
+        self.assertEqual(self.list_new_events('instance.crashed'), [])
+        self.assertEqual(self.list_new_events('group.retired'), [])
+
     # Guards against a leader whose orders and probes are refused, and that ends groups.
     def test_leader_whose_connections_are_reset_ends_no_group(self):
         cut_off = [self.find_leader()]
