Accept trailers that end with a line feed alone

What callers saw: nothing yet; a body whose last chunk is followed by a line feed alone, which the parser accepts as an empty line, would have been taken for unfinished since its chunks are decoded.

Cause: the decoder looked for the empty line with a carriage return only where it is the first line of trailers.

Allowed are: a malformed line is refused before its end arrives, and bare carriage returns are refused in extensions as well.

Change: the empty line is matched as that of a head is.

--- a/coursepitch/util/bounded_http.py
+++ b/coursepitch/util/bounded_http.py
@@ -69,6 +69,9 @@
 
 _LINE_END = b'\r\n'
 
+#: Matches an empty line of trailers; line feeds alone are accepted, as in heads.
+_EMPTY_LINE = re.compile(rb'\r?\n')
+
 #: Largest number of interim responses before a response.
 MAX_INTERIM_RESPONSES = 16
 
@@ -482,8 +485,9 @@
 
     :raises httpcore.RemoteProtocolError: they are malformed or too large.
     """
-    if data.startswith(_LINE_END, place):
-        return place + len(_LINE_END)
+    empty = _EMPTY_LINE.match(data, place)
+    if empty is not None:
+        return empty.end()
     found = _HEAD_END.search(data, place, place + MAX_HEAD_BYTES)
     end = found.end() if found else len(data)
     lines = data.count(b'\n', place, end)
--- a/tests/util/test_bounded_http_lines.py
+++ b/tests/util/test_bounded_http_lines.py
@@ -2,14 +2,21 @@
 
 from __future__ import annotations
 
+import itertools
+import re
 import time
 import unittest
 from contextlib import suppress
 
 import anyio
 import anyio.abc
+import h11
+import httpcore
 import httpx
+from hypothesis import given
+from hypothesis import strategies as st
 
+from coursepitch.util import bounded_http
 from coursepitch.util.bounded_http import BoundedTransport, open_reply, read_whole
 from tests.serving.engines import Engine, listen
 
@@ -28,6 +35,14 @@
 BLANKS = b' ' * 16_000
 
 
+#: What chunked bodies are made of, sound ones and others.
+TOKENS = [
+    *(b'1\r\nx\r\n', b'2;a\r\nab\r\n', b'0\r\n', b'A: b\r\n', b' c\r\n', b'\r\n'),
+    *(b'1', b'0' * 20, b'G', b'x', b'A: b', b':', b';', b' ', b'\t'),
+    *(b'\r', b'\n', b'\x00'),
+]
+
+
 def fetch(*parts, pause_s=0.0):
     """Return the body of a response, or its error, and the processor time in seconds.
 
@@ -154,6 +169,77 @@
         self.assertEqual(fetch(head)[0], b'')
 
 
+def parse(pieces):
+    """Return the content of a body as the parser alone reads it, and how it ends."""
+    parser = h11.Connection(h11.CLIENT)
+    parser.send(h11.Request(method='GET', target='/', headers=[('Host', 'x')]))
+    parser.send(h11.EndOfMessage())
+    parser.receive_data(CHUNKED)
+    parser.next_event()
+    content = b''
+    for piece in pieces:
+        if piece:
+            parser.receive_data(piece)
+        try:
+            while (event := parser.next_event()) not in (h11.NEED_DATA, h11.PAUSED):
+                if isinstance(event, h11.EndOfMessage):
+                    return content, 'whole'
+                content += event.data
+        except h11.RemoteProtocolError:
+            return content, 'malformed'
+    return content, 'unfinished'
+
+
+def decode(pieces):
+    """Return the content of a body as the parser reads what is decoded of it."""
+    decoder = bounded_http._ChunkDecoder()
+    data, found = b'', []
+    try:
+        for piece in pieces:
+            data += piece
+            while not decoder.ended:
+                encoded, place = decoder.decode(data, 0)
+                data = data[place:]
+                if not encoded:
+                    break
+                found.append(encoded)
+    except httpcore.RemoteProtocolError:
+        return parse(found)[0], 'malformed'
+    return parse(found)
+
+
+class AnyBytesTest(unittest.TestCase):
+    """The decoder reads what the parser reads, however it is split."""
+
+    @given(
+        st.lists(st.binary(min_size=1, max_size=20), max_size=5),
+        st.lists(st.integers(0, 200), max_size=5),
+    )
+    def test_sound_bodies(self, chunks, cuts):
+        text = b''.join(b'%x;a=b\r\n%b\r\n' % (len(c), c) for c in chunks)
+        self.check_alike(text + b'0\r\nA: b\r\n\r\n', cuts)
+
+    @given(
+        st.lists(st.sampled_from(TOKENS), max_size=12),
+        st.lists(st.integers(0, 20), max_size=5),
+    )
+    def test_any_bytes(self, parts, cuts):
+        self.check_alike(b''.join(parts), cuts)
+
+    def check_alike(self, text, cuts):
+        places = [0, *sorted(cuts), len(text)]
+        pieces = [text[a:b] for a, b in itertools.pairwise(places)]
+        content, ending = decode(pieces)
+        self.assertEqual((content, ending), decode([text]))
+        expected = parse([text])
+        if ending == 'whole' or expected[1] == 'malformed':
+            self.assertEqual((content, ending), expected)
+        elif not re.search(rb'\r(?!\n)', text):
+            # The parser waits for the end of a line that is malformed already.
+            early = ending == 'malformed' and expected[1] == 'unfinished'
+            self.assertEqual((content, 'unfinished' if early else ending), expected)
+
+
 class SurplusTest(unittest.TestCase):
     """Bytes after a response are no response to the next request."""
 
