Drop floods of comments between the events of a stream

After the first event of a stream, its client got all comments and empty lines that an instance sent before the node gave it up: 1 MiB for each event, which readers of event streams ignore.

Comments and empty lines keep connections open, and reach clients as before up to 16 KiB between two events, some 1,600 of ten bytes; further ones are dropped as they arrive. A response that states its length is forwarded as it is, as the length counts them. The bound at which a run fails is the same, 1 MiB.

test_client_gets_few_comments_unless_a_length_counts_them fails without the bound on streams (1,048,576 bytes of comments reached the client), and test_comments_between_events_are_given_up_to_a_bound without it in the splitter. The splitter drops nothing unless it is told to, as plain services of the OpenAI side forward the length of what they split.

--- a/coursepitch/gateway/streams.py
+++ b/coursepitch/gateway/streams.py
@@ -84,6 +84,10 @@
 #: Source: as for what is received of an event, only its end tells that it has one.
 MAX_UNSIZED_BODY_BYTES = MAX_EVENT_BYTES
 
+#: Bytes of comments between two events that clients get, unless the length of the
+#: response counts them: those that keep connections open are short.
+MAX_COMMENT_BYTES = 16_384
+
 #: Most sends of one request, including rejected ones, whatever the route allows.
 MAX_SENDS = 5
 
@@ -568,6 +572,8 @@
         if attempt.answer is not None:
             run.response = attempt.answer
             run.parts = None if has_events(job, attempt.answer) else []
+            if attempt.answer.framing is not Framing.LENGTH:
+                run.splitter.max_comment_bytes = MAX_COMMENT_BYTES
             self._components.load_tracker.note_response_start(head.name, began_at)
             return True
         if attempt.misplaced:
--- a/coursepitch/http/event_splitter.py
+++ b/coursepitch/http/event_splitter.py
@@ -45,11 +45,14 @@
     :param last_event: id of the last whole event.
     :param count: times that whole events of the present run were returned.
     :param max_event_bytes: largest event, and most bytes without a whole event.
+    :param max_comment_bytes: bytes without an event that are returned between two
+        events; further ones are dropped as they arrive.  ``None`` for any number.
     """
 
     last_event: bytes = b''
     count: int = 0
     max_event_bytes: int = MAX_EVENT_BYTES
+    max_comment_bytes: int | None = None
     _partial: bytearray = field(default_factory=bytearray)
     #: Bytes of ``_partial`` up to which there is no event, and no end of one.
     _without_event: int = 0
@@ -57,6 +60,8 @@
     #: The same up to which no line has a field.
     _without_field: int = 0
     _since_event: int = 0
+    #: Bytes without an event since the last one that were to be returned.
+    _comment_bytes: int = 0
 
     def feed(self, data: bytes) -> bytes:
         """Add received bytes; return whole events, and comments between them.
@@ -77,8 +82,14 @@
         if end and _has_known_field(partial, self._without_event, end):
             self.count += 1
             self._since_event = len(partial) - end
+            self._comment_bytes = 0
+        elif self.count:
+            self._comment_bytes += end
         self._without_event = max(end, self._without_event)
-        return self._remove(end) if self.count else b''
+        if not self.count:
+            return b''
+        removed, limit = self._remove(end), self.max_comment_bytes
+        return removed if limit is None or self._comment_bytes <= limit else b''
 
     def _check_sizes(self, end: int) -> None:
         """Check the size of each event up to a position, and of what follows.
@@ -144,7 +155,7 @@
         """Start over after the last whole event, as another run begins."""
         self._partial.clear()
         self._without_event = self._without_end = self._without_field = 0
-        self._since_event = 0
+        self._since_event = self._comment_bytes = 0
         self.count = 0
 
 
--- a/tests/gateway/test_endless_streams.py
+++ b/tests/gateway/test_endless_streams.py
@@ -8,6 +8,7 @@
 import unittest
 from dataclasses import replace
 
+from coursepitch.gateway.streams import MAX_COMMENT_BYTES
 from coursepitch.http.client import MAX_BUFFERED_BYTES, Framing
 from coursepitch.http.event_splitter import MAX_EVENT_BYTES
 from tests.gateway.simulated_runs import (
@@ -115,6 +116,28 @@
         super().end_send(send)
 
 
+class CommentSimulation(EndlessSimulation):
+    """A simulation that counts the bytes of comments that the client gets."""
+
+    framing = Framing.CHUNKS
+    comment_bytes = 0
+
+    def _build(self):
+        super()._build()
+        check = self.reply.send
+
+        async def send(data):
+            self.comment_bytes += data.count(b': ping\n\n') * len(b': ping\n\n')
+            await check(data)
+
+        self.reply.send = send
+
+    def begin_send(self, name, headers):
+        send = super().begin_send(name, headers)
+        send.framing = self.framing
+        return send
+
+
 class BusySimulation(EndlessSimulation):
     """A simulation in which other nodes fill the first instance after its request."""
 
@@ -174,6 +197,21 @@
                 read = found.flooded.parts.bytes_read
                 self.assertLess(read, MAX_EVENT_BYTES + 2 * 65_536)
 
+    # Guards against clients that have to read what an instance sends without end.
+    def test_client_gets_few_comments_unless_a_length_counts_them(self):
+        for framing in Framing:
+            with self.subTest(framing=framing):
+                simulation = CommentSimulation(Case((SOUND,), resumable=False))
+                simulation.pace, simulation.after = 'fast', 1
+                simulation.framing = framing
+                simulation.play()
+                self.assertEqual(simulation.faults, [])
+                self.assertTrue(simulation.reply.aborted)
+                if framing is Framing.LENGTH:
+                    self.assertGreater(simulation.comment_bytes, MAX_COMMENT_BYTES)
+                else:
+                    self.assertLessEqual(simulation.comment_bytes, MAX_COMMENT_BYTES)
+
     # Guards against instances that get as many requests as before.
     def test_instance_is_avoided(self):
         for pace, resumable in itertools.product(PACES, (False, True)):
--- a/tests/http/test_event_splitter.py
+++ b/tests/http/test_event_splitter.py
@@ -20,6 +20,9 @@
 
 PIECE_BYTES = 65_536
 
+#: Bytes without an event that are given between two events.
+MAX_COMMENT_BYTES = 1_000
+
 #: Processor time in seconds until the proof.  Eight floods of one node share a quarter
 #: of its event loop, and a machine half as fast is to prove all of them in a second.
 PROOF_WORK_S = 1.0 / 4 / 8 / 2
@@ -92,6 +95,19 @@
         self.assertEqual(splitter.feed(b': ping\n\n'), b': ping\n\n')
         self.assertEqual(splitter.count, 1)
 
+    # Guards against floods of comments that clients have to read.
+    def test_comments_between_events_are_given_up_to_a_bound(self):
+        for comment in (b': ping\n\n', b'\n\n', b'x\n\n'):
+            splitter = EventSplitter(max_comment_bytes=MAX_COMMENT_BYTES)
+            splitter.feed(build_event(1))
+            given = b''.join(
+                splitter.feed(comment) for _ in range(2 * MAX_COMMENT_BYTES)
+            )
+            self.assertLessEqual(len(given), MAX_COMMENT_BYTES)
+            self.assertGreater(len(given), MAX_COMMENT_BYTES - len(comment))
+            self.assertEqual(splitter.feed(build_event(2)), build_event(2))
+            self.assertEqual(splitter.feed(comment), comment)
+
     # Guards against events that are held back until the next one arrives.
     def test_event_is_given_with_its_last_byte(self):
         for end in LINE_ENDS:
