Test the bounds of framing, objects and comments one by one

Of sixteen mutants of the bounds on chunks, on objects that are read whole and on the comments of plain services, these passed the tests that were run on them: content before a malformed chunk that is lost, values counted in one turn of the event loop, a body that fails though it is not the largest, and line ends after the last comment that are lost.

--- a/tests/serving/test_endless_services.py
+++ b/tests/serving/test_endless_services.py
@@ -364,7 +364,7 @@
 
     # Guards against comments that are lost, or parts of events that are forwarded.
     def test_stream_is_whole_however_it_is_split(self):
-        text = b': begin\n\ndata: x\n\n: next\n\n\n:data: z\r\ndata: y\n\n: end'
+        text = b': begin\n\ndata: x\n\n: next\n\n\n:data: z\r\ndata: y\n\n: end\n\n'
         for place in range(1, len(text)):
             for later in range(place, len(text)):
                 with self.subTest((place, later)):
--- a/tests/util/test_bounded_http_lines.py
+++ b/tests/util/test_bounded_http_lines.py
@@ -13,7 +13,7 @@
 import h11
 import httpcore
 import httpx
-from hypothesis import given
+from hypothesis import example, given
 from hypothesis import strategies as st
 
 from coursepitch.util import bounded_http
@@ -223,6 +223,9 @@
         st.lists(st.sampled_from(TOKENS), max_size=12),
         st.lists(st.integers(0, 20), max_size=5),
     )
+    @example([b'1\r\nx\r\n', b'G', b'\r\n'], [])
+    @example([b'1\r\nx', b'x'], [])
+    @example([b'0\r\n', b'\n'], [])
     def test_any_bytes(self, parts, cuts):
         self.check_alike(b''.join(parts), cuts)
 
--- a/tests/util/test_bounded_http_objects.py
+++ b/tests/util/test_bounded_http_objects.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import unittest
 
 import anyio
@@ -10,6 +11,7 @@
 
 from coursepitch.util import bounded_http
 from coursepitch.util.bounded_http import (
+    COUNTED_BYTES_PER_TURN,
     MAX_BUFFERED_BYTES,
     MAX_UNCOUNTED_BYTES,
     MAX_VALUES,
@@ -75,6 +77,24 @@
         self.assertLessEqual(len(body), MAX_UNCOUNTED_BYTES)
         self.assertEqual(len(read(body)['a']), count)
 
+    # Guards against a turn of the event loop in which a whole text is counted.
+    def test_values_are_counted_in_many_turns(self):
+        body = b'{"a":"%b"}' % (b'x' * (4 * MAX_UNCOUNTED_BYTES))
+        turns = 0
+
+        def note_turn():
+            nonlocal turns
+            turns += 1
+            self.turn = asyncio.get_running_loop().call_soon(note_turn)
+
+        async def main():
+            note_turn()
+            await read_object(build_reply([body]), LIMIT)
+            self.turn.cancel()
+
+        anyio.run(main)
+        self.assertGreater(turns, len(body) // COUNTED_BYTES_PER_TURN)
+
     # Guards against sound texts that are refused for what is written in them.
     def test_large_texts_are_accepted(self):
         for text in ('[],{},', '"', '\\', '\n', 'ä, "[" \\" ', 'x'):
@@ -104,6 +124,14 @@
 class BufferTest(unittest.TestCase):
     """Endless bodies fail before a node runs out of memory, and sound ones do not."""
 
+    def test_body_that_is_not_the_largest_is_read_on(self):
+        buffers, small, large = BodyBuffers(), build_reply([]), build_reply([])
+        buffers.note(large, MAX_BUFFERED_BYTES - 10)
+        buffers.note(small, 20)
+        with self.assertRaises(httpx.RemoteProtocolError):
+            buffers.note(large, MAX_BUFFERED_BYTES - 9)
+        self.assertEqual(buffers.total_bytes, 20)
+
     def test_largest_bodies_fail_once_all_together_are_too_large(self):
         buffers, ends, peaks = BodyBuffers(), {}, []
         sound_may_end = anyio.Event()
