Take a call for late in the soak only after the longest limit it may have

The soak's promise "floods" was broken by calls that "went on after their limit": 504 after 8.0 s, where the checker allowed 5 + 1 s.

The checker took the shortest time-out of the configurations that may have been in force in the 5 s before. That is right for a call that has to have had time for an answer, and wrong for one that is late.

A call is late now by the longest of them. The new test failed before.

--- a/soak/checkers.py
+++ b/soak/checkers.py
@@ -423,7 +423,7 @@
         if _is_disturbed(history, call, ran_at - flooded, bounds):
             continue
         looked_at += 1
-        limit_s = history.find_limit_s(call, bounds.config_s + bounds.contact_s)
+        _, limit_s = history.find_limits_s(call, bounds.config_s + bounds.contact_s)
         took_s = call.ended_at - call.sent_at
         met = ran_at | sent_to[call.id]
         is_sound = not (met & flooded or history.list_silences(call))
@@ -486,7 +486,7 @@
 
 def _has_time(history: History, call: Call, bounds: Bounds) -> bool:
     """Whether silences leave a call the time that an answer takes."""
-    limit_s = history.find_limit_s(call, bounds.config_s + bounds.contact_s)
+    limit_s, _ = history.find_limits_s(call, bounds.config_s + bounds.contact_s)
     return history.measure_silence(call, limit_s) + bounds.answer_s <= limit_s
 
 
--- a/soak/history.py
+++ b/soak/history.py
@@ -407,13 +407,17 @@
             if flood.since <= call.ended_at and call.sent_at <= flood.until
         ]
 
-    def find_limit_s(self, call: Call, late_s: float) -> float:
-        """Return the seconds that a call has by its caller and by its route.
+    def find_limits_s(self, call: Call, late_s: float) -> tuple[float, float]:
+        """Return the fewest and the most seconds that caller and route may give a call.
 
         :param late_s: seconds for which nodes may go on with an older time-out.
         """
         versions = self.list_versions(call.sent_at - late_s, call.sent_at)
-        return min([call.deadline_s, *(item.timeout_s for item in versions)])
+        timeouts_s = [item.timeout_s for item in versions] or [call.deadline_s]
+        return (
+            min(call.deadline_s, *timeouts_s),
+            min(call.deadline_s, max(timeouts_s)),
+        )
 
     def measure_silence(self, call: Call, limit_s: float) -> float:
         """Return the seconds of a call's time in which instances stood still.
--- a/tests/soak/test_flood_checker.py
+++ b/tests/soak/test_flood_checker.py
@@ -7,6 +7,7 @@
 
 from soak.checkers import Bounds, check_floods
 from soak.history import (
+    Acknowledged,
     Cut,
     Disturbed,
     Ending,
@@ -50,6 +51,22 @@
         in_time = replace(late, ended_at=18.5)
         self.assertTrue(self.check(in_time, 'f').proved)
 
+    # Guards against calls that count as late by a time-out that their node had not.
+    def test_call_may_take_as_long_as_any_configuration_that_may_be_in_force(self):
+        call = build_call(ending=Ending.UNKNOWN, ended_at=15.5)
+        versions = (
+            Acknowledged(1, 0.0, timeout_s=8.0),
+            Acknowledged(2, 9.5, sent_at=9.4, timeout_s=4.0),
+        )
+        self.assertTrue(self.check(call, 'f', configurations=versions).proved)
+        for fewer in (versions[:1], versions):
+            later = replace(call, ended_at=19.5)
+            verdict = self.check(later, 'f', configurations=fewer)
+            self.assertEqual(len(verdict.findings), 1)
+        known = (versions[0], replace(versions[1], sent_at=2.0, acknowledged_at=2.1))
+        verdict = self.check(call, 'f', configurations=known)
+        self.assertEqual(len(verdict.findings), 1)
+
     def test_call_at_the_flooding_instance_may_fail(self):
         for ending in (Ending.CUT, Ending.UNKNOWN):
             self.assertTrue(self.check(build_call(ending=ending), 'f', 'i').proved)
