Count bytes in place of parts in a test of turns of the event loop

test_small_parts_are_handled_in_several_turns failed once on merged code (TimeoutError after 20 s, load of about 20), and took 16.6 to 18.3 s in three runs that passed.

Cause: since chunks are decoded before the parser reads them, up to 128 chunks reach the reader as one part. The test read 20,000 parts, which were 80,000 bytes of chunks of four bytes, and are up to 10 MB now; paced as it should be, that takes the time limit of the test.

The test counts content now: 20,000 chunks of four bytes in all, and fewer than 5,000 of them in one turn, as before.

--- a/tests/util/test_bounded_http.py
+++ b/tests/util/test_bounded_http.py
@@ -24,9 +24,11 @@
 #: Time limit of a call that ends by proof, and by which any test has ended, in seconds.
 LONG_S = 20.0
 
-#: Parts that are read of an endless body, and most of them in one turn of the loop.
-PARTS = 20_000
-MAX_TURN_PARTS = 5_000
+#: Chunks of four bytes that are read of an endless body, and most of them in one turn
+#: of the loop.
+CHUNKS = 20_000
+MAX_TURN_CHUNKS = 5_000
+CHUNK_BYTES = 4
 
 SOUND_BYTES = 4_194_304
 
@@ -82,25 +84,25 @@
 
     # Guards against a connection of many small parts that takes the whole loop.
     def test_small_parts_are_handled_in_several_turns(self):
-        seen = SimpleNamespace(parts=0, before=0, most=0)
+        seen = SimpleNamespace(size=0, before=0, most=0)
 
         def note_turn():
-            seen.most = max(seen.most, seen.parts - seen.before)
-            seen.before = seen.parts
+            seen.most = max(seen.most, seen.size - seen.before)
+            seen.before = seen.size
             seen.turn = asyncio.get_running_loop().call_soon(note_turn)
 
         async def read_parts(client, url):
             seen.turn = asyncio.get_running_loop().call_soon(note_turn)
             async with client.stream('GET', url) as reply:
-                async for _ in reply.aiter_raw():
-                    seen.parts += 1
-                    if seen.parts == PARTS:
+                async for part in reply.aiter_raw():
+                    seen.size += len(part)
+                    if seen.size >= CHUNKS * CHUNK_BYTES:
                         break
             seen.turn.cancel()
             return seen.most
 
         found = run_client(EndlessScript('chunks', FAST), read_parts)
-        self.assertLess(found, MAX_TURN_PARTS)
+        self.assertLess(found, MAX_TURN_CHUNKS * CHUNK_BYTES)
 
 
 class ProofTest(unittest.TestCase):
