Wait longer for peers that tell whether an instance has ended

Cause, inferred and not traced: of the peers that were asked, only the one that the cut did not concern could refute the refusals, and one that does not answer within 0.2 s, twice, was passed over.

Change: a peer has the time that a tunnel has anyway, 0.6 s, twice; so it may stand still for a second. An end is found by the others' refusals after that, within the 2 s that a check may take.

A peer that lets its first tunnel wait is asked again (tests.fleet.test_confirmations, where peers that do not answer now let their callers wait instead of failing at once).

Ruled out: to find nothing while a peer is silent, as one node that stands still would then hide crashes from all others for as long.

--- a/coursepitch/fleet/control.py
+++ b/coursepitch/fleet/control.py
@@ -12,7 +12,7 @@
 from coursepitch import events, log
 from coursepitch.fleet.orders import OrderKind, OrderResult
 from coursepitch.fleet.pause_detector import has_passed_late
-from coursepitch.fleet.tunnels import TunnelError
+from coursepitch.fleet.tunnels import OPEN_TIMEOUT_S, TunnelError
 from coursepitch.http.client import ConnectionPool, ExchangeError, NoConnectionError
 from coursepitch.platform.fleet import ORDER_TARGET, REPORT_TARGET, encode_order
 from coursepitch.platform.headers import build_instance_headers, read_response_metadata
@@ -301,7 +301,8 @@
         A cut of the paths of several nodes may refuse this instance and not yet, or no
         longer, the others of its service, so that each of these nodes would confirm
         what another one found.  So several peers are asked, and one that connects
-        refutes all refusals.
+        refutes all refusals.  One that is late has a second try, as a sound node may
+        stand still for a second, and it may be the one that connects.
         """
         paths = self._paths
         assert paths is not None
@@ -317,7 +318,9 @@
                     connected = True
                     return stream
 
-                pool = self._build_pool(connect=connect)
+                pool = self._build_pool(
+                    connect=connect, connect_timeout_s=OPEN_TIMEOUT_S
+                )
                 for _ in range(PROBE_TRIES):
                     answer = await self._request_report(instance, pool)
                     if answer is not Probe.NO_PATH:
@@ -449,7 +452,12 @@
         :param pool: opens the connection; a direct one by default.
         """
         pool = self._direct_pool if pool is None else pool
-        timeout_s = PROBE_TIMEOUT_S if pool is self._direct_pool else WITNESS_TIMEOUT_S
+        if pool is self._direct_pool:
+            timeout_s = PROBE_TIMEOUT_S
+        elif pool is self._peer_pool:
+            timeout_s = WITNESS_TIMEOUT_S
+        else:
+            timeout_s = OPEN_TIMEOUT_S
         began_at = self._clock()
         found = await self._request_report_within(instance, pool, timeout_s)
         if found in (Probe.SILENT, Probe.NO_PATH) and has_passed_late(
--- a/coursepitch/fleet/tunnels.py
+++ b/coursepitch/fleet/tunnels.py
@@ -28,6 +28,7 @@
     from coursepitch.http.stream import ByteStream
 
 __all__ = [
+    'OPEN_TIMEOUT_S',
     'TUNNEL_PATH',
     'TunnelClient',
     'TunnelError',
--- a/tests/fleet/test_confirmations.py
+++ b/tests/fleet/test_confirmations.py
@@ -14,15 +14,17 @@
 from coursepitch.fleet.control import InstanceControl, Probe, ProcessState
 from coursepitch.fleet.nodes import NodeLocation
 from coursepitch.fleet.paths import InstancePaths
-from coursepitch.fleet.tunnels import TunnelClient, TunnelError, TunnelOutcome
+from coursepitch.fleet.tunnels import TunnelClient
 from coursepitch.http.client import connect_directly
 from tests.fleet.builders import build_instance, build_view
 
 #: Repetitions of a check, as the peers that are asked are drawn at random.
 REPETITIONS = 20
 
-#: Seconds after which a check without a result ends, and for all checks of a test.
-CONFIRM_S = 0.3
+#: Seconds after which a check without a result ends, for the tunnel of a peer that is
+#: asked, and for all checks of a test.
+CONFIRM_S = 1.0
+OPEN_S = 0.1
 LIMIT_S = 30.0
 
 
@@ -47,7 +49,7 @@
             self.asked.append(peer)
             is_late = peer == self.late and self.asked.count(peer) == 1
             if peer in self.stopped or is_late:
-                raise TunnelError(TunnelOutcome.NO_PEER)
+                await anyio.sleep_forever()
             return await nodes[peer]._paths.connect_for_peer(instance)
 
         tunnels._open_at = open_at
@@ -62,8 +64,8 @@
         :param zones: zone of each node by name; the first one asks.
         :param refused: nodes that ``a`` refuses; all other connections come up.
         :param cut_off: nodes that know that they reach no instance.
-        :param stopped: nodes that open no tunnel.
-        :param late: node that does not open the first tunnel that it is asked for.
+        :param stopped: nodes that answer nothing.
+        :param late: node that does not answer the first time that it is asked.
         """
         self.zones = zones or dict.fromkeys(('n1', 'n2', 'n3', 'n4'), 'a')
         self.stopped, self.late = stopped, late
@@ -101,7 +103,10 @@
                             found.add(await ask(first, instance))
                     tasks.cancel_scope.cancel()
 
-        with mock.patch.object(control, 'CONFIRM_TIMEOUT_S', CONFIRM_S):
+        with (
+            mock.patch.object(control, 'CONFIRM_TIMEOUT_S', CONFIRM_S),
+            mock.patch.object(control, 'OPEN_TIMEOUT_S', OPEN_S),
+        ):
             anyio.run(run)
         return found
 
