Refuse infinite values of settings that are whole numbers

What callers saw (a review, a real node): after SIGHUP with "peer_port = inf" in the settings, the node ended with code 1, two streams were broken off and four connections refused.

Cause: int() of an infinite number raises OverflowError, and a reload expects findings alone.

Evidence: test_numbers_without_end_are_no_whole_numbers failed before with OverflowError, and passes; the settings in force stay as with any finding.

Change: a whole number has to be finite.

--- a/coursepitch/config/options.py
+++ b/coursepitch/config/options.py
@@ -191,7 +191,7 @@
         number = float(raw)
     except ValueError:
         return f'not a {row.kind}', 0
-    if number != number or (whole and number != int(number)):
+    if number != number or (whole and not number.is_integer()):
         return f'not a {row.kind}', 0
     if row.low is not None and number < row.low:
         return f'less than {row.low:g}', 0
--- a/tests/config/test_settings.py
+++ b/tests/config/test_settings.py
@@ -47,6 +47,12 @@
         self.assertTrue(any('n.ini:11: [entry] port: not a whole' in s for s in found))
         self.assertTrue(any('[node] name: missing' in line for line in found))
 
+    # Guards against an error of the program at a value that no integer has.
+    def test_numbers_without_end_are_no_whole_numbers(self) -> None:
+        for value in ('inf', '-inf', '1e999', 'nan'):
+            found = self.find(GOOD + f'[entry]\nport = {value}\n')
+            self.assertIn('not a whole', found[0])
+
     def test_secret_values_are_not_shown(self) -> None:
         found = self.find(GOOD + '[admin]\nkey_hashes = hunter2\n')
         self.assertNotIn('hunter2', ''.join(found))
