Count tokens that no request has as none

"1e308,5" on a stream got 503.

Evidence: test_numbers_of_tokens_that_no_request_has_count_as_none failed before for six of eight values, and passes.

Change: a number above 1e9, or none, counts as no hint.

--- a/coursepitch/platform/headers.py
+++ b/coursepitch/platform/headers.py
@@ -64,6 +64,10 @@
 #: Most parts of a prompt that are read; the longest known prompts have about ten.
 MAX_PROMPT_PARTS = 64
 
+#: Most tokens of a request.  Source: far above any context window, and far below what
+#: sums and messages of nodes can take.
+MAX_TOKENS = 1_000_000_000
+
 #: Bytes of an invalid header value that are kept for the log.
 _LOGGED_VALUE_BYTES = 40
 
@@ -155,9 +159,9 @@
         client_timeout_s=_parse_timeout_s(found.get(b'x-deadline-ms')),
         key=_parse_bearer_key(found.get(b'authorization', b'')),
         model=found.get(b'x-model', b'').decode('latin-1'),
-        prompt_tokens=int(_parse_number(prompt, 0)),
-        answer_tokens=int(_parse_number(response, 0)),
-        expected_tokens=int(_parse_number(found.get(b'x-length-hint', b''), 0)),
+        prompt_tokens=_parse_count(prompt),
+        answer_tokens=_parse_count(response),
+        expected_tokens=_parse_count(found.get(b'x-length-hint', b'')),
         last_event=found.get(b'last-event-id', b''),
         prompt_parts=_parse_prompt_parts(found.get(b'x-prompt-prefix', b'')),
     )
@@ -187,6 +191,12 @@
         return default
 
 
+def _parse_count(text: bytes) -> int:
+    """Return a number of tokens; one that no request can have counts as none."""
+    number = _parse_number(text, 0)
+    return int(number) if abs(number) <= MAX_TOKENS else 0
+
+
 def _parse_bearer_key(value: bytes) -> bytes:
     scheme, _, key = value.partition(b' ')
     return key.strip() if scheme.lower() == b'bearer' else b''
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -170,6 +170,28 @@
                 self.assertEqual(found, left_s)
 
 
+class NumberTest(unittest.TestCase):
+    """Numbers of clients."""
+
+    # Guards against requests whose reading raises, so that they get no answer.
+    def test_numbers_of_tokens_that_no_request_has_count_as_none(self):
+        for value in (b'inf', b'-inf', b'nan', b'1e999', b'1e308', b'1e10', b'x', b''):
+            with self.subTest(value):
+                headers = (
+                    (b'X-Token-Usage', value + b',' + value),
+                    (b'X-Length-Hint', value),
+                    (b'X-Deadline-Ms', value),
+                )
+                request = IncomingRequest(b'POST', b'/', headers, b'', 0.0, b'')
+                fields = read_request_fields(request)
+                found = (
+                    fields.prompt_tokens,
+                    fields.answer_tokens,
+                    fields.expected_tokens,
+                )
+                self.assertEqual(found, (0, 0, 0))
+
+
 class PromptPartsTest(unittest.TestCase):
     """Ids of the parts of a prompt."""
 
