Refuse requests whose admission fails by an internal error

What callers saw: a request that had been read got neither an answer nor a refusal if an error of the program came before it was forwarded, or where an instance's error was to be told in place of the node's.

Cause: errors were handled around the forwarding alone; what comes before and after it closed the connection.

One after the forwarding is answered as one inside it.

--- a/coursepitch/gateway/request_handler.py
+++ b/coursepitch/gateway/request_handler.py
@@ -65,8 +65,22 @@
         self.work = WorkMeter(components.clock)
 
     async def handle(self, request: IncomingRequest, reply: ResponseWriter) -> None:
-        """Admit a request, forward it, and record its outcome."""
+        """Admit a request, forward it, and record its outcome.
+
+        An error of the program outside the forwarding, which handles its own, leaves a
+        request that was not run; so it is refused.
+        """
         self.has_served = True
+        try:
+            await self._handle(request, reply)
+        except Exception as error:
+            _log_error(error)
+            if reply.started:
+                reply.abort()
+            else:
+                await reply.send_whole(503, (), b'')
+
+    async def _handle(self, request: IncomingRequest, reply: ResponseWriter) -> None:
         fields = read_request_fields(request)
         await self._wait_for_startup(request, fields.client_timeout_s)
         admitted = self._admit(request, reply, fields)
@@ -191,13 +205,15 @@
             if scope.cancelled_caught:
                 refusal = self._end_unfinished(job)
         except Exception as error:
-            log.emit(
-                events.INTERNAL_ERROR, place='request', **log.describe_error(error)
-            )
+            _log_error(error)
             refusal = self._end_early(job, 'an internal error of the node')
         finally:
             self._under_way.discard(scope)
-        return await self._prefer_error(job, refusal)
+        try:
+            return await self._prefer_error(job, refusal)
+        except Exception as error:
+            _log_error(error)
+            return self._end_early(job, 'an internal error of the node')
 
     def end_requests(self, reason: str) -> None:
         """Refuse all requests under way, and break off responses that have begun."""
@@ -305,6 +321,11 @@
         )
 
 
+def _log_error(error: Exception) -> None:
+    """Log an error of the program in the handling of a request."""
+    log.emit(events.INTERNAL_ERROR, place='request', **log.describe_error(error))
+
+
 def _round_since(at: float | None, job: Job) -> float | None:
     """Return the seconds from a request's arrival to a monotonic time, for the log."""
     return None if at is None else round(at - job.arrived_at, 4)
--- a/tests/gateway/test_internal_errors.py
+++ b/tests/gateway/test_internal_errors.py
@@ -6,6 +6,7 @@
 from unittest import mock
 
 from coursepitch import events
+from coursepitch.http.messages import IncomingRequest
 from tests.gateway.simulated_calls import CallSimulation
 from tests.gateway.simulated_runs import Case, Script, Simulation
 
@@ -31,6 +32,24 @@
         self.streams._read_in_time = mock.Mock(side_effect=KeyError)
 
 
+class FaultyGateway(CallSimulation):
+    """A request whose handling raises outside its forwarding.
+
+    :param step: name of the step, a method of the gateway.
+    """
+
+    step = ''
+
+    def _build(self):
+        super()._build()
+        setattr(self.gateway, self.step, mock.Mock(side_effect=KeyError))
+
+    async def _play(self):
+        self._build()
+        request = IncomingRequest(b'POST', b'/', (), b'', 0.0, b'')
+        await self.gateway.handle(request, self.job.reply)
+
+
 class InternalErrorTest(unittest.TestCase):
     """An error of the program leaves no request without an answer or a refusal."""
 
@@ -52,6 +71,14 @@
     def test_request_that_was_sent_is_answered_with_an_unknown_outcome(self):
         self.assertEqual(self.play_calls('_read_whole'), 502)
 
+    # Guards against requests that are read and closed without a byte.
+    def test_request_is_refused_if_its_admission_fails(self):
+        for step in ('_wait_for_startup', '_admit'):
+            with self.subTest(step):
+                simulation = FaultyGateway(Case((Script(),)))
+                simulation.step = step
+                self.assertEqual(self.play(simulation).reply.status, 503)
+
     def test_response_that_has_begun_is_broken_off(self):
         simulation = self.play(FaultyStream(Case((Script(),))))
         self.assertTrue(simulation.reply.aborted)
