Answer requests for the head alone with whole responses

What callers saw: a HEAD request that is answered by the node itself with a body, such as a refusal with its problem document or the metrics, got its connection closed without a byte.

Cause: the parser refuses the body of a response to HEAD.

Evidence: test_whole_response_to_a_request_for_the_head_has_no_body failed before, and passes.

Change: the head is sent with the length that the body would have, without it.

--- a/coursepitch/http/server.py
+++ b/coursepitch/http/server.py
@@ -96,6 +96,7 @@
     :param started: whether writing the head has begun.
     :param ended: whether writing the end of the body has begun.
     :param written: whether the whole response was written; false if cancelled before.
+    :param omits_body: whether the request asks for the head alone.
     :param _is_chunked: whether the parser frames the body as chunks; ``None`` until it
         has framed a part of it.
     :param _ends_with_connection: whether only the end of the connection tells the
@@ -106,6 +107,7 @@
     started: bool = False
     ended: bool = False
     written: bool = False
+    omits_body: bool = False
     _is_chunked: bool | None = None
     _ends_with_connection: bool = False
 
@@ -157,7 +159,7 @@
         lines.append((b'Content-Length', b'%d' % len(body)))
         self.started = True
         data = parser.send(h11.Response(status_code=status, headers=lines)) or b''
-        if body:
+        if body and not self.omits_body:
             data += parser.send(h11.Data(data=body)) or b''
         data += parser.send(h11.EndOfMessage()) or b''
         self.ended = True
@@ -228,7 +230,7 @@
 
     async def _handle_request(self, request: IncomingRequest) -> None:
         """Run the handler; cancel it when the client disconnects."""
-        reply = ResponseWriter(self)
+        reply = ResponseWriter(self, omits_body=request.method == b'HEAD')
         self.busy = True
         scope = anyio.CancelScope()
 
--- a/tests/http/test_exchange.py
+++ b/tests/http/test_exchange.py
@@ -196,6 +196,20 @@
     def run_test(self, handle, run, rules=None):
         return anyio.run(run_with_server, handle, run, rules)
 
+    # Guards against requests that are read and closed without a byte.
+    def test_whole_response_to_a_request_for_the_head_has_no_body(self):
+        async def run(server, stream):
+            await stream.send(b'HEAD /1 HTTP/1.1\r\nHost: x\r\n\r\n')
+            await stream.send(
+                b'GET /2 HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n'
+            )
+            return await read_all(stream)
+
+        data = self.run_test(echo, run)
+        self.assertEqual(data.count(b'HTTP/1.1 200 '), 2)
+        self.assertEqual(data.count(b'Content-Length: 3\r\n'), 2)
+        self.assertNotIn(b'/1 ', data)
+
     def test_pipelined_requests_are_answered_in_order(self):
         async def run(server, stream):
             one = b'GET /1 HTTP/1.1\r\nHost: x\r\n\r\n'
