Read up to 256 KiB of a busy stream in one turn

A plain call that may not be repeated got its 502 late, as reading 16 MiB took 250 turns of the event loop. On a busy machine each turn begins a millisecond or two late, whatever its work, which is 0.1 ms for 64 KiB of a body.

A read may return 256 KiB now, as many as a transport receives at once and as a stream holds unread. By what 16 MiB of a body and 1 MiB of comments take (30 and 8 ms), a turn then has 0.5 ms of work for a body and 2 ms for comments; chunks and events of the parser are bounded by their number as before.

test_delayed_read_ends_at_its_deadline_with_its_bytes compares with the size of one read, so its flood sends parts of that size.

--- a/coursepitch/http/stream.py
+++ b/coursepitch/http/stream.py
@@ -26,7 +26,7 @@
 __all__ = ['ByteStream', 'ReadPacer', 'connect']
 
 #: Maximum number of bytes that one call of :meth:`ByteStream.receive` returns.
-READ_BYTES = 65_536
+READ_BYTES = 262_144
 
 #: Number of unread bytes at which reading from the socket pauses.
 MAX_UNREAD_BYTES = 262_144
--- a/tests/http/test_paced_reads.py
+++ b/tests/http/test_paced_reads.py
@@ -201,7 +201,7 @@
     def test_delayed_read_ends_at_its_deadline_with_its_bytes(self):
         async def run():
             loop = asyncio.get_running_loop()
-            flood = Flood(b'', b'x')
+            flood = Flood(b'', b'x', READ_BYTES)
             flood.limit = None
             for _ in range(40):
                 loop.pause(MAX_TURN_S)
