Refuse folded lines in heads of engines and services

Cause: the parser joins folded lines and reads a length where the connection read none, so that it passed on all that came.

Evidence: test_folded_lines_of_a_head_are_refused failed before in its three forms (the body was read), and passes. Ruled out: joining the lines here as well, which has the form of the head decided at two places; a gateway may refuse such a response (RFC 9112, section 5.2).

Change: such a head fails its call.

--- a/coursepitch/util/bounded_http.py
+++ b/coursepitch/util/bounded_http.py
@@ -51,6 +51,9 @@
 #: to match such a line from each of its blanks.
 _FORBIDDEN_IN_FIELDS = re.compile(rb'[\x00\x0b\x0c]|\r[^\n]')
 
+#: Matches the start of a line that continues the one before (RFC 9112, section 5.2).
+_FOLDED_LINE = re.compile(rb'\n[ \t]')
+
 #: Matches the field of a head that tells that the body comes in chunks; the parser
 #: accepts no other transfer coding.
 _TRANSFER_ENCODING = re.compile(rb'(?i)\ntransfer-encoding:')
@@ -355,6 +358,8 @@
             if not _INTERIM.match(buffer):
                 if _FORBIDDEN_IN_FIELDS.search(buffer, 0, head_size):
                     raise httpcore.RemoteProtocolError('forbidden bytes in a head')
+                if _FOLDED_LINE.search(buffer, 0, head_size):
+                    raise httpcore.RemoteProtocolError('folded line in a head')
                 return bytes(buffer), head_size
             size += head_size
             interim += 1
--- a/tests/util/test_bounded_http_lines.py
+++ b/tests/util/test_bounded_http_lines.py
@@ -275,6 +275,13 @@
 
         return anyio.run(main)
 
+    # Guards against lengths that the parser reads and this connection does not.
+    def test_folded_lines_of_a_head_are_refused(self):
+        for fold in (b'\r\n ', b'\r\n\t', b'\n '):
+            head = b'HTTP/1.1 200 OK\r\nContent-Length:' + fold + b'2\r\n\r\n'
+            with self.subTest(fold):
+                self.assertEqual(fetch(head + b'ok')[0], httpx.RemoteProtocolError)
+
     # Guards against responses of one request that are taken for those of the next.
     def test_connection_with_a_surplus_is_not_used_again(self):
         surplus = b'HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n'
