Bound bodies that grow beside a large one that is stalled

Cause: above the bound only the largest body was refused, as it grew; one that does not grow kept all others from being refused.

Evidence: the two tests beside a stalled body failed before, at both sides (no body refused), and pass; the tests of equal growth pass as before. Ruled out: refusing whichever grows, which refuses small sound bodies first.

Change: above the bound a body is refused once it has its equal share of it. All bodies stay below twice the bound so.

--- a/coursepitch/http/client.py
+++ b/coursepitch/http/client.py
@@ -476,14 +476,14 @@
     def note_buffered(self, response: Response, size: int) -> None:
         """Count the bytes of a response that are held until its end.
 
-        :raises ExchangeError: all such bytes are too many, and it has most of them.
+        :raises ExchangeError: all such bytes are too many, and it has its equal share
+            of what they may be.
         """
         before = self._buffered.pop(response, 0)
         if size:
             total = self.buffered_bytes + size - before
-            if total > MAX_BUFFERED_BYTES and size >= max(
-                self._buffered.values(), default=0
-            ):
+            share = MAX_BUFFERED_BYTES / (len(self._buffered) + 1)
+            if total > MAX_BUFFERED_BYTES and size >= share:
                 self.buffered_bytes -= before
                 raise ExchangeError('unfinished responses are too large')
             self._buffered[response] = size
--- a/coursepitch/util/bounded_http.py
+++ b/coursepitch/util/bounded_http.py
@@ -536,15 +536,15 @@
     def note(self, reply: httpx.Response, size: int) -> None:
         """Note the size in bytes of what is held of a body; 0 once it is read.
 
-        :raises httpx.RemoteProtocolError: all bodies are too large, and it is the
-            largest one.
+        :raises httpx.RemoteProtocolError: all bodies are too large, and it has its
+            equal share of what they may be.
         """
         before = self._sizes.pop(reply, 0)
         self.total_bytes += size - before
         if not size:
             return
-        largest = max(self._sizes.values(), default=0)
-        if self.total_bytes > MAX_BUFFERED_BYTES and size >= largest:
+        share = MAX_BUFFERED_BYTES / (len(self._sizes) + 1)
+        if self.total_bytes > MAX_BUFFERED_BYTES and size >= share:
             self.total_bytes -= size
             raise httpx.RemoteProtocolError('unfinished bodies are too large')
         self._sizes[reply] = size
--- a/tests/http/test_buffered_responses.py
+++ b/tests/http/test_buffered_responses.py
@@ -72,6 +72,26 @@
         self.assertGreaterEqual(len(ends), 9)
         self.assertEqual(left, 0)
 
+    # Guards against others that grow as the largest one is stalled.
+    def test_responses_beside_a_large_one_that_is_stalled_are_bounded(self):
+        async def run():
+            pool = ConnectionPool()
+            _, stalled = await self.open(pool)
+            pool.note_buffered(stalled, LIMIT - 1)
+            failed = 0
+            for _ in range(20):
+                _, response = await self.open(pool)
+                try:
+                    for size in range(len(PART), LIMIT, len(PART)):
+                        pool.note_buffered(response, size)
+                except ExchangeError:
+                    failed += 1
+            return failed, pool.buffered_bytes
+
+        failed, total = anyio.run(run)
+        self.assertGreater(failed, 0)
+        self.assertLess(total, 2 * MAX_BUFFERED_BYTES)
+
 
 if __name__ == '__main__':
     unittest.main()
--- a/tests/util/test_bounded_http_objects.py
+++ b/tests/util/test_bounded_http_objects.py
@@ -132,6 +132,21 @@
             buffers.note(large, MAX_BUFFERED_BYTES - 9)
         self.assertEqual(buffers.total_bytes, 20)
 
+    # Guards against others that grow as the largest one is stalled.
+    def test_bodies_beside_a_large_one_that_is_stalled_are_bounded(self):
+        buffers = BodyBuffers()
+        buffers.note(build_reply([]), LIMIT - 1)
+        failed = 0
+        for _ in range(20):
+            reply = build_reply([])
+            try:
+                for size in range(len(PART), LIMIT, len(PART)):
+                    buffers.note(reply, size)
+            except httpx.RemoteProtocolError:
+                failed += 1
+        self.assertGreater(failed, 0)
+        self.assertLess(buffers.total_bytes, 2 * MAX_BUFFERED_BYTES)
+
     def test_largest_bodies_fail_once_all_together_are_too_large(self):
         buffers, ends, peaks = BodyBuffers(), {}, []
         sound_may_end = anyio.Event()
