Reject tagged and other unplain numbers in messages of peers

A peer that sent a few bytes held the event loop of a node for seconds: all requests of the node waited meanwhile. On the gateway's peer port no key was needed.

The cause: cbor2 builds decimals, bigfloats, fractions and integers of any size from tags, and both decoders passed them to int() and float(). The message [changes request, 'n', 1E+N] of 13 bytes took 0.33 s of processor time for N = 100,000 and 3.10 s for 300,000; the 10 bytes of [ask changes, 1E+N] took 0.43 s and 3.06 s. A bigfloat of 13 bytes took 0.29 s, and a decimal with an integer of 37 KB 0.16 s where the message takes a float: that time goes into building the value, so a check of the decoded value alone would not have bounded it.

A new module decodes for both: it rejects every tag while decoding, so that integers are within 64 bits and a sign, and its read functions take plain integers or finite numbers, neither booleans nor text. Start times that follow the name of an ended instance are text by design; they are limited to 20 characters. No message that nodes send has tags.

A table of known tags was ruled out, as a later version may decode more of them.

Fields that fleet.limit_messages and peers.records read are safe from tags by the decoder, but still accept text, booleans and infinite numbers where they call int() and float() themselves.

--- a/coursepitch/fleet/messages.py
+++ b/coursepitch/fleet/messages.py
@@ -27,6 +27,7 @@
 from coursepitch.fleet.retry_loans import RetryReply, RetryRequest
 from coursepitch.fleet.rows import read_text
 from coursepitch.platform.kv import Entry
+from coursepitch.util.plain_cbor import load_plain, read_integer, read_number
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -65,6 +66,9 @@
 #: and the store holds values of up to 1 MB.
 MAX_UNPACKED_BYTES = 2_097_152
 
+#: Maximum length of a start time in text: that of an integer of 64 bits.
+MAX_BIRTH_CHARACTERS = 20
+
 _PLAIN = b'\x00'
 _COMPRESSED = b'\x01'
 
@@ -304,7 +308,7 @@
             raise ValueError('truncated or too large')
     elif encoding != _PLAIN:
         raise ValueError(f'unknown encoding {encoding!r}')
-    return cbor2.loads(body)
+    return load_plain(body)
 
 
 def encode_message(message: Message) -> bytes:
@@ -373,17 +377,18 @@
     """
     try:
         kind, *parts = _unpack(data)
+        read_integer(kind)
         if kind == _HEARTBEAT:
             return _decode_heartbeat(parts)
         node = read_text(parts[0])
         if kind == _CHANGES:
             _, after, revision, rows = parts
             entries = tuple(_decode_entry(row) for row in rows)
-            return Changes(node, int(after), int(revision), entries)
+            return Changes(node, read_integer(after), read_integer(revision), entries)
         if kind == _CHANGES_REQUEST:
-            return ChangesRequest(node, int(parts[1]))
+            return ChangesRequest(node, read_integer(parts[1]))
         if kind == _TABLE_REQUEST:
-            return TableRequest(node, int(parts[1]), bool(parts[2]))
+            return TableRequest(node, read_integer(parts[1]), bool(parts[2]))
         if kind == _TABLE_REPLY:
             return TableReply(node, _decode_entry(parts[1]))
         if kind == _CRASH_REPORT:
@@ -398,19 +403,21 @@
             return _decode_send_request(node, *parts[1:])
         if kind == _SEND_REPLY:
             _, number, granted, again_s = parts
-            return SendReply(node, int(number), bool(granted), float(again_s))
+            return SendReply(
+                node, read_integer(number), bool(granted), read_number(again_s)
+            )
         if kind == _RETRY_REQUEST:
             _, number, service = parts
-            return RetryRequest(node, int(number), read_text(service))
+            return RetryRequest(node, read_integer(number), read_text(service))
         if kind == _RETRY_REPLY:
             _, number, granted = parts
-            return RetryReply(node, int(number), bool(granted))
+            return RetryReply(node, read_integer(number), bool(granted))
         if kind == _TRIAL_REQUEST:
             _, number, part = parts
-            return TrialRequest(node, int(number), read_text(part))
+            return TrialRequest(node, read_integer(number), read_text(part))
         if kind == _TRIAL_REPLY:
             _, number, granted = parts
-            return TrialReply(node, int(number), bool(granted))
+            return TrialReply(node, read_integer(number), bool(granted))
     except (
         cbor2.CBORDecodeError,
         zlib.error,
@@ -437,11 +444,13 @@
     if cold is None:
         if limit is None:
             raise ValueError('the request names no instance')
-        return SendRequest(node, int(number), limit)
+        return SendRequest(node, read_integer(number), limit)
     name, left_s = cold
     if limit is not None and limit.instance != name:
         raise ValueError('the request names two instances')
-    return SendRequest(node, int(number), limit, (read_text(name), float(left_s)))
+    return SendRequest(
+        node, read_integer(number), limit, (read_text(name), read_number(left_s))
+    )
 
 
 def _encode_ended(message: LostReport) -> list[str]:
@@ -461,67 +470,73 @@
 ) -> LostReport:
     """Return a report; some nodes tell the start times in a row of their own."""
     names = [read_text(row).partition('\n') for row in ended]
-    rows = [*births, *((name, born) for name, _, born in names if born)]
+    rows = [*births, *((name, _parse_birth(born)) for name, _, born in names if born)]
     return LostReport(
         node,
         tuple(map(read_text, lost)),
         tuple(map(read_text, answering)),
         tuple(name for name, _, _ in names),
-        tuple((read_text(name), int(born)) for name, born in rows),
+        tuple((read_text(name), read_integer(born)) for name, born in rows),
     )
 
 
+def _parse_birth(text: str) -> int:
+    """Return a start time that follows the name of an ended instance."""
+    if len(text) > MAX_BIRTH_CHARACTERS:
+        raise ValueError('the start time is too long')
+    return int(text)
+
+
 def _decode_notices(
     node: str, leaving: Any, backoffs: Any, cold: Any = ()
 ) -> NoticeReport:
     return NoticeReport(
         node,
-        tuple((read_text(name), int(born)) for name, born in leaving),
+        tuple((read_text(name), read_integer(born)) for name, born in leaving),
         tuple(
-            (read_text(name), int(born), float(left_s))
+            (read_text(name), read_integer(born), read_number(left_s))
             for name, born, left_s in backoffs
         ),
         tuple(
-            (read_text(name), int(born), float(left_s)) for name, born, left_s in cold
+            (read_text(name), read_integer(born), read_number(left_s))
+            for name, born, left_s in cold
         ),
     )
 
 
 def _decode_heartbeat(parts: list[Any]) -> Heartbeat:
     state, sent_at, echo_incarnation, echo_at, wants_others, others = parts
-    node, incarnation, revision, asked_at, received, watching, *sums = cbor2.loads(
-        state
-    )
+    node, incarnation, revision, asked_at, received, watching, *sums = load_plain(state)
     counts, work, store_uptime_s = sums
     return Heartbeat(
         read_text(node),
-        int(incarnation),
-        int(revision),
-        None if asked_at is None else float(asked_at),
-        int(received),
+        read_integer(incarnation),
+        read_integer(revision),
+        None if asked_at is None else read_number(asked_at),
+        read_integer(received),
         bool(watching),
         _decode_counts(counts),
         _decode_work(work),
-        float(sent_at),
-        int(echo_incarnation),
-        float(echo_at),
+        read_number(sent_at),
+        read_integer(echo_incarnation),
+        read_number(echo_at),
         bool(wants_others),
         None if others is None else _decode_others(others),
-        float(store_uptime_s),
+        read_number(store_uptime_s),
     )
 
 
 def _decode_others(row: Any) -> OtherLoads:
     nodes, counts, work = row
-    return OtherLoads(int(nodes), _decode_counts(counts), _decode_work(work))
+    return OtherLoads(read_integer(nodes), _decode_counts(counts), _decode_work(work))
 
 
 def _decode_counts(counts: Any) -> dict[str, int]:
-    return {read_text(name): int(count) for name, count in counts.items()}
+    return {read_text(name): read_integer(count) for name, count in counts.items()}
 
 
 def _decode_work(work: Any) -> dict[str, float]:
-    return {read_text(name): float(rate) for name, rate in work.items()}
+    return {read_text(name): read_number(rate) for name, rate in work.items()}
 
 
 def _encode_crashes(told: CrashReport) -> list[object]:
@@ -548,7 +563,7 @@
     node, sent_at, crashes, acquittals = parts
     return CrashReport(
         read_text(node),
-        float(sent_at),
+        read_number(sent_at),
         tuple(_decode_crash(row) for row in crashes),
         tuple(map(_decode_acquittal, acquittals)),
     )
@@ -557,7 +572,7 @@
 def _decode_acquittal(row: Any) -> Clearance:
     name, at, scope = row
     found = None if scope is None else Scope(*map(read_text, scope))
-    return Clearance(read_text(name), float(at), found)
+    return Clearance(read_text(name), read_number(at), found)
 
 
 def _decode_crash(row: Any) -> Crash:
@@ -567,13 +582,13 @@
         read_text(fingerprint),
         read_text(customer),
         read_text(instance),
-        int(born),
-        float(at),
+        read_integer(born),
+        read_number(at),
         read_text(seen_by),
         read_text(software),
         read_text(workload),
         tuple(map(read_text, parts)),
-        tuple((read_text(name), float(at)) for name, at in sound_parts),
+        tuple((read_text(name), read_number(at)) for name, at in sound_parts),
     )
 
 
@@ -585,5 +600,5 @@
 def _decode_entry(row: Any) -> Entry:
     key, value, revision = row
     if value is None:
-        return Entry(read_text(key), deleted_at=int(revision))
-    return Entry(read_text(key), read_text(value), int(revision))
+        return Entry(read_text(key), deleted_at=read_integer(revision))
+    return Entry(read_text(key), read_text(value), read_integer(revision))
--- a/coursepitch/peers/messages.py
+++ b/coursepitch/peers/messages.py
@@ -11,6 +11,7 @@
 from coursepitch.peers.records import LIST_LIMIT, pack_body, unpack_body
 from coursepitch.peers.slots import SlotDefinition, SlotUpdate
 from coursepitch.peers.table import RecordKey, WireRecord
+from coursepitch.util.plain_cbor import load_plain, read_integer, read_number
 
 __all__ = [
     'AskChanges',
@@ -129,7 +130,7 @@
     if isinstance(data, str):
         raise CodecError('received text instead of bytes')
     try:
-        parts = cbor2.loads(data)
+        parts = load_plain(data)
         return _unpack(parts)
     except CodecError:
         raise
@@ -142,14 +143,15 @@
     if not isinstance(parts, list) or not parts:
         raise CodecError('message is not a non-empty list')
     kind, *rest = parts
+    read_integer(kind)
     if kind == _HELLO:
         version, name = rest
         if version != VERSION:
             raise CodecError(f'unsupported version {version!r}, expected {VERSION}')
-        return Hello(int(version), _check_name(name))
+        return Hello(read_integer(version), _check_name(name))
     if kind == _ASK_CHANGES:
         (after,) = rest
-        return AskChanges(int(after))
+        return AskChanges(read_integer(after))
     if kind == _CHANGES:
         changes, configuration = rest
         return Changes(tuple(changes), configuration)
@@ -159,9 +161,9 @@
             raise CodecError(f'more than {LIST_LIMIT} records in a digest')
         keys = tuple(RecordKey(*map(_check_name, item)) for item in missing_bodies)
         return Digest(
-            int(number),
-            int(echo),
-            int(revision),
+            read_integer(number),
+            read_integer(echo),
+            read_integer(revision),
             tuple(_unpack_definition(item) for item in definitions),
             tuple(_unpack_slot_update(item) for item in slot_updates),
             keys,
@@ -173,7 +175,7 @@
     slot, number, age_ms = item
     if age_ms < 0:
         raise CodecError('negative age')
-    return SlotUpdate(int(slot), int(number), int(age_ms))
+    return SlotUpdate(read_integer(slot), read_integer(number), read_integer(age_ms))
 
 
 def _unpack_definition(item: Any) -> SlotDefinition:
@@ -183,13 +185,13 @@
         raise CodecError('negative age')
     wire = WireRecord(
         key,
-        int(boot),
-        int(number),
-        int(content),
-        float(age_ms) / 1000,
+        read_integer(boot),
+        read_integer(number),
+        read_integer(content),
+        read_number(age_ms) / 1000,
         None if body is None else unpack_body(key.kind, body),
     )
-    return SlotDefinition(int(slot), wire)
+    return SlotDefinition(read_integer(slot), wire)
 
 
 def _check_name(value: Any) -> str:
