Refuse requests once the wait of a planned stop is over

A review ran a node whose second signal came 0.4 s after the first, within the notice to the balancer of 1 s: 8 calls sent 1.3 s after the second signal got neither an answer nor a refusal. A drain limit below the notice has the same end, as the tests show.

Requests are refused as stopping once the notice is over, and a signal or the limit that ends the wait before cancels that step. Requests under way are ended once, right after the wait, so those that were let in later were not ended.

They are refused from the end of the wait on, whatever ended it. Nothing is awaited between that and the end of the requests under way, so none gets in between. Ending requests repeatedly until the servers are closed was ruled out: it would end, a moment later, what need not begin.

Both new tests failed before (RefusedError not raised; 2 of 3 tests of tests.test_application) and pass now (3 of 3). The run of the review on a real node was not repeated.

--- a/coursepitch/application.py
+++ b/coursepitch/application.py
@@ -507,6 +507,8 @@
                 while self.gate.in_flight:
                     await anyio.sleep(0.05)
             group.cancel_scope.cancel()
+        # A second signal or the limit may have ended the wait within the notice.
+        self.gate.rejects_all = True
         return self.gate.in_flight
 
     async def _close(self) -> None:
--- a/tests/test_application.py
+++ b/tests/test_application.py
@@ -16,6 +16,8 @@
 import anyio
 
 from coursepitch.application import NodeApplication
+from coursepitch.serving.outcomes import RefusedError
+from tests.serving.test_planned_end import OpenGate
 
 
 class StoppingNode(NodeApplication):
@@ -76,5 +78,61 @@
         self.assertFalse(node.used_closed)
 
 
+class DrainingNode(NodeApplication):
+    """A node with a gate only, whose balancer notice lasts longer than any test.
+
+    :param limit_s: longest planned stop in seconds; 0 for none.
+    """
+
+    def __init__(self, limit_s):
+        node = SimpleNamespace(drain_limit_s=limit_s, drain_notice_s=3600.0)
+        self.settings = SimpleNamespace(node=node)
+        self.gate = OpenGate()
+        self.duties = SimpleNamespace(stop_acquiring=lambda: None)
+        self.session = SimpleNamespace(revoke_lease=anyio.lowlevel.checkpoint)
+
+
+async def send_second_signal():
+    """Yield the signal that ends the wait of a planned stop."""
+    yield signal.SIGTERM
+
+
+async def send_no_signal():
+    """Yield no further signal."""
+    await anyio.sleep_forever()
+    yield signal.SIGTERM
+
+
+class DrainTest(unittest.TestCase):
+    """Requests after a wait that ended within the notice to the balancer.
+
+    They were let in after those under way had been ended, so nothing ended them, and
+    the servers closed their connections without a response.
+    """
+
+    def check_refusal(self, limit_s, signals):
+        """Check that a request is refused once the wait is over."""
+
+        async def main():
+            node = DrainingNode(limit_s)
+            scope = node.gate.begin_request('before')
+            with anyio.fail_after(5):
+                cut = await node._drain(signals)
+            node.gate.end_requests()
+            self.assertEqual(cut, ('before',))
+            self.assertTrue(scope.cancel_called)
+            with self.assertRaises(RefusedError):
+                node.gate.begin_request('after')
+            self.assertEqual(node.gate.in_flight, ('before',))
+
+        anyio.run(main)
+
+    def test_request_after_a_second_signal_is_refused(self):
+        self.check_refusal(0.0, send_second_signal())
+
+    def test_request_after_a_limit_below_the_notice_is_refused(self):
+        self.check_refusal(0.01, send_no_signal())
+
+
 if __name__ == '__main__':
     unittest.main()
