Take numbered chunks without a sound choice for a cut stream

Callers whose engine sent a numbered chunk with an empty list of choices, or with a null delta, after sound ones got a stream that broke off: no error event and no other attempt. Any other numbered chunk without a sound choice reached the caller before the attempt was found to be cut.

The text of a chunk was read only after the chunk was given out, and IndexError and AttributeError of that reading were not caught.

The text is read before, and what cannot be read is a CodecError, as for events that are out of order: the attempt counts as cut, the stream is opened again once, and then goes on from another engine or ends with its refusal. Chunks without a number, which the usage comes in, may have no choices as before. Catching the two exceptions beside the others was ruled out: the caller would have the malformed chunk still, and faults of this code would look like cuts.

--- a/coursepitch/serving/dispatch.py
+++ b/coursepitch/serving/dispatch.py
@@ -554,6 +554,8 @@
                         continue
                     if event.event_id is None and run.finish_sent:
                         continue
+                    # Read before the caller has the chunk, as it may be malformed.
+                    text = '' if event.event_id is None else read_text(chunk)
                     attempt.note_chunk(self._clock())
                     if first and step is not NextStep.REOPEN:
                         waited = self._clock() - started
@@ -563,7 +565,7 @@
                     # Resumed only if this attempt's chunk is the one that was sent.
                     run.finish_sent = event.event_id is None
                     if event.event_id is not None:
-                        run.chunk_texts.append(read_text(chunk))
+                        run.chunk_texts.append(text)
                         run.reopened = False
                 if attempt.received > MAX_IDLE_BYTES:
                     raise CodecError('too many bytes without a chunk')
--- a/coursepitch/serving/runs.py
+++ b/coursepitch/serving/runs.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any
 
+from coursepitch.errors import CodecError
 from coursepitch.serving.attempts import AttemptResult
 from coursepitch.util.bounded_http import Exchange
 
@@ -106,8 +107,14 @@
 
 
 def read_text(chunk: dict[str, Any]) -> str:
-    """Return the text of a chunk of a chat or text completion."""
-    choice = chunk['choices'][0]
-    if 'text' in choice:
-        return str(choice['text'])
-    return str(choice.get('delta', {}).get('content') or '')
+    """Return the text of a chunk of a chat or text completion.
+
+    :raises CodecError: the chunk has no choice, or one that is malformed.
+    """
+    try:
+        choice = chunk['choices'][0]
+        if 'text' in choice:
+            return str(choice['text'])
+        return str(choice.get('delta', {}).get('content') or '')
+    except (AttributeError, LookupError, TypeError) as error:
+        raise CodecError('chunk without a sound choice') from error
