--- a/coursepitch/serving/dispatch.py
+++ b/coursepitch/serving/dispatch.py
@@ -29,6 +29,7 @@
     Attempt,
     Run,
     read_text,
+    read_token_count,
 )
 from coursepitch.serving.sse import DONE_DATA, MAX_EVENT_BYTES, EventParser
 from coursepitch.util.bounded_http import (
@@ -554,6 +555,8 @@
                         continue
                     if event.event_id is None and run.finish_sent:
                         continue
+                    # Read before the caller has the chunk, as it may be malformed.
+                    text = '' if event.event_id is None else read_text(chunk)
                     attempt.note_chunk(self._clock())
                     if first and step is not NextStep.REOPEN:
                         waited = self._clock() - started
@@ -563,7 +566,7 @@
                     # Resumed only if this attempt's chunk is the one that was sent.
                     run.finish_sent = event.event_id is None
                     if event.event_id is not None:
-                        run.chunk_texts.append(read_text(chunk))
+                        run.chunk_texts.append(text)
                         run.reopened = False
                 if attempt.received > MAX_IDLE_BYTES:
                     raise CodecError('too many bytes without a chunk')
@@ -685,12 +688,13 @@
             if answer['id'] != attempt.name:
                 attempt.result = AttemptResult.WRONG
                 return None
+            read_token_count(answer)
         except (httpx.HTTPError, httpx.InvalidURL) as error:
             if attempt.result is not AttemptResult.CUT:
                 attempt.result = classify_error(error)
                 attempt.timed_out = isinstance(error, httpx.TimeoutException)
             return None
-        except (KeyError, TypeError, ValueError):
+        except (CodecError, KeyError, TypeError, ValueError):
             attempt.result = AttemptResult.CUT
             return None
         finally:
