--- a/review/stand.py
+++ b/review/stand.py
@@ -11,6 +11,7 @@
 import asyncio
 import base64
 import contextlib
+import http.client
 import json
 import os
 import re
@@ -22,6 +23,7 @@
 import subprocess
 import sys
 import tempfile
+import threading
 import time
 import tomllib
 import urllib.parse
@@ -239,6 +241,13 @@
         query = dict(urllib.parse.parse_qsl(parts.query))
         self.expire()
         data = json.loads(request.body) if request.body else {}
+        if parts.path == '/platform':
+            # A replica in a process of its own writes or deletes its entry.
+            if data.get('value') is None:
+                self.remove(data['key'])
+            else:
+                self.put(data['key'], data['value'])
+            return build_json(200, {})
         match parts.path.split('/')[2]:
             case 'kv-key':
                 item = self.items.get(query['tls_key'])
@@ -359,6 +368,7 @@
         self.sequence = 0
         self.listed = False
         self.runs: list[Request] = []
+        self.events, self.pause_s, self.framing = 10, 0.02, 'chunks'
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
 
@@ -581,18 +591,29 @@
             await asyncio.sleep(0.02)
             writer.write(build_answer(200, mark, f'{self.name}\n'.encode()))
             return True
+        return await self._stream(request, writer, mark)
+
+    async def _stream(
+        self, request: Request, writer: asyncio.StreamWriter, mark: dict[str, str]
+    ) -> bool:
+        """Answer with events, in chunks or up to the end of the connection."""
         first = int(request.header('last-event-id') or 0) + 1
+        chunked = self.framing == 'chunks'
         lines = ['HTTP/1.1 200 X', 'Content-Type: text/event-stream']
         lines += [f'{name}: {value}' for name, value in mark.items()]
-        lines += ['Transfer-Encoding: chunked', '', '']
-        writer.write('\r\n'.join(lines).encode())
-        for number in range(first, 11):
+        how = 'Transfer-Encoding: chunked' if chunked else 'Connection: close'
+        writer.write('\r\n'.join([*lines, how, '', '']).encode())
+        for number in range(first, self.events + 1):
             event = f'id: {number}\ndata: token {number}\n\n'.encode()
-            writer.write(b'%x\r\n%b\r\n' % (len(event), event))
+            if chunked:
+                event = b'%x\r\n%b\r\n' % (len(event), event)
+            writer.write(event)
             await writer.drain()
-            await asyncio.sleep(0.02)
-        writer.write(b'0\r\n\r\n')
-        return True
+            await asyncio.sleep(self.pause_s)
+        if chunked:
+            writer.write(b'0\r\n\r\n')
+        self.note(f'ends {request.header("x-request-id")} after {self.events} events')
+        return chunked
 
 
 # -- the system ------------------------------------------------------------------------
@@ -721,6 +742,7 @@
         self.replicas: dict[str, Replica] = {}
         self.nodes: list[Node] = []
         self.breaks: list[str] = []
+        self.processes: list[subprocess.Popen[str]] = []
         self._tasks: set[asyncio.Task[Any]] = set()
 
     def store_address(self, node: Node) -> str:
@@ -799,6 +821,9 @@
         """End all processes and remove what was written."""
         for node in self.nodes:
             node.end()
+        for process in self.processes:
+            process.kill()
+            process.wait()
         if os.environ.get('KEEP'):
             print(self.folder, file=sys.stderr)
             return
@@ -877,6 +902,132 @@
     return answer
 
 
+# -- replicas as processes of their own ------------------------------------------------
+
+
+class RemoteStore:
+    """The platform's side of the store, for a replica in another process."""
+
+    def __init__(self, address: str) -> None:
+        self._connection = http.client.HTTPConnection(address)
+
+    def put(self, key: str, value: Any) -> None:
+        """Write a key."""
+        body = json.dumps({'key': key, 'value': value})
+        self._connection.request('POST', '/platform', body)
+        self._connection.getresponse().read()
+
+    def remove(self, key: str) -> None:
+        """Delete a key."""
+        self.put(key, None)
+
+
+class LineRecord:
+    """Tells the script what a replica's process saw, a line each."""
+
+    def note(self, who: str, what: str) -> None:
+        """Write one line."""
+        print(json.dumps([who, what]), flush=True)
+
+
+class ReplicaSystem:
+    """What a replica in a process of its own needs of a system."""
+
+    def __init__(self, store: str) -> None:
+        self.record = LineRecord()
+        self.store = RemoteStore(store)
+        self.replicas: dict[str, Replica] = {}
+        self._tasks: set[asyncio.Task[Any]] = set()
+
+    def spawn(self, work: Any) -> None:
+        """Run something beside."""
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def check_two(self, replica: Replica, order: dict[str, Any]) -> None:
+        """Check nothing: the other replicas are in other processes."""
+
+
+class ReplicaProcess:
+    """A replica in a process of its own, so that it can be killed."""
+
+    def __init__(self, system: System, label: str, **options: Any) -> None:
+        self.label = label
+        self.name = self.state = ''
+        self._system = system
+        options |= {'label': label, 'store': system.store.address}
+        command = [sys.executable, str(ROOT / 'review/stand.py'), json.dumps(options)]
+        self.process = subprocess.Popen(
+            command,
+            stdin=subprocess.PIPE,
+            stdout=subprocess.PIPE,
+            text=True,
+            env={**os.environ, 'PYTHONDONTWRITEBYTECODE': '1'},
+        )
+        system.processes.append(self.process)
+        loop = asyncio.get_running_loop()
+        threading.Thread(target=self._read, args=(loop,), daemon=True).start()
+
+    def _read(self, loop: asyncio.AbstractEventLoop) -> None:
+        assert self.process.stdout is not None
+        for line in self.process.stdout:
+            with contextlib.suppress(RuntimeError):
+                loop.call_soon_threadsafe(self._take, *json.loads(line))
+
+    def _take(self, who: str, what: str) -> None:
+        self._system.record.note(who, what)
+        if what.startswith('starts as '):
+            self.name = what.split(' ')[2]
+
+    def drain(self) -> None:
+        """Let the replica say that it is going to end."""
+        assert self.process.stdin is not None
+        self.process.stdin.write('drain\n')
+        self.process.stdin.flush()
+
+    def kill(self) -> None:
+        """End the process at once; its entry goes as the platform notices."""
+        self.process.kill()
+        self._system.record.note(self.label, 'gets SIGKILL')
+
+    @property
+    def group(self) -> dict[str, Any] | None:
+        """The group that the replica's entry tells."""
+        item = self._system.store.items.get(f'servers/{self.name}')
+        if item is None:
+            return None
+        group: dict[str, Any] | None = json.loads(base64.b64decode(item['value']))[
+            'group'
+        ]
+        return group
+
+
+async def run_replica(options: dict[str, Any]) -> None:
+    """Run a replica until its process is killed."""
+    system: Any = ReplicaSystem(options.pop('store'))
+    label, extra = options.pop('label'), options.pop('extra', {})
+    replica = Replica(system, **options)
+    replica.label = label
+    for name, value in extra.items():
+        setattr(replica, name, value)
+    await replica.start()
+
+    loop = asyncio.get_running_loop()
+
+    def read() -> None:
+        for _ in sys.stdin:
+            loop.call_soon_threadsafe(replica.drain)
+        # The script has ended.
+        os._exit(0)
+
+    threading.Thread(target=read, daemon=True).start()
+    while True:
+        await asyncio.sleep(HEARTBEAT_S)
+        replica.sequence += 1
+        replica.publish()
+
+
 # -- configurations --------------------------------------------------------------------
 
 KEY = 'caller-key'
@@ -986,3 +1137,7 @@
         system.close()
         system.record.note('script', f'ends with {code}, trouble: {TROUBLE}')
     sys.exit(code)
+
+
+if __name__ == '__main__':
+    asyncio.run(run_replica(json.loads(sys.argv[1])))
