--- a/review/stand.py
+++ b/review/stand.py
@@ -4,6 +4,10 @@
 the clients.  Nodes are separate processes, started with the command of
 deploy/system.toml and settings filled in from deploy/node.ini.template.  Every address
 is a loopback address.
+
+Each node has an address of its own, but the kernel lets its connections come from
+127.0.0.1.  So nodes refuse to connect to replicas on behalf of each other, which no
+case needs: all nodes reach all replicas.
 """
 
 from __future__ import annotations
