--- a/review/stand.py
+++ b/review/stand.py
@@ -30,6 +30,7 @@
 import threading
 import time
 import tomllib
+import traceback
 import urllib.parse
 from pathlib import Path
 from typing import Any
@@ -1131,16 +1132,25 @@
 def main(folder: Path, play: Any) -> None:
     """Run a case and exit with its result."""
     system = System(folder)
-    code = 2
-    try:
-        asyncio.run(asyncio.wait_for(play(system), 110))
-        code = 1 if system.breaks else 0
-    except (NotRunError, TimeoutError) as error:
-        system.record.note('script', f'could not run: {error!r}')
-    finally:
-        system.close()
-        system.record.note('script', f'ends with {code}, trouble: {TROUBLE}')
-    sys.exit(code)
+
+    async def run() -> None:
+        code = 2
+        try:
+            await asyncio.wait_for(play(system), 110)
+            code = 1 if system.breaks else 0
+        except (NotRunError, TimeoutError) as error:
+            system.record.note('script', f'could not run: {error!r}')
+        except Exception as error:
+            system.record.note('script', f'failed: {error!r}')
+            traceback.print_exc()
+        finally:
+            system.close()
+            system.record.note('script', f'ends with {code}, trouble: {TROUBLE}')
+            # The connections of the stand-ins need not be closed one by one.
+            sys.stdout.flush()
+            os._exit(code)
+
+    asyncio.run(run())
 
 
 if __name__ == '__main__':
