--- a/review/stand.py
+++ b/review/stand.py
@@ -1135,6 +1135,10 @@
 
     async def run() -> None:
         code = 2
+        task = asyncio.current_task()
+        assert task is not None
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
         try:
             await asyncio.wait_for(play(system), 110)
             code = 1 if system.breaks else 0
