--- a/review/stand.py
+++ b/review/stand.py
@@ -629,7 +629,9 @@
 
     def __init__(self, system: System, number: int, zone: str) -> None:
         self.name = f'front-{zone}-{number}'
-        self.ip = f'127.71.{os.getpid() % 250}.{number + 1}'
+        # Scripts that run at the same time have nodes at other addresses.
+        high, low = divmod(os.getpid(), 64)
+        self.ip = f'127.{1 + high // 256 % 250}.{high % 256}.{low * 4 + number}'
         self.zone = zone
         self._system = system
         ports = [find_free_port(self.ip) for _ in range(3)]
