Log when a request was sent each time, and when its client was seen to have left

request.ended named the instances and the first send alone, so that its log line could not tell a send that the node made after its client had left from one that lay in a queue meanwhile. It has the time of each send (sends_s) and of the end of the client's connection as the node saw it (left_s) now. No logic changes.

--- a/coursepitch/events.py
+++ b/coursepitch/events.py
@@ -447,6 +447,8 @@
         'attempts',
         'took_s',
         'held_s',
+        'sends_s',
+        'left_s',
         'first_s',
         'pause_s',
         'objective_s',
--- a/coursepitch/gateway/job.py
+++ b/coursepitch/gateway/job.py
@@ -84,6 +84,7 @@
     :param retry_after_s: Retry-After in seconds if the request is refused now; 0 if
         not known.
     :param sent: instances that the request was sent to, in order.
+    :param send_times: monotonic times of the sends.
     :param software: version of the software of the latest one; empty if unknown.
     :param may_have_run: instances that executed it, or may have.
     :param permit: permit for the next send, where the instance limits its rate.
@@ -115,6 +116,7 @@
     work: float = 1.0
     retry_after_s: float = 0.0
     sent: list[str] = field(default_factory=list)
+    send_times: list[float] = field(default_factory=list)
     software: str = ''
     may_have_run: set[str] = field(default_factory=set)
     permit: Permit | None = None
@@ -140,6 +142,7 @@
         :param software: version of the instance's software.
         """
         self.sent.append(instance)
+        self.send_times.append(now)
         self.software = software
         self.last_sent_at = now
         self.run_began_at = None
--- a/coursepitch/gateway/request_handler.py
+++ b/coursepitch/gateway/request_handler.py
@@ -312,6 +312,8 @@
             attempts=len(job.sent) if job else 0,
             took_s=round(took_s, 4),
             held_s=_round_since(job.first_sent_at, job) if job else None,
+            sends_s=[_round_since(at, job) for at in job.send_times] if job else [],
+            left_s=_round_since(job.reply.client_left_at, job) if job else None,
             first_s=_round_since(job.first_event_at, job) if job else None,
             pause_s=round(job.pause_s, 4) if job else 0.0,
             objective_s=job.route.objective_s if job else 0.0,
--- a/coursepitch/http/server.py
+++ b/coursepitch/http/server.py
@@ -166,6 +166,11 @@
         await self.connection.write(data)
         self.written = True
 
+    @property
+    def client_left_at(self) -> float | None:
+        """Time at which the client was seen to have disconnected, if it was."""
+        return self.connection.left_at
+
     def abort(self) -> None:
         """Break the connection, so that the client sees a truncated response."""
         self.connection.broken = True
@@ -184,6 +189,8 @@
     :param broken: whether the connection must be aborted instead of closed.
     :param idle_since: time at which the connection became idle.
     :param busy: whether a request is being handled.
+    :param left_at: time at which the client was seen to have disconnected; ``None``
+        while it is there.
     """
 
     server: HttpServer
@@ -193,6 +200,7 @@
     broken: bool = False
     idle_since: float = 0.0
     busy: bool = False
+    left_at: float | None = None
 
     async def write(self, data: bytes | None) -> None:
         """Write bytes; mark the connection as broken if the client has disconnected."""
@@ -236,6 +244,7 @@
 
         def cancel() -> None:
             self.broken = True
+            self.left_at = self.server.clock()
             scope.cancel()
 
         self.stream.on_end = cancel
