Ask the kernel whether the client is still there before a request is sent

Cause: a node knows of the end of a client's connection only once its event loop has processed it, and nothing asked at the send. A task that was woken before, by a timer, a free slot, a permit, a loan or a connection that came up, sent on what it had known before that wait. The peer of a tunnel relayed a request whose node had closed the tunnel. Class: work that begins on evidence older than the wait before it.

Every send passes one function, which asks the kernel of the client's connection (POLLRDHUP, so unread bytes before the end don't hide it) before and after it connects, and cancels the handler; a peer asks before it relays. The cost is two calls of poll for each send.

--- a/coursepitch/fleet/tunnel_streams.py
+++ b/coursepitch/fleet/tunnel_streams.py
@@ -14,7 +14,7 @@
 from websockets.exceptions import ConnectionClosed, WebSocketException
 
 from coursepitch.fleet.tunnels import TUNNEL_PATH, TunnelError, TunnelOutcome
-from coursepitch.http.stream import ByteStream
+from coursepitch.http.stream import ByteStream, is_end_pending
 from coursepitch.util.peer_connections import PeerClientConnection
 
 if TYPE_CHECKING:
@@ -199,8 +199,8 @@
             try:
                 while True:
                     data = await connection.recv(decode=False)
-                    if not data:
-                        # No node sends this, and it could go on for ever.
+                    # No node sends an empty message, and it could go on for ever.
+                    if not data or is_end_pending(connection.transport):
                         connection.transport.abort()
                         continue
                     await stream.send(data)
--- a/coursepitch/gateway/attempts.py
+++ b/coursepitch/gateway/attempts.py
@@ -131,6 +131,9 @@
 ERROR_BODY_TIMEOUT_S = 2.0
 DROPPED_BODY_TIMEOUT_S = 1.0
 
+#: Reason of an attempt that was not made as nobody waits for its outcome.
+CLIENT_LEFT = 'the client has left'
+
 #: Largest body in bytes of a rejection that is read and discarded.
 MAX_REJECTION_BYTES = 65_536
 
@@ -252,6 +255,8 @@
 async def _send(
     components: GatewayComponents, job: Job, instance: FleetInstance, plan: SendPlan
 ) -> Attempt:
+    if job.reply.has_client_left():
+        return Attempt(Result.NOT_RUN, CLIENT_LEFT, withheld=True)
     pool = components.pool
     limit = find_max_connections(job.service, components.session.count_nodes())
     try:
@@ -265,8 +270,11 @@
         lost = components.paths.is_cut_off
         return Attempt(Result.NOT_RUN, str(error), path_lost=lost)
     left_s = job.deadline_at - components.clock()
-    # Connecting takes up to a second, in which the instance may have left or the
-    # process may have been suspended, so the conditions are checked again.
+    # Connecting takes up to a second, in which the client or the instance may have left
+    # or the process may have been suspended, so the conditions are checked again.
+    if job.reply.has_client_left():
+        pool.discard(connection)
+        return Attempt(Result.NOT_RUN, CLIENT_LEFT, withheld=True)
     if left_s <= 0 or not components.session.is_fresh():
         pool.discard(connection)
         return Attempt(
--- a/coursepitch/http/server.py
+++ b/coursepitch/http/server.py
@@ -171,6 +171,10 @@
         """Time at which the client was seen to have disconnected, if it was."""
         return self.connection.left_at
 
+    def has_client_left(self) -> bool:
+        """Whether the client has disconnected; its handler is cancelled if it has."""
+        return self.connection.has_client_left()
+
     def abort(self) -> None:
         """Break the connection, so that the client sees a truncated response."""
         self.connection.broken = True
@@ -201,6 +205,16 @@
     idle_since: float = 0.0
     busy: bool = False
     left_at: float | None = None
+    _cancel_handler: Callable[[], None] | None = None
+
+    def has_client_left(self) -> bool:
+        """Whether the client has disconnected; its handler is cancelled if it has.
+
+        The kernel is asked, as the event loop may not have processed the end yet.
+        """
+        if not self.broken and self.stream.has_ended() and self._cancel_handler:
+            self._cancel_handler()
+        return self.broken
 
     async def write(self, data: bytes | None) -> None:
         """Write bytes; mark the connection as broken if the client has disconnected."""
@@ -243,11 +257,12 @@
         scope = anyio.CancelScope()
 
         def cancel() -> None:
+            if self.left_at is None:
+                self.left_at = self.server.clock()
             self.broken = True
-            self.left_at = self.server.clock()
             scope.cancel()
 
-        self.stream.on_end = cancel
+        self.stream.on_end = self._cancel_handler = cancel
         if self.stream.ended:
             # The end arrived together with the request.
             asyncio.get_running_loop().call_soon(cancel)
@@ -255,7 +270,7 @@
             with scope:
                 await self.server.handle(request, reply)
         finally:
-            self.stream.on_end = None
+            self.stream.on_end = self._cancel_handler = None
             self.busy = False
         if not reply.ended:
             self.broken = True
--- a/coursepitch/http/stream.py
+++ b/coursepitch/http/stream.py
@@ -23,7 +23,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-__all__ = ['ByteStream', 'ReadPacer', 'connect']
+__all__ = ['ByteStream', 'ReadPacer', 'connect', 'is_end_pending']
 
 #: Maximum number of bytes that one call of :meth:`ByteStream.receive` returns.
 READ_BYTES = 262_144
@@ -195,12 +195,13 @@
 
     def has_input(self) -> bool:
         """Whether unread bytes or the end of the stream have arrived."""
-        if self._received or self._ended:
-            return True
-        poll = select.poll()
-        fileno = self._transport.get_extra_info('socket').fileno()
-        poll.register(fileno, select.POLLIN | select.POLLHUP | select.POLLERR)
-        return bool(poll.poll(0))
+        return (
+            bool(self._received) or self._ended or _poll(self._transport, select.POLLIN)
+        )
+
+    def has_ended(self) -> bool:
+        """Whether the end of the stream has arrived, even if it is unread."""
+        return self._ended or is_end_pending(self._transport)
 
     def find_deadline(self, timeout_s: float) -> float:
         """Return the time of the event loop at which a timeout that starts now ends."""
@@ -347,6 +348,21 @@
         self._transport.abort()
 
 
+def is_end_pending(transport: asyncio.BaseTransport) -> bool:
+    """Whether the other side has ended a connection, even if the end is unread."""
+    return _poll(transport, select.POLLRDHUP)
+
+
+def _poll(transport: asyncio.BaseTransport, event: int) -> bool:
+    """Ask the kernel whether an event, or the end of a connection, is pending."""
+    fileno = transport.get_extra_info('socket').fileno()
+    if fileno < 0:
+        return True
+    poll = select.poll()
+    poll.register(fileno, event | select.POLLHUP | select.POLLERR)
+    return bool(poll.poll(0))
+
+
 async def connect(host: str, port: int) -> ByteStream:
     """Return a stream that is connected to an address.
 
--- a/tests/fleet/test_tunnels.py
+++ b/tests/fleet/test_tunnels.py
@@ -223,6 +223,18 @@
 
         self.play(scenario)
 
+    # Guards against requests that a peer sends on although their node has ended them.
+    def test_instance_gets_no_bytes_of_a_node_that_has_left(self):
+        async def scenario():
+            stream = await self.client.open('i')
+            await stream.send(b'GET')
+            stream.close()
+            await self.wait_for(lambda: not self.server.count_open())
+            await self.wait_for(lambda: self.left)
+            self.assertEqual(self.received, b'')
+
+        self.play(scenario)
+
     def test_tunnel_of_a_peer_that_stops_is_not_used_again(self):
         async def scenario():
             pool = self.build_pool()
--- a/tests/gateway/builders.py
+++ b/tests/gateway/builders.py
@@ -8,6 +8,9 @@
 from coursepitch.http.event_splitter import EventSplitter
 from tests.fleet.builders import build_instance
 
+#: Reply to a client that waits for it.
+WAITING_CLIENT = SimpleNamespace(has_client_left=lambda: False)
+
 
 def build_run(name, last_event=b''):
     """Return a run at the group of a head, to begin after an event."""
--- a/tests/gateway/simulated_runs.py
+++ b/tests/gateway/simulated_runs.py
@@ -359,6 +359,9 @@
         self.started = self.written = self.whole = self.aborted = False
         self.status = None
 
+    def has_client_left(self):
+        return False
+
     def _check_open(self):
         if self.written or self.aborted:
             self._simulation.note_fault('a response goes on after its end')
--- a/tests/gateway/test_attempts.py
+++ b/tests/gateway/test_attempts.py
@@ -65,8 +65,9 @@
             crash_detector=SimpleNamespace(is_refused=lambda job: self.refused),
             clock=lambda: 100.0,
         )
-        self.refused = False
+        self.refused = self.has_left = False
         self.job = SimpleNamespace(
+            reply=SimpleNamespace(has_client_left=lambda: self.has_left),
             service=build_service(),
             deadline_at=105.0,
             may_have_run=set(),
@@ -90,6 +91,13 @@
         self.pool.on_acquire = lambda: self.view.instances.update(a=leaving)
         self.check_not_sent()
 
+    def test_client_leaves(self):
+        def leave():
+            self.has_left = True
+
+        self.pool.on_acquire = leave
+        self.check_not_sent()
+
     def test_instance_disappears(self):
         self.pool.on_acquire = self.view.instances.clear
         self.check_not_sent()
--- a/tests/gateway/test_evacuations.py
+++ b/tests/gateway/test_evacuations.py
@@ -39,6 +39,7 @@
     build_service,
     build_view,
 )
+from tests.gateway.builders import WAITING_CLIENT
 
 EVACUATE_S = 5.0
 USE_S = EVACUATE_S * USE_FRACTION
@@ -174,6 +175,7 @@
             clock=self.clock,
         )
         job = SimpleNamespace(
+            reply=WAITING_CLIENT,
             service=build_service(),
             deadline_at=self.now + 8.0,
             may_have_run=set(),
--- a/tests/gateway/test_send_gate.py
+++ b/tests/gateway/test_send_gate.py
@@ -34,6 +34,7 @@
     build_service,
     build_view,
 )
+from tests.gateway.builders import WAITING_CLIENT
 
 NAMES = ('a', 'b', 'c')
 
@@ -194,6 +195,7 @@
         )
         incoming = SimpleNamespace(headers=(), method=b'GET', target=b'/', body=b'')
         job = SimpleNamespace(
+            reply=WAITING_CLIENT,
             service=build_service(),
             deadline_at=self.now + 5.0,
             may_have_run=set(),
