Count the deadline of a request from when it came, not from when it was read

Cause: the deadline ran from received_at, the moment the request was read. A connection passes through the event loop about five times until its request is read, so that turns of 0.15 s make that most of a second, all of which the client gained. Class: time that is counted from the wrong moment.

The selector of the event loop knows when its events can have come at the earliest: since its call before, unless it had to wait. The listener notes that time for connections, a stream for its bytes (the time of the connection, if they can have come before the stream began to read). request.ended tells it as waited_s.

An idle loop counts nothing, nor does one of another kind.

--- a/coursepitch/events.py
+++ b/coursepitch/events.py
@@ -447,6 +447,7 @@
         'attempts',
         'took_s',
         'held_s',
+        'waited_s',
         'sends_s',
         'left_s',
         'first_s',
--- a/coursepitch/gateway/request_handler.py
+++ b/coursepitch/gateway/request_handler.py
@@ -158,7 +158,7 @@
             route,
             service,
             None if route.public else customer,
-            request.received_at + timeout_s,
+            request.received_at - request.waited_s + timeout_s,
             is_client_retry=waited_before_s > 0,
             waited_before_s=waited_before_s,
         )
@@ -312,6 +312,7 @@
             attempts=len(job.sent) if job else 0,
             took_s=round(took_s, 4),
             held_s=_round_since(job.first_sent_at, job) if job else None,
+            waited_s=round(job.incoming.waited_s, 4) if job else None,
             sends_s=[_round_since(at, job) for at in job.send_times] if job else [],
             left_s=_round_since(job.reply.client_left_at, job) if job else None,
             first_s=_round_since(job.first_event_at, job) if job else None,
--- a/coursepitch/http/messages.py
+++ b/coursepitch/http/messages.py
@@ -90,6 +90,7 @@
     :param target: path and query, unmodified.
     :param received_at: monotonic time at which the last byte was read.
     :param body_digest: cryptographic hash of the body, see :func:`start_digest`.
+    :param waited_s: most seconds for which the last byte waited to be read.
     """
 
     method: bytes
@@ -98,6 +99,7 @@
     body: bytes
     received_at: float
     body_digest: bytes = b''
+    waited_s: float = 0.0
 
     @property
     def path(self) -> bytes:
--- a/coursepitch/http/server.py
+++ b/coursepitch/http/server.py
@@ -11,6 +11,7 @@
 import socket
 import struct
 from dataclasses import dataclass, field
+from functools import partial
 from typing import TYPE_CHECKING
 
 import anyio
@@ -20,6 +21,7 @@
 from coursepitch import events, log
 from coursepitch.clock import Clock, boottime
 from coursepitch.errors import CoursepitchError
+from coursepitch.http.event_loop import find_event_time
 from coursepitch.http.messages import IncomingRequest, find_header, start_digest
 from coursepitch.http.request_parser import RequestParser
 from coursepitch.http.stream import ByteStream
@@ -323,13 +325,15 @@
                 if self.parser.has_more_chunks:
                     await self.stream.finish_turn()
             elif isinstance(event, h11.EndOfMessage) and head is not None:
+                received_at = self.server.clock()
                 return IncomingRequest(
                     bytes(head.method),
                     bytes(head.target),
                     tuple(head.headers.raw_items()),
                     bytes(body),
-                    self.server.clock(),
+                    received_at,
                     digest.digest(),
+                    max(0.0, received_at - self.stream.arrived_at),
                 )
             else:
                 return None
@@ -415,6 +419,22 @@
             await self.write(data)
 
 
+async def _wait_for_connection(sock: socket.socket) -> float:
+    """Wait until a connection comes; return the earliest time at which it can have."""
+    loop = asyncio.get_running_loop()
+    found: asyncio.Future[float] = loop.create_future()
+
+    def note() -> None:
+        if not found.done():
+            found.set_result(find_event_time(loop))
+
+    loop.add_reader(sock, note)
+    try:
+        return await found
+    finally:
+        loop.remove_reader(sock)
+
+
 def _reset(sock: socket.socket) -> None:
     """Close a connection with a reset, which tells that nothing of it was read."""
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0))
@@ -457,39 +477,52 @@
 
     async def run(self, sock: socket.socket) -> None:
         """Accept connections until cancelled."""
+        sock.setblocking(False)
         loop = asyncio.get_running_loop()
+        opened_at = find_event_time(loop)
         try:
             async with anyio.create_task_group() as group:
                 while True:
-                    accepted, _ = await loop.sock_accept(sock)
-                    self._take(accepted, group)
-                    self._take_waiting(sock, group)
-                    # Accepting does not wait while there are connections.
-                    await anyio.lowlevel.checkpoint()
+                    if self._take_waiting(sock, opened_at, group):
+                        # Accepting does not wait while there are connections.
+                        await anyio.lowlevel.checkpoint()
+                        opened_at = find_event_time(loop)
+                    else:
+                        opened_at = await _wait_for_connection(sock)
         finally:
-            loop.remove_reader(sock)
             sock.close()
 
-    def _take_waiting(self, sock: socket.socket, group: TaskGroup) -> None:
-        """Take the connections that wait, so that none is old when it is taken."""
-        for _ in range(MAX_ACCEPTED):
+    def _take_waiting(
+        self, sock: socket.socket, opened_at: float, group: TaskGroup
+    ) -> bool:
+        """Take the connections that wait, so that none is old when it is taken.
+
+        :param opened_at: earliest time at which they can have come.
+        :return: whether there were any.
+        """
+        for number in range(MAX_ACCEPTED):
             try:
                 accepted, _ = sock.accept()
             except (BlockingIOError, InterruptedError, ConnectionAbortedError):
-                return
+                return number > 0
             accepted.setblocking(False)
-            self._take(accepted, group)
+            self._take(accepted, opened_at, group)
+        return True
 
-    def _take(self, accepted: socket.socket, group: TaskGroup) -> None:
+    def _take(
+        self, accepted: socket.socket, opened_at: float, group: TaskGroup
+    ) -> None:
         """Serve a connection, or reset it."""
         if self.accepts():
-            group.start_soon(self._serve_socket, accepted)
+            group.start_soon(self._serve_socket, accepted, opened_at)
         else:
             _reset(accepted)
 
-    async def _serve_socket(self, accepted: socket.socket) -> None:
+    async def _serve_socket(self, accepted: socket.socket, opened_at: float) -> None:
         loop = asyncio.get_running_loop()
-        _, stream = await loop.connect_accepted_socket(ByteStream, accepted)
+        _, stream = await loop.connect_accepted_socket(
+            partial(ByteStream, opened_at), accepted
+        )
         await self._serve(stream)
 
     async def _serve(self, stream: ByteStream) -> None:
--- a/coursepitch/http/stream.py
+++ b/coursepitch/http/stream.py
@@ -19,6 +19,7 @@
 import anyio
 
 from coursepitch.clock import Clock, processor_time
+from coursepitch.http.event_loop import find_event_time, find_poll_time
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -92,10 +93,15 @@
     :param on_end: called once the other side has ended or reset the connection, which
         is not noticed while :data:`MAX_UNREAD_BYTES` are unread.
     :param reusable: whether it may be used for another exchange.
+    :param opened_at: earliest time at which the other side can have sent anything, by
+        the clock of the event loop's builder; infinity if unknown.
+    :ivar arrived_at: earliest time at which the bytes that came last can have come.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, opened_at: float = float('inf')) -> None:
         self.reusable = True
+        self.arrived_at = self._opened_at = opened_at
+        self._reading_since = float('-inf')
         self.on_end: Callable[[], None] | None = None
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.Transport = None  # type: ignore[assignment]
@@ -122,10 +128,15 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start with a transport whose writes wait for the kernel's buffer."""
         self._transport = transport  # type: ignore[assignment]
+        self._reading_since = find_poll_time(self._loop)
         self._transport.set_write_buffer_limits(0)
 
     def data_received(self, data: bytes) -> None:
         """Buffer received bytes."""
+        self.arrived_at = find_event_time(self._loop)
+        if self.arrived_at <= self._reading_since:
+            # They may have come before this side began to read.
+            self.arrived_at = self._opened_at
         self._received.append(data)
         self._unread_bytes += len(data)
         if self._unread_bytes >= MAX_UNREAD_BYTES:
--- a/coursepitch/serving_node.py
+++ b/coursepitch/serving_node.py
@@ -9,6 +9,7 @@
 
 import os
 import sys
+from functools import partial
 from typing import TYPE_CHECKING
 
 from coursepitch.listeners import SETTINGS_PATH_VARIABLE
@@ -44,6 +45,7 @@
     from coursepitch import log
     from coursepitch.config.gateway import load_gateway_settings
     from coursepitch.gateway_application import GatewayApplication
+    from coursepitch.http.event_loop import build_event_loop
 
     file = Path(path or os.environ.get(SETTINGS_PATH_VARIABLE, ''))
     settings = load_gateway_settings(file)
@@ -51,7 +53,10 @@
     application = GatewayApplication(settings, file, output)
     gc.freeze()
     gc.enable()
-    code = anyio.run(application.run)
+    code = anyio.run(
+        application.run,
+        backend_options={'loop_factory': partial(build_event_loop, application.clock)},
+    )
     output.flush()
     return code
 
--- a/tests/gateway/test_clients_that_left.py
+++ b/tests/gateway/test_clients_that_left.py
@@ -11,7 +11,9 @@
 import anyio
 
 from coursepitch.gateway.attempts import SendPlan, send_attempt
+from coursepitch.gateway.request_handler import Gateway
 from coursepitch.http import ConnectionPool, ConnectionRules, HttpServer
+from coursepitch.http.messages import IncomingRequest
 from coursepitch.http.stream import connect
 from coursepitch.listeners import listen
 from tests.fleet.builders import SOUND_PATHS, build_instance, build_service
@@ -176,3 +178,37 @@
         self.assertEqual(
             anyio.run(self.play, lambda client: client.sendall(REQUEST)), 1
         )
+
+
+class DeadlineTest(unittest.TestCase):
+    """The deadline of a request runs from when it came, as its client's does.
+
+    Guards against requests that a node that is behind keeps for longer than its client
+    waits.
+    """
+
+    def find_left_s(self, waited_s):
+        """Return the seconds until the deadline as a request has been read."""
+        request = IncomingRequest(b'POST', b'/', (), b'', 100.0, waited_s=waited_s)
+        fields = SimpleNamespace(
+            host='a', key=b'', request='r', client_timeout_s=2.0, model='m'
+        )
+        route = SimpleNamespace(name='r', public=True, timeout_s=6.0, urgency=1)
+        table = SimpleNamespace(
+            find_route=lambda host, path: route,
+            keyed=False,
+            services={'s': SimpleNamespace(name='s')},
+            find_priority=lambda service, urgency: None,
+        )
+        gateway = SimpleNamespace(
+            _router=SimpleNamespace(choose_service=lambda route: 's'),
+            _find_waited_before_s=lambda route, patience_s: 0.0,
+        )
+        job = Gateway._resolve(gateway, table, request, None, fields)
+        return job.deadline_at - request.received_at
+
+    def test_request_that_was_read_late(self):
+        self.assertAlmostEqual(self.find_left_s(1.5), 0.5)
+
+    def test_request_that_was_read_at_once(self):
+        self.assertAlmostEqual(self.find_left_s(0.0), 2.0)
--- a/tests/gateway/test_priority.py
+++ b/tests/gateway/test_priority.py
@@ -29,7 +29,7 @@
         clock=lambda: 0.0,
     )
     fields = RequestFields('r', 'a.example', 8.0, key, 'small', 1, 1, 1, b'')
-    request = SimpleNamespace(path=b'/r/x', received_at=0.0)
+    request = SimpleNamespace(path=b'/r/x', received_at=0.0, waited_s=0.0)
     gateway = Gateway(components, None, None, None, None)
     return gateway._resolve(table, request, None, fields)
 
