Store only refusals that still hold, so that a node does not end

Cause: the reporter lists the refusals that the store lacks and writes one after the other. A suspect that is cleared while the one before is written has no crashes left, and its entry was made from the first of them (IndexError in encode_refused).

Each refusal is looked at again before it is written. The new test raises IndexError on the code before and passes now.

--- a/coursepitch/crashes/reports.py
+++ b/coursepitch/crashes/reports.py
@@ -288,11 +288,17 @@
             self._suspects.sweep()
             self.tell_waiting()
             self._log_found_parts()
-            for suspect in self._list_unstored():
-                await self._store(suspect)
+            await self._store_unstored()
             for name in tuple(self._outdated_entries):
                 await self._lift(name)
 
+    async def _store_unstored(self) -> None:
+        """Store the refusals that the store lacks and that still hold."""
+        for suspect in self._list_unstored():
+            # It may have been cleared while the one before was stored.
+            if suspect in self._list_refused():
+                await self._store(suspect)
+
     def _log_found_parts(self) -> None:
         """Log the parts that were found to crash instances since the last sweep."""
         found = self._suspects.list_causes()
@@ -315,18 +321,20 @@
 
         These are the ones it observed, or all of them if it is the leader.
         """
-        refused: list[Suspect | SuspectPart] = [
-            *self._suspects.list_refused(),
-            *self._suspects.list_refused_parts(),
-        ]
         self._observed &= self._suspects.list_keys()
         return [
             item
-            for item in refused
+            for item in self._list_refused()
             if (item.key in self._observed or self.is_leader())
             and not self._is_stored(item)
         ]
 
+    def _list_refused(self) -> list[Suspect | SuspectPart]:
+        return [
+            *self._suspects.list_refused(),
+            *self._suspects.list_refused_parts(),
+        ]
+
     def _is_stored(self, suspect: Suspect | SuspectPart) -> bool:
         found = self._view.refused.get(suspect.key)
         if found is None or len(found.ended) < len(suspect.crashes):
--- a/tests/crashes/test_reports.py
+++ b/tests/crashes/test_reports.py
@@ -134,12 +134,7 @@
 
     def store_once(self, node):
         """Let a node store the refusals that the store lacks."""
-
-        async def run():
-            for suspect in node.reporter._list_unstored():
-                await node.reporter._store(suspect)
-
-        anyio.run(run)
+        anyio.run(node.reporter._store_unstored)
 
 
 class LinkTest(FleetTestCase):
@@ -358,6 +353,22 @@
         self.store_once(self.plain[0])
         self.assertTrue(self.start().refuses())
 
+    # Guards against a node that ends as a suspect is cleared while another is stored.
+    def test_refusal_that_is_cleared_meanwhile_is_not_stored(self):
+        for number in range(CRASHES_TO_CONFIRM):
+            self.see_crash(self.plain[0], number, 'a', 'b')
+        self.now += 1.0
+        grant = self.store.grant
+
+        async def clear_and_grant(ttl_s):
+            for name in ('a', 'b'):
+                self.plain[0].table.clear(Clearance(name, self.now))
+            return await grant(ttl_s)
+
+        self.store.grant = clear_and_grant
+        self.store_once(self.plain[0])
+        self.assertEqual(len(self.store.entries), 1)
+
     def test_suspects_are_not_stored(self):
         self.see_crash(self.plain[0], 1)
         self.store_once(self.plain[0])
