Take an address that no machine can have for one that nobody answers at

Cause: the connection attempt raised OverflowError, ValueError or UnicodeError, and all that is expected of it is OSError. It raises OSError for these now, so that the pool says that there is no connection. tests.http.test_exchange.InvalidAddressTest raised the first of them before and passes now.

--- a/coursepitch/http/client.py
+++ b/coursepitch/http/client.py
@@ -26,6 +26,7 @@
 )
 from coursepitch.http.messages import FORBIDDEN_IN_HEAD, HEAD_END, find_header
 from coursepitch.http.stream import connect
+from coursepitch.util.decoding import shorten
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -448,7 +449,11 @@
     :raises OSError: the connection could not be established.
     """
     host, _, port = address.rpartition(':')
-    return await connect(host, int(port))
+    try:
+        number = int(port)
+    except ValueError as error:
+        raise OSError(f'{shorten(address)} is not an address with a port') from error
+    return await connect(host, number)
 
 
 @dataclass(eq=False)
--- a/coursepitch/http/stream.py
+++ b/coursepitch/http/stream.py
@@ -377,8 +377,12 @@
 async def connect(host: str, port: int) -> ByteStream:
     """Return a stream that is connected to an address.
 
-    :raises OSError: the connection could not be established.
+    :raises OSError: the connection could not be established, as with an address that
+        no machine can have.
     """
     loop = asyncio.get_running_loop()
-    _, stream = await loop.create_connection(ByteStream, host, port)
+    try:
+        _, stream = await loop.create_connection(ByteStream, host, port)
+    except (OverflowError, ValueError) as error:
+        raise OSError(f'invalid address: {type(error).__name__}') from error
     return stream
--- a/tests/http/test_exchange.py
+++ b/tests/http/test_exchange.py
@@ -454,3 +454,19 @@
             return await read_all(stream)
 
         self.assertIn(b'/good', self.run_test(fail, run))
+
+
+class InvalidAddressTest(unittest.TestCase):
+    """An address that no machine can have is one that nobody answers at."""
+
+    def test_connection_attempt_fails(self):
+        for address in (
+            '127.0.0.1:65536',
+            '127.0.0.1:' + '9' * 41,
+            '127.0.0.1:' + '9' * 5_000,
+            '127.0.0.1:x',
+            'h' * 70 + '.example:80',
+            'a\0b:80',
+        ):
+            with self.subTest(address[:20]), self.assertRaises(NoConnectionError):
+                anyio.run(ConnectionPool().acquire, address)
