Pass over what other writers left malformed, in whatever way

One odd instance made the OpenAI side drop the whole list of instances, and the check of an engine, a number of the store with 5,000 digits and records could end its tasks.

Class: one value that another process wrote ends, or stops, whoever reads it.

One place turns any failure to decode into a CodecError of bounded length (util.decoding.raise_codec_errors), used for entries, reports, claims, loads, refusals, records, histories, the list of instances, checks of engines and answers of the store. Values are described by their type. Addresses are IP:port with a port from 1 to 65535, names of instances are what a header can carry. The view leaves out a key that it cannot apply, says so once for each key, and goes on with the next one; so does the list of the OpenAI side.

Tests of nodes' places gave them addresses that are none; they have real ones now.

--- a/coursepitch/config/history.py
+++ b/coursepitch/config/history.py
@@ -16,6 +16,7 @@
 from coursepitch.config.findings import Place
 from coursepitch.config.resources import Key, Resource, Spec, check_resource
 from coursepitch.errors import CodecError, FindingsError
+from coursepitch.util.decoding import describe_error, raise_codec_errors
 
 __all__ = [
     'Change',
@@ -149,20 +150,18 @@
 
     :raises CodecError: it is none.
     """
-    try:
+    with raise_codec_errors('not a change'):
         key = Key(str(data['kind']), str(data['name']))
         spec = None if data['spec'] is None else _unpack_spec(key, data['spec'])
         revision, generation = int(data['revision']), int(data['generation'])
         return Change(revision, key, spec, generation, str(data.get('cause', '')))
-    except (KeyError, TypeError, ValueError) as error:
-        raise CodecError(f'not a change: {error!r}') from error
 
 
 def _unpack_spec(key: Key, data: dict[str, Any]) -> Spec:
     place = Place('configuration', 0, str(key))
     spec, findings = check_resource(key, data, place, {})
     if spec is None:
-        raise CodecError(str(FindingsError(findings)))
+        raise CodecError(describe_error(FindingsError(findings)))
     return spec
 
 
@@ -178,12 +177,10 @@
 
     :raises CodecError: it is none.
     """
-    data = _load(text)
-    try:
+    with raise_codec_errors('not a head'):
+        data = json.loads(text)
         changes = tuple(unpack_change(item) for item in data['changes'])
         return Head(int(data['revision']), int(data['floor']), changes)
-    except (KeyError, TypeError, ValueError) as error:
-        raise CodecError(f'not a head: {error!r}') from error
 
 
 def encode_snapshot(configuration: Configuration) -> str:
@@ -205,7 +202,8 @@
 
     :raises CodecError: it is none.
     """
-    return unpack_configuration(_load(text))
+    with raise_codec_errors('not a configuration'):
+        return unpack_configuration(json.loads(text))
 
 
 def unpack_configuration(data: Any) -> Configuration:
@@ -213,11 +211,9 @@
 
     :raises CodecError: it is none.
     """
-    try:
+    with raise_codec_errors('not a configuration'):
         changes = [unpack_change(item) for item in data['resources']]
         revision = int(data['revision'])
-    except (KeyError, TypeError, ValueError) as error:
-        raise CodecError(f'not a configuration: {error!r}') from error
     resources = {}
     for change in changes:
         if change.spec is not None:
@@ -225,10 +221,3 @@
                 change.key, change.spec, change.generation, change.revision
             )
     return Configuration(revision, resources)
-
-
-def _load(text: str) -> Any:
-    try:
-        return json.loads(text)
-    except ValueError as error:
-        raise CodecError(f'no JSON: {error}') from error
--- a/coursepitch/control/claims.py
+++ b/coursepitch/control/claims.py
@@ -11,7 +11,8 @@
 import json
 from dataclasses import dataclass
 
-from coursepitch.errors import CodecError, CoursepitchError
+from coursepitch.errors import CoursepitchError
+from coursepitch.util.decoding import raise_codec_errors
 
 __all__ = [
     'CLAIMS_PREFIX',
@@ -137,12 +138,10 @@
     """
     if not text:
         return Claims(domain)
-    try:
+    with raise_codec_errors(f'claims of domain {domain}'):
         data = json.loads(text)
         replicas = tuple(_parse_replica(item) for item in data['replicas'])
         return Claims(domain, int(data['epoch']), replicas)
-    except (KeyError, TypeError, ValueError) as error:
-        raise CodecError(f'invalid claims of domain {domain}: {error!r}') from error
 
 
 def _parse_replica(data: dict[str, object]) -> Replica:
--- a/coursepitch/control/session.py
+++ b/coursepitch/control/session.py
@@ -43,6 +43,9 @@
 
 __all__ = ['DUTY_PREFIX', 'Session', 'parse_duty']
 
+#: Maximum length of a number in the store, that of an integer of 64 bits.
+MAX_DIGITS = 20
+
 WATCH_PREFIX = 'c/'
 HEAD_KEY = 'c/config'
 SNAPSHOT_MARK_KEY = 'c/snapshot'
@@ -381,7 +384,8 @@
 
 def parse_number(text: str) -> int:
     """Parse a decimal number; return 0 if it is missing or damaged."""
-    return int(text) if text.isascii() and text.isdigit() else 0
+    is_number = text.isascii() and text.isdigit() and len(text) <= MAX_DIGITS
+    return int(text) if is_number else 0
 
 
 def _set_duty(duties: dict[str, Duty], entry: Entry) -> None:
@@ -399,7 +403,7 @@
     try:
         data = json.loads(text)
         return Duty(str(data['holder']), str(data['lease']))
-    except (KeyError, TypeError, ValueError):
+    except (KeyError, TypeError, ValueError, RecursionError):
         return None
 
 
--- a/coursepitch/crashes/refused.py
+++ b/coursepitch/crashes/refused.py
@@ -12,7 +12,7 @@
 
 from coursepitch.crashes.parts import PART_PREFIX, SuspectPart
 from coursepitch.crashes.suspects import Crash
-from coursepitch.errors import CodecError
+from coursepitch.util.decoding import raise_codec_errors
 
 if TYPE_CHECKING:
     from coursepitch.crashes.suspects import Suspect
@@ -129,7 +129,7 @@
 
     :raises CodecError: the value is malformed.
     """
-    try:
+    with raise_codec_errors(f'refused request {fingerprint}'):
         data = orjson.loads(text)
         return RefusedRequest(
             fingerprint,
@@ -142,5 +142,3 @@
             bool(data.get('tried')),
             bool(data.get('lifted')),
         )
-    except (AttributeError, KeyError, TypeError, ValueError) as error:
-        raise CodecError(f'refused request {fingerprint}: {error!r}') from error
--- a/coursepitch/events.py
+++ b/coursepitch/events.py
@@ -300,7 +300,7 @@
 INSTANCE_DAMAGED = Event(
     511,
     'instance.damaged',
-    'The entry of an instance could not be parsed.',
+    'The entry of an instance, or another key of the fleet, could not be parsed.',
     ('instance', 'reason'),
 )
 LEADERSHIP_ACQUIRED = Event(
--- a/coursepitch/fleet/claims.py
+++ b/coursepitch/fleet/claims.py
@@ -7,7 +7,7 @@
 
 import orjson
 
-from coursepitch.errors import CodecError
+from coursepitch.util.decoding import raise_codec_errors
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -48,10 +48,8 @@
 
     :raises CodecError: the value is malformed.
     """
-    try:
+    with raise_codec_errors('claims'):
         return tuple(_read_claim(item) for item in orjson.loads(text))
-    except (KeyError, TypeError, ValueError) as error:
-        raise CodecError(f'claims: {error!r}') from error
 
 
 def _read_claim(item: Any) -> GroupClaim:
@@ -81,7 +79,5 @@
 
     :raises CodecError: the value is malformed.
     """
-    try:
+    with raise_codec_errors('loads'):
         return {str(name): str(model) for name, model in orjson.loads(text).items()}
-    except (AttributeError, ValueError) as error:
-        raise CodecError(f'loads: {error!r}') from error
--- a/coursepitch/fleet/nodes.py
+++ b/coursepitch/fleet/nodes.py
@@ -4,6 +4,10 @@
 
 from dataclasses import dataclass
 
+from coursepitch.errors import CodecError
+from coursepitch.util.addresses import is_address
+from coursepitch.util.decoding import shorten
+
 __all__ = ['NodeLocation', 'decode_place', 'encode_place']
 
 
@@ -21,6 +25,11 @@
 
 
 def decode_place(value: str) -> NodeLocation:
-    """Return the decoded value of a node's entry; the zone may be missing."""
+    """Return the decoded value of a node's entry; the zone may be missing.
+
+    :raises CodecError: it has no address.
+    """
     address, _, zone = value.partition(' ')
+    if not is_address(address):
+        raise CodecError(f'{shorten(address)} is not an address with a port')
     return NodeLocation(address, zone)
--- a/coursepitch/fleet/rows.py
+++ b/coursepitch/fleet/rows.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from coursepitch.util.decoding import shorten
+
 __all__ = ['read_text']
 
 
@@ -11,5 +13,5 @@
     :raises TypeError: it is not a string.
     """
     if not isinstance(value, str):
-        raise TypeError(f'{value!r} is not a string')
+        raise TypeError(f'{shorten(value)} is not a string')
     return value
--- a/coursepitch/fleet/view.py
+++ b/coursepitch/fleet/view.py
@@ -22,9 +22,11 @@
 from coursepitch.platform.fleet import (
     EVACUATION_PREFIX,
     INSTANCE_PREFIX,
+    MAX_NAME_CHARACTERS,
     decode_instance,
 )
 from coursepitch.platform.kv import Entry
+from coursepitch.util.decoding import describe_error
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -230,11 +232,19 @@
         """Apply the write or deletion of one key.
 
         Return ``False`` for the entry of an instance of which at most the time until it
-        is warm changed.
+        is warm changed.  An entry that can't be applied is left out, as any process may
+        have written it.
 
         :param listed: whether the entry comes from a listing, so that it may have been
             written long ago.
         """
+        try:
+            return self._apply_entry(entry, listed)
+        except Exception as error:
+            self._log_damaged(entry.key, describe_error(error))
+            return True
+
+    def _apply_entry(self, entry: Entry, listed: bool) -> bool:
         key = entry.key
         if key.startswith(INSTANCE_PREFIX):
             return self._apply_instance(key[len(INSTANCE_PREFIX) :], entry)
@@ -433,8 +443,13 @@
 
     def _apply_node(self, name: str, entry: Entry) -> None:
         if entry.present:
-            self.nodes[name] = decode_place(entry.value)
+            try:
+                self.nodes[name] = decode_place(entry.value)
+            except CodecError as error:
+                self._log_damaged(NODE_PREFIX + name, str(error))
+                return
             self._lapsed_nodes.discard(name)
+            self._damaged_names.discard(NODE_PREFIX + name)
         else:
             self._remove_or_hold_node(name)
 
@@ -535,6 +550,7 @@
             and len(self._damaged_names) < MAX_LOGGED_DAMAGED_KEYS
         ):
             self._damaged_names.add(name)
+            name = name[:MAX_NAME_CHARACTERS]
             log.emit(events.INSTANCE_DAMAGED, instance=name, reason=reason)
 
     def _remove_or_hold_instance(self, name: str) -> None:
--- a/coursepitch/platform/configuration.py
+++ b/coursepitch/platform/configuration.py
@@ -20,6 +20,7 @@
 )
 from coursepitch.errors import FindingsError
 from coursepitch.http.server import ConnectionRules
+from coursepitch.util.decoding import describe_error, shorten
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -94,15 +95,17 @@
             findings.append(
                 _build_finding(f'{name}[{number}]', f'{error.args[0]}: missing')
             )
-        except (TypeError, ValueError, AttributeError, OverflowError) as error:
-            findings.append(_build_finding(f'{name}[{number}]', f'invalid: {error}'))
+        except Exception as error:
+            # An item may be invalid in more ways than are foreseen, as by its depth.
+            reason = f'invalid: {describe_error(error)}'
+            findings.append(_build_finding(f'{name}[{number}]', reason))
     return result
 
 
 def _decode_route(item: dict[str, Any]) -> Route:
     kind = _ROUTE_KINDS.get(item['route_type'])
     if kind is None:
-        raise ValueError(f'route_type {item["route_type"]!r} is unknown')
+        raise ValueError(f'route_type is unknown: {shorten(item["route_type"])}')
     timeout_s = float(item['timeout_ms']) / 1000
     backends = item.get('backends') or [{'service': item['service'], 'weight': 1}]
     return Route(
--- a/coursepitch/platform/fleet.py
+++ b/coursepitch/platform/fleet.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 import sys
 from dataclasses import dataclass
 from functools import lru_cache
@@ -9,13 +10,16 @@
 
 import orjson
 
-from coursepitch.errors import CodecError
 from coursepitch.fleet.instances import FleetInstance, GroupState, Membership
 from coursepitch.fleet.orders import Order, OrderKind
+from coursepitch.util.addresses import is_address
+from coursepitch.util.decoding import raise_codec_errors, shorten
+from coursepitch.util.plain_cbor import read_number
 
 __all__ = [
     'EVACUATION_PREFIX',
     'INSTANCE_PREFIX',
+    'MAX_NAME_CHARACTERS',
     'ORDER_TARGET',
     'REPORT_TARGET',
     'InstanceReport',
@@ -37,6 +41,13 @@
 #: Cached sets of model names that are shared between instances.
 CACHED_NAME_SETS = 1_024
 
+#: Maximum length of the name of an instance in characters, and what it consists of.
+MAX_NAME_CHARACTERS = 256
+_NAME = re.compile(r'[!-~]{1,256}')
+
+#: Largest number of requests that a report may tell, far above that of any engine.
+MAX_REQUESTS = 1_000_000_000
+
 #: Whether an instance is draining, by the state in its entry.
 _DRAINING_BY_STATE = {'ready': False, 'draining': True}
 
@@ -61,10 +72,10 @@
 
     :raises CodecError: the entry is malformed.
     """
-    try:
+    with raise_codec_errors(f'{INSTANCE_PREFIX}{name[:MAX_NAME_CHARACTERS]}'):
         data = orjson.loads(text)
         return FleetInstance(
-            name=name,
+            name=_check_name(name),
             service=_check_string(data['service']),
             address=_check_address(data['address']),
             availability_zone=_check_string(data.get('zone', '')),
@@ -80,8 +91,6 @@
             software=_check_string(data.get('version', '')),
             cold_left_s=_read_cold_left(data.get('cold_left_ms')),
         )
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
-        raise CodecError(f'{INSTANCE_PREFIX}{name}: {error!r}') from error
 
 
 def decode_report(body: bytes) -> InstanceReport:
@@ -89,16 +98,14 @@
 
     :raises CodecError: the report is malformed.
     """
-    try:
+    with raise_codec_errors('report'):
         data = orjson.loads(body)
         return InstanceReport(
             _decode_membership(data.get('group')),
-            int(data.get('queued') or 0),
-            int(data.get('active') or 0),
-            float(data.get('pace') or 1.0),
+            _check_count(data.get('queued') or 0),
+            _check_count(data.get('active') or 0),
+            read_number(data.get('pace') or 1.0),
         )
-    except (TypeError, ValueError, AttributeError, KeyError) as error:
-        raise CodecError(f'report: {error!r}') from error
 
 
 def _decode_models(data: dict[str, Any]) -> frozenset[str]:
@@ -131,16 +138,31 @@
     3,000 of them from 3.7 MB to 1.4 MB.
     """
     if not isinstance(value, str):
-        raise TypeError(f'{value!r} is not a string')
+        raise TypeError(f'{shorten(value)} is not a string')
     return sys.intern(value)
 
 
+def _check_name(name: str) -> str:
+    """Return the name of an instance, which requests to it carry in a header."""
+    if not _NAME.fullmatch(name):
+        raise ValueError(f'{shorten(name)} is not a name')
+    return name
+
+
 def _check_integer(value: object) -> int:
     if not isinstance(value, int) or isinstance(value, bool):
-        raise TypeError(f'{value!r} is not an integer')
+        raise TypeError(f'{shorten(value)} is not an integer')
     return value
 
 
+def _check_count(value: object) -> int:
+    """Return a number of requests; an instance may give it as a float."""
+    number = read_number(value)
+    if not 0 <= number <= MAX_REQUESTS:
+        raise ValueError(f'{number!r} is not a number of requests')
+    return int(number)
+
+
 def _read_cold_left(value: object) -> float:
     """Return for how many seconds an instance stays cold.
 
@@ -154,10 +176,10 @@
 
 def _check_address(value: object) -> str:
     """Return an address of the form ``IP:port``."""
-    host, _, port = _check_string(value).rpartition(':')
-    if not host or not port.isdecimal():
-        raise ValueError(f'{value!r} is not an address with a port')
-    return f'{host}:{port}'
+    address = _check_string(value)
+    if not is_address(address):
+        raise ValueError(f'{shorten(address)} is not an address with a port')
+    return address
 
 
 def encode_order(order: Order) -> bytes:
--- a/coursepitch/platform/instances.py
+++ b/coursepitch/platform/instances.py
@@ -9,11 +9,18 @@
 import anyio
 import orjson
 
+from coursepitch import events, log
+from coursepitch.errors import CodecError
 from coursepitch.http.client import ConnectionPool, ExchangeError, NoConnectionError
 from coursepitch.platform.kv import Unavailable
+from coursepitch.util.addresses import is_address
+from coursepitch.util.decoding import raise_codec_errors, shorten
 
 __all__ = ['Instance', 'InstanceList']
 
+#: Maximum number of malformed instances that are logged for one list.
+MAX_LOGGED = 64
+
 #: Maximum size of the list in bytes.
 MAX_LIST_BYTES = 16_777_216
 
@@ -48,6 +55,7 @@
         self._address = urlsplit(url).netloc
         self._timeout_s = timeout_s
         self._pool = ConnectionPool(connect_timeout_s=timeout_s)
+        self._damaged: set[str] = set()
 
     async def close(self) -> None:
         """Close all connections."""
@@ -68,21 +76,44 @@
                     response.release()
             if response.status != 200:
                 return Unavailable(f'instance list: status {response.status}')
-            data = orjson.loads(body)
-            return tuple(_decode_instance(item) for item in data['instances'])
+            return self._pass_sound(decode_list(body))
         except (NoConnectionError, ExchangeError, TimeoutError) as error:
             return Unavailable(f'instance list: {type(error).__name__}')
-        except (KeyError, TypeError, ValueError) as error:
-            return Unavailable(f'instance list: {error!r}')
-
-
-def _decode_instance(data: dict[str, Any]) -> Instance:
-    return Instance(
-        name=str(data['id']),
-        address=str(data['address']),
-        availability_zone=str(data['zone']),
-        domain=str(data['domain']),
-        kind=str(data.get('kind', 'engine')),
-        accelerators=int(data.get('accelerators', 2)),
-        leaving=data.get('state', 'live') != 'live',
-    )
+        except CodecError as error:
+            return Unavailable(str(error))
+
+    def _pass_sound(self, items: list[Instance | CodecError]) -> tuple[Instance, ...]:
+        """Return the instances; log what is malformed once, as long as it stays."""
+        damaged = {str(item) for item in items if isinstance(item, CodecError)}
+        for reason in sorted(damaged - self._damaged)[:MAX_LOGGED]:
+            log.emit(events.INSTANCE_DAMAGED, instance='', reason=reason)
+        self._damaged = damaged
+        return tuple(item for item in items if isinstance(item, Instance))
+
+
+def decode_list(body: bytes) -> list[Instance | CodecError]:
+    """Decode the list of instances, with an error in place of each malformed one.
+
+    :raises CodecError: the list itself is malformed.
+    """
+    with raise_codec_errors('instance list'):
+        return [_decode_instance(item) for item in orjson.loads(body)['instances']]
+
+
+def _decode_instance(data: dict[str, Any]) -> Instance | CodecError:
+    try:
+        with raise_codec_errors('instance'):
+            address = str(data['address'])
+            if not is_address(address):
+                raise CodecError(f'{shorten(address)} is not an address with a port')
+            return Instance(
+                name=str(data['id']),
+                address=address,
+                availability_zone=str(data['zone']),
+                domain=str(data['domain']),
+                kind=str(data.get('kind', 'engine')),
+                accelerators=int(data.get('accelerators', 2)),
+                leaving=data.get('state', 'live') != 'live',
+            )
+    except CodecError as error:
+        return error
--- a/coursepitch/platform/kv.py
+++ b/coursepitch/platform/kv.py
@@ -19,7 +19,9 @@
 
 from coursepitch import events, log
 from coursepitch.clock import Clock, boottime
+from coursepitch.errors import CodecError
 from coursepitch.http.client import ConnectionPool, ExchangeError, NoConnectionError
+from coursepitch.util.decoding import raise_codec_errors
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
@@ -443,10 +445,10 @@
     :param write: whether the response says that a write took effect.
     """
     try:
-        return decode()
-    except (KeyError, TypeError, ValueError) as error:
-        reason = f'{operation}: malformed response: {error!r}'
-        return Unavailable(reason, maybe_applied=write)
+        with raise_codec_errors(f'{operation}: malformed response'):
+            return decode()
+    except CodecError as error:
+        return Unavailable(str(error), maybe_applied=write)
 
 
 def _decode_entry(data: Any) -> Entry:
--- a/coursepitch/serving/dispatch.py
+++ b/coursepitch/serving/dispatch.py
@@ -574,7 +574,7 @@
             if reply is None:
                 attempt.result = classify_error(error)
                 attempt.timed_out = isinstance(error, httpx.TimeoutException)
-        except (CodecError, KeyError, TypeError, ValueError):
+        except (CodecError, KeyError, TypeError, ValueError, RecursionError):
             attempt.result = AttemptResult.CUT
         finally:
             if reply is not None:
@@ -694,7 +694,7 @@
                 attempt.result = classify_error(error)
                 attempt.timed_out = isinstance(error, httpx.TimeoutException)
             return None
-        except (CodecError, KeyError, TypeError, ValueError):
+        except (CodecError, KeyError, TypeError, ValueError, RecursionError):
             attempt.result = AttemptResult.CUT
             return None
         finally:
--- a/coursepitch/serving/idempotency.py
+++ b/coursepitch/serving/idempotency.py
@@ -12,8 +12,8 @@
 
 import anyio
 
-from coursepitch.errors import CodecError
 from coursepitch.platform.kv import Entry, Swapped, Unavailable, swap_with_readback
+from coursepitch.util.decoding import raise_codec_errors
 
 if TYPE_CHECKING:
     from coursepitch.clock import Clock
@@ -83,7 +83,7 @@
 
     :raises CodecError: the text is not a valid record.
     """
-    try:
+    with raise_codec_errors('idempotency record'):
         data = json.loads(text)
         return Record(
             str(data['nonce']),
@@ -94,8 +94,6 @@
             base64.b64decode(data['body']),
             bool(data['kept']),
         )
-    except (KeyError, TypeError, ValueError) as error:
-        raise CodecError(f'invalid idempotency record: {error!r}') from error
 
 
 class Decision(Enum):
--- a/coursepitch/targets/engine.py
+++ b/coursepitch/targets/engine.py
@@ -7,13 +7,14 @@
 import httpx
 
 from coursepitch.control.lifecycle import HealthCheck
-from coursepitch.errors import TargetError
+from coursepitch.errors import CodecError, TargetError
 from coursepitch.util.bounded_http import (
     BoundedTransport,
     drain_body,
     open_reply,
     read_object,
 )
+from coursepitch.util.decoding import raise_codec_errors
 
 if TYPE_CHECKING:
     from coursepitch.control.claims import Replica
@@ -59,7 +60,7 @@
         except httpx.TimeoutException:
             # A pause of this node in the check is no silence of the instance.
             return HealthCheck(answered=False, silent_s=self._timeout_s)
-        except (httpx.HTTPError, httpx.InvalidURL, KeyError, TypeError, ValueError):
+        except (httpx.HTTPError, httpx.InvalidURL, CodecError):
             return HealthCheck(answered=False, failures=1)
 
     async def load(self, replica: Replica, rank: int, epoch: int) -> None:
@@ -103,13 +104,14 @@
 
 
 def _parse_check(data: dict[str, Any]) -> HealthCheck:
-    return HealthCheck(
-        answered=True,
-        state=str(data['state']),
-        claim=str(data['claim']),
-        model=str(data['model']),
-        version=str(data['version']),
-        adapters=tuple(str(name) for name in data['adapters']),
-        epoch=int(data['epoch']),
-        running=int(data['running']),
-    )
+    with raise_codec_errors('check'):
+        return HealthCheck(
+            answered=True,
+            state=str(data['state']),
+            claim=str(data['claim']),
+            model=str(data['model']),
+            version=str(data['version']),
+            adapters=tuple(str(name) for name in data['adapters']),
+            epoch=int(data['epoch']),
+            running=int(data['running']),
+        )
--- a/tests/fleet/test_peers.py
+++ b/tests/fleet/test_peers.py
@@ -380,11 +380,16 @@
         view.received_revision = 11
         key = 'coursepitch/nodes/n5'
         self.session.handle_message(Changes('p', 11, 13, (Entry(key, deleted_at=13),)))
-        self.session.handle_message(Changes('q', 11, 12, (Entry(key, 'a:1', 12),)))
+        self.session.handle_message(
+            Changes('q', 11, 12, (Entry(key, '10.0.0.1:7340', 12),))
+        )
         self.assertNotIn('n5', view.nodes)
-        rows = (Entry(key, 'a:1', 12), Entry('coursepitch/nodes/n6', 'a:2 z', 14))
+        rows = (
+            Entry(key, '10.0.0.1:7340', 12),
+            Entry('coursepitch/nodes/n6', '10.0.0.2:7340 z', 14),
+        )
         self.session.handle_message(Changes('q', 11, 14, rows))
-        self.assertEqual(view.nodes, {'n6': NodeLocation('a:2', 'z')})
+        self.assertEqual(view.nodes, {'n6': NodeLocation('10.0.0.2:7340', 'z')})
 
     def list_anew(self, after):
         """Apply a listing in which one node is new and one is missing.
@@ -395,9 +400,12 @@
         view = self.session.view
         view.find_store_uptime_s = lambda: 60.0
         for name in ('n5', 'n6'):
-            view.apply_entry(Entry(place + name, 'a:1 z', 8))
+            view.apply_entry(Entry(place + name, '10.0.0.1:7340 z', 8))
         view.received_revision = after
-        rows = (Entry(place + 'n6', 'a:1 z', 8), Entry(place + 'n7', 'a:2 z', 15))
+        rows = (
+            Entry(place + 'n6', '10.0.0.1:7340 z', 8),
+            Entry(place + 'n7', '10.0.0.2:7340 z', 15),
+        )
         passed = []
         self.session.relay_changes = lambda changes, sender: passed.append(changes)
         self.session.is_followed = lambda: True
@@ -409,7 +417,7 @@
         self.assertEqual((changes.after, changes.revision), (11, 20))
         other = FleetView(lambda: 0.0)
         for name in ('n5', 'n6'):
-            other.apply_entry(Entry('coursepitch/nodes/' + name, 'a:1 z', 8))
+            other.apply_entry(Entry('coursepitch/nodes/' + name, '10.0.0.1:7340 z', 8))
         other.received_revision = 11
         other.apply(Events(changes.entries, changes.revision))
         self.assertEqual(other.nodes, self.session.view.nodes)
--- a/tests/fleet/test_view.py
+++ b/tests/fleet/test_view.py
@@ -125,24 +125,24 @@
 
     def test_node_that_lapsed_in_an_outage_is_held_for_a_limited_time(self):
         for name in ('n1', 'n2'):
-            self.view.apply_entry(Entry(NODE_PREFIX + name, 'address', 5))
+            self.view.apply_entry(Entry(NODE_PREFIX + name, '10.0.0.1:7340', 5))
         self.end_outage()
         self.view.apply(Events((), 20, complete=True))
         self.assertEqual(set(self.view.nodes), {'n1', 'n2'})
-        self.view.apply_entry(Entry(NODE_PREFIX + 'n1', 'address', 21))
+        self.view.apply_entry(Entry(NODE_PREFIX + 'n1', '10.0.0.1:7340', 21))
         self.now += 3.0
         self.view.sweep()
         self.assertEqual(set(self.view.nodes), {'n1'})
 
     def test_node_that_left_may_finish_its_requests_for_a_while(self):
-        self.view.apply_entry(Entry(NODE_PREFIX + 'n1', 'address', 5))
+        self.view.apply_entry(Entry(NODE_PREFIX + 'n1', '10.0.0.1:7340', 5))
         self.view.apply_entry(Entry(NODE_PREFIX + 'n1', deleted_at=6))
         self.assertEqual(set(self.view.list_nodes_and_departed()), {'n1'})
         self.now += DEPARTED_S + 1.0
         self.assertEqual(self.view.list_nodes_and_departed(), {})
 
     def test_deleted_node_is_removed_at_once_without_an_outage(self):
-        self.view.apply_entry(Entry(NODE_PREFIX + 'n1', 'address', 5))
+        self.view.apply_entry(Entry(NODE_PREFIX + 'n1', '10.0.0.1:7340', 5))
         self.view.apply_entry(Entry(NODE_PREFIX + 'n1', deleted_at=6))
         self.assertEqual(self.view.nodes, {})
 
