Let a head that late orders opened again leave before it joins another group

Callers at that head lose their streams.

Cause: the leader takes a group for ended for good once its head has confirmed that it left. Orders to join and to open that are carried out seconds later bring the group back, and the head counted as free whatever it reported.

A head that reports its ended group as open or closing is told to leave, and joins nothing until it has. What its entry said before it left still does not hold it, as an instance that is cut off from the store cannot write another one.

tests.fleet.test_late_orders: two of three fail before, none now; 543 tests of the fleet pass.

--- a/coursepitch/fleet/groups.py
+++ b/coursepitch/fleet/groups.py
@@ -121,7 +121,9 @@
     _isolated_at: float = float('-inf')
     _records: dict[tuple[str, int], _GroupRecord] = field(default_factory=dict)
     _unopened: set[tuple[str, int]] = field(default_factory=set)
-    _ended_groups: set[tuple[str, int]] = field(default_factory=set)
+    _ended_groups: dict[tuple[str, int], FleetInstance | None] = field(
+        default_factory=dict
+    )
     _started_ms: dict[str, int] = field(default_factory=dict)
     _last_seen: dict[str, FleetInstance] = field(default_factory=dict)
     _ledger: OrderLedger = field(default_factory=OrderLedger)
@@ -313,7 +315,14 @@
             return True
         if is_warming_up(instance):
             return True
-        return (membership.group, membership.epoch) in self._ended_groups
+        key = (membership.group, membership.epoch)
+        if key not in self._ended_groups:
+            return False
+        if not membership.state.may_serve:
+            return True
+        # Orders that were carried out late may have opened the group again.  What was
+        # known before the head left tells nothing.
+        return instance is self._ended_groups[key]
 
     def _find_record(self, claim: GroupClaim, now: float) -> _GroupRecord:
         key = (claim.name, claim.epoch)
@@ -552,14 +561,14 @@
     ) -> bool:
         """Whether the members may join another group."""
         key = (claim.name, claim.epoch)
+        head = view.instances.get(claim.head)
         if not record.may_be_open or claim.head in record.confirmed_left:
-            self._ended_groups.add(key)
+            self._ended_groups.setdefault(key, head)
             return True
-        head = view.instances.get(claim.head)
         if head is not None and claim.head not in self.unresponsive:
             gone = not _is_member(head, claim) or _find_state(head) is GroupState.BROKEN
             if gone and not view.is_lapsed(claim.head):
-                self._ended_groups.add(key)
+                self._ended_groups.setdefault(key, None)
                 return True
         if not self._is_unresponsive(claim.head, view, record):
             return False
