Keep a node listed whose entry hung on a lease that it has given up

Cause: a write of a node's entry without an answer may be done seconds later. The node had taken another lease meanwhile and kept the old one running, so the late write moved the entry to the old lease and it went with it; the node renewed its new lease and never looked for its entry. Class: a fact is taken for lasting that another write can undo.

The lease of a write without an answer is ended, so that the store rejects the write or removes it; and a node whose entry has gone from its view, after its last write of it, writes it again with the next renewal.

tests.fleet.test_leases.LateWriteTest: two of three fail before, none now; 546 tests of the fleet pass.

--- a/coursepitch/fleet/leases.py
+++ b/coursepitch/fleet/leases.py
@@ -122,6 +122,7 @@
         self._node_lease = Lease(kv, NODE_LEASE_S, clock)
         self._leader_lease = Lease(kv, LEAD_LEASE_S, clock)
         self._lead_revision = 0
+        self._listed_revision = 0
         self._resigned_at = float('-inf')
         self._clock = clock
         self._ending = False
@@ -188,21 +189,38 @@
 
         :return: whether the node is listed.
         """
-        return await (
-            self._node_lease.renew() if self._node_lease.name else self._list()
-        )
+        if not self._node_lease.name:
+            return await self._list()
+        if not await self._node_lease.renew():
+            return False
+        return not self._is_missing() or await self._write_entry()
 
     async def _list(self) -> bool:
         if not await self._node_lease.grant():
             return False
+        if await self._write_entry():
+            return True
+        # The write may still be carried out, and would replace that of another lease.
+        await self._node_lease.end()
+        self._node_lease.name = ''
+        return False
+
+    async def _write_entry(self) -> bool:
         value = encode_place(self.place)
         write = Write(NODE_PREFIX + self._me, value, self._node_lease.name)
         result = await self._kv.transact([], [write])
         if not isinstance(result, Swapped):
-            self._node_lease.name = ''
             return False
+        self._listed_revision = result.revision
         return True
 
+    def _is_missing(self) -> bool:
+        """Whether the node's entry has gone although its lease is valid."""
+        view = self._view
+        return view.received_revision >= self._listed_revision and not view.has_entry(
+            self._me
+        )
+
     # -- leadership ------------------------------------------------------------------
 
     async def keep_leading(self) -> None:
--- a/coursepitch/fleet/view.py
+++ b/coursepitch/fleet/view.py
@@ -453,6 +453,10 @@
         else:
             self._remove_or_hold_node(name)
 
+    def has_entry(self, node: str) -> bool:
+        """Whether the store holds the entry of a node, as far as is known."""
+        return node in self.nodes and node not in self._lapsed_nodes
+
     def _remove_or_hold_node(self, name: str) -> None:
         """Remove a node, unless its entry may have expired with the store.
 
--- a/tests/fleet/test_leases.py
+++ b/tests/fleet/test_leases.py
@@ -14,7 +14,8 @@
     RESIGN_PAUSE_S,
     NodeLeases,
 )
-from coursepitch.fleet.view import LEADER_KEY, FleetView
+from coursepitch.fleet.nodes import NodeLocation
+from coursepitch.fleet.view import LEADER_KEY, NODE_PREFIX, FleetView
 from coursepitch.platform.kv import (
     Condition,
     Conflict,
@@ -263,3 +264,75 @@
 
 if __name__ == '__main__':
     unittest.main()
+
+
+class LateWriteTest(unittest.TestCase):
+    """A write without an answer does not take a node off the list for good.
+
+    Guards against nodes that divide the retry budget by too few, as entries of their
+    peers hang on leases that these have given up.
+    """
+
+    def setUp(self):
+        self.now, self.revision = 100.0, 10
+        self.answers = True
+        self.leases = []
+        self.ended = []
+        self.writes = []
+        self.view = FleetView(lambda: self.now)
+        self.node = NodeLeases('n1', self, self.view, lambda: None, lambda: self.now)
+        self.node.place = NodeLocation('10.0.0.1:7340', 'a')
+
+    # -- the store ----------------------------------------------------------------
+
+    async def grant(self, ttl_s):
+        self.leases.append(f'{len(self.leases) + 1}')
+        return self.leases[-1]
+
+    async def renew(self, lease):
+        return lease not in self.ended
+
+    async def revoke(self, lease):
+        self.ended.append(lease)
+
+    async def transact(self, conditions, writes=()):
+        if not self.answers:
+            return Unavailable('no answer in time', maybe_applied=True)
+        self.writes += writes
+        self.revision += 1
+        return Swapped(self.revision)
+
+    # -- tests --------------------------------------------------------------------
+
+    def keep(self):
+        return anyio.run(self.node.renew_listing)
+
+    def apply_writes(self):
+        """Let the view receive the newest entry."""
+        entry = Entry(NODE_PREFIX + 'n1', self.writes[-1].value, self.revision)
+        self.view.apply(Events((entry,), self.revision))
+
+    def test_lease_of_a_write_without_an_answer_is_ended(self):
+        self.answers = False
+        self.assertFalse(self.keep())
+        self.answers = True
+        self.assertTrue(self.keep())
+        self.assertEqual(self.ended, ['1'])
+        self.assertEqual(self.writes[-1].lease, '2')
+
+    def test_entry_that_goes_is_written_again(self):
+        self.assertTrue(self.keep())
+        self.apply_writes()
+        self.revision += 1
+        gone = Entry(NODE_PREFIX + 'n1', deleted_at=self.revision)
+        self.view.apply(Events((gone,), self.revision))
+        self.assertTrue(self.keep())
+        self.assertEqual([write.lease for write in self.writes], ['1', '1'])
+        self.apply_writes()
+        self.assertTrue(self.keep())
+        self.assertEqual(len(self.writes), 2)
+
+    def test_entry_that_is_yet_to_arrive_is_not_written_again(self):
+        self.assertTrue(self.keep())
+        self.assertTrue(self.keep())
+        self.assertEqual(len(self.writes), 1)
