Count runs at instances that run on without an entry

Cause: a run counted against the attempts of its route only while its instance was listed. An entry that has gone tells nothing of the process: instances that leave without a word serve on. Class: absence of news is taken for proof.

An instance that breaks a run off and has no entry is asked whether it runs on, for 0.15 s at most; if it answers, its run counts. One that is silent still does not, as the test of runs at vanished instances wants. Ruled out: to count each run without proof of the end, which that test forbids, as instances that go dark never give any.

--- a/coursepitch/gateway/crash_detector.py
+++ b/coursepitch/gateway/crash_detector.py
@@ -42,6 +42,9 @@
 SILENT_TIMEOUT_S = 2.0
 SILENT_PAUSE_S = 0.05
 
+#: Seconds for which an instance without an entry is asked whether it runs on.
+RUNS_ON_TIMEOUT_S = 0.15
+
 #: Number of checks to finish later that are kept; the oldest are dropped beyond it.
 MAX_UNFINISHED = 1_000
 
@@ -203,6 +206,15 @@
             return ProcessState.ENDED
         return state
 
+    async def runs_on(self, instance: FleetInstance) -> bool:
+        """Whether an instance answers, whatever is known of its entry.
+
+        One that answers does so at once, and the request waits for it.
+        """
+        with anyio.move_on_after(RUNS_ON_TIMEOUT_S):
+            return await self._control.find_state(instance) is ProcessState.RUNS
+        return False
+
     async def find_state_of_silent(self, instance: FleetInstance) -> ProcessState:
         """Return the state of an instance of which nothing is proven.
 
--- a/coursepitch/gateway/job.py
+++ b/coursepitch/gateway/job.py
@@ -87,6 +87,7 @@
     :param send_times: monotonic times of the sends.
     :param software: version of the software of the latest one; empty if unknown.
     :param may_have_run: instances that executed it, or may have.
+    :param unlisted: instances among them that run on without an entry.
     :param permit: permit for the next send, where the instance limits its rate.
     :param interrupted_by: instance that interrupted the latest attempt, if any.
     :param crashes: number of instances that ended while executing it.
@@ -119,6 +120,7 @@
     send_times: list[float] = field(default_factory=list)
     software: str = ''
     may_have_run: set[str] = field(default_factory=set)
+    unlisted: set[str] = field(default_factory=set)
     permit: Permit | None = None
     interrupted_by: FleetInstance | None = None
     crashes: int = 0
--- a/coursepitch/gateway/streams.py
+++ b/coursepitch/gateway/streams.py
@@ -371,15 +371,19 @@
     def _may_run_again(self, job: Job, live: Collection[str] = ()) -> bool:
         """Whether the route allows another run.
 
-        Runs count unless their instance has gone.  A run whose group lost a member
-        counts too, as its head is still alive: without counting such runs, 13 streams
-        in a day ran on three instances instead of the two allowed (a head that answered
-        with errors, then a group that lost a member).
+        Runs count unless their instance has gone: it has no entry, and was not found
+        to run on when it broke off.  A run whose group lost a member counts too, as
+        its head is still alive: without counting such runs, 13 streams in a day ran on
+        three instances instead of the two allowed (a head that answered with errors,
+        then a group that lost a member).
 
         :param live: instances of the runs that have not ended.
         """
         present = self._components.session.view.instances
-        standing = sum(name in present for name in job.may_have_run.union(live))
+        standing = sum(
+            name in present or name in job.unlisted
+            for name in job.may_have_run.union(live)
+        )
         return standing < job.route.attempts and len(job.sent) < MAX_SENDS
 
     def _give_up(self, job: Job) -> Refusal | None:
@@ -925,8 +929,12 @@
         run.interrupted = True
         self._end_run(job, run)
         job.switch_run(run)
-        job.interrupted_by = run.group.head
-        await self._components.crash_detector.check_crash(job)
+        job.interrupted_by = head = run.group.head
+        detector = self._components.crash_detector
+        await detector.check_crash(job)
+        present = self._components.session.view.instances
+        if head.name not in present and await detector.runs_on(head):
+            job.unlisted.add(head.name)
 
     async def _note_interruption(self, job: Job, run: Run, reason: str) -> None:
         """Record that the connection of a run was lost."""
--- a/tests/gateway/simulated_runs.py
+++ b/tests/gateway/simulated_runs.py
@@ -575,6 +575,7 @@
                 is_refused=lambda job: False,
                 forbids_retry=lambda job: False,
                 check_crash=self._check_crash,
+                runs_on=self._runs_on,
                 find_state=self._find_state,
             ),
             suspicion=NO_SUSPICION,
@@ -696,6 +697,10 @@
     async def _check_crash(self, job):
         await anyio.sleep(self.case.check_s)
 
+    async def _runs_on(self, instance):
+        await anyio.sleep(0)
+        return self.now < self.scripts[instance.name].gone_at
+
     async def _find_state(self, instance):
         await anyio.sleep(self.case.check_s)
         return ProcessState.RUNS
--- a/tests/gateway/test_decisions.py
+++ b/tests/gateway/test_decisions.py
@@ -668,9 +668,12 @@
         components = SimpleNamespace(session=SimpleNamespace(view=view))
         self.streams = StreamServer(components, None)
 
-    def may_run_again(self, *ran):
+    def may_run_again(self, *ran, unlisted=()):
         job = SimpleNamespace(
-            may_have_run=set(ran), sent=list(ran), route=SimpleNamespace(attempts=2)
+            may_have_run=set(ran),
+            unlisted=set(unlisted),
+            sent=list(ran),
+            route=SimpleNamespace(attempts=2),
         )
         return self.streams._may_run_again(job)
 
@@ -684,6 +687,12 @@
         self.assertTrue(self.may_run_again('a', 'gone'))
         self.assertTrue(self.may_run_again('gone', 'gone too'))
 
+    # Guards against runs on a third instance while two whose entries went serve on.
+    def test_runs_of_instances_that_run_on_without_an_entry_count(self):
+        self.assertFalse(self.may_run_again('a', 'gone', unlisted=['gone']))
+        gone = ('gone', 'gone too')
+        self.assertFalse(self.may_run_again(*gone, unlisted=gone))
+
 
 class StartupWaitTest(unittest.TestCase):
     """Requests that arrive while a node starts wait for its configuration."""
