Ask about the end of a stream of a leaving instance where another can go on

Cause: an instance that is leaving may end after its last response, so it was not asked whether it runs, and what was not silent counted as whole. Class: absence of news is taken for proof.

Where a stream may be resumed, such an instance is asked, and if it has ended, the stream goes on at another one from its last event: a doubt costs a further run and no wrong answer. Calls and streams that may not be resumed stay as they were (docs/design/response-ends.rst).

--- a/coursepitch/gateway/crash_detector.py
+++ b/coursepitch/gateway/crash_detector.py
@@ -206,6 +206,13 @@
             return ProcessState.ENDED
         return state
 
+    async def find_state_of_leaving(self, instance: FleetInstance) -> ProcessState:
+        """Return the state of an instance that is leaving, or has no entry.
+
+        Its end alone is no crash, so it is not recorded.
+        """
+        return await self._control.find_state(instance)
+
     async def runs_on(self, instance: FleetInstance) -> bool:
         """Whether an instance answers, whatever is known of its entry.
 
--- a/coursepitch/gateway/response_ends.py
+++ b/coursepitch/gateway/response_ends.py
@@ -133,15 +133,17 @@
     instance: FleetInstance,
     *,
     steady: bool = True,
+    resumable: bool = False,
 ) -> None:
     """Check that an instance did not crash with a response that has ended.
 
     Records whether that is proven.  The kernel closes the connections of a crashed
     process as the process does after a whole response.  An instance that is leaving
     may end after its last response, so it is only asked about one that was silent
-    before.
+    before, or that can go on at another instance.
 
     :param steady: whether the response was not silent shortly before its end.
+    :param resumable: whether another instance can give what may be missing.
     :raises BrokenOffError: it did, or nobody could find out, or nothing tells that a
         response which was silent is whole; and the end of the connection is all that
         tells its end.
@@ -153,6 +155,8 @@
     state = await detector.find_state(instance)
     if state is ProcessState.UNKNOWN and not steady:
         state = await detector.find_state_of_silent(instance)
+    elif state is ProcessState.UNKNOWN and resumable and not listed:
+        state = await detector.find_state_of_leaving(instance)
     job.survived = state is ProcessState.RUNS
     if state not in (ProcessState.RUNS, ProcessState.ENDED):
         log.emit(
--- a/coursepitch/gateway/streams.py
+++ b/coursepitch/gateway/streams.py
@@ -617,7 +617,14 @@
         check_events(job, response, run.group.head, run.splitter)
         detector = self._components.crash_detector
         steady = run.arrivals.are_steady(now)
-        await check_sender(detector, job, response, run.group.head, steady=steady)
+        await check_sender(
+            detector,
+            job,
+            response,
+            run.group.head,
+            steady=steady,
+            resumable=job.route.resumable and run.splitter.has_events(),
+        )
         self._watchdog.note_activity(run.head)
         run.events += run.splitter.flush()
         if run.parts is not None:
--- a/tests/gateway/test_response_ends.py
+++ b/tests/gateway/test_response_ends.py
@@ -5,6 +5,7 @@
 import contextlib
 import time
 import unittest
+from functools import partial
 from types import SimpleNamespace
 
 import anyio
@@ -34,8 +35,13 @@
     """Knows what is proven of the instance; counts the questions."""
 
     def __init__(
-        self, crashed=False, state=ProcessState.RUNS, silent=ProcessState.UNKNOWN
+        self,
+        crashed=False,
+        state=ProcessState.RUNS,
+        silent=ProcessState.UNKNOWN,
+        leaving=None,
     ):
+        self.leaving = leaving
         self.state = ProcessState.ENDED if crashed else state
         self.silent = silent
         self.asked = 0
@@ -44,7 +50,7 @@
         return 0.0
 
     def is_listed(self, instance):
-        return True
+        return self.leaving is None
 
     async def find_state(self, instance):
         self.asked += 1
@@ -53,6 +59,10 @@
     async def find_state_of_silent(self, instance):
         return self.silent
 
+    async def find_state_of_leaving(self, instance):
+        self.asked += 1
+        return self.leaving
+
 
 class ResponseEndTest(unittest.TestCase):
     """Responses as they are read, to their end."""
@@ -238,6 +248,37 @@
                 self.assertFalse(self.is_silent_end_broken_off(steady=True, **states))
 
     # Guards against whole streams that look broken off as they paused.
+    def is_leaving_broken_off(self, state, *, resumable):
+        """Whether a steady response of an instance that is leaving is broken off."""
+        job, answer = self.build_exchange(Framing.CONNECTION)
+        detector = FakeDetector(state=ProcessState.UNKNOWN, leaving=state)
+        check = partial(
+            check_sender,
+            detector,
+            job,
+            answer,
+            SimpleNamespace(name='i'),
+            resumable=resumable,
+        )
+        try:
+            anyio.run(check)
+        except BrokenOffError:
+            return True
+        return False
+
+    # Guards against streams that end as complete as their leaving instance is killed.
+    def test_stream_of_an_ended_instance_goes_on_at_another(self):
+        self.assertTrue(self.is_leaving_broken_off(ProcessState.ENDED, resumable=True))
+
+    def test_stream_of_a_leaving_instance_that_runs_is_whole(self):
+        for state in (ProcessState.RUNS, ProcessState.UNKNOWN):
+            self.assertFalse(self.is_leaving_broken_off(state, resumable=True))
+
+    def test_end_of_a_leaving_instance_alone_breaks_nothing_else_off(self):
+        self.assertFalse(
+            self.is_leaving_broken_off(ProcessState.ENDED, resumable=False)
+        )
+
     def test_silent_response_of_an_instance_that_lives_is_whole(self):
         found = self.is_silent_end_broken_off(steady=False, state=ProcessState.RUNS)
         self.assertFalse(found)
