Log what connections do as a node stops, and why they end

Callers of a stopping node got a status and then a closed connection, and no line of its log named the request. request.ended did not give the reason of a response that the node broke off.

node.connections counts connections that are idle, read, handle, or have more behind a request, as a stop begins and ends; connection.ended names a request whose connection the node ends before it handles it; request.ended gives for how long the node had been stopping, and the reason of each cut.

--- a/coursepitch/events.py
+++ b/coursepitch/events.py
@@ -55,6 +55,14 @@
     ('outcome', 'taken', 'waiting'),
 )
 
+NODE_CONNECTIONS = Event(
+    110,
+    'node.connections',
+    'Connections of clients as a graceful shutdown begins, and as it ends: those that '
+    'are idle, on which a request is being read, or is handled, and on which more has '
+    'arrived behind one that is.',
+    ('phase', 'idle', 'reading', 'handling', 'behind'),
+)
 NODE_DELAYED = Event(
     109,
     'node.delayed',
@@ -434,7 +442,8 @@
 REQUEST_ENDED = Event(
     607,
     'request.ended',
-    'A request ended: the response to the client, or that the client disconnected.',
+    'A request ended: the response to the client, or that the client disconnected; '
+    'for how long the node had been stopping when the request was read.',
     (
         'request',
         'route',
@@ -450,6 +459,7 @@
         'waited_s',
         'sends_s',
         'left_s',
+        'stopping_s',
         'first_s',
         'pause_s',
         'objective_s',
@@ -458,6 +468,13 @@
         'framing',
     ),
 )
+CONNECTION_ENDED = Event(
+    629,
+    'connection.ended',
+    'A node ends a connection before it handles all requests on it: what it was doing, '
+    'the status of the error response, 0 without one, and whether more had arrived.',
+    ('request', 'state', 'status', 'reason', 'more', 'stopping'),
+)
 LINES_DROPPED = Event(
     608,
     'log.dropped',
--- a/coursepitch/gateway/components.py
+++ b/coursepitch/gateway/components.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from coursepitch.gateway.stop_schedule import StopSchedule
+
 if TYPE_CHECKING:
     from coursepitch.clock import Clock
     from coursepitch.fleet.notices import InstanceNotices
@@ -40,3 +42,4 @@
     paths: InstancePaths
     clock: Clock
     late_starts: LateStarts
+    stop_schedule: StopSchedule = field(default_factory=StopSchedule)
--- a/coursepitch/gateway/request_handler.py
+++ b/coursepitch/gateway/request_handler.py
@@ -58,6 +58,7 @@
         self._calls = calls
         self._suspicion = suspicion
         self._metrics = metrics
+        self._stop = components.stop_schedule
         self.has_served = False
         self._usual_patience_s: dict[str, float] = {}
         self._under_way: set[anyio.CancelScope] = set()
@@ -255,6 +256,7 @@
         if job.reply.started:
             job.reply.abort()
             job.ending = Ending.CUT
+            job.last_reason = job.last_reason or 'the deadline passed'
             return None
         if job.sent:
             return Refusal(504, 'no response before the deadline')
@@ -271,6 +273,7 @@
     def _end_early(self, job: Job, reason: str) -> Refusal | None:
         """Break off a response that has begun, or return the refusal to send."""
         if job.reply.started:
+            job.last_reason = reason
             return self._end_at_deadline(job)
         return Refusal(502 if job.sent else 503, reason)
 
@@ -315,6 +318,9 @@
             waited_s=round(job.incoming.waited_s, 4) if job else None,
             sends_s=[_round_since(at, job) for at in job.send_times] if job else [],
             left_s=_round_since(job.reply.client_left_at, job) if job else None,
+            stopping_s=round(since - self._stop.began_at, 3)
+            if self._stop.has_begun
+            else None,
             first_s=_round_since(job.first_event_at, job) if job else None,
             pause_s=round(job.pause_s, 4) if job else 0.0,
             objective_s=job.route.objective_s if job else 0.0,
--- a/coursepitch/gateway_application.py
+++ b/coursepitch/gateway_application.py
@@ -38,14 +38,15 @@
 from coursepitch.gateway.request_handler import Gateway
 from coursepitch.gateway.router import Router
 from coursepitch.gateway.send_gate import SendGate
+from coursepitch.gateway.stop_schedule import StopSchedule
 from coursepitch.gateway.streams import StreamServer
 from coursepitch.gateway.suspicion import SuspicionGate
 from coursepitch.gateway.watchdog import Watchdog
 from coursepitch.http.client import ConnectionPool
-from coursepitch.http.server import ConnectionRules, HttpServer
+from coursepitch.http.server import ConnectionRules, ConnectionState, HttpServer
 from coursepitch.listeners import listen
 from coursepitch.metrics import Metrics
-from coursepitch.platform.headers import read_client_timeout_s
+from coursepitch.platform.headers import read_client_timeout_s, read_request_id
 from coursepitch.platform.kv import KeyValue
 from coursepitch.reload_signal import unblock_reload_signal
 
@@ -203,6 +204,7 @@
             node.name, self.session, self.control, self.reporter, clock
         )
         self.late_starts = LateStarts(self.session, clock)
+        self.stop_schedule = StopSchedule()
         self.gateway = self._build_gateway()
         self._started_at = clock()
         self.overload = OverloadGuard(clock, self.metrics, self._has_idle_peers)
@@ -213,6 +215,7 @@
             self.session.is_fading,
             self.overload.accepts,
             read_client_timeout_s,
+            read_request_id,
         )
         self.ready_server = HttpServer(self._serve_readiness, ConnectionRules, clock)
         self.metrics_server = HttpServer(self._serve_metrics, ConnectionRules, clock)
@@ -242,6 +245,7 @@
             self.paths,
             self.clock,
             self.late_starts,
+            self.stop_schedule,
         )
         self.session.loans.lend = partial(lend_retry, components)
         streams = StreamServer(components, self.watchdog)
@@ -550,15 +554,17 @@
         stopped_at = self.clock()
         self.stopping = True
         self.front.stopping = True
+        end_at = stopped_at + self.settings.node.stop_s - STOP_MARGIN_S
+        self.stop_schedule.begin(stopped_at, end_at)
         log.emit(
             events.NODE_DRAINING,
             in_flight=self.front.busy_count,
             limit_s=self.settings.node.stop_s,
         )
+        self._log_connections('begin')
         with anyio.move_on_after(1.0):
             await self.tunnel_server.stop()
             await self.session.end()
-        end_at = stopped_at + self.settings.node.stop_s - STOP_MARGIN_S
         while self.clock() < end_at:
             waited = self.clock() - stopped_at
             if waited >= STOP_ACCEPT_S:
@@ -569,8 +575,19 @@
                 if waited >= STOP_ACCEPT_S + 1.2 and not busy:
                     break
             await anyio.sleep(0.05)
+        self._log_connections('end')
         self.gateway.end_requests('the node stops')
         with anyio.move_on_after(FINAL_ANSWERS_S):
             while self.front.busy_count:
                 await anyio.sleep(0.01)
         self._output.flush()
+
+    def _log_connections(self, phase: str) -> None:
+        log.emit(
+            events.NODE_CONNECTIONS,
+            phase=phase,
+            idle=self.front.count(ConnectionState.IDLE),
+            reading=self.front.count(ConnectionState.READING),
+            handling=self.front.count(ConnectionState.HANDLING),
+            behind=self.front.count_with_more(),
+        )
--- a/coursepitch/http/server.py
+++ b/coursepitch/http/server.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import enum
 import socket
 import struct
 from dataclasses import dataclass, field
@@ -33,7 +34,7 @@
 
     from coursepitch.http.messages import Headers
 
-__all__ = ['ConnectionRules', 'HttpServer', 'ResponseWriter']
+__all__ = ['ConnectionRules', 'ConnectionState', 'HttpServer', 'ResponseWriter']
 
 #: Interval in seconds at which an idle connection checks its limits again, which may
 #: have changed with the configuration.
@@ -187,6 +188,19 @@
     return b'%x\r\n%b\r\n' % (len(data), data)
 
 
+class ConnectionState(enum.Enum):
+    """What a connection from a client is doing.
+
+    :cvar IDLE: nothing of a request has been read.
+    :cvar READING: a part of a request has been read.
+    :cvar HANDLING: the handler of a request runs, or writes its response.
+    """
+
+    IDLE = 'idle'
+    READING = 'reading'
+    HANDLING = 'handling'
+
+
 @dataclass(eq=False)
 class ServerConnection:
     """One connection from a client.
@@ -194,7 +208,7 @@
     :param head_limit: maximum size in bytes of a request head.
     :param broken: whether the connection must be aborted instead of closed.
     :param idle_since: time at which the connection became idle.
-    :param busy: whether a request is being handled.
+    :param request: id of the request that was read last, or whose head was.
     :param left_at: time at which the client was seen to have disconnected; ``None``
         while it is there.
     """
@@ -205,10 +219,16 @@
     head_limit: int = 0
     broken: bool = False
     idle_since: float = 0.0
-    busy: bool = False
+    state: ConnectionState = ConnectionState.IDLE
+    request: str = ''
     left_at: float | None = None
     _cancel_handler: Callable[[], None] | None = None
 
+    @property
+    def has_more(self) -> bool:
+        """Whether bytes have arrived behind the request that is handled."""
+        return bool(self.parser.trailing_data[0]) or self.stream.unread_bytes > 0
+
     def has_client_left(self) -> bool:
         """Whether the client has disconnected; its handler is cancelled if it has.
 
@@ -241,10 +261,31 @@
                     # A request that was sent ahead may be answered without any wait.
                     await asyncio.sleep(0)
         except _RequestProblemError as problem:
+            self._log_unanswered(problem.status, str(problem))
+            self.state = ConnectionState.IDLE
             await self._send_error(problem)
         finally:
+            if self.state is ConnectionState.READING or self.has_more:
+                self._log_unanswered(0, '')
             self.stream.close()
 
+    def _log_unanswered(self, status: int, reason: str) -> None:
+        """Log that a connection ends before a request on it is handled.
+
+        :param status: status of the error response; 0 without one.
+        """
+        if self.stream.ended:
+            return
+        log.emit(
+            events.CONNECTION_ENDED,
+            request=self.request,
+            state=self.state.value,
+            status=status,
+            reason=reason,
+            more=self.has_more,
+            stopping=self.server.stopping,
+        )
+
     def _start_next(self) -> bool:
         parser = self.parser
         if parser.our_state is h11.DONE and parser.their_state is h11.DONE:
@@ -255,7 +296,7 @@
     async def _handle_request(self, request: IncomingRequest) -> None:
         """Run the handler; cancel it when the client disconnects."""
         reply = ResponseWriter(self, omits_body=request.method == b'HEAD')
-        self.busy = True
+        self.state = ConnectionState.HANDLING
         scope = anyio.CancelScope()
 
         def cancel() -> None:
@@ -273,7 +314,7 @@
                 await self.server.handle(request, reply)
         finally:
             self.stream.on_end = self._cancel_handler = None
-            self.busy = False
+            self.state = ConnectionState.IDLE
         if not reply.ended:
             self.broken = True
 
@@ -283,6 +324,7 @@
         :raises _RequestProblemError: the request is malformed, too large or too slow.
         """
         self.idle_since = self.server.clock()
+        self.request = ''
         head: h11.Request | None = None
         body = bytearray()
         digest = start_digest()
@@ -300,6 +342,8 @@
                     await self.write(self.parser.send(interim))
                 if head is None and started_at is None and self.parser.trailing_data[0]:
                     started_at = self.server.clock()
+                if head is not None or started_at is not None:
+                    self.state = ConnectionState.READING
                 data = await self._receive(head, started_at, size)
                 if data is None:
                     return None
@@ -313,6 +357,7 @@
                     return None
             elif isinstance(event, h11.Request):
                 head = event
+                self.request = self.server.find_request_id(tuple(head.headers))
                 declared = find_header(tuple(head.headers), b'content-length')
                 if declared and int(declared) > self.server.read_rules().body_bytes:
                     raise _RequestProblemError(413, 'request body too large')
@@ -452,6 +497,7 @@
         reset unread.
     :param find_client_timeout_s: returns the seconds that a client waits for the
         response to a request with these headers, or ``None`` if it gives none.
+    :param find_request_id: returns the id of a request with these headers, for logs.
     :param stopping: whether the server finishes its requests and closes connections.
     :param closing_idle: whether idle connections are closed.
     """
@@ -462,6 +508,7 @@
     is_draining: Callable[[], bool] = lambda: False
     accepts: Callable[[], bool] = lambda: True
     find_client_timeout_s: Callable[[Headers], float | None] = lambda headers: None
+    find_request_id: Callable[[Headers], str] = lambda headers: ''
     stopping: bool = False
     closing_idle: bool = False
     connections: set[ServerConnection] = field(default_factory=set)
@@ -473,7 +520,19 @@
     @property
     def busy_count(self) -> int:
         """Number of requests that are being handled."""
-        return sum(1 for item in self.connections if item.busy)
+        return self.count(ConnectionState.HANDLING)
+
+    def count(self, state: ConnectionState) -> int:
+        """Return the number of connections in a state."""
+        return sum(1 for item in self.connections if item.state is state)
+
+    def count_with_more(self) -> int:
+        """Return the number of connections with bytes behind a request in hand."""
+        return sum(
+            1
+            for item in self.connections
+            if item.state is ConnectionState.HANDLING and item.has_more
+        )
 
     async def run(self, sock: socket.socket) -> None:
         """Accept connections until cancelled."""
--- a/coursepitch/http/stream.py
+++ b/coursepitch/http/stream.py
@@ -204,6 +204,11 @@
         """Whether the other side has ended or reset the connection."""
         return self._ended
 
+    @property
+    def unread_bytes(self) -> int:
+        """Number of bytes that have been received and not returned yet."""
+        return self._unread_bytes
+
     def has_input(self) -> bool:
         """Whether unread bytes or the end of the stream have arrived."""
         return (
--- a/coursepitch/platform/headers.py
+++ b/coursepitch/platform/headers.py
@@ -20,6 +20,7 @@
     'forward_response_headers',
     'read_client_timeout_s',
     'read_request_fields',
+    'read_request_id',
     'read_response_metadata',
 ]
 
@@ -172,6 +173,11 @@
     return _parse_timeout_s(find_header(headers, b'x-deadline-ms'))
 
 
+def read_request_id(headers: Headers) -> str:
+    """Return the id of a request, for logs; empty if it has none."""
+    return (find_header(headers, b'x-request-id') or b'').decode('latin-1')
+
+
 def _parse_timeout_s(value: bytes | None) -> float | None:
     timeout_ms = _parse_number(value or b'', -1)
     return timeout_ms / 1000 if timeout_ms >= 0 else None
--- a/tests/gateway/test_admission.py
+++ b/tests/gateway/test_admission.py
@@ -19,6 +19,7 @@
 from coursepitch.fleet.messages import Heartbeat
 from coursepitch.gateway.admission import MAX_LINES_PER_S, MAX_WAITING, DecisionLog
 from coursepitch.gateway.request_handler import Gateway
+from coursepitch.gateway.stop_schedule import StopSchedule
 from coursepitch.gateway_application import GatewayApplication
 from tests.gateway.waiting_node import OBJECTIVE_S, WaitingNode, run, settle
 from tests.whole.platform_base import SETTINGS
@@ -607,7 +608,11 @@
 
     def test_remaining_timeout_tells_how_long_ago_it_was(self):
         components = SimpleNamespace(
-            session=None, router=None, budget=None, clock=lambda: 0.0
+            stop_schedule=StopSchedule(),
+            session=None,
+            router=None,
+            budget=None,
+            clock=lambda: 0.0,
         )
         gateway = Gateway(components, None, None, None, None)
         self.assertEqual(gateway._find_waited_before_s('r', 8.0), 0.0)
--- a/tests/gateway/test_decisions.py
+++ b/tests/gateway/test_decisions.py
@@ -21,6 +21,7 @@
 from coursepitch.gateway.reply_times import MAX_FIRST_QUIET_S, MAX_QUIET_S
 from coursepitch.gateway.request_handler import Gateway
 from coursepitch.gateway.router import Router, find_zone_cost
+from coursepitch.gateway.stop_schedule import StopSchedule
 from coursepitch.gateway.streams import StreamServer
 from coursepitch.gateway.watchdog import RECHECK_S, Stall, Watchdog
 from coursepitch.gateway.work import estimate_work, find_max_in_flight
@@ -635,7 +636,9 @@
         reply = ResponseWriter(
             connection, started=started, ended=written, written=written
         )
-        job = SimpleNamespace(reply=reply, sent=['a'], ending=Ending.ANSWERED)
+        job = SimpleNamespace(
+            reply=reply, sent=['a'], ending=Ending.ANSWERED, last_reason=''
+        )
         refusal = Gateway._end_at_deadline(SimpleNamespace(), job)
         return refusal, connection.broken
 
@@ -709,7 +712,11 @@
             is_starting=lambda: now[0] < 10.0 + starting_for, wait_changed=wait_changed
         )
         components = SimpleNamespace(
-            session=session, router=None, budget=None, clock=lambda: now[0]
+            stop_schedule=StopSchedule(),
+            session=session,
+            router=None,
+            budget=None,
+            clock=lambda: now[0],
         )
         gateway = Gateway(components, None, None, None, None)
         request = SimpleNamespace(received_at=10.0)
--- a/tests/gateway/test_overdue_calls.py
+++ b/tests/gateway/test_overdue_calls.py
@@ -10,6 +10,7 @@
 from coursepitch.fleet.lost import LostInstances
 from coursepitch.gateway.calls import CallRun, CallServer
 from coursepitch.gateway.runs import RunSet
+from coursepitch.gateway.stop_schedule import StopSchedule
 from tests.fleet.builders import SOUND_PATHS, build_instance
 from tests.gateway.simulated_runs import VirtualTimeLoop
 
@@ -48,6 +49,7 @@
             job.deadline_at = clock() + 60.0
             settled_at = clock() + settled_s
             components = SimpleNamespace(
+                stop_schedule=StopSchedule(),
                 clock=clock,
                 paths=SOUND_PATHS,
                 crash_detector=SimpleNamespace(
--- a/tests/gateway/test_priority.py
+++ b/tests/gateway/test_priority.py
@@ -13,6 +13,7 @@
 from coursepitch.gateway.calls import CallRun
 from coursepitch.gateway.request_handler import Gateway
 from coursepitch.gateway.runs import Run, RunSet
+from coursepitch.gateway.stop_schedule import StopSchedule
 from coursepitch.http.event_splitter import EventSplitter
 from coursepitch.platform.headers import RequestFields
 from tests.config.test_routes import build_route
@@ -23,6 +24,7 @@
 def resolve(table, key=b''):
     """Return the request that a node makes of a client's."""
     components = SimpleNamespace(
+        stop_schedule=StopSchedule(),
         session=None,
         router=SimpleNamespace(choose_service=lambda route: 'pool'),
         budget=None,
--- a/tests/gateway/test_truthful.py
+++ b/tests/gateway/test_truthful.py
@@ -12,6 +12,7 @@
 from coursepitch.gateway.calls import CallServer
 from coursepitch.gateway.request_handler import Gateway
 from coursepitch.gateway.runs import Run, RunSet
+from coursepitch.gateway.stop_schedule import StopSchedule
 from coursepitch.gateway.streams import StreamServer
 from coursepitch.http.client import Framing
 from coursepitch.http.event_splitter import EventSplitter
@@ -46,6 +47,7 @@
         view = build_view([build_instance('a')])
         session = SimpleNamespace(view=view)
         self.components = SimpleNamespace(
+            stop_schedule=StopSchedule(),
             session=session,
             router=None,
             budget=None,
--- a/tests/gateway/waiting_node.py
+++ b/tests/gateway/waiting_node.py
@@ -16,6 +16,7 @@
 from coursepitch.gateway.load_tracker import LoadTracker
 from coursepitch.gateway.router import Router
 from coursepitch.gateway.send_gate import SendGate
+from coursepitch.gateway.stop_schedule import StopSchedule
 from coursepitch.gateway.streams import StreamServer
 from coursepitch.gateway.watchdog import Watchdog
 from coursepitch.metrics import Metrics
@@ -126,6 +127,7 @@
             self.view, self.load_tracker, watchdog, 'a', is_closed=self.gate.is_closed
         )
         components = SimpleNamespace(
+            stop_schedule=StopSchedule(),
             session=self.session,
             router=self.router,
             load_tracker=self.load_tracker,
