Keep a stop going when further signals come

Callers with requests in flight at a stopping node lost all of them when it got SIGTERM again: the process ended at once, with code -15 and no line in its log.

Cause: the handler of SIGTERM was removed with the first signal, so the next one had its default action. The same held for SIGHUP.

Now one receiver holds the handlers of all signals until the loop is done, and then they are ignored. Nodes of the OpenAI side use it as well; there a second signal cuts requests as before, and a third one did end the process. Further signals are logged (node.signal).

--- a/coursepitch/application.py
+++ b/coursepitch/application.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import secrets
-import signal
 import time
 from typing import TYPE_CHECKING, Any
 
@@ -48,6 +47,7 @@
 from coursepitch.serving.idempotency import RequestRecords
 from coursepitch.serving.replica_selector import ReplicaSelector
 from coursepitch.serving.services import ServiceCaller
+from coursepitch.signals import STOP_SIGNALS, log_further_signals, receive_signals
 from coursepitch.targets.engine import EngineControl
 from coursepitch.util.http import ServerStop, serve_app
 
@@ -57,6 +57,7 @@
 
     from coursepitch.clock import Clock
     from coursepitch.config.settings import Settings
+    from coursepitch.signals import SignalStream
 
 __all__ = ['NodeApplication']
 
@@ -360,12 +361,17 @@
         :param announce: told the ports once the node listens.
         """
         try:
-            return await self._run(announce)
+            with receive_signals(STOP_SIGNALS) as (signals,):
+                return await self._run(announce, signals)
         except Exception as error:
             log.emit(events.INTERNAL_ERROR, place='node', **log.describe_error(error))
             raise
 
-    async def _run(self, announce: Callable[[dict[str, int]], None]) -> int:
+    async def _run(
+        self,
+        announce: Callable[[dict[str, int]], None],
+        signals: SignalStream,
+    ) -> int:
         settings = self.settings
         sockets = {
             'entry': listen(settings.node.address, settings.entry.port),
@@ -386,11 +392,9 @@
                 if not settings.admin.key_hashes:
                     log.emit(events.ADMIN_KEYS_MISSING, address=settings.admin.address)
                 announce(ports)
-                with anyio.open_signal_receiver(
-                    signal.SIGTERM, signal.SIGINT
-                ) as signals:
-                    await anext(signals)
-                    cut = await self._drain(signals)
+                await anext(signals)
+                cut = await self._drain(signals)
+                group.start_soon(log_further_signals, signals)
                 for request in cut:
                     log.emit(events.REQUEST_ABORTED, request=request)
                 self.gate.end_requests()
--- a/coursepitch/events.py
+++ b/coursepitch/events.py
@@ -63,6 +63,12 @@
     'arrived behind one that is.',
     ('phase', 'idle', 'reading', 'handling', 'behind'),
 )
+SIGNAL_IGNORED = Event(
+    111,
+    'node.signal',
+    'A further signal to stop came while the node is stopping, which goes on.',
+    ('signal',),
+)
 NODE_DELAYED = Event(
     109,
     'node.delayed',
--- a/coursepitch/gateway_application.py
+++ b/coursepitch/gateway_application.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import signal
 from dataclasses import replace
 from functools import partial
 from typing import TYPE_CHECKING
@@ -49,10 +48,16 @@
 from coursepitch.platform.headers import read_client_timeout_s, read_request_id
 from coursepitch.platform.kv import KeyValue
 from coursepitch.reload_signal import unblock_reload_signal
+from coursepitch.signals import (
+    RELOAD_SIGNALS,
+    STOP_SIGNALS,
+    log_further_signals,
+    receive_signals,
+)
 
 if TYPE_CHECKING:
     import socket
-    from collections.abc import AsyncIterator, Mapping
+    from collections.abc import Mapping
     from pathlib import Path
 
     from coursepitch.clock import Clock
@@ -63,6 +68,7 @@
     from coursepitch.http.messages import IncomingRequest
     from coursepitch.http.server import ResponseWriter
     from coursepitch.log import BoundedOutput
+    from coursepitch.signals import SignalStream
 
 __all__ = ['GatewayApplication']
 
@@ -402,13 +408,14 @@
     async def run(self) -> int:
         """Run until a graceful stop is complete; return the exit code."""
         try:
-            return await self._run()
+            with receive_signals(STOP_SIGNALS, RELOAD_SIGNALS) as (stops, reloads):
+                return await self._run(stops, reloads)
         except Exception as error:
             log.emit(events.INTERNAL_ERROR, place='node', **log.describe_error(error))
             self._output.flush()
             return 1
 
-    async def _run(self) -> int:
+    async def _run(self, stops: SignalStream, reloads: SignalStream) -> int:
         sockets = self._listen()
         ports = {name: sock.getsockname()[1] for name, sock in sockets.items()}
         node = self.settings.node
@@ -432,13 +439,11 @@
             group.start_soon(self.metrics_server.run, sockets['metrics'])
             accepting = anyio.CancelScope()
             group.start_soon(self._accept, sockets['clients'], accepting)
-            with (
-                anyio.open_signal_receiver(signal.SIGHUP) as reloads,
-                unblock_reload_signal(),
-            ):
+            with unblock_reload_signal():
                 group.start_soon(self._reload_on, reloads)
                 log.emit(events.NODE_STARTED, ports=ports)
-                await self._wait_stop()
+                await anext(stops)
+                group.start_soon(log_further_signals, stops)
                 await self._stop()
                 group.cancel_scope.cancel()
         self.pool.close()
@@ -499,12 +504,7 @@
             self.backoffs.forget(present)
             self.notices.forget(present)
 
-    async def _wait_stop(self) -> None:
-        """Return on SIGTERM or SIGINT."""
-        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-            await anext(signals)
-
-    async def _reload_on(self, signals: AsyncIterator[signal.Signals]) -> None:
+    async def _reload_on(self, signals: SignalStream) -> None:
         """Reload the settings on each signal until the node stops."""
         async for _ in signals:
             if not self.stopping:
--- a/tests/test_application.py
+++ b/tests/test_application.py
@@ -15,6 +15,7 @@
 
 import anyio
 
+from coursepitch import application
 from coursepitch.application import NodeApplication
 from coursepitch.serving.outcomes import RefusedError
 from tests.serving.test_planned_end import OpenGate
@@ -48,7 +49,7 @@
                 self.used_closed = self.used_closed or self.closed
 
         async def end():
-            os.kill(os.getpid(), signal.SIGTERM)
+            os.kill(os.getpid(), signal.SIGUSR1)
 
         return [use_clients, end]
 
@@ -67,13 +68,17 @@
     def test_no_task_meets_closed_clients(self):
         node = StoppingNode()
         # A signal that comes before the node waits for it ends nothing here.
-        with mock.patch.object(signal, 'SIGTERM', signal.SIGUSR1):
-            before = signal.signal(signal.SIGUSR1, signal.SIG_IGN)
-            try:
+        kinds = (signal.SIGUSR1, signal.SIGUSR2)
+        before = {kind: signal.signal(kind, signal.SIG_IGN) for kind in kinds}
+        try:
+            with mock.patch.object(application, 'STOP_SIGNALS', kinds):
                 code = anyio.run(node.run, lambda ports: None)
-            finally:
-                signal.signal(signal.SIGUSR1, before)
+            after = [signal.getsignal(kind) for kind in kinds]
+        finally:
+            for kind, handler in before.items():
+                signal.signal(kind, handler)
         self.assertEqual(code, 0)
+        self.assertEqual(after, [signal.SIG_IGN] * 2)
         self.assertTrue(node.closed)
         self.assertFalse(node.used_closed)
 
--- a/tests/whole/test_planned_stop.py
+++ b/tests/whole/test_planned_stop.py
@@ -84,6 +84,17 @@
         self.begin_stop()
         self.check_ended()
 
+    # Guards against a signal that ends the process as the servers close.
+    def test_signals_until_the_end_do_not_change_the_exit_code(self) -> None:
+        process = self.harness.processes['n8']
+        self.begin_stop()
+        while process.process.poll() is None:
+            process.send(signal.SIGTERM)
+            threading.Event().wait(0.01)
+        self.check_ended()
+        text = (self.harness.folder / 'n8.log').read_text()
+        self.assertIn('node.stopped', text)
+
     def begin_answer(self) -> tuple[socket.socket, bytearray]:
         """Begin to read a large answer; return its connection and first bytes."""
         url = f'{self.harness.entry("n8")}/services/stamp/echo'
--- a/tests/whole/test_stopping_nodes.py
+++ b/tests/whole/test_stopping_nodes.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import signal
 import threading
 import time
@@ -202,6 +203,16 @@
         self.assertEqual(self.node.process.wait(), 0)
         self.assertTrue(self.node.read_events('node.stopped'))
 
+    # Guards against a signal that ends the process in the last moments of a stop.
+    def test_signals_until_the_end_do_not_change_the_exit_code(self):
+        self.begin_stop()
+        kinds = itertools.cycle((signal.SIGTERM, signal.SIGINT, signal.SIGHUP))
+        while self.node.process.poll() is None:
+            self.node.process.send_signal(next(kinds))
+            time.sleep(0.005)
+        self.assertEqual(self.node.process.wait(), 0)
+        self.assertTrue(self.node.read_events('node.stopped'))
+
 
 if __name__ == '__main__':
     unittest.main()
