Count what is being read, and what waits behind a response, in a stop

Callers of a stopping node whose body still came 4.2 s after SIGTERM, or who had sent a request ahead on a connection in use, got a closed connection and no response. Who sent a request just after a stream that had begun before the signal found its connection closed, though no head had said so.

Cause: the stop counted running handlers alone. A connection in the middle of a body, or with a whole request behind the one in hand, was at rest to it; and a stopping server closed each connection after its response, whether that had announced it or not.

Now the stop waits until no connection is left, and what is still being read at its end gets 503. The end of a connection is announced in the last response on it, not before one that was sent ahead; an idle one stays open for half a second where no response announced its end, and bytes that have come are read before it is closed. A connection is read on after its last response, as a reset destroys what its client has not read (RFC 9112, 9.6). New connections are refused after 3 s; they were accepted and closed unread.

--- a/coursepitch/gateway_application.py
+++ b/coursepitch/gateway_application.py
@@ -437,8 +437,7 @@
             group.start_soon(self.links.run, sockets['peers'])
             group.start_soon(self.ready_server.run, sockets['ready'])
             group.start_soon(self.metrics_server.run, sockets['metrics'])
-            accepting = anyio.CancelScope()
-            group.start_soon(self._accept, sockets['clients'], accepting)
+            group.start_soon(self.front.run, sockets['clients'])
             with unblock_reload_signal():
                 group.start_soon(self._reload_on, reloads)
                 log.emit(events.NODE_STARTED, ports=ports)
@@ -488,10 +487,6 @@
         )
         await keeper.run()
 
-    async def _accept(self, sock: socket.socket, scope: anyio.CancelScope) -> None:
-        with scope:
-            await self.front.run(sock)
-
     async def _clean_up(self) -> None:
         """Periodically close idle connections and drop records of instances gone."""
         while True:
@@ -553,9 +548,9 @@
         """
         stopped_at = self.clock()
         self.stopping = True
-        self.front.stopping = True
         end_at = stopped_at + self.settings.node.stop_s - STOP_MARGIN_S
         self.stop_schedule.begin(stopped_at, end_at)
+        self.front.stopping, self.front.end_at = True, end_at
         log.emit(
             events.NODE_DRAINING,
             in_flight=self.front.busy_count,
@@ -566,19 +561,16 @@
             await self.tunnel_server.stop()
             await self.session.end()
         while self.clock() < end_at:
-            waited = self.clock() - stopped_at
-            if waited >= STOP_ACCEPT_S:
+            if self.clock() - stopped_at >= STOP_ACCEPT_S:
                 self.front.closing_idle = True
-                busy = self.front.busy_count or self.tunnel_server.count_open()
-                if not busy and not self.front.connections:
-                    break
-                if waited >= STOP_ACCEPT_S + 1.2 and not busy:
+                self.front.end_accepting()
+                if not self.front.connections and not self.tunnel_server.count_open():
                     break
             await anyio.sleep(0.05)
         self._log_connections('end')
         self.gateway.end_requests('the node stops')
         with anyio.move_on_after(FINAL_ANSWERS_S):
-            while self.front.busy_count:
+            while self.front.has_unanswered:
                 await anyio.sleep(0.01)
         self._output.flush()
 
--- a/coursepitch/http/server.py
+++ b/coursepitch/http/server.py
@@ -1,8 +1,8 @@
 """HTTP/1.1 server that reads complete requests and passes each to a handler.
 
 When a client disconnects, its handler is cancelled at once.  A stopping server
-responds to the requests it has read, adds ``Connection: close`` to each response and
-closes idle connections.
+responds to the requests it has read or has begun to read, and announces the end of each
+connection with ``Connection: close`` in the last response on it.
 """
 
 from __future__ import annotations
@@ -40,6 +40,9 @@
 #: have changed with the configuration.
 IDLE_CHECK_S = 1.0
 
+#: Seconds for which bytes that have arrived are waited for.
+MIN_READ_TIMEOUT_S = 0.01
+
 #: Rate in bytes per second at which a body that comes without a deadline has to arrive:
 #: 64 kbit/s, the slowest access that clients are expected to have.
 MIN_BODY_BYTES_PER_S = 8_192
@@ -50,6 +53,16 @@
 #: Timeout in seconds for the final write to a connection.
 FINAL_WRITE_TIMEOUT_S = 1.0
 
+#: Seconds for which an idle connection stays open while idle ones are closed: as long
+#: as a client takes for its next request, if the response before did not tell it that
+#: the connection ends.
+CLOSING_IDLE_S = 0.5
+
+#: Longest time in seconds that a connection is read after its last response.  Source:
+#: closing it with unread bytes resets it, which can destroy the response before the
+#: client has read it; RFC 9112, section 9.6.
+LINGER_S = 1.0
+
 
 @dataclass(frozen=True, slots=True)
 class ConnectionRules:
@@ -125,7 +138,7 @@
             self._ends_with_connection = True
             self.connection.stream.set_reset_on_close(True)
         lines = list(headers)
-        if self.connection.server.closes_after_response():
+        if self.connection.closes_after_response():
             lines.append((b'Connection', b'close'))
         self.started = True
         event = h11.Response(status_code=status, headers=lines)
@@ -157,7 +170,7 @@
         """Write a complete response in one piece."""
         parser = self.connection.parser
         lines = list(headers)
-        if self.connection.server.closes_after_response():
+        if self.connection.closes_after_response():
             lines.append((b'Connection', b'close'))
         lines.append((b'Content-Length', b'%d' % len(body)))
         self.started = True
@@ -194,11 +207,13 @@
     :cvar IDLE: nothing of a request has been read.
     :cvar READING: a part of a request has been read.
     :cvar HANDLING: the handler of a request runs, or writes its response.
+    :cvar CLOSING: the last response was written, and its client is yet to close.
     """
 
     IDLE = 'idle'
     READING = 'reading'
     HANDLING = 'handling'
+    CLOSING = 'closing'
 
 
 @dataclass(eq=False)
@@ -229,6 +244,13 @@
         """Whether bytes have arrived behind the request that is handled."""
         return bool(self.parser.trailing_data[0]) or self.stream.unread_bytes > 0
 
+    def closes_after_response(self) -> bool:
+        """Whether the response in hand announces the end of the connection.
+
+        A request that was sent ahead is answered before that.
+        """
+        return self.server.closes_after_response() and not self.has_more
+
     def has_client_left(self) -> bool:
         """Whether the client has disconnected; its handler is cancelled if it has.
 
@@ -255,20 +277,47 @@
                 if request is None:
                     return
                 await self._handle_request(request)
-                if self.broken or not self._start_next():
+                if self.broken:
+                    return
+                if not self._start_next():
+                    self._log_if_unanswered()
+                    await self._linger()
                     return
                 if self.parser.trailing_data[0]:
                     # A request that was sent ahead may be answered without any wait.
                     await asyncio.sleep(0)
         except _RequestProblemError as problem:
             self._log_unanswered(problem.status, str(problem))
-            self.state = ConnectionState.IDLE
             await self._send_error(problem)
+            if problem.status == 503:
+                await self._linger()
         finally:
-            if self.state is ConnectionState.READING or self.has_more:
-                self._log_unanswered(0, '')
+            if self.state is not ConnectionState.CLOSING:
+                self._log_if_unanswered()
             self.stream.close()
 
+    def _log_if_unanswered(self) -> None:
+        """Log a request that was read, if only in part, and gets no response."""
+        if self.state is ConnectionState.READING or self.has_more:
+            self._log_unanswered(0, '')
+
+    async def _linger(self) -> None:
+        """Tell the client that no response follows, and read on until it closes."""
+        self.state = ConnectionState.CLOSING
+        self.stream.finish()
+        deadline = self.stream.find_deadline(LINGER_S)
+        left = self.server.read_rules().body_bytes
+        try:
+            while left > 0:
+                left -= len(await self.stream.receive(deadline))
+        except (
+            TimeoutError,
+            anyio.EndOfStream,
+            anyio.BrokenResourceError,
+            anyio.ClosedResourceError,
+        ):
+            return
+
     def _log_unanswered(self, status: int, reason: str) -> None:
         """Log that a connection ends before a request on it is handled.
 
@@ -290,7 +339,7 @@
         parser = self.parser
         if parser.our_state is h11.DONE and parser.their_state is h11.DONE:
             parser.start_next_cycle()
-            return not self.server.stopping
+            return True
         return False
 
     async def _handle_request(self, request: IncomingRequest) -> None:
@@ -402,6 +451,8 @@
         while True:
             rules = self.server.read_rules()
             now = self.server.clock()
+            if self.state is ConnectionState.READING and now >= self.server.end_at:
+                raise _RequestProblemError(503, 'the server stops')
             if head is not None:
                 began_at = self.idle_since if started_at is None else started_at
                 until = began_at + self._find_body_timeout_s(head, rules, size)
@@ -417,10 +468,16 @@
                         408, 'timed out reading the request head'
                     )
             else:
-                timeout_s = self.idle_since + rules.idle_timeout_s - now
-                if timeout_s <= 0 or self.server.closing_idle:
+                idle_timeout_s = rules.idle_timeout_s
+                if self.server.closing_idle:
+                    idle_timeout_s = min(idle_timeout_s, CLOSING_IDLE_S)
+                timeout_s = self.idle_since + idle_timeout_s - now
+                if timeout_s <= 0 and not self.stream.has_input():
                     return None
-                timeout_s = min(timeout_s, IDLE_CHECK_S)
+                timeout_s = min(max(MIN_READ_TIMEOUT_S, timeout_s), IDLE_CHECK_S)
+            if self.server.stopping:
+                until_end_s = self.server.end_at - now
+                timeout_s = min(timeout_s, max(MIN_READ_TIMEOUT_S, until_end_s))
             try:
                 return await self.stream.receive(self.stream.find_deadline(timeout_s))
             except TimeoutError:
@@ -500,6 +557,7 @@
     :param find_request_id: returns the id of a request with these headers, for logs.
     :param stopping: whether the server finishes its requests and closes connections.
     :param closing_idle: whether idle connections are closed.
+    :param end_at: monotonic time at which requests that are being read are refused.
     """
 
     handle: Callable[[IncomingRequest, ResponseWriter], Awaitable[None]]
@@ -511,7 +569,9 @@
     find_request_id: Callable[[Headers], str] = lambda headers: ''
     stopping: bool = False
     closing_idle: bool = False
+    end_at: float = float('inf')
     connections: set[ServerConnection] = field(default_factory=set)
+    _accepting: anyio.CancelScope | None = None
 
     def closes_after_response(self) -> bool:
         """Whether responses carry ``Connection: close``."""
@@ -526,6 +586,16 @@
         """Return the number of connections in a state."""
         return sum(1 for item in self.connections if item.state is state)
 
+    @property
+    def has_unanswered(self) -> bool:
+        """Whether a request is handled, or was read at least in part."""
+        kinds = (ConnectionState.READING, ConnectionState.HANDLING)
+        return any(
+            item.state in kinds or (item.has_more and not item.broken)
+            for item in self.connections
+            if item.state is not ConnectionState.CLOSING
+        )
+
     def count_with_more(self) -> int:
         """Return the number of connections with bytes behind a request in hand."""
         return sum(
@@ -535,22 +605,35 @@
         )
 
     async def run(self, sock: socket.socket) -> None:
-        """Accept connections until cancelled."""
+        """Serve connections until cancelled; accept them until that is ended."""
         sock.setblocking(False)
         loop = asyncio.get_running_loop()
-        opened_at = find_event_time(loop)
         try:
             async with anyio.create_task_group() as group:
-                while True:
-                    if self._take_waiting(sock, opened_at, group):
-                        # Accepting does not wait while there are connections.
-                        await anyio.lowlevel.checkpoint()
-                        opened_at = find_event_time(loop)
-                    else:
-                        opened_at = await _wait_for_connection(sock)
+                with anyio.CancelScope() as self._accepting:
+                    await self._accept(sock, group)
+                # None that has come up is reset without need.
+                self._take_waiting(sock, find_event_time(loop), group)
+                sock.close()
         finally:
             sock.close()
 
+    def end_accepting(self) -> None:
+        """Accept no more connections, so that clients turn to other nodes at once."""
+        if self._accepting is not None:
+            self._accepting.cancel()
+
+    async def _accept(self, sock: socket.socket, group: TaskGroup) -> None:
+        loop = asyncio.get_running_loop()
+        opened_at = find_event_time(loop)
+        while True:
+            if self._take_waiting(sock, opened_at, group):
+                # Accepting does not wait while there are connections.
+                await anyio.lowlevel.checkpoint()
+                opened_at = find_event_time(loop)
+            else:
+                opened_at = await _wait_for_connection(sock)
+
     def _take_waiting(
         self, sock: socket.socket, opened_at: float, group: TaskGroup
     ) -> bool:
--- a/coursepitch/http/stream.py
+++ b/coursepitch/http/stream.py
@@ -357,6 +357,11 @@
         finally:
             self._writer = None
 
+    def finish(self) -> None:
+        """Send no more; reading remains possible."""
+        if not self._lost and not self._closed and self._transport.can_write_eof():
+            self._transport.write_eof()
+
     def close(self) -> None:
         """Close the connection at once, without waiting for bytes in flight."""
         self._closed = True
