Let the soak send to nodes until their stop is over

Each stop now has clients of its own: bodies that end late, requests ahead, on used and on new connections and right after a stream, of streams of 0.2 to 6 s, until the process is gone; and up to four further signals. A new promise, 'stops': what was read gets a response, and what comes later than 3 s after SIGTERM is not cut.

--- a/soak/checkers.py
+++ b/soak/checkers.py
@@ -17,6 +17,7 @@
     check_versions,
 )
 from soak.history import Ending
+from soak.stop_checkers import check_stops
 from soak.verdicts import Bounds, Finding, Verdict
 
 if TYPE_CHECKING:
@@ -558,6 +559,7 @@
     check_damaged,
     check_settings,
     check_exits,
+    check_stops,
 )
 
 
--- a/soak/driver.py
+++ b/soak/driver.py
@@ -42,8 +42,11 @@
     SettingsRead,
     Silence,
     Started,
+    StopCall,
+    StopCut,
 )
-from soak.plan import FaultKind, draw_plan
+from soak.plan import FaultKind, draw_plan, draw_signals
+from soak.stops import StopClients, is_stop_call
 from tests.whole.platform_base import KEY, OTHER_KEY, PlatformCase
 
 if TYPE_CHECKING:
@@ -153,6 +156,7 @@
         self._damaged: list[Damaged] = []
         self._reloads: list[Reload] = []
         self._exits: list[Exit] = []
+        self._stop_calls: list[StopCall] = []
         self._starting: set[str] = set()
         self._clock_offset_s = time.time() - time.monotonic()
         self._lock = threading.Lock()
@@ -223,7 +227,7 @@
         runs.sort(key=lambda run: run.arrived_at)
         return History(
             tuple(calls),
-            tuple(runs),
+            tuple(run for run in runs if not is_stop_call(run.call)),
             tuple(self._left),
             tuple(self._configurations),
             disturbed=tuple(self._disturbed),
@@ -237,6 +241,8 @@
             damaged=tuple(self._damaged),
             reloads=tuple(self._reloads),
             exits=tuple(self._exits),
+            stop_calls=tuple(self._stop_calls),
+            stop_runs=tuple(run for run in runs if is_stop_call(run.call)),
             **self._collect_events(),
         )
 
@@ -248,13 +254,23 @@
             'refused': [],
             'settings_read': [],
             'started': [],
+            'stop_cuts': [],
         }
         for name, node in _System.running.items():
             for event in node.read_events():
                 kind = event.get('message_type')
-                if kind == 'request.sent':
+                if kind == 'request.sent' and not is_stop_call(event['request']):
                     sent = Sent(event['request'], event['instance'])
                     fields['sent'].append(sent)
+                elif kind == 'request.ended' and event['outcome'] == 'cut':
+                    if event['reason'] == 'the node stops':
+                        cut = StopCut(
+                            event['request'],
+                            name,
+                            self._find_time(event),
+                            event['stopping_s'],
+                        )
+                        fields['stop_cuts'].append(cut)
                 elif kind == 'node.started':
                     fields['started'].append(Started(name, self._find_time(event)))
                 elif kind == 'config.table_in_force':
@@ -362,21 +378,45 @@
         since = time.monotonic()
         node = _System.running[name]
         if not self._note_if_ended(node):
-            self._end_process(node, killed=fault.kind is FaultKind.KILL)
+            if fault.kind is FaultKind.KILL:
+                self._end_process(node, signal.SIGKILL)
+            else:
+                self._stop_node(node, fault)
         self._pause.wait(START_AFTER_S)
         self._start_again(node)
         self._note(name, since)
         self._give_back(name)
 
-    def _end_process(self, node: Node, *, killed: bool) -> None:
+    def _stop_node(self, node: Node, fault: Fault) -> None:
+        """Stop a node by a series of signals, beside clients of its own."""
+        clients = StopClients(node, fault.at, self._seed)
+        clients.start()
+        series = threading.Thread(target=self._signal, args=(node.process, fault))
+        clients.note_signal()
+        series.start()
+        self._end_process(node, signal.SIGTERM)
+        series.join()
+        clients.end()
+        self._stop_calls += clients.calls
+
+    def _signal(self, process: subprocess.Popen[bytes], fault: Fault) -> None:
+        """Send the signals of a stop that follow the first one."""
+        since = time.monotonic()
+        for after_s, number in draw_signals(self._seed, fault):
+            self._pause.wait(max(0.0, since + after_s - time.monotonic()))
+            if process.poll() is not None:
+                return
+            process.send_signal(number)
+
+    def _end_process(self, node: Node, number: signal.Signals) -> None:
         since = time.monotonic()
-        node.process.send_signal(signal.SIGKILL if killed else signal.SIGTERM)
+        node.process.send_signal(number)
         try:
             node.process.wait(STOP_S)
         except subprocess.TimeoutExpired:
             node.process.kill()
         code = node.process.wait()
-        expected = -signal.SIGKILL if killed else 0
+        expected = -signal.SIGKILL if number is signal.SIGKILL else 0
         self._exits.append(Exit(node.name, since, time.monotonic(), code, expected))
 
     def _note_if_ended(self, node: Node) -> bool:
--- a/soak/history.py
+++ b/soak/history.py
@@ -31,6 +31,8 @@
     'SettingsRead',
     'Silence',
     'Started',
+    'StopCall',
+    'StopCut',
 ]
 
 
@@ -270,6 +272,38 @@
     expected: int | None
 
 
+@dataclass(frozen=True, slots=True)
+class StopCall:
+    """A request to a node around its SIGTERM.
+
+    :param shape: how it was sent, see :data:`soak.stops.SHAPES`.
+    :param sent_at: when its last byte was sent, or the first one behind a response.
+    :param status: status of its response; 0 without one.
+    :param whole: whether the regular end of the response arrived.
+    """
+
+    id: str
+    node: str
+    shape: str
+    sent_at: float
+    ended_at: float
+    status: int
+    whole: bool
+
+
+@dataclass(frozen=True, slots=True)
+class StopCut:
+    """A response that a node broke off as it stopped.
+
+    :param after_s: seconds from SIGTERM until its request was read.
+    """
+
+    call: str
+    node: str
+    at: float
+    after_s: float
+
+
 @dataclass(frozen=True, slots=True)
 class Disturbed:
     """A node that was ended, started or stood still, or the store in trouble.
@@ -321,6 +355,9 @@
     started: tuple[Started, ...] = ()
     exits: tuple[Exit, ...] = ()
     sent: tuple[Sent, ...] = ()
+    stop_calls: tuple[StopCall, ...] = ()
+    stop_runs: tuple[Run, ...] = ()
+    stop_cuts: tuple[StopCut, ...] = ()
 
     def map_calls(self) -> dict[str, Call]:
         """Return the calls by their ids."""
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -4,11 +4,12 @@
 
 import enum
 import random
+import signal
 from dataclasses import dataclass
 
 from standins.endless import KINDS, PACES
 
-__all__ = ['SERIES', 'Fault', 'FaultKind', 'draw_plan']
+__all__ = ['SERIES', 'Fault', 'FaultKind', 'draw_plan', 'draw_signals']
 
 #: Seconds between two faults, at least and at most: they overlap.
 GAP_S = (0.3, 2.5)
@@ -58,6 +59,12 @@
 SIGNAL_GAP_S = (0.05, 1.0)
 SERIES_GAP_S = (4.0, 14.0)
 
+#: Signals that follow the one that begins a stop, how many at most, and the seconds in
+#: which they come.
+FURTHER_SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+MOST_FURTHER = 4
+FURTHER_S = (0.01, 6.0)
+
 #: How often instances stand still because their process is stopped by a signal.
 SUSPEND_SHARE = 0.3
 
@@ -181,6 +188,19 @@
     return sorted(faults, key=lambda fault: fault.at)
 
 
+def draw_signals(seed: int, fault: Fault) -> list[tuple[float, signal.Signals]]:
+    """Return the signals that follow the one that begins a stop.
+
+    :return: of each, the seconds after that one, in their order.
+    """
+    chance = random.Random(f'{seed}/further/{fault.at}')
+    count = chance.randint(0, MOST_FURTHER)
+    return sorted(
+        (chance.uniform(*FURTHER_S), chance.choice(FURTHER_SIGNALS))
+        for _ in range(count)
+    )
+
+
 def _draw_parts(seed: int, seconds: float) -> list[Fault]:
     """Return the times in which a part of prompts ends instances, one after the other.
 
--- a/soak/verdicts.py
+++ b/soak/verdicts.py
@@ -31,6 +31,10 @@
     :param silent_refusals: refusals beyond this share.
     :param config_s: seconds after the store's acknowledgement of a configuration after
         which nodes in touch act on it.
+    :param lost_slack_s: seconds after its last byte after which a request counts as
+        read.
+    :param stop_open_s: seconds after SIGTERM in which requests may begin that are cut
+        at the end of the stop.
     :param late_s: seconds after its limit by which a call beside floods has ended.
     """
 
@@ -52,6 +56,8 @@
     silent_refusals: int = 5
     config_s: float = 2.0
     late_s: float = 1.0
+    lost_slack_s: float = 0.2
+    stop_open_s: float = 3.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -16,7 +16,8 @@
 ``stale`` (a request id of another) and ``endless`` (bytes of a ``kind`` come at a
 ``pace`` until the caller closes, see :mod:`standins.endless`; answers to all requests
 but orders and, unless the kind is ``report``, reports).
-Plain instances answer with events below ``/events/``.
+Plain instances answer with events below ``/events/``.  The query of a request may name
+the number of ``events`` of its stream.
 Beside the mode, ``framing`` says what tells the end of answers with status 200:
 their ``length``, ``chunks``, or the end of their ``connection``; by default any of
 these, drawn anew for each answer by ``--seed``.
@@ -48,6 +49,7 @@
 import time
 from dataclasses import dataclass, field
 from typing import Any
+from urllib.parse import parse_qs
 
 import anyio
 import h11
@@ -511,7 +513,7 @@
         headers: dict[str, str],
     ) -> bool:
         first = int(headers.get('last-event-id') or 0) + 1
-        last, group = self.options.events, instance.group
+        last, group = self._count_events(run['target']), instance.group
         events = {
             number: self._build_event(number) for number in range(first, last + 1)
         }
@@ -555,6 +557,11 @@
         await instance.wait_resumed()
         return await writer.end()
 
+    def _count_events(self, target: str) -> int:
+        """Return the number of events of a stream."""
+        named = parse_qs(target.partition('?')[2]).get('events')
+        return int(named[0]) if named else int(self.options.events)
+
     def _has_members(self, head: Instance, group: dict[str, Any] | None) -> bool:
         """Whether a head and all its members are in the group of a stream."""
         if group is None or head.group is not group:
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -138,3 +138,11 @@
         self.assertEqual(findings, [])
         proved = {verdict.checker for verdict in verdicts if verdict.proved}
         self.assertLessEqual(PUT_TO_THE_TEST, proved)
+
+    # Guards against requests of stopping nodes that are lost; seed 1 stops none.
+    def test_promises_are_kept_while_nodes_stop(self):
+        verdicts = check_all(SoakRun(seed=3, seconds=30.0, count=4).run(), Bounds())
+        findings = [item for verdict in verdicts for item in verdict.findings]
+        self.assertEqual(findings, [])
+        proved = {verdict.checker for verdict in verdicts if verdict.proved}
+        self.assertLessEqual({*PUT_TO_THE_TEST, 'stops'} - {'crashing parts'}, proved)
