--- a/tests/whole/test_stopping_nodes.py
+++ b/tests/whole/test_stopping_nodes.py
@@ -214,5 +214,30 @@
         self.assertTrue(self.node.read_events('node.stopped'))
 
 
+class ResumedStreamTest(StoppingNodeCase):
+    """Streams of a stopping node whose instance ends, while another node goes on."""
+
+    nodes = ('n1', 'n2')
+
+    # Guards against a node that can send no stream again after it gave up its entry.
+    def test_stream_goes_on_at_another_group(self):
+        client = self.connect()
+        client.send(build_request('POST', '/stream/x', 'resumed'))
+        self.wait_for(lambda: self.find_runs('resumed'), 'it runs')
+        began_at = self.begin_stop()
+        wait_until(began_at + 1.0)
+        heads = [
+            name
+            for name, item in self.stats('pool').items()
+            if any(run['request'] == 'resumed' for run in item['runs'])
+        ]
+        self.control('pool', '/crash', instances=heads)
+        reply = client.read()
+        self.assert_all_answered({'resumed': reply})
+        ids = [line for line in reply.body.split(b'\n') if line.startswith(b'id: ')]
+        self.assertEqual(ids, [b'id: %d' % number for number in range(1, EVENTS + 1)])
+        self.assertGreater(len(self.find_runs('resumed')), 1)
+
+
 if __name__ == '__main__':
     unittest.main()
