Ask about the end of a call of a leaving instance that may be repeated

Cause: the end of a leaving instance was asked about for streams that another can go on with, and not for calls that another can run. Class: absence of news is taken for proof.

Now it is asked for calls that may be repeated, too. One that broke off runs at another instance, or its client asks again after a 502.

--- a/coursepitch/gateway/response_ends.py
+++ b/coursepitch/gateway/response_ends.py
@@ -185,10 +185,12 @@
     body: bytes,
     *,
     steady: bool = True,
+    repeatable: bool = False,
 ) -> None:
     """Check a response that has been read whole, as a stream that has ended.
 
     :param steady: whether the response was not silent shortly before its end.
+    :param repeatable: whether the request may be repeated, by this node or its client.
     :raises BrokenOffError: it broke off.
     """
     if has_events(job, answer):
@@ -201,7 +203,9 @@
             # What this has searched is not searched again at the end.
             splitter.has_events()
         check_events(job, answer, instance, splitter)
-    await check_sender(detector, job, answer, instance, steady=steady)
+    await check_sender(
+        detector, job, answer, instance, steady=steady, resumable=repeatable
+    )
 
 
 def _log_broken_off(
--- a/tests/gateway/test_response_ends.py
+++ b/tests/gateway/test_response_ends.py
@@ -274,6 +274,33 @@
         for state in (ProcessState.RUNS, ProcessState.UNKNOWN):
             self.assertFalse(self.is_leaving_broken_off(state, resumable=True))
 
+    # Guards against calls whose body is cut short as their leaving instance ends.
+    def test_call_of_an_ended_instance_is_repeated_at_another(self):
+        for state, repeatable, expected in (
+            (ProcessState.ENDED, True, True),
+            (ProcessState.ENDED, False, False),
+            (ProcessState.RUNS, True, False),
+        ):
+            job, answer = self.build_exchange(
+                Framing.CONNECTION, kind=RouteKind.REPEATABLE
+            )
+            detector = FakeDetector(state=ProcessState.UNKNOWN, leaving=state)
+            check = partial(
+                check_body,
+                detector,
+                job,
+                answer,
+                SimpleNamespace(name='i'),
+                b'part',
+                repeatable=repeatable,
+            )
+            broken_off = False
+            try:
+                anyio.run(check)
+            except BrokenOffError:
+                broken_off = True
+            self.assertEqual(broken_off, expected, (state, repeatable))
+
     def test_end_of_a_leaving_instance_alone_breaks_nothing_else_off(self):
         self.assertFalse(
             self.is_leaving_broken_off(ProcessState.ENDED, resumable=False)
