--- a/coursepitch/http/server.py
+++ b/coursepitch/http/server.py
@@ -110,6 +110,9 @@
     headers: Headers = ()
 
 
+_NO_LIMIT = ReadLimit()
+
+
 class _RequestProblemError(CoursepitchError):
     """A request is malformed, too large or too slow, or comes as the server stops.
 
@@ -243,7 +246,7 @@
     :param head_limit: maximum size in bytes of a request head.
     :param broken: whether the connection must be aborted instead of closed.
     :param idle_since: time at which the connection became idle.
-    :param request: id of the request that was read last, or whose head was.
+    :param head: head of the request that was read last; ``None`` before it.
     :param left_at: time at which the client was seen to have disconnected; ``None``
         while it is there.
     """
@@ -255,7 +258,7 @@
     broken: bool = False
     idle_since: float = 0.0
     state: ConnectionState = ConnectionState.IDLE
-    request: str = ''
+    head: h11.Request | None = None
     left_at: float | None = None
     _cancel_handler: Callable[[], None] | None = None
 
@@ -345,9 +348,10 @@
         """
         if self.stream.ended:
             return
+        headers = () if self.head is None else tuple(self.head.headers)
         log.emit(
             events.CONNECTION_ENDED,
-            request=self.request,
+            request=self.server.find_request_id(headers),
             state=self.state.value,
             status=status,
             reason=reason,
@@ -393,7 +397,7 @@
         :raises _RequestProblemError: the request is malformed, too large or too slow.
         """
         self.idle_since = self.server.clock()
-        self.request = ''
+        self.head = None
         head: h11.Request | None = None
         body = bytearray()
         digest = start_digest()
@@ -425,8 +429,7 @@
                 except RuntimeError:
                     return None
             elif isinstance(event, h11.Request):
-                head = event
-                self.request = self.server.find_request_id(tuple(head.headers))
+                self.head = head = event
                 declared = find_header(tuple(head.headers), b'content-length')
                 if declared and int(declared) > self.server.read_rules().body_bytes:
                     raise _RequestProblemError(413, 'request body too large')
@@ -514,7 +517,7 @@
     def _find_read_limit(self, head: h11.Request | None) -> ReadLimit:
         """Return until when the request that is being read may be read."""
         if not self.server.stopping or self.state is not ConnectionState.READING:
-            return ReadLimit()
+            return _NO_LIMIT
         end = ReadLimit(self.server.end_at)
         if head is None:
             return end
@@ -607,7 +610,7 @@
     accepts: Callable[[], bool] = lambda: True
     find_client_timeout_s: Callable[[Headers], float | None] = lambda headers: None
     find_request_id: Callable[[Headers], str] = lambda headers: ''
-    find_read_limit: Callable[[IncomingRequest], ReadLimit] = lambda head: ReadLimit()
+    find_read_limit: Callable[[IncomingRequest], ReadLimit] = lambda head: _NO_LIMIT
     stopping: bool = False
     closing_idle: bool = False
     end_at: float = float('inf')
