Count the grace period of a stop from when the signal came

The receiver of signals gives the earliest time at which each can have come, as the server does for requests, up to a second before; a process that was suspended counts from when it goes on.

--- a/coursepitch/gateway_application.py
+++ b/coursepitch/gateway_application.py
@@ -86,6 +86,10 @@
 #: once a second and removes a node after two failed checks.
 STOP_ACCEPT_S = 3.0
 
+#: Longest time in seconds for which a signal counts as held up by the event loop.  A
+#: process that was suspended gets the signal as it goes on.
+MAX_SIGNAL_DELAY_S = 1.0
+
 #: Seconds before the end of the grace period by which a stop is complete.
 STOP_MARGIN_S = 0.4
 
@@ -442,9 +446,10 @@
             with unblock_reload_signal():
                 group.start_soon(self._reload_on, reloads)
                 log.emit(events.NODE_STARTED, ports=ports)
-                await anext(stops)
+                found = await anext(stops)
                 group.start_soon(log_further_signals, stops)
-                await self._stop()
+                now = self.clock()
+                await self._stop(min(now, max(found.came_at, now - MAX_SIGNAL_DELAY_S)))
                 group.cancel_scope.cancel()
         self.pool.close()
         self.control.close()
@@ -542,12 +547,13 @@
         self.session.view.evacuations.set_bound(promises.evacuate_s)
         self.session.view.lapsed_serve_s = promises.drain_s * EXPIRED_ENTRY_TIME_SHARE
 
-    async def _stop(self) -> None:
+    async def _stop(self, stopped_at: float) -> None:
         """Stop gracefully: report not ready, finish open requests, then end.
 
         Requests that peers send through this node are finished as well.
+
+        :param stopped_at: monotonic time from which the grace period runs.
         """
-        stopped_at = self.clock()
         self.stopping = True
         end_at = stopped_at + self.settings.node.stop_s - STOP_MARGIN_S
         self.stop_schedule.begin(stopped_at, end_at)
--- a/coursepitch/signals.py
+++ b/coursepitch/signals.py
@@ -11,20 +11,28 @@
 import contextlib
 import signal
 import socket
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 import anyio
 
 from coursepitch import events, log
+from coursepitch.http.event_loop import find_event_time
 
 if TYPE_CHECKING:
     from collections.abc import Collection, Iterator
 
     from anyio.streams.memory import MemoryObjectReceiveStream
 
-    SignalStream = MemoryObjectReceiveStream[signal.Signals]
+    SignalStream = MemoryObjectReceiveStream['ReceivedSignal']
 
-__all__ = ['RELOAD_SIGNALS', 'STOP_SIGNALS', 'log_further_signals', 'receive_signals']
+__all__ = [
+    'RELOAD_SIGNALS',
+    'STOP_SIGNALS',
+    'ReceivedSignal',
+    'log_further_signals',
+    'receive_signals',
+]
 
 #: Signals that begin a graceful shutdown.
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
@@ -36,6 +44,18 @@
 MAX_WAITING = 16
 
 
+@dataclass(frozen=True, slots=True)
+class ReceivedSignal:
+    """A signal that the event loop has processed.
+
+    :param came_at: earliest time at which it can have come, by the clock of the event
+        loop's builder; infinity if unknown.
+    """
+
+    number: signal.Signals
+    came_at: float
+
+
 @contextlib.contextmanager
 def receive_signals(
     *groups: Collection[signal.Signals],
@@ -51,15 +71,17 @@
     streams = []
     senders = {}
     for group in groups:
-        sender, stream = anyio.create_memory_object_stream[signal.Signals](MAX_WAITING)
+        sender, stream = anyio.create_memory_object_stream[ReceivedSignal](MAX_WAITING)
         streams.append(stream)
         senders.update(dict.fromkeys(group, sender))
 
     def forward() -> None:
+        came_at = find_event_time(loop)
         for number in reader.recv(MAX_WAITING):
             if number in senders:
+                kind = signal.Signals(number)
                 with contextlib.suppress(anyio.WouldBlock):
-                    senders[signal.Signals(number)].send_nowait(signal.Signals(number))
+                    senders[kind].send_nowait(ReceivedSignal(kind, came_at))
 
     loop.add_reader(reader, forward)
     before = signal.set_wakeup_fd(writer.fileno(), warn_on_full_buffer=False)
@@ -82,5 +104,5 @@
 
 async def log_further_signals(signals: SignalStream) -> None:
     """Log the signals that come while a shutdown goes on, until cancelled."""
-    async for number in signals:
-        log.emit(events.SIGNAL_IGNORED, signal=number.name)
+    async for found in signals:
+        log.emit(events.SIGNAL_IGNORED, signal=found.number.name)
