Wait for what a node has read in tests of its stop, not for a time

The tests of bodies slept for half a second until their beginnings had been read; the receive queue of the connection tells it. Bodies that are refused before their end have a test of the server.

--- a/tests/http/test_stopping_server.py
+++ b/tests/http/test_stopping_server.py
@@ -9,7 +9,7 @@
 import anyio
 
 from coursepitch.http import ConnectionRules, HttpServer
-from coursepitch.http.server import ConnectionState
+from coursepitch.http.server import ConnectionState, ReadLimit
 from coursepitch.listeners import listen
 
 GET = b'GET /%d HTTP/1.1\r\nHost: x\r\n\r\n'
@@ -179,6 +179,33 @@
 
         self.run_test(scenario)
 
+    # Guards against bodies that are read although their request can't be served.
+    def test_request_that_can_not_begin_any_more_is_refused_before_its_end(self):
+        headers = ((b'X-Request-Id', b'r'), (b'Retry-After', b'0.05'))
+
+        async def scenario(server):
+            heads = []
+
+            def find_read_limit(head):
+                heads.append((head.method, head.target, head.body))
+                return ReadLimit(server.http.clock(), headers)
+
+            reader, writer = await server.connect()
+            writer.write(POST)
+            await server.wait_count(ConnectionState.READING)
+            server.http.find_read_limit = find_read_limit
+            server.http.stopping = True
+            # The limit is looked at with each part of the body.
+            writer.write(b'1\r\ny\r\n')
+            with anyio.fail_after(WAIT_S):
+                data = await reader.readuntil(b'\r\n\r\n')
+            self.assertIn(b'HTTP/1.1 503', data)
+            self.assertIn(b'retry-after: 0.05', data.lower())
+            self.assertIn(b'connection: close', data.lower())
+            self.assertEqual(heads[0], (b'POST', b'/', b''))
+
+        self.run_test(scenario)
+
 
 class LingerTest(StoppingServerCase):
     """Responses whose client has sent more than was read."""
--- a/tests/whole/raw_clients.py
+++ b/tests/whole/raw_clients.py
@@ -6,6 +6,7 @@
 import socket
 import time
 from dataclasses import dataclass
+from pathlib import Path
 
 import h11
 
@@ -74,6 +75,18 @@
         with contextlib.suppress(OSError):
             self._sock.sendall(data)
 
+    def was_read(self):
+        """Whether the node has read all that was sent.
+
+        Source: the receive queue of the node's side of the connection, proc(5).
+        """
+        port = f':{self._sock.getsockname()[1]:04X}'
+        for line in Path('/proc/net/tcp').read_text().splitlines()[1:]:
+            _, _, remote, _, queues, *_ = line.split()
+            if remote.endswith(port):
+                return int(queues.partition(':')[2], 16) == 0
+        return False
+
     def read(self):
         """Return the next response; what follows it is kept for the one after it."""
         parser = h11.Connection(h11.CLIENT)
--- a/tests/whole/test_stopping_nodes.py
+++ b/tests/whole/test_stopping_nodes.py
@@ -4,7 +4,6 @@
 
 import itertools
 import signal
-import threading
 import time
 import unittest
 from concurrent.futures import ThreadPoolExecutor
@@ -74,31 +73,24 @@
 class BodyThatEndsLateTest(StoppingNodeCase):
     """Bodies that began to come before the signal, and end after it."""
 
-    def send_slowly(self, client, path, name, signalled, after_s):
-        client.send(build_request('POST', path, name, chunked=True) + b'1\r\nx\r\n')
-        signalled.wait()
+    def finish(self, client, after_s):
         wait_until(self.began_at + after_s)
         return client.ask(b'1\r\ny\r\n0\r\n\r\n')
 
     def check(self, path):
-        signalled = threading.Event()
-        waiting = {
-            f'{path}{after_s}': self.pool.submit(
-                self.send_slowly,
-                self.connect(),
-                path,
-                f'late-{path[1:5]}-{after_s}',
-                signalled,
-                after_s,
-            )
-            for after_s in LATE_S
-        }
+        clients = {after_s: self.connect() for after_s in LATE_S}
+        for after_s, client in clients.items():
+            name = f'late-{path[1:5]}-{after_s}'
+            client.send(build_request('POST', path, name, chunked=True) + b'1\r\nx\r\n')
         self.wait_for(
-            lambda: self.node.process.poll() is None, 'the requests are being read'
+            lambda: all(client.was_read() for client in clients.values()),
+            'the requests are being read',
         )
-        time.sleep(0.5)
         self.began_at = self.begin_stop()
-        signalled.set()
+        waiting = {
+            f'{path}{after_s}': self.pool.submit(self.finish, client, after_s)
+            for after_s, client in clients.items()
+        }
         self.assert_all_answered({name: it.result() for name, it in waiting.items()})
 
     # Guards against streams that are begun in a stop and broken off at its end.
@@ -118,7 +110,6 @@
             after_s: self.connect_used(f'used-{after_s}')
             for after_s in (3.01, 3.05, 3.1, 3.15, 3.2, 3.3, 3.4, 3.6, 3.8)
         }
-        # The last request before the signal ended shortly before it.
         began_at = self.begin_stop()
 
         def send(client, after_s):
