Refuse a body that can't be served as soon as that is known

Callers of a stopping node whose body still came got their refusal only after the next part of it had come, and then 408 in place of 503: a request that is being read waited for bytes with the limits from before the signal, and a wait that ended counted as too slow.

The begin of a stop, and of closing idle connections, wakes the connections that wait for bytes, and a wait that ends looks at all limits again.

--- a/coursepitch/gateway_application.py
+++ b/coursepitch/gateway_application.py
@@ -557,7 +557,7 @@
         self.stopping = True
         end_at = stopped_at + self.settings.node.stop_s - STOP_MARGIN_S
         self.stop_schedule.begin(stopped_at, end_at)
-        self.front.stopping, self.front.end_at = True, end_at
+        self.front.begin_stop(end_at)
         log.emit(
             events.NODE_DRAINING,
             in_flight=self.front.busy_count,
@@ -569,7 +569,7 @@
             await self.session.end()
         while self.clock() < end_at:
             if self.clock() - stopped_at >= STOP_ACCEPT_S:
-                self.front.closing_idle = True
+                self.front.close_idle()
                 self.front.end_accepting()
                 if not self.front.connections and not self.tunnel_server.count_open():
                     break
--- a/coursepitch/http/server.py
+++ b/coursepitch/http/server.py
@@ -471,6 +471,7 @@
         :param size: size in bytes of what has arrived of the body.
         :raises _RequestProblemError: a head or body did not arrive in time.
         """
+        waits_since = self.server.clock()
         while True:
             rules = self.server.read_rules()
             now = self.server.clock()
@@ -480,7 +481,8 @@
             if head is not None:
                 began_at = self.idle_since if started_at is None else started_at
                 until = began_at + self._find_body_timeout_s(head, rules, size)
-                timeout_s = min(rules.pause_timeout_s, until - now)
+                until = min(until, waits_since + rules.pause_timeout_s)
+                timeout_s = until - now
                 if timeout_s <= 0:
                     raise _RequestProblemError(
                         408, 'timed out reading the request body'
@@ -503,10 +505,8 @@
             try:
                 return await self.stream.receive(self.stream.find_deadline(timeout_s))
             except TimeoutError:
-                if head is not None:
-                    raise _RequestProblemError(
-                        408, 'timed out reading the request body'
-                    ) from None
+                # The limits may have changed while it waited.
+                continue
             except (
                 anyio.EndOfStream,
                 anyio.BrokenResourceError,
@@ -662,6 +662,25 @@
         finally:
             sock.close()
 
+    def begin_stop(self, end_at: float) -> None:
+        """Finish what has been read, and refuse what can't be finished.
+
+        :param end_at: monotonic time at which requests that are being read are refused.
+        """
+        self.stopping, self.end_at = True, end_at
+        self._wake_connections()
+
+    def close_idle(self) -> None:
+        """Close idle connections, now and from now on."""
+        if not self.closing_idle:
+            self.closing_idle = True
+            self._wake_connections()
+
+    def _wake_connections(self) -> None:
+        """Let connections that wait for bytes look at their limits."""
+        for connection in self.connections:
+            connection.stream.interrupt()
+
     def end_accepting(self) -> None:
         """Accept no more connections, so that clients turn to other nodes at once."""
         if self._accepting is not None:
--- a/coursepitch/http/stream.py
+++ b/coursepitch/http/stream.py
@@ -357,6 +357,10 @@
         finally:
             self._writer = None
 
+    def interrupt(self) -> None:
+        """Let a read that waits for bytes end at once, as by its deadline."""
+        self._wake_reader()
+
     def finish(self) -> None:
         """Send no more; reading remains possible."""
         if not self._lost and not self._closed and self._transport.can_write_eof():
--- a/tests/whole/test_stopping_nodes.py
+++ b/tests/whole/test_stopping_nodes.py
@@ -100,6 +100,19 @@
     def test_call_is_whole_or_refused(self):
         self.check('/once/x')
 
+    # Guards against clients that send a whole body to a node that refuses it.
+    def test_stream_is_refused_before_the_rest_of_its_body_comes(self):
+        client = self.connect()
+        data = build_request('POST', '/stream/x', 'early', chunked=True)
+        client.send(data + b'1\r\nx\r\n')
+        self.wait_for(client.was_read, 'the request is being read')
+        began_at = self.begin_stop()
+        reply = client.read()
+        self.assertEqual((reply.status, reply.whole), (503, True))
+        self.assertTrue(reply.says_close())
+        self.assertIn(b'retry-after', dict(reply.headers))
+        self.assertLess(time.monotonic() - began_at, min(LATE_S))
+
 
 class UsedConnectionTest(StoppingNodeCase):
     """Requests on connections that were used before."""
