Log a refused request once

A request that was refused while it was read was logged with its status and once more without one. The test gave [400, 0] before, [400] after.

--- a/coursepitch/http/server.py
+++ b/coursepitch/http/server.py
@@ -311,6 +311,7 @@
                     await asyncio.sleep(0)
         except _RequestProblemError as problem:
             self._log_unanswered(problem.status, str(problem))
+            self.state = ConnectionState.CLOSING
             await self._send_error(problem)
             if problem.status == 503:
                 await self._linger()
--- a/tests/http/test_stopping_server.py
+++ b/tests/http/test_stopping_server.py
@@ -207,6 +207,25 @@
         self.run_test(scenario)
 
 
+class LogTest(StoppingServerCase):
+    """Connections that end before a request on them is handled."""
+
+    # Guards against a second line, without the status, for each refused request.
+    def test_refused_request_is_logged_once(self):
+        async def scenario(server):
+            reader, writer = await server.connect()
+            writer.write(b'GET / HTTP/1.1\r\n')
+            await server.wait_count(ConnectionState.READING)
+            writer.write(b'no field\r\n\r\n')
+            with mock.patch('coursepitch.http.server.log.emit') as emit:
+                data = await server.read_all(reader)
+                await server.wait_for(lambda: not server.http.connections)
+            self.assertIn(b'HTTP/1.1 400', data)
+            self.assertEqual([call.kwargs['status'] for call in emit.mock_calls], [400])
+
+        self.run_test(scenario)
+
+
 class LingerTest(StoppingServerCase):
     """Responses whose client has sent more than was read."""
 
