Check each order against the newest entries just before it is sent

Cause: the leader sent, and sent again, what was right by an earlier entry. A head that was joining or ready in its ended group counted as free, was claimed, and got the order to join again and again by the claim alone; so did members, and instances whose claim a new leader took over.

Ruled out: waiting until no order can be late any more (12 s without the instances after each order that is not answered); members that always leave first (an order each, and a wait, in each usual exchange).

Change: an instance that reports an ended group leaves it before it is free, or before it joins the group that it is claimed for; members join directly only while the entry of their head shows that it is out. Orders to join, open and leave pass one check just before they are sent.

The tests of the keeper get the claims and entries that the check asks for; what they check is unchanged. The machine of test_machine keeps the objects of unchanged entries, as a node does.

--- a/coursepitch/fleet/groups.py
+++ b/coursepitch/fleet/groups.py
@@ -8,6 +8,10 @@
 and epoch.  Members may join another group only when the old head is known to have left,
 or when they themselves have confirmed that they left: an unresponsive head may then
 still serve, but without them.
+
+Orders that were not answered may be carried out seconds later, and form or open a group
+that has been ended since.  So what an instance reports is checked again before each
+order to join or to open, and one that reports an ended group again leaves it first.
 """
 
 from __future__ import annotations
@@ -18,14 +22,20 @@
 from coursepitch.fleet.instances import GroupState
 from coursepitch.fleet.ledger import LoadLimiter, OrderLedger
 from coursepitch.fleet.orders import Order, OrderKind, OrderResult
-from coursepitch.fleet.placer import Placer, ServiceSnapshot, is_warming_up
+from coursepitch.fleet.placer import (
+    Placer,
+    ServiceSnapshot,
+    is_warming_up,
+    is_warmup_group,
+)
+from coursepitch.fleet.view import claim_key
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable, Mapping
 
     from coursepitch.config.routes import EngineProfile, Service
     from coursepitch.fleet.claims import GroupClaim
-    from coursepitch.fleet.instances import FleetInstance
+    from coursepitch.fleet.instances import FleetInstance, Membership
     from coursepitch.fleet.placer import ClaimChange
     from coursepitch.fleet.view import FleetView
 
@@ -104,6 +114,17 @@
     stable_engine: EngineProfile | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class _EndedGroup:
+    """A group whose head is known to have left.
+
+    :param may_reopen: whether an order to open it may still be carried out.
+    """
+
+    head: str
+    may_reopen: bool
+
+
 @dataclass(eq=False)
 class GroupController:
     """State from which the leader decides about groups.
@@ -121,9 +142,11 @@
     _isolated_at: float = float('-inf')
     _records: dict[tuple[str, int], _GroupRecord] = field(default_factory=dict)
     _unopened: set[tuple[str, int]] = field(default_factory=set)
-    _ended_groups: dict[tuple[str, int], FleetInstance | None] = field(
-        default_factory=dict
-    )
+    _ended_groups: dict[tuple[str, int], _EndedGroup] = field(default_factory=dict)
+    # Entries as they were when an instance was ordered to leave its group, by instance
+    # and epoch, and those from before it confirmed that it left.
+    _leaving: dict[tuple[str, int], FleetInstance] = field(default_factory=dict)
+    _left: dict[str, FleetInstance] = field(default_factory=dict)
     _started_ms: dict[str, int] = field(default_factory=dict)
     _last_seen: dict[str, FleetInstance] = field(default_factory=dict)
     _ledger: OrderLedger = field(default_factory=OrderLedger)
@@ -140,6 +163,8 @@
         self._records.clear()
         self._unopened.clear()
         self._ended_groups.clear()
+        self._leaving.clear()
+        self._left.clear()
         self._ledger.clear()
         self._loads.clear()
 
@@ -169,8 +194,15 @@
 
     def note_result(self, order: Order, result: OrderResult, now: float) -> None:
         """Record the result of an order."""
+        if result is OrderResult.DROPPED and order.kind is not OrderKind.STAGE:
+            self._ledger.forget(order)
+        if order.kind is not OrderKind.LEAVE:
+            return
+        entry = self._leaving.pop((order.instance, order.epoch), None)
+        if result.definite and entry is not None:
+            self._left[order.instance] = entry
         record = self._records.get((order.group, order.epoch))
-        if order.kind is not OrderKind.LEAVE or record is None:
+        if record is None:
             return
         if result.definite:
             record.confirmed_left.add(order.instance)
@@ -202,11 +234,42 @@
         self._started_ms[instance.name] = instance.born
         if 0 < before < instance.born:
             self._ledger.forget_instance(instance.name)
+            self._left.pop(instance.name, None)
             self._loads.running.pop(instance.name, None)
             self.note_responsive(instance.name)
 
     # -- decisions ----------------------------------------------------------------
 
+    def is_due(self, order: Order, view: FleetView) -> bool:
+        """Whether what made an order right still holds by the newest entries."""
+        if order.kind not in (OrderKind.JOIN, OrderKind.OPEN, OrderKind.LEAVE):
+            return True
+        instance = view.instances.get(order.instance)
+        if order.kind is OrderKind.LEAVE:
+            claim = _find_claim(order, instance, view)
+            return claim is None or self._is_retired(claim)
+        if instance is None or view.is_lapsed(order.instance):
+            return False
+        claim = _find_claim(order, instance, view)
+        if claim is None:
+            # Groups that only load weights have no claim.
+            is_claimed = any(
+                instance.name in item.members for item in _list_claims(instance, view)
+            )
+            if is_claimed or not is_warmup_group(order.group):
+                return False
+        elif self._is_retired(claim):
+            return False
+        elif order.kind is OrderKind.OPEN:
+            return _are_all_ready(claim, view)
+        in_group = _reports(instance, order.group, order.epoch)
+        return in_group or self._may_join(instance, view)
+
+    def _is_retired(self, claim: GroupClaim) -> bool:
+        """Whether a group is being ended."""
+        record = self._records.get((claim.name, claim.epoch))
+        return record is not None and bool(record.retire_reason)
+
     def decide(
         self,
         view: FleetView,
@@ -289,40 +352,72 @@
             membership = instance.membership
             if instance.service != service.name or membership is None:
                 continue
-            if instance.name in claimed or self._may_stay_unclaimed(instance):
+            if instance.name in claimed or self._may_stay_unclaimed(instance, view):
                 continue
-            order = Order(
-                OrderKind.LEAVE,
-                instance.name,
-                instance.address,
-                membership.group,
-                membership.epoch,
-                members=('',),
-            )
-            orders += self._ledger.list_if_due(order, LEAVE_RETRY_S, now)
+            orders += self._leave_reported(instance, membership, now)
+        return orders
+
+    def _leave_reported(
+        self, instance: FleetInstance, membership: Membership, now: float
+    ) -> list[Order]:
+        """Return the order by which an instance leaves the group that it reports."""
+        order = Order(
+            OrderKind.LEAVE,
+            instance.name,
+            instance.address,
+            membership.group,
+            membership.epoch,
+            members=('',),
+        )
+        return self._leave(order, instance, now)
+
+    def _leave(
+        self, order: Order, instance: FleetInstance | None, now: float
+    ) -> list[Order]:
+        """Return an order to leave if it is due.
+
+        :param instance: the present entry of the instance; ``None`` for none.
+        """
+        orders = self._ledger.list_if_due(order, LEAVE_RETRY_S, now)
+        if orders and instance is not None:
+            self._leaving.setdefault((order.instance, order.epoch), instance)
         return orders
 
-    def _may_stay_unclaimed(self, instance: FleetInstance) -> bool:
+    def _may_stay_unclaimed(self, instance: FleetInstance, view: FleetView) -> bool:
         """Whether an unclaimed instance may stay in the group that it reports."""
         if is_warming_up(instance):
             return _find_state(instance) is GroupState.JOINING
-        return self._may_join(instance)
+        return self._may_join(instance, view)
 
-    def _may_join(self, instance: FleetInstance) -> bool:
-        """Whether an unclaimed instance may join a group."""
+    def _may_join(self, instance: FleetInstance, view: FleetView) -> bool:
+        """Whether an instance may join another group than the one that it reports."""
         membership = instance.membership
         if membership is None or membership.state is GroupState.BROKEN:
             return True
-        if is_warming_up(instance):
+        if is_warming_up(instance) or self._has_left(instance):
             return True
-        key = (membership.group, membership.epoch)
-        if key not in self._ended_groups:
+        ended = self._ended_groups.get((membership.group, membership.epoch))
+        if ended is None:
             return False
-        if not membership.state.may_serve:
+        if not ended.may_reopen:
             return True
-        # Orders that were carried out late may have opened the group again.  What was
-        # known before the head left tells nothing.
-        return instance is self._ended_groups[key]
+        # A head that reports the group again was brought back by a late order to join,
+        # and a late order to open may follow.
+        head = view.instances.get(ended.head)
+        if instance.name == ended.head or head is None or view.is_lapsed(ended.head):
+            return False
+        return (
+            self._has_left(head)
+            or _find_state(head) is GroupState.BROKEN
+            or not _reports(head, membership.group, membership.epoch)
+        )
+
+    def _has_left(self, instance: FleetInstance) -> bool:
+        """Whether an instance's entry is from before it confirmed that it left.
+
+        An instance that is cut off from the store cannot write another one.
+        """
+        return self._left.get(instance.name) is instance
 
     def _find_record(self, claim: GroupClaim, now: float) -> _GroupRecord:
         key = (claim.name, claim.epoch)
@@ -487,16 +582,15 @@
             order = _build_order(OrderKind.CLOSE, head.name, head.address, claim)
             return self._ledger.list_if_due(order, OPEN_RETRY_S, now)
         for instance in present:
-            if not _is_member(instance, claim) and not view.is_lapsed(instance.name):
-                order = _build_order(
-                    OrderKind.JOIN, instance.name, instance.address, claim
-                )
-                orders += self._ledger.list_if_due(order, JOIN_RETRY_S, now)
-        ready = all(
-            _is_member(item, claim) and _find_state(item) is GroupState.READY
-            for item in present
-        )
-        if ready:
+            if _is_member(instance, claim) or view.is_lapsed(instance.name):
+                continue
+            membership = instance.membership
+            if membership is not None and not self._may_join(instance, view):
+                orders += self._leave_reported(instance, membership, now)
+                continue
+            order = _build_order(OrderKind.JOIN, instance.name, instance.address, claim)
+            orders += self._ledger.list_if_due(order, JOIN_RETRY_S, now)
+        if _are_all_ready(claim, view):
             record.may_be_open = True
             order = _build_order(OrderKind.OPEN, head.name, head.address, claim)
             orders += self._ledger.list_if_due(order, OPEN_RETRY_S, now)
@@ -522,13 +616,13 @@
             and tries_left
         ):
             order = _build_order(OrderKind.LEAVE, claim.head, address, claim)
-            orders += self._ledger.list_if_due(order, LEAVE_RETRY_S, now)
+            orders += self._leave(order, view.instances.get(claim.head), now)
         if self._is_unresponsive(claim.head, view, record):
             for instance in self._list_remaining(claim, view, record):
                 order = _build_order(
                     OrderKind.LEAVE, instance.name, instance.address, claim
                 )
-                orders += self._ledger.list_if_due(order, LEAVE_RETRY_S, now)
+                orders += self._leave(order, instance, now)
         return orders
 
     def _is_unresponsive(
@@ -563,12 +657,13 @@
         key = (claim.name, claim.epoch)
         head = view.instances.get(claim.head)
         if not record.may_be_open or claim.head in record.confirmed_left:
-            self._ended_groups.setdefault(key, head)
+            ended = _EndedGroup(claim.head, record.may_be_open)
+            self._ended_groups.setdefault(key, ended)
             return True
         if head is not None and claim.head not in self.unresponsive:
             gone = not _is_member(head, claim) or _find_state(head) is GroupState.BROKEN
             if gone and not view.is_lapsed(claim.head):
-                self._ended_groups.setdefault(key, None)
+                self._ended_groups.setdefault(key, _EndedGroup(claim.head, True))
                 return True
         if not self._is_unresponsive(claim.head, view, record):
             return False
@@ -595,7 +690,7 @@
                 and instance.name not in self.unresponsive
                 and not view.lost.has(instance.name)
                 and not view.is_lapsed(instance.name)
-                and self._may_join(instance)
+                and self._may_join(instance, view)
             )
             free = found.setdefault(instance.domain, [])
             if usable:
@@ -628,11 +723,44 @@
     return instance.membership.state
 
 
-def _is_member(instance: FleetInstance | None, claim: GroupClaim) -> bool:
+def _reports(instance: FleetInstance | None, group: str, epoch: int) -> bool:
+    """Whether an instance reports that it belongs to a group."""
     if instance is None or instance.membership is None:
         return False
     membership = instance.membership
-    return membership.group == claim.name and membership.epoch == claim.epoch
+    return membership.group == group and membership.epoch == epoch
+
+
+def _is_member(instance: FleetInstance | None, claim: GroupClaim) -> bool:
+    return _reports(instance, claim.name, claim.epoch)
+
+
+def _are_all_ready(claim: GroupClaim, view: FleetView) -> bool:
+    """Whether all members have joined a group, and none is leaving."""
+    members = (view.instances.get(name) for name in claim.members)
+    return all(
+        item is not None
+        and not item.draining
+        and _is_member(item, claim)
+        and _find_state(item) is GroupState.READY
+        for item in members
+    )
+
+
+def _list_claims(instance: FleetInstance, view: FleetView) -> tuple[GroupClaim, ...]:
+    """Return the claims of the fabric domain of an instance."""
+    return view.claims.get(claim_key(instance.service, instance.domain), ())
+
+
+def _find_claim(
+    order: Order, instance: FleetInstance | None, view: FleetView
+) -> GroupClaim | None:
+    """Return the claim of the group that an order is for."""
+    claims = view.all_claims() if instance is None else _list_claims(instance, view)
+    for claim in claims:
+        if (claim.name, claim.epoch) == (order.group, order.epoch):
+            return claim
+    return None
 
 
 def _build_order(kind: OrderKind, name: str, address: str, claim: GroupClaim) -> Order:
--- a/coursepitch/fleet/keeper.py
+++ b/coursepitch/fleet/keeper.py
@@ -244,9 +244,15 @@
             return
         self._pending_orders.add(key)
         try:
-            # An order may wait for its turn for longer than the node leads.
+            # An order may wait for its turn for longer than the node leads, or than
+            # its reason holds.
             result = await self._control.send(
-                order, lambda: is_due() and self._session.is_leader()
+                order,
+                lambda: (
+                    is_due()
+                    and self._session.is_leader()
+                    and self._controller.is_due(order, self._session.view)
+                ),
             )
         finally:
             self._pending_orders.discard(key)
--- a/coursepitch/fleet/placer.py
+++ b/coursepitch/fleet/placer.py
@@ -31,7 +31,13 @@
     from coursepitch.fleet.ledger import LoadLimiter, OrderLedger
     from coursepitch.fleet.view import FleetView
 
-__all__ = ['ClaimChange', 'Placer', 'ServiceSnapshot', 'is_warming_up']
+__all__ = [
+    'ClaimChange',
+    'Placer',
+    'ServiceSnapshot',
+    'is_warming_up',
+    'is_warmup_group',
+]
 
 #: Fraction of the weight store's concurrent loads that may be of second models, which
 #: no group waits for.  The rest is left for instances that arrive without weights.
@@ -154,7 +160,12 @@
 def is_warming_up(instance: FleetInstance) -> bool:
     """Whether an instance is in a group that only loads weights into memory."""
     membership = instance.membership
-    return membership is not None and membership.group.startswith(WARMUP_GROUP_PREFIX)
+    return membership is not None and is_warmup_group(membership.group)
+
+
+def is_warmup_group(name: str) -> bool:
+    """Whether a group of one instance only loads weights into memory."""
+    return name.startswith(WARMUP_GROUP_PREFIX)
 
 
 class Placer:
--- a/tests/fleet/test_keeper.py
+++ b/tests/fleet/test_keeper.py
@@ -8,11 +8,13 @@
 
 import anyio
 
+from coursepitch.fleet.claims import GroupClaim
 from coursepitch.fleet.control import MAX_CONCURRENT_ORDERS, InstanceControl, Probe
 from coursepitch.fleet.groups import Decision
 from coursepitch.fleet.keeper import FAST_LOADS_S, PAUSE_FACTOR, LeaderTask
 from coursepitch.fleet.orders import Order, OrderKind, OrderResult
 from tests.fleet.builders import (
+    SERVICE,
     build_instance,
     build_service,
     build_table,
@@ -113,8 +115,9 @@
                     probed.append(instance.name)
                     return Probe.ANSWERS
 
+            claim = GroupClaim('g5', 5, SERVICE, 'd0', 'm', tuple(names))
             session = SimpleNamespace(
-                view=build_view([build_instance(name) for name in names]),
+                view=build_view([build_instance(name) for name in names], [claim]),
                 is_leader=lambda: self.leading,
                 wake=lambda: None,
                 losses=None,
@@ -184,7 +187,11 @@
                 found.append(is_due)
                 return OrderResult.DROPPED
 
-        session = SimpleNamespace(is_leader=lambda: True, wake=lambda: None)
+        session = SimpleNamespace(
+            view=build_view([build_instance('i1')]),
+            is_leader=lambda: True,
+            wake=lambda: None,
+        )
         keeper = LeaderTask(
             session,
             Control(),
--- a/tests/fleet/test_machine.py
+++ b/tests/fleet/test_machine.py
@@ -112,22 +112,13 @@
     def refresh(self, leader: Leader) -> None:
         """Update a leader's view, as its watch does."""
         view = leader.view
-        view.instances = {
-            item.name: FleetInstance(
-                item.name,
-                SERVICE,
-                f'10.0.0.{item.name[1:]}:80',
-                'a',
-                13,
-                False,
-                item.domain,
-                item.models,
-                item.models | item.host,
-                item.membership,
-            )
-            for item in self.engines.values()
-            if item.listed
-        }
+        known, view.instances = view.instances, {}
+        for item in self.engines.values():
+            if item.listed:
+                instance = self.build_entry(item)
+                before = known.get(item.name)
+                # Unchanged entries keep their object, as in the view of a node.
+                view.instances[item.name] = before if instance == before else instance
         view.claims = {}
         view.claim_revisions = {}
         for key, claims in self.claims.items():
@@ -136,6 +127,21 @@
         view.store_revision = self.revision
         view.version += 1
 
+    @staticmethod
+    def build_entry(engine: FakeEngine) -> FleetInstance:
+        return FleetInstance(
+            engine.name,
+            SERVICE,
+            f'10.0.0.{engine.name[1:]}:80',
+            'a',
+            13,
+            False,
+            engine.domain,
+            engine.models,
+            engine.models | engine.host,
+            engine.membership,
+        )
+
     def head_serves(self, engine: FakeEngine) -> bool:
         """Whether the head of an instance's group may be serving."""
         membership = engine.membership
