Refuse calls that a stopping node may have to cut and nobody may repeat

What callers saw: calls that may not be repeated, whose request ended late in the grace period of a stopping node, were passed on and got 502 at its end. Another node would have served them; after the 502 nobody may send them again.

Cause: calls began until twice their objective before the end, whatever their instances take. That trades a refusal for a failure that the client can repeat, which such a client can't.

Ruled out: the latest response times, as they say nothing of an instance that is silent now.

Change: a call that may not be repeated begins if its deadline, or the timeout of its route, comes before the end, as a stream does. Calls that may be repeated keep their rule.

The stand-in of instances has the fault 'slow' for this.

--- a/coursepitch/gateway/stop_schedule.py
+++ b/coursepitch/gateway/stop_schedule.py
@@ -19,8 +19,9 @@
 #: want each response whole.  The rest is a margin for what is on its way.
 OPEN_S = 2.5
 
-#: Most time of a call, as a multiple of its objective.  One that takes longer gets a
-#: whole error response at the end, unlike a stream, which has begun.
+#: Most time of a call that may be repeated, as a multiple of its objective.  One that
+#: takes longer gets a whole error response at the end, unlike a stream, which has
+#: begun, and its client may send it again.
 CALL_OBJECTIVE_FACTOR = 2.0
 
 #: Retry-After in seconds of a node that stops: others take the request at once.
@@ -52,12 +53,14 @@
     ) -> float:
         """Return the monotonic time from which a request may not begin.
 
-        A stream has to be whole by the end whatever its instance does.
+        A stream has to be whole by the end whatever its instance does.  So has a call
+        that may not be repeated: a refusal lets its client send it to another node,
+        whereas nobody can tell whether one that is cut off has run.
 
         :param timeout_s: seconds from its beginning to its deadline.
         """
         if not self.has_begun:
             return float('inf')
-        if route is not None and not streamed:
+        if route is not None and route.repeatable and not streamed:
             timeout_s = min(timeout_s, route.objective_s * CALL_OBJECTIVE_FACTOR)
         return max(self.began_at + OPEN_S, self.end_at - timeout_s)
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -403,6 +403,9 @@
         if mode == 'mute':
             await wait_left(stream, run)
             return False
+        if mode == 'slow':
+            with anyio.move_on_after(instance.fault['for_s']):
+                await wait_left(stream, run)
         run['ends'] = self._ends_instances(headers, body)
         if self.crash_events is None:
             await self._end_with(instance, run)
--- a/tests/gateway/test_stop_schedule.py
+++ b/tests/gateway/test_stop_schedule.py
@@ -24,10 +24,12 @@
     return stop
 
 
-def build_route(timeout_s=8.0):
+def build_route(timeout_s=8.0, repeatable=True):
     """Return a route."""
     backends = (SimpleNamespace(service='s'),)
-    return SimpleNamespace(timeout_s=timeout_s, objective_s=0.5, backends=backends)
+    return SimpleNamespace(
+        timeout_s=timeout_s, objective_s=0.5, backends=backends, repeatable=repeatable
+    )
 
 
 class LatestStartTest(unittest.TestCase):
@@ -58,6 +60,13 @@
         found = build_stop().find_latest_start(build_route(), 8.0, streamed=False)
         self.assertAlmostEqual(found, NOW + STOP_S - 1.0)
 
+    # Guards against calls that run and are cut, which nobody may send again.
+    def test_call_that_may_not_be_repeated_has_all_its_time(self):
+        route = build_route(repeatable=False)
+        for timeout_s, expected in ((8.0, OPEN_S), (3.0, STOP_S - 3.0)):
+            found = build_stop().find_latest_start(route, timeout_s, streamed=False)
+            self.assertAlmostEqual(found, NOW + expected)
+
 
 class JobTest(unittest.TestCase):
     """Requests that are read, and may have waited since."""
@@ -133,6 +142,11 @@
         found = self.find(route=build_route())
         self.assertAlmostEqual(found.until, NOW + STOP_S - 1.0)
 
+    # Guards against bodies that are read although their call can't be whole in time.
+    def test_body_of_a_call_that_may_not_be_repeated_is_read_as_that_of_a_stream(self):
+        found = self.find(route=build_route(3.0, repeatable=False))
+        self.assertAlmostEqual(found.until, NOW + STOP_S - 3.0)
+
     def test_refusal_names_the_request_and_when_to_come_back(self):
         headers = dict(self.find(route=build_route()).headers)
         self.assertEqual(headers[b'X-Request-Id'], b'r')
--- a/tests/whole/test_stopping_nodes.py
+++ b/tests/whole/test_stopping_nodes.py
@@ -14,6 +14,9 @@
 #: Events of a stream, which takes 6 s.
 EVENTS = 300
 
+#: Seconds that a slow instance takes for a call, well above its objective of 0.5 s.
+CALL_S = 4.0
+
 #: Seconds from the signal, in the part of the stop in which a stream can't end in time.
 LATE_S = (3.05, 3.2, 3.4, 3.8, 4.4, 5.0, 5.6, 6.2, 6.8, 7.2)
 
@@ -100,6 +103,13 @@
     def test_call_is_whole_or_refused(self):
         self.check('/once/x')
 
+    # Guards against calls that run and are cut at the end of a stop, where another
+    # node could have served them.
+    def test_slow_call_that_may_not_be_repeated_is_whole_or_refused(self):
+        self.control('api', '/fault', mode='slow', for_s=CALL_S)
+        self.addCleanup(self.control, 'api', '/fault', mode='none')
+        self.check('/once/x')
+
     # Guards against clients that send a whole body to a node that refuses it.
     def test_stream_is_refused_before_the_rest_of_its_body_comes(self):
         client = self.connect()
