Bound all that is held for clients together, and their connections

What callers saw: clients outside the limits ended a node. Many large bodies, whole or short of their end, took all of its memory; many connections took all of its descriptors, and the error of accept ended the process. All requests of others on it were lost.

Cause: each connection is bounded, and their sum is not.

Change: one account of what is held for clients; the largest holders are refused with 503 and Retry-After, or lose what lies behind a request, once it is full. Connections of clients have a limit, above which those that have waited for longest are closed. Accepting goes on after an error. A client that is still sending gets its 413.

--- a/coursepitch/events.py
+++ b/coursepitch/events.py
@@ -481,6 +481,22 @@
     'the status of the error response, 0 without one, and whether more had arrived.',
     ('request', 'state', 'status', 'reason', 'more', 'stopping'),
 )
+MEMORY_GIVEN_UP = Event(
+    630,
+    'memory.given_up',
+    'All clients together hold more bytes than a node may hold for them: the largest '
+    'holders have given up theirs.  Bytes before and after, and connections since the '
+    'last line.',
+    ('held_bytes', 'limit_bytes', 'left_bytes', 'connections'),
+)
+CONNECTIONS_CLOSED = Event(
+    631,
+    'connections.closed',
+    'A listener has as many connections as it may have, or no descriptor is left: '
+    'those that were idle for longest are closed.  All connections, and those that '
+    'were closed or reset since the last line.',
+    ('open', 'limit', 'closed', 'reset', 'reason'),
+)
 LINES_DROPPED = Event(
     608,
     'log.dropped',
--- a/coursepitch/http/request_parser.py
+++ b/coursepitch/http/request_parser.py
@@ -50,6 +50,16 @@
         data, _ = super().trailing_data
         return data + self._unparsed, self._input_ended
 
+    @property
+    def held_bytes(self) -> int:
+        """Number of bytes that were not parsed."""
+        # h11 tells them only as a copy.
+        return len(self._receive_buffer) + len(self._unparsed)
+
+    def discard(self) -> None:
+        """Drop the bytes that were not parsed; no request can follow."""
+        self._unparsed = b''
+
     @property
     def has_more_chunks(self) -> bool:
         """Whether chunks that have arrived are left to further events."""
--- a/coursepitch/http/server.py
+++ b/coursepitch/http/server.py
@@ -8,7 +8,9 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import enum
+import errno
 import socket
 import struct
 from dataclasses import dataclass, field, replace
@@ -22,7 +24,9 @@
 from coursepitch import events, log
 from coursepitch.clock import Clock, boottime
 from coursepitch.errors import CoursepitchError
+from coursepitch.http.body_buffer import BodyBuffer
 from coursepitch.http.event_loop import find_event_time
+from coursepitch.http.memory import UNCOUNTED_BYTES, ClientMemory
 from coursepitch.http.messages import IncomingRequest, find_header, start_digest
 from coursepitch.http.request_parser import RequestParser
 from coursepitch.http.stream import ByteStream
@@ -59,6 +63,43 @@
 #: Timeout in seconds for the final write to a connection.
 FINAL_WRITE_TIMEOUT_S = 1.0
 
+#: Seconds until connections are accepted again after no descriptor was left.
+ACCEPT_PAUSE_S = 0.05
+
+#: Share of the connections that a server may have that are closed at once, if they are
+#: idle, so that not every further one makes it look for them.
+CLOSED_SHARE = 1 / 16
+
+#: Seconds between two log lines of closed connections.
+CLOSED_LOG_INTERVAL_S = 1.0
+
+#: Errors of accept that tell that the process or the system lacks something.
+_EXHAUSTED = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM})
+
+#: Errors of accept that concern the connection alone.  Source: accept(2).
+_CONNECTION_ERRORS = frozenset(
+    {
+        errno.ENETDOWN,
+        errno.EPROTO,
+        errno.ENOPROTOOPT,
+        errno.EHOSTDOWN,
+        errno.ENONET,
+        errno.EHOSTUNREACH,
+        errno.EOPNOTSUPP,
+        errno.ENETUNREACH,
+    }
+)
+
+#: Bytes that are held for all clients unless the application tells otherwise.
+DEFAULT_MEMORY_BYTES = 67_108_864
+
+#: Retry-After in seconds of a request that is refused as too much is held for clients.
+#: Other nodes may take it at once.
+MEMORY_RETRY_AFTER_S = 0.25
+
+#: Statuses of refusals whose clients may still be sending.
+_SENDING_STATUSES = frozenset({413, 503})
+
 #: Seconds for which an idle connection stays open while idle ones are closed: as long
 #: as a client takes for its next request, if the response before did not tell it that
 #: the connection ends.
@@ -111,10 +152,11 @@
 
 
 _NO_LIMIT = ReadLimit()
+_MEMORY_HEADERS = ((b'Retry-After', b'%.2f' % MEMORY_RETRY_AFTER_S),)
 
 
 class _RequestProblemError(CoursepitchError):
-    """A request is malformed, too large or too slow, or comes as the server stops.
+    """A request is malformed, too large or too slow, or can't be taken at present.
 
     :param status: status of the error response.
     :param headers: its headers.
@@ -249,6 +291,8 @@
     :param head: head of the request that was read last; ``None`` before it.
     :param left_at: time at which the client was seen to have disconnected; ``None``
         while it is there.
+    :param body: what has arrived of the body that is being read.
+    :param is_closed: whether it was closed to make room for others.
     """
 
     server: HttpServer
@@ -260,7 +304,12 @@
     state: ConnectionState = ConnectionState.IDLE
     head: h11.Request | None = None
     left_at: float | None = None
+    body: BodyBuffer = field(default_factory=BodyBuffer)
     _cancel_handler: Callable[[], None] | None = None
+    _kept_bytes: int = 0
+    _writing_bytes: int = 0
+    _has_given_up: bool = False
+    is_closed: bool = False
 
     @property
     def has_more(self) -> bool:
@@ -272,8 +321,87 @@
 
         A request that was sent ahead is answered before that.
         """
+        if self._has_given_up:
+            return True
         return self.server.closes_after_response() and not self.has_more
 
+    # -- memory -----------------------------------------------------------------------
+
+    @property
+    def arrived_at(self) -> float:
+        """Earliest time at which the bytes that came last can have come."""
+        return self.stream.arrived_at
+
+    @property
+    def _behind_bytes(self) -> int:
+        """Bytes that have arrived and belong to no request yet."""
+        return self.stream.unread_bytes + self.parser.held_bytes
+
+    @property
+    def _held_bytes(self) -> int:
+        parts = len(self.body) + self._kept_bytes + self._writing_bytes
+        return parts + self._behind_bytes
+
+    @property
+    def _is_unread(self) -> bool:
+        """Whether the client does not read a response that is held for it."""
+        return self._writing_bytes > 0 and self.stream.is_writing_paused
+
+    @property
+    def expendable_bytes(self) -> int:
+        """Bytes that are given up if too many are held for all clients together."""
+        if self.state is ConnectionState.HANDLING and not self._is_unread:
+            return self._behind_bytes
+        return self._held_bytes
+
+    def give_up(self) -> None:
+        """Free the expendable bytes: refuse a request, or what is behind it."""
+        if self.state is ConnectionState.HANDLING and self._is_unread:
+            self.broken = True
+            if self._cancel_handler is not None:
+                self._cancel_handler()
+            self.stream.close()
+        self._has_given_up = True
+        self.body.clear()
+        self.parser.discard()
+        self.stream.discard(self.server.read_rules().body_bytes)
+        self.stream.interrupt()
+        self.note_memory()
+
+    def forget_memory(self) -> None:
+        """Hold nothing any more."""
+        self._give_back()
+        self.server.memory.note(self, 0)
+
+    @property
+    def has_request(self) -> bool:
+        """Whether a part of a request has arrived."""
+        return self.state is ConnectionState.READING or self._behind_bytes > 0
+
+    @property
+    def may_be_closed(self) -> bool:
+        """Whether it waits for its client, which loses no response if it is closed."""
+        waits = self.state in (ConnectionState.IDLE, ConnectionState.READING)
+        return waits and not self.is_closed
+
+    def close(self) -> None:
+        """Close the connection at once."""
+        self.is_closed = True
+        self.stream.close()
+
+    def note_memory(self) -> None:
+        """Note in the account of all clients what this connection holds."""
+        self.server.memory.note(self, self._held_bytes)
+
+    def _check_memory(self) -> None:
+        """Refuse the request that is being read once its bytes were given up."""
+        if self._has_given_up:
+            raise _RequestProblemError(
+                503, 'too many bytes are held for clients', _MEMORY_HEADERS
+            )
+
+    # -- requests ---------------------------------------------------------------------
+
     def has_client_left(self) -> bool:
         """Whether the client has disconnected; its handler is cancelled if it has.
 
@@ -287,10 +415,18 @@
         """Write bytes; mark the connection as broken if the client has disconnected."""
         if not data or self.broken:
             return
+        is_counted = len(data) > UNCOUNTED_BYTES
+        if is_counted:
+            self._writing_bytes = len(data)
+            self.note_memory()
         try:
             await self.stream.send(data)
         except (anyio.BrokenResourceError, anyio.ClosedResourceError):
             self.broken = True
+        finally:
+            if is_counted:
+                self._writing_bytes = 0
+                self.note_memory()
 
     async def run(self) -> None:
         """Serve requests until either side closes the connection."""
@@ -302,7 +438,7 @@
                 await self._handle_request(request)
                 if self.broken:
                     return
-                if not self._start_next():
+                if self._has_given_up or not self._start_next():
                     self._log_if_unanswered()
                     await self._linger()
                     return
@@ -313,7 +449,7 @@
             self._log_unanswered(problem.status, str(problem))
             self.state = ConnectionState.CLOSING
             await self._send_error(problem)
-            if problem.status == 503:
+            if problem.status in _SENDING_STATUSES:
                 await self._linger()
         finally:
             if self.state is not ConnectionState.CLOSING:
@@ -389,9 +525,27 @@
         finally:
             self.stream.on_end = self._cancel_handler = None
             self.state = ConnectionState.IDLE
+            self._give_back()
+            self.note_memory()
         if not reply.ended:
             self.broken = True
 
+    def _give_back(self) -> None:
+        """Keep the body of the latest request no longer."""
+        self.server.memory.give_back(self._kept_bytes)
+        self._kept_bytes = 0
+
+    def _take_body(self) -> bytes:
+        """Return the whole body, which is kept until its request is handled.
+
+        :raises _RequestProblemError: too many bytes are kept for others.
+        """
+        if not self.server.memory.take(len(self.body)):
+            self.give_up()
+            self._check_memory()
+        self._kept_bytes = len(self.body)
+        return self.body.take()
+
     async def _read_request(self) -> IncomingRequest | None:
         """Return the next request, or ``None`` at the end of the connection.
 
@@ -400,7 +554,6 @@
         self.idle_since = self.server.clock()
         self.head = None
         head: h11.Request | None = None
-        body = bytearray()
         digest = start_digest()
         size = 0
         started_at: float | None = None
@@ -431,24 +584,28 @@
                     return None
             elif isinstance(event, h11.Request):
                 self.head = head = event
-                declared = find_header(tuple(head.headers), b'content-length')
-                if declared and int(declared) > self.server.read_rules().body_bytes:
+                declared = int(find_header(tuple(head.headers), b'content-length') or 0)
+                if declared > self.server.read_rules().body_bytes:
                     raise _RequestProblemError(413, 'request body too large')
+                if not self.server.memory.has_room(declared):
+                    self.give_up()
+                    self._check_memory()
             elif isinstance(event, h11.Data):
                 size += len(event.data)
                 if size > self.server.read_rules().body_bytes:
                     raise _RequestProblemError(413, 'request body too large')
-                body += event.data
+                self.body.append(bytes(event.data))
                 digest.update(event.data)
                 if self.parser.has_more_chunks:
                     await self.stream.finish_turn()
+                    self._check_memory()
             elif isinstance(event, h11.EndOfMessage) and head is not None:
                 received_at = self.server.clock()
                 return IncomingRequest(
                     bytes(head.method),
                     bytes(head.target),
                     tuple(head.headers.raw_items()),
-                    bytes(body),
+                    self._take_body(),
                     received_at,
                     digest.digest(),
                     max(0.0, received_at - self.stream.arrived_at),
@@ -474,6 +631,7 @@
         """
         waits_since = self.server.clock()
         while True:
+            self._check_memory()
             rules = self.server.read_rules()
             now = self.server.clock()
             limit = self._find_read_limit(head)
@@ -599,6 +757,9 @@
     :param find_request_id: returns the id of a request with these headers, for logs.
     :param find_read_limit: returns until when a request with this head, without its
         body, may be read as the server stops.
+    :param memory: account of the bytes that are held for clients.
+    :param max_connections: connections that may be open; further ones take the place of
+        idle ones.
     :param stopping: whether the server finishes its requests and closes connections.
     :param closing_idle: whether idle connections are closed.
     :param end_at: monotonic time at which requests that are being read are refused.
@@ -612,11 +773,22 @@
     find_client_timeout_s: Callable[[Headers], float | None] = lambda headers: None
     find_request_id: Callable[[Headers], str] = lambda headers: ''
     find_read_limit: Callable[[IncomingRequest], ReadLimit] = lambda head: _NO_LIMIT
+    memory: ClientMemory = field(
+        default_factory=lambda: ClientMemory(DEFAULT_MEMORY_BYTES, boottime)
+    )
+    max_connections: int = 1_048_576
     stopping: bool = False
     closing_idle: bool = False
     end_at: float = float('inf')
     connections: set[ServerConnection] = field(default_factory=set)
     _accepting: anyio.CancelScope | None = None
+    # Those that were accepted and whose task has not ended.
+    _open: int = 0
+    # Those among them that were closed to make room.
+    _closing: int = 0
+    _closed: int = 0
+    _reset: int = 0
+    _closed_logged_at: float = float('-inf')
 
     def closes_after_response(self) -> bool:
         """Whether responses carry ``Connection: close``."""
@@ -658,7 +830,8 @@
                 with anyio.CancelScope() as self._accepting:
                     await self._accept(sock, group)
                 # None that has come up is reset without need.
-                self._take_waiting(sock, find_event_time(loop), group)
+                with contextlib.suppress(OSError):
+                    self._take_waiting(sock, find_event_time(loop), group)
                 sock.close()
         finally:
             sock.close()
@@ -691,7 +864,15 @@
         loop = asyncio.get_running_loop()
         opened_at = find_event_time(loop)
         while True:
-            if self._take_waiting(sock, opened_at, group):
+            try:
+                has_taken = self._take_waiting(sock, opened_at, group)
+            except OSError as error:
+                if error.errno not in _EXHAUSTED:
+                    raise
+                self._close_oldest(self._spare, error.strerror or str(error))
+                await anyio.sleep(ACCEPT_PAUSE_S)
+                continue
+            if has_taken:
                 # Accepting does not wait while there are connections.
                 await anyio.lowlevel.checkpoint()
                 opened_at = find_event_time(loop)
@@ -705,12 +886,20 @@
 
         :param opened_at: earliest time at which they can have come.
         :return: whether there were any.
+        :raises OSError: none can be taken, such as without a descriptor for it.
         """
         for number in range(MAX_ACCEPTED):
+            if self._closing and self._open >= self.max_connections + self._spare:
+                # Their descriptors are free after the next passes of the event loop.
+                return True
             try:
                 accepted, _ = sock.accept()
             except (BlockingIOError, InterruptedError, ConnectionAbortedError):
                 return number > 0
+            except OSError as error:
+                if error.errno in _CONNECTION_ERRORS:
+                    continue
+                raise
             accepted.setblocking(False)
             self._take(accepted, opened_at, group)
         return True
@@ -719,22 +908,64 @@
         self, accepted: socket.socket, opened_at: float, group: TaskGroup
     ) -> None:
         """Serve a connection, or reset it."""
-        if self.accepts():
-            group.start_soon(self._serve_socket, accepted, opened_at)
-        else:
+        if not self.accepts():
+            _reset(accepted)
+            return
+        excess = self._open - self._closing - self.max_connections
+        if excess >= 0:
+            self._close_oldest(excess + self._spare, 'as many as there may be')
+        if self._open >= self.max_connections + self._spare:
+            self._reset += 1
             _reset(accepted)
+            return
+        self._open += 1
+        group.start_soon(self._serve_socket, accepted, opened_at)
+
+    @property
+    def _spare(self) -> int:
+        """Connections that are closed at once, if there are too many."""
+        return max(1, int(self.max_connections * CLOSED_SHARE))
+
+    def _close_oldest(self, count: int, reason: str) -> None:
+        """Close some of the connections that wait for their clients.
+
+        Idle ones come before those with a part of a request, and of both those whose
+        clients sent nothing for longest.  Requests that are handled go on.
+        """
+        waiting = [item for item in self.connections if item.may_be_closed]
+        waiting.sort(key=lambda item: (item.has_request, item.arrived_at))
+        for item in waiting[:count]:
+            item.close()
+        self._closing += len(waiting[:count])
+        self._closed += len(waiting[:count])
+        now = self.clock()
+        if now - self._closed_logged_at >= CLOSED_LOG_INTERVAL_S:
+            log.emit(
+                events.CONNECTIONS_CLOSED,
+                open=self._open,
+                limit=self.max_connections,
+                closed=self._closed,
+                reset=self._reset,
+                reason=reason,
+            )
+            self._closed_logged_at, self._closed, self._reset = now, 0, 0
 
     async def _serve_socket(self, accepted: socket.socket, opened_at: float) -> None:
         loop = asyncio.get_running_loop()
-        _, stream = await loop.connect_accepted_socket(
-            partial(ByteStream, opened_at), accepted
-        )
-        await self._serve(stream)
+        try:
+            _, stream = await loop.connect_accepted_socket(
+                partial(ByteStream, opened_at), accepted
+            )
+            await self._serve(stream)
+        finally:
+            self._open -= 1
 
     async def _serve(self, stream: ByteStream) -> None:
         rules = self.read_rules()
         parser = RequestParser(rules.head_bytes)
         connection = ServerConnection(self, stream, parser, rules.head_bytes)
+        stream.on_data = connection.note_memory
+        self.memory.body_bytes = max(self.memory.body_bytes, rules.body_bytes)
         self.connections.add(connection)
         try:
             await connection.run()
@@ -745,3 +976,5 @@
             )
         finally:
             self.connections.discard(connection)
+            self._closing -= connection.is_closed
+            connection.forget_memory()
--- a/coursepitch/http/stream.py
+++ b/coursepitch/http/stream.py
@@ -32,6 +32,10 @@
 #: Number of unread bytes at which reading from the socket pauses.
 MAX_UNREAD_BYTES = 262_144
 
+#: Bytes that are passed to the transport at once.  It copies what the kernel does not
+#: take, and those that wait would be held twice.
+WRITE_BYTES = 262_144
+
 #: Bytes, and turns of the event loop, that a stream takes without having to wait for
 #: the other side before it counts as busy.  Most responses are over by then.
 BUSY_BYTES = 262_144
@@ -92,6 +96,7 @@
 
     :param on_end: called once the other side has ended or reset the connection, which
         is not noticed while :data:`MAX_UNREAD_BYTES` are unread.
+    :param on_data: called once bytes have arrived.
     :param reusable: whether it may be used for another exchange.
     :param opened_at: earliest time at which the other side can have sent anything, by
         the clock of the event loop's builder; infinity if unknown.
@@ -103,6 +108,8 @@
         self.arrived_at = self._opened_at = opened_at
         self._reading_since = float('-inf')
         self.on_end: Callable[[], None] | None = None
+        self.on_data: Callable[[], None] | None = None
+        self._discardable_bytes: int | None = None
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.Transport = None  # type: ignore[assignment]
         self._received: collections.deque[bytes] = collections.deque()
@@ -133,6 +140,12 @@
 
     def data_received(self, data: bytes) -> None:
         """Buffer received bytes."""
+        if self._discardable_bytes is not None:
+            self._discardable_bytes -= len(data)
+            if self._discardable_bytes < 0 and not self._reading_paused:
+                self._reading_paused = True
+                self._transport.pause_reading()
+            return
         self.arrived_at = find_event_time(self._loop)
         if self.arrived_at <= self._reading_since:
             # They may have come before this side began to read.
@@ -143,6 +156,8 @@
             self._reading_paused = True
             self._transport.pause_reading()
         self._wake_reader()
+        if self.on_data is not None:
+            self.on_data()
 
     def eof_received(self) -> bool:
         """Note the end of the other side's data; writing remains possible."""
@@ -209,6 +224,21 @@
         """Number of bytes that have been received and not returned yet."""
         return self._unread_bytes
 
+    def discard(self, limit: int) -> None:
+        """Drop the bytes that were received and not returned yet, and what follows.
+
+        :param limit: bytes that are read, and dropped, from now on at most.
+        """
+        self._discardable_bytes = limit
+        self._received.clear()
+        self._unread_bytes = 0
+        self._resume_reading()
+
+    def _resume_reading(self) -> None:
+        if self._reading_paused and self._unread_bytes < MAX_UNREAD_BYTES:
+            self._reading_paused = False
+            self._transport.resume_reading()
+
     def has_input(self) -> bool:
         """Whether unread bytes or the end of the stream have arrived."""
         return (
@@ -255,9 +285,7 @@
             data = data[:READ_BYTES]
         self._unread_bytes -= len(data)
         self._unwaited_bytes += len(data)
-        if self._reading_paused and self._unread_bytes < MAX_UNREAD_BYTES:
-            self._reading_paused = False
-            self._transport.resume_reading()
+        self._resume_reading()
         return data
 
     @property
@@ -330,6 +358,11 @@
 
     # -- writing and closing ----------------------------------------------------------
 
+    @property
+    def is_writing_paused(self) -> bool:
+        """Whether the other side is yet to read what was written."""
+        return self._writing_paused
+
     async def send(self, data: bytes) -> None:
         """Write bytes and wait until the kernel has taken all of them.
 
@@ -339,6 +372,13 @@
         if self._writing_paused:
             await self._wait_written()
         self._check_writable()
+        if len(data) <= WRITE_BYTES:
+            await self._write(data)
+            return
+        for start in range(0, len(data), WRITE_BYTES):
+            await self._write(data[start : start + WRITE_BYTES])
+
+    async def _write(self, data: bytes) -> None:
         self._transport.write(data)
         if self._writing_paused:
             await self._wait_written()
--- a/tests/gateway/test_evacuations.py
+++ b/tests/gateway/test_evacuations.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 import tempfile
 import unittest
 from pathlib import Path
@@ -47,6 +48,9 @@
 
 REASON = 'all zones of the service are evacuated'
 
+#: Matches a part of the template that depends on a value.
+SPAN = re.compile(r'\{\{#([\w.]+)\}\}(.*?)\{\{/\1\}\}', re.DOTALL)
+
 TEMPLATE = Path(__file__).parent.parent.parent / 'deploy' / 'node.ini.template'
 
 
@@ -313,14 +317,14 @@
 
     def render(self, evac_ms):
         """Render the template as the platform does, with or without the bound."""
-        text = TEMPLATE.read_text()
-        before, rest = text.split('{{#bounds.evac_ms}}')
-        inner, after = rest.split('{{/bounds.evac_ms}}')
-        if not evac_ms:
-            inner = ''
-        inner = inner.replace('{{bounds.evac_ms}}', str(evac_ms))
+
+        def keep_given(span):
+            is_given = span[1] != 'bounds.evac_ms' or evac_ms
+            return span[2] if is_given else ''
+
+        text = SPAN.sub(keep_given, TEMPLATE.read_text())
         lines = []
-        for line in (before + inner + after).splitlines():
+        for line in text.replace('{{bounds.evac_ms}}', str(evac_ms)).splitlines():
             name = line.partition(' = ')[0]
             values = {'bootstrap': 'yes', 'refuse_unconfirmed': 'yes'}
             values |= {'clients': '127.0.0.1:1', 'ready': '127.0.0.1:2'}
--- a/tests/parallel.py
+++ b/tests/parallel.py
@@ -44,8 +44,9 @@
 #: Lines of a failure that are repeated at the end of a run.
 _MAX_REPEATED_LINES = 8
 
-#: Modules that measure times against what users expect, and run by themselves.
-ALONE = frozenset({'tests.whole.test_endless_bytes'})
+#: Modules that measure times against what users expect, or whose crowds of clients take
+#: many connections and much memory.  They run by themselves.
+ALONE = frozenset({'tests.whole.test_crowds', 'tests.whole.test_endless_bytes'})
 
 #: Packages whose modules take longest; they begin first.
 _LONG = ('tests.soak.', 'tests.whole.')
