Bound what the OpenAI interface holds for its clients, and their connections

What callers saw: clients with many large bodies, whole or short of their end, took any memory of a node. Clients that had left kept their connection, with all that was held for it, for up to the idle timeout of 30 s.

Cause: bodies are bounded one by one. The server's task for idle connections keeps a connection whose client has left until its time is over.

Ruled out: the accept loop of asyncio, which takes as many connections in one pass as the kernel's backlog holds.

Change: bodies stand in the account of all clients, three times once they are whole. A listener of its own accepts connections while there is room, closes those that have waited for their client for longest, and goes on after errors of accept.

The test of planned ends passes the account to the interface; what it checks is unchanged.

--- a/coursepitch/application.py
+++ b/coursepitch/application.py
@@ -26,6 +26,7 @@
 from coursepitch.control.reach import EngineReach, Finding
 from coursepitch.control.registrar import Registrar
 from coursepitch.control.session import Session
+from coursepitch.http.memory import ClientMemory
 from coursepitch.listeners import listen
 from coursepitch.metrics import Metrics
 from coursepitch.peers.hub import PeerHub
@@ -49,7 +50,9 @@
 from coursepitch.serving.services import ServiceCaller
 from coursepitch.signals import STOP_SIGNALS, log_further_signals, receive_signals
 from coursepitch.targets.engine import EngineControl
+from coursepitch.util.asgi_server import CONNECTION_BYTES
 from coursepitch.util.http import ServerStop, serve_app
+from coursepitch.util.resources import find_client_budget
 
 if TYPE_CHECKING:
     import socket
@@ -61,6 +64,9 @@
 
 __all__ = ['NodeApplication']
 
+#: Connections that operators may have.
+MAX_OPERATOR_CONNECTIONS = 64
+
 #: Seconds after which unchanged demand is told again, so that it is not dropped.
 DEMAND_S = 20.0
 
@@ -201,6 +207,7 @@
             self.clock,
         )
         self.dispatcher.crashes = self.crashes
+        self.client_budget = find_client_budget(settings.limits, CONNECTION_BYTES)
         self.services = ServiceCaller(
             settings.routing, self.clock, entry.record_body_limit
         )
@@ -215,6 +222,7 @@
             entry,
             self.metrics,
             self.clock,
+            ClientMemory(self.client_budget.memory_bytes, self.clock),
         )
         self.reporter = StatusReporter(
             self.me,
@@ -436,6 +444,7 @@
                 key=settings.entry.tls_key,
                 header_limit=settings.entry.header_limit,
                 idle_s=settings.entry.idle_timeout_s,
+                max_connections=self.client_budget.connections,
             )
 
         async def serve_admin() -> None:
@@ -445,6 +454,7 @@
                 stop,
                 certificate=settings.admin.tls_certificate,
                 key=settings.admin.tls_key,
+                max_connections=MAX_OPERATOR_CONNECTIONS,
             )
 
         return [serve_admin, serve_entry]
--- a/coursepitch/config/sections.py
+++ b/coursepitch/config/sections.py
@@ -11,7 +11,31 @@
 if TYPE_CHECKING:
     from coursepitch.config.options import IniFile
 
-__all__ = ['LogSettings', 'list_sections', 'parse_sections']
+__all__ = ['LimitSettings', 'LogSettings', 'list_sections', 'parse_sections']
+
+
+@dataclass(frozen=True, slots=True)
+class LimitSettings:
+    """What the node may use of its machine.
+
+    A quarter of the memory is for bytes that are held for clients: requests that are
+    read, wait or are handled, and responses that clients do not read.  Beyond it, the
+    largest requests are refused with 503.  Another quarter, and three quarters of the
+    descriptors, limit the connections of clients; beyond that, those that wait for
+    their client longest are closed.
+    """
+
+    memory_mb: int = option(
+        0,
+        'Memory of the process in MB; 0 for what the machine and the resource limits '
+        'of the process allow.',
+        low=0,
+    )
+    descriptors: int = option(
+        0,
+        'Descriptors that the process may open; 0 for what its resource limit allows.',
+        low=0,
+    )
 
 
 @dataclass(frozen=True, slots=True)
--- a/coursepitch/config/settings.py
+++ b/coursepitch/config/settings.py
@@ -15,7 +15,12 @@
     option,
     read_ini,
 )
-from coursepitch.config.sections import LogSettings, list_sections, parse_sections
+from coursepitch.config.sections import (
+    LimitSettings,
+    LogSettings,
+    list_sections,
+    parse_sections,
+)
 from coursepitch.errors import FindingsError
 
 if TYPE_CHECKING:
@@ -239,6 +244,7 @@
     targets: TargetSettings
     placement: PlacementSettings
     routing: RoutingSettings
+    limits: LimitSettings
     log: LogSettings
 
 
--- a/coursepitch/errors.py
+++ b/coursepitch/errors.py
@@ -17,6 +17,7 @@
     'FindingsError',
     'ForbiddenError',
     'NotFoundError',
+    'OverloadedError',
     'PeerError',
     'RequestTooLargeError',
     'RequestError',
@@ -110,6 +111,15 @@
     """A request exceeds the configured size limit."""
 
 
+class OverloadedError(CoursepitchError):
+    """A request can't be taken now, as too much is held for other clients."""
+
+    category = 'overloaded'
+
+    def __init__(self) -> None:
+        super().__init__('(too many bytes are held for clients)')
+
+
 class PeerError(CoursepitchError):
     """A connection to another node cannot be used."""
 
--- a/coursepitch/gateway_application.py
+++ b/coursepitch/gateway_application.py
@@ -55,7 +55,7 @@
     log_further_signals,
     receive_signals,
 )
-from coursepitch.util.resources import find_descriptors, find_memory_bytes
+from coursepitch.util.resources import find_client_budget
 
 if TYPE_CHECKING:
     import socket
@@ -106,35 +106,10 @@
 CLEANUP_INTERVAL_S = 0.5
 
 
-#: Share of the process's memory for bytes that are held for clients, and for the
-#: connections themselves.  The rest is for what a node needs without clients: at most
-#: 128 MB on machines with 300 MB.
-CLIENT_MEMORY_SHARE = 0.25
-CONNECTION_MEMORY_SHARE = 0.25
-
-#: Bytes that a connection of a client takes without what it holds.
-CONNECTION_BYTES = 32_768
-
-#: Descriptors for files, listeners, the store and peers, and the share of the others
-#: that connections of clients may take; the rest are for instances.
-RESERVED_DESCRIPTORS = 64
-CLIENT_DESCRIPTOR_SHARE = 0.75
-
 #: Connections to the readiness and metrics listeners, each.
 MAX_OWN_CONNECTIONS = 16
 
 
-def find_max_connections(memory_bytes: int, descriptors: int) -> int:
-    """Return the number of connections that clients may have.
-
-    :param descriptors: descriptors that the process may open; 0 for its resource limit.
-    """
-    descriptors = min(descriptors or find_descriptors(), find_descriptors())
-    by_descriptors = (descriptors - RESERVED_DESCRIPTORS) * CLIENT_DESCRIPTOR_SHARE
-    by_memory = memory_bytes * CONNECTION_MEMORY_SHARE / CONNECTION_BYTES
-    return max(1, int(min(by_descriptors, by_memory)))
-
-
 class GatewayApplication:
     """A node with all its components, wired but not running."""
 
@@ -249,7 +224,7 @@
         self.gateway = self._build_gateway()
         self._started_at = clock()
         self.overload = OverloadGuard(clock, self.metrics, self._has_idle_peers)
-        memory_bytes = settings.limits.memory_mb * 1_000_000 or find_memory_bytes()
+        budget = find_client_budget(settings.limits)
         self.front = HttpServer(
             self.gateway.handle,
             self._find_connection_rules,
@@ -259,8 +234,8 @@
             read_client_timeout_s,
             read_request_id,
             self.gateway.find_read_limit,
-            ClientMemory(int(memory_bytes * CLIENT_MEMORY_SHARE), clock),
-            find_max_connections(memory_bytes, settings.limits.descriptors),
+            ClientMemory(budget.memory_bytes, clock),
+            budget.connections,
         )
         self.ready_server = HttpServer(self._serve_readiness, ConnectionRules, clock)
         self.metrics_server = HttpServer(self._serve_metrics, ConnectionRules, clock)
--- a/coursepitch/http/server.py
+++ b/coursepitch/http/server.py
@@ -73,11 +73,14 @@
 #: Seconds between two log lines of closed connections.
 CLOSED_LOG_INTERVAL_S = 1.0
 
+#: Value of SO_LINGER that lets a socket be closed with a reset.
+RESET_ON_CLOSE = struct.pack('ii', 1, 0)
+
 #: Errors of accept that tell that the process or the system lacks something.
-_EXHAUSTED = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM})
+EXHAUSTED_ERRORS = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM})
 
 #: Errors of accept that concern the connection alone.  Source: accept(2).
-_CONNECTION_ERRORS = frozenset(
+CONNECTION_ERRORS = frozenset(
     {
         errno.ENETDOWN,
         errno.EPROTO,
@@ -739,7 +742,7 @@
 
 def _reset(sock: socket.socket) -> None:
     """Close a connection with a reset, which tells that nothing of it was read."""
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0))
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
     sock.close()
 
 
@@ -867,7 +870,7 @@
             try:
                 has_taken = self._take_waiting(sock, opened_at, group)
             except OSError as error:
-                if error.errno not in _EXHAUSTED:
+                if error.errno not in EXHAUSTED_ERRORS:
                     raise
                 self._close_oldest(self._spare, error.strerror or str(error))
                 await anyio.sleep(ACCEPT_PAUSE_S)
@@ -897,7 +900,7 @@
             except (BlockingIOError, InterruptedError, ConnectionAbortedError):
                 return number > 0
             except OSError as error:
-                if error.errno in _CONNECTION_ERRORS:
+                if error.errno in CONNECTION_ERRORS:
                     continue
                 raise
             accepted.setblocking(False)
--- a/coursepitch/serving/caller_api.py
+++ b/coursepitch/serving/caller_api.py
@@ -16,7 +16,13 @@
 from starlette.routing import Route
 
 from coursepitch import events, log
-from coursepitch.errors import CodecError, RequestError, RequestTooLargeError
+from coursepitch.errors import (
+    CodecError,
+    OverloadedError,
+    RequestError,
+    RequestTooLargeError,
+)
+from coursepitch.http.server import MEMORY_RETRY_AFTER_S
 from coursepitch.platform.kv import Unavailable
 from coursepitch.serving import outcomes
 from coursepitch.serving.idempotency import (
@@ -41,6 +47,7 @@
 )
 from coursepitch.serving.runs import read_token_count
 from coursepitch.serving.sse import DONE_DATA, encode_event
+from coursepitch.util.body_hold import KEPT_FACTOR, BodyHold
 from coursepitch.util.http import (
     StreamedResponse,
     TrackedResponse,
@@ -53,6 +60,7 @@
 
     from coursepitch.clock import Clock
     from coursepitch.config.settings import EntrySettings
+    from coursepitch.http.memory import ClientMemory
     from coursepitch.metrics import Metrics
     from coursepitch.serving.dispatch import Dispatcher
     from coursepitch.serving.gate import Gate
@@ -83,6 +91,7 @@
     :param outcome: outcome as known so far; written to the idempotency record.
     :param answer: body of the answer, kept for the idempotency record.
     :param started_at: monotonic time.
+    :param hold: its body, as long as it is held.
     """
 
     request_id: str
@@ -94,6 +103,7 @@
     content_type: str = ''
     answer: bytearray = field(default_factory=bytearray)
     started_at: float = 0.0
+    hold: BodyHold | None = None
 
 
 class CallerApi:
@@ -108,7 +118,10 @@
         settings: EntrySettings,
         metrics: Metrics,
         clock: Clock,
+        memory: ClientMemory,
     ) -> None:
+        self._memory = memory
+        self._memory.body_bytes = settings.body_limit * KEPT_FACTOR
         self._gate = gate
         self._dispatcher = dispatcher
         self._services = services
@@ -152,9 +165,14 @@
 
         async def endpoint(request: Request) -> TrackedResponse:
             request_id = secrets.token_hex(8)
-            end = partial(self._gate.end_request, request_id)
+            hold = BodyHold(self._memory, self._clock)
+
+            def end() -> None:
+                hold.release()
+                self._gate.end_request(request_id)
+
             try:
-                response = await answer(request, request_id)
+                response = await answer(request, request_id, hold)
             except BaseException:
                 end()
                 raise
@@ -164,20 +182,27 @@
             )
             return TrackedResponse(response, end, note_unread, timeout_s)
 
-        async def answer(request: Request, request_id: str) -> Response:
+        async def answer(request: Request, request_id: str, hold: BodyHold) -> Response:
             with log.start_action('request', request=request_id, path=request.url.path):
                 try:
                     identity = self._gate.identify(
                         request.headers.get('authorization', ''), request_id
                     )
                     context = RequestContext(
-                        request_id, identity, started_at=self._clock()
+                        request_id, identity, started_at=self._clock(), hold=hold
                     )
                     with self._gate.begin_request(request_id):
                         return await handle(request, context)
                     problem = _describe_end(context)
                 except RefusedError as error:
                     problem = error.problem
+                except OverloadedError as error:
+                    problem = Problem(
+                        outcomes.OVERLOADED,
+                        request_id,
+                        str(error),
+                        MEMORY_RETRY_AFTER_S,
+                    )
                 except RequestTooLargeError as error:
                     problem = Problem(outcomes.TOO_LARGE, request_id, str(error))
                 except RequestError as error:
@@ -223,13 +248,18 @@
     ) -> Response:
         return await self._complete(request, context, chat=False)
 
+    async def _read_body(self, request: Request, context: RequestContext) -> bytes:
+        settings = self._settings
+        return await read_body(
+            request, settings.body_limit, settings.body_timeout_s, context.hold
+        )
+
     async def _complete(
         self, request: Request, context: RequestContext, *, chat: bool
     ) -> Response:
-        settings = self._settings
-        raw = await read_body(request, settings.body_limit, settings.body_timeout_s)
+        raw = await self._read_body(request, context)
         body = parse_body(raw, chat=chat)
-        options = parse_options(request.headers, settings.default_deadline_s)
+        options = parse_options(request.headers, self._settings.default_deadline_s)
         groups = self._gate.directory().find_groups(
             body['model'], context.identity.customer
         )
@@ -514,8 +544,7 @@
         )
         self._gate.check_limits(context.identity, context.request_id)
         if options.idempotency_key:
-            settings = self._settings
-            raw = await read_body(request, settings.body_limit, settings.body_timeout_s)
+            raw = await self._read_body(request, context)
             replayed = await self._claim_key(context, options, request, raw)
             if replayed is not None:
                 return replayed
--- a/coursepitch/util/http.py
+++ b/coursepitch/util/http.py
@@ -12,9 +12,12 @@
 from hypercorn.config import Config
 from starlette.responses import Response
 
+from coursepitch.clock import boottime
 from coursepitch.errors import RequestError, RequestTooLargeError
+from coursepitch.http.memory import MIN_BODIES, ClientMemory
 from coursepitch.http.server import MIN_BODY_BYTES_PER_S
 from coursepitch.util.asgi_server import serve_connections
+from coursepitch.util.body_hold import KEPT_FACTOR, BodyHold
 
 if TYPE_CHECKING:
     import socket
@@ -33,6 +36,12 @@
 ]
 
 
+#: Parts of a body, of 64 KiB at most, that wait for the application.
+MAX_QUEUED_PARTS = 2
+
+#: Connections that may be open unless the application tells otherwise.
+DEFAULT_MAX_CONNECTIONS = 1_048_576
+
 #: Largest response in bytes that is held back until its end.
 MAX_HELD_BYTES = 16_777_216
 
@@ -62,6 +71,7 @@
     key: str = '',
     header_limit: int = 16_384,
     idle_s: float = 30.0,
+    max_connections: int = DEFAULT_MAX_CONNECTIONS,
 ) -> None:
     """Serve an application by HTTP/1.1 on a socket until ``stop`` is requested.
 
@@ -72,6 +82,8 @@
     :param key: path of the TLS key.
     :param header_limit: maximum size of a request head in bytes.
     :param idle_s: keep-alive timeout in seconds.
+    :param max_connections: connections that may be open; further ones take the place of
+        those that wait for their client.
     """
     config = Config()
     config.certfile = certificate or None
@@ -82,36 +94,46 @@
     config.alpn_protocols = ['http/1.1']
     config.h11_max_incomplete_size = header_limit
     config.include_server_header = False
+    config.max_app_queue_size = MAX_QUEUED_PARTS
 
     async def wait_stop() -> float:
         await stop.requested.wait()
         return stop.grace_s
 
-    await serve_connections(app, config, sock, wait_stop)
+    await serve_connections(app, config, sock, wait_stop, max_connections)
 
 
-async def read_body(request: Request, limit: int, timeout_s: float) -> bytes:
+async def read_body(
+    request: Request, limit: int, timeout_s: float, hold: BodyHold | None = None
+) -> bytes:
     """Read a request body with a limit on size and time.
 
     :param limit: maximum size in bytes.
+    :param hold: counts the body among all that is held for clients, until its release.
+    :raises OverloadedError: too much is held for other clients.
     :raises RequestTooLargeError: the body is larger than the limit.
     :raises RequestError: the body was not received in time.
     """
     declared = request.headers.get('content-length', '0')
     if declared.isdigit() and int(declared) > limit:
         raise RequestTooLargeError(f'body of {declared} bytes, at most {limit}')
-    parts: list[bytes] = []
+    if hold is None:
+        hold = BodyHold(
+            ClientMemory(MIN_BODIES * KEPT_FACTOR * limit, boottime), boottime
+        )
+    if declared.isdigit():
+        hold.reserve(int(declared))
     size = 0
     try:
-        with anyio.fail_after(timeout_s):
+        with anyio.fail_after(timeout_s), hold:
             async for part in request.stream():
                 size += len(part)
                 if size > limit:
                     raise RequestTooLargeError(f'body of more than {limit} bytes')
-                parts.append(part)
+                hold.append(part)
     except TimeoutError as error:
         raise RequestError(f'body did not arrive within {timeout_s:g} s') from error
-    return b''.join(parts)
+    return hold.take()
 
 
 async def run_until_disconnect(
--- a/standins/harness.py
+++ b/standins/harness.py
@@ -128,6 +128,8 @@
         self.settings: dict[str, dict[str, str]] = {}
         #: Nodes that have paths of their own to the engines, which can be cut.
         self.nodes_with_paths: tuple[str, ...] = ()
+        #: Memory in MiB and descriptors of nodes, see :mod:`standins.limits`.
+        self.node_limits: tuple[int, int] | None = None
         self._ports = PortReservations()
 
     # -- processes -----------------------------------------------------------
@@ -259,6 +261,8 @@
         if name in self.nodes_with_paths:
             own_host = find_host(self.nodes_with_paths.index(name))
             module = ('standins.network', own_host)
+        elif self.node_limits is not None:
+            module = ('standins.limits', *map(str, self.node_limits))
         process = self._start(name, *module, 'node', str(path))
         process.wait_told()
         return process
--- a/tests/parallel.py
+++ b/tests/parallel.py
@@ -46,7 +46,13 @@
 
 #: Modules that measure times against what users expect, or whose crowds of clients take
 #: many connections and much memory.  They run by themselves.
-ALONE = frozenset({'tests.whole.test_crowds', 'tests.whole.test_endless_bytes'})
+ALONE = frozenset(
+    {
+        'tests.whole.test_crowds',
+        'tests.whole.test_endless_bytes',
+        'tests.whole.test_entry_crowds',
+    }
+)
 
 #: Packages whose modules take longest; they begin first.
 _LONG = ('tests.soak.', 'tests.whole.')
--- a/tests/serving/test_planned_end.py
+++ b/tests/serving/test_planned_end.py
@@ -12,6 +12,7 @@
 
 from coursepitch.config.settings import EntrySettings
 from coursepitch.control.view import ClusterView
+from coursepitch.http.memory import ClientMemory
 from coursepitch.metrics import Metrics
 from coursepitch.serving.caller_api import CallerApi
 from coursepitch.serving.gate import Gate
@@ -47,8 +48,10 @@
 
         async def main():
             gate, begun = OpenGate(), anyio.Event()
+            clock = anyio.current_time
+            memory = ClientMemory(1_048_576, clock)
             api = CallerApi(
-                gate, None, None, None, EntrySettings(), Metrics(), anyio.current_time
+                gate, None, None, None, EntrySettings(), Metrics(), clock, memory
             )
 
             async def handle(request, context):
--- a/tests/whole/base.py
+++ b/tests/whole/base.py
@@ -41,6 +41,8 @@
     replicas = 2
     #: Whether each node has paths of its own to the engines, which can be cut.
     own_paths = False
+    #: Memory in MiB and descriptors of the nodes; ``None`` for those of the machine.
+    node_limits: tuple[int, int] | None = None
 
     harness: Harness
 
@@ -52,6 +54,7 @@
         cls.harness.settings = cls.settings
         if cls.own_paths:
             cls.harness.nodes_with_paths = tuple(cls.nodes)
+        cls.harness.node_limits = cls.node_limits
         cls.harness.start_platform(cls.domains, **cls.engine)
         service = cls.harness.start_service('service')
         cls.harness.start_nodes(cls.nodes)
