Let the soak draw crowds of clients that keep to no limit

Crowds of 100 clients hold on to a node beside all other faults: bodies short of their end, large and small chunks, bodies above the limit, and connections alone. The settings of nodes tell of 24 MB, so that bodies of a crowd are too much. A new promise, 'memory', looks at the peak of each node after a crowd, against the 128 MB that a node may take; 'exits' tells of nodes that end.

Draws of other faults of a seed are unchanged, which a test shows; its filter leaves crowds out as it does floods.

--- a/soak/checkers.py
+++ b/soak/checkers.py
@@ -16,6 +16,7 @@
     check_settings,
     check_versions,
 )
+from soak.crowd_checkers import check_memory
 from soak.history import Ending
 from soak.stop_checkers import check_stops
 from soak.verdicts import Bounds, Finding, Verdict
@@ -560,6 +561,7 @@
     check_settings,
     check_exits,
     check_stops,
+    check_memory,
 )
 
 
--- a/soak/driver.py
+++ b/soak/driver.py
@@ -21,6 +21,7 @@
     write_settings,
 )
 from soak.clients import Client
+from soak.crowds import MEMORY_MB, hold_on
 from soak.history import (
     Acknowledged,
     Broken,
@@ -35,6 +36,7 @@
     History,
     InForce,
     Left,
+    Peak,
     Refused,
     Reload,
     Run,
@@ -47,6 +49,7 @@
 )
 from soak.plan import FaultKind, draw_plan, draw_signals
 from soak.stops import StopClients, is_stop_call
+from tests.whole.crowds import read_resources
 from tests.whole.platform_base import KEY, OTHER_KEY, PlatformCase
 
 if TYPE_CHECKING:
@@ -106,6 +109,7 @@
 
     events = EVENTS
     own_paths = True
+    more_settings = f'[limits]\nmemory_mb = {MEMORY_MB}\n'
 
     @classmethod
     def configure(cls, **fields: object) -> None:
@@ -157,6 +161,7 @@
         self._reloads: list[Reload] = []
         self._exits: list[Exit] = []
         self._stop_calls: list[StopCall] = []
+        self._peaks: list[Peak] = []
         self._starting: set[str] = set()
         self._clock_offset_s = time.time() - time.monotonic()
         self._lock = threading.Lock()
@@ -242,6 +247,7 @@
             reloads=tuple(self._reloads),
             exits=tuple(self._exits),
             stop_calls=tuple(self._stop_calls),
+            peaks=tuple(self._peaks),
             stop_runs=tuple(run for run in runs if is_stop_call(run.call)),
             **self._collect_events(),
         )
@@ -343,6 +349,7 @@
             FaultKind.PAUSE: self._stand_still,
             FaultKind.SUSPEND: self._suspend,
             FaultKind.FLOOD: self._flood,
+            FaultKind.CROWD: self._crowd,
             FaultKind.CHANGE: self._change,
             FaultKind.RELOAD: self._reload,
             FaultKind.INVALID_CHANGE: self._damage,
@@ -543,6 +550,15 @@
         )
         self._floods.append(flood)
 
+    def _crowd(self, fault: Fault) -> None:
+        """Let clients that keep to no limit hold on to a node."""
+        name = self._names[int(fault.choice * len(self._names))]
+        node = _System.running[name]
+        hold_on(node, fault.mode, fault.length_s, f'crowd-{name}-{fault.at:.3f}')
+        found = read_resources(node.process)
+        if found.lives:
+            self._peaks.append(Peak(name, time.monotonic(), found.peak_mb))
+
     def _note_acknowledged(self, sent_at: float) -> None:
         operation = self._operation
         change = Acknowledged(
--- a/soak/history.py
+++ b/soak/history.py
@@ -25,6 +25,7 @@
     'History',
     'InForce',
     'Left',
+    'Peak',
     'Refused',
     'Reload',
     'Run',
@@ -304,6 +305,18 @@
     after_s: float
 
 
+@dataclass(frozen=True, slots=True)
+class Peak:
+    """The peak memory of a node's process after a crowd of clients.
+
+    :param memory_mb: resident memory in MiB.
+    """
+
+    node: str
+    at: float
+    memory_mb: float
+
+
 @dataclass(frozen=True, slots=True)
 class Disturbed:
     """A node that was ended, started or stood still, or the store in trouble.
@@ -358,6 +371,7 @@
     stop_calls: tuple[StopCall, ...] = ()
     stop_runs: tuple[Run, ...] = ()
     stop_cuts: tuple[StopCut, ...] = ()
+    peaks: tuple[Peak, ...] = ()
 
     def map_calls(self) -> dict[str, Call]:
         """Return the calls by their ids."""
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -53,6 +53,12 @@
 #: Share of the instances that send such bytes.
 FLOODING_SHARE = (0.05, 0.5)
 
+#: Seconds for which a crowd of clients holds on to a node, from the start of one crowd
+#: to that of the next one, and what they send: they overlap.
+CROWD_S = (0.5, 5.0)
+CROWD_GAP_S = (1.0, 9.0)
+CROWDS = ('short', 'chunks', 'small chunks', 'too much', 'silent')
+
 #: Signals to nodes in one series, seconds between two of them, and seconds from the
 #: start of one series to that of the next one.
 SIGNALS = (2, 4)
@@ -106,6 +112,7 @@
     PAUSE = 'pause'
     SUSPEND = 'suspend'
     FLOOD = 'flood'
+    CROWD = 'crowd'
     CHANGE = 'change'
     RELOAD = 'reload'
     INVALID_CHANGE = 'invalid change'
@@ -139,7 +146,8 @@
     :param share: part of the instances that it concerns, from 0 to 1.
     :param backoff_s: seconds of the backoffs that instances ask for.
     :param mode: how nodes lose their paths, what a change concerns, how fast instances
-        send bytes without end, or :data:`SERIES` for a signal that is one of a series.
+        send bytes without end, what a crowd sends, or :data:`SERIES` for a signal
+        that is one of a series.
     :param place: where instances break streams off, or what has no end.
     """
 
@@ -183,6 +191,7 @@
     faults += _draw_parts(seed, seconds)
     faults += _draw_silences(seed, seconds + CALM_S)
     faults += _draw_floods(seed, seconds)
+    faults += _draw_crowds(seed, seconds)
     faults += _draw_changes(seed, seconds + CALM_S)
     faults += _draw_signals(seed, seconds)
     return sorted(faults, key=lambda fault: fault.at)
@@ -270,6 +279,31 @@
     return faults
 
 
+def _draw_crowds(seed: int, seconds: float) -> list[Fault]:
+    """Return the times in which clients that keep to no limit hold on to a node.
+
+    They are drawn apart, so that a seed draws the same other faults as without them.
+    """
+    chance = random.Random(f'{seed}/crowds')
+    faults = []
+    at = chance.uniform(*CROWD_GAP_S)
+    while at < seconds:
+        fault = Fault(
+            at,
+            FaultKind.CROWD,
+            chance.uniform(*CROWD_S),
+            '',
+            chance.random(),
+            0.0,
+            0.0,
+            chance.choice(CROWDS),
+            '',
+        )
+        faults.append(fault)
+        at += chance.uniform(*CROWD_GAP_S)
+    return faults
+
+
 def _draw_changes(seed: int, seconds: float) -> list[Fault]:
     """Return the changes of the configuration and of nodes' settings by operators.
 
--- a/soak/verdicts.py
+++ b/soak/verdicts.py
@@ -36,6 +36,7 @@
     :param stop_open_s: seconds after SIGTERM in which requests may begin that are cut
         at the end of the stop.
     :param late_s: seconds after its limit by which a call beside floods has ended.
+    :param memory_mb: memory of a node in MiB.
     """
 
     drain_s: float = 2.0
@@ -58,6 +59,7 @@
     late_s: float = 1.0
     lost_slack_s: float = 0.2
     stop_open_s: float = 3.0
+    memory_mb: float = 128.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -24,6 +24,7 @@
     'versions',
     'settings',
     'exits',
+    'memory',
 }
 
 
@@ -31,6 +32,8 @@
 
 FLOODS = {FaultKind.FLOOD}
 
+CROWDS = {FaultKind.CROWD}
+
 CHANGES = {
     FaultKind.CHANGE,
     FaultKind.RELOAD,
@@ -66,7 +69,8 @@
         others = [
             (round(fault.at, 3), fault.kind.value, round(fault.length_s, 3))
             for fault in draw_plan(7, 12.0)
-            if fault.kind not in SILENCES | CHANGES | FLOODS and fault.mode != SERIES
+            if fault.kind not in SILENCES | CHANGES | FLOODS | CROWDS
+            and fault.mode != SERIES
         ]
         self.assertEqual(others, FAULTS_OF_SEED_7)
 
--- a/tests/whole/platform_base.py
+++ b/tests/whole/platform_base.py
@@ -146,13 +146,20 @@
     """A node as a process, its output in a file."""
 
     def __init__(
-        self, name, store, folder, revoke_s, evacuate_s=0, module=('coursepitch',)
+        self,
+        name,
+        store,
+        folder,
+        revoke_s,
+        evacuate_s=0,
+        module=('coursepitch',),
+        more_settings='',
     ):
         settings = folder / f'{name}.ini'
         text = SETTINGS.format(
             name=name, store=store, revoke_s=revoke_s, evacuate_s=evacuate_s
         )
-        settings.write_text(text)
+        settings.write_text(text + more_settings)
         self.name = name
         self.output = folder / f'{name}.out'
         self.command = [sys.executable, '-m', *module, 'serve', str(settings)]
@@ -224,6 +231,8 @@
     seed = 1
     #: Whether each node has paths of its own to the instances, which can be cut.
     own_paths = False
+    #: Further sections of the settings of nodes.
+    more_settings = ''
 
     @classmethod
     def setUpClass(cls):
@@ -268,7 +277,13 @@
         if cls.own_paths:
             module = ('standins.network', find_host(cls.nodes.index(name)))
         node = Node(
-            name, cls.store, cls.folder, cls.revoke_s, cls.evacuate_s, module=module
+            name,
+            cls.store,
+            cls.folder,
+            cls.revoke_s,
+            cls.evacuate_s,
+            module=module,
+            more_settings=cls.more_settings,
         )
         cls.running[name] = node
         before = len(node.read_events('node.started'))
