Wait for the late body of an error until the deadline

What callers saw: 502 without a body in place of the 500 of an instance whose body came more than two seconds after its head, with seconds of their time left.

Cause: the body of an error that is forwarded had two seconds from the head on, so that one that comes without end would end; silence gives no reason to end a response sooner.

Ruled out: no time limit at all, with which an endless body of an error holds its caller up to the deadline (two tests of such bodies fail).

Change: the two seconds run from the first byte of the body.

--- a/coursepitch/gateway/attempts.py
+++ b/coursepitch/gateway/attempts.py
@@ -32,7 +32,6 @@
 
 __all__ = [
     'DROPPED_BODY_TIMEOUT_S',
-    'ERROR_BODY_TIMEOUT_S',
     'MAX_BODY_BYTES',
     'MAX_ERROR_BYTES',
     'NOT_EXECUTED_STATUSES',
@@ -41,6 +40,7 @@
     'Retry',
     'SendPlan',
     'find_latest_start',
+    'limit_after_first_byte',
     'is_isolated',
     'lend_retry',
     'obtain_retry',
@@ -128,9 +128,10 @@
 #: Largest body in bytes of an error response.
 MAX_ERROR_BYTES = 1_048_576
 
-#: Timeouts in seconds for the body of an error response that is forwarded, and of one
-#: that is not if another run may go on.  Source: a sound instance may be silent for a
-#: second or so and go on.
+#: Timeouts in seconds for the body of an error response that is forwarded, from its
+#: first byte on, and of one that is not if another run may go on.  Source: a sound
+#: instance may be silent for a second or so and go on.  The first byte of the former
+#: may come until the deadline, as that of any other response.
 ERROR_BODY_TIMEOUT_S = 2.0
 DROPPED_BODY_TIMEOUT_S = 1.0
 
@@ -144,6 +145,25 @@
 MAX_REJECTION_BYTES = 65_536
 
 
+def limit_after_first_byte(scope: anyio.CancelScope) -> Callable[[], None]:
+    """Return a function that is called as bytes of the body of an error arrive.
+
+    From the first call on, the body has :data:`ERROR_BODY_TIMEOUT_S` left.
+
+    :param scope: scope in which it is read.
+    """
+    has_begun = False
+
+    def note() -> None:
+        nonlocal has_begun
+        if not has_begun:
+            has_begun = True
+            until = anyio.current_time() + ERROR_BODY_TIMEOUT_S
+            scope.deadline = min(scope.deadline, until)
+
+    return note
+
+
 @dataclass(frozen=True, slots=True)
 class SendPlan:
     """Parameters of one attempt.
--- a/coursepitch/gateway/calls.py
+++ b/coursepitch/gateway/calls.py
@@ -13,7 +13,6 @@
 from coursepitch.gateway.admission import Denied, Terms
 from coursepitch.gateway.attempts import (
     DROPPED_BODY_TIMEOUT_S,
-    ERROR_BODY_TIMEOUT_S,
     MAX_BODY_BYTES,
     MAX_ERROR_BYTES,
     NOT_EXECUTED_STATUSES,
@@ -21,6 +20,7 @@
     SendPlan,
     find_latest_start,
     is_isolated,
+    limit_after_first_byte,
     obtain_retry,
     refuse_unexecuted,
     send_attempt,
@@ -474,15 +474,20 @@
         limit, is_error = MAX_BODY_BYTES, answer.status >= 400
         if is_error:
             is_dropped = answer.status >= 500 and self._may_add_run(job, runs)
-            limit_s = DROPPED_BODY_TIMEOUT_S if is_dropped else ERROR_BODY_TIMEOUT_S
-            limit, left_s = MAX_ERROR_BYTES, min(left_s, limit_s)
+            limit = MAX_ERROR_BYTES
+            if is_dropped:
+                left_s = min(left_s, DROPPED_BODY_TIMEOUT_S)
         arrivals = run.arrivals
 
-        def note() -> None:
-            arrivals.note(components.clock())
-
         try:
-            with anyio.fail_after(left_s):
+            with anyio.fail_after(left_s) as scope:
+                limit_rest = limit_after_first_byte(scope)
+
+                def note() -> None:
+                    arrivals.note(components.clock())
+                    if is_error:
+                        limit_rest()
+
                 run.body = await answer.read_whole(limit, note)
                 await check_body(
                     components.crash_detector,
--- a/coursepitch/gateway/streams.py
+++ b/coursepitch/gateway/streams.py
@@ -18,7 +18,6 @@
 from coursepitch.gateway.admission import Denial, Denied, Terms
 from coursepitch.gateway.attempts import (
     DROPPED_BODY_TIMEOUT_S,
-    ERROR_BODY_TIMEOUT_S,
     MAX_BODY_BYTES,
     MAX_ERROR_BYTES,
     NOT_EXECUTED_STATUSES,
@@ -26,6 +25,7 @@
     SendPlan,
     find_latest_start,
     is_isolated,
+    limit_after_first_byte,
     obtain_retry,
     refuse_unexecuted,
     send_attempt,
@@ -919,10 +919,13 @@
         self, job: Job, run: Run, response: Response, is_dropped: bool
     ) -> bytes | None:
         """Return the body of an error response, or ``None`` if it is incomplete."""
-        limit_s = DROPPED_BODY_TIMEOUT_S if is_dropped else ERROR_BODY_TIMEOUT_S
+        limit_s = job.deadline_at - self._components.clock()
+        if is_dropped:
+            limit_s = min(limit_s, DROPPED_BODY_TIMEOUT_S)
         try:
-            with anyio.fail_after(limit_s):
-                body = await response.read_whole(MAX_ERROR_BYTES)
+            with anyio.fail_after(limit_s) as scope:
+                note = limit_after_first_byte(scope)
+                body = await response.read_whole(MAX_ERROR_BYTES, note)
                 detector = self._components.crash_detector
                 await check_sender(detector, job, response, run.group.head)
                 return body
--- a/tests/whole/test_silences.py
+++ b/tests/whole/test_silences.py
@@ -27,6 +27,10 @@
 #: Seconds after its head at which the body of an error response follows.
 LATE_BODY_S = 1.5
 
+#: Seconds after which the body of an error response comes that is later still, well
+#: within the deadline of 8 s.
+MUCH_LATER_S = 3.5
+
 #: Longest pause in seconds of a stream whose instance has died: clients abandon a
 #: stream that stalls for two seconds or more.
 RESUMED_WITHIN_S = 2.0
@@ -353,6 +357,21 @@
                 reply = self.send('n1', 'POST', path, request)
                 self.assertEqual((reply.status_code, reply.text), (500, 'no'))
 
+    # Guards against error responses that are replaced by an error of the node's own
+    # although their deadline is far away.
+    def test_error_with_a_body_that_comes_much_later_is_forwarded(self):
+        fault = {'mode': 'error', 'delay_s': MUCH_LATER_S}
+        for service, method, path in (
+            ('pool', 'POST', '/stream/x'),
+            ('api', 'POST', '/once/x'),
+        ):
+            with self.subTest(path=path):
+                self.addCleanup(self.control, service, '/fault', mode='none')
+                self.control(service, '/fault', instances=[], **fault)
+                request = f'much-later-{path[1:5]}'
+                reply = self.send('n1', method, path, request)
+                self.assertEqual((reply.status_code, reply.text), (500, 'no'))
+
     # Guards against streams that are not tried elsewhere after a late error body.
     def test_stream_is_served_elsewhere_after_an_error_with_a_late_body(self):
         self.set_fault(self.find_heads()[:1])
