Keep the crowds of the soak below the connections of a node

A crowd has 50 clients now, a node one crowd at a time, and its settings tell of 16 MB, so that bodies of a crowd are still too much. The readiness and metrics listeners take bodies of 4 KiB: their usual 4 MiB counted as what a request may have, and raised the limit of all clients.

--- a/coursepitch/gateway_application.py
+++ b/coursepitch/gateway_application.py
@@ -106,8 +106,9 @@
 CLEANUP_INTERVAL_S = 0.5
 
 
-#: Connections to the readiness and metrics listeners, each.
+#: Connections to the readiness and metrics listeners, each, and what they may send.
 MAX_OWN_CONNECTIONS = 16
+OWN_RULES = ConnectionRules(body_bytes=4_096)
 
 
 class GatewayApplication:
@@ -237,8 +238,8 @@
             ClientMemory(budget.memory_bytes, clock),
             budget.connections,
         )
-        self.ready_server = HttpServer(self._serve_readiness, ConnectionRules, clock)
-        self.metrics_server = HttpServer(self._serve_metrics, ConnectionRules, clock)
+        self.ready_server = HttpServer(self._serve_readiness, lambda: OWN_RULES, clock)
+        self.metrics_server = HttpServer(self._serve_metrics, lambda: OWN_RULES, clock)
         for server in (self.ready_server, self.metrics_server):
             server.memory = self.front.memory
             server.max_connections = MAX_OWN_CONNECTIONS
--- a/soak/crowds.py
+++ b/soak/crowds.py
@@ -16,11 +16,12 @@
 
 __all__ = ['MEMORY_MB', 'hold_on']
 
-#: Memory of a node in MB that its settings tell, so that a small crowd is too much.
-MEMORY_MB = 24
+#: Memory of a node in MB that its settings tell, so that a small crowd is too much: a
+#: quarter of it for bytes, and 122 connections.
+MEMORY_MB = 16
 
-#: Clients of a crowd: below the connections that a node of so little memory may have.
-MEMBERS = 100
+#: Clients of a crowd, which leave connections for all other clients of its node.
+MEMBERS = 50
 
 #: Bytes of a body, just below the limit, and of chunks.
 BODY_BYTES = 99_000
--- a/soak/driver.py
+++ b/soak/driver.py
@@ -153,6 +153,7 @@
         self._floods: list[Flood] = []
         self._silences: list[Silence] = []
         self._away: set[str] = set()
+        self._crowded: set[str] = set()
         self._without_paths: set[str] = set()
         self._part = ''
         self._operation = Operation()
@@ -553,9 +554,15 @@
     def _crowd(self, fault: Fault) -> None:
         """Let clients that keep to no limit hold on to a node."""
         name = self._names[int(fault.choice * len(self._names))]
+        with self._lock:
+            if name in self._crowded:
+                return
+            self._crowded.add(name)
         node = _System.running[name]
         hold_on(node, fault.mode, fault.length_s, f'crowd-{name}-{fault.at:.3f}')
         found = read_resources(node.process)
+        with self._lock:
+            self._crowded.discard(name)
         if found.lives:
             self._peaks.append(Peak(name, time.monotonic(), found.peak_mb))
 
