Let examples of a test of memory take any time

The test is wrong there: it bounds the bytes that are kept, and 0.2 s of wall time is no bound that it states.

--- a/tests/http/test_response_bounds.py
+++ b/tests/http/test_response_bounds.py
@@ -5,7 +5,7 @@
 import unittest
 
 import anyio
-from hypothesis import given
+from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from coursepitch.http import ConnectionPool, ExchangeError
@@ -281,6 +281,8 @@
         found = anyio.run(read_with_client, parts)
         self.assertEqual(found, read_with_parser(parts))
 
+    # The bound is one of memory; an example's time depends on the machine.
+    @settings(deadline=None)
     @given(
         st.sampled_from((b'', CHUNKED_HEAD, CHUNKED_HEAD + b'0\r\n')),
         st.one_of(st.sampled_from(ANY_PIECES), st.binary(min_size=1, max_size=40)),
