Count unfinished events among all that is buffered of responses

What callers saw: nothing yet; reported by operators of systems like this one: instances that send bytes without end end the node that called them.

Cause: the account of buffered responses counted bodies that are read whole, not events.

Ruled out: a lower bound for an event, which whole events may have.

Change: what is buffered of an event above 4 KiB counts, and the largest fail first, as bodies do.

--- a/coursepitch/gateway/runs.py
+++ b/coursepitch/gateway/runs.py
@@ -113,6 +113,7 @@
     :param body: body of an error response.
     :param parts: what has arrived of a body that is forwarded at its regular end;
         ``None`` for a stream of events.
+    :param counted_bytes: bytes of the response that count among all that are buffered.
     :param complete: whether the response has ended regularly.
     :param suspected: whether the run may have failed, as it makes no progress.
     :param interrupted: whether its connection was lost, and it is being examined
@@ -143,6 +144,7 @@
     received: int = 0
     body: bytes | None = None
     parts: list[bytes] | None = None
+    counted_bytes: int = 0
     complete: bool = False
     suspected: bool = False
     interrupted: bool = False
--- a/coursepitch/gateway/streams.py
+++ b/coursepitch/gateway/streams.py
@@ -40,6 +40,7 @@
 from coursepitch.gateway.work import estimate_tokens, find_max_in_flight
 from coursepitch.http.client import ExchangeError, Framing
 from coursepitch.http.event_splitter import MAX_EVENT_BYTES, EventSplitter
+from coursepitch.http.memory import UNCOUNTED_BYTES
 from coursepitch.platform.headers import forward_response_headers
 from coursepitch.scheduling.capacity import TokensInFlight
 
@@ -245,18 +246,23 @@
         run.ended = True
         if run.response is not None:
             run.response.release()
-        if run.parts is not None:
-            self._drop_parts(run)
+        run.parts = None if run.parts is None else []
+        self._count_buffered(run, 0)
         self._components.load_tracker.end(run.head)
         self._tokens.end(run.head, run.tokens)
         completed = job.ending is Ending.ANSWERED
         self._components.admission.note_end(job, completed=completed)
 
-    def _drop_parts(self, run: Run) -> None:
-        """Keep the parts of a body no longer, and no longer count them."""
-        run.parts = []
-        if run.response is not None:
-            run.response.pool.note_buffered(run.response, 0)
+    def _count_buffered(self, run: Run, size: int) -> None:
+        """Count what is buffered of a response until it can be forwarded.
+
+        :param size: its bytes; most events are too small to be counted.
+        :raises ExchangeError: all that is buffered is too much, and it has its share.
+        """
+        size = size if size > UNCOUNTED_BYTES else 0
+        if run.response is not None and size != run.counted_bytes:
+            run.counted_bytes = size
+            run.response.pool.note_buffered(run.response, size)
 
     def _drop_run(self, job: Job, run: Run) -> None:
         """End a run because another one delivers the response."""
@@ -609,11 +615,11 @@
             if run.parts is not None:
                 self._check_body_size(run)
                 run.parts.append(data)
-                if run.response is not None:
-                    run.response.pool.note_buffered(run.response, run.received)
+                self._count_buffered(run, run.received)
                 return
             events_before = run.splitter.count
             run.events += run.splitter.feed(data)
+            self._count_buffered(run, run.splitter.buffered)
             if run.splitter.count > events_before:
                 run.has_progressed, run.received = True, 0
             return
@@ -635,7 +641,8 @@
         run.events += run.splitter.flush()
         if run.parts is not None:
             run.events += b''.join(run.parts)
-            self._drop_parts(run)
+            run.parts = []
+        self._count_buffered(run, 0)
         run.has_progressed = run.complete = True
 
     def _check_body_size(self, run: Run) -> None:
--- a/tests/gateway/test_endless_streams.py
+++ b/tests/gateway/test_endless_streams.py
@@ -220,12 +220,18 @@
                 self.assertTrue(found.tracker._record('h0').failures)
 
 
-class OtherMediaTypeTest(unittest.TestCase):
-    """A body of another media type on a stream's route."""
+class GivenPartsCase(unittest.TestCase):
+    """A response whose parts the test gives."""
+
+    media_type: bytes | None = None
 
     def play(self, parts, buffered=0, framing=Framing.CHUNKS, **options):
+        """Play one stream.
+
+        :param buffered: bytes that are buffered of other responses.
+        """
         simulation = EndlessSimulation(Case((SOUND,), **options))
-        simulation.media_type = b'application/json'
+        simulation.media_type = self.media_type
         simulation.parts = parts
         begin_send = simulation.begin_send
 
@@ -255,6 +261,12 @@
         simulation._build = build_with_reply
         return simulation.play()
 
+
+class OtherMediaTypeTest(GivenPartsCase):
+    """A body of another media type on a stream's route."""
+
+    media_type = b'application/json'
+
     # Guards against bytes that reach a client before it is known that they are whole.
     def test_body_is_forwarded_at_its_end(self):
         parts = [(0.1, b'{}\n\n', False), (0.3, b'{}', False), (0.5, None, True)]
@@ -297,6 +309,23 @@
                 self.assertEqual(found.pool.buffers.buffered_bytes, buffered)
 
 
+class LargeEventTest(GivenPartsCase):
+    """Events that are buffered until they are whole."""
+
+    # Guards against a node that runs out of memory by unfinished events of streams.
+    def test_unfinished_event_counts_for_the_memory_of_all_responses(self):
+        begin = [(0.1, b'id: 1\ndata: ', False)]
+        rest = [(0.2 + 0.1 * number, b'x' * PART_BYTES, False) for number in range(4)]
+        others = MAX_BUFFERED_BYTES - 3 * PART_BYTES
+        for buffered, status in ((others, 502), (others - 2 * PART_BYTES, None)):
+            with self.subTest(buffered=buffered):
+                parts = [*begin, *rest, (0.8, b'\n\n', False), (0.9, None, True)]
+                found = self.play(parts, buffered=buffered, resumable=False)
+                self.assertEqual(getattr(found.refusal, 'status', None), status)
+                self.assertEqual(found.reply.whole, status is None)
+                self.assertEqual(found.pool.buffers.buffered_bytes, buffered)
+
+
 class EndlessErrorTest(unittest.TestCase):
     """Errors whose body does not end."""
 
