Reset no connection for others that have ended since

Found by reading: the listener of the OpenAI interface decided before it waited for a connection whether there was room, so that the first client after a full one was reset, however long ago that was; and it looked for connections that are being closed in each pass of the event loop.

It decides once a connection has come, and waits for the tasks of those that are being closed.

--- a/coursepitch/util/asgi_server.py
+++ b/coursepitch/util/asgi_server.py
@@ -202,7 +202,7 @@
         """Accept connections until cancelled."""
         loop = asyncio.get_running_loop()
         while True:
-            has_room = await self._wait_for_room()
+            await self._make_room()
             try:
                 accepted, _ = await loop.sock_accept(self._sock)
             except ConnectionAbortedError:
@@ -215,7 +215,7 @@
                 self._close_waiting(self._spare, error.strerror or str(error))
                 await asyncio.sleep(ACCEPT_PAUSE_S)
                 continue
-            if not has_room:
+            if len(self.connections) >= self._limit + self._spare:
                 # Its client turns to another node at once.
                 self._reset += 1
                 accepted.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
@@ -234,25 +234,30 @@
             self.connections[task] = connection
             await connection
 
-    async def _wait_for_room(self) -> bool:
-        """Make room for one more connection; return whether there is any."""
-        while len(self.connections) >= self._limit:
-            found = [item for item in self.connections.values() if item is not None]
-            closing = sum(item.is_closed for item in found)
-            excess = len(self.connections) - closing - self._limit
+    async def _make_room(self) -> None:
+        """Close connections if there are too many, and wait until these have ended."""
+        if len(self.connections) >= self._limit:
+            excess = len(self.connections) - len(self._list_closing()) - self._limit
             if excess >= 0:
-                closing += self._close_waiting(
-                    excess + self._spare, 'as many as there may be'
-                )
-            if len(self.connections) < self._limit + self._spare:
-                return True
+                self._close_waiting(excess + self._spare, 'as many as there may be')
+        while len(self.connections) >= self._limit + self._spare:
+            closing = self._list_closing()
             if not closing:
-                return False
+                return
+            await asyncio.wait(closing, return_when=asyncio.FIRST_COMPLETED)
+            # Their callbacks run before the next pass.
             await asyncio.sleep(0)
-        return True
 
-    def _close_waiting(self, count: int, reason: str) -> int:
-        """Close connections that wait for their clients; return how many.
+    def _list_closing(self) -> list[asyncio.Task[None]]:
+        """Return the tasks of connections that were closed and have not ended."""
+        return [
+            task
+            for task, item in self.connections.items()
+            if item is not None and item.is_closed
+        ]
+
+    def _close_waiting(self, count: int, reason: str) -> None:
+        """Close connections that wait for their clients.
 
         Idle ones come before those with a part of a request, and of both those whose
         clients sent nothing for longest.  Requests that are handled go on.
@@ -279,7 +284,6 @@
                 reason=reason,
             )
             self._logged_at, self._closed, self._reset = now, 0, 0
-        return len(closed)
 
 
 def _limit_reads(transport: asyncio.BaseTransport) -> None:
--- a/tests/util/test_crowded_listeners.py
+++ b/tests/util/test_crowded_listeners.py
@@ -197,6 +197,13 @@
             reader = await self.connect()
             with anyio.fail_after(WAIT_S), self.assertRaises(ConnectionResetError):
                 await reader.read()
+            # Guards against a reset for connections that have ended since.
+            self.go_on.set()
+            for writer in self.clients:
+                writer.close()
+            await self.wait_for(lambda: len(asyncio.all_tasks()) <= self.tasks_before)
+            reader = await self.connect(GET)
+            self.assertIn(b'0 done', await self.read(reader))
 
         self.run_test(scenario)
 
