Take bytes that follow a proven silence for held up, before the first event as well

The instance stood still before its first event, a member of its group did not answer (run.stalled, silent_s 0.692), its entry was gone, and 2.0 s later what it had sent came together with its end. The time before the first bytes is no silence, as prompts take seconds, so the response counted as steady and as whole (response.end_unproven: state unknown, steady).

Ruled out: counting all time before the first bytes, which breaks off streams of leaving instances that were only queued; the existing test against that is unchanged.

Change: where a member of the group was found not to answer, the silence runs from then. Such a response is asked about, and broken off if its instance does not answer.

--- a/coursepitch/gateway/response_ends.py
+++ b/coursepitch/gateway/response_ends.py
@@ -62,7 +62,8 @@
 class Arrivals:
     """Times at which the bytes of a response arrived, from the first on.
 
-    :param latest_at: monotonic time of the latest; ``None`` before the first.
+    :param latest_at: monotonic time of the latest; before the first, since when the
+        instance is silent, or ``None``.
     :param resumed_at: monotonic time at which bytes last came after a silence.
     """
 
--- a/coursepitch/gateway/runs.py
+++ b/coursepitch/gateway/runs.py
@@ -163,6 +163,17 @@
         """Name of the instance that the request is sent to."""
         return self.group.head.name
 
+    def note_arrival(self, now: float) -> None:
+        """Record that bytes of the response arrived at a monotonic time.
+
+        A group that did not answer before the first bytes was silent: they may have
+        been held up, and arrive together with the end of an instance that was ended.
+        """
+        arrivals, stall = self.arrivals, self.stall
+        if arrivals.latest_at is None and stall is not None and stall.is_silence:
+            arrivals.latest_at = self.stalled_at
+        arrivals.note(now)
+
     def take_events(self) -> bytes:
         """Return the events that are yet to be forwarded, once."""
         events, self.events, self.has_progressed = self.events, b'', False
--- a/coursepitch/gateway/streams.py
+++ b/coursepitch/gateway/streams.py
@@ -354,7 +354,8 @@
         limit_s = times.find_overdue_limit_s(job.fields.model)
         for run in tuple(runs.live):
             if (
-                run.stall not in (Stall.SILENT, Stall.REPORTED)
+                run.stall is None
+                or not run.stall.is_silence
                 or clock() - run.stalled_at < RECHECK_S
             ):
                 continue
@@ -610,7 +611,7 @@
         now = self._components.clock()
         if data is not None:
             self._watchdog.note_activity(run.head)
-            run.arrivals.note(now)
+            run.note_arrival(now)
             run.received += len(data)
             if run.parts is not None:
                 self._check_body_size(run)
--- a/coursepitch/gateway/watchdog.py
+++ b/coursepitch/gateway/watchdog.py
@@ -63,6 +63,11 @@
     CUT_OFF = 'the node lost its paths'
     OVERDUE = 'overdue'
 
+    @property
+    def is_silence(self) -> bool:
+        """Whether a member of the group does not answer."""
+        return self in (Stall.SILENT, Stall.REPORTED)
+
 
 @dataclass(frozen=True, slots=True)
 class _Avoidance:
--- a/tests/gateway/test_response_ends.py
+++ b/tests/gateway/test_response_ends.py
@@ -20,8 +20,10 @@
     check_body,
     check_sender,
 )
+from coursepitch.gateway.runs import Run
+from coursepitch.gateway.watchdog import Stall
 from coursepitch.http.client import Framing
-from coursepitch.http.event_splitter import MAX_EVENT_BYTES
+from coursepitch.http.event_splitter import MAX_EVENT_BYTES, EventSplitter
 
 #: Largest processor time in seconds of one turn of the event loop, as a request takes
 #: ten turns within an objective of 0.36 s.
@@ -343,3 +345,25 @@
     def test_time_before_the_first_bytes_does_not_count(self):
         self.assertTrue(self.are_steady(100.0, 100.1, end=100.2))
         self.assertTrue(self.are_steady(end=100.0))
+
+
+class SilentGroupTest(unittest.TestCase):
+    """Whether a stream whose group did not answer before its first bytes was silent."""
+
+    def is_steady(self, stall, end, stalled_at=100.0):
+        run = Run(None, EventSplitter(), stall=stall, stalled_at=stalled_at)
+        for at in (102.0, 102.01):
+            run.note_arrival(at)
+        return run.arrivals.are_steady(end)
+
+    # Guards against a stream that ends as complete before its last event, as an
+    # instance that stood still was ended and what it had sent comes at once.
+    def test_bytes_after_a_proven_silence_are_not_steady(self):
+        for stall in (Stall.SILENT, Stall.REPORTED):
+            self.assertFalse(self.is_steady(stall, 102.02))
+            self.assertTrue(self.is_steady(stall, 102.01 + SILENCE_S))
+            self.assertTrue(self.is_steady(stall, 102.02, stalled_at=101.9))
+
+    def test_wait_at_a_group_that_answers_is_no_silence(self):
+        for stall in (None, Stall.OVERDUE, Stall.CUT_OFF):
+            self.assertTrue(self.is_steady(stall, 102.02))
