--- a/tests/gateway/test_response_ends.py
+++ b/tests/gateway/test_response_ends.py
@@ -356,8 +356,7 @@
             run.note_arrival(at)
         return run.arrivals.are_steady(end)
 
-    # Guards against a stream that ends as complete before its last event, as an
-    # instance that stood still was ended and what it had sent comes at once.
+    # Guards against a stream of an ended instance that counts as complete.
     def test_bytes_after_a_proven_silence_are_not_steady(self):
         for stall in (Stall.SILENT, Stall.REPORTED):
             self.assertFalse(self.is_steady(stall, 102.02))
--- a/tests/util/test_crowded_listeners.py
+++ b/tests/util/test_crowded_listeners.py
@@ -207,8 +207,7 @@
 
         self.run_test(scenario)
 
-    # Guards against connections that count, with all that they hold, long after their
-    # clients have left.
+    # Guards against connections that stay, with all they hold, without their clients.
     def test_connection_ends_with_its_client(self):
         async def scenario():
             self.go_on.set()
--- a/tests/whole/test_silences.py
+++ b/tests/whole/test_silences.py
@@ -357,8 +357,7 @@
                 reply = self.send('n1', 'POST', path, request)
                 self.assertEqual((reply.status_code, reply.text), (500, 'no'))
 
-    # Guards against error responses that are replaced by an error of the node's own
-    # although their deadline is far away.
+    # Guards against errors of instances that are replaced long before their deadline.
     def test_error_with_a_body_that_comes_much_later_is_forwarded(self):
         fault = {'mode': 'error', 'delay_s': MUCH_LATER_S}
         for service, method, path in (
--- a/tests/whole/test_stopping_nodes.py
+++ b/tests/whole/test_stopping_nodes.py
@@ -103,8 +103,7 @@
     def test_call_is_whole_or_refused(self):
         self.check('/once/x')
 
-    # Guards against calls that run and are cut at the end of a stop, where another
-    # node could have served them.
+    # Guards against calls that run and are cut, where another node could serve them.
     def test_slow_call_that_may_not_be_repeated_is_whole_or_refused(self):
         self.control('api', '/fault', mode='slow', for_s=CALL_S)
         self.addCleanup(self.control, 'api', '/fault', mode='none')
