--- a/review/stand_2.py
+++ b/review/stand_2.py
@@ -12,6 +12,7 @@
 import argparse
 import asyncio
 import contextlib
+import copy
 import json
 import os
 import shutil
@@ -303,6 +304,13 @@
         self.store = 0
         self.note(f'TROUBLE={int(TROUBLE)}')
 
+    def fork(self) -> Case:
+        """Return a system of its own within the same case."""
+        found = copy.copy(self)
+        found.temporary = Path(tempfile.mkdtemp(dir=self.temporary))
+        found.nodes, found.store = {}, 0
+        return found
+
     def note(self, text: str, at: float | None = None) -> None:
         """Write a line to the record."""
         at = time.monotonic() if at is None else at
