--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,9 +1,8 @@
-"""A replica that drains is gone two seconds after its notice, amid its answers."""
+"""A stream of a plain service is continued by its requester after a reset."""
 
 from __future__ import annotations
 
-import asyncio
-import signal
+import re
 import sys
 from pathlib import Path
 
@@ -11,67 +10,77 @@
 
 import stand_2
 
-ROUNDS = 5
-PARTS = 10
-PART_MS = 300
-#: Seconds from the notice to the end, as ``scale_in`` with ``spot`` has it.
-NOTICE_S = 2.0
-WHOLE = ''.join(f'line {number} of {PARTS}\n' for number in range(1, PARTS + 1))
+EVENTS = 20
+CUT_AFTER = 8
+
+
+def read_ids(body: bytes) -> list[int]:
+    """Return the ids of the whole events of a body."""
+    whole = body[: body.rfind(b'\n\n') + 2]
+    return [int(found) for found in re.findall(rb'(?m)^id: (\d+)$', whole)]
+
+
+def cut_inside(data: bytes) -> int | None:
+    """Return where the answer is cut: inside the event after ``CUT_AFTER``."""
+    found = data.find(f'id: {CUT_AFTER + 1}\n'.encode())
+    return None if found < 0 else found + 5
 
 
 async def play(case: stand_2.Case) -> bool:
-    """Return whether MIXED was broken."""
+    """Return whether ORDER was broken."""
     case.start_store()
-    routes = [stand_2.route('once', '/open/', 'non_idempotent', 'log', timeout_ms=8000)]
+    routes = [
+        stand_2.route(
+            'stream', '/events/', 'streaming', 'log', resumable=True, gap_aim_ms=300
+        )
+    ]
     await case.write('op/config', stand_2.configuration(routes, ['log']))
-    for name, zone in (('n1', 'a'), ('n2', 'b')):
-        case.start_node(name, zone, case.store, bootstrap=True)
+    replicas = [await case.start_replica('log') for _ in range(3)]
+    for name in ('n1', 'n2'):
+        case.start_node(name, 'a', case.store, bootstrap=True)
     await case.wait_ready()
+    proxy = stand_2.Proxy(
+        case.nodes['n1']['clients'], cut_inside if stand_2.TROUBLE else None
+    )
+    await proxy.start()
     broken = False
-    options = {'parts': PARTS, 'part_ms': PART_MS}
-    replicas = [await case.start_replica('log', **options) for _ in range(3)]
-    for number in range(1, ROUNDS + 1):
-        await asyncio.sleep(1)
-        requests = {
-            f'{node}-{number}-{count}': asyncio.ensure_future(
-                stand_2.call(
-                    case.nodes[node]['clients'],
-                    'POST',
-                    '/open/x',
-                    f'{node}-{number}-{count}',
-                    limit_s=8,
-                )
+    for number in range(5):
+        request = f'stream-{number}'
+        case.note(f'sent {request}: POST /events/{EVENTS} to n1')
+        answer = await stand_2.call(
+            proxy.port, 'POST', f'/events/{EVENTS}', request, limit_s=8
+        )
+        got = read_ids(answer.body)
+        case.note(
+            f'answer of {request}: {answer.status}, events {got}, '
+            f'complete {answer.complete} {answer.error}'
+        )
+        if answer.status == 200 and not answer.complete and got:
+            again, last = f'{request}-again', str(got[-1])
+            case.note(f'sent {again} to n2 with Last-Event-Id: {last}')
+            answer = await stand_2.call(
+                case.nodes['n2']['clients'],
+                'POST',
+                f'/events/{EVENTS}',
+                again,
+                limit_s=8,
+                Last_Event_Id=last,
             )
-            for node in case.nodes
-            for count in range(6)
-        }
-        await asyncio.sleep(0.2)
-        leaving = replicas.pop(0)
-        ack = await leaving.drain()
-        case.note(f'round {number}: {leaving.name} drains, acknowledged', ack)
-        if stand_2.TROUBLE:
-            await asyncio.sleep(NOTICE_S)
-            leaving.process.send_signal(signal.SIGKILL)
-            case.note(f'round {number}: {leaving.name} is gone')
-            await case.write(f'servers/{leaving.name}', None)
-        ran = {event['request'] for event in leaving.events() if 'arrived' in event}
-        for request, task in requests.items():
-            answer = await task
-            text = answer.body.decode()
-            wrong = answer.status == 200 and answer.complete and text != WHOLE
-            broken |= wrong
+            more = read_ids(answer.body)
             case.note(
-                f'{request} {"ran there" if request in ran else "ran elsewhere"}: '
-                f'status {answer.status}, complete {answer.complete} {answer.error}, '
-                f'{text.count(chr(10))} of {PARTS} lines'
-                f'{" WRONG" if wrong else ""}'
+                f'answer of {again}: {answer.status}, events {more}, '
+                f'complete {answer.complete} {answer.error}'
             )
-        if not stand_2.TROUBLE:
-            leaving.process.send_signal(signal.SIGKILL)
-            await case.write(f'servers/{leaving.name}', None)
-        for event in leaving.events():
-            case.note(f'replica {leaving.name}: {event}', event['at'])
-        replicas.append(await case.start_replica('log', **options))
+            got += more
+        if answer.complete and answer.status == 200:
+            wrong = got != list(range(1, EVENTS + 1))
+            case.note(f'all events of {request}: {got}{" WRONG" if wrong else ""}')
+            broken |= wrong
+        else:
+            case.note(f'{request} was not completed, which is not what is checked')
+    for replica in replicas:
+        for event in replica.events():
+            case.note(f'replica {replica.name}: {event}', event['at'])
     return broken
 
 
--- a/review/stand_2.py
+++ b/review/stand_2.py
@@ -483,6 +483,11 @@
     """Run a case and exit: 1 if the rule was broken, 0 if it held, 2 if it failed."""
     case = Case(folder)
     code = 2
+
+    def stop(number: int, frame: Any) -> None:
+        raise CouldNotRunError(f'ended by {signal.Signals(number).name}')
+
+    signal.signal(signal.SIGTERM, stop)
     try:
         code = 1 if asyncio.run(play(case)) else 0
     except (CouldNotRunError, OSError, subprocess.SubprocessError) as error:
@@ -501,8 +506,9 @@
     """Serves requests of a plain service and logs them.
 
     ``/events/N`` answers with N events and goes on after ``Last-Event-Id``;
-    ``/open/`` answers in parts without a length, its end told by the connection's;
-    everything else answers with a small body after the work's time.
+    ``/open/`` answers in parts without a length, its end told by the connection's, and
+    ``/feed/`` with events in the same way; everything else answers with a small body
+    after the work's time.
     """
 
     def __init__(self, options: argparse.Namespace) -> None:
@@ -554,8 +560,8 @@
         if target.startswith('/events/'):
             await self._stream(writer, mark, target, headers)
             return True
-        if target.startswith('/open/'):
-            await self._send_open(writer, mark, headers)
+        if target.startswith(('/open/', '/feed/')):
+            await self._send_open(writer, mark, headers, target.startswith('/feed/'))
             return False
         await asyncio.sleep(options.work_ms / 1000)
         body = f'done by {options.id}'.encode()
@@ -586,17 +592,27 @@
         await writer.drain()
         self.note(answered=headers.get('x-request-id'), first=first, last=last)
 
-    async def _send_open(self, writer: Any, mark: str, headers: dict[str, str]) -> None:
+    async def _send_open(
+        self, writer: Any, mark: str, headers: dict[str, str], has_events: bool
+    ) -> None:
         """Answer in parts; the end of the connection tells the end of the answer."""
+        if has_events:
+            mark += 'Content-Type: text/event-stream\r\n'
         writer.write(f'HTTP/1.1 200 OK\r\n{mark}Connection: close\r\n\r\n'.encode())
         for number in range(1, self.options.parts + 1):
-            writer.write(f'line {number} of {self.options.parts}\n'.encode())
+            writer.write(build_part(number, self.options.parts, has_events).encode())
             await writer.drain()
             self.note(sent=number, request=headers.get('x-request-id'))
             await asyncio.sleep(self.options.part_ms / 1000)
         self.note(answered=headers.get('x-request-id'))
 
 
+def build_part(number: int, count: int, is_event: bool) -> str:
+    """Return a part of an answer that has no length."""
+    text = f'part {number} of {count}\n'
+    return f'id: {number}\ndata: {text}\n' if is_event else text
+
+
 async def serve_replica(options: argparse.Namespace) -> None:
     """Serve until a signal ends the process."""
     server = ReplicaServer(options)
