--- a/review/8/case.py
+++ b/review/8/case.py
@@ -29,7 +29,8 @@
 #: reaches it in time ends well before.
 SERVES_ON_S = 2.45
 WORK_MS = 400
-PER_S = 30
+PER_S = 60
+REPLICAS = 7
 
 
 async def press(case: stand_2.Case, answers: dict[str, tuple[str, int]]) -> None:
@@ -67,7 +68,9 @@
         stand_2.route('again', '/again/', 'idempotent', 'log', timeout_ms=4000),
     ]
     await case.write('op/config', stand_2.configuration(routes, ['log']))
-    replicas = [await case.start_replica('log', work_ms=WORK_MS) for _ in range(3)]
+    replicas = [
+        await case.start_replica('log', work_ms=WORK_MS) for _ in range(REPLICAS)
+    ]
     proxies = {}
     for node, zone in ((f'{name}-n1', 'a'), (f'{name}-n2', 'b')):
         proxies[node] = stand_2.Proxy(case.store)
--- a/review/stand_2.py
+++ b/review/stand_2.py
@@ -15,6 +15,7 @@
 import copy
 import json
 import os
+import random
 import shutil
 import signal
 import socket
@@ -31,6 +32,8 @@
 HOST = 'a.example'
 TROUBLE = os.environ.get('TROUBLE', '1') != '0'
 
+_picked: set[int] = set()
+
 #: As ``deploy/node.ini.template`` is filled for the small sites (ksw-signq and
 #: rnl-harvest state the same bounds).
 SETTINGS = """[node]
@@ -72,11 +75,18 @@
 
 
 def pick_port() -> int:
-    """Return a port that is free now."""
-    with socket.socket() as sock:
-        sock.bind(('127.0.0.1', 0))
-        port: int = sock.getsockname()[1]
-        return port
+    """Return a port that is free now and that no other call returned.
+
+    It is below the ports that the kernel usually gives to outgoing connections, which
+    could take it before the process for which it is meant listens.
+    """
+    while True:
+        port = random.randrange(10_000, 32_000)
+        with socket.socket() as sock, contextlib.suppress(OSError):
+            sock.bind(('127.0.0.1', port))
+            if port not in _picked:
+                _picked.add(port)
+                return port
 
 
 def route(name: str, prefix: str, kind: str, service: str, **more: Any) -> dict:
