--- a/review/stand_2.py
+++ b/review/stand_2.py
@@ -377,12 +377,23 @@
             log=f'{name}.log',
             COURSEPITCH_CONFIG=str(path),
         )
-        self.nodes[name] = {**ports, 'process': process, 'zone': zone}
+        self.nodes[name] = {
+            **ports,
+            'process': process,
+            'zone': zone,
+            'store': store,
+            'first': bootstrap,
+        }
 
     async def wait_ready(self) -> None:
         """Wait until all nodes say that they are ready."""
-        for name, node in self.nodes.items():
+        for name in list(self.nodes):
+            node = self.nodes[name]
             for _ in range(300):
+                if node['process'].poll() is not None:
+                    # Another script took one of its ports first.
+                    self.start_node(name, node['zone'], node['store'], node['first'])
+                    node = self.nodes[name]
                 if (await call(node['ready'], 'GET', '/-/ready', 'r')).status == 200:
                     break
                 await asyncio.sleep(0.1)
