--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,7 +4,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 export PYTHONPATH=target/deps PYTHONDONTWRITEBYTECODE=1
-for file in review/stand.py review/stand_2.py review/{6,7,8,9,10}/case.py review/10/world.py; do
+for file in review/stand.py review/stand_2.py review/{6,7,8,9}/case.py; do
     [ -e "$file" ] || continue
     python3 -c 'import sys; compile(open(sys.argv[1]).read(), sys.argv[1], "exec")' "$file"
 done
