Forward Last-Event-Id on all routes, so that continued streams do not begin anew

Cause: the header is left out of what is forwarded and set from what the node knows of earlier runs. StreamServer initialises that with the client's header; CallServer, which serves services without an engine and all routes without streams, does not. So no value reached an instance there, by any method.

Ruled out: the router, the parser of the entry, connections that peers carry (postmortem).

Change: the header is forwarded as any other; only a run after events that the client has got from an earlier run of the same request replaces it. White space around an event's id is removed, as no header value can have it.

--- a/coursepitch/gateway/attempts.py
+++ b/coursepitch/gateway/attempts.py
@@ -169,7 +169,8 @@
     """Parameters of one attempt.
 
     :param headers_timeout_s: seconds to wait for the response headers.
-    :param last_event: id of the last event that the client received; empty if none.
+    :param last_event: id of the last event that the client has got from an earlier run
+        of the request; empty if none.
     :param new_connection: whether to open a new connection rather than reuse one.
     :param priority: priority at the instance; ``None`` for the default.
     :param permit: permit for the send, where the instance limits its rate.
--- a/coursepitch/gateway/calls.py
+++ b/coursepitch/gateway/calls.py
@@ -300,7 +300,7 @@
             load=self._components.load_tracker.count_in_flight(instance.name),
             choices=len(session.view.list_serving(job.service.name)),
             attempt=len(job.sent) + 1,
-            last_event='',
+            last_event=job.fields.last_event.decode('latin-1'),
             table=table.version if table else 0,
             age=round(session.confirmation_age_s, 3),
             heard=session.view.received_revision,
--- a/coursepitch/gateway/streams.py
+++ b/coursepitch/gateway/streams.py
@@ -580,7 +580,7 @@
         began_at = self._components.clock()
         plan = SendPlan(
             headers_timeout_s=max(0.001, job.deadline_at - began_at),
-            last_event=run.splitter.last_event,
+            last_event=run.splitter.last_event if job.reply.started else b'',
             priority=job.priority,
             permit=run.permit,
         )
--- a/coursepitch/platform/headers.py
+++ b/coursepitch/platform/headers.py
@@ -32,10 +32,13 @@
         b'x-tenant',
         b'x-expect-replica',
         b'x-request-priority',
-        b'last-event-id',
     }
 )
 
+#: Header with the id of the last event that a client has got.  Source: HTML standard,
+#: section 9.2.4.
+_LAST_EVENT_HEADER = b'last-event-id'
+
 #: Header with the rate limit of a target: requests per second from all nodes.
 _RATE_LIMIT_HEADER = b'server-limit'
 
@@ -106,6 +109,8 @@
 
     :param instance: name of the instance that is expected to handle the request.
     :param remaining_s: remaining seconds before the deadline of the request.
+    :param last_event: id of the last event that the client has got from an earlier run
+        of the same request; empty if it has got none, and its own header is forwarded.
     :param priority: from 0, admitted first, to 9; ``None`` for the target's default.
     """
 
@@ -163,7 +168,7 @@
         prompt_tokens=_parse_count(prompt),
         answer_tokens=_parse_count(response),
         expected_tokens=_parse_count(found.get(b'x-length-hint', b'')),
-        last_event=found.get(b'last-event-id', b''),
+        last_event=found.get(_LAST_EVENT_HEADER, b''),
         prompt_parts=_parse_prompt_parts(found.get(b'x-prompt-prefix', b'')),
     )
 
@@ -210,13 +215,17 @@
 
 def build_target_headers(headers: Headers, fields: ForwardFields) -> Headers:
     """Return the headers for forwarding a request to a target."""
-    lines = list(filter_headers(headers, _NOT_FORWARDED))
+    dropped = _NOT_FORWARDED
+    if fields.last_event:
+        dropped |= {_LAST_EVENT_HEADER}
+    lines = list(filter_headers(headers, dropped))
     lines.append((b'X-Deadline-Ms', b'%d' % max(1, int(fields.remaining_s * 1000))))
     lines.append((b'X-Expect-Replica', fields.instance.encode()))
     if fields.customer:
         lines.append((b'X-Tenant', fields.customer.encode()))
     if fields.last_event:
-        lines.append((b'Last-Event-Id', fields.last_event))
+        # A header value neither begins nor ends with white space.
+        lines.append((b'Last-Event-Id', fields.last_event.strip(b' \t')))
     if fields.priority is not None:
         lines.append((b'X-Request-Priority', b'%d' % fields.priority))
     return tuple(lines)
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -39,6 +39,31 @@
         self.assertEqual(self.read_priorities(None), [])
 
 
+class LastEventHeaderTest(unittest.TestCase):
+    """A target learns which events the client has already got."""
+
+    def read_ids(self, *values, last_event=b''):
+        sent = tuple((b'last-event-id', value) for value in values)
+        fields = ForwardFields('i', 1.0, last_event=last_event)
+        headers = build_target_headers(sent, fields)
+        return [value for name, value in headers if name.lower() == b'last-event-id']
+
+    # Guards against a continued request that begins anew, as its header is dropped.
+    def test_header_of_the_client_is_forwarded_unchanged(self):
+        for values in ([], [b''], [b'8'], [b'0'], [b'a b'], [b'x' * 200], [b'1', b'2']):
+            with self.subTest(values=values):
+                self.assertEqual(self.read_ids(*values), values)
+
+    def test_last_event_of_an_earlier_run_replaces_it(self):
+        self.assertEqual(self.read_ids(last_event=b'9'), [b'9'])
+        self.assertEqual(self.read_ids(b'8', last_event=b'9'), [b'9'])
+        self.assertEqual(self.read_ids(b'1', b'2', last_event=b'9'), [b'9'])
+
+    # Guards against a stream that cannot go on after an id with white space around it.
+    def test_white_space_around_an_id_is_removed(self):
+        self.assertEqual(self.read_ids(last_event=b'\t9 0 '), [b'9 0'])
+
+
 class LimitHeaderTest(unittest.TestCase):
     """Each value has one meaning."""
 
