Send a watch that is behind the store again, so that draining instances get no late requests

Cause: a silent watch is found out by the store revision that a confirmation tells. The next one comes up to 0.9 s after the change, only then starts the clock of 1.5 s, and the clock is read with further confirmations only, each 0.8 s: 1.6 to 2.5 s in all.

Ruled out: more confirmations, which cost each node that follows the store a call; shorter watches, the same; to end the first watch at once, as a slow store would then be asked again and again.

Change: a watch that is behind a known revision for 0.3 s, or twice the time of the last confirmation, is sent again over a new connection, and the first response counts. If both bring nothing for 1.5 s in all, all keys are listed, as before. New: service.watch_repeated; a conflict's revision counts as known.

--- a/coursepitch/events.py
+++ b/coursepitch/events.py
@@ -120,6 +120,12 @@
     'A watch stopped reporting changes; all keys are listed again.',
     ('heard', 'revision'),
 )
+WATCH_REPEATED = Event(
+    205,
+    'service.watch_repeated',
+    'A watch stays behind the store; it is sent again over a new connection.',
+    ('heard', 'revision'),
+)
 CONFIG_DAMAGED = Event(
     304,
     'config.damaged',
--- a/coursepitch/fleet/session.py
+++ b/coursepitch/fleet/session.py
@@ -673,12 +673,14 @@
             self._watch.end()
         if isinstance(result, Conflict):
             self.view.apply_configuration(result.current)
+            self._watch.note_store_revision(result.current.changed_at)
             self.wake()
             if self._table_revision() < result.current.revision:
                 return False
             self.send_heartbeat_now()
         else:
-            self._watch.note_store_revision(result.revision)
+            took_s = self._clock() - asked_at
+            self._watch.note_store_revision(result.revision, took_s)
             self._note_newer_revision(result.revision)
         if self.confirmation_age_s >= STALE_CONFIRMATION_S:
             self._reconnected_at = self._clock()
--- a/coursepitch/platform/kv.py
+++ b/coursepitch/platform/kv.py
@@ -332,19 +332,22 @@
         return response if isinstance(response, Unavailable) else None
 
     async def watch(
-        self, prefix: str, after: int, wait_s: float
+        self, prefix: str, after: int, wait_s: float, *, new_connection: bool = False
     ) -> Events | Unavailable:
         """Wait for changes under a prefix after a revision of the store.
 
         If the store has compacted that revision, all keys are listed instead.
 
         :param wait_s: maximum time in seconds to wait for a change.
+        :param new_connection: whether to open a new connection rather than reuse one.
         """
         target = (
             f'/-/kv-watch?path_prefix={quote(prefix)}'
             f'&after_rev={after}&wait_ms={int(wait_s * 1000)}'
         )
-        response = await self._call('watch', 'GET', target, wait_s=wait_s)
+        response = await self._call(
+            'watch', 'GET', target, wait_s=wait_s, new_connection=new_connection
+        )
         if isinstance(response, Unavailable):
             return response
         status, data = response
@@ -364,6 +367,7 @@
         *,
         write: bool = False,
         wait_s: float = 0.0,
+        new_connection: bool = False,
     ) -> tuple[int, Any] | Unavailable:
         """Call the service; return the status and the decoded body."""
         wait = self._rate_limiter.reserve()
@@ -375,7 +379,9 @@
         sent = False
         try:
             with anyio.fail_after(self._timeout_s + wait_s):
-                connection = await self._pool.acquire(self._address)
+                connection = await self._pool.acquire(
+                    self._address, fresh=new_connection
+                )
                 sent = True
                 return await self._exchange(
                     connection, operation, method, target, body, write=write
--- a/standins/kv.py
+++ b/standins/kv.py
@@ -6,7 +6,8 @@
 ``paths``, or all), ``drop_answers`` (of the operations in ``paths``), ``late`` (writes
 are done after ``delay_s``, unanswered), ``silent`` (watches hear nothing), ``stale``
 (serializable reads are old), ``forget`` (history is dropped at once) and ``refuse``
-(429).
+(429).  ``POST /silence`` lets the connections of pending watches go silent for good,
+while new ones work.
 """
 
 from __future__ import annotations
@@ -45,6 +46,8 @@
             maxlen=HISTORY
         )
         self.changed = anyio.Event()
+        #: Number of times that the connections of pending watches went silent.
+        self.silences = 0
         self.calls: collections.Counter[str] = collections.Counter()
         self.listings: collections.Counter[str] = collections.Counter()
         self.fault: dict[str, Any] = {'mode': 'none'}
@@ -198,6 +201,7 @@
         prefix = request.query_params.get('path_prefix', '')
         after = int(request.query_params['after_rev'])
         found: list[dict[str, Any]] | None = []
+        silences = store.silences
         with anyio.move_on_after(int(request.query_params['wait_ms']) / 1000):
             while True:
                 silent = store.fault['mode'] == 'silent'
@@ -205,6 +209,8 @@
                 if found is None or found or store.fault['mode'] == 'down':
                     break
                 await store.changed.wait()
+                if store.silences > silences:
+                    await anyio.sleep_forever()
         if found is None:
             return {'error': 'history is gone'}, 410
         stamp = max([after, *(event['revision'] for event in found)])
@@ -237,6 +243,10 @@
         store.wake()
         return answer({})
 
+    async def silence(request: Request) -> Response:
+        store.silences += 1
+        return answer({})
+
     async def put_as_operator(request: Request) -> Response:
         """Write a key that the system may not write."""
         data = await read_json(request)
@@ -266,6 +276,7 @@
         route('/-/kv-keep/{lease}', 'POST', 'lease/renew', renew),
         route('/-/kv-lease-end/{lease}', 'DELETE', 'lease/revoke', revoke),
         Route('/fault', set_fault, methods=['POST']),
+        Route('/silence', silence, methods=['POST']),
         Route('/operator', put_as_operator, methods=['POST']),
         Route('/operator', delete_as_operator, methods=['DELETE']),
         Route('/stats', show, methods=['GET']),
