Take an answer with an invalid status for none

What callers saw: 600 or 999 with the bytes of an instance, as its answer; a request that may be repeated was not tried at another instance. 000, which users of other systems reported, gets 502 here.

Cause: the HTTP parser takes three digits from 100 on for a status code, and nothing else checks it. Codes outside 100 to 599 are invalid (RFC 9110, section 15), so these bytes are no answer in the protocol.

Two of four invalid codes pass at the client of the OpenAI side.

Ruled out: codes below 100 and other lengths, which the parsers refuse; interim responses, which are followed by a final one or an error.

Change: both clients check the status line against one pattern before their parsers see it.

--- a/coursepitch/http/client.py
+++ b/coursepitch/http/client.py
@@ -24,7 +24,12 @@
     ChunkDecoder,
     ChunkError,
 )
-from coursepitch.http.messages import FORBIDDEN_IN_HEAD, HEAD_END, find_header
+from coursepitch.http.messages import (
+    FORBIDDEN_IN_HEAD,
+    HEAD_END,
+    STATUS_LINE_START,
+    find_header,
+)
 from coursepitch.http.stream import connect
 from coursepitch.util.decoding import shorten
 
@@ -59,9 +64,7 @@
 #: Events of the parser that are processed in one turn of the event loop.
 MAX_EVENTS_PER_TURN = 32
 
-#: Matches the start of a status line as the parser accepts it; the part of a line that
-#: has not arrived is taken from the example.
-_STATUS_LINE_START = re.compile(rb'HTTP/1\.[0-9] [0-9]{3}[ \r\n]')
+#: Start of a valid status line, for the part of one that has not arrived.
 _STATUS_LINE_EXAMPLE = b'HTTP/1.1 200 '
 
 #: Last chunk of a body without extensions (RFC 9112, section 7.1).
@@ -253,14 +256,14 @@
     def _check_status_line(self, data: bytes) -> None:
         """Check the first bytes of a head.
 
-        :raises ExchangeError: they are not the start of a status line.
+        :raises ExchangeError: they are not the start of a valid status line.
         """
         size = len(_STATUS_LINE_EXAMPLE)
         if len(self._head_start) == size:
             return
         self._head_start = start = (self._head_start + data[:size])[:size]
-        if not _STATUS_LINE_START.match(start + _STATUS_LINE_EXAMPLE[len(start) :]):
-            raise ExchangeError('invalid response: no status line')
+        if not STATUS_LINE_START.match(start + _STATUS_LINE_EXAMPLE[len(start) :]):
+            raise ExchangeError('invalid response: no valid status line')
 
     def _split_head(self, data: bytes) -> bytes:
         """Return received bytes up to the end of a head or of trailers; keep the rest.
--- a/coursepitch/http/messages.py
+++ b/coursepitch/http/messages.py
@@ -12,6 +12,7 @@
     'HOP_HEADERS',
     'Headers',
     'IncomingRequest',
+    'STATUS_LINE_START',
     'filter_headers',
     'find_header',
     'start_digest',
@@ -29,6 +30,10 @@
 #: to match such a line from each of its spaces.
 FORBIDDEN_IN_HEAD = re.compile(rb'[\x00\x0b\x0c]|\r[^\n]')
 
+#: Matches the start of a status line whose status code is valid.
+#: Source: RFC 9112, section 4, and RFC 9110, section 15.
+STATUS_LINE_START = re.compile(rb'HTTP/1\.[0-9] [1-5][0-9]{2}[ \r\n]')
+
 #: Header names and values in their original order and case.
 Headers = tuple[tuple[bytes, bytes], ...]
 
--- a/coursepitch/util/bounded_http.py
+++ b/coursepitch/util/bounded_http.py
@@ -23,6 +23,7 @@
 import orjson
 
 from coursepitch.clock import boottime
+from coursepitch.http.messages import STATUS_LINE_START
 
 if TYPE_CHECKING:
     import ssl
@@ -355,6 +356,8 @@
                     return bytes(buffer), len(buffer)
                 buffer += data
                 continue
+            if not STATUS_LINE_START.match(buffer):
+                raise httpcore.RemoteProtocolError('no valid status line')
             if not _INTERIM.match(buffer):
                 if _FORBIDDEN_IN_FIELDS.search(buffer, 0, head_size):
                     raise httpcore.RemoteProtocolError('forbidden bytes in a head')
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -9,7 +9,8 @@
 the ``first`` event or ``between`` two; other answers break off in their middle, with a
 reset where only the end of the connection tells their end or ``reset`` is set),
 ``surplus`` (a second answer follows), ``shed`` (rejected), ``error`` (status 500, whose
-body follows ``delay_s`` after its head), ``late_events`` (the instance stands still for
+body follows ``delay_s`` after its head), ``status`` (an answer whose status is the
+``code``, whatever that is), ``late_events`` (the instance stands still for
 ``for_s`` after the head of its next stream),
 ``late_orders`` (no answer, carried out after ``delay_s``), ``grouped`` (streams are cut
 once their head has left its group, and some seconds after another member has) and
@@ -414,6 +415,9 @@
             mark['X-Request-Id'] = 'another'
         if mode == 'error':
             return await self._send_error(instance, stream, parser, mark)
+        if mode == 'status':
+            await self._send_status(instance, stream, mark)
+            return False
         fault = instance.fault
         kind = fault['kind'] if mode == 'endless' else None
         if kind not in (None, 'after_answer', 'report'):
@@ -481,6 +485,22 @@
         await writer.send(body)
         return await writer.end()
 
+    async def _send_status(
+        self, instance: Instance, stream: Any, mark: dict[str, str]
+    ) -> None:
+        """Send an answer whose status may be none; its connection ends with it."""
+        framing = self._choose_framing(instance)
+        told, body = {**mark, 'Connection': 'close'}, b'2\r\nno\r\n0\r\n\r\n'
+        if framing == 'chunks':
+            told['Transfer-Encoding'] = 'chunked'
+        else:
+            body = b'no'
+        if framing == 'length':
+            told['Content-Length'] = str(len(body))
+        lines = ''.join(f'{key}: {value}\r\n' for key, value in told.items())
+        head = f'HTTP/1.1 {instance.fault["code"]}\r\n{lines}\r\n'
+        await stream.send(head.encode() + body)
+
     def _ends_instances(self, headers: dict[str, str], body: bytes) -> bool:
         parts = headers.get('x-prompt-prefix', '').split(',')[:-1]
         if self.crash_part and self.crash_part in [
--- a/tests/util/test_bounded_http.py
+++ b/tests/util/test_bounded_http.py
@@ -121,6 +121,17 @@
     def test_slow_bytes_that_are_no_status_line_fail_at_once(self):
         run_client(EndlessScript('status_line', SLOW), self.read_failure)
 
+    # Guards against a status such as 600 that passes for an answer.
+    def test_status_that_is_not_valid_fails(self):
+        for code in ('000', '099', '600', '999'):
+
+            async def answer(stream, name, start, code=code):
+                head = f'HTTP/1.1 {code} X\r\nContent-Length: 0\r\n\r\n'
+                await stream.send(head.encode())
+
+            with self.subTest(code):
+                run_client(answer, self.read_failure)
+
     # Guards against endless framing around little content.
     def test_framing_without_content_fails(self):
         for kind in ('extension', 'extensions'):
