Reserve the ports of stand-ins at all hosts that need them, and report failed stand-ins

Cause: the harness reserves the port of an engine at 127.0.0.1, its paths need the same one at 127.0.2.x, and an instance of a module beside may hold it there. standins.paths then ended with "Address already in use", after it had reported its port, so that the harness waited for what could not come about.

Change: a port is reserved at every host that will use it; a stand-in reports its port once its application has started; and waiting ends with the last lines of a stand-in that has failed by itself.

--- a/standins/common.py
+++ b/standins/common.py
@@ -83,7 +83,7 @@
 
 
 def run(app: Any, port: int) -> None:
-    """Serve until a signal; print the port as a JSON line once it listens."""
+    """Serve until a signal; print the port as a JSON line once it has started."""
     anyio.run(_serve, app, port)
 
 
@@ -98,13 +98,21 @@
     config.graceful_timeout = 0.2
     config.keep_alive_timeout = 60
     bound = socket.socket(fileno=int(config.bind[0][5:]))
-    print(json.dumps({'port': bound.getsockname()[1]}), flush=True)
+    told = json.dumps({'port': bound.getsockname()[1]})
     bound.detach()
 
+    async def report_start(scope: Any, receive: Any, send: Any) -> None:
+        async def note(message: Any) -> None:
+            await send(message)
+            if message['type'] == 'lifespan.startup.complete':
+                print(told, flush=True)
+
+        await app(scope, receive, note if scope['type'] == 'lifespan' else send)
+
     async def wait_for_signal() -> None:
         with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
             async for _ in signals:
                 return
 
     hypercorn.asyncio.run.TCPServer = _Server  # type: ignore
-    await serve(app, config, shutdown_trigger=wait_for_signal)
+    await serve(report_start, config, shutdown_trigger=wait_for_signal)
--- a/standins/harness.py
+++ b/standins/harness.py
@@ -40,6 +40,9 @@
 #: Longest wait in seconds for a process to start or a condition to hold.
 WAIT_S = 60.0
 
+#: Ports that are tried until one is free at all hosts that need it.
+RESERVE_TRIES = 50
+
 
 class HarnessError(Exception):
     """A process did not do what was asked of it."""
@@ -48,22 +51,33 @@
 class PortReservations:
     """Ports that the OS chose and gives to nobody else until they are let go.
 
-    Each is held by a socket that is bound and doesn't listen.  A process that sets
-    ``SO_REUSEADDR`` can listen there, again after its end as well; while none does,
-    connections are refused.
+    Each is held by a socket at every host that is bound and doesn't listen.  A process
+    that sets ``SO_REUSEADDR`` can listen there, again after its end as well; while none
+    does, connections are refused.
     """
 
     def __init__(self) -> None:
         self._sockets: list[socket.socket] = []
 
-    def reserve(self) -> int:
-        """Return the port of a new reservation."""
-        sock = socket.socket()
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        sock.bind(('127.0.0.1', 0))
-        self._sockets.append(sock)
-        port: int = sock.getsockname()[1]
-        return port
+    def reserve(self, *more_hosts: str) -> int:
+        """Return the port of a new reservation at 127.0.0.1.
+
+        :param more_hosts: further hosts at which the port is needed.
+        :raises HarnessError: no port was found that is free at all of them.
+        """
+        for _ in range(RESERVE_TRIES):
+            first = _bind('127.0.0.1', 0)
+            port: int = first.getsockname()[1]
+            found = [first]
+            try:
+                found += [_bind(host, port) for host in more_hosts]
+            except OSError:
+                for sock in found:
+                    sock.close()
+                continue
+            self._sockets += found
+            return port
+        raise HarnessError(f'no port is free at all of {", ".join(more_hosts)}')
 
     def close(self) -> None:
         """Let all ports go."""
@@ -72,6 +86,17 @@
         self._sockets.clear()
 
 
+def _bind(host: str, port: int) -> socket.socket:
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    try:
+        sock.bind((host, port))
+    except OSError:
+        sock.close()
+        raise
+    return sock
+
+
 class Process:
     """A started process that told its ports in one JSON line."""
 
@@ -90,10 +115,17 @@
         assert self.process.stdout is not None
         line = self.process.stdout.readline()
         if not line:
-            text = self.error_path.read_text(errors='replace')[-2000:]
-            raise HarnessError(f'{self.name} did not start: {text}')
+            raise HarnessError(f'{self.name} did not start: {self.read_errors()}')
         self.told = json.loads(line)
 
+    def read_errors(self) -> str:
+        """Return the last lines that it wrote to the standard error stream."""
+        return self.error_path.read_text(errors='replace')[-2000:]
+
+    def has_failed(self) -> bool:
+        """Whether it ended by itself with an error, and not by a signal."""
+        return (self.process.poll() or 0) > 0
+
     def send(self, number: signal.Signals) -> None:
         """Send a signal."""
         if self.process.poll() is None:
@@ -123,6 +155,7 @@
         self.processes: dict[str, Process] = {}
         #: All processes by name, the last one of a name, also after it was stopped.
         self.started: dict[str, Process] = {}
+        self._standins: set[str] = set()
         self.instances: list[dict[str, Any]] = []
         self.client = httpx.Client(timeout=10, trust_env=False)
         self.settings: dict[str, dict[str, str]] = {}
@@ -139,6 +172,10 @@
         self.processes[name] = self.started[name] = process
         return process
 
+    def _start_standin(self, name: str, *command: str) -> Process:
+        self._standins.add(name)
+        return self._start(name, *command)
+
     def _url(self, name: str) -> str:
         return f'http://127.0.0.1:{self.processes[name].told["port"]}'
 
@@ -152,12 +189,15 @@
         """
         weights_port = self._ports.reserve()
         self._weights = f'http://127.0.0.1:{weights_port}'
-        self._start('kv', 'standins.kv').wait_told()
+        self._start_standin('kv', 'standins.kv').wait_told()
+        hosts: list[str] = []
+        if self.nodes_with_paths:
+            hosts += [INSTANCE_HOST, *map(find_host, range(len(self.nodes_with_paths)))]
         names = []
         for domain, (zone, count) in domains.items():
             for number in range(count):
                 name = f'{domain}-{number}'
-                self._start_engine(name, self._ports.reserve(), engine)
+                self._start_engine(name, self._ports.reserve(*hosts), engine)
                 names.append((name, domain, zone))
         for name, _, _ in names:
             self.processes[name].wait_told()
@@ -167,7 +207,7 @@
             ports = [str(self.processes[name].told['port']) for name, _, _ in names]
             nodes = ('--nodes', *self.nodes_with_paths)
             command = ('standins.paths', *nodes, '--ports', *ports)
-            self._start('paths', *command).wait_told()
+            self._start_standin('paths', *command).wait_told()
         for name, domain, zone in names:
             self.instances.append(
                 {
@@ -181,7 +221,7 @@
             )
         path = self.folder / 'instances.json'
         path.write_text(json.dumps(self.instances))
-        self._start(
+        self._start_standin(
             'platform',
             'standins.platform',
             '--instances',
@@ -196,7 +236,7 @@
             for key, value in options.items()
             for part in (f'--{key.replace("_", "-")}', str(value))
         ]
-        return self._start(
+        return self._start_standin(
             name,
             'standins.engine',
             '--id',
@@ -216,7 +256,7 @@
 
     def start_service(self, name: str) -> str:
         """Start a plain service and return its address."""
-        process = self._start(name, 'standins.service')
+        process = self._start_standin(name, 'standins.service')
         process.wait_told()
         return f'127.0.0.1:{process.told["port"]}'
 
@@ -369,14 +409,26 @@
         return counts
 
     def wait_for(self, condition: Callable[[], bool], what: str) -> float:
-        """Poll a condition; return the seconds until it held."""
+        """Poll a condition; return the seconds until it held.
+
+        :raises HarnessError: it did not in time, or a stand-in failed meanwhile.
+        """
         started = time.monotonic()
         while not condition():
+            self._check_standins()
             if time.monotonic() - started > WAIT_S:
                 raise HarnessError(f'not within {WAIT_S:g} s: {what}')
             time.sleep(0.05)
         return time.monotonic() - started
 
+    def _check_standins(self) -> None:
+        """Fail at once if a stand-in has failed, as nothing comes about without it."""
+        for name in self._standins:
+            process = self.processes.get(name)
+            if process is not None and process.has_failed():
+                errors = process.read_errors()
+                raise HarnessError(f'the stand-in {name} has ended: {errors}')
+
     # -- the end --------------------------------------------------------------------
 
     def stop_node(self, name: str) -> int:
--- a/tests/test_harness.py
+++ b/tests/test_harness.py
@@ -5,8 +5,10 @@
 import socket
 import unittest
 from types import SimpleNamespace
+from unittest import mock
 
-from standins.harness import Harness, PortReservations
+from standins.harness import Harness, HarnessError, PortReservations
+from standins.network import INSTANCE_HOST
 
 
 class ConvergedTest(unittest.TestCase):
@@ -14,6 +16,7 @@
 
     def build(self, *bodies):
         harness = Harness.__new__(Harness)
+        harness._standins = set()
         answers = [SimpleNamespace(json=lambda body=body: body) for body in bodies]
         harness.operate = lambda *args: answers.pop(0)
         return harness
@@ -60,11 +63,83 @@
             socket.create_connection(('127.0.0.1', port)).close()
             listener.close()
 
+    # Guards against paths that find the port of their instance taken at their host.
+    def test_port_is_free_at_all_hosts_that_need_it(self):
+        hosts = ('127.0.2.1', '127.0.2.2')
+        taken = []
+
+        def take(address):
+            """Let another process have each port that is tried first at a host."""
+            host, port = address
+            if host == hosts[1] and len(taken) < 3 and port not in taken:
+                taken.append(port)
+                raise OSError
+
+        bind = socket.socket.bind
+
+        class Contested(socket.socket):
+            """A socket whose port may be taken."""
+
+            def bind(self, address):
+                take(address)
+                bind(self, address)
+
+        with mock.patch('standins.harness.socket.socket', Contested):
+            port = self.ports.reserve(*hosts)
+        self.assertEqual(len(taken), 3)
+        self.assertNotIn(port, taken)
+        for host in ('127.0.0.1', *hosts):
+            with socket.socket() as sock, self.assertRaises(OSError):
+                sock.bind((host, port))
+
+    def test_no_port_is_an_error(self):
+        # An address of a network that is for documentation is none of this machine.
+        with self.assertRaises(HarnessError):
+            self.ports.reserve('192.0.2.1')
+
     def test_ports_are_free_once_let_go(self):
         port = self.ports.reserve()
         self.ports.close()
         self.bind(port, reuse=False)
 
 
+class FailedStandinTest(unittest.TestCase):
+    """A stand-in that cannot start, or that ends, fails a test at once."""
+
+    def setUp(self):
+        self.harness = Harness()
+        self.addCleanup(self.harness.close)
+
+    def start_paths(self, port):
+        command = ('standins.paths', '--nodes', 'n1', '--ports', str(port))
+        process = self.harness._start_standin('paths', *command)
+        self.addCleanup(process.kill)
+        return process
+
+    # Guards against a port that is reported before its process has started.
+    def test_stand_in_without_its_port_does_not_start(self):
+        with socket.socket() as sock:
+            sock.bind((INSTANCE_HOST, 0))
+            process = self.start_paths(sock.getsockname()[1])
+            with self.assertRaisesRegex(HarnessError, 'Address already in use'):
+                process.wait_told()
+
+    # Guards against a wait for what cannot come about, until its time limit.
+    def test_wait_ends_with_the_stand_in(self):
+        with socket.socket() as sock:
+            sock.bind((INSTANCE_HOST, 0))
+            process = self.start_paths(sock.getsockname()[1])
+            self.assertGreater(process.wait(), 0)
+            with self.assertRaisesRegex(HarnessError, 'the stand-in paths has ended'):
+                self.harness.wait_for(lambda: False, 'anything')
+
+    def test_stand_in_that_was_killed_has_not_failed(self):
+        process = self.harness._start_standin('kv', 'standins.kv')
+        process.wait_told()
+        self.assertFalse(process.has_failed())
+        process.kill()
+        self.assertFalse(process.has_failed())
+
+
 if __name__ == '__main__':
     unittest.main()
