Let the simulated client of a continued stream send its Last-Event-Id

tests.gateway.test_run_schedules.ScheduleTest.test_drawn_schedules has failed since: the simulation told the node of a last event in the parsed fields only, and its request had no header, which is now forwarded as it is.

--- a/tests/gateway/simulated_runs.py
+++ b/tests/gateway/simulated_runs.py
@@ -612,8 +612,9 @@
             resumable=case.resumable,
             pause_s=0.3,
         )
+        headers = ((b'Last-Event-Id', last_event),) if last_event else ()
         incoming = SimpleNamespace(
-            method=b'POST', target=b'/r/x', headers=(), body=b'', received_at=START
+            method=b'POST', target=b'/r/x', headers=headers, body=b'', received_at=START
         )
         deadline_at = START + case.timeout_s
         return Job(incoming, self.reply, fields, route, service, None, deadline_at)
