Forward streams of services without engines as they come

What callers saw: a stream of a service without an engine came all at once after its last event, so that longer ones never came: clients give up after two seconds. One that its instance broke off began anew.

Cause: CallServer reads every response whole, whatever the kind of the route.

Ruled out: StreamServer with groups of one, whose probes are too frequent for such services (postmortem).

Change: on a streaming route, a response of events is forwarded event by event. It is overdue after twice the objective without progress and may go on after its last event at another instance, by the race of runs that calls have already. A stopping node counts it as a stream. Progress moves to gateway.runs, as both servers use it. The check of tests.whole.test_broken_off on streams that all instances break off wanted 502; where events were forwarded, it wants exactly these, a broken end and two runs.

--- a/coursepitch/gateway/calls.py
+++ b/coursepitch/gateway/calls.py
@@ -1,4 +1,8 @@
-"""Requests to services without groups, whose responses are buffered whole."""
+"""Requests to services without groups.
+
+Responses are buffered whole.  Streams of events are forwarded as they come instead, and
+may go on at another instance.
+"""
 
 from __future__ import annotations
 
@@ -28,11 +32,13 @@
     take_permit,
 )
 from coursepitch.gateway.job import Ending, ErrorResponse, Refusal
+from coursepitch.gateway.plain_streams import EventReader, is_event_stream
 from coursepitch.gateway.response_ends import Arrivals, check_body
-from coursepitch.gateway.runs import EndProof, RunRace, RunSet
+from coursepitch.gateway.runs import EndProof, Progress, RunRace, RunSet
 from coursepitch.gateway.suspicion import explain_crashes
 from coursepitch.gateway.watchdog import Stall
 from coursepitch.http.client import ExchangeError
+from coursepitch.http.event_splitter import EventSplitter
 from coursepitch.platform.headers import forward_response_headers
 from coursepitch.scheduling.capacity import find_plain_bound
 
@@ -79,6 +85,7 @@
     :param response: ``None`` before its head has arrived.
     :param begun_at: monotonic time at which its head arrived; ``None`` before it.
     :param body: whole body of the response.
+    :param reader: reads the response if it is a stream of events.
     :param suspected: whether the run is overdue.
     :param interrupted: whether its connection was lost, and it is being examined
         whether the instance crashed.
@@ -95,6 +102,7 @@
     response: Response | None = None
     begun_at: float | None = None
     body: bytes = b''
+    reader: EventReader | None = None
     suspected: bool = False
     interrupted: bool = False
     ended: bool = False
@@ -117,7 +125,7 @@
 
     async def serve(self, job: Job) -> Refusal | None:
         """Serve a request; return the refusal to send if there is no response."""
-        runs: RunSet[CallRun] = RunSet()
+        runs: RunSet[CallRun] = RunSet(job.fields.last_event)
         try:
             return await self._serve(job, runs)
         finally:
@@ -129,7 +137,7 @@
         while True:
             if stops_too_soon(self._components, job):
                 return self._give_up(job)
-            if is_isolated(self._components, job):
+            if not job.reply.started and is_isolated(self._components, job):
                 return self._give_up(job)
             instance = await self._wait_for_instance(job, tried)
             if instance is None:
@@ -143,7 +151,7 @@
                     continue
                 if retry is Retry.DENIED:
                     return self._give_up(job)
-            runs.add(self._begin_run(job, instance, tried))
+            runs.add(self._begin_run(job, instance, tried, runs.last_event))
             if await self._serve_runs(job, runs, tried):
                 return None
             if self._components.crash_detector.forbids_retry(
@@ -154,7 +162,7 @@
     async def _serve_runs(
         self, job: Job, runs: RunSet[CallRun], tried: set[str]
     ) -> bool:
-        """Forward the first whole response; return ``False`` if all runs failed."""
+        """Forward the first response; return ``False`` if all runs failed."""
 
         async def advance(run: CallRun) -> bool:
             with anyio.CancelScope() as run.scope:
@@ -180,21 +188,34 @@
                 overdue_s, start, partial(self._has_ended, run)
             )
 
-        run = await RunRace(runs, advance, watch, find_other, defer).wait()
-        if run is None:
-            return False
-        for other in runs.choose(run):
-            if other.ended:
-                continue
-            log.emit(
-                events.RUN_DROPPED,
-                request=job.fields.request,
-                instance=other.head,
-                suspected=other.suspected,
-            )
-            self._end_run(job, other)
-        await self._forward(job, run)
-        return True
+        while True:
+            run = await RunRace(runs, advance, watch, find_other, defer).wait()
+            if run is None:
+                return False
+            for other in runs.choose(run):
+                self._drop_run(job, other)
+            if run.reader is None:
+                await self._forward(job, run)
+                return True
+            progress = await self._deliver(job, runs, run, run.reader)
+            if progress is Progress.WHOLE:
+                return True
+            if progress is Progress.FAILED:
+                runs.remove(run)
+                self._end_run(job, run)
+                return False
+
+    def _drop_run(self, job: Job, run: CallRun) -> None:
+        """End a run because another one delivers the response."""
+        if run.ended:
+            return
+        log.emit(
+            events.RUN_DROPPED,
+            request=job.fields.request,
+            instance=run.head,
+            suspected=run.suspected,
+        )
+        self._end_run(job, run)
 
     def _may_add_run(self, job: Job, runs: RunSet[CallRun]) -> bool:
         """Whether the route allows another run beside the live ones."""
@@ -215,7 +236,12 @@
             return True
         return job.route.repeatable and len(job.may_have_run) < job.route.attempts
 
-    def _give_up(self, job: Job) -> Refusal:
+    def _give_up(self, job: Job) -> Refusal | None:
+        """Abort a started response, or return the refusal of the request."""
+        if job.reply.started:
+            job.reply.abort()
+            job.ending = Ending.CUT
+            return None
         if job.may_have_run:
             late = self._components.clock() >= job.deadline_at
             status = 504 if late else 502
@@ -286,8 +312,13 @@
 
     # -- runs -------------------------------------------------------------------------
 
-    def _begin_run(self, job: Job, instance: FleetInstance, tried: set[str]) -> CallRun:
-        """Return a new run at an instance, which counts as in flight from now on."""
+    def _begin_run(
+        self, job: Job, instance: FleetInstance, tried: set[str], last_event: bytes
+    ) -> CallRun:
+        """Return a new run at an instance, which counts as in flight from now on.
+
+        :param last_event: id of the last event that the client has.
+        """
         tried.add(instance.name)
         permit, job.permit = job.permit, None
         session = self._components.session
@@ -300,7 +331,7 @@
             load=self._components.load_tracker.count_in_flight(instance.name),
             choices=len(session.view.list_serving(job.service.name)),
             attempt=len(job.sent) + 1,
-            last_event=job.fields.last_event.decode('latin-1'),
+            last_event=last_event.decode('latin-1'),
             table=table.version if table else 0,
             age=round(session.confirmation_age_s, 3),
             heard=session.view.received_revision,
@@ -313,6 +344,8 @@
         if run.ended:
             return
         run.ended = True
+        if run.reader is not None:
+            run.reader.release()
         if run.response is not None:
             run.response.release()
         self._components.load_tracker.end(run.head)
@@ -420,7 +453,7 @@
                 if granted:
                     instance = await self._wait_for_instance(job, tried)
                     if instance is not None and self._may_add_run(job, runs):
-                        return self._begin_run(job, instance, tried)
+                        return self._begin_run(job, instance, tried, runs.last_event)
             await anyio.sleep(FIND_INTERVAL_S)
 
     def _fail_ended(self, job: Job, runs: RunSet[CallRun], looked_at: float) -> float:
@@ -443,9 +476,28 @@
     # -- progress of a run ------------------------------------------------------------
 
     async def _advance(self, job: Job, runs: RunSet[CallRun], run: CallRun) -> bool:
-        """Send a request and read the response; return whether to forward it."""
+        """Send a request unless it was sent, and read its response.
+
+        :return: whether it is to be forwarded: it is whole, or has a further event.
+        """
+        if run.response is None and not await self._send(job, runs, run):
+            return False
+        response = run.response
+        if response is None:
+            return False
+        if run.reader is not None:
+            return await self._read_event(job, run, run.reader)
+        if job.reply.started:
+            job.last_reason = f'a stream cannot go on with status {response.status}'
+            self._components.load_tracker.note_failure(run.head)
+            return False
+        return await self._read_whole(job, runs, run, response)
+
+    async def _send(self, job: Job, runs: RunSet[CallRun], run: CallRun) -> bool:
+        """Send a request to an instance; return whether it responds."""
         plan = SendPlan(
             max(0.001, job.deadline_at - self._components.clock()),
+            last_event=runs.last_event if job.reply.started else b'',
             # A reset of a reused connection does not tell whether the request was
             # executed, so a request that must not be repeated gets a new connection.
             new_connection=not job.route.repeatable,
@@ -463,7 +515,17 @@
                 await self._check_crash(job, run)
             return False
         run.response, run.begun_at = attempt.answer, self._components.clock()
-        return await self._read_whole(job, runs, run, attempt.answer)
+        if is_event_stream(job, attempt.answer):
+            run.reader = EventReader(
+                self._components.crash_detector,
+                self._components.clock,
+                job,
+                attempt.answer,
+                run.instance,
+                EventSplitter(runs.last_event),
+                run.arrivals,
+            )
+        return True
 
     async def _read_whole(
         self, job: Job, runs: RunSet[CallRun], run: CallRun, answer: Response
@@ -509,10 +571,8 @@
         failed = answer.status >= 500
         if failed:
             components.load_tracker.note_failure(run.head)
-        elif run.sent_at is not None:
-            took_s = components.clock() - run.sent_at
-            expected_s = max(0.05, job.route.objective_s / 4)
-            components.load_tracker.note_success(run.head, took_s / expected_s)
+        else:
+            self._note_success(job, run)
         # The status may claim that the request was not executed, which is unknown.
         claims_not_executed = answer.status in NOT_EXECUTED_STATUSES
         if claims_not_executed or (
@@ -525,15 +585,132 @@
             return False
         return True
 
+    def _note_success(self, job: Job, run: CallRun) -> None:
+        """Record how long an instance took to respond, or to begin a stream."""
+        if run.sent_at is not None:
+            took_s = self._components.clock() - run.sent_at
+            expected_s = max(0.05, job.route.objective_s / 4)
+            self._components.load_tracker.note_success(run.head, took_s / expected_s)
+
+    # -- streams of events ------------------------------------------------------------
+
+    async def _read_event(self, job: Job, run: CallRun, reader: EventReader) -> bool:
+        """Read on to the next event or the end; return ``False`` if the run failed."""
+        try:
+            while not reader.has_progressed:
+                await reader.read()
+        except ExchangeError as error:
+            await self._note_interruption(job, run, error)
+            return False
+        return True
+
+    async def _deliver(
+        self, job: Job, runs: RunSet[CallRun], run: CallRun, reader: EventReader
+    ) -> Progress:
+        """Forward the events of a run until they end or stay away for too long."""
+        self._note_delivery(job, run, reader.response)
+        if not job.reply.started:
+            self._note_success(job, run)
+            headers = forward_response_headers(reader.response.headers)
+            await job.reply.start(reader.response.status, headers)
+        clock = self._components.clock
+        progressed_at = clock()
+        try:
+            while True:
+                has_progressed, ready = reader.has_progressed, reader.take_ready()
+                if has_progressed and not reader.is_whole:
+                    job.note_event(clock())
+                runs.last_event = reader.splitter.last_event
+                if ready:
+                    await job.reply.send(ready)
+                if reader.is_whole:
+                    break
+                if has_progressed:
+                    # A client that takes its time is not for the run to answer for.
+                    progressed_at = clock()
+                    run.proof.proven_at = None
+                if not await self._read_in_time(job, runs, run, reader, progressed_at):
+                    return Progress.STALLED
+        except ExchangeError as error:
+            await self._note_interruption(job, run, error)
+            return Progress.FAILED
+        await job.reply.end()
+        job.ending = Ending.ANSWERED
+        self._components.load_tracker.note_success(run.head)
+        return Progress.WHOLE
+
+    async def _read_in_time(
+        self,
+        job: Job,
+        runs: RunSet[CallRun],
+        run: CallRun,
+        reader: EventReader,
+        progressed_at: float,
+    ) -> bool:
+        """Read a stream until there is something to forward.
+
+        A run that nothing can replace is never stalled.
+
+        :param progressed_at: monotonic time of its last event.
+        :return: ``False`` if it is stalled.
+        :raises ExchangeError: it broke off, or its instance has ended.
+        """
+        clock = self._components.clock
+        overdue_s = job.route.objective_s * OVERDUE_FACTOR
+        asked_at, left_s = clock(), FIND_INTERVAL_S
+        while not (reader.ready or reader.has_progressed):
+            now = clock()
+            has_paused = has_passed_late(left_s, now - asked_at)
+            ended = self._has_ended(run)
+            run.proof.note(now, ended=ended, has_paused=has_paused)
+            if run.proof.is_final(now, run.arrivals):
+                raise ExchangeError('the instance has ended')
+            if has_paused:
+                progressed_at = now
+            if ended or now - progressed_at >= overdue_s:
+                if not run.suspected:
+                    stall = Stall.REPORTED if ended else Stall.OVERDUE
+                    self._note_stall(job, run, runs, stall, progressed_at)
+                    run.suspected = True
+                if self._may_add_run(job, runs):
+                    return False
+            asked_at = now
+            await reader.read(left_s)
+        run.suspected = run.suspected and not reader.has_progressed
+        return True
+
+    async def _note_interruption(
+        self, job: Job, run: CallRun, error: ExchangeError
+    ) -> None:
+        """Record that a stream broke off."""
+        job.last_reason = str(error)
+        self._components.load_tracker.note_failure(run.head)
+        if run.reader is not None:
+            log.emit(
+                events.REQUEST_RESUMED,
+                request=job.fields.request,
+                offset=run.reader.splitter.last_event.decode('latin-1'),
+                instance=run.head,
+                reason=job.last_reason,
+            )
+        await self._check_crash(job, run)
+
+    # -- the end of a run -------------------------------------------------------------
+
+    def _note_delivery(self, job: Job, run: CallRun, response: Response) -> None:
+        """Record that a run delivers the response."""
+        job.software, job.framing = run.instance.software, response.framing
+        if run.sent_at is not None:
+            job.last_sent_at = run.sent_at
+        job.status = response.status
+
     async def _forward(self, job: Job, run: CallRun) -> None:
         """Forward a response that has been read whole."""
         response = run.response
         if response is None:
             return
-        job.software, job.framing = run.instance.software, response.framing
-        if run.sent_at is not None:
-            job.last_sent_at = run.sent_at
-        job.status, job.ending = response.status, Ending.ANSWERED
+        self._note_delivery(job, run, response)
+        job.ending = Ending.ANSWERED
         headers = forward_response_headers(response.headers)
         await job.reply.send_whole(response.status, headers, run.body)
 
--- a/coursepitch/gateway/job.py
+++ b/coursepitch/gateway/job.py
@@ -7,6 +7,7 @@
 from functools import cached_property
 from typing import TYPE_CHECKING
 
+from coursepitch.config.routes import RouteKind
 from coursepitch.crashes.suspects import Traits
 from coursepitch.gateway.fingerprint import build_fingerprint
 
@@ -198,10 +199,15 @@
         )
 
     @property
-    def is_streamed(self) -> bool:
-        """Whether the response is forwarded as it comes, from a group."""
+    def needs_group(self) -> bool:
+        """Whether the request is for a model, which runs in groups."""
         return self.service.engine is not None and bool(self.fields.model)
 
+    @property
+    def is_streamed(self) -> bool:
+        """Whether the response is forwarded as it comes."""
+        return self.needs_group or self.route.kind is RouteKind.STREAM
+
     @property
     def arrived_at(self) -> float:
         """Monotonic time at which the request was completely read."""
--- a/coursepitch/gateway/request_handler.py
+++ b/coursepitch/gateway/request_handler.py
@@ -252,7 +252,7 @@
 
     async def _forward(self, job: Job) -> Refusal | None:
         """Forward a request; return the refusal to send, if any."""
-        if job.is_streamed:
+        if job.needs_group:
             self._record_work(job)
             return await self._streams.serve(job)
         return await self._calls.serve(job)
--- a/coursepitch/gateway/runs.py
+++ b/coursepitch/gateway/runs.py
@@ -11,6 +11,7 @@
 
 from __future__ import annotations
 
+import enum
 from dataclasses import dataclass, field
 from functools import partial
 from typing import TYPE_CHECKING, Generic, Protocol, TypeVar
@@ -30,7 +31,7 @@
     from coursepitch.http.client import Response
     from coursepitch.http.event_splitter import EventSplitter
 
-__all__ = ['EndProof', 'Run', 'RunRace', 'RunSet', 'Runnable']
+__all__ = ['EndProof', 'Progress', 'Run', 'RunRace', 'RunSet', 'Runnable']
 
 #: Seconds without bytes after which a run fails whose instance, or a member of its
 #: group, is known to have ended: what had been sent before has arrived by then.
@@ -41,6 +42,18 @@
 PROVEN_REST_S = 2.0
 
 
+class Progress(enum.Enum):
+    """How the delivery of a response came to a halt.
+
+    :cvar WHOLE: the client has the whole response.
+    :cvar STALLED: the run may have failed.
+    """
+
+    WHOLE = 'whole'
+    STALLED = 'stalled'
+    FAILED = 'failed'
+
+
 class Runnable(Protocol):
     """One send of a request, to a group or to a plain instance.
 
--- a/coursepitch/gateway/streams.py
+++ b/coursepitch/gateway/streams.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import contextlib
-import enum
 from functools import partial
 from typing import TYPE_CHECKING
 
@@ -33,8 +32,9 @@
     take_permit,
 )
 from coursepitch.gateway.job import Ending, ErrorResponse, Refusal
+from coursepitch.gateway.plain_streams import MAX_COMMENT_BYTES
 from coursepitch.gateway.response_ends import check_events, check_sender, has_events
-from coursepitch.gateway.runs import Run, RunRace, RunSet
+from coursepitch.gateway.runs import Progress, Run, RunRace, RunSet
 from coursepitch.gateway.suspicion import explain_crashes
 from coursepitch.gateway.watchdog import RECHECK_S, Stall
 from coursepitch.gateway.work import estimate_tokens, find_max_in_flight
@@ -87,10 +87,6 @@
 #: Source: as for what is received of an event, only its end tells that it has one.
 MAX_UNSIZED_BODY_BYTES = MAX_EVENT_BYTES
 
-#: Bytes of comments between two events that clients get, unless the length of the
-#: response counts them: those that keep connections open are short.
-MAX_COMMENT_BYTES = 16_384
-
 #: Most sends of one request, including rejected ones, whatever the route allows.
 MAX_SENDS = 5
 
@@ -104,18 +100,6 @@
 }
 
 
-class Progress(enum.Enum):
-    """How the delivery of a response came to a halt.
-
-    :cvar WHOLE: the client has the whole response.
-    :cvar STALLED: the run may have failed.
-    """
-
-    WHOLE = 'whole'
-    STALLED = 'stalled'
-    FAILED = 'failed'
-
-
 class StreamServer:
     """Serve streaming routes whose service runs models in groups."""
 
--- a/tests/whole/test_broken_off.py
+++ b/tests/whole/test_broken_off.py
@@ -180,8 +180,18 @@
                         found = self.read_stream('/events/x', f'{request}-{number}')
                         self.assertEqual(found, (WHOLE, True))
                     self.break_off(names, 'api', framing=framing, place=place)
-                    reply = self.send('n1', 'POST', '/events/x', request)
-                    self.assertEqual(reply.status_code, 502)
+                    self.check_fails(request, place)
+
+    def check_fails(self, request, place):
+        """Check that a stream of a plain service looks broken off, or is refused."""
+        if place == 'first':
+            reply = self.send('n1', 'POST', '/events/x', request)
+            self.assertEqual(reply.status_code, 502)
+            return
+        ids, complete = self.read_stream('/events/x', request)
+        self.assertFalse(complete)
+        self.assertEqual(ids, WHOLE[: EVENTS // 2 - 1])
+        self.assertEqual(len(self.find_runs(request)), 2)
 
     def test_whole_stream_is_whole_however_it_is_framed(self):
         self.addCleanup(self.control, 'pool', '/fault', mode='none')
