Ask leaving instances about the ends of all answers that only their connection tells

Cause: a leaving instance was not asked whether it runs where the request may run only once, as it might end right after its last answer. PROTOCOL.md has it serve on for some seconds after its notice, "and then it ends": at its time, at work or not.

Ruled out: breaking off whatever a leaving instance ends without a question, as those that serve on for seconds are asked and answer.

Change: check_sender asks every leaving instance; the switch of its callers goes. Two tests of test_response_ends held the exception: that the end of a leaving instance breaks nothing off where a request may not be repeated. They are replaced by one over all kinds of routes that wants the break, and one that wants the answer whole while the instance may run.

--- a/coursepitch/gateway/calls.py
+++ b/coursepitch/gateway/calls.py
@@ -558,7 +558,6 @@
                     run.instance,
                     run.body,
                     steady=arrivals.are_steady(components.clock()),
-                    repeatable=job.route.repeatable,
                 )
         except (ExchangeError, TimeoutError) as error:
             job.last_reason = str(error) or 'the answer did not end in time'
--- a/coursepitch/gateway/plain_streams.py
+++ b/coursepitch/gateway/plain_streams.py
@@ -97,7 +97,6 @@
             self.response,
             self.instance,
             steady=self.arrivals.are_steady(self.clock()),
-            resumable=self.job.route.resumable and self.splitter.has_events(),
         )
         self.ready += self.splitter.flush()
         self.release()
--- a/coursepitch/gateway/response_ends.py
+++ b/coursepitch/gateway/response_ends.py
@@ -134,17 +134,14 @@
     instance: FleetInstance,
     *,
     steady: bool = True,
-    resumable: bool = False,
 ) -> None:
-    """Check that an instance did not crash with a response that has ended.
+    """Check that an instance did not end with a response that has ended.
 
-    Records whether that is proven.  The kernel closes the connections of a crashed
-    process as the process does after a whole response.  An instance that is leaving
-    may end after its last response, so it is only asked about one that was silent
-    before, or that can go on at another instance.
+    Records whether that is proven.  The kernel closes the connections of a process that
+    has ended as the process does after a whole response.  One that is leaving ends at
+    its time, whatever it is at work on.
 
     :param steady: whether the response was not silent shortly before its end.
-    :param resumable: whether another instance can give what may be missing.
     :raises BrokenOffError: it did, or nobody could find out, or nothing tells that a
         response which was silent is whole; and the end of the connection is all that
         tells its end.
@@ -156,7 +153,7 @@
     state = await detector.find_state(instance)
     if state is ProcessState.UNKNOWN and not steady:
         state = await detector.find_state_of_silent(instance)
-    elif state is ProcessState.UNKNOWN and resumable and not listed:
+    elif state is ProcessState.UNKNOWN and not listed:
         state = await detector.find_state_of_leaving(instance)
     job.survived = state is ProcessState.RUNS
     if state not in (ProcessState.RUNS, ProcessState.ENDED):
@@ -186,12 +183,10 @@
     body: bytes,
     *,
     steady: bool = True,
-    repeatable: bool = False,
 ) -> None:
     """Check a response that has been read whole, as a stream that has ended.
 
     :param steady: whether the response was not silent shortly before its end.
-    :param repeatable: whether the request may be repeated, by this node or its client.
     :raises BrokenOffError: it broke off.
     """
     if has_events(job, answer):
@@ -204,9 +199,7 @@
             # What this has searched is not searched again at the end.
             splitter.has_events()
         check_events(job, answer, instance, splitter)
-    await check_sender(
-        detector, job, answer, instance, steady=steady, resumable=repeatable
-    )
+    await check_sender(detector, job, answer, instance, steady=steady)
 
 
 def _log_broken_off(
--- a/coursepitch/gateway/streams.py
+++ b/coursepitch/gateway/streams.py
@@ -620,7 +620,6 @@
             response,
             run.group.head,
             steady=steady,
-            resumable=job.route.resumable and run.splitter.has_events(),
         )
         self._watchdog.note_activity(run.head)
         run.events += run.splitter.flush()
--- a/tests/gateway/test_response_ends.py
+++ b/tests/gateway/test_response_ends.py
@@ -249,65 +249,35 @@
                 self.assertEqual(self.job.survived, found is ProcessState.RUNS)
                 self.assertFalse(self.is_silent_end_broken_off(steady=True, **states))
 
-    # Guards against whole streams that look broken off as they paused.
-    def is_leaving_broken_off(self, state, *, resumable):
+    def is_leaving_broken_off(self, state, kind=RouteKind.STREAM):
         """Whether a steady response of an instance that is leaving is broken off."""
-        job, answer = self.build_exchange(Framing.CONNECTION)
+        job, answer = self.build_exchange(Framing.CONNECTION, kind=kind)
         detector = FakeDetector(state=ProcessState.UNKNOWN, leaving=state)
-        check = partial(
-            check_sender,
-            detector,
-            job,
-            answer,
-            SimpleNamespace(name='i'),
-            resumable=resumable,
-        )
+        instance = SimpleNamespace(name='i')
+        if kind is RouteKind.STREAM:
+            check = partial(check_sender, detector, job, answer, instance)
+        else:
+            check = partial(check_body, detector, job, answer, instance, b'part')
         try:
             anyio.run(check)
         except BrokenOffError:
             return True
         return False
 
-    # Guards against streams that end as complete as their leaving instance is killed.
-    def test_stream_of_an_ended_instance_goes_on_at_another(self):
-        self.assertTrue(self.is_leaving_broken_off(ProcessState.ENDED, resumable=True))
-
-    def test_stream_of_a_leaving_instance_that_runs_is_whole(self):
-        for state in (ProcessState.RUNS, ProcessState.UNKNOWN):
-            self.assertFalse(self.is_leaving_broken_off(state, resumable=True))
+    # Guards against parts of answers that look whole as their leaving instance ended.
+    def test_response_of_a_leaving_instance_that_has_ended_is_broken_off(self):
+        for kind in RouteKind:
+            for state in (ProcessState.ENDED, ProcessState.UNREACHED):
+                with self.subTest(kind=kind, state=state):
+                    self.assertTrue(self.is_leaving_broken_off(state, kind))
 
-    # Guards against calls whose body is cut short as their leaving instance ends.
-    def test_call_of_an_ended_instance_is_repeated_at_another(self):
-        for state, repeatable, expected in (
-            (ProcessState.ENDED, True, True),
-            (ProcessState.ENDED, False, False),
-            (ProcessState.RUNS, True, False),
-        ):
-            job, answer = self.build_exchange(
-                Framing.CONNECTION, kind=RouteKind.REPEATABLE
-            )
-            detector = FakeDetector(state=ProcessState.UNKNOWN, leaving=state)
-            check = partial(
-                check_body,
-                detector,
-                job,
-                answer,
-                SimpleNamespace(name='i'),
-                b'part',
-                repeatable=repeatable,
-            )
-            broken_off = False
-            try:
-                anyio.run(check)
-            except BrokenOffError:
-                broken_off = True
-            self.assertEqual(broken_off, expected, (state, repeatable))
-
-    def test_end_of_a_leaving_instance_alone_breaks_nothing_else_off(self):
-        self.assertFalse(
-            self.is_leaving_broken_off(ProcessState.ENDED, resumable=False)
-        )
+    def test_response_of_a_leaving_instance_that_may_run_is_whole(self):
+        for kind in RouteKind:
+            for state in (ProcessState.RUNS, ProcessState.UNKNOWN):
+                with self.subTest(kind=kind, state=state):
+                    self.assertFalse(self.is_leaving_broken_off(state, kind))
 
+    # Guards against whole streams that look broken off as they paused.
     def test_silent_response_of_an_instance_that_lives_is_whole(self):
         found = self.is_silent_end_broken_off(steady=False, state=ProcessState.RUNS)
         self.assertFalse(found)
--- a/tests/whole/test_broken_off.py
+++ b/tests/whole/test_broken_off.py
@@ -378,6 +378,19 @@
                 self.assertLess(len(ids), self.events)
                 self.assertFalse(complete)
 
+    # Guards against the same where the instance was at work until its end.
+    def test_stream_of_a_leaving_instance_that_ends_amid_it_never_looks_complete(self):
+        def end(head):
+            self.control('pool', '/crash', instances=[head])
+
+        for leave in (self.drain, self.vanish):
+            with self.subTest(leave=leave.__name__):
+                request = f'amid-{leave.__name__}'
+                ids, complete = self.read_of_leaving('/single/x', request, leave, end)
+                self.assertLess(len(ids), self.events)
+                self.assertFalse(complete)
+                self.assertEqual(len(self.find_runs(request)), 1)
+
 
 class LeavingPlainInstanceTest(BrokenOffCase):
     """The same for answers of a service without groups, which are read whole."""
