--- a/coursepitch/gateway/plain_streams.py
+++ b/coursepitch/gateway/plain_streams.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import contextlib
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -70,12 +69,14 @@
         :param timeout_s: seconds to wait at most.
         :raises ExchangeError: the response broke off, or can become no response.
         """
-        with contextlib.suppress(TimeoutError):
+        try:
             data = await self.response.read_chunk(timeout_s)
-            if data is None:
-                await self._finish()
-            else:
-                self._take(data)
+        except TimeoutError:
+            return
+        if data is None:
+            await self._finish()
+        else:
+            self._take(data)
 
     def _take(self, data: bytes) -> None:
         self.arrivals.note(self.clock())
