--- a/coursepitch/events.py
+++ b/coursepitch/events.py
@@ -156,6 +156,14 @@
     'A message or connection from a peer was rejected.',
     ('peer', 'reason'),
 )
+LINKS_BUSY = Event(
+    403,
+    'links.busy',
+    'Much was sent to peers, or messages to them were dropped: the bytes and messages '
+    'of so many seconds by kind, the messages that wait and the bytes that the kernel '
+    'has not taken.',
+    ('seconds', 'bytes', 'messages', 'dropped', 'waiting', 'unsent'),
+)
 
 DUTY_TAKEN = Event(500, 'duty.taken', 'The node acquired a duty.', ('duty', 'lease'))
 DUTY_LOST = Event(501, 'duty.lost', 'The node no longer holds a duty.', ('duty',))
--- a/coursepitch/fleet/links.py
+++ b/coursepitch/fleet/links.py
@@ -19,6 +19,7 @@
 
 from coursepitch import events, log
 from coursepitch.errors import CodecError
+from coursepitch.fleet.link_traffic import LinkTraffic, name_kind
 from coursepitch.fleet.messages import (
     Heartbeat,
     decode_message,
@@ -75,7 +76,7 @@
     """A connection to a peer and its queue of messages.
 
     :param node: name of the peer; empty until its first heartbeat.
-    :param waiting: encoded messages to send.
+    :param waiting: encoded messages to send, each after its kind.
     :param heartbeat_due: whether a heartbeat is due.
     :param received_at: time of the last received message.
     :param sending_since: start of the current send; infinite if there is none.
@@ -83,7 +84,9 @@
     """
 
     node: str = ''
-    waiting: collections.deque[bytes] = field(default_factory=collections.deque)
+    waiting: collections.deque[tuple[str, bytes]] = field(
+        default_factory=collections.deque
+    )
     heartbeat_due: bool = True
     wake: anyio.Event = field(default_factory=anyio.Event)
     scope: anyio.CancelScope = field(default_factory=anyio.CancelScope)
@@ -91,6 +94,14 @@
     sending_since: float = float('inf')
     ended: str = ''
     serving: anyio.CancelScope | None = None
+    connection: Connection | None = None
+
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes written to the connection that the kernel has not taken."""
+        if self.connection is None:
+            return 0
+        return self.connection.transport.get_write_buffer_size()
 
     def find_fault(self, now: float) -> str:
         """Return why the link has to be closed; empty if it is healthy."""
@@ -106,11 +117,16 @@
         if self.serving is not None:
             self.serving.cancel()
 
-    def put(self, data: bytes) -> None:
-        """Queue a message; drop it if the queue is full."""
-        if len(self.waiting) < QUEUE_LIMIT:
-            self.waiting.append(data)
+    def put(self, data: bytes, kind: str = '') -> bool:
+        """Queue a message; drop it if the queue is full.
+
+        :return: whether it was queued.
+        """
+        has_room = len(self.waiting) < QUEUE_LIMIT
+        if has_room:
+            self.waiting.append((kind, data))
         self.wake.set()
+        return has_room
 
 
 @dataclass(eq=False)
@@ -124,6 +140,7 @@
     :param greet: called with the name of a peer when its link is up.
     :param serve_tunnel: serves a peer's connection to an instance, see
         :mod:`coursepitch.fleet.tunnels`.
+    :param count_sent: counts the bytes that were sent by kind of message.
     """
 
     me: str
@@ -135,6 +152,7 @@
     clock: Clock
     greet: Callable[[str], None] = lambda node: None
     serve_tunnel: Callable[[ServerConnection], Awaitable[None]] | None = None
+    count_sent: Callable[[str, int], None] = lambda kind, size: None
     _dialled: dict[str, _Link] = field(default_factory=dict)
     _accepted: list[_Link] = field(default_factory=list)
     _down_until: dict[str, float] = field(default_factory=dict)
@@ -143,6 +161,11 @@
     _heartbeat_due: anyio.Event = field(default_factory=anyio.Event)
     _plan_key: tuple[dict[str, NodeLocation], str] | None = None
 
+    def __post_init__(self) -> None:
+        self._traffic = LinkTraffic(
+            self.clock, lambda kind, size: self.count_sent(kind, size)
+        )
+
     def is_followed(self) -> bool:
         """Whether other nodes depend on this one for changes."""
         return bool(self._accepted)
@@ -156,7 +179,7 @@
         data = encode_message(message)
         for link in self._list_links():
             if link.node and node in ('', link.node):
-                link.put(data)
+                self._put(link, message, data)
 
     def relay_changes(self, changes: Changes, sender: str = '') -> None:
         """Queue changes for the nodes that depend on this one, and for relays.
@@ -169,7 +192,11 @@
         data = encode_message(changes)
         for link in self._accepted if sender else self._list_links():
             if link.node != sender and self.book.wants_changes(link.node):
-                link.put(data)
+                self._put(link, changes, data)
+
+    def _put(self, link: _Link, message: Message, data: bytes) -> None:
+        if not link.put(data, name_kind(message)):
+            self._traffic.note_dropped()
 
     def send_heartbeat_now(self) -> None:
         """Send the next heartbeat immediately."""
@@ -206,6 +233,11 @@
             self._update_links(group)
             self._close_faulty()
             self.book.forget_silent()
+            links = self._list_links()
+            self._traffic.log_if_due(
+                sum(len(link.waiting) for link in links),
+                sum(link.unsent_bytes for link in links),
+            )
             self._heartbeat_state = encode_state(self.build_heartbeat())
             for link in self._list_links():
                 link.heartbeat_due = True
@@ -315,6 +347,7 @@
 
         reasons: list[str] = []
         link.received_at = self.clock()
+        link.connection = connection
         async with anyio.create_task_group() as group:
             link.serving = group.cancel_scope
 
@@ -349,15 +382,20 @@
         while True:
             link.sending_since = self.clock()
             while link.waiting:
-                await connection.send(link.waiting.popleft())
+                await self._send_now(connection, *link.waiting.popleft())
             if link.heartbeat_due:
                 link.heartbeat_due = False
-                await connection.send(self._encode_heartbeat(link.node))
+                data = self._encode_heartbeat(link.node)
+                await self._send_now(connection, 'heartbeat', data)
             link.sending_since = float('inf')
             if not link.waiting and not link.heartbeat_due:
                 link.wake = anyio.Event()
                 await link.wake.wait()
 
+    async def _send_now(self, connection: Connection, kind: str, data: bytes) -> None:
+        await connection.send(data)
+        self._traffic.note_sent(kind, len(data))
+
     def _encode_heartbeat(self, node: str) -> bytes:
         """Return the encoded heartbeat for one peer.
 
--- a/coursepitch/gateway_application.py
+++ b/coursepitch/gateway_application.py
@@ -166,6 +166,7 @@
             clock,
         )
         self.links.serve_tunnel = self.tunnel_server.serve
+        self.links.count_sent = self._count_sent
         self.session.send = self.links.send
         self.session.losses.tell = self.links.send
         self.session.limits.tell = self.links.send
@@ -318,6 +319,9 @@
     def _count_connection(self, outcome: ConnectOutcome) -> None:
         self.metrics.instance_connections.inc({'outcome': outcome.value})
 
+    def _count_sent(self, kind: str, size: int) -> None:
+        self.metrics.link_bytes.add({'kind': kind}, size)
+
     def _count_notice(self, kind: str) -> None:
         self.metrics.instance_notices.inc({'kind': kind})
 
--- a/coursepitch/metrics.py
+++ b/coursepitch/metrics.py
@@ -142,6 +142,10 @@
         self.peer_bytes = counter(
             'peer_bytes_total', 'Bytes sent to and received from peers, by direction.'
         )
+        self.link_bytes = counter(
+            'link_bytes_total',
+            'Bytes sent to peers on the platform, by kind of message.',
+        )
         self.peer_links = gauge('peer_links', 'Open connections to peers.')
         self.duties = gauge('duties_held', 'Duties that this node holds.')
         self.group_downtime = counter(
