--- a/tests/crashes/test_reports.py
+++ b/tests/crashes/test_reports.py
@@ -3,12 +3,15 @@
 from __future__ import annotations
 
 import unittest
+from dataclasses import replace
+from functools import partial
 
 import anyio
 
-from coursepitch.crashes.parts import TRIAL_S
+from coursepitch.crashes.parts import MAX_CRASHES_KEPT, TRIAL_S
 from coursepitch.crashes.refused import encode_lifted
 from coursepitch.crashes.reports import (
+    BATCH_S,
     LAPSE_HEARTBEATS,
     CrashReporter,
     LiveInstances,
@@ -209,6 +212,81 @@
         self.assertLess(self.leader.bytes / self.leader.sent, 2_000)
 
 
+class LateMessagesTest(FleetTestCase):
+    """Nodes stop sending once all know of a crash, however many there are.
+
+    Guards against reports that relays forward to one another without end.
+    """
+
+    instances = 3 * MAX_CRASHES_KEPT
+    link_s = 0.03
+
+    def setUp(self):
+        super().setUp()
+        self.due = []
+        for node in self.nodes:
+            node.reporter.send = partial(self.send_late, node)
+
+    def send_late(self, node, message, name):
+        """Send a message that arrives later."""
+        data = encode_message(message)
+        for peer in node.links:
+            if name in ('', peer.name):
+                node.sent += 1
+                self.due.append((self.now + self.link_s, peer, data))
+
+    def play(self, seconds):
+        """Deliver messages as they are due; return how many were sent."""
+        sent = self.count_sent()
+        until = self.now + seconds
+        while self.now < until:
+            self.now += BATCH_S
+            due, self.due = self.due, []
+            for row in due:
+                at, peer, data = row
+                if at > self.now:
+                    self.due.append(row)
+                else:
+                    peer.reporter.take(decode_message(data))
+            for node in self.nodes:
+                node.reporter.tell_waiting()
+        return self.count_sent() - sent
+
+    def count_sent(self):
+        return sum(node.sent for node in self.nodes)
+
+    def see_crashes(self, name_request, parts):
+        """Let nodes observe crashes of many instances that ran like requests."""
+        for number in range(self.instances):
+            node = self.plain[number % len(self.plain)]
+            crash = Crash(
+                name_request(number), 'acme', f'i{number}', 1, self.now, node.name
+            )
+            node.reporter.note_crash(replace(crash, workload='pool/m', parts=parts))
+
+    def check_silent(self):
+        """Check that the nodes have stopped after ten times what a report needs."""
+        self.play(10 * (2 * self.link_s + 2 * BATCH_S))
+        self.assertEqual(self.play(1.0), 0)
+
+    def test_crashes_of_one_part(self):
+        self.see_crashes(lambda number: f'r{number}', ('shared',))
+        self.check_silent()
+
+    def test_crashes_of_one_request(self):
+        self.see_crashes(lambda number: 'r', ())
+        self.check_silent()
+
+    def test_crashes_that_are_cleared_meanwhile(self):
+        self.see_crashes(lambda number: f'r{number}', ('shared',))
+        self.play(0.1)
+        for number, node in enumerate(self.plain):
+            traits = Traits(f'r{number}', 'acme', 'pool/m', ('shared',))
+            node.reporter.note_answered(traits.fingerprint)
+            node.reporter.note_sound(traits, '')
+        self.check_silent()
+
+
 class PartReportTest(FleetTestCase):
     """A part of prompts that crashes instances becomes known to all nodes."""
 
