Forward each report of a crash once, whatever the tables of suspects drop

What callers saw: after many instances had ended at once, the node that leads sent 1.2 to 2.0 MB of crash reports a second for as long as the crashes counted. Its link was full: requests came late to instances, the ends of clients' connections were passed on late (GONE), connections timed out and members of sound groups seemed silent.

Cause: a node forwards a report that is new to its tables of suspects. These keep eight crashes of a part or request, and drop the oldest. A dropped one is new when a copy arrives from another relay, and displaces the next, since each link adds to its time what the message took. So beyond eight crashes of one part, such as a prompt that all requests share, reports went round without end.

Change: whether a report was known is remembered apart from the tables (crashes.reported). Acquittals need no such memory: they are forwarded if they clear something, and a known report brings nothing back.

Ruled out: heartbeats and changes, by links.busy.

--- a/coursepitch/crashes/reports.py
+++ b/coursepitch/crashes/reports.py
@@ -15,6 +15,7 @@
 from coursepitch import events, log
 from coursepitch.crashes.parts import PART_PREFIX, Scope, SuspectPart
 from coursepitch.crashes.refused import encode_lifted, encode_refused
+from coursepitch.crashes.reported import ReportedCrashes
 from coursepitch.crashes.suspects import REPORT_DELAY_S, Clearance
 from coursepitch.fleet.messages import CrashReport
 from coursepitch.fleet.view import REFUSED_PREFIX
@@ -98,6 +99,7 @@
         self._clock = clock
         self._queued_crashes: list[Crash] = []
         self._queued_acquittals: list[Clearance] = []
+        self._reported = ReportedCrashes()
         self._observed: set[str] = set()
         self._outdated_entries: set[str] = set()
         self._logged_parts: set[str] = set()
@@ -118,6 +120,7 @@
 
     def note_crash(self, crash: Crash) -> None:
         """Record a crash that this node observed, and report it to peers."""
+        self._reported.note(crash)
         if self._suspects.note_crash(crash):
             self._observed.add(crash.fingerprint)
             self._observed.update(PART_PREFIX + name for name in crash.parts)
@@ -194,7 +197,8 @@
         """Record a peer's reports; a relay forwards those that are new."""
         now = self._clock()
         shift_s = now - report.sent_at
-        crashes = [item.shift(shift_s, now) for item in report.crashes]
+        shifted = (item.shift(shift_s, now) for item in report.crashes)
+        crashes = [item for item in shifted if self._reported.note(item)]
         acquittals = [
             replace(item, at=min(now, item.at + shift_s)) for item in report.acquittals
         ]
