Pace messages to peers, so that they leave room for requests on a node's link

What callers saw: requests came late to instances, or were not cancelled there, while the node that leads sent much to its peers, since all bytes of a node share its network link.

Cause: nothing bounds what a node sends to all its peers together.

Change: [limits] link_mbit_s tells the speed of the link. Changes, configurations and reports of crashes wait for their turn in three quarters of it, all peers together; heartbeats and small messages do not wait, and count. A message that waits for its turn is no fault of its link.

Ruled out: a bound for each link, which adds up with the number of peers.

--- a/coursepitch/config/gateway.py
+++ b/coursepitch/config/gateway.py
@@ -57,6 +57,21 @@
     )
 
 
+@dataclass(frozen=True, slots=True)
+class GatewayLimitSettings(LimitSettings):
+    """What the node may use of its machine; see :class:`LimitSettings`.
+
+    Messages to other nodes leave a quarter of the network link to requests.
+    """
+
+    link_mbit_s: float = option(
+        0.0,
+        'Speed of the network link of the machine in Mbit/s; 0 if it is unknown, and '
+        'messages to other nodes may fill it.',
+        low=0,
+    )
+
+
 @dataclass(frozen=True, slots=True)
 class PromiseSettings:
     """Bounds that the users state."""
@@ -97,7 +112,7 @@
     node: GatewayNodeSettings
     listen: ListenSettings
     store: StoreSettings
-    limits: LimitSettings
+    limits: GatewayLimitSettings
     promises: PromiseSettings
     log: LogSettings
 
--- /dev/null
+++ b/coursepitch/fleet/link_pacing.py
@@ -0,0 +1,48 @@
+"""Share of a node's network link that messages to its peers may take.
+
+A node that many others link to sends each change to all of them.  What it sends to
+instances and clients uses the same link and would wait behind.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from coursepitch.clock import Clock
+
+__all__ = ['LinkPacer']
+
+#: Share of the link's speed that messages to peers may use.
+LINK_SHARE = 0.75
+
+#: Seconds of that share that may be sent at once.
+BURST_S = 0.05
+
+BYTES_PER_MBIT = 125_000
+
+
+class LinkPacer:
+    """Assigns each message the time at which it may be sent, for all links together.
+
+    :param mbit_s: speed of the node's network link in Mbit/s; 0 if it is unknown, and
+        nothing waits.
+    """
+
+    def __init__(self, clock: Clock, mbit_s: float = 0.0) -> None:
+        self._clock = clock
+        self._bytes_per_s = mbit_s * BYTES_PER_MBIT * LINK_SHARE
+        self._free_at = float('-inf')
+
+    def reserve(self, size: int) -> float:
+        """Return the monotonic time from which a message of some bytes may be sent."""
+        now = self._clock()
+        if not self._bytes_per_s:
+            return now
+        begin = max(now, self._free_at)
+        self._free_at = begin + size / self._bytes_per_s
+        return max(now, begin - BURST_S)
+
+    def note_sent(self, size: int) -> None:
+        """Count bytes that did not wait."""
+        self.reserve(size)
--- a/coursepitch/fleet/links.py
+++ b/coursepitch/fleet/links.py
@@ -19,9 +19,13 @@
 
 from coursepitch import events, log
 from coursepitch.errors import CodecError
+from coursepitch.fleet.link_pacing import LinkPacer
 from coursepitch.fleet.link_traffic import LinkTraffic, name_kind
 from coursepitch.fleet.messages import (
+    Changes,
+    CrashReport,
     Heartbeat,
+    TableReply,
     decode_message,
     encode_heartbeat,
     encode_message,
@@ -39,7 +43,7 @@
     from websockets.asyncio.server import ServerConnection
 
     from coursepitch.clock import Clock
-    from coursepitch.fleet.messages import Changes, Message
+    from coursepitch.fleet.messages import Message
     from coursepitch.fleet.nodes import NodeLocation
     from coursepitch.fleet.peers import PeerRegistry
     from coursepitch.fleet.view import FleetView
@@ -71,12 +75,20 @@
 MAX_MESSAGE_BYTES = 2_097_152
 
 
+#: Messages that may be large and go to many peers.  They wait for their share of the
+#: node's network link; the others are small and are waited for.
+_PACED = (Changes, CrashReport, TableReply)
+
+
 @dataclass(eq=False)
 class _Link:
     """A connection to a peer and its queue of messages.
 
     :param node: name of the peer; empty until its first heartbeat.
     :param waiting: encoded messages to send, each after its kind.
+    :param paced: the same of messages that wait for their share of the network link.
+    :param paced_at: time from which the first of these may be sent; ``None`` if it
+        has none yet.
     :param heartbeat_due: whether a heartbeat is due.
     :param received_at: time of the last received message.
     :param sending_since: start of the current send; infinite if there is none.
@@ -87,6 +99,10 @@
     waiting: collections.deque[tuple[str, bytes]] = field(
         default_factory=collections.deque
     )
+    paced: collections.deque[tuple[str, bytes]] = field(
+        default_factory=collections.deque
+    )
+    paced_at: float | None = None
     heartbeat_due: bool = True
     wake: anyio.Event = field(default_factory=anyio.Event)
     scope: anyio.CancelScope = field(default_factory=anyio.CancelScope)
@@ -117,17 +133,37 @@
         if self.serving is not None:
             self.serving.cancel()
 
-    def put(self, data: bytes, kind: str = '') -> bool:
+    @property
+    def queued(self) -> int:
+        """Number of messages that wait to be sent."""
+        return len(self.waiting) + len(self.paced)
+
+    def put(self, data: bytes, kind: str = '', *, paced: bool = False) -> bool:
         """Queue a message; drop it if the queue is full.
 
+        :param paced: whether it waits for its share of the network link.
         :return: whether it was queued.
         """
-        has_room = len(self.waiting) < QUEUE_LIMIT
+        queue = self.paced if paced else self.waiting
+        has_room = len(queue) < QUEUE_LIMIT
         if has_room:
-            self.waiting.append((kind, data))
+            queue.append((kind, data))
         self.wake.set()
         return has_room
 
+    def find_delay_s(self, pacer: LinkPacer, now: float) -> float:
+        """Return the seconds until the first paced message; infinity for none."""
+        if not self.paced:
+            return float('inf')
+        if self.paced_at is None:
+            self.paced_at = pacer.reserve(len(self.paced[0][1]))
+        return max(0.0, self.paced_at - now)
+
+    def take_paced(self) -> tuple[str, bytes]:
+        """Return the first paced message, whose time has come."""
+        self.paced_at = None
+        return self.paced.popleft()
+
 
 @dataclass(eq=False)
 class PeerLinks:
@@ -141,6 +177,7 @@
     :param serve_tunnel: serves a peer's connection to an instance, see
         :mod:`coursepitch.fleet.tunnels`.
     :param count_sent: counts the bytes that were sent by kind of message.
+    :param pacer: share of the network link that messages may take.
     """
 
     me: str
@@ -162,6 +199,7 @@
     _plan_key: tuple[dict[str, NodeLocation], str] | None = None
 
     def __post_init__(self) -> None:
+        self.pacer = LinkPacer(self.clock)
         self._traffic = LinkTraffic(
             self.clock, lambda kind, size: self.count_sent(kind, size)
         )
@@ -195,7 +233,8 @@
                 self._put(link, changes, data)
 
     def _put(self, link: _Link, message: Message, data: bytes) -> None:
-        if not link.put(data, name_kind(message)):
+        paced = isinstance(message, _PACED)
+        if not link.put(data, name_kind(message), paced=paced):
             self._traffic.note_dropped()
 
     def send_heartbeat_now(self) -> None:
@@ -235,7 +274,7 @@
             self.book.forget_silent()
             links = self._list_links()
             self._traffic.log_if_due(
-                sum(len(link.waiting) for link in links),
+                sum(link.queued for link in links),
                 sum(link.unsent_bytes for link in links),
             )
             self._heartbeat_state = encode_state(self.build_heartbeat())
@@ -380,20 +419,33 @@
 
     async def _send_queued(self, connection: Connection, link: _Link) -> None:
         while True:
-            link.sending_since = self.clock()
+            link.wake = anyio.Event()
             while link.waiting:
-                await self._send_now(connection, *link.waiting.popleft())
+                kind, data = link.waiting.popleft()
+                self.pacer.note_sent(len(data))
+                await self._send_now(connection, link, kind, data)
+            delay_s = link.find_delay_s(self.pacer, self.clock())
+            if not delay_s:
+                await self._send_now(connection, link, *link.take_paced())
+                continue
             if link.heartbeat_due:
                 link.heartbeat_due = False
                 data = self._encode_heartbeat(link.node)
-                await self._send_now(connection, 'heartbeat', data)
-            link.sending_since = float('inf')
-            if not link.waiting and not link.heartbeat_due:
-                link.wake = anyio.Event()
+                self.pacer.note_sent(len(data))
+                await self._send_now(connection, link, 'heartbeat', data)
+                continue
+            if delay_s == float('inf'):
                 await link.wake.wait()
-
-    async def _send_now(self, connection: Connection, kind: str, data: bytes) -> None:
+            else:
+                with anyio.move_on_after(delay_s):
+                    await link.wake.wait()
+
+    async def _send_now(
+        self, connection: Connection, link: _Link, kind: str, data: bytes
+    ) -> None:
+        link.sending_since = self.clock()
         await connection.send(data)
+        link.sending_since = float('inf')
         self._traffic.note_sent(kind, len(data))
 
     def _encode_heartbeat(self, node: str) -> bytes:
--- a/coursepitch/gateway_application.py
+++ b/coursepitch/gateway_application.py
@@ -18,6 +18,7 @@
 from coursepitch.fleet.backoffs import InstanceBackoffs
 from coursepitch.fleet.control import InstanceControl
 from coursepitch.fleet.freshness import Freshness
+from coursepitch.fleet.link_pacing import LinkPacer
 from coursepitch.fleet.links import PeerLinks
 from coursepitch.fleet.messages import Heartbeat
 from coursepitch.fleet.nodes import NodeLocation
@@ -167,6 +168,7 @@
         )
         self.links.serve_tunnel = self.tunnel_server.serve
         self.links.count_sent = self._count_sent
+        self.links.pacer = LinkPacer(clock, settings.limits.link_mbit_s)
         self.session.send = self.links.send
         self.session.losses.tell = self.links.send
         self.session.limits.tell = self.links.send
