Bound how often reports of lost instances and notices are forwarded

What callers saw: an instance that asked for a backoff, or was cold, once, was avoided by all nodes for as long as the links between them were slow, and an instance that was lost and answered came and went.

A node forwards a notice that makes a backoff or a cold time end later than it knew. What is told are the seconds that are left, so each link makes them end later by the time of its message: from 0.25 s a link on, relays and the leader forward one notice without end. A loss and a later answer chase one another if a link takes longer than reports are ignored after an answer, which is a second.

Change: a report tells how many nodes have forwarded it, three at most: the relay of its sender, the leader, the relay of another zone. It stands after the sender's name, which nodes of earlier versions only log.

Five tests that compare a forwarded report name its hops now, and are as strict as before.

--- a/coursepitch/fleet/lost.py
+++ b/coursepitch/fleet/lost.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-from coursepitch.fleet.messages import LostReport
+from coursepitch.fleet.messages import MAX_HOPS, LostReport
 from coursepitch.platform.kv import Condition, Swapped, Write
 
 if TYPE_CHECKING:
@@ -190,10 +190,10 @@
         if not lost and not answering:
             return
         self._wake()
-        if self.is_watching():
-            self._tell_lost(
-                lost, answering, tuple(name for name in lost if name in ended)
-            )
+        # Reports that an instance is lost, and that it answers, may follow each other.
+        if self.is_watching() and told.hops < MAX_HOPS:
+            proven = tuple(name for name in lost if name in ended)
+            self._tell_lost(lost, answering, proven, told.hops + 1)
 
     def _find_ended(self, told: LostReport) -> set[str]:
         """Return the instances whose end a report proves.
@@ -213,7 +213,11 @@
         lost: tuple[str, ...],
         answering: tuple[str, ...] = (),
         ended: tuple[str, ...] = (),
+        hops: int = 0,
     ) -> None:
-        """Tell all nodes of lost instances, and of the incarnations that ended."""
+        """Tell all nodes of lost instances, and of the incarnations that ended.
+
+        :param hops: number of nodes that have forwarded it, with this one.
+        """
         births = tuple((name, born) for name in ended if (born := self._born(name)))
-        self.tell(LostReport(self._me, lost, answering, ended, births), '')
+        self.tell(LostReport(self._me, lost, answering, ended, births, hops), '')
--- a/coursepitch/fleet/messages.py
+++ b/coursepitch/fleet/messages.py
@@ -7,8 +7,8 @@
 from __future__ import annotations
 
 import zlib
-from dataclasses import dataclass, field
-from typing import TYPE_CHECKING, Any
+from dataclasses import dataclass, field, replace
+from typing import TYPE_CHECKING, Any, TypeVar
 
 import cbor2
 
@@ -30,9 +30,10 @@
 from coursepitch.util.plain_cbor import load_plain, read_integer, read_number
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
+    from collections.abc import Callable, Mapping
 
 __all__ = [
+    'MAX_HOPS',
     'Changes',
     'ChangesRequest',
     'CrashReport',
@@ -69,6 +70,13 @@
 #: Maximum length of a start time in text: that of an integer of 64 bits.
 MAX_BIRTH_CHARACTERS = 20
 
+#: Maximum length of a number of hops in text.
+MAX_HOPS_CHARACTERS = 3
+
+#: Number of nodes that may forward a report: the relay of its sender, the leader, and
+#: the relay of another zone.
+MAX_HOPS = 3
+
 _PLAIN = b'\x00'
 _COMPRESSED = b'\x01'
 
@@ -203,6 +211,7 @@
     :param ended: those among the lost ones whose process is proven to be gone.
     :param births: names of the ended ones with the start times of the incarnations, in
         Unix milliseconds; those without a known one are left out.
+    :param hops: number of nodes that have forwarded it.
     """
 
     node: str
@@ -210,6 +219,7 @@
     answering: tuple[str, ...] = ()
     ended: tuple[str, ...] = ()
     births: tuple[tuple[str, int], ...] = ()
+    hops: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -221,13 +231,17 @@
     :param backoffs: instances that requested a backoff: name, start time, and the
         remaining seconds.
     :param cold: instances that are cold: name, start time, and the remaining seconds.
+    :param hops: number of nodes that have forwarded it.
     """
 
     node: str
     leaving: tuple[tuple[str, int], ...] = ()
     backoffs: tuple[tuple[str, int, float], ...] = ()
     cold: tuple[tuple[str, int, float], ...] = ()
+    hops: int = 0
+
 
+_Forwarded = TypeVar('_Forwarded', LostReport, NoticeReport)
 
 Message = (
     Heartbeat
@@ -342,12 +356,12 @@
             parts = [list(message.lost), list(message.answering)]
             if message.ended:
                 parts.append(_encode_ended(message))
-            return _pack([_LOST_REPORT, message.node, *parts])
+            return _pack([_LOST_REPORT, _encode_sender(message), *parts])
         case NoticeReport():
             rows = [list(message.leaving), list(message.backoffs)]
             if message.cold:
                 rows.append(list(message.cold))
-            return _pack([_NOTICE_REPORT, message.node, *rows])
+            return _pack([_NOTICE_REPORT, _encode_sender(message), *rows])
         case LimitReport():
             rows = [encode_limit(row) for row in message.rows]
             return _pack([_LIMIT_REPORT, message.node, rows])
@@ -394,9 +408,9 @@
         if kind == _CRASH_REPORT:
             return _decode_crashes(parts)
         if kind == _LOST_REPORT:
-            return _decode_lost(node, *parts[1:])
+            return _add_hops(_decode_lost, node, *parts[1:])
         if kind == _NOTICE_REPORT:
-            return _decode_notices(node, *parts[1:])
+            return _add_hops(_decode_notices, node, *parts[1:])
         if kind == _LIMIT_REPORT:
             return LimitReport(node, tuple(map(decode_limit, parts[1])))
         if kind == _SEND_REQUEST:
@@ -453,6 +467,23 @@
     )
 
 
+def _encode_sender(message: LostReport | NoticeReport) -> str:
+    """Return the name of the sender, with the hops after a line break.
+
+    Nodes that know no hops take them for a part of the name, which they only log.
+    """
+    return f'{message.node}\n{message.hops}' if message.hops else message.node
+
+
+def _add_hops(decode: Callable[..., _Forwarded], sender: str, *rows: Any) -> _Forwarded:
+    """Return a decoded report with the hops that follow the name of its sender."""
+    node, _, text = sender.partition('\n')
+    hops = int(text[: MAX_HOPS_CHARACTERS + 1] or 0)
+    if not 0 <= hops < 10**MAX_HOPS_CHARACTERS:
+        raise ValueError('the number of hops is out of range')
+    return replace(decode(node, *rows), hops=hops)
+
+
 def _encode_ended(message: LostReport) -> list[str]:
     """Return the names of ended instances, with a start time after a line break.
 
--- a/coursepitch/fleet/notices.py
+++ b/coursepitch/fleet/notices.py
@@ -9,7 +9,7 @@
 from typing import TYPE_CHECKING
 
 from coursepitch import events, log
-from coursepitch.fleet.messages import NoticeReport
+from coursepitch.fleet.messages import MAX_HOPS, NoticeReport
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -146,7 +146,11 @@
     # -- messages of peers ---------------------------------------------------------
 
     def take_told(self, told: NoticeReport) -> None:
-        """Process a peer's notices; forward new ones if peers rely on this node."""
+        """Process a peer's notices; forward new ones if peers rely on this node.
+
+        Seconds that are left are those at the first node that read them, so each link
+        makes them end later, and a report may seem new again.
+        """
         leaving = tuple(
             (name, born)
             for name, born in told.leaving
@@ -154,8 +158,10 @@
         )
         backoffs = tuple(row for row in told.backoffs if self._take_told_backoff(*row))
         cold = tuple(row for row in told.cold if self._take_told_cold(*row))
-        if (leaving or backoffs or cold) and self.is_watching():
-            self.tell(NoticeReport(self.me, leaving, backoffs, cold), '')
+        is_due = self.is_watching() and told.hops < MAX_HOPS
+        if (leaving or backoffs or cold) and is_due:
+            hops = told.hops + 1
+            self.tell(NoticeReport(self.me, leaving, backoffs, cold, hops), '')
 
     def _take_told_cold(self, name: str, born: int, left_s: float) -> bool:
         """Process for how long an instance stays cold; return whether it is news."""
--- a/tests/fleet/test_lost.py
+++ b/tests/fleet/test_lost.py
@@ -99,7 +99,7 @@
         told = LostReport('n2', ('i1', 'i2'), ended=('i1',))
         self.node.reporter.take(told)
         self.assertEqual(
-            self.node.told, [LostReport('n1', ('i1', 'i2'), ended=('i1',))]
+            self.node.told, [LostReport('n1', ('i1', 'i2'), ended=('i1',), hops=1)]
         )
         self.assertTrue(self.view.lost.has_ended('i1'))
         self.assertFalse(self.view.lost.has_ended('i2'))
@@ -159,7 +159,7 @@
         self.node.reporter.is_watching = lambda: True
         for _ in range(3):
             self.node.reporter.take(LostReport('n2', ('i1', 'i2')))
-        self.assertEqual(self.node.told, [LostReport('n1', ('i2',))])
+        self.assertEqual(self.node.told, [LostReport('n1', ('i2',), hops=1)])
 
 
 class OutageTest(unittest.TestCase):
--- a/tests/fleet/test_notices.py
+++ b/tests/fleet/test_notices.py
@@ -91,7 +91,7 @@
         self.notices.is_watching = lambda: True
         more = NoticeReport('n2', (('a', 5), ('b', 7)))
         self.notices.take_told(more)
-        self.assertEqual(self.told, [(NoticeReport('n1', (('b', 7),)), '')])
+        self.assertEqual(self.told, [(NoticeReport('n1', (('b', 7),), hops=1), '')])
 
     def note_cold(self):
         """Let the node know which instances are cold; return that state."""
@@ -114,7 +114,7 @@
         self.notices.is_watching = lambda: True
         rows = (('a', 4, 3.0), ('a', 5, 3.0), ('a', 5, 2.9), ('b', 7, 3.0))
         self.notices.take_told(NoticeReport('n2', cold=rows))
-        told = NoticeReport('n1', cold=(('a', 5, 3.0),))
+        told = NoticeReport('n1', cold=(('a', 5, 3.0),), hops=1)
         self.assertEqual(self.told, [(told, '')])
         self.assertIsNone(cold.find_limit('b'))
 
@@ -162,4 +162,5 @@
         self.notices.take_told(NoticeReport('n2', (), rows))
         self.assertEqual(avoided, [('a', 3.0)])
         self.assertFalse(self.backoffs.is_closed('a'))
-        self.assertEqual(self.told, [(NoticeReport('n1', (), (('a', 5, 3.0),)), '')])
+        told = NoticeReport('n1', (), (('a', 5, 3.0),), hops=1)
+        self.assertEqual(self.told, [(told, '')])
