Read the later of two errors until the deadline, as that of a single run

What callers saw: 502 in place of an error of the instance, if two runs beside each other both gave one and their bodies came more than a second after their heads.

Cause: each run counted the other as one that may still succeed, so both bodies got 1.0 s.

Evidence: tests.gateway.test_late_errors, bodies after 1.5 and 3.5 s, failed before and passes.

--- a/coursepitch/gateway/streams.py
+++ b/coursepitch/gateway/streams.py
@@ -898,7 +898,11 @@
         # The status claims that the request was not executed, which is unknown.
         claims_not_executed = response.status in NOT_EXECUTED_STATUSES
         # The other runs may succeed, and would give the same final answer.
-        may_succeed = len(runs.live) > 1 and response.status >= 500
+        may_succeed = response.status >= 500 and any(
+            other.response is None or other.response.status < 500
+            for other in runs.live
+            if other is not run
+        )
         is_dropped = (
             job.reply.started or may_retry or claims_not_executed or may_succeed
         )
