Draw no conclusion on the way from the silence of a part of the instances

A third of the heads that end together, and a node that sent to two of them alone within a second, looked like a slow way, and a second run might not have begun. At least half of the instances that were sent to in the last two seconds have to be silent now.

--- a/coursepitch/gateway/answer_times.py
+++ b/coursepitch/gateway/answer_times.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import collections
+import math
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -21,9 +22,11 @@
 RECENT_S = 2.0
 
 #: Fewest answers from which a conclusion is drawn, and fewest silent instances while
-#: no other one answers.
+#: no other one answers, also as a share of those that were sent to lately: some may
+#: have failed together.
 MIN_ANSWERS = 3
 MIN_SILENT = 2
+MIN_SILENT_SHARE = 0.5
 
 
 @dataclass(frozen=True, eq=False, slots=True)
@@ -34,13 +37,26 @@
     sent_at: float
 
 
+@dataclass(frozen=True, slots=True)
+class _Answer:
+    """An answer of an instance.
+
+    :param at: monotonic time at which it came.
+    :param taken_s: seconds since the send.
+    """
+
+    instance: str
+    at: float
+    taken_s: float
+
+
 class AnswerTimes:
     """Times of the answers of all instances, rejections included."""
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._pending: dict[PendingAnswer, None] = {}
-        self._recent: collections.deque[tuple[float, float]] = collections.deque()
+        self._recent: collections.deque[_Answer] = collections.deque()
 
     def begin(self, instance: str) -> PendingAnswer:
         """Record that a request is sent."""
@@ -52,7 +68,7 @@
         """Record that the head of a response has arrived."""
         now = self._clock()
         self._drop_old(now)
-        self._recent.append((now, now - pending.sent_at))
+        self._recent.append(_Answer(pending.instance, now, now - pending.sent_at))
 
     def end(self, pending: PendingAnswer) -> None:
         """Record that a request is answered, or given up."""
@@ -62,13 +78,16 @@
         """Return the shortest possible time in seconds; 0 if it is unknown."""
         now = self._clock()
         self._drop_old(now)
-        shortest_s = min((seconds for _, seconds in self._recent), default=0.0)
+        shortest_s = min((item.taken_s for item in self._recent), default=0.0)
         missing = MIN_ANSWERS - len(self._recent)
         if self._recent and missing > 0:
             # Instances that have been silent for longer stand in for the answers.
             shortest_s = min(shortest_s, self._find_silence_s(now, missing))
-        answered_at = self._recent[-1][0] if self._recent else float('-inf')
-        return max(shortest_s, self._find_silence_s(now, MIN_SILENT, answered_at))
+        answered_at = self._recent[-1].at if self._recent else float('-inf')
+        names = {item.instance for item in self._pending}
+        names.update(item.instance for item in self._recent)
+        count = max(MIN_SILENT, math.ceil(len(names) * MIN_SILENT_SHARE))
+        return max(shortest_s, self._find_silence_s(now, count, answered_at))
 
     def _find_silence_s(
         self, now: float, count: int, since: float = float('-inf')
@@ -86,5 +105,5 @@
         return 0.0
 
     def _drop_old(self, now: float) -> None:
-        while self._recent and self._recent[0][0] < now - RECENT_S:
+        while self._recent and self._recent[0].at < now - RECENT_S:
             self._recent.popleft()
--- a/tests/gateway/test_answer_times.py
+++ b/tests/gateway/test_answer_times.py
@@ -63,6 +63,15 @@
         self.now += 0.9
         self.assertAlmostEqual(self.times.find_shortest_s(), 1.0)
 
+    # Guards against requests that are refused as a part of the instances has ended.
+    def test_silence_of_a_part_of_the_instances_tells_nothing(self):
+        for number in range(4):
+            self.answer(0.1, instance=f'a{number}')
+        for number in range(3):
+            self.times.begin(f'i{number}')
+        self.now += 1.0
+        self.assertAlmostEqual(self.times.find_shortest_s(), 0.1)
+
     def test_answer_of_another_instance_ends_the_silence(self):
         for number in range(MIN_SILENT):
             self.times.begin(f'i{number}')
