Let streams of leaving instances last for six seconds in their test

The test pauses and kills an instance once the node has heard that it leaves, amid a stream of two seconds.

Evidence: with the node stopped for 2.2 s as the instance leaves, the test fails with this message in both its cases (trial, 1 run): the stream has ended before the node hears, and nothing is cut. So the case was not put, and nothing looked complete that was not. The checks are as before; a node that stands still for four seconds more is needed to miss the case.

--- a/tests/whole/test_broken_off.py
+++ b/tests/whole/test_broken_off.py
@@ -300,8 +300,8 @@
 
     nodes = ('n1',)
     engines = 9
-    #: Two seconds of a stream.
-    events = 100
+    #: Six seconds of a stream, within which the node has to hear that it leaves.
+    events = 300
 
     def read_of_leaving(self, path, request, leave, end):
         """Return what a client got of a stream whose instance leaves.
