Leave room for changes beside the heartbeats of a node that hundreds link to

Messages that do not wait counted in full against the share of the others. The heartbeats to 73 peers are 110 to 170 KB a second, so those to 369 may be 0.5 to 0.9 MB, of 0.94 MB that the share of a link of 10 Mbit/s is, and changes would hardly have left (reckoned, not played). They count by half now.

The new test, with heartbeats that take the whole share, fails with a weight of 1.

--- a/coursepitch/fleet/link_pacing.py
+++ b/coursepitch/fleet/link_pacing.py
@@ -18,6 +18,10 @@
 LINK_SHARE = 0.75
 BACKGROUND_SHARE = 0.25
 
+#: Weight of bytes that did not wait.  The heartbeats of a node that hundreds link to
+#: alone may take most of the share, and other messages still have to leave.
+UNPACED_WEIGHT = 0.5
+
 #: Seconds of that share that may be sent at once.
 BURST_S = 0.05
 
@@ -50,4 +54,4 @@
 
     def note_sent(self, size: int) -> None:
         """Count bytes that did not wait."""
-        self.reserve(size)
+        self.reserve(round(size * UNPACED_WEIGHT))
--- a/tests/fleet/test_link_pacing.py
+++ b/tests/fleet/test_link_pacing.py
@@ -53,6 +53,17 @@
         self.pacer.reserve(int(BYTES_PER_S))
         self.assertGreater(self.pacer.reserve(1), self.now + 0.9)
 
+    # Guards against changes that never leave a node to which hundreds link.
+    def test_bytes_that_do_not_wait_leave_room_for_others(self):
+        sent, due_at = 0, self.now
+        for _ in range(1_000):
+            self.now += 0.01
+            self.pacer.note_sent(int(BYTES_PER_S * 0.01))
+            while due_at <= self.now:
+                sent += 1_000
+                due_at = self.pacer.reserve(1_000)
+        self.assertGreater(sent, 0.25 * 10.0 * BYTES_PER_S)
+
     def test_unknown_speed_holds_up_nothing(self):
         pacer = LinkPacer(lambda: self.now)
         times = {pacer.reserve(1_000_000) for _ in range(100)}
