Move the queues of paced messages beside the pacer, and bound the answers that are kept

A newcomer looks for what waits for the link where the link's share is decided. At most 256 answers are kept of the last two seconds; it was bounded by time alone.

--- a/coursepitch/fleet/link_pacing.py
+++ b/coursepitch/fleet/link_pacing.py
@@ -6,15 +6,18 @@
 
 from __future__ import annotations
 
+import collections
+import enum
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
     from coursepitch.clock import Clock
 
-__all__ = ['BACKGROUND_SHARE', 'LINK_SHARE', 'LinkPacer']
+__all__ = ['BACKGROUND_SHARE', 'LINK_SHARE', 'LinkPacer', 'PacedQueue', 'Pacing']
 
-#: Share of the link's speed that messages to peers may use, and of it those in the
-#: background.
+#: Share of the link's speed that messages to peers may use, and the part for those in
+#: the background.
 LINK_SHARE = 0.75
 BACKGROUND_SHARE = 0.25
 
@@ -55,3 +58,38 @@
     def note_sent(self, size: int) -> None:
         """Count bytes that did not wait."""
         self.reserve(round(size * UNPACED_WEIGHT))
+
+
+class Pacing(enum.Enum):
+    """How a message waits for the network link."""
+
+    NORMAL = 'normal'
+    BACKGROUND = 'background'
+
+
+@dataclass(eq=False)
+class PacedQueue:
+    """Messages to one peer that wait for their share of the network link.
+
+    :param messages: encoded messages, each after its kind.
+    :param due_at: time from which the first of these may be sent; ``None`` if it has
+        none yet.
+    """
+
+    messages: collections.deque[tuple[str, bytes]] = field(
+        default_factory=collections.deque
+    )
+    due_at: float | None = None
+
+    def find_delay_s(self, pacer: LinkPacer, now: float) -> float:
+        """Return the seconds until the first message; infinity for none."""
+        if not self.messages:
+            return float('inf')
+        if self.due_at is None:
+            self.due_at = pacer.reserve(len(self.messages[0][1]))
+        return max(0.0, self.due_at - now)
+
+    def take(self) -> tuple[str, bytes]:
+        """Return the first message, whose time has come."""
+        self.due_at = None
+        return self.messages.popleft()
--- a/coursepitch/fleet/link_traffic.py
+++ b/coursepitch/fleet/link_traffic.py
@@ -16,8 +16,7 @@
 
 __all__ = ['LinkTraffic', 'name_kind']
 
-#: Seconds that are counted together, and bytes from which they are logged: five times
-#: what the leader of 74 nodes sends in calm.
+#: Seconds that are counted together, and bytes from which they are logged.
 INTERVAL_S = 1.0
 LOGGED_BYTES = 1_048_576
 
--- a/coursepitch/fleet/links.py
+++ b/coursepitch/fleet/links.py
@@ -12,7 +12,6 @@
 from __future__ import annotations
 
 import collections
-import enum
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any
 
@@ -20,7 +19,13 @@
 
 from coursepitch import events, log
 from coursepitch.errors import CodecError
-from coursepitch.fleet.link_pacing import BACKGROUND_SHARE, LINK_SHARE, LinkPacer
+from coursepitch.fleet.link_pacing import (
+    BACKGROUND_SHARE,
+    LINK_SHARE,
+    LinkPacer,
+    PacedQueue,
+    Pacing,
+)
 from coursepitch.fleet.link_traffic import LinkTraffic, name_kind
 from coursepitch.fleet.messages import (
     Changes,
@@ -76,46 +81,11 @@
 MAX_MESSAGE_BYTES = 2_097_152
 
 
-#: Messages that may be large and go to many peers.  They wait for their share of the
-#: node's network link; the others are small and are waited for.
+#: Messages that may be large and go to many peers, and so wait for their share of the
+#: node's network link.
 _PACED = (Changes, CrashReport, TableReply)
 
 
-class _Pacing(enum.Enum):
-    """How a message waits for the network link."""
-
-    NORMAL = 'normal'
-    BACKGROUND = 'background'
-
-
-@dataclass(eq=False)
-class _PacedQueue:
-    """Messages to one peer that wait for their share of the network link.
-
-    :param messages: encoded messages, each after its kind.
-    :param due_at: time from which the first of these may be sent; ``None`` if it has
-        none yet.
-    """
-
-    messages: collections.deque[tuple[str, bytes]] = field(
-        default_factory=collections.deque
-    )
-    due_at: float | None = None
-
-    def find_delay_s(self, pacer: LinkPacer, now: float) -> float:
-        """Return the seconds until the first message; infinity for none."""
-        if not self.messages:
-            return float('inf')
-        if self.due_at is None:
-            self.due_at = pacer.reserve(len(self.messages[0][1]))
-        return max(0.0, self.due_at - now)
-
-    def take(self) -> tuple[str, bytes]:
-        """Return the first message, whose time has come."""
-        self.due_at = None
-        return self.messages.popleft()
-
-
 @dataclass(eq=False)
 class _Link:
     """A connection to a peer and its queue of messages.
@@ -134,8 +104,8 @@
     waiting: collections.deque[tuple[str, bytes]] = field(
         default_factory=collections.deque
     )
-    paced: _PacedQueue = field(default_factory=_PacedQueue)
-    background: _PacedQueue = field(default_factory=_PacedQueue)
+    paced: PacedQueue = field(default_factory=PacedQueue)
+    background: PacedQueue = field(default_factory=PacedQueue)
     heartbeat_due: bool = True
     wake: anyio.Event = field(default_factory=anyio.Event)
     scope: anyio.CancelScope = field(default_factory=anyio.CancelScope)
@@ -172,7 +142,7 @@
         queues = (self.waiting, self.paced.messages, self.background.messages)
         return sum(map(len, queues))
 
-    def put(self, data: bytes, kind: str = '', pacing: _Pacing | None = None) -> bool:
+    def put(self, data: bytes, kind: str = '', pacing: Pacing | None = None) -> bool:
         """Queue a message; drop it if the queue is full.
 
         :param pacing: how it waits for the network link; ``None`` if it does not.
@@ -180,7 +150,7 @@
         """
         queue = self.waiting
         if pacing is not None:
-            paced = pacing is _Pacing.NORMAL
+            paced = pacing is Pacing.NORMAL
             queue = (self.paced if paced else self.background).messages
         has_room = len(queue) < QUEUE_LIMIT
         if has_room:
@@ -257,7 +227,7 @@
         data = encode_message(message)
         for link in self._list_links():
             if link.node == node:
-                self._put(link, message, data, _Pacing.BACKGROUND)
+                self._put(link, message, data, Pacing.BACKGROUND)
 
     def relay_changes(self, changes: Changes, sender: str = '') -> None:
         """Queue changes for the nodes that depend on this one, and for relays.
@@ -277,10 +247,10 @@
         link: _Link,
         message: Message,
         data: bytes,
-        pacing: _Pacing | None = None,
+        pacing: Pacing | None = None,
     ) -> None:
         if pacing is None and isinstance(message, _PACED):
-            pacing = _Pacing.NORMAL
+            pacing = Pacing.NORMAL
         if not link.put(data, name_kind(message), pacing):
             self._traffic.note_dropped()
 
--- a/coursepitch/gateway/answer_times.py
+++ b/coursepitch/gateway/answer_times.py
@@ -17,6 +17,9 @@
 
 __all__ = ['AnswerTimes', 'PendingAnswer']
 
+#: Newest answers that are kept.
+MAX_ANSWERS = 256
+
 #: Seconds for which an answer counts.  Nothing is concluded from older ones, so that
 #: requests are sent again once the way may have become faster.
 RECENT_S = 2.0
@@ -56,7 +59,7 @@
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._pending: dict[PendingAnswer, None] = {}
-        self._recent: collections.deque[_Answer] = collections.deque()
+        self._recent: collections.deque[_Answer] = collections.deque(maxlen=MAX_ANSWERS)
 
     def begin(self, instance: str) -> PendingAnswer:
         """Record that a request is sent."""
--- a/tests/fleet/test_link_pacing.py
+++ b/tests/fleet/test_link_pacing.py
@@ -15,8 +15,10 @@
     BYTES_PER_MBIT,
     LINK_SHARE,
     LinkPacer,
+    PacedQueue,
+    Pacing,
 )
-from coursepitch.fleet.links import QUEUE_LIMIT, _Link, _PacedQueue, _Pacing
+from coursepitch.fleet.links import QUEUE_LIMIT, _Link
 from coursepitch.fleet.messages import (
     Changes,
     CrashReport,
@@ -97,17 +99,17 @@
     def test_full_queue_drops_messages_and_leaves_room_for_small_ones(self):
         link = _Link('n2', scope=None, wake=anyio.Event())
         kept = [
-            link.put(b'x', 'changes', _Pacing.NORMAL) for _ in range(QUEUE_LIMIT + 1)
+            link.put(b'x', 'changes', Pacing.NORMAL) for _ in range(QUEUE_LIMIT + 1)
         ]
         self.assertEqual(kept, [True] * QUEUE_LIMIT + [False])
         self.assertTrue(link.put(b'y', 'lost_report'))
-        self.assertTrue(link.put(b'z', 'crash_report', _Pacing.BACKGROUND))
+        self.assertTrue(link.put(b'z', 'crash_report', Pacing.BACKGROUND))
         self.assertEqual(link.queued, QUEUE_LIMIT + 2)
 
     def test_message_reserves_its_share_once(self):
         pacer = LinkPacer(lambda: 100.0, MBIT_S)
         pacer.reserve(int(BYTES_PER_S))
-        queue = _PacedQueue()
+        queue = PacedQueue()
         self.assertEqual(queue.find_delay_s(pacer, 100.0), float('inf'))
         queue.messages.append(('changes', b'x' * 1_000))
         delays = {queue.find_delay_s(pacer, 100.0) for _ in range(3)}
