Let a stand-in whose entry is gone write none again

The stand-in wrote its entry again with its next change of group. The tests before kill such instances amid a stream; where the leader's order to leave came first, the instance was listed, so its end counted as a crash under the request that all cases of the class send.

Not the product: an instance that is listed and ends is meant to count.

--- a/standins/replica.py
+++ b/standins/replica.py
@@ -120,6 +120,7 @@
     floods: list[dict[str, Any]] = field(default_factory=list)
     backoff: str | None = None
     leaving: bool = False
+    has_vanished: bool = False
     cold_left_ms: int = 0
     paused_until: float = 0.0
     paths: dict[str, Path] = field(default_factory=dict)
@@ -183,7 +184,9 @@
         }
 
     async def publish(self, instance: Instance) -> None:
-        """Write the entry of an instance."""
+        """Write the entry of an instance, unless it left without a word."""
+        if instance.has_vanished:
+            return
         value = json.dumps(instance.entry())
         key = f'servers/{instance.name}'
         await self.client.post('/operator', json={'key': key, 'value': value})
@@ -674,6 +677,7 @@
             instance.state = 'draining'
             await host.publish(instance)
         elif target == '/vanish':
+            instance.has_vanished = True
             await host.remove(instance)
     return {}
 
